--- /dev/null
+++ b/crates/interface/src/lib.rs
@@ -0,0 +1,332 @@
+//! The border of gullsail's decisions: events in, actions out, the ids both name, points in time and
+//! spans, and the facts that are given once at start. Nothing is decided here.
+
+pub mod label;
+
+use std::ops::{Add, Sub};
+
+/// A point in time, in microseconds of the hosts' common clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Instant(i64);
+
+/// A length of time in microseconds; never mixes with [`Instant`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(i64);
+
+impl Instant {
+    pub const fn from_micros(us: i64) -> Self {
+        Instant(us)
+    }
+    pub fn from_millis(ms: f64) -> Self {
+        Instant((ms * 1e3).round() as i64)
+    }
+    pub const fn micros(self) -> i64 {
+        self.0
+    }
+    pub fn millis(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+
+    pub const fn from_micros(us: i64) -> Self {
+        Span(us)
+    }
+    pub fn from_millis(ms: f64) -> Self {
+        Span((ms * 1e3).round() as i64)
+    }
+    pub const fn micros(self) -> i64 {
+        self.0
+    }
+    pub fn millis(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+    pub fn times(self, by: f64) -> Self {
+        Span((self.0 as f64 * by).round() as i64)
+    }
+}
+
+impl Add<Span> for Instant {
+    type Output = Instant;
+    fn add(self, by: Span) -> Instant {
+        Instant(self.0.saturating_add(by.0))
+    }
+}
+
+impl Sub<Span> for Instant {
+    type Output = Instant;
+    fn sub(self, by: Span) -> Instant {
+        Instant(self.0.saturating_sub(by.0))
+    }
+}
+
+impl Sub for Instant {
+    type Output = Span;
+    fn sub(self, from: Instant) -> Span {
+        Span(self.0.saturating_sub(from.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, by: Span) -> Span {
+        Span(self.0.saturating_add(by.0))
+    }
+}
+
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, by: Span) -> Span {
+        Span(self.0.saturating_sub(by.0))
+    }
+}
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($of:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+        pub struct $name(pub $of);
+    )*};
+}
+
+ids! {
+    /// A transfer, as this host was handed it.
+    TransferId(u64);
+    /// A storage node; the same number at every host.
+    NodeId(u64);
+    /// A volume; the same number at every host.
+    VolumeId(u64);
+    /// A piece of data.
+    ObjectId(u64);
+    /// The part of the data that a node holds.
+    CellId(i64);
+    /// A host, by its place among the hosts.
+    HostId(u32);
+    /// A zone, by its place in the facts.
+    ZoneId(usize);
+    /// A plan, by its place in the facts.
+    PlanId(usize);
+    /// A stream type, by its place in the facts.
+    StreamTypeId(usize);
+    /// A timer, named by whoever set it.
+    TimerId(u64);
+}
+
+/// Which nodes recognise the repeat of a keyed transfer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// May a transfer run again?
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Repeatable,
+    Keyed { group: Group, window: Span },
+    Unrepeatable,
+}
+
+#[derive(Clone, Debug)]
+pub struct StreamType {
+    pub effect: Effect,
+    pub slo_time: Span,
+    pub expiry: Span,
+    pub benefit: f64,
+    /// The part of the benefit that an answer after the SLO time still earns.
+    pub late_part: f64,
+    /// Its transfers that share an object run one at a time.
+    pub in_order: bool,
+}
+
+/// What a volume was promised; per second and in units, over all hosts.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// `None`: passes without a limit.
+    pub limit: Option<Limit>,
+    pub reserve: f64,
+    pub weight: f64,
+    pub price: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    pub rate: f64,
+    pub burst: f64,
+}
+
+/// How many legs beyond each transfer's first a host may send within `window`.
+#[derive(Clone, Copy, Debug)]
+pub struct LegBudget {
+    pub free: f64,
+    pub share: f64,
+    pub window: Span,
+}
+
+/// What bounds the work sent to a node that has just started.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ColdStart {
+    /// Units that it bears within `window`, from all hosts together.
+    pub units: f64,
+    pub window: Span,
+    /// It starts with this part of its capacity or more,
+    pub first_part: f64,
+    /// and has all of it, no slower than evenly, after this.
+    pub ramp: Span,
+}
+
+/// What a host is told at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    pub me: HostId,
+    pub hosts: u32,
+    pub tick: Span,
+    pub stream_types: Vec<StreamType>,
+    pub plans: Vec<Plan>,
+    pub cold: ColdStart,
+    pub leg_budget: Option<LegBudget>,
+    pub order_settle: Span,
+    pub most_legs: u32,
+    pub most_units: f64,
+    /// The parts of the benefit that units past the reserve, and past the share, still earn.
+    pub share_part: f64,
+    pub spare_part: f64,
+    /// The longest wait that a deferral may advise; `None`: no advice reaches clients.
+    pub longest_advice: Option<Span>,
+    pub peers_talk: bool,
+    /// The node list answers only when asked.
+    pub list_asked: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    #[default]
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct NodeEntry {
+    pub node: NodeId,
+    pub cell: CellId,
+    pub zone: ZoneId,
+    pub standing: Standing,
+    /// When it last started, if that is known.
+    pub started: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+pub enum ListNews {
+    /// Entries that changed.
+    Changes(Vec<NodeEntry>),
+    /// The whole list; who is not in it is gone.
+    Whole(Vec<NodeEntry>),
+    /// The whole list as it was last seen, perhaps long ago.
+    Remembered(Vec<NodeEntry>),
+    /// A call failed, or the watch broke.
+    Lost,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Transfer {
+    pub id: TransferId,
+    pub stream_type: StreamTypeId,
+    pub plan: PlanId,
+    pub volume: VolumeId,
+    pub units: f64,
+    /// Where the data lies; `None`: a new object.
+    pub cell: Option<CellId>,
+    pub object: Option<ObjectId>,
+    /// How long until the client gives up on this try.
+    pub ttl: Span,
+    /// Through how many hosts the volume's transfers come.
+    pub volume_hosts: u32,
+}
+
+/// How a leg ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Done,
+    /// The node answered with an error.
+    Failed,
+    /// Turned away unseen: it never ran.
+    TurnedAway,
+    /// No connection: it never ran.
+    Unreached,
+    /// Never went out.
+    Unsent,
+    /// No answer in time.
+    TimedOut,
+    /// The connection broke.
+    Broken,
+    Cancelled,
+}
+
+impl Ending {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::TurnedAway | Ending::Unreached | Ending::Unsent)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    List(ListNews),
+    Arrived(Transfer),
+    Timer(TimerId),
+    ClientLeft(TransferId),
+    PeerSaid {
+        from: HostId,
+        bytes: Vec<u8>,
+    },
+    LegEnded {
+        id: TransferId,
+        leg: u32,
+        node: NodeId,
+        ending: Ending,
+        took: Span,
+        /// The client has its final answer.
+        finished: bool,
+    },
+    StreamBegan {
+        id: TransferId,
+        node: NodeId,
+        took: Span,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the transfer to the node; without a time-out it runs until the expiry.
+    Leg {
+        id: TransferId,
+        node: NodeId,
+        time_out: Option<Span>,
+    },
+    /// Final answer: deferred; a repeat does no harm.
+    Defer {
+        id: TransferId,
+        come_back: Option<Span>,
+    },
+    /// Final answer: abandoned; promises nothing.
+    Abandon {
+        id: TransferId,
+    },
+    /// Ask for the node list and its changes from now on.
+    Watch,
+    Timer {
+        id: TimerId,
+        at: Instant,
+    },
+    /// At most 256 bytes to one host.
+    Tell {
+        to: HostId,
+        bytes: Vec<u8>,
+    },
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,800 @@
+//! Every decision of gullsail stands in this file. A caller makes one [`Brain`] for each life of a host
+//! and calls [`Brain::step`] with the clock and the events since; it carries out the actions that come
+//! back, in their order. Events, actions, ids and facts are those of the crate `gullsail-interface`.
+//!
+//! Read from the top: the loop ([`Brain`]), a storage node ([`Node`]: window, health, cold start), a
+//! volume ([`Volume`]: token bucket, rate rule, loans, reserve), the desk ([`Desk`]: transfers, order,
+//! legs, answers, labels). Parts talk only by notes put into inboxes that the loop empties.
+
+use crate::fading::Fading;
+use gullsail_interface::*;
+use rand::{SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, VecDeque};
+
+pub struct Brain {
+    nodes: BTreeMap<NodeId, Node>,
+    desk: Desk,
+    rng: ChaCha8Rng,
+}
+
+impl Brain {
+    pub fn new(facts: Facts, seed: u64, now: Instant) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Brain { nodes: BTreeMap::new(), desk: Desk::new(facts, now), rng }
+    }
+
+    pub fn step(&mut self, now: Instant, events: Vec<Event>) -> Vec<Action> {
+        self.desk.now = now;
+        for event in events {
+            if let Event::List(news) = &event {
+                self.list(news);
+            }
+            self.desk.inbox.push_back(DeskNote::Event(event));
+            self.empty_inboxes();
+        }
+        while self.desk.serve(&mut self.rng) {
+            self.empty_inboxes();
+        }
+        std::mem::take(&mut self.desk.actions)
+    }
+
+    fn list(&mut self, news: &ListNews) {
+        let (entries, whole) = match news {
+            ListNews::Changes(e) => (e, false),
+            ListNews::Whole(e) | ListNews::Remembered(e) => (e, true),
+            ListNews::Lost => return,
+        };
+        if whole {
+            for nd in self.nodes.values_mut().filter(|nd| entries.iter().all(|e| e.node != nd.entry.node)) {
+                let gone = NodeEntry { standing: Standing::Gone, ..nd.entry.clone() };
+                nd.inbox.push_back(NodeNote::Listed(gone));
+            }
+        }
+        for e in entries {
+            let nd = self.nodes.entry(e.node).or_insert_with(|| Node::new(e.clone(), self.desk.now));
+            nd.inbox.push_back(NodeNote::Listed(e.clone()));
+        }
+    }
+
+    fn empty_inboxes(&mut self) {
+        loop {
+            while let Some(note) = self.desk.inbox.pop_front() {
+                self.desk.take(note);
+            }
+            for (id, note) in std::mem::take(&mut self.desk.outbox) {
+                for (_, nd) in self.nodes.iter_mut().filter(|(n, _)| id.is_none_or(|id| id == **n)) {
+                    nd.inbox.push_back(note.clone());
+                }
+            }
+            for nd in self.nodes.values_mut().filter(|nd| !nd.inbox.is_empty()) {
+                while let Some(note) = nd.inbox.pop_front() {
+                    nd.take(note, self.desk.now, &self.desk.facts);
+                }
+                self.desk.inbox.push_back(DeskNote::Room(nd.room(self.desk.now, &self.desk.facts)));
+            }
+            if self.desk.inbox.is_empty() && self.desk.outbox.is_empty() {
+                return;
+            }
+        }
+    }
+}
+
+/// The design measures demand over the last second; the other sums keep to the same span.
+const LAST: Span = Span::from_micros(1_000_000);
+
+// ---- a storage node -----------------------------------------------------------------------------
+
+#[derive(Clone)]
+enum NodeNote {
+    Listed(NodeEntry),
+    Out { id: TransferId, leg: u32, units: f64, slo_time: Span },
+    Ended { id: TransferId, leg: u32, ending: Ending, took: Span },
+    Beat,
+}
+
+struct Out {
+    sent: Instant,
+    slo_time: Span,
+}
+
+#[derive(Default)]
+struct Node {
+    inbox: VecDeque<NodeNote>,
+    entry: NodeEntry,
+    window: f64,
+    out: BTreeMap<(TransferId, u32), Out>,
+    /// Time that answers took, and their number.
+    took: Fading,
+    answers: Fading,
+    halved: Instant,
+    heard: Instant,
+    last_sent: Instant,
+    /// What went out lately, kept exactly while the node is cold: a rule counts it.
+    cold_sent: VecDeque<(Instant, f64)>,
+}
+
+/// What a node tells the desk of itself.
+#[derive(Clone)]
+struct Room {
+    entry: NodeEntry,
+    slots: usize,
+    /// How many units it may be sent now; infinite once it is warm.
+    units: f64,
+    latency: Span,
+}
+
+impl Node {
+    /// Ceiling of the design page.
+    const CEILING: f64 = 32.0;
+    /// "A few", says the design page.
+    const START: f64 = 4.0;
+    /// Late: more than this part of the SLO time went by in the node, so that as much is left for the
+    /// wait at the host, where order can still be chosen.
+    const LATE: f64 = 0.5;
+    /// A node is silent when a leg is out for so many times the usual latency and nothing came since.
+    const SILENT: f64 = 3.0;
+    /// What is trusted of the growth that the ramp bounds promise to a cold node.
+    const RAMP_TRUST: f64 = 0.8;
+
+    fn new(entry: NodeEntry, now: Instant) -> Self {
+        let window = Self::START;
+        Node { entry, window, halved: now, heard: now, last_sent: now, ..Node::default() }
+    }
+
+    fn take(&mut self, note: NodeNote, now: Instant, facts: &Facts) {
+        match note {
+            NodeNote::Beat => {}
+            NodeNote::Listed(e) => {
+                // A fresh start time means a new process: what was learned of the old one is void.
+                if e.started > self.entry.started {
+                    self.window = Self::START;
+                    self.heard = now;
+                }
+                // The list is late: it can bring a drain at any time, but never takes one back unless
+                // the node was started anew since.
+                let ended = self.entry.standing != Standing::Ready && e.started <= self.entry.started;
+                let standing = if ended { self.entry.standing } else { e.standing };
+                self.entry = NodeEntry { standing, started: e.started.max(self.entry.started), ..e };
+            }
+            NodeNote::Out { id, leg, units, slo_time } => {
+                self.out.insert((id, leg), Out { sent: now, slo_time });
+                self.last_sent = now;
+                if self.cold_part(now, facts).is_some() {
+                    self.cold_sent.push_back((now, units));
+                }
+            }
+            NodeNote::Ended { id, leg, ending, took } => {
+                let Some(out) = self.out.remove(&(id, leg)) else {
+                    return;
+                };
+                match ending {
+                    Ending::Done | Ending::Failed => {
+                        self.heard = now;
+                        self.took.add(now, LAST, took.secs());
+                        self.answers.add(now, LAST, 1.0);
+                        if took > out.slo_time.times(Self::LATE) {
+                            self.halve(now);
+                        } else if self.out.len() + 1 >= self.window as usize {
+                            self.window = (self.window + 1.0 / self.window).min(Self::CEILING);
+                        }
+                    }
+                    Ending::TurnedAway => {
+                        self.heard = now;
+                        self.halve(now);
+                    }
+                    Ending::Broken => {
+                        // The process died: whatever answers next has just started, list or no list.
+                        self.entry.started = self.entry.started.max(Some(now));
+                        self.halve(now);
+                    }
+                    Ending::TimedOut | Ending::Unreached => self.halve(now),
+                    Ending::Unsent | Ending::Cancelled => {}
+                }
+            }
+        }
+    }
+
+    /// At most once a round trip: answers that are late together tell of one jam.
+    fn halve(&mut self, now: Instant) {
+        if now - self.halved > self.latency() {
+            self.window = (self.window / 2.0).max(1.0);
+            self.halved = now;
+        }
+    }
+
+    fn latency(&self) -> Span {
+        if self.answers.last() < 1e-3 {
+            return Span::from_millis(20.0); // before the first answer: shorter than any usual SLO time
+        }
+        Span::from_millis(self.took.last() / self.answers.last() * 1e3)
+    }
+
+    /// The node's capacity as of a window ago, at least, in multiples of that at its start; `None`: warm.
+    fn cold_part(&self, now: Instant, facts: &Facts) -> Option<f64> {
+        let cold = &facts.cold;
+        let age = now - self.entry.started?;
+        if age >= cold.ramp {
+            return None;
+        }
+        let gained = (age - cold.window).secs().max(0.0) / cold.ramp.secs();
+        let growth = (1.0 - cold.first_part) * gained / cold.first_part.max(0.01);
+        Some(1.0 + Self::RAMP_TRUST * growth)
+    }
+
+    fn room(&mut self, now: Instant, facts: &Facts) -> Room {
+        let units = match self.cold_part(now, facts) {
+            None => f64::INFINITY,
+            Some(part) => {
+                // A tenth longer than the rule's window: legs sent apart may arrive together.
+                let since = now - facts.cold.window.times(1.1);
+                while self.cold_sent.front().is_some_and(|(at, _)| *at < since) {
+                    self.cold_sent.pop_front();
+                }
+                let sent: f64 = self.cold_sent.iter().map(|(_, units)| units).sum();
+                facts.cold.units / f64::from(facts.hosts.max(1)) * part - sent
+            }
+        };
+        let slots = match self.entry.standing {
+            Standing::Ready => self.slots(now),
+            Standing::Draining | Standing::Gone => 0,
+        };
+        Room { entry: self.entry.clone(), slots, units, latency: self.latency() }
+    }
+
+    fn slots(&self, now: Instant) -> usize {
+        let oldest = self.out.values().map(|o| o.sent).min();
+        let patience = self.latency().times(Self::SILENT);
+        let waiting = oldest.is_some_and(|sent| now - sent.max(self.heard) > patience);
+        if waiting {
+            // Stalled, dead or cut off, it looks the same: the rest stays here, where it can still be
+            // given up or wait for a successor, and one careful leg at a time asks, ever more seldom.
+            return usize::from(now - self.last_sent > (now - self.heard).times(0.5));
+        }
+        (self.window as usize).saturating_sub(self.out.len())
+    }
+}
+
+// ---- a volume -----------------------------------------------------------------------------------
+
+#[derive(Default)]
+struct Volume {
+    plan: PlanId,
+    /// Through how many hosts it works, as told.
+    hosts: f64,
+    asked: Fading,
+    /// What was asked a second when the last label went out.
+    labelled: f64,
+    level: f64,
+    at: Instant,
+    reserve: f64,
+    /// Units sent past the reserve, by weight.
+    extra: Fading,
+    peers: BTreeMap<HostId, Peer>,
+}
+
+/// What labels said of a volume at another host, and what passed between the two.
+#[derive(Default)]
+struct Peer {
+    stamp: Instant,
+    asked: f64,
+    borrowed: (f64, Instant),
+    lent: Vec<(f64, Instant)>,
+}
+
+impl Volume {
+    /// Demand of the hosts that spoke lately, how many did not, and what all asked.
+    fn known(&self, now: Instant, own: f64) -> (Vec<(HostId, f64)>, f64, f64) {
+        let fresh = self.peers.iter().filter(|(_, p)| now - p.stamp < EPOCH.times(LABEL_EPOCHS));
+        let known: Vec<_> = fresh.map(|(h, p)| (*h, p.asked)).collect();
+        let unknown = (self.hosts - 1.0 - known.len() as f64).max(0.0);
+        let all = own + known.iter().map(|(_, d)| d).sum::<f64>();
+        (known, unknown, all)
+    }
+
+    /// Brings the stores up to `now`. Loans are read so that an error is always on the low side: what is
+    /// lent counts as gone for the whole span since the last call, what is borrowed only if it still is.
+    fn refill(&mut self, now: Instant, facts: &Facts) {
+        let (plan, most_units) = (&facts.plans[self.plan.0], facts.most_units);
+        let span = (now - self.at).secs().max(0.0);
+        let lent: f64 = self.peers.values().map(Peer::lent).sum();
+        let borrowed: f64 = self.peers.values().filter(|p| p.borrowed.1 > now).map(|p| p.borrowed.0).sum();
+        for p in self.peers.values_mut() {
+            p.lent.retain(|l| l.1 > now);
+        }
+        if let Some(limit) = plan.limit {
+            let rate = (limit.rate / self.hosts - lent + borrowed).max(0.0);
+            let cap = limit.burst * rate / limit.rate;
+            self.level = (self.level + rate * span).min(cap);
+        }
+        let own = self.asked.read(now, LAST);
+        let (_, unknown, all) = self.known(now, own);
+        let part = if all > 0.0 { own / all * (1.0 - unknown / self.hosts) } else { 1.0 / self.hosts };
+        let rate = plan.reserve * part.max(1.0 / self.hosts / 2.0);
+        self.reserve = (self.reserve + rate * span).min(rate + most_units);
+        self.at = self.at.max(now);
+    }
+
+    /// The rate rule of the design page: what this host lends, and to whom, until its next label.
+    fn loans(&self, now: Instant, limit: Limit, own: f64, most_units: f64) -> Vec<(HostId, f64)> {
+        let even = limit.rate / self.hosts;
+        let (known, unknown, all) = self.known(now, own);
+        // A host without a label takes, or may take, its even part.
+        let pool = limit.rate - even * unknown;
+        let target = |d: f64| {
+            if all < pool { d + (pool - all) / (known.len() as f64 + 1.0) } else { d * pool / all }
+        };
+        let floor = limit.rate * most_units / limit.burst.max(most_units);
+        let spare = (even - target(own).max(floor)).max(0.0);
+        let wants = known.iter().map(|(h, d)| (*h, (target(*d) - even).max(0.0)));
+        let wanted: f64 = wants.clone().map(|w| w.1).sum();
+        if wanted <= 0.0 {
+            return Vec::new();
+        }
+        wants.map(|(h, w)| (h, w * (spare / wanted).min(1.0))).collect()
+    }
+}
+
+impl Peer {
+    fn lent(&self) -> f64 {
+        self.lent.iter().map(|l| l.0).fold(0.0, f64::max)
+    }
+}
+
+/// Hosts recompute at common points of the clock. Half a second: loans follow a surge sooner than the
+/// second that the design starts from, at a price for labels that stays in the noise.
+const EPOCH: Span = Span::from_micros(500_000);
+/// Labels age out after so many epochs: one may be lost without harm.
+const LABEL_EPOCHS: f64 = 3.0;
+/// A loan runs to the end of the epoch after the one it was made in, so that its renewal overlaps it.
+const LOAN_EPOCHS: i64 = 2;
+
+// ---- the desk -----------------------------------------------------------------------------------
+
+enum DeskNote {
+    Event(Event),
+    Room(Room),
+}
+
+#[derive(Default)]
+struct Xfer {
+    t: Transfer,
+    slo_end: Instant,
+    legs: u32,
+    out: u32,
+    /// Where and since when a leg may have run: the first that did not prove otherwise.
+    maybe_ran: Option<(CellId, ZoneId, Instant)>,
+    /// Whether that is the latest leg, whose proof would clear it.
+    by_latest: bool,
+    drawn: bool,
+    streaming: bool,
+    closed: bool,
+}
+
+/// The transfers of one object whose stream type keeps order, in order of arrival.
+#[derive(Default)]
+struct Turn {
+    line: VecDeque<TransferId>,
+    idle_until: Instant,
+}
+
+type Lines = BTreeMap<Option<CellId>, Vec<TransferId>>;
+
+#[derive(Default)]
+struct Desk {
+    inbox: VecDeque<DeskNote>,
+    /// Notes for one node, or for all.
+    outbox: Vec<(Option<NodeId>, NodeNote)>,
+    actions: Vec<Action>,
+    now: Instant,
+    born: Instant,
+    facts: Facts,
+    rooms: BTreeMap<NodeId, Room>,
+    xfers: BTreeMap<TransferId, Xfer>,
+    /// First legs wait here, by where the data lies; new objects under `None`.
+    first: Lines,
+    /// Further legs wait in a line of their own, served after first legs.
+    further: Lines,
+    turns: BTreeMap<ObjectId, Turn>,
+    volumes: BTreeMap<VolumeId, Volume>,
+    /// What volumes that go past their reserves were sent of late, by weight, in the mean.
+    fair: f64,
+    longest_ttl: BTreeMap<StreamTypeId, Span>,
+    accepted: VecDeque<Instant>,
+    resent: VecDeque<Instant>,
+    ask_again: Span,
+}
+
+const BEAT: TimerId = TimerId(1 << 40);
+const NEXT_EPOCH: TimerId = TimerId(BEAT.0 + 1);
+const ASK_LIST: TimerId = TimerId(BEAT.0 + 2);
+/// How often waiting transfers are looked over: small against any SLO time.
+const BEAT_EVERY: Span = Span::from_micros(10_000);
+/// First wait before the list is asked again; it doubles up to a minute's eighth.
+const ASK_FIRST: Span = Span::from_micros(500_000);
+const ASK_LAST: Span = Span::from_micros(7_500_000);
+
+impl Desk {
+    fn new(facts: Facts, now: Instant) -> Self {
+        let mut desk = Desk { now, born: now, facts, ask_again: ASK_FIRST, ..Desk::default() };
+        if desk.facts.list_asked {
+            desk.actions.push(Action::Watch);
+        }
+        desk.timer(BEAT, now + BEAT_EVERY);
+        desk.timer(NEXT_EPOCH, desk.epoch_end(1));
+        desk
+    }
+
+    fn timer(&mut self, id: TimerId, at: Instant) {
+        self.actions.push(Action::Timer { id, at });
+    }
+
+    /// Where the epoch after `epochs - 1` more ends, on the grid that all hosts share.
+    fn epoch_end(&self, epochs: i64) -> Instant {
+        let e = EPOCH.micros();
+        Instant::from_micros((self.now.micros().div_euclid(e) + epochs) * e)
+    }
+
+    fn take(&mut self, note: DeskNote) {
+        match note {
+            DeskNote::Room(room) => {
+                self.rooms.insert(room.entry.node, room);
+            }
+            DeskNote::Event(Event::Arrived(t)) => self.accept(t),
+            DeskNote::Event(Event::LegEnded { id, leg, node, ending, took, finished }) => {
+                self.outbox.push((Some(node), NodeNote::Ended { id, leg, ending, took }));
+                self.leg_ended(id, node, ending, finished);
+            }
+            DeskNote::Event(Event::StreamBegan { id, .. }) => {
+                if let Some(x) = self.xfers.get_mut(&id) {
+                    x.streaming = true;
+                }
+            }
+            DeskNote::Event(Event::ClientLeft(id)) => self.close(id),
+            DeskNote::Event(Event::PeerSaid { from, bytes }) => self.hear(from, &bytes),
+            DeskNote::Event(Event::List(ListNews::Lost)) => {
+                // All hosts call again when the list was down: each by its number a little apart.
+                let place = f64::from(self.facts.me.0) / f64::from(self.facts.hosts.max(1));
+                let wait = self.ask_again.times(0.5 + 0.5 * place);
+                self.ask_again = self.ask_again.times(2.0).min(ASK_LAST);
+                self.timer(ASK_LIST, self.now + wait);
+            }
+            DeskNote::Event(Event::List(ListNews::Remembered(_))) => {}
+            DeskNote::Event(Event::List(_)) => self.ask_again = ASK_FIRST,
+            DeskNote::Event(Event::Timer(BEAT)) => {
+                self.outbox.push((None, NodeNote::Beat));
+                self.look_over();
+                self.timer(BEAT, self.now + BEAT_EVERY);
+            }
+            DeskNote::Event(Event::Timer(NEXT_EPOCH)) => {
+                self.tell(None);
+                self.timer(NEXT_EPOCH, self.epoch_end(1));
+            }
+            DeskNote::Event(Event::Timer(ASK_LIST)) => self.actions.push(Action::Watch),
+            DeskNote::Event(Event::Timer(TimerId(id))) => {
+                let id = TransferId(id);
+                if self.xfers.get(&id).is_some_and(|x| !x.streaming && !x.closed) {
+                    self.give_up(id);
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, mut t: Transfer) {
+        t.volume = label::carried(t.volume);
+        let (now, id, volume) = (self.now, t.id, t.volume);
+        let f = &self.facts;
+        let (Some(s), true) = (f.stream_types.get(t.stream_type.0), t.plan.0 < f.plans.len()) else { return };
+        if f.leg_budget.is_some() {
+            self.accepted.push_back(now);
+        }
+        // A client's next try has less time than its first had: the SLO time has run all the while.
+        let longest = self.longest_ttl.entry(t.stream_type).or_insert(t.ttl);
+        *longest = t.ttl.max(*longest);
+        let slo_end = now + s.slo_time - (*longest - t.ttl);
+        if let (true, Some(object)) = (s.in_order, t.object) {
+            self.turns.entry(object).or_default().line.push_back(id);
+        }
+        let v = self.volumes.entry(volume).or_insert_with(|| Volume {
+            plan: t.plan,
+            hosts: 1.0,
+            // A newborn can't know what it spent before a kill: its bucket starts empty. Nor what it
+            // had lent: where others share the volume, it fills only once any such loan has ended.
+            at: self.born,
+            ..Volume::default()
+        });
+        if f64::from(t.volume_hosts) > v.hosts {
+            v.hosts = f64::from(t.volume_hosts);
+            v.at = v.at.max(self.born + EPOCH.times(LOAN_EPOCHS as f64));
+            v.level = 0.0;
+        }
+        v.asked.add(now, LAST, t.units);
+        // A sudden rise does not wait for the epoch's end.
+        let rise = v.asked.last() > 1.5 * v.labelled + 2.0 * self.facts.most_units && v.hosts > 1.0;
+        let expiry = now + t.ttl - self.facts.tick - self.facts.tick;
+        self.timer(TimerId(id.0), expiry);
+        self.first.entry(t.cell).or_default().push(id);
+        self.xfers.insert(id, Xfer { t, slo_end, ..Xfer::default() });
+        if rise {
+            self.tell(Some(volume));
+        }
+    }
+
+    fn leg_ended(&mut self, id: TransferId, node: NodeId, ending: Ending, finished: bool) {
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        x.out = x.out.saturating_sub(1);
+        if x.by_latest && ending.never_ran() {
+            x.maybe_ran = None;
+        }
+        let unknown = matches!(ending, Ending::TimedOut | Ending::Broken | Ending::Cancelled);
+        if let (true, Some(turn)) = (unknown, x.t.object.and_then(|o| self.turns.get_mut(&o))) {
+            turn.idle_until = turn.idle_until.max(self.now + self.facts.order_settle);
+        }
+        if x.closed || finished {
+            return self.close(id);
+        }
+        if x.out > 0 {
+            return;
+        }
+        let latency = self.rooms.get(&node).map_or(Span::ZERO, |r| r.latency);
+        let in_time = self.now + latency < x.slo_end;
+        // After a time-out another leg mostly does the same work twice.
+        let again = in_time && ending != Ending::TimedOut && x.legs < self.facts.most_legs;
+        let allowed = match self.facts.stream_types[x.t.stream_type.0].effect {
+            Effect::Repeatable => true,
+            Effect::Keyed { window, .. } => x.maybe_ran.is_none_or(|m| self.now - m.2 < window),
+            Effect::Unrepeatable => x.maybe_ran.is_none(),
+        };
+        if again && allowed {
+            self.further.entry(x.t.cell).or_default().push(id);
+        } else {
+            self.give_up(id);
+        }
+    }
+
+    /// The final answer of a transfer that gets no more legs, at once.
+    fn give_up(&mut self, id: TransferId) {
+        let Some(x) = self.xfers.get(&id) else { return };
+        let may_defer = match self.facts.stream_types[x.t.stream_type.0].effect {
+            Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
+            _ => x.maybe_ran.is_none() && x.out == 0,
+        };
+        let node = self.rooms.values().find(|r| Some(r.entry.cell) == x.t.cell);
+        let advice = node.map_or(EPOCH, |r| r.latency);
+        let come_back = self.facts.longest_advice.map(|most| advice.min(most));
+        self.actions.push(if may_defer { Action::Defer { id, come_back } } else { Action::Abandon { id } });
+        self.close(id);
+    }
+
+    fn close(&mut self, id: TransferId) {
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        x.closed = true;
+        for line in [&mut self.first, &mut self.further].into_iter().filter_map(|l| l.get_mut(&x.t.cell)) {
+            line.retain(|other| *other != id);
+        }
+        if x.out > 0 {
+            return;
+        }
+        if let Some(turn) = x.t.object.and_then(|o| self.turns.get_mut(&o)) {
+            turn.line.retain(|other| *other != id);
+        }
+        self.xfers.remove(&id);
+    }
+
+    /// Gives up what can no longer be answered within its SLO time, and refreshes what order rests on.
+    fn look_over(&mut self) {
+        let now = self.now;
+        let lines = [&self.first, &self.further].into_iter().flat_map(|l| l.values().flatten());
+        let lost = lines.filter(|id| now >= self.xfers[id].slo_end).copied().collect::<Vec<_>>();
+        for id in lost {
+            self.give_up(id);
+        }
+        self.turns.retain(|_, t| !t.line.is_empty() || t.idle_until > now);
+        let (mut sum, mut busy) = (0.0, 0.0);
+        for v in self.volumes.values_mut() {
+            v.refill(now, &self.facts);
+            let extra = v.extra.read(now, LAST);
+            if extra > 0.1 {
+                (sum, busy) = (sum + extra, busy + 1.0);
+            }
+        }
+        self.fair = sum / f64::max(busy, 1.0);
+        if let Some(b) = self.facts.leg_budget {
+            for line in [&mut self.accepted, &mut self.resent] {
+                while line.front().is_some_and(|at| *at <= now - b.window) {
+                    line.pop_front();
+                }
+            }
+        }
+    }
+
+    /// Benefit still due per unit.
+    fn due(&self, x: &Xfer) -> f64 {
+        let f = &self.facts;
+        let (v, s) = (&self.volumes[&x.t.volume], &f.stream_types[x.t.stream_type.0]);
+        let full = s.benefit * f.plans[v.plan.0].price;
+        if self.now > x.slo_end {
+            return full * s.late_part * f.spare_part;
+        }
+        if v.reserve >= x.t.units {
+            return full;
+        }
+        // The weighted share: who was sent less than the others, by weight, is inside it.
+        let over = (self.fair / v.extra.last().max(1e-9)).min(1.0);
+        full * (f.spare_part + (f.share_part - f.spare_part) * over)
+    }
+
+    /// May this transfer have a leg at that node now, by the rules and the volume's tokens?
+    fn may_go(&self, id: TransferId, x: &Xfer, room: &Room) -> bool {
+        let f = &self.facts;
+        let s = &f.stream_types[x.t.stream_type.0];
+        if room.slots == 0 || room.units < x.t.units {
+            return false;
+        }
+        if let (Effect::Keyed { group, window }, Some((cell, zone, since))) = (s.effect, x.maybe_ran) {
+            let same = match group {
+                Group::All => true,
+                Group::Zone => zone == room.entry.zone,
+                Group::Cell => cell == room.entry.cell,
+            };
+            if !same || self.now - since >= window {
+                return false;
+            }
+        }
+        if x.legs > 0 {
+            return f.leg_budget.is_none_or(|b| {
+                let since = self.now - b.window;
+                let resent = self.resent.iter().filter(|at| **at >= since).count() as f64;
+                let accepted = self.accepted.iter().filter(|at| **at > since).count() as f64;
+                resent + 1.0 <= b.free + b.share * accepted
+            });
+        }
+        if let (true, Some(turn)) = (s.in_order, x.t.object.and_then(|o| self.turns.get(&o)))
+            && (turn.line.front() != Some(&id) || self.now < turn.idle_until)
+        {
+            return false;
+        }
+        let v = &self.volumes[&x.t.volume];
+        x.drawn || f.plans[v.plan.0].limit.is_none() || v.level >= x.t.units
+    }
+
+    /// The first in order of a line that may go to the node.
+    fn best(&self, lines: &Lines, key: Option<CellId>, room: &Room) -> Option<(f64, TransferId)> {
+        let line = lines.get(&key)?;
+        let ready = line.iter().map(|id| (*id, &self.xfers[id])).filter(|(id, x)| self.may_go(*id, x, room));
+        let ranked = ready.map(|(id, x)| (self.due(x), x.slo_end, id));
+        ranked.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map(|(due, _, id)| (due, id))
+    }
+
+    /// Sends what can go now, at most one leg for each node; tells whether any went.
+    fn serve(&mut self, rng: &mut ChaCha8Rng) -> bool {
+        let mut open = self.rooms.clone();
+        open.retain(|_, r| r.slots > 0);
+        let mut sent = false;
+        for id in self.first.values().flatten() {
+            if let Some(v) = self.volumes.get_mut(&self.xfers[id].t.volume) {
+                v.refill(self.now, &self.facts);
+            }
+        }
+        for lines in [false, true] {
+            loop {
+                let lines = if lines { &self.further } else { &self.first };
+                // What each open node would serve next of its own data, and of the new objects.
+                let offers = open.values().filter_map(|r| {
+                    let own = self.best(lines, Some(r.entry.cell), r);
+                    let new = self.best(lines, None, r).filter(|n| own.is_none_or(|o| n.0 > o.0));
+                    Some((new.or(own)?, new.is_some(), r))
+                });
+                let offers: Vec<_> = offers.collect();
+                let Some(&((_, id), new, room)) = offers.iter().max_by(|a, b| a.0.0.total_cmp(&b.0.0)) else {
+                    break;
+                };
+                let mut node = room.entry.node;
+                if new {
+                    // Drawn among the nodes that offer it room; a cold one only if no other does.
+                    let mut takers: Vec<&Room> =
+                        offers.iter().filter(|o| o.0.1 == id && o.1).map(|o| o.2).collect();
+                    if takers.iter().any(|r| r.units.is_infinite()) {
+                        takers.retain(|r| r.units.is_infinite());
+                    }
+                    let odds = |r: &&Room| r.slots as f64 / r.latency.secs().max(1e-3);
+                    node = takers.choose_weighted(rng, odds).map_or(node, |r| r.entry.node);
+                }
+                let room = open.remove(&node).expect("drawn from the open ones");
+                self.send(id, &room);
+                sent = true;
+            }
+        }
+        sent
+    }
+
+    fn send(&mut self, id: TransferId, room: &Room) {
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        for line in [&mut self.first, &mut self.further].into_iter().filter_map(|l| l.get_mut(&x.t.cell)) {
+            line.retain(|other| *other != id);
+        }
+        if x.legs > 0 && self.facts.leg_budget.is_some() {
+            self.resent.push_back(self.now);
+        }
+        let v = self.volumes.get_mut(&x.t.volume).expect("an open transfer's volume is known");
+        if !x.drawn {
+            // Units are drawn once for each transfer, at its first leg.
+            x.drawn = true;
+            v.level -= x.t.units;
+            if v.reserve >= x.t.units {
+                v.reserve -= x.t.units;
+            } else {
+                v.extra.add(self.now, LAST, x.t.units / self.facts.plans[v.plan.0].weight.max(0.01));
+            }
+        }
+        let slo_time = self.facts.stream_types[x.t.stream_type.0].slo_time;
+        let (leg, units, node) = (x.legs, x.t.units, room.entry.node);
+        x.legs += 1;
+        x.out += 1;
+        x.by_latest = x.maybe_ran.is_none();
+        x.maybe_ran.get_or_insert((room.entry.cell, room.entry.zone, self.now));
+        self.outbox.push((Some(node), NodeNote::Out { id, leg, units, slo_time }));
+        self.actions.push(Action::Leg { id, node, time_out: None });
+    }
+
+    /// Labels for the hosts of each volume, or of one whose demand just rose.
+    fn tell(&mut self, only: Option<VolumeId>) {
+        if !self.facts.peers_talk || self.facts.hosts < 2 {
+            return;
+        }
+        let (now, until) = (self.now, self.epoch_end(LOAN_EPOCHS));
+        let mut labels: BTreeMap<HostId, Vec<label::Line>> = BTreeMap::new();
+        for (id, v) in self.volumes.iter_mut() {
+            if v.hosts <= 1.0 || only.is_some_and(|o| o != *id) {
+                continue;
+            }
+            let plan = &self.facts.plans[v.plan.0];
+            v.refill(now, &self.facts);
+            v.labelled = v.asked.last();
+            let own = v.asked.last();
+            let loans = plan.limit.map_or(Vec::new(), |l| v.loans(now, l, own, self.facts.most_units));
+            for (h, lent) in &loans {
+                if let Some(p) = v.peers.get_mut(h) {
+                    p.lent.push((label::rounded(*lent), until));
+                }
+            }
+            // The lender lowers itself before the label goes out, its cap and level too.
+            v.refill(now, &self.facts);
+            let complete = v.peers.len() as f64 >= v.hosts - 1.0;
+            for h in (0..self.facts.hosts).map(HostId).filter(|h| *h != self.facts.me) {
+                if v.peers.contains_key(&h) || (!complete && own > 0.1) {
+                    let lent = loans.iter().find(|l| l.0 == h).map_or(0.0, |l| l.1);
+                    labels.entry(h).or_default().push(label::Line { volume: *id, asked: own, lent });
+                }
+            }
+        }
+        let until = until.micros().div_euclid(EPOCH.micros()) as u32;
+        for (to, lines) in labels {
+            for part in lines.chunks(label::LINES) {
+                self.actions.push(Action::Tell { to, bytes: label::pack(now, until, part) });
+            }
+        }
+    }
+
+    fn hear(&mut self, from: HostId, bytes: &[u8]) {
+        let Some((stamp, until, lines)) = label::unpack(bytes) else {
+            return;
+        };
+        let until = Instant::from_micros(i64::from(until) * EPOCH.micros());
+        // The lender's clock is ours: a label from the future, or a loan past its longest, is foreign.
+        if stamp > self.now || until > self.epoch_end(LOAN_EPOCHS) || from == self.facts.me {
+            return;
+        }
+        for l in lines {
+            let Some(v) = self.volumes.get_mut(&l.volume) else {
+                continue;
+            };
+            v.refill(self.now, &self.facts);
+            let p = v.peers.entry(from).or_default();
+            // Late and repeated labels: the newest counts. The borrower falls back a tick before the end.
+            if stamp > p.stamp {
+                (p.stamp, p.asked, p.borrowed) = (stamp, l.asked, (l.lent, until - self.facts.tick));
+            }
+        }
+    }
+}
