Space out legs to a node that answers late even at a window of one

Cause: eleven hosts with a window of one each keep about ten transfers in a one-core node, whose answers then take as long as the SLO time (150 ms in the node). Seen in node times, equal on all nodes, which rules out a slow or dead node. Should also hold for slow machines and busy neighbours; may harm where one dear transfer alone makes an answer late.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -103,6 +103,8 @@
     inbox: VecDeque<NodeNote>,
     entry: NodeEntry,
     window: f64,
+    /// Below one where even a window of one is too much: legs are then spaced out.
+    pace: f64,
     out: BTreeMap<(TransferId, u32), Out>,
     /// Time that answers took, and their number.
     took: Fading,
@@ -134,12 +136,16 @@
     const LATE: f64 = 0.5;
     /// A node is silent when a leg is out for so many times the usual latency and nothing came since.
     const SILENT: f64 = 3.0;
+    /// A spaced-out node is back at a window of one after a few good answers,
+    const PACE_STEP: f64 = 0.25;
+    /// and never so slow that a host learns nothing of it for longer than most SLO times.
+    const LEAST_PACE: f64 = 0.125;
     /// What is trusted of the growth that the ramp bounds promise to a cold node.
     const RAMP_TRUST: f64 = 0.8;
 
     fn new(entry: NodeEntry, now: Instant) -> Self {
         let window = Self::START;
-        Node { entry, window, halved: now, heard: now, last_sent: now, ..Node::default() }
+        Node { entry, window, pace: 1.0, halved: now, heard: now, last_sent: now, ..Node::default() }
     }
 
     fn take(&mut self, note: NodeNote, now: Instant, facts: &Facts) {
@@ -175,6 +181,8 @@
                         self.answers.add(now, LAST, 1.0);
                         if took > out.slo_time.times(Self::LATE) {
                             self.halve(now);
+                        } else if self.pace < 1.0 {
+                            self.pace = (self.pace + Self::PACE_STEP).min(1.0);
                         } else if self.out.len() + 1 >= self.window as usize {
                             self.window = (self.window + 1.0 / self.window).min(Self::CEILING);
                         }
@@ -198,6 +206,10 @@
     /// At most once a round trip: answers that are late together tell of one jam.
     fn halve(&mut self, now: Instant) {
         if now - self.halved > self.latency() {
+            // Many hosts with a window of one each still jam a small node: below one, legs are spaced.
+            // It answers any jam that the floor upholds (many hosts, slow node, neighbours); it costs
+            // idle time on a node that is late for one dear transfer only.
+            self.pace = if self.window <= 1.0 { (self.pace / 2.0).max(Self::LEAST_PACE) } else { 1.0 };
             self.window = (self.window / 2.0).max(1.0);
             self.halved = now;
         }
@@ -251,7 +263,8 @@
             // given up or wait for a successor, and one careful leg at a time asks, ever more seldom.
             return usize::from(now - self.last_sent > (now - self.heard).times(0.5));
         }
-        (self.window as usize).saturating_sub(self.out.len())
+        let spaced = self.pace >= 1.0 || now - self.last_sent > self.latency().times(1.0 / self.pace);
+        if spaced { (self.window as usize).saturating_sub(self.out.len()) } else { 0 }
     }
 }
 
