New objects leave nodes with waiting reads alone until half their SLO time is gone

Should help whenever data lies unevenly; may harm where every node has readers waiting and writes earn more.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -695,7 +695,15 @@
                 // What each open node would serve next of its own data, and of the new objects.
                 let offers = open.values().filter_map(|r| {
                     let own = self.best(lines, Some(r.entry.cell), r);
-                    let new = self.best(lines, None, r).filter(|n| own.is_none_or(|o| n.0 > o.0));
+                    // A new object can wait for a node that nobody's data waits for, until half its time
+                    // is gone: where data lies unevenly, it would else crowd out what has one node only.
+                    let hurry = |id: TransferId| {
+                        let x = &self.xfers[&id];
+                        let slo_time = self.facts.stream_types[x.t.stream_type.0].slo_time;
+                        x.slo_end - self.now < slo_time.times(0.5)
+                    };
+                    let new = self.best(lines, None, r);
+                    let new = new.filter(|n| own.is_none_or(|o| n.0 > o.0 && hurry(n.1)));
                     Some((new.or(own)?, new.is_some(), r))
                 });
                 let offers: Vec<_> = offers.collect();
