--- a/src/brain.rs
+++ b/src/brain.rs
@@ -413,11 +413,14 @@
     /// What volumes that go past their reserves were sent of late, by weight, in the mean.
     fair: f64,
     longest_ttl: BTreeMap<StreamTypeId, Span>,
+    last_object: BTreeMap<NodeId, ObjectId>,
     accepted: VecDeque<Instant>,
     resent: VecDeque<Instant>,
     ask_again: Span,
 }
 
+/// A repeat on the same object is taken to cost about half; any figure above one groups such legs.
+const AT_HAND: f64 = 2.0;
 const BEAT: TimerId = TimerId(1 << 40);
 const NEXT_EPOCH: TimerId = TimerId(BEAT.0 + 1);
 const ASK_LIST: TimerId = TimerId(BEAT.0 + 2);
@@ -675,7 +678,11 @@
     fn best(&self, lines: &Lines, key: Option<CellId>, room: &Room) -> Option<(f64, TransferId)> {
         let line = lines.get(&key)?;
         let ready = line.iter().map(|id| (*id, &self.xfers[id])).filter(|(id, x)| self.may_go(*id, x, room));
-        let ranked = ready.map(|(id, x)| (self.due(x), x.slo_end, id));
+        // What the node had last it still has at hand: one more for the same object is cheap.
+        let last = self.last_object.get(&room.entry.node);
+        let cheap =
+            |x: &Xfer| if x.t.object.is_some() && x.t.object.as_ref() == last { AT_HAND } else { 1.0 };
+        let ranked = ready.map(|(id, x)| (self.due(x) * cheap(x), x.slo_end, id));
         ranked.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map(|(due, _, id)| (due, id))
     }
 
@@ -754,6 +761,9 @@
         x.out += 1;
         x.by_latest = x.maybe_ran.is_none();
         x.maybe_ran.get_or_insert((room.entry.cell, room.entry.zone, self.now));
+        if let Some(object) = x.t.object {
+            self.last_object.insert(node, object);
+        }
         self.outbox.push((Some(node), NodeNote::Out { id, leg, units, slo_time }));
         self.actions.push(Action::Leg { id, node, time_out: None });
     }
