Judge what can be in time by the node's usual time; loans capped by what still runs

Also mended, found by reading: loans to one host that still ran were not counted against new loans to another, which could pass the limit.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -320,16 +320,17 @@
         }
         WireEvent::Fleet { table, mode, .. } => {
             if mode == "lost" {
-                return Ok(Some(Event::List(ListNews::Lost)));
+                return Ok(Some(Event::ListLost));
             }
             let page = pages.get(&table).ok_or_else(|| format!("unknown page {table}"))?;
-            let list: Vec<NodeEntry> = page.iter().map(|n| entry(n, names)).collect::<Result<_, _>>()?;
-            Event::List(match mode.as_str() {
-                "incr" => ListNews::Changes(list),
-                "total" => ListNews::Whole(list),
-                "warm_copy" => ListNews::Remembered(list),
+            let entries = page.iter().map(|n| entry(n, names)).collect::<Result<_, _>>()?;
+            let extent = match mode.as_str() {
+                "incr" => Extent::Changes,
+                "total" => Extent::Whole,
+                "warm_copy" => Extent::Remembered,
                 other => return Err(format!("unknown mode '{other}'")),
-            })
+            };
+            Event::List { extent, entries }
         }
         WireEvent::Accept {
             id,
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -222,16 +222,15 @@
     pub started: Option<Instant>,
 }
 
-#[derive(Clone, Debug)]
-pub enum ListNews {
+/// What a piece of news about the node list holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
     /// Entries that changed.
-    Changes(Vec<NodeEntry>),
+    Changes,
     /// The whole list; who is not in it is gone.
-    Whole(Vec<NodeEntry>),
+    Whole,
     /// The whole list as it was last seen, perhaps long ago.
-    Remembered(Vec<NodeEntry>),
-    /// A call failed, or the watch broke.
-    Lost,
+    Remembered,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -277,7 +276,12 @@
 
 #[derive(Clone, Debug)]
 pub enum Event {
-    List(ListNews),
+    List {
+        extent: Extent,
+        entries: Vec<NodeEntry>,
+    },
+    /// A call for the list failed, or the watch broke.
+    ListLost,
     Arrived(Transfer),
     Timer(TimerId),
     ClientLeft(TransferId),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,8 +27,8 @@
     pub fn step(&mut self, now: Instant, events: Vec<Event>) -> Vec<Action> {
         self.desk.now = now;
         for event in events {
-            if let Event::List(news) = &event {
-                self.list(news);
+            if let Event::List { extent, entries } = &event {
+                self.list(*extent != Extent::Changes, entries);
             }
             self.desk.inbox.push_back(DeskNote::Event(event));
             self.empty_inboxes();
@@ -39,12 +39,7 @@
         std::mem::take(&mut self.desk.actions)
     }
 
-    fn list(&mut self, news: &ListNews) {
-        let (entries, whole) = match news {
-            ListNews::Changes(e) => (e, false),
-            ListNews::Whole(e) | ListNews::Remembered(e) => (e, true),
-            ListNews::Lost => return,
-        };
+    fn list(&mut self, whole: bool, entries: &[NodeEntry]) {
         if whole {
             for nd in self.nodes.values_mut().filter(|nd| entries.iter().all(|e| e.node != nd.entry.node)) {
                 let gone = NodeEntry { standing: Standing::Gone, ..nd.entry.clone() };
@@ -93,11 +88,6 @@
     Beat,
 }
 
-struct Out {
-    sent: Instant,
-    slo_time: Span,
-}
-
 #[derive(Default)]
 struct Node {
     inbox: VecDeque<NodeNote>,
@@ -105,7 +95,8 @@
     window: f64,
     /// Below one where even a window of one is too much: legs are then spaced out.
     pace: f64,
-    out: BTreeMap<(TransferId, u32), Out>,
+    /// Legs that are out: when each was sent, and its SLO time.
+    out: BTreeMap<(TransferId, u32), (Instant, Span)>,
     /// Time that answers took, and their number.
     took: Fading,
     answers: Fading,
@@ -164,40 +155,35 @@
                 self.entry = NodeEntry { standing, started: e.started.max(self.entry.started), ..e };
             }
             NodeNote::Out { id, leg, units, slo_time } => {
-                self.out.insert((id, leg), Out { sent: now, slo_time });
+                self.out.insert((id, leg), (now, slo_time));
                 self.last_sent = now;
                 if self.cold_part(now, facts).is_some() {
                     self.cold_sent.push_back((now, units));
                 }
             }
             NodeNote::Ended { id, leg, ending, took } => {
-                let Some(out) = self.out.remove(&(id, leg)) else {
+                let Some((_, slo_time)) = self.out.remove(&(id, leg)) else {
                     return;
                 };
-                match ending {
-                    Ending::Done | Ending::Failed => {
-                        self.heard = now;
-                        self.took.add(now, LAST, took.secs());
-                        self.answers.add(now, LAST, 1.0);
-                        if took > out.slo_time.times(Self::LATE) {
-                            self.halve(now);
-                        } else if self.pace < 1.0 {
-                            self.pace = (self.pace + Self::PACE_STEP).min(1.0);
-                        } else if self.out.len() + 1 >= self.window as usize {
-                            self.window = (self.window + 1.0 / self.window).min(Self::CEILING);
-                        }
-                    }
-                    Ending::TurnedAway => {
-                        self.heard = now;
-                        self.halve(now);
-                    }
-                    Ending::Broken => {
-                        // The process died: whatever answers next has just started, list or no list.
-                        self.entry.started = self.entry.started.max(Some(now));
-                        self.halve(now);
+                if ending == Ending::Broken {
+                    // The process died: whatever answers next has just started, list or no list.
+                    self.entry.started = self.entry.started.max(Some(now));
+                } else if matches!(ending, Ending::Done | Ending::Failed | Ending::TurnedAway) {
+                    self.heard = now;
+                }
+                let answered = matches!(ending, Ending::Done | Ending::Failed);
+                if answered {
+                    self.took.add(now, LAST, took.secs());
+                    self.answers.add(now, LAST, 1.0);
+                }
+                if answered && took <= slo_time.times(Self::LATE) {
+                    if self.pace < 1.0 {
+                        self.pace = (self.pace + Self::PACE_STEP).min(1.0);
+                    } else if self.out.len() + 1 >= self.window as usize {
+                        self.window = (self.window + 1.0 / self.window).min(Self::CEILING);
                     }
-                    Ending::TimedOut | Ending::Unreached => self.halve(now),
-                    Ending::Unsent | Ending::Cancelled => {}
+                } else if !matches!(ending, Ending::Unsent | Ending::Cancelled) {
+                    self.halve(now);
                 }
             }
         }
@@ -240,25 +226,21 @@
             Some(part) => {
                 // A tenth longer than the rule's window: legs sent apart may arrive together.
                 let since = now - facts.cold.window.times(1.1);
-                while self.cold_sent.front().is_some_and(|(at, _)| *at < since) {
-                    self.cold_sent.pop_front();
-                }
+                self.cold_sent.retain(|(at, _)| *at >= since);
                 let sent: f64 = self.cold_sent.iter().map(|(_, units)| units).sum();
                 facts.cold.units / f64::from(facts.hosts.max(1)) * part - sent
             }
         };
-        let slots = match self.entry.standing {
-            Standing::Ready => self.slots(now),
-            Standing::Draining | Standing::Gone => 0,
-        };
-        Room { entry: self.entry.clone(), slots, units, latency: self.latency() }
+        Room { entry: self.entry.clone(), slots: self.slots(now), units, latency: self.latency() }
     }
 
     fn slots(&self, now: Instant) -> usize {
-        let oldest = self.out.values().map(|o| o.sent).min();
+        if self.entry.standing != Standing::Ready {
+            return 0;
+        }
         let patience = self.latency().times(Self::SILENT);
-        let waiting = oldest.is_some_and(|sent| now - sent.max(self.heard) > patience);
-        if waiting {
+        let oldest = self.out.values().map(|o| o.0).min();
+        if oldest.is_some_and(|sent| now - sent.max(self.heard) > patience) {
             // Stalled, dead or cut off, it looks the same: the rest stays here, where it can still be
             // given up or wait for a successor, and one careful leg at a time asks, ever more seldom.
             return usize::from(now - self.last_sent > (now - self.heard).times(0.5));
@@ -328,23 +310,36 @@
         self.at = self.at.max(now);
     }
 
-    /// The rate rule of the design page: what this host lends, and to whom, until its next label.
-    fn loans(&self, now: Instant, limit: Limit, own: f64, most_units: f64) -> Vec<(HostId, f64)> {
+    /// The rate rule of the design page, and what of its even part this host lends, until when, to whom.
+    fn lend(
+        &mut self,
+        now: Instant,
+        limit: Limit,
+        own: f64,
+        most_units: f64,
+        until: Instant,
+    ) -> BTreeMap<HostId, f64> {
         let even = limit.rate / self.hosts;
         let (known, unknown, all) = self.known(now, own);
         // A host without a label takes, or may take, its even part.
-        let pool = limit.rate - even * unknown;
-        let target = |d: f64| {
-            if all < pool { d + (pool - all) / (known.len() as f64 + 1.0) } else { d * pool / all }
-        };
+        let (pool, heads) = (limit.rate - even * unknown, known.len() as f64 + 1.0);
+        let target = |d: f64| if all < pool { d + (pool - all) / heads } else { d * pool / all };
+        // The cap that is left must hold one largest transfer.
         let floor = limit.rate * most_units / limit.burst.max(most_units);
         let spare = (even - target(own).max(floor)).max(0.0);
-        let wants = known.iter().map(|(h, d)| (*h, (target(*d) - even).max(0.0)));
-        let wanted: f64 = wants.clone().map(|w| w.1).sum();
-        if wanted <= 0.0 {
-            return Vec::new();
-        }
-        wants.map(|(h, w)| (h, w * (spare / wanted).min(1.0))).collect()
+        let wants: Vec<_> = known.iter().map(|(h, d)| (*h, (target(*d) - even).max(0.0))).collect();
+        let wanted = wants.iter().map(|w| w.1).sum::<f64>().max(spare).max(1e-9);
+        // Loans that still run elsewhere stay lent: together they never pass what is there to lend.
+        let mut left = even - floor - self.peers.values().map(Peer::lent).sum::<f64>();
+        let mut loans = BTreeMap::new();
+        for (h, want) in wants {
+            let Some(p) = self.peers.get_mut(&h) else { continue };
+            let loan = label::rounded((want * spare / wanted).min(p.lent() + left.max(0.0)));
+            left -= (loan - p.lent()).max(0.0);
+            p.lent.push((loan, until));
+            loans.insert(h, loan);
+        }
+        loans
     }
 }
 
@@ -373,14 +368,13 @@
 struct Xfer {
     t: Transfer,
     slo_end: Instant,
+    /// When half of the time until then is gone.
+    half_time: Instant,
     legs: u32,
     out: u32,
-    /// Where and since when a leg may have run: the first that did not prove otherwise.
-    maybe_ran: Option<(CellId, ZoneId, Instant)>,
-    /// Whether that is the latest leg, whose proof would clear it.
-    by_latest: bool,
-    drawn: bool,
-    streaming: bool,
+    /// The first leg that did not prove that it never ran: its number, where, since when.
+    maybe_ran: Option<(u32, CellId, ZoneId, Instant)>,
+    /// It has its final answer, or a stream has begun that is now the client's.
     closed: bool,
 }
 
@@ -421,6 +415,8 @@
 
 /// A repeat on the same object is taken to cost about half; any figure above one groups such legs.
 const AT_HAND: f64 = 2.0;
+/// What part of a node's mean time most answers take: times are skewed, their median lies below the mean.
+const USUAL: f64 = 0.7;
 const BEAT: TimerId = TimerId(1 << 40);
 const NEXT_EPOCH: TimerId = TimerId(BEAT.0 + 1);
 const ASK_LIST: TimerId = TimerId(BEAT.0 + 2);
@@ -459,24 +455,24 @@
             DeskNote::Event(Event::Arrived(t)) => self.accept(t),
             DeskNote::Event(Event::LegEnded { id, leg, node, ending, took, finished }) => {
                 self.outbox.push((Some(node), NodeNote::Ended { id, leg, ending, took }));
-                self.leg_ended(id, node, ending, finished);
+                self.leg_ended(id, leg, node, ending, finished);
             }
             DeskNote::Event(Event::StreamBegan { id, .. }) => {
                 if let Some(x) = self.xfers.get_mut(&id) {
-                    x.streaming = true;
+                    x.closed = true;
                 }
             }
             DeskNote::Event(Event::ClientLeft(id)) => self.close(id),
             DeskNote::Event(Event::PeerSaid { from, bytes }) => self.hear(from, &bytes),
-            DeskNote::Event(Event::List(ListNews::Lost)) => {
+            DeskNote::Event(Event::ListLost) => {
                 // All hosts call again when the list was down: each by its number a little apart.
                 let place = f64::from(self.facts.me.0) / f64::from(self.facts.hosts.max(1));
                 let wait = self.ask_again.times(0.5 + 0.5 * place);
                 self.ask_again = self.ask_again.times(2.0).min(ASK_LAST);
                 self.timer(ASK_LIST, self.now + wait);
             }
-            DeskNote::Event(Event::List(ListNews::Remembered(_))) => {}
-            DeskNote::Event(Event::List(_)) => self.ask_again = ASK_FIRST,
+            DeskNote::Event(Event::List { extent: Extent::Remembered, .. }) => {}
+            DeskNote::Event(Event::List { .. }) => self.ask_again = ASK_FIRST,
             DeskNote::Event(Event::Timer(BEAT)) => {
                 self.outbox.push((None, NodeNote::Beat));
                 self.look_over();
@@ -487,12 +483,7 @@
                 self.timer(NEXT_EPOCH, self.epoch_end(1));
             }
             DeskNote::Event(Event::Timer(ASK_LIST)) => self.actions.push(Action::Watch),
-            DeskNote::Event(Event::Timer(TimerId(id))) => {
-                let id = TransferId(id);
-                if self.xfers.get(&id).is_some_and(|x| !x.streaming && !x.closed) {
-                    self.give_up(id);
-                }
-            }
+            DeskNote::Event(Event::Timer(TimerId(id))) => self.give_up(TransferId(id)),
         }
     }
 
@@ -508,6 +499,7 @@
         let longest = self.longest_ttl.entry(t.stream_type).or_insert(t.ttl);
         *longest = t.ttl.max(*longest);
         let slo_end = now + s.slo_time - (*longest - t.ttl);
+        let half_time = now + (slo_end - now).times(0.5);
         if let (true, Some(object)) = (s.in_order, t.object) {
             self.turns.entry(object).or_default().line.push_back(id);
         }
@@ -530,18 +522,16 @@
         let expiry = now + t.ttl - self.facts.tick - self.facts.tick;
         self.timer(TimerId(id.0), expiry);
         self.first.entry(t.cell).or_default().push(id);
-        self.xfers.insert(id, Xfer { t, slo_end, ..Xfer::default() });
+        self.xfers.insert(id, Xfer { t, slo_end, half_time, ..Xfer::default() });
         if rise {
             self.tell(Some(volume));
         }
     }
 
-    fn leg_ended(&mut self, id: TransferId, node: NodeId, ending: Ending, finished: bool) {
+    fn leg_ended(&mut self, id: TransferId, leg: u32, node: NodeId, ending: Ending, finished: bool) {
         let Some(x) = self.xfers.get_mut(&id) else { return };
         x.out = x.out.saturating_sub(1);
-        if x.by_latest && ending.never_ran() {
-            x.maybe_ran = None;
-        }
+        x.maybe_ran = x.maybe_ran.filter(|m| m.0 != leg || !ending.never_ran());
         let unknown = matches!(ending, Ending::TimedOut | Ending::Broken | Ending::Cancelled);
         if let (true, Some(turn)) = (unknown, x.t.object.and_then(|o| self.turns.get_mut(&o))) {
             turn.idle_until = turn.idle_until.max(self.now + self.facts.order_settle);
@@ -556,11 +546,9 @@
         let in_time = self.now + latency < x.slo_end;
         // After a time-out another leg mostly does the same work twice.
         let again = in_time && ending != Ending::TimedOut && x.legs < self.facts.most_legs;
-        let allowed = match self.facts.stream_types[x.t.stream_type.0].effect {
-            Effect::Repeatable => true,
-            Effect::Keyed { window, .. } => x.maybe_ran.is_none_or(|m| self.now - m.2 < window),
-            Effect::Unrepeatable => x.maybe_ran.is_none(),
-        };
+        // A keyed one may repeat where its repeats are known: `may_go` sees to that.
+        let effect = self.facts.stream_types[x.t.stream_type.0].effect;
+        let allowed = effect != Effect::Unrepeatable || x.maybe_ran.is_none();
         if again && allowed {
             self.further.entry(x.t.cell).or_default().push(id);
         } else {
@@ -570,7 +558,7 @@
 
     /// The final answer of a transfer that gets no more legs, at once.
     fn give_up(&mut self, id: TransferId) {
-        let Some(x) = self.xfers.get(&id) else { return };
+        let Some(x) = self.xfers.get(&id).filter(|x| !x.closed) else { return };
         let may_defer = match self.facts.stream_types[x.t.stream_type.0].effect {
             Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
             _ => x.maybe_ran.is_none() && x.out == 0,
@@ -601,7 +589,13 @@
     fn look_over(&mut self) {
         let now = self.now;
         let lines = [&self.first, &self.further].into_iter().flat_map(|l| l.values().flatten());
-        let lost = lines.filter(|id| now >= self.xfers[id].slo_end).copied().collect::<Vec<_>>();
+        let lost = lines.filter(|id| {
+            let x = &self.xfers[id];
+            let nodes = self.rooms.values().filter(|r| x.t.cell.is_none_or(|c| c == r.entry.cell));
+            let soonest = nodes.map(|r| r.latency).min().unwrap_or(Span::ZERO);
+            now + soonest.times(USUAL) >= x.slo_end
+        });
+        let lost = lost.copied().collect::<Vec<_>>();
         for id in lost {
             self.give_up(id);
         }
@@ -610,26 +604,17 @@
         for v in self.volumes.values_mut() {
             v.refill(now, &self.facts);
             let extra = v.extra.read(now, LAST);
-            if extra > 0.1 {
-                (sum, busy) = (sum + extra, busy + 1.0);
-            }
+            (sum, busy) = (sum + extra, busy + f64::from(extra > 0.1));
         }
         self.fair = sum / f64::max(busy, 1.0);
-        if let Some(b) = self.facts.leg_budget {
-            for line in [&mut self.accepted, &mut self.resent] {
-                while line.front().is_some_and(|at| *at <= now - b.window) {
-                    line.pop_front();
-                }
-            }
-        }
     }
 
     /// Benefit still due per unit.
-    fn due(&self, x: &Xfer) -> f64 {
+    fn due(&self, x: &Xfer, room: &Room) -> f64 {
         let f = &self.facts;
         let (v, s) = (&self.volumes[&x.t.volume], &f.stream_types[x.t.stream_type.0]);
         let full = s.benefit * f.plans[v.plan.0].price;
-        if self.now > x.slo_end {
+        if self.now + room.latency.times(USUAL) > x.slo_end {
             return full * s.late_part * f.spare_part;
         }
         if v.reserve >= x.t.units {
@@ -647,7 +632,7 @@
         if room.slots == 0 || room.units < x.t.units {
             return false;
         }
-        if let (Effect::Keyed { group, window }, Some((cell, zone, since))) = (s.effect, x.maybe_ran) {
+        if let (Effect::Keyed { group, window }, Some((_, cell, zone, since))) = (s.effect, x.maybe_ran) {
             let same = match group {
                 Group::All => true,
                 Group::Zone => zone == room.entry.zone,
@@ -658,12 +643,8 @@
             }
         }
         if x.legs > 0 {
-            return f.leg_budget.is_none_or(|b| {
-                let since = self.now - b.window;
-                let resent = self.resent.iter().filter(|at| **at >= since).count() as f64;
-                let accepted = self.accepted.iter().filter(|at| **at > since).count() as f64;
-                resent + 1.0 <= b.free + b.share * accepted
-            });
+            let (resent, accepted) = (self.resent.len() as f64, self.accepted.len() as f64);
+            return f.leg_budget.is_none_or(|b| resent + 1.0 <= b.free + b.share * accepted);
         }
         if let (true, Some(turn)) = (s.in_order, x.t.object.and_then(|o| self.turns.get(&o)))
             && (turn.line.front() != Some(&id) || self.now < turn.idle_until)
@@ -671,7 +652,7 @@
             return false;
         }
         let v = &self.volumes[&x.t.volume];
-        x.drawn || f.plans[v.plan.0].limit.is_none() || v.level >= x.t.units
+        f.plans[v.plan.0].limit.is_none() || v.level >= x.t.units
     }
 
     /// The first in order of a line that may go to the node.
@@ -682,12 +663,16 @@
         let last = self.last_object.get(&room.entry.node);
         let cheap =
             |x: &Xfer| if x.t.object.is_some() && x.t.object.as_ref() == last { AT_HAND } else { 1.0 };
-        let ranked = ready.map(|(id, x)| (self.due(x) * cheap(x), x.slo_end, id));
+        let ranked = ready.map(|(id, x)| (self.due(x, room) * cheap(x), x.slo_end, id));
         ranked.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map(|(due, _, id)| (due, id))
     }
 
     /// Sends what can go now, at most one leg for each node; tells whether any went.
     fn serve(&mut self, rng: &mut ChaCha8Rng) -> bool {
+        if let Some(b) = self.facts.leg_budget {
+            self.accepted.retain(|at| *at > self.now - b.window);
+            self.resent.retain(|at| *at >= self.now - b.window);
+        }
         let mut open = self.rooms.clone();
         open.retain(|_, r| r.slots > 0);
         let mut sent = false;
@@ -704,13 +689,9 @@
                     let own = self.best(lines, Some(r.entry.cell), r);
                     // A new object can wait for a node that nobody's data waits for, until half its time
                     // is gone: where data lies unevenly, it would else crowd out what has one node only.
-                    let hurry = |id: TransferId| {
-                        let x = &self.xfers[&id];
-                        let slo_time = self.facts.stream_types[x.t.stream_type.0].slo_time;
-                        x.slo_end - self.now < slo_time.times(0.5)
-                    };
                     let new = self.best(lines, None, r);
-                    let new = new.filter(|n| own.is_none_or(|o| n.0 > o.0 && hurry(n.1)));
+                    let new = new
+                        .filter(|n| own.is_none_or(|o| n.0 > o.0 && self.now >= self.xfers[&n.1].half_time));
                     Some((new.or(own)?, new.is_some(), r))
                 });
                 let offers: Vec<_> = offers.collect();
@@ -745,9 +726,8 @@
             self.resent.push_back(self.now);
         }
         let v = self.volumes.get_mut(&x.t.volume).expect("an open transfer's volume is known");
-        if !x.drawn {
+        if x.legs == 0 {
             // Units are drawn once for each transfer, at its first leg.
-            x.drawn = true;
             v.level -= x.t.units;
             if v.reserve >= x.t.units {
                 v.reserve -= x.t.units;
@@ -759,8 +739,7 @@
         let (leg, units, node) = (x.legs, x.t.units, room.entry.node);
         x.legs += 1;
         x.out += 1;
-        x.by_latest = x.maybe_ran.is_none();
-        x.maybe_ran.get_or_insert((room.entry.cell, room.entry.zone, self.now));
+        x.maybe_ran.get_or_insert((leg, room.entry.cell, room.entry.zone, self.now));
         if let Some(object) = x.t.object {
             self.last_object.insert(node, object);
         }
@@ -783,18 +762,18 @@
             v.refill(now, &self.facts);
             v.labelled = v.asked.last();
             let own = v.asked.last();
-            let loans = plan.limit.map_or(Vec::new(), |l| v.loans(now, l, own, self.facts.most_units));
-            for (h, lent) in &loans {
-                if let Some(p) = v.peers.get_mut(h) {
-                    p.lent.push((label::rounded(*lent), until));
-                }
-            }
+            // A newborn lends nothing while what it lent before a kill may still stand.
+            let settled = now >= self.born + EPOCH.times(LOAN_EPOCHS as f64);
+            let loans = match plan.limit.filter(|_| settled) {
+                Some(l) => v.lend(now, l, own, self.facts.most_units, until),
+                None => BTreeMap::new(),
+            };
             // The lender lowers itself before the label goes out, its cap and level too.
             v.refill(now, &self.facts);
             let complete = v.peers.len() as f64 >= v.hosts - 1.0;
             for h in (0..self.facts.hosts).map(HostId).filter(|h| *h != self.facts.me) {
                 if v.peers.contains_key(&h) || (!complete && own > 0.1) {
-                    let lent = loans.iter().find(|l| l.0 == h).map_or(0.0, |l| l.1);
+                    let lent = loans.get(&h).copied().unwrap_or(0.0);
                     labels.entry(h).or_default().push(label::Line { volume: *id, asked: own, lent });
                 }
             }
