Quarter-second epochs; at most half an even part is lent, so a newborn fills at once

Should also help every restarted host; may hurt where one host alone carries a volume near its limit.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -262,6 +262,8 @@
     labelled: f64,
     level: f64,
     at: Instant,
+    /// Until when loans may run that this host made before it was killed.
+    unsure_until: Instant,
     reserve: f64,
     /// Units sent past the reserve, by weight.
     extra: Fading,
@@ -292,7 +294,7 @@
     fn refill(&mut self, now: Instant, facts: &Facts) {
         let (plan, most_units) = (&facts.plans[self.plan.0], facts.most_units);
         let span = (now - self.at).secs().max(0.0);
-        let lent: f64 = self.peers.values().map(Peer::lent).sum();
+        let lent = self.peers.values().map(Peer::lent).sum::<f64>() + self.lent_before_birth(plan);
         let borrowed: f64 = self.peers.values().filter(|p| p.borrowed.1 > now).map(|p| p.borrowed.0).sum();
         for p in self.peers.values_mut() {
             p.lent.retain(|l| l.1 > now);
@@ -310,27 +312,29 @@
         self.at = self.at.max(now);
     }
 
+    fn lent_before_birth(&self, plan: &Plan) -> f64 {
+        let unsure = self.hosts > 1.0 && self.at < self.unsure_until;
+        plan.limit.filter(|_| unsure).map_or(0.0, |l| l.rate / self.hosts * LEND_PART)
+    }
+
     /// The rate rule of the design page, and what of its even part this host lends, until when, to whom.
-    fn lend(
-        &mut self,
-        now: Instant,
-        limit: Limit,
-        own: f64,
-        most_units: f64,
-        until: Instant,
-    ) -> BTreeMap<HostId, f64> {
-        let even = limit.rate / self.hosts;
+    fn lend(&mut self, now: Instant, facts: &Facts, until: Instant) -> BTreeMap<HostId, f64> {
+        let plan = &facts.plans[self.plan.0];
+        let Some(limit) = plan.limit else { return BTreeMap::new() };
+        let (even, own) = (limit.rate / self.hosts, self.asked.last());
         let (known, unknown, all) = self.known(now, own);
         // A host without a label takes, or may take, its even part.
         let (pool, heads) = (limit.rate - even * unknown, known.len() as f64 + 1.0);
         let target = |d: f64| if all < pool { d + (pool - all) / heads } else { d * pool / all };
         // The cap that is left must hold one largest transfer.
-        let floor = limit.rate * most_units / limit.burst.max(most_units);
+        let floor = limit.rate * facts.most_units / limit.burst.max(facts.most_units);
+        let floor = floor.max(even * (1.0 - LEND_PART));
         let spare = (even - target(own).max(floor)).max(0.0);
         let wants: Vec<_> = known.iter().map(|(h, d)| (*h, (target(*d) - even).max(0.0))).collect();
         let wanted = wants.iter().map(|w| w.1).sum::<f64>().max(spare).max(1e-9);
         // Loans that still run elsewhere stay lent: together they never pass what is there to lend.
         let mut left = even - floor - self.peers.values().map(Peer::lent).sum::<f64>();
+        left -= self.lent_before_birth(plan);
         let mut loans = BTreeMap::new();
         for (h, want) in wants {
             let Some(p) = self.peers.get_mut(&h) else { continue };
@@ -349,13 +353,15 @@
     }
 }
 
-/// Hosts recompute at common points of the clock. Half a second: loans follow a surge sooner than the
-/// second that the design starts from, at a price for labels that stays in the noise.
-const EPOCH: Span = Span::from_micros(500_000);
-/// Labels age out after so many epochs: one may be lost without harm.
-const LABEL_EPOCHS: f64 = 3.0;
+/// Hosts recompute at common points of the clock. A quarter second: loans follow a surge sooner than
+/// with the design's second, and a newborn soon knows that none of before its birth still runs.
+const EPOCH: Span = Span::from_micros(250_000);
+/// Labels age out after so many epochs, a second: some may be lost without harm.
+const LABEL_EPOCHS: f64 = 4.0;
 /// A loan runs to the end of the epoch after the one it was made in, so that its renewal overlaps it.
 const LOAN_EPOCHS: i64 = 2;
+/// No more than half of an even part is lent, so that a newborn can at once count on the other half.
+const LEND_PART: f64 = 0.5;
 
 // ---- the desk -----------------------------------------------------------------------------------
 
@@ -507,14 +513,14 @@
             plan: t.plan,
             hosts: 1.0,
             // A newborn can't know what it spent before a kill: its bucket starts empty. Nor what it
-            // had lent: where others share the volume, it fills only once any such loan has ended.
+            // had lent: until any such loan has ended it fills only by what is never lent.
             at: self.born,
+            unsure_until: self.born + EPOCH.times(LOAN_EPOCHS as f64),
             ..Volume::default()
         });
         if f64::from(t.volume_hosts) > v.hosts {
             v.hosts = f64::from(t.volume_hosts);
-            v.at = v.at.max(self.born + EPOCH.times(LOAN_EPOCHS as f64));
-            v.level = 0.0;
+            (v.at, v.level) = (v.at.max(self.born), 0.0);
         }
         v.asked.add(now, LAST, t.units);
         // A sudden rise does not wait for the epoch's end.
@@ -758,16 +764,10 @@
             if v.hosts <= 1.0 || only.is_some_and(|o| o != *id) {
                 continue;
             }
-            let plan = &self.facts.plans[v.plan.0];
             v.refill(now, &self.facts);
-            v.labelled = v.asked.last();
             let own = v.asked.last();
-            // A newborn lends nothing while what it lent before a kill may still stand.
-            let settled = now >= self.born + EPOCH.times(LOAN_EPOCHS as f64);
-            let loans = match plan.limit.filter(|_| settled) {
-                Some(l) => v.lend(now, l, own, self.facts.most_units, until),
-                None => BTreeMap::new(),
-            };
+            v.labelled = own;
+            let loans = v.lend(now, &self.facts, until);
             // The lender lowers itself before the label goes out, its cap and level too.
             v.refill(now, &self.facts);
             let complete = v.peers.len() as f64 >= v.hosts - 1.0;
