--- a/src/brain.rs
+++ b/src/brain.rs
@@ -270,7 +270,6 @@
     peers: BTreeMap<HostId, Peer>,
 }
 
-/// What labels said of a volume at another host, and what passed between the two.
 #[derive(Default)]
 struct Peer {
     stamp: Instant,
@@ -428,7 +427,7 @@
 const ASK_LIST: TimerId = TimerId(BEAT.0 + 2);
 /// How often waiting transfers are looked over: small against any SLO time.
 const BEAT_EVERY: Span = Span::from_micros(10_000);
-/// First wait before the list is asked again; it doubles up to a minute's eighth.
+/// Waits before the list is asked again: from a few round trips, doubled, to a minute's eighth.
 const ASK_FIRST: Span = Span::from_micros(500_000);
 const ASK_LAST: Span = Span::from_micros(7_500_000);
 
@@ -447,7 +446,7 @@
         self.actions.push(Action::Timer { id, at });
     }
 
-    /// Where the epoch after `epochs - 1` more ends, on the grid that all hosts share.
+    /// Where an epoch ends on the grid that all hosts share; 1 is the present one.
     fn epoch_end(&self, epochs: i64) -> Instant {
         let e = EPOCH.micros();
         Instant::from_micros((self.now.micros().div_euclid(e) + epochs) * e)
@@ -601,8 +600,7 @@
             let soonest = nodes.map(|r| r.latency).min().unwrap_or(Span::ZERO);
             now + soonest.times(USUAL) >= x.slo_end
         });
-        let lost = lost.copied().collect::<Vec<_>>();
-        for id in lost {
+        for id in lost.copied().collect::<Vec<_>>() {
             self.give_up(id);
         }
         self.turns.retain(|_, t| !t.line.is_empty() || t.idle_until > now);
@@ -670,7 +668,9 @@
         let cheap =
             |x: &Xfer| if x.t.object.is_some() && x.t.object.as_ref() == last { AT_HAND } else { 1.0 };
         let ranked = ready.map(|(id, x)| (self.due(x, room) * cheap(x), x.slo_end, id));
-        ranked.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map(|(due, _, id)| (due, id))
+        ranked
+            .max_by(|a, b| a.0.total_cmp(&b.0).then((b.1, b.2).cmp(&(a.1, a.2))))
+            .map(|(due, _, id)| (due, id))
     }
 
     /// Sends what can go now, at most one leg for each node; tells whether any went.
--- /dev/null
+++ b/tests/decisions/main.rs
@@ -0,0 +1,5 @@
+//! The decisions, event by event, without the bench.
+
+mod common;
+mod limits;
+mod rules;
--- /dev/null
+++ b/tests/decisions/rules.rs
@@ -0,0 +1,249 @@
+//! The rules that each host keeps alone, one table each.
+
+use crate::common::*;
+use gullsail::interface::*;
+
+fn host() -> Host {
+    Host::new(facts(), vec![node(1, 0), node(2, 1)], at(1000))
+}
+
+/// Rule 1: one final answer, before the expiry, and nothing sent after it.
+#[test]
+fn every_transfer_gets_one_answer_in_time() {
+    // stream type, the ending of its first leg if any, answers by the module itself
+    let cases = [
+        (0, None, vec!["deferred"]),
+        (1, None, vec!["abandoned"]),
+        (2, None, vec!["abandoned"]),
+        (0, Some(Ending::Done), vec![]),
+        (2, Some(Ending::Broken), vec!["abandoned"]),
+        (0, Some(Ending::TimedOut), vec!["deferred"]),
+    ];
+    for (stream_type, ending, wanted) in cases {
+        let mut h = host();
+        h.tell(Event::Arrived(xfer(5, stream_type)));
+        assert_eq!(h.legs(5), [1]);
+        h.pass(ms(30));
+        if let Some(ending) = ending {
+            h.end(5, 0, 1, ending, 30);
+        }
+        h.pass(ms(968));
+        assert_eq!(h.answers(5), wanted, "{stream_type} {ending:?}");
+        let sent = h.legs(5).len();
+        h.end(5, 0, 1, Ending::TimedOut, 1000);
+        h.pass(ms(3000));
+        assert_eq!((h.answers(5), h.legs(5).len()), (wanted, sent), "{stream_type} {ending:?}");
+    }
+}
+
+/// What can't be sent is answered when its SLO time is lost, not held until its expiry.
+#[test]
+fn what_is_given_up_is_answered_at_once() {
+    for stream_type in [0, 1, 2] {
+        let mut h = Host::new(facts(), vec![], at(1000));
+        h.tell(Event::Arrived(xfer(5, stream_type)));
+        h.pass(ms(450));
+        assert_eq!(h.answers(5), ["deferred"]);
+    }
+}
+
+/// Rule 2: what may have run goes again only as its effect allows.
+#[test]
+fn no_effect_happens_twice() {
+    let keyed = |group| Effect::Keyed { group, window: ms(200) };
+    // effect, how the first leg ended after how long, legs sent, answers
+    let cases = [
+        (Effect::Repeatable, Ending::Broken, 20, 2, vec![]),
+        (Effect::Repeatable, Ending::Failed, 20, 2, vec![]),
+        (Effect::Unrepeatable, Ending::Broken, 20, 1, vec!["abandoned"]),
+        (Effect::Unrepeatable, Ending::Failed, 20, 1, vec!["abandoned"]),
+        (Effect::Unrepeatable, Ending::Cancelled, 20, 1, vec!["abandoned"]),
+        (Effect::Unrepeatable, Ending::TurnedAway, 20, 2, vec![]),
+        (Effect::Unrepeatable, Ending::Unreached, 20, 2, vec![]),
+        (keyed(Group::Cell), Ending::Failed, 20, 2, vec![]),
+        (keyed(Group::All), Ending::Failed, 20, 2, vec![]),
+        (keyed(Group::Cell), Ending::Failed, 250, 1, vec!["abandoned"]),
+        (keyed(Group::All), Ending::Failed, 250, 1, vec!["deferred"]),
+    ];
+    for (effect, ending, after, legs, answers) in cases {
+        let mut f = facts();
+        f.stream_types[0].effect = effect;
+        let mut h = Host::new(f, vec![node(1, 0)], at(1000));
+        h.tell(Event::Arrived(xfer(5, 0)));
+        h.pass(ms(after));
+        h.end(5, 0, 1, ending, after);
+        h.pass(ms(300 - after.min(250) + 100));
+        assert_eq!(h.legs(5).len(), legs, "{effect:?} {ending:?}");
+        if legs == 1 {
+            assert_eq!(h.answers(5), answers, "{effect:?} {ending:?}");
+        }
+    }
+}
+
+/// Rule 2: a new object that may have run stays within the group that knows its repeats.
+#[test]
+fn a_keyed_repeat_stays_in_its_group() {
+    for (group, may_move) in [(Group::Cell, false), (Group::Zone, false), (Group::All, true)] {
+        let mut f = facts();
+        f.stream_types[1].effect = Effect::Keyed { group, window: ms(5000) };
+        let far = NodeEntry { zone: ZoneId(1), ..node(2, 1) };
+        let mut h = Host::new(f, vec![node(1, 0)], at(1000));
+        h.tell(Event::Arrived(Transfer { cell: None, ..xfer(5, 1) }));
+        h.list(Extent::Whole, vec![far]);
+        h.pass(ms(20));
+        h.end(5, 0, 1, Ending::Failed, 20);
+        h.pass(ms(100));
+        assert_eq!(h.legs(5).contains(&2), may_move, "{group:?}");
+    }
+}
+
+/// Rule 3: no new leg to a node that drains or is gone, whatever says so.
+#[test]
+fn drains_are_kept() {
+    let standing = |standing| vec![NodeEntry { standing, ..node(1, 0) }];
+    let cases = [
+        (Extent::Changes, standing(Standing::Draining), false),
+        (Extent::Changes, standing(Standing::Gone), false),
+        (Extent::Whole, vec![node(2, 1)], false),
+        (Extent::Changes, vec![node(2, 1)], true),
+        (Extent::Whole, vec![node(1, 0)], true),
+    ];
+    for (extent, entries, goes) in cases {
+        let mut h = host();
+        h.list(extent, entries.clone());
+        // A late list that still calls it ready does not take a drain back.
+        h.list(Extent::Changes, vec![node(1, 0)]);
+        h.tell(Event::Arrived(xfer(5, 0)));
+        h.pass(ms(100));
+        assert_eq!(!h.legs(5).is_empty(), goes, "{extent:?} {entries:?}");
+        // A successor with the same data takes what waits.
+        h.list(Extent::Changes, vec![node(9, 0)]);
+        assert_eq!(h.legs(5), [if goes { 1 } else { 9 }]);
+    }
+}
+
+/// Rule 4: what goes to a cold node within the rule's window stays within this host's part.
+#[test]
+fn a_cold_node_is_not_pushed_over() {
+    // age at the list's news in ms, most units in the first window
+    for (age, most) in [(Some(0), 6.0), (Some(4000), 14.0), (Some(11_000), 1e9), (None, 1e9)] {
+        let started = age.map(|a| at(20_000 - a));
+        let mut h = Host::new(facts(), vec![NodeEntry { started, ..node(1, 0) }], at(20_000));
+        for id in 0..50 {
+            h.tell(Event::Arrived(xfer(id, 0)));
+            h.pass(ms(2));
+            if !h.legs(id).is_empty() {
+                h.end(id, 0, 1, Ending::TurnedAway, 2);
+            }
+        }
+        let sent: usize = (0..50).map(|id| h.legs(id).len()).sum();
+        assert!(sent > 0 && sent as f64 <= most, "{age:?}: {sent}");
+    }
+}
+
+/// Rule 4 by evidence: a node whose connections broke has just started, whatever the list says.
+#[test]
+fn a_broken_node_counts_as_cold() {
+    let mut h = host();
+    h.tell(Event::Arrived(xfer(100, 2)));
+    h.end(100, 0, 1, Ending::Broken, 5);
+    for id in 0..40 {
+        h.tell(Event::Arrived(xfer(id, 0)));
+        h.pass(ms(2));
+        if !h.legs(id).is_empty() {
+            h.end(id, 0, 1, Ending::Done, 2);
+        }
+    }
+    let sent: usize = (0..40).map(|id| h.legs(id).len()).sum();
+    assert!((1..=6).contains(&sent), "{sent}");
+}
+
+/// Rule 5: transfers of one object go one at a time, in order, with a rest after an unknown outcome.
+#[test]
+fn order_is_kept_by_object() {
+    // ending of the first, time until the second may go in ms
+    for (ending, rest) in
+        [(Ending::Done, 0), (Ending::Broken, 50), (Ending::Failed, 0), (Ending::Cancelled, 50)]
+    {
+        let mut f = facts();
+        f.order_settle = ms(50);
+        f.stream_types[2].in_order = true;
+        let mut h = Host::new(f, vec![node(1, 0)], at(1000));
+        for id in [5, 6, 7] {
+            h.tell(Event::Arrived(Transfer { object: Some(ObjectId(3)), ..xfer(id, 2) }));
+        }
+        h.tell(Event::Arrived(Transfer { object: Some(ObjectId(4)), ..xfer(8, 2) }));
+        h.pass(ms(10));
+        assert_eq!((h.legs(5).len(), h.legs(6).len(), h.legs(8).len()), (1, 0, 1));
+        h.end(8, 0, 1, Ending::Done, 10);
+        h.end(5, 0, 1, ending, 10);
+        if rest > 0 {
+            h.pass(ms(rest - 10));
+            assert_eq!(h.legs(6).len(), 0, "{ending:?}");
+            h.pass(ms(150));
+        }
+        assert_eq!((h.legs(6).len(), h.legs(7).len()), (1, 0), "{ending:?}");
+    }
+}
+
+/// Rule 6: further legs stay within the free few and the share of what was accepted.
+#[test]
+fn further_legs_stay_within_their_budget() {
+    for (free, share, most) in [(0.0, 0.0, 0), (3.0, 0.0, 3), (1.0, 0.1, 3)] {
+        let mut f = facts();
+        f.leg_budget = Some(LegBudget { free, share, window: ms(5000) });
+        let mut h = Host::new(f, vec![node(1, 0)], at(1000));
+        for id in 0..20 {
+            h.tell(Event::Arrived(xfer(id, 0)));
+            h.pass(ms(5));
+            h.end(id, 0, 1, Ending::Failed, 5);
+            h.pass(ms(20));
+            if h.legs(id).len() > 1 {
+                h.end(id, 1, 1, Ending::Done, 5);
+            }
+        }
+        let further: usize = (0..20).map(|id| h.legs(id).len().saturating_sub(1)).sum();
+        assert_eq!(further, most, "{free} {share}");
+    }
+}
+
+/// Outcomes for what is over, timers nobody needs and foreign bytes do nothing.
+#[test]
+fn stray_events_do_no_harm() {
+    let mut h = host();
+    h.end(77, 0, 1, Ending::Done, 5);
+    h.end(77, 3, 99, Ending::Broken, 5);
+    h.tell(Event::ClientLeft(TransferId(77)));
+    h.tell(Event::Timer(TimerId(77)));
+    h.tell(Event::ListLost);
+    for bytes in [vec![], vec![0x67], vec![0x67, 1, 2], vec![0xff; 256], vec![0x67; 256]] {
+        h.tell(Event::PeerSaid { from: HostId(1), bytes });
+    }
+    h.tell(Event::Arrived(xfer(5, 0)));
+    h.tell(Event::ClientLeft(TransferId(5)));
+    h.pass(ms(2000));
+    assert_eq!((h.legs(5).len(), h.answers(5).len()), (1, 0));
+}
+
+/// Absent, zero and extreme figures neither panic nor stop the rest.
+#[test]
+fn extreme_facts_are_borne() {
+    let zero = Facts { stream_types: facts().stream_types, plans: facts().plans, ..Facts::default() };
+    let mut none = facts();
+    (none.plans, none.stream_types) = (vec![], vec![]);
+    let mut huge = facts();
+    (huge.hosts, huge.most_units) = (u32::MAX, 1e300);
+    huge.peers_talk = false;
+    let mut tiny = facts();
+    tiny.plans[1].limit = Some(Limit { rate: 1e-9, burst: 0.0 });
+    for f in [zero, none, huge, tiny] {
+        let mut h = Host::new(f, vec![node(1, 0), node(1, 0)], at(0));
+        for (id, units) in [(1, 0.0), (2, 1e300), (3, 5.0)] {
+            let t = Transfer { units, plan: PlanId(1), volume_hosts: id as u32, ..xfer(id, 0) };
+            h.tell(Event::Arrived(t));
+        }
+        h.tell(Event::Arrived(Transfer { ttl: Span::ZERO, cell: None, volume_hosts: 0, ..xfer(4, 1) }));
+        h.pass(ms(1500));
+        assert!(h.answers(2).len() <= 1);
+    }
+}
