--- a/src/brain.rs
+++ b/src/brain.rs
@@ -78,8 +78,6 @@
 /// The design measures demand over the last second; the other sums keep to the same span.
 const LAST: Span = Span::from_micros(1_000_000);
 
-// ---- a storage node -----------------------------------------------------------------------------
-
 #[derive(Clone)]
 enum NodeNote {
     Listed(NodeEntry),
@@ -97,9 +95,10 @@
     pace: f64,
     /// Legs that are out: when each was sent, and its SLO time.
     out: BTreeMap<(TransferId, u32), (Instant, Span)>,
-    /// Time that answers took, and their number.
+    /// Time that good answers took, their number, and that of errors.
     took: Fading,
     answers: Fading,
+    errors: Fading,
     halved: Instant,
     heard: Instant,
     last_sent: Instant,
@@ -112,9 +111,9 @@
 struct Room {
     entry: NodeEntry,
     slots: usize,
-    /// How many units it may be sent now; infinite once it is warm.
-    units: f64,
+    units: f64, // how many it may be sent now; infinite once it is warm
     latency: Span,
+    sick: bool,
 }
 
 impl Node {
@@ -171,12 +170,14 @@
                 } else if matches!(ending, Ending::Done | Ending::Failed | Ending::TurnedAway) {
                     self.heard = now;
                 }
-                let answered = matches!(ending, Ending::Done | Ending::Failed);
-                if answered {
+                let done = ending == Ending::Done;
+                if done {
                     self.took.add(now, LAST, took.secs());
                     self.answers.add(now, LAST, 1.0);
+                } else if ending == Ending::Failed {
+                    self.errors.add(now, LAST, 1.0);
                 }
-                if answered && took <= slo_time.times(Self::LATE) {
+                if done && took <= slo_time.times(Self::LATE) {
                     if self.pace < 1.0 {
                         self.pace = (self.pace + Self::PACE_STEP).min(1.0);
                     } else if self.out.len() + 1 >= self.window as usize {
@@ -202,7 +203,7 @@
     }
 
     fn latency(&self) -> Span {
-        if self.answers.last() < 1e-3 {
+        if self.answers.last() < 1e-9 {
             return Span::from_millis(20.0); // before the first answer: shorter than any usual SLO time
         }
         Span::from_millis(self.took.last() / self.answers.last() * 1e3)
@@ -231,10 +232,20 @@
                 facts.cold.units / f64::from(facts.hosts.max(1)) * part - sent
             }
         };
-        Room { entry: self.entry.clone(), slots: self.slots(now), units, latency: self.latency() }
+        let (slots, sick) = (self.slots(now), self.sick(now));
+        Room { entry: self.entry.clone(), slots, units, latency: self.latency(), sick }
+    }
+
+    /// Most of what it answered of late were errors. They come fast, so by its latency alone such a node
+    /// would look the best of all and draw every new object: it gets one leg at a time, and none of
+    /// those. Good against any fault that answers at once; it slows a node whose clients err.
+    fn sick(&mut self, now: Instant) -> bool {
+        self.took.read(now, LAST);
+        let (done, errors) = (self.answers.read(now, LAST), self.errors.read(now, LAST));
+        errors > done.max(1.0)
     }
 
-    fn slots(&self, now: Instant) -> usize {
+    fn slots(&mut self, now: Instant) -> usize {
         if self.entry.standing != Standing::Ready {
             return 0;
         }
@@ -245,28 +256,25 @@
             // given up or wait for a successor, and one careful leg at a time asks, ever more seldom.
             return usize::from(now - self.last_sent > (now - self.heard).times(0.5));
         }
+        if self.sick(now) {
+            return usize::from(self.out.is_empty());
+        }
         let spaced = self.pace >= 1.0 || now - self.last_sent > self.latency().times(1.0 / self.pace);
         if spaced { (self.window as usize).saturating_sub(self.out.len()) } else { 0 }
     }
 }
 
-// ---- a volume -----------------------------------------------------------------------------------
-
 #[derive(Default)]
 struct Volume {
     plan: PlanId,
-    /// Through how many hosts it works, as told.
     hosts: f64,
     asked: Fading,
-    /// What was asked a second when the last label went out.
-    labelled: f64,
+    labelled: f64, // what was asked a second when the last label went out
     level: f64,
     at: Instant,
-    /// Until when loans may run that this host made before it was killed.
-    unsure_until: Instant,
+    unsure_until: Instant, // until when loans from before a kill may run
     reserve: f64,
-    /// Units sent past the reserve, by weight.
-    extra: Fading,
+    extra: Fading, // units sent past the reserve, by weight
     peers: BTreeMap<HostId, Peer>,
 }
 
@@ -362,8 +370,6 @@
 /// No more than half of an even part is lent, so that a newborn can at once count on the other half.
 const LEND_PART: f64 = 0.5;
 
-// ---- the desk -----------------------------------------------------------------------------------
-
 enum DeskNote {
     Event(Event),
     Room(Room),
@@ -373,8 +379,7 @@
 struct Xfer {
     t: Transfer,
     slo_end: Instant,
-    /// When half of the time until then is gone.
-    half_time: Instant,
+    half_time: Instant, // when half of the time until then is gone
     legs: u32,
     out: u32,
     /// The first leg that did not prove that it never ran: its number, where, since when.
@@ -395,8 +400,7 @@
 #[derive(Default)]
 struct Desk {
     inbox: VecDeque<DeskNote>,
-    /// Notes for one node, or for all.
-    outbox: Vec<(Option<NodeId>, NodeNote)>,
+    outbox: Vec<(Option<NodeId>, NodeNote)>, // for one node, or for all
     actions: Vec<Action>,
     now: Instant,
     born: Instant,
@@ -695,7 +699,7 @@
                     let own = self.best(lines, Some(r.entry.cell), r);
                     // A new object can wait for a node that nobody's data waits for, until half its time
                     // is gone: where data lies unevenly, it would else crowd out what has one node only.
-                    let new = self.best(lines, None, r);
+                    let new = self.best(lines, None, r).filter(|_| !r.sick);
                     let new = new
                         .filter(|n| own.is_none_or(|o| n.0 > o.0 && self.now >= self.xfers[&n.1].half_time));
                     Some((new.or(own)?, new.is_some(), r))
