--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,13 +58,13 @@
                 self.desk.take(note);
             }
             for (id, note) in std::mem::take(&mut self.desk.outbox) {
-                for (_, nd) in self.nodes.iter_mut().filter(|(n, _)| id.is_none_or(|id| id == **n)) {
-                    nd.inbox.push_back(note.clone());
+                if let Some(nd) = self.nodes.get_mut(&id) {
+                    nd.inbox.push_back(note);
                 }
             }
             for nd in self.nodes.values_mut().filter(|nd| !nd.inbox.is_empty()) {
                 while let Some(note) = nd.inbox.pop_front() {
-                    nd.take(note, self.desk.now, &self.desk.facts);
+                    nd.take(note, self.desk.now);
                 }
                 self.desk.inbox.push_back(DeskNote::Room(nd.room(self.desk.now, &self.desk.facts)));
             }
@@ -78,7 +78,6 @@
 /// The design measures demand over the last second; the other sums keep to the same span.
 const LAST: Span = Span::from_micros(1_000_000);
 
-#[derive(Clone)]
 enum NodeNote {
     Listed(NodeEntry),
     Out { id: TransferId, leg: u32, units: f64, slo_time: Span },
@@ -103,9 +102,11 @@
     heard: Instant,
     last_sent: Instant,
     /// What went out lately, kept exactly while the node is cold: a rule counts it.
-    cold_sent: VecDeque<(Instant, f64)>,
+    cold_sent: Vec<ColdLeg>,
 }
 
+type ColdLeg = ((TransferId, u32), Instant, f64, bool); // which, when, its units, whether it was served
+
 /// What a node tells the desk of itself.
 #[derive(Clone)]
 struct Room {
@@ -132,17 +133,20 @@
     const LEAST_PACE: f64 = 0.125;
     /// What is trusted of the growth that the ramp bounds promise to a cold node.
     const RAMP_TRUST: f64 = 0.8;
+    /// What a served leg still counts: its work may be put off or have been cheap, so not nothing.
+    const PROVEN: f64 = 0.33;
+    /// A lone leg may be as large as this part of what is borne in any case, by however many hosts.
+    const LONE_LEG: f64 = 0.25;
 
     fn new(entry: NodeEntry, now: Instant) -> Self {
         let window = Self::START;
         Node { entry, window, pace: 1.0, halved: now, heard: now, last_sent: now, ..Node::default() }
     }
 
-    fn take(&mut self, note: NodeNote, now: Instant, facts: &Facts) {
+    fn take(&mut self, note: NodeNote, now: Instant) {
         match note {
             NodeNote::Beat => {}
             NodeNote::Listed(e) => {
-                // A fresh start time means a new process: what was learned of the old one is void.
                 if e.started > self.entry.started {
                     self.window = Self::START;
                     self.heard = now;
@@ -156,9 +160,7 @@
             NodeNote::Out { id, leg, units, slo_time } => {
                 self.out.insert((id, leg), (now, slo_time));
                 self.last_sent = now;
-                if self.cold_part(now, facts).is_some() {
-                    self.cold_sent.push_back((now, units));
-                }
+                self.cold_sent.push(((id, leg), now, units, false));
             }
             NodeNote::Ended { id, leg, ending, took } => {
                 let Some((_, slo_time)) = self.out.remove(&(id, leg)) else {
@@ -172,6 +174,7 @@
                 }
                 let done = ending == Ending::Done;
                 if done {
+                    self.cold_sent.iter_mut().filter(|c| c.0 == (id, leg)).for_each(|c| c.3 = true);
                     self.took.add(now, LAST, took.secs());
                     self.answers.add(now, LAST, 1.0);
                 } else if ending == Ending::Failed {
@@ -209,30 +212,30 @@
         Span::from_millis(self.took.last() / self.answers.last() * 1e3)
     }
 
-    /// The node's capacity as of a window ago, at least, in multiples of that at its start; `None`: warm.
-    fn cold_part(&self, now: Instant, facts: &Facts) -> Option<f64> {
+    /// How many units a cold node may be sent now; infinite once it is warm. What is borne in any case is
+    /// split evenly between hosts and grows as the ramp promises. Legs that were served within the rule's
+    /// window prove that there was room for them and count in part. Where an even part holds no whole
+    /// transfer, a lone leg keeps reads alive.
+    fn cold_room(&mut self, now: Instant, facts: &Facts) -> f64 {
         let cold = &facts.cold;
-        let age = now - self.entry.started?;
-        if age >= cold.ramp {
-            return None;
-        }
+        let Some(age) = self.entry.started.map(|s| now - s).filter(|age| *age < cold.ramp) else {
+            self.cold_sent.clear();
+            return f64::INFINITY;
+        };
+        // A tenth longer than the rule's window: legs sent apart may arrive together.
+        let since = now - cold.window.times(1.1);
+        self.cold_sent.retain(|c| c.1 >= since);
         let gained = (age - cold.window).secs().max(0.0) / cold.ramp.secs();
         let growth = (1.0 - cold.first_part) * gained / cold.first_part.max(0.01);
-        Some(1.0 + Self::RAMP_TRUST * growth)
+        let part = cold.units / f64::from(facts.hosts.max(1)) * (1.0 + Self::RAMP_TRUST * growth);
+        let weight = |c: &ColdLeg| if c.3 { c.2 * Self::PROVEN } else { c.2 };
+        let left = part - self.cold_sent.iter().map(weight).sum::<f64>();
+        let lone = left > 0.0 && self.cold_sent.iter().all(|c| c.3);
+        if lone { left.max(cold.units * Self::LONE_LEG) } else { left }
     }
 
     fn room(&mut self, now: Instant, facts: &Facts) -> Room {
-        let units = match self.cold_part(now, facts) {
-            None => f64::INFINITY,
-            Some(part) => {
-                // A tenth longer than the rule's window: legs sent apart may arrive together.
-                let since = now - facts.cold.window.times(1.1);
-                self.cold_sent.retain(|(at, _)| *at >= since);
-                let sent: f64 = self.cold_sent.iter().map(|(_, units)| units).sum();
-                facts.cold.units / f64::from(facts.hosts.max(1)) * part - sent
-            }
-        };
-        let (slots, sick) = (self.slots(now), self.sick(now));
+        let (units, slots, sick) = (self.cold_room(now, facts), self.slots(now), self.sick(now));
         Room { entry: self.entry.clone(), slots, units, latency: self.latency(), sick }
     }
 
@@ -395,22 +398,19 @@
     idle_until: Instant,
 }
 
-type Lines = BTreeMap<Option<CellId>, Vec<TransferId>>;
-
 #[derive(Default)]
 struct Desk {
     inbox: VecDeque<DeskNote>,
-    outbox: Vec<(Option<NodeId>, NodeNote)>, // for one node, or for all
+    outbox: Vec<(NodeId, NodeNote)>,
     actions: Vec<Action>,
     now: Instant,
     born: Instant,
     facts: Facts,
     rooms: BTreeMap<NodeId, Room>,
     xfers: BTreeMap<TransferId, Xfer>,
-    /// First legs wait here, by where the data lies; new objects under `None`.
-    first: Lines,
+    first: Vec<TransferId>,
     /// Further legs wait in a line of their own, served after first legs.
-    further: Lines,
+    further: Vec<TransferId>,
     turns: BTreeMap<ObjectId, Turn>,
     volumes: BTreeMap<VolumeId, Volume>,
     /// What volumes that go past their reserves were sent of late, by weight, in the mean.
@@ -450,7 +450,6 @@
         self.actions.push(Action::Timer { id, at });
     }
 
-    /// Where an epoch ends on the grid that all hosts share; 1 is the present one.
     fn epoch_end(&self, epochs: i64) -> Instant {
         let e = EPOCH.micros();
         Instant::from_micros((self.now.micros().div_euclid(e) + epochs) * e)
@@ -463,7 +462,7 @@
             }
             DeskNote::Event(Event::Arrived(t)) => self.accept(t),
             DeskNote::Event(Event::LegEnded { id, leg, node, ending, took, finished }) => {
-                self.outbox.push((Some(node), NodeNote::Ended { id, leg, ending, took }));
+                self.outbox.push((node, NodeNote::Ended { id, leg, ending, took }));
                 self.leg_ended(id, leg, node, ending, finished);
             }
             DeskNote::Event(Event::StreamBegan { id, .. }) => {
@@ -483,7 +482,7 @@
             DeskNote::Event(Event::List { extent: Extent::Remembered, .. }) => {}
             DeskNote::Event(Event::List { .. }) => self.ask_again = ASK_FIRST,
             DeskNote::Event(Event::Timer(BEAT)) => {
-                self.outbox.push((None, NodeNote::Beat));
+                self.outbox.extend(self.rooms.keys().map(|nd| (*nd, NodeNote::Beat)));
                 self.look_over();
                 self.timer(BEAT, self.now + BEAT_EVERY);
             }
@@ -526,11 +525,10 @@
             (v.at, v.level) = (v.at.max(self.born), 0.0);
         }
         v.asked.add(now, LAST, t.units);
-        // A sudden rise does not wait for the epoch's end.
         let rise = v.asked.last() > 1.5 * v.labelled + 2.0 * self.facts.most_units && v.hosts > 1.0;
         let expiry = now + t.ttl - self.facts.tick - self.facts.tick;
         self.timer(TimerId(id.0), expiry);
-        self.first.entry(t.cell).or_default().push(id);
+        self.first.push(id);
         self.xfers.insert(id, Xfer { t, slo_end, half_time, ..Xfer::default() });
         if rise {
             self.tell(Some(volume));
@@ -547,8 +545,7 @@
         }
         if x.closed || finished {
             return self.close(id);
-        }
-        if x.out > 0 {
+        } else if x.out > 0 {
             return;
         }
         let latency = self.rooms.get(&node).map_or(Span::ZERO, |r| r.latency);
@@ -559,7 +556,7 @@
         let effect = self.facts.stream_types[x.t.stream_type.0].effect;
         let allowed = effect != Effect::Unrepeatable || x.maybe_ran.is_none();
         if again && allowed {
-            self.further.entry(x.t.cell).or_default().push(id);
+            self.further.push(id);
         } else {
             self.give_up(id);
         }
@@ -582,9 +579,8 @@
     fn close(&mut self, id: TransferId) {
         let Some(x) = self.xfers.get_mut(&id) else { return };
         x.closed = true;
-        for line in [&mut self.first, &mut self.further].into_iter().filter_map(|l| l.get_mut(&x.t.cell)) {
-            line.retain(|other| *other != id);
-        }
+        self.first.retain(|other| *other != id);
+        self.further.retain(|other| *other != id);
         if x.out > 0 {
             return;
         }
@@ -597,8 +593,7 @@
     /// Gives up what can no longer be answered within its SLO time, and refreshes what order rests on.
     fn look_over(&mut self) {
         let now = self.now;
-        let lines = [&self.first, &self.further].into_iter().flat_map(|l| l.values().flatten());
-        let lost = lines.filter(|id| {
+        let lost = self.first.iter().chain(&self.further).filter(|id| {
             let x = &self.xfers[id];
             let nodes = self.rooms.values().filter(|r| x.t.cell.is_none_or(|c| c == r.entry.cell));
             let soonest = nodes.map(|r| r.latency).min().unwrap_or(Span::ZERO);
@@ -664,9 +659,9 @@
     }
 
     /// The first in order of a line that may go to the node.
-    fn best(&self, lines: &Lines, key: Option<CellId>, room: &Room) -> Option<(f64, TransferId)> {
-        let line = lines.get(&key)?;
-        let ready = line.iter().map(|id| (*id, &self.xfers[id])).filter(|(id, x)| self.may_go(*id, x, room));
+    fn best(&self, line: &[TransferId], cell: Option<CellId>, room: &Room) -> Option<(f64, TransferId)> {
+        let here = line.iter().map(|id| (*id, &self.xfers[id])).filter(|(_, x)| x.t.cell == cell);
+        let ready = here.filter(|(id, x)| self.may_go(*id, x, room));
         // What the node had last it still has at hand: one more for the same object is cheap.
         let last = self.last_object.get(&room.entry.node);
         let cheap =
@@ -685,26 +680,28 @@
         }
         let mut open = self.rooms.clone();
         open.retain(|_, r| r.slots > 0);
-        let mut sent = false;
-        for id in self.first.values().flatten() {
+        let before = self.actions.len();
+        for id in &self.first {
             if let Some(v) = self.volumes.get_mut(&self.xfers[id].t.volume) {
                 v.refill(self.now, &self.facts);
             }
         }
-        for lines in [false, true] {
+        for further in [false, true] {
             loop {
-                let lines = if lines { &self.further } else { &self.first };
+                let line = if further { &self.further } else { &self.first };
                 // What each open node would serve next of its own data, and of the new objects.
-                let offers = open.values().filter_map(|r| {
-                    let own = self.best(lines, Some(r.entry.cell), r);
-                    // A new object can wait for a node that nobody's data waits for, until half its time
-                    // is gone: where data lies unevenly, it would else crowd out what has one node only.
-                    let new = self.best(lines, None, r).filter(|_| !r.sick);
-                    let new = new
-                        .filter(|n| own.is_none_or(|o| n.0 > o.0 && self.now >= self.xfers[&n.1].half_time));
-                    Some((new.or(own)?, new.is_some(), r))
-                });
-                let offers: Vec<_> = offers.collect();
+                let offers: Vec<_> = open
+                    .values()
+                    .filter_map(|r| {
+                        let own = self.best(line, Some(r.entry.cell), r);
+                        // A new object can wait for a node that nobody's data waits for, until half its time
+                        // is gone: where data lies unevenly, it would else crowd out what has one node only.
+                        let must = |n: TransferId| self.now >= self.xfers[&n].half_time;
+                        let mut new = self.best(line, None, r);
+                        new.take_if(|n| r.sick || own.is_some_and(|o| n.0 <= o.0 || !must(n.1)));
+                        Some((new.or(own)?, new.is_some(), r))
+                    })
+                    .collect();
                 let Some(&((_, id), new, room)) = offers.iter().max_by(|a, b| a.0.0.total_cmp(&b.0.0)) else {
                     break;
                 };
@@ -721,17 +718,15 @@
                 }
                 let room = open.remove(&node).expect("drawn from the open ones");
                 self.send(id, &room);
-                sent = true;
             }
         }
-        sent
+        self.actions.len() > before
     }
 
     fn send(&mut self, id: TransferId, room: &Room) {
+        self.first.retain(|other| *other != id);
+        self.further.retain(|other| *other != id);
         let Some(x) = self.xfers.get_mut(&id) else { return };
-        for line in [&mut self.first, &mut self.further].into_iter().filter_map(|l| l.get_mut(&x.t.cell)) {
-            line.retain(|other| *other != id);
-        }
         if x.legs > 0 && self.facts.leg_budget.is_some() {
             self.resent.push_back(self.now);
         }
@@ -753,11 +748,11 @@
         if let Some(object) = x.t.object {
             self.last_object.insert(node, object);
         }
-        self.outbox.push((Some(node), NodeNote::Out { id, leg, units, slo_time }));
+        self.outbox.push((node, NodeNote::Out { id, leg, units, slo_time }));
         self.actions.push(Action::Leg { id, node, time_out: None });
     }
 
-    /// Labels for the hosts of each volume, or of one whose demand just rose.
+    /// Labels for the hosts of each volume; of one whose demand rose suddenly, before the epoch's end.
     fn tell(&mut self, only: Option<VolumeId>) {
         if !self.facts.peers_talk || self.facts.hosts < 2 {
             return;
