Late is judged by at most twice the tightest SLO time

Should hold wherever stream types of unlike patience share nodes; may waste capacity where the tightest is rare.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -122,8 +122,7 @@
     const CEILING: f64 = 32.0;
     /// "A few", says the design page.
     const START: f64 = 4.0;
-    /// Late: more than this part of the SLO time went by in the node, so that as much is left for the
-    /// wait at the host, where order can still be chosen.
+    /// Late: more than this part of the SLO time went by in the node; the rest is for the wait at the host.
     const LATE: f64 = 0.5;
     /// A node is silent when a leg is out for so many times the usual latency and nothing came since.
     const SILENT: f64 = 3.0;
@@ -196,9 +195,8 @@
     /// At most once a round trip: answers that are late together tell of one jam.
     fn halve(&mut self, now: Instant) {
         if now - self.halved > self.latency() {
-            // Many hosts with a window of one each still jam a small node: below one, legs are spaced.
-            // It answers any jam that the floor upholds (many hosts, slow node, neighbours); it costs
-            // idle time on a node that is late for one dear transfer only.
+            // Many hosts with a window of one each still jam a small or slowed node: below one, legs are
+            // spaced. It costs idle time on a node that is late for one dear transfer only.
             self.pace = if self.window <= 1.0 { (self.pace / 2.0).max(Self::LEAST_PACE) } else { 1.0 };
             self.window = (self.window / 2.0).max(1.0);
             self.halved = now;
@@ -426,6 +424,7 @@
 const AT_HAND: f64 = 2.0;
 /// What part of a node's mean time most answers take: times are skewed, their median lies below the mean.
 const USUAL: f64 = 0.7;
+const TIGHT: f64 = 2.0; // what its own work may take it past the tightest, with no jam to blame
 const BEAT: TimerId = TimerId(1 << 40);
 const NEXT_EPOCH: TimerId = TimerId(BEAT.0 + 1);
 const ASK_LIST: TimerId = TimerId(BEAT.0 + 2);
@@ -740,7 +739,9 @@
                 v.extra.add(self.now, LAST, x.t.units / self.facts.plans[v.plan.0].weight.max(0.01));
             }
         }
-        let slo_time = self.facts.stream_types[x.t.stream_type.0].slo_time;
+        // All stream types queue together in the node: a patient one must not grow what jams the tightest.
+        let tightest = self.facts.stream_types.iter().map(|s| s.slo_time).min().unwrap_or_default();
+        let slo_time = self.facts.stream_types[x.t.stream_type.0].slo_time.min(tightest.times(TIGHT));
         let (leg, units, node) = (x.legs, x.t.units, room.entry.node);
         x.legs += 1;
         x.out += 1;
