Late from 40% of the SLO time on

Cause: with ten and eleven hosts half of the SLO time in the node leaves no time to order at the host.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -123,7 +123,7 @@
     /// "A few", says the design page.
     const START: f64 = 4.0;
     /// Late: more than this part of the SLO time went by in the node; the rest is for the wait at the host.
-    const LATE: f64 = 0.5;
+    const LATE: f64 = 0.4;
     /// A node is silent when a leg is out for so many times the usual latency and nothing came since.
     const SILENT: f64 = 3.0;
     /// A spaced-out node is back at a window of one after a few good answers,
