--- a/src/brain.rs
+++ b/src/brain.rs
@@ -123,7 +123,7 @@
     /// "A few", says the design page.
     const START: f64 = 4.0;
     /// Late: more than this part of the SLO time went by in the node; the rest is for the wait at the host.
-    const LATE: f64 = 0.3;
+    const LATE: f64 = 0.4;
     /// A node is silent when a leg is out for so many times the usual latency and nothing came since.
     const SILENT: f64 = 3.0;
     /// A spaced-out node is back at a window of one after a few good answers,
@@ -179,8 +179,7 @@
                 } else if ending == Ending::Failed {
                     self.errors.add(now, LAST, 1.0);
                 }
-                let late = slo_time.times(Self::LATE);
-                if done && (took <= late || self.latency() <= late.times(0.7)) {
+                if done && took <= slo_time.times(Self::LATE) {
                     if self.pace < 1.0 {
                         self.pace = (self.pace + Self::PACE_STEP).min(1.0);
                     } else if self.out.len() + 1 >= self.window as usize {
