--- a/src/brain.rs
+++ b/src/brain.rs
@@ -92,8 +92,7 @@
     window: f64,
     /// Below one where even a window of one is too much: legs are then spaced out.
     pace: f64,
-    /// Legs that are out: when each was sent, and its SLO time.
-    out: BTreeMap<(TransferId, u32), (Instant, Span)>,
+    out: BTreeMap<(TransferId, u32), (Instant, Span)>, // when sent, and the SLO time
     /// Time that good answers took, their number, and that of errors.
     took: Fading,
     answers: Fading,
@@ -126,10 +125,8 @@
     const LATE: f64 = 0.4;
     /// A node is silent when a leg is out for so many times the usual latency and nothing came since.
     const SILENT: f64 = 3.0;
-    /// A spaced-out node is back at a window of one after a few good answers,
-    const PACE_STEP: f64 = 0.25;
-    /// and never so slow that a host learns nothing of it for longer than most SLO times.
-    const LEAST_PACE: f64 = 0.125;
+    const PACE_STEP: f64 = 0.25; // back at a window of one after a few good answers
+    const LEAST_PACE: f64 = 0.125; // slower, and a host would learn nothing of it within most SLO times
     /// What is trusted of the growth that the ramp bounds promise to a cold node.
     const RAMP_TRUST: f64 = 0.8;
     /// What a served leg still counts: its work may be put off or have been cheap, so not nothing.
@@ -368,8 +365,7 @@
 const LABEL_EPOCHS: f64 = 4.0;
 /// A loan runs to the end of the epoch after the one it was made in, so that its renewal overlaps it.
 const LOAN_EPOCHS: i64 = 2;
-/// No more than half of an even part is lent, so that a newborn can at once count on the other half.
-const LEND_PART: f64 = 0.5;
+const LEND_PART: f64 = 0.5; // at most: so that a newborn can at once count on the other half
 
 enum DeskNote {
     Event(Event),
