--- a/src/brain.rs
+++ b/src/brain.rs
@@ -622,7 +622,7 @@
             return full;
         }
         // The weighted share: who was sent less than the others, by weight, is inside it.
-        let over = (self.fair / v.extra.last().max(1e-9)).min(1.0).powi(2);
+        let over = (self.fair / v.extra.last().max(1e-9)).min(1.0);
         full * (f.spare_part + (f.share_part - f.spare_part) * over)
     }
 
