--- a/src/brain.rs
+++ b/src/brain.rs
@@ -422,7 +422,7 @@
 /// A repeat on the same object is taken to cost about half; any figure above one groups such legs.
 const AT_HAND: f64 = 2.0;
 /// What part of a node's mean time most answers take: times are skewed, their median lies below the mean.
-const USUAL: f64 = 1.0;
+const USUAL: f64 = 0.7;
 const TIGHT: f64 = 2.0; // what its own work may take it past the tightest, with no jam to blame
 const BEAT: TimerId = TimerId(1 << 40);
 const NEXT_EPOCH: TimerId = TimerId(BEAT.0 + 1);
