--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -105,7 +105,6 @@
         self.tell(Event::LegEnded { id, leg, node, ending, took: ms(took), finished });
     }
 
-    /// The nodes that legs of a transfer went to.
     pub fn legs(&self, of: u64) -> Vec<u64> {
         let legs = self.asked.iter().filter_map(|a| match a.1 {
             Action::Leg { id, node, .. } if id.0 == of => Some(node.0),
@@ -114,7 +113,14 @@
         legs.collect()
     }
 
-    /// The final answers that the module itself gave to a transfer.
+    pub fn order(&self) -> Vec<u64> {
+        let legs = self.asked.iter().filter_map(|a| match a.1 {
+            Action::Leg { id, .. } => Some(id.0),
+            _ => None,
+        });
+        legs.collect()
+    }
+
     pub fn answers(&self, of: u64) -> Vec<&'static str> {
         let answers = self.asked.iter().filter_map(|a| match a.1 {
             Action::Defer { id, .. } if id.0 == of => Some("deferred"),
--- a/tests/decisions/limits.rs
+++ b/tests/decisions/limits.rs
@@ -5,19 +5,16 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// What befalls the hosts of one volume.
+/// What befalls the hosts of one volume: labels lost or repeated (chances), their longest way, the mean
+/// life of a host, its longest time down, the lead's moves (ms), the chance of others to be asked each ms.
 struct Trouble {
     name: &'static str,
     lost: f64,
     repeated: f64,
-    /// Longest way of a label, in ms; each takes its own time, so they overtake each other.
     way: i64,
-    /// Mean ms between kills; 0: none. A restart takes up to `down` ms.
     kills: i64,
     down: i64,
-    /// Ms between moves of the lead.
     lead: i64,
-    /// Chance that another than the lead is asked for four units, in each ms.
     others: f64,
 }
 
