--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -53,7 +53,6 @@
                 pages.insert(table, hosts);
                 continue;
             }
-            WireEvent::Unknown => continue,
             WireEvent::Born { host, rng_seed, boot_info } => {
                 let (facts, names) = wire::facts(boot_info)?;
                 let brain = Brain::new(facts, rng_seed, now);
@@ -69,6 +68,7 @@
             }
             ref e => e.host(),
         };
+        let Some(host) = host else { continue };
         let Some(instance) = instances.get_mut(&host) else {
             eprintln!("gullsail-benchlink: event for host {host}, which does not live: ignored");
             continue;
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -108,7 +108,8 @@
 }
 
 impl WireEvent {
-    pub fn host(&self) -> u64 {
+    /// The instance it is for; `None`: all of the process, or unknown.
+    pub fn host(&self) -> Option<u64> {
         match *self {
             WireEvent::Born { host, .. }
             | WireEvent::Fleet { host, .. }
@@ -118,8 +119,8 @@
             | WireEvent::Detach { host }
             | WireEvent::Heard { host, .. }
             | WireEvent::Resolved { host, .. }
-            | WireEvent::AckFirst { host, .. } => host,
-            WireEvent::Page { .. } | WireEvent::Unknown => u64::MAX,
+            | WireEvent::AckFirst { host, .. } => Some(host),
+            WireEvent::Page { .. } | WireEvent::Unknown => None,
         }
     }
 }
@@ -188,7 +189,9 @@
 struct Profile {
     name: String,
     effect: String,
-    give_up: f64,
+    /// Required by the wire; a transfer's own `ttl` is what decides.
+    #[serde(rename = "give-up")]
+    _give_up: f64,
     objective: f64,
     #[serde(default)]
     group: String,
@@ -301,7 +304,6 @@
     Ok(StreamType {
         effect,
         slo_time: Span::from_millis(p.objective),
-        expiry: Span::from_millis(p.give_up),
         benefit: p.worth,
         late_part: p.late_value,
         in_order: p.serial_by_key,
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -137,7 +137,6 @@
 pub struct StreamType {
     pub effect: Effect,
     pub slo_time: Span,
-    pub expiry: Span,
     pub benefit: f64,
     /// The part of the benefit that an answer after the SLO time still earns.
     pub late_part: f64,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,7 +10,7 @@
 use gullsail_interface::*;
 use rand::{SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub struct Brain {
     nodes: BTreeMap<NodeId, Node>,
@@ -33,6 +33,7 @@
             self.desk.inbox.push_back(DeskNote::Event(event));
             self.empty_inboxes();
         }
+        self.desk.freshen();
         while self.desk.serve(&mut self.rng) {
             self.empty_inboxes();
         }
@@ -158,9 +159,7 @@
                 self.cold_sent.push(((id, leg), now, units, false));
             }
             NodeNote::Ended { id, leg, ending, took } => {
-                let Some((sent, slo_time)) = self.out.remove(&(id, leg)) else {
-                    return;
-                };
+                let Some((sent, slo_time)) = self.out.remove(&(id, leg)) else { return };
                 if ending == Ending::Broken {
                     // The process died: whatever answers next has just started, list or no list.
                     self.entry.started = self.entry.started.max(Some(now));
@@ -229,8 +228,9 @@
     }
 
     fn room(&mut self, now: Instant, facts: &Facts) -> Room {
-        let (units, slots, sick) = (self.cold_room(now, facts), self.slots(now), self.sick(now));
-        Room { entry: self.entry.clone(), slots, units, latency: self.latency(), sick }
+        let (units, sick) = (self.cold_room(now, facts), self.sick(now));
+        let (slots, latency) = (self.slots(now, sick), self.latency());
+        Room { entry: self.entry.clone(), slots, units, latency, sick }
     }
 
     /// Most of what it answered of late were errors. They come fast, so by its latency alone such a node
@@ -242,7 +242,7 @@
         errors > done.max(1.0)
     }
 
-    fn slots(&mut self, now: Instant) -> usize {
+    fn slots(&self, now: Instant, sick: bool) -> usize {
         if self.entry.standing != Standing::Ready {
             return 0;
         }
@@ -257,7 +257,7 @@
             // given up or wait for a successor, and one careful leg at a time asks, ever more seldom.
             return usize::from(now - self.last_sent > (now - self.heard).times(0.5));
         }
-        if self.sick(now) {
+        if sick {
             return usize::from(live == 0);
         }
         let spaced = self.pace >= 1.0 || now - self.last_sent > self.latency().times(1.0 / self.pace);
@@ -574,11 +574,15 @@
         self.close(id);
     }
 
+    fn leave_lines(&mut self, id: TransferId) {
+        self.first.retain(|other| *other != id);
+        self.further.retain(|other| *other != id);
+    }
+
     fn close(&mut self, id: TransferId) {
+        self.leave_lines(id);
         let Some(x) = self.xfers.get_mut(&id) else { return };
         x.closed = true;
-        self.first.retain(|other| *other != id);
-        self.further.retain(|other| *other != id);
         if x.out > 0 {
             return;
         }
@@ -670,20 +674,23 @@
             .map(|(due, _, id)| (due, id))
     }
 
-    /// Sends what can go now, at most one leg for each node; tells whether any went.
-    fn serve(&mut self, rng: &mut ChaCha8Rng) -> bool {
+    /// Brings what serving rests on up to date, once for all that is sent at one time.
+    fn freshen(&mut self) {
         if let Some(b) = self.facts.leg_budget {
             self.accepted.retain(|at| *at > self.now - b.window);
             self.resent.retain(|at| *at >= self.now - b.window);
         }
+        let waiting: BTreeSet<VolumeId> = self.first.iter().map(|id| self.xfers[id].t.volume).collect();
+        for (_, v) in self.volumes.iter_mut().filter(|v| waiting.contains(v.0)) {
+            v.refill(self.now, &self.facts);
+        }
+    }
+
+    /// Sends what can go now, at most one leg for each node; tells whether any went.
+    fn serve(&mut self, rng: &mut ChaCha8Rng) -> bool {
         let mut open = self.rooms.clone();
         open.retain(|_, r| r.slots > 0);
         let before = self.actions.len();
-        for id in &self.first {
-            if let Some(v) = self.volumes.get_mut(&self.xfers[id].t.volume) {
-                v.refill(self.now, &self.facts);
-            }
-        }
         for further in [false, true] {
             loop {
                 let line = if further { &self.further } else { &self.first };
@@ -722,8 +729,7 @@
     }
 
     fn send(&mut self, id: TransferId, room: &Room) {
-        self.first.retain(|other| *other != id);
-        self.further.retain(|other| *other != id);
+        self.leave_lines(id);
         let Some(x) = self.xfers.get_mut(&id) else { return };
         if x.legs > 0 && self.facts.leg_budget.is_some() {
             self.resent.push_back(self.now);
@@ -786,18 +792,14 @@
     }
 
     fn hear(&mut self, from: HostId, bytes: &[u8]) {
-        let Some((stamp, until, lines)) = label::unpack(bytes) else {
-            return;
-        };
+        let Some((stamp, until, lines)) = label::unpack(bytes) else { return };
         let until = Instant::from_micros(i64::from(until) * EPOCH.micros());
         // The lender's clock is ours: a label from the future, or a loan past its longest, is foreign.
         if stamp > self.now || until > self.epoch_end(LOAN_EPOCHS) || from == self.facts.me {
             return;
         }
         for l in lines {
-            let Some(v) = self.volumes.get_mut(&l.volume) else {
-                continue;
-            };
+            let Some(v) = self.volumes.get_mut(&l.volume) else { continue };
             v.refill(self.now, &self.facts);
             let p = v.peers.entry(from).or_default();
             // Late and repeated labels: the newest counts. The borrower falls back a tick before the end.
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -35,7 +35,7 @@
 }
 
 pub fn stream_type(effect: Effect) -> StreamType {
-    StreamType { effect, slo_time: ms(400), expiry: ms(1000), benefit: 2.0, late_part: 0.1, in_order: false }
+    StreamType { effect, slo_time: ms(400), benefit: 2.0, late_part: 0.1, in_order: false }
 }
 
 pub fn node(id: u64, cell: i64) -> NodeEntry {
@@ -105,20 +105,19 @@
         self.tell(Event::LegEnded { id, leg, node, ending, took: ms(took), finished });
     }
 
-    pub fn legs(&self, of: u64) -> Vec<u64> {
-        let legs = self.asked.iter().filter_map(|a| match a.1 {
-            Action::Leg { id, node, .. } if id.0 == of => Some(node.0),
+    fn sent(&self) -> impl Iterator<Item = (u64, u64)> {
+        self.asked.iter().filter_map(|a| match a.1 {
+            Action::Leg { id, node, .. } => Some((id.0, node.0)),
             _ => None,
-        });
-        legs.collect()
+        })
+    }
+
+    pub fn legs(&self, of: u64) -> Vec<u64> {
+        self.sent().filter(|(id, _)| *id == of).map(|(_, node)| node).collect()
     }
 
     pub fn order(&self) -> Vec<u64> {
-        let legs = self.asked.iter().filter_map(|a| match a.1 {
-            Action::Leg { id, .. } => Some(id.0),
-            _ => None,
-        });
-        legs.collect()
+        self.sent().map(|(id, _)| id).collect()
     }
 
     pub fn answers(&self, of: u64) -> Vec<&'static str> {
