--- a/src/brain.rs
+++ b/src/brain.rs
@@ -501,11 +501,12 @@
         if f.leg_budget.is_some() {
             self.accepted.push_back(now);
         }
-        // A client's next try has less time than its first had: the SLO time has run all the while.
+        // A client's next try has less time than its first had: the SLO time has run all the while. With
+        // less than the SLO time, it is hardly that, but an impatient first one: useful until its expiry.
         let longest = self.longest_ttl.entry(t.stream_type).or_insert(t.ttl);
         *longest = t.ttl.max(*longest);
-        let slo_end = now + s.slo_time - (*longest - t.ttl);
-        let half_time = now + (slo_end - now).times(0.5);
+        let left = if t.ttl < s.slo_time { t.ttl } else { s.slo_time - (*longest - t.ttl) };
+        let (slo_end, half_time) = (now + left, now + left.times(0.5));
         if let (true, Some(object)) = (s.in_order, t.object) {
             self.turns.entry(object).or_default().line.push_back(id);
         }
