--- a/src/brain.rs
+++ b/src/brain.rs
@@ -427,8 +427,7 @@
 const BEAT: TimerId = TimerId(1 << 40);
 const NEXT_EPOCH: TimerId = TimerId(BEAT.0 + 1);
 const ASK_LIST: TimerId = TimerId(BEAT.0 + 2);
-/// How often waiting transfers are looked over: small against any SLO time.
-const BEAT_EVERY: Span = Span::from_micros(10_000);
+const BEAT_EVERY: Span = Span::from_micros(10_000); // small against any SLO time
 /// Waits before the list is asked again: from a few round trips, doubled, to a minute's eighth.
 const ASK_FIRST: Span = Span::from_micros(500_000);
 const ASK_LAST: Span = Span::from_micros(7_500_000);
--- a/tests/decisions/symptoms.rs
+++ b/tests/decisions/symptoms.rs
@@ -96,3 +96,18 @@
     let to_bad = (0..100).filter(|id| h.legs(*id) == [1]).count();
     assert!(to_bad < 10, "{to_bad} of 100");
 }
+
+/// give_up: a client that comes with less than the SLO time is served like any first try; a next try, which
+/// has all of its SLO time behind it, is answered at once while the node is busy.
+#[test]
+fn impatient_first_tries_are_served() {
+    // expiry after how many ms, legs within 100 ms once the node has room
+    for (ttl, legs) in [(1000, 1), (900, 1), (500, 0), (150, 1), (1100, 1)] {
+        let mut h = Host::new(facts(), vec![], at(1000));
+        h.tell(Event::Arrived(xfer(1, 0)));
+        h.tell(Event::Arrived(Transfer { ttl: ms(ttl), ..xfer(2, 0) }));
+        h.pass(ms(20));
+        h.list(Extent::Whole, vec![node(1, 0)]);
+        assert_eq!(h.legs(2).len(), legs, "{ttl}");
+    }
+}
