Work by node and line, tokens lent on demand, maps of a volume's hosts

A host short of tokens sends its label to three of the volume's hosts in turn, and gets tokens (not rate) at once; the lender's level and cap are lower first, so parts never sum past the plan's. Who uses a volume is kept in maps at two hosts each, asked ever more seldom. Should also hold against any lost or late message; may harm where messages take over 100 ms (nothing is lent).

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -91,6 +91,8 @@
         node: String,
         #[serde(default)]
         complete: bool,
+        #[serde(default)]
+        metered: u32,
     },
     AckFirst {
         host: u64,
@@ -176,6 +178,8 @@
     parts: f64,
     #[serde(default)]
     reserve: f64,
+    #[serde(default)]
+    nominal: f64,
     #[serde(default = "whole")]
     value_factor: f64,
 }
@@ -246,6 +250,7 @@
     let plans = b.policies.iter().map(|p| Plan {
         limit: (p.limit > 0.0).then_some(Limit { rate: p.limit, burst: p.limit_burst }),
         reserve: p.reserve,
+        usual: p.nominal,
         weight: p.parts,
         price: p.value_factor,
     });
@@ -362,14 +367,17 @@
             let bytes = BASE64.decode(&octets).map_err(|e| format!("octets are not base64: {e}"))?;
             Event::PeerSaid { from: HostId(src), bytes }
         }
-        WireEvent::Resolved { id, spent, attempt, state_code, node, complete, .. } => Event::LegEnded {
-            id: TransferId(id),
-            leg: attempt,
-            node: NodeId(hash(&node)),
-            ending: ending(&state_code)?,
-            took: Span::from_millis(spent),
-            finished: complete,
-        },
+        WireEvent::Resolved { id, spent, attempt, state_code, node, complete, metered, .. } => {
+            Event::LegEnded(LegEnd {
+                id: TransferId(id),
+                leg: attempt,
+                node: NodeId(hash(&node)),
+                ending: ending(&state_code)?,
+                took: Span::from_millis(spent),
+                finished: complete,
+                used: metered.checked_sub(1).map(|percent| f64::from(percent) / 100.0),
+            })
+        }
         WireEvent::AckFirst { id, node, spent, .. } => Event::StreamBegan {
             id: TransferId(id),
             node: NodeId(hash(&node)),
--- a/crates/interface/src/label.rs
+++ b/crates/interface/src/label.rs
@@ -1,21 +1,35 @@
-//! How labels travel between hosts, in messages of at most 256 bytes: a tag, when it was said and until
-//! when its loans run, then ten bytes for each volume.
+//! What hosts say to each other, in messages of at most 256 bytes: a tag, then when it was said and twelve
+//! bytes for each volume, or for each of a volume's hosts ten.
 
-use crate::{Instant, VolumeId};
+use crate::{HostId, Instant, VolumeId};
 
-/// One volume: what was asked a second, and what the sender lends to the receiver.
+/// One volume: what was asked a second at the sender, the tokens that it wants, and those it lends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Line {
     pub volume: VolumeId,
     pub asked: f64,
+    pub want: f64,
     pub lent: f64,
 }
 
-const TAG: [u8; 2] = [0x67, 0x01];
-const HEAD: usize = 14;
-const LINE: usize = 10;
-/// How many lines one message holds.
-pub const LINES: usize = (256 - HEAD) / LINE;
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// When, and of which volumes.
+    Labels(Instant, Vec<Line>),
+    /// Who else uses these volumes?
+    Seeks(Vec<VolumeId>),
+    /// Hosts that use volumes.
+    Users(Vec<(VolumeId, HostId)>),
+}
+
+const TAG: u8 = 0x67;
+const LABEL: u8 = 2;
+const SEEK: u8 = 3;
+const USERS: u8 = 4;
+const LINE: usize = 12;
+const PAIR: usize = 10;
+/// How many pairs one message holds.
+pub const PAIRS: usize = (256 - 2) / PAIR;
 
 /// Six bytes of a volume's id travel.
 pub fn carried(volume: VolumeId) -> VolumeId {
@@ -35,31 +49,58 @@
     f64::from(f32::from_bits(u32::from(short) << 16))
 }
 
-pub fn pack(said: Instant, until: u32, lines: &[Line]) -> Vec<u8> {
-    let mut b = TAG.to_vec();
+pub fn pack(said: Instant, lines: &[Line]) -> Vec<u8> {
+    let mut b = vec![TAG, LABEL];
     b.extend(said.micros().to_le_bytes());
-    b.extend(until.to_le_bytes());
     for l in lines {
         b.extend(&l.volume.0.to_le_bytes()[..6]);
-        b.extend(short(l.asked).to_le_bytes());
-        b.extend(short(l.lent).to_le_bytes());
+        for figure in [l.asked, l.want, l.lent] {
+            b.extend(short(figure).to_le_bytes());
+        }
+    }
+    b
+}
+
+pub fn pack_seek(volume: VolumeId) -> Vec<u8> {
+    [&[TAG, SEEK], &volume.0.to_le_bytes()[..6]].concat()
+}
+
+pub fn pack_users(pairs: &[(VolumeId, HostId)]) -> Vec<u8> {
+    let mut b = vec![TAG, USERS];
+    for (volume, host) in pairs {
+        b.extend(&volume.0.to_le_bytes()[..6]);
+        b.extend(host.0.to_le_bytes());
     }
     b
 }
 
+fn volume(b: &[u8]) -> VolumeId {
+    let mut id = [0; 8];
+    id[..6].copy_from_slice(&b[..6]);
+    VolumeId(u64::from_le_bytes(id))
+}
+
 /// `None`: cut off or foreign.
-pub fn unpack(b: &[u8]) -> Option<(Instant, u32, Vec<Line>)> {
-    let (said, body) = b.strip_prefix(&TAG)?.split_first_chunk::<8>()?;
-    let (until, body) = body.split_first_chunk::<4>()?;
+pub fn unpack(b: &[u8]) -> Option<Said> {
+    if let [TAG, SEEK, body @ ..] = b {
+        let ids = body.chunks(6).map(|c| (c.len() == 6).then(|| volume(c)));
+        return Some(Said::Seeks(ids.collect::<Option<_>>()?));
+    }
+    if let [TAG, USERS, body @ ..] = b {
+        let pairs = body.chunks(PAIR).map(|c| {
+            let c: &[u8; PAIR] = c.try_into().ok()?;
+            Some((volume(c), HostId(u32::from_le_bytes([c[6], c[7], c[8], c[9]]))))
+        });
+        return Some(Said::Users(pairs.collect::<Option<_>>()?));
+    }
+    let (said, body) = b.strip_prefix(&[TAG, LABEL])?.split_first_chunk::<8>()?;
     let lines = body.chunks(LINE).map(|c| {
         let c: &[u8; LINE] = c.try_into().ok()?;
-        let mut id = [0; 8];
-        id[..6].copy_from_slice(&c[..6]);
-        let asked = long(u16::from_le_bytes([c[6], c[7]]));
-        let lent = long(u16::from_le_bytes([c[8], c[9]]));
-        let sound = asked.is_finite() && lent.is_finite() && asked >= 0.0 && lent >= 0.0;
-        sound.then_some(Line { volume: VolumeId(u64::from_le_bytes(id)), asked, lent })
+        let figure = |at: usize| long(u16::from_le_bytes([c[at], c[at + 1]]));
+        let l = Line { volume: volume(c), asked: figure(6), want: figure(8), lent: figure(10) };
+        let sound = [l.asked, l.want, l.lent].iter().all(|f| f.is_finite() && *f >= 0.0);
+        sound.then_some(l)
     });
     let lines = lines.collect::<Option<_>>()?;
-    Some((Instant::from_micros(i64::from_le_bytes(*said)), u32::from_le_bytes(*until), lines))
+    Some(Said::Labels(Instant::from_micros(i64::from_le_bytes(*said)), lines))
 }
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -150,6 +150,8 @@
     /// `None`: passes without a limit.
     pub limit: Option<Limit>,
     pub reserve: f64,
+    /// What such a volume is sized for.
+    pub usual: f64,
     pub weight: f64,
     pub price: f64,
 }
@@ -273,6 +275,20 @@
     }
 }
 
+/// What came of a leg.
+#[derive(Clone, Debug)]
+pub struct LegEnd {
+    pub id: TransferId,
+    pub leg: u32,
+    pub node: NodeId,
+    pub ending: Ending,
+    pub took: Span,
+    /// The client has its final answer.
+    pub finished: bool,
+    /// What the volume was served through all hosts in some finished period, as a part of its usual rate.
+    pub used: Option<f64>,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     List {
@@ -288,15 +304,7 @@
         from: HostId,
         bytes: Vec<u8>,
     },
-    LegEnded {
-        id: TransferId,
-        leg: u32,
-        node: NodeId,
-        ending: Ending,
-        took: Span,
-        /// The client has its final answer.
-        finished: bool,
-    },
+    LegEnded(LegEnd),
     StreamBegan {
         id: TransferId,
         node: NodeId,
--- a/tests/decisions/symptoms.rs
+++ b/tests/decisions/symptoms.rs
@@ -64,6 +64,7 @@
         h.tell(Event::Arrived(Transfer { cell: None, ..xfer(6, 2) }));
         h.pass(ms(wait));
         h.list(Extent::Whole, vec![node(1, 0)]);
+        h.pass(ms(15));
         assert_eq!(h.order(), [first, 11 - first], "after {wait} ms");
     }
 }
