--- a/src/brain.rs
+++ b/src/brain.rs
@@ -166,10 +166,15 @@
                 self.cold_sent.iter_mut().filter(|c| done && c.0 == (id, leg)).for_each(|c| c.3 = true);
                 // Errors come fast: by its latency alone a node that answers with them would look the
                 // best of all and draw every new object. They count as late answers, like any jam.
-                if matches!(ending, Ending::Done | Ending::Failed) {
-                    self.took.add(now, LAST, if done { took } else { took.max(slo_time) }.secs());
-                    self.answers.add(now, LAST, 1.0);
-                }
+                // So do full nodes; time-outs tell that an answer would have taken longer still.
+                let told = match ending {
+                    Ending::Done => Some(took),
+                    Ending::Failed | Ending::TurnedAway => Some(took.max(slo_time.times(2.0))),
+                    Ending::TimedOut => Some(took.times(2.0).max(self.latency())),
+                    _ => None,
+                };
+                self.took.add(now, LAST, told.unwrap_or_default().secs());
+                self.answers.add(now, LAST, told.map_or(0.0, |_| 1.0));
                 if done && took <= slo_time.times(Self::LATE) {
                     if self.window < 1.0 {
                         self.window = (self.window + Self::STEP).min(1.0);
@@ -194,10 +199,8 @@
     }
 
     fn latency(&self) -> Span {
-        if self.answers.last() < 1e-9 {
-            return Span::from_millis(20.0); // before the first answer: shorter than any usual SLO time
-        }
-        Span::from_millis(self.took.last() / self.answers.last() * 1e3)
+        let mean = Span::from_millis(self.took.last() / self.answers.last().max(1e-9) * 1e3);
+        mean.max(Span::from_millis(20.0)) // as before the first answer: shorter than any usual SLO time
     }
 
     /// How many units a cold node may be sent now; infinite once it is warm. What is borne in any case is
@@ -223,7 +226,9 @@
     }
 
     fn room(&mut self, now: Instant, facts: &Facts) -> Room {
-        let (units, slots, latency) = (self.cold_room(now, facts), self.slots(now), self.latency());
+        let (units, slots) = (self.cold_room(now, facts), self.slots(now));
+        // Halves with each second that nothing was heard: no old jam is held against a node for ever.
+        let latency = self.latency().times(0.5f64.powf((now - self.heard).secs().max(0.0)));
         Room { entry: self.entry.clone(), slots, units, latency }
     }
 
@@ -373,7 +378,7 @@
     tight: Span, // all types queue together in a node: a patient one must not grow what jams the tightest
 }
 
-const USUAL: f64 = 0.7; // of a node's mean time most answers take: times are skewed
+const USUAL: f64 = 1.0; // of a node
 const TIGHT: f64 = 2.0; // what its own work may take it past the tightest, with no jam to blame
 const HEADS: usize = 4; // looked at in each group: the first may be too large for now, or wait its turn
 const SAMPLE: usize = 8; // nodes looked at for a new object: enough that some have room
@@ -607,7 +612,8 @@
     fn may_go(&self, id: TransferId, x: &Xfer, room: &Room) -> bool {
         let f = &self.facts;
         let s = &f.stream_types[x.t.stream_type.0];
-        if room.units < x.t.units {
+        // What would be late is not sent: with many hosts each one's single leg still adds up to a jam.
+        if room.units < x.t.units || self.now + room.latency.times(USUAL) > x.slo_end {
             return false;
         }
         if let (Effect::Keyed { group, window }, Some((_, cell, zone, since))) = (s.effect, x.maybe_ran) {
@@ -710,7 +716,7 @@
         x.out += 1;
         x.maybe_ran.get_or_insert((leg, room.entry.cell, room.entry.zone, self.now));
         self.outbox.push((node, NodeNote::Out { id, leg, units, slo_time }));
-        self.actions.push(Action::Leg { id, node, time_out: None });
+        self.actions.push(Action::Leg { id, node, time_out: Some(x.slo_end - self.now) });
     }
 
     /// What is refreshed for all volumes that came through this host, and where to look for their others.
