--- a/src/brain.rs
+++ b/src/brain.rs
@@ -591,22 +591,24 @@
         }
     }
 
-    /// What part of the full benefit a transfer would still earn its volume.
-    fn part(&self, x: &Xfer) -> f64 {
-        let (f, v) = (&self.facts, &self.volumes[&x.t.volume]);
+    fn due(&self, x: &Xfer) -> f64 {
+        let f = &self.facts;
+        let (v, s) = (&self.volumes[&x.t.volume], &f.stream_types[x.t.stream_type.0]);
+        let full = s.benefit * f.plans[v.plan.0].price; // benefit still due per unit
+        if v.reserve >= x.t.units {
+            return full;
+        }
         // The weighted share: who was sent less than the others, by weight, is inside it.
         let over = (self.fair / v.extra.last().max(1e-9)).min(1.0);
-        if v.reserve >= x.t.units { 1.0 } else { f.spare_part + (f.share_part - f.spare_part) * over }
+        full * (f.spare_part + (f.share_part - f.spare_part) * over)
     }
 
     /// May this transfer have a leg at that node now, by the rules and the volume's tokens?
     fn may_go(&self, id: TransferId, x: &Xfer, room: &Room) -> bool {
         let f = &self.facts;
         let s = &f.stream_types[x.t.stream_type.0];
-        // What would be late is not sent: with many hosts each one's single leg still adds up to a jam. No
-        // order at one host helps there, so what earns less leaves a busy node to the rest sooner.
-        let need = room.latency.times(USUAL / self.part(x).max(0.01).sqrt());
-        if room.units < x.t.units || self.now + need > x.slo_end {
+        // What would be late is not sent: with many hosts each one's single leg still adds up to a jam.
+        if room.units < x.t.units || self.now + room.latency.times(USUAL) > x.slo_end {
             return false;
         }
         if let (Effect::Keyed { group, window }, Some((_, cell, zone, since))) = (s.effect, x.maybe_ran) {
@@ -636,11 +638,7 @@
         }
         let heads = line.groups.values().flat_map(|g| g.iter().take(HEADS)).map(|w| (w.1, &self.xfers[&w.1]));
         let ready = heads.filter(|(id, x)| self.may_go(*id, x, room));
-        // Benefit still due per unit, then the time left.
-        let full = |x: &Xfer| {
-            self.facts.stream_types[x.t.stream_type.0].benefit * self.facts.plans[x.t.plan.0].price
-        };
-        let ranked = ready.map(|(id, x)| (full(x) * self.part(x), x.slo_end, id));
+        let ranked = ready.map(|(id, x)| (self.due(x), x.slo_end, id));
         let best = ranked.max_by(|a, b| a.0.total_cmp(&b.0).then((b.1, b.2).cmp(&(a.1, a.2))));
         best.map(|(due, _, id)| (due, id))
     }
