--- a/src/brain.rs
+++ b/src/brain.rs
@@ -103,6 +103,7 @@
     out: BTreeMap<(TransferId, u32), (Instant, Span)>, // when sent, and the SLO time
     took: Fading, // by answers, in seconds, and the number of these
     answers: Fading,
+    least: f64, // that the window falls to
     halved: Instant,
     overtaken: Instant, // when the latest leg was sent that has been answered
     heard: Instant,
@@ -127,7 +128,7 @@
     const LATE: f64 = 0.4;
     const SILENT: f64 = 3.0; // times the usual latency that a leg is out and nothing came since
     const STEP: f64 = 0.25; // below one: back there after a few good answers
-    const LEAST: f64 = 0.125; // slower, and a host would learn nothing of it within most SLO times
+    const LEAST: (f64, f64) = (0.015, 0.125); // as there are hosts; slower, and none would learn more of it
     const RAMP_TRUST: f64 = 0.8; // of the growth that the ramp bounds promise to a cold node
     const PROVEN: f64 = 0.33; // of a served leg still counts: its work may be put off, or was cheap
     const LONE_LEG: f64 = 0.25; // of what is borne in any case, by however many hosts
@@ -191,7 +192,7 @@
         if now - self.halved > self.latency() {
             // Many hosts with a window of one each still jam a small or slowed node: below one, legs are
             // spaced. It costs idle time on a node that is late for one dear transfer only.
-            let least = if self.window > 1.0 { 1.0 } else { Self::LEAST };
+            let least = if self.window > 1.0 { 1.0 } else { self.least };
             (self.window, self.halved) = ((self.window / 2.0).max(least), now);
         }
     }
@@ -211,12 +212,12 @@
             self.cold_sent.clear();
             return f64::INFINITY;
         };
-        // A tenth longer than the rule's window: legs sent apart may arrive together.
-        let since = now - cold.window.times(1.1);
-        self.cold_sent.retain(|c| c.1 >= since);
         let gained = (age - cold.window).secs().max(0.0) / cold.ramp.secs();
         let growth = (1.0 - cold.first_part) * gained / cold.first_part.max(0.01);
         let part = cold.units / f64::from(facts.hosts.max(1)) * (1.0 + Self::RAMP_TRUST * growth);
+        // A tenth longer than the rule's window: legs sent apart may arrive together.
+        let window = cold.window.times(1.1);
+        self.cold_sent.retain(|c| now - c.1 <= window);
         let weight = |c: &ColdLeg| if c.3 { c.2 * Self::PROVEN } else { c.2 };
         let left = part - self.cold_sent.iter().map(weight).sum::<f64>();
         let lone = left > 0.0 && self.cold_sent.iter().all(|c| c.3);
@@ -224,6 +225,7 @@
     }
 
     fn room(&mut self, now: Instant, facts: &Facts) -> Room {
+        self.least = (0.5 / f64::from(facts.hosts.max(1))).clamp(Self::LEAST.0, Self::LEAST.1);
         let (units, slots) = (self.cold_room(now, facts), self.slots(now));
         // It halves with each second of silence: no old jam is held against a node for ever.
         let latency = self.latency().times(0.5f64.powf((now - self.heard).secs().max(0.0)));
@@ -607,8 +609,10 @@
     fn may_go(&self, id: TransferId, x: &Xfer, room: &Room) -> bool {
         let f = &self.facts;
         let s = &f.stream_types[x.t.stream_type.0];
-        // What would be late is not sent: with many hosts each one's single leg still adds up to a jam.
-        if room.units < x.t.units || self.now + room.latency.times(USUAL) > x.slo_end {
+        // What would be late is not sent: with many hosts each one's single leg still adds up to a jam. And
+        // what has long to go leaves a busy node to the tightest, until it has no longer either.
+        let (need, left) = (room.latency.times(USUAL), x.slo_end - self.now);
+        if room.units < x.t.units || need > left || (left > self.tight && need > self.tight.times(0.25)) {
             return false;
         }
         if let (Effect::Keyed { group, window }, Some((_, cell, zone, since))) = (s.effect, x.maybe_ran) {
@@ -670,17 +674,16 @@
         }
     }
 
-    /// Draws the node for the next new object: among a few, a cold one only if no other has room, with
-    /// odds in step with that room. Those without are asked anew.
+    /// Draws the node for the next new object: among a few, a cold one only if all are cold, with odds in
+    /// step with the room they have. Those without are asked anew.
     fn draw(&mut self, rng: &mut ChaCha8Rng) {
         if !self.lines.contains_key(&(false, None)) && !self.lines.contains_key(&(true, None)) {
             return;
         }
         let few: Vec<_> = self.ready.choose_multiple(rng, SAMPLE).map(|nd| &self.rooms[nd]).collect();
-        let mut takers: Vec<_> = few.iter().filter(|r| r.slots > 0).collect();
-        if takers.iter().any(|r| r.units.is_infinite()) {
-            takers.retain(|r| r.units.is_infinite());
-        }
+        // All hosts at once would push a cold one over when the rest is full.
+        let cold = few.iter().all(|r| r.units.is_finite());
+        let takers: Vec<_> = few.iter().filter(|r| r.slots > 0 && (cold || r.units.is_infinite())).collect();
         let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3);
         if let Ok(r) = takers.choose_weighted(rng, odds) {
             self.drawn.insert(r.entry.node);
