--- a/src/brain.rs
+++ b/src/brain.rs
@@ -128,7 +128,7 @@
     const LATE: f64 = 0.4;
     const SILENT: f64 = 3.0; // times the usual latency that a leg is out and nothing came since
     const STEP: f64 = 0.25; // below one: back there after a few good answers
-    const LEAST: (f64, f64) = (0.015, 0.125); // as there are hosts; slower, and none would learn more of it
+    const LEAST: (f64, f64) = (0.015, 0.125); // by hosts: a full node drains, yet each learns of it in time
     const RAMP_TRUST: f64 = 0.8; // of the growth that the ramp bounds promise to a cold node
     const PROVEN: f64 = 0.33; // of a served leg still counts: its work may be put off, or was cheap
     const LONE_LEG: f64 = 0.25; // of what is borne in any case, by however many hosts
@@ -609,10 +609,8 @@
     fn may_go(&self, id: TransferId, x: &Xfer, room: &Room) -> bool {
         let f = &self.facts;
         let s = &f.stream_types[x.t.stream_type.0];
-        // What would be late is not sent: with many hosts each one's single leg still adds up to a jam. And
-        // what has long to go leaves a busy node to the tightest, until it has no longer either.
-        let (need, left) = (room.latency.times(USUAL), x.slo_end - self.now);
-        if room.units < x.t.units || need > left || (left > self.tight && need > self.tight.times(0.25)) {
+        // What would be late is not sent: with many hosts each one's single leg still adds up to a jam.
+        if room.units < x.t.units || self.now + room.latency.times(USUAL) > x.slo_end {
             return false;
         }
         if let (Effect::Keyed { group, window }, Some((_, cell, zone, since))) = (s.effect, x.maybe_ran) {
@@ -674,14 +672,13 @@
         }
     }
 
-    /// Draws the node for the next new object: among a few, a cold one only if all are cold, with odds in
-    /// step with the room they have. Those without are asked anew.
+    /// Draws the node for the next new object: among a few, with odds in step with the room they have. Those
+    /// without are asked anew. A cold one only if all are cold: all hosts together would push it over.
     fn draw(&mut self, rng: &mut ChaCha8Rng) {
         if !self.lines.contains_key(&(false, None)) && !self.lines.contains_key(&(true, None)) {
             return;
         }
         let few: Vec<_> = self.ready.choose_multiple(rng, SAMPLE).map(|nd| &self.rooms[nd]).collect();
-        // All hosts at once would push a cold one over when the rest is full.
         let cold = few.iter().all(|r| r.units.is_finite());
         let takers: Vec<_> = few.iter().filter(|r| r.slots > 0 && (cold || r.units.is_infinite())).collect();
         let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3);
