--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,8 +3,7 @@
 //! back, in their order. Events, actions, ids and facts are those of the crate `gullsail-interface`.
 //! Read from the top: the loop ([`Brain`]), a storage node ([`Node`]: window, health, cold start), a
 //! volume ([`Volume`]: token bucket, rate rule, loans, reserve), the desk ([`Desk`]: transfers, order,
-//! legs, answers, labels). Parts talk only by notes put into inboxes that the loop empties; an event costs
-//! what it touches: a node, its line, a volume and a few of its hosts.
+//! legs, answers, labels). Parts talk only by notes put into inboxes that the loop empties.
 
 use crate::fading::Fading;
 use gullsail_interface::*;
@@ -311,7 +310,8 @@
         let fresh = self.peers.values().filter(|p| now - p.0 < LAST);
         let all = own + fresh.map(|p| p.1).sum::<f64>();
         let keep = if all > limit.rate { own / all * limit.rate } else { own } * LAST.secs();
-        let gift = label::rounded(want.min(self.level - keep));
+        // And what its next transfer needs: many who ask would else leave none enough for a whole one.
+        let gift = label::rounded(want.min(self.level - keep.max(self.waiting.min(facts.most_units))));
         self.level -= gift;
         self.lent.push_back((now + ASK_EVERY, gift));
         gift
