A host sends at most twice what came back in time; cold nodes by the even part; maps told at once

No host sees a node often enough to back off from it; but each sees that all it sends fails. Change: legs of the last 3 s stay within twice those done, and one; a newborn is trusted with four. It should hold against any collapse that feeds on itself, and may slow a host whose few nodes fail while others are sound.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -84,8 +84,7 @@
     }
 }
 
-/// The design's span for demand; the other sums keep to it, and labels age out.
-const LAST: Span = Span::from_micros(1_000_000);
+const LAST: Span = Span::from_micros(1_000_000); // the design's span for demand; other sums keep to it
 
 enum NodeNote {
     Listed(NodeEntry),
@@ -102,9 +101,7 @@
     out: BTreeMap<(TransferId, u32), (Instant, Span)>, // when sent, and the SLO time
     took: Fading, // by answers, in seconds, and the number of these
     answers: Fading,
-    least: f64, // that the window falls to
     halved: Instant,
-    overtaken: Instant, // when the latest leg was sent that has been answered
     heard: Instant,
     last_sent: Instant,
     cold_sent: Vec<ColdLeg>, // kept exactly: a rule counts it
@@ -117,17 +114,17 @@
     entry: NodeEntry,
     slots: usize,
     units: f64, // how many it may be sent now; infinite once it is warm
+    even: f64,  // and within this host's even part, whatever other hosts do
     latency: Span,
 }
 
 impl Node {
     const CEILING: f64 = 32.0; // of the design page
     const START: f64 = 4.0; // "a few", says the design page
-    /// Late: more than this part of the SLO time went by in the node; the rest is for the wait at the host.
-    const LATE: f64 = 0.4;
+    const LATE: f64 = 0.4; // of the SLO time in the node; the rest is for the wait at the host
     const SILENT: f64 = 3.0; // times the usual latency that a leg is out and nothing came since
     const STEP: f64 = 0.25; // below one: back there after a few good answers
-    const LEAST: (f64, f64) = (0.015, 0.125); // by hosts: a full node drains, yet each learns of it in time
+    const LEAST: f64 = 0.125; // slower, and a host would learn nothing of it within most SLO times
     const RAMP_TRUST: f64 = 0.8; // of the growth that the ramp bounds promise to a cold node
     const PROVEN: f64 = 0.33; // of a served leg still counts: its work may be put off, or was cheap
     const LONE_LEG: f64 = 0.25; // of what is borne in any case, by however many hosts
@@ -155,14 +152,14 @@
                 self.cold_sent.push(((id, leg), now, units, false));
             }
             NodeNote::Ended { id, leg, ending, took } => {
-                let Some((sent, slo_time)) = self.out.remove(&(id, leg)) else { return };
+                let Some((_, slo_time)) = self.out.remove(&(id, leg)) else { return };
                 let (done, timed_out) = (ending == Ending::Done, ending == Ending::TimedOut);
                 let answered = done || matches!(ending, Ending::Failed | Ending::TurnedAway);
                 if ending == Ending::Broken {
                     // The process died: whatever answers next has just started, list or no list.
                     self.entry.started = self.entry.started.max(Some(now));
                 } else if answered {
-                    (self.heard, self.overtaken) = (now, self.overtaken.max(sent));
+                    self.heard = now;
                 }
                 self.cold_sent.iter_mut().filter(|c| done && c.0 == (id, leg)).for_each(|c| c.3 = true);
                 // Errors and full queues answer fast, time-outs cut short what would have taken longer: were
@@ -186,12 +183,11 @@
         }
     }
 
-    /// At most once a round trip: answers that are late together tell of one jam.
     fn halve(&mut self, now: Instant) {
         if now - self.halved > self.latency() {
             // Many hosts with a window of one each still jam a small or slowed node: below one, legs are
             // spaced. It costs idle time on a node that is late for one dear transfer only.
-            let least = if self.window > 1.0 { 1.0 } else { self.least };
+            let least = if self.window > 1.0 { 1.0 } else { Self::LEAST };
             (self.window, self.halved) = ((self.window / 2.0).max(least), now);
         }
     }
@@ -205,11 +201,11 @@
     /// split evenly between hosts and grows as the ramp promises. Legs that were served within the rule's
     /// window prove that there was room for them and count in part. Where an even part holds no whole
     /// transfer, a lone leg keeps reads alive.
-    fn cold_room(&mut self, now: Instant, facts: &Facts) -> f64 {
+    fn cold_room(&mut self, now: Instant, facts: &Facts) -> (f64, f64) {
         let cold = &facts.cold;
         let Some(age) = self.entry.started.map(|s| now - s).filter(|age| *age < cold.ramp) else {
             self.cold_sent.clear();
-            return f64::INFINITY;
+            return (f64::INFINITY, f64::INFINITY);
         };
         let gained = (age - cold.window).secs().max(0.0) / cold.ramp.secs();
         let growth = (1.0 - cold.first_part) * gained / cold.first_part.max(0.01);
@@ -220,15 +216,14 @@
         let weight = |c: &ColdLeg| if c.3 { c.2 * Self::PROVEN } else { c.2 };
         let left = part - self.cold_sent.iter().map(weight).sum::<f64>();
         let lone = left > 0.0 && self.cold_sent.iter().all(|c| c.3);
-        if lone { left.max(cold.units * Self::LONE_LEG) } else { left }
+        (if lone { left.max(cold.units * Self::LONE_LEG) } else { left }, left)
     }
 
     fn room(&mut self, now: Instant, facts: &Facts) -> Room {
-        self.least = (0.5 / f64::from(facts.hosts.max(1))).clamp(Self::LEAST.0, Self::LEAST.1);
-        let (units, slots) = (self.cold_room(now, facts), self.slots(now));
+        let ((units, even), slots) = (self.cold_room(now, facts), self.slots(now));
         // It halves with each second of silence: no old jam is held against a node for ever.
         let latency = self.latency().times(0.5f64.powf((now - self.heard).secs().max(0.0)));
-        Room { entry: self.entry.clone(), slots, units, latency }
+        Room { entry: self.entry.clone(), slots, units, even, latency }
     }
 
     fn slots(&self, now: Instant) -> usize {
@@ -236,18 +231,14 @@
             return 0;
         }
         let patience = self.latency().times(Self::SILENT);
-        // Nodes serve in turn of arrival: a leg long out that later ones overtook has lost its answer on
-        // the way, or is one dear transfer on one of the cores. It must not hold a slot until its expiry.
-        let slow = |sent: Instant| now - sent > patience && sent < self.overtaken;
-        let live = self.out.values().filter(|o| !slow(o.0)).count();
-        let oldest = self.out.values().map(|o| o.0).filter(|sent| !slow(*sent)).min();
+        let oldest = self.out.values().map(|o| o.0).min();
         if oldest.is_some_and(|sent| now - sent.max(self.heard) > patience) {
             // Stalled, dead or cut off, it looks the same: the rest stays here, where it can still be
             // given up or wait for a successor, and one careful leg at a time asks, ever more seldom.
             return usize::from(now - self.last_sent > (now - self.heard).times(0.5));
         }
         let spaced = self.window >= 1.0 || now - self.last_sent > self.latency().times(1.0 / self.window);
-        if spaced { (self.window.max(1.0) as usize).saturating_sub(live) } else { 0 }
+        if spaced { (self.window.max(1.0) as usize).saturating_sub(self.out.len()) } else { 0 }
     }
 }
 
@@ -369,6 +360,8 @@
     volumes: BTreeMap<VolumeId, Volume>,
     /// The map of who uses a volume, kept for the volumes that fall to this host, with when each last asked.
     users: BTreeMap<VolumeId, BTreeMap<HostId, Instant>>,
+    sent: Fading, // legs, and those of them done
+    good: Fading,
     fair: f64, // what volumes that go past their reserves were sent of late, by weight, in the mean
     longest_ttl: BTreeMap<StreamTypeId, Span>,
     accepted: VecDeque<Instant>,
@@ -379,6 +372,8 @@
 
 const USUAL: f64 = 0.7; // of a node's mean time most answers take: times are skewed
 const TIGHT: f64 = 2.0; // what its own work may take it past the tightest, with no jam to blame
+const RETURN: f64 = 2.0; // half of the legs may fail before a host holds back, as in any rough hour
+const RECENT: Span = Span::from_micros(3_000_000); // long enough for some legs of a host that sends seldom
 const HEADS: usize = 4; // looked at in each group: the first may be too large for now, or wait its turn
 const SAMPLE: usize = 8; // nodes looked at for a new object: enough that some have room
 const NEXT_EPOCH: TimerId = TimerId(1 << 40);
@@ -392,6 +387,7 @@
     fn new(facts: Facts, now: Instant) -> Self {
         let tight = facts.stream_types.iter().map(|s| s.slo_time).min().unwrap_or_default().times(TIGHT);
         let mut desk = Desk { now, born: now, facts, tight, ask_again: ASK_FIRST, ..Desk::default() };
+        desk.good.add(now, RECENT, Node::START); // a newborn trusts a little before it knows
         desk.actions.extend(desk.facts.list_asked.then_some(Action::Watch));
         desk.epoch();
         desk
@@ -433,7 +429,6 @@
         }
     }
 
-    /// Keeps the room of a node that is ready, and where to find it.
     fn enter(&mut self, room: &Room, rng: &mut ChaCha8Rng) {
         let (id, ready) = (room.entry.node, room.entry.standing == Standing::Ready);
         if let Some(old) = self.rooms.get(&id).filter(|r| !ready || r.entry.cell != room.entry.cell) {
@@ -541,6 +536,7 @@
     fn leg_ended(&mut self, e: LegEnd, rng: &mut ChaCha8Rng) {
         let LegEnd { id, leg, node, ending, took, .. } = e;
         self.outbox.push((node, NodeNote::Ended { id, leg, ending, took }));
+        self.good.add(self.now, RECENT, f64::from(ending == Ending::Done));
         let Some(x) = self.xfers.get_mut(&id) else { return };
         if let (Some(used), Some(v)) = (e.used, self.volumes.get_mut(&x.t.volume)) {
             v.used = Some(used * self.facts.plans[v.plan.0].usual);
@@ -560,7 +556,6 @@
         let in_time = self.now + latency < x.slo_end;
         // After a time-out another leg mostly does the same work twice.
         let again = in_time && ending != Ending::TimedOut && x.legs < self.facts.most_legs;
-        // A keyed one may repeat where its repeats are known: `may_go` sees to that.
         let effect = self.facts.stream_types[x.t.stream_type.0].effect;
         if again && (effect != Effect::Unrepeatable || x.maybe_ran.is_none()) {
             self.queue(id, rng);
@@ -645,10 +640,12 @@
         best.map(|(due, _, id)| (due, id))
     }
 
-    /// Sends the node one leg, if it has room and something may go; its next note of room brings more.
     fn serve(&mut self, room: &Room, rng: &mut ChaCha8Rng) {
         let drawn = self.drawn.remove(&room.entry.node);
-        if room.slots == 0 {
+        // Where most of what hosts send fails, together they keep full nodes full, and crowded nodes serve
+        // next to nothing: each sends no more than some times what came back in time.
+        let earned = RETURN * self.good.read(self.now, RECENT) + 1.0;
+        if room.slots == 0 || self.sent.read(self.now, RECENT) > earned {
             return;
         }
         if let Some(b) = self.facts.leg_budget {
@@ -673,14 +670,15 @@
     }
 
     /// Draws the node for the next new object: among a few, with odds in step with the room they have. Those
-    /// without are asked anew. A cold one only if all are cold: all hosts together would push it over.
+    /// without are asked anew. A cold one only within the even part: lone legs of all would push it over.
     fn draw(&mut self, rng: &mut ChaCha8Rng) {
         if !self.lines.contains_key(&(false, None)) && !self.lines.contains_key(&(true, None)) {
             return;
         }
         let few: Vec<_> = self.ready.choose_multiple(rng, SAMPLE).map(|nd| &self.rooms[nd]).collect();
         let cold = few.iter().all(|r| r.units.is_finite());
-        let takers: Vec<_> = few.iter().filter(|r| r.slots > 0 && (cold || r.units.is_infinite())).collect();
+        let fits = |r: &&&Room| r.slots > 0 && (cold || r.even >= self.facts.most_units);
+        let takers: Vec<_> = few.iter().filter(fits).collect();
         let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3);
         if let Ok(r) = takers.choose_weighted(rng, odds) {
             self.drawn.insert(r.entry.node);
@@ -696,7 +694,6 @@
         self.resent.extend(self.facts.leg_budget.filter(|_| x.legs > 0).map(|_| self.now));
         let v = self.volumes.get_mut(&x.t.volume).expect("an open transfer's volume is known");
         if x.legs == 0 {
-            // Units are drawn once for each transfer, at its first leg.
             v.level -= x.t.units;
             if v.reserve >= x.t.units {
                 v.reserve -= x.t.units;
@@ -706,6 +703,7 @@
         }
         let slo_time = self.facts.stream_types[x.t.stream_type.0].slo_time.min(self.tight);
         let (leg, units, node) = (x.legs, x.t.units, room.entry.node);
+        self.sent.add(self.now, RECENT, 1.0);
         x.legs += 1;
         x.out += 1;
         x.maybe_ran.get_or_insert((leg, room.entry.cell, room.entry.zone, self.now));
@@ -713,7 +711,6 @@
         self.actions.push(Action::Leg { id, node, time_out: Some(x.slo_end - self.now) });
     }
 
-    /// What is refreshed for all volumes that came through this host, and where to look for their others.
     fn epoch(&mut self) {
         let (now, f) = (self.now, &self.facts);
         let next = (now.micros().div_euclid(EPOCH.micros()) + 1) * EPOCH.micros();
@@ -748,15 +745,20 @@
 
     /// The paper's map of gateways and users, spread over the hosts: one asks, and is told the others.
     fn meet(&mut self, from: HostId, volume: VolumeId) {
-        let (now, me) = (self.now, self.facts.me);
         let users = self.users.entry(volume).or_default();
-        users.insert(from, now);
+        let new = users.insert(from, self.now).is_none();
         let others: Vec<_> = users.keys().filter(|h| **h != from).map(|h| (volume, *h)).collect();
-        if from == me {
-            return others.into_iter().for_each(|(volume, host)| self.know(volume, host));
+        self.name(from, &others);
+        // Who asked before hears of a new one at once.
+        others.iter().filter(|_| new).for_each(|o| self.name(o.1, &[(volume, from)]));
+    }
+
+    fn name(&mut self, to: HostId, users: &[(VolumeId, HostId)]) {
+        if to == self.facts.me {
+            return users.iter().for_each(|(volume, host)| self.know(*volume, *host));
         }
-        let parts = others.chunks(label::PAIRS).map(label::pack_users);
-        self.actions.extend(parts.map(|bytes| Action::Tell { to: from, bytes }));
+        let parts = users.chunks(label::PAIRS).map(label::pack_users);
+        self.actions.extend(parts.map(|bytes| Action::Tell { to, bytes }));
     }
 
     fn know(&mut self, volume: VolumeId, host: HostId) {
@@ -764,7 +766,6 @@
         self.volumes.entry(volume).and_modify(|v| _ = sound.then(|| v.peers.entry(host).or_default()));
     }
 
-    /// A label to a few of the volume's hosts, in turn, when what waits lacks tokens.
     fn ask(&mut self, id: VolumeId) {
         let (now, f) = (self.now, &self.facts);
         let Some(v) = self.volumes.get_mut(&id) else { return };
