--- a/src/brain.rs
+++ b/src/brain.rs
@@ -500,7 +500,6 @@
         }
     }
 
-    /// Gives up what was wanted before the `least` time, and sees whether the rest can go.
     fn look_over(&mut self, key: LineKey, least: Instant, rng: &mut ChaCha8Rng) {
         let Some(line) = self.lines.get(&key) else { return };
         let lost = line.groups.values().flat_map(|g| g.iter().take_while(|w| w.0 <= least));
@@ -670,13 +669,14 @@
     }
 
     /// Draws the node for the next new object: among a few, with odds in step with the room they have. Those
-    /// without are asked anew. A cold one only within the even part: lone legs of all would push it over.
+    /// without are asked anew. A cold one beyond the even part only where most are warm: never as a refuge.
     fn draw(&mut self, rng: &mut ChaCha8Rng) {
         if !self.lines.contains_key(&(false, None)) && !self.lines.contains_key(&(true, None)) {
             return;
         }
         let few: Vec<_> = self.ready.choose_multiple(rng, SAMPLE).map(|nd| &self.rooms[nd]).collect();
-        let cold = few.iter().all(|r| r.units.is_finite());
+        let warm = |r: &&&Room| r.slots > 0 && r.units.is_infinite();
+        let cold = 2 * few.iter().filter(warm).count() > few.len() || few.iter().all(|r| r.units.is_finite());
         let fits = |r: &&&Room| r.slots > 0 && (cold || r.even >= self.facts.most_units);
         let takers: Vec<_> = few.iter().filter(fits).collect();
         let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3);
