--- /dev/null
+++ b/crates/configuration/src/deployment.rs
@@ -0,0 +1,491 @@
+//! What a document means. Each kind of entry has a struct and a function that reads it; [`build`] goes through
+//! the document from top to bottom and then looks at what must fit together.
+
+use crate::reader::Reader;
+use fnv::FnvHasher;
+use gullsail_interface::*;
+use gullsail_protocol::Bounds;
+use kdl::{KdlDocument, KdlNode};
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+
+/// The same number for a name at every host and in every process.
+pub fn number(name: &str) -> u64 {
+    let mut h = FnvHasher::default();
+    h.write(name.as_bytes());
+    h.finish()
+}
+
+/// A stream type as the document names it; what decides is in `decisions`.
+#[derive(Clone, Debug)]
+pub struct NamedStreamType {
+    pub name: String,
+    pub write: bool,
+    pub expiry: Span,
+    pub decisions: StreamType,
+}
+
+#[derive(Clone, Debug)]
+pub struct NamedPlan {
+    pub name: String,
+    /// How far all hosts together may pass the limit's store, in units (rule 7).
+    pub slack: f64,
+    pub decisions: Plan,
+}
+
+#[derive(Clone, Debug)]
+pub struct NamedVolume {
+    pub name: String,
+    pub id: VolumeId,
+    pub plan: PlanId,
+    /// Through which hosts its transfers come.
+    pub hosts: Vec<HostId>,
+}
+
+/// Where a process lives. `listen` is where it binds, `address` where others reach it.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub name: String,
+    pub zone: ZoneId,
+    pub address: String,
+    pub listen: String,
+}
+
+#[derive(Clone, Debug)]
+pub struct NodePlace {
+    pub place: Place,
+    pub cell: CellId,
+    /// Of the stand-ins' machines.
+    pub machine: usize,
+}
+
+/// What a stand-in node is like. Nothing here is told to a host.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub name: String,
+    pub cores: u32,
+    /// The work of one unit on one core.
+    pub unit: Span,
+    /// Transfers that wait at most, beside those that run.
+    pub queue: u32,
+    pub pause: Span,
+    pub pause_every: Span,
+    /// The part of a write's work that is put off, and when it is done.
+    pub put_off: f64,
+    pub flush_every: Span,
+    /// Once cold, it falls over when sent more than so many times what it can do, for the rule's window.
+    pub falls_over: f64,
+}
+
+/// What bounds a host's memory and patience on its sockets.
+#[derive(Clone, Debug)]
+pub struct HostBounds {
+    /// Open transfers, and the body bytes that they hold; beyond, clients are not read from.
+    pub most_open: u32,
+    pub most_held: usize,
+    pub frame: Bounds,
+    /// Bytes that wait for one client; beyond, it is not read from. A client that takes none of them for
+    /// `client_stall` is let go.
+    pub most_unsent: usize,
+    pub client_stall: Span,
+    pub connect: Span,
+    /// Between tries to connect: from, up to.
+    pub redial: (Span, Span),
+    /// How often a peer's clock is asked, and how far off it may be.
+    pub clock_every: Span,
+    pub clock_apart: Span,
+}
+
+/// All that a document says.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub zones: Vec<String>,
+    pub stream_types: Vec<NamedStreamType>,
+    pub plans: Vec<NamedPlan>,
+    pub volumes: Vec<NamedVolume>,
+    pub hosts: Vec<Place>,
+    pub nodes: Vec<NodePlace>,
+    pub machines: Vec<Machine>,
+    pub list: Place,
+    /// How late the list tells what it knows.
+    pub list_late: Span,
+    pub drain_grace: Span,
+    pub bounds: HostBounds,
+    facts: Facts,
+}
+
+impl Deployment {
+    /// What the decisions at one host are told.
+    pub fn facts(&self, me: HostId) -> Facts {
+        Facts { me, ..self.facts.clone() }
+    }
+
+    pub fn host(&self, name: &str) -> Option<HostId> {
+        self.hosts.iter().position(|h| h.name == name).map(|p| HostId(p as u32))
+    }
+
+    pub fn volume(&self, name: &str) -> Option<&NamedVolume> {
+        self.volumes.iter().find(|v| v.name == name)
+    }
+
+    pub fn node(&self, name: &str) -> Option<&NodePlace> {
+        self.nodes.iter().find(|n| n.place.name == name)
+    }
+}
+
+pub fn node_id(name: &str) -> NodeId {
+    NodeId(number(name))
+}
+
+const TOP: [&str; 12] = [
+    "zone",
+    "stream-type",
+    "plan",
+    "volume",
+    "host",
+    "node",
+    "machine",
+    "list",
+    "rules",
+    "cold",
+    "legs",
+    "bounds",
+];
+
+/// Builds a deployment from a document; what is wrong is noted with the reader. Entries of the names in
+/// [`KEPT`] belong to others.
+pub fn build(document: &KdlDocument, r: &mut Reader) -> Deployment {
+    for n in document.nodes() {
+        let name = n.name().value();
+        if !TOP.contains(&name) && !KEPT.contains(&name) {
+            let known: Vec<_> = TOP.iter().map(|k| format!("`{k}`")).collect();
+            let help = Some(format!("known are {}", known.join(", ")));
+            r.note("unknown-node", format!("`{name}` is no entry of a deployment"), n.name().span(), help);
+        }
+    }
+    let all = |name: &'static str| document.nodes().iter().filter(move |n| n.name().value() == name);
+    let named = |r: &mut Reader, kind: &'static str| names(r, all(kind));
+    let zones = named(r, "zone");
+    for n in all("zone") {
+        r.only(n, 1, &[], &[]);
+    }
+    let plan_names = named(r, "plan");
+    let host_names = named(r, "host");
+    let machine_names = named(r, "machine");
+    named(r, "node");
+    named(r, "stream-type");
+    named(r, "volume");
+    let stream_types: Vec<_> = all("stream-type").map(|n| stream_type(r, n)).collect();
+    let machines: Vec<_> = all("machine").map(|n| machine(r, n)).collect();
+    let hosts: Vec<_> = all("host")
+        .map(|n| {
+            r.only(n, 1, &["zone", "address", "listen"], &[]);
+            place(r, n, &zones)
+        })
+        .collect();
+    let nodes: Vec<_> = all("node").map(|n| node(r, n, &zones, &machine_names)).collect();
+    let single = |r: &mut Reader, kind: &'static str| single(r, document, kind);
+    let mut late = Span::ZERO;
+    let mut list =
+        Place { name: "list".into(), zone: ZoneId(0), address: String::new(), listen: String::new() };
+    if let Some(n) = single(r, "list") {
+        r.only(n, 0, &["address", "listen", "late"], &[]);
+        late = r.span_at(n, "late").unwrap_or_default();
+        list.address = r.text_at(n, "address").unwrap_or_default();
+        list.listen = r.text_at(n, "listen").unwrap_or_else(|| list.address.clone());
+    }
+    let mut facts = Facts {
+        hosts: hosts.len() as u32,
+        tick: Span::from_millis(20.0),
+        most_legs: 3,
+        most_units: 8.0,
+        share_part: 1.0,
+        spare_part: 1.0,
+        peers_talk: true,
+        list_asked: true,
+        stream_types: stream_types.iter().map(|s| s.decisions.clone()).collect(),
+        ..Facts::default()
+    };
+    let mut drain_grace = Span::from_millis(1000.0);
+    if let Some(n) = single(r, "rules") {
+        let known =
+            ["tick", "drain-grace", "order-settle", "most-units", "share-part", "spare-part", "advice"];
+        r.only(n, 0, &known, &[]);
+        facts.tick = r.span_at(n, "tick").unwrap_or(facts.tick);
+        drain_grace = r.span_at(n, "drain-grace").unwrap_or(drain_grace);
+        facts.order_settle = r.span_at(n, "order-settle").unwrap_or_default();
+        facts.most_units = r.number_at(n, "most-units", 0.0).unwrap_or(facts.most_units);
+        facts.share_part = r.number_at(n, "share-part", 0.0).unwrap_or(1.0);
+        facts.spare_part = r.number_at(n, "spare-part", 0.0).unwrap_or(1.0);
+        facts.longest_advice = r.span_at(n, "advice");
+    }
+    if let Some(n) = single(r, "cold") {
+        r.only(n, 0, &["units", "window", "first-part", "ramp"], &[]);
+        facts.cold = ColdStart {
+            units: r.number(n, "units", 0.0),
+            window: r.span(n, "window"),
+            first_part: r.number(n, "first-part", 0.0),
+            ramp: r.span(n, "ramp"),
+        };
+        if facts.cold.first_part > 1.0 {
+            let help = Some("0.2 is a fifth".into());
+            r.note("contradiction", "`first-part` is a part of the whole: 0 to 1".into(), n.span(), help);
+        }
+    }
+    if let Some(n) = single(r, "legs") {
+        r.only(n, 0, &["most", "free", "share", "window"], &[]);
+        facts.most_legs = r.whole(n, "most", 1, 3);
+        facts.leg_budget = r.span_at(n, "window").map(|window| LegBudget {
+            free: r.number_at(n, "free", 0.0).unwrap_or_default(),
+            share: r.number_at(n, "share", 0.0).unwrap_or_default(),
+            window,
+        });
+    }
+    let bounds_node = single(r, "bounds");
+    let bounds = bounds(r, bounds_node);
+    let plans: Vec<_> = all("plan").map(|n| plan(r, n)).collect();
+    facts.plans = plans.iter().map(|p| p.decisions.clone()).collect();
+    let mut volumes = Vec::new();
+    for n in all("volume") {
+        volumes.push(volume(r, n, &plans, &plan_names, &host_names, facts.most_units));
+    }
+    together(r, document, &hosts, &volumes);
+    let built = Deployment {
+        zones,
+        stream_types,
+        plans,
+        volumes,
+        hosts,
+        nodes,
+        machines,
+        list,
+        list_late: late,
+        drain_grace,
+        bounds,
+        facts,
+    };
+    once(r, &built, document);
+    built
+}
+
+/// Top entries that are not about the deployment itself: the script of a day.
+pub const KEPT: [&str; 1] = ["day"];
+
+fn single<'a>(r: &mut Reader, document: &'a KdlDocument, kind: &str) -> Option<&'a KdlNode> {
+    let mut found = document.nodes().iter().filter(|n| n.name().value() == kind);
+    let first = found.next();
+    for second in found {
+        r.note("twice", format!("a second `{kind}`"), second.name().span(), None);
+    }
+    first
+}
+
+fn together(r: &mut Reader, document: &KdlDocument, hosts: &[Place], volumes: &[NamedVolume]) {
+    let top = document.span();
+    for (missing, what) in [(hosts.is_empty(), "host"), (volumes.is_empty(), "volume")] {
+        if missing {
+            r.note("missing", format!("a deployment needs a `{what}`"), (top.offset(), 0).into(), None);
+        }
+    }
+}
+
+/// Ids are hashes of names: two that fall together would be one to the decisions.
+fn once(r: &mut Reader, d: &Deployment, document: &KdlDocument) {
+    let volumes = d.volumes.iter().map(|v| ("volume", &v.name, v.id.0));
+    let nodes = d.nodes.iter().map(|n| ("node", &n.place.name, node_id(&n.place.name).0));
+    let mut seen: BTreeMap<(&str, u64), &String> = BTreeMap::new();
+    for (kind, name, id) in volumes.chain(nodes) {
+        if let Some(other) = seen.insert((kind, id), name).filter(|other| *other != name) {
+            let message = format!("{kind} \"{name}\" and \"{other}\" have the same number: rename one");
+            r.note("same-number", message, (document.span().offset(), 0).into(), None);
+        }
+    }
+}
+
+fn names<'a>(r: &mut Reader, nodes: impl Iterator<Item = &'a KdlNode>) -> Vec<String> {
+    let mut names: Vec<String> = Vec::new();
+    for n in nodes {
+        let name = r.text(n, 0, "a name");
+        if !name.is_empty() && names.contains(&name) {
+            let message = format!("a second `{}` \"{name}\"", n.name().value());
+            r.note("twice", message, n.span(), None);
+        }
+        names.push(name);
+    }
+    names
+}
+
+fn place(r: &mut Reader, n: &KdlNode, zones: &[String]) -> Place {
+    let address = r.text_at(n, "address").unwrap_or_default();
+    let zone = if n.entry("zone").is_some() || !zones.is_empty() {
+        r.refer_at(n, "zone", "zone", zones).unwrap_or_default()
+    } else {
+        0
+    };
+    let listen = r.text_at(n, "listen").unwrap_or_else(|| address.clone());
+    Place { name: r.text(n, 0, "a name"), zone: ZoneId(zone), address, listen }
+}
+
+fn node(r: &mut Reader, n: &KdlNode, zones: &[String], machines: &[String]) -> NodePlace {
+    r.only(n, 1, &["cell", "zone", "address", "listen", "machine"], &[]);
+    let machine =
+        if n.entry("machine").is_some() { r.refer_at(n, "machine", "machine", machines) } else { None };
+    _ = r.number(n, "cell", 0.0);
+    let cell = CellId(i64::from(r.whole(n, "cell", 0, 0)));
+    NodePlace { place: place(r, n, zones), cell, machine: machine.unwrap_or_default() }
+}
+
+fn machine(r: &mut Reader, n: &KdlNode) -> Machine {
+    let known = ["cores", "unit", "queue", "pause", "pause-every", "put-off", "flush-every", "falls-over"];
+    r.only(n, 1, &known, &[]);
+    Machine {
+        name: r.text(n, 0, "a name"),
+        cores: r.whole(n, "cores", 1, 1),
+        unit: r.span(n, "unit"),
+        queue: r.whole(n, "queue", 0, 32),
+        pause: r.span_at(n, "pause").unwrap_or_default(),
+        pause_every: r.span_at(n, "pause-every").unwrap_or(Span::from_millis(5000.0)),
+        put_off: r.number_at(n, "put-off", 0.0).unwrap_or_default().min(1.0),
+        flush_every: r.span_at(n, "flush-every").unwrap_or(Span::from_millis(2000.0)),
+        falls_over: r.number_at(n, "falls-over", 1.0).unwrap_or(2.0),
+    }
+}
+
+fn stream_type(r: &mut Reader, n: &KdlNode) -> NamedStreamType {
+    let known = ["effect", "group", "window", "slo", "expiry", "benefit", "late-part", "in-order", "write"];
+    r.only(n, 1, &known, &[]);
+    let words = [("repeatable", 0), ("keyed", 1), ("unrepeatable", 2)];
+    let effect = match r.word(n, "effect", &words) {
+        Some(1) => {
+            let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+            let group = r.word(n, "group", &groups).unwrap_or(Group::Cell);
+            Effect::Keyed { group, window: r.span(n, "window") }
+        }
+        Some(2) => Effect::Unrepeatable,
+        _ => Effect::Repeatable,
+    };
+    for key in ["group", "window"] {
+        if let (false, Some(e)) = (matches!(effect, Effect::Keyed { .. }), n.entry(key)) {
+            let help = Some("write effect=\"keyed\", or take it out".into());
+            r.note("contradiction", format!("`{key}` is for keyed stream types only"), e.span(), help);
+        }
+    }
+    let (slo_time, expiry) = (r.span(n, "slo"), r.span(n, "expiry"));
+    if slo_time > expiry {
+        let help = Some("the client gives up at the expiry, after the answer was wanted".into());
+        r.note("slo-past-expiry", "the SLO time is longer than the expiry".into(), n.span(), help);
+    }
+    let decisions = StreamType {
+        effect,
+        slo_time,
+        benefit: r.number_at(n, "benefit", 0.0).unwrap_or(1.0),
+        late_part: r.number_at(n, "late-part", 0.0).unwrap_or_default(),
+        in_order: r.flag(n, "in-order"),
+    };
+    NamedStreamType { name: r.text(n, 0, "a name"), write: r.flag(n, "write"), expiry, decisions }
+}
+
+fn plan(r: &mut Reader, n: &KdlNode) -> NamedPlan {
+    r.only(n, 1, &["limit", "burst", "slack", "reserve", "usual", "weight", "price"], &[]);
+    let reserve = r.number_at(n, "reserve", 0.0).unwrap_or_default();
+    let limit = r.number_at(n, "limit", f64::MIN_POSITIVE);
+    let limit = limit.map(|rate| Limit { rate, burst: r.number(n, "burst", 0.0) });
+    if let Some(l) = limit.filter(|l| l.rate < reserve) {
+        let message = format!("the limit ({}) is under the reserve ({reserve})", l.rate);
+        r.note("limit-under-reserve", message, n.span(), None);
+    }
+    let slack = r.number_at(n, "slack", 0.0);
+    let decisions = Plan {
+        limit,
+        reserve,
+        usual: r.number_at(n, "usual", 0.0).unwrap_or(reserve),
+        weight: r.number_at(n, "weight", 0.0).unwrap_or(1.0),
+        price: r.number_at(n, "price", 0.0).unwrap_or(1.0),
+    };
+    NamedPlan { name: r.text(n, 0, "a name"), slack: slack.unwrap_or_default(), decisions }
+}
+
+fn volume(
+    r: &mut Reader,
+    n: &KdlNode,
+    plans: &[NamedPlan],
+    plan_names: &[String],
+    hosts: &[String],
+    most_units: f64,
+) -> NamedVolume {
+    r.only(n, 1, &["plan"], &["hosts"]);
+    let name = r.text(n, 0, "a name");
+    let plan = r.refer_at(n, "plan", "plan", plan_names).unwrap_or_default();
+    let mut through = Vec::new();
+    for child in n.iter_children().filter(|c| c.name().value() == "hosts") {
+        r.only(child, usize::MAX, &[], &[]);
+        for e in child.entries() {
+            let host = r.refer(e, "host", hosts).map(|h| HostId(h as u32));
+            if let Some(h) = host {
+                if through.contains(&h) {
+                    r.note("twice", "this host stands here twice".into(), e.span(), None);
+                }
+                through.push(h);
+            }
+        }
+    }
+    if through.is_empty() {
+        // None stated: all of them.
+        through = (0..hosts.len() as u32).map(HostId).collect();
+    }
+    if let Some(l) = plans.get(plan).and_then(|p| p.decisions.limit) {
+        let least = 2.0 * most_units * through.len() as f64;
+        if l.burst < least {
+            let message = format!("the plan's burst of {} is too small for {} hosts", l.burst, through.len());
+            let help = format!("each host's part must hold two of the largest transfers: {least} or more");
+            r.note("burst-too-small", message, n.span(), Some(help));
+        }
+    }
+    // Six bytes of the number travel in labels.
+    let id = label::carried(VolumeId(number(&name)));
+    NamedVolume { name, id, plan: PlanId(plan), hosts: through }
+}
+
+fn bounds(r: &mut Reader, node: Option<&KdlNode>) -> HostBounds {
+    let ms = Span::from_millis;
+    let mut b = HostBounds {
+        most_open: 8192,
+        most_held: 256 << 20,
+        frame: Bounds::DEFAULT,
+        most_unsent: 4 << 20,
+        client_stall: ms(10_000.0),
+        connect: ms(250.0),
+        redial: (ms(20.0), ms(2000.0)),
+        clock_every: ms(1000.0),
+        clock_apart: ms(2000.0),
+    };
+    let Some(n) = node else { return b };
+    let known = [
+        "open",
+        "held-bytes",
+        "body-bytes",
+        "unsent-bytes",
+        "client-stall",
+        "connect",
+        "redial-first",
+        "redial-last",
+        "clock-every",
+        "clock-apart",
+    ];
+    r.only(n, 0, &known, &[]);
+    b.most_open = r.whole(n, "open", 1, b.most_open);
+    b.most_held = r.whole(n, "held-bytes", 1, b.most_held as u32) as usize;
+    b.frame.body = r.whole(n, "body-bytes", 0, b.frame.body as u32) as usize;
+    b.most_unsent = r.whole(n, "unsent-bytes", 1, b.most_unsent as u32) as usize;
+    for (key, at) in [
+        ("client-stall", &mut b.client_stall),
+        ("connect", &mut b.connect),
+        ("redial-first", &mut b.redial.0),
+        ("redial-last", &mut b.redial.1),
+        ("clock-every", &mut b.clock_every),
+        ("clock-apart", &mut b.clock_apart),
+    ] {
+        *at = r.span_at(n, key).unwrap_or(*at);
+    }
+    b
+}
--- /dev/null
+++ b/crates/configuration/src/reader.rs
@@ -0,0 +1,266 @@
+//! Reads entries of a KDL document and keeps count of what is wrong with them. A value that can't be read is
+//! replaced by a harmless one, so that one mistake does not hide the next; [`Reader::close`] gives nothing out
+//! if there was any.
+
+use gullsail_interface::Span;
+use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
+use miette::{Diagnostic, LabeledSpan, NamedSource, SourceSpan};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// One thing that is wrong, where, and what was meant.
+#[derive(Clone, Debug)]
+pub struct Problem {
+    pub code: &'static str,
+    pub message: String,
+    pub at: SourceSpan,
+    pub help: Option<String>,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for Problem {}
+
+impl Diagnostic for Problem {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(self.code))
+    }
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        self.help.as_ref().map(|h| Box::new(h) as Box<dyn fmt::Display>)
+    }
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(std::iter::once(LabeledSpan::new_with_span(Some("here".into()), self.at))))
+    }
+}
+
+/// All that is wrong with one document.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+#[error("{} in {}", count(.problems.len()), .source_code.name())]
+pub struct Problems {
+    #[source_code]
+    pub source_code: NamedSource<String>,
+    #[related]
+    pub problems: Vec<Problem>,
+}
+
+fn count(problems: usize) -> String {
+    if problems == 1 { "1 problem".into() } else { format!("{problems} problems") }
+}
+
+impl Problems {
+    /// Line and column, from 1, where a problem stands.
+    pub fn place(&self, problem: &Problem) -> (usize, usize) {
+        let before = self.source_code.inner().get(..problem.at.offset()).unwrap_or_default();
+        let line = before.rsplit('\n').next().unwrap_or_default();
+        (before.matches('\n').count() + 1, line.chars().count() + 1)
+    }
+}
+
+pub struct Reader {
+    name: String,
+    text: String,
+    problems: Vec<Problem>,
+}
+
+impl Reader {
+    pub fn open(name: &str, text: &str) -> Result<(KdlDocument, Reader), Problems> {
+        let mut reader = Reader { name: name.into(), text: text.into(), problems: Vec::new() };
+        match KdlDocument::parse_v2(text) {
+            Ok(document) => Ok((document, reader)),
+            Err(e) => {
+                for d in e.diagnostics {
+                    let message = d.message.unwrap_or_else(|| "this is not KDL".into());
+                    reader.note("syntax", message, d.span, d.help);
+                }
+                Err(reader.close(()).expect_err("a document that can't be parsed has a problem"))
+            }
+        }
+    }
+
+    pub fn close<T>(self, built: T) -> Result<T, Problems> {
+        if self.problems.is_empty() {
+            return Ok(built);
+        }
+        let mut problems = self.problems;
+        problems.sort_by_key(|p| p.at.offset());
+        Err(Problems { source_code: NamedSource::new(self.name, self.text), problems })
+    }
+
+    pub fn note(&mut self, code: &'static str, message: String, at: SourceSpan, help: Option<String>) {
+        self.problems.push(Problem { code, message, at, help });
+    }
+
+    /// Complains about properties, arguments and children that are not known; `arguments` is how many may
+    /// stand there.
+    pub fn only(&mut self, node: &KdlNode, arguments: usize, known: &[&str], children: &[&str]) {
+        let what = node.name().value();
+        let mut seen: BTreeMap<&str, ()> = BTreeMap::new();
+        for (place, e) in node.entries().iter().enumerate() {
+            match e.name() {
+                Some(key) if !known.contains(&key.value()) => {
+                    let help = meant(key.value(), known);
+                    self.note("unknown-key", format!("`{what}` has no `{}`", key.value()), e.span(), help);
+                }
+                Some(key) if seen.insert(key.value(), ()).is_some() => {
+                    self.note("twice", format!("`{}` stands here twice", key.value()), e.span(), None);
+                }
+                None if node.entries()[..place].iter().filter(|e| e.name().is_none()).count()
+                    >= arguments =>
+                {
+                    let message = format!("`{what}` takes {arguments} value(s) without a name");
+                    self.note("too-many", message, e.span(), None);
+                }
+                _ => {}
+            }
+        }
+        for child in node.iter_children().filter(|c| !children.contains(&c.name().value())) {
+            let (name, help) = (child.name().value(), meant(child.name().value(), children));
+            self.note("unknown-node", format!("`{name}` can't stand in `{what}`"), child.span(), help);
+        }
+    }
+
+    fn entry<'a>(&mut self, node: &'a KdlNode, key: &str, needed: bool) -> Option<&'a KdlEntry> {
+        let found = node.entry(key);
+        if found.is_none() && needed {
+            let message = format!("`{}` needs `{key}`", node.name().value());
+            self.note("missing", message, node.name().span(), None);
+        }
+        found
+    }
+
+    fn wrong<T: Default>(&mut self, e: &KdlEntry, wanted: &str, help: Option<String>) -> T {
+        self.note("wrong-kind", format!("{} is not {wanted}", e.value()), e.span(), help);
+        T::default()
+    }
+
+    /// The argument without a name at that place.
+    pub fn text(&mut self, node: &KdlNode, place: usize, what: &str) -> String {
+        match node.entries().iter().filter(|e| e.name().is_none()).nth(place) {
+            Some(e) => self.text_of(e),
+            None => {
+                let message = format!("`{}` needs {what}", node.name().value());
+                self.note("missing", message, node.name().span(), None);
+                String::new()
+            }
+        }
+    }
+
+    fn text_of(&mut self, e: &KdlEntry) -> String {
+        match e.value() {
+            KdlValue::String(s) => s.clone(),
+            _ => self.wrong(e, "a text", Some(format!("write it in quotes: \"{}\"", e.value()))),
+        }
+    }
+
+    pub fn text_at(&mut self, node: &KdlNode, key: &str) -> Option<String> {
+        let e = self.entry(node, key, false)?;
+        Some(self.text_of(e))
+    }
+
+    pub fn flag(&mut self, node: &KdlNode, key: &str) -> bool {
+        match self.entry(node, key, false) {
+            None => false,
+            Some(e) => match e.value() {
+                KdlValue::Bool(b) => *b,
+                _ => self.wrong(e, "#true or #false", None),
+            },
+        }
+    }
+
+    /// A number of at least `least`; `None` where it is not given.
+    pub fn number_at(&mut self, node: &KdlNode, key: &str, least: f64) -> Option<f64> {
+        let e = self.entry(node, key, false)?;
+        let number = match e.value() {
+            KdlValue::Integer(n) => *n as f64,
+            KdlValue::Float(x) => *x,
+            _ => return Some(self.wrong(e, "a number", None)),
+        };
+        if !number.is_finite() || number < least {
+            return Some(self.wrong(e, &format!("a number of at least {least}"), None));
+        }
+        Some(number)
+    }
+
+    pub fn number(&mut self, node: &KdlNode, key: &str, least: f64) -> f64 {
+        _ = self.entry(node, key, true);
+        self.number_at(node, key, least).unwrap_or_default()
+    }
+
+    pub fn whole(&mut self, node: &KdlNode, key: &str, least: u32, otherwise: u32) -> u32 {
+        let Some(e) = self.entry(node, key, false) else { return otherwise };
+        match e.value() {
+            KdlValue::Integer(n) if *n >= i128::from(least) && *n <= i128::from(u32::MAX) => *n as u32,
+            _ => self.wrong(e, &format!("a whole number of at least {least}"), None),
+        }
+    }
+
+    /// A span, such as `"150ms"`; `None` where it is not given.
+    pub fn span_at(&mut self, node: &KdlNode, key: &str) -> Option<Span> {
+        let e = self.entry(node, key, false)?;
+        let help = || Some("a span is written with its unit in quotes: \"150ms\", \"1.5s\", \"2min\"".into());
+        let KdlValue::String(s) = e.value() else { return Some(self.wrong(e, "a span", help())) };
+        Some(span(s).unwrap_or_else(|| self.wrong(e, "a span", help())))
+    }
+
+    pub fn span(&mut self, node: &KdlNode, key: &str) -> Span {
+        _ = self.entry(node, key, true);
+        self.span_at(node, key).unwrap_or_default()
+    }
+
+    /// One of some words.
+    pub fn word<T: Copy>(&mut self, node: &KdlNode, key: &str, words: &[(&str, T)]) -> Option<T> {
+        let e = self.entry(node, key, true)?;
+        let text = self.text_of(e);
+        let found = words.iter().find(|w| w.0 == text).map(|w| w.1);
+        if found.is_none() {
+            let known: Vec<_> = words.iter().map(|w| w.0).collect();
+            let help = meant(&text, &known).or_else(|| Some(format!("one of: {}", known.join(", "))));
+            self.note("unknown-word", format!("`{key}` can't be \"{text}\""), e.span(), help);
+        }
+        found
+    }
+
+    /// The place of what a name refers to.
+    pub fn refer(&mut self, e: &KdlEntry, what: &str, names: &[String]) -> Option<usize> {
+        let name = self.text_of(e);
+        let found = names.iter().position(|n| *n == name);
+        if found.is_none() {
+            let known: Vec<_> = names.iter().map(String::as_str).collect();
+            self.note(
+                "unknown-name",
+                format!("no {what} is called \"{name}\""),
+                e.span(),
+                meant(&name, &known),
+            );
+        }
+        found
+    }
+
+    pub fn refer_at(&mut self, node: &KdlNode, key: &str, what: &str, names: &[String]) -> Option<usize> {
+        let e = self.entry(node, key, true)?;
+        self.refer(e, what, names)
+    }
+}
+
+/// `"1.5s"`, `"150ms"` and whatever else `humantime` reads, with a fraction before one unit allowed.
+fn span(s: &str) -> Option<Span> {
+    let digits = s.find(|c: char| !(c.is_ascii_digit() || c == '.')).unwrap_or(s.len());
+    let (number, unit) = s.split_at(digits);
+    let micros = if number.contains('.') {
+        let one = humantime::parse_duration(&format!("1{unit}")).ok()?;
+        number.parse::<f64>().ok()? * one.as_secs_f64() * 1e6
+    } else {
+        humantime::parse_duration(s).ok()?.as_secs_f64() * 1e6
+    };
+    (micros < 1e15).then_some(Span::from_micros(micros.round() as i64))
+}
+
+/// The known word that is nearest to what stands there, if any is near.
+fn meant(found: &str, known: &[&str]) -> Option<String> {
+    let near = known.iter().map(|k| (strsim::damerau_levenshtein(found, k), k)).min()?;
+    (near.0 <= found.len().max(3) / 3).then(|| format!("did you mean `{}`?", near.1))
+}
--- /dev/null
+++ b/crates/configuration/tests/documents.rs
@@ -0,0 +1,84 @@
+//! Sound and broken documents, with the place and the code that each must bring.
+
+use gullsail_configuration::*;
+use gullsail_interface::*;
+
+const SOUND: &str = r#"
+zone "a"
+rules tick="20ms" most-units=8 order-settle="200ms" advice="1s"
+cold units=40 window="1.5s" first-part=0.2 ramp="8s"
+legs most=3 free=4 share=0.1 window="5s"
+stream-type "read" effect="repeatable" slo="150ms" expiry="1.2s" benefit=2 late-part=0.1
+stream-type "write" effect="keyed" group="cell" window="5s" slo="200ms" expiry="2s" write=#true in-order=#true
+plan "base" limit=40 burst=64 slack=8 usual=10
+plan "gold" reserve=20 usual=20 weight=2
+machine "box" cores=2 unit="5ms" queue=40
+host "h1" zone="a" address="127.0.0.1:7001"
+host "h2" zone="a" address="127.0.0.1:7002"
+node "n1" cell=0 zone="a" address="127.0.0.1:8001" machine="box"
+list address="127.0.0.1:9001" late="300ms"
+volume "v1" plan="base" { hosts "h1" "h2"; }
+volume "v2" plan="gold"
+"#;
+
+#[test]
+fn a_sound_document_becomes_facts() {
+    let d = parse("sound.kdl", SOUND).unwrap();
+    let f = d.facts(HostId(1));
+    assert_eq!((f.me, f.hosts, f.most_legs), (HostId(1), 2, 3));
+    assert_eq!((f.tick, f.cold.window), (Span::from_millis(20.0), Span::from_millis(1500.0)));
+    assert_eq!(
+        f.stream_types[1].effect,
+        Effect::Keyed { group: Group::Cell, window: Span::from_millis(5000.0) }
+    );
+    assert!(f.stream_types[1].in_order && d.stream_types[1].write);
+    assert_eq!(f.plans[0].limit.map(|l| (l.rate, l.burst)), Some((40.0, 64.0)));
+    assert_eq!(d.volumes[0].hosts, [HostId(0), HostId(1)]);
+    assert_eq!(d.volumes[1].hosts.len(), 2, "none stated: all");
+    assert_eq!(d.volume("v1").unwrap().id.0 >> 48, 0, "six bytes travel");
+    assert_eq!(d.list_late, Span::from_millis(300.0));
+}
+
+#[test]
+fn what_is_wrong_is_named_with_its_place() {
+    // what is replaced in the sound document, by what, code, line, column, a part of message or help
+    let cases = [
+        ("slo=\"150ms\"", "slo=150", "wrong-kind", 6, 40, "with its unit"),
+        ("slo=\"150ms\"", "slo=\"150\"", "wrong-kind", 6, 40, "span"),
+        ("slo=\"150ms\"", "slow=\"150ms\"", "unknown-key", 6, 40, "did you mean `slo`"),
+        ("slo=\"150ms\"", "slo=\"3s\"", "slo-past-expiry", 6, 1, "longer than the expiry"),
+        ("effect=\"repeatable\"", "effect=\"repeatible\"", "unknown-word", 6, 20, "`repeatable`"),
+        ("effect=\"repeatable\"", "effect=\"repeatable\" group=\"all\"", "contradiction", 6, 40, "keyed"),
+        ("expiry=\"1.2s\"", "", "missing", 6, 1, "`expiry`"),
+        ("first-part=0.2", "first-part=20", "contradiction", 4, 1, "0 to 1"),
+        ("limit=40", "limit=-1", "wrong-kind", 8, 13, "at least"),
+        ("usual=10", "usual=10 reserve=60", "limit-under-reserve", 8, 1, "under the reserve"),
+        ("burst=64", "burst=31", "burst-too-small", 15, 1, "32 or more"),
+        ("host \"h2\"", "host \"h1\"", "twice", 12, 1, "second `host`"),
+        ("\"h1\" \"h2\"", "\"h1\" \"h3\"", "unknown-name", 15, 38, "did you mean"),
+        ("\"h1\" \"h2\"", "\"h1\" \"h1\"", "twice", 15, 38, "twice"),
+        ("plan=\"gold\"", "plan=\"golt\"", "unknown-name", 16, 13, "did you mean `gold`"),
+        ("cell=0", "cell=\"0\"", "wrong-kind", 13, 11, "number"),
+        ("list address", "lost address", "unknown-node", 14, 1, "`list`"),
+        ("zone=\"a\" address=\"127.0.0.1:7001\"", "", "missing", 11, 1, "`zone`"),
+        ("volume \"v2\" plan=\"gold\"", "volume \"v2\" plan=\"gold\" {", "syntax", 16, 25, ""),
+    ];
+    for (old, new, code, line, column, part) in cases {
+        assert!(SOUND.contains(old), "{old}");
+        let text = SOUND.replacen(old, new, 1);
+        let problems = parse("broken.kdl", &text).expect_err(new);
+        let found = problems.problems.iter().find(|p| p.code == code);
+        let p = found.unwrap_or_else(|| panic!("{new}: {:?}", problems.problems));
+        let said = format!("{} {}", p.message, p.help.as_deref().unwrap_or_default());
+        assert_eq!(problems.place(p), (line, column), "{new}: {said}");
+        assert!(said.contains(part), "{new}: {said}");
+    }
+}
+
+#[test]
+fn all_problems_come_in_one_go() {
+    let text = SOUND.replace("slo=\"150ms\"", "slo=1").replace("plan=\"gold\"", "plan=\"x\"");
+    let problems = parse("broken.kdl", &text).unwrap_err();
+    assert_eq!(problems.problems.iter().map(|p| p.code).collect::<Vec<_>>(), ["wrong-kind", "unknown-name"]);
+    assert!(problems.to_string().contains("2 problems in broken.kdl"), "{problems}");
+}
--- /dev/null
+++ b/crates/links/src/lib.rs
@@ -0,0 +1,173 @@
+//! One TCP connection that carries frames: a task that reads and one that writes, each with a bounded queue.
+//! Nothing is decided here; whoever opens a link is told what happened on it and owns it. Dropping a [`Link`]
+//! writes out what is queued, for at most [`LINGER`], and ends both tasks.
+
+use bytes::{Bytes, BytesMut};
+use gullsail_protocol::{Bounds, Frame, decode};
+use std::io;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// How long a link that was dropped may go on writing what it holds.
+pub const LINGER: Duration = Duration::from_millis(500);
+/// Heads of frames that are ready together leave in one write; bodies beyond this are written on their own.
+const GATHER: usize = 16 << 10;
+const READ: usize = 32 << 10;
+
+/// What came of a link.
+#[derive(Debug)]
+pub enum Happened {
+    Frame(Frame),
+    /// So many bytes of what was queued are with the operating system.
+    Written(usize),
+    /// It is over; nothing else comes of it.
+    Closed(String),
+}
+
+/// Who is told, with the name that the opener gave the link.
+pub type Sink<K> = mpsc::Sender<(K, Happened)>;
+
+#[derive(Debug)]
+pub struct Link {
+    frames: mpsc::Sender<Frame>,
+    reading: watch::Sender<bool>,
+}
+
+/// The queue to the other side is full, or the link is over.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Full;
+
+impl Link {
+    /// Opens a link over a stream; both its tasks are put into `tasks`. `queue` bounds the frames that wait
+    /// to be written.
+    pub fn open<K: Copy + Send + 'static>(
+        stream: TcpStream,
+        key: K,
+        bounds: Bounds,
+        queue: usize,
+        sink: &Sink<K>,
+        tasks: &mut JoinSet<()>,
+    ) -> Link {
+        // Small frames must not wait for each other; a socket that refuses this is about to break anyway.
+        let _ = stream.set_nodelay(true);
+        let (from, to) = stream.into_split();
+        let (frames, queued) = mpsc::channel(queue);
+        let (reading, may_read) = watch::channel(true);
+        let told = sink.clone();
+        tasks.spawn(async move {
+            let why = read(from, key, bounds, &told, may_read).await;
+            // Whoever is told may be gone already.
+            let _ = told.send((key, Happened::Closed(why))).await;
+        });
+        let (told, gone) = (sink.clone(), reading.subscribe());
+        tasks.spawn(async move {
+            if let Err(e) = write(to, key, queued, gone, &told).await {
+                let _ = told.send((key, Happened::Closed(format!("write: {e}")))).await;
+            }
+        });
+        Link { frames, reading }
+    }
+
+    /// Queues a frame.
+    ///
+    /// # Errors
+    /// [`Full`]: the frame is not queued.
+    pub fn send(&self, frame: Frame) -> Result<(), Full> {
+        self.frames.try_send(frame).map_err(|_| Full)
+    }
+
+    /// Stops or goes on reading: back-pressure for the other side.
+    pub fn reading(&self, on: bool) {
+        self.reading.send_if_modified(|was| std::mem::replace(was, on) != on);
+    }
+}
+
+async fn read<K: Copy>(
+    mut from: OwnedReadHalf,
+    key: K,
+    bounds: Bounds,
+    sink: &Sink<K>,
+    mut may_read: watch::Receiver<bool>,
+) -> String {
+    let mut buf = BytesMut::with_capacity(READ);
+    loop {
+        loop {
+            // The owner's word ends this task too: its sender is gone when the link was dropped.
+            if may_read.wait_for(|on| *on).await.is_err() {
+                return "closed here".into();
+            }
+            match decode(&mut buf, bounds) {
+                Ok(Some(frame)) => {
+                    if sink.send((key, Happened::Frame(frame))).await.is_err() {
+                        return "nobody listens".into();
+                    }
+                }
+                Ok(None) => break,
+                Err(broken) => return broken.to_string(),
+            }
+        }
+        if buf.capacity() - buf.len() < READ / 4 {
+            buf.reserve(READ);
+        }
+        tokio::select! {
+            got = from.read_buf(&mut buf) => match got {
+                Ok(0) if buf.is_empty() => return "closed by the other side".into(),
+                Ok(0) => return format!("closed by the other side within a frame, after {} bytes", buf.len()),
+                Ok(_) => {}
+                Err(e) => return format!("read: {e}"),
+            },
+            changed = may_read.changed() => if changed.is_err() {
+                return "closed here".into();
+            },
+        }
+    }
+}
+
+async fn write<K: Copy>(
+    mut to: OwnedWriteHalf,
+    key: K,
+    mut queued: mpsc::Receiver<Frame>,
+    mut gone: watch::Receiver<bool>,
+    sink: &Sink<K>,
+) -> io::Result<()> {
+    let mut gathered = BytesMut::with_capacity(GATHER);
+    while let Some(first) = queued.recv().await {
+        let (mut next, mut bytes) = (Some(first), 0);
+        while let Some(frame) = next {
+            bytes += frame.len();
+            frame.head(&mut gathered);
+            if frame.body.len() <= GATHER / 4 {
+                gathered.extend_from_slice(&frame.body);
+            } else {
+                put(&mut to, &gathered.split().freeze(), &mut gone).await?;
+                put(&mut to, &frame.body, &mut gone).await?;
+            }
+            if gathered.len() >= GATHER {
+                put(&mut to, &gathered.split().freeze(), &mut gone).await?;
+            }
+            next = queued.try_recv().ok();
+        }
+        put(&mut to, &gathered.split().freeze(), &mut gone).await?;
+        // Who is no longer told has let go of the link: what is queued is still written.
+        let _ = sink.send((key, Happened::Written(bytes))).await;
+    }
+    to.shutdown().await
+}
+
+/// Writes all, however long the other side takes; once the link was dropped, for [`LINGER`] at most.
+async fn put(to: &mut OwnedWriteHalf, bytes: &Bytes, gone: &mut watch::Receiver<bool>) -> io::Result<()> {
+    let dropped = async {
+        while gone.changed().await.is_ok() {}
+        sleep(LINGER).await;
+    };
+    tokio::select! {
+        biased;
+        put = to.write_all(bytes) => put,
+        () = dropped => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,197 @@
+//! Frames between clients, hosts, storage nodes, the list service and other hosts. No I/O: bytes in, frames
+//! out. A frame is a header of twelve bytes, a message, and body bytes that nobody here looks at:
+//!
+//! | bytes | holds |
+//! | --- | --- |
+//! | 0 | the tag 0x9d |
+//! | 1 | the version of the sender |
+//! | 2, 3 | the kind of the message |
+//! | 4 to 7 | the message's length |
+//! | 8 to 11 | the body's length |
+//!
+//! Numbers are little-endian. A kind that is not known is skipped as a whole, a field that is not known is
+//! skipped by the serialization; all else that is not understood ends the connection ([`Broken`]).
+
+pub mod message;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+pub use message::*;
+use prost::Message as _;
+
+/// Of this program. Raised when a message gets a field or a kind that older ones may skip; anything that
+/// they may not skip needs another tag.
+pub const VERSION: u8 = 1;
+/// The longest label between hosts, as the design has it.
+pub const LABEL_BYTES: usize = 256;
+pub const HEADER: usize = 12;
+const TAG: u8 = 0x9d;
+
+/// What one end of a connection accepts at most.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    pub message: usize,
+    pub body: usize,
+}
+
+impl Bounds {
+    /// A message holds names and figures, or a list of some thousands of nodes; a body is one piece.
+    pub const DEFAULT: Bounds = Bounds { message: 1 << 20, body: 16 << 20 };
+}
+
+/// Why a connection cannot go on.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Broken {
+    #[error("frame starts with byte {0:#04x}, not {TAG:#04x}: no gullsail peer, or out of step")]
+    Tag(u8),
+    #[error("version 0 does not exist")]
+    Version,
+    #[error("{what} of {found} bytes, at most {most} accepted")]
+    TooLong { what: &'static str, found: usize, most: usize },
+    #[error("message of kind {kind} can't be decoded: {why}")]
+    Malformed { kind: u16, why: String },
+}
+
+macro_rules! messages {
+    ($($kind:literal $name:ident;)*) => {
+        /// Any message; each has its kind number.
+        #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+        pub enum Message {
+            $($name($name),)*
+            /// Of a newer version: to be skipped.
+            Newer { kind: u16 },
+        }
+
+        impl Message {
+            pub fn kind(&self) -> u16 {
+                match self {
+                    $(Message::$name(_) => $kind,)*
+                    Message::Newer { kind } => *kind,
+                }
+            }
+            /// The name as logs and recordings have it.
+            pub fn name(&self) -> &'static str {
+                match self {
+                    $(Message::$name(_) => stringify!($name),)*
+                    Message::Newer { .. } => "Newer",
+                }
+            }
+            fn encoded_len(&self) -> usize {
+                match self {
+                    $(Message::$name(m) => m.encoded_len(),)*
+                    Message::Newer { .. } => 0,
+                }
+            }
+            fn encode_into(&self, out: &mut BytesMut) {
+                match self {
+                    $(Message::$name(m) => m.encode_raw(out),)*
+                    Message::Newer { .. } => {}
+                }
+            }
+            fn decode(kind: u16, bytes: Bytes) -> Result<Message, prost::DecodeError> {
+                Ok(match kind {
+                    $($kind => Message::$name($name::decode(bytes)?),)*
+                    kind => Message::Newer { kind },
+                })
+            }
+        }
+
+        $(impl From<$name> for Frame {
+            fn from(m: $name) -> Frame {
+                Frame { message: Message::$name(m), body: Bytes::new() }
+            }
+        })*
+    };
+}
+
+messages! {
+    1 Hello;
+    10 Submit;
+    11 Answer;
+    12 NotTaken;
+    13 Withdraw;
+    20 Leg;
+    21 LegAnswer;
+    22 Cancel;
+    23 Probe;
+    24 ProbeAnswer;
+    30 Label;
+    31 ClockAsk;
+    32 ClockTell;
+    40 ListAsk;
+    41 ListNews;
+    42 ListRefused;
+    90 Order;
+}
+
+/// A message and the bytes that follow it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Frame {
+    pub message: Message,
+    pub body: Bytes,
+}
+
+impl Frame {
+    pub fn with_body(self, body: Bytes) -> Frame {
+        Frame { body, ..self }
+    }
+
+    /// Bytes on the wire.
+    pub fn len(&self) -> usize {
+        HEADER + self.message.encoded_len() + self.body.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        false
+    }
+
+    /// Header and message; the body goes after it as it is, without a copy.
+    pub fn head(&self, out: &mut BytesMut) {
+        let message = self.message.encoded_len();
+        out.reserve(HEADER + message);
+        out.put_u8(TAG);
+        out.put_u8(VERSION);
+        out.put_u16_le(self.message.kind());
+        out.put_u32_le(message as u32);
+        out.put_u32_le(self.body.len() as u32);
+        self.message.encode_into(out);
+    }
+}
+
+/// Takes the next frame off the front of what has been read; `None`: more must be read first. The body is a
+/// part of the same buffer. Lengths are judged before anything is set aside for them.
+///
+/// # Errors
+/// [`Broken`], after which the bytes that follow mean nothing.
+pub fn decode(buf: &mut BytesMut, bounds: Bounds) -> Result<Option<Frame>, Broken> {
+    let Some(tag) = buf.first() else { return Ok(None) };
+    if *tag != TAG {
+        return Err(Broken::Tag(*tag));
+    }
+    let Some(mut header) = buf.get(..HEADER) else { return Ok(None) };
+    header.advance(1);
+    if header.get_u8() == 0 {
+        return Err(Broken::Version);
+    }
+    let kind = header.get_u16_le();
+    let (message, body) = (header.get_u32_le() as usize, header.get_u32_le() as usize);
+    for (what, found, most) in [("message", message, bounds.message), ("body", body, bounds.body)] {
+        if found > most {
+            return Err(Broken::TooLong { what, found, most });
+        }
+    }
+    let whole = HEADER + message + body;
+    if buf.len() < whole {
+        buf.reserve(whole - buf.len());
+        return Ok(None);
+    }
+    let mut frame = buf.split_to(whole).freeze();
+    frame.advance(HEADER);
+    let message = Message::decode(kind, frame.split_to(message))
+        .map_err(|e| Broken::Malformed { kind, why: e.to_string() })?;
+    if let Message::Label(l) = &message
+        && l.bytes.len() > LABEL_BYTES
+    {
+        return Err(Broken::TooLong { what: "label", found: l.bytes.len(), most: LABEL_BYTES });
+    }
+    Ok(Some(Frame { message, body: frame }))
+}
--- /dev/null
+++ b/crates/protocol/src/message.rs
@@ -0,0 +1,291 @@
+//! The messages, by who speaks to whom. Each is a protobuf message by `prost`: a field that a newer version
+//! adds is skipped by an older one. Spans travel in microseconds, and only spans: two processes never have
+//! to agree on a point in time, but for a label's, whose receiver corrects it by what it knows of the clocks.
+
+use prost::{Enumeration, Message};
+use serde::{Deserialize, Serialize};
+
+/// Who opens a connection, or answers on one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration, Serialize, Deserialize)]
+#[repr(i32)]
+pub enum Role {
+    Unknown = 0,
+    Client = 1,
+    Host = 2,
+    Node = 3,
+    List = 4,
+}
+
+/// The first frame each way on every connection. The incarnation is drawn anew at each start of a process.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Hello {
+    #[prost(enumeration = "Role", tag = "1")]
+    pub role: i32,
+    #[prost(string, tag = "2")]
+    pub name: String,
+    #[prost(fixed64, tag = "3")]
+    pub incarnation: u64,
+    /// How long the process has been up.
+    #[prost(int64, tag = "4")]
+    pub age_us: i64,
+    /// Of a node: the cell it holds, plus one.
+    #[prost(int64, tag = "5")]
+    pub cell_plus_one: i64,
+}
+
+/// Names a written object for good: a later read needs no lookup.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message, Serialize, Deserialize)]
+pub struct Handle {
+    #[prost(int64, tag = "1")]
+    pub cell: i64,
+    #[prost(fixed64, tag = "2")]
+    pub object: u64,
+}
+
+/// A client hands a transfer over; a write's bytes follow as the body.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Submit {
+    /// Names it on this connection, until it is answered.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(string, tag = "2")]
+    pub stream_type: String,
+    #[prost(string, tag = "3")]
+    pub volume: String,
+    #[prost(double, tag = "4")]
+    pub units: f64,
+    /// Where its data lies; none: a new object.
+    #[prost(message, optional, tag = "5")]
+    pub handle: Option<Handle>,
+    /// Transfers of a stream type that keeps order take turns by this; empty: by the handle.
+    #[prost(string, tag = "6")]
+    pub order_key: String,
+    /// The same in every try of what a client wants once: a repeat is known by it.
+    #[prost(string, tag = "7")]
+    pub mark: String,
+    /// Which of the client's tries this is, from 0.
+    #[prost(uint32, tag = "8")]
+    pub repeat: u32,
+    /// How long from now until the client gives up on this try.
+    #[prost(int64, tag = "9")]
+    pub ttl_us: i64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration, Serialize, Deserialize)]
+#[repr(i32)]
+pub enum Outcome {
+    Unknown = 0,
+    Done = 1,
+    /// It may be sent again without harm.
+    Deferred = 2,
+    /// Promises nothing: it may have run.
+    Abandoned = 3,
+}
+
+/// The one final answer; a read's bytes follow as the body.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Answer {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(enumeration = "Outcome", tag = "2")]
+    pub outcome: i32,
+    /// Of a write that is done.
+    #[prost(message, optional, tag = "3")]
+    pub handle: Option<Handle>,
+    /// Of a deferral: when to come back; 0: no advice.
+    #[prost(int64, tag = "4")]
+    pub come_back_us: i64,
+}
+
+/// The transfer was not taken: nothing of it ran, and no answer follows.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct NotTaken {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(string, tag = "2")]
+    pub reason: String,
+    /// The host goes away; another may take it.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+}
+
+/// The client no longer waits for this one.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Withdraw {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+}
+
+/// One leg of a transfer, to a node; a write's bytes follow as the body.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Leg {
+    /// Names it on this connection.
+    #[prost(uint64, tag = "1")]
+    pub leg: u64,
+    #[prost(string, tag = "2")]
+    pub stream_type: String,
+    #[prost(string, tag = "3")]
+    pub volume: String,
+    #[prost(double, tag = "4")]
+    pub units: f64,
+    #[prost(bool, tag = "5")]
+    pub write: bool,
+    #[prost(message, optional, tag = "6")]
+    pub handle: Option<Handle>,
+    #[prost(string, tag = "7")]
+    pub mark: String,
+    /// Which of the client's tries, and which leg of that one, each from 0.
+    #[prost(uint32, tag = "8")]
+    pub repeat: u32,
+    #[prost(uint32, tag = "9")]
+    pub number: u32,
+    /// After this long nobody waits for its answer.
+    #[prost(int64, tag = "10")]
+    pub time_out_us: i64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration, Serialize, Deserialize)]
+#[repr(i32)]
+pub enum LegResult {
+    Unknown = 0,
+    Done = 1,
+    /// It may have run.
+    Failed = 2,
+    /// Turned away unseen: it never ran.
+    TurnedAway = 3,
+}
+
+/// What came of a leg; a read's bytes follow as the body.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct LegAnswer {
+    #[prost(uint64, tag = "1")]
+    pub leg: u64,
+    #[prost(enumeration = "LegResult", tag = "2")]
+    pub result: i32,
+    #[prost(message, optional, tag = "3")]
+    pub handle: Option<Handle>,
+    /// The volume's use through all hosts in a finished period, in percent of its usual rate, plus one;
+    /// 0: not told.
+    #[prost(uint32, tag = "4")]
+    pub used_plus_one: u32,
+    /// It took effect now, and not in an earlier leg whose mark it bears.
+    #[prost(bool, tag = "5")]
+    pub ran: bool,
+    /// Why it failed, for people.
+    #[prost(string, tag = "6")]
+    pub reason: String,
+}
+
+/// Nobody waits for this leg any more.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Cancel {
+    #[prost(uint64, tag = "1")]
+    pub leg: u64,
+}
+
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Probe {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+}
+
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct ProbeAnswer {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    #[prost(uint32, tag = "3")]
+    pub queued: u32,
+}
+
+/// From host to host: bytes of the decisions' own, at most [`crate::LABEL_BYTES`].
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Label {
+    #[prost(bytes = "vec", tag = "1")]
+    pub bytes: Vec<u8>,
+}
+
+/// What is your clock? `asked_us` is the asker's, and comes back as it was.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct ClockAsk {
+    #[prost(int64, tag = "1")]
+    pub asked_us: i64,
+}
+
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct ClockTell {
+    #[prost(int64, tag = "1")]
+    pub asked_us: i64,
+    /// The clock of the one asked, between the question's arrival and this.
+    #[prost(int64, tag = "2")]
+    pub clock_us: i64,
+}
+
+/// Asks for the whole node list, and with `watch` for all changes from then on.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct ListAsk {
+    #[prost(bool, tag = "1")]
+    pub watch: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration, Serialize, Deserialize)]
+#[repr(i32)]
+pub enum ListStanding {
+    Ready = 0,
+    Draining = 1,
+    Gone = 2,
+}
+
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct ListEntry {
+    /// The node's name, the same for all its life and never used again for another cell.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub address: String,
+    #[prost(int64, tag = "3")]
+    pub cell: i64,
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    #[prost(enumeration = "ListStanding", tag = "5")]
+    pub standing: i32,
+    /// How long ago it last started, and the incarnation that this brought; 0: not known.
+    #[prost(int64, tag = "6")]
+    pub age_us: i64,
+    #[prost(fixed64, tag = "7")]
+    pub incarnation: u64,
+}
+
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct ListNews {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The whole list: who is not in it is gone. Else the entries that changed.
+    #[prost(bool, tag = "2")]
+    pub whole: bool,
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<ListEntry>,
+}
+
+/// The list service cannot answer now.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct ListRefused {
+    #[prost(string, tag = "1")]
+    pub reason: String,
+}
+
+/// To a stand-in alone, from the script of a day: what goes wrong with it, or what the list is to say.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Order {
+    /// Of a node: `stall`, `slow`, `fail`. Of the list: `late`, `refuse`.
+    #[prost(string, tag = "1")]
+    pub what: String,
+    #[prost(double, tag = "2")]
+    pub size: f64,
+    #[prost(int64, tag = "3")]
+    pub lasts_us: i64,
+    /// Of the list: these entries are so from now on.
+    #[prost(message, repeated, tag = "4")]
+    pub entries: Vec<ListEntry>,
+}
