--- /dev/null
+++ b/crates/audit/src/history.rs
@@ -0,0 +1,237 @@
+//! A recording put in order: transfers with their answers and legs, lists with what they told, processes.
+
+use gullsail_protocol::record::{Entry, Fate, Life, What};
+use gullsail_protocol::{Answer, Leg, LegResult, ListEntry, ListStanding, Message, Submit};
+use std::collections::BTreeMap;
+
+#[derive(Debug, thiserror::Error)]
+#[error("line {line} of the recording is no entry: {why}")]
+pub struct Fault {
+    pub line: usize,
+    pub why: String,
+}
+
+/// One try of a client at one host, as it was seen on their connection.
+#[derive(Clone, Debug)]
+pub struct Taken {
+    pub line: usize,
+    /// When the host was given it.
+    pub at: i64,
+    pub host: String,
+    pub link: u64,
+    pub submit: Submit,
+    pub answers: Vec<(usize, i64, Answer)>,
+    pub not_taken: Option<i64>,
+    pub withdrawn: Option<i64>,
+    /// The connection's end, or the host's.
+    pub link_closed: Option<i64>,
+    /// Legs, in the order they were sent.
+    pub legs: Vec<usize>,
+}
+
+#[derive(Clone, Debug)]
+pub struct LegSeen {
+    pub line: usize,
+    /// When the host sent it, and when the node was given it.
+    pub at: i64,
+    pub out: i64,
+    pub host: String,
+    pub node: String,
+    pub link: u64,
+    pub leg: Leg,
+    /// When the host was given an answer, and which; `ran` is the node's own word.
+    pub answer: Option<(usize, i64, LegResult, bool)>,
+    /// When its connection was over without an answer.
+    pub broke: Option<i64>,
+}
+
+impl LegSeen {
+    /// Known at its host, by then, not to have run.
+    pub fn never_ran(&self, by: i64) -> bool {
+        self.answer.is_some_and(|a| a.2 == LegResult::TurnedAway && a.1 <= by)
+    }
+}
+
+/// What a list told a host of a node.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub at: i64,
+    pub line: usize,
+    pub standing: ListStanding,
+    pub incarnation: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct History {
+    pub taken: Vec<Taken>,
+    pub legs: Vec<LegSeen>,
+    /// By host and node, in order of time.
+    pub told: BTreeMap<(String, String), Vec<Told>>,
+    /// When each process started or ended.
+    pub lives: BTreeMap<String, Vec<(i64, Life)>>,
+    pub end: i64,
+}
+
+impl History {
+    /// # Errors
+    /// The first line that can't be read.
+    pub fn read(recording: &str) -> Result<History, Fault> {
+        let mut entries = Vec::new();
+        for (line, text) in recording.lines().enumerate() {
+            let entry: Entry =
+                serde_json::from_str(text).map_err(|e| Fault { line: line + 1, why: e.to_string() })?;
+            entries.push((line, entry));
+        }
+        // Links write as they pass on; what a host was given first comes first.
+        entries.sort_by_key(|(line, e)| (e.out, *line));
+        let mut h = History::default();
+        let mut tries: BTreeMap<(u64, u64), usize> = BTreeMap::new();
+        let mut legs: BTreeMap<(u64, u64), usize> = BTreeMap::new();
+        let mut lists: BTreeMap<u64, (String, Vec<ListEntry>)> = BTreeMap::new();
+        for (line, e) in entries {
+            h.end = h.end.max(e.out);
+            match e.what {
+                What::Frame { message, fate, .. } if fate != Fate::Dropped => {
+                    h.frame(
+                        line, e.at, e.out, e.link, e.from, e.to, message, fate, &mut tries, &mut legs,
+                        &mut lists,
+                    );
+                }
+                What::Closed { .. } => h.closed(e.link, e.out),
+                What::Process { life } => h.lives.entry(e.to).or_default().push((e.at, life)),
+                _ => {}
+            }
+        }
+        h.join();
+        Ok(h)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn frame(
+        &mut self,
+        line: usize,
+        at: i64,
+        out: i64,
+        link: u64,
+        from: String,
+        to: String,
+        message: Message,
+        fate: Fate,
+        tries: &mut BTreeMap<(u64, u64), usize>,
+        legs: &mut BTreeMap<(u64, u64), usize>,
+        lists: &mut BTreeMap<u64, (String, Vec<ListEntry>)>,
+    ) {
+        match message {
+            Message::Submit(submit) => {
+                tries.insert((link, submit.id), self.taken.len());
+                self.taken.push(Taken {
+                    line,
+                    at: out,
+                    host: to,
+                    link,
+                    submit,
+                    answers: Vec::new(),
+                    not_taken: None,
+                    withdrawn: None,
+                    link_closed: None,
+                    legs: Vec::new(),
+                });
+            }
+            Message::Answer(a) => {
+                if let Some(t) = tries.get(&(link, a.id)) {
+                    self.taken[*t].answers.push((line, at, a));
+                }
+            }
+            Message::NotTaken(n) => {
+                if let Some(t) = tries.get(&(link, n.id)) {
+                    self.taken[*t].not_taken.get_or_insert(at);
+                }
+            }
+            Message::Withdraw(w) => {
+                if let Some(t) = tries.get(&(link, w.id)) {
+                    self.taken[*t].withdrawn.get_or_insert(out);
+                }
+            }
+            Message::Leg(leg) => {
+                legs.insert((link, leg.leg), self.legs.len());
+                let (host, node) = (from, to);
+                self.legs.push(LegSeen { line, at, out, host, node, link, leg, answer: None, broke: None });
+            }
+            Message::LegAnswer(a) => {
+                let Some(seen) = legs.get(&(link, a.leg)).and_then(|l| self.legs.get_mut(*l)) else { return };
+                let result = LegResult::try_from(a.result).unwrap_or(LegResult::Unknown);
+                match (&mut seen.answer, fate) {
+                    // The original of an answer that was turned into an error tells what the node did.
+                    (answer @ None, Fate::Altered) => *answer = Some((line, i64::MAX, result, a.ran)),
+                    (Some(answer), _) if answer.1 == i64::MAX => (answer.1, answer.2) = (out, result),
+                    (answer @ None, _) => *answer = Some((line, out, result, a.ran)),
+                    _ => {}
+                }
+            }
+            Message::ListNews(news) => {
+                // The list speaks to the host that asked.
+                let (host, known) = lists.entry(link).or_insert_with(|| (to, Vec::new()));
+                if news.whole {
+                    let gone = |k: &&ListEntry| !news.entries.iter().any(|e| e.name == k.name);
+                    let missing: Vec<_> = known.iter().filter(gone).cloned().collect();
+                    let gone = ListStanding::Gone as i32;
+                    let missing = missing.into_iter().map(|e| ListEntry { standing: gone, ..e });
+                    for e in missing.collect::<Vec<_>>() {
+                        tell(&mut self.told, host, &e, out, line);
+                    }
+                }
+                for e in &news.entries {
+                    tell(&mut self.told, host, e, out, line);
+                    known.retain(|k| k.name != e.name);
+                    known.push(e.clone());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn closed(&mut self, link: u64, at: i64) {
+        for t in self.taken.iter_mut().filter(|t| t.link == link) {
+            t.link_closed.get_or_insert(at);
+        }
+        for l in self.legs.iter_mut().filter(|l| l.link == link && l.answer.is_none()) {
+            l.broke.get_or_insert(at);
+        }
+    }
+
+    /// Legs belong to the try with their mark and number of repeat at their host; what a client does not mark
+    /// can't be told apart.
+    fn join(&mut self) {
+        let mut by_mark: BTreeMap<(&str, &str, u32), usize> = BTreeMap::new();
+        for (place, t) in self.taken.iter().enumerate() {
+            by_mark.insert((&t.host, &t.submit.mark, t.submit.repeat), place);
+        }
+        let of = |l: &LegSeen| by_mark.get(&(l.host.as_str(), l.leg.mark.as_str(), l.leg.repeat)).copied();
+        let found: Vec<_> = self.legs.iter().map(of).collect();
+        for (leg, place) in found.into_iter().enumerate() {
+            if let Some(place) = place {
+                self.taken[place].legs.push(leg);
+            }
+        }
+    }
+
+    /// When the host's life that held this point began and ended.
+    pub fn life(&self, name: &str, at: i64) -> (i64, i64) {
+        let lives = self.lives.get(name).map(Vec::as_slice).unwrap_or_default();
+        let began =
+            lives.iter().filter(|l| matches!(l.1, Life::Started { .. }) && l.0 <= at).map(|l| l.0).max();
+        let ended =
+            lives.iter().filter(|l| !matches!(l.1, Life::Started { .. }) && l.0 > at).map(|l| l.0).min();
+        (began.unwrap_or(i64::MIN), ended.unwrap_or(i64::MAX))
+    }
+
+    pub fn host_killed(&self, name: &str, after: i64, by: i64) -> bool {
+        self.life(name, after).1 <= by
+    }
+}
+
+fn tell(told: &mut BTreeMap<(String, String), Vec<Told>>, host: &str, e: &ListEntry, at: i64, line: usize) {
+    let standing = ListStanding::try_from(e.standing).unwrap_or(ListStanding::Draining);
+    let told = told.entry((host.to_string(), e.name.clone())).or_default();
+    told.push(Told { at, line, standing, incarnation: e.incarnation });
+}
--- /dev/null
+++ b/crates/audit/src/rules.rs
@@ -0,0 +1,310 @@
+//! The seven rules, one function each.
+
+use crate::Verdict;
+use crate::history::{History, LegSeen, Taken};
+use gullsail_configuration::Deployment;
+use gullsail_interface::{Effect, Group};
+use gullsail_protocol::record::Life;
+use gullsail_protocol::{ListStanding, Outcome};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Between a host's clock reading and the relay's: a frame's way over loopback and a turn of a busy processor.
+const WAY: i64 = 20_000;
+
+fn lines(h: &History, t: &Taken) -> Vec<usize> {
+    let legs = t.legs.iter().flat_map(|l| {
+        let l = &h.legs[*l];
+        std::iter::once(l.line).chain(l.answer.map(|a| a.0))
+    });
+    let mut all: Vec<usize> =
+        std::iter::once(t.line).chain(legs).chain(t.answers.iter().map(|a| a.0)).collect();
+    all.sort_unstable();
+    all
+}
+
+/// Rule 1: one final answer before the expiry, and nothing sent after it.
+pub fn answered(_: &Deployment, h: &History) -> Verdict {
+    let mut v = Verdict::new(1, "one final answer in time");
+    for t in &h.taken {
+        let expiry = t.at + t.submit.ttl_us;
+        // No longer the host's duty: its client left, or it was killed.
+        let left = [t.withdrawn, t.link_closed].into_iter().flatten().min().unwrap_or(i64::MAX);
+        if t.not_taken.is_some() {
+            if !t.answers.is_empty() || !t.legs.is_empty() {
+                v.breach(format!("{} was not taken, but more came of it", t.submit.mark), lines(h, t));
+            }
+            continue;
+        }
+        v.tested += 1;
+        match t.answers.as_slice() {
+            [] if left.min(h.life(&t.host, t.at).1) <= expiry + WAY || expiry + WAY > h.end => {}
+            [] => v.breach(format!("{} at {} got no answer", t.submit.mark, t.host), lines(h, t)),
+            [(_, at, _)] => {
+                let part = (at - t.at) as f64 / t.submit.ttl_us.max(1) as f64;
+                v.nearest = v.nearest.max(part);
+                if *at > expiry + WAY {
+                    let what =
+                        format!("{} at {} was answered {} us late", t.submit.mark, t.host, at - expiry);
+                    v.breach(what, lines(h, t));
+                }
+                let after = t.legs.iter().map(|l| &h.legs[*l]).find(|l| l.at > at + WAY);
+                if let Some(l) = after {
+                    let what = format!("{}: a leg to {} was sent after the answer", t.submit.mark, l.node);
+                    v.breach(what, lines(h, t));
+                }
+            }
+            more => v.breach(format!("{} got {} answers", t.submit.mark, more.len()), lines(h, t)),
+        }
+    }
+    v
+}
+
+fn in_group(d: &Deployment, group: Group, a: &str, b: &str) -> bool {
+    let find = |name: &str| d.node(name).map(|n| (n.cell, n.place.zone));
+    match group {
+        Group::All => true,
+        Group::Zone => find(a).map(|n| n.1) == find(b).map(|n| n.1),
+        Group::Cell => find(a).map(|n| n.0) == find(b).map(|n| n.0),
+    }
+}
+
+/// Rule 2: no effect twice. Tested by each leg that may have run and was not the last thing that happened to
+/// its transfer.
+pub fn once(d: &Deployment, h: &History) -> Verdict {
+    let mut v = Verdict::new(2, "no effect twice");
+    let effects: BTreeMap<&str, Effect> =
+        d.stream_types.iter().map(|s| (s.name.as_str(), s.decisions.effect)).collect();
+    for t in &h.taken {
+        let effect = effects.get(t.submit.stream_type.as_str()).copied().unwrap_or(Effect::Repeatable);
+        if effect == Effect::Repeatable {
+            continue;
+        }
+        let legs: Vec<&LegSeen> = t.legs.iter().map(|l| &h.legs[*l]).collect();
+        for (place, leg) in legs.iter().enumerate().skip(1) {
+            let Some(before) = legs[..place].iter().find(|b| !b.never_ran(leg.at)) else { continue };
+            v.tested += 1;
+            let fits = match effect {
+                Effect::Keyed { group, window } => {
+                    let part = (leg.at - before.at) as f64 / window.micros().max(1) as f64;
+                    v.nearest = v.nearest.max(part);
+                    in_group(d, group, &before.node, &leg.node) && part <= 1.0
+                }
+                _ => false,
+            };
+            if !fits {
+                let what =
+                    format!("{} may have run at {} and was sent to {}", t.submit.mark, before.node, leg.node);
+                v.breach(what, lines(h, t));
+            }
+        }
+        if let Some((_, at, a)) = t.answers.first() {
+            let open = legs.iter().find(|l| !l.never_ran(*at));
+            let done = a.outcome == Outcome::Done as i32;
+            v.tested += u64::from(open.is_some() && !done);
+            let all = matches!(effect, Effect::Keyed { group: Group::All, .. });
+            if let (true, false, Some(l)) = (a.outcome == Outcome::Deferred as i32, all, open) {
+                let what = format!("{} may have run at {} and was deferred", t.submit.mark, l.node);
+                v.breach(what, lines(h, t));
+            }
+        }
+    }
+    // By the nodes' own word, over all tries.
+    let mut ran: BTreeMap<&str, Vec<&LegSeen>> = BTreeMap::new();
+    for l in h.legs.iter().filter(|l| l.leg.write && l.answer.is_some_and(|a| a.3)) {
+        let effect = effects.get(l.leg.stream_type.as_str()).copied().unwrap_or(Effect::Repeatable);
+        if effect != Effect::Repeatable {
+            ran.entry(&l.leg.mark).or_default().push(l);
+        }
+    }
+    for (mark, legs) in ran.iter().filter(|r| r.1.len() > 1) {
+        let what = format!("{mark} took effect {} times", legs.len());
+        v.breach(what, legs.iter().flat_map(|l| std::iter::once(l.line).chain(l.answer.map(|a| a.0))));
+    }
+    v
+}
+
+/// Rule 3: nothing new to a node after the grace, once the host was told that it drains or is gone. Tested by
+/// each time a host was told so.
+pub fn drains(d: &Deployment, h: &History) -> Verdict {
+    let mut v = Verdict::new(3, "drains kept");
+    let grace = d.drain_grace.micros();
+    for ((host, node), told) in &h.told {
+        let mut since: Option<(i64, usize, u64)> = None;
+        let mut spans = Vec::new();
+        for t in told {
+            let ready = t.standing == ListStanding::Ready;
+            match since {
+                None if !ready => since = Some((t.at, t.line, t.incarnation)),
+                // Taken back by a newer start only.
+                Some((at, line, incarnation)) if ready && t.incarnation != incarnation => {
+                    spans.push((at, t.at, line));
+                    since = None;
+                }
+                _ => {}
+            }
+        }
+        spans.extend(since.map(|(at, line, _)| (at, i64::MAX, line)));
+        for (from, to, line) in spans {
+            // A host that was killed forgets.
+            let to = to.min(h.life(host, from).1);
+            v.tested += 1;
+            for l in h.legs.iter().filter(|l| l.host == *host && l.node == *node && l.at > from && l.at < to)
+            {
+                let part = (l.at - from) as f64 / grace.max(1) as f64;
+                v.nearest = v.nearest.max(part.min(2.0));
+                if l.at > from + grace + WAY {
+                    let what = format!("{host} sent to {node} {} us after it was told", l.at - from);
+                    v.breach(what, [line, l.line]);
+                }
+            }
+        }
+    }
+    v
+}
+
+/// Rule 4: no cold node pushed over. Tested by each leg to a cold node.
+pub fn cold(d: &Deployment, h: &History) -> Verdict {
+    let mut v = Verdict::new(4, "no cold node pushed over");
+    let c = d.figures().cold;
+    let (window, ramp) = (c.window.micros(), c.ramp.micros());
+    for (node, lives) in &h.lives {
+        let Some(place) = d.node(node) else { continue };
+        let Some(machine) = d.machines.get(place.machine) else { continue };
+        let a_second = f64::from(machine.cores) / machine.unit.secs().max(1e-9);
+        for (born, _) in lives.iter().filter(|l| matches!(l.1, Life::Started { .. })) {
+            // Those that were there before the day began are warm.
+            if *born <= 0 {
+                continue;
+            }
+            let mut sent: VecDeque<(i64, f64)> = VecDeque::new();
+            let legs = h.legs.iter().filter(|l| l.node == *node && l.out >= *born && l.out < born + ramp);
+            for l in legs {
+                v.tested += 1;
+                sent.push_back((l.out, l.leg.units));
+                while sent.pop_front_if(|s| l.out - s.0 > window).is_some() {}
+                let age = (l.out - born) as f64 / ramp.max(1) as f64;
+                let part = c.first_part + (1.0 - c.first_part) * age;
+                let bears = c.units.max(machine.falls_over * a_second * part * c.window.secs());
+                let units: f64 = sent.iter().map(|s| s.1).sum();
+                v.nearest = v.nearest.max(units / bears.max(1e-9));
+                if units > bears {
+                    let what = format!("{node}, cold, was sent {units} units; it bears {bears:.1}");
+                    v.breach(what, [l.line]);
+                }
+            }
+        }
+    }
+    v
+}
+
+/// Rule 5: order by key. Tested by each leg of a transfer that came while an earlier one of its key was open.
+pub fn order(d: &Deployment, h: &History) -> Verdict {
+    let mut v = Verdict::new(5, "order kept by key");
+    let settle = d.figures().order_settle.micros();
+    let ordered = |name: &str| d.stream_types.iter().any(|s| s.name == name && s.decisions.in_order);
+    let mut keys: BTreeMap<(&str, i64, &str), Vec<&Taken>> = BTreeMap::new();
+    for t in h.taken.iter().filter(|t| ordered(&t.submit.stream_type) && !t.submit.order_key.is_empty()) {
+        keys.entry((&t.host, h.life(&t.host, t.at).0, &t.submit.order_key)).or_default().push(t);
+    }
+    for ((host, _, key), mut tries) in keys {
+        tries.sort_by_key(|t| (t.at, t.line));
+        for (place, t) in tries.iter().enumerate() {
+            let Some(first) = t.legs.first().map(|l| &h.legs[*l]) else { continue };
+            let mut waited = false;
+            for before in &tries[..place] {
+                let over = before.answers.first().map(|a| a.1).or(before.withdrawn).or(before.link_closed);
+                let open = over.is_none_or(|at| at > t.at);
+                waited |= open;
+                // Two connections are read in an order that only the host knows.
+                if over.is_none_or(|at| at > first.at + WAY) && before.link == t.link {
+                    let what = format!(
+                        "{host}, key {key}: {} sent while {} was open",
+                        t.submit.mark, before.submit.mark
+                    );
+                    v.breach(what, [before.line, first.line]);
+                }
+                for l in before.legs.iter().map(|l| &h.legs[*l]).filter(|l| l.at < first.at) {
+                    // Unknown from its time-out on, or since its connection broke; known by its answer in time.
+                    let ends = l.at + l.leg.time_out_us;
+                    let unknown = match (l.answer, l.broke) {
+                        (Some(a), _) if a.1 <= ends + WAY => continue,
+                        (_, Some(broke)) if broke < ends => broke,
+                        _ => ends,
+                    };
+                    let rest = first.at - unknown;
+                    v.nearest = v.nearest.max(settle as f64 / rest.max(1) as f64).min(9.99);
+                    if rest + WAY < settle {
+                        let what = format!(
+                            "{host}, key {key}: {} sent {rest} us after a leg of {} ended unknown",
+                            t.submit.mark, before.submit.mark
+                        );
+                        v.breach(what, [l.line, first.line]);
+                    }
+                }
+            }
+            v.tested += u64::from(waited);
+        }
+    }
+    v
+}
+
+/// Rule 6: legs beyond each transfer's first. Tested by each of them.
+pub fn budget(d: &Deployment, h: &History) -> Verdict {
+    let mut v = Verdict::new(6, "further legs within their budget");
+    let Some(b) = d.figures().leg_budget else { return v };
+    let window = b.window.micros();
+    let mut accepted: BTreeMap<(&str, i64), Vec<i64>> = BTreeMap::new();
+    let mut further: BTreeMap<(&str, i64), Vec<&LegSeen>> = BTreeMap::new();
+    for t in h.taken.iter().filter(|t| t.not_taken.is_none()) {
+        accepted.entry((&t.host, h.life(&t.host, t.at).0)).or_default().push(t.at);
+    }
+    for l in h.legs.iter().filter(|l| l.leg.number > 0) {
+        further.entry((&l.host, h.life(&l.host, l.at).0)).or_default().push(l);
+    }
+    for ((host, life), mut further) in further {
+        let taken = accepted.get(&(host, life)).map(Vec::as_slice).unwrap_or_default();
+        further.sort_by_key(|l| l.at);
+        for (place, l) in further.iter().enumerate() {
+            v.tested += 1;
+            let since = l.at - window;
+            // The window's edges differ by a frame's way: judged where both agree.
+            let legs = further[..=place].iter().filter(|f| f.at > since + WAY).count() as f64;
+            let accepted = taken.iter().filter(|at| **at > since - WAY && **at <= l.at + WAY).count() as f64;
+            let most = b.free + b.share * accepted;
+            v.nearest = v.nearest.max(legs / most.max(1e-9));
+            if legs > most {
+                let what = format!("{host}: {legs} further legs in the window, {most:.1} allowed");
+                v.breach(what, [l.line]);
+            }
+        }
+    }
+    v
+}
+
+/// Rule 7: each volume's store over all hosts. Tested by each first leg that finds less than half of it left.
+pub fn limits(d: &Deployment, h: &History) -> Verdict {
+    let mut v = Verdict::new(7, "limits kept over all hosts");
+    let mut volumes: BTreeMap<&str, Vec<&LegSeen>> = BTreeMap::new();
+    for l in h.legs.iter().filter(|l| l.leg.number == 0) {
+        volumes.entry(&l.leg.volume).or_default().push(l);
+    }
+    for (name, mut legs) in volumes {
+        let Some(plan) = d.volume(name).map(|v| &d.plans[v.plan.0]) else { continue };
+        let Some(limit) = plan.decisions.limit else { continue };
+        legs.sort_by_key(|l| (l.at, l.line));
+        let (mut level, mut at) = (limit.burst, legs[0].at);
+        for l in legs {
+            level = (level + limit.rate * (l.at - at) as f64 / 1e6).min(limit.burst);
+            at = l.at;
+            level -= l.leg.units;
+            v.tested += u64::from(level < limit.burst / 2.0);
+            v.nearest = v.nearest.max((limit.burst - level) / (limit.burst + plan.slack));
+            if level < -plan.slack - 1e-6 {
+                let what =
+                    format!("volume {name}: {:.1} units past its store, {} allowed", -level, plan.slack);
+                v.breach(what, [l.line]);
+            }
+        }
+    }
+    v
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,293 @@
+//! The program `gullsail`: arguments, logs, exit codes. Exit code 0: done as asked; 1: a day failed, or a
+//! process could not go on; 2: the arguments or a document are wrong.
+
+use clap::{Parser, Subcommand, ValueEnum};
+use gullsail_configuration::{Deployment, HostBounds};
+use gullsail_day::processes::Listening;
+use gullsail_host::drive::{self, HostClock, Life};
+use gullsail_interface::Span;
+use gullsail_protocol::{ListEntry, ListStanding};
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tracing::info;
+use tracing_subscriber::EnvFilter;
+
+/// A storage gateway that keeps volumes to their reservations, shares and limits.
+#[derive(Parser)]
+#[command(version, propagate_version = true)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+    /// Logs for people, or one JSON object a line for machines; always on standard error.
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log: LogForm,
+    /// What is logged, such as `info` or `gullsail_host=debug`.
+    #[arg(long, global = true, default_value = "info", env = "GULLSAIL_LOG")]
+    log_level: String,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs one host until it is told to stop (SIGTERM, SIGINT).
+    Host {
+        file: PathBuf,
+        /// Which of the document's hosts this is.
+        #[arg(long)]
+        name: String,
+        /// For the host's own chance; drawn where it is not given.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Sets this host's clock ahead, or behind with a minus: for trials.
+        #[arg(long, allow_hyphen_values = true, default_value = "0s")]
+        clock_ahead: String,
+    },
+    /// Runs a stand-in of one storage node.
+    Node {
+        file: PathBuf,
+        #[arg(long)]
+        name: String,
+        /// How long it is taken to be up already: an old node is warm.
+        #[arg(long, default_value = "0s")]
+        age: humantime::Duration,
+    },
+    /// Runs a stand-in of the node list service.
+    List { file: PathBuf },
+    /// Plays a scripted day with real processes on loopback and judges the rules.
+    Day {
+        /// A built-in day (see --list), `random`, or a document with a `day`.
+        #[arg(required_unless_present = "list")]
+        day: Option<String>,
+        #[arg(long)]
+        list: bool,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Keeps the recording, the logs and the documents here.
+        #[arg(long)]
+        record: Option<PathBuf>,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Judges a recording of a day again.
+    Audit {
+        dir: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Checks a document and says all that is wrong with it.
+    Check { file: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let filter = EnvFilter::new(&arguments.log_level);
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match arguments.log {
+        LogForm::Text => logs.with_ansi(false).init(),
+        LogForm::Json => logs.json().flatten_event(true).init(),
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("no runtime: {e}");
+            return ExitCode::from(1);
+        }
+    };
+    match runtime.block_on(run(arguments.command)) {
+        Ok(code) => code,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<ExitCode> {
+    match command {
+        Command::Host { file, name, seed, clock_ahead } => {
+            host(&file, &name, seed.unwrap_or_else(rand::random), &clock_ahead).await
+        }
+        Command::Node { file, name, age } => node(&file, &name, age).await,
+        Command::List { file } => list(&file).await,
+        Command::Day { list: true, .. } => {
+            for (name, what) in gullsail_day::built_in::all() {
+                println!("{name:<14} {what}");
+            }
+            println!("{:<14} Two kinds of trouble, drawn by --seed.", "random");
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Day { day, seed, record, json, .. } => {
+            play(&day.unwrap_or_default(), seed, record, json).await
+        }
+        Command::Audit { dir, json } => audit(&dir, json),
+        Command::Check { file } => {
+            let (d, _) = read(&file)?;
+            println!(
+                "{}: sound; {} hosts, {} nodes, {} volumes",
+                file.display(),
+                d.hosts.len(),
+                d.nodes.len(),
+                d.volumes.len()
+            );
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn text_of(file: &Path) -> Result<String> {
+    std::fs::read_to_string(file).into_diagnostic().wrap_err_with(|| format!("can't read {}", file.display()))
+}
+
+fn read(file: &Path) -> Result<(Deployment, String)> {
+    let text = text_of(file)?;
+    Ok((gullsail_configuration::parse(&file.display().to_string(), &text)?, text))
+}
+
+/// Binds where the document says, and tells whoever started this process where that is.
+async fn listen(address: &str, name: &str) -> Result<(TcpListener, u64)> {
+    if address.is_empty() {
+        return Err(miette!(
+            help = "give it an `address`, and a `listen` where it binds elsewhere",
+            "the document does not say where {name} listens"
+        ));
+    }
+    let bound = TcpListener::bind(address).await.into_diagnostic();
+    let listener = bound.wrap_err_with(|| format!("{name} can't listen at {address}"))?;
+    let address = listener.local_addr().into_diagnostic()?.to_string();
+    let listening = Listening { address, incarnation: rand::random::<u64>().max(1) };
+    println!("{}", serde_json::to_string(&listening).into_diagnostic()?);
+    Ok((listener, listening.incarnation))
+}
+
+async fn stopped() {
+    let both = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    if let (Ok(mut terminate), Ok(mut interrupt)) = both {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    } else {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn ahead(text: &str) -> Result<Span> {
+    let (sign, span) = text.strip_prefix('-').map_or((1.0, text), |span| (-1.0, span));
+    let span: humantime::Duration = span.parse().into_diagnostic().wrap_err("--clock-ahead")?;
+    Ok(Span::from_millis(span.as_secs_f64() * 1e3 * sign))
+}
+
+async fn host(file: &Path, name: &str, seed: u64, clock_ahead: &str) -> Result<ExitCode> {
+    let (d, _) = read(file)?;
+    let known: Vec<_> = d.hosts.iter().map(|h| h.name.as_str()).collect();
+    let me = d.host(name).ok_or_else(|| {
+        miette!(
+            help = format!("its hosts are {}", known.join(", ")),
+            "{}: no host \"{name}\"",
+            file.display()
+        )
+    })?;
+    let (listener, incarnation) = listen(&d.hosts[me.0 as usize].listen, name).await?;
+    let clock = HostClock::start(ahead(clock_ahead)?);
+    info!(host = name, incarnation, "serving");
+    let life = Life { deployment: Arc::new(d), me, seed, incarnation, clock };
+    let counts = drive::run(life, listener, stopped()).await;
+    info!(host = name, counts = serde_json::to_string(&counts).unwrap_or_default(), "left");
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn node(file: &Path, name: &str, age: humantime::Duration) -> Result<ExitCode> {
+    let (d, _) = read(file)?;
+    let n = d.node(name).ok_or_else(|| miette!("{}: no node \"{name}\"", file.display()))?;
+    let machine = d.machines.get(n.machine).ok_or_else(|| {
+        miette!(
+            help = "machine \"box\" cores=2 unit=\"5ms\"",
+            "{}: node \"{name}\" has no machine",
+            file.display()
+        )
+    })?;
+    let (listener, incarnation) = listen(&n.place.listen, name).await?;
+    let HostBounds { frame: bounds, .. } = d.bounds;
+    let life = gullsail_standin::node::NodeLife {
+        name: name.into(),
+        cell: n.cell.0,
+        machine: machine.clone(),
+        cold: d.figures().cold,
+        incarnation,
+        age: Span::from_millis(age.as_secs_f64() * 1e3),
+        bounds,
+    };
+    tokio::select! {
+        () = gullsail_standin::node::serve(life, listener) => Ok(ExitCode::from(1)),
+        () = stopped() => Ok(ExitCode::SUCCESS),
+    }
+}
+
+async fn list(file: &Path) -> Result<ExitCode> {
+    let (d, _) = read(file)?;
+    let (listener, _) = listen(&d.list.listen, "the list").await?;
+    let entries = d.nodes.iter().filter(|n| !n.spare).map(|n| ListEntry {
+        name: n.place.name.clone(),
+        address: n.place.address.clone(),
+        cell: n.cell.0,
+        zone: d.zones.get(n.place.zone.0).cloned().unwrap_or_default(),
+        standing: ListStanding::Ready as i32,
+        age_us: 0,
+        incarnation: 0,
+    });
+    tokio::select! {
+        () = gullsail_standin::list::serve(entries.collect(), d.list_late, listener) => Ok(ExitCode::from(1)),
+        () = stopped() => Ok(ExitCode::SUCCESS),
+    }
+}
+
+async fn play(day: &str, seed: u64, record: Option<PathBuf>, json: bool) -> Result<ExitCode> {
+    let built_in = if day == "random" {
+        Some(gullsail_day::built_in::random(seed))
+    } else {
+        gullsail_day::built_in::day(day)
+    };
+    let text = match built_in {
+        Some(text) => text,
+        None if Path::new(day).exists() => text_of(Path::new(day))?,
+        None => {
+            let names: Vec<_> = gullsail_day::built_in::all().map(|d| d.0).collect();
+            let help = format!("built-in days: {}, random; or a file with a day", names.join(", "));
+            return Err(miette!(help = help, "no day is called \"{day}\", and no file"));
+        }
+    };
+    let (d, script) = gullsail_day::script::read(day, &text)?;
+    // Without --record, nothing is kept.
+    let temporary = tempfile::tempdir().into_diagnostic()?;
+    let dir = record.unwrap_or_else(|| temporary.path().into());
+    let program = std::env::current_exe().into_diagnostic()?;
+    let stage = gullsail_day::Stage { program, dir, seed };
+    let report = gullsail_day::play(&text, d, &script, &stage).await?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&report).into_diagnostic()?);
+    } else {
+        print!("{}", report.text(&stage.dir));
+    }
+    Ok(if report.passed() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+fn audit(dir: &Path, json: bool) -> Result<ExitCode> {
+    let (d, _) = read(&dir.join("script.kdl"))?;
+    let recording = text_of(&dir.join("frames.jsonl"))?;
+    let verdicts = gullsail_audit::judge(&d, &recording).into_diagnostic()?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&verdicts).into_diagnostic()?);
+    } else {
+        print!("{}", gullsail_audit::table(&verdicts, &recording));
+    }
+    Ok(if verdicts.iter().all(|v| v.kept()) { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -57,6 +57,8 @@
     pub cell: CellId,
     /// Of the stand-ins' machines.
     pub machine: usize,
+    /// It does not run yet: a successor that hosts hear of from the list.
+    pub spare: bool,
 }
 
 /// What a stand-in node is like. Nothing here is told to a host.
@@ -112,9 +114,15 @@
     pub drain_grace: Span,
     pub bounds: HostBounds,
     facts: Facts,
+    volumes_by_name: BTreeMap<String, usize>,
 }
 
 impl Deployment {
+    /// The figures that are the same at every host.
+    pub fn figures(&self) -> &Facts {
+        &self.facts
+    }
+
     /// What the decisions at one host are told.
     pub fn facts(&self, me: HostId) -> Facts {
         Facts { me, ..self.facts.clone() }
@@ -125,7 +133,7 @@
     }
 
     pub fn volume(&self, name: &str) -> Option<&NamedVolume> {
-        self.volumes.iter().find(|v| v.name == name)
+        self.volumes_by_name.get(name).map(|place| &self.volumes[*place])
     }
 
     pub fn node(&self, name: &str) -> Option<&NodePlace> {
@@ -250,6 +258,7 @@
         volumes.push(volume(r, n, &plans, &plan_names, &host_names, facts.most_units));
     }
     together(r, document, &hosts, &volumes);
+    let volumes_by_name = volumes.iter().enumerate().map(|(place, v)| (v.name.clone(), place)).collect();
     let built = Deployment {
         zones,
         stream_types,
@@ -263,6 +272,7 @@
         drain_grace,
         bounds,
         facts,
+        volumes_by_name,
     };
     once(r, &built, document);
     built
@@ -327,12 +337,17 @@
 }
 
 fn node(r: &mut Reader, n: &KdlNode, zones: &[String], machines: &[String]) -> NodePlace {
-    r.only(n, 1, &["cell", "zone", "address", "listen", "machine"], &[]);
+    r.only(n, 1, &["cell", "zone", "address", "listen", "machine", "spare"], &[]);
     let machine =
         if n.entry("machine").is_some() { r.refer_at(n, "machine", "machine", machines) } else { None };
     _ = r.number(n, "cell", 0.0);
     let cell = CellId(i64::from(r.whole(n, "cell", 0, 0)));
-    NodePlace { place: place(r, n, zones), cell, machine: machine.unwrap_or_default() }
+    NodePlace {
+        place: place(r, n, zones),
+        cell,
+        machine: machine.unwrap_or_default(),
+        spare: r.flag(n, "spare"),
+    }
 }
 
 fn machine(r: &mut Reader, n: &KdlNode) -> Machine {
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// The span that a text states, if it is one.
+    pub fn as_span(text: &str) -> Option<Span> {
+        span(text)
+    }
+
     /// A span, such as `"150ms"`; `None` where it is not given.
     pub fn span_at(&mut self, node: &KdlNode, key: &str) -> Option<Span> {
         let e = self.entry(node, key, false)?;
--- /dev/null
+++ b/crates/day/src/built_in.rs
@@ -0,0 +1,56 @@
+//! The days that come with the program, and days drawn from them by a seed.
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const FLEET: &str = include_str!("../days/fleet.kdl");
+
+macro_rules! days {
+    ($($name:literal)*) => {
+        const DAYS: &[(&str, &str)] = &[$(($name, include_str!(concat!("../days/", $name, ".kdl")))),*];
+    };
+}
+
+days! {
+    "quiet" "bad-day" "host-crash" "burst" "release" "list-down" "give-up" "costly" "hot-volume" "mass-restart"
+    "neighbour" "pauses" "lead-moves" "scan" "plan-surge" "ageing" "broken-links" "clocks"
+}
+
+/// Name and one line on each.
+pub fn all() -> impl Iterator<Item = (&'static str, &'static str)> {
+    DAYS.iter().map(|(name, text)| (*name, text.lines().next().unwrap_or_default().trim_start_matches("// ")))
+}
+
+/// The whole document of a day.
+pub fn day(name: &str) -> Option<String> {
+    let script = DAYS.iter().find(|d| d.0 == name)?.1;
+    Some(format!("{FLEET}\n{script}"))
+}
+
+/// Two troubles of the built-in days, over each other at moments drawn by the seed.
+pub fn random(seed: u64) -> String {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let single: Vec<_> = DAYS.iter().filter(|d| !["quiet", "bad-day"].contains(&d.0)).collect();
+    let mut text = String::from("// Two kinds of trouble, drawn by a seed.\n");
+    text += &format!("day \"random-{seed}\" lasts=\"12s\" bytes=512 fresh=0.3 tries=2 {{\n");
+    for line in [
+        "ask \"record-read\" rate=60",
+        "ask \"photo-write\" rate=20",
+        "ask \"record-write\" rate=15",
+        "ask \"trip-write\" rate=10",
+        "tests 1",
+    ] {
+        text += &format!("    {line}\n");
+    }
+    for day in single.choose_multiple(&mut rng, 2) {
+        let shift: f64 = rng.random_range(0.0..3.0);
+        text += &format!("    // of {}\n", day.0);
+        for line in day.1.lines().filter(|l| l.trim_start().starts_with("at ")) {
+            let Some((time, rest)) = line.trim_start()[4..].split_once('"') else { continue };
+            let at = gullsail_configuration::Reader::as_span(time).unwrap_or_default();
+            text += &format!("    at \"{}ms\"{rest}\n", (at.millis() + shift * 1e3).round());
+        }
+    }
+    format!("{FLEET}\n{text}}}\n")
+}
--- /dev/null
+++ b/crates/day/src/lib.rs
@@ -0,0 +1,11 @@
+//! A scripted day: [`script`] reads it from the same document as the deployment, [`run`] starts all processes
+//! on free loopback ports with relays between them, plays the troubles, stops everything and has the recording
+//! judged. [`built_in`] holds the days that come with the program.
+
+pub mod built_in;
+pub mod processes;
+pub mod run;
+pub mod script;
+
+pub use run::{Report, RunError, Stage, play};
+pub use script::{Script, Trouble};
--- /dev/null
+++ b/crates/day/src/script.rs
@@ -0,0 +1,302 @@
+//! The script of a day, as the document's `day` entry has it.
+
+use gullsail_configuration::{Deployment, Problems, Reader, deployment};
+use gullsail_interface::Span;
+use kdl::{KdlDocument, KdlNode};
+
+/// What goes wrong, or what clients do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trouble {
+    /// A volume, a plan or `*` asks for so many times as much.
+    Surge {
+        who: String,
+        times: f64,
+        lasts: Span,
+    },
+    /// This part of the clients waits only a part of the SLO time.
+    Impatient {
+        share: f64,
+        part: f64,
+        lasts: Span,
+    },
+    /// Volumes' busiest host is another one from now on.
+    LeadMoves,
+    Stall {
+        node: String,
+        lasts: Span,
+    },
+    Slow {
+        node: String,
+        times: f64,
+        lasts: Span,
+    },
+    Fail {
+        node: String,
+        share: f64,
+        lasts: Span,
+    },
+    /// Killed; after a while another process has its cell, cold, or the same name comes back.
+    Replace {
+        node: String,
+        by: String,
+        after: Span,
+    },
+    /// Told to drain, ended after a while, and replaced by a cold one.
+    Release {
+        node: String,
+        by: String,
+        after: Span,
+    },
+    ListDown {
+        lasts: Span,
+    },
+    LoseLabels {
+        from: String,
+        to: String,
+        share: f64,
+        lasts: Span,
+    },
+    SwapLabels {
+        from: String,
+        to: String,
+        lasts: Span,
+    },
+    Delay {
+        from: String,
+        to: String,
+        by: Span,
+        lasts: Span,
+    },
+    /// Each frame breaks its connection with this chance.
+    Reset {
+        from: String,
+        to: String,
+        share: f64,
+        lasts: Span,
+    },
+    Errors {
+        node: String,
+        share: f64,
+        lasts: Span,
+    },
+    /// No new connection to it comes about, or is answered.
+    Refuse {
+        to: String,
+        lasts: Span,
+    },
+    Silent {
+        to: String,
+        lasts: Span,
+    },
+    /// Its connections break now.
+    Cut {
+        from: String,
+        to: String,
+    },
+    KillHost {
+        host: String,
+        after: Span,
+    },
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Script {
+    pub name: String,
+    pub lasts: Span,
+    /// Rules that this day must put to the test.
+    pub tests: Vec<u8>,
+    /// Transfers a second by stream type.
+    pub rates: Vec<f64>,
+    pub bytes: usize,
+    pub fresh: f64,
+    pub tries: u32,
+    /// Hosts whose clocks are ahead.
+    pub clocks: Vec<(String, Span)>,
+    pub troubles: Vec<(Span, Trouble)>,
+}
+
+/// Reads the deployment and the script of one text.
+///
+/// # Errors
+/// All that is wrong with either.
+pub fn read(name: &str, text: &str) -> Result<(Deployment, Script), Problems> {
+    let (document, mut r) = Reader::open(name, text)?;
+    let d = deployment::build(&document, &mut r);
+    let script = script(&document, &mut r, &d);
+    r.close((d, script))
+}
+
+fn script(document: &KdlDocument, r: &mut Reader, d: &Deployment) -> Script {
+    let Some(day) = document.nodes().iter().find(|n| n.name().value() == "day") else {
+        let help = Some("day \"quiet\" lasts=\"10s\" { ask \"read\" rate=50; }".into());
+        r.note("missing", "no `day` to play".into(), (document.span().offset(), 0).into(), help);
+        return Script::default();
+    };
+    r.only(day, 1, &["lasts", "bytes", "fresh", "tries"], &["ask", "at", "clock", "tests"]);
+    let mut s = Script {
+        name: r.text(day, 0, "a name"),
+        lasts: r.span(day, "lasts"),
+        tests: Vec::new(),
+        rates: vec![0.0; d.stream_types.len()],
+        bytes: r.whole(day, "bytes", 0, 512) as usize,
+        fresh: r.number_at(day, "fresh", 0.0).unwrap_or(0.3),
+        tries: r.whole(day, "tries", 1, 2),
+        clocks: Vec::new(),
+        troubles: Vec::new(),
+    };
+    let stream_types: Vec<_> = d.stream_types.iter().map(|t| t.name.clone()).collect();
+    let hosts: Vec<_> = d.hosts.iter().map(|h| h.name.clone()).collect();
+    for n in day.iter_children() {
+        let first = n.entries().iter().find(|e| e.name().is_none());
+        match n.name().value() {
+            "ask" => {
+                r.only(n, 1, &["rate"], &[]);
+                let place = first.and_then(|e| r.refer(e, "stream type", &stream_types));
+                if let Some(place) = place {
+                    s.rates[place] = r.number(n, "rate", 0.0);
+                }
+            }
+            "clock" => {
+                r.only(n, 1, &["ahead"], &[]);
+                let place = first.and_then(|e| r.refer(e, "host", &hosts));
+                let ahead = r.span(n, "ahead");
+                s.clocks.extend(place.map(|p| (hosts[p].clone(), ahead)));
+            }
+            "tests" => {
+                r.only(n, usize::MAX, &[], &[]);
+                for e in n.entries() {
+                    match e.value().as_integer().filter(|rule| (1..=7).contains(rule)) {
+                        Some(rule) => s.tests.push(rule as u8),
+                        None => r.note("wrong-kind", "rules have numbers 1 to 7".into(), e.span(), None),
+                    }
+                }
+            }
+            "at" => {
+                r.only(n, 1, &[], &KINDS);
+                let text = r.text(n, 0, "a span since the day began");
+                let at = Reader::as_span(&text);
+                if at.is_none() {
+                    let help = Some("at \"4s\" { ... }".into());
+                    r.note("wrong-kind", format!("\"{text}\" is not a span"), n.span(), help);
+                }
+                for t in n.iter_children() {
+                    let trouble = trouble(r, t, d);
+                    s.troubles.extend(trouble.map(|t| (at.unwrap_or_default(), t)));
+                }
+            }
+            _ => {}
+        }
+    }
+    s.troubles.sort_by_key(|t| t.0);
+    s
+}
+
+const KINDS: [&str; 18] = [
+    "surge",
+    "impatient",
+    "lead-moves",
+    "stall",
+    "slow",
+    "fail",
+    "replace",
+    "release",
+    "list-down",
+    "lose-labels",
+    "swap-labels",
+    "delay",
+    "reset",
+    "errors",
+    "refuse",
+    "silent",
+    "cut",
+    "kill-host",
+];
+
+fn trouble(r: &mut Reader, n: &KdlNode, d: &Deployment) -> Option<Trouble> {
+    let nodes: Vec<_> = d.nodes.iter().map(|n| n.place.name.clone()).collect();
+    let hosts: Vec<_> = d.hosts.iter().map(|h| h.name.clone()).collect();
+    let any = |names: &[String]| [names, &["*".to_string()][..]].concat();
+    let all = any(&[&hosts[..], &nodes[..], &["list".to_string()][..]].concat());
+    let name = |r: &mut Reader, what: &str, names: &[String]| -> Option<String> {
+        match n.entries().iter().find(|e| e.name().is_none()) {
+            Some(e) => r.refer(e, what, names).map(|p| names[p].clone()),
+            None => {
+                r.note("missing", format!("`{}` needs a {what}", n.name().value()), n.span(), None);
+                None
+            }
+        }
+    };
+    let key = |r: &mut Reader, key: &str, names: &[String]| {
+        if n.entry(key).is_none() {
+            return Some("*".to_string());
+        }
+        r.refer_at(n, key, "process", names).map(|p| names[p].clone())
+    };
+    let kind = n.name().value();
+    let known: &[&str] = match kind {
+        "surge" => &["times", "for"],
+        "impatient" => &["share", "part", "for"],
+        "stall" => &["for"],
+        "slow" => &["times", "for"],
+        "fail" | "errors" => &["share", "for"],
+        "replace" | "release" => &["by", "after"],
+        "list-down" | "refuse" | "silent" => &["for"],
+        "lose-labels" | "reset" => &["from", "to", "share", "for"],
+        "swap-labels" => &["from", "to", "for"],
+        "delay" => &["from", "to", "by", "for"],
+        "cut" => &["from", "to"],
+        "kill-host" => &["after"],
+        _ => &[],
+    };
+    r.only(n, 1, known, &[]);
+    let lasts = if known.contains(&"for") { r.span(n, "for") } else { Span::ZERO };
+    let after = if known.contains(&"after") { r.span(n, "after") } else { Span::ZERO };
+    let share = if known.contains(&"share") { r.number_at(n, "share", 0.0).unwrap_or(1.0) } else { 1.0 };
+    Some(match kind {
+        "surge" => {
+            let volumes = d.volumes.iter().map(|v| v.name.clone());
+            let names: Vec<_> = volumes.chain(d.plans.iter().map(|p| p.name.clone())).collect();
+            let who = name(r, "volume or plan", &any(&names))?;
+            Trouble::Surge { who, times: r.number(n, "times", 0.0), lasts }
+        }
+        "impatient" => Trouble::Impatient { share, part: r.number(n, "part", 0.0), lasts },
+        "lead-moves" => Trouble::LeadMoves,
+        "stall" => Trouble::Stall { node: name(r, "node", &any(&nodes))?, lasts },
+        "slow" => {
+            Trouble::Slow { node: name(r, "node", &any(&nodes))?, times: r.number(n, "times", 0.0), lasts }
+        }
+        "fail" => Trouble::Fail { node: name(r, "node", &any(&nodes))?, share, lasts },
+        "errors" => Trouble::Errors { node: name(r, "node", &any(&nodes))?, share, lasts },
+        "replace" | "release" => {
+            let node = name(r, "node", &nodes)?;
+            let by = if n.entry("by").is_some() { key(r, "by", &nodes)? } else { node.clone() };
+            if kind == "replace" {
+                Trouble::Replace { node, by, after }
+            } else {
+                Trouble::Release { node, by, after }
+            }
+        }
+        "list-down" => Trouble::ListDown { lasts },
+        "refuse" => Trouble::Refuse { to: name(r, "process", &all)?, lasts },
+        "silent" => Trouble::Silent { to: name(r, "process", &all)?, lasts },
+        "lose-labels" => Trouble::LoseLabels {
+            from: key(r, "from", &any(&hosts))?,
+            to: key(r, "to", &any(&hosts))?,
+            share,
+            lasts,
+        },
+        "swap-labels" => Trouble::SwapLabels {
+            from: key(r, "from", &any(&hosts))?,
+            to: key(r, "to", &any(&hosts))?,
+            lasts,
+        },
+        "delay" => {
+            let by = r.span(n, "by");
+            Trouble::Delay { from: key(r, "from", &all)?, to: key(r, "to", &all)?, by, lasts }
+        }
+        "reset" => Trouble::Reset { from: key(r, "from", &all)?, to: key(r, "to", &all)?, share, lasts },
+        "cut" => Trouble::Cut { from: key(r, "from", &all)?, to: key(r, "to", &all)? },
+        "kill-host" => Trouble::KillHost { host: name(r, "host", &hosts)?, after },
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/crates/host/src/core/mod.rs
@@ -0,0 +1,555 @@
+//! The host as a state machine: [`Input`]s and the time go in, [`Output`]s come out, nothing else. It has no
+//! socket, no clock and no chance of its own, so tests and the laboratory play it at any speed.
+//!
+//! A caller hands over what happened with [`Core::handle`], any number of times, then calls
+//! [`Core::advance`] once and carries out [`Core::outputs`] in their order; [`Core::next_timer`] says when to
+//! call again at the latest. Read `mod.rs` for links and time, [`serve`] for transfers and legs, [`hear`] for
+//! frames that come in, [`nodes`], [`transfers`], [`dial`] and [`clock`] for what they keep.
+
+pub mod clock;
+pub mod dial;
+mod hear;
+pub mod nodes;
+mod serve;
+pub mod transfers;
+
+use clock::PeerClock;
+use dial::{Dial, State};
+use gullsail::Brain;
+use gullsail_configuration::Deployment;
+use gullsail_interface::*;
+use gullsail_protocol::{ClockAsk, Frame, Hello, Label, ListAsk, NotTaken, Role};
+use nodes::Nodes;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use tracing::{debug, info, warn};
+use transfers::{LegId, Transfers};
+
+/// A connection, named by the core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// What happened outside.
+#[derive(Debug)]
+pub enum Input {
+    /// A connection that was asked for stands, or did not come about.
+    Dialled(LinkId),
+    DialFailed(LinkId, String),
+    Frame(LinkId, Frame),
+    /// So many bytes that were sent are off our hands.
+    Written(LinkId, usize),
+    /// The link is over; nothing more comes of it.
+    Closed(LinkId, String),
+    /// Take nothing new, answer what is held, then leave.
+    Stop,
+}
+
+/// What is to be done outside.
+#[derive(Debug)]
+pub enum Output {
+    Dial {
+        link: LinkId,
+        address: String,
+    },
+    Send {
+        link: LinkId,
+        frame: Frame,
+    },
+    /// Writes what was sent, then ends it; also a connection that is still being made.
+    Close {
+        link: LinkId,
+    },
+    /// Reads from the link, or lets its other side wait.
+    Reading {
+        link: LinkId,
+        on: bool,
+    },
+    /// All is answered and the stop was asked for.
+    Left,
+}
+
+/// What was counted since the start.
+#[derive(Clone, Debug, Default, serde::Serialize)]
+pub struct Counts {
+    pub taken: u64,
+    pub not_taken: u64,
+    pub done: u64,
+    pub deferred: u64,
+    pub abandoned: u64,
+    pub clients_left: u64,
+    pub legs: u64,
+    pub late_node_answers: u64,
+    pub links_broken: u64,
+    pub labels_sent: u64,
+    pub labels_heard: u64,
+    /// Not passed on: the sender's clock is not known yet, or too far off.
+    pub labels_dropped: u64,
+    pub nodes_restarted: u64,
+    pub nodes_met_again: u64,
+    pub list_lost: u64,
+    /// Times that clients had to wait since the host held all it may.
+    pub held_back: u64,
+    pub most_open: u64,
+    pub most_held: u64,
+}
+
+/// Labels that wait for a connection or a clock: they count for a tenth of a second only.
+const LABELS_WAIT: usize = 8;
+/// Connections that others opened to this host.
+const MOST_LINKS: usize = 20_000;
+/// Times the connect time-out that the first frame, or a list's reply, may take.
+const PATIENCE: f64 = 4.0;
+/// Between looks at stalled clients and long-gone nodes.
+const SWEEP: Span = Span::from_micros(1_000_000);
+
+struct Link {
+    who: Who,
+    unsent: usize,
+    /// Since when it has taken nothing of what waits for it.
+    stuck_since: Instant,
+    reading: bool,
+    /// By when it must stand, say whose it is, or reply.
+    deadline: Option<Instant>,
+}
+
+enum Who {
+    /// It has not said yet who it is.
+    Stranger,
+    Client,
+    /// A peer that speaks to us, and what is known of its clock; labels wait until something is.
+    PeerIn {
+        host: HostId,
+        clock: PeerClock,
+        waiting: VecDeque<Vec<u8>>,
+        far: bool,
+    },
+    PeerOut(HostId),
+    Node(NodeId),
+    List,
+}
+
+#[derive(Default)]
+struct PeerOut {
+    dial: Dial,
+    waiting: VecDeque<Vec<u8>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    Brain(TimerId),
+    /// A leg has waited long enough for its connection, or for its answer.
+    Leg(LegId),
+    /// A connection, its first frame, or the list's reply may have taken too long.
+    Slow(LinkId),
+    RedialNode(NodeId),
+    RedialPeer(HostId),
+    Clocks,
+    Sweep,
+}
+
+pub struct Core {
+    me: HostId,
+    deployment: Arc<Deployment>,
+    brain: Brain,
+    rng: ChaCha8Rng,
+    now: Instant,
+    born: Instant,
+    incarnation: u64,
+    events: Vec<Event>,
+    outputs: Vec<Output>,
+    due: BTreeMap<(Instant, u64), Due>,
+    last_due: u64,
+    links: BTreeMap<LinkId, Link>,
+    last_link: u64,
+    nodes: Nodes,
+    peers: BTreeMap<HostId, PeerOut>,
+    list: Dial,
+    /// The list was asked on its link and has not replied yet.
+    list_asked: bool,
+    transfers: Transfers,
+    /// Bytes that wait for clients.
+    unsent: usize,
+    held_back: bool,
+    stopping: bool,
+    left: bool,
+    counts: Counts,
+}
+
+impl Core {
+    /// `seed` and `incarnation` are drawn anew for each life of a host.
+    pub fn new(deployment: Arc<Deployment>, me: HostId, seed: u64, incarnation: u64, now: Instant) -> Core {
+        let nodes = Nodes::from_document(&deployment);
+        let mut core = Core {
+            me,
+            brain: Brain::new(deployment.facts(me), seed, now),
+            rng: ChaCha8Rng::seed_from_u64(seed ^ incarnation),
+            now,
+            born: now,
+            incarnation,
+            events: Vec::new(),
+            outputs: Vec::new(),
+            due: BTreeMap::new(),
+            last_due: 0,
+            links: BTreeMap::new(),
+            last_link: 0,
+            nodes,
+            peers: BTreeMap::new(),
+            list: Dial::default(),
+            list_asked: false,
+            transfers: Transfers::default(),
+            unsent: 0,
+            held_back: false,
+            stopping: false,
+            left: false,
+            counts: Counts::default(),
+            deployment,
+        };
+        let remembered = core.nodes.iter().map(|(id, n)| n.entry(id, None)).collect();
+        core.events.push(Event::List { extent: Extent::Remembered, entries: remembered });
+        core.dial_nodes();
+        core.at(now + core.deployment.bounds.clock_every, Due::Clocks);
+        core.at(now + SWEEP, Due::Sweep);
+        core
+    }
+
+    /// Somebody connected; `None`: there are too many already, and the connection is to be dropped.
+    pub fn accept(&mut self, now: Instant) -> Option<LinkId> {
+        self.now = self.now.max(now);
+        if self.links.len() >= MOST_LINKS || self.stopping {
+            return None;
+        }
+        let link = self.link(Who::Stranger);
+        self.slow(link, PATIENCE);
+        self.send(link, self.hello());
+        Some(link)
+    }
+
+    pub fn handle(&mut self, now: Instant, input: Input) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Dialled(link) => self.dialled(link),
+            Input::DialFailed(link, why) => self.over(link, &why),
+            Input::Frame(link, frame) => self.hear(link, frame),
+            Input::Written(link, bytes) => self.written(link, bytes),
+            Input::Closed(link, why) => self.over(link, &why),
+            Input::Stop if !self.stopping => {
+                info!(open = self.transfers.open(), "stopping: nothing new is taken");
+                self.stopping = true;
+            }
+            Input::Stop => {}
+        }
+    }
+
+    /// Plays what is due, and lets the decisions answer all that came.
+    pub fn advance(&mut self, now: Instant) {
+        self.now = self.now.max(now);
+        while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= self.now) {
+            let due = entry.remove();
+            self.play(due);
+        }
+        // A leg that can't go out ends at once and may bring another; legs of a transfer are bounded.
+        while !self.events.is_empty() {
+            let events = std::mem::take(&mut self.events);
+            for action in self.brain.step(self.now, events) {
+                self.act(action);
+            }
+        }
+        self.transfers.settled();
+        self.hold_back();
+        if self.stopping && self.transfers.open() == 0 && !std::mem::replace(&mut self.left, true) {
+            info!("all is answered");
+            self.outputs.push(Output::Left);
+        }
+    }
+
+    pub fn outputs(&mut self) -> std::vec::Drain<'_, Output> {
+        self.outputs.drain(..)
+    }
+
+    pub fn next_timer(&self) -> Option<Instant> {
+        self.due.first_key_value().map(|(at, _)| at.0)
+    }
+
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Open transfers, legs that are out, and bytes held for either and for clients.
+    pub fn load(&self) -> (usize, usize, usize) {
+        (self.transfers.open(), self.transfers.legs_out(), self.transfers.held() + self.unsent)
+    }
+
+    fn at(&mut self, at: Instant, due: Due) {
+        self.last_due += 1;
+        self.due.insert((at, self.last_due), due);
+    }
+
+    fn link(&mut self, who: Who) -> LinkId {
+        self.last_link += 1;
+        let link = Link { who, unsent: 0, stuck_since: self.now, reading: true, deadline: None };
+        self.links.insert(LinkId(self.last_link), link);
+        LinkId(self.last_link)
+    }
+
+    /// From now on the other side has so many connect time-outs for what is awaited from it.
+    fn slow(&mut self, id: LinkId, times: f64) {
+        let by = self.now + self.deployment.bounds.connect.times(times);
+        if let Some(link) = self.links.get_mut(&id) {
+            link.deadline = Some(by);
+            self.at(by, Due::Slow(id));
+        }
+    }
+
+    /// It came in time.
+    fn in_time(&mut self, id: LinkId) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.deadline = None;
+        }
+    }
+
+    fn hello(&self) -> Frame {
+        let name = self.deployment.hosts[self.me.0 as usize].name.clone();
+        let age_us = (self.now - self.born).micros();
+        let role = Role::Host as i32;
+        Frame::from(Hello { role, name, incarnation: self.incarnation, age_us, cell_plus_one: 0 })
+    }
+
+    fn send(&mut self, to: LinkId, frame: Frame) {
+        let Some(link) = self.links.get_mut(&to) else { return };
+        if link.unsent == 0 {
+            link.stuck_since = self.now;
+        }
+        link.unsent += frame.len();
+        if matches!(link.who, Who::Client) {
+            self.unsent += frame.len();
+        }
+        self.outputs.push(Output::Send { link: to, frame });
+    }
+
+    fn written(&mut self, id: LinkId, bytes: usize) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let bytes = bytes.min(link.unsent);
+        link.unsent -= bytes;
+        link.stuck_since = self.now;
+        if matches!(link.who, Who::Client) {
+            self.unsent -= bytes;
+        }
+        self.pressure(id);
+    }
+
+    /// Ends a link from here: what it was for hears of it as of any other end.
+    fn hang_up(&mut self, link: LinkId, why: &str) {
+        if self.links.contains_key(&link) {
+            self.outputs.push(Output::Close { link });
+            self.over(link, why);
+        }
+    }
+
+    /// A link is over, whoever ended it.
+    fn over(&mut self, id: LinkId, why: &str) {
+        let Some(link) = self.links.remove(&id) else { return };
+        self.counts.links_broken += 1;
+        let redial = self.deployment.bounds.redial;
+        match link.who {
+            Who::Stranger => info!(link = id.0, why, "connection ended before it said whose it is"),
+            Who::Client => {
+                self.unsent -= link.unsent;
+                let left = self.transfers.of_link(id);
+                debug!(link = id.0, why, open = left.len(), "client gone");
+                for transfer in left {
+                    self.client_left(transfer);
+                }
+            }
+            Who::PeerIn { host, .. } => debug!(peer = host.0, why, "peer gone"),
+            Who::PeerOut(host) => {
+                debug!(peer = host.0, why, "no connection to peer");
+                if let Some(p) = self.peers.get_mut(&host) {
+                    // What waits is stale by the next try, and a try is made only for something to say.
+                    p.waiting.clear();
+                    let at = p.dial.lost(self.now, redial, &mut self.rng);
+                    self.at(at, Due::RedialPeer(host));
+                }
+            }
+            Who::Node(node) => self.node_lost(node, why),
+            Who::List => {
+                self.list.state = State::Idle;
+                self.list_asked = false;
+                self.list_is_lost(why);
+            }
+        }
+    }
+
+    fn list_is_lost(&mut self, why: &str) {
+        warn!(why, "node list out of reach");
+        self.counts.list_lost += 1;
+        self.events.push(Event::ListLost);
+    }
+
+    fn dialled(&mut self, id: LinkId) {
+        let hello = self.hello();
+        let Some(link) = self.links.get(&id) else { return };
+        let dial = match link.who {
+            Who::Node(node) => self.nodes.get(node).map(|n| &mut n.dial),
+            Who::PeerOut(host) => self.peers.get_mut(&host).map(|p| &mut p.dial),
+            Who::List => Some(&mut self.list),
+            _ => None,
+        };
+        if let Some(dial) = dial {
+            dial.state = State::Greeting(id);
+            self.send(id, hello);
+            self.slow(id, PATIENCE);
+        }
+    }
+
+    /// The addresses of others come from the document, the node's from the list.
+    fn dial(&mut self, who: Who, address: String) -> LinkId {
+        let link = self.link(who);
+        self.slow(link, 1.0);
+        self.outputs.push(Output::Dial { link, address });
+        link
+    }
+
+    /// Connections to nodes stand before they are needed: only a node's first frame tells how old it is.
+    fn dial_nodes(&mut self) {
+        let wanted: Vec<_> = self
+            .nodes
+            .iter()
+            .filter(|(_, n)| {
+                n.standing != Standing::Gone && n.dial.state == State::Idle && !n.address.is_empty()
+            })
+            .map(|(id, n)| (id, n.address.clone()))
+            .collect();
+        for (id, address) in wanted {
+            let link = self.dial(Who::Node(id), address);
+            if let Some(n) = self.nodes.get(id) {
+                n.dial.state = State::Dialling(link);
+            }
+        }
+    }
+
+    fn dial_list(&mut self) {
+        if let Some(link) = self.list.up() {
+            if !std::mem::replace(&mut self.list_asked, true) {
+                self.send(link, Frame::from(ListAsk { watch: true }));
+                self.slow(link, PATIENCE);
+            }
+        } else if self.list.link().is_none() {
+            let address = self.deployment.list.address.clone();
+            let link = self.dial(Who::List, address);
+            self.list.state = State::Dialling(link);
+        }
+    }
+
+    fn tell(&mut self, to: HostId, bytes: Vec<u8>) {
+        self.counts.labels_sent += 1;
+        let Some(place) = self.deployment.hosts.get(to.0 as usize) else { return };
+        let peer = self.peers.entry(to).or_default();
+        if let Some(link) = peer.dial.up() {
+            return self.send(link, Frame::from(Label { bytes }));
+        }
+        // The newest count: what waits longer than the next try takes is stale.
+        if peer.waiting.len() >= LABELS_WAIT {
+            peer.waiting.pop_front();
+        }
+        peer.waiting.push_back(bytes);
+        if peer.dial.state == State::Idle {
+            let address = place.address.clone();
+            let link = self.dial(Who::PeerOut(to), address);
+            self.peers.entry(to).or_default().dial.state = State::Dialling(link);
+        }
+    }
+
+    fn play(&mut self, due: Due) {
+        match due {
+            Due::Brain(id) => self.events.push(Event::Timer(id)),
+            Due::Leg(leg) => self.leg_is_late(leg),
+            Due::Slow(link) => self.is_slow(link),
+            Due::RedialNode(node) => {
+                if let Some(n) = self.nodes.get(node).filter(|n| matches!(n.dial.state, State::Waiting(_))) {
+                    n.dial.state = State::Idle;
+                    self.dial_nodes();
+                }
+            }
+            Due::RedialPeer(host) => {
+                let peer = self.peers.get_mut(&host).filter(|p| matches!(p.dial.state, State::Waiting(_)));
+                if let Some(peer) = peer {
+                    peer.dial.state = State::Idle;
+                }
+            }
+            Due::Clocks => {
+                let peers = self.links.iter().filter(|(_, l)| matches!(l.who, Who::PeerIn { .. }));
+                for link in peers.map(|(id, _)| *id).collect::<Vec<_>>() {
+                    self.ask_clock(link);
+                }
+                self.at(self.now + self.deployment.bounds.clock_every, Due::Clocks);
+            }
+            Due::Sweep => {
+                let patience = self.deployment.bounds.client_stall;
+                let stuck = |l: &Link| {
+                    matches!(l.who, Who::Client) && l.unsent > 0 && self.now - l.stuck_since > patience
+                };
+                let stuck: Vec<_> = self.links.iter().filter(|(_, l)| stuck(l)).map(|(id, _)| *id).collect();
+                for link in stuck {
+                    warn!(link = link.0, "client takes none of its answers: let go");
+                    self.hang_up(link, "takes none of its answers");
+                }
+                self.nodes.forget(self.now);
+                self.at(self.now + SWEEP, Due::Sweep);
+            }
+        }
+    }
+
+    fn ask_clock(&mut self, link: LinkId) {
+        self.send(link, Frame::from(ClockAsk { asked_us: self.now.micros() }));
+    }
+
+    fn is_slow(&mut self, id: LinkId) {
+        let Some(link) = self.links.get(&id) else { return };
+        if link.deadline.is_none_or(|by| by > self.now) {
+            return;
+        }
+        let why = match link.who {
+            Who::Stranger => "no first frame in time",
+            Who::List if self.list_asked => "no reply in time",
+            _ => "no connection or no first frame in time",
+        };
+        self.hang_up(id, why);
+    }
+
+    /// Clients wait while this host holds all it may; each waits while its own answers pile up.
+    fn hold_back(&mut self) {
+        let b = &self.deployment.bounds;
+        let held = self.transfers.held() + self.unsent;
+        self.counts.most_open = self.counts.most_open.max(self.transfers.open() as u64);
+        self.counts.most_held = self.counts.most_held.max(held as u64);
+        let full = self.transfers.open() >= b.most_open as usize || held >= b.most_held;
+        // Some room first, so that reading does not go on and off with each frame.
+        let roomy =
+            self.transfers.open() * 10 < b.most_open as usize * 9 && held / 10 < b.most_held / 10 * 9 / 10;
+        if full != self.held_back && (full || roomy) {
+            self.held_back = full;
+            self.counts.held_back += u64::from(full);
+            let clients = self.links.iter().filter(|(_, l)| matches!(l.who, Who::Client));
+            for link in clients.map(|(id, _)| *id).collect::<Vec<_>>() {
+                self.pressure(link);
+            }
+        }
+    }
+
+    fn pressure(&mut self, id: LinkId) {
+        let most = self.deployment.bounds.most_unsent;
+        let Some(link) = self.links.get_mut(&id).filter(|l| matches!(l.who, Who::Client)) else { return };
+        let on = !self.held_back && link.unsent < most;
+        if link.reading != on {
+            link.reading = on;
+            self.outputs.push(Output::Reading { link: id, on });
+        }
+    }
+
+    fn not_taken(&mut self, link: LinkId, id: u64, reason: String, leaving: bool) {
+        self.counts.not_taken += 1;
+        self.send(link, Frame::from(NotTaken { id, reason, leaving }));
+    }
+}
--- /dev/null
+++ b/crates/host/src/core/nodes.rs
@@ -0,0 +1,160 @@
+//! The nodes as the list and their own first frames tell of them. Two sources name starts: the list, late, and
+//! a node itself. Both name the incarnation, so that one start has one point in time here, whoever told it
+//! first; else a start told twice would look like two, and a drain would be taken back by the second telling.
+
+use super::dial::Dial;
+use super::transfers::LegId;
+use gullsail_configuration::{Deployment, node_id};
+use gullsail_interface::*;
+use gullsail_protocol::{ListEntry, ListStanding};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Incarnations remembered for a node: the list is late by a few restarts at most.
+const REMEMBERED: usize = 8;
+/// Longer than the decisions remember a node that is gone: the same start must not be told to them anew.
+const FORGET: Span = Span::from_micros(120_000_000);
+
+#[derive(Debug)]
+pub struct NodeSide {
+    pub name: String,
+    pub address: String,
+    pub cell: CellId,
+    pub zone: ZoneId,
+    pub standing: Standing,
+    pub dial: Dial,
+    /// As it said on its newest connection.
+    pub incarnation: Option<u64>,
+    /// When each incarnation started, as first told.
+    starts: VecDeque<(u64, Option<Instant>)>,
+    /// Since when the list calls it gone.
+    gone: Option<Instant>,
+    /// Legs that wait for the connection.
+    pub pending: BTreeSet<LegId>,
+}
+
+impl NodeSide {
+    fn start(&mut self, incarnation: u64, age: Span, now: Instant) -> Option<Instant> {
+        if incarnation == 0 {
+            return None;
+        }
+        if let Some((_, start)) = self.starts.iter().find(|s| s.0 == incarnation) {
+            return *start;
+        }
+        let start = Some(now - age.max(Span::ZERO));
+        self.starts.push_back((incarnation, start));
+        if self.starts.len() > REMEMBERED {
+            self.starts.pop_front();
+        }
+        start
+    }
+
+    pub fn entry(&self, id: NodeId, started: Option<Instant>) -> NodeEntry {
+        NodeEntry { node: id, cell: self.cell, zone: self.zone, standing: self.standing, started }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Nodes {
+    all: BTreeMap<NodeId, NodeSide>,
+}
+
+impl Nodes {
+    pub fn from_document(d: &Deployment) -> Nodes {
+        let side = |n: &gullsail_configuration::NodePlace| NodeSide {
+            name: n.place.name.clone(),
+            address: n.place.address.clone(),
+            cell: n.cell,
+            zone: n.place.zone,
+            standing: Standing::Ready,
+            dial: Dial::default(),
+            incarnation: None,
+            starts: VecDeque::new(),
+            gone: None,
+            pending: BTreeSet::new(),
+        };
+        Nodes {
+            all: d.nodes.iter().filter(|n| !n.spare).map(|n| (node_id(&n.place.name), side(n))).collect(),
+        }
+    }
+
+    pub fn get(&mut self, id: NodeId) -> Option<&mut NodeSide> {
+        self.all.get_mut(&id)
+    }
+    pub fn iter(&self) -> impl Iterator<Item = (NodeId, &NodeSide)> {
+        self.all.iter().map(|(id, n)| (*id, n))
+    }
+
+    /// What the list tells, as entries for the decisions.
+    pub fn listed(
+        &mut self,
+        whole: bool,
+        news: Vec<ListEntry>,
+        zones: &[String],
+        now: Instant,
+    ) -> Vec<NodeEntry> {
+        let named: BTreeSet<NodeId> = news.iter().map(|e| node_id(&e.name)).collect();
+        if whole {
+            let missing = self.all.iter_mut().filter(|(id, _)| !named.contains(id));
+            missing.for_each(|(_, n)| n.standing = Standing::Gone);
+        }
+        let mut entries = Vec::with_capacity(news.len());
+        for e in news {
+            let id = node_id(&e.name);
+            let zone = ZoneId(zones.iter().position(|z| *z == e.zone).unwrap_or(usize::MAX));
+            let standing = match ListStanding::try_from(e.standing) {
+                Ok(ListStanding::Ready) => Standing::Ready,
+                Ok(ListStanding::Gone) => Standing::Gone,
+                // A standing of a newer version: whatever it is, it is not plainly ready.
+                Ok(ListStanding::Draining) | Err(_) => Standing::Draining,
+            };
+            let side = self.all.entry(id).or_insert_with(|| NodeSide {
+                name: e.name.clone(),
+                address: String::new(),
+                cell: CellId(e.cell),
+                zone,
+                standing,
+                dial: Dial::default(),
+                incarnation: None,
+                starts: VecDeque::new(),
+                gone: None,
+                pending: BTreeSet::new(),
+            });
+            (side.address, side.cell, side.zone, side.standing) = (e.address, CellId(e.cell), zone, standing);
+            let started = side.start(e.incarnation, Span::from_micros(e.age_us), now);
+            entries.push(side.entry(id, started));
+        }
+        entries
+    }
+
+    /// A node's first frame on a connection: its start is certain now. `true`: another process than before.
+    pub fn greeted(
+        &mut self,
+        id: NodeId,
+        incarnation: u64,
+        age: Span,
+        now: Instant,
+    ) -> Option<(NodeEntry, bool)> {
+        let side = self.all.get_mut(&id)?;
+        let started = side.start(incarnation, age, now);
+        let another = side.incarnation.replace(incarnation).is_some_and(|before| before != incarnation);
+        Some((side.entry(id, started), another))
+    }
+
+    /// Ready nodes that hold the same cell as another, which only a hand-over explains.
+    pub fn cells_twice(&self) -> Vec<(CellId, Vec<&str>)> {
+        let mut cells: BTreeMap<CellId, Vec<&str>> = BTreeMap::new();
+        for n in self.all.values().filter(|n| n.standing == Standing::Ready) {
+            cells.entry(n.cell).or_default().push(&n.name);
+        }
+        cells.into_iter().filter(|c| c.1.len() > 1).collect()
+    }
+
+    /// Forgets nodes that are long gone and that nothing here needs.
+    pub fn forget(&mut self, now: Instant) {
+        for n in self.all.values_mut() {
+            n.gone = (n.standing == Standing::Gone).then(|| n.gone.unwrap_or(now));
+        }
+        let needed = |n: &NodeSide| !n.pending.is_empty() || n.dial.link().is_some();
+        self.all.retain(|_, n| needed(n) || n.gone.is_none_or(|since| now - since <= FORGET));
+    }
+}
--- /dev/null
+++ b/crates/host/src/core/serve.rs
@@ -0,0 +1,257 @@
+//! Transfers, legs and answers: what the decisions ask for becomes frames, what comes of legs becomes events.
+
+use super::transfers::{LegId, Open, object};
+use super::*;
+use gullsail_protocol::{Answer, Cancel, Handle, Leg, LegAnswer, LegResult, Outcome, Submit};
+
+impl Core {
+    /// A client hands a transfer over. What can't be taken is told so at once, with the reason.
+    pub(super) fn submit(&mut self, link: LinkId, submit: Submit, body: bytes::Bytes) {
+        let d = &self.deployment;
+        if self.transfers.find(link, submit.id).is_some() {
+            return self.hang_up(link, "one id for two open transfers");
+        }
+        let id = submit.id;
+        if self.stopping {
+            return self.not_taken(link, id, "this host is leaving".into(), true);
+        }
+        let Some(place) = d.stream_types.iter().position(|s| s.name == submit.stream_type) else {
+            let reason = format!("no stream type is called \"{}\"", submit.stream_type);
+            return self.not_taken(link, id, reason, false);
+        };
+        let Some(volume) = d.volume(&submit.volume) else {
+            return self.not_taken(link, id, format!("no volume is called \"{}\"", submit.volume), false);
+        };
+        let stream_type = &d.stream_types[place];
+        let most = d.figures().most_units;
+        let wrong = if !volume.hosts.contains(&self.me) {
+            Some(format!("volume \"{}\" does not come through this host", volume.name))
+        } else if !(submit.units > 0.0 && submit.units <= most) {
+            Some(format!("{} units; more than 0 and at most {most} can be taken", submit.units))
+        } else if submit.ttl_us <= 0 {
+            Some("its time is up".into())
+        } else if !stream_type.write && submit.handle.is_none() {
+            Some("a read needs the handle of what it reads".into())
+        } else if !stream_type.write && !body.is_empty() {
+            Some("a read has no body".into())
+        } else {
+            None
+        };
+        if let Some(reason) = wrong {
+            return self.not_taken(link, id, reason, false);
+        }
+        let transfer = Transfer {
+            id: TransferId::default(),
+            stream_type: StreamTypeId(place),
+            plan: volume.plan,
+            volume: volume.id,
+            units: submit.units,
+            cell: submit.handle.map(|h| CellId(h.cell)),
+            object: object(&submit),
+            ttl: Span::from_micros(submit.ttl_us).min(stream_type.expiry),
+            volume_hosts: volume.hosts.len() as u32,
+        };
+        let write = stream_type.write;
+        let id = self.transfers.take(Open { link, submit, write, body, legs: 0 });
+        self.counts.taken += 1;
+        self.events.push(Event::Arrived(Transfer { id, ..transfer }));
+    }
+
+    pub(super) fn withdraw(&mut self, link: LinkId, name: u64) {
+        if let Some(id) = self.transfers.find(link, name) {
+            self.client_left(id);
+        }
+    }
+
+    pub(super) fn client_left(&mut self, id: TransferId) {
+        if self.transfers.leave(id) {
+            self.counts.clients_left += 1;
+            self.events.push(Event::ClientLeft(id));
+        }
+    }
+
+    pub(super) fn act(&mut self, action: Action) {
+        match action {
+            Action::Leg { id, node, time_out } => self.leg(id, node, time_out),
+            Action::Defer { id, come_back } => {
+                let come_back_us = come_back.map_or(0, Span::micros);
+                self.answer(id, Outcome::Deferred, None, come_back_us, bytes::Bytes::new());
+            }
+            Action::Abandon { id } => self.answer(id, Outcome::Abandoned, None, 0, bytes::Bytes::new()),
+            Action::Watch => self.dial_list(),
+            Action::Timer { id, at } => self.at(at, Due::Brain(id)),
+            Action::Tell { to, bytes } => self.tell(to, bytes),
+        }
+    }
+
+    /// The one final answer. A transfer that has it is no longer open, so there is no second.
+    fn answer(
+        &mut self,
+        id: TransferId,
+        outcome: Outcome,
+        handle: Option<Handle>,
+        come_back_us: i64,
+        body: bytes::Bytes,
+    ) {
+        let Some(open) = self.transfers.end(id) else { return };
+        match outcome {
+            Outcome::Done => self.counts.done += 1,
+            Outcome::Deferred => self.counts.deferred += 1,
+            _ => self.counts.abandoned += 1,
+        }
+        let answer = Answer { id: open.submit.id, outcome: outcome as i32, handle, come_back_us };
+        self.send(open.link, Frame::from(answer).with_body(body));
+        self.pressure(open.link);
+    }
+
+    fn leg(&mut self, id: TransferId, node: NodeId, time_out: Option<Span>) {
+        let now = self.now;
+        let lasts = time_out.unwrap_or(self.deployment.stream_types[0].expiry);
+        let number = self.transfers.next_leg(id);
+        let known = self.nodes.get(node).is_some();
+        let Some(leg) = known.then(|| self.transfers.leg(id, node, now, lasts)).flatten() else {
+            // Its client has just left, or its node is forgotten: the leg does not go out.
+            let (ending, finished) = (Ending::Unsent, self.transfers.get(id).is_none());
+            let end = LegEnd { id, leg: number, node, ending, took: Span::ZERO, finished, used: None };
+            return self.events.push(Event::LegEnded(end));
+        };
+        self.counts.legs += 1;
+        let Some(n) = self.nodes.get(node).filter(|n| n.dial.up().is_none()) else {
+            return self.send_leg(leg);
+        };
+        // It waits for the connection, no longer than one takes to be made: until then it certainly never ran.
+        n.pending.insert(leg);
+        self.at(now + self.deployment.bounds.connect.min(lasts), Due::Leg(leg));
+        self.dial_nodes();
+    }
+
+    fn send_leg(&mut self, leg: LegId) {
+        let now = self.now;
+        let Some(out) = self.transfers.out(leg) else { return };
+        let (transfer, node, number, left) = (out.transfer, out.node, out.number, out.ends - now);
+        let link = self.nodes.get(node).and_then(|n| n.dial.up());
+        let Some((link, open)) = link.zip(self.transfers.get(transfer)).filter(|_| left > Span::ZERO) else {
+            return self.leg_over(leg, Ending::Unsent, None);
+        };
+        let s = &open.submit;
+        let frame = Leg {
+            leg: leg.0,
+            stream_type: s.stream_type.clone(),
+            volume: s.volume.clone(),
+            units: s.units,
+            write: open.write,
+            handle: s.handle,
+            mark: s.mark.clone(),
+            repeat: s.repeat,
+            number,
+            time_out_us: left.micros(),
+        };
+        let frame = Frame::from(frame).with_body(open.body.clone());
+        let ends = now + left;
+        if let Some(out) = self.transfers.out(leg) {
+            out.sent = Some(now);
+        }
+        self.send(link, frame);
+        self.at(ends, Due::Leg(leg));
+    }
+
+    /// How a leg ended, to the decisions; once for each leg.
+    fn leg_over(&mut self, leg: LegId, ending: Ending, used: Option<f64>) {
+        let Some(out) = self.transfers.leg_ended(leg) else { return };
+        if let Some(n) = self.nodes.get(out.node) {
+            n.pending.remove(&leg);
+        }
+        let finished = ending == Ending::Done || self.transfers.get(out.transfer).is_none();
+        let took = self.now - out.sent.unwrap_or(out.made);
+        let (id, leg, node) = (out.transfer, out.number, out.node);
+        self.events.push(Event::LegEnded(LegEnd { id, leg, node, ending, took, finished, used }));
+    }
+
+    pub(super) fn leg_is_late(&mut self, leg: LegId) {
+        let Some(out) = self.transfers.out(leg) else { return };
+        match out.sent {
+            None => self.leg_over(leg, Ending::Unreached, None),
+            Some(_) if out.ends <= self.now => {
+                let node = out.node;
+                self.leg_over(leg, Ending::TimedOut, None);
+                if let Some(link) = self.nodes.get(node).and_then(|n| n.dial.up()) {
+                    self.send(link, Frame::from(Cancel { leg: leg.0 }));
+                }
+            }
+            // The timer of its wait for the connection, which came in time.
+            Some(_) => {}
+        }
+    }
+
+    pub(super) fn leg_answer(&mut self, node: NodeId, answer: LegAnswer, body: bytes::Bytes) {
+        let leg = LegId(answer.leg);
+        // Late, or another node's: nothing waits for it here.
+        let Some(out) = self.transfers.out(leg).filter(|o| o.node == node && o.sent.is_some()) else {
+            self.counts.late_node_answers += 1;
+            debug!(leg = answer.leg, node = node.0, "late answer of a node: discarded");
+            return;
+        };
+        let transfer = out.transfer;
+        let used = answer.used_plus_one.checked_sub(1).map(|percent| f64::from(percent) / 100.0);
+        let ending = match LegResult::try_from(answer.result) {
+            Ok(LegResult::Done) => Ending::Done,
+            Ok(LegResult::TurnedAway) => Ending::TurnedAway,
+            // A result of a newer version: it may have run.
+            Ok(LegResult::Failed | LegResult::Unknown) | Err(_) => Ending::Failed,
+        };
+        if ending == Ending::Done {
+            let handle = answer.handle.or(self.transfers.get(transfer).and_then(|o| o.submit.handle));
+            self.answer(transfer, Outcome::Done, handle, 0, body);
+        } else if !answer.reason.is_empty() {
+            debug!(leg = answer.leg, node = node.0, reason = answer.reason, "leg not done");
+        }
+        self.leg_over(leg, ending, used);
+    }
+
+    /// A node said who it is: its start is told to the decisions before anything is sent to it.
+    pub(super) fn node_up(&mut self, node: NodeId, link: LinkId, incarnation: u64, age: Span) {
+        let Some((entry, another)) = self.nodes.greeted(node, incarnation, age, self.now) else { return };
+        let Some(n) = self.nodes.get(node) else { return };
+        n.dial.is_up(link);
+        self.links.entry(link).and_modify(|l| l.deadline = None);
+        let pending = std::mem::take(&mut n.pending);
+        let name = &n.name;
+        if another {
+            self.counts.nodes_restarted += 1;
+            info!(node = name, "node restarted");
+        } else {
+            self.counts.nodes_met_again += 1;
+            debug!(node = name, "node is up, the same process as before");
+        }
+        self.events.push(Event::List { extent: Extent::Seen, entries: vec![entry] });
+        pending.into_iter().for_each(|leg| self.send_leg(leg));
+    }
+
+    /// Its connection is over, or did not come about. Legs that were sent may have run; others wait for the
+    /// next try as long as they may.
+    pub(super) fn node_lost(&mut self, node: NodeId, why: &str) {
+        let redial = self.deployment.bounds.redial;
+        let legs = self.transfers.at_node(node);
+        let Some(n) = self.nodes.get(node) else { return };
+        let was_up = n.dial.up().is_some();
+        if was_up {
+            warn!(node = n.name, why, legs = legs.len(), "connection to node broke");
+        } else {
+            debug!(node = n.name, why, "no connection to node");
+        }
+        let gone = n.standing == Standing::Gone;
+        let at = n.dial.lost(self.now, redial, &mut self.rng);
+        if gone {
+            n.dial.state = super::State::Idle;
+        } else {
+            self.at(at, Due::RedialNode(node));
+        }
+        for leg in legs {
+            if self.transfers.out(leg).is_some_and(|l| l.sent.is_some()) {
+                self.leg_over(leg, Ending::Broken, None);
+            } else if gone {
+                self.leg_over(leg, Ending::Unreached, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/drive.rs
@@ -0,0 +1,187 @@
+//! The thin part of the host: sockets, one timer, the clock. Whatever happens is handed to [`Core`], whatever
+//! it asks for is done; nothing is decided here.
+
+use crate::core::{Core, Counts, Input, LinkId, Output};
+use gullsail_configuration::Deployment;
+use gullsail_interface::{HostId, Instant, Span};
+use gullsail_links::{Happened, Link};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+use tracing::{info, warn};
+
+/// Frames that wait to be handled, over all links; then sockets are not read.
+const INBOX: usize = 1024;
+/// Frames that wait to be written to one link; a link on which more pile up is ended.
+const OUTBOX: usize = 16_384;
+/// Handled together before anything is sent.
+const BATCH: usize = 256;
+
+/// Runs from the wall clock at its start and never back: a machine's clock that is set while the host runs
+/// does not move it.
+#[derive(Clone, Copy, Debug)]
+pub struct HostClock {
+    base: tokio::time::Instant,
+    wall: Instant,
+}
+
+impl HostClock {
+    /// `ahead` is for tests of hosts whose clocks differ.
+    pub fn start(ahead: Span) -> HostClock {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let wall = Instant::from_micros(wall.as_micros() as i64) + ahead;
+        HostClock { base: tokio::time::Instant::now(), wall }
+    }
+
+    pub fn now(&self) -> Instant {
+        self.wall + Span::from_micros(self.base.elapsed().as_micros() as i64)
+    }
+
+    fn at(&self, at: Instant) -> tokio::time::Instant {
+        self.base + Duration::from_micros((at - self.wall).micros().max(0) as u64)
+    }
+}
+
+/// Which host this is, and in which life.
+#[derive(Clone, Debug)]
+pub struct Life {
+    pub deployment: Arc<Deployment>,
+    pub me: HostId,
+    pub seed: u64,
+    pub incarnation: u64,
+    pub clock: HostClock,
+}
+
+/// Serves until `stop` is ready and all that was taken is answered.
+pub async fn run(life: Life, listener: TcpListener, stop: impl Future<Output = ()>) -> Counts {
+    let Life { deployment, me, seed, incarnation, clock } = life;
+    let bounds = deployment.bounds.frame;
+    let mut core = Core::new(deployment, me, seed, incarnation, clock.now());
+    let (sink, mut inbox) = mpsc::channel(INBOX);
+    let mut links: BTreeMap<LinkId, Link> = BTreeMap::new();
+    let mut tasks = JoinSet::new();
+    let mut dials: JoinSet<(LinkId, std::io::Result<TcpStream>)> = JoinSet::new();
+    let mut dialling: BTreeMap<LinkId, AbortHandle> = BTreeMap::new();
+    let mut batch = Vec::with_capacity(BATCH);
+    let (mut listener, mut left) = (Some(listener), false);
+    tokio::pin!(stop);
+    loop {
+        core.advance(clock.now());
+        let mut full = Vec::new();
+        for output in core.outputs() {
+            match output {
+                Output::Send { link, frame } => {
+                    if links.get(&link).is_some_and(|l| l.send(frame).is_err()) {
+                        full.push(link);
+                    }
+                }
+                Output::Reading { link, on } => {
+                    if let Some(l) = links.get(&link) {
+                        l.reading(on);
+                    }
+                }
+                Output::Dial { link, address } => {
+                    let dial = dials.spawn(async move { (link, TcpStream::connect(&address).await) });
+                    dialling.insert(link, dial);
+                }
+                Output::Close { link } => {
+                    links.remove(&link);
+                    if let Some(dial) = dialling.remove(&link) {
+                        dial.abort();
+                    }
+                }
+                Output::Left => left = true,
+            }
+        }
+        if left {
+            leave(links, &mut tasks).await;
+            return core.counts().clone();
+        }
+        if !full.is_empty() {
+            for link in full {
+                if links.remove(&link).is_some() {
+                    core.handle(clock.now(), Input::Closed(link, "takes nothing of what is sent".into()));
+                }
+            }
+            continue;
+        }
+        let wake = core.next_timer().map(|at| clock.at(at));
+        tokio::select! {
+            () = &mut stop, if listener.is_some() => {
+                listener = None;
+                core.handle(clock.now(), Input::Stop);
+            }
+            came = accept(listener.as_ref()) => match came {
+                Ok((stream, _)) => {
+                    // The core's first frame to it is among its outputs, so the link must stand before those.
+                    if let Some(id) = core.accept(clock.now()) {
+                        links.insert(id, Link::open(stream, id, bounds, OUTBOX, &sink, &mut tasks));
+                    }
+                }
+                Err(e) => {
+                    // Out of file descriptors, mostly: a moment later there may be some.
+                    warn!(error = %e, "cannot accept a connection");
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            },
+            made = dials.join_next(), if !dials.is_empty() => {
+                if let Some(Ok((id, made))) = made
+                    && dialling.remove(&id).is_some()
+                {
+                    let input = match made {
+                        Ok(stream) => {
+                            links.insert(id, Link::open(stream, id, bounds, OUTBOX, &sink, &mut tasks));
+                            Input::Dialled(id)
+                        }
+                        Err(e) => Input::DialFailed(id, e.to_string()),
+                    };
+                    core.handle(clock.now(), input);
+                }
+            }
+            _ = inbox.recv_many(&mut batch, BATCH) => {
+                let now = clock.now();
+                for (id, happened) in batch.drain(..) {
+                    let input = match happened {
+                        Happened::Frame(frame) => Input::Frame(id, frame),
+                        Happened::Written(bytes) => Input::Written(id, bytes),
+                        Happened::Closed(why) => {
+                            links.remove(&id);
+                            Input::Closed(id, why)
+                        }
+                    };
+                    core.handle(now, input);
+                }
+            }
+            () = sleep_until(wake) => {}
+            _ = tasks.join_next(), if !tasks.is_empty() => {}
+        }
+    }
+}
+
+async fn accept(listener: Option<&TcpListener>) -> std::io::Result<(TcpStream, std::net::SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn sleep_until(wake: Option<tokio::time::Instant>) {
+    match wake {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Lets each link write what it still holds, for a bounded time, then ends all that is left.
+async fn leave(links: BTreeMap<LinkId, Link>, tasks: &mut JoinSet<()>) {
+    info!(links = links.len(), "leaving");
+    drop(links);
+    let all = async { while tasks.join_next().await.is_some() {} };
+    // Both a reader that waits for its queue and a writer whose other side is stuck end with the set.
+    let _ = tokio::time::timeout(gullsail_links::LINGER * 2, all).await;
+    tasks.shutdown().await;
+}
--- a/crates/interface/src/label.rs
+++ b/crates/interface/src/label.rs
@@ -1,7 +1,7 @@
 //! What hosts say to each other, in messages of at most 256 bytes: a tag, then when it was said and twelve
 //! bytes for each volume, or for each of a volume's hosts ten.
 
-use crate::{HostId, Instant, VolumeId};
+use crate::{HostId, Instant, Span, VolumeId};
 
 /// One volume: what was asked a second at the sender, the tokens that it wants, and those it lends.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -104,3 +104,14 @@
     let lines = lines.collect::<Option<_>>()?;
     Some(Said::Labels(Instant::from_micros(i64::from_le_bytes(*said)), lines))
 }
+
+/// The same message, with the time of a label moved by `by`: from the sender's clock to the receiver's.
+/// What is no label, or cut off, comes back as it is.
+pub fn moved(bytes: &[u8], by: Span) -> Vec<u8> {
+    let mut moved = bytes.to_vec();
+    if let (true, Some(said)) = (bytes.starts_with(&[TAG, LABEL]), moved.get_mut(2..10)) {
+        let at = i64::from_le_bytes(said.try_into().unwrap_or_default());
+        said.copy_from_slice(&at.saturating_add(by.micros()).to_le_bytes());
+    }
+    moved
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 //! skipped by the serialization; all else that is not understood ends the connection ([`Broken`]).
 
 pub mod message;
+pub mod record;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 pub use message::*;
--- /dev/null
+++ b/crates/protocol/src/record.rs
@@ -0,0 +1,53 @@
+//! What a relay on a socket saw, one entry a line in JSON. Times are of the recorder's one clock, in
+//! microseconds since it began, so that entries of all links can be put in order.
+
+use crate::Message;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// When the relay had read it, and when the other side was given it.
+    pub at: i64,
+    pub out: i64,
+    /// The connection, by number, and who speaks to whom on it.
+    pub link: u64,
+    pub from: String,
+    pub to: String,
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum What {
+    /// As it was read; `body` is its length.
+    Frame {
+        message: Message,
+        body: usize,
+        fate: Fate,
+    },
+    Closed {
+        why: String,
+    },
+    /// By the script: the process called `to` began, was killed or ended.
+    Process {
+        life: Life,
+    },
+    /// By the script, for people.
+    Trouble {
+        text: String,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    Passed,
+    Dropped,
+    /// Passed on as an error.
+    Altered,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Life {
+    Started { incarnation: u64 },
+    Killed,
+    Ended,
+}
--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,443 @@
+//! Clients as an open loop: transfers come when they come, whatever becomes of those before. One task speaks
+//! to all hosts, repeats what the effect of its stream type allows, and checks the bytes it reads.
+
+use crate::{BASE_OBJECTS, base_content, content};
+use bytes::Bytes;
+use gullsail_configuration::Deployment;
+use gullsail_interface::{Effect, Group, Span};
+use gullsail_links::{Happened, Link};
+use gullsail_protocol::*;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp};
+use serde::Serialize;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// What clients ask for, for as long as nothing changes it.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Transfers a second by stream type, in the document's order, over all hosts.
+    pub rates: Vec<f64>,
+    /// Bytes of a written object.
+    pub bytes: usize,
+    /// Part of the reads that go to what was just written.
+    pub fresh: f64,
+    /// Clients try so often in all.
+    pub tries: u32,
+    pub seed: u64,
+}
+
+/// What goes on for a time.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// These volumes (a volume, a plan, or `*`) ask for so many times as much.
+    Surge { who: String, times: f64, until: Instant },
+    /// This part of the clients waits only a part of the SLO time.
+    Impatient { share: f64, part: f64, until: Instant },
+    /// The volumes' busiest host is another one from now on.
+    LeadMoves,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Tally {
+    pub first_tries: u64,
+    pub repeats: u64,
+    pub in_slo_time: u64,
+    pub late: u64,
+    pub deferred: u64,
+    pub abandoned: u64,
+    pub not_taken: u64,
+    /// No answer before the client gave up, or its host was gone.
+    pub unanswered: u64,
+    pub wrong_bytes: u64,
+    /// Answers to what was answered before.
+    pub second_answers: u64,
+    pub units: f64,
+    pub units_in_slo_time: f64,
+}
+
+/// By stream type and plan.
+pub type Tallies = BTreeMap<(String, String), Tally>;
+
+struct Try {
+    submit: Submit,
+    body: Bytes,
+    stream_type: usize,
+    plan: usize,
+    host: usize,
+    began: Instant,
+    slo_end: Instant,
+    expiry: Instant,
+}
+
+struct Clients {
+    d: Arc<Deployment>,
+    load: Load,
+    rng: ChaCha8Rng,
+    links: BTreeMap<u64, (usize, Link)>,
+    by_host: Vec<Option<u64>>,
+    open: BTreeMap<(usize, u64), Try>,
+    /// Expired ones, whose answers may still come.
+    over: VecDeque<(usize, u64)>,
+    later: Vec<(Instant, Try)>,
+    last: u64,
+    lead: usize,
+    changes: Vec<Change>,
+    written: BTreeMap<u64, VecDeque<(Handle, u64)>>,
+    tallies: Tallies,
+}
+
+/// Plays the load until `until`, then waits for what is open. `addresses` are the hosts', in the document's order.
+pub async fn run(
+    d: Arc<Deployment>,
+    load: Load,
+    addresses: Vec<String>,
+    mut changes: mpsc::Receiver<Change>,
+    until: Instant,
+) -> Tallies {
+    let (sink, mut inbox) = mpsc::channel(4096);
+    let mut tasks = JoinSet::new();
+    let mut dials: JoinSet<(usize, Option<TcpStream>)> = JoinSet::new();
+    let dial = |host: usize, wait: u64| {
+        let address = addresses[host].clone();
+        async move {
+            tokio::time::sleep(Duration::from_millis(wait)).await;
+            (host, TcpStream::connect(address).await.ok())
+        }
+    };
+    (0..addresses.len()).for_each(|h| _ = dials.spawn(dial(h, 0)));
+    let rng = ChaCha8Rng::seed_from_u64(load.seed);
+    let by_host = vec![None; addresses.len()];
+    let mut c = Clients {
+        rng,
+        by_host,
+        links: BTreeMap::new(),
+        open: BTreeMap::new(),
+        over: VecDeque::new(),
+        later: Vec::new(),
+        last: 0,
+        lead: 0,
+        changes: Vec::new(),
+        written: BTreeMap::new(),
+        tallies: Tallies::new(),
+        d,
+        load,
+    };
+    let mut next: Vec<Instant> = (0..c.load.rates.len()).map(|s| c.next(s, Instant::now())).collect();
+    let mut last_link = 0;
+    loop {
+        let now = Instant::now();
+        for (s, due) in next.iter_mut().enumerate() {
+            while *due <= now && now < until {
+                c.begin(s, now);
+                *due = c.next(s, *due);
+            }
+        }
+        c.expire(now);
+        if now >= until && c.open.is_empty() && c.later.is_empty() {
+            return c.tallies;
+        }
+        let soon = next.iter().copied().min().filter(|_| now < until);
+        let wake = soon.unwrap_or(now + Duration::from_millis(20)).min(now + Duration::from_millis(20));
+        tokio::select! {
+            Some((id, happened)) = inbox.recv() => match happened {
+                Happened::Frame(frame) => c.hear(id, frame),
+                Happened::Closed(_) => if let Some((host, _)) = c.links.remove(&id) {
+                    c.host_gone(host);
+                    dials.spawn(dial(host, 50));
+                },
+                Happened::Written(_) => {}
+            },
+            Some(Ok((host, made))) = dials.join_next(), if !dials.is_empty() => match made {
+                Some(stream) => {
+                    last_link += 1;
+                    let link = Link::open(stream, last_link, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
+                    let name = format!("client-{}", c.d.hosts[host].name);
+                    let hello = Hello { role: Role::Client as i32, name, ..Hello::default() };
+                    let _ = link.send(Frame::from(hello));
+                    c.links.insert(last_link, (host, link));
+                    c.by_host[host] = Some(last_link);
+                }
+                None => _ = dials.spawn(dial(host, 50)),
+            },
+            Some(change) = changes.recv() => match change {
+                Change::LeadMoves => c.lead += 1,
+                other => c.changes.push(other),
+            },
+            () = tokio::time::sleep_until(wake) => {}
+            _ = tasks.join_next(), if !tasks.is_empty() => {}
+        }
+    }
+}
+
+impl Clients {
+    fn next(&mut self, s: usize, from: Instant) -> Instant {
+        let rate = self.load.rates[s] * self.most_surge();
+        match Exp::new(rate) {
+            Ok(gap) if rate > 0.0 => from + Duration::from_secs_f64(gap.sample(&mut self.rng).min(3600.0)),
+            _ => from + Duration::from_secs(3600),
+        }
+    }
+
+    /// All traffic grows by what the surging volumes add to it.
+    fn most_surge(&mut self) -> f64 {
+        let now = Instant::now();
+        self.changes.retain(|c| match c {
+            Change::Surge { until, .. } | Change::Impatient { until, .. } => *until > now,
+            Change::LeadMoves => false,
+        });
+        let weights: Vec<f64> = (0..self.d.volumes.len()).map(|v| self.weight(v)).collect();
+        let usual: f64 = self.d.volumes.iter().map(|v| self.usual(v.plan.0)).sum();
+        weights.iter().sum::<f64>() / usual.max(1e-9)
+    }
+
+    fn usual(&self, plan: usize) -> f64 {
+        self.d.plans[plan].decisions.usual.max(0.1)
+    }
+
+    fn weight(&self, v: usize) -> f64 {
+        let volume = &self.d.volumes[v];
+        let plan = &self.d.plans[volume.plan.0].name;
+        let surges = self.changes.iter().map(|c| match c {
+            Change::Surge { who, times, .. } if who == "*" || *who == volume.name || who == plan => *times,
+            _ => 1.0,
+        });
+        self.usual(volume.plan.0) * surges.product::<f64>()
+    }
+
+    fn begin(&mut self, s: usize, now: Instant) {
+        let d = self.d.clone();
+        let weights: Vec<_> = (0..d.volumes.len()).map(|v| (v, self.weight(v))).collect();
+        let Ok(v) = weights.choose_weighted(&mut self.rng, |w| w.1).map(|w| w.0) else { return };
+        let (volume, stream_type) = (&d.volumes[v], &d.stream_types[s]);
+        // A volume uses its hosts unevenly: each one half as much as the one before.
+        let hosts = &volume.hosts;
+        let place = (0..hosts.len()).find(|_| self.rng.random_bool(0.5)).unwrap_or(0);
+        let host = hosts[(place + self.lead) % hosts.len()].0 as usize;
+        self.last += 1;
+        let mark = format!("{:x}-{}", self.load.seed, self.last);
+        let most = d.figures().most_units.max(1.0);
+        let units = self.rng.random_range(1..=(most / 2.0).ceil() as u32) as f64;
+        let mut body = Bytes::new();
+        let mut handle = None;
+        let mut order_key = String::new();
+        if stream_type.write {
+            body = content(number(&mark), self.load.bytes);
+        } else {
+            let written = self.written.get(&volume.id.0).map_or(0, VecDeque::len);
+            let fresh = written > 0 && self.rng.random_bool(self.load.fresh);
+            let place = if fresh { self.rng.random_range(0..written) } else { 0 };
+            let fresh = fresh.then(|| self.written[&volume.id.0][place].0);
+            handle = Some(fresh.unwrap_or_else(|| self.base(v)));
+        }
+        if stream_type.decisions.in_order {
+            // Some records of a volume that are written again and again: these name their cell.
+            let record = self.rng.random_range(0..3);
+            order_key = format!("{}/{record}", volume.name);
+            let cells = self.cells();
+            let cell = cells[(v + record as usize) % cells.len()];
+            handle = Some(Handle { cell, object: (v as u64) << 8 | record | 1 << 31 });
+        }
+        let span = |s: Span| Duration::from_micros(s.micros().max(0) as u64);
+        let slo_time = span(stream_type.decisions.slo_time);
+        let impatient = self.changes.iter().find_map(|c| match c {
+            Change::Impatient { share, part, .. } => Some((*share, *part)),
+            _ => None,
+        });
+        let impatient = impatient.filter(|i| self.rng.random_bool(i.0.clamp(0.0, 1.0)));
+        let ttl = impatient.map_or(span(stream_type.expiry), |i| slo_time.mul_f64(i.1));
+        let submit = Submit {
+            id: self.last,
+            stream_type: stream_type.name.clone(),
+            volume: volume.name.clone(),
+            units,
+            handle,
+            order_key,
+            mark,
+            repeat: 0,
+            ttl_us: 0,
+        };
+        let (slo_end, expiry) = (now + slo_time.min(ttl), now + ttl);
+        let t = Try { submit, body, stream_type: s, plan: volume.plan.0, host, began: now, slo_end, expiry };
+        let tally = self.tally(&t);
+        tally.first_tries += 1;
+        tally.units += units;
+        self.send(t, now);
+    }
+
+    fn cells(&self) -> Vec<i64> {
+        let mut cells: Vec<i64> = self.d.nodes.iter().map(|n| n.cell.0).collect();
+        cells.sort_unstable();
+        cells.dedup();
+        cells
+    }
+
+    /// One of the objects that were always there: a volume's lie on a few cells.
+    fn base(&mut self, v: usize) -> Handle {
+        let cells = self.cells();
+        let cell = cells[(v * 7 + self.rng.random_range(0..3)) % cells.len()];
+        Handle { cell, object: self.rng.random_range(0..50) }
+    }
+
+    fn tally(&mut self, t: &Try) -> &mut Tally {
+        let (stream_type, plan) = (&self.d.stream_types[t.stream_type].name, &self.d.plans[t.plan].name);
+        self.tallies.entry((stream_type.clone(), plan.clone())).or_default()
+    }
+
+    fn send(&mut self, mut t: Try, now: Instant) {
+        let link = self.by_host[t.host].and_then(|l| self.links.get(&l));
+        t.submit.ttl_us = t.expiry.duration_since(now).as_micros() as i64;
+        let frame = Frame::from(t.submit.clone()).with_body(t.body.clone());
+        if link.is_some_and(|(_, l)| l.send(frame).is_ok()) {
+            self.open.insert((t.host, t.submit.id), t);
+        } else {
+            // Nothing was sent: certain not to have run.
+            self.again(t, Duration::from_millis(100), true);
+        }
+    }
+
+    /// Another try, if one is left and there is time; `safe`: nothing of this one ran.
+    fn again(&mut self, mut t: Try, wait: Duration, safe: bool) {
+        let at = Instant::now() + wait;
+        let effect = self.d.stream_types[t.stream_type].decisions.effect;
+        let known = t.submit.handle.is_some();
+        let may = safe
+            || match effect {
+                Effect::Repeatable => true,
+                // Another host would put a new object elsewhere, where its mark is not known.
+                Effect::Keyed { group, window } => {
+                    let within = t.began.elapsed() + wait < Duration::from_micros(window.micros() as u64);
+                    within && (group == Group::All || known)
+                }
+                Effect::Unrepeatable => false,
+            };
+        if !may || t.submit.repeat + 1 >= self.load.tries || at >= t.expiry {
+            self.tally(&t).unanswered += u64::from(!safe);
+            return;
+        }
+        t.submit.repeat += 1;
+        self.last += 1;
+        t.submit.id = self.last;
+        if safe {
+            self.tally(&t).repeats += 1;
+        } else {
+            // Its host is gone: another of the volume's.
+            let mut hosts = self.d.volume(&t.submit.volume).map(|v| v.hosts.clone()).unwrap_or_default();
+            hosts.shuffle(&mut self.rng);
+            t.host = hosts.iter().map(|h| h.0 as usize).find(|h| *h != t.host).unwrap_or(t.host);
+            self.tally(&t).repeats += 1;
+        }
+        self.later.push((at, t));
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let mut rest = Vec::new();
+        for (at, t) in std::mem::take(&mut self.later) {
+            if at <= now { self.send(t, now) } else { rest.push((at, t)) }
+        }
+        self.later.append(&mut rest);
+        let gone: Vec<_> = self.open.iter().filter(|(_, t)| t.expiry <= now).map(|(k, _)| *k).collect();
+        for key in gone {
+            if let Some(t) = self.open.remove(&key) {
+                self.tally(&t).unanswered += 1;
+                self.over.push_back(key);
+            }
+        }
+        while self.over.len() > 100_000 {
+            self.over.pop_front();
+        }
+    }
+
+    fn host_gone(&mut self, host: usize) {
+        self.by_host[host] = None;
+        let lost: Vec<_> = self.open.range((host, 0)..=(host, u64::MAX)).map(|(k, _)| *k).collect();
+        for key in lost {
+            if let Some(t) = self.open.remove(&key) {
+                self.again(t, Duration::from_millis(20), false);
+            }
+        }
+    }
+
+    fn hear(&mut self, link: u64, frame: Frame) {
+        let Some(host) = self.links.get(&link).map(|l| l.0) else { return };
+        let now = Instant::now();
+        match frame.message {
+            Message::Answer(a) => {
+                let Some(t) = self.open.remove(&(host, a.id)) else {
+                    if !self.over.contains(&(host, a.id))
+                        && let Some(tally) = self.tallies.values_mut().next()
+                    {
+                        tally.second_answers += 1;
+                    }
+                    return;
+                };
+                match Outcome::try_from(a.outcome) {
+                    Ok(Outcome::Done) => self.done(t, a, frame.body, now),
+                    Ok(Outcome::Deferred) => {
+                        self.tally(&t).deferred += 1;
+                        let wait = Duration::from_micros(a.come_back_us.max(20_000) as u64);
+                        self.again(t, wait, true);
+                    }
+                    _ => self.tally(&t).abandoned += 1,
+                }
+            }
+            Message::NotTaken(n) => {
+                if let Some(t) = self.open.remove(&(host, n.id)) {
+                    self.tally(&t).not_taken += 1;
+                    self.again(t, Duration::from_millis(100), true);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn done(&mut self, t: Try, a: Answer, body: Bytes, now: Instant) {
+        let in_time = now <= t.slo_end;
+        let write = self.d.stream_types[t.stream_type].write;
+        let in_order = self.d.stream_types[t.stream_type].decisions.in_order;
+        let mut right = true;
+        if write {
+            let handle = a.handle.unwrap_or_default();
+            if !in_order {
+                let volume = number_of(&self.d, &t.submit.volume);
+                let written = self.written.entry(volume).or_default();
+                written.push_back((handle, number(&t.submit.mark)));
+                if written.len() > 16 {
+                    written.pop_front();
+                }
+            }
+        } else if let Some(h) = t.submit.handle {
+            let volume = number_of(&self.d, &t.submit.volume);
+            let written = self.written.get(&volume).and_then(|w| w.iter().find(|w| w.0 == h));
+            right = match written {
+                Some((_, seed)) => body == content(*seed, self.load.bytes),
+                None if h.object < BASE_OBJECTS => body == base_content(h),
+                // Written long ago: its seed is forgotten, its length is not.
+                None => body.len() == self.load.bytes,
+            };
+        }
+        let tally = self.tally(&t);
+        tally.wrong_bytes += u64::from(!right);
+        if in_time {
+            tally.in_slo_time += 1;
+            tally.units_in_slo_time += t.submit.units;
+        } else {
+            tally.late += 1;
+        }
+    }
+}
+
+fn number(text: &str) -> u64 {
+    gullsail_configuration::number(text)
+}
+
+fn number_of(d: &Deployment, volume: &str) -> u64 {
+    d.volume(volume).map_or(0, |v| v.id.0)
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,28 @@
+//! Stand-ins for what a host has around it: [`node`] (with its [`model`]), [`list`], [`client`], and [`relay`],
+//! which stands on a socket, records each frame and disturbs it as it is told. None of them knows the host.
+
+pub mod client;
+pub mod list;
+pub mod model;
+pub mod node;
+pub mod relay;
+
+use bytes::Bytes;
+use gullsail_protocol::Handle;
+use rand::{RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Objects with numbers below this were there before any node started: each node of their cell has them.
+pub const BASE_OBJECTS: u64 = 1 << 32;
+
+/// The bytes that belong to a seed: whoever knows it can tell whether they are the right ones.
+pub fn content(seed: u64, length: usize) -> Bytes {
+    let mut bytes = vec![0; length];
+    ChaCha8Rng::seed_from_u64(seed).fill_bytes(&mut bytes);
+    bytes.into()
+}
+
+/// What an object that was always there holds.
+pub fn base_content(handle: Handle) -> Bytes {
+    content(handle.object ^ ((handle.cell as u64) << 40), 200 + (handle.object % 16) as usize * 100)
+}
--- /dev/null
+++ b/crates/standin/src/list.rs
@@ -0,0 +1,126 @@
+//! The list service: knows which processes run, tells it late to those who watch, and can be out of reach.
+
+use gullsail_interface::Span;
+use gullsail_links::{Happened, Link};
+use gullsail_protocol::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// An entry, when its node started (as far as known), and when the list may tell of it.
+type Known = (ListEntry, Option<Instant>);
+
+struct List {
+    entries: BTreeMap<String, Known>,
+    version: u64,
+    watchers: BTreeSet<u64>,
+    links: BTreeMap<u64, Link>,
+    coming: VecDeque<(Instant, Vec<ListEntry>)>,
+    late: Duration,
+    down_until: Instant,
+}
+
+/// Serves until its task is dropped.
+pub async fn serve(entries: Vec<ListEntry>, late: Span, listener: TcpListener) {
+    let (sink, mut inbox) = mpsc::channel(1024);
+    let (mut tasks, mut last_link) = (JoinSet::new(), 0);
+    let mut list = List {
+        entries: BTreeMap::new(),
+        version: 1,
+        watchers: BTreeSet::new(),
+        links: BTreeMap::new(),
+        coming: VecDeque::new(),
+        late: Duration::from_micros(late.micros().max(0) as u64),
+        down_until: Instant::now(),
+    };
+    list.learn(entries);
+    loop {
+        let now = Instant::now();
+        while let Some((_, entries)) = list.coming.pop_front_if(|c| c.0 <= now) {
+            list.tell(entries);
+        }
+        let wake = list.coming.front().map_or(now + Duration::from_secs(3600), |c| c.0);
+        tokio::select! {
+            came = listener.accept() => if let Ok((stream, _)) = came {
+                last_link += 1;
+                let link = Link::open(stream, last_link, Bounds::DEFAULT, 1024, &sink, &mut tasks);
+                let hello = Hello { role: Role::List as i32, name: "list".into(), ..Hello::default() };
+                let _ = link.send(Frame::from(hello));
+                list.links.insert(last_link, link);
+            },
+            Some((link, happened)) = inbox.recv() => match happened {
+                Happened::Frame(frame) => list.hear(link, frame),
+                Happened::Closed(_) => {
+                    list.links.remove(&link);
+                    list.watchers.remove(&link);
+                }
+                Happened::Written(_) => {}
+            },
+            () = tokio::time::sleep_until(wake) => {}
+            _ = tasks.join_next(), if !tasks.is_empty() => {}
+        }
+    }
+}
+
+impl List {
+    fn learn(&mut self, entries: Vec<ListEntry>) {
+        let now = Instant::now();
+        for e in entries {
+            let age = Duration::from_micros(e.age_us.max(0) as u64);
+            let started = if e.incarnation == 0 { None } else { now.checked_sub(age) };
+            self.entries.insert(e.name.clone(), (e, started));
+        }
+    }
+
+    fn entry(&self, name: &str) -> Option<ListEntry> {
+        let (e, started) = self.entries.get(name)?;
+        let age_us = started.map_or(0, |s| s.elapsed().as_micros() as i64);
+        Some(ListEntry { age_us, ..e.clone() })
+    }
+
+    fn tell(&mut self, entries: Vec<ListEntry>) {
+        let names: Vec<_> = entries.iter().map(|e| e.name.clone()).collect();
+        self.learn(entries);
+        self.version += 1;
+        let entries = names.iter().filter_map(|n| self.entry(n)).collect();
+        let news = Frame::from(ListNews { version: self.version, whole: false, entries });
+        for link in self.watchers.iter().filter_map(|w| self.links.get(w)) {
+            let _ = link.send(news.clone());
+        }
+    }
+
+    fn hear(&mut self, link: u64, frame: Frame) {
+        let down = Instant::now() < self.down_until;
+        match frame.message {
+            Message::ListAsk(_) if down => {
+                let refused = ListRefused { reason: "out of reach".into() };
+                if let Some(l) = self.links.get(&link) {
+                    let _ = l.send(Frame::from(refused));
+                }
+            }
+            Message::ListAsk(ask) => {
+                let gone = ListStanding::Gone as i32;
+                let names = self.entries.values().filter(|e| e.0.standing != gone).map(|e| e.0.name.clone());
+                let entries = names.collect::<Vec<_>>().iter().filter_map(|n| self.entry(n)).collect();
+                if ask.watch {
+                    self.watchers.insert(link);
+                }
+                if let Some(l) = self.links.get(&link) {
+                    let _ = l.send(Frame::from(ListNews { version: self.version, whole: true, entries }));
+                }
+            }
+            Message::Order(o) if o.what == "refuse" => {
+                self.down_until = Instant::now() + Duration::from_micros(o.lasts_us.max(0) as u64);
+                // Whoever watches loses the watch, as when the service itself is gone.
+                for w in std::mem::take(&mut self.watchers) {
+                    self.links.remove(&w);
+                }
+            }
+            Message::Order(o) => self.coming.push_back((Instant::now() + self.late, o.entries)),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/model.rs
@@ -0,0 +1,162 @@
+//! A storage node as a model in given time: cores, a queue, pauses, work that is put off, a cold start from
+//! which it may be pushed over. No socket, no clock; the figures come from the document's `machine`.
+
+use gullsail_configuration::Machine;
+use gullsail_interface::{ColdStart, Instant, Span};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Gamma};
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Arrival {
+    Taken,
+    /// The queue is full: turned away unseen.
+    Full,
+    /// It was cold, has been sent too much, and fell over for good.
+    FellOver,
+}
+
+#[derive(Debug)]
+struct Work {
+    id: u64,
+    secs: f64,
+    put_off: f64,
+}
+
+pub struct Model {
+    machine: Machine,
+    cold: ColdStart,
+    born: Instant,
+    waiting: VecDeque<Work>,
+    running: BTreeMap<u64, Instant>,
+    /// Work put off, in seconds of one core, and when it is done next.
+    debt: f64,
+    next_flush: Instant,
+    next_pause: Instant,
+    still_until: Instant,
+    slow: f64,
+    sent: VecDeque<(Instant, f64)>,
+    fallen: bool,
+    rng: ChaCha8Rng,
+}
+
+impl Model {
+    /// `born` may lie before the model's time: then it is warm already.
+    pub fn new(machine: Machine, cold: ColdStart, born: Instant, now: Instant, mut rng: ChaCha8Rng) -> Model {
+        let next_pause = now + machine.pause_every.times(rng.random_range(0.3..1.3));
+        Model {
+            next_flush: now + machine.flush_every,
+            next_pause,
+            cold,
+            born,
+            waiting: VecDeque::new(),
+            running: BTreeMap::new(),
+            debt: 0.0,
+            still_until: now,
+            slow: 1.0,
+            sent: VecDeque::new(),
+            fallen: false,
+            rng,
+            machine,
+        }
+    }
+
+    /// The part of its capacity that it has now.
+    fn speed(&self, now: Instant) -> f64 {
+        let age = (now - self.born).secs().max(0.0);
+        let ramp = self.cold.ramp.secs().max(1e-9);
+        let part = self.cold.first_part + (1.0 - self.cold.first_part) * (age / ramp).min(1.0);
+        part.max(0.01) / self.slow
+    }
+
+    /// Units that a cold node bears within the rule's window: what is borne in any case, or some times what it
+    /// can do now.
+    fn bears(&self, now: Instant) -> f64 {
+        let a_second = f64::from(self.machine.cores) / self.machine.unit.secs().max(1e-9);
+        let can = a_second * self.speed(now) * self.cold.window.secs();
+        self.cold.units.max(self.machine.falls_over * can)
+    }
+
+    pub fn arrive(&mut self, now: Instant, id: u64, units: f64, write: bool) -> Arrival {
+        if self.fallen {
+            return Arrival::FellOver;
+        }
+        if now - self.born < self.cold.ramp {
+            self.sent.push_back((now, units));
+            while self.sent.pop_front_if(|s| now - s.0 > self.cold.window).is_some() {}
+            if self.sent.iter().map(|s| s.1).sum::<f64>() > self.bears(now) {
+                self.fallen = true;
+                return Arrival::FellOver;
+            }
+        }
+        if self.waiting.len() >= self.machine.queue as usize {
+            return Arrival::Full;
+        }
+        // Times are skewed, as of disks: a gamma distribution with a mean of one.
+        let skew = Gamma::new(4.0, 0.25).map_or(1.0, |g| g.sample(&mut self.rng));
+        let secs = units * self.machine.unit.secs() * skew;
+        let put_off = if write { secs * self.machine.put_off } else { 0.0 };
+        self.waiting.push_back(Work { id, secs: secs - put_off, put_off });
+        self.begin(now);
+        Arrival::Taken
+    }
+
+    /// Drops it if it still waits; running work goes on.
+    pub fn cancel(&mut self, id: u64) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|w| w.id != id);
+        self.waiting.len() < before
+    }
+
+    /// It stands still from now on, for so long.
+    pub fn stall(&mut self, now: Instant, lasts: Span) {
+        let lasts = now + lasts - self.still_until.max(now);
+        if lasts > Span::ZERO {
+            self.still_until = self.still_until.max(now) + lasts;
+            self.running.values_mut().for_each(|end| *end = *end + lasts);
+        }
+    }
+
+    /// Its work takes so many times as long.
+    pub fn slow(&mut self, times: f64) {
+        self.slow = times.max(0.01);
+    }
+
+    fn begin(&mut self, now: Instant) {
+        while self.running.len() < self.machine.cores as usize {
+            let Some(w) = self.waiting.pop_front() else { return };
+            self.debt += w.put_off;
+            let lasts = Span::from_millis(w.secs / self.speed(now) * 1e3);
+            self.running.insert(w.id, now.max(self.still_until) + lasts);
+        }
+    }
+
+    /// What is finished by now, in order.
+    pub fn advance(&mut self, now: Instant) -> Vec<u64> {
+        if now >= self.next_pause && self.machine.pause > Span::ZERO {
+            self.stall(now, self.machine.pause);
+            self.next_pause = now + self.machine.pause_every.times(self.rng.random_range(0.5..1.5));
+        }
+        if now >= self.next_flush {
+            let all = std::mem::take(&mut self.debt) / f64::from(self.machine.cores) / self.speed(now);
+            self.stall(now, Span::from_millis(all * 1e3));
+            self.next_flush = now + self.machine.flush_every;
+        }
+        let mut done: Vec<_> = self.running.iter().filter(|r| *r.1 <= now).map(|r| (*r.1, *r.0)).collect();
+        done.sort();
+        done.iter().for_each(|(_, id)| _ = self.running.remove(id));
+        self.begin(now);
+        done.into_iter().map(|(_, id)| id).collect()
+    }
+
+    pub fn next(&self) -> Instant {
+        let first = self.running.values().min().copied().unwrap_or(self.next_flush);
+        let pause = if self.machine.pause > Span::ZERO { self.next_pause } else { self.next_flush };
+        first.min(self.next_flush).min(pause)
+    }
+
+    pub fn load(&self) -> (u32, u32) {
+        (self.running.len() as u32, self.waiting.len() as u32)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,288 @@
+//! A relay stands on a socket: who would connect to a process connects to it instead. It records each frame
+//! with its time and passes it on, or does to it what it was told: delays, drops, cuts, half-closes, swaps
+//! peer messages, turns answers into errors.
+
+use gullsail_links::{Happened, Link};
+use gullsail_protocol::record::{Entry, Fate, Life, What};
+use gullsail_protocol::{Bounds, Frame, LegAnswer, LegResult, Message};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+use std::io::Write;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Done to frames on links between two names, for some time. A name may be `*`.
+#[derive(Clone, Debug)]
+pub struct Disturbance {
+    pub from: String,
+    pub to: String,
+    pub until: Instant,
+    pub what: Harm,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Harm {
+    /// Frames take so much longer.
+    Delay(Duration),
+    /// Labels between hosts are lost, this part of them.
+    LoseLabels(f64),
+    /// Two labels in a row change places.
+    SwapLabels,
+    /// New connections end at once.
+    Refuse,
+    /// New connections are accepted and nothing comes of them.
+    Silent,
+    /// This part of the legs' answers become errors.
+    Errors(f64),
+    /// Each frame breaks its connection with this chance.
+    Reset(f64),
+}
+
+/// What all relays of one run share: the clock, the recording, what is done to frames.
+pub struct Wire {
+    began: Instant,
+    inner: Mutex<Inner>,
+    cut: watch::Sender<(u64, String, String)>,
+}
+
+struct Inner {
+    disturbances: Vec<Disturbance>,
+    recording: Option<Box<dyn Write + Send>>,
+    last_link: u64,
+    rng: ChaCha8Rng,
+}
+
+impl Wire {
+    /// Records into `recording`, one entry a line.
+    pub fn new(seed: u64, recording: Option<Box<dyn Write + Send>>) -> Arc<Wire> {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let inner = Inner { disturbances: Vec::new(), recording, last_link: 0, rng };
+        let cut = watch::Sender::new((0, String::new(), String::new()));
+        Arc::new(Wire { began: Instant::now(), inner: Mutex::new(inner), cut })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn now(&self) -> i64 {
+        self.began.elapsed().as_micros() as i64
+    }
+
+    pub fn disturb(&self, d: Disturbance) {
+        let mut inner = self.lock();
+        inner.disturbances.retain(|d| d.until > Instant::now());
+        inner.disturbances.push(d);
+    }
+
+    /// Breaks all connections between two names now.
+    pub fn cut(&self, from: &str, to: &str) {
+        self.cut.send_modify(|c| *c = (c.0 + 1, from.into(), to.into()));
+    }
+
+    pub fn note(&self, name: &str, what: What) {
+        let at = self.now();
+        self.record(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
+    }
+
+    /// `at` 0: it was there before the run began.
+    pub fn process(&self, name: &str, at: i64, life: Life) {
+        let what = What::Process { life };
+        self.record(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
+    }
+
+    fn record(&self, entry: Entry) {
+        if let Some(recording) = &mut self.lock().recording {
+            // A recording that can't be written is found by its reader: the audit counts what it holds.
+            if let Ok(line) = serde_json::to_string(&entry) {
+                let _ = writeln!(recording, "{line}");
+            }
+        }
+    }
+
+    /// Writes out what is recorded so far.
+    ///
+    /// # Errors
+    /// The recording's own.
+    pub fn flush(&self) -> std::io::Result<()> {
+        self.lock().recording.as_mut().map_or(Ok(()), |r| r.flush())
+    }
+
+    fn harms(&self, from: &str, to: &str) -> Vec<Harm> {
+        let now = Instant::now();
+        let fits = |d: &&Disturbance| {
+            d.until > now && (d.from == "*" || d.from == from) && (d.to == "*" || d.to == to)
+        };
+        self.lock().disturbances.iter().filter(fits).map(|d| d.what).collect()
+    }
+
+    fn chance(&self, part: f64) -> bool {
+        self.lock().rng.random_bool(part.clamp(0.0, 1.0))
+    }
+}
+
+/// Listens for those who want to reach `name` and passes them on to wherever `target` says it lives now; runs
+/// until its task is dropped.
+pub async fn relay(
+    wire: Arc<Wire>,
+    name: String,
+    listener: TcpListener,
+    target: watch::Receiver<Option<String>>,
+) {
+    let mut links = JoinSet::new();
+    loop {
+        tokio::select! {
+            came = listener.accept() => if let Ok((stream, _)) = came {
+                let address = target.borrow().clone();
+                links.spawn(pass(wire.clone(), name.clone(), stream, address));
+            },
+            _ = links.join_next(), if !links.is_empty() => {}
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Side {
+    Dialler,
+    Target,
+}
+
+/// One direction of a connection: what is on its way.
+#[derive(Default)]
+struct Way {
+    queue: VecDeque<(Instant, Entry, Frame)>,
+    held: Option<(Entry, Frame)>,
+}
+
+async fn pass(wire: Arc<Wire>, name: String, stream: TcpStream, address: Option<String>) {
+    // Who dials is not known yet: harms that name it can't meet it here.
+    let harms = wire.harms("*", &name);
+    if harms.contains(&Harm::Refuse) {
+        return;
+    }
+    if harms.contains(&Harm::Silent) {
+        return tokio::time::sleep(Duration::from_secs(5)).await;
+    }
+    let Some(address) = address else { return };
+    let Ok(other) = TcpStream::connect(address).await else { return };
+    let (sink, mut inbox) = mpsc::channel(256);
+    let mut tasks = JoinSet::new();
+    let dialler = Link::open(stream, Side::Dialler, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
+    let target = Link::open(other, Side::Target, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
+    let link = {
+        let mut inner = wire.lock();
+        inner.last_link += 1;
+        inner.last_link
+    };
+    let mut cuts = wire.cut.subscribe();
+    cuts.mark_unchanged();
+    let mut from = String::from("?");
+    let (mut there, mut back) = (Way::default(), Way::default());
+    let why = loop {
+        let now = Instant::now();
+        let mut full = false;
+        for (way, to) in [(&mut there, &target), (&mut back, &dialler)] {
+            while let Some((_, mut entry, frame)) = way.queue.pop_front_if(|w| w.0 <= now) {
+                entry.out = wire.now();
+                // Recorded before it goes out: nobody can have answered it by then.
+                wire.record(entry);
+                full |= to.send(frame).is_err();
+            }
+        }
+        if full {
+            break "one side takes nothing".to_string();
+        }
+        let due = [&there, &back].iter().filter_map(|w| w.queue.front().map(|q| q.0)).min();
+        let wake = due.unwrap_or(now + Duration::from_secs(3600));
+        tokio::select! {
+            Some((side, happened)) = inbox.recv() => match happened {
+                Happened::Frame(frame) => {
+                    if let (Side::Dialler, Message::Hello(hello)) = (side, &frame.message) {
+                        from = hello.name.clone();
+                    }
+                    let (way, a, b) = match side {
+                        Side::Dialler => (&mut there, &from, &name),
+                        Side::Target => (&mut back, &name, &from),
+                    };
+                    if !enter(&wire, way, link, a, b, frame) {
+                        break "broken on purpose".into();
+                    }
+                }
+                Happened::Closed(why) => break why,
+                Happened::Written(_) => {}
+            },
+            _ = cuts.changed() => {
+                let (_, a, b) = cuts.borrow_and_update().clone();
+                let is = |pattern: &str, name: &str| pattern == "*" || pattern == name;
+                if (is(&a, &from) && is(&b, &name)) || (is(&a, &name) && is(&b, &from)) {
+                    break "cut on purpose".into();
+                }
+            }
+            () = tokio::time::sleep_until(wake) => {}
+        }
+    };
+    let at = wire.now();
+    wire.record(Entry { at, out: at, link, from, to: name, what: What::Closed { why } });
+    // What was on its way when one side closed still arrives.
+    for (way, to) in [(there, &target), (back, &dialler)] {
+        for (_, entry, frame) in way.queue {
+            wire.record(entry);
+            let _ = to.send(frame);
+        }
+    }
+    drop((dialler, target));
+    let all = async { while tasks.join_next().await.is_some() {} };
+    let _ = tokio::time::timeout(gullsail_links::LINGER * 2, all).await;
+}
+
+/// Puts a frame on its way as the disturbances have it; `false`: the connection breaks.
+fn enter(wire: &Wire, way: &mut Way, link: u64, from: &str, to: &str, mut frame: Frame) -> bool {
+    let (at, mut due, mut fate) = (wire.now(), Instant::now(), Fate::Passed);
+    let is_label = matches!(frame.message, Message::Label(_));
+    let entry = |fate, frame: &Frame| {
+        let what = What::Frame { message: frame.message.clone(), body: frame.body.len(), fate };
+        Entry { at, out: at, link, from: from.into(), to: to.into(), what }
+    };
+    let mut swap = false;
+    for harm in wire.harms(from, to) {
+        match harm {
+            Harm::Delay(by) => due += by,
+            Harm::LoseLabels(part) if is_label && wire.chance(part) => fate = Fate::Dropped,
+            Harm::SwapLabels if is_label => swap = true,
+            Harm::Reset(part) if wire.chance(part) => return false,
+            Harm::Errors(part) => {
+                if let Message::LegAnswer(a) = &frame.message
+                    && a.result == LegResult::Done as i32
+                    && wire.chance(part)
+                {
+                    fate = Fate::Altered;
+                    let result = LegResult::Failed as i32;
+                    let reason = "turned into an error on the way".into();
+                    let altered = LegAnswer { result, reason, handle: None, ..a.clone() };
+                    wire.record(entry(fate, &frame));
+                    frame = Frame::from(altered);
+                }
+            }
+            _ => {}
+        }
+    }
+    // Order holds within a connection, whatever the delay of each frame.
+    due = way.queue.back().map_or(due, |last| due.max(last.0));
+    match fate {
+        Fate::Dropped => wire.record(entry(fate, &frame)),
+        _ if swap && way.held.is_none() => way.held = Some((entry(Fate::Passed, &frame), frame)),
+        _ => {
+            let passed = entry(Fate::Passed, &frame);
+            way.queue.push_back((due, passed, frame));
+            if let Some((held, frame)) = way.held.take() {
+                way.queue.push_back((due, held, frame));
+            }
+        }
+    }
+    true
+}
