--- a/crates/day/src/built_in.rs
+++ b/crates/day/src/built_in.rs
@@ -35,10 +35,10 @@
     let mut text = String::from("// Two kinds of trouble, drawn by a seed.\n");
     text += &format!("day \"random-{seed}\" lasts=\"12s\" bytes=512 fresh=0.3 tries=2 {{\n");
     for line in [
-        "ask \"record-read\" rate=60",
-        "ask \"photo-write\" rate=20",
-        "ask \"record-write\" rate=15",
-        "ask \"trip-write\" rate=10",
+        "ask \"record-read\" rate=240",
+        "ask \"photo-write\" rate=80",
+        "ask \"record-write\" rate=60",
+        "ask \"trip-write\" rate=40",
         "tests 1",
     ] {
         text += &format!("    {line}\n");
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -110,7 +110,7 @@
     pub bytes: usize,
     pub fresh: f64,
     pub tries: u32,
-    /// Hosts whose clocks are ahead.
+    /// Hosts whose clocks are ahead, by so much; behind where it is negative.
     pub clocks: Vec<(String, Span)>,
     pub troubles: Vec<(Span, Trouble)>,
 }
@@ -157,9 +157,10 @@
                 }
             }
             "clock" => {
-                r.only(n, 1, &["ahead"], &[]);
+                r.only(n, 1, &["ahead", "behind"], &[]);
                 let place = first.and_then(|e| r.refer(e, "host", &hosts));
-                let ahead = r.span(n, "ahead");
+                let ahead =
+                    r.span_at(n, "ahead").unwrap_or_default() - r.span_at(n, "behind").unwrap_or_default();
                 s.clocks.extend(place.map(|p| (hosts[p].clone(), ahead)));
             }
             "tests" => {
