The audit finds a planted breach of each rule, by name

Need: a judge that can't fail proves nothing. Change: recordings made by hand, a sound one that puts all seven rules to the test and sixteen plants, each found by its rule alone with the transfer named.

--- /dev/null
+++ b/crates/audit/tests/planted.rs
@@ -0,0 +1,311 @@
+//! Recordings made by hand: a sound one, and one with a planted breach of each rule, which must be found by
+//! its rule alone and name the transfer.
+
+use gullsail_audit::{Verdict, judge};
+use gullsail_configuration::{Deployment, parse};
+use gullsail_protocol::record::{Entry, Fate, Life, What};
+use gullsail_protocol::*;
+
+const DOCUMENT: &str = r#"
+zone "a"
+zone "b"
+rules tick="20ms" drain-grace="1s" order-settle="200ms" most-units=8
+cold units=10 window="1s" first-part=0.2 ramp="10s"
+legs most=3 free=1 share=0 window="5s"
+stream-type "read" effect="repeatable" slo="200ms" expiry="1s"
+stream-type "photo" effect="keyed" group="cell" window="2s" slo="200ms" expiry="4s" write=#true
+stream-type "record" effect="keyed" group="cell" window="2s" slo="200ms" expiry="1s" write=#true in-order=#true
+stream-type "trip" effect="unrepeatable" slo="200ms" expiry="1s" write=#true
+plan "base" limit=10 burst=32 slack=2
+plan "free"
+machine "box" cores=1 unit="100ms" falls-over=2
+host "h1" zone="a"
+host "h2" zone="a"
+node "n1" cell=1 zone="a" machine="box"
+node "n2" cell=2 zone="b" machine="box"
+volume "v" plan="free"
+volume "w" plan="base"
+"#;
+
+/// Milliseconds to the recording's microseconds.
+const MS: i64 = 1000;
+
+struct Recording {
+    lines: Vec<String>,
+    legs: u64,
+}
+
+impl Recording {
+    fn new() -> Recording {
+        let mut r = Recording { lines: Vec::new(), legs: 0 };
+        for name in ["n1", "n2", "h1", "h2"] {
+            r.process(name, 0, Life::Started { incarnation: 1 });
+        }
+        r
+    }
+
+    fn put(&mut self, at: i64, link: u64, from: &str, to: &str, what: What) {
+        let (from, to) = (from.into(), to.into());
+        let entry = Entry { at: at * MS, out: at * MS, link, from, to, what };
+        self.lines.push(serde_json::to_string(&entry).unwrap());
+    }
+
+    fn frame(&mut self, at: i64, link: u64, from: &str, to: &str, message: Message) {
+        self.put(at, link, from, to, What::Frame { message, body: 0, fate: Fate::Passed });
+    }
+
+    fn process(&mut self, name: &str, at: i64, life: Life) {
+        self.put(at, 0, "script", name, What::Process { life });
+    }
+
+    /// Client links are 1 to h1 and 2 to h2.
+    fn submit(&mut self, at: i64, host: &str, id: u64, stream_type: &str, volume: &str, units: f64) {
+        let order_key = if stream_type == "record" { "k".into() } else { String::new() };
+        let (stream_type, volume, mark) = (stream_type.into(), volume.into(), format!("m{id}"));
+        let ttl_us = if stream_type == "photo" { 4000 * MS } else { 1000 * MS };
+        let s = Submit { id, stream_type, volume, units, mark, order_key, ttl_us, ..Submit::default() };
+        self.frame(at, link(host), "client", host, Message::Submit(s));
+    }
+
+    fn answer(&mut self, at: i64, host: &str, id: u64, outcome: Outcome) {
+        let a = Answer { id, outcome: outcome as i32, ..Answer::default() };
+        self.frame(at, link(host), host, "client", Message::Answer(a));
+    }
+
+    /// Sent at `at`; answered after so long, if at all.
+    fn leg(&mut self, at: i64, host: &str, node: &str, id: u64, number: u32, result: Option<(i64, LegResult)>) {
+        let submit = self.lines.iter().find_map(|l| {
+            match serde_json::from_str::<Entry>(l).unwrap().what {
+                What::Frame { message: Message::Submit(s), .. } if s.id == id => Some(s),
+                _ => None,
+            }
+        });
+        let s = submit.unwrap();
+        self.legs += 1;
+        let leg = Leg {
+            leg: self.legs,
+            write: s.stream_type != "read",
+            stream_type: s.stream_type,
+            volume: s.volume,
+            units: s.units,
+            mark: s.mark,
+            number,
+            time_out_us: 200 * MS,
+            ..Leg::default()
+        };
+        let link = 10 + link(host) * 2 + u64::from(node == "n2");
+        self.frame(at, link, host, node, Message::Leg(leg));
+        if let Some((after, result)) = result {
+            let ran = result == LegResult::Done;
+            let a = LegAnswer { leg: self.legs, result: result as i32, ran, ..LegAnswer::default() };
+            self.frame(at + after, link, node, host, Message::LegAnswer(a));
+        }
+    }
+
+    fn list(&mut self, at: i64, host: &str, node: &str, standing: ListStanding, incarnation: u64) {
+        let entry = ListEntry { name: node.into(), standing: standing as i32, incarnation, ..ListEntry::default() };
+        let news = ListNews { version: 1, whole: false, entries: vec![entry] };
+        self.frame(at, 20 + link(host), "list", host, Message::ListNews(news));
+    }
+
+    /// One transfer from its arrival to its answer.
+    fn served(&mut self, at: i64, host: &str, id: u64, stream_type: &str) {
+        self.submit(at, host, id, stream_type, "v", 1.0);
+        self.leg(at + 1, host, "n1", id, 0, Some((10, LegResult::Done)));
+        self.answer(at + 12, host, id, Outcome::Done);
+    }
+
+    fn judge(&self) -> Vec<Verdict> {
+        let d: Deployment = parse("planted.kdl", DOCUMENT).unwrap();
+        judge(&d, &(self.lines.join("\n") + "\n")).unwrap()
+    }
+}
+
+fn link(host: &str) -> u64 {
+    if host == "h1" { 1 } else { 2 }
+}
+
+/// Something of each rule, all of it sound.
+fn sound() -> Recording {
+    use LegResult::*;
+    let mut r = Recording::new();
+    r.served(100, "h1", 1, "read");
+    // Turned away, so it never ran: an unrepeatable one may go again, and be deferred.
+    r.submit(200, "h1", 2, "trip", "v", 1.0);
+    r.leg(201, "h1", "n1", 2, 0, Some((2, TurnedAway)));
+    r.leg(205, "h1", "n2", 2, 1, Some((2, TurnedAway)));
+    r.answer(210, "h1", 2, Outcome::Deferred);
+    // A keyed one that may have run goes to the same cell again.
+    r.submit(6000, "h2", 3, "photo", "v", 1.0);
+    r.leg(6001, "h2", "n1", 3, 0, Some((5, Failed)));
+    r.leg(6010, "h2", "n1", 3, 1, Some((5, Done)));
+    r.answer(6016, "h2", 3, Outcome::Done);
+    // A drain, kept; taken back by another incarnation.
+    r.list(7000, "h1", "n1", ListStanding::Draining, 1);
+    r.process("n1", 7500, Life::Killed);
+    r.process("n1", 8000, Life::Started { incarnation: 2 });
+    r.list(8100, "h1", "n1", ListStanding::Ready, 2);
+    r.served(9000, "h1", 4, "read");
+    // Two of one key, in turn, the second waiting.
+    r.submit(30_000, "h1", 5, "record", "v", 1.0);
+    r.submit(30_001, "h1", 6, "record", "v", 1.0);
+    r.leg(30_002, "h1", "n1", 5, 0, Some((10, Done)));
+    r.answer(30_013, "h1", 5, Outcome::Done);
+    r.leg(30_014, "h1", "n1", 6, 0, Some((10, Done)));
+    r.answer(30_025, "h1", 6, Outcome::Done);
+    // Most of a store, through both hosts.
+    for (place, host) in ["h1", "h2", "h1", "h2"].into_iter().enumerate() {
+        let (id, at) = (20 + place as u64, 40_000 + place as i64 * 10);
+        r.submit(at, host, id, "read", "w", 8.0);
+        r.leg(at + 1, host, "n2", id, 0, Some((5, Done)));
+        r.answer(at + 7, host, id, Outcome::Done);
+    }
+    r
+}
+
+#[test]
+fn a_sound_recording_keeps_and_tests_every_rule() {
+    for v in sound().judge() {
+        assert!(v.kept(), "rule {}: {:?}", v.rule, v.breaches);
+        assert!(v.tested > 0, "rule {}", v.rule);
+    }
+}
+
+#[test]
+fn each_planted_breach_is_found_by_its_rule() {
+    use LegResult::*;
+    type Plant = fn(&mut Recording);
+    // the rule, what its breach must say, what is planted
+    let cases: [(u8, &str, Plant); 16] = [
+        (1, "m90 at h1 got no answer", |r| {
+            r.submit(50_000, "h1", 90, "read", "v", 1.0);
+            r.served(60_000, "h1", 91, "read");
+        }),
+        (1, "m90 at h1 was answered 500000 us late", |r| {
+            r.submit(50_000, "h1", 90, "read", "v", 1.0);
+            r.answer(51_500, "h1", 90, Outcome::Deferred);
+        }),
+        (1, "m90 got 2 answers", |r| {
+            r.served(50_000, "h1", 90, "read");
+            r.answer(50_100, "h1", 90, Outcome::Deferred);
+        }),
+        (1, "m90: a leg to n2 was sent after the answer", |r| {
+            r.submit(50_000, "h1", 90, "read", "v", 1.0);
+            r.answer(50_010, "h1", 90, Outcome::Deferred);
+            r.leg(50_100, "h1", "n2", 90, 0, Some((5, Done)));
+        }),
+        (2, "m90 may have run at n1 and was sent to n2", |r| {
+            r.submit(50_000, "h1", 90, "trip", "v", 1.0);
+            r.leg(50_001, "h1", "n1", 90, 0, Some((5, Failed)));
+            r.leg(50_010, "h1", "n2", 90, 1, Some((5, TurnedAway)));
+            r.answer(50_020, "h1", 90, Outcome::Abandoned);
+        }),
+        (2, "m90 may have run at n1 and was deferred", |r| {
+            r.submit(50_000, "h1", 90, "trip", "v", 1.0);
+            r.leg(50_001, "h1", "n1", 90, 0, None);
+            r.answer(50_300, "h1", 90, Outcome::Deferred);
+        }),
+        (2, "m90 may have run at n1 and was sent to n2", |r| {
+            r.submit(50_000, "h1", 90, "photo", "v", 1.0);
+            r.leg(50_001, "h1", "n1", 90, 0, Some((5, Failed)));
+            r.leg(50_010, "h1", "n2", 90, 1, Some((5, Failed)));
+            r.answer(50_020, "h1", 90, Outcome::Abandoned);
+        }),
+        (2, "m90 may have run at n1 and was sent to n1", |r| {
+            // After the window in which repeats are known.
+            r.submit(50_000, "h1", 90, "photo", "v", 1.0);
+            r.leg(50_001, "h1", "n1", 90, 0, Some((5, Failed)));
+            r.leg(52_500, "h1", "n1", 90, 1, Some((5, Failed)));
+            r.answer(52_520, "h1", 90, Outcome::Abandoned);
+        }),
+        (2, "m90 took effect 2 times", |r| {
+            for (at, host) in [(50_000, "h1"), (51_000, "h2")] {
+                r.submit(at, host, 90, "photo", "v", 1.0);
+                r.leg(at + 1, host, "n1", 90, 0, Some((5, Done)));
+                r.answer(at + 7, host, 90, Outcome::Done);
+            }
+        }),
+        (3, "h2 sent to n2 1500000 us after it was told", |r| {
+            r.list(50_000, "h2", "n2", ListStanding::Draining, 1);
+            // The same incarnation, called ready by a late list, does not take it back.
+            r.list(50_100, "h2", "n2", ListStanding::Ready, 1);
+            r.submit(51_490, "h2", 90, "read", "v", 1.0);
+            r.leg(51_500, "h2", "n2", 90, 0, Some((5, Done)));
+            r.answer(51_510, "h2", 90, Outcome::Done);
+        }),
+        (4, "n2, cold, was sent 16 units; it bears 10.0", |r| {
+            r.process("n2", 50_000, Life::Started { incarnation: 7 });
+            for id in [90, 91] {
+                let at = 50_000 + id as i64;
+                r.submit(at, "h1", id, "read", "v", 8.0);
+                r.leg(at + 1, "h1", "n2", id, 0, Some((5, Done)));
+                r.answer(at + 7, "h1", id, Outcome::Done);
+            }
+        }),
+        (5, "m91 sent while m90 was open", |r| {
+            r.submit(50_000, "h1", 90, "record", "v", 1.0);
+            r.submit(50_001, "h1", 91, "record", "v", 1.0);
+            r.leg(50_002, "h1", "n1", 91, 0, Some((5, Done)));
+            r.answer(50_008, "h1", 91, Outcome::Done);
+            r.leg(50_100, "h1", "n1", 90, 0, Some((5, Done)));
+            r.answer(50_108, "h1", 90, Outcome::Done);
+        }),
+        (5, "m91 sent 50000 us after a leg of m90 ended unknown", |r| {
+            r.submit(50_000, "h1", 90, "record", "v", 1.0);
+            r.leg(50_000, "h1", "n1", 90, 0, None);
+            r.answer(50_200, "h1", 90, Outcome::Abandoned);
+            r.submit(50_210, "h1", 91, "record", "v", 1.0);
+            r.leg(50_250, "h1", "n1", 91, 0, Some((5, Done)));
+            r.answer(50_260, "h1", 91, Outcome::Done);
+        }),
+        (6, "h1: 2 further legs in the window, 1.0 allowed", |r| {
+            r.submit(50_000, "h1", 90, "read", "v", 1.0);
+            for number in 0..3 {
+                r.leg(50_001 + i64::from(number) * 100, "h1", "n1", 90, number, Some((5, Failed)));
+            }
+            r.answer(50_250, "h1", 90, Outcome::Deferred);
+        }),
+        (7, "volume w: 8.0 units past its store, 2 allowed", |r| {
+            for id in 90..95 {
+                let host = if id % 2 == 0 { "h1" } else { "h2" };
+                r.submit(50_000, host, id, "read", "w", 8.0);
+                r.leg(50_001, host, "n2", id, 0, Some((5, Done)));
+                r.answer(50_010, host, id, Outcome::Done);
+            }
+        }),
+        (1, "m90 was not taken, but more came of it", |r| {
+            r.submit(50_000, "h1", 90, "read", "v", 1.0);
+            let n = NotTaken { id: 90, reason: "leaving".into(), leaving: true };
+            r.frame(50_001, 1, "h1", "client", Message::NotTaken(n));
+            r.leg(50_010, "h1", "n1", 90, 0, Some((5, Done)));
+        }),
+    ];
+    for (rule, says, plant) in cases {
+        let mut r = sound();
+        plant(&mut r);
+        let found: Vec<_> = r.judge().into_iter().filter(|v| !v.kept()).collect();
+        let broken: Vec<_> = found.iter().map(|v| v.rule).collect();
+        assert_eq!(broken, [rule], "{says}: {found:?}");
+        let b = found[0].breaches.iter().find(|b| b.what.contains(says));
+        let b = b.unwrap_or_else(|| panic!("{says}: {found:?}"));
+        assert!(!b.lines.is_empty() && b.lines.iter().all(|l| *l < r.lines.len()), "{says}");
+    }
+}
+
+#[test]
+fn what_a_killed_host_held_is_no_breach() {
+    let mut r = sound();
+    r.submit(50_000, "h1", 90, "read", "v", 1.0);
+    r.process("h1", 50_100, Life::Killed);
+    r.served(60_000, "h2", 91, "read");
+    assert!(r.judge().iter().all(Verdict::kept));
+}
+
+#[test]
+fn a_recording_that_is_cut_off_is_refused_with_its_line() {
+    let r = sound();
+    let d = parse("planted.kdl", DOCUMENT).unwrap();
+    let text = r.lines.join("\n");
+    let said = judge(&d, &text[..text.len() - 5]).unwrap_err().to_string();
+    assert!(said.starts_with(&format!("line {} of the recording", r.lines.len())), "{said}");
+}
