--- /dev/null
+++ b/crates/cli/tests/days.rs
@@ -0,0 +1,69 @@
+//! Short days with real processes: the program itself plays them and judges the rules.
+
+use std::process::{Command, Output};
+
+fn gullsail(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_gullsail"))
+        .args(["--log-level", "warn"])
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn day(name: &str) {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().display().to_string();
+    let out = gullsail(&["day", name, "--record", &path]);
+    assert!(out.status.success(), "{}\n{}", text(&out.stdout), text(&out.stderr));
+    // Judged again from the recording alone, with the same verdict.
+    let again = gullsail(&["audit", &path]);
+    assert!(again.status.success(), "{}", text(&again.stdout));
+    let rules = |s: String| s.lines().filter(|l| l.contains("kept")).map(str::to_string).collect::<Vec<_>>();
+    let again = rules(text(&again.stdout));
+    assert_eq!(again.len(), 8);
+    assert!(rules(text(&out.stdout)).ends_with(&again));
+}
+
+#[test]
+fn the_release_day_passes() {
+    day("release");
+}
+
+#[test]
+fn the_host_crash_day_passes() {
+    day("host-crash");
+}
+
+#[test]
+fn the_hot_volume_day_passes() {
+    day("hot-volume");
+}
+
+#[test]
+fn wrong_arguments_and_documents_are_named() {
+    let dir = tempfile::tempdir().unwrap();
+    let bad = dir.path().join("bad.kdl");
+    std::fs::write(
+        &bad,
+        "host \"h1\"\nvolume \"v\" plan=\"x\"\nstream-type \"r\" effect=\"repeatable\" slo=5\n",
+    )
+    .unwrap();
+    let bad = bad.display().to_string();
+    let cases: [(&[&str], &str); 6] = [
+        (&["day", "bad-dya"], "no day is called \"bad-dya\""),
+        (&["day", "random", "--seed", "x"], "invalid value"),
+        (&["check", &bad], "no plan is called \"x\""),
+        (&["check", &bad], "a span is written with its unit"),
+        (&["host", &bad, "--name", "h1"], "3 problems"),
+        (&["audit", "/nowhere"], "can't read /nowhere/script.kdl"),
+    ];
+    for (arguments, says) in cases {
+        let out = gullsail(arguments);
+        assert_eq!(out.status.code(), Some(2), "{arguments:?}");
+        assert!(text(&out.stderr).contains(says), "{arguments:?}: {}", text(&out.stderr));
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/loopback.rs
@@ -0,0 +1,399 @@
+//! The host on real sockets against stand-ins, with peers that misbehave. Everything runs in one thread of this
+//! process; a host that is killed is a task that is dropped.
+
+use bytes::{Bytes, BytesMut};
+use gullsail_configuration::{Deployment, parse};
+use gullsail_host::core::Counts;
+use gullsail_host::drive::{self, HostClock, Life};
+use gullsail_interface::{HostId, Span};
+use gullsail_protocol::*;
+use gullsail_standin::node::{self, NodeLife};
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Past any wait that a test means; a machine under load is slow, not wrong.
+const LONG: Duration = Duration::from_secs(30);
+
+fn run<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async { timeout(LONG * 2, test).await.expect("the test does not end") });
+}
+
+async fn free() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+fn document(host: &str, node: &str) -> Arc<Deployment> {
+    let text = format!(
+        r#"
+rules tick="20ms"
+cold units=40 window="1s" first-part=0.2 ramp="1s"
+stream-type "read" effect="repeatable" slo="10s" expiry="20s"
+stream-type "write" effect="keyed" group="cell" window="60s" slo="10s" expiry="20s" write=#true
+stream-type "trip" effect="unrepeatable" slo="10s" expiry="20s" write=#true
+plan "free"
+machine "box" cores=2 unit="1ms" queue=100
+host "h1" address="{host}"
+node "n1" cell=1 address="{node}" machine="box"
+volume "v" plan="free"
+bounds body-bytes=1000000 unsent-bytes=100000 client-stall="1s"
+"#
+    );
+    Arc::new(parse("loopback.kdl", &text).unwrap())
+}
+
+struct Host {
+    task: JoinHandle<Counts>,
+    stop: Option<oneshot::Sender<()>>,
+    address: String,
+}
+
+async fn host(d: &Arc<Deployment>, listener: TcpListener) -> Host {
+    let (stop, stopped) = oneshot::channel::<()>();
+    let address = listener.local_addr().unwrap().to_string();
+    let clock = HostClock::start(Span::ZERO);
+    let life = Life { deployment: d.clone(), me: HostId(0), seed: 1, incarnation: 5, clock };
+    let task = tokio::spawn(drive::run(life, listener, async {
+        let _ = stopped.await;
+    }));
+    Host { task, stop: Some(stop), address }
+}
+
+impl Host {
+    async fn stop(mut self) -> Counts {
+        self.stop.take().unwrap().send(()).unwrap();
+        timeout(LONG, self.task).await.unwrap().unwrap()
+    }
+}
+
+fn stand_in(d: &Deployment, listener: TcpListener) -> JoinHandle<()> {
+    let life = NodeLife {
+        name: "n1".into(),
+        cell: 1,
+        machine: d.machines[0].clone(),
+        cold: d.figures().cold,
+        incarnation: 77,
+        age: Span::from_millis(1e7),
+        bounds: Bounds::DEFAULT,
+    };
+    tokio::spawn(node::serve(life, listener))
+}
+
+/// A socket that speaks frames, or whatever it likes.
+struct Raw {
+    stream: TcpStream,
+    buf: BytesMut,
+}
+
+impl Raw {
+    async fn client(address: &str) -> Raw {
+        let mut raw = Raw { stream: TcpStream::connect(address).await.unwrap(), buf: BytesMut::new() };
+        raw.send(Hello { role: Role::Client as i32, name: "c".into(), ..Hello::default() }).await;
+        raw
+    }
+
+    async fn send(&mut self, frame: impl Into<Frame>) {
+        self.bytes(&wire(frame)).await;
+    }
+
+    async fn bytes(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).await.unwrap();
+    }
+
+    /// The next frame; `None`: the other side closed.
+    async fn next(&mut self) -> Option<Frame> {
+        loop {
+            if let Some(frame) = decode(&mut self.buf, Bounds::DEFAULT).unwrap() {
+                return Some(frame);
+            }
+            match timeout(LONG, self.stream.read_buf(&mut self.buf)).await.expect("nothing comes") {
+                Ok(0) | Err(_) => return None,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    async fn until<T>(&mut self, mut wanted: impl FnMut(Frame) -> Option<T>) -> Option<T> {
+        while let Some(frame) = self.next().await {
+            if let Some(found) = wanted(frame) {
+                return Some(found);
+            }
+        }
+        None
+    }
+
+    async fn answer(&mut self) -> Option<(Answer, Bytes)> {
+        self.until(|f| if let Message::Answer(a) = f.message { Some((a, f.body)) } else { None }).await
+    }
+
+    async fn leg(&mut self) -> Option<Leg> {
+        self.until(|f| if let Message::Leg(l) = f.message { Some(l) } else { None }).await
+    }
+}
+
+fn wire(frame: impl Into<Frame>) -> Vec<u8> {
+    let frame: Frame = frame.into();
+    let mut bytes = BytesMut::new();
+    frame.head(&mut bytes);
+    [&bytes, &frame.body[..]].concat()
+}
+
+fn submit(id: u64, stream_type: &str) -> Submit {
+    Submit {
+        id,
+        stream_type: stream_type.into(),
+        volume: "v".into(),
+        units: 1.0,
+        handle: Some(Handle { cell: 1, object: 3 }),
+        mark: format!("mark-{id}"),
+        ttl_us: 15_000_000,
+        ..Submit::default()
+    }
+}
+
+/// A node by hand: greets whoever connects.
+async fn greet(listener: &TcpListener, incarnation: u64) -> Raw {
+    let (stream, _) = timeout(LONG, listener.accept()).await.unwrap().unwrap();
+    let mut raw = Raw { stream, buf: BytesMut::new() };
+    let (role, name) = (Role::Node as i32, "n1".to_string());
+    raw.send(Hello { role, name, incarnation, age_us: 1 << 40, cell_plus_one: 2 }).await;
+    raw
+}
+
+#[test]
+fn garbage_half_frames_and_huge_lengths_end_their_own_connection() {
+    run(async {
+        let ((hl, ha), (nl, na)) = (free().await, free().await);
+        let d = document(&ha, &na);
+        let (node, host) = (stand_in(&d, nl), host(&d, hl).await);
+        let mut sound = Raw::client(&host.address).await;
+        let huge = [&[0x9d, 1, 10, 0][..], &[0, 0, 0, 0x40], &[0, 0, 0, 0]].concat();
+        let long_body = [&[0x9d, 1, 10, 0][..], &[0, 0, 0, 0], &[0, 0, 0, 0x40]].concat();
+        let malformed = [&[0x9d, 1, 10, 0][..], &[3, 0, 0, 0], &[0, 0, 0, 0], &[255, 255, 255]].concat();
+        for bytes in [b"GET / HTTP/1.1\r\n\r\n".to_vec(), huge, long_body, malformed, vec![0; 4096]] {
+            let mut bad = Raw::client(&host.address).await;
+            bad.bytes(&bytes).await;
+            assert!(bad.until(|_| None::<()>).await.is_none(), "it is closed");
+            sound.send(submit(u64::from(bytes[0]) << 32 | bytes.len() as u64, "read")).await;
+            assert_eq!(sound.answer().await.unwrap().0.outcome, Outcome::Done as i32);
+        }
+        // Half a frame, then nothing: the transfer was never taken.
+        let mut half = Raw::client(&host.address).await;
+        half.bytes(&wire(submit(9, "read"))[..20]).await;
+        drop(half);
+        let counts = host.stop().await;
+        assert_eq!((counts.taken, counts.done), (5, 5));
+        node.abort();
+    });
+}
+
+#[test]
+fn an_answer_in_single_bytes_is_one_answer() {
+    run(async {
+        let ((hl, ha), (nl, na)) = (free().await, free().await);
+        let d = document(&ha, &na);
+        let host = host(&d, hl).await;
+        let mut n = greet(&nl, 1).await;
+        let mut c = Raw::client(&host.address).await;
+        // The request too comes byte by byte.
+        for b in wire(Frame::from(submit(4, "write")).with_body(Bytes::from_static(b"photo"))) {
+            c.bytes(&[b]).await;
+            tokio::task::yield_now().await;
+        }
+        let leg = n.leg().await.unwrap();
+        let a = LegAnswer { leg: leg.leg, result: LegResult::Done as i32, ran: true, ..LegAnswer::default() };
+        for b in wire(Frame::from(a).with_body(Bytes::from_static(b"the bytes"))) {
+            n.bytes(&[b]).await;
+            n.stream.flush().await.unwrap();
+            tokio::task::yield_now().await;
+        }
+        let (answer, body) = c.answer().await.unwrap();
+        assert_eq!((answer.id, answer.outcome, &body[..]), (4, Outcome::Done as i32, &b"the bytes"[..]));
+        let counts = host.stop().await;
+        assert_eq!((counts.taken, counts.done), (1, 1));
+    });
+}
+
+#[test]
+fn an_unrepeatable_write_whose_connection_breaks_is_abandoned() {
+    run(async {
+        let ((hl, ha), (nl, na)) = (free().await, free().await);
+        let d = document(&ha, &na);
+        let host = host(&d, hl).await;
+        let mut c = Raw::client(&host.address).await;
+        // What breaks before the first frame of the node never ran, and is sent again on the next connection.
+        c.send(submit(1, "trip")).await;
+        let (early, _) = nl.accept().await.unwrap();
+        drop(early);
+        let mut n = greet(&nl, 1).await;
+        let leg = n.leg().await.unwrap();
+        assert_eq!(leg.mark, "mark-1");
+        drop(n);
+        let (answer, _) = c.answer().await.unwrap();
+        assert_eq!(answer.outcome, Outcome::Abandoned as i32, "after the last byte nobody knows");
+        let mut again = greet(&nl, 1).await;
+        c.send(submit(2, "trip")).await;
+        assert_eq!(again.leg().await.unwrap().mark, "mark-2", "the first is not sent again");
+        host.task.abort();
+    });
+}
+
+/// The host is killed between a leg and its answer; the client repeats to its successor; the mark keeps the
+/// write from taking effect twice.
+#[test]
+fn a_keyed_write_repeated_after_a_kill_takes_effect_once() {
+    run(async {
+        let ((hl, ha), (nl, na)) = (free().await, free().await);
+        let d = document(&ha, &na);
+        // Between the host and the stand-in: sees legs and answers, and holds the first answer back.
+        let (inner, inner_address) = free().await;
+        let node = stand_in(&d, inner);
+        let first = host(&d, hl).await;
+        let mut c = Raw::client(&first.address).await;
+        c.send(Frame::from(submit(1, "write")).with_body(Bytes::from_static(b"trip record"))).await;
+        let mut n = greet(&nl, 77).await;
+        let leg = n.leg().await.unwrap();
+        let mut direct =
+            Raw { stream: TcpStream::connect(&inner_address).await.unwrap(), buf: BytesMut::new() };
+        direct.send(Hello { role: Role::Host as i32, name: "h1".into(), ..Hello::default() }).await;
+        direct.send(Frame::from(leg.clone()).with_body(Bytes::from_static(b"trip record"))).await;
+        let ran = direct.until(|f| if let Message::LegAnswer(a) = f.message { Some(a) } else { None });
+        let ran = ran.await.unwrap();
+        assert!(ran.ran);
+        first.task.abort();
+        assert!(c.until(|_| None::<()>).await.is_none(), "the client sees its host gone");
+        drop((n, nl));
+        // Its successor, with nothing but the document, and the node itself now at the address it knows.
+        let (hl, ha) = free().await;
+        let second = host(&document(&ha, &inner_address), hl).await;
+        let mut c = Raw::client(&second.address).await;
+        c.send(
+            Frame::from(Submit { repeat: 1, ..submit(1, "write") })
+                .with_body(Bytes::from_static(b"trip record")),
+        )
+        .await;
+        let (answer, _) = c.answer().await.unwrap();
+        assert_eq!(
+            (answer.outcome, answer.handle),
+            (Outcome::Done as i32, ran.handle),
+            "the first one's answer"
+        );
+        // The node's own word: a third leg with the mark does not run either.
+        direct.send(Frame::from(Leg { leg: 99, repeat: 2, ..leg })).await;
+        let third = direct.until(|f| if let Message::LegAnswer(a) = f.message { Some(a) } else { None });
+        assert!(!third.await.unwrap().ran);
+        assert_eq!(second.stop().await.done, 1);
+        node.abort();
+    });
+}
+
+#[test]
+fn a_client_that_never_reads_is_let_go_and_harms_nobody() {
+    run(async {
+        let ((hl, ha), (nl, na)) = (free().await, free().await);
+        let d = document(&ha, &na);
+        let host = host(&d, hl).await;
+        let mut n = greet(&nl, 1).await;
+        let nodes = tokio::spawn(async move {
+            while let Some(leg) = n.leg().await {
+                let a = LegAnswer { leg: leg.leg, result: LegResult::Done as i32, ..LegAnswer::default() };
+                n.send(Frame::from(a).with_body(Bytes::from(vec![7; 500_000]))).await;
+            }
+        });
+        let mut deaf = Raw::client(&host.address).await;
+        let mut sound = Raw::client(&host.address).await;
+        for id in 0..40 {
+            // Sooner or later the host takes no more of it.
+            if timeout(Duration::from_millis(200), deaf.stream.write_all(&wire(submit(id, "read"))))
+                .await
+                .is_err()
+            {
+                break;
+            }
+        }
+        for id in 0..5 {
+            sound.send(submit(id, "read")).await;
+            assert_eq!(sound.answer().await.unwrap().1.len(), 500_000);
+        }
+        // Let go: what was under way may still be read, then it ends.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        while deaf.next().await.is_some() {}
+        let counts = host.stop().await;
+        assert!(counts.most_held < 40 * 500_000, "{} bytes held at most", counts.most_held);
+        nodes.abort();
+    });
+}
+
+#[test]
+fn a_stop_with_a_thousand_open_answers_each_once() {
+    run(async {
+        let ((hl, ha), (nl, na)) = (free().await, free().await);
+        let d = document(&ha, &na);
+        let host = host(&d, hl).await;
+        let _node = greet(&nl, 1).await;
+        let mut c = Raw::client(&host.address).await;
+        for id in 0..1000 {
+            c.send(Submit { ttl_us: 1_500_000, ..submit(id, ["read", "write", "trip"][id as usize % 3]) })
+                .await;
+        }
+        // All taken, since frames of one connection are in order.
+        c.send(submit(7777, "nothing")).await;
+        let first =
+            c.until(|f| if let Message::NotTaken(n) = f.message { Some(n) } else { None }).await.unwrap();
+        assert_eq!((first.id, first.leaving), (7777, false));
+        let stopping = tokio::spawn(host.stop());
+        let mut answered = std::collections::BTreeMap::new();
+        while let Some(frame) = c.next().await {
+            if let Message::Answer(a) = frame.message {
+                *answered.entry(a.id).or_insert(0) += 1;
+            }
+        }
+        assert_eq!((answered.len(), answered.values().max()), (1000, Some(&1)));
+        let counts = stopping.await.unwrap();
+        assert_eq!(counts.taken, counts.done + counts.deferred + counts.abandoned);
+    });
+}
+
+/// A tenth of all connections break again and again while the node never restarts: it is met again, not taken
+/// for cold, and all that can be is served.
+#[test]
+fn resets_are_not_restarts() {
+    run(async {
+        let ((hl, ha), (nl, na)) = (free().await, free().await);
+        let d = document(&ha, &na);
+        let host = host(&d, hl).await;
+        let nodes = tokio::spawn(async move {
+            let mut served = 0u32;
+            loop {
+                let mut n = greet(&nl, 1).await;
+                while let Some(leg) = n.leg().await {
+                    served += 1;
+                    if served.is_multiple_of(10) {
+                        break;
+                    }
+                    let a =
+                        LegAnswer { leg: leg.leg, result: LegResult::Done as i32, ..LegAnswer::default() };
+                    n.send(a).await;
+                }
+            }
+        });
+        let mut c = Raw::client(&host.address).await;
+        let mut done = 0;
+        for id in 0..200 {
+            c.send(submit(id, "read")).await;
+            done += u32::from(c.answer().await.unwrap().0.outcome == Outcome::Done as i32);
+        }
+        assert_eq!(done, 200, "each is sent again on the next connection");
+        let counts = host.stop().await;
+        assert!(counts.nodes_met_again >= 20 && counts.nodes_restarted == 0, "{counts:?}");
+        nodes.abort();
+    });
+}
--- a/crates/host/tests/clocks.rs
+++ b/crates/host/tests/host/clocks.rs
@@ -1,8 +1,7 @@
 //! Hosts whose clocks differ: what is learned of a peer's clock is a bound, and limits hold over two hosts
 //! that lend to each other through labels which are late, lost, and said by clocks a second apart.
 
-mod rig;
-
+use crate::rig::*;
 use gullsail_host::core::clock::{Learned, PeerClock};
 use gullsail_host::core::{Input, LinkId};
 use gullsail_interface::*;
@@ -10,7 +9,6 @@
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rig::*;
 use std::collections::BTreeMap;
 
 proptest! {
--- a/crates/host/tests/core.rs
+++ b/crates/host/tests/host/core.rs
@@ -1,12 +1,10 @@
 //! The host's core against nodes, clients and peers that fail, in given time.
 
-mod rig;
-
+use crate::rig::*;
 use bytes::Bytes;
 use gullsail_host::core::{Input, LinkId};
 use gullsail_interface::*;
 use gullsail_protocol::*;
-use rig::*;
 
 const START: Instant = Instant::from_micros(1_000_000_000);
 
