--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -51,6 +51,14 @@
         #[arg(long, allow_hyphen_values = true, default_value = "0s")]
         clock_ahead: String,
     },
+    /// Runs a baseline in a host's place: it sends all at once within even limits.
+    Baseline {
+        file: PathBuf,
+        #[arg(long)]
+        name: String,
+        #[arg(long)]
+        seed: Option<u64>,
+    },
     /// Runs a stand-in of one storage node.
     Node {
         file: PathBuf,
@@ -76,6 +84,9 @@
         record: Option<PathBuf>,
         #[arg(long)]
         json: bool,
+        /// With the baseline in the hosts' place: what the decisions are worth on that day.
+        #[arg(long)]
+        baseline: bool,
     },
     /// Judges a recording of a day again.
     Audit {
@@ -116,6 +127,9 @@
         Command::Host { file, name, seed, clock_ahead } => {
             host(&file, &name, seed.unwrap_or_else(rand::random), &clock_ahead).await
         }
+        Command::Baseline { file, name, seed } => {
+            baseline(&file, &name, seed.unwrap_or_else(rand::random)).await
+        }
         Command::Node { file, name, age } => node(&file, &name, age).await,
         Command::List { file } => list(&file).await,
         Command::Day { list: true, .. } => {
@@ -125,8 +139,8 @@
             println!("{:<14} Two kinds of trouble, drawn by --seed.", "random");
             Ok(ExitCode::SUCCESS)
         }
-        Command::Day { day, seed, record, json, .. } => {
-            play(&day.unwrap_or_default(), seed, record, json).await
+        Command::Day { day, seed, record, json, baseline, .. } => {
+            play(&day.unwrap_or_default(), seed, record, json, baseline).await
         }
         Command::Audit { dir, json } => audit(&dir, json),
         Command::Check { file } => {
@@ -205,6 +219,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn baseline(file: &Path, name: &str, seed: u64) -> Result<ExitCode> {
+    let (d, _) = read(file)?;
+    let me = d.host(name).ok_or_else(|| miette!("{}: no host \"{name}\"", file.display()))?;
+    let (listener, _) = listen(&d.hosts[me.0 as usize].listen, name).await?;
+    tokio::select! {
+        () = gullsail_standin::naive::serve(Arc::new(d), me, seed, listener) => Ok(ExitCode::from(1)),
+        () = stopped() => Ok(ExitCode::SUCCESS),
+    }
+}
+
 async fn node(file: &Path, name: &str, age: humantime::Duration) -> Result<ExitCode> {
     let (d, _) = read(file)?;
     let n = d.node(name).ok_or_else(|| miette!("{}: no node \"{name}\"", file.display()))?;
@@ -250,7 +274,7 @@
     }
 }
 
-async fn play(day: &str, seed: u64, record: Option<PathBuf>, json: bool) -> Result<ExitCode> {
+async fn play(day: &str, seed: u64, record: Option<PathBuf>, json: bool, baseline: bool) -> Result<ExitCode> {
     let built_in = if day == "random" {
         Some(gullsail_day::built_in::random(seed))
     } else {
@@ -270,7 +294,7 @@
     let temporary = tempfile::tempdir().into_diagnostic()?;
     let dir = record.unwrap_or_else(|| temporary.path().into());
     let program = std::env::current_exe().into_diagnostic()?;
-    let stage = gullsail_day::Stage { program, dir, seed };
+    let stage = gullsail_day::Stage { program, dir, seed, baseline };
     let report = gullsail_day::play(&text, d, &script, &stage).await?;
     if json {
         println!("{}", serde_json::to_string_pretty(&report).into_diagnostic()?);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,9 +1,10 @@
-//! Stand-ins for what a host has around it: [`node`] (with its [`model`]), [`list`], [`client`], and [`relay`],
+//! Stand-ins for what a host has around it: [`node`] (with its [`model`]), [`list`], [`client`], a baseline in place of the host ([`naive`]), and [`relay`],
 //! which stands on a socket, records each frame and disturbs it as it is told. None of them knows the host.
 
 pub mod client;
 pub mod list;
 pub mod model;
+pub mod naive;
 pub mod node;
 pub mod relay;
 
--- /dev/null
+++ b/crates/standin/src/naive.rs
@@ -0,0 +1,229 @@
+//! A baseline to measure the host against: it speaks the host's frames and sends each transfer at once, within an
+//! even part of its volume's limit, to the node that holds its data or to any that the list calls ready. It
+//! has no window, no order, no further legs, no care for cold nodes, and it believes the list.
+
+use gullsail_configuration::Deployment;
+use gullsail_interface::{Effect, Group, HostId};
+use gullsail_links::{Happened, Link};
+use gullsail_protocol::*;
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+#[derive(Clone, PartialEq)]
+enum Who {
+    Client,
+    Node(String),
+    List,
+}
+
+struct Sent {
+    client: u64,
+    id: u64,
+    effect: Effect,
+    node: u64,
+    until: Instant,
+}
+
+struct Naive {
+    d: Arc<Deployment>,
+    rng: ChaCha8Rng,
+    links: BTreeMap<u64, (Who, Link)>,
+    /// Ready nodes by the list, with their addresses and cells, and their links.
+    ready: BTreeMap<String, (String, i64)>,
+    up: BTreeMap<String, u64>,
+    legs: BTreeMap<u64, Sent>,
+    /// Tokens and since when.
+    levels: BTreeMap<u64, (f64, Instant)>,
+    last: u64,
+}
+
+/// Serves until its task is dropped.
+pub async fn serve(d: Arc<Deployment>, me: HostId, seed: u64, listener: TcpListener) {
+    let (sink, mut inbox) = mpsc::channel(1024);
+    let mut tasks = JoinSet::new();
+    let mut dials: JoinSet<(Who, Option<TcpStream>)> = JoinSet::new();
+    let dial = |who: Who, address: String, wait: u64| async move {
+        tokio::time::sleep(Duration::from_millis(wait)).await;
+        (who, TcpStream::connect(address).await.ok())
+    };
+    let ready = d.nodes.iter().filter(|n| !n.spare);
+    let ready = ready.map(|n| (n.place.name.clone(), (n.place.address.clone(), n.cell.0))).collect();
+    let (rng, list) = (ChaCha8Rng::seed_from_u64(seed), d.list.address.clone());
+    let (links, up, legs, levels) = Default::default();
+    let mut n = Naive { d, rng, links, ready, up, legs, levels, last: 0 };
+    dials.spawn(dial(Who::List, list.clone(), 0));
+    let mut asked: BTreeMap<String, Instant> = BTreeMap::new();
+    let name = n.d.hosts[me.0 as usize].name.clone();
+    let hello = Hello { role: Role::Host as i32, name, incarnation: seed | 1, ..Hello::default() };
+    let mut last_link = 0;
+    loop {
+        for (name, (address, _)) in &n.ready {
+            let due = asked.get(name).is_none_or(|at| at.elapsed() > Duration::from_millis(200));
+            if due && !n.up.contains_key(name) {
+                asked.insert(name.clone(), Instant::now());
+                dials.spawn(dial(Who::Node(name.clone()), address.clone(), 0));
+            }
+        }
+        n.expire();
+        let mut opened = None;
+        tokio::select! {
+            came = listener.accept() => if let Ok((stream, _)) = came {
+                opened = Some((Who::Client, stream));
+            },
+            Some(Ok((who, made))) = dials.join_next(), if !dials.is_empty() => match made {
+                Some(stream) => opened = Some((who, stream)),
+                None if who == Who::List => _ = dials.spawn(dial(Who::List, list.clone(), 500)),
+                None => {}
+            },
+            Some((id, happened)) = inbox.recv() => match happened {
+                Happened::Frame(frame) => n.hear(id, frame),
+                Happened::Closed(_) => match n.links.remove(&id) {
+                    Some((Who::List, _)) => _ = dials.spawn(dial(Who::List, list.clone(), 500)),
+                    Some((Who::Node(name), _)) => n.lost(id, &name),
+                    _ => {}
+                },
+                Happened::Written(_) => {}
+            },
+            () = tokio::time::sleep(Duration::from_millis(10)) => {}
+            _ = tasks.join_next(), if !tasks.is_empty() => {}
+        }
+        if let Some((who, stream)) = opened {
+            last_link += 1;
+            let link = Link::open(stream, last_link, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
+            let _ = link.send(Frame::from(hello.clone()));
+            if who == Who::List {
+                let _ = link.send(Frame::from(ListAsk { watch: true }));
+            }
+            n.links.insert(last_link, (who, link));
+        }
+    }
+}
+
+impl Naive {
+    fn hear(&mut self, link: u64, frame: Frame) {
+        match frame.message {
+            Message::Submit(s) => self.submit(link, s, frame.body),
+            Message::LegAnswer(a) => {
+                let Some(sent) = self.legs.remove(&a.leg) else { return };
+                match LegResult::try_from(a.result) {
+                    Ok(LegResult::Done) => {
+                        let done = Outcome::Done as i32;
+                        let answer = Answer { id: sent.id, outcome: done, handle: a.handle, come_back_us: 0 };
+                        self.send(sent.client, Frame::from(answer).with_body(frame.body));
+                    }
+                    Ok(LegResult::TurnedAway) => self.answer(&sent, true),
+                    _ => self.answer(&sent, false),
+                }
+            }
+            Message::Hello(h) => {
+                if let Some((Who::Node(name), _)) = self.links.get(&link)
+                    && *name == h.name
+                {
+                    self.up.insert(h.name, link);
+                }
+            }
+            Message::ListNews(news) => {
+                if news.whole {
+                    self.ready.clear();
+                }
+                for e in news.entries {
+                    if e.standing == ListStanding::Ready as i32 {
+                        self.ready.insert(e.name, (e.address, e.cell));
+                    } else {
+                        self.ready.remove(&e.name);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn submit(&mut self, link: u64, s: Submit, body: bytes::Bytes) {
+        let d = self.d.clone();
+        let stream_type = d.stream_types.iter().find(|t| t.name == s.stream_type);
+        let (Some(stream_type), Some(volume)) = (stream_type, d.volume(&s.volume)) else {
+            let n = NotTaken { id: s.id, reason: "not known here".into(), leaving: false };
+            return self.send(link, n.into());
+        };
+        let (now, effect) = (Instant::now(), stream_type.decisions.effect);
+        // A little before the expiry, for the way back.
+        let until =
+            now + Duration::from_micros(s.ttl_us.max(0) as u64).saturating_sub(Duration::from_millis(100));
+        let sent = Sent { client: link, id: s.id, effect, node: 0, until };
+        if let Some(limit) = d.plans[volume.plan.0].decisions.limit {
+            let hosts = volume.hosts.len() as f64;
+            let (rate, cap) = (limit.rate / hosts, limit.burst / hosts);
+            // A newborn can't know what it spent.
+            let (level, at) = self.levels.entry(volume.id.0).or_insert((0.0, now));
+            *level = (*level + rate * (now - *at).as_secs_f64()).min(cap);
+            *at = now;
+            if *level < s.units {
+                return self.answer(&sent, true);
+            }
+            *level -= s.units;
+        }
+        let fits = |n: &(&String, &(String, i64))| s.handle.is_none_or(|h| h.cell == n.1.1);
+        let found = self.ready.iter().filter(fits).map(|n| n.0).choose(&mut self.rng);
+        let Some(node) = found.and_then(|name| self.up.get(name)).copied() else {
+            return self.answer(&sent, true);
+        };
+        self.last += 1;
+        let leg = Leg {
+            leg: self.last,
+            stream_type: s.stream_type,
+            volume: s.volume,
+            units: s.units,
+            write: stream_type.write,
+            handle: s.handle,
+            mark: s.mark,
+            repeat: s.repeat,
+            number: 0,
+            time_out_us: (until - now).as_micros() as i64,
+        };
+        self.legs.insert(self.last, Sent { node, ..sent });
+        self.send(node, Frame::from(leg).with_body(body));
+    }
+
+    /// Deferred where that promises nothing false, else abandoned.
+    fn answer(&mut self, sent: &Sent, never_ran: bool) {
+        let harmless = matches!(sent.effect, Effect::Repeatable | Effect::Keyed { group: Group::All, .. });
+        let outcome = if never_ran || harmless { Outcome::Deferred } else { Outcome::Abandoned };
+        let come_back_us = self.rng.random_range(100_000..300_000);
+        let answer = Answer { id: sent.id, outcome: outcome as i32, handle: None, come_back_us };
+        self.send(sent.client, answer.into());
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over: Vec<_> = self.legs.iter().filter(|(_, s)| s.until <= now).map(|(id, _)| *id).collect();
+        for id in over {
+            if let Some(sent) = self.legs.remove(&id) {
+                self.answer(&sent, false);
+            }
+        }
+    }
+
+    fn lost(&mut self, link: u64, name: &str) {
+        self.up.retain(|n, l| n != name || *l != link);
+        let over: Vec<_> = self.legs.iter().filter(|(_, s)| s.node == link).map(|(id, _)| *id).collect();
+        for id in over {
+            if let Some(sent) = self.legs.remove(&id) {
+                self.answer(&sent, false);
+            }
+        }
+    }
+
+    fn send(&self, link: u64, frame: Frame) {
+        if let Some((_, l)) = self.links.get(&link) {
+            let _ = l.send(frame);
+        }
+    }
+}
