--- a/crates/cli/benches/host_cost.rs
+++ b/crates/cli/benches/host_cost.rs
@@ -17,6 +17,7 @@
 use nix::time::{ClockId, clock_gettime};
 use std::collections::BTreeMap;
 use std::net::TcpListener as StdListener;
+use std::process::{Command, Stdio};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -42,6 +43,11 @@
 }
 
 fn document(hosts: &[String], nodes: &[String], plan: &str) -> Arc<Deployment> {
+    let text = document_text(hosts, nodes, plan);
+    Arc::new(parse("bench.kdl", &text).unwrap_or_else(|p| panic!("{:?}", p.problems)))
+}
+
+fn document_text(hosts: &[String], nodes: &[String], plan: &str) -> String {
     let mut text = format!(
         "rules tick=\"20ms\"\ncold units=40 window=\"1s\" first-part=0.2 ramp=\"1s\"\n\
          stream-type \"read\" effect=\"repeatable\" slo=\"1s\" expiry=\"5s\"\nplan \"p\" {plan}\n\
@@ -53,7 +59,7 @@
     for (i, a) in nodes.iter().enumerate() {
         text += &format!("node \"n{i}\" cell={i} address=\"{a}\"\n");
     }
-    Arc::new(parse("bench.kdl", &text).unwrap_or_else(|p| panic!("{:?}", p.problems)))
+    text
 }
 
 /// Nodes that answer at once, or never; all on one thread, for as long as the process lives.
@@ -113,7 +119,8 @@
     }
 }
 
-fn hosts(d: &Arc<Deployment>, listeners: Vec<StdListener>) -> Running {
+/// Hosts of a document from this one on, all on one thread.
+fn hosts(d: &Arc<Deployment>, first: usize, listeners: Vec<StdListener>) -> Running {
     let (stop, stopped): (Vec<_>, Vec<_>) = (0..listeners.len()).map(|_| oneshot::channel::<()>()).unzip();
     let d = d.clone();
     let thread = named("host", move || {
@@ -122,8 +129,13 @@
             for (i, (listener, stopped)) in listeners.into_iter().zip(stopped).enumerate() {
                 let listener = TcpListener::from_std(listener).expect("a listener");
                 let clock = HostClock::start(Span::ZERO);
-                let life =
-                    Life { deployment: d.clone(), me: HostId(i as u32), seed: 1, incarnation: 1, clock };
+                let life = Life {
+                    deployment: d.clone(),
+                    me: HostId((first + i) as u32),
+                    seed: 1,
+                    incarnation: 1,
+                    clock,
+                };
                 all.spawn(drive::run(life, listener, async {
                     let _ = stopped.await;
                 }));
@@ -282,7 +294,7 @@
     let running = if relay {
         bare_relay(hl.into_iter().next().expect("one"), na)
     } else {
-        hosts(&document(&ha, &na, ""), hl)
+        hosts(&document(&ha, &na, ""), 0, hl)
     };
     let load = Load { outstanding, rate: 0.0, seconds, cells: count as i64, bytes: 0, warm: 0.5 };
     let (done, other, times) = clients(&ha, &load, relay);
@@ -324,7 +336,7 @@
     for round in 0..2 {
         let ((nl, na), (hl, ha)) = (listeners(8), listeners(1));
         nodes(nl, None);
-        let running = hosts(&document(&ha, &na, ""), hl);
+        let running = hosts(&document(&ha, &na, ""), 0, hl);
         let before = resident();
         let load = Load { outstanding: 0, rate: 40_000.0, seconds: 0.75, cells: 8, bytes: 0, warm: 0.5 };
         let watch = std::thread::spawn(move || {
@@ -345,7 +357,7 @@
 fn soak(seconds: f64) {
     let ((nl, na), (hl, ha)) = (listeners(8), listeners(1));
     nodes(nl, Some(1024));
-    let running = hosts(&document(&ha, &na, ""), hl);
+    let running = hosts(&document(&ha, &na, ""), 0, hl);
     let watch = std::thread::spawn(move || {
         for minute in 0..=(seconds / 60.0) as u64 {
             println!("minute {minute}: {:.1} MB resident", resident() as f64 / 1e6);
@@ -364,27 +376,68 @@
     drop(watch);
 }
 
+/// Hosts of one process: a hundred hosts hold more connections than one may.
+const HOSTS_A_PROCESS: usize = 25;
+
+/// Runs some hosts of a document until standard input ends; writes processor time and labels sent.
+fn scale_part(file: &str, from: usize, to: usize) {
+    let text = std::fs::read_to_string(file).expect("the document");
+    let d = Arc::new(parse(file, &text).unwrap_or_else(|p| panic!("{:?}", p.problems)));
+    let bind = |h: usize| {
+        let listener = StdListener::bind(&d.hosts[h].address).expect("its port is still free");
+        listener.set_nonblocking(true).expect("non-blocking");
+        listener
+    };
+    let running = hosts(&d, from, (from..to).map(bind).collect());
+    let _ = std::io::stdin().read_line(&mut String::new());
+    let (cpu, counts) = running.end();
+    println!("{cpu} {}", counts.iter().map(|c| c.labels_sent).sum::<u64>());
+}
+
 fn scale() {
     println!(
-        "hosts  transfers/s  done   labels/s  labels by transfer  host cpu us by transfer  p50 us  p99 us"
+        "hosts  transfers/s  done  labels/s  labels by transfer  host cpu us by transfer  p50 us  p99 us"
     );
     for count in [10, 50, 100] {
         let ((nl, na), (hl, ha)) = (listeners(60), listeners(count));
         nodes(nl, Some(1024));
         // A limit a quarter over what is asked: hosts that are asked for more for a moment borrow.
         let plan = format!("limit=1250 burst={}", 16 * count.max(70));
-        let running = hosts(&document(&ha, &na, &plan), hl);
+        let file = std::env::temp_dir().join(format!("gullsail-scale-{}-{count}.kdl", std::process::id()));
+        std::fs::write(&file, document_text(&ha, &na, &plan)).expect("the document");
+        drop(hl);
+        let parts: Vec<_> = (0..count)
+            .step_by(HOSTS_A_PROCESS)
+            .map(|from| {
+                let to = (from + HOSTS_A_PROCESS).min(count);
+                Command::new(std::env::current_exe().expect("this program"))
+                    .args(["scale-part", &file.display().to_string(), &from.to_string(), &to.to_string()])
+                    .stdin(Stdio::piped())
+                    .stdout(Stdio::piped())
+                    .spawn()
+                    .expect("a part")
+            })
+            .collect();
+        std::thread::sleep(Duration::from_secs(1));
         let load = Load { outstanding: 0, rate: 2000.0, seconds: 20.0, cells: 60, bytes: 0, warm: 4.0 };
         let (done, other, times) = clients(&ha, &load, false);
-        let (cpu, counts) = running.end();
-        let labels: u64 = counts.iter().map(|c| c.labels_sent).sum();
+        let (mut cpu, mut labels) = (0.0, 0.0);
+        for mut part in parts {
+            drop(part.stdin.take());
+            let out = part.wait_with_output().expect("what it counted");
+            let text = String::from_utf8_lossy(&out.stdout).into_owned();
+            let mut figures = text.split_whitespace().filter_map(|f| f.parse::<f64>().ok());
+            cpu += figures.next().expect("processor time");
+            labels += figures.next().expect("labels");
+        }
+        let _ = std::fs::remove_file(&file);
         let all = (done + other).max(1) as f64;
         println!(
-            "{count:>5} {:>12.0} {:>5.2} {:>10.0} {:>19.2} {:>24.0} {:>7} {:>7}",
-            all / 20.0,
+            "{count:>5} {:>12.0} {:>5.2} {:>9.0} {:>19.2} {:>24.0} {:>7} {:>7}",
+            all / load.seconds,
             done as f64 / all,
-            labels as f64 / 20.0,
-            labels as f64 / all,
+            labels / load.seconds,
+            labels / all,
             cpu / all * 1e6,
             times.value_at_quantile(0.5),
             times.value_at_quantile(0.99)
@@ -398,6 +451,12 @@
         None | Some("cost") => cost(),
         Some("memory") => memory(),
         Some("scale") => scale(),
+        Some("scale-part") => match &arguments[1..] {
+            [file, from, to] => {
+                scale_part(file, from.parse().expect("a place"), to.parse().expect("a place"))
+            }
+            _ => eprintln!("scale-part FILE FROM TO"),
+        },
         Some("soak") => soak(arguments.get(1).and_then(|s| s.parse().ok()).unwrap_or(600.0)),
         Some(other) => eprintln!("no mode is called {other}: cost, memory, scale, soak SECONDS"),
     }
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -439,6 +439,10 @@
             Trouble::Delay { from, to, by, lasts } => self.harm(&from, &to, Harm::Delay(duration(by)), lasts),
             Trouble::Reset { from, to, share, lasts } => self.harm(&from, &to, Harm::Reset(share), lasts),
             Trouble::Errors { node, share, lasts } => self.harm(&node, "*", Harm::Errors(share), lasts),
+            Trouble::Lose { from, to, share, lasts } => self.harm(&from, &to, Harm::Lose(share), lasts),
+            Trouble::HalfClose { from, to, share, lasts } => {
+                self.harm(&from, &to, Harm::HalfClose(share), lasts);
+            }
             Trouble::Refuse { to, lasts } => {
                 self.harm("*", &to, Harm::Refuse, lasts);
                 self.wire.cut("*", &to);
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -79,6 +79,20 @@
         share: f64,
         lasts: Span,
     },
+    /// This part of the frames is lost with no sign.
+    Lose {
+        from: String,
+        to: String,
+        share: f64,
+        lasts: Span,
+    },
+    /// Each frame is its direction's last with this chance; the other direction goes on.
+    HalfClose {
+        from: String,
+        to: String,
+        share: f64,
+        lasts: Span,
+    },
     /// No new connection to it comes about, or is answered.
     Refuse {
         to: String,
@@ -192,7 +206,7 @@
     s
 }
 
-const KINDS: [&str; 18] = [
+const KINDS: [&str; 20] = [
     "surge",
     "impatient",
     "lead-moves",
@@ -207,6 +221,8 @@
     "delay",
     "reset",
     "errors",
+    "lose",
+    "half-close",
     "refuse",
     "silent",
     "cut",
@@ -242,7 +258,7 @@
         "fail" | "errors" => &["share", "for"],
         "replace" | "release" => &["by", "after"],
         "list-down" | "refuse" | "silent" => &["for"],
-        "lose-labels" | "reset" => &["from", "to", "share", "for"],
+        "lose-labels" | "reset" | "lose" | "half-close" => &["from", "to", "share", "for"],
         "swap-labels" => &["from", "to", "for"],
         "delay" => &["from", "to", "by", "for"],
         "cut" => &["from", "to"],
@@ -296,6 +312,10 @@
             Trouble::Delay { from: key(r, "from", &all)?, to: key(r, "to", &all)?, by, lasts }
         }
         "reset" => Trouble::Reset { from: key(r, "from", &all)?, to: key(r, "to", &all)?, share, lasts },
+        "lose" => Trouble::Lose { from: key(r, "from", &all)?, to: key(r, "to", &all)?, share, lasts },
+        "half-close" => {
+            Trouble::HalfClose { from: key(r, "from", &all)?, to: key(r, "to", &all)?, share, lasts }
+        }
         "cut" => Trouble::Cut { from: key(r, "from", &all)?, to: key(r, "to", &all)? },
         "kill-host" => Trouble::KillHost { host: name(r, "host", &hosts)?, after },
         _ => return None,
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -357,7 +357,7 @@
             Who::Client => {
                 self.unsent -= link.unsent;
                 let left = self.transfers.of_link(id);
-                debug!(link = id.0, why, open = left.len(), "client gone");
+                info!(link = id.0, why, open = left.len(), "client gone");
                 for transfer in left {
                     self.client_left(transfer);
                 }
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -34,7 +34,8 @@
 
 #[derive(Debug)]
 pub struct Link {
-    frames: mpsc::Sender<Frame>,
+    /// `None`: nothing more is written, while reading goes on.
+    frames: Option<mpsc::Sender<Frame>>,
     reading: watch::Sender<bool>,
 }
 
@@ -70,7 +71,7 @@
                 let _ = told.send((key, Happened::Closed(format!("write: {e}")))).await;
             }
         });
-        Link { frames, reading }
+        Link { frames: Some(frames), reading }
     }
 
     /// Queues a frame.
@@ -78,7 +79,12 @@
     /// # Errors
     /// [`Full`]: the frame is not queued.
     pub fn send(&self, frame: Frame) -> Result<(), Full> {
-        self.frames.try_send(frame).map_err(|_| Full)
+        self.frames.as_ref().ok_or(Full)?.try_send(frame).map_err(|_| Full)
+    }
+
+    /// Writes what is queued and then ends this direction alone; reading goes on.
+    pub fn finish(&mut self) {
+        self.frames = None;
     }
 
     /// Stops or goes on reading: back-pressure for the other side.
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -39,6 +39,10 @@
     Silent,
     /// This part of the legs' answers become errors.
     Errors(f64),
+    /// This part of the frames is lost, with no sign of it.
+    Lose(f64),
+    /// Each frame is the last of its direction with this chance; the other direction goes on.
+    HalfClose(f64),
     /// Each frame breaks its connection with this chance.
     Reset(f64),
 }
@@ -157,6 +161,8 @@
 struct Way {
     queue: VecDeque<(Instant, Entry, Frame)>,
     held: Option<(Entry, Frame)>,
+    /// Half-closed: nothing more enters.
+    ended: bool,
 }
 
 async fn pass(wire: Arc<Wire>, name: String, stream: TcpStream, address: Option<String>) {
@@ -172,8 +178,8 @@
     let Ok(other) = TcpStream::connect(address).await else { return };
     let (sink, mut inbox) = mpsc::channel(256);
     let mut tasks = JoinSet::new();
-    let dialler = Link::open(stream, Side::Dialler, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
-    let target = Link::open(other, Side::Target, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
+    let mut dialler = Link::open(stream, Side::Dialler, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
+    let mut target = Link::open(other, Side::Target, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
     let link = {
         let mut inner = wire.lock();
         inner.last_link += 1;
@@ -186,12 +192,15 @@
     let why = loop {
         let now = Instant::now();
         let mut full = false;
-        for (way, to) in [(&mut there, &target), (&mut back, &dialler)] {
+        for (way, to) in [(&mut there, &mut target), (&mut back, &mut dialler)] {
             while let Some((_, mut entry, frame)) = way.queue.pop_front_if(|w| w.0 <= now) {
                 entry.out = wire.now();
                 // Recorded before it goes out: nobody can have answered it by then.
                 wire.record(entry);
-                full |= to.send(frame).is_err();
+                full |= to.send(frame).is_err() && !way.ended;
+            }
+            if way.ended && way.queue.is_empty() {
+                to.finish();
             }
         }
         if full {
@@ -248,10 +257,16 @@
         let what = What::Frame { message: frame.message.clone(), body: frame.body.len(), fate };
         Entry { at, out: at, link, from: from.into(), to: to.into(), what }
     };
-    let mut swap = false;
+    let (mut swap, mut ends) = (false, false);
+    if way.ended {
+        wire.record(entry(Fate::Dropped, &frame));
+        return true;
+    }
     for harm in wire.harms(from, to) {
         match harm {
             Harm::Delay(by) => due += by,
+            Harm::Lose(part) if wire.chance(part) => fate = Fate::Dropped,
+            Harm::HalfClose(part) if wire.chance(part) => ends = true,
             Harm::LoseLabels(part) if is_label && wire.chance(part) => fate = Fate::Dropped,
             Harm::SwapLabels if is_label => swap = true,
             Harm::Reset(part) if wire.chance(part) => return false,
@@ -271,6 +286,7 @@
             _ => {}
         }
     }
+    way.ended = ends;
     // Order holds within a connection, whatever the delay of each frame.
     due = way.queue.back().map_or(due, |last| due.max(last.0));
     match fate {
