A peer's clock may drift within an exchange: bounds are wider by it; timers in buckets

Readings are cut to whole microseconds, and the clock may drift between its reading and the answer's arrival (up to 0.5 ms in an exchange of a second); the bound said neither. Also catches: slow exchanges with bad quartz. Change: both are added; properties draw from a fixed seed, so that each run tests the same cases; several timers of each transfer go into buckets of a millisecond, and open transfers are boxed since the map moves its entries.

--- a/crates/host/src/core/clock.rs
+++ b/crates/host/src/core/clock.rs
@@ -8,6 +8,7 @@
 /// How much faster or slower than ours a sound clock may run: quartz is ten times better, and a clock being
 /// slewed by its machine may reach it.
 const DRIFT: f64 = 500e-6;
+const CUT: Span = Span::from_micros(2);
 /// Answers that took longer narrow nothing worth having.
 const SLOW: Span = Span::from_micros(1_000_000);
 
@@ -31,7 +32,10 @@
         if heard < asked || heard - asked > SLOW {
             return Learned::Nothing;
         }
-        let (least, most) = (said - heard, said - asked);
+        // By the time of the answer's arrival it may have drifted since the reading; readings are cut to whole
+        // microseconds, on both sides.
+        let since = (heard - asked).times(DRIFT) + CUT;
+        let (least, most) = (said - heard - since, said - asked + since);
         let Some((low, high)) = self.bounds(heard) else {
             self.known = Some((least, most, heard));
             return Learned::First;
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod clock;
 pub mod dial;
+mod due;
 mod hear;
 pub mod nodes;
 mod serve;
@@ -15,6 +16,7 @@
 
 use clock::PeerClock;
 use dial::{Dial, State};
+use due::Timers;
 use gullsail::Brain;
 use gullsail_configuration::Deployment;
 use gullsail_interface::*;
@@ -159,8 +161,7 @@
     incarnation: u64,
     events: Vec<Event>,
     outputs: Vec<Output>,
-    due: BTreeMap<(Instant, u64), Due>,
-    last_due: u64,
+    due: Timers<Due>,
     links: BTreeMap<LinkId, Link>,
     last_link: u64,
     nodes: Nodes,
@@ -190,8 +191,7 @@
             incarnation,
             events: Vec::new(),
             outputs: Vec::new(),
-            due: BTreeMap::new(),
-            last_due: 0,
+            due: Timers::default(),
             links: BTreeMap::new(),
             last_link: 0,
             nodes,
@@ -245,9 +245,9 @@
     /// Plays what is due, and lets the decisions answer all that came.
     pub fn advance(&mut self, now: Instant) {
         self.now = self.now.max(now);
-        while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= self.now) {
-            let due = entry.remove();
-            self.play(due);
+        while let Some(mut due) = self.due.take(self.now) {
+            due.drain(..).for_each(|d| self.play(d));
+            self.due.give_back(due);
         }
         // A leg that can't go out ends at once and may bring another; legs of a transfer are bounded.
         while !self.events.is_empty() {
@@ -269,7 +269,7 @@
     }
 
     pub fn next_timer(&self) -> Option<Instant> {
-        self.due.first_key_value().map(|(at, _)| at.0)
+        self.due.next()
     }
 
     pub fn counts(&self) -> &Counts {
@@ -282,8 +282,7 @@
     }
 
     fn at(&mut self, at: Instant, due: Due) {
-        self.last_due += 1;
-        self.due.insert((at, self.last_due), due);
+        self.due.set(at, due);
     }
 
     fn link(&mut self, who: Who) -> LinkId {
--- a/crates/host/src/core/transfers.rs
+++ b/crates/host/src/core/transfers.rs
@@ -35,7 +35,8 @@
 
 #[derive(Debug, Default)]
 pub struct Transfers {
-    open: BTreeMap<TransferId, Open>,
+    /// Boxed: the map moves its entries about.
+    open: BTreeMap<TransferId, Box<Open>>,
     /// By what clients call them: one name at a time on a connection.
     named: BTreeMap<(LinkId, u64), TransferId>,
     legs: BTreeMap<LegId, LegOut>,
@@ -58,7 +59,7 @@
         self.legs.len()
     }
     pub fn get(&self, id: TransferId) -> Option<&Open> {
-        self.open.get(&id)
+        self.open.get(&id).map(Box::as_ref)
     }
     pub fn find(&self, link: LinkId, name: u64) -> Option<TransferId> {
         self.named.get(&(link, name)).copied()
@@ -69,12 +70,12 @@
         let id = TransferId(self.last_transfer);
         self.held += open.body.len();
         self.named.insert((open.link, open.submit.id), id);
-        self.open.insert(id, open);
+        self.open.insert(id, Box::new(open));
         id
     }
 
     /// Takes it out: it has its answer, or nobody waits for one. At most once for each.
-    pub fn end(&mut self, id: TransferId) -> Option<Open> {
+    pub fn end(&mut self, id: TransferId) -> Option<Box<Open>> {
         let open = self.open.remove(&id)?;
         self.held -= open.body.len();
         self.named.remove(&(open.link, open.submit.id));
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -3,6 +3,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use gullsail_protocol::*;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const BOUNDS: Bounds = Bounds { message: 4096, body: 1 << 16 };
 
@@ -86,7 +87,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
     /// Whatever bytes come, decoding ends, and never takes more than the bounds allow.
     #[test]
     fn garbage_ends_or_waits(bytes in proptest::collection::vec(any::<u8>(), 0..200), tagged in any::<bool>()) {
