--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -412,6 +412,20 @@
             Trouble::Stall { node, lasts } => self.order_nodes(&node, "stall", 1.0, lasts).await,
             Trouble::Slow { node, times, lasts } => self.order_nodes(&node, "slow", times, lasts).await,
             Trouble::Fail { node, share, lasts } => self.order_nodes(&node, "fail", share, lasts).await,
+            Trouble::Costly { stream_type, share, times, lasts } => {
+                let what = "costly".into();
+                let order = Order {
+                    what,
+                    size: times,
+                    lasts_us: lasts.micros(),
+                    share,
+                    stream_type,
+                    ..Order::default()
+                };
+                for name in self.nodes("*") {
+                    self.order(&name, order.clone()).await;
+                }
+            }
             Trouble::Replace { node, by, after } => {
                 if let Some(process) = self.places.get_mut(&node).and_then(|p| p.process.take()) {
                     self.wire.process(&node, self.wire.now(), Life::Killed);
@@ -464,7 +478,7 @@
 
     async fn order_nodes(&self, node: &str, what: &str, size: f64, lasts: Span) {
         for name in self.nodes(node) {
-            let order = Order { what: what.into(), size, lasts_us: lasts.micros(), entries: Vec::new() };
+            let order = Order { what: what.into(), size, lasts_us: lasts.micros(), ..Order::default() };
             self.order(&name, order).await;
         }
     }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -35,6 +35,13 @@
         share: f64,
         lasts: Span,
     },
+    /// This part of a stream type's transfers costs so many times their usual work, at all nodes.
+    Costly {
+        stream_type: String,
+        share: f64,
+        times: f64,
+        lasts: Span,
+    },
     /// Killed; after a while another process has its cell, cold, or the same name comes back.
     Replace {
         node: String,
@@ -206,13 +213,14 @@
     s
 }
 
-const KINDS: [&str; 20] = [
+const KINDS: [&str; 21] = [
     "surge",
     "impatient",
     "lead-moves",
     "stall",
     "slow",
     "fail",
+    "costly",
     "replace",
     "release",
     "list-down",
@@ -255,6 +263,7 @@
         "impatient" => &["share", "part", "for"],
         "stall" => &["for"],
         "slow" => &["times", "for"],
+        "costly" => &["share", "times", "for"],
         "fail" | "errors" => &["share", "for"],
         "replace" | "release" => &["by", "after"],
         "list-down" | "refuse" | "silent" => &["for"],
@@ -283,6 +292,11 @@
             Trouble::Slow { node: name(r, "node", &any(&nodes))?, times: r.number(n, "times", 0.0), lasts }
         }
         "fail" => Trouble::Fail { node: name(r, "node", &any(&nodes))?, share, lasts },
+        "costly" => {
+            let names: Vec<_> = d.stream_types.iter().map(|s| s.name.clone()).collect();
+            let stream_type = name(r, "stream type", &names)?;
+            Trouble::Costly { stream_type, share, times: r.number(n, "times", 1.0), lasts }
+        }
         "errors" => Trouble::Errors { node: name(r, "node", &any(&nodes))?, share, lasts },
         "replace" | "release" => {
             let node = name(r, "node", &nodes)?;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -278,7 +278,7 @@
 /// To a stand-in alone, from the script of a day: what goes wrong with it, or what the list is to say.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
 pub struct Order {
-    /// Of a node: `stall`, `slow`, `fail`. Of the list: `late`, `refuse`.
+    /// Of a node: `stall`, `slow`, `fail`, `costly`. Of the list: `late`, `refuse`.
     #[prost(string, tag = "1")]
     pub what: String,
     #[prost(double, tag = "2")]
@@ -288,4 +288,9 @@
     /// Of the list: these entries are so from now on.
     #[prost(message, repeated, tag = "4")]
     pub entries: Vec<ListEntry>,
+    /// Which part of the transfers is meant, and of which stream type; empty: all types.
+    #[prost(double, tag = "5")]
+    pub share: f64,
+    #[prost(string, tag = "6")]
+    pub stream_type: String,
 }
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -78,7 +78,8 @@
         self.cold.units.max(self.machine.falls_over * can)
     }
 
-    pub fn arrive(&mut self, now: Instant, id: u64, units: f64, write: bool) -> Arrival {
+    /// `dear` times as much work as its units say.
+    pub fn arrive(&mut self, now: Instant, id: u64, units: f64, write: bool, dear: f64) -> Arrival {
         if self.fallen {
             return Arrival::FellOver;
         }
@@ -95,7 +96,7 @@
         }
         // Times are skewed, as of disks: a gamma distribution with a mean of one.
         let skew = Gamma::new(4.0, 0.25).map_or(1.0, |g| g.sample(&mut self.rng));
-        let secs = units * self.machine.unit.secs() * skew;
+        let secs = units * self.machine.unit.secs() * skew * dear;
         let put_off = if write { secs * self.machine.put_off } else { 0.0 };
         self.waiting.push_back(Work { id, secs: secs - put_off, put_off });
         self.begin(now);
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -39,6 +39,8 @@
     marks: BTreeMap<String, (Instant, Handle)>,
     rng: ChaCha8Rng,
     fail: f64,
+    /// This part of a stream type's transfers costs so many times their usual work.
+    costly: Option<(String, f64, f64)>,
     troubles: Vec<(Instant, &'static str)>,
 }
 
@@ -61,6 +63,7 @@
         marks: BTreeMap::new(),
         rng,
         fail: 0.0,
+        costly: None,
         troubles: Vec::new(),
     };
     let (mut last_link, mut last_leg) = (0, 0);
@@ -106,14 +109,21 @@
     /// `true`: it fell over.
     fn hear(&mut self, link: u64, frame: Frame, id: u64, now: Instant) -> bool {
         match frame.message {
-            Message::Leg(leg) => match self.model.arrive(now, id, leg.units, leg.write) {
-                Arrival::Taken => _ = self.legs.insert(id, (link, leg, frame.body)),
-                Arrival::Full => {
-                    let result = LegResult::TurnedAway as i32;
-                    self.send(link, Frame::from(LegAnswer { leg: leg.leg, result, ..LegAnswer::default() }));
+            Message::Leg(leg) => {
+                let costly = self.costly.as_ref().filter(|c| c.0.is_empty() || c.0 == leg.stream_type);
+                let dear = costly.filter(|c| self.rng.random_bool(c.1)).map_or(1.0, |c| c.2);
+                match self.model.arrive(now, id, leg.units, leg.write, dear) {
+                    Arrival::Taken => _ = self.legs.insert(id, (link, leg, frame.body)),
+                    Arrival::Full => {
+                        let result = LegResult::TurnedAway as i32;
+                        self.send(
+                            link,
+                            Frame::from(LegAnswer { leg: leg.leg, result, ..LegAnswer::default() }),
+                        );
+                    }
+                    Arrival::FellOver => return true,
                 }
-                Arrival::FellOver => return true,
-            },
+            }
             Message::Cancel(c) => {
                 let waits = self.legs.iter().find(|(_, (l, leg, _))| *l == link && leg.leg == c.leg);
                 if let Some(id) = waits.map(|(id, _)| *id).filter(|id| self.model.cancel(*id)) {
@@ -139,6 +149,10 @@
                 self.model.slow(o.size);
                 self.troubles.push((now + lasts, "slow"));
             }
+            "costly" => {
+                self.costly = Some((o.stream_type.clone(), o.share.clamp(0.0, 1.0), o.size));
+                self.troubles.push((now + lasts, "costly"));
+            }
             "fail" => {
                 self.fail = o.size;
                 self.troubles.push((now + lasts, "fail"));
@@ -153,6 +167,7 @@
         for (_, what) in over {
             match what {
                 "slow" => self.model.slow(1.0),
+                "costly" => self.costly = None,
                 _ => self.fail = 0.0,
             }
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -145,7 +145,7 @@
                 // The list is late: a drain is believed at once, but taken back only by a newer start.
                 let ended = self.entry.standing != Standing::Ready && e.started <= self.entry.started;
                 let standing = if ended { self.entry.standing } else { e.standing };
-                // A connection that broke is taken for a restart, until the same process answers on a new one.
+                // A connection that broke is taken for a restart until the same process says otherwise.
                 let started = if seen { e.started } else { e.started.max(self.entry.started) };
                 self.entry = NodeEntry { standing, started, ..e };
             }
