Legs never outlast the expiry of their own transfer; a full table of files does not stall a host

A leg without a time-out took the first stream type's expiry, and an accept that failed (too few file descriptors) slept on the event loop. Change: legs end with their own transfer's expiry at the latest; accepting waits by itself.

--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -526,7 +526,7 @@
         let full = self.transfers.open() >= b.most_open as usize || held >= b.most_held;
         // Some room first, so that reading does not go on and off with each frame.
         let roomy =
-            self.transfers.open() * 10 < b.most_open as usize * 9 && held / 10 < b.most_held / 10 * 9 / 10;
+            self.transfers.open() < b.most_open as usize / 10 * 9 + 1 && held < b.most_held / 10 * 9 + 1;
         if full != self.held_back && (full || roomy) {
             self.held_back = full;
             self.counts.held_back += u64::from(full);
--- a/crates/host/src/core/serve.rs
+++ b/crates/host/src/core/serve.rs
@@ -51,8 +51,8 @@
             ttl: Span::from_micros(submit.ttl_us).min(stream_type.expiry),
             volume_hosts: volume.hosts.len() as u32,
         };
-        let write = stream_type.write;
-        let id = self.transfers.take(Open { link, submit, write, body, legs: 0 });
+        let (write, expiry) = (stream_type.write, self.now + transfer.ttl);
+        let id = self.transfers.take(Open { link, submit, write, body, expiry, legs: 0 });
         self.counts.taken += 1;
         self.events.push(Event::Arrived(Transfer { id, ..transfer }));
     }
@@ -106,10 +106,9 @@
 
     fn leg(&mut self, id: TransferId, node: NodeId, time_out: Option<Span>) {
         let now = self.now;
-        let lasts = time_out.unwrap_or(self.deployment.stream_types[0].expiry);
         let number = self.transfers.next_leg(id);
         let known = self.nodes.get(node).is_some();
-        let Some(leg) = known.then(|| self.transfers.leg(id, node, now, lasts)).flatten() else {
+        let Some((leg, lasts)) = known.then(|| self.transfers.leg(id, node, now, time_out)).flatten() else {
             // Its client has just left, or its node is forgotten: the leg does not go out.
             let (ending, finished) = (Ending::Unsent, self.transfers.get(id).is_none());
             let end = LegEnd { id, leg: number, node, ending, took: Span::ZERO, finished, used: None };
--- a/crates/host/src/core/transfers.rs
+++ b/crates/host/src/core/transfers.rs
@@ -19,6 +19,8 @@
     pub submit: Submit,
     pub write: bool,
     pub body: Bytes,
+    /// When its client gives up.
+    pub expiry: Instant,
     pub legs: u32,
 }
 
@@ -103,14 +105,22 @@
         self.named.range((link, 0)..=(link, u64::MAX)).map(|(_, id)| *id).collect()
     }
 
-    /// A leg of an open transfer; the transfer counts it.
-    pub fn leg(&mut self, id: TransferId, node: NodeId, now: Instant, lasts: Span) -> Option<LegId> {
+    /// A leg of an open transfer, and how long it lasts: never past the expiry. The transfer counts it.
+    pub fn leg(
+        &mut self,
+        id: TransferId,
+        node: NodeId,
+        now: Instant,
+        time_out: Option<Span>,
+    ) -> Option<(LegId, Span)> {
         let open = self.open.get_mut(&id)?;
+        let left = open.expiry - now;
+        let lasts = time_out.map_or(left, |t| t.min(left));
         self.last_leg += 1;
         let leg = LegOut { transfer: id, number: open.legs, node, made: now, sent: None, ends: now + lasts };
         open.legs += 1;
         self.legs.insert(LegId(self.last_leg), leg);
-        Some(LegId(self.last_leg))
+        Some((LegId(self.last_leg), lasts))
     }
 
     pub fn out(&mut self, leg: LegId) -> Option<&mut LegOut> {
--- a/crates/host/src/drive.rs
+++ b/crates/host/src/drive.rs
@@ -68,6 +68,7 @@
     let mut dialling: BTreeMap<LinkId, AbortHandle> = BTreeMap::new();
     let mut batch = Vec::with_capacity(BATCH);
     let (mut listener, mut left) = (Some(listener), false);
+    let mut accept_from = tokio::time::Instant::now();
     tokio::pin!(stop);
     loop {
         core.advance(clock.now());
@@ -115,7 +116,7 @@
                 listener = None;
                 core.handle(clock.now(), Input::Stop);
             }
-            came = accept(listener.as_ref()) => match came {
+            came = accept(listener.as_ref(), accept_from) => match came {
                 Ok((stream, _)) => {
                     // The core's first frame to it is among its outputs, so the link must stand before those.
                     if let Some(id) = core.accept(clock.now()) {
@@ -125,7 +126,7 @@
                 Err(e) => {
                     // Out of file descriptors, mostly: a moment later there may be some.
                     warn!(error = %e, "cannot accept a connection");
-                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    accept_from = tokio::time::Instant::now() + Duration::from_millis(5);
                 }
             },
             made = dials.join_next(), if !dials.is_empty() => {
@@ -162,9 +163,17 @@
     }
 }
 
-async fn accept(listener: Option<&TcpListener>) -> std::io::Result<(TcpStream, std::net::SocketAddr)> {
+async fn accept(
+    listener: Option<&TcpListener>,
+    from: tokio::time::Instant,
+) -> std::io::Result<(TcpStream, std::net::SocketAddr)> {
     match listener {
-        Some(listener) => listener.accept().await,
+        Some(listener) => {
+            if from > tokio::time::Instant::now() {
+                tokio::time::sleep_until(from).await;
+            }
+            listener.accept().await
+        }
         None => std::future::pending().await,
     }
 }
