--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,8 +1,10 @@
 //! The program `gullsail`: arguments, logs, exit codes. Exit code 0: done as asked; 1: a day failed, or a
 //! process could not go on; 2: the arguments or a document are wrong.
 
+mod documents;
+
 use clap::{Parser, Subcommand, ValueEnum};
-use gullsail_configuration::{Deployment, HostBounds};
+use gullsail_configuration::HostBounds;
 use gullsail_day::processes::Listening;
 use gullsail_host::drive::{self, HostClock, Life};
 use gullsail_interface::Span;
@@ -94,8 +96,37 @@
         #[arg(long)]
         json: bool,
     },
-    /// Checks a document and says all that is wrong with it.
-    Check { file: PathBuf },
+    /// Checks a document and all it includes, and says all that is wrong.
+    Check {
+        file: PathBuf,
+        /// One object for each problem, for editors and CI.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Says what the code of a problem means.
+    Explain { code: String },
+    /// Writes documents in the one way to write them; comments and order stay.
+    Fmt {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Changes nothing; exit code 1 if something would change.
+        #[arg(long)]
+        check: bool,
+    },
+    /// What changed between two documents, by meaning. Exit code 0: nothing, or safe while serving; 1: hosts must
+    /// start again; 3: dangerous.
+    Diff {
+        old: PathBuf,
+        new: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// What one host will run with: includes and templates resolved, each entry with where it came from.
+    Show {
+        file: PathBuf,
+        #[arg(long)]
+        host: String,
+    },
 }
 
 fn main() -> ExitCode {
@@ -143,17 +174,11 @@
             play(&day.unwrap_or_default(), seed, record, json, baseline).await
         }
         Command::Audit { dir, json } => audit(&dir, json),
-        Command::Check { file } => {
-            let (d, _) = read(&file)?;
-            println!(
-                "{}: sound; {} hosts, {} nodes, {} volumes",
-                file.display(),
-                d.hosts.len(),
-                d.nodes.len(),
-                d.volumes.len()
-            );
-            Ok(ExitCode::SUCCESS)
-        }
+        Command::Check { file, json } => documents::check(&file, json),
+        Command::Explain { code } => documents::explain(&code),
+        Command::Fmt { files, check } => documents::format(&files, check),
+        Command::Diff { old, new, json } => documents::diff(&old, &new, json),
+        Command::Show { file, host } => documents::show(&file, &host),
     }
 }
 
@@ -161,11 +186,6 @@
     std::fs::read_to_string(file).into_diagnostic().wrap_err_with(|| format!("can't read {}", file.display()))
 }
 
-fn read(file: &Path) -> Result<(Deployment, String)> {
-    let text = text_of(file)?;
-    Ok((gullsail_configuration::parse(&file.display().to_string(), &text)?, text))
-}
-
 /// Binds where the document says, and tells whoever started this process where that is.
 async fn listen(address: &str, name: &str) -> Result<(TcpListener, u64)> {
     if address.is_empty() {
@@ -201,7 +221,7 @@
 }
 
 async fn host(file: &Path, name: &str, seed: u64, clock_ahead: &str) -> Result<ExitCode> {
-    let (d, _) = read(file)?;
+    let (d, _) = documents::read(file)?;
     let known: Vec<_> = d.hosts.iter().map(|h| h.name.as_str()).collect();
     let me = d.host(name).ok_or_else(|| {
         miette!(
@@ -220,7 +240,7 @@
 }
 
 async fn baseline(file: &Path, name: &str, seed: u64) -> Result<ExitCode> {
-    let (d, _) = read(file)?;
+    let (d, _) = documents::read(file)?;
     let me = d.host(name).ok_or_else(|| miette!("{}: no host \"{name}\"", file.display()))?;
     let (listener, _) = listen(&d.hosts[me.0 as usize].listen, name).await?;
     tokio::select! {
@@ -230,7 +250,7 @@
 }
 
 async fn node(file: &Path, name: &str, age: humantime::Duration) -> Result<ExitCode> {
-    let (d, _) = read(file)?;
+    let (d, _) = documents::read(file)?;
     let n = d.node(name).ok_or_else(|| miette!("{}: no node \"{name}\"", file.display()))?;
     let machine = d.machines.get(n.machine).ok_or_else(|| {
         miette!(
@@ -257,7 +277,7 @@
 }
 
 async fn list(file: &Path) -> Result<ExitCode> {
-    let (d, _) = read(file)?;
+    let (d, _) = documents::read(file)?;
     let (listener, _) = listen(&d.list.listen, "the list").await?;
     let entries = d.nodes.iter().filter(|n| !n.spare).map(|n| ListEntry {
         name: n.place.name.clone(),
@@ -305,7 +325,7 @@
 }
 
 fn audit(dir: &Path, json: bool) -> Result<ExitCode> {
-    let (d, _) = read(&dir.join("script.kdl"))?;
+    let (d, _) = documents::read(&dir.join("script.kdl"))?;
     let recording = text_of(&dir.join("frames.jsonl"))?;
     let verdicts = gullsail_audit::judge(&d, &recording).into_diagnostic()?;
     if json {
--- /dev/null
+++ b/crates/cli/tests/documents.rs
@@ -0,0 +1,94 @@
+//! The commands on documents, as a person or CI would run them.
+
+use std::path::Path;
+use std::process::{Command, Output};
+
+fn gullsail(dir: &Path, arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_gullsail")).current_dir(dir).args(arguments).output().unwrap()
+}
+
+fn out(o: &Output) -> String {
+    String::from_utf8_lossy(&o.stdout).into_owned()
+}
+
+const MAIN: &str = "include \"plans.kdl\"\nstream-type \"r\" effect=\"repeatable\" slo=\"1s\" expiry=\"2s\"\n\
+    host \"h1\"\nhost \"h2\"\ntemplate \"t\" {\n    volume \"$name\" plan=\"p\" { hosts \"h1\"; }\n}\n\
+    use \"t\" name=\"mine\"\nvolume \"theirs\" plan=\"p\" { hosts \"h2\"; }\n";
+
+fn folder() -> tempfile::TempDir {
+    let dir = tempfile::tempdir().unwrap();
+    std::fs::write(dir.path().join("main.kdl"), MAIN).unwrap();
+    std::fs::write(dir.path().join("plans.kdl"), "plan \"p\" limit=100 burst=64 // why\n").unwrap();
+    dir
+}
+
+#[test]
+fn a_sound_document_passes_and_a_broken_one_says_where() {
+    let dir = folder();
+    let sound = gullsail(dir.path(), &["check", "main.kdl"]);
+    assert_eq!((sound.status.code(), out(&sound).contains("2 hosts")), (Some(0), true));
+    std::fs::write(dir.path().join("plans.kdl"), "plan \"p\" limit=100 burst=\"64\"\nplan \"q\" limi=5\n")
+        .unwrap();
+    let broken = gullsail(dir.path(), &["check", "--json", "main.kdl"]);
+    assert_eq!(broken.status.code(), Some(2));
+    let lines: Vec<serde_json::Value> =
+        out(&broken).lines().map(|l| serde_json::from_str(l).unwrap()).collect();
+    let place = |v: &serde_json::Value| {
+        (v["code"].clone(), v["file"].clone(), v["line"].clone(), v["column"].clone())
+    };
+    let wanted = [("wrong-kind", 1, 20), ("unknown-key", 2, 10)];
+    let wanted: Vec<_> =
+        wanted.iter().map(|w| (w.0.into(), "plans.kdl".into(), w.1.into(), w.2.into())).collect();
+    let found: Vec<_> = lines.iter().map(place).collect();
+    assert_eq!(&found[..2], &wanted[..], "{found:?}");
+    for code in ["wrong-kind", "loop"] {
+        assert!(out(&gullsail(dir.path(), &["explain", code])).starts_with(code));
+    }
+    assert_eq!(gullsail(dir.path(), &["explain", "nonsense"]).status.code(), Some(2));
+}
+
+#[test]
+fn formatting_is_checked_made_and_refused() {
+    let dir = folder();
+    let read = |name: &str| std::fs::read_to_string(dir.path().join(name)).unwrap();
+    let untidy = "plan   \"p\"   limit=100 burst=64 // why\n";
+    std::fs::write(dir.path().join("plans.kdl"), untidy).unwrap();
+    assert_eq!(gullsail(dir.path(), &["fmt", "--check", "plans.kdl"]).status.code(), Some(1));
+    assert_eq!(read("plans.kdl"), untidy);
+    assert_eq!(gullsail(dir.path(), &["fmt", "plans.kdl"]).status.code(), Some(0));
+    assert!(read("plans.kdl").ends_with("// why\n") && read("plans.kdl") != untidy);
+    assert_eq!(gullsail(dir.path(), &["fmt", "--check", "plans.kdl"]).status.code(), Some(0));
+    std::fs::write(dir.path().join("plans.kdl"), "plan \"p\" {\n").unwrap();
+    let refused = gullsail(dir.path(), &["fmt", "plans.kdl"]);
+    assert_eq!((refused.status.code(), read("plans.kdl").as_str()), (Some(2), "plan \"p\" {\n"));
+    assert!(String::from_utf8_lossy(&refused.stderr).contains("left as it is"));
+}
+
+#[test]
+fn a_diff_tells_by_its_exit_code_what_it_asks_for() {
+    let dir = folder();
+    let cases = [
+        ("plan \"p\" burst=64 limit=100", 0, ""),
+        ("plan \"p\" limit=200 burst=64", 0, "safe      plan \"p\" limit"),
+        ("plan \"p\" limit=100 burst=64\nrules tick=\"9ms\"", 1, "restart   rules tick"),
+        ("plan \"p\" limit=50 burst=64", 3, "dangerous plan \"p\" limit"),
+    ];
+    for (plans, code, says) in cases {
+        let new = dir.path().join("new");
+        std::fs::create_dir_all(&new).unwrap();
+        std::fs::write(new.join("main.kdl"), MAIN).unwrap();
+        std::fs::write(new.join("plans.kdl"), plans).unwrap();
+        let diff = gullsail(dir.path(), &["diff", "main.kdl", "new/main.kdl"]);
+        assert_eq!((diff.status.code(), out(&diff).contains(says)), (Some(code), true), "{}", out(&diff));
+        assert_eq!(out(&diff).is_empty(), says.is_empty());
+    }
+}
+
+#[test]
+fn show_says_what_a_host_runs_with_and_where_it_comes_from() {
+    let dir = folder();
+    let shown = out(&gullsail(dir.path(), &["show", "main.kdl", "--host", "h1"]));
+    assert!(shown.contains("// plans.kdl:1:1\nplan"), "{shown}");
+    assert!(shown.contains("// main.kdl:6:5, used at main.kdl:8:1\nvolume mine"), "{shown}");
+    assert!(!shown.contains("theirs"), "{shown}");
+}
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -275,6 +275,7 @@
         volumes_by_name,
     };
     once(r, &built, document);
+    crate::sense::check(&built, document, r);
     built
 }
 
@@ -314,11 +315,13 @@
 
 fn names<'a>(r: &mut Reader, nodes: impl Iterator<Item = &'a KdlNode>) -> Vec<String> {
     let mut names: Vec<String> = Vec::new();
+    let mut first: BTreeMap<String, usize> = BTreeMap::new();
     for n in nodes {
         let name = r.text(n, 0, "a name");
-        if !name.is_empty() && names.contains(&name) {
-            let message = format!("a second `{}` \"{name}\"", n.name().value());
-            r.note("twice", message, n.span(), None);
+        if let Some(place) = first.get(&name).filter(|_| !name.is_empty()) {
+            r.twice(format!("a second `{}` \"{name}\"", n.name().value()), n.span(), *place);
+        } else {
+            first.insert(name.clone(), n.span().offset());
         }
         names.push(name);
     }
@@ -404,7 +407,11 @@
     r.only(n, 1, &["limit", "burst", "slack", "reserve", "usual", "weight", "price"], &[]);
     let reserve = r.number_at(n, "reserve", 0.0).unwrap_or_default();
     let limit = r.number_at(n, "limit", f64::MIN_POSITIVE);
-    let limit = limit.map(|rate| Limit { rate, burst: r.number(n, "burst", 0.0) });
+    let before = r.noted();
+    let limit = limit.map(|rate| {
+        let burst = r.number(n, "burst", 0.0);
+        Limit { rate, burst: if r.noted() > before { f64::INFINITY } else { burst } }
+    });
     if let Some(l) = limit.filter(|l| l.rate < reserve) {
         let message = format!("the limit ({}) is under the reserve ({reserve})", l.rate);
         r.note("limit-under-reserve", message, n.span(), None);
--- /dev/null
+++ b/crates/configuration/src/diff.rs
@@ -0,0 +1,297 @@
+//! What changed between two deployments, by meaning: order, comments, includes and templates count for nothing.
+//! Each change is classed by what it does to hosts that serve meanwhile.
+
+use crate::deployment::{Deployment, NamedVolume};
+use gullsail_interface::HostId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Debug;
+
+/// What a change asks of whoever makes it, mildest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// Hosts may take it while they serve.
+    Safe,
+    /// The named hosts must start again.
+    Restart,
+    /// It may break a promise while or after it is made.
+    Dangerous,
+}
+
+/// One thing that changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// Such as `plan "base"` and `limit`.
+    pub of: String,
+    pub what: String,
+    pub from: String,
+    pub to: String,
+    pub class: Class,
+    /// Why it is in that class.
+    pub why: String,
+    /// Whose hosts it concerns; empty: all.
+    pub hosts: Vec<String>,
+}
+
+struct Differ<'a> {
+    old: &'a Deployment,
+    new: &'a Deployment,
+    changes: Vec<Change>,
+}
+
+pub fn diff(old: &Deployment, new: &Deployment) -> Vec<Change> {
+    let mut d = Differ { old, new, changes: Vec::new() };
+    d.rules();
+    d.stream_types();
+    d.plans();
+    d.volumes();
+    d.hosts();
+    d.nodes();
+    d.changes
+}
+
+fn say<T: Debug>(value: &T) -> String {
+    format!("{value:?}").replace("Span(", "us(")
+}
+
+impl Differ<'_> {
+    fn change(&mut self, of: &str, what: &str, from: String, to: String, class: Class, why: &str) {
+        if from != to {
+            let (of, what, why) = (of.to_string(), what.to_string(), why.to_string());
+            self.changes.push(Change { of, what, from, to, class, why, hosts: Vec::new() });
+        }
+    }
+
+    fn rules(&mut self) {
+        let (a, b) = (self.old.figures().clone(), self.new.figures().clone());
+        let graces = (self.old.drain_grace, self.new.drain_grace);
+        let restart = "every host reads it at its start only";
+        let mut c = |what: &str, from: String, to: String| {
+            self.change("rules", what, from, to, Class::Restart, restart);
+        };
+        c("tick", say(&a.tick), say(&b.tick));
+        c("order-settle", say(&a.order_settle), say(&b.order_settle));
+        c("most-units", say(&a.most_units), say(&b.most_units));
+        c("share-part", say(&a.share_part), say(&b.share_part));
+        c("spare-part", say(&a.spare_part), say(&b.spare_part));
+        c("advice", say(&a.longest_advice), say(&b.longest_advice));
+        c(
+            "legs",
+            say(&(a.most_legs, a.leg_budget.map(|l| (l.free, l.share, l.window)))),
+            say(&(b.most_legs, b.leg_budget.map(|l| (l.free, l.share, l.window)))),
+        );
+        c("drain-grace", say(&graces.0), say(&graces.1));
+        let (x, y) = (a.cold, b.cold);
+        let why = "hosts with the old and the new figures together may send a cold node more than it bears";
+        self.change(
+            "cold",
+            "figures",
+            say(&(x.units, x.window, x.first_part, x.ramp)),
+            say(&(y.units, y.window, y.first_part, y.ramp)),
+            Class::Dangerous,
+            why,
+        );
+    }
+
+    fn stream_types(&mut self) {
+        let index = |d: &Deployment| -> BTreeMap<String, String> {
+            d.stream_types
+                .iter()
+                .map(|s| {
+                    (s.name.clone(), format!("{:?} expiry {:?}, write {}", s.decisions, s.expiry, s.write))
+                })
+                .collect()
+        };
+        let (a, b) = (index(self.old), index(self.new));
+        for name in a.keys().chain(b.keys()).collect::<BTreeSet<_>>() {
+            let of = format!("stream-type \"{name}\"");
+            let none = "none".to_string();
+            let (from, to) = (a.get(name).unwrap_or(&none), b.get(name).unwrap_or(&none));
+            let effect = |d: &Deployment| {
+                d.stream_types.iter().find(|s| s.name == *name).map(|s| say(&s.decisions.effect))
+            };
+            let changed =
+                effect(self.old) != effect(self.new) && a.contains_key(name) && b.contains_key(name);
+            if changed {
+                let why = "transfers that may have run by the old effect would be repeated by the new one";
+                self.change(&of, "effect", from.clone(), to.clone(), Class::Dangerous, why);
+            } else {
+                self.change(
+                    &of,
+                    "figures",
+                    from.clone(),
+                    to.clone(),
+                    Class::Restart,
+                    "stream types are read at a start only",
+                );
+            }
+        }
+    }
+
+    fn plans(&mut self) {
+        let none = "none".to_string();
+        let names: BTreeSet<String> =
+            self.old.plans.iter().chain(&self.new.plans).map(|p| p.name.clone()).collect();
+        for name in names {
+            let find = |d: &Deployment| d.plans.iter().find(|p| p.name == name).cloned();
+            let of = format!("plan \"{name}\"");
+            let (Some(a), Some(b)) = (find(self.old), find(self.new)) else {
+                let is = |d: &Deployment| if find(d).is_some() { "defined".into() } else { none.clone() };
+                let (from, to) = (is(self.old), is(self.new));
+                self.change(
+                    &of,
+                    "plan",
+                    from,
+                    to,
+                    Class::Restart,
+                    "plans are numbered by their place at a start",
+                );
+                continue;
+            };
+            let limit = |p: &crate::deployment::NamedPlan| p.decisions.limit.map(|l| (l.rate, l.burst));
+            let (x, y) = (limit(&a), limit(&b));
+            let lowered = match (x, y) {
+                (None, Some(_)) => true,
+                (Some(x), Some(y)) => y.0 < x.0 || y.1 < x.1,
+                _ => false,
+            };
+            let (class, why) = if lowered {
+                (
+                    Class::Dangerous,
+                    "until every host has it, those with the old limit may send past the new one",
+                )
+            } else {
+                (Class::Safe, "a raised limit is reached when the last host has it, and never passed")
+            };
+            self.change(&of, "limit", say(&x), say(&y), class, why);
+            let safe = "it orders what waits; no rule depends on it";
+            self.change(
+                &of,
+                "reserve",
+                say(&a.decisions.reserve),
+                say(&b.decisions.reserve),
+                Class::Safe,
+                safe,
+            );
+            self.change(&of, "usual", say(&a.decisions.usual), say(&b.decisions.usual), Class::Safe, safe);
+            self.change(&of, "weight", say(&a.decisions.weight), say(&b.decisions.weight), Class::Safe, safe);
+            self.change(&of, "price", say(&a.decisions.price), say(&b.decisions.price), Class::Safe, safe);
+            self.change(&of, "slack", say(&a.slack), say(&b.slack), Class::Safe, "hosts do not use it");
+        }
+    }
+
+    fn hosts_of(d: &Deployment, v: &NamedVolume) -> BTreeSet<String> {
+        v.hosts.iter().filter_map(|h: &HostId| d.hosts.get(h.0 as usize)).map(|h| h.name.clone()).collect()
+    }
+
+    fn volumes(&mut self) {
+        let names: BTreeSet<String> =
+            self.old.volumes.iter().chain(&self.new.volumes).map(|v| v.name.clone()).collect();
+        for name in names {
+            let of = format!("volume \"{name}\"");
+            let (a, b) = (self.old.volume(&name).cloned(), self.new.volume(&name).cloned());
+            let (a, b) = match (a, b) {
+                (Some(a), Some(b)) => (a, b),
+                (Some(_), None) => {
+                    let why = "its clients are turned away from then on";
+                    self.change(&of, "volume", "there".into(), "none".into(), Class::Dangerous, why);
+                    continue;
+                }
+                _ => {
+                    self.change(
+                        &of,
+                        "volume",
+                        "none".into(),
+                        "there".into(),
+                        Class::Safe,
+                        "nothing of it is under way",
+                    );
+                    continue;
+                }
+            };
+            let plan = |d: &Deployment, v: &NamedVolume| d.plans[v.plan.0].name.clone();
+            let (x, y) = (plan(self.old, &a), plan(self.new, &b));
+            self.change(
+                &of,
+                "plan",
+                x,
+                y,
+                Class::Dangerous,
+                "hosts with the old and the new plan hold different limits for it",
+            );
+            let (x, y) = (Self::hosts_of(self.old, &a), Self::hosts_of(self.new, &b));
+            let limited = self.new.plans[b.plan.0].decisions.limit.is_some();
+            let leaves: Vec<_> = x.difference(&y).cloned().collect();
+            let (class, why) = match (leaves.is_empty(), limited) {
+                (false, _) => (
+                    Class::Dangerous,
+                    "a host leaves its set: its clients must go elsewhere, and until all know, even parts may sum past the limit",
+                ),
+                (true, true) => (
+                    Class::Dangerous,
+                    "even parts shrink as hosts join: until all know, they may sum past the limit",
+                ),
+                (true, false) => (Class::Safe, "it has no limit to share"),
+            };
+            let before = self.changes.len();
+            self.change(&of, "hosts", say(&x), say(&y), class, why);
+            if let Some(change) = self.changes.get_mut(before) {
+                change.hosts = x.symmetric_difference(&y).cloned().collect();
+            }
+        }
+    }
+
+    fn hosts(&mut self) {
+        let index = |d: &Deployment| -> BTreeMap<String, (String, String, u32)> {
+            let zone = |z: usize| d.zones.get(z).cloned().unwrap_or_default();
+            d.hosts
+                .iter()
+                .enumerate()
+                .map(|(i, h)| (h.name.clone(), (h.address.clone(), zone(h.zone.0), i as u32)))
+                .collect()
+        };
+        let (a, b) = (index(self.old), index(self.new));
+        for name in a.keys().chain(b.keys()).collect::<BTreeSet<_>>() {
+            let of = format!("host \"{name}\"");
+            let (from, to) = (a.get(name).map_or("none".into(), say), b.get(name).map_or("none".into(), say));
+            let why = "hosts know each other by their places and addresses, which are read at a start only";
+            let class =
+                if a.contains_key(name) && !b.contains_key(name) { Class::Dangerous } else { Class::Restart };
+            self.change(&of, "place", from, to, class, why);
+        }
+    }
+
+    fn nodes(&mut self) {
+        let index = |d: &Deployment| -> BTreeMap<String, (i64, String, String)> {
+            let zone = |z: usize| d.zones.get(z).cloned().unwrap_or_default();
+            let place =
+                |n: &crate::deployment::NodePlace| (n.cell.0, zone(n.place.zone.0), n.place.address.clone());
+            d.nodes.iter().filter(|n| !n.spare).map(|n| (n.place.name.clone(), place(n))).collect()
+        };
+        let (a, b) = (index(self.old), index(self.new));
+        for name in a.keys().chain(b.keys()).collect::<BTreeSet<_>>() {
+            let of = format!("node \"{name}\"");
+            let (from, to) = (a.get(name).map_or("none".into(), say), b.get(name).map_or("none".into(), say));
+            self.change(
+                &of,
+                "place",
+                from,
+                to,
+                Class::Safe,
+                "hosts follow the node list; the document is where they start from",
+            );
+        }
+        let cells =
+            |m: &BTreeMap<String, (i64, String, String)>| m.values().map(|n| n.0).collect::<BTreeSet<_>>();
+        for cell in cells(&a).difference(&cells(&b)) {
+            let why = "no node is left that holds it: reads of its data can't be served";
+            self.change(
+                &format!("cell {cell}"),
+                "nodes",
+                "some".into(),
+                "none".into(),
+                Class::Dangerous,
+                why,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/explain.rs
@@ -0,0 +1,76 @@
+//! What each code of a problem means, for `gullsail explain CODE`.
+
+/// Code, and what it means with an example of what to write.
+pub const CODES: &[(&str, &str)] = &[
+    (
+        "syntax",
+        "The text is not KDL 2. Often a quote or a closing brace is missing on the line before; #true and #false have a #, and entries end with a line or a ;.",
+    ),
+    (
+        "file",
+        "A file can't be had: it is missing, too large, not UTF-8, outside the configuration's folder, or it changed while it was read. Names are relative to the file that includes them.",
+    ),
+    (
+        "outside",
+        "An include leads out of the folder of the first file. Everything that a configuration holds lies below that folder, so that it can be copied and reviewed as one.",
+    ),
+    ("loop", "Files include each other in a circle. Move what both need into a third file."),
+    (
+        "too-deep",
+        "Files or templates lie more than 16 deep within each other, or entries and comments more than 64.",
+    ),
+    (
+        "too-much",
+        "The configuration is larger than is plausible: 64 MiB of text, or 200,000 entries once templates are in place.",
+    ),
+    ("unknown-node", "An entry that has no meaning here. `gullsail check` names those that do."),
+    ("unknown-key", "A property that this entry does not have."),
+    ("unknown-word", "A word that is none of those allowed here."),
+    (
+        "unknown-name",
+        "A name that nothing bears: a plan, host, zone, machine, template or parameter that is defined nowhere.",
+    ),
+    ("too-many", "More values without a name than the entry takes."),
+    ("missing", "Something that has to be there is not."),
+    (
+        "twice",
+        "The same thing stands twice. The message says where it stands first; the second may come from an include or a template.",
+    ),
+    (
+        "wrong-kind",
+        "A value of another kind: spans have a unit in quotes (\"150ms\"), figures have none, texts are in quotes, flags are #true or #false.",
+    ),
+    ("contradiction", "Two values that can't both be meant."),
+    (
+        "slo-past-expiry",
+        "The SLO time, when an answer is wanted, lies after the expiry, when the client gives up.",
+    ),
+    (
+        "limit-under-reserve",
+        "A plan's limit is lower than what it reserves: the reserve could never be used.",
+    ),
+    (
+        "burst-too-small",
+        "The burst is split evenly over the volume's hosts, and each part must hold two of the largest transfers; else a transfer could wait for ever for tokens that fit into no bucket.",
+    ),
+    (
+        "reserves-too-large",
+        "The volumes' reserves sum past nine tenths of what the nodes' machines can do: they could not all be kept.",
+    ),
+    (
+        "same-number",
+        "Two names have the same number (a hash): to the decisions they would be one. Rename one.",
+    ),
+    ("unused", "A definition that nothing refers to. It does no harm; it may be a misspelt name elsewhere."),
+    ("zone-empty", "A zone without a node: new objects of its hosts always cross to another zone."),
+    (
+        "cold-too-small",
+        "What a cold node bears in any case is less than one largest transfer: such a transfer can only go to a cold node as a lone leg.",
+    ),
+    ("no-effect", "The value changes nothing as things stand."),
+];
+
+/// `None`: no problem has this code.
+pub fn explain(code: &str) -> Option<&'static str> {
+    CODES.iter().find(|c| c.0 == code).map(|c| c.1)
+}
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -1,21 +1,38 @@
 //! The document that a deployment is run from, in KDL: hosts, storage nodes, the list service, stream types,
 //! plans, volumes, the rules' figures. [`parse`] finds every problem in one go, each with its place and what
-//! was meant; what it returns is immutable. Nothing is read or written here but the text given.
+//! was meant; what it returns is immutable. Files are read through a [`Loader`] alone.
 //!
-//! Read [`deployment`] for what a document means, [`reader`] for how its entries are read.
+//! Its stages: [`sources`] and `resolve` (files, includes, templates: one flat document comes out), [`reader`]
+//! (how entries are read and what is wrong with them noted), [`deployment`] (what a document means).
 
 pub mod deployment;
+pub mod diff;
+pub mod explain;
+pub mod format;
 pub mod reader;
+mod resolve;
+mod sense;
+pub mod sources;
 
 pub use deployment::*;
-pub use reader::{Problem, Problems, Reader};
+pub use reader::{Problem, Problems, Reader, Weight};
+pub use sources::{Files, LoadError, Loader, Memory};
 
-/// Reads a whole document. `name` is what messages call it.
+/// Reads a document of one text. `name` is what messages call it; nothing can be included.
 ///
 /// # Errors
 /// All problems that were found, with their places.
 pub fn parse(name: &str, text: &str) -> Result<Deployment, Problems> {
-    let (document, mut reader) = Reader::open(name, text)?;
+    let loader = Memory([(name.to_string(), text.to_string())].into());
+    load(&loader, name).map(|(deployment, _)| deployment)
+}
+
+/// Reads a document and all that it includes; warnings come with what was built.
+///
+/// # Errors
+/// All problems that were found, with their places.
+pub fn load(loader: &dyn Loader, name: &str) -> Result<(Deployment, Vec<Problem>), Problems> {
+    let (document, mut reader) = Reader::open(loader, name);
     let deployment = deployment::build(&document, &mut reader);
     reader.close(deployment)
 }
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -2,19 +2,36 @@
 //! replaced by a harmless one, so that one mistake does not hide the next; [`Reader::close`] gives nothing out
 //! if there was any.
 
+use crate::resolve;
+use crate::sources::{Loader, NESTED, Sources, shift, too_nested};
 use gullsail_interface::Span;
 use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
-use miette::{Diagnostic, LabeledSpan, NamedSource, SourceSpan};
+use miette::{Diagnostic, LabeledSpan, NamedSource, Severity, SourceCode, SourceSpan};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::Arc;
+
+/// An error keeps a document from being used; a warning does not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weight {
+    Error,
+    Warning,
+}
 
 /// One thing that is wrong, where, and what was meant.
 #[derive(Clone, Debug)]
 pub struct Problem {
     pub code: &'static str,
+    pub weight: Weight,
     pub message: String,
-    pub at: SourceSpan,
     pub help: Option<String>,
+    /// File, line and column, from 1; and the same places in words where else to look.
+    pub file: String,
+    pub line: usize,
+    pub column: usize,
+    pub see: Vec<String>,
+    source: NamedSource<Arc<str>>,
+    at: SourceSpan,
 }
 
 impl fmt::Display for Problem {
@@ -29,20 +46,26 @@
     fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
         Some(Box::new(self.code))
     }
+    fn severity(&self) -> Option<Severity> {
+        Some(if self.weight == Weight::Error { Severity::Error } else { Severity::Warning })
+    }
     fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
-        self.help.as_ref().map(|h| Box::new(h) as Box<dyn fmt::Display>)
+        let all: Vec<_> = self.help.iter().chain(&self.see).map(String::as_str).collect();
+        (!all.is_empty()).then(|| Box::new(all.join("; ")) as Box<dyn fmt::Display>)
+    }
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.source)
     }
     fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
         Some(Box::new(std::iter::once(LabeledSpan::new_with_span(Some("here".into()), self.at))))
     }
 }
 
-/// All that is wrong with one document.
+/// All that is wrong with one document, in the order of its files and lines.
 #[derive(Debug, thiserror::Error, Diagnostic)]
-#[error("{} in {}", count(.problems.len()), .source_code.name())]
+#[error("{} in {name}", count(.problems.len()))]
 pub struct Problems {
-    #[source_code]
-    pub source_code: NamedSource<String>,
+    pub name: String,
     #[related]
     pub problems: Vec<Problem>,
 }
@@ -51,47 +74,111 @@
     if problems == 1 { "1 problem".into() } else { format!("{problems} problems") }
 }
 
-impl Problems {
-    /// Line and column, from 1, where a problem stands.
-    pub fn place(&self, problem: &Problem) -> (usize, usize) {
-        let before = self.source_code.inner().get(..problem.at.offset()).unwrap_or_default();
-        let line = before.rsplit('\n').next().unwrap_or_default();
-        (before.matches('\n').count() + 1, line.chars().count() + 1)
-    }
+struct Noted {
+    code: &'static str,
+    weight: Weight,
+    message: String,
+    at: SourceSpan,
+    help: Option<String>,
+    see: Vec<String>,
 }
 
+#[derive(Default)]
 pub struct Reader {
     name: String,
-    text: String,
-    problems: Vec<Problem>,
+    sources: Sources,
+    noted: Vec<Noted>,
 }
 
 impl Reader {
-    pub fn open(name: &str, text: &str) -> Result<(KdlDocument, Reader), Problems> {
-        let mut reader = Reader { name: name.into(), text: text.into(), problems: Vec::new() };
+    /// Reads a file and all that it brings in. What is wrong with it is noted.
+    pub fn open(loader: &dyn Loader, name: &str) -> (KdlDocument, Reader) {
+        let mut reader = Reader { name: name.into(), ..Reader::default() };
+        let document = resolve::resolve(loader, name, &mut reader);
+        (document, reader)
+    }
+
+    /// Parses one file; its places are moved to its own stretch.
+    pub(crate) fn read_file(&mut self, name: &str, text: &str) -> KdlDocument {
+        let start = self.file(name, text);
+        if let Some(place) = too_nested(text) {
+            let message = format!("more than {NESTED} entries within each other");
+            self.note("too-deep", message, (start + place, 1).into(), None);
+            return KdlDocument::new();
+        }
         match KdlDocument::parse_v2(text) {
-            Ok(document) => Ok((document, reader)),
+            Ok(mut document) => {
+                document.nodes_mut().iter_mut().for_each(|n| shift(n, start as isize));
+                document
+            }
             Err(e) => {
                 for d in e.diagnostics {
                     let message = d.message.unwrap_or_else(|| "this is not KDL".into());
-                    reader.note("syntax", message, d.span, d.help);
+                    self.note("syntax", message, (d.span.offset() + start, d.span.len()).into(), d.help);
                 }
-                Err(reader.close(()).expect_err("a document that can't be parsed has a problem"))
+                KdlDocument::new()
             }
         }
     }
 
-    pub fn close<T>(self, built: T) -> Result<T, Problems> {
-        if self.problems.is_empty() {
-            return Ok(built);
+    pub(crate) fn file(&mut self, name: &str, text: &str) -> usize {
+        self.sources.add(name.into(), text.into(), None)
+    }
+
+    /// The text that holds a place once more, for a use of a template; by how much its places move.
+    pub(crate) fn again(&mut self, place: usize, used_at: usize) -> isize {
+        let found = self.sources.find(place).map(|(s, _)| (s.name.clone(), s.text.clone()));
+        let (name, text) = found.unwrap_or_default();
+        let old = self.sources.start(place);
+        self.sources.add(name, text, Some(used_at)) as isize - old as isize
+    }
+
+    /// Where a place of the document comes from, with the uses of templates that brought it there.
+    pub fn origin(&self, place: usize) -> String {
+        let mut text = self.sources.say(place);
+        let mut via = self.sources.find(place).and_then(|(s, _)| s.via);
+        while let Some(at) = via {
+            text += &format!(", used at {}", self.sources.say(at));
+            via = self.sources.find(at).and_then(|(s, _)| s.via);
         }
-        let mut problems = self.problems;
-        problems.sort_by_key(|p| p.at.offset());
-        Err(Problems { source_code: NamedSource::new(self.name, self.text), problems })
+        text
+    }
+
+    /// # Errors
+    /// What was found; warnings alone are no error and come with what was built.
+    pub fn close<T>(self, built: T) -> Result<(T, Vec<Problem>), Problems> {
+        let Reader { name, sources, mut noted } = self;
+        noted.sort_by_key(|n| n.at.offset());
+        let errors = noted.iter().any(|n| n.weight == Weight::Error);
+        // With errors about, a warning is mostly one's consequence: what is misspelt is used nowhere.
+        noted.retain(|n| !errors || n.weight == Weight::Error);
+        let problems: Vec<_> = noted.into_iter().map(|n| locate(&sources, n)).collect();
+        if errors { Err(Problems { name, problems }) } else { Ok((built, problems)) }
     }
 
     pub fn note(&mut self, code: &'static str, message: String, at: SourceSpan, help: Option<String>) {
-        self.problems.push(Problem { code, message, at, help });
+        self.noted.push(Noted { code, weight: Weight::Error, message, at, help, see: Vec::new() });
+    }
+
+    pub fn warn(&mut self, code: &'static str, message: String, at: SourceSpan, help: Option<String>) {
+        self.noted.push(Noted { code, weight: Weight::Warning, message, at, help, see: Vec::new() });
+    }
+
+    /// How much is wrong so far: what depends on a value that can't be read is not judged by its stand-in.
+    pub fn noted(&self) -> usize {
+        self.noted.len()
+    }
+
+    /// Something that stands twice, and where it stands first.
+    pub fn twice(&mut self, message: String, at: SourceSpan, first: usize) {
+        let see = vec![format!("the first stands at {}", self.sources.say(first))];
+        self.noted.push(Noted { code: "twice", weight: Weight::Error, message, at, help: None, see });
+    }
+
+    /// A name that nothing bears.
+    pub fn unknown(&mut self, at: SourceSpan, what: &str, name: &str, names: &[String]) {
+        let known: Vec<_> = names.iter().map(String::as_str).collect();
+        self.note("unknown-name", format!("no {what} is called \"{name}\""), at, meant(name, &known));
     }
 
     /// Complains about properties, arguments and children that are not known; `arguments` is how many may
@@ -149,7 +236,7 @@
         }
     }
 
-    fn text_of(&mut self, e: &KdlEntry) -> String {
+    pub(crate) fn text_of(&mut self, e: &KdlEntry) -> String {
         match e.value() {
             KdlValue::String(s) => s.clone(),
             _ => self.wrong(e, "a text", Some(format!("write it in quotes: \"{}\"", e.value()))),
@@ -269,3 +356,19 @@
     let near = known.iter().map(|k| (strsim::damerau_levenshtein(found, k), k)).min()?;
     (near.0 <= found.len().max(3) / 3).then(|| format!("did you mean `{}`?", near.1))
 }
+
+/// Finds the file and line of what was noted, and by which uses of templates it came there.
+fn locate(sources: &Sources, n: Noted) -> Problem {
+    let Noted { code, weight, message, at, help, mut see } = n;
+    let (file, line, column) = sources.line(at.offset()).unwrap_or(("", 1, 1));
+    let (file, found) = (file.to_string(), sources.find(at.offset()));
+    let mut via = found.and_then(|(s, _)| s.via);
+    while let Some(place) = via {
+        see.push(format!("used at {}", sources.say(place)));
+        via = sources.find(place).and_then(|(s, _)| s.via);
+    }
+    let (text, offset) = found.map_or_else(|| (Arc::from(""), 0), |(s, offset)| (s.text.clone(), offset));
+    let length = at.len().min(text.len() - offset);
+    let source = NamedSource::new(&file, text);
+    Problem { code, weight, message, help, file, line, column, see, source, at: (offset, length).into() }
+}
--- /dev/null
+++ b/crates/configuration/src/resolve.rs
@@ -0,0 +1,249 @@
+//! Includes and templates: what a file brings in, and what is written once and used often. Out comes one flat
+//! document; the stages after it know neither.
+//!
+//! `include "zones.kdl" "plans/*.kdl"` brings in files, relative to the one it stands in; each comes once.
+//! `template "small" plan="base" { volume "$name" plan="$plan"; }` names entries with parameters, and defaults for
+//! some; `use "small" name="photos"` puts them in place. A template may use others that stand before it.
+
+use crate::reader::Reader;
+use crate::sources::{Loader, MOST_ALL, beside, shift};
+use kdl::{KdlDocument, KdlNode, KdlValue};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Files within files, and templates within templates: deeper is a mistake.
+const DEPTH: usize = 16;
+/// Entries after all is resolved: templates that use each other grow fast.
+const MOST_ENTRIES: usize = 200_000;
+
+struct Template {
+    node: KdlNode,
+    defaults: BTreeMap<String, KdlValue>,
+    used: bool,
+}
+
+struct Resolver<'a> {
+    loader: &'a dyn Loader,
+    r: &'a mut Reader,
+    /// From the first file to the one being read.
+    chain: Vec<String>,
+    seen: BTreeSet<String>,
+    bytes: usize,
+    templates: BTreeMap<String, Template>,
+    out: Vec<KdlNode>,
+}
+
+/// Reads a file and all that it brings in.
+pub fn resolve(loader: &dyn Loader, name: &str, r: &mut Reader) -> KdlDocument {
+    let mut resolver = Resolver {
+        loader,
+        r,
+        chain: Vec::new(),
+        seen: BTreeSet::new(),
+        bytes: 0,
+        templates: BTreeMap::new(),
+        out: Vec::new(),
+    };
+    resolver.file(name, None);
+    for (name, t) in resolver.templates.iter().filter(|(_, t)| !t.used) {
+        resolver.r.warn("unused", format!("template \"{name}\" is used nowhere"), t.node.name().span(), None);
+    }
+    let mut document = KdlDocument::new();
+    *document.nodes_mut() = resolver.out;
+    document
+}
+
+impl Resolver<'_> {
+    fn file(&mut self, name: &str, from: Option<miette::SourceSpan>) {
+        let at = from.unwrap_or((0, 0).into());
+        let text = match self.loader.load(name) {
+            Ok(text) => text,
+            Err(e) => {
+                // The first file has no place to point to but its own beginning.
+                if from.is_none() {
+                    self.r.file(name, "");
+                }
+                return self.r.note("file", format!("{name}: {e}"), at, None);
+            }
+        };
+        self.bytes += text.len();
+        if self.bytes > MOST_ALL {
+            let message = format!("with {name} there are more than {MOST_ALL} bytes");
+            return self.r.note("too-much", message, at, None);
+        }
+        self.seen.insert(name.into());
+        self.chain.push(name.into());
+        let document = self.r.read_file(name, &text);
+        for node in document.nodes() {
+            match node.name().value() {
+                "include" => self.include(name, node),
+                "template" => self.template(node),
+                "use" => self.put(node, 0),
+                _ => self.keep(node.clone()),
+            }
+        }
+        self.chain.pop();
+    }
+
+    fn keep(&mut self, node: KdlNode) {
+        if self.out.len() == MOST_ENTRIES {
+            let message = format!("more than {MOST_ENTRIES} entries");
+            self.r.note("too-much", message, node.span(), None);
+        }
+        if self.out.len() <= MOST_ENTRIES {
+            self.out.push(node);
+        }
+    }
+
+    fn include(&mut self, from: &str, node: &KdlNode) {
+        self.r.only(node, usize::MAX, &[], &[]);
+        if node.entries().is_empty() {
+            self.r.note("missing", "`include` needs a file".into(), node.span(), None);
+        }
+        for e in node.entries() {
+            let text = self.r.text_of(e);
+            let Some(name) = beside(from, &text) else {
+                let help = Some(
+                    "files are named from the one that includes them, below the first one's folder".into(),
+                );
+                self.r.note("outside", format!("\"{text}\" leads out of the configuration"), e.span(), help);
+                continue;
+            };
+            let names = if text.contains(['*', '?', '[']) {
+                match self.loader.matching(&name) {
+                    Ok(names) if names.is_empty() => {
+                        self.r.note("file", format!("no file matches \"{text}\""), e.span(), None);
+                        continue;
+                    }
+                    // A pattern that matches its own file does not mean it.
+                    Ok(names) => names.into_iter().filter(|n| !self.chain.contains(n)).collect(),
+                    Err(why) => {
+                        self.r.note("file", format!("\"{text}\": {why}"), e.span(), None);
+                        continue;
+                    }
+                }
+            } else {
+                vec![name]
+            };
+            for name in names {
+                if let Some(place) = self.chain.iter().position(|c| *c == name) {
+                    let mut way = self.chain[place..].to_vec();
+                    way.push(name.clone());
+                    let message = format!("files include each other in a loop: {}", way.join(" -> "));
+                    self.r.note("loop", message, e.span(), None);
+                } else if self.chain.len() >= DEPTH {
+                    let message = format!("more than {DEPTH} files within each other");
+                    self.r.note("too-deep", message, e.span(), None);
+                } else if !self.seen.contains(&name) {
+                    self.file(&name, Some(e.span()));
+                }
+            }
+        }
+    }
+
+    fn template(&mut self, node: &KdlNode) {
+        let name = self.r.text(node, 0, "a name");
+        let mut defaults = BTreeMap::new();
+        for e in node.entries() {
+            if let Some(key) = e.name() {
+                defaults.insert(key.value().to_string(), e.value().clone());
+            }
+        }
+        if let Some(first) = self.templates.get(&name) {
+            let first = first.node.span().offset();
+            return self.r.twice(format!("a second template \"{name}\""), node.span(), first);
+        }
+        if node.children().is_none_or(|c| c.nodes().is_empty()) {
+            self.r.note("missing", format!("template \"{name}\" holds nothing"), node.span(), None);
+        }
+        self.templates.insert(name, Template { node: node.clone(), defaults, used: false });
+    }
+
+    /// Puts a template's entries in place. Each use has a stretch of its own in the sources, so that a message
+    /// points into the template and says where it was used.
+    fn put(&mut self, at: &KdlNode, depth: usize) {
+        let name = self.r.text(at, 0, "a template's name");
+        let known: Vec<String> = self.templates.keys().cloned().collect();
+        let Some(t) = self.templates.get_mut(&name) else {
+            return self.r.unknown(at.span(), "template", &name, &known);
+        };
+        t.used = true;
+        if depth >= DEPTH {
+            let message = format!("templates use each other more than {DEPTH} deep");
+            return self.r.note("too-deep", message, at.span(), None);
+        }
+        let mut values = t.defaults.clone();
+        let node = t.node.clone();
+        for e in at.entries() {
+            if let Some(key) = e.name() {
+                values.insert(key.value().to_string(), e.value().clone());
+            }
+        }
+        let by = self.r.again(node.span().offset(), at.span().offset());
+        let mut needed = BTreeSet::new();
+        for child in node.iter_children() {
+            let mut child = child.clone();
+            shift(&mut child, by);
+            self.fill(&mut child, &values, &mut needed);
+            match child.name().value() {
+                "use" => self.put(&child, depth + 1),
+                "template" | "include" => {
+                    let message = format!("`{}` can't stand in a template", child.name().value());
+                    self.r.note("unknown-node", message, child.name().span(), None);
+                }
+                _ => self.keep(child),
+            }
+        }
+        for e in at.entries() {
+            if let Some(key) = e.name().filter(|k| !needed.contains(k.value())) {
+                let known: Vec<String> = needed.iter().cloned().collect();
+                self.r.unknown(e.span(), "parameter of this template", key.value(), &known);
+            }
+        }
+    }
+
+    /// A text that is `$name` becomes the value of that name; `$name` within a text, its text.
+    fn fill(
+        &mut self,
+        node: &mut KdlNode,
+        values: &BTreeMap<String, KdlValue>,
+        needed: &mut BTreeSet<String>,
+    ) {
+        for e in node.entries_mut() {
+            let KdlValue::String(text) = e.value() else { continue };
+            let (text, at) = (text.clone(), e.span());
+            if !text.contains('$') {
+                continue;
+            }
+            let mut filled = String::new();
+            let mut rest = text.as_str();
+            let mut whole = None;
+            while let Some((before, after)) = rest.split_once('$') {
+                filled += before;
+                let end =
+                    after.find(|c: char| !(c.is_ascii_alphanumeric() || c == '_')).unwrap_or(after.len());
+                let (name, tail) = after.split_at(end);
+                needed.insert(name.to_string());
+                match values.get(name) {
+                    Some(v) => {
+                        whole =
+                            (before.is_empty() && tail.is_empty() && filled.is_empty()).then(|| v.clone());
+                        filled += &v.as_string().map_or_else(|| v.to_string(), str::to_string);
+                    }
+                    None => {
+                        let known: Vec<String> = values.keys().cloned().collect();
+                        self.r.unknown(at, "parameter", name, &known);
+                    }
+                }
+                rest = tail;
+            }
+            filled += rest;
+            e.set_value(whole.unwrap_or(KdlValue::String(filled)));
+            e.clear_format();
+        }
+        if let Some(children) = node.children_mut() {
+            for child in children.nodes_mut() {
+                self.fill(child, values, needed);
+            }
+        }
+    }
+}
--- a/crates/configuration/tests/documents.rs
+++ b/crates/configuration/tests/documents.rs
@@ -70,7 +70,7 @@
         let found = problems.problems.iter().find(|p| p.code == code);
         let p = found.unwrap_or_else(|| panic!("{new}: {:?}", problems.problems));
         let said = format!("{} {}", p.message, p.help.as_deref().unwrap_or_default());
-        assert_eq!(problems.place(p), (line, column), "{new}: {said}");
+        assert_eq!((p.line, p.column), (line, column), "{new}: {said}");
         assert!(said.contains(part), "{new}: {said}");
     }
 }
--- /dev/null
+++ b/crates/configuration/tests/files.rs
@@ -0,0 +1,431 @@
+//! Includes and templates over several files, formatting, and what a diff says.
+
+use gullsail_configuration::diff::{Class, diff};
+use gullsail_configuration::format::format;
+use gullsail_configuration::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+
+/// Files in one text, each after a line `== name`.
+fn files(text: &str) -> Memory {
+    let mut all = BTreeMap::new();
+    for part in text.split("== ").skip(1) {
+        let (name, body) = part.split_once('\n').unwrap();
+        all.insert(name.trim().to_string(), body.to_string());
+    }
+    Memory(all)
+}
+
+const REST: &str = r#"== rest.kdl
+zone "a"
+plan "p"
+plan "q" limit=100 burst=64
+stream-type "read" effect="repeatable" slo="150ms" expiry="1s"
+host "h1" zone="a" address="x:1"
+host "h2" zone="a" address="x:2"
+node "n1" cell=1 zone="a" address="y:1"
+"#;
+
+/// All that is wrong with several files: code, file, line and column.
+fn found(text: &str) -> Vec<(&'static str, String, usize, usize, String)> {
+    let problems = match load(&files(&format!("{text}{REST}")), "main.kdl") {
+        Ok((_, warnings)) => warnings,
+        Err(e) => e.problems,
+    };
+    let say =
+        |p: &Problem| format!("{} {} {}", p.message, p.help.clone().unwrap_or_default(), p.see.join(" "));
+    problems.iter().map(|p| (p.code, p.file.clone(), p.line, p.column, say(p))).collect()
+}
+
+#[test]
+fn includes_and_templates_become_one_document() {
+    let text = r#"== main.kdl
+include "rest.kdl" "volumes/*.kdl"
+include "rest.kdl"
+template "pair" plan="p" {
+    volume "$name-a" plan="$plan" { hosts "h1"; }
+    volume "$name-b" plan="$plan" { hosts "h1" "h2"; }
+}
+template "two-pairs" {
+    use "pair" name="$x"
+    use "pair" name="other" plan="q"
+}
+use "two-pairs" x="desk"
+== volumes/b.kdl
+volume "second" plan="q"
+== volumes/a.kdl
+include "../shared/c.kdl"
+volume "first" plan="p"
+== shared/c.kdl
+volume "zeroth" plan="p"
+"#;
+    let (d, warnings) = load(&files(&format!("{text}{REST}")), "main.kdl").unwrap();
+    assert!(warnings.is_empty(), "{warnings:?}");
+    let names: Vec<_> = d.volumes.iter().map(|v| v.name.as_str()).collect();
+    assert_eq!(names, ["zeroth", "first", "second", "desk-a", "desk-b", "other-a", "other-b"]);
+    assert_eq!((d.plans[d.volumes[5].plan.0].name.as_str(), d.volumes[5].hosts.len()), ("q", 1));
+}
+
+#[test]
+fn broken_files_are_named_with_their_places() {
+    const V: &str = "volume \"v\" plan=\"p\"\n";
+    // files, code, file, line, column, a part of what is said
+    let cases: &[(&str, &str, &str, usize, usize, &str)] = &[
+        (
+            "== main.kdl\ninclude \"rest.kdl\" \"b.kdl\"\n== b.kdl\ninclude \"c.kdl\"\n== c.kdl\ninclude \"d.kdl\"\n\
+          == d.kdl\n\n  include \"b.kdl\"\n",
+            "loop",
+            "d.kdl",
+            2,
+            11,
+            "b.kdl -> c.kdl -> d.kdl -> b.kdl",
+        ),
+        ("== main.kdl\ninclude \"main.kdl\"\n", "loop", "main.kdl", 1, 9, "main.kdl -> main.kdl"),
+        ("== main.kdl\ninclude \"rest.kdl\" \"nowhere.kdl\"\n", "file", "main.kdl", 1, 20, "no such file"),
+        ("== main.kdl\ninclude \"rest.kdl\" \"none/*.kdl\"\n", "file", "main.kdl", 1, 20, "no file matches"),
+        ("== main.kdl\ninclude \"rest.kdl\" \"[.kdl\"\n", "file", "main.kdl", 1, 20, "[.kdl"),
+        ("== main.kdl\ninclude \"../x.kdl\"\n", "outside", "main.kdl", 1, 9, "leads out"),
+        (
+            "== main.kdl\ninclude \"a/b.kdl\"\n== a/b.kdl\ninclude \"../../x.kdl\"\n",
+            "outside",
+            "a/b.kdl",
+            1,
+            9,
+            "",
+        ),
+        ("== main.kdl\ninclude \"/etc/x.kdl\"\n", "outside", "main.kdl", 1, 9, "leads out"),
+        ("== main.kdl\ninclude 5\n", "wrong-kind", "main.kdl", 1, 9, "a text"),
+        ("== main.kdl\ninclude\n", "missing", "main.kdl", 1, 1, "needs a file"),
+        ("== main.kdl\ninclude \"rest.kdl\" x=1\n", "unknown-key", "main.kdl", 1, 20, "has no `x`"),
+        // A duplicate that an include hides says where the first stands.
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\nhost \"h1\" zone=\"a\"\n",
+            "twice",
+            "main.kdl",
+            2,
+            1,
+            "rest.kdl:5:1",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\" \"b.kdl\"\n== b.kdl\nplan \"p\"\n",
+            "twice",
+            "b.kdl",
+            1,
+            1,
+            "rest.kdl:2:1",
+        ),
+        // A document valid alone and invalid with its include.
+        (
+            "== main.kdl\nrules tick=\"9ms\"\ninclude \"rest.kdl\" \"b.kdl\"\n== b.kdl\nrules tick=\"9ms\"\n",
+            "twice",
+            "b.kdl",
+            1,
+            1,
+            "second `rules`",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\" \"b.kdl\"\n== b.kdl\nvolume \"x\" plan=\"p\" {\n",
+            "syntax",
+            "b.kdl",
+            1,
+            21,
+            "",
+        ),
+        // A unit of the wrong kind three templates deep: in the innermost, with each use.
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\ntemplate \"one\" {\n    stream-type \"$n\" effect=\"repeatable\" slo=\"$s\" expiry=\"1s\"\n}\n\
+          template \"two\" {\n  use \"one\" n=\"z\" s=\"$s\"\n}\ntemplate \"three\" {\n  use \"two\" s=\"$s\"\n}\nuse \"three\" s=\"5MiB\"\n",
+            "wrong-kind",
+            "main.kdl",
+            3,
+            42,
+            "used at main.kdl:6:3 used at main.kdl:9:3 used at main.kdl:11:1",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\nuse \"nope\"\n",
+            "unknown-name",
+            "main.kdl",
+            2,
+            1,
+            "no template is called",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\ntemplate \"t\" {\n  volume \"$nam\" plan=\"p\"\n}\nuse \"t\" name=\"x\"\n",
+            "unknown-name",
+            "main.kdl",
+            3,
+            10,
+            "did you mean `name`",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\ntemplate \"t\" {\n  volume \"$name\" plan=\"p\"\n}\nuse \"t\" name=\"x\" nome=\"y\"\n",
+            "unknown-name",
+            "main.kdl",
+            5,
+            18,
+            "no parameter of this template is called \"nome\" did you mean `name`",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\ntemplate \"t\" {\n  use \"t\"\n}\nuse \"t\"\n",
+            "too-deep",
+            "main.kdl",
+            3,
+            3,
+            "16 deep",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\ntemplate \"t\" {\n  include \"x\"\n}\nuse \"t\"\n",
+            "unknown-node",
+            "main.kdl",
+            3,
+            3,
+            "in a template",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\ntemplate \"t\" {\n  plan \"z\"\n}\ntemplate \"t\" {\n  plan \"y\"\n}\n",
+            "twice",
+            "main.kdl",
+            5,
+            1,
+            "main.kdl:2:1",
+        ),
+        ("== main.kdl\ninclude \"rest.kdl\"\ntemplate \"t\"\n", "missing", "main.kdl", 2, 1, "holds nothing"),
+        // Warnings.
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\ntemplate \"t\" {\n  plan \"z\"\n}\n",
+            "unused",
+            "main.kdl",
+            2,
+            1,
+            "template \"t\"",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\nplan \"lonely\"\n",
+            "unused",
+            "main.kdl",
+            2,
+            1,
+            "plan \"lonely\" is used nowhere",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\nmachine \"m\" unit=\"1ms\"\nmachine \"o\" unit=\"1ms\"\n",
+            "unused",
+            "main.kdl",
+            3,
+            1,
+            "machine \"o\"",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\nzone \"empty\"\n",
+            "zone-empty",
+            "main.kdl",
+            2,
+            1,
+            "\"empty\" has no node",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\ncold units=4 window=\"1s\" first-part=0.2 ramp=\"9s\"\n",
+            "cold-too-small",
+            "main.kdl",
+            2,
+            1,
+            "8",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\nlegs most=1 free=3 window=\"5s\"\n",
+            "no-effect",
+            "main.kdl",
+            2,
+            1,
+            "one leg",
+        ),
+        // Sense.
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\ncold units=40 window=\"9s\" first-part=0.2 ramp=\"1s\"\n",
+            "contradiction",
+            "main.kdl",
+            2,
+            1,
+            "ramp",
+        ),
+        (
+            "== main.kdl\ninclude \"rest.kdl\"\nmachine \"m\" cores=2 unit=\"10ms\"\nplan \"big\" reserve=181\nvolume \"b\" plan=\"big\"\n",
+            "reserves-too-large",
+            "main.kdl",
+            4,
+            1,
+            "181 units a second; the nodes can do 200 at most 180",
+        ),
+        // Tabs and line ends of other systems count as the one column, the one line that they are.
+        (
+            "== main.kdl\r\ninclude \"rest.kdl\"\r\n\tvolume \"x\" plan=\"z\"\r\n",
+            "unknown-name",
+            "main.kdl",
+            2,
+            13,
+            "\"z\"",
+        ),
+    ];
+    for (text, code, file, line, column, part) in cases {
+        let text = if text.contains("volume") {
+            text.to_string()
+        } else {
+            text.replacen("\n== ", &format!("\n{V}== "), 1)
+        };
+        let text = if text.contains("volume") { text } else { text + V };
+        let all = found(&text);
+        let place = (*code, file.to_string(), *line, *column);
+        let hit = all.iter().find(|f| (f.0, f.1.clone(), f.2, f.3) == place);
+        assert!(hit.is_some_and(|f| f.4.contains(part)), "{place:?} {part}\n{all:#?}\n{text}");
+        assert!(explain::explain(code).is_some(), "{code}");
+    }
+}
+
+/// Codes that the reader can give all have their explanation.
+#[test]
+fn every_code_is_explained_once() {
+    let mut codes: Vec<_> = explain::CODES.iter().map(|c| c.0).collect();
+    codes.sort_unstable();
+    codes.dedup();
+    assert_eq!(codes.len(), explain::CODES.len());
+}
+
+#[test]
+fn files_on_disk_are_read_with_care() {
+    let dir = tempfile::tempdir().unwrap();
+    let root = dir.path().join("conf");
+    std::fs::create_dir(&root).unwrap();
+    let write = |name: &str, bytes: &[u8]| std::fs::write(root.join(name), bytes).unwrap();
+    write("bytes.kdl", b"zone \"a\"\nzone \"\xff\"\n");
+    std::fs::File::create(root.join("huge.kdl")).unwrap().set_len(100 << 20).unwrap();
+    std::fs::write(dir.path().join("secret.kdl"), "zone \"s\"").unwrap();
+    std::os::unix::fs::symlink(dir.path().join("secret.kdl"), root.join("link.kdl")).unwrap();
+    let files = Files::new(&root).unwrap();
+    for (name, code, says) in [
+        ("bytes.kdl", "file", "not UTF-8: byte 15"),
+        ("huge.kdl", "file", "it holds 104857600 bytes"),
+        ("link.kdl", "file", "it lies outside"),
+        ("none.kdl", "file", "no such file"),
+    ] {
+        write("main.kdl", format!("include \"{name}\"\n").as_bytes());
+        let e = load(&files, "main.kdl").unwrap_err();
+        let p = e.problems.iter().find(|p| p.code == code && p.message.contains(says));
+        assert!(p.is_some_and(|p| (p.line, p.column) == (1, 9)), "{name}: {:?}", e.problems);
+    }
+    // Nesting that would blow the parser's stack.
+    for deep in ["a {", "/* ", "a (b)(c) { "] {
+        write("deep.kdl", deep.repeat(100_000).as_bytes());
+        let e = load(&files, "deep.kdl").unwrap_err();
+        assert!(e.problems.iter().any(|p| p.code == "too-deep"), "{:?}", e.problems);
+        assert!(format(&deep.repeat(100_000)).is_err());
+    }
+    // Braces in texts and comments nest nothing.
+    write("flat.kdl", std::format!("zone \"{0}\" // {0}\n", "{".repeat(500)).as_bytes());
+    assert!(load(&files, "flat.kdl").unwrap_err().problems.iter().all(|p| p.code == "missing"));
+}
+
+#[test]
+fn formatting_keeps_meaning_and_comments() {
+    let cases = [
+        ("plan   \"p\"   limit=5  // why\n", "plan p limit=5 // why\n"),
+        ("// first\r\nzone \"a\"\r\n", "// first\nzone a\n"),
+        ("volume \"v\" plan=\"p\" {hosts \"h1\";}\n", "volume v plan=p {\n    hosts h1\n}\n"),
+    ];
+    for (text, wanted) in cases {
+        let out = format(text).unwrap();
+        assert_eq!(out.replace('"', ""), wanted.replace('"', ""), "{text}");
+        assert_eq!(format(&out).unwrap(), out);
+    }
+    let lost = format("plan \"p\" /* here */ limit=5\n").unwrap_err();
+    assert!(lost.contains("line 1") && lost.contains("/* here */"), "{lost}");
+    let broken = format("zone \"a\"\nplan \"p\" {\n").unwrap_err();
+    assert!(broken.starts_with("line "), "{broken}");
+}
+
+fn document(limit: u32, hosts: &str, cells: &str) -> String {
+    format!(
+        "plan \"p\" limit={limit} burst=200\nstream-type \"r\" effect=\"repeatable\" slo=\"1s\" expiry=\"2s\"\n\
+         host \"h1\"\nhost \"h2\"\nhost \"h3\"\n{cells}volume \"v\" plan=\"p\" {{ hosts {hosts}; }}\n"
+    )
+}
+
+#[test]
+fn a_diff_says_what_a_change_asks_for() {
+    let cells = "node \"n1\" cell=1\nnode \"n2\" cell=2\n";
+    let base = document(100, "\"h1\" \"h2\"", cells);
+    // the new document, what changed, its class
+    let cases = [
+        (base.clone(), vec![]),
+        (document(120, "\"h1\" \"h2\"", cells), vec![("plan \"p\"", "limit", Class::Safe)]),
+        (document(80, "\"h1\" \"h2\"", cells), vec![("plan \"p\"", "limit", Class::Dangerous)]),
+        (document(100, "\"h1\"", cells), vec![("volume \"v\"", "hosts", Class::Dangerous)]),
+        (document(100, "\"h1\" \"h2\" \"h3\"", cells), vec![("volume \"v\"", "hosts", Class::Dangerous)]),
+        (document(100, "\"h2\" \"h1\"", cells), vec![]),
+        (
+            document(100, "\"h1\" \"h2\"", "node \"n1\" cell=1\n"),
+            vec![("node \"n2\"", "place", Class::Safe), ("cell 2", "nodes", Class::Dangerous)],
+        ),
+        (base.replace("slo=\"1s\"", "slo=\"900ms\""), vec![("stream-type \"r\"", "figures", Class::Restart)]),
+        (base.replace("repeatable", "unrepeatable"), vec![("stream-type \"r\"", "effect", Class::Dangerous)]),
+        (base.replace("host \"h3\"\n", ""), vec![("host \"h3\"", "place", Class::Dangerous)]),
+        (base.clone() + "rules tick=\"5ms\"\n", vec![("rules", "tick", Class::Restart)]),
+        (base.clone() + "volume \"w\" plan=\"p\"\n", vec![("volume \"w\"", "volume", Class::Safe)]),
+        (
+            base.replace("volume \"v\"", "volume \"x\""),
+            vec![("volume \"v\"", "volume", Class::Dangerous), ("volume \"x\"", "volume", Class::Safe)],
+        ),
+    ];
+    let old = parse("old.kdl", &base).unwrap();
+    for (text, wanted) in cases {
+        let new = parse("new.kdl", &text).unwrap_or_else(|e| panic!("{:?}", e.problems));
+        let found = diff(&old, &new);
+        let found: Vec<_> = found.iter().map(|c| (c.of.as_str(), c.what.as_str(), c.class)).collect();
+        assert_eq!(found, wanted, "{text}");
+    }
+}
+
+/// Random documents of some plans, hosts and volumes, written untidily.
+fn untidy() -> impl Strategy<Value = String> {
+    let gap = prop_oneof![Just(" "), Just("   "), Just("\t")];
+    let end = prop_oneof![Just("\n"), Just(";"), Just(" // said\n"), Just("\n\n\n")];
+    let volume = (0u32..50, 1u32..4, gap, end);
+    proptest::collection::vec(volume, 1..12).prop_map(|volumes| {
+        let mut text = String::from("host \"h1\"\nhost \"h2\" ; host \"h3\"\n/* a note */ plan \"p\"\n");
+        for (place, (plan, hosts, gap, end)) in volumes.into_iter().enumerate() {
+            let hosts: String = (1..=hosts).map(|h| format!(" \"h{h}\"")).collect();
+            text += &format!("plan{gap}\"p{place}\"{gap}reserve={plan}{end}");
+            text += &format!("volume \"v{place}\"{gap}plan=\"p{place}\" {{hosts{hosts}}}{end}");
+        }
+        text
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    /// Formatting twice is formatting once, and what is built is the same.
+    #[test]
+    fn formatting_changes_no_meaning(text in untidy()) {
+        let once = format(&text).unwrap();
+        prop_assert_eq!(&format(&once).unwrap(), &once);
+        let (a, b) = (parse("a.kdl", &text).unwrap(), parse("b.kdl", &once).unwrap());
+        prop_assert_eq!(diff(&a, &b), vec![]);
+    }
+
+    /// Whatever bytes a document holds, checking it ends with a verdict.
+    #[test]
+    fn any_text_gets_a_verdict(text in "[a-z0-9 \"={}$;/#\\n.-]{0,120}") {
+        let whole = format!("template \"t\" {{\n{text}\n}}\nuse \"t\" a=1\n{text}\n");
+        for text in [text, whole] {
+            match parse("any.kdl", &text) {
+                Ok(d) => prop_assert!(!d.hosts.is_empty()),
+                Err(e) => prop_assert!(e.problems.iter().all(|p| explain::explain(p.code).is_some() && p.line > 0)),
+            }
+        }
+    }
+}
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -1,6 +1,6 @@
 //! The script of a day, as the document's `day` entry has it.
 
-use gullsail_configuration::{Deployment, Problems, Reader, deployment};
+use gullsail_configuration::{Deployment, Memory, Problems, Reader, deployment};
 use gullsail_interface::Span;
 use kdl::{KdlDocument, KdlNode};
 
@@ -141,10 +141,11 @@
 /// # Errors
 /// All that is wrong with either.
 pub fn read(name: &str, text: &str) -> Result<(Deployment, Script), Problems> {
-    let (document, mut r) = Reader::open(name, text)?;
+    let loader = Memory([(name.to_string(), text.to_string())].into());
+    let (document, mut r) = Reader::open(&loader, name);
     let d = deployment::build(&document, &mut r);
     let script = script(&document, &mut r, &d);
-    r.close((d, script))
+    r.close((d, script)).map(|(both, _)| both)
 }
 
 fn script(document: &KdlDocument, r: &mut Reader, d: &Deployment) -> Script {
