Bytes and parts have their units, and a wrong one is named

Need: a unit of the wrong kind, or none where one is needed, must be named for bytes and parts as for spans. Change: bounds take "256MiB" (bytesize), parts take 0.3 or "30%"; plain numbers for bytes are refused with what to write.

--- a/crates/cli/benches/host_cost.rs
+++ b/crates/cli/benches/host_cost.rs
@@ -51,7 +51,7 @@
     let mut text = format!(
         "rules tick=\"20ms\"\ncold units=40 window=\"1s\" first-part=0.2 ramp=\"1s\"\n\
          stream-type \"read\" effect=\"repeatable\" slo=\"1s\" expiry=\"5s\"\nplan \"p\" {plan}\n\
-         bounds open=1000000 held-bytes=2000000000\nvolume \"v\" plan=\"p\"\nvolume \"w\" plan=\"p\"\n"
+         bounds open=1000000 held-bytes=\"2GB\"\nvolume \"v\" plan=\"p\"\nvolume \"w\" plan=\"p\"\n"
     );
     for (i, a) in hosts.iter().enumerate() {
         text += &format!("host \"h{i}\" address=\"{a}\"\n");
--- a/crates/cli/tests/loopback.rs
+++ b/crates/cli/tests/loopback.rs
@@ -44,7 +44,7 @@
 host "h1" address="{host}"
 node "n1" cell=1 address="{node}" machine="box"
 volume "v" plan="free"
-bounds body-bytes=1000000 unsent-bytes=100000 client-stall="1s"
+bounds body-bytes="1MB" unsent-bytes="100KB" client-stall="1s"
 "#
     );
     Arc::new(parse("loopback.kdl", &text).unwrap())
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -223,8 +223,8 @@
         drain_grace = r.span_at(n, "drain-grace").unwrap_or(drain_grace);
         facts.order_settle = r.span_at(n, "order-settle").unwrap_or_default();
         facts.most_units = r.number_at(n, "most-units", 0.0).unwrap_or(facts.most_units);
-        facts.share_part = r.number_at(n, "share-part", 0.0).unwrap_or(1.0);
-        facts.spare_part = r.number_at(n, "spare-part", 0.0).unwrap_or(1.0);
+        facts.share_part = r.part_at(n, "share-part").unwrap_or(1.0);
+        facts.spare_part = r.part_at(n, "spare-part").unwrap_or(1.0);
         facts.longest_advice = r.span_at(n, "advice");
     }
     if let Some(n) = single(r, "cold") {
@@ -232,20 +232,16 @@
         facts.cold = ColdStart {
             units: r.number(n, "units", 0.0),
             window: r.span(n, "window"),
-            first_part: r.number(n, "first-part", 0.0),
+            first_part: r.part(n, "first-part"),
             ramp: r.span(n, "ramp"),
         };
-        if facts.cold.first_part > 1.0 {
-            let help = Some("0.2 is a fifth".into());
-            r.note("contradiction", "`first-part` is a part of the whole: 0 to 1".into(), n.span(), help);
-        }
     }
     if let Some(n) = single(r, "legs") {
         r.only(n, 0, &["most", "free", "share", "window"], &[]);
         facts.most_legs = r.whole(n, "most", 1, 3);
         facts.leg_budget = r.span_at(n, "window").map(|window| LegBudget {
             free: r.number_at(n, "free", 0.0).unwrap_or_default(),
-            share: r.number_at(n, "share", 0.0).unwrap_or_default(),
+            share: r.part_at(n, "share").unwrap_or_default(),
             window,
         });
     }
@@ -363,7 +359,7 @@
         queue: r.whole(n, "queue", 0, 32),
         pause: r.span_at(n, "pause").unwrap_or_default(),
         pause_every: r.span_at(n, "pause-every").unwrap_or(Span::from_millis(5000.0)),
-        put_off: r.number_at(n, "put-off", 0.0).unwrap_or_default().min(1.0),
+        put_off: r.part_at(n, "put-off").unwrap_or_default(),
         flush_every: r.span_at(n, "flush-every").unwrap_or(Span::from_millis(2000.0)),
         falls_over: r.number_at(n, "falls-over", 1.0).unwrap_or(2.0),
     }
@@ -397,7 +393,7 @@
         effect,
         slo_time,
         benefit: r.number_at(n, "benefit", 0.0).unwrap_or(1.0),
-        late_part: r.number_at(n, "late-part", 0.0).unwrap_or_default(),
+        late_part: r.part_at(n, "late-part").unwrap_or_default(),
         in_order: r.flag(n, "in-order"),
     };
     NamedStreamType { name: r.text(n, 0, "a name"), write: r.flag(n, "write"), expiry, decisions }
@@ -496,9 +492,9 @@
     ];
     r.only(n, 0, &known, &[]);
     b.most_open = r.whole(n, "open", 1, b.most_open);
-    b.most_held = r.whole(n, "held-bytes", 1, b.most_held as u32) as usize;
-    b.frame.body = r.whole(n, "body-bytes", 0, b.frame.body as u32) as usize;
-    b.most_unsent = r.whole(n, "unsent-bytes", 1, b.most_unsent as u32) as usize;
+    b.most_held = r.bytes(n, "held-bytes", b.most_held);
+    b.frame.body = r.bytes(n, "body-bytes", b.frame.body);
+    b.most_unsent = r.bytes(n, "unsent-bytes", b.most_unsent);
     for (key, at) in [
         ("client-stall", &mut b.client_stall),
         ("connect", &mut b.connect),
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -303,6 +303,47 @@
         self.span_at(node, key).unwrap_or_default()
     }
 
+    /// Bytes with their unit, such as `"256MiB"`.
+    pub fn bytes(&mut self, node: &KdlNode, key: &str, otherwise: usize) -> usize {
+        let Some(e) = self.entry(node, key, false) else { return otherwise };
+        let help =
+            || Some("bytes are written with their unit in quotes: \"4096B\", \"64KiB\", \"16MB\"".into());
+        let KdlValue::String(s) = e.value() else { return self.wrong(e, "a number of bytes", help()) };
+        let unit = s.trim_end().ends_with(|c: char| c.is_ascii_alphabetic());
+        match s
+            .parse::<bytesize::ByteSize>()
+            .ok()
+            .and_then(|b| usize::try_from(b.as_u64()).ok())
+            .filter(|_| unit)
+        {
+            Some(bytes) if bytes > 0 => bytes,
+            _ => self.wrong(e, "a number of bytes", help()),
+        }
+    }
+
+    /// A part of a whole: 0 to 1, or `"30%"`.
+    pub fn part_at(&mut self, node: &KdlNode, key: &str) -> Option<f64> {
+        let e = self.entry(node, key, false)?;
+        let part = match e.value() {
+            KdlValue::Integer(n) => Some(*n as f64),
+            KdlValue::Float(x) => Some(*x),
+            KdlValue::String(s) => {
+                s.strip_suffix('%').and_then(|p| p.trim().parse().ok()).map(|p: f64| p / 100.0)
+            }
+            _ => None,
+        };
+        let help = Some("a part of the whole is written 0.3 or \"30%\"".into());
+        Some(
+            part.filter(|p| (0.0..=1.0).contains(p))
+                .unwrap_or_else(|| self.wrong(e, "a part from 0 to 1", help)),
+        )
+    }
+
+    pub fn part(&mut self, node: &KdlNode, key: &str) -> f64 {
+        _ = self.entry(node, key, true);
+        self.part_at(node, key).unwrap_or_default()
+    }
+
     /// One of some words.
     pub fn word<T: Copy>(&mut self, node: &KdlNode, key: &str, words: &[(&str, T)]) -> Option<T> {
         let e = self.entry(node, key, true)?;
--- a/crates/host/tests/host/core.rs
+++ b/crates/host/tests/host/core.rs
@@ -163,7 +163,7 @@
 
 #[test]
 fn a_stop_answers_all_that_is_held_and_takes_nothing_new() {
-    let d = document(&[("open=50", "open=2000"), ("unsent-bytes=4000", "unsent-bytes=4000000")]);
+    let d = document(&[("open=50", "open=2000"), ("4000B", "4MB")]);
     let mut r = Rig::new(&d, 0, START);
     let (c, _) = (r.client(), r.nodes_up());
     for id in 0..1000 {
--- a/crates/host/tests/host/rig.rs
+++ b/crates/host/tests/host/rig.rs
@@ -25,7 +25,7 @@
 volume "v" plan="free"
 volume "w" plan="held"
 volume "far" plan="free" { hosts "h2"; }
-bounds open=50 unsent-bytes=4000 client-stall="3s" connect="200ms" redial-first="20ms" redial-last="500ms"
+bounds open=50 unsent-bytes="4000B" client-stall="3s" connect="200ms" redial-first="20ms" redial-last="500ms"
 "#;
 
 pub fn document(change: &[(&str, &str)]) -> Arc<Deployment> {
