--- a/crates/cli/tests/loopback.rs
+++ b/crates/cli/tests/loopback.rs
@@ -203,7 +203,7 @@
         let host = host(&d, hl).await;
         let mut n = greet(&nl, 1).await;
         let mut c = Raw::client(&host.address).await;
-        // The request too comes byte by byte.
+        // The transfer too comes byte by byte.
         for b in wire(Frame::from(submit(4, "write")).with_body(Bytes::from_static(b"photo"))) {
             c.bytes(&[b]).await;
             tokio::task::yield_now().await;
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -74,7 +74,7 @@
                 // What was sent to it so far, this host's own first frame, counts as its answers do.
                 self.unsent += link.unsent;
             }
-            (link.who, link.deadline) = (who, None);
+            (link.who, link.due_by) = (who, None);
         }
         if peer {
             self.ask_clock(id);
@@ -90,7 +90,7 @@
         }
         let Some(peer) = self.peers.get_mut(&host) else { return };
         peer.dial.is_up(id);
-        self.links.entry(id).and_modify(|l| l.deadline = None);
+        self.links.entry(id).and_modify(|l| l.due_by = None);
         for bytes in std::mem::take(&mut peer.waiting) {
             self.send(id, Frame::from(Label { bytes }));
         }
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -113,7 +113,7 @@
     stuck_since: Instant,
     reading: bool,
     /// By when it must stand, say whose it is, or reply.
-    deadline: Option<Instant>,
+    due_by: Option<Instant>,
 }
 
 enum Who {
@@ -286,7 +286,7 @@
 
     fn link(&mut self, who: Who) -> LinkId {
         self.last_link += 1;
-        let link = Link { who, unsent: 0, stuck_since: self.now, reading: true, deadline: None };
+        let link = Link { who, unsent: 0, stuck_since: self.now, reading: true, due_by: None };
         self.links.insert(LinkId(self.last_link), link);
         LinkId(self.last_link)
     }
@@ -295,7 +295,7 @@
     fn slow(&mut self, id: LinkId, times: f64) {
         let by = self.now + self.deployment.bounds.connect.times(times);
         if let Some(link) = self.links.get_mut(&id) {
-            link.deadline = Some(by);
+            link.due_by = Some(by);
             self.at(by, Due::Slow(id));
         }
     }
@@ -303,7 +303,7 @@
     /// It came in time.
     fn in_time(&mut self, id: LinkId) {
         if let Some(link) = self.links.get_mut(&id) {
-            link.deadline = None;
+            link.due_by = None;
         }
     }
 
@@ -505,7 +505,7 @@
 
     fn is_slow(&mut self, id: LinkId) {
         let Some(link) = self.links.get(&id) else { return };
-        if link.deadline.is_none_or(|by| by > self.now) {
+        if link.due_by.is_none_or(|by| by > self.now) {
             return;
         }
         let why = match link.who {
--- a/crates/host/src/core/serve.rs
+++ b/crates/host/src/core/serve.rs
@@ -213,7 +213,7 @@
         let Some((entry, another)) = self.nodes.greeted(node, incarnation, age, self.now) else { return };
         let Some(n) = self.nodes.get(node) else { return };
         n.dial.is_up(link);
-        self.links.entry(link).and_modify(|l| l.deadline = None);
+        self.links.entry(link).and_modify(|l| l.due_by = None);
         let pending = std::mem::take(&mut n.pending);
         let name = &n.name;
         if another {
