--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -16,7 +16,7 @@
 stream-type "photo" effect="keyed" group="cell" window="2s" slo="200ms" expiry="4s" write=#true
 stream-type "record" effect="keyed" group="cell" window="2s" slo="200ms" expiry="1s" write=#true in-order=#true
 stream-type "trip" effect="unrepeatable" slo="200ms" expiry="1s" write=#true
-plan "base" limit=10 burst=32 slack=2
+plan "base" limit="10units/s" burst=32 slack=2
 plan "free"
 machine "box" cores=1 unit="100ms" falls-over=2
 host "h1" zone="a"
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -360,6 +360,7 @@
             object: object.map(|o| ObjectId(hash(&o))),
             ttl: Span::from_millis(ttl),
             volume_hosts: mounts,
+            pool: PoolId::ALL,
         }),
         WireEvent::Timer { name, .. } => Event::Timer(TimerId(name)),
         WireEvent::Dropped { id, .. } => Event::ClientLeft(TransferId(id)),
@@ -401,6 +402,7 @@
             other => return Err(format!("unknown health '{other}'")),
         },
         started: (n.online_since > 0.0).then_some(Instant::from_millis(n.online_since)),
+        pools: Vec::new(),
     })
 }
 
--- a/crates/cli/benches/host_cost.rs
+++ b/crates/cli/benches/host_cost.rs
@@ -402,7 +402,7 @@
         let ((nl, na), (hl, ha)) = (listeners(60), listeners(count));
         nodes(nl, Some(1024));
         // A limit a quarter over what is asked: hosts that are asked for more for a moment borrow.
-        let plan = format!("limit=1250 burst={}", 16 * count.max(70));
+        let plan = format!("limit=\"1250units/s\" burst={}", 16 * count.max(70));
         let file = std::env::temp_dir().join(format!("gullsail-scale-{}-{count}.kdl", std::process::id()));
         std::fs::write(&file, document_text(&ha, &na, &plan)).expect("the document");
         drop(hl);
--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -133,7 +133,7 @@
     for node in document.nodes() {
         let kind = node.name().value();
         let named = node.get(0).and_then(|v| v.as_string()).unwrap_or_default();
-        let foreign = d.volume(named).is_some_and(|v| kind == "volume" && !v.hosts.contains(&me));
+        let foreign = d.volume(named).is_some_and(|v| kind == "volume" && !v.through(me));
         // Machines are the stand-ins', a day the scripts'.
         if !foreign && !["machine", "day"].contains(&kind) {
             println!("// {}", reader.origin(node.span().offset()));
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -287,6 +287,7 @@
         standing: ListStanding::Ready as i32,
         age_us: 0,
         incarnation: 0,
+        kind: n.kind.clone(),
     });
     tokio::select! {
         () = gullsail_standin::list::serve(entries.collect(), d.list_late, listener) => Ok(ExitCode::from(1)),
--- a/crates/cli/tests/documents.rs
+++ b/crates/cli/tests/documents.rs
@@ -18,7 +18,8 @@
 fn folder() -> tempfile::TempDir {
     let dir = tempfile::tempdir().unwrap();
     std::fs::write(dir.path().join("main.kdl"), MAIN).unwrap();
-    std::fs::write(dir.path().join("plans.kdl"), "plan \"p\" limit=100 burst=64 // why\n").unwrap();
+    std::fs::write(dir.path().join("plans.kdl"), "plan \"p\" limit=\"100units/s\" burst=64 // why\n")
+        .unwrap();
     dir
 }
 
@@ -27,8 +28,11 @@
     let dir = folder();
     let sound = gullsail(dir.path(), &["check", "main.kdl"]);
     assert_eq!((sound.status.code(), out(&sound).contains("2 hosts")), (Some(0), true));
-    std::fs::write(dir.path().join("plans.kdl"), "plan \"p\" limit=100 burst=\"64\"\nplan \"q\" limi=5\n")
-        .unwrap();
+    std::fs::write(
+        dir.path().join("plans.kdl"),
+        "plan \"p\" limit=\"100units/s\" burst=\"64\"\nplan \"q\" limi=5\n",
+    )
+    .unwrap();
     let broken = gullsail(dir.path(), &["check", "--json", "main.kdl"]);
     assert_eq!(broken.status.code(), Some(2));
     let lines: Vec<serde_json::Value> =
@@ -36,7 +40,7 @@
     let place = |v: &serde_json::Value| {
         (v["code"].clone(), v["file"].clone(), v["line"].clone(), v["column"].clone())
     };
-    let wanted = [("wrong-kind", 1, 20), ("unknown-key", 2, 10)];
+    let wanted = [("wrong-kind", 1, 29), ("unknown-key", 2, 10)];
     let wanted: Vec<_> =
         wanted.iter().map(|w| (w.0.into(), "plans.kdl".into(), w.1.into(), w.2.into())).collect();
     let found: Vec<_> = lines.iter().map(place).collect();
@@ -51,7 +55,7 @@
 fn formatting_is_checked_made_and_refused() {
     let dir = folder();
     let read = |name: &str| std::fs::read_to_string(dir.path().join(name)).unwrap();
-    let untidy = "plan   \"p\"   limit=100 burst=64 // why\n";
+    let untidy = "plan   \"p\"   limit=\"100units/s\" burst=64 // why\n";
     std::fs::write(dir.path().join("plans.kdl"), untidy).unwrap();
     assert_eq!(gullsail(dir.path(), &["fmt", "--check", "plans.kdl"]).status.code(), Some(1));
     assert_eq!(read("plans.kdl"), untidy);
@@ -68,10 +72,10 @@
 fn a_diff_tells_by_its_exit_code_what_it_asks_for() {
     let dir = folder();
     let cases = [
-        ("plan \"p\" burst=64 limit=100", 0, ""),
-        ("plan \"p\" limit=200 burst=64", 0, "safe      plan \"p\" limit"),
-        ("plan \"p\" limit=100 burst=64\nrules tick=\"9ms\"", 1, "restart   rules tick"),
-        ("plan \"p\" limit=50 burst=64", 3, "dangerous plan \"p\" limit"),
+        ("plan \"p\" burst=64 limit=\"100units/s\"", 0, ""),
+        ("plan \"p\" limit=\"200units/s\" burst=64", 0, "safe      plan \"p\" limit"),
+        ("plan \"p\" limit=\"100units/s\" burst=64\nrules tick=\"9ms\"", 1, "restart   rules tick"),
+        ("plan \"p\" limit=\"50units/s\" burst=64", 3, "dangerous plan \"p\" limit"),
     ];
     for (plans, code, says) in cases {
         let new = dir.path().join("new");
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -1,13 +1,16 @@
 //! What a document means. Each kind of entry has a struct and a function that reads it; [`build`] goes through
 //! the document from top to bottom and then looks at what must fit together.
 
-use crate::reader::Reader;
+use crate::reader::{Names, Reader};
+use crate::revisions;
+use crate::routes::{self, Routes};
 use fnv::FnvHasher;
 use gullsail_interface::*;
 use gullsail_protocol::Bounds;
 use kdl::{KdlDocument, KdlNode};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
+use std::sync::Arc;
 
 /// The same number for a name at every host and in every process.
 pub fn number(name: &str) -> u64 {
@@ -38,8 +41,14 @@
     pub name: String,
     pub id: VolumeId,
     pub plan: PlanId,
-    /// Through which hosts its transfers come.
-    pub hosts: Vec<HostId>,
+    /// Through which hosts its transfers come, in order of their numbers.
+    pub hosts: Arc<[HostId]>,
+}
+
+impl NamedVolume {
+    pub fn through(&self, host: HostId) -> bool {
+        self.hosts.binary_search(&host).is_ok()
+    }
 }
 
 /// Where a process lives. `listen` is where it binds, `address` where others reach it.
@@ -55,6 +64,8 @@
 pub struct NodePlace {
     pub place: Place,
     pub cell: CellId,
+    /// What sort of node it is, for pools; a word of the document's own.
+    pub kind: String,
     /// Of the stand-ins' machines.
     pub machine: usize,
     /// It does not run yet: a successor that hosts hear of from the list.
@@ -113,6 +124,10 @@
     pub list_late: Span,
     pub drain_grace: Span,
     pub bounds: HostBounds,
+    pub routes: Routes,
+    pub place: revisions::Place,
+    /// What this document and those before it promise of limits, oldest first.
+    pub line: Vec<gullsail_limits::Promises>,
     facts: Facts,
     volumes_by_name: BTreeMap<String, usize>,
 }
@@ -133,7 +148,12 @@
     }
 
     pub fn volume(&self, name: &str) -> Option<&NamedVolume> {
-        self.volumes_by_name.get(name).map(|place| &self.volumes[*place])
+        self.volume_at(name).map(|place| &self.volumes[place])
+    }
+
+    /// Its place among the volumes.
+    pub fn volume_at(&self, name: &str) -> Option<usize> {
+        self.volumes_by_name.get(name).copied()
     }
 
     pub fn node(&self, name: &str) -> Option<&NodePlace> {
@@ -145,7 +165,10 @@
     NodeId(number(name))
 }
 
-const TOP: [&str; 12] = [
+const TOP: [&str; 15] = [
+    "revision",
+    "pool",
+    "route",
     "zone",
     "stream-type",
     "plan",
@@ -183,6 +206,7 @@
     named(r, "node");
     named(r, "stream-type");
     named(r, "volume");
+    named(r, "pool");
     let stream_types: Vec<_> = all("stream-type").map(|n| stream_type(r, n)).collect();
     let machines: Vec<_> = all("machine").map(|n| machine(r, n)).collect();
     let hosts: Vec<_> = all("host")
@@ -214,11 +238,21 @@
         stream_types: stream_types.iter().map(|s| s.decisions.clone()).collect(),
         ..Facts::default()
     };
+    let mut unit = None;
     let mut drain_grace = Span::from_millis(1000.0);
     if let Some(n) = single(r, "rules") {
-        let known =
-            ["tick", "drain-grace", "order-settle", "most-units", "share-part", "spare-part", "advice"];
+        let known = [
+            "tick",
+            "drain-grace",
+            "order-settle",
+            "most-units",
+            "share-part",
+            "spare-part",
+            "advice",
+            "unit",
+        ];
         r.only(n, 0, &known, &[]);
+        unit = n.entry("unit").map(|_| r.bytes(n, "unit", 0).max(1) as f64);
         facts.tick = r.span_at(n, "tick").unwrap_or(facts.tick);
         drain_grace = r.span_at(n, "drain-grace").unwrap_or(drain_grace);
         facts.order_settle = r.span_at(n, "order-settle").unwrap_or_default();
@@ -247,16 +281,30 @@
     }
     let bounds_node = single(r, "bounds");
     let bounds = bounds(r, bounds_node);
-    let plans: Vec<_> = all("plan").map(|n| plan(r, n)).collect();
+    let plans: Vec<_> = all("plan").map(|n| plan(r, n, unit)).collect();
     facts.plans = plans.iter().map(|p| p.decisions.clone()).collect();
+    let everyone: Arc<[HostId]> = (0..hosts.len() as u32).map(HostId).collect();
     let mut volumes = Vec::new();
     for n in all("volume") {
-        volumes.push(volume(r, n, &plans, &plan_names, &host_names, facts.most_units));
+        volumes.push(volume(r, n, &plans, &plan_names, &host_names, &everyone, facts.most_units));
     }
     together(r, document, &hosts, &volumes);
+    let known = routes::Known {
+        zones: &zones,
+        stream_types: &stream_types,
+        plans: &plans,
+        volumes: &volumes,
+        nodes: &nodes,
+    };
+    let routes = routes::read(document, r, &known);
+    single(r, "revision");
+    let place = revisions::read(document, r);
     let volumes_by_name = volumes.iter().enumerate().map(|(place, v)| (v.name.clone(), place)).collect();
     let built = Deployment {
-        zones,
+        routes,
+        place,
+        line: Vec::new(),
+        zones: zones.list().to_vec(),
         stream_types,
         plans,
         volumes,
@@ -309,7 +357,7 @@
     }
 }
 
-fn names<'a>(r: &mut Reader, nodes: impl Iterator<Item = &'a KdlNode>) -> Vec<String> {
+fn names<'a>(r: &mut Reader, nodes: impl Iterator<Item = &'a KdlNode>) -> Names {
     let mut names: Vec<String> = Vec::new();
     let mut first: BTreeMap<String, usize> = BTreeMap::new();
     for n in nodes {
@@ -321,12 +369,12 @@
         }
         names.push(name);
     }
-    names
+    names.into_iter().collect()
 }
 
-fn place(r: &mut Reader, n: &KdlNode, zones: &[String]) -> Place {
+fn place(r: &mut Reader, n: &KdlNode, zones: &Names) -> Place {
     let address = r.text_at(n, "address").unwrap_or_default();
-    let zone = if n.entry("zone").is_some() || !zones.is_empty() {
+    let zone = if n.entry("zone").is_some() || !zones.list().is_empty() {
         r.refer_at(n, "zone", "zone", zones).unwrap_or_default()
     } else {
         0
@@ -335,8 +383,8 @@
     Place { name: r.text(n, 0, "a name"), zone: ZoneId(zone), address, listen }
 }
 
-fn node(r: &mut Reader, n: &KdlNode, zones: &[String], machines: &[String]) -> NodePlace {
-    r.only(n, 1, &["cell", "zone", "address", "listen", "machine", "spare"], &[]);
+fn node(r: &mut Reader, n: &KdlNode, zones: &Names, machines: &Names) -> NodePlace {
+    r.only(n, 1, &["cell", "zone", "kind", "address", "listen", "machine", "spare"], &[]);
     let machine =
         if n.entry("machine").is_some() { r.refer_at(n, "machine", "machine", machines) } else { None };
     _ = r.number(n, "cell", 0.0);
@@ -344,6 +392,7 @@
     NodePlace {
         place: place(r, n, zones),
         cell,
+        kind: r.text_at(n, "kind").unwrap_or_default(),
         machine: machine.unwrap_or_default(),
         spare: r.flag(n, "spare"),
     }
@@ -399,11 +448,11 @@
     NamedStreamType { name: r.text(n, 0, "a name"), write: r.flag(n, "write"), expiry, decisions }
 }
 
-fn plan(r: &mut Reader, n: &KdlNode) -> NamedPlan {
+fn plan(r: &mut Reader, n: &KdlNode, unit: Option<f64>) -> NamedPlan {
     r.only(n, 1, &["limit", "burst", "slack", "reserve", "usual", "weight", "price"], &[]);
-    let reserve = r.number_at(n, "reserve", 0.0).unwrap_or_default();
-    let limit = r.number_at(n, "limit", f64::MIN_POSITIVE);
+    let reserve = r.rate_at(n, "reserve", 0.0, unit).unwrap_or_default();
     let before = r.noted();
+    let limit = r.rate_at(n, "limit", f64::MIN_POSITIVE, unit);
     let limit = limit.map(|rate| {
         let burst = r.number(n, "burst", 0.0);
         Limit { rate, burst: if r.noted() > before { f64::INFINITY } else { burst } }
@@ -416,7 +465,7 @@
     let decisions = Plan {
         limit,
         reserve,
-        usual: r.number_at(n, "usual", 0.0).unwrap_or(reserve),
+        usual: r.rate_at(n, "usual", 0.0, unit).unwrap_or(reserve),
         weight: r.number_at(n, "weight", 0.0).unwrap_or(1.0),
         price: r.number_at(n, "price", 0.0).unwrap_or(1.0),
     };
@@ -427,30 +476,26 @@
     r: &mut Reader,
     n: &KdlNode,
     plans: &[NamedPlan],
-    plan_names: &[String],
-    hosts: &[String],
+    plan_names: &Names,
+    hosts: &Names,
+    everyone: &Arc<[HostId]>,
     most_units: f64,
 ) -> NamedVolume {
     r.only(n, 1, &["plan"], &["hosts"]);
     let name = r.text(n, 0, "a name");
     let plan = r.refer_at(n, "plan", "plan", plan_names).unwrap_or_default();
-    let mut through = Vec::new();
+    let mut through = BTreeSet::new();
     for child in n.iter_children().filter(|c| c.name().value() == "hosts") {
         r.only(child, usize::MAX, &[], &[]);
         for e in child.entries() {
             let host = r.refer(e, "host", hosts).map(|h| HostId(h as u32));
-            if let Some(h) = host {
-                if through.contains(&h) {
-                    r.note("twice", "this host stands here twice".into(), e.span(), None);
-                }
-                through.push(h);
+            if host.is_some_and(|h| !through.insert(h)) {
+                r.note("twice", "this host stands here twice".into(), e.span(), None);
             }
         }
     }
-    if through.is_empty() {
-        // None stated: all of them.
-        through = (0..hosts.len() as u32).map(HostId).collect();
-    }
+    // None stated: all of them.
+    let through = if through.is_empty() { everyone.clone() } else { through.into_iter().collect() };
     if let Some(l) = plans.get(plan).and_then(|p| p.decisions.limit) {
         let least = 2.0 * most_units * through.len() as f64;
         if l.burst < least {
--- a/crates/configuration/src/explain.rs
+++ b/crates/configuration/src/explain.rs
@@ -21,7 +21,7 @@
     ),
     (
         "too-much",
-        "The configuration is larger than is plausible: 64 MiB of text, or 200,000 entries once templates are in place.",
+        "The configuration is larger than is plausible: 64 MiB of text, or 1,000,000 entries once templates are in place.",
     ),
     ("unknown-node", "An entry that has no meaning here. `gullsail check` names those that do."),
     ("unknown-key", "A property that this entry does not have."),
@@ -40,6 +40,30 @@
         "wrong-kind",
         "A value of another kind: spans have a unit in quotes (\"150ms\"), figures have none, texts are in quotes, flags are #true or #false.",
     ),
+    (
+        "no-unit",
+        "A rate in bytes where nothing says how many bytes one unit of work stands for: write rules unit=\"64KiB\", or the rate in units, \"40units/s\".",
+    ),
+    (
+        "range",
+        "A range is two numbers that count up, such as \"h{01..40}\": forty entries, or in a list forty values. Ranges of one entry have the same length, and a text has one at most.",
+    ),
+    (
+        "pool-empty",
+        "No node of the document is in this pool, so its new objects could lie nowhere. Nodes that do not run yet do not count.",
+    ),
+    (
+        "no-rest",
+        "The last route must take all that those before it leave, so that no new object is without a place by mistake. A route to \"all\" lets it lie on any node.",
+    ),
+    (
+        "route-never",
+        "Routes are tried in their order and the first that matches decides. Nothing is left for this one, or nothing fits all that it asks for.",
+    ),
+    (
+        "after",
+        "The document that this one comes after can't be used: it is not sound, is not earlier, or has other hosts. Hosts that start need it to know what others may still hold to.",
+    ),
     ("contradiction", "Two values that can't both be meant."),
     (
         "slo-past-expiry",
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -9,13 +9,16 @@
 pub mod diff;
 pub mod explain;
 pub mod format;
+mod ranges;
 pub mod reader;
 mod resolve;
+mod revisions;
+pub mod routes;
 mod sense;
 pub mod sources;
 
 pub use deployment::*;
-pub use reader::{Problem, Problems, Reader, Weight};
+pub use reader::{Names, Problem, Problems, Reader, Weight};
 pub use sources::{Files, LoadError, Loader, Memory};
 
 /// Reads a document of one text. `name` is what messages call it; nothing can be included.
@@ -32,7 +35,5 @@
 /// # Errors
 /// All problems that were found, with their places.
 pub fn load(loader: &dyn Loader, name: &str) -> Result<(Deployment, Vec<Problem>), Problems> {
-    let (document, mut reader) = Reader::open(loader, name);
-    let deployment = deployment::build(&document, &mut reader);
-    reader.close(deployment)
+    revisions::load(loader, name, 0)
 }
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -74,6 +74,35 @@
     if problems == 1 { "1 problem".into() } else { format!("{problems} problems") }
 }
 
+/// Names in their order, found by name.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    list: Vec<String>,
+    places: BTreeMap<String, usize>,
+}
+
+impl Names {
+    pub fn list(&self) -> &[String] {
+        &self.list
+    }
+
+    /// The place of the first of that name.
+    pub fn position(&self, name: &str) -> Option<usize> {
+        self.places.get(name).copied()
+    }
+}
+
+impl FromIterator<String> for Names {
+    fn from_iter<T: IntoIterator<Item = String>>(names: T) -> Names {
+        let list: Vec<String> = names.into_iter().collect();
+        let mut places = BTreeMap::new();
+        for (place, name) in list.iter().enumerate() {
+            places.entry(name.clone()).or_insert(place);
+        }
+        Names { list, places }
+    }
+}
+
 struct Noted {
     code: &'static str,
     weight: Weight,
@@ -164,15 +193,24 @@
         self.noted.push(Noted { code, weight: Weight::Warning, message, at, help, see: Vec::new() });
     }
 
+    pub(crate) fn noted_errors(&self) -> usize {
+        self.noted.iter().filter(|n| n.weight == Weight::Error).count()
+    }
+
     /// How much is wrong so far: what depends on a value that can't be read is not judged by its stand-in.
     pub fn noted(&self) -> usize {
-        self.noted.len()
+        self.noted_errors()
     }
 
     /// Something that stands twice, and where it stands first.
     pub fn twice(&mut self, message: String, at: SourceSpan, first: usize) {
-        let see = vec![format!("the first stands at {}", self.sources.say(first))];
-        self.noted.push(Noted { code: "twice", weight: Weight::Error, message, at, help: None, see });
+        self.conflict("twice", message, at, "the first stands at", first);
+    }
+
+    /// Something that does not go with something else, and where that stands.
+    pub fn conflict(&mut self, code: &'static str, message: String, at: SourceSpan, see: &str, other: usize) {
+        let see = vec![format!("{see} {}", self.sources.say(other))];
+        self.noted.push(Noted { code, weight: Weight::Error, message, at, help: None, see });
     }
 
     /// A name that nothing bears.
@@ -186,7 +224,9 @@
     pub fn only(&mut self, node: &KdlNode, arguments: usize, known: &[&str], children: &[&str]) {
         let what = node.name().value();
         let mut seen: BTreeMap<&str, ()> = BTreeMap::new();
-        for (place, e) in node.entries().iter().enumerate() {
+        let mut unnamed = 0;
+        for e in node.entries() {
+            unnamed += usize::from(e.name().is_none());
             match e.name() {
                 Some(key) if !known.contains(&key.value()) => {
                     let help = meant(key.value(), known);
@@ -195,9 +235,7 @@
                 Some(key) if seen.insert(key.value(), ()).is_some() => {
                     self.note("twice", format!("`{}` stands here twice", key.value()), e.span(), None);
                 }
-                None if node.entries()[..place].iter().filter(|e| e.name().is_none()).count()
-                    >= arguments =>
-                {
+                None if unnamed > arguments => {
                     let message = format!("`{what}` takes {arguments} value(s) without a name");
                     self.note("too-many", message, e.span(), None);
                 }
@@ -321,6 +359,36 @@
         }
     }
 
+    /// A rate in units a second: `"40units/s"`, or in bytes, such as `"16MiB/s"`, where it is known how many a unit
+    /// stands for. `None` where it is not given.
+    pub fn rate_at(&mut self, node: &KdlNode, key: &str, least: f64, unit: Option<f64>) -> Option<f64> {
+        let e = self.entry(node, key, false)?;
+        let help = || Some("a rate is written with its unit in quotes: \"40units/s\", \"16MiB/s\"".into());
+        let KdlValue::String(s) = e.value() else { return Some(self.wrong(e, "a rate", help())) };
+        let Some(amount) = s.trim_end().strip_suffix("/s") else {
+            return Some(self.wrong(e, "a rate", help()));
+        };
+        let rate = if let Some(units) = amount.trim_end().strip_suffix("units") {
+            units.trim().parse::<f64>().ok()
+        } else if amount.ends_with(|c: char| c.is_ascii_alphabetic()) {
+            let bytes = amount.parse::<bytesize::ByteSize>().ok().map(|b| b.as_u64() as f64);
+            if let (Some(_), None) = (bytes, unit) {
+                let help = Some("rules unit=\"64KiB\" says how many bytes a unit stands for".into());
+                let message = format!("`{key}` is in bytes, and nothing says how many are a unit");
+                self.note("no-unit", message, e.span(), help);
+                return Some(0.0);
+            }
+            bytes.zip(unit).map(|(bytes, unit)| bytes / unit)
+        } else {
+            None
+        };
+        match rate.filter(|r| r.is_finite()) {
+            Some(rate) if rate >= least => Some(rate),
+            Some(_) => Some(self.wrong(e, &format!("a rate of at least {least}"), None)),
+            None => Some(self.wrong(e, "a rate", help())),
+        }
+    }
+
     /// A part of a whole: 0 to 1, or `"30%"`.
     pub fn part_at(&mut self, node: &KdlNode, key: &str) -> Option<f64> {
         let e = self.entry(node, key, false)?;
@@ -358,22 +426,16 @@
     }
 
     /// The place of what a name refers to.
-    pub fn refer(&mut self, e: &KdlEntry, what: &str, names: &[String]) -> Option<usize> {
+    pub fn refer(&mut self, e: &KdlEntry, what: &str, names: &Names) -> Option<usize> {
         let name = self.text_of(e);
-        let found = names.iter().position(|n| *n == name);
+        let found = names.position(&name);
         if found.is_none() {
-            let known: Vec<_> = names.iter().map(String::as_str).collect();
-            self.note(
-                "unknown-name",
-                format!("no {what} is called \"{name}\""),
-                e.span(),
-                meant(&name, &known),
-            );
+            self.unknown(e.span(), what, &name, names.list());
         }
         found
     }
 
-    pub fn refer_at(&mut self, node: &KdlNode, key: &str, what: &str, names: &[String]) -> Option<usize> {
+    pub fn refer_at(&mut self, node: &KdlNode, key: &str, what: &str, names: &Names) -> Option<usize> {
         let e = self.entry(node, key, true)?;
         self.refer(e, what, names)
     }
--- a/crates/configuration/src/resolve.rs
+++ b/crates/configuration/src/resolve.rs
@@ -5,6 +5,7 @@
 //! `template "small" plan="base" { volume "$name" plan="$plan"; }` names entries with parameters, and defaults for
 //! some; `use "small" name="photos"` puts them in place. A template may use others that stand before it.
 
+use crate::ranges;
 use crate::reader::Reader;
 use crate::sources::{Loader, MOST_ALL, beside, shift};
 use kdl::{KdlDocument, KdlNode, KdlValue};
@@ -13,7 +14,7 @@
 /// Files within files, and templates within templates: deeper is a mistake.
 const DEPTH: usize = 16;
 /// Entries after all is resolved: templates that use each other grow fast.
-const MOST_ENTRIES: usize = 200_000;
+const MOST_ENTRIES: usize = 1_000_000;
 
 struct Template {
     node: KdlNode,
@@ -77,7 +78,11 @@
             match node.name().value() {
                 "include" => self.include(name, node),
                 "template" => self.template(node),
-                "use" => self.put(node, 0),
+                "use" => {
+                    for node in ranges::expand(node, self.r) {
+                        self.put(&node, 0);
+                    }
+                }
                 _ => self.keep(node.clone()),
             }
         }
@@ -85,12 +90,14 @@
     }
 
     fn keep(&mut self, node: KdlNode) {
-        if self.out.len() == MOST_ENTRIES {
-            let message = format!("more than {MOST_ENTRIES} entries");
-            self.r.note("too-much", message, node.span(), None);
-        }
-        if self.out.len() <= MOST_ENTRIES {
-            self.out.push(node);
+        for node in ranges::expand(&node, self.r) {
+            if self.out.len() == MOST_ENTRIES {
+                let message = format!("more than {MOST_ENTRIES} entries");
+                self.r.note("too-much", message, node.span(), None);
+            }
+            if self.out.len() <= MOST_ENTRIES {
+                self.out.push(node);
+            }
         }
     }
 
@@ -185,7 +192,11 @@
             shift(&mut child, by);
             self.fill(&mut child, &values, &mut needed);
             match child.name().value() {
-                "use" => self.put(&child, depth + 1),
+                "use" => {
+                    for child in ranges::expand(&child, self.r) {
+                        self.put(&child, depth + 1);
+                    }
+                }
                 "template" | "include" => {
                     let message = format!("`{}` can't stand in a template", child.name().value());
                     self.r.note("unknown-node", message, child.name().span(), None);
--- /dev/null
+++ b/crates/configuration/src/revisions.rs
@@ -0,0 +1,112 @@
+//! Documents that come after each other: `revision 7 after="fleet-6.kdl"` names the one before, so that a host which
+//! starts with a document knows what others may still hold to. What the documents of such a line promise of
+//! limits comes with the last of them.
+
+use crate::deployment::{self, Deployment};
+use crate::reader::{Problem, Problems, Reader};
+use crate::sources::{Loader, beside};
+use gullsail_limits::{MOST_HOSTS, Promises, Revision, Shared};
+use kdl::{KdlDocument, KdlNode};
+
+/// Documents before documents: the line is as long as hosts are behind.
+const MOST: usize = 16;
+
+/// What a document says of its own place among others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    pub revision: Revision,
+    /// The file of the one before, as it is named.
+    pub after: Option<String>,
+}
+
+pub(crate) fn entry(document: &KdlDocument) -> Option<&KdlNode> {
+    document.nodes().iter().find(|n| n.name().value() == "revision")
+}
+
+pub(crate) fn read(document: &KdlDocument, r: &mut Reader) -> Place {
+    let Some(n) = entry(document) else { return Place::default() };
+    r.only(n, 1, &["after"], &[]);
+    let number = n.entries().iter().find(|e| e.name().is_none());
+    let revision = match number.map(|e| (e, e.value().as_integer().and_then(|i| u64::try_from(i).ok()))) {
+        Some((_, Some(revision))) if revision > 0 => revision,
+        Some((e, _)) => {
+            r.note(
+                "wrong-kind",
+                format!("{} is not a whole number of at least 1", e.value()),
+                e.span(),
+                None,
+            );
+            0
+        }
+        None => {
+            r.note("missing", "`revision` needs its number".into(), n.span(), Some("revision 1".into()));
+            0
+        }
+    };
+    Place { revision: Revision(revision), after: r.text_at(n, "after") }
+}
+
+pub(crate) fn promises(d: &Deployment) -> Promises {
+    let shared = |v: &deployment::NamedVolume| Shared {
+        plan: v.plan,
+        limit: d.plans.get(v.plan.0).and_then(|p| p.decisions.limit),
+        hosts: v.hosts.clone(),
+    };
+    let volumes = d.volumes.iter().map(|v| (v.id, shared(v)));
+    Promises { revision: d.place.revision, volumes: volumes.collect() }
+}
+
+pub(crate) fn load(
+    loader: &dyn Loader,
+    name: &str,
+    depth: usize,
+) -> Result<(Deployment, Vec<Problem>), Problems> {
+    let (document, mut r) = Reader::open(loader, name);
+    let mut built = deployment::build(&document, &mut r);
+    let mut line = Vec::new();
+    if let (Some(n), Some(after), true) = (entry(&document), &built.place.after, r.noted_errors() == 0) {
+        let at = n.entry("after").map_or(n.span(), |e| e.span());
+        match before(loader, name, after, depth, &built) {
+            Ok(earlier) => line = earlier,
+            Err((message, help)) => r.note("after", message, at, help),
+        }
+    }
+    if let Some(n) = entry(&document).filter(|_| built.hosts.len() > MOST_HOSTS as usize) {
+        let message = format!("documents of more than {MOST_HOSTS} hosts can't be numbered yet");
+        r.note("too-much", message, n.span(), None);
+    }
+    line.push(promises(&built));
+    built.line = line;
+    r.close(built)
+}
+
+type Wrong = (String, Option<String>);
+
+fn before(
+    loader: &dyn Loader,
+    name: &str,
+    after: &str,
+    depth: usize,
+    d: &Deployment,
+) -> Result<Vec<Promises>, Wrong> {
+    if depth + 1 >= MOST {
+        return Err((format!("more than {MOST} documents after each other"), None));
+    }
+    let Some(file) = beside(name, after) else {
+        return Err((format!("\"{after}\" leads out of the configuration"), None));
+    };
+    let (earlier, _) = load(loader, &file, depth + 1).map_err(|e| {
+        let first = e.problems.first().map(|p| format!("{}:{}:{}: {}", p.file, p.line, p.column, p.message));
+        (format!("the document before, {file}, is not sound"), first)
+    })?;
+    if earlier.place.revision >= d.place.revision {
+        let (its, ours) = (earlier.place.revision.0, d.place.revision.0);
+        return Err((format!("{file} has revision {its}, which is not before {ours}"), None));
+    }
+    let names = |d: &Deployment| d.hosts.iter().map(|h| h.name.clone()).collect::<Vec<_>>();
+    if names(&earlier) != names(d) {
+        let help = "hosts are known to each other by their places: change them with all of them stopped";
+        return Err((format!("{file} has other hosts, or in another order"), Some(help.into())));
+    }
+    Ok(earlier.line)
+}
--- /dev/null
+++ b/crates/configuration/src/routes.rs
@@ -0,0 +1,226 @@
+//! Where new objects may lie: pools are sets of nodes, routes say which volumes' and stream types' new objects go
+//! to which pool. The first route that matches a transfer decides, and the last takes all the rest. What a
+//! transfer is given is worked out once for each volume and stream type, so that looking it up costs nothing.
+
+use crate::deployment::{NamedPlan, NamedStreamType, NamedVolume, NodePlace};
+use crate::reader::{Names, Reader};
+use gullsail_interface::{PoolId, StreamTypeId, ZoneId};
+use kdl::{KdlDocument, KdlNode};
+use std::collections::BTreeSet;
+
+/// The pool of all nodes; no document defines it.
+pub const ALL: &str = "all";
+
+/// A set of nodes: those in one of the zones and of one of the kinds; none stated: any.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pool {
+    pub name: String,
+    pub zones: BTreeSet<ZoneId>,
+    pub kinds: BTreeSet<String>,
+}
+
+impl Pool {
+    pub fn holds(&self, zone: ZoneId, kind: &str) -> bool {
+        (self.zones.is_empty() || self.zones.contains(&zone))
+            && (self.kinds.is_empty() || self.kinds.contains(kind))
+    }
+}
+
+/// One route as it is written; of each, none stated: any.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    pub to: PoolId,
+    volumes: Vec<glob::Pattern>,
+    plans: BTreeSet<usize>,
+    stream_types: BTreeSet<usize>,
+}
+
+impl Route {
+    fn takes(&self, v: &NamedVolume, stream_type: usize) -> bool {
+        (self.volumes.is_empty() || self.volumes.iter().any(|p| p.matches(&v.name)))
+            && (self.plans.is_empty() || self.plans.contains(&v.plan.0))
+            && (self.stream_types.is_empty() || self.stream_types.contains(&stream_type))
+    }
+
+    fn is_rest(&self) -> bool {
+        self.volumes.is_empty() && self.plans.is_empty() && self.stream_types.is_empty()
+    }
+}
+
+/// All pools and routes, and the pool for each volume's and stream type's new objects.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Routes {
+    /// The pool with number 1 and those after it.
+    pub pools: Vec<Pool>,
+    pub routes: Vec<Route>,
+    /// By place of the volume, then of the stream type; empty without routes.
+    table: Vec<PoolId>,
+    stream_types: usize,
+}
+
+impl Routes {
+    /// Where a volume's new object of that stream type may lie. Places are those of the deployment.
+    pub fn pool(&self, volume: usize, stream_type: StreamTypeId) -> PoolId {
+        self.table.get(volume * self.stream_types + stream_type.0).copied().unwrap_or(PoolId::ALL)
+    }
+
+    /// The pools that a node of that zone and kind is in, beside that of all.
+    pub fn pools_of(&self, zone: ZoneId, kind: &str) -> Vec<PoolId> {
+        let holds = self.pools.iter().enumerate().filter(|(_, p)| p.holds(zone, kind));
+        holds.map(|(place, _)| PoolId(place + 1)).collect()
+    }
+
+    pub fn name(&self, pool: PoolId) -> &str {
+        pool.0.checked_sub(1).and_then(|place| self.pools.get(place)).map_or(ALL, |p| &p.name)
+    }
+}
+
+/// What routes are read against.
+pub struct Known<'a> {
+    pub zones: &'a Names,
+    pub stream_types: &'a [NamedStreamType],
+    pub plans: &'a [NamedPlan],
+    pub volumes: &'a [NamedVolume],
+    pub nodes: &'a [NodePlace],
+}
+
+fn all<'a>(document: &'a KdlDocument, kind: &'static str) -> impl Iterator<Item = &'a KdlNode> {
+    document.nodes().iter().filter(move |n| n.name().value() == kind)
+}
+
+/// The values of all children of that name.
+fn values<'a>(n: &'a KdlNode, name: &'static str) -> impl Iterator<Item = &'a kdl::KdlEntry> {
+    n.iter_children().filter(move |c| c.name().value() == name).flat_map(|c| c.entries())
+}
+
+fn pool(r: &mut Reader, n: &KdlNode, known: &Known) -> Pool {
+    r.only(n, 1, &[], &["zone", "kind"]);
+    n.iter_children().for_each(|c| r.only(c, usize::MAX, &[], &[]));
+    let zones = values(n, "zone").filter_map(|e| r.refer(e, "zone", known.zones)).map(ZoneId).collect();
+    let kinds: Names = known.nodes.iter().map(|node| node.kind.clone()).filter(|k| !k.is_empty()).collect();
+    let found = values(n, "kind").map(|e| {
+        let kind = r.text_of(e);
+        if kinds.position(&kind).is_none() && !known.nodes.is_empty() {
+            r.unknown(e.span(), "kind of node", &kind, kinds.list());
+        }
+        kind
+    });
+    let kinds = found.collect();
+    let name = r.text(n, 0, "a name");
+    if name == ALL {
+        let help = Some("it is there already, and holds every node".into());
+        r.note("twice", format!("a second pool \"{ALL}\""), n.span(), help);
+    }
+    Pool { name, zones, kinds }
+}
+
+fn route(r: &mut Reader, n: &KdlNode, pools: &Names, known: &Known) -> Route {
+    r.only(n, 0, &["to"], &["volume", "plan", "stream-type"]);
+    n.iter_children().for_each(|c| r.only(c, usize::MAX, &[], &[]));
+    let to = r.refer_at(n, "to", "pool", pools).unwrap_or_default();
+    let plans: Names = known.plans.iter().map(|p| p.name.clone()).collect();
+    let types: Names = known.stream_types.iter().map(|s| s.name.clone()).collect();
+    let mut stream_types = BTreeSet::new();
+    for e in values(n, "stream-type") {
+        let Some(place) = r.refer(e, "stream type", &types) else { continue };
+        stream_types.insert(place);
+        if !known.stream_types[place].write {
+            let message =
+                format!("\"{}\" is read where its data lies: no route leads it", types.list()[place]);
+            r.warn("no-effect", message, e.span(), None);
+        }
+    }
+    let plans = values(n, "plan").filter_map(|e| r.refer(e, "plan", &plans)).collect();
+    let mut volumes = Vec::new();
+    for e in values(n, "volume") {
+        let text = r.text_of(e);
+        match glob::Pattern::new(&text) {
+            Ok(pattern) => {
+                let matches = known.volumes.iter().any(|v| pattern.matches(&v.name));
+                if !matches && !text.is_empty() && !known.volumes.is_empty() {
+                    let names: Vec<String> = known.volumes.iter().map(|v| v.name.clone()).collect();
+                    r.unknown(e.span(), "volume", &text, &names);
+                }
+                volumes.push(pattern);
+            }
+            Err(why) => r.note("wrong-kind", format!("\"{text}\" is no pattern: {why}"), e.span(), None),
+        }
+    }
+    Route { to: PoolId(to), volumes, plans, stream_types }
+}
+
+/// Reads pools and routes, and looks at whether they make sense together.
+pub fn read(document: &KdlDocument, r: &mut Reader, known: &Known) -> Routes {
+    let before = r.noted();
+    let pools: Vec<Pool> = all(document, "pool").map(|n| pool(r, n, known)).collect();
+    let names: Names = std::iter::once(ALL.to_string()).chain(pools.iter().map(|p| p.name.clone())).collect();
+    let routes: Vec<Route> = all(document, "route").map(|n| route(r, n, &names, known)).collect();
+    let mut built = Routes { pools, routes, table: Vec::new(), stream_types: known.stream_types.len() };
+    for (place, n) in all(document, "pool").enumerate() {
+        let nodes = known.nodes.iter().filter(|node| !node.spare);
+        let p = &built.pools[place];
+        let found = nodes.clone().filter(|node| p.holds(node.place.zone, &node.kind)).count();
+        if found == 0 && !known.nodes.is_empty() && r.noted() == before {
+            let message = format!("no node is in pool \"{}\"", p.name);
+            let help = Some("each of its nodes must be in one of its zones and of one of its kinds".into());
+            r.note("pool-empty", message, n.span(), help);
+        } else if !built.routes.iter().any(|route| route.to == PoolId(place + 1)) {
+            r.warn("unused", format!("pool \"{}\" is used by no route", p.name), n.span(), None);
+        }
+    }
+    let Some(last) = all(document, "route").last() else { return built };
+    if !built.routes.last().is_some_and(Route::is_rest) && r.noted() == before {
+        let help = Some(format!("end with `route to=\"{ALL}\"`, or with another pool for all the rest"));
+        r.note("no-rest", "the last route does not take all the rest".into(), last.span(), help);
+    }
+    if r.noted() == before || built.routes.iter().any(Route::is_rest) {
+        fill(document, r, known, &mut built, before);
+    }
+    built
+}
+
+/// Works out the table, and names routes that nothing is left for.
+fn fill(document: &KdlDocument, r: &mut Reader, known: &Known, built: &mut Routes, before: usize) {
+    // How much each route takes, and of what it would take but for one before it, who that is.
+    let mut taken = vec![0usize; built.routes.len()];
+    let mut instead: Vec<Option<usize>> = vec![None; built.routes.len()];
+    for v in known.volumes {
+        for stream_type in 0..known.stream_types.len() {
+            let takes = built.routes.iter().enumerate().filter(|(_, route)| route.takes(v, stream_type));
+            let mut takes = takes.map(|(place, _)| place);
+            let first = takes.next();
+            built.table.push(first.map_or(PoolId::ALL, |place| built.routes[place].to));
+            if let (Some(first), true) = (first, known.stream_types[stream_type].write) {
+                taken[first] += 1;
+                takes.for_each(|later| _ = instead[later].get_or_insert(first));
+            }
+        }
+    }
+    if r.noted() > before || known.volumes.is_empty() || !known.stream_types.iter().any(|s| s.write) {
+        return;
+    }
+    let places: Vec<_> = all(document, "route").map(|n| n.span()).collect();
+    for place in (0..taken.len()).filter(|place| taken[*place] == 0) {
+        let rest = built.routes[place].is_rest();
+        match instead[place] {
+            // The rest may be empty today.
+            _ if rest && place + 1 == taken.len() => {}
+            Some(first) => {
+                let message =
+                    "this route can never match: routes before it take all that it would".to_string();
+                r.conflict(
+                    "route-never",
+                    message,
+                    places[place],
+                    "one of them stands at",
+                    places[first].offset(),
+                );
+            }
+            None => {
+                let message =
+                    "this route can never match: no volume and stream type that writes fit it".into();
+                r.note("route-never", message, places[place], None);
+            }
+        }
+    }
+}
--- a/crates/configuration/tests/documents.rs
+++ b/crates/configuration/tests/documents.rs
@@ -10,8 +10,8 @@
 legs most=3 free=4 share=0.1 window="5s"
 stream-type "read" effect="repeatable" slo="150ms" expiry="1.2s" benefit=2 late-part=0.1
 stream-type "write" effect="keyed" group="cell" window="5s" slo="200ms" expiry="2s" write=#true in-order=#true
-plan "base" limit=40 burst=64 slack=8 usual=10
-plan "gold" reserve=20 usual=20 weight=2
+plan "base" limit="40units/s" burst=64 slack=8 usual="10units/s"
+plan "gold" reserve="20units/s" usual="20units/s" weight=2
 machine "box" cores=2 unit="5ms" queue=40
 host "h1" zone="a" address="127.0.0.1:7001"
 host "h2" zone="a" address="127.0.0.1:7002"
@@ -33,7 +33,7 @@
     );
     assert!(f.stream_types[1].in_order && d.stream_types[1].write);
     assert_eq!(f.plans[0].limit.map(|l| (l.rate, l.burst)), Some((40.0, 64.0)));
-    assert_eq!(d.volumes[0].hosts, [HostId(0), HostId(1)]);
+    assert_eq!(*d.volumes[0].hosts, [HostId(0), HostId(1)]);
     assert_eq!(d.volumes[1].hosts.len(), 2, "none stated: all");
     assert_eq!(d.volume("v1").unwrap().id.0 >> 48, 0, "six bytes travel");
     assert_eq!(d.list_late, Span::from_millis(300.0));
@@ -59,10 +59,20 @@
         ("list address", "bounds held-bytes=\"-5MB\"\nlist address", "wrong-kind", 14, 8, "64KiB"),
         ("list address", "bounds connect=\"5MB\"\nlist address", "wrong-kind", 14, 8, "a span is written"),
         ("list address", "bounds connect=\"9999999999h\"\nlist address", "wrong-kind", 14, 8, "a span"),
-        ("limit=40", "limit=#nan", "wrong-kind", 8, 13, "number"),
-        ("limit=40", "limit=#inf", "wrong-kind", 8, 13, "number"),
-        ("limit=40", "limit=-1", "wrong-kind", 8, 13, "at least"),
-        ("usual=10", "usual=10 reserve=60", "limit-under-reserve", 8, 1, "under the reserve"),
+        ("limit=\"40units/s\"", "limit=#nan", "wrong-kind", 8, 13, "a rate is written"),
+        ("limit=\"40units/s\"", "limit=40", "wrong-kind", 8, 13, "with its unit"),
+        ("limit=\"40units/s\"", "limit=\"NaNunits/s\"", "wrong-kind", 8, 13, "a rate"),
+        ("limit=\"40units/s\"", "limit=\"infunits/s\"", "wrong-kind", 8, 13, "a rate"),
+        ("limit=\"40units/s\"", "limit=\"-1units/s\"", "wrong-kind", 8, 13, "at least"),
+        ("limit=\"40units/s\"", "limit=\"1MiB/s\"", "no-unit", 8, 13, "unit=\"64KiB\""),
+        (
+            "usual=\"10units/s\"",
+            "usual=\"10units/s\" reserve=\"60units/s\"",
+            "limit-under-reserve",
+            8,
+            1,
+            "under the reserve",
+        ),
         ("burst=64", "burst=31", "burst-too-small", 15, 1, "32 or more"),
         ("host \"h2\"", "host \"h1\"", "twice", 12, 1, "second `host`"),
         ("\"h1\" \"h2\"", "\"h1\" \"h3\"", "unknown-name", 15, 38, "did you mean"),
--- a/crates/configuration/tests/files.rs
+++ b/crates/configuration/tests/files.rs
@@ -20,7 +20,7 @@
 const REST: &str = r#"== rest.kdl
 zone "a"
 plan "p"
-plan "q" limit=100 burst=64
+plan "q" limit="100units/s" burst=64
 stream-type "read" effect="repeatable" slo="150ms" expiry="1s"
 host "h1" zone="a" address="x:1"
 host "h2" zone="a" address="x:2"
@@ -250,7 +250,7 @@
             "ramp",
         ),
         (
-            "== main.kdl\ninclude \"rest.kdl\"\nmachine \"m\" cores=2 unit=\"10ms\"\nplan \"big\" reserve=181\nvolume \"b\" plan=\"big\"\n",
+            "== main.kdl\ninclude \"rest.kdl\"\nmachine \"m\" cores=2 unit=\"10ms\"\nplan \"big\" reserve=\"181units/s\"\nvolume \"b\" plan=\"big\"\n",
             "reserves-too-large",
             "main.kdl",
             4,
@@ -328,7 +328,7 @@
 #[test]
 fn formatting_keeps_meaning_and_comments() {
     let cases = [
-        ("plan   \"p\"   limit=5  // why\n", "plan p limit=5 // why\n"),
+        ("plan   \"p\"   limit=\"5units/s\"  // why\n", "plan p limit=\"5units/s\" // why\n"),
         ("// first\r\nzone \"a\"\r\n", "// first\nzone a\n"),
         ("volume \"v\" plan=\"p\" {hosts \"h1\";}\n", "volume v plan=p {\n    hosts h1\n}\n"),
     ];
@@ -337,7 +337,7 @@
         assert_eq!(out.replace('"', ""), wanted.replace('"', ""), "{text}");
         assert_eq!(format(&out).unwrap(), out);
     }
-    let lost = format("plan \"p\" /* here */ limit=5\n").unwrap_err();
+    let lost = format("plan \"p\" /* here */ limit=\"5units/s\"\n").unwrap_err();
     assert!(lost.contains("line 1") && lost.contains("/* here */"), "{lost}");
     let broken = format("zone \"a\"\nplan \"p\" {\n").unwrap_err();
     assert!(broken.starts_with("line "), "{broken}");
@@ -345,7 +345,7 @@
 
 fn document(limit: u32, hosts: &str, cells: &str) -> String {
     format!(
-        "plan \"p\" limit={limit} burst=200\nstream-type \"r\" effect=\"repeatable\" slo=\"1s\" expiry=\"2s\"\n\
+        "plan \"p\" limit=\"{limit}units/s\" burst=200\nstream-type \"r\" effect=\"repeatable\" slo=\"1s\" expiry=\"2s\"\n\
          host \"h1\"\nhost \"h2\"\nhost \"h3\"\n{cells}volume \"v\" plan=\"p\" {{ hosts {hosts}; }}\n"
     )
 }
@@ -394,7 +394,7 @@
         let mut text = String::from("host \"h1\"\nhost \"h2\" ; host \"h3\"\n/* a note */ plan \"p\"\n");
         for (place, (plan, hosts, gap, end)) in volumes.into_iter().enumerate() {
             let hosts: String = (1..=hosts).map(|h| format!(" \"h{h}\"")).collect();
-            text += &format!("plan{gap}\"p{place}\"{gap}reserve={plan}{end}");
+            text += &format!("plan{gap}\"p{place}\"{gap}reserve=\"{plan}units/s\"{end}");
             text += &format!("volume \"v{place}\"{gap}plan=\"p{place}\" {{hosts{hosts}}}{end}");
         }
         text
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -265,6 +265,7 @@
             standing: standing as i32,
             age_us: age,
             incarnation,
+            kind: n.kind.clone(),
         }
     }
 
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -1,6 +1,6 @@
 //! The script of a day, as the document's `day` entry has it.
 
-use gullsail_configuration::{Deployment, Memory, Problems, Reader, deployment};
+use gullsail_configuration::{Deployment, Memory, Names, Problems, Reader, deployment};
 use gullsail_interface::Span;
 use kdl::{KdlDocument, KdlNode};
 
@@ -166,8 +166,8 @@
         clocks: Vec::new(),
         troubles: Vec::new(),
     };
-    let stream_types: Vec<_> = d.stream_types.iter().map(|t| t.name.clone()).collect();
-    let hosts: Vec<_> = d.hosts.iter().map(|h| h.name.clone()).collect();
+    let stream_types: Names = d.stream_types.iter().map(|t| t.name.clone()).collect();
+    let hosts: Names = d.hosts.iter().map(|h| h.name.clone()).collect();
     for n in day.iter_children() {
         let first = n.entries().iter().find(|e| e.name().is_none());
         match n.name().value() {
@@ -183,7 +183,7 @@
                 let place = first.and_then(|e| r.refer(e, "host", &hosts));
                 let ahead =
                     r.span_at(n, "ahead").unwrap_or_default() - r.span_at(n, "behind").unwrap_or_default();
-                s.clocks.extend(place.map(|p| (hosts[p].clone(), ahead)));
+                s.clocks.extend(place.map(|p| (hosts.list()[p].clone(), ahead)));
             }
             "tests" => {
                 r.only(n, usize::MAX, &[], &[]);
@@ -245,7 +245,7 @@
     let all = any(&[&hosts[..], &nodes[..], &["list".to_string()][..]].concat());
     let name = |r: &mut Reader, what: &str, names: &[String]| -> Option<String> {
         match n.entries().iter().find(|e| e.name().is_none()) {
-            Some(e) => r.refer(e, what, names).map(|p| names[p].clone()),
+            Some(e) => r.refer(e, what, &names.iter().cloned().collect()).map(|p| names[p].clone()),
             None => {
                 r.note("missing", format!("`{}` needs a {what}", n.name().value()), n.span(), None);
                 None
@@ -256,7 +256,7 @@
         if n.entry(key).is_none() {
             return Some("*".to_string());
         }
-        r.refer_at(n, key, "process", names).map(|p| names[p].clone())
+        r.refer_at(n, key, "process", &names.iter().cloned().collect()).map(|p| names[p].clone())
     };
     let kind = n.name().value();
     let known: &[&str] = match kind {
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -116,8 +116,7 @@
     fn list_news(&mut self, news: ListNews) {
         self.list_asked = false;
         debug!(version = news.version, whole = news.whole, entries = news.entries.len(), "node list");
-        let zones = &self.deployment.zones;
-        let entries = self.nodes.listed(news.whole, news.entries, zones, self.now);
+        let entries = self.nodes.listed(news.whole, news.entries, &self.deployment, self.now);
         for (cell, names) in self.nodes.cells_twice() {
             warn!(cell = cell.0, nodes = names.join(" "), "the list names two ready nodes with one cell");
         }
--- a/crates/host/src/core/nodes.rs
+++ b/crates/host/src/core/nodes.rs
@@ -20,6 +20,9 @@
     pub address: String,
     pub cell: CellId,
     pub zone: ZoneId,
+    pub kind: String,
+    /// By its zone and kind.
+    pub pools: Vec<PoolId>,
     pub standing: Standing,
     pub dial: Dial,
     /// As it said on its newest connection.
@@ -49,7 +52,14 @@
     }
 
     pub fn entry(&self, id: NodeId, started: Option<Instant>) -> NodeEntry {
-        NodeEntry { node: id, cell: self.cell, zone: self.zone, standing: self.standing, started }
+        NodeEntry {
+            node: id,
+            cell: self.cell,
+            zone: self.zone,
+            standing: self.standing,
+            started,
+            pools: self.pools.clone(),
+        }
     }
 }
 
@@ -65,6 +75,8 @@
             address: n.place.address.clone(),
             cell: n.cell,
             zone: n.place.zone,
+            kind: n.kind.clone(),
+            pools: d.routes.pools_of(n.place.zone, &n.kind),
             standing: Standing::Ready,
             dial: Dial::default(),
             incarnation: None,
@@ -89,7 +101,7 @@
         &mut self,
         whole: bool,
         news: Vec<ListEntry>,
-        zones: &[String],
+        d: &Deployment,
         now: Instant,
     ) -> Vec<NodeEntry> {
         let named: BTreeSet<NodeId> = news.iter().map(|e| node_id(&e.name)).collect();
@@ -100,7 +112,7 @@
         let mut entries = Vec::with_capacity(news.len());
         for e in news {
             let id = node_id(&e.name);
-            let zone = ZoneId(zones.iter().position(|z| *z == e.zone).unwrap_or(usize::MAX));
+            let zone = ZoneId(d.zones.iter().position(|z| *z == e.zone).unwrap_or(usize::MAX));
             let standing = match ListStanding::try_from(e.standing) {
                 Ok(ListStanding::Ready) => Standing::Ready,
                 Ok(ListStanding::Gone) => Standing::Gone,
@@ -112,6 +124,8 @@
                 address: String::new(),
                 cell: CellId(e.cell),
                 zone,
+                kind: String::new(),
+                pools: Vec::new(),
                 standing,
                 dial: Dial::default(),
                 incarnation: None,
@@ -120,6 +134,7 @@
                 pending: BTreeSet::new(),
             });
             (side.address, side.cell, side.zone, side.standing) = (e.address, CellId(e.cell), zone, standing);
+            (side.kind, side.pools) = (e.kind.clone(), d.routes.pools_of(zone, &e.kind));
             let started = side.start(e.incarnation, Span::from_micros(e.age_us), now);
             entries.push(side.entry(id, started));
         }
@@ -140,6 +155,14 @@
         Some((side.entry(id, started), another))
     }
 
+    /// Another document has other pools: all entries as they are now, told anew.
+    pub fn sort(&mut self, d: &Deployment) -> Vec<NodeEntry> {
+        for n in self.all.values_mut() {
+            n.pools = d.routes.pools_of(n.zone, &n.kind);
+        }
+        self.all.iter().map(|(id, n)| n.entry(*id, n.starts.back().and_then(|s| s.1))).collect()
+    }
+
     /// Ready nodes that hold the same cell as another, which only a hand-over explains.
     pub fn cells_twice(&self) -> Vec<(CellId, Vec<&str>)> {
         let mut cells: BTreeMap<CellId, Vec<&str>> = BTreeMap::new();
--- a/crates/host/src/core/serve.rs
+++ b/crates/host/src/core/serve.rs
@@ -19,12 +19,12 @@
             let reason = format!("no stream type is called \"{}\"", submit.stream_type);
             return self.not_taken(link, id, reason, false);
         };
-        let Some(volume) = d.volume(&submit.volume) else {
+        let Some(at) = d.volume_at(&submit.volume) else {
             return self.not_taken(link, id, format!("no volume is called \"{}\"", submit.volume), false);
         };
-        let stream_type = &d.stream_types[place];
+        let (volume, stream_type) = (&d.volumes[at], &d.stream_types[place]);
         let most = d.figures().most_units;
-        let wrong = if !volume.hosts.contains(&self.me) {
+        let wrong = if !volume.through(self.me) {
             Some(format!("volume \"{}\" does not come through this host", volume.name))
         } else if !(submit.units > 0.0 && submit.units <= most) {
             Some(format!("{} units; more than 0 and at most {most} can be taken", submit.units))
@@ -50,6 +50,7 @@
             object: object(&submit),
             ttl: Span::from_micros(submit.ttl_us).min(stream_type.expiry),
             volume_hosts: volume.hosts.len() as u32,
+            pool: d.routes.pool(at, StreamTypeId(place)),
         };
         let (write, expiry) = (stream_type.write, self.now + transfer.ttl);
         let id = self.transfers.take(Open { link, submit, write, body, expiry, legs: 0 });
--- a/crates/host/tests/host/rig.rs
+++ b/crates/host/tests/host/rig.rs
@@ -16,7 +16,7 @@
 stream-type "write" effect="keyed" group="cell" window="5s" slo="400ms" expiry="2s" write=#true
 stream-type "trip" effect="unrepeatable" slo="400ms" expiry="2s" write=#true
 plan "free"
-plan "held" limit=40 burst=64 slack=0
+plan "held" limit="40units/s" burst=64 slack=0
 host "h1" address="h1"
 host "h2" address="h2"
 node "n1" cell=1 address="n1"
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -113,10 +113,18 @@
     PlanId(usize);
     /// A stream type, by its place in the facts.
     StreamTypeId(usize);
+    /// A pool of nodes, by its place; the first holds all of them.
+    PoolId(usize);
     /// A timer, named by whoever set it.
     TimerId(u64);
 }
 
+impl PoolId {
+    /// Every node, whatever other pools it is in.
+    pub const ALL: PoolId = PoolId(0);
+    pub const LAST: PoolId = PoolId(usize::MAX);
+}
+
 /// Which nodes recognise the repeat of a keyed transfer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
@@ -156,12 +164,23 @@
     pub price: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     pub rate: f64,
     pub burst: f64,
 }
 
+/// What a host may do for a volume from now on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    pub volume: VolumeId,
+    pub plan: PlanId,
+    /// Through how many hosts its transfers come; 0: no longer through this one.
+    pub hosts: u32,
+    /// This host's part of the limit, where it is not an even one.
+    pub part: Option<Limit>,
+}
+
 /// How many legs beyond each transfer's first a host may send within `window`.
 #[derive(Clone, Copy, Debug)]
 pub struct LegBudget {
@@ -221,6 +240,8 @@
     pub standing: Standing,
     /// When it last started, if that is known.
     pub started: Option<Instant>,
+    /// Those it is in beside that of all nodes.
+    pub pools: Vec<PoolId>,
 }
 
 /// What a piece of news about the node list holds.
@@ -246,6 +267,8 @@
     /// Where the data lies; `None`: a new object.
     pub cell: Option<CellId>,
     pub object: Option<ObjectId>,
+    /// Of a new object: where it may lie.
+    pub pool: PoolId,
     /// How long until the client gives up on this try.
     pub ttl: Span,
     /// Through how many hosts the volume's transfers come.
@@ -300,6 +323,12 @@
     /// A call for the list failed, or the watch broke.
     ListLost,
     Arrived(Transfer),
+    /// All plans as they are from now on, and of every volume whose terms this changes the new ones. Places
+    /// of plans may be other than before, so a volume that was served must be among these then.
+    Plans {
+        plans: Vec<Plan>,
+        terms: Vec<Terms>,
+    },
     Timer(TimerId),
     ClientLeft(TransferId),
     PeerSaid {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -255,6 +255,10 @@
     pub age_us: i64,
     #[prost(fixed64, tag = "7")]
     pub incarnation: u64,
+    /// What sort of node it is, for the pools of a document; empty: none.
+    #[prost(string, tag = "8")]
+    #[serde(default)]
+    pub kind: String,
 }
 
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -329,7 +329,7 @@
             self.tally(&t).repeats += 1;
         } else {
             // Its host is gone: another of the volume's.
-            let mut hosts = self.d.volume(&t.submit.volume).map(|v| v.hosts.clone()).unwrap_or_default();
+            let mut hosts = self.d.volume(&t.submit.volume).map(|v| v.hosts.to_vec()).unwrap_or_default();
             hosts.shuffle(&mut self.rng);
             t.host = hosts.iter().map(|h| h.0 as usize).find(|h| *h != t.host).unwrap_or(t.host);
             self.tally(&t).repeats += 1;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -249,6 +249,7 @@
 struct Volume {
     plan: PlanId,
     hosts: f64,
+    part: Option<Limit>, // while documents change: this host's part, where it is not an even one
     asked: Fading,
     /// Tokens at this host, and the units of first legs that wait here.
     level: f64,
@@ -273,17 +274,24 @@
 const SEEKS: u32 = 6; // so often the wait between looks for a volume's other hosts doubles, to 16 s
 
 impl Volume {
-    /// This host's even part of the rate and of the burst; what was lent is missing from the burst.
+    /// This host's part of the rate and of the burst; what was lent is missing from the burst.
     fn even(&mut self, now: Instant, limit: &Limit) -> (f64, f64) {
         while self.lent.pop_front_if(|l| l.0 <= now).is_some() {}
         let lent: f64 = self.lent.iter().map(|l| l.1).sum();
-        (limit.rate / self.hosts, limit.burst / self.hosts - lent)
+        let even = Limit { rate: limit.rate / self.hosts, burst: limit.burst / self.hosts };
+        let part = self.part.unwrap_or(even);
+        (part.rate, part.burst - lent)
+    }
+
+    /// Also where the plan has none any more and other hosts still hold to the one it had.
+    fn limit(&self, facts: &Facts) -> Option<Limit> {
+        facts.plans[self.plan.0].limit.or(self.part)
     }
 
     fn refill(&mut self, now: Instant, facts: &Facts) {
         let (plan, most_units) = (&facts.plans[self.plan.0], facts.most_units);
         let span = (now - self.at).secs().max(0.0);
-        if let Some(limit) = &plan.limit {
+        if let Some(limit) = &self.limit(facts) {
             let (rate, cap) = self.even(now, limit);
             self.level = (self.level + rate * span).min(cap);
         }
@@ -298,7 +306,7 @@
     /// own demand while the sum is under the limit, above that its part of the limit by demand. The lender
     /// lowers itself at once, level and cap; a gift that is lost is lost to all.
     fn lend(&mut self, now: Instant, facts: &Facts, want: f64) -> f64 {
-        let Some(limit) = &facts.plans[self.plan.0].limit else { return 0.0 };
+        let Some(limit) = self.limit(facts) else { return 0.0 };
         self.refill(now, facts);
         let own = self.asked.last();
         let fresh = self.peers.values().filter(|p| now - p.0 < LAST);
@@ -330,8 +338,15 @@
     closed: bool, // it has its final answer, or a stream has begun that is now the client's
 }
 
-/// Whether it holds further legs, which wait in lines of their own, and for which data; `None`: new objects.
-type LineKey = (bool, Option<CellId>);
+/// Where a leg can go: to who holds this data, or, of a new object, to any node of a pool.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Where {
+    Pool(PoolId),
+    Cell(CellId),
+}
+
+/// Whether it holds further legs, which wait in lines of their own, and for where.
+type LineKey = (bool, Where);
 
 /// What waits for a node, by volume and stream type, the least time left first.
 #[derive(Default)]
@@ -352,9 +367,9 @@
     born: Instant,
     facts: Facts,
     rooms: BTreeMap<NodeId, Room>, // of nodes that are ready
-    ready: Vec<NodeId>,
+    ready: BTreeMap<PoolId, Vec<NodeId>>,
     cells: BTreeMap<CellId, BTreeSet<NodeId>>,
-    drawn: BTreeSet<NodeId>, // for a new object
+    drawn: BTreeSet<(NodeId, PoolId)>, // for a new object
     xfers: BTreeMap<TransferId, Xfer>,
     lines: BTreeMap<LineKey, Line>,
     beats: BTreeMap<TimerId, LineKey>,
@@ -418,13 +433,14 @@
             }
             DeskNote::Event(Event::List { extent: Extent::Remembered | Extent::Seen, .. }) => {}
             DeskNote::Event(Event::List { .. }) => self.ask_again = ASK_FIRST,
+            DeskNote::Event(Event::Plans { plans, terms }) => self.change(plans, &terms),
             DeskNote::Event(Event::Timer(NEXT_EPOCH)) => self.epoch(),
             DeskNote::Event(Event::Timer(ASK_LIST)) => self.actions.push(Action::Watch),
             DeskNote::Event(Event::Timer(id)) if id > NEXT_EPOCH => {
                 let Some(key) = self.beats.remove(&id) else { return };
                 if let Some(line) = self.lines.get_mut(&key).filter(|l| l.beat == Some(id)) {
                     line.beat = None;
-                    let soonest = key.1.map_or(Span::ZERO, |cell| self.soonest(cell));
+                    let soonest = self.soonest(key.1);
                     self.look_over(key, self.now + soonest.times(USUAL).max(BEAT_EVERY), rng);
                 }
             }
@@ -434,15 +450,35 @@
 
     fn enter(&mut self, room: &Room, rng: &mut ChaCha8Rng) {
         let (id, ready) = (room.entry.node, room.entry.standing == Standing::Ready);
-        if let Some(old) = self.rooms.get(&id).filter(|r| !ready || r.entry.cell != room.entry.cell) {
+        let place = |e: &NodeEntry| (e.cell, e.pools.clone());
+        if let Some(old) = self.rooms.get(&id).filter(|r| !ready || place(&r.entry) != place(&room.entry)) {
             self.cells.entry(old.entry.cell).and_modify(|c| _ = c.remove(&id));
-            self.ready.retain(|other| *other != id);
+            self.ready.values_mut().for_each(|nodes| nodes.retain(|other| *other != id));
+            self.drawn.retain(|d| d.0 != id);
             self.rooms.remove(&id);
         }
         if ready && self.rooms.insert(id, room.clone()).is_none() {
             self.cells.entry(room.entry.cell).or_default().insert(id);
-            self.ready.push(id);
-            self.draw(rng);
+            for pool in [PoolId::ALL].iter().chain(&room.entry.pools) {
+                self.ready.entry(*pool).or_default().push(id);
+                self.draw(*pool, rng);
+            }
+        }
+    }
+
+    /// Other plans, and what volumes may be sent from now on. What a host no longer serves is given up on.
+    fn change(&mut self, plans: Vec<Plan>, terms: &[Terms]) {
+        let now = self.now;
+        self.volumes.values_mut().for_each(|v| v.refill(now, &self.facts));
+        self.facts.plans = plans;
+        for t in terms {
+            let id = label::carried(t.volume);
+            let v = self.volumes.entry(id).or_insert_with(|| Volume { at: now, ..Volume::default() });
+            (v.plan, v.hosts, v.part) = (t.plan, f64::from(t.hosts.max(1)), t.part);
+            v.refill(now, &self.facts);
+            let waits = |x: &Xfer| x.t.volume == id && x.legs == 0;
+            let left = self.xfers.iter().filter(|(_, x)| t.hosts == 0 && waits(x)).map(|(id, _)| *id);
+            left.collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id));
         }
     }
 
@@ -478,7 +514,8 @@
         let Some(x) = self.xfers.get_mut(&id) else { return };
         let effect = self.facts.stream_types[x.t.stream_type.0].effect;
         let bound = x.maybe_ran.filter(|_| matches!(effect, Effect::Keyed { group: Group::Cell, .. }));
-        let key = (x.legs > 0, x.t.cell.or(bound.map(|m| m.1)));
+        let cell = x.t.cell.or(bound.map(|m| m.1));
+        let key = (x.legs > 0, cell.map_or(Where::Pool(x.t.pool), Where::Cell));
         x.line = Some(key);
         let group = (x.t.volume, x.t.stream_type);
         self.lines.entry(key).or_default().groups.entry(group).or_default().insert((x.slo_end, id));
@@ -520,14 +557,15 @@
         let volumes: Vec<_> = line.groups.keys().map(|g| g.0).collect();
         volumes.into_iter().for_each(|v| self.ask(v));
         match key.1 {
-            Some(cell) => {
+            Where::Cell(cell) => {
                 self.outbox.extend(self.holders(cell).map(|nd| (nd, NodeNote::Beat)).collect::<Vec<_>>())
             }
-            None => self.draw(rng),
+            Where::Pool(pool) => self.draw(pool, rng),
         }
     }
 
-    fn soonest(&self, cell: CellId) -> Span {
+    fn soonest(&self, to: Where) -> Span {
+        let Where::Cell(cell) = to else { return Span::ZERO };
         self.holders(cell).map(|nd| self.rooms[&nd].latency).min().unwrap_or(Span::ZERO)
     }
 
@@ -573,7 +611,7 @@
             Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
             _ => x.maybe_ran.is_none() && x.out == 0,
         };
-        let advice = x.t.cell.map_or(EPOCH, |cell| self.soonest(cell)).max(EPOCH);
+        let advice = x.t.cell.map_or(EPOCH, |cell| self.soonest(Where::Cell(cell))).max(EPOCH);
         let come_back = self.facts.longest_advice.map(|most| advice.min(most));
         self.actions.push(if may_defer { Action::Defer { id, come_back } } else { Action::Abandon { id } });
         self.close(id);
@@ -627,7 +665,7 @@
             return false;
         }
         let v = &self.volumes[&x.t.volume];
-        f.plans[v.plan.0].limit.is_none() || v.level >= x.t.units
+        v.limit(f).is_none() || v.level >= x.t.units
     }
 
     fn best(&mut self, key: LineKey, room: &Room) -> Option<(f64, TransferId)> {
@@ -643,7 +681,8 @@
     }
 
     fn serve(&mut self, room: &Room, rng: &mut ChaCha8Rng) {
-        let drawn = self.drawn.remove(&room.entry.node);
+        let id = room.entry.node;
+        let drawn: Vec<_> = self.drawn.extract_if((id, PoolId::ALL)..=(id, PoolId::LAST), |_| true).collect();
         // Where most of what hosts send fails, together they keep full nodes full, and crowded nodes serve
         // next to nothing: each sends no more than some times what came back in time.
         let earned = RETURN * self.good.read(self.now, RECENT) + 1.0;
@@ -656,16 +695,19 @@
             while self.resent.pop_front_if(|at| *at < since).is_some() {}
         }
         for further in [false, true] {
-            let own = self.best((further, Some(room.entry.cell)), room);
+            let own = self.best((further, Where::Cell(room.entry.cell)), room);
             // A new object can wait for a node that nobody's data waits for, until half its time
             // is gone: where data lies unevenly, it would else crowd out what has one node only.
-            let new = if drawn { self.best((further, None), room) } else { None };
+            let news: Vec<_> =
+                drawn.iter().map(|d| (self.best((further, Where::Pool(d.1)), room), d.1)).collect();
+            let new = news.into_iter().filter_map(|(best, pool)| Some((best?, pool)));
+            let new = new.max_by(|a, b| a.0.0.total_cmp(&b.0.0));
             let must = |n: TransferId| self.now >= self.xfers[&n].half_time;
-            let new = new.filter(|n| own.is_none_or(|o| n.0 > o.0 && must(n.1)));
-            if let Some((_, id)) = new.or(own) {
+            let new = new.filter(|(n, _)| own.is_none_or(|o| n.0 > o.0 && must(n.1)));
+            if let Some((_, id)) = new.map(|n| n.0).or(own) {
                 self.send(id, room);
-                return if new.is_some() {
-                    self.draw(rng)
+                return if let Some((_, pool)) = new {
+                    self.draw(pool, rng)
                 };
             }
         }
@@ -673,18 +715,19 @@
 
     /// Draws the node for the next new object: among a few, with odds in step with the room they have. Those
     /// without are asked anew. A cold one beyond the even part only where most are warm: never as a refuge.
-    fn draw(&mut self, rng: &mut ChaCha8Rng) {
-        if !self.lines.contains_key(&(false, None)) && !self.lines.contains_key(&(true, None)) {
+    fn draw(&mut self, pool: PoolId, rng: &mut ChaCha8Rng) {
+        let Some(ready) = self.ready.get(&pool) else { return };
+        if ![false, true].iter().any(|further| self.lines.contains_key(&(*further, Where::Pool(pool)))) {
             return;
         }
-        let few: Vec<_> = self.ready.choose_multiple(rng, SAMPLE).map(|nd| &self.rooms[nd]).collect();
+        let few: Vec<_> = ready.choose_multiple(rng, SAMPLE).map(|nd| &self.rooms[nd]).collect();
         let warm = |r: &&&Room| r.slots > 0 && r.units.is_infinite();
         let cold = 2 * few.iter().filter(warm).count() > few.len() || few.iter().all(|r| r.units.is_finite());
         let fits = |r: &&&Room| r.slots > 0 && (cold || r.even >= self.facts.most_units);
         let takers: Vec<_> = few.iter().filter(fits).collect();
         let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3);
         if let Ok(r) = takers.choose_weighted(rng, odds) {
-            self.drawn.insert(r.entry.node);
+            self.drawn.insert((r.entry.node, pool));
             self.outbox.push((r.entry.node, NodeNote::Beat));
         }
         let full = few.iter().filter(|r| r.slots == 0);
@@ -727,7 +770,7 @@
             v.refill(now, f);
             let extra = v.extra.read(now, LAST);
             (sum, busy) = (sum + extra, busy + f64::from(extra > 0.1));
-            if f.plans[v.plan.0].limit.is_none() || v.hosts <= 1.0 || now < v.seek_at || !f.peers_talk {
+            if v.limit(f).is_none() || v.hosts <= 1.0 || now < v.seek_at || !f.peers_talk {
                 continue;
             }
             // Two hosts keep a volume's map, in turn: one may be down, or have lost it.
@@ -772,12 +815,12 @@
     fn ask(&mut self, id: VolumeId) {
         let (now, f) = (self.now, &self.facts);
         let Some(v) = self.volumes.get_mut(&id) else { return };
-        let Some(limit) = f.plans[v.plan.0].limit.as_ref().filter(|_| now >= v.ask_at) else { return };
+        let Some(limit) = v.limit(f).filter(|_| now >= v.ask_at) else { return };
         v.refill(now, f);
         if v.waiting <= v.level || !f.peers_talk || v.peers.is_empty() {
             return;
         }
-        let (own, cap) = (v.asked.last(), v.even(now, limit).1);
+        let (own, cap) = (v.asked.last(), v.even(now, &limit).1);
         let (few, place) = (v.peers.len().min(ASK_PEERS), v.turn % v.peers.len());
         let want = ((v.waiting + own * LAST.secs()).min(cap) - v.level) / few as f64;
         (v.turn, v.ask_at) = (place + few, now + ASK_EVERY);
@@ -806,9 +849,9 @@
                 continue;
             }
             *p = (said, l.asked);
-            if let Some(limit) = self.facts.plans[v.plan.0].limit.as_ref().filter(|_| said > self.born) {
+            if let Some(limit) = v.limit(&self.facts).filter(|_| said > self.born) {
                 let lent = if now - said < ASK_EVERY { l.lent } else { 0.0 };
-                v.level = (v.level + lent).min(v.even(now, limit).1);
+                v.level = (v.level + lent).min(v.even(now, &limit).1);
             }
             let lent = if l.want > 0.0 { v.lend(now, &self.facts, l.want) } else { 0.0 };
             if lent > 0.0 {
--- a/tests/decisions/limits.rs
+++ b/tests/decisions/limits.rs
@@ -126,3 +126,51 @@
         assert_eq!(h.order().len(), later, "{plan} {hosts}");
     }
 }
+
+/// Terms that change while a volume is served: a smaller part holds at once, also for tokens already there; a
+/// larger one fills from then on. Who no longer serves a volume gives up on what waits, at once.
+#[test]
+fn terms_change_while_serving() {
+    let part = |rate, burst| Some(Limit { rate, burst });
+    // hosts and part before and after; how many of 4 units go within 0.38 s after
+    let cases = [
+        ((2, None), (2, None), 6),
+        ((2, None), (4, None), 3),
+        ((2, None), (2, part(8.0, 8.0)), 2),
+        ((2, part(4.0, 8.0)), (2, None), 3),
+        ((2, None), (0, part(0.0, 0.0)), 0),
+        ((2, None), (1, None), 8),
+    ];
+    for (before, after, expected) in cases {
+        let plans = facts().plans;
+        let terms = |(hosts, part)| Event::Plans {
+            plans: plans.clone(),
+            terms: vec![Terms { volume: VolumeId(7), plan: PlanId(1), hosts, part }],
+        };
+        let mut h = Host::new(facts(), vec![node(1, 0)], at(0));
+        h.tell(terms(before));
+        h.pass(ms(4000));
+        h.tell(terms(after));
+        for id in 1..=30 {
+            let hosts = after.0.max(1);
+            h.tell(Event::Arrived(Transfer {
+                plan: PlanId(1),
+                units: 4.0,
+                volume_hosts: hosts,
+                ..xfer(id, 0)
+            }));
+            if id == 30 && after.0 == 0 {
+                h.tell(terms(after));
+            }
+        }
+        let waiting = h.answers(1).len();
+        for _ in 0..380 {
+            h.order().into_iter().for_each(|id| h.end(id, 0, 1, Ending::Done, 1));
+            h.pass(ms(1));
+        }
+        let sent = h.order().len();
+        // What the bucket held, cut to its new size, and what it gains in that time.
+        assert_eq!(sent, expected, "{before:?} {after:?}");
+        assert_eq!(waiting, usize::from(after.0 == 0), "{before:?} {after:?}");
+    }
+}
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -340,3 +340,48 @@
     };
     assert!(play().len() >= 20 && play() == play());
 }
+
+/// A new object goes to the nodes of its pool only, its further legs too; a node that changes pools is drawn for
+/// the new one alone. Data that lies somewhere knows no pools.
+#[test]
+fn new_objects_stay_in_their_pool() {
+    let pools = |id, pools: &[usize]| {
+        let pools = pools.iter().copied().map(PoolId).collect();
+        NodeEntry { pools, ..node(id, id as i64) }
+    };
+    // pools of nodes 1, 2 and 3; the pool asked for; where transfers may go
+    type Case<'a> = ([&'a [usize]; 3], usize, &'a [u64]);
+    let cases: [Case; 5] = [
+        ([&[], &[], &[]], 0, &[1, 2, 3]),
+        ([&[1], &[1, 2], &[2]], 1, &[1, 2]),
+        ([&[1], &[1, 2], &[2]], 2, &[2, 3]),
+        ([&[1], &[1, 2], &[2]], 0, &[1, 2, 3]),
+        ([&[1], &[], &[]], 2, &[]),
+    ];
+    for (of, pool, takers) in cases {
+        let nodes = (1..=3).map(|id| pools(id, of[id as usize - 1]));
+        let mut h = Host::new(facts(), nodes.collect(), at(0));
+        for id in 1..=60 {
+            h.tell(Event::Arrived(Transfer { cell: None, pool: PoolId(pool), ..xfer(id, 0) }));
+            for (leg, node) in h.legs(id).into_iter().enumerate() {
+                h.end(id, leg as u32, node, Ending::Failed, 1);
+            }
+            h.pass(ms(5));
+            for (leg, node) in h.legs(id).into_iter().enumerate() {
+                h.end(id, leg as u32, node, Ending::Done, 1);
+            }
+        }
+        let went: std::collections::BTreeSet<u64> = (1..=60).flat_map(|id| h.legs(id)).collect();
+        assert_eq!(went.into_iter().collect::<Vec<_>>(), takers, "{pool}");
+        h.pass(ms(2000));
+        let answered = (1..=60).filter(|id| h.answers(*id).len() == 1).count();
+        assert_eq!(answered, if takers.is_empty() { 60 } else { 0 }, "{pool}");
+        // All move to the other pool: nothing more goes to them for this one.
+        let other = (1..=3).map(|id| pools(id, &[9])).collect();
+        h.list(Extent::Changes, other);
+        h.tell(Event::Arrived(Transfer { cell: None, pool: PoolId(pool), ..xfer(70, 0) }));
+        h.tell(Event::Arrived(Transfer { cell: Some(CellId(3)), pool: PoolId(7), ..xfer(71, 0) }));
+        h.pass(ms(50));
+        assert_eq!((h.legs(70).is_empty(), h.legs(71)), (pool != 0, vec![3]), "{pool}");
+    }
+}
