--- a/crates/audit/src/history.rs
+++ b/crates/audit/src/history.rs
@@ -1,5 +1,6 @@
 //! A recording put in order: transfers with their answers and legs, lists with what they told, processes.
 
+use gullsail_configuration::Deployment;
 use gullsail_protocol::record::{Entry, Fate, Life, What};
 use gullsail_protocol::{Answer, Leg, LegResult, ListEntry, ListStanding, Message, Submit};
 use std::collections::BTreeMap;
@@ -69,9 +70,21 @@
     pub told: BTreeMap<(String, String), Vec<Told>>,
     /// When each process started or ended.
     pub lives: BTreeMap<String, Vec<(i64, Life)>>,
+    /// Documents that hosts were asked to serve by, by revision.
+    pub documents: BTreeMap<u64, Deployment>,
+    /// When each host was asked to serve by which, or said that it does.
+    pub follows: BTreeMap<String, Vec<Follows>>,
     pub end: i64,
 }
 
+/// A host is asked to serve by a document, or does now.
+#[derive(Clone, Copy, Debug)]
+pub struct Follows {
+    pub at: i64,
+    pub revision: u64,
+    pub serves: bool,
+}
+
 impl History {
     /// # Errors
     /// The first line that can't be read.
@@ -98,6 +111,15 @@
                     );
                 }
                 What::Closed { .. } => h.closed(e.link, e.out),
+                What::Document { revision, text, serves } => {
+                    if let Some(text) = text {
+                        let read = gullsail_configuration::parse("a document of the recording", &text);
+                        let d = read.map_err(|e| Fault { line: line + 1, why: e.to_string() })?;
+                        h.documents.insert(revision, d);
+                    }
+                    let follows = Follows { at: e.at, revision, serves };
+                    h.follows.entry(e.to).or_default().push(follows);
+                }
                 What::Process { life } => h.lives.entry(e.to).or_default().push((e.at, life)),
                 _ => {}
             }
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -316,3 +316,46 @@
     let said = judge(&d, &text[..text.len() - 5]).unwrap_err().to_string();
     assert!(said.starts_with(&format!("line {} of the recording", r.lines.len())), "{said}");
 }
+
+/// Limits that change while hosts serve: what is allowed is the limit of the oldest document that a host may serve by.
+#[test]
+fn limits_are_judged_by_the_oldest_document_served_by() {
+    let with = |limit: u32, revision: u64| {
+        DOCUMENT.replace(
+            "limit=\"10units/s\" burst=32",
+            &format!("limit=\"{limit}units/s\" burst={}", (limit * 4).max(32)),
+        ) + &format!("revision {revision}\n")
+    };
+    let d = parse("planted.kdl", &with(10, 1)).unwrap();
+    // the limit that follows; when h1 and h2 are asked, when they serve by it, when h2 is killed; units of a leg each
+    // 100 ms from 1 s to 11 s, and whether that is a breach
+    let cases = [
+        (40, [2000, 2000], [2100, 2100], None, 3.0, false),
+        (40, [2000, 9500], [2100, 9600], None, 3.0, true),
+        (40, [2000, 9500], [2100, 9600], Some(2200), 3.0, false),
+        (10, [2000, 9500], [2100, 9600], None, 1.0, false),
+        (5, [2000, 2000], [2100, 2100], None, 1.0, true),
+        (5, [2000, 9500], [2100, 9600], None, 1.0, false),
+    ];
+    for (limit, asked, serves, killed, units, broken) in cases {
+        let mut r = Recording::new();
+        let document = |revision, text: Option<String>, serves| What::Document { revision, text, serves };
+        r.put(0, 0, "script", "h1", document(1, Some(with(10, 1)), false));
+        for (place, host) in ["h1", "h2"].into_iter().enumerate() {
+            r.put(0, 0, "script", host, document(1, None, true));
+            r.put(asked[place], 0, "script", host, document(2, Some(with(limit, 2)), false));
+            r.put(serves[place], 0, "script", host, document(2, None, true));
+        }
+        if let Some(at) = killed {
+            r.process("h2", at, Life::Killed);
+        }
+        for place in 0..100 {
+            let leg =
+                Leg { leg: place, volume: "w".into(), stream_type: "read".into(), units, ..Leg::default() };
+            r.frame(1000 + place as i64 * 100, 3, "h1", "n1", Message::Leg(leg));
+        }
+        let verdicts = judge(&d, &r.lines.join("\n")).unwrap();
+        let v: Vec<_> = verdicts.iter().filter(|v| !v.kept()).map(|v| v.rule).collect();
+        assert_eq!(v, if broken { vec![7] } else { vec![] }, "{limit} {asked:?} {killed:?}");
+    }
+}
--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -1,11 +1,13 @@
 //! The commands on documents: check, explain, fmt, diff, show.
 
 use gullsail_configuration::diff::{Class, diff as compare};
-use gullsail_configuration::{Deployment, Files, Problem, Problems, Reader, Weight, explain as codes};
+use gullsail_configuration::{Deployment, Files, Problem, Problems, Reader, Said, Weight, explain as codes};
+use gullsail_host::control::{Ask, Load, Told};
 use miette::{GraphicalReportHandler, IntoDiagnostic, Result, WrapErr, miette};
-use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
 
 /// A document's files lie below the folder of its first one.
 fn files(file: &Path) -> Result<(Files, String)> {
@@ -29,12 +31,6 @@
     Ok(load(file)??)
 }
 
-fn as_json(p: &Problem) -> serde_json::Value {
-    let weight = if p.weight == Weight::Error { "error" } else { "warning" };
-    json!({ "code": p.code, "weight": weight, "file": p.file, "line": p.line, "column": p.column,
-        "message": p.message, "help": p.help, "see": p.see })
-}
-
 pub fn check(file: &Path, json: bool) -> Result<ExitCode> {
     let (sound, problems) = match load(file)? {
         Ok((d, warnings)) => (Some(d), warnings),
@@ -42,7 +38,7 @@
     };
     for p in &problems {
         if json {
-            println!("{}", as_json(p));
+            println!("{}", serde_json::to_string(&p.said()).into_diagnostic()?);
         } else {
             let mut text = String::new();
             GraphicalReportHandler::new().render_report(&mut text, p).into_diagnostic()?;
@@ -101,11 +97,7 @@
             Class::Dangerous => "dangerous",
         };
         if json {
-            println!(
-                "{}",
-                json!({ "of": c.of, "what": c.what, "from": c.from, "to": c.to, "class": class,
-                "why": c.why, "hosts": c.hosts })
-            );
+            println!("{}", serde_json::to_string(c).into_diagnostic()?);
         } else {
             let hosts = if c.hosts.is_empty() { String::new() } else { format!(" [{}]", c.hosts.join(" ")) };
             println!("{class:<9} {} {}: {} -> {}{hosts}\n          {}", c.of, c.what, c.from, c.to, c.why);
@@ -142,3 +134,67 @@
     }
     Ok(ExitCode::SUCCESS)
 }
+
+/// A document as it is read again for a host that serves by it.
+pub fn reader_of(file: PathBuf) -> Arc<Load> {
+    Arc::new(move || match load(&file) {
+        Ok(Ok((d, _))) => Ok(d),
+        Ok(Err(e)) => Err(e.problems.iter().map(Problem::said).collect()),
+        Err(e) => Err(vec![Said {
+            code: "file".into(),
+            weight: Weight::Error,
+            file: file.display().to_string(),
+            line: 1,
+            column: 1,
+            message: e.to_string(),
+            help: None,
+            see: Vec::new(),
+        }]),
+    })
+}
+
+/// Has a host read its document again. Exit code 0: it serves by it now; 1: turned down; 2: it is not sound.
+pub async fn reload(control: &Path, insist: bool, json: bool) -> Result<ExitCode> {
+    let told = ask(control, Ask::Reload { insist }).await?;
+    if json {
+        println!("{}", serde_json::to_string(&told).into_diagnostic()?);
+    }
+    Ok(match &told {
+        Told::Taken { revision, changes } => {
+            if !json {
+                println!("taken: revision {revision}, {} change(s)", changes.len());
+            }
+            ExitCode::SUCCESS
+        }
+        Told::TurnedDown { why } => {
+            why.iter().filter(|_| !json).for_each(|w| println!("turned down: {w}"));
+            ExitCode::from(1)
+        }
+        Told::Broken { problems } => {
+            for p in problems.iter().filter(|_| !json) {
+                let help = p.help.as_deref().map(|h| format!(" ({h})")).unwrap_or_default();
+                println!("{}:{}:{}: {}: {}{help}", p.file, p.line, p.column, p.code, p.message);
+            }
+            ExitCode::from(2)
+        }
+        other => return Err(miette!("unexpected reply: {other:?}")),
+    })
+}
+
+pub async fn status(control: &Path) -> Result<ExitCode> {
+    match ask(control, Ask::Status).await? {
+        Told::Status(state) => println!("{}", serde_json::to_string_pretty(&state).into_diagnostic()?),
+        other => return Err(miette!("unexpected reply: {other:?}")),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn ask(control: &Path, ask: Ask) -> Result<Told> {
+    let told = gullsail_host::control::ask(control, ask, Duration::from_secs(60)).await;
+    let told =
+        told.into_diagnostic().wrap_err_with(|| format!("no host answers at {}", control.display()))?;
+    match told {
+        Told::Error { why } => Err(miette!("{why}")),
+        told => Ok(told),
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use gullsail_configuration::HostBounds;
 use gullsail_day::processes::Listening;
+use gullsail_host::control::Control;
 use gullsail_host::drive::{self, HostClock, Life};
 use gullsail_interface::Span;
 use gullsail_protocol::{ListEntry, ListStanding};
@@ -52,7 +53,23 @@
         /// Sets this host's clock ahead, or behind with a minus: for trials.
         #[arg(long, allow_hyphen_values = true, default_value = "0s")]
         clock_ahead: String,
+        /// Where the host's operator asks for its state and for reloads: a local socket, for this user only.
+        #[arg(long)]
+        control: Option<PathBuf>,
+    },
+    /// Has a running host read its document again. Exit code 0: it serves by it now; 1: turned down, the old one
+    /// stays; 2: the new one is not sound.
+    Reload {
+        /// The host's control socket.
+        control: PathBuf,
+        /// With dangerous changes too, where they can be made while serving.
+        #[arg(long)]
+        insist: bool,
+        #[arg(long)]
+        json: bool,
     },
+    /// What a running host serves by, which hosts have not followed yet, what it holds and what it counted.
+    Status { control: PathBuf },
     /// Runs a baseline in a host's place: it sends all at once within even limits.
     Baseline {
         file: PathBuf,
@@ -155,9 +172,11 @@
 
 async fn run(command: Command) -> Result<ExitCode> {
     match command {
-        Command::Host { file, name, seed, clock_ahead } => {
-            host(&file, &name, seed.unwrap_or_else(rand::random), &clock_ahead).await
+        Command::Host { file, name, seed, clock_ahead, control } => {
+            host(&file, &name, seed.unwrap_or_else(rand::random), &clock_ahead, control).await
         }
+        Command::Reload { control, insist, json } => documents::reload(&control, insist, json).await,
+        Command::Status { control } => documents::status(&control).await,
         Command::Baseline { file, name, seed } => {
             baseline(&file, &name, seed.unwrap_or_else(rand::random)).await
         }
@@ -220,7 +239,13 @@
     Ok(Span::from_millis(span.as_secs_f64() * 1e3 * sign))
 }
 
-async fn host(file: &Path, name: &str, seed: u64, clock_ahead: &str) -> Result<ExitCode> {
+async fn host(
+    file: &Path,
+    name: &str,
+    seed: u64,
+    clock_ahead: &str,
+    control: Option<PathBuf>,
+) -> Result<ExitCode> {
     let (d, _) = documents::read(file)?;
     let known: Vec<_> = d.hosts.iter().map(|h| h.name.as_str()).collect();
     let me = d.host(name).ok_or_else(|| {
@@ -230,11 +255,16 @@
             file.display()
         )
     })?;
+    let control = control.map(|path| {
+        let bound = Control::bind(&path, documents::reader_of(file.into())).into_diagnostic();
+        bound.wrap_err_with(|| format!("no control socket at {}", path.display()))
+    });
+    let control = control.transpose()?;
     let (listener, incarnation) = listen(&d.hosts[me.0 as usize].listen, name).await?;
     let clock = HostClock::start(ahead(clock_ahead)?);
     info!(host = name, incarnation, "serving");
     let life = Life { deployment: Arc::new(d), me, seed, incarnation, clock };
-    let counts = drive::run(life, listener, stopped()).await;
+    let counts = drive::run(life, listener, control, stopped()).await;
     info!(host = name, counts = serde_json::to_string(&counts).unwrap_or_default(), "left");
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -38,6 +38,11 @@
     day("host-crash");
 }
 
+#[test]
+fn the_reload_day_passes() {
+    day("reload");
+}
+
 #[test]
 fn the_hot_volume_day_passes() {
     day("hot-volume");
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -2,12 +2,15 @@
 //! Each change is classed by what it does to hosts that serve meanwhile.
 
 use crate::deployment::{Deployment, NamedVolume};
-use gullsail_interface::HostId;
+use crate::routes::Pool;
+use gullsail_interface::{HostId, StreamTypeId};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
 
 /// What a change asks of whoever makes it, mildest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Class {
     /// Hosts may take it while they serve.
     Safe,
@@ -18,7 +21,7 @@
 }
 
 /// One thing that changed.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
     /// Such as `plan "base"` and `limit`.
     pub of: String,
@@ -26,6 +29,8 @@
     pub from: String,
     pub to: String,
     pub class: Class,
+    /// Hosts can make it without a restart; a dangerous one if their operator insists.
+    pub while_serving: bool,
     /// Why it is in that class.
     pub why: String,
     /// Whose hosts it concerns; empty: all.
@@ -46,6 +51,9 @@
     d.volumes();
     d.hosts();
     d.nodes();
+    d.pools();
+    d.order();
+    d.rest();
     d.changes
 }
 
@@ -57,7 +65,82 @@
     fn change(&mut self, of: &str, what: &str, from: String, to: String, class: Class, why: &str) {
         if from != to {
             let (of, what, why) = (of.to_string(), what.to_string(), why.to_string());
-            self.changes.push(Change { of, what, from, to, class, why, hosts: Vec::new() });
+            let while_serving = class == Class::Safe;
+            self.changes.push(Change { of, what, from, to, class, while_serving, why, hosts: Vec::new() });
+        }
+    }
+
+    /// What was noted since there were so many can be made while serving.
+    fn can_serve(&mut self, since: usize) {
+        self.changes[since..].iter_mut().for_each(|c| c.while_serving |= c.class == Class::Dangerous);
+    }
+
+    /// Ids are places: the order of these counts.
+    fn order(&mut self) {
+        let names = |d: &Deployment| {
+            let types: Vec<_> = d.stream_types.iter().map(|s| s.name.clone()).collect();
+            let hosts: Vec<_> = d.hosts.iter().map(|h| h.name.clone()).collect();
+            [("stream types", types), ("hosts", hosts), ("zones", d.zones.clone())]
+        };
+        for ((what, a), (_, b)) in names(self.old).into_iter().zip(names(self.new)) {
+            let sorted = |names: &[String]| names.iter().cloned().collect::<BTreeSet<_>>();
+            if sorted(&a) == sorted(&b) {
+                let why = "hosts number them by their places, and the numbers must not change";
+                self.change(what, "order", say(&a), say(&b), Class::Restart, why);
+            } else if what == "zones" {
+                let class = if b.starts_with(&a) { Class::Safe } else { Class::Restart };
+                let why = "a new one at the end takes no number from another";
+                self.change(what, "names", say(&a), say(&b), class, why);
+            }
+        }
+    }
+
+    fn rest(&mut self) {
+        let bounds = |d: &Deployment| say(&d.bounds);
+        let (a, b) = (bounds(self.old), bounds(self.new));
+        self.change("bounds", "figures", a, b, Class::Restart, "sockets are bound by them from their start");
+        let list = |d: &Deployment| d.list.address.clone();
+        let (a, b) = (list(self.old), list(self.new));
+        self.change("list", "address", a, b, Class::Restart, "it is read at a start only");
+        let machines =
+            |d: &Deployment| say(&d.machines.iter().map(|m| (&m.name, say(m))).collect::<BTreeMap<_, _>>());
+        let (a, b) = (machines(self.old), machines(self.new));
+        self.change("machines", "figures", a, b, Class::Safe, "they are the stand-ins'; no host reads them");
+    }
+
+    fn pools(&mut self) {
+        let index = |d: &Deployment| -> BTreeMap<String, String> {
+            let zones =
+                |p: &Pool| p.zones.iter().filter_map(|z| d.zones.get(z.0)).cloned().collect::<Vec<_>>();
+            d.routes.pools.iter().map(|p| (p.name.clone(), say(&(zones(p), &p.kinds)))).collect()
+        };
+        let (a, b) = (index(self.old), index(self.new));
+        let none = "none".to_string();
+        let why = "new objects go there from now on; what lies somewhere stays";
+        for name in a.keys().chain(b.keys()).collect::<BTreeSet<_>>() {
+            let (from, to) = (a.get(name).unwrap_or(&none), b.get(name).unwrap_or(&none));
+            self.change(&format!("pool \"{name}\""), "nodes", from.clone(), to.clone(), Class::Safe, why);
+        }
+        let pools = |d: &Deployment, name: &str| -> BTreeMap<String, String> {
+            let Some(volume) = d.volume_at(name) else { return BTreeMap::new() };
+            let types = d.stream_types.iter().enumerate().filter(|(_, s)| s.write);
+            let to = |place| d.routes.name(d.routes.pool(volume, StreamTypeId(place))).to_string();
+            types.map(|(place, s)| (s.name.clone(), to(place))).collect()
+        };
+        for v in &self.new.volumes {
+            let (a, b) = (pools(self.old, &v.name), pools(self.new, &v.name));
+            for (stream_type, to) in &b {
+                let Some(from) = a.get(stream_type) else { continue };
+                let what = format!("pool of {stream_type}");
+                self.change(
+                    &format!("volume \"{}\"", v.name),
+                    &what,
+                    from.clone(),
+                    to.clone(),
+                    Class::Safe,
+                    why,
+                );
+            }
         }
     }
 
@@ -137,14 +220,8 @@
             let (Some(a), Some(b)) = (find(self.old), find(self.new)) else {
                 let is = |d: &Deployment| if find(d).is_some() { "defined".into() } else { none.clone() };
                 let (from, to) = (is(self.old), is(self.new));
-                self.change(
-                    &of,
-                    "plan",
-                    from,
-                    to,
-                    Class::Restart,
-                    "plans are numbered by their place at a start",
-                );
+                let why = "volumes that have it, or had it, say what that means";
+                self.change(&of, "plan", from, to, Class::Safe, why);
                 continue;
             };
             let limit = |p: &crate::deployment::NamedPlan| p.decisions.limit.map(|l| (l.rate, l.burst));
@@ -154,15 +231,19 @@
                 (Some(x), Some(y)) => y.0 < x.0 || y.1 < x.1,
                 _ => false,
             };
-            let (class, why) = if lowered {
+            let sized = b.decisions.usual.max(b.decisions.reserve);
+            let under = lowered && y.is_some_and(|y| y.0 < sized);
+            let (class, why) = if under {
                 (
                     Class::Dangerous,
-                    "until every host has it, those with the old limit may send past the new one",
+                    "it is under what its volumes are sized for: what they ask beyond is put off",
                 )
             } else {
-                (Class::Safe, "a raised limit is reached when the last host has it, and never passed")
+                (Class::Safe, "each host keeps to the lower of its parts until all have followed")
             };
+            let before = self.changes.len();
             self.change(&of, "limit", say(&x), say(&y), class, why);
+            self.can_serve(before);
             let safe = "it orders what waits; no rule depends on it";
             self.change(
                 &of,
@@ -192,51 +273,44 @@
             let (a, b) = match (a, b) {
                 (Some(a), Some(b)) => (a, b),
                 (Some(_), None) => {
-                    let why = "its clients are turned away from then on";
+                    let (why, before) = ("its clients are turned away from then on", self.changes.len());
                     self.change(&of, "volume", "there".into(), "none".into(), Class::Dangerous, why);
+                    self.can_serve(before);
                     continue;
                 }
                 _ => {
-                    self.change(
-                        &of,
-                        "volume",
-                        "none".into(),
-                        "there".into(),
-                        Class::Safe,
-                        "nothing of it is under way",
-                    );
+                    let why = "nothing of it is under way";
+                    self.change(&of, "volume", "none".into(), "there".into(), Class::Safe, why);
                     continue;
                 }
             };
-            let plan = |d: &Deployment, v: &NamedVolume| d.plans[v.plan.0].name.clone();
+            let plan = |d: &Deployment, v: &NamedVolume| d.plans[v.plan.0].clone();
             let (x, y) = (plan(self.old, &a), plan(self.new, &b));
-            self.change(
-                &of,
-                "plan",
-                x,
-                y,
-                Class::Dangerous,
-                "hosts with the old and the new plan hold different limits for it",
-            );
+            let limit = y.decisions.limit.map_or(f64::INFINITY, |l| l.rate);
+            let (class, why) = if limit < x.decisions.usual.max(x.decisions.reserve) {
+                (Class::Dangerous, "the new plan's limit is under what the volume was sized for")
+            } else {
+                (Class::Safe, "each host keeps to the lower of its parts until all have followed")
+            };
+            let before = self.changes.len();
+            self.change(&of, "plan", x.name, y.name, class, why);
+            self.can_serve(before);
             let (x, y) = (Self::hosts_of(self.old, &a), Self::hosts_of(self.new, &b));
-            let limited = self.new.plans[b.plan.0].decisions.limit.is_some();
-            let leaves: Vec<_> = x.difference(&y).cloned().collect();
-            let (class, why) = match (leaves.is_empty(), limited) {
-                (false, _) => (
-                    Class::Dangerous,
-                    "a host leaves its set: its clients must go elsewhere, and until all know, even parts may sum past the limit",
-                ),
-                (true, true) => (
+            let leaves = x.difference(&y).next().is_some();
+            let (class, why) = if leaves {
+                (
                     Class::Dangerous,
-                    "even parts shrink as hosts join: until all know, they may sum past the limit",
-                ),
-                (true, false) => (Class::Safe, "it has no limit to share"),
+                    "a host leaves its set: its clients there are turned away and must go elsewhere",
+                )
+            } else {
+                (Class::Safe, "a host that joins sends nothing for it until the others have followed")
             };
             let before = self.changes.len();
             self.change(&of, "hosts", say(&x), say(&y), class, why);
             if let Some(change) = self.changes.get_mut(before) {
                 change.hosts = x.symmetric_difference(&y).cloned().collect();
             }
+            self.can_serve(before);
         }
     }
 
@@ -282,6 +356,7 @@
         }
         let cells =
             |m: &BTreeMap<String, (i64, String, String)>| m.values().map(|n| n.0).collect::<BTreeSet<_>>();
+        let before = self.changes.len();
         for cell in cells(&a).difference(&cells(&b)) {
             let why = "no node is left that holds it: reads of its data can't be served";
             self.change(
@@ -293,5 +368,6 @@
                 why,
             );
         }
+        self.can_serve(before);
     }
 }
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod sources;
 
 pub use deployment::*;
-pub use reader::{Names, Problem, Problems, Reader, Weight};
+pub use reader::{Names, Problem, Problems, Reader, Said, Weight};
 pub use sources::{Files, LoadError, Loader, Memory};
 
 /// Reads a document of one text. `name` is what messages call it; nothing can be included.
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -7,12 +7,14 @@
 use gullsail_interface::Span;
 use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
 use miette::{Diagnostic, LabeledSpan, NamedSource, Severity, SourceCode, SourceSpan};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 
 /// An error keeps a document from being used; a warning does not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Weight {
     Error,
     Warning,
@@ -34,6 +36,34 @@
     at: SourceSpan,
 }
 
+/// A problem as programs are told of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Said {
+    pub code: String,
+    pub weight: Weight,
+    pub file: String,
+    pub line: usize,
+    pub column: usize,
+    pub message: String,
+    pub help: Option<String>,
+    pub see: Vec<String>,
+}
+
+impl Problem {
+    pub fn said(&self) -> Said {
+        Said {
+            code: self.code.into(),
+            weight: self.weight,
+            file: self.file.clone(),
+            line: self.line,
+            column: self.column,
+            message: self.message.clone(),
+            help: self.help.clone(),
+            see: self.see.clone(),
+        }
+    }
+}
+
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.message)
--- a/crates/day/src/built_in.rs
+++ b/crates/day/src/built_in.rs
@@ -14,7 +14,7 @@
 
 days! {
     "quiet" "bad-day" "host-crash" "burst" "release" "list-down" "give-up" "costly" "hot-volume" "mass-restart"
-    "neighbour" "pauses" "lead-moves" "scan" "plan-surge" "ageing" "broken-links" "silent-links" "clocks"
+    "neighbour" "pauses" "lead-moves" "scan" "plan-surge" "ageing" "broken-links" "silent-links" "clocks" "reload"
 }
 
 /// Name and one line on each.
--- /dev/null
+++ b/crates/host/src/control.rs
@@ -0,0 +1,185 @@
+//! The control socket of a host: a local one, on which its operator's program asks for the state, or for the host's
+//! document to be read again. One JSON object a line goes in, one comes out. Documents are read, checked and
+//! compared here, away from the loop that serves; the loop only takes or turns down what is ready.
+
+use crate::core::changes::Reply;
+use crate::core::{Counts, Input};
+use gullsail_configuration::diff::{Change, diff};
+use gullsail_configuration::{Deployment, Said};
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::{mpsc, oneshot};
+
+/// A line asks for little.
+const LINE: u64 = 4096;
+/// For the asker to say it, and to take the answer. One is heard at a time.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Reads the host's document again: what it says, or all that is wrong with it.
+pub type Load = dyn Fn() -> Result<Deployment, Vec<Said>> + Send + Sync;
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(tag = "ask", rename_all = "kebab-case")]
+pub enum Ask {
+    /// Read the document again and serve by it. `insist`: with dangerous changes too.
+    Reload {
+        #[serde(default)]
+        insist: bool,
+    },
+    Status,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "told", rename_all = "kebab-case")]
+pub enum Told {
+    Taken {
+        revision: u64,
+        changes: Vec<Change>,
+    },
+    /// It was sound, and can't be served by now.
+    TurnedDown {
+        why: Vec<String>,
+    },
+    /// It is not sound.
+    Broken {
+        problems: Vec<Said>,
+    },
+    Status(Box<State>),
+    /// The asker was not understood.
+    Error {
+        why: String,
+    },
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct State {
+    pub host: String,
+    pub revision: u64,
+    /// Hosts not known to have followed to this revision: until then the lower parts of limits hold.
+    pub behind: Vec<String>,
+    pub open: usize,
+    pub legs_out: usize,
+    pub held_bytes: usize,
+    pub counts: Counts,
+}
+
+/// What the socket's task wants of the loop.
+pub enum ToLoop {
+    State(oneshot::Sender<(Arc<Deployment>, State)>),
+    Propose(Box<dyn FnOnce(u64) -> Input + Send>, oneshot::Sender<Reply>),
+}
+
+/// A socket that is bound, and what it reads documents with.
+pub struct Control {
+    listener: UnixListener,
+    path: PathBuf,
+    load: Arc<Load>,
+}
+
+impl Control {
+    /// For this user only. A socket file that nobody answers at any more is replaced.
+    ///
+    /// # Errors
+    /// Another process answers there, or it can't be bound.
+    pub fn bind(path: &Path, load: Arc<Load>) -> io::Result<Control> {
+        if path.exists() {
+            if std::os::unix::net::UnixStream::connect(path).is_ok() {
+                let why = format!("another process answers at {}", path.display());
+                return Err(io::Error::new(io::ErrorKind::AddrInUse, why));
+            }
+            std::fs::remove_file(path)?;
+        }
+        let listener = UnixListener::bind(path)?;
+        std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
+        Ok(Control { listener, path: path.into(), load })
+    }
+
+    /// Answers one asker after the other; ends with the loop.
+    pub async fn serve(self, to_loop: mpsc::Sender<ToLoop>) {
+        while !to_loop.is_closed() {
+            let Ok((stream, _)) = self.listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            // An asker that is gone, or says nothing, is nobody's loss.
+            let _ = self.answer(stream, &to_loop).await;
+        }
+    }
+
+    async fn answer(&self, mut stream: UnixStream, to_loop: &mpsc::Sender<ToLoop>) -> io::Result<()> {
+        let (from, mut to) = stream.split();
+        let mut line = String::new();
+        let mut from = BufReader::new(from.take(LINE));
+        tokio::time::timeout(PATIENCE, from.read_line(&mut line)).await??;
+        let told = match serde_json::from_str(&line) {
+            Ok(Ask::Status) => state(to_loop).await.map(|(_, state)| Told::Status(Box::new(state))),
+            Ok(Ask::Reload { insist }) => self.reload(insist, to_loop).await,
+            Err(e) => Some(Told::Error { why: format!("not understood: {e}") }),
+        };
+        let told = told.unwrap_or(Told::Error { why: "this host is leaving".into() });
+        let mut text = serde_json::to_string(&told)?;
+        text.push('\n');
+        tokio::time::timeout(PATIENCE, to.write_all(text.as_bytes())).await?
+    }
+
+    async fn reload(&self, insist: bool, to_loop: &mpsc::Sender<ToLoop>) -> Option<Told> {
+        let (from, _) = state(to_loop).await?;
+        let (load, old) = (self.load.clone(), from.clone());
+        let read = move || load().map(|new| (diff(&old, &new), Arc::new(new)));
+        let (changes, to) = match tokio::task::spawn_blocking(read).await {
+            Ok(Ok(both)) => both,
+            Ok(Err(problems)) => return Some(Told::Broken { problems }),
+            Err(e) => return Some(Told::Error { why: format!("the document could not be read: {e}") }),
+        };
+        let (reply, replied) = oneshot::channel();
+        let (kept, unused) = (changes.clone(), to.clone());
+        let propose = move |asker| {
+            let proposal = crate::core::changes::Proposal { asker, from, to, changes, insist };
+            Input::Propose(Box::new(proposal))
+        };
+        to_loop.send(ToLoop::Propose(Box::new(propose), reply)).await.ok()?;
+        let reply = replied.await.ok()?;
+        // The last hold on a document that is not served by is let go here, not in the loop.
+        let _ = tokio::task::spawn_blocking(move || drop(unused)).await;
+        Some(match reply {
+            Reply::Taken { revision } => Told::Taken { revision: revision.0, changes: kept },
+            Reply::TurnedDown(why) => Told::TurnedDown { why },
+        })
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        // If it is gone already, so be it.
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+async fn state(to_loop: &mpsc::Sender<ToLoop>) -> Option<(Arc<Deployment>, State)> {
+    let (reply, replied) = oneshot::channel();
+    to_loop.send(ToLoop::State(reply)).await.ok()?;
+    replied.await.ok()
+}
+
+/// Asks a host, as its operator's program does.
+///
+/// # Errors
+/// Nobody answers there, or not in time.
+pub async fn ask(path: &Path, ask: Ask, wait: Duration) -> io::Result<Told> {
+    let asked = async {
+        let mut stream = UnixStream::connect(path).await?;
+        let mut text = serde_json::to_string(&ask)?;
+        text.push('\n');
+        stream.write_all(text.as_bytes()).await?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line).await?;
+        Ok(serde_json::from_str(&line)?)
+    };
+    tokio::time::timeout(wait, asked).await?
+}
--- /dev/null
+++ b/crates/host/src/core/changes.rs
@@ -0,0 +1,162 @@
+//! Another document while serving: taken whole between two steps, or turned down whole with the reasons. What it
+//! means for limits on the way is decided by [`gullsail_limits::Turnover`].
+
+use super::*;
+use gullsail_configuration::diff::{Change, Class};
+use gullsail_limits::{Heard, Note, Revision};
+use gullsail_protocol::Reached;
+
+/// A document that somebody wants this host to serve by.
+#[derive(Debug)]
+pub struct Proposal {
+    /// Whom to tell what came of it.
+    pub asker: u64,
+    /// What it was compared with.
+    pub from: Arc<Deployment>,
+    pub to: Arc<Deployment>,
+    pub changes: Vec<Change>,
+    /// Dangerous changes are wanted too, where they can be made while serving.
+    pub insist: bool,
+}
+
+/// What came of a proposal.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Taken {
+        revision: Revision,
+    },
+    /// Why, a line for each reason; nothing has changed.
+    TurnedDown(Vec<String>),
+}
+
+/// What keeps changes from being made now.
+fn against(changes: &[Change], insist: bool) -> Vec<String> {
+    let refused = changes.iter().filter(|c| !c.while_serving || (c.class == Class::Dangerous && !insist));
+    let say = |c: &Change| {
+        let need = match c.class {
+            Class::Dangerous if c.while_serving => "dangerous, and not insisted on",
+            Class::Dangerous => "dangerous, and not to be made while serving",
+            _ => "needs a restart",
+        };
+        format!("{} {}: {} -> {}: {need}: {}", c.of, c.what, c.from, c.to, c.why)
+    };
+    refused.map(say).collect()
+}
+
+impl Core {
+    pub(super) fn propose(&mut self, p: Proposal) {
+        let reply = match self.take(&p) {
+            Ok(()) => Reply::Taken { revision: self.turnover.revision() },
+            Err(why) => Reply::TurnedDown(why),
+        };
+        match &reply {
+            Reply::Taken { .. } => self.counts.documents_taken += 1,
+            Reply::TurnedDown(_) => self.counts.documents_turned_down += 1,
+        }
+        info!(revision = self.turnover.revision().0, ?reply, changes = p.changes.len(), "another document");
+        // Whoever asked drops the document that is not needed any more: a large one takes a while.
+        let unused = if matches!(reply, Reply::Taken { .. }) { p.from } else { p.to };
+        self.outputs.push(Output::Replied { asker: p.asker, reply, unused });
+    }
+
+    fn take(&mut self, p: &Proposal) -> Result<(), Vec<String>> {
+        if self.stopping {
+            return Err(vec!["this host is leaving".into()]);
+        }
+        if !Arc::ptr_eq(&p.from, &self.deployment) {
+            return Err(vec!["another document was taken meanwhile: ask again".into()]);
+        }
+        let against = against(&p.changes, p.insist);
+        if !against.is_empty() {
+            return Err(against);
+        }
+        let same_place = p.to.place.revision == self.turnover.revision();
+        if !same_place {
+            self.turnover.go_on(p.to.line.clone(), self.now).map_err(|e| vec![e.to_string()])?;
+        } else if !self.turnover.promises_as(p.to.line.last()) {
+            let held = self.turnover.revision().0;
+            let why = if held == 0 {
+                "limits or hosts of volumes change: give the documents their revisions first, the old one too \
+                 (`revision 1`, then `revision 2 after=\"old.kdl\"`)"
+                    .to_string()
+            } else {
+                format!("limits or hosts of volumes change, and this is revision {held} as before")
+            };
+            return Err(vec![why]);
+        }
+        let (old, new) = (self.deployment.clone(), p.to.clone());
+        self.deployment = new;
+        // Places of plans may be others now, so these come even if nobody's terms change.
+        self.change_terms(true);
+        if old.routes.pools != self.deployment.routes.pools || old.zones != self.deployment.zones {
+            let entries = self.nodes.sort(&self.deployment);
+            self.events.push(Event::List { extent: Extent::Changes, entries });
+        }
+        self.plan_rounds();
+        Ok(())
+    }
+
+    fn change_terms(&mut self, plans_too: bool) {
+        let terms = self.turnover.changed();
+        if plans_too || !terms.is_empty() {
+            let plans = self.deployment.figures().plans.clone();
+            self.events.push(Event::Plans { plans, terms });
+        }
+    }
+
+    /// What a host starts with may already differ from its even parts.
+    pub(super) fn start_turnover(&mut self) {
+        self.change_terms(false);
+        self.plan_rounds();
+    }
+
+    /// The next round of notes, if there is to be one.
+    pub(super) fn plan_rounds(&mut self) {
+        let Some(at) = self.turnover.next().filter(|at| self.rounds_at.is_none_or(|set| *at < set)) else {
+            return;
+        };
+        self.rounds_at = Some(at);
+        self.at(at, Due::Rounds);
+    }
+
+    pub(super) fn round(&mut self) {
+        if self.rounds_at.is_some_and(|at| at <= self.now) {
+            self.rounds_at = None;
+            for (to, note) in self.turnover.tell(self.now, &mut self.rng) {
+                self.tell_reached(to, note);
+            }
+        }
+        self.plan_rounds();
+    }
+
+    fn tell_reached(&mut self, to: HostId, note: Note) {
+        let Note { held, revision, hosts } = note;
+        self.tell_frame(to, Frame::from(Reached { held: held.0, revision: revision.0, hosts }));
+    }
+
+    pub(super) fn reached(&mut self, from: HostId, r: Reached) {
+        let note = Note { held: Revision(r.held), revision: Revision(r.revision), hosts: r.hosts };
+        let (heard, reply) = self.turnover.hear(from, &note, self.now);
+        match heard {
+            Heard::Nothing => {}
+            Heard::News => self.change_terms(false),
+            Heard::WentBack { from: before, to } => {
+                let peer = from.0;
+                warn!(peer, before = before.0, now = to.0, "a host went back to an older document");
+            }
+        }
+        if let Some(note) = reply {
+            self.tell_reached(from, note);
+        }
+        self.plan_rounds();
+    }
+
+    pub fn me(&self) -> HostId {
+        self.me
+    }
+
+    /// The document that is served by, and which hosts are not known to have followed to it.
+    pub fn document(&self) -> (&Arc<Deployment>, Vec<HostId>) {
+        (&self.deployment, self.turnover.missing().collect())
+    }
+}
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -16,6 +16,10 @@
             (Who::Client, Message::Withdraw(w)) => self.withdraw(id, w.id),
             (Who::PeerIn { .. }, Message::Label(l)) => self.label(id, l.bytes),
             (Who::PeerIn { .. }, Message::ClockTell(t)) => self.clock_told(id, t),
+            (Who::PeerIn { host, .. }, Message::Reached(r)) => {
+                let host = *host;
+                self.reached(host, r);
+            }
             (Who::PeerOut(_), Message::ClockAsk(a)) => {
                 let clock_us = self.now.micros();
                 self.send(id, Frame::from(ClockTell { asked_us: a.asked_us, clock_us }));
@@ -91,8 +95,8 @@
         let Some(peer) = self.peers.get_mut(&host) else { return };
         peer.dial.is_up(id);
         self.links.entry(id).and_modify(|l| l.due_by = None);
-        for bytes in std::mem::take(&mut peer.waiting) {
-            self.send(id, Frame::from(Label { bytes }));
+        for frame in std::mem::take(&mut peer.waiting) {
+            self.send(id, frame);
         }
     }
 
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! call again at the latest. Read `mod.rs` for links and time, [`serve`] for transfers and legs, [`hear`] for
 //! frames that come in, [`nodes`], [`transfers`], [`dial`] and [`clock`] for what they keep.
 
+pub mod changes;
 pub mod clock;
 pub mod dial;
 mod due;
@@ -20,6 +21,7 @@
 use gullsail::Brain;
 use gullsail_configuration::Deployment;
 use gullsail_interface::*;
+use gullsail_limits::Turnover;
 use gullsail_protocol::{ClockAsk, Frame, Hello, Label, ListAsk, NotTaken, Role};
 use nodes::Nodes;
 use rand::SeedableRng;
@@ -44,6 +46,8 @@
     Written(LinkId, usize),
     /// The link is over; nothing more comes of it.
     Closed(LinkId, String),
+    /// Another document, compared with the one that is served by.
+    Propose(Box<changes::Proposal>),
     /// Take nothing new, answer what is held, then leave.
     Stop,
 }
@@ -68,12 +72,18 @@
         link: LinkId,
         on: bool,
     },
+    /// What came of a proposal, and the document that is not needed.
+    Replied {
+        asker: u64,
+        reply: changes::Reply,
+        unused: Arc<Deployment>,
+    },
     /// All is answered and the stop was asked for.
     Left,
 }
 
 /// What was counted since the start.
-#[derive(Clone, Debug, Default, serde::Serialize)]
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct Counts {
     pub taken: u64,
     pub not_taken: u64,
@@ -93,6 +103,11 @@
     pub list_lost: u64,
     /// Times that clients had to wait since the host held all it may.
     pub held_back: u64,
+    /// The longest that the loop was at work between two waits, and how often for more than ten milliseconds.
+    pub longest_step_us: u64,
+    pub long_steps: u64,
+    pub documents_taken: u64,
+    pub documents_turned_down: u64,
     pub most_open: u64,
     pub most_held: u64,
 }
@@ -135,7 +150,7 @@
 #[derive(Default)]
 struct PeerOut {
     dial: Dial,
-    waiting: VecDeque<Vec<u8>>,
+    waiting: VecDeque<Frame>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -149,6 +164,8 @@
     RedialPeer(HostId),
     Clocks,
     Sweep,
+    /// Peers are told which documents hosts hold to.
+    Rounds,
 }
 
 pub struct Core {
@@ -170,6 +187,8 @@
     /// The list was asked on its link and has not replied yet.
     list_asked: bool,
     transfers: Transfers,
+    turnover: Turnover,
+    rounds_at: Option<Instant>,
     /// Bytes that wait for clients.
     unsent: usize,
     held_back: bool,
@@ -199,6 +218,8 @@
             list: Dial::default(),
             list_asked: false,
             transfers: Transfers::default(),
+            turnover: Turnover::new(me, deployment.hosts.len() as u32, deployment.line.clone(), now),
+            rounds_at: None,
             unsent: 0,
             held_back: false,
             stopping: false,
@@ -208,6 +229,7 @@
         };
         let remembered = core.nodes.iter().map(|(id, n)| n.entry(id, None)).collect();
         core.events.push(Event::List { extent: Extent::Remembered, entries: remembered });
+        core.start_turnover();
         core.dial_nodes();
         core.at(now + core.deployment.bounds.clock_every, Due::Clocks);
         core.at(now + SWEEP, Due::Sweep);
@@ -234,6 +256,7 @@
             Input::Frame(link, frame) => self.hear(link, frame),
             Input::Written(link, bytes) => self.written(link, bytes),
             Input::Closed(link, why) => self.over(link, &why),
+            Input::Propose(p) => self.propose(*p),
             Input::Stop if !self.stopping => {
                 info!(open = self.transfers.open(), "stopping: nothing new is taken");
                 self.stopping = true;
@@ -271,6 +294,13 @@
         self.due.next()
     }
 
+    /// How long the loop around this was at work between two waits.
+    pub fn worked(&mut self, span: Span) {
+        let us = span.micros().max(0) as u64;
+        self.counts.longest_step_us = self.counts.longest_step_us.max(us);
+        self.counts.long_steps += u64::from(us > 10_000);
+    }
+
     pub fn counts(&self) -> &Counts {
         &self.counts
     }
@@ -442,16 +472,20 @@
 
     fn tell(&mut self, to: HostId, bytes: Vec<u8>) {
         self.counts.labels_sent += 1;
+        self.tell_frame(to, Frame::from(Label { bytes }));
+    }
+
+    fn tell_frame(&mut self, to: HostId, frame: Frame) {
         let Some(place) = self.deployment.hosts.get(to.0 as usize) else { return };
         let peer = self.peers.entry(to).or_default();
         if let Some(link) = peer.dial.up() {
-            return self.send(link, Frame::from(Label { bytes }));
+            return self.send(link, frame);
         }
         // The newest count: what waits longer than the next try takes is stale.
         if peer.waiting.len() >= LABELS_WAIT {
             peer.waiting.pop_front();
         }
-        peer.waiting.push_back(bytes);
+        peer.waiting.push_back(frame);
         if peer.dial.state == State::Idle {
             let address = place.address.clone();
             let link = self.dial(Who::PeerOut(to), address);
@@ -476,6 +510,7 @@
                     peer.dial.state = State::Idle;
                 }
             }
+            Due::Rounds => self.round(),
             Due::Clocks => {
                 let peers = self.links.iter().filter(|(_, l)| matches!(l.who, Who::PeerIn { .. }));
                 for link in peers.map(|(id, _)| *id).collect::<Vec<_>>() {
--- a/crates/host/src/drive.rs
+++ b/crates/host/src/drive.rs
@@ -1,6 +1,8 @@
 //! The thin part of the host: sockets, one timer, the clock. Whatever happens is handed to [`Core`], whatever
 //! it asks for is done; nothing is decided here.
 
+use crate::control::{Control, State, ToLoop};
+use crate::core::changes::Reply;
 use crate::core::{Core, Counts, Input, LinkId, Output};
 use gullsail_configuration::Deployment;
 use gullsail_interface::{HostId, Instant, Span};
@@ -10,7 +12,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, JoinSet};
 use tracing::{info, warn};
 
@@ -18,6 +20,8 @@
 const INBOX: usize = 1024;
 /// Frames that wait to be written to one link; a link on which more pile up is ended.
 const OUTBOX: usize = 16_384;
+/// Askers on the control socket: one is heard at a time, and each asks twice.
+const ASKS: usize = 2;
 /// Handled together before anything is sent.
 const BATCH: usize = 256;
 
@@ -57,7 +61,12 @@
 }
 
 /// Serves until `stop` is ready and all that was taken is answered.
-pub async fn run(life: Life, listener: TcpListener, stop: impl Future<Output = ()>) -> Counts {
+pub async fn run(
+    life: Life,
+    listener: TcpListener,
+    control: Option<Control>,
+    stop: impl Future<Output = ()>,
+) -> Counts {
     let Life { deployment, me, seed, incarnation, clock } = life;
     let bounds = deployment.bounds.frame;
     let mut core = Core::new(deployment, me, seed, incarnation, clock.now());
@@ -69,7 +78,14 @@
     let mut batch = Vec::with_capacity(BATCH);
     let (mut listener, mut left) = (Some(listener), false);
     let mut accept_from = tokio::time::Instant::now();
+    let (to_loop, mut asks) = mpsc::channel(ASKS);
+    let mut askers: BTreeMap<u64, oneshot::Sender<Reply>> = BTreeMap::new();
+    let mut last_asker = 0;
+    if let Some(control) = control {
+        tasks.spawn(control.serve(to_loop));
+    }
     tokio::pin!(stop);
+    let mut woke = tokio::time::Instant::now();
     loop {
         core.advance(clock.now());
         let mut full = Vec::new();
@@ -95,6 +111,12 @@
                         dial.abort();
                     }
                 }
+                Output::Replied { asker, reply, unused } => {
+                    // Who asked holds it too, and drops it elsewhere.
+                    drop(unused);
+                    // It may have left meanwhile.
+                    let _ = askers.remove(&asker).map(|a| a.send(reply));
+                }
                 Output::Left => left = true,
             }
         }
@@ -110,14 +132,17 @@
             }
             continue;
         }
+        core.worked(Span::from_micros(woke.elapsed().as_micros() as i64));
         let wake = core.next_timer().map(|at| clock.at(at));
         tokio::select! {
             () = &mut stop, if listener.is_some() => {
+                woke = tokio::time::Instant::now();
                 listener = None;
                 core.handle(clock.now(), Input::Stop);
             }
             came = accept(listener.as_ref(), accept_from) => match came {
                 Ok((stream, _)) => {
+                    woke = tokio::time::Instant::now();
                     // The core's first frame to it is among its outputs, so the link must stand before those.
                     if let Some(id) = core.accept(clock.now()) {
                         links.insert(id, Link::open(stream, id, bounds, OUTBOX, &sink, &mut tasks));
@@ -125,11 +150,13 @@
                 }
                 Err(e) => {
                     // Out of file descriptors, mostly: a moment later there may be some.
+                    woke = tokio::time::Instant::now();
                     warn!(error = %e, "cannot accept a connection");
                     accept_from = tokio::time::Instant::now() + Duration::from_millis(5);
                 }
             },
             made = dials.join_next(), if !dials.is_empty() => {
+                woke = tokio::time::Instant::now();
                 if let Some(Ok((id, made))) = made
                     && dialling.remove(&id).is_some()
                 {
@@ -144,6 +171,7 @@
                 }
             }
             _ = inbox.recv_many(&mut batch, BATCH) => {
+                woke = tokio::time::Instant::now();
                 let now = clock.now();
                 for (id, happened) in batch.drain(..) {
                     let input = match happened {
@@ -157,12 +185,42 @@
                     core.handle(now, input);
                 }
             }
-            () = sleep_until(wake) => {}
-            _ = tasks.join_next(), if !tasks.is_empty() => {}
+            Some(ask) = asks.recv() => {
+                woke = tokio::time::Instant::now();
+                match ask {
+                    ToLoop::State(reply) => {
+                        // An asker that left needs none.
+                        let _ = reply.send(state(&core));
+                    }
+                    ToLoop::Propose(propose, reply) => {
+                        last_asker += 1;
+                        askers.insert(last_asker, reply);
+                        core.handle(clock.now(), propose(last_asker));
+                    }
+                }
+            }
+            () = sleep_until(wake) => woke = tokio::time::Instant::now(),
+            _ = tasks.join_next(), if !tasks.is_empty() => woke = tokio::time::Instant::now(),
         }
     }
 }
 
+fn state(core: &Core) -> (Arc<Deployment>, State) {
+    let (deployment, behind) = core.document();
+    let (open, legs_out, held_bytes) = core.load();
+    let name = |h: &HostId| deployment.hosts.get(h.0 as usize).map(|p| p.name.clone());
+    let state = State {
+        host: name(&core.me()).unwrap_or_default(),
+        revision: deployment.place.revision.0,
+        behind: behind.iter().filter_map(name).collect(),
+        open,
+        legs_out,
+        held_bytes,
+        counts: core.counts().clone(),
+    };
+    (deployment.clone(), state)
+}
+
 async fn accept(
     listener: Option<&TcpListener>,
     from: tokio::time::Instant,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -2,5 +2,6 @@
 //! frames and connections to open or close come out. It owns the decisions (`gullsail::Brain`) and feeds
 //! them. [`drive`] is the thin part around it that has the sockets, the timer and the clock.
 
+pub mod control;
 pub mod core;
 pub mod drive;
--- /dev/null
+++ b/crates/host/tests/host/changes.rs
@@ -0,0 +1,154 @@
+//! Another document while the host serves.
+
+use crate::rig::*;
+use gullsail_configuration::diff::diff;
+use gullsail_configuration::{Deployment, Memory, load};
+use gullsail_host::core::Input;
+use gullsail_host::core::changes::{Proposal, Reply};
+use gullsail_interface::*;
+use gullsail_protocol::*;
+use std::sync::Arc;
+
+const START: Instant = Instant::from_micros(1_000_000_000);
+const FIRST: &str = "revision 1\nroute to=\"all\"\n";
+
+/// The rig's document with changes, after its first one or not.
+fn after(change: &[(&str, &str)], revision: &str) -> Arc<Deployment> {
+    let text = text_of(change) + revision;
+    let first = text_of(&[]) + FIRST;
+    let files = [("new.kdl".to_string(), text), ("first.kdl".to_string(), first)];
+    let (d, _) = load(&Memory(files.into()), "new.kdl").unwrap_or_else(|e| panic!("{:?}", e.problems));
+    Arc::new(d)
+}
+
+fn first() -> Arc<Deployment> {
+    after(&[], FIRST)
+}
+
+fn propose(r: &mut Rig, from: &Arc<Deployment>, to: &Arc<Deployment>, insist: bool) -> Reply {
+    let changes = diff(from, to);
+    let (from, to) = (from.clone(), to.clone());
+    r.tell(Input::Propose(Box::new(Proposal { asker: 7, from, to, changes, insist })));
+    let (asker, reply) = r.replies.pop().unwrap();
+    assert_eq!(asker, 7);
+    reply
+}
+
+const SECOND: &str = "revision 2 after=\"first.kdl\"\nroute to=\"all\"\n";
+const LIMIT: (&str, &str) = ("limit=\"40units/s\"", "limit=\"30units/s\"");
+
+#[test]
+fn documents_are_taken_whole_or_not_at_all() {
+    type Case<'a> = (&'a [(&'a str, &'a str)], &'a str, bool, Option<&'a str>);
+    let host_leaves = ("volume \"w\" plan=\"held\"", "volume \"w\" plan=\"held\" { hosts \"h2\"; }");
+    // what is changed, the revision, insisted on, why it is turned down
+    let cases: [Case; 14] = [
+        (&[], FIRST, false, None),
+        (&[LIMIT], SECOND, false, None),
+        (&[("slack=0", "slack=0 weight=3 price=2")], FIRST, false, None),
+        (&[("plan \"held\"", "plan \"new\"\nplan \"held\"")], FIRST, false, None),
+        (&[("volume \"w\"", "volume \"x\" plan=\"free\"\nvolume \"w\"")], SECOND, false, None),
+        (&[LIMIT], FIRST, false, Some("this is revision 1 as before")),
+        (&[LIMIT], "route to=\"all\"\n", false, Some("not later than 1")),
+        (&[LIMIT], "revision 2\nroute to=\"all\"\n", false, Some("this host holds to 1")),
+        (
+            &[("tick=\"20ms\"", "tick=\"9ms\"")],
+            FIRST,
+            true,
+            Some("rules tick: us(20000) -> us(9000): needs a restart"),
+        ),
+        (&[("units=6", "units=7")], FIRST, true, Some("cold figures")),
+        (
+            &[("effect=\"repeatable\"", "effect=\"unrepeatable\"")],
+            FIRST,
+            true,
+            Some("not to be made while serving"),
+        ),
+        (
+            &[("host \"h2\" address=\"h2\"", "host \"h2\" address=\"h9\"")],
+            FIRST,
+            true,
+            Some("host \"h2\" place"),
+        ),
+        (&[host_leaves], SECOND, false, Some("a host leaves its set")),
+        (&[host_leaves], SECOND, true, None),
+    ];
+    for (change, revision, insist, why) in cases {
+        let old = first();
+        let mut r = Rig::new(&old, 0, START);
+        let (c, (n1, _)) = (r.client(), r.nodes_up());
+        r.submit(c, 5, "read");
+        let to = after(change, revision);
+        match (propose(&mut r, &old, &to, insist), why) {
+            (Reply::Taken { .. }, None) => {}
+            (Reply::TurnedDown(all), Some(why)) => assert!(all.join("\n").contains(why), "{all:?}"),
+            (reply, _) => panic!("{change:?} {revision}: {reply:?}"),
+        }
+        assert!(Arc::ptr_eq(r.core.document().0, if why.is_none() { &to } else { &old }));
+        // What was under way goes on, and new transfers are taken.
+        r.answer(n1, r.legs(n1)[0].leg, LegResult::Done);
+        r.submit(c, 6, "read");
+        r.answer(n1, r.legs(n1)[1].leg, LegResult::Done);
+        assert_eq!((r.outcomes(c, 5), r.outcomes(c, 6)), (vec![Outcome::Done], vec![Outcome::Done]));
+        // What was compared with a document that is no longer served by is not taken.
+        if why.is_none() {
+            let stale = propose(&mut r, &old, &after(&[], FIRST), true);
+            assert!(matches!(stale, Reply::TurnedDown(all) if all[0].contains("meanwhile")));
+        }
+    }
+}
+
+/// Who no longer serves a volume answers what waits there at once, and turns its clients away with the reason;
+/// what was sent already ends as it ends.
+#[test]
+fn a_volume_leaves_a_host() {
+    let old = first();
+    let mut r = Rig::new(&old, 0, START);
+    let (c, (n1, _)) = (r.client(), r.nodes_up());
+    r.pass(ms(2000.0));
+    (1..=60).for_each(|id| r.submit_to(c, id, "read", "w", 1));
+    let sent = r.legs(n1).len() as u64;
+    assert!((4..60).contains(&sent), "{sent}");
+    let leaves = ("volume \"w\" plan=\"held\"", "volume \"w\" plan=\"held\" { hosts \"h2\"; }");
+    let to = after(&[leaves], SECOND);
+    assert!(matches!(propose(&mut r, &old, &to, true), Reply::Taken { .. }));
+    let deferred = (1..=60).filter(|id| r.outcomes(c, *id) == [Outcome::Deferred]).count() as u64;
+    assert_eq!(deferred, 60 - sent, "at once");
+    r.legs(n1).into_iter().for_each(|l| r.answer(n1, l.leg, LegResult::Done));
+    assert!((1..=60).all(|id| r.outcomes(c, id).len() == 1));
+    r.submit_to(c, 99, "read", "w", 1);
+    assert_eq!(r.not_taken(c), ["volume \"w\" does not come through this host"]);
+}
+
+/// New objects go where the routes of the document lead, from the moment it is taken.
+#[test]
+fn routes_change_where_new_objects_go() {
+    let kinds = [
+        ("node \"n1\" cell=1", "node \"n1\" cell=1 kind=\"disk\""),
+        ("node \"n2\" cell=2", "node \"n2\" cell=2 kind=\"chip\""),
+    ];
+    let pools = "revision 1\npool \"slow\" { kind \"disk\"; }\npool \"fast\" { kind \"chip\"; }\n";
+    let routes =
+        |volume: &str| format!("{pools}route to=\"slow\" {{ volume \"{volume}\"; }}\nroute to=\"fast\"\n");
+    let old = after(&kinds, &routes("v"));
+    let mut r = Rig::new(&old, 0, START);
+    let (c, nodes) = (r.client(), r.nodes_up());
+    let put = |r: &mut Rig, first: u64| {
+        for id in first..first + 12 {
+            let (stream_type, volume, mark) = ("write".into(), "v".into(), format!("m{id}"));
+            let s =
+                Submit { id, stream_type, volume, units: 1.0, mark, ttl_us: 1_500_000, ..Submit::default() };
+            r.frame(c, s);
+            r.pass(ms(5.0));
+            for (_, link, leg) in r.new_legs() {
+                r.answer(link, leg.leg, LegResult::Done);
+            }
+        }
+        [nodes.0, nodes.1]
+            .map(|n| r.legs(n).iter().filter(|l| l.mark[1..].parse::<u64>().unwrap() >= first).count())
+    };
+    assert_eq!(put(&mut r, 100), [12, 0]);
+    let to = after(&kinds, &routes("far"));
+    assert!(matches!(propose(&mut r, &old, &to, false), Reply::Taken { .. }));
+    assert_eq!(put(&mut r, 200), [0, 12]);
+}
--- a/crates/limits/src/turnover.rs
+++ b/crates/limits/src/turnover.rs
@@ -14,7 +14,7 @@
 //! line that the document names reaches back to a revision that no host is older than. Both are the operator's
 //! to keep; a host that is seen to go back is reported ([`Heard::WentBack`]).
 
-use crate::promises::{Promises, Revision, lower};
+use crate::promises::{Promises, Revision, Shared, lower};
 use gullsail_interface::{HostId, Instant, Limit, PlanId, Span, Terms, VolumeId};
 use rand::Rng;
 use std::collections::{BTreeMap, VecDeque};
@@ -57,6 +57,8 @@
 pub enum Refused {
     #[error("revision {} is not later than {}, which this host holds to", .next.0, .held.0)]
     NotLater { held: Revision, next: Revision },
+    #[error("the document named for revision {} is not the one that this host holds to", .0.0)]
+    Other(Revision),
     #[error("revision {} comes after {}, but this host holds to {}", .next.0, .after.0, .held.0)]
     NotNext { held: Revision, after: Revision, next: Revision },
 }
@@ -141,9 +143,13 @@
         if last <= held {
             return Err(Refused::NotLater { held, next: last });
         }
-        if !line.iter().any(|p| p.revision == held) {
-            let after = line.iter().rev().nth(1).map_or(last, |p| p.revision);
-            return Err(Refused::NotNext { held, after, next: last });
+        match line.iter().find(|p| p.revision == held) {
+            Some(same) if same.volumes == self.held().volumes => {}
+            Some(_) => return Err(Refused::Other(held)),
+            None => {
+                let after = line.iter().rev().nth(1).map_or(last, |p| p.revision);
+                return Err(Refused::NotNext { held, after, next: last });
+            }
         }
         self.line.extend(line.into_iter().filter(|p| p.revision > held));
         self.arrive();
@@ -151,6 +157,15 @@
         Ok(())
     }
 
+    /// Whether these promises are those that are held to; places of plans may differ.
+    pub fn promises_as(&self, other: Option<&Promises>) -> bool {
+        let same = |a: &Shared, b: &Shared| a.limit == b.limit && a.hosts == b.hosts;
+        let (ours, theirs) = (&self.held().volumes, other.map(|o| &o.volumes));
+        theirs.is_some_and(|theirs| {
+            ours.len() == theirs.len() && ours.iter().zip(theirs).all(|((a, x), (b, y))| a == b && same(x, y))
+        })
+    }
+
     /// Every host is known to hold to this one.
     pub fn settled(&self) -> bool {
         self.missing().next().is_none()
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -118,6 +118,7 @@
     30 Label;
     31 ClockAsk;
     32 ClockTell;
+    33 Reached;
     40 ListAsk;
     41 ListNews;
     42 ListRefused;
@@ -194,5 +195,10 @@
     {
         return Err(Broken::TooLong { what: "label", found: l.bytes.len(), most: LABEL_BYTES });
     }
+    if let Message::Reached(r) = &message
+        && r.hosts.len() > LABEL_BYTES
+    {
+        return Err(Broken::TooLong { what: "note on revisions", found: r.hosts.len(), most: LABEL_BYTES });
+    }
     Ok(Some(Frame { message, body: frame }))
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -222,6 +222,19 @@
     pub clock_us: i64,
 }
 
+/// Which hosts are known to hold to a document of this revision or a later one.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct Reached {
+    /// What the sender holds to.
+    #[prost(uint64, tag = "1")]
+    pub held: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// One bit for each host, by number.
+    #[prost(bytes = "vec", tag = "3")]
+    pub hosts: Vec<u8>,
+}
+
 /// Asks for the whole node list, and with `watch` for all changes from then on.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
 pub struct ListAsk {
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -31,6 +31,13 @@
     Process {
         life: Life,
     },
+    /// By the script: the process called `to` is asked to serve by this document, or does now.
+    Document {
+        revision: u64,
+        /// The whole document, where it is first told of.
+        text: Option<String>,
+        serves: bool,
+    },
     /// By the script, for people.
     Trouble {
         text: String,
