--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -4,6 +4,7 @@
 use gullsail_configuration::{Deployment, Files, Problem, Problems, Reader, Said, Weight, explain as codes};
 use gullsail_host::control::{Ask, Load, Told};
 use miette::{GraphicalReportHandler, IntoDiagnostic, Result, WrapErr, miette};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -122,14 +123,18 @@
     })?;
     let (files, name) = files(file)?;
     let (document, reader) = Reader::open(&files, &name);
+    let mut out = std::io::BufWriter::new(std::io::stdout().lock());
     for node in document.nodes() {
         let kind = node.name().value();
         let named = node.get(0).and_then(|v| v.as_string()).unwrap_or_default();
         let foreign = d.volume(named).is_some_and(|v| kind == "volume" && !v.through(me));
         // Machines are the stand-ins', a day the scripts'.
         if !foreign && !["machine", "day"].contains(&kind) {
-            println!("// {}", reader.origin(node.span().offset()));
-            println!("{}", node.to_string().trim());
+            let origin = reader.origin(node.span().offset());
+            // Who reads it may have seen enough.
+            if writeln!(out, "// {origin}\n{}", node.to_string().trim()).is_err() {
+                break;
+            }
         }
     }
     Ok(ExitCode::SUCCESS)
--- a/crates/configuration/src/explain.rs
+++ b/crates/configuration/src/explain.rs
@@ -91,6 +91,31 @@
         "cold-too-small",
         "What a cold node bears in any case is less than one largest transfer: such a transfer can only go to a cold node as a lone leg.",
     ),
+    (
+        "odd-parts",
+        "The parts of the benefit that units past the reserve, and past the share, still earn: the later ones should not earn more.",
+    ),
+    (
+        "tick-long",
+        "Hosts answer by two ticks before the expiry at the latest. A tick that is long against an SLO time leaves little of it.",
+    ),
+    ("over-limit", "A figure that the limit, or what the nodes can do, will never let be reached."),
+    (
+        "served-last",
+        "A factor of 0 makes the benefit of its transfers nothing, so all others go before them.",
+    ),
+    (
+        "window-short",
+        "A keyed transfer may be sent again only while nodes still know its key. A window shorter than the SLO time gives repeats up early.",
+    ),
+    (
+        "cell-twice",
+        "Two running nodes hold the same part of the data. That is so for a moment when one takes over from another, and not in a document.",
+    ),
+    (
+        "spare-alone",
+        "A node that stands by for a part of the data that no running node holds; its cell is probably misspelt.",
+    ),
     ("no-effect", "The value changes nothing as things stand."),
 ];
 
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -35,5 +35,5 @@
 /// # Errors
 /// All problems that were found, with their places.
 pub fn load(loader: &dyn Loader, name: &str) -> Result<(Deployment, Vec<Problem>), Problems> {
-    revisions::load(loader, name, 0)
+    revisions::load(loader, name, &[])
 }
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -381,7 +381,7 @@
         match s
             .parse::<bytesize::ByteSize>()
             .ok()
-            .and_then(|b| usize::try_from(b.as_u64()).ok())
+            .and_then(|b| usize::try_from(b.as_u64()).ok().filter(|bytes| *bytes < 1 << 60))
             .filter(|_| unit)
         {
             Some(bytes) if bytes > 0 => bytes,
--- a/crates/configuration/src/resolve.rs
+++ b/crates/configuration/src/resolve.rs
@@ -162,6 +162,14 @@
         if node.children().is_none_or(|c| c.nodes().is_empty()) {
             self.r.note("missing", format!("template \"{name}\" holds nothing"), node.span(), None);
         }
+        let mut names = BTreeSet::new();
+        parameters(node, &mut names);
+        for e in node.entries() {
+            if let Some(key) = e.name().filter(|key| !names.contains(key.value())) {
+                let message = format!("nothing in the template is `${}`", key.value());
+                self.r.warn("unused", message, e.span(), None);
+            }
+        }
         self.templates.insert(name, Template { node: node.clone(), defaults, used: false });
     }
 
@@ -258,3 +266,17 @@
         }
     }
 }
+
+/// The parameters that a template's entries name.
+fn parameters(node: &KdlNode, names: &mut BTreeSet<String>) {
+    for child in node.iter_children() {
+        for text in child.entries().iter().filter_map(|e| e.value().as_string()) {
+            for after in text.split('$').skip(1) {
+                let end =
+                    after.find(|c: char| !(c.is_ascii_alphanumeric() || c == '_')).unwrap_or(after.len());
+                names.insert(after[..end].to_string());
+            }
+        }
+        parameters(child, names);
+    }
+}
--- a/crates/configuration/src/revisions.rs
+++ b/crates/configuration/src/revisions.rs
@@ -59,14 +59,14 @@
 pub(crate) fn load(
     loader: &dyn Loader,
     name: &str,
-    depth: usize,
+    chain: &[String],
 ) -> Result<(Deployment, Vec<Problem>), Problems> {
     let (document, mut r) = Reader::open(loader, name);
     let mut built = deployment::build(&document, &mut r);
     let mut line = Vec::new();
     if let (Some(n), Some(after), true) = (entry(&document), &built.place.after, r.noted_errors() == 0) {
         let at = n.entry("after").map_or(n.span(), |e| e.span());
-        match before(loader, name, after, depth, &built) {
+        match before(loader, name, after, chain, &built) {
             Ok(earlier) => line = earlier,
             Err((message, help)) => r.note("after", message, at, help),
         }
@@ -86,16 +86,20 @@
     loader: &dyn Loader,
     name: &str,
     after: &str,
-    depth: usize,
+    chain: &[String],
     d: &Deployment,
 ) -> Result<Vec<Promises>, Wrong> {
-    if depth + 1 >= MOST {
+    if chain.len() + 1 >= MOST {
         return Err((format!("more than {MOST} documents after each other"), None));
     }
     let Some(file) = beside(name, after) else {
         return Err((format!("\"{after}\" leads out of the configuration"), None));
     };
-    let (earlier, _) = load(loader, &file, depth + 1).map_err(|e| {
+    let chain = [chain, &[name.to_string()]].concat();
+    if chain.contains(&file) {
+        return Err((format!("documents come after each other in a circle: {}", chain.join(" -> ")), None));
+    }
+    let (earlier, _) = load(loader, &file, &chain).map_err(|e| {
         let first = e.problems.first().map(|p| format!("{}:{}:{}: {}", p.file, p.line, p.column, p.message));
         (format!("the document before, {file}, is not sound"), first)
     })?;
--- a/crates/configuration/src/routes.rs
+++ b/crates/configuration/src/routes.rs
@@ -164,6 +164,9 @@
             let message = format!("no node is in pool \"{}\"", p.name);
             let help = Some("each of its nodes must be in one of its zones and of one of its kinds".into());
             r.note("pool-empty", message, n.span(), help);
+        } else if found == nodes.count() && !known.nodes.is_empty() {
+            let message = format!("pool \"{}\" holds every node, as \"{ALL}\" does", p.name);
+            r.warn("no-effect", message, n.span(), None);
         } else if !built.routes.iter().any(|route| route.to == PoolId(place + 1)) {
             r.warn("unused", format!("pool \"{}\" is used by no route", p.name), n.span(), None);
         }
@@ -173,6 +176,14 @@
         let help = Some(format!("end with `route to=\"{ALL}\"`, or with another pool for all the rest"));
         r.note("no-rest", "the last route does not take all the rest".into(), last.span(), help);
     }
+    if let [.., second, rest] = built.routes.as_slice()
+        && second.to == rest.to
+        && rest.is_rest()
+    {
+        let n = all(document, "route").nth(built.routes.len() - 2);
+        let message = "the rest goes there anyway".to_string();
+        r.warn("no-effect", message, n.map_or(last.span(), |n| n.span()), None);
+    }
     if r.noted() == before || built.routes.iter().any(Route::is_rest) {
         fill(document, r, known, &mut built, before);
     }
--- a/crates/configuration/src/sense.rs
+++ b/crates/configuration/src/sense.rs
@@ -2,8 +2,9 @@
 
 use crate::deployment::Deployment;
 use crate::reader::Reader;
-use kdl::KdlDocument;
-use std::collections::BTreeSet;
+use gullsail_interface::{Effect, Plan};
+use kdl::{KdlDocument, KdlNode};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The part of what machines can do that reserves may take: the rest is for pauses and restarts.
 const RESERVABLE: f64 = 0.9;
@@ -41,7 +42,37 @@
             r.warn("unused", format!("{kind} \"{}\" is used nowhere", name(n)), n.span(), None);
         }
     }
+    plans(d, document, r);
+    stream_types(d, document, r);
+    places(d, document, r);
     let f = d.figures();
+    if let Some(n) = all("rules").next() {
+        if f.spare_part > f.share_part {
+            let message = "units past the share would earn more than those within it".into();
+            r.warn("odd-parts", message, n.span(), Some("spare-part is at most share-part".into()));
+        }
+        if n.entry("order-settle").is_some() && !f.stream_types.iter().any(|s| s.in_order) {
+            let message =
+                "`order-settle` counts for stream types with in-order=#true, and there is none".into();
+            r.warn("no-effect", message, n.span(), None);
+        }
+        let shortest = f.stream_types.iter().map(|s| s.slo_time).min();
+        if shortest.is_some_and(|slo| f.tick.times(4.0) > slo) {
+            let message =
+                "two ticks before the expiry the last answer is given: that is half of an SLO time".into();
+            r.warn("tick-long", message, n.span(), None);
+        }
+    }
+    if let Some(n) = all("bounds").next() {
+        if d.bounds.redial.0 > d.bounds.redial.1 {
+            let message = "the first wait between tries to connect is longer than the last".into();
+            r.note("contradiction", message, n.span(), None);
+        }
+        if d.bounds.frame.body > d.bounds.most_held {
+            let message = "one body may be larger than all that may be held".into();
+            r.note("contradiction", message, n.span(), Some("held-bytes is at least body-bytes".into()));
+        }
+    }
     if let Some(n) = all("cold").next() {
         if f.cold.window > f.cold.ramp {
             let message = "the window is longer than the ramp: a node is warm before it ends".into();
@@ -58,6 +89,11 @@
             r.warn("cold-too-small", message, n.span(), None);
         }
     }
+    let nothing = f.leg_budget.is_some_and(|b| b.free < 1.0 && b.share == 0.0);
+    if let Some(n) = all("legs").next().filter(|_| nothing && f.most_legs > 1) {
+        let message = "the budget allows no further leg at all".into();
+        r.warn("no-effect", message, n.span(), Some("most=1 says so plainly".into()));
+    }
     if let Some(n) = all("legs").next().filter(|_| f.leg_budget.is_some() && f.most_legs == 1) {
         r.warn(
             "no-effect",
@@ -67,3 +103,89 @@
         );
     }
 }
+
+fn all<'a>(document: &'a KdlDocument, kind: &'static str) -> impl Iterator<Item = &'a KdlNode> {
+    document.nodes().iter().filter(move |n| n.name().value() == kind)
+}
+
+fn plans(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
+    let running: Vec<_> = d.nodes.iter().filter(|n| !n.spare).map(|n| d.machines.get(n.machine)).collect();
+    let can = running.iter().flatten().map(|m| f64::from(m.cores) / m.unit.secs().max(1e-9)).sum::<f64>();
+    for (p, n) in d.plans.iter().zip(all(document, "plan")) {
+        let at = |key: &str| n.entry(key).map_or(n.span(), |e| e.span());
+        let warn =
+            |r: &mut Reader, code, message: &str, key: &str| r.warn(code, message.into(), at(key), None);
+        let Plan { limit, usual, weight, price, .. } = p.decisions;
+        for key in ["burst", "slack"].into_iter().filter(|key| limit.is_none() && n.entry(*key).is_some()) {
+            warn(r, "no-effect", "it belongs to a limit, and the plan has none", key);
+        }
+        if limit.is_some_and(|l| usual > l.rate) {
+            warn(r, "over-limit", "its volumes are sized for more than the limit lets through", "usual");
+        }
+        if limit.is_some_and(|l| l.rate > can) && can > 0.0 && running.iter().all(Option::is_some) {
+            warn(r, "over-limit", "the limit is above what all nodes together can do", "limit");
+        }
+        for (_, key) in [(weight, "weight"), (price, "price")].into_iter().filter(|(f, _)| *f == 0.0) {
+            warn(r, "served-last", &format!("with {key}=0 its volumes come after all others"), key);
+        }
+    }
+}
+
+fn stream_types(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
+    for (s, n) in d.stream_types.iter().zip(all(document, "stream-type")) {
+        let at = |key: &str| n.entry(key).map_or(n.span(), |e| e.span());
+        if s.decisions.slo_time == s.expiry && n.entry("late-part").is_some() {
+            let message = "no answer is late: the SLO time is the expiry".into();
+            r.warn("no-effect", message, at("late-part"), None);
+        }
+        if s.decisions.benefit == 0.0 {
+            let message = "without a benefit it comes after all others".into();
+            r.warn("served-last", message, at("benefit"), None);
+        }
+        if let Effect::Keyed { window, .. } = s.decisions.effect
+            && window < s.decisions.slo_time
+        {
+            let message = "nodes forget a key before the answer is wanted: a late repeat is given up".into();
+            r.warn("window-short", message, at("window"), None);
+        }
+    }
+}
+
+fn places(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
+    let mut addresses: BTreeMap<&str, usize> = BTreeMap::new();
+    let hosts = d.hosts.iter().zip(all(document, "host"));
+    let nodes = d.nodes.iter().map(|n| &n.place).zip(all(document, "node"));
+    for (p, n) in hosts.chain(nodes).filter(|(p, _)| !p.address.is_empty() && !p.address.ends_with(":0")) {
+        if let Some(first) = addresses.get(p.address.as_str()) {
+            let message = format!("\"{}\" has the address of another", p.name);
+            r.conflict("twice", message, n.span(), "the other stands at", *first);
+        } else {
+            addresses.insert(&p.address, n.span().offset());
+        }
+    }
+    let mut served = vec![false; d.hosts.len()];
+    d.volumes.iter().flat_map(|v| v.hosts.iter()).for_each(|h| served[h.0 as usize] = true);
+    for (place, n) in all(document, "host").enumerate() {
+        if !served.get(place).copied().unwrap_or(true) && !d.volumes.is_empty() {
+            r.warn(
+                "unused",
+                format!("no volume comes through host \"{}\"", d.hosts[place].name),
+                n.span(),
+                None,
+            );
+        }
+    }
+    let mut cells: BTreeMap<i64, usize> = BTreeMap::new();
+    for (node, n) in d.nodes.iter().zip(all(document, "node")).filter(|(node, _)| !node.spare) {
+        if cells.insert(node.cell.0, n.span().offset()).is_some() {
+            let message = format!("another running node holds cell {} too", node.cell.0);
+            r.warn("cell-twice", message, n.span(), Some("one that takes over later is spare=#true".into()));
+        }
+    }
+    for (node, n) in d.nodes.iter().zip(all(document, "node")).filter(|(node, _)| node.spare) {
+        if !cells.contains_key(&node.cell.0) {
+            let message = format!("no running node holds cell {}, for which it stands by", node.cell.0);
+            r.warn("spare-alone", message, n.span(), None);
+        }
+    }
+}
--- a/crates/configuration/tests/files.rs
+++ b/crates/configuration/tests/files.rs
@@ -430,3 +430,44 @@
         }
     }
 }
+
+/// Every document that the project ships: by folder, its first file and all others.
+fn shipped() -> Vec<(String, Memory)> {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let read = |path: &std::path::Path| std::fs::read_to_string(path).unwrap();
+    let mut all = Vec::new();
+    for (folder, firsts) in
+        [("examples/town", vec!["town.kdl"]), ("examples/studio", vec!["studio.kdl", "studio-3.kdl"])]
+    {
+        let folder = root.join(folder);
+        let found = glob::glob(&folder.join("**/*.kdl").to_string_lossy()).unwrap().flatten();
+        let name = |p: &std::path::Path| p.strip_prefix(&folder).unwrap().to_string_lossy().into_owned();
+        let files: BTreeMap<_, _> = found.map(|p| (name(&p), read(&p))).collect();
+        all.extend(firsts.into_iter().map(|first| (first.to_string(), Memory(files.clone()))));
+    }
+    let fleet = read(&root.join("crates/day/days/fleet.kdl"));
+    all.push(("fleet.kdl".into(), Memory([("fleet.kdl".to_string(), fleet)].into())));
+    all
+}
+
+/// Formatting what is shipped changes nothing of its meaning, and nothing at all the second time.
+#[test]
+fn what_is_shipped_is_sound_and_formatted() {
+    for (first, files) in shipped() {
+        let (a, warnings) = load(&files, &first).unwrap_or_else(|e| panic!("{:?}", e.problems));
+        assert!(warnings.is_empty(), "{first}: {warnings:?}");
+        let formatted = files.0.iter().map(|(name, text)| (name.clone(), format(text).unwrap()));
+        let formatted: BTreeMap<_, _> = formatted.collect();
+        for (name, text) in &formatted {
+            assert_eq!(&format(text).unwrap(), text, "{name}");
+            // The days' texts are put together with scripts, and keep their columns.
+            assert!(name == "fleet.kdl" || files.0[name] == *text, "{name} is not formatted");
+        }
+        let (b, _) = load(&Memory(formatted), &first).unwrap();
+        assert_eq!(diff(&a, &b), vec![], "{first}");
+        assert!(
+            first == "fleet.kdl"
+                || (a.hosts.len() == 200 && a.nodes.iter().filter(|n| !n.spare).count() == 60)
+        );
+    }
+}
--- /dev/null
+++ b/crates/configuration/tests/fuzz.rs
@@ -0,0 +1,132 @@
+//! Documents with pieces cut out, doubled, moved and replaced, drawn by a seed: whatever comes, reading ends, places
+//! lie in their files, and what is sound can be formatted and means the same after. `GULLSAIL_FUZZ_CASES` asks for
+//! more cases than the few that every run plays, `GULLSAIL_FUZZ_SEED` for others.
+
+use gullsail_configuration::diff::diff;
+use gullsail_configuration::*;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+const PIECES: [&str; 34] = [
+    "{",
+    "}",
+    "\"",
+    "#",
+    "=",
+    ";",
+    "\n",
+    "\\",
+    "/*",
+    "*/",
+    "//",
+    "/-",
+    "$",
+    "$name",
+    "{1..3}",
+    "{01..2}",
+    "{9..1}",
+    "\"{1..99999}\"",
+    "#true",
+    "#null",
+    "5",
+    "-1",
+    "1e400",
+    "\"5ms\"",
+    "\"1MiB/s\"",
+    "\"9units/s\"",
+    "include \"a.kdl\"",
+    "use \"desk\"",
+    "template \"desk\"",
+    "volume",
+    "route to=\"all\"",
+    "hosts",
+    "\u{feff}",
+    "é\t",
+];
+
+fn corpus() -> Vec<String> {
+    let cases = include_str!("collection.txt").split("### ").skip(1);
+    let mut all: Vec<String> = cases.filter_map(|c| Some(c.split_once('\n')?.1.to_string())).collect();
+    all.push(include_str!("../../../examples/studio/studio.kdl").into());
+    all.push(include_str!("../../../examples/town/volumes/desks.kdl").into());
+    all.push(include_str!("../../day/days/fleet.kdl").into());
+    all
+}
+
+/// A place between two characters.
+fn place(text: &str, rng: &mut ChaCha8Rng) -> usize {
+    let mut at = rng.random_range(0..=text.len());
+    while !text.is_char_boundary(at) {
+        at -= 1;
+    }
+    at
+}
+
+fn changed(text: &str, rng: &mut ChaCha8Rng) -> String {
+    let mut text = text.to_string();
+    for _ in 0..rng.random_range(1..6) {
+        let (a, b) = (place(&text, rng), place(&text, rng));
+        let (from, to) = (a.min(b), a.max(b).min(a.min(b) + 60));
+        let to = (from..=to).rev().find(|at| text.is_char_boundary(*at)).unwrap_or(from);
+        let piece = text[from..to].to_string();
+        match rng.random_range(0..4) {
+            0 => text.replace_range(from..to, ""),
+            1 => text.insert_str(b, &piece),
+            2 => text.replace_range(from..to, PIECES.choose(rng).unwrap()),
+            _ => text.insert_str(from, PIECES.choose(rng).unwrap()),
+        }
+    }
+    text
+}
+
+#[test]
+fn whatever_stands_there_is_read_to_its_end() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|v| v.parse::<u64>().ok());
+    let (cases, seed) =
+        (number("GULLSAIL_FUZZ_CASES").unwrap_or(1500), number("GULLSAIL_FUZZ_SEED").unwrap_or(7));
+    let corpus = corpus();
+    let (mut sound, mut broken) = (0, 0);
+    for case in 0..cases {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_add(case));
+        let text = changed(corpus.choose(&mut rng).unwrap(), &mut rng);
+        let beside = "host \"extra-h\" zone=\"extra-z\"\nzone \"extra-z\"\nplan \"extra-p\"\nvolume \"extra-v\" plan=\"extra-p\"\n\
+             template \"desk\" { volume \"$name\" plan=\"extra-p\"; }\nuse \"desk\" name=\"extra-w\"\n";
+        let main = format!("{text}\ninclude \"a.kdl\"\n");
+        let files = |main: String| {
+            Memory(BTreeMap::from([("main.kdl".into(), main), ("a.kdl".into(), beside.into())]))
+        };
+        let problems = match load(&files(main.clone()), "main.kdl") {
+            Ok((d, warnings)) => {
+                sound += 1;
+                if let Ok(formatted) = format::format(&main) {
+                    assert_eq!(format::format(&formatted).unwrap(), formatted, "case {case}\n{main}");
+                    let (again, _) = load(&files(formatted), "main.kdl")
+                        .unwrap_or_else(|e| panic!("case {case}: {:?}\n{main}", e.problems));
+                    assert_eq!(diff(&d, &again), vec![], "case {case}\n{main}");
+                }
+                warnings
+            }
+            Err(e) => {
+                broken += 1;
+                assert!(!e.problems.is_empty());
+                e.problems
+            }
+        };
+        for p in problems {
+            let of = if p.file == "a.kdl" { beside } else { main.as_str() };
+            assert!(
+                p.line <= of.matches('\n').count() + 1 && p.line >= 1 && p.column >= 1,
+                "case {case}: {p:?}"
+            );
+            assert!(explain::explain(p.code).is_some(), "{}", p.code);
+            assert!(
+                p.file != "main.kdl"
+                    || p.column <= of.lines().nth(p.line - 1).unwrap_or_default().chars().count() + 1
+            );
+        }
+    }
+    // Neither all broken nor all sound: both ways are gone.
+    assert!(sound * 50 > cases && broken * 2 > cases, "{sound} sound, {broken} broken");
+}
