--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// A document's files lie below the folder of its first one.
-fn files(file: &Path) -> Result<(Files, String)> {
+pub fn files(file: &Path) -> Result<(Files, String)> {
     let folder = file.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
     let name = file.file_name().ok_or_else(|| miette!("{} is no file", file.display()))?;
     let files =
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -331,16 +331,21 @@
     } else {
         gullsail_day::built_in::day(day)
     };
-    let text = match built_in {
-        Some(text) => text,
-        None if Path::new(day).exists() => text_of(Path::new(day))?,
+    let (text, d, script) = match built_in {
+        Some(text) => {
+            let (d, script) = gullsail_day::script::read(day, &text)?;
+            (text, d, script)
+        }
+        None if Path::new(day).exists() => {
+            let (files, name) = documents::files(Path::new(day))?;
+            gullsail_day::script::load(&files, &name)?
+        }
         None => {
             let names: Vec<_> = gullsail_day::built_in::all().map(|d| d.0).collect();
             let help = format!("built-in days: {}, random; or a file with a day", names.join(", "));
             return Err(miette!(help = help, "no day is called \"{day}\", and no file"));
         }
     };
-    let (d, script) = gullsail_day::script::read(day, &text)?;
     // Without --record, nothing is kept.
     let temporary = tempfile::tempdir().into_diagnostic()?;
     let dir = record.unwrap_or_else(|| temporary.path().into());
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -338,7 +338,8 @@
 fn together(r: &mut Reader, document: &KdlDocument, hosts: &[Place], volumes: &[NamedVolume]) {
     let top = document.span();
     for (missing, what) in [(hosts.is_empty(), "host"), (volumes.is_empty(), "volume")] {
-        if missing {
+        // Where a file could not be read, it is that.
+        if missing && !r.unread() {
             r.note("missing", format!("a deployment needs a `{what}`"), (top.offset(), 0).into(), None);
         }
     }
--- a/crates/configuration/src/format.rs
+++ b/crates/configuration/src/format.rs
@@ -6,6 +6,16 @@
 /// # Errors
 /// It is no KDL, so that nothing is touched; or, which would be a fault here, formatting changed its meaning.
 pub fn format(text: &str) -> Result<String, String> {
+    let out = once(text)?;
+    // A comment behind a closing brace stays the first time and is lost the second.
+    match once(&out) {
+        Ok(again) if again == out => Ok(out),
+        Ok(_) => Err("formatting does not come to rest; nothing was changed".into()),
+        Err(why) => Err(format!("once formatted, {why}")),
+    }
+}
+
+fn once(text: &str) -> Result<String, String> {
     let parse = |text: &str| {
         KdlDocument::parse_v2(text).map_err(|e| {
             let first = e.diagnostics.first();
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -154,6 +154,12 @@
     pub fn open(loader: &dyn Loader, name: &str) -> (KdlDocument, Reader) {
         let mut reader = Reader { name: name.into(), ..Reader::default() };
         let document = resolve::resolve(loader, name, &mut reader);
+        // Files that go together were changed together, and one half of that was read before.
+        for name in loader.changed() {
+            let at = reader.sources.of_file(&name);
+            let message = format!("{name} changed while the configuration was read: check it again");
+            reader.note("file", message, (at, 0).into(), None);
+        }
         (document, reader)
     }
 
@@ -223,6 +229,11 @@
         self.noted.push(Noted { code, weight: Weight::Warning, message, at, help, see: Vec::new() });
     }
 
+    /// A part of the text could not be had, so that what is missing may stand there.
+    pub(crate) fn unread(&self) -> bool {
+        self.noted.iter().any(|n| ["syntax", "file", "too-deep", "too-much"].contains(&n.code))
+    }
+
     pub(crate) fn noted_errors(&self) -> usize {
         self.noted.iter().filter(|n| n.weight == Weight::Error).count()
     }
--- a/crates/configuration/src/sources.rs
+++ b/crates/configuration/src/sources.rs
@@ -4,8 +4,11 @@
 
 use kdl::KdlNode;
 use miette::SourceSpan;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::path::{Component, Path, PathBuf};
 use std::sync::Arc;
+use std::time::SystemTime;
 
 /// The most that one file, and all of a configuration, may hold.
 pub const MOST_FILE: usize = 8 << 20;
@@ -38,11 +41,19 @@
     /// # Errors
     /// The pattern is none, or can't be followed.
     fn matching(&self, pattern: &str) -> Result<Vec<String>, LoadError>;
+    /// Of the files that were had so far, those that are no longer as they were then.
+    fn changed(&self) -> Vec<String> {
+        Vec::new()
+    }
 }
 
+/// What tells a file's states apart: its length, and when it was last written.
+type Stamp = (u64, Option<SystemTime>);
+
 /// Files below a root; nothing else can be reached, through links either.
 pub struct Files {
     root: PathBuf,
+    had: RefCell<BTreeMap<String, Stamp>>,
 }
 
 impl Files {
@@ -50,7 +61,7 @@
     /// The root can't be found.
     pub fn new(root: &Path) -> Result<Files, LoadError> {
         let root = root.canonicalize().map_err(|e| LoadError::Other(e.to_string()))?;
-        Ok(Files { root })
+        Ok(Files { root, had: RefCell::default() })
     }
 
     fn inside(&self, name: &str) -> Result<PathBuf, LoadError> {
@@ -70,7 +81,9 @@
     fn load(&self, name: &str) -> Result<String, LoadError> {
         let other = |e: std::io::Error| LoadError::Other(e.to_string());
         let path = self.inside(name)?;
-        let stamp = || path.metadata().map(|m| (m.len(), m.modified().ok())).map_err(other);
+        let stamp = || -> Result<Stamp, LoadError> {
+            path.metadata().map(|m| (m.len(), m.modified().ok())).map_err(other)
+        };
         let before = stamp()?;
         if before.0 > MOST_FILE as u64 {
             return Err(LoadError::TooLarge(before.0));
@@ -79,6 +92,7 @@
         if stamp()? != before || bytes.len() as u64 != before.0 {
             return Err(LoadError::Changed);
         }
+        self.had.borrow_mut().insert(name.into(), before);
         String::from_utf8(bytes).map_err(|e| LoadError::NotText(e.utf8_error().valid_up_to()))
     }
 
@@ -91,11 +105,20 @@
         });
         Ok(names.collect())
     }
+
+    fn changed(&self) -> Vec<String> {
+        let is = |name: &str| -> Option<Stamp> {
+            let m = self.inside(name).ok()?.metadata().ok()?;
+            Some((m.len(), m.modified().ok()))
+        };
+        let had = self.had.borrow();
+        had.iter().filter(|(name, stamp)| is(name).as_ref() != Some(*stamp)).map(|h| h.0.clone()).collect()
+    }
 }
 
 /// Files in memory.
 #[derive(Default)]
-pub struct Memory(pub std::collections::BTreeMap<String, String>);
+pub struct Memory(pub BTreeMap<String, String>);
 
 impl Loader for Memory {
     fn load(&self, name: &str) -> Result<String, LoadError> {
@@ -167,6 +190,11 @@
         self.line(place).map_or_else(String::new, |(file, line, column)| format!("{file}:{line}:{column}"))
     }
 
+    /// Where a file begins.
+    pub fn of_file(&self, name: &str) -> usize {
+        self.stretches.iter().find(|s| &*s.name == name).map_or(0, |s| s.start)
+    }
+
     /// The start of the stretch that holds a place.
     pub fn start(&self, place: usize) -> usize {
         self.find(place).map_or(0, |(s, _)| s.start)
--- a/crates/configuration/tests/files.rs
+++ b/crates/configuration/tests/files.rs
@@ -471,3 +471,46 @@
         );
     }
 }
+
+/// Files on disk, one of which is written anew when another is asked for.
+struct Busy {
+    files: Files,
+    writes: (std::path::PathBuf, &'static str, &'static str),
+}
+
+impl Loader for Busy {
+    fn load(&self, name: &str) -> Result<String, LoadError> {
+        if name == self.writes.1 {
+            std::fs::write(&self.writes.0, self.writes.2).unwrap();
+        }
+        self.files.load(name)
+    }
+    fn matching(&self, pattern: &str) -> Result<Vec<String>, LoadError> {
+        self.files.matching(pattern)
+    }
+    fn changed(&self) -> Vec<String> {
+        self.files.changed()
+    }
+}
+
+/// Two files that go together: one is changed after it was read and before the other is.
+#[test]
+fn files_that_change_while_others_are_read_are_named() {
+    // the file that is asked for, upon which another is written, and whether that is too late
+    for (asked, late) in [("b.kdl", true), ("a.kdl", false), ("never.kdl", false)] {
+        let dir = tempfile::tempdir().unwrap();
+        let write = |name: &str, text: &str| std::fs::write(dir.path().join(name), text).unwrap();
+        write("main.kdl", "include \"a.kdl\" \"b.kdl\" \"rest.kdl\"\nvolume \"x\" plan=\"old\"\n");
+        write("a.kdl", "plan \"old\"\n");
+        write("b.kdl", "plan \"r\"\n");
+        write("rest.kdl", REST.split_once('\n').unwrap().1);
+        let files = Files::new(dir.path()).unwrap();
+        let writes = (dir.path().join("a.kdl"), asked, "plan \"old\" // and longer\n");
+        let found = load(&Busy { files, writes }, "main.kdl");
+        assert_eq!(found.is_err(), late, "{asked}");
+        if let Err(e) = found {
+            let p = &e.problems[0];
+            assert_eq!((p.code, p.file.as_str(), p.line), ("file", "a.kdl", 1), "{p}");
+        }
+    }
+}
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -223,7 +223,8 @@
             }
         }
     }
-    document.nodes_mut().retain(|n| n.name().value() != "day");
+    // Days number their documents themselves.
+    document.nodes_mut().retain(|n| !["day", "revision"].contains(&n.name().value()));
     if reloads {
         document.nodes_mut().push(revision(1, None));
     }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -1,6 +1,6 @@
 //! The script of a day, as the document's `day` entry has it.
 
-use gullsail_configuration::{Deployment, Memory, Names, Problems, Reader, deployment};
+use gullsail_configuration::{Deployment, Loader, Memory, Names, Problems, Reader, deployment};
 use gullsail_interface::Span;
 use kdl::{KdlDocument, KdlNode};
 
@@ -159,10 +159,20 @@
 /// All that is wrong with either.
 pub fn read(name: &str, text: &str) -> Result<(Deployment, Script), Problems> {
     let loader = Memory([(name.to_string(), text.to_string())].into());
-    let (document, mut r) = Reader::open(&loader, name);
+    load(&loader, name).map(|(_, deployment, script)| (deployment, script))
+}
+
+/// Reads the deployment and the script of a file and all that it includes; the text that comes back says the same
+/// in one piece, with ranges and templates in place.
+///
+/// # Errors
+/// All that is wrong with either.
+pub fn load(loader: &dyn Loader, name: &str) -> Result<(String, Deployment, Script), Problems> {
+    let (document, mut r) = Reader::open(loader, name);
     let d = deployment::build(&document, &mut r);
     let script = script(&document, &mut r, &d);
-    r.close((d, script)).map(|(both, _)| both)
+    let text = document.nodes().iter().map(|n| n.to_string().trim().to_string() + "\n").collect();
+    r.close((text, d, script)).map(|(all, _)| all)
 }
 
 fn script(document: &KdlDocument, r: &mut Reader, d: &Deployment) -> Script {
