--- a/crates/audit/src/history.rs
+++ b/crates/audit/src/history.rs
@@ -2,7 +2,7 @@
 
 use gullsail_configuration::Deployment;
 use gullsail_protocol::record::{Entry, Fate, Life, What};
-use gullsail_protocol::{Answer, Leg, LegResult, ListEntry, ListStanding, Message, Submit};
+use gullsail_protocol::{Answer, Frame, Leg, LegResult, ListEntry, ListStanding, Message, Submit};
 use std::collections::BTreeMap;
 
 #[derive(Debug, thiserror::Error)]
@@ -74,6 +74,10 @@
     pub documents: BTreeMap<u64, Deployment>,
     /// When each host was asked to serve by which, or said that it does.
     pub follows: BTreeMap<String, Vec<Follows>>,
+    /// Frames of legs and their answers: when they were given on, from, to, and their bytes.
+    pub moved: Vec<(i64, String, String, usize)>,
+    /// Bytes past budgets, by budget, as hosts said at the end.
+    pub past: BTreeMap<String, u64>,
     pub end: i64,
 }
 
@@ -104,7 +108,12 @@
         for (line, e) in entries {
             h.end = h.end.max(e.out);
             match e.what {
-                What::Frame { message, fate, .. } if fate != Fate::Dropped => {
+                What::Past { budget, bytes, .. } => *h.past.entry(budget).or_default() += bytes,
+                What::Frame { message, fate, body } if fate != Fate::Dropped => {
+                    if matches!(message, Message::Leg(_) | Message::LegAnswer(_)) {
+                        let bytes = Frame { message: message.clone(), body: Default::default() }.len() + body;
+                        h.moved.push((e.at, e.from.clone(), e.to.clone(), bytes));
+                    }
                     h.frame(
                         line, e.at, e.out, e.link, e.from, e.to, message, fate, &mut tries, &mut legs,
                         &mut lists,
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -10,6 +10,7 @@
 use gullsail_configuration::Deployment;
 pub use history::{Fault, History};
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// One breach: what was seen, and the lines of the recording that show it.
 #[derive(Clone, Debug, Serialize)]
@@ -48,7 +49,7 @@
 /// A line that is no entry.
 pub fn judge(d: &Deployment, recording: &str) -> Result<Vec<Verdict>, Fault> {
     let h = History::read(recording)?;
-    Ok(vec![
+    let mut verdicts = vec![
         rules::answered(d, &h),
         rules::once(d, &h),
         rules::drains(d, &h),
@@ -56,7 +57,11 @@
         rules::order(d, &h),
         rules::budget(d, &h),
         rules::limits(d, &h),
-    ])
+    ];
+    if !d.crossings.is_empty() {
+        verdicts.push(rules::crossings(d, &h));
+    }
+    Ok(verdicts)
 }
 
 /// The verdicts as a table for people, each breach with some of its frames below.
@@ -81,3 +86,25 @@
     }
     text
 }
+
+/// Bytes of legs and their answers that went from zone to zone to or from a host, by host and the zones' names.
+///
+/// # Errors
+/// A line that is no entry.
+pub fn crossed(d: &Deployment, recording: &str) -> Result<BTreeMap<(String, String, String), u64>, Fault> {
+    let h = History::read(recording)?;
+    let zone = |name: &str| {
+        let host = d.hosts.iter().find(|p| p.name == name);
+        let place = host.or_else(|| d.node(name).map(|n| &n.place))?;
+        d.zones.get(place.zone.0).map(|z| (z.clone(), host.is_some()))
+    };
+    let mut all = BTreeMap::new();
+    for (_, from, to, bytes) in &h.moved {
+        if let (Some((a, host)), Some((b, _))) = (zone(from), zone(to))
+            && a != b
+        {
+            *all.entry((if host { from } else { to }.clone(), a, b)).or_default() += *bytes as u64;
+        }
+    }
+    Ok(all)
+}
--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -3,7 +3,7 @@
 use crate::Verdict;
 use crate::history::{Follows, History, LegSeen, Taken};
 use gullsail_configuration::Deployment;
-use gullsail_interface::{Effect, Group};
+use gullsail_interface::{Across, Effect, Group};
 use gullsail_protocol::record::Life;
 use gullsail_protocol::{ListStanding, Outcome};
 use std::collections::{BTreeMap, VecDeque};
@@ -374,3 +374,40 @@
     }
     v
 }
+
+/// Budgets between zones: kept, or what went past them was told. Tested by each frame that crosses while a budget is
+/// below half of its store. Judged by the document the day began with.
+pub fn crossings(d: &Deployment, h: &History) -> Verdict {
+    let mut v = Verdict::new(8, "budgets between zones kept, or told");
+    let hosts = d.hosts.iter().map(|p| (p.name.as_str(), p.zone));
+    let zones: BTreeMap<&str, _> =
+        hosts.chain(d.nodes.iter().map(|n| (n.place.name.as_str(), n.place.zone))).collect();
+    let killed =
+        d.hosts.iter().any(|p| h.lives.get(&p.name).is_some_and(|l| l.iter().any(|l| l.1 == Life::Killed)));
+    for c in &d.crossings {
+        let Across::Pair(from, to) = c.of else { continue };
+        let (mut level, mut at, mut past) = (c.limit.burst, 0, 0.0);
+        let mut lines = 0u64;
+        for (when, a, b, bytes) in &h.moved {
+            if (zones.get(a.as_str()), zones.get(b.as_str())) != (Some(&from), Some(&to)) {
+                continue;
+            }
+            level = (level + c.limit.rate * (when - at).max(0) as f64 / 1e6).min(c.limit.burst);
+            at = (*when).max(at);
+            level -= *bytes as f64;
+            v.tested += u64::from(level < c.limit.burst / 2.0);
+            if level < 0.0 {
+                past += (*bytes as f64).min(-level);
+                lines += 1;
+            }
+        }
+        let told = h.past.get(&c.name).copied().unwrap_or_default() as f64;
+        v.nearest =
+            v.nearest.max(if told > 0.0 { past / told } else { (c.limit.burst - level) / c.limit.burst });
+        // A host that was killed takes what it would have said with it.
+        if past > told * 1.05 + 4096.0 && !killed {
+            v.breach(format!("{}: {past:.0} bytes past it in {lines} frames, {told:.0} told", c.name), []);
+        }
+    }
+    v
+}
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -359,3 +359,52 @@
         assert_eq!(v, if broken { vec![7] } else { vec![] }, "{limit} {asked:?} {killed:?}");
     }
 }
+
+/// Bytes past a budget between zones must be told; those that no host told of are a breach.
+#[test]
+fn bytes_past_a_budget_must_be_told() {
+    let text = DOCUMENT.replace("zone=\"a\"\nnode", "zone=\"a\"\nbounds body-bytes=\"8KiB\"\ncrossing from=\"a\" to=\"b\" limit=\"1KB/s\" burst=\"32KiB\"\nnode");
+    let d = parse("planted.kdl", &text).unwrap();
+    assert_eq!(d.crossings.len(), 1);
+    // legs of 8,000 bytes to the other zone, one a second; bytes told; broken
+    for (legs, told, broken) in [(4, 0, false), (40, 0, true), (40, 300_000, false), (40, 100_000, true)] {
+        let mut r = Recording::new();
+        for place in 0..legs {
+            let leg = Leg {
+                leg: place,
+                volume: "v".into(),
+                stream_type: "read".into(),
+                units: 1.0,
+                ..Leg::default()
+            };
+            let at = 1000 + place as i64 * 1000;
+            r.put(
+                at,
+                3,
+                "h1",
+                "n2",
+                What::Frame { message: Message::Leg(leg.clone()), body: 8000, fate: Fate::Passed },
+            );
+            // At home nothing crosses.
+            r.put(
+                at,
+                4,
+                "h1",
+                "n1",
+                What::Frame { message: Message::Leg(leg), body: 8000, fate: Fate::Passed },
+            );
+        }
+        if told > 0 {
+            r.put(
+                60_000,
+                0,
+                "script",
+                "h1",
+                What::Past { budget: "a to b".into(), cause: "bound to data".into(), bytes: told },
+            );
+        }
+        let verdicts = judge(&d, &r.lines.join("\n")).unwrap();
+        let v = verdicts.iter().find(|v| v.rule == 8).unwrap();
+        assert_eq!((v.kept(), v.tested > 0), (!broken, true), "{legs} {told}: {v:?}");
+    }
+}
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -86,7 +86,7 @@
             instance.touched = false;
             let events = std::mem::take(&mut instance.events);
             let actions: Vec<Action> = instance.brain.step(now, events);
-            outbox.extend(actions.into_iter().map(|a| wire::action(host, a, &instance.names)));
+            outbox.extend(actions.into_iter().filter_map(|a| wire::action(host, a, &instance.names)));
         }
     }
     Ok(outbox)
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -283,6 +283,9 @@
         longest_advice: b.limits.retry_after.then_some(Span::from_millis(b.limits.max_retry_after)),
         peers_talk: b.limits.peer_messages,
         list_asked: b.membership_mode == "ask",
+        zone: None,
+        crossings: Vec::new(),
+        most_bytes: 0.0,
     };
     let names = Names {
         zones: b.failure_domains,
@@ -361,6 +364,7 @@
             ttl: Span::from_millis(ttl),
             volume_hosts: mounts,
             pool: PoolId::ALL,
+            bytes: 0.0,
         }),
         WireEvent::Timer { name, .. } => Event::Timer(TimerId(name)),
         WireEvent::Dropped { id, .. } => Event::ClientLeft(TransferId(id)),
@@ -377,6 +381,8 @@
                 took: Span::from_millis(spent),
                 finished: complete,
                 used: metered.checked_sub(1).map(|percent| f64::from(percent) / 100.0),
+                zone: ZoneId::default(),
+                bytes: 0.0,
             })
         }
         WireEvent::AckFirst { id, node, spent, .. } => Event::StreamBegan {
@@ -420,8 +426,11 @@
     })
 }
 
-pub fn action(host: u64, a: Action, names: &Names) -> Value {
-    match a {
+/// `None`: nothing that the bench is told.
+pub fn action(host: u64, a: Action, names: &Names) -> Option<Value> {
+    Some(match a {
+        // Facts from here state no budgets between zones.
+        Action::Past { .. } => return None,
         Action::Leg { id, node, time_out } => json!({
             "type": "PassOn", "host": host, "id": id.0, "node": names.nodes.get(&node),
             "give-up-after": time_out.map(Span::millis),
@@ -437,5 +446,5 @@
         Action::Tell { to, bytes } => {
             json!({ "type": "Post", "host": host, "whom": to.0, "octets": BASE64.encode(bytes) })
         }
-    }
+    })
 }
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -24,7 +24,8 @@
     assert!(again.status.success(), "{}", text(&again.stdout));
     let rules = |s: String| s.lines().filter(|l| l.contains("kept")).map(str::to_string).collect::<Vec<_>>();
     let again = rules(text(&again.stdout));
-    assert_eq!(again.len(), 8);
+    // The head of the table, seven rules, and one for budgets where there are some.
+    assert_eq!(again.len(), if name.starts_with("zones") { 9 } else { 8 });
     assert!(rules(text(&out.stdout)).ends_with(&again));
 }
 
@@ -43,6 +44,11 @@
     day("reload");
 }
 
+#[test]
+fn the_zones_drain_day_passes() {
+    day("zones-drain");
+}
+
 #[test]
 fn the_hot_volume_day_passes() {
     day("hot-volume");
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -51,6 +51,20 @@
     }
 }
 
+/// A budget of bytes between zones, as the document has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedCrossing {
+    /// Such as `east to west`, or `plan base`.
+    pub name: String,
+    pub id: VolumeId,
+    pub of: Across,
+    /// In bytes.
+    pub limit: Limit,
+    pub hard: bool,
+    /// Who shares it: hosts in either zone, or all.
+    pub hosts: Arc<[HostId]>,
+}
+
 /// Where a process lives. `listen` is where it binds, `address` where others reach it.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -125,6 +139,7 @@
     pub drain_grace: Span,
     pub bounds: HostBounds,
     pub routes: Routes,
+    pub crossings: Vec<NamedCrossing>,
     pub place: revisions::Place,
     /// What this document and those before it promise of limits, oldest first.
     pub line: Vec<gullsail_limits::Promises>,
@@ -140,7 +155,20 @@
 
     /// What the decisions at one host are told.
     pub fn facts(&self, me: HostId) -> Facts {
-        Facts { me, ..self.facts.clone() }
+        let zone = self.hosts.get(me.0 as usize).map(|h| h.zone).filter(|_| !self.crossings.is_empty());
+        Facts { me, zone, crossings: self.crossings_at(me), ..self.facts.clone() }
+    }
+
+    /// The budgets as one host shares them.
+    pub fn crossings_at(&self, me: HostId) -> Vec<Crossing> {
+        let share = |c: &NamedCrossing| Crossing {
+            id: c.id,
+            of: c.of,
+            limit: c.limit,
+            hard: c.hard,
+            hosts: if c.hosts.binary_search(&me).is_ok() { c.hosts.len() as u32 } else { 0 },
+        };
+        self.crossings.iter().map(share).collect()
     }
 
     pub fn host(&self, name: &str) -> Option<HostId> {
@@ -165,7 +193,8 @@
     NodeId(number(name))
 }
 
-const TOP: [&str; 15] = [
+const TOP: [&str; 16] = [
+    "crossing",
     "revision",
     "pool",
     "route",
@@ -289,6 +318,13 @@
         volumes.push(volume(r, n, &plans, &plan_names, &host_names, &everyone, facts.most_units));
     }
     together(r, document, &hosts, &volumes);
+    facts.most_bytes = bounds.frame.body as f64;
+    let crossings: Vec<_> = all("crossing")
+        .filter_map(|n| {
+            crate::crossings::read(r, n, &zones, &plan_names, &hosts, &everyone, facts.most_bytes)
+        })
+        .collect();
+    crate::crossings::together(r, document, &crossings);
     let known = routes::Known {
         zones: &zones,
         stream_types: &stream_types,
@@ -302,6 +338,7 @@
     let volumes_by_name = volumes.iter().enumerate().map(|(place, v)| (v.name.clone(), place)).collect();
     let built = Deployment {
         routes,
+        crossings,
         place,
         line: Vec::new(),
         zones: zones.list().to_vec(),
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -52,6 +52,7 @@
     d.hosts();
     d.nodes();
     d.pools();
+    d.crossings();
     d.order();
     d.rest();
     d.changes
@@ -95,6 +96,23 @@
         }
     }
 
+    fn crossings(&mut self) {
+        let index = |d: &Deployment| -> BTreeMap<String, (f64, f64, bool)> {
+            d.crossings.iter().map(|c| (c.name.clone(), (c.limit.rate, c.limit.burst, c.hard))).collect()
+        };
+        let (a, b) = (index(self.old), index(self.new));
+        if a.is_empty() != b.is_empty() {
+            let why = "whether zones count is read at a start only";
+            let say = |m: &BTreeMap<_, _>| if m.is_empty() { "none".to_string() } else { "some".to_string() };
+            self.change("crossings", "budgets", say(&a), say(&b), Class::Restart, why);
+        }
+        for name in a.keys().chain(b.keys()).collect::<BTreeSet<_>>() {
+            let (from, to) = (a.get(name).map_or("none".into(), say), b.get(name).map_or("none".into(), say));
+            let why = "each host keeps to the lower of its parts until all have followed";
+            self.change(&format!("crossing {name}"), "budget", from, to, Class::Safe, why);
+        }
+    }
+
     fn rest(&mut self) {
         let bounds = |d: &Deployment| say(&d.bounds);
         let (a, b) = (bounds(self.old), bounds(self.new));
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -5,6 +5,7 @@
 //! Its stages: [`sources`] and `resolve` (files, includes, templates: one flat document comes out), [`reader`]
 //! (how entries are read and what is wrong with them noted), [`deployment`] (what a document means).
 
+mod crossings;
 pub mod deployment;
 pub mod diff;
 pub mod explain;
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -430,6 +430,18 @@
         }
     }
 
+    /// Bytes a second, such as `"20MiB/s"`; more than none.
+    pub fn bytes_a_second(&mut self, node: &KdlNode, key: &str) -> f64 {
+        let Some(e) = self.entry(node, key, true) else { return 0.0 };
+        let help = || Some("bytes a second are written with their unit in quotes: \"20MiB/s\"".into());
+        let KdlValue::String(s) = e.value() else { return self.wrong(e, "a rate in bytes", help()) };
+        let amount = s.strip_suffix("/s").filter(|a| a.ends_with('B'));
+        match amount.and_then(|a| a.parse::<bytesize::ByteSize>().ok()).map(|b| b.as_u64()) {
+            Some(bytes) if bytes > 0 && bytes < 1 << 60 => bytes as f64,
+            _ => self.wrong(e, "a rate in bytes", help()),
+        }
+    }
+
     /// A part of a whole: 0 to 1, or `"30%"`.
     pub fn part_at(&mut self, node: &KdlNode, key: &str) -> Option<f64> {
         let e = self.entry(node, key, false)?;
--- a/crates/configuration/src/revisions.rs
+++ b/crates/configuration/src/revisions.rs
@@ -53,6 +53,11 @@
         hosts: v.hosts.clone(),
     };
     let volumes = d.volumes.iter().map(|v| (v.id, shared(v)));
+    // Budgets between zones are limits like others.
+    let budget = |c: &deployment::NamedCrossing| {
+        (c.id, Shared { plan: Default::default(), limit: Some(c.limit), hosts: c.hosts.clone() })
+    };
+    let volumes = volumes.chain(d.crossings.iter().map(budget));
     Promises { revision: d.place.revision, volumes: volumes.collect() }
 }
 
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -186,6 +186,12 @@
     day.start_all(&addresses).await?;
     let played = day.play_script(&addresses).await;
     let hosts = day.states().await;
+    for host in &hosts {
+        for p in &host.past {
+            let what = What::Past { budget: p.budget.clone(), cause: p.cause.clone(), bytes: p.bytes };
+            wire.note(&host.host, what);
+        }
+    }
     let mut faults = day.stop_all().await;
     faults.append(&mut day.faults);
     wire.flush().map_err(io("the recording"))?;
@@ -193,6 +199,9 @@
     let outcomes = played?;
     let recording = std::fs::read_to_string(&frames).map_err(io(frames.display().to_string()))?;
     let verdicts = gullsail_audit::judge(&d, &recording)?;
+    if !d.crossings.is_empty() {
+        faults.extend(accounts(&gullsail_audit::crossed(&d, &recording)?, &hosts, script));
+    }
     let tested = |rule: &u8| verdicts.iter().any(|v| v.rule == *rule && v.tested > 0);
     let untested = script.tests.iter().copied().filter(|rule| !tested(rule)).collect();
     for ((stream_type, plan), t) in &outcomes {
@@ -207,6 +216,35 @@
     Ok(Report { name, seed, happened: day.happened, outcomes, verdicts, untested, faults, hosts })
 }
 
+/// Hosts' accounts against the recording, to the byte; where connections were broken on purpose, frames that a host
+/// sent may never have come to the relay.
+fn accounts(seen: &BTreeMap<(String, String, String), u64>, hosts: &[State], script: &Script) -> Vec<String> {
+    let whole = |t: &Trouble| {
+        !matches!(
+            t,
+            Trouble::KillHost { .. } | Trouble::Reset { .. } | Trouble::Cut { .. } | Trouble::Replace { .. }
+        )
+    };
+    if !script.troubles.iter().all(|t| whole(&t.1)) {
+        return Vec::new();
+    }
+    let mut faults = Vec::new();
+    for h in hosts {
+        let mut counted: BTreeMap<(String, String, String), u64> = BTreeMap::new();
+        for c in h.crossed.iter().filter(|c| c.reason != gullsail_zones::Reason::Peers) {
+            *counted.entry((h.host.clone(), c.from.clone(), c.to.clone())).or_default() += c.total.bytes;
+        }
+        for (key, bytes) in seen.iter().filter(|(key, _)| key.0 == h.host) {
+            let counted = counted.get(key).copied().unwrap_or_default();
+            if counted != *bytes {
+                faults
+                    .push(format!("{}: {bytes} bytes from {} to {}, {counted} counted", key.0, key.1, key.2));
+            }
+        }
+    }
+    faults
+}
+
 /// The document with everybody's address: the relay's. Processes bind free ports of their own.
 fn resolve(text: &str, addresses: &BTreeMap<String, String>, reloads: bool) -> String {
     let Ok(mut document) = KdlDocument::parse_v2(text) else { return text.into() };
@@ -716,6 +754,13 @@
                 "  {} at revision {}: longest step of its loop {ms:.1} ms, {} over 10 ms; documents taken {}, turned down {}\n",
                 h.host, h.revision, c.long_steps, c.documents_taken, c.documents_turned_down
             );
+            for p in &h.past {
+                let span = (p.to_us - p.from_us) as f64 / 1e6;
+                text += &format!(
+                    "  {}: {} bytes past the budget {} in {span:.1} s: {}\n",
+                    h.host, p.bytes, p.budget, p.cause
+                );
+            }
             if !h.behind.is_empty() {
                 text += &format!("  {} waits for {} to follow\n", h.host, h.behind.join(" "));
             }
--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -3,6 +3,7 @@
 //! compared here, away from the loop that serves; the loop only takes or turns down what is ready.
 
 use crate::core::changes::Reply;
+use crate::core::zones::{Crossed, Past};
 use crate::core::{Counts, Input};
 use gullsail_configuration::diff::{Change, diff};
 use gullsail_configuration::{Deployment, Said};
@@ -67,6 +68,11 @@
     pub legs_out: usize,
     pub held_bytes: usize,
     pub counts: Counts,
+    /// What crossed between zones in this life of the host, and what of it went past budgets.
+    #[serde(default)]
+    pub crossed: Vec<Crossed>,
+    #[serde(default)]
+    pub past: Vec<Past>,
 }
 
 /// What the socket's task wants of the loop.
--- a/crates/host/src/core/changes.rs
+++ b/crates/host/src/core/changes.rs
@@ -100,7 +100,8 @@
         let terms = self.turnover.changed();
         if plans_too || !terms.is_empty() {
             let plans = self.deployment.figures().plans.clone();
-            self.events.push(Event::Plans { plans, terms });
+            let crossings = self.deployment.crossings_at(self.me);
+            self.events.push(Event::Plans { plans, terms, crossings });
         }
     }
 
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -7,8 +7,9 @@
 
 impl Core {
     pub(super) fn hear(&mut self, id: LinkId, frame: Frame) {
+        let (name, bytes) = (frame.message.name(), frame.len());
+        self.frame_crosses(id, &frame, false);
         let Some(link) = self.links.get_mut(&id) else { return };
-        let name = frame.message.name();
         match (&link.who, frame.message) {
             (_, Message::Newer { kind }) => debug!(link = id.0, kind, "kind of a newer version: skipped"),
             (Who::Stranger, Message::Hello(hello)) => self.greeted_by_stranger(id, hello),
@@ -34,7 +35,7 @@
             }
             (Who::Node(node), Message::LegAnswer(a)) => {
                 let node = *node;
-                self.leg_answer(node, a, frame.body);
+                self.leg_answer(node, a, frame.body, bytes);
             }
             (Who::Node(_), Message::ProbeAnswer(_)) => {}
             (Who::List, Message::Hello(hello)) => {
@@ -81,6 +82,9 @@
             (link.who, link.due_by) = (who, None);
         }
         if peer {
+            // What it was sent before it said who it is.
+            let first = self.hello();
+            self.frame_crosses(id, &first, true);
             self.ask_clock(id);
         } else {
             self.pressure(id);
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod nodes;
 mod serve;
 pub mod transfers;
+pub mod zones;
 
 use clock::PeerClock;
 use dial::{Dial, State};
@@ -23,6 +24,7 @@
 use gullsail_interface::*;
 use gullsail_limits::Turnover;
 use gullsail_protocol::{ClockAsk, Frame, Hello, Label, ListAsk, NotTaken, Role};
+use gullsail_zones::{Account, Breaches};
 use nodes::Nodes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -118,6 +120,8 @@
 const MOST_LINKS: usize = 20_000;
 /// Times the connect time-out that the first frame, or a list's reply, may take.
 const PATIENCE: f64 = 4.0;
+/// One bucket of the account of what crosses.
+const ACCOUNT_EVERY: Span = Span::from_micros(10_000_000);
 /// Between looks at stalled clients and long-gone nodes.
 const SWEEP: Span = Span::from_micros(1_000_000);
 
@@ -187,6 +191,9 @@
     /// The list was asked on its link and has not replied yet.
     list_asked: bool,
     transfers: Transfers,
+    /// What crossed between zones, and what went past budgets.
+    account: Account,
+    breaches: Breaches,
     turnover: Turnover,
     rounds_at: Option<Instant>,
     /// Bytes that wait for clients.
@@ -220,6 +227,8 @@
             transfers: Transfers::default(),
             turnover: Turnover::new(me, deployment.hosts.len() as u32, deployment.line.clone(), now),
             rounds_at: None,
+            account: Account::new(ACCOUNT_EVERY, now),
+            breaches: Breaches::default(),
             unsent: 0,
             held_back: false,
             stopping: false,
@@ -345,6 +354,7 @@
     }
 
     fn send(&mut self, to: LinkId, frame: Frame) {
+        self.frame_crosses(to, &frame, true);
         let Some(link) = self.links.get_mut(&to) else { return };
         if link.unsent == 0 {
             link.stuck_since = self.now;
--- a/crates/host/src/core/serve.rs
+++ b/crates/host/src/core/serve.rs
@@ -4,6 +4,9 @@
 use super::*;
 use gullsail_protocol::{Answer, Cancel, Handle, Leg, LegAnswer, LegResult, Outcome, Submit};
 
+/// The most that a leg's frame holds beside names and body.
+const LEG_HEAD: usize = 96;
+
 impl Core {
     /// A client hands a transfer over. What can't be taken is told so at once, with the reason.
     pub(super) fn submit(&mut self, link: LinkId, submit: Submit, body: bytes::Bytes) {
@@ -51,7 +54,11 @@
             ttl: Span::from_micros(submit.ttl_us).min(stream_type.expiry),
             volume_hosts: volume.hosts.len() as u32,
             pool: d.routes.pool(at, StreamTypeId(place)),
+            bytes: 0.0,
         };
+        // No less than its legs' frames will have: names, figures, and the body.
+        let names = submit.stream_type.len() + submit.volume.len() + submit.mark.len();
+        let transfer = Transfer { bytes: (LEG_HEAD + names + body.len()) as f64, ..transfer };
         let (write, expiry) = (stream_type.write, self.now + transfer.ttl);
         let id = self.transfers.take(Open { link, submit, write, body, expiry, legs: 0 });
         self.counts.taken += 1;
@@ -79,6 +86,7 @@
                 self.answer(id, Outcome::Deferred, None, come_back_us, bytes::Bytes::new());
             }
             Action::Abandon { id } => self.answer(id, Outcome::Abandoned, None, 0, bytes::Bytes::new()),
+            Action::Past { crossing, bytes, cause, .. } => self.past(crossing, bytes, cause),
             Action::Watch => self.dial_list(),
             Action::Timer { id, at } => self.at(at, Due::Brain(id)),
             Action::Tell { to, bytes } => self.tell(to, bytes),
@@ -113,7 +121,17 @@
             // Its node is forgotten: the leg does not go out. Of an end the decisions know before they ask for a
             // leg, since they hear all events of a batch first.
             let (ending, finished) = (Ending::Unsent, self.transfers.get(id).is_none());
-            let end = LegEnd { id, leg: number, node, ending, took: Span::ZERO, finished, used: None };
+            let end = LegEnd {
+                id,
+                leg: number,
+                node,
+                ending,
+                took: Span::ZERO,
+                finished,
+                used: None,
+                zone: ZoneId::default(),
+                bytes: 0.0,
+            };
             return self.events.push(Event::LegEnded(end));
         };
         self.counts.legs += 1;
@@ -152,12 +170,19 @@
         if let Some(out) = self.transfers.out(leg) {
             out.sent = Some(now);
         }
+        let zone = self.nodes.get(node).map_or(ZoneId::default(), |n| n.zone);
+        self.leg_crosses(zone, transfer, number, frame.len());
         self.send(link, frame);
         self.at(ends, Due::Leg(leg));
     }
 
     /// How a leg ended, to the decisions; once for each leg.
     fn leg_over(&mut self, leg: LegId, ending: Ending, used: Option<f64>) {
+        self.leg_over_with(leg, ending, used, 0);
+    }
+
+    /// `bytes`: of the node's answer.
+    fn leg_over_with(&mut self, leg: LegId, ending: Ending, used: Option<f64>, bytes: usize) {
         let Some(out) = self.transfers.leg_ended(leg) else { return };
         if let Some(n) = self.nodes.get(out.node) {
             n.pending.remove(&leg);
@@ -165,7 +190,19 @@
         let finished = ending == Ending::Done || self.transfers.get(out.transfer).is_none();
         let took = self.now - out.sent.unwrap_or(out.made);
         let (id, leg, node) = (out.transfer, out.number, out.node);
-        self.events.push(Event::LegEnded(LegEnd { id, leg, node, ending, took, finished, used }));
+        let zone = self.nodes.get(node).map_or(ZoneId::default(), |n| n.zone);
+        let bytes = bytes as f64;
+        self.events.push(Event::LegEnded(LegEnd {
+            id,
+            leg,
+            node,
+            ending,
+            took,
+            finished,
+            used,
+            zone,
+            bytes,
+        }));
     }
 
     pub(super) fn leg_is_late(&mut self, leg: LegId) {
@@ -184,8 +221,13 @@
         }
     }
 
-    pub(super) fn leg_answer(&mut self, node: NodeId, answer: LegAnswer, body: bytes::Bytes) {
+    /// `bytes`: of the whole frame.
+    pub(super) fn leg_answer(&mut self, node: NodeId, answer: LegAnswer, body: bytes::Bytes, bytes: usize) {
         let leg = LegId(answer.leg);
+        let zone = self.nodes.get(node).map_or(ZoneId::default(), |n| n.zone);
+        let of = self.transfers.out(leg).filter(|o| o.node == node).map(|o| (o.transfer, o.number));
+        let awaited = of.is_some_and(|(transfer, _)| self.transfers.get(transfer).is_some());
+        self.answer_crosses(zone, of, bytes, awaited && answer.result == LegResult::Done as i32);
         // Late, or another node's: nothing waits for it here.
         let Some(out) = self.transfers.out(leg).filter(|o| o.node == node && o.sent.is_some()) else {
             self.counts.late_node_answers += 1;
@@ -206,7 +248,7 @@
         } else if !answer.reason.is_empty() {
             debug!(leg = answer.leg, node = node.0, reason = answer.reason, "leg not done");
         }
-        self.leg_over(leg, ending, used);
+        self.leg_over_with(leg, ending, used, bytes);
     }
 
     /// A node said who it is: its start is told to the decisions before anything is sent to it.
--- /dev/null
+++ b/crates/host/src/core/zones.rs
@@ -0,0 +1,145 @@
+//! What crosses between zones, counted as frames go out and come in.
+
+use super::*;
+use gullsail_protocol::Message;
+use gullsail_zones::{Breach, Flow, Known, Reason, Total};
+use serde::{Deserialize, Serialize};
+
+/// A flow and its total, by the document's names.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Crossed {
+    pub from: String,
+    pub to: String,
+    pub reason: Reason,
+    /// Of a transfer; empty where there is none.
+    pub plan: String,
+    pub volume: String,
+    pub stream_type: String,
+    #[serde(flatten)]
+    pub total: Total,
+}
+
+/// Bytes past a budget.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Past {
+    pub budget: String,
+    pub cause: String,
+    /// By the host's clock.
+    pub from_us: i64,
+    pub to_us: i64,
+    pub bytes: u64,
+}
+
+impl Core {
+    /// The account and the breaches of this life, by name.
+    pub fn zones(&self) -> (Vec<Crossed>, Vec<Past>) {
+        let d = &self.deployment;
+        let zone = |z: ZoneId| d.zones.get(z.0).cloned().unwrap_or_else(|| "unknown".into());
+        let plan = |p: PlanId| d.plans.get(p.0).map(|p| p.name.clone()).unwrap_or_default();
+        let volume = |id| d.volumes.iter().find(|v| v.id == id).map(|v| v.name.clone()).unwrap_or_default();
+        let (flows, breaches) = self.crossed();
+        let said = |(f, total): (Flow, Total)| Crossed {
+            from: zone(f.from),
+            to: zone(f.to),
+            reason: f.reason,
+            plan: f.of.map(|of| plan(of.0)).unwrap_or_default(),
+            volume: f.of.map(|of| volume(of.1)).unwrap_or_default(),
+            stream_type: f
+                .of
+                .and_then(|of| d.stream_types.get(of.2.0))
+                .map(|s| s.name.clone())
+                .unwrap_or_default(),
+            total,
+        };
+        let cause = |k: Known| match k {
+            Known::Decided(Cause::Bound) => "bound to data".to_string(),
+            Known::Decided(Cause::Drained) => "zone drained".into(),
+            Known::Decided(Cause::Silent) => "zone silent".into(),
+            Known::Decided(Cause::Further) => "further legs".into(),
+            Known::Surge(p) => format!("surge of plan {}", plan(p)),
+        };
+        let budget = |id| d.crossings.iter().find(|c| c.id == id).map(|c| c.name.clone()).unwrap_or_default();
+        let past = |b: Breach| Past {
+            budget: budget(b.crossing),
+            cause: cause(b.known),
+            from_us: b.from.micros(),
+            to_us: b.to.micros(),
+            bytes: b.bytes.round() as u64,
+        };
+        (flows.into_iter().map(said).collect(), breaches.into_iter().map(past).collect())
+    }
+
+    fn here(&self) -> Option<ZoneId> {
+        // Where no budgets are, nobody asks what crosses, and it costs nothing.
+        let place = self.deployment.hosts.get(self.me.0 as usize)?;
+        (!self.deployment.crossings.is_empty()).then_some(place.zone)
+    }
+
+    /// Frames that carry no leg: counted by who sends them to a host, and at the host of those to and from nodes.
+    pub(super) fn frame_crosses(&mut self, link: LinkId, frame: &Frame, out: bool) {
+        let Some(here) = self.here() else { return };
+        if matches!(frame.message, Message::Leg(_) | Message::LegAnswer(_)) {
+            return;
+        }
+        let there = match self.links.get(&link).map(|l| &l.who) {
+            Some(Who::Node(node)) => self.nodes.get(*node).map(|n| n.zone),
+            Some(Who::PeerOut(host) | Who::PeerIn { host, .. }) if out => {
+                self.deployment.hosts.get(host.0 as usize).map(|h| h.zone)
+            }
+            _ => None,
+        };
+        let Some(there) = there else { return };
+        let (from, to) = if out { (here, there) } else { (there, here) };
+        self.account.count(self.now, Flow { from, to, reason: Reason::Peers, of: None }, frame.len(), false);
+    }
+
+    fn flow(&self, from: ZoneId, to: ZoneId, transfer: TransferId, leg: u32) -> Flow {
+        let Some(open) = self.transfers.get(transfer) else {
+            return Flow { from, to, reason: Reason::Further, of: None };
+        };
+        let reason = match (leg, open.submit.handle.is_some()) {
+            (0, true) => Reason::Bound,
+            (0, false) => Reason::Placed,
+            _ => Reason::Further,
+        };
+        let volume = self.deployment.volume(&open.submit.volume);
+        let place = self.deployment.stream_types.iter().position(|s| s.name == open.submit.stream_type);
+        Flow { from, to, reason, of: volume.zip(place).map(|(v, s)| (v.plan, v.id, StreamTypeId(s))) }
+    }
+
+    /// A leg goes out to a node in that zone.
+    pub(super) fn leg_crosses(&mut self, zone: ZoneId, transfer: TransferId, leg: u32, bytes: usize) {
+        let Some(here) = self.here().filter(|here| *here != zone) else { return };
+        let flow = self.flow(here, zone, transfer, leg);
+        self.count(flow, bytes, false);
+    }
+
+    /// An answer came from a node in that zone; `used`: a client has something of it.
+    pub(super) fn answer_crosses(
+        &mut self,
+        zone: ZoneId,
+        leg: Option<(TransferId, u32)>,
+        bytes: usize,
+        used: bool,
+    ) {
+        let Some(here) = self.here().filter(|here| *here != zone) else { return };
+        let none = Flow { from: zone, to: here, reason: Reason::Further, of: None };
+        let flow = leg.map_or(none, |(transfer, number)| self.flow(zone, here, transfer, number));
+        self.count(flow, bytes, !used);
+    }
+
+    fn count(&mut self, flow: Flow, bytes: usize, for_nothing: bool) {
+        self.account.count(self.now, flow, bytes, for_nothing);
+        if let Some((plan, ..)) = flow.of {
+            self.breaches.crossed(self.now, plan, bytes as f64);
+        }
+    }
+
+    pub(super) fn past(&mut self, crossing: VolumeId, bytes: f64, cause: Cause) {
+        self.breaches.past(self.now, crossing, bytes, cause);
+    }
+
+    fn crossed(&self) -> (BTreeMap<Flow, Total>, Vec<Breach>) {
+        (self.account.since(None), self.breaches.all().cloned().collect())
+    }
+}
--- a/crates/host/src/drive.rs
+++ b/crates/host/src/drive.rs
@@ -208,6 +208,7 @@
 fn state(core: &Core) -> (Arc<Deployment>, State) {
     let (deployment, behind) = core.document();
     let (open, legs_out, held_bytes) = core.load();
+    let (crossed, past) = core.zones();
     let name = |h: &HostId| deployment.hosts.get(h.0 as usize).map(|p| p.name.clone());
     let state = State {
         host: name(&core.me()).unwrap_or_default(),
@@ -217,6 +218,8 @@
         legs_out,
         held_bytes,
         counts: core.counts().clone(),
+        crossed,
+        past,
     };
     (deployment.clone(), state)
 }
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -181,6 +181,40 @@
     pub part: Option<Limit>,
 }
 
+/// A budget of bytes that go from zone to zone, over all hosts together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Crossing {
+    /// As hosts name it to each other.
+    pub id: VolumeId,
+    pub of: Across,
+    /// In bytes.
+    pub limit: Limit,
+    /// What has a choice never goes past it; else it may where its own zone has no node for it.
+    pub hard: bool,
+    /// How many hosts share it; 0: not this one.
+    pub hosts: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Across {
+    /// From, to.
+    Pair(ZoneId, ZoneId),
+    /// All that crosses for the volumes of a plan.
+    Plan(PlanId),
+}
+
+/// Why something went past a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// Its data lies there.
+    Bound,
+    /// Its own zone has no node that takes it: these drain or are gone, or they are silent.
+    Drained,
+    Silent,
+    /// A further leg of something that had its first elsewhere.
+    Further,
+}
+
 /// How many legs beyond each transfer's first a host may send within `window`.
 #[derive(Clone, Copy, Debug)]
 pub struct LegBudget {
@@ -222,6 +256,11 @@
     pub peers_talk: bool,
     /// The node list answers only when asked.
     pub list_asked: bool,
+    /// Where this host is; `None`: zones count for nothing.
+    pub zone: Option<ZoneId>,
+    pub crossings: Vec<Crossing>,
+    /// The most that one transfer sends.
+    pub most_bytes: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -264,6 +303,8 @@
     pub plan: PlanId,
     pub volume: VolumeId,
     pub units: f64,
+    /// What a leg of it sends.
+    pub bytes: f64,
     /// Where the data lies; `None`: a new object.
     pub cell: Option<CellId>,
     pub object: Option<ObjectId>,
@@ -312,6 +353,9 @@
     pub finished: bool,
     /// What the volume was served through all hosts in some finished period, as a part of its usual rate.
     pub used: Option<f64>,
+    /// Where the node is, and what it sent back.
+    pub zone: ZoneId,
+    pub bytes: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -328,6 +372,7 @@
     Plans {
         plans: Vec<Plan>,
         terms: Vec<Terms>,
+        crossings: Vec<Crossing>,
     },
     Timer(TimerId),
     ClientLeft(TransferId),
@@ -366,6 +411,13 @@
         id: TimerId,
         at: Instant,
     },
+    /// Something of this transfer went past a budget, by so many bytes of its own.
+    Past {
+        id: TransferId,
+        crossing: VolumeId,
+        bytes: f64,
+        cause: Cause,
+    },
     /// At most 256 bytes to one host.
     Tell {
         to: HostId,
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -38,6 +38,12 @@
         text: Option<String>,
         serves: bool,
     },
+    /// By the script: what the host called `to` said at the end of bytes that went past a budget.
+    Past {
+        budget: String,
+        cause: String,
+        bytes: u64,
+    },
     /// By the script, for people.
     Trouble {
         text: String,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -117,6 +117,7 @@
     units: f64, // how many it may be sent now; infinite once it is warm
     even: f64,  // and within this host's even part, whatever other hosts do
     latency: Span,
+    silent: bool,
 }
 
 impl Node {
@@ -226,16 +227,20 @@
         let ((units, even), slots) = (self.cold_room(now, facts), self.slots(now));
         // It halves with each second of silence: no old jam is held against a node for ever.
         let latency = self.latency().times(0.5f64.powf((now - self.heard).secs().max(0.0)));
-        Room { entry: self.entry.clone(), slots, units, even, latency }
+        Room { entry: self.entry.clone(), slots, units, even, latency, silent: self.silent(now) }
+    }
+
+    fn silent(&self, now: Instant) -> bool {
+        let patience = self.latency().times(Self::SILENT);
+        let oldest = self.out.values().map(|o| o.0).min();
+        oldest.is_some_and(|sent| now - sent.max(self.heard) > patience)
     }
 
     fn slots(&self, now: Instant) -> usize {
         if self.entry.standing != Standing::Ready {
             return 0;
         }
-        let patience = self.latency().times(Self::SILENT);
-        let oldest = self.out.values().map(|o| o.0).min();
-        if oldest.is_some_and(|sent| now - sent.max(self.heard) > patience) {
+        if self.silent(now) {
             // Stalled, dead or cut off, it looks the same: the rest stays here, where it can still be
             // given up or wait for a successor, and one careful leg at a time asks, ever more seldom.
             return usize::from(now - self.last_sent > (now - self.heard).times(0.5));
@@ -245,8 +250,10 @@
     }
 }
 
+/// Whatever has a limit over all hosts: a volume, in units, or a budget of bytes between zones.
 #[derive(Default)]
 struct Volume {
+    crossing: Option<usize>, // which budget it is
     plan: PlanId,
     hosts: f64,
     part: Option<Limit>, // while documents change: this host's part, where it is not an even one
@@ -285,21 +292,22 @@
 
     /// Also where the plan has none any more and other hosts still hold to the one it had.
     fn limit(&self, facts: &Facts) -> Option<Limit> {
-        facts.plans[self.plan.0].limit.or(self.part)
+        let limit = self.crossing.map(|place| facts.crossings[place].limit);
+        limit.or_else(|| facts.plans[self.plan.0].limit).or(self.part)
     }
 
     fn refill(&mut self, now: Instant, facts: &Facts) {
-        let (plan, most_units) = (&facts.plans[self.plan.0], facts.most_units);
         let span = (now - self.at).secs().max(0.0);
         if let Some(limit) = &self.limit(facts) {
             let (rate, cap) = self.even(now, limit);
             self.level = (self.level + rate * span).min(cap);
         }
         let own = self.asked.read(now, LAST);
+        self.at = self.at.max(now);
+        let Some(plan) = facts.plans.get(self.plan.0).filter(|_| self.crossing.is_none()) else { return };
         let all = self.used.map_or(own * self.hosts, |used| used.max(own)).max(1e-9);
         let rate = plan.reserve * (own / all).max(1.0 / self.hosts / 2.0);
-        self.reserve = (self.reserve + rate * span).min(rate + most_units);
-        self.at = self.at.max(now);
+        self.reserve = (self.reserve + rate * span).min(rate + facts.most_units);
     }
 
     /// Tokens for a host that lacks some. The rate rule of the design page says what this host keeps: its
@@ -313,7 +321,8 @@
         let all = own + fresh.map(|p| p.1).sum::<f64>();
         let keep = if all > limit.rate { own / all * limit.rate } else { own } * LAST.secs();
         // And what its next transfer needs: many who ask would else leave none enough for a whole one.
-        let gift = label::rounded(want.min(self.level - keep.max(self.waiting.min(facts.most_units))));
+        let most = if self.crossing.is_some() { facts.most_bytes } else { facts.most_units };
+        let gift = label::rounded(want.min(self.level - keep.max(self.waiting.min(most))));
         self.level -= gift;
         self.lent.push_back((now + ASK_EVERY, gift));
         gift
@@ -393,6 +402,7 @@
 const RETURN: f64 = 2.0; // half of the legs may fail before a host holds back, as in any rough hour
 const RECENT: Span = Span::from_micros(3_000_000); // long enough for some legs of a host that sends seldom
 const HEADS: usize = 4; // looked at in each group: the first may be too large for now, or wait its turn
+const FAR: f64 = 0.1; // of the odds of a node at home that one elsewhere has
 const SAMPLE: usize = 8; // nodes looked at for a new object: enough that some have room
 const NEXT_EPOCH: TimerId = TimerId(1 << 40);
 const ASK_LIST: TimerId = TimerId(NEXT_EPOCH.0 + 1);
@@ -407,6 +417,7 @@
         let mut desk = Desk { now, born: now, facts, tight, ask_again: ASK_FIRST, ..Desk::default() };
         desk.good.add(now, RECENT, Node::START); // a newborn trusts a little before it knows
         desk.actions.extend(desk.facts.list_asked.then_some(Action::Watch));
+        desk.budgets();
         desk.epoch();
         desk
     }
@@ -433,7 +444,12 @@
             }
             DeskNote::Event(Event::List { extent: Extent::Remembered | Extent::Seen, .. }) => {}
             DeskNote::Event(Event::List { .. }) => self.ask_again = ASK_FIRST,
-            DeskNote::Event(Event::Plans { plans, terms }) => self.change(plans, &terms),
+            DeskNote::Event(Event::Plans { plans, terms, crossings }) => {
+                self.volumes.values_mut().for_each(|v| v.refill(self.now, &self.facts));
+                (self.facts.plans, self.facts.crossings) = (plans, crossings);
+                self.budgets();
+                self.change(&terms);
+            }
             DeskNote::Event(Event::Timer(NEXT_EPOCH)) => self.epoch(),
             DeskNote::Event(Event::Timer(ASK_LIST)) => self.actions.push(Action::Watch),
             DeskNote::Event(Event::Timer(id)) if id > NEXT_EPOCH => {
@@ -466,11 +482,69 @@
         }
     }
 
+    /// Budgets stand among the volumes, by names of their own: they fill, are lent and asked for alike.
+    fn budgets(&mut self) {
+        let (now, f) = (self.now, &self.facts);
+        let place =
+            |id: &VolumeId| f.crossings.iter().position(|c| c.hosts > 0 && label::carried(c.id) == *id);
+        self.volumes.retain(|id, v| v.crossing.is_none() || place(id).is_some());
+        for (id, c) in f.crossings.iter().filter(|c| c.hosts > 0).map(|c| (label::carried(c.id), c)) {
+            let v = self.volumes.entry(id).or_insert_with(|| Volume { at: now, ..Volume::default() });
+            (v.crossing, v.hosts) = (place(&id), f64::from(c.hosts));
+        }
+    }
+
+    /// The budgets that bytes of a plan's volume from zone to zone count against, and which are hard.
+    fn across(&self, plan: PlanId, from: ZoneId, to: ZoneId) -> impl Iterator<Item = (VolumeId, bool)> {
+        let of = [Across::Pair(from, to), Across::Plan(plan)];
+        let some =
+            self.facts.crossings.iter().filter(move |c| from != to && c.hosts > 0 && of.contains(&c.of));
+        some.map(|c| (label::carried(c.id), c.hard))
+    }
+
+    /// Takes bytes that cross from their budgets; what goes past one is told with its cause.
+    fn cross(&mut self, id: TransferId, plan: PlanId, way: (ZoneId, ZoneId), bytes: f64, cause: Cause) {
+        for (crossing, _) in self.across(plan, way.0, way.1).collect::<Vec<_>>() {
+            let Some(v) = self.volumes.get_mut(&crossing) else { continue };
+            v.refill(self.now, &self.facts);
+            v.asked.add(self.now, LAST, bytes);
+            (v.level, v.waiting) = (v.level - bytes, bytes);
+            let over = bytes.min(-v.level);
+            if over > 0.0 {
+                self.actions.push(Action::Past { id, crossing, bytes: over, cause });
+            }
+            self.ask(crossing);
+        }
+    }
+
+    /// Why this host's zone has no node for new objects of a pool, if it has none.
+    fn homeless(&self, pool: PoolId) -> Option<Cause> {
+        let me = self.facts.zone?;
+        let ready = self.ready.get(&pool).into_iter().flatten().map(|nd| &self.rooms[nd]);
+        let mut here = ready.filter(|r| r.entry.zone == me).peekable();
+        if here.peek().is_none() {
+            Some(Cause::Drained)
+        } else {
+            here.all(|r| r.silent).then_some(Cause::Silent)
+        }
+    }
+
+    /// May what has a choice go to that zone, now or within so long? With tokens, once half of its time is
+    /// gone; past a soft budget only where there is no node at home.
+    fn may_cross(&self, x: &Xfer, zone: ZoneId, within: Span) -> bool {
+        let Some(me) = self.facts.zone.filter(|me| *me != zone) else { return true };
+        let homeless = self.homeless(x.t.pool).is_some();
+        let fits = |(id, hard): (VolumeId, bool)| {
+            let v = &self.volumes[&id];
+            let rate = v.part.map(|p| p.rate).or(v.limit(&self.facts).map(|l| l.rate / v.hosts));
+            (homeless && !hard) || v.level + rate.unwrap_or(0.0) * within.secs() >= x.t.bytes
+        };
+        (homeless || self.now >= x.half_time) && self.across(x.t.plan, me, zone).all(fits)
+    }
+
     /// Other plans, and what volumes may be sent from now on. What a host no longer serves is given up on.
-    fn change(&mut self, plans: Vec<Plan>, terms: &[Terms]) {
+    fn change(&mut self, terms: &[Terms]) {
         let now = self.now;
-        self.volumes.values_mut().for_each(|v| v.refill(now, &self.facts));
-        self.facts.plans = plans;
         for t in terms {
             let id = label::carried(t.volume);
             let v = self.volumes.entry(id).or_insert_with(|| Volume { at: now, ..Volume::default() });
@@ -541,9 +615,28 @@
     }
 
     fn look_over(&mut self, key: LineKey, least: Instant, rng: &mut ChaCha8Rng) {
+        let mut wanted = Vec::new();
         let Some(line) = self.lines.get(&key) else { return };
         let lost = line.groups.values().flat_map(|g| g.iter().take_while(|w| w.0 <= least));
-        for id in lost.map(|w| w.1).collect::<Vec<_>>() {
+        let mut lost: Vec<_> = lost.map(|w| w.1).collect();
+        if let (Where::Pool(pool), true) = (key.1, self.facts.zone.is_some()) {
+            let ids = line.groups.values().flatten().map(|w| w.1);
+            let lacks: Vec<_> = ids.map(|id| (id, &self.xfers[&id])).collect();
+            let homeless = self.homeless(pool).is_some();
+            let rooms = self.ready.get(&pool).into_iter().flatten().map(|nd| self.rooms[nd].entry.zone);
+            let zones: BTreeSet<_> = rooms.filter(|z| Some(*z) != self.facts.zone).collect();
+            let hope = |x: &Xfer| zones.iter().any(|z| self.may_cross(x, *z, x.slo_end - self.now));
+            let late = lacks.iter().any(|(_, x)| homeless || self.now >= x.half_time);
+            // Nothing at home, and no tokens in time for anywhere else: answered at once.
+            lost.extend(lacks.iter().filter(|(_, x)| homeless && !zones.is_empty() && !hope(x)).map(|l| l.0));
+            let bytes = lacks.iter().map(|(_, x)| x.t.bytes).sum::<f64>();
+            for c in self.facts.crossings.iter().filter(|c| late && c.hosts > 0).map(|c| label::carried(c.id))
+            {
+                self.volumes.entry(c).and_modify(|v| v.waiting = bytes);
+                wanted.push(c);
+            }
+        }
+        for id in lost {
             self.give_up(id);
         }
         let Some(line) = self.lines.get_mut(&key) else { return };
@@ -554,8 +647,8 @@
             self.beats.insert(id, key);
             self.actions.push(Action::Timer { id, at: self.now + BEAT_EVERY });
         }
-        let volumes: Vec<_> = line.groups.keys().map(|g| g.0).collect();
-        volumes.into_iter().for_each(|v| self.ask(v));
+        wanted.extend(line.groups.keys().map(|g| g.0));
+        wanted.into_iter().for_each(|v| self.ask(v));
         match key.1 {
             Where::Cell(cell) => {
                 self.outbox.extend(self.holders(cell).map(|nd| (nd, NodeNote::Beat)).collect::<Vec<_>>())
@@ -582,6 +675,11 @@
             v.used = Some(used * self.facts.plans[v.plan.0].usual);
         }
         x.out = x.out.saturating_sub(1);
+        let plan = x.t.plan;
+        if let Some(me) = self.facts.zone {
+            self.cross(id, plan, (e.zone, me), e.bytes, Cause::Bound);
+        }
+        let Some(x) = self.xfers.get_mut(&id) else { return };
         x.maybe_ran = x.maybe_ran.filter(|m| m.0 != leg || !ending.never_ran());
         let unknown = matches!(ending, Ending::TimedOut | Ending::Broken | Ending::Cancelled);
         if let (true, Some(turn)) = (unknown, x.t.object.and_then(|o| self.turns.get_mut(&o))) {
@@ -648,6 +746,9 @@
         if room.units < x.t.units || self.now + room.latency.times(USUAL) > x.slo_end {
             return false;
         }
+        if x.t.cell.is_none() && !self.may_cross(x, room.entry.zone, Span::ZERO) {
+            return false;
+        }
         if let (Effect::Keyed { group, window }, Some((_, cell, zone, since))) = (s.effect, x.maybe_ran) {
             let zone = group == Group::Zone && zone == room.entry.zone;
             let same = group == Group::All || zone || cell == room.entry.cell;
@@ -673,6 +774,9 @@
         for (volume, _) in line.groups.keys() {
             self.volumes.get_mut(volume)?.refill(self.now, &self.facts);
         }
+        for c in &self.facts.crossings {
+            self.volumes.entry(label::carried(c.id)).and_modify(|v| v.refill(self.now, &self.facts));
+        }
         let heads = line.groups.values().flat_map(|g| g.iter().take(HEADS)).map(|w| (w.1, &self.xfers[&w.1]));
         let ready = heads.filter(|(id, x)| self.may_go(*id, x, room));
         let ranked = ready.map(|(id, x)| (self.due(x), x.slo_end, id));
@@ -725,7 +829,10 @@
         let cold = 2 * few.iter().filter(warm).count() > few.len() || few.iter().all(|r| r.units.is_finite());
         let fits = |r: &&&Room| r.slots > 0 && (cold || r.even >= self.facts.most_units);
         let takers: Vec<_> = few.iter().filter(fits).collect();
-        let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3);
+        let far = |r: &Room| self.facts.zone.is_some_and(|me| me != r.entry.zone);
+        let cost = if self.homeless(pool).is_some() { 1.0 } else { FAR };
+        let cost = |r: &Room| if far(r) { cost } else { 1.0 };
+        let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3) * cost(r);
         if let Ok(r) = takers.choose_weighted(rng, odds) {
             self.drawn.insert((r.entry.node, pool));
             self.outbox.push((r.entry.node, NodeNote::Beat));
@@ -748,6 +855,7 @@
             }
         }
         let slo_time = self.facts.stream_types[x.t.stream_type.0].slo_time.min(self.tight);
+        let (t, first) = (x.t.clone(), x.legs == 0);
         let (leg, units, node) = (x.legs, x.t.units, room.entry.node);
         self.sent.add(self.now, RECENT, 1.0);
         x.legs += 1;
@@ -755,6 +863,11 @@
         x.maybe_ran.get_or_insert((leg, room.entry.cell, room.entry.zone, self.now));
         self.outbox.push((node, NodeNote::Out { id, leg, units, slo_time }));
         self.actions.push(Action::Leg { id, node, time_out: Some(x.slo_end - self.now) });
+        if let Some(me) = self.facts.zone {
+            let else_why = if first { Cause::Bound } else { Cause::Further };
+            let choice = self.homeless(t.pool).filter(|_| t.cell.is_none());
+            self.cross(id, t.plan, (me, room.entry.zone), t.bytes, choice.unwrap_or(else_why));
+        }
     }
 
     fn epoch(&mut self) {
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -102,7 +102,17 @@
     pub fn end(&mut self, id: u64, leg: u32, node: u64, ending: Ending, took: i64) {
         let finished = ending == Ending::Done;
         let (id, node) = (TransferId(id), NodeId(node));
-        self.tell(Event::LegEnded(LegEnd { id, leg, node, ending, took: ms(took), finished, used: None }));
+        self.tell(Event::LegEnded(LegEnd {
+            id,
+            leg,
+            node,
+            ending,
+            took: ms(took),
+            finished,
+            used: None,
+            zone: ZoneId(0),
+            bytes: 0.0,
+        }));
     }
 
     fn sent(&self) -> impl Iterator<Item = (u64, u64)> {
--- a/tests/decisions/limits.rs
+++ b/tests/decisions/limits.rs
@@ -146,6 +146,7 @@
         let terms = |(hosts, part)| Event::Plans {
             plans: plans.clone(),
             terms: vec![Terms { volume: VolumeId(7), plan: PlanId(1), hosts, part }],
+            crossings: Vec::new(),
         };
         let mut h = Host::new(facts(), vec![node(1, 0)], at(0));
         h.tell(terms(before));
@@ -174,3 +175,149 @@
         assert_eq!(waiting, usize::from(after.0 == 0), "{before:?} {after:?}");
     }
 }
+
+/// Two zones with a budget each way for two hosts; nodes 1 and 2 here, 3 there; 1,000 bytes a transfer.
+fn zoned(hard: bool, limit: Limit) -> Facts {
+    let budget = |id, from, to| Crossing {
+        id: VolumeId(id),
+        of: Across::Pair(ZoneId(from), ZoneId(to)),
+        limit,
+        hard,
+        hosts: 2,
+    };
+    let crossings = vec![budget(901, 0, 1), budget(902, 1, 0)];
+    Facts { zone: Some(ZoneId(0)), crossings, most_bytes: 1000.0, ..facts() }
+}
+
+fn past(h: &Host) -> Vec<(u64, f64, Cause)> {
+    let past = |a: &(Instant, Action)| match a.1 {
+        Action::Past { crossing, bytes, cause, .. } => Some((crossing.0, bytes, cause)),
+        _ => None,
+    };
+    h.asked.iter().filter_map(past).collect()
+}
+
+/// New objects stay at home while it has room, cross with tokens only, and past a soft budget where home has no node;
+/// what a hard one has no room for is answered at once. Data that lies elsewhere has no choice, and what that does is told.
+#[test]
+fn what_crosses_is_budgeted() {
+    enum Home {
+        Well,
+        Drained,
+        Silent,
+    }
+    let rate = |rate, burst| Limit { rate, burst };
+    // at home, hard, the limit, whether data lies there: how many of 20 go there, and are answered at once; causes
+    let cases = [
+        (Home::Well, false, rate(0.0, 0.0), false, 0, 0, vec![]),
+        (Home::Well, false, rate(1e6, 1e6), false, 0, 0, vec![]),
+        (Home::Drained, false, rate(1e6, 1e6), false, 20, 0, vec![]),
+        (Home::Drained, true, rate(1e6, 1e6), false, 20, 0, vec![]),
+        (Home::Drained, false, rate(0.0, 0.0), false, 20, 0, vec![Cause::Drained]),
+        (Home::Drained, true, rate(0.0, 0.0), false, 0, 20, vec![]),
+        (Home::Drained, true, rate(10.0, 10_000.0), false, 0, 20, vec![]),
+        (Home::Drained, true, rate(2000.0, 10_000.0), false, 5, 15, vec![]),
+        // One careful leg each still asks the silent ones.
+        (Home::Silent, false, rate(0.0, 0.0), false, 18, 0, vec![Cause::Silent]),
+        (Home::Silent, true, rate(0.0, 0.0), false, 0, 18, vec![]),
+        (Home::Well, true, rate(0.0, 0.0), true, 20, 0, vec![Cause::Bound]),
+        (Home::Well, true, rate(1e6, 1e6), true, 20, 0, vec![]),
+    ];
+    for (place, (home, hard, limit, bound, there, at_once, causes)) in cases.into_iter().enumerate() {
+        let answers = |node| node == 3 || !matches!(home, Home::Silent);
+        let answer = |h: &mut Host, id| {
+            let legs = h.legs(id).into_iter().enumerate().filter(|l| answers(l.1));
+            legs.for_each(|(leg, node)| h.end(id, leg as u32, node, Ending::Done, 1));
+        };
+        let far = NodeEntry { zone: ZoneId(1), ..node(3, 3) };
+        let mut h = Host::new(zoned(hard, limit), vec![node(1, 1), node(2, 2), far.clone()], at(0));
+        h.pass(ms(10_000));
+        match home {
+            Home::Well => {}
+            Home::Drained => {
+                let gone = |id| NodeEntry { standing: Standing::Draining, ..node(id, id as i64) };
+                h.list(Extent::Changes, vec![gone(1), gone(2)]);
+            }
+            Home::Silent => {
+                // It knows that legs come back, or it would hold back of itself.
+                for id in 81..=88 {
+                    h.tell(Event::Arrived(Transfer { cell: Some(CellId(id % 2 + 1)), ..xfer(id as u64, 0) }));
+                    h.end(id as u64, 0, id as u64 % 2 + 1, Ending::Done, 1);
+                }
+                for id in 91..=92 {
+                    h.tell(Event::Arrived(Transfer { cell: Some(CellId(id - 90)), ..xfer(id as u64, 0) }));
+                }
+                h.pass(ms(200));
+            }
+        }
+        for id in 1..=20 {
+            let cell = bound.then_some(CellId(3));
+            h.tell(Event::Arrived(Transfer { cell, bytes: 1000.0, ..xfer(id, 0) }));
+            answer(&mut h, id);
+        }
+        // That a node is silent is seen when it is looked at.
+        for _ in 0..if matches!(home, Home::Silent) { 200 } else { 0 } {
+            h.pass(ms(1));
+            (1..=20).for_each(|id| answer(&mut h, id));
+        }
+        let answered = (1..=20).filter(|id| !h.answers(*id).is_empty()).count();
+        let went = (1..=20).filter(|id| h.legs(*id).contains(&3)).count();
+        assert_eq!((went, answered), (there, at_once), "case {place}");
+        let mut found: Vec<_> = past(&h).into_iter().map(|p| p.2).collect();
+        found.sort();
+        found.dedup();
+        assert_eq!(found, causes, "case {place}");
+    }
+}
+
+/// Budgets are lent by labels as volumes' tokens are, and never sum past the limit, whatever becomes of labels.
+#[test]
+fn budgets_are_lent_and_never_summed_past() {
+    let limit = Limit { rate: 8000.0, burst: 16_000.0 };
+    for (lost, least) in [(0.0, 0.75), (0.5, 0.55), (1.0, 0.35)] {
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let nodes = |_| vec![NodeEntry { zone: ZoneId(1), ..node(3, 3) }];
+        let host = |me| Host::new(Facts { me: HostId(me), ..zoned(true, limit) }, nodes(me), at(0));
+        let mut hosts = [host(0), host(1)];
+        let (mut store, mut low, mut bytes, mut id) = (limit.burst, limit.burst, 0.0, 0);
+        let mut mail: Vec<(usize, HostId, Vec<u8>)> = Vec::new();
+        for now in (1..20_000).map(at) {
+            store = (store + limit.rate / 1000.0).min(limit.burst);
+            let due = std::mem::take(&mut mail);
+            for (me, h) in hosts.iter_mut().enumerate() {
+                let before = h.asked.len();
+                h.pass(now - h.now);
+                for (_, from, bytes) in due.iter().filter(|m| m.0 == me) {
+                    h.tell(Event::PeerSaid { from: *from, bytes: bytes.clone() });
+                }
+                // One asks for all of it, the other for next to nothing, and now and then they change places.
+                let busy = (now.micros() / 6_000_000) as usize % 2 == me;
+                if rng.random_bool(if busy { 0.05 } else { 0.0002 }) {
+                    id += 1;
+                    h.tell(Event::Arrived(Transfer {
+                        cell: None,
+                        bytes: 1000.0,
+                        volume_hosts: 2,
+                        ..xfer(id, 0)
+                    }));
+                }
+                for (_, action) in h.asked.split_off(before) {
+                    match action {
+                        Action::Leg { id, node, .. } => {
+                            (store, bytes) = (store - 1000.0, bytes + 1000.0);
+                            low = f64::min(low, store);
+                            h.end(id.0, 0, node.0, Ending::Done, 1);
+                        }
+                        Action::Tell { to, bytes } if !rng.random_bool(lost) => {
+                            mail.push((to.0 as usize, HostId(me as u32), bytes));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+        let part = bytes / 20.0 / limit.rate;
+        assert!(low >= -1e-6, "lost {lost}: store at {low}");
+        assert!(part > least, "lost {lost}: {part} of the budget used");
+    }
+}
