A planner for zones proposes pools and routes, and a report tells what crossed

Who answers for traffic between zones needs to know where objects should go, and what it costs.

gullsail zones plan solves a linear programme over volumes, zones, what nodes can do, where objects may lie and what may cross; says what holds it back and what one node or GiB more would save; or a smallest set of bounds that clash.

--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -2,7 +2,7 @@
 
 use gullsail_configuration::diff::{Class, diff as compare};
 use gullsail_configuration::{Deployment, Files, Problem, Problems, Reader, Said, Weight, explain as codes};
-use gullsail_host::control::{Ask, Load, Told};
+use gullsail_host::control::{Ask, Load, State, Told};
 use miette::{GraphicalReportHandler, IntoDiagnostic, Result, WrapErr, miette};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -187,11 +187,15 @@
 }
 
 pub async fn status(control: &Path) -> Result<ExitCode> {
+    println!("{}", serde_json::to_string_pretty(&state(control).await?).into_diagnostic()?);
+    Ok(ExitCode::SUCCESS)
+}
+
+pub async fn state(control: &Path) -> Result<State> {
     match ask(control, Ask::Status).await? {
-        Told::Status(state) => println!("{}", serde_json::to_string_pretty(&state).into_diagnostic()?),
-        other => return Err(miette!("unexpected reply: {other:?}")),
+        Told::Status(state) => Ok(*state),
+        other => Err(miette!("unexpected reply: {other:?}")),
     }
-    Ok(ExitCode::SUCCESS)
 }
 
 async fn ask(control: &Path, ask: Ask) -> Result<Told> {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! process could not go on; 2: the arguments or a document are wrong.
 
 mod documents;
+mod zones;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use gullsail_configuration::HostBounds;
@@ -107,6 +108,9 @@
         #[arg(long)]
         baseline: bool,
     },
+    /// Traffic between zones.
+    #[command(subcommand)]
+    Zones(Zones),
     /// Judges a recording of a day again.
     Audit {
         dir: PathBuf,
@@ -146,6 +150,33 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Zones {
+    /// Where volumes' new objects should go, zone by zone, to keep reserves and cost least. Exit code 1: nothing
+    /// keeps all that the document asks for, and what clashes.
+    Plan {
+        file: PathBuf,
+        /// Of a GiB that crosses.
+        #[arg(long, default_value_t = 0.01)]
+        price: f64,
+        /// Writes the document with pools and routes by the plan here.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// What crossed, by zones, plan and reason, and what went past budgets.
+    Report {
+        /// Control sockets of running hosts, or folders of recorded days.
+        #[arg(required = true)]
+        sources: Vec<PathBuf>,
+        #[arg(long, default_value_t = 0.01)]
+        price: f64,
+        #[arg(long, conflicts_with = "csv")]
+        json: bool,
+        #[arg(long)]
+        csv: bool,
+    },
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let filter = EnvFilter::new(&arguments.log_level);
@@ -192,6 +223,10 @@
         Command::Day { day, seed, record, json, baseline, .. } => {
             play(&day.unwrap_or_default(), seed, record, json, baseline).await
         }
+        Command::Zones(Zones::Plan { file, price, out }) => zones::plan(&file, price, out),
+        Command::Zones(Zones::Report { sources, price, json, csv }) => {
+            zones::report(&sources, price, json, csv).await
+        }
         Command::Audit { dir, json } => audit(&dir, json),
         Command::Check { file, json } => documents::check(&file, json),
         Command::Explain { code } => documents::explain(&code),
--- /dev/null
+++ b/crates/cli/src/zones.rs
@@ -0,0 +1,151 @@
+//! The commands on zones: plan, report.
+
+use crate::documents;
+use gullsail_configuration::Reader;
+use gullsail_host::control::State;
+use gullsail_planner::{NoPlan, documents::proposal, documents::question};
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+const GIB: f64 = (1u64 << 30) as f64;
+const MIB: f64 = (1u64 << 20) as f64;
+
+/// Who reads it may have seen enough and be gone.
+fn say(text: &str) {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
+/// Exit code 0: a plan; 1: what it is asked for clashes.
+pub fn plan(file: &Path, price: f64, out: Option<PathBuf>) -> Result<ExitCode> {
+    let mut text = String::new();
+    let (d, _) = documents::read(file)?;
+    let q = question(&d, price / GIB).into_diagnostic()?;
+    let plan = match q.plan() {
+        Ok(plan) => plan,
+        Err(NoPlan::Clash(bounds)) => {
+            text += "no plan: these can't all hold, and with any one of them eased they could:\n";
+            bounds.into_iter().for_each(|b| text += &format!("  {}\n", q.say(b)));
+            say(&text);
+            return Ok(ExitCode::from(1));
+        }
+        Err(e) => return Err(miette!("{e}")),
+    };
+    for (v, to) in d.volumes.iter().zip(&plan.to) {
+        let parts = to.iter().zip(&q.zones).filter(|(bytes, _)| **bytes > 1.0);
+        let parts: Vec<_> = parts.map(|(bytes, z)| format!("{z} {:.1} MiB/s", bytes / MIB)).collect();
+        text += &format!(
+            "volume {}: {}\n",
+            v.name,
+            if parts.is_empty() { "nothing is asked".into() } else { parts.join(", ") }
+        );
+    }
+    for (a, row) in plan.crosses.iter().enumerate() {
+        for (b, bytes) in row.iter().enumerate().filter(|(_, bytes)| **bytes > 1.0) {
+            let most = q.most(a, b).map(|m| format!(" of {:.1}", m / MIB)).unwrap_or_default();
+            text += &format!("{} to {}: {:.1}{most} MiB/s\n", q.zones[a], q.zones[b], bytes / MIB);
+        }
+    }
+    text += &format!("cost: {:.4} an hour\n", plan.cost * 3600.0);
+    for b in &plan.binding {
+        let (step, saves) = match b.bound {
+            gullsail_planner::Bound::Budget(_) => ("GiB an hour more", b.saves * GIB),
+            _ => ("node more", b.saves * 3600.0),
+        };
+        text +=
+            &format!("it is held back by {}: one {step} there saves {saves:.4} an hour\n", q.say(b.bound));
+    }
+    if let Some(out) = out {
+        let (files, name) = documents::files(file)?;
+        let (document, _) = Reader::open(&files, &name);
+        let made = proposal(&document, &d, &plan);
+        std::fs::write(&out, made).into_diagnostic().wrap_err_with(|| out.display().to_string())?;
+        text += &format!("written to {}; compare with `gullsail diff`\n", out.display());
+    }
+    say(&text);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// What crossed between two zones for a plan, and why.
+#[derive(Debug, Default, Serialize)]
+struct Row {
+    from: String,
+    to: String,
+    plan: String,
+    reason: String,
+    frames: u64,
+    bytes: u64,
+    for_nothing: u64,
+    cost: f64,
+}
+
+/// From hosts that run, by their control sockets, or from a day's recording (its `hosts.json`).
+pub async fn report(sources: &[PathBuf], price: f64, json: bool, csv: bool) -> Result<ExitCode> {
+    let mut text = String::new();
+    let mut states: Vec<State> = Vec::new();
+    for source in sources {
+        if source.is_dir() {
+            let file = source.join("hosts.json");
+            let read = std::fs::read_to_string(&file).into_diagnostic();
+            let read = read.wrap_err_with(|| format!("can't read {}", file.display()))?;
+            let of_day: Vec<State> = serde_json::from_str(&read).into_diagnostic()?;
+            states.extend(of_day);
+        } else {
+            states.push(documents::state(source).await?);
+        }
+    }
+    let mut rows: BTreeMap<(String, String, String, String), Row> = BTreeMap::new();
+    for c in states.iter().flat_map(|s| &s.crossed) {
+        let reason =
+            serde_json::to_value(c.reason).into_diagnostic()?.as_str().unwrap_or_default().to_string();
+        let key = (c.from.clone(), c.to.clone(), c.plan.clone(), reason.clone());
+        let row = rows.entry(key).or_insert_with(|| {
+            let (from, to, plan) = (c.from.clone(), c.to.clone(), c.plan.clone());
+            Row { from, to, plan, reason, ..Row::default() }
+        });
+        row.frames += c.total.frames;
+        row.bytes += c.total.bytes;
+        row.for_nothing += c.total.for_nothing;
+        row.cost = row.bytes as f64 / GIB * price;
+    }
+    let rows: Vec<Row> = rows.into_values().collect();
+    let past: Vec<_> = states.iter().flat_map(|s| s.past.iter().map(|p| (&s.host, p))).collect();
+    if json {
+        text += &format!(
+            "{}\n",
+            serde_json::to_string_pretty(&serde_json::json!({ "crossed": rows, "past": past }))
+                .into_diagnostic()?
+        );
+        say(&text);
+        return Ok(ExitCode::SUCCESS);
+    }
+    if csv {
+        text += "from,to,plan,reason,frames,bytes,for_nothing,cost\n";
+        for r in &rows {
+            let quoted = |s: &str| format!("\"{}\"", s.replace('"', "\"\""));
+            let names = [&r.from, &r.to, &r.plan, &r.reason].map(|s| quoted(s)).join(",");
+            text += &format!("{names},{},{},{},{:.6}\n", r.frames, r.bytes, r.for_nothing, r.cost);
+        }
+        say(&text);
+        return Ok(ExitCode::SUCCESS);
+    }
+    for r in &rows {
+        let plan = if r.plan.is_empty() { "-" } else { &r.plan };
+        text += &format!(
+            "{} to {}  {plan:<14} {:<8} {:>9} frames {:>13} bytes ({} for nothing)  {:.4}\n",
+            r.from, r.to, r.reason, r.frames, r.bytes, r.for_nothing, r.cost
+        );
+    }
+    for (host, p) in past {
+        let span = (p.to_us - p.from_us) as f64 / 1e6;
+        text += &format!(
+            "past the budget {}: {} bytes at {host} in {span:.1} s: {}\n",
+            p.budget, p.bytes, p.cause
+        );
+    }
+    say(&text);
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/tests/documents.rs
+++ b/crates/cli/tests/documents.rs
@@ -96,3 +96,62 @@
     assert!(shown.contains("// main.kdl:6:5, used at main.kdl:8:1\nvolume mine"), "{shown}");
     assert!(!shown.contains("theirs"), "{shown}");
 }
+
+const ZONED: &str = r#"rules unit="64KiB"
+zone "a"
+zone "b"
+machine "m" cores=1 unit="10ms"
+host "h1" zone="a" address="x:1"
+host "h2" zone="b" address="x:2"
+node "n{1..2}" cell="{1..2}" zone="a" kind="disk" machine="m"
+node "n{3..9}" cell="{3..9}" zone="b" kind="disk" machine="m"
+stream-type "w" effect="repeatable" slo="1s" expiry="2s" write=#true
+plan "p" usual="300units/s" reserve="100units/s"
+plan "q" usual="50units/s"
+pool "disks" { kind "disk"; zone "a" "b"; }
+crossing from="a" to="b" limit="MOSTMiB/s" burst="256MiB"
+route to="disks" { volume "v"; }
+route to="all"
+volume "v" plan="p" { hosts "h1"; }
+volume "w" plan="q" { hosts "h2"; }
+"#;
+
+/// What zone a's nodes can't do goes to b; the proposal is a sound document whose changes are safe while serving. A
+/// budget that is too small for it clashes with them.
+#[test]
+fn a_plan_is_a_document_or_says_what_clashes() {
+    let dir = tempfile::tempdir().unwrap();
+    let write =
+        |most: &str| std::fs::write(dir.path().join("main.kdl"), ZONED.replace("MOST", most)).unwrap();
+    write("10");
+    let plan = gullsail(dir.path(), &["zones", "plan", "main.kdl", "--out", "new.kdl"]);
+    assert_eq!(plan.status.code(), Some(0), "{}", String::from_utf8_lossy(&plan.stderr));
+    // 180 of 300 units a second fit at home: 120 of 64 KiB cross.
+    for says in [
+        "volume v: a 11.2 MiB/s, b 7.5 MiB/s",
+        "a to b: 7.5 of 10.0 MiB/s",
+        "volume w: b 3.1 MiB/s",
+        "one node more there saves",
+    ] {
+        assert!(out(&plan).contains(says), "{says}\n{}", out(&plan));
+    }
+    assert_eq!(gullsail(dir.path(), &["check", "new.kdl"]).status.code(), Some(0));
+    let diff = gullsail(dir.path(), &["diff", "main.kdl", "new.kdl"]);
+    assert_eq!(diff.status.code(), Some(0), "{}", out(&diff));
+    assert!(
+        out(&diff).contains("volume \"v\" pool of w: \"disks\" -> \"disks-in-a-b\"")
+            || out(&diff).contains("disks-in-a-b"),
+        "{}",
+        out(&diff)
+    );
+    assert!(out(&diff).contains("all-in-b"), "{}", out(&diff));
+    write("5");
+    let plan = gullsail(dir.path(), &["zones", "plan", "main.kdl"]);
+    assert_eq!(plan.status.code(), Some(1));
+    let said = out(&plan);
+    assert!(
+        said.contains("the nodes of a can do, 180 units a second") && said.contains("the budget from a to b"),
+        "{said}"
+    );
+    assert!(!said.contains("volume \"w\"") && !said.contains("the nodes of b"), "{said}");
+}
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -138,6 +138,8 @@
     pub list_late: Span,
     pub drain_grace: Span,
     pub bounds: HostBounds,
+    /// Bytes that a unit of work stands for, where it is said.
+    pub unit: Option<f64>,
     pub routes: Routes,
     pub crossings: Vec<NamedCrossing>,
     pub place: revisions::Place,
@@ -337,6 +339,7 @@
     let place = revisions::read(document, r);
     let volumes_by_name = volumes.iter().enumerate().map(|(place, v)| (v.name.clone(), place)).collect();
     let built = Deployment {
+        unit,
         routes,
         crossings,
         place,
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -186,6 +186,9 @@
     day.start_all(&addresses).await?;
     let played = day.play_script(&addresses).await;
     let hosts = day.states().await;
+    let said = stage.dir.join("hosts.json");
+    let text = serde_json::to_string(&hosts).unwrap_or_default();
+    std::fs::write(&said, text).map_err(io(said.display().to_string()))?;
     for host in &hosts {
         for p in &host.past {
             let what = What::Past { budget: p.budget.clone(), cause: p.cause.clone(), bytes: p.bytes };
--- /dev/null
+++ b/crates/planner/src/documents.rs
@@ -0,0 +1,161 @@
+//! From a deployment to a question, and from a plan back to entries of a document.
+//!
+//! A volume's work is taken to follow its new objects: what is written somewhere is read there later. So all that it
+//! is sized for is placed, even over its hosts, and what nodes can do is nine tenths of their machines.
+
+use crate::{Budget, Demand, Plan, Question};
+use gullsail_configuration::Deployment;
+use gullsail_interface::{Across, PoolId, StreamTypeId, ZoneId};
+use kdl::{KdlDocument, KdlEntry, KdlNode};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Of what machines can do: the rest is for pauses and restarts, as reserves are judged.
+const USABLE: f64 = 0.9;
+/// Of a volume's bytes a second: less is the solver's rounding, and no reason for a zone.
+const LEAST: f64 = 0.001;
+
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Lacks {
+    #[error("the document does not say how many bytes a unit of work stands for: rules unit=\"64KiB\"")]
+    Unit,
+    #[error(
+        "node \"{0}\" has no machine: machine \"box\" cores=2 unit=\"5ms\", and machine=\"box\" at the node"
+    )]
+    Machine(String),
+    #[error("there are no zones to plan for")]
+    Zones,
+}
+
+/// The pools that a volume's new objects go to, with the stream types that go there.
+fn pools(d: &Deployment, volume: usize) -> BTreeMap<PoolId, Vec<usize>> {
+    let mut all: BTreeMap<PoolId, Vec<usize>> = BTreeMap::new();
+    for place in (0..d.stream_types.len()).filter(|place| d.stream_types[*place].write) {
+        all.entry(d.routes.pool(volume, StreamTypeId(place))).or_default().push(place);
+    }
+    all
+}
+
+fn zones_of(d: &Deployment, pool: PoolId) -> BTreeSet<usize> {
+    let running = d.nodes.iter().filter(|n| !n.spare);
+    let inside =
+        running.filter(|n| pool == PoolId::ALL || d.routes.pools_of(n.place.zone, &n.kind).contains(&pool));
+    inside.map(|n| n.place.zone.0).collect()
+}
+
+/// `price`: of a byte that crosses.
+///
+/// # Errors
+/// What the document does not say and a plan needs.
+pub fn question(d: &Deployment, price: f64) -> Result<Question, Lacks> {
+    let unit = d.unit.ok_or(Lacks::Unit)?;
+    let count = d.zones.len();
+    if count == 0 {
+        return Err(Lacks::Zones);
+    }
+    let (mut can, mut nodes) = (vec![0.0; count], vec![0.0f64; count]);
+    for n in d.nodes.iter().filter(|n| !n.spare) {
+        let m = d.machines.get(n.machine).ok_or_else(|| Lacks::Machine(n.place.name.clone()))?;
+        can[n.place.zone.0] += f64::from(m.cores) / m.unit.secs().max(1e-9) * USABLE;
+        nodes[n.place.zone.0] += 1.0;
+    }
+    let a_node = can.iter().zip(&nodes).map(|(can, nodes)| can / nodes.max(1.0)).collect();
+    let demand = |(place, v): (usize, &gullsail_configuration::NamedVolume)| {
+        let plan = &d.plans[v.plan.0].decisions;
+        let bytes = plan.usual.max(plan.reserve) * unit;
+        let mut from = vec![0.0; count];
+        for h in v.hosts.iter() {
+            from[d.hosts[h.0 as usize].zone.0] += bytes / v.hosts.len() as f64;
+        }
+        // Where each of its pools has a node; where none has them all, where any has one.
+        let each: Vec<_> = pools(d, place).keys().map(|p| zones_of(d, *p)).collect();
+        let all = each.iter().cloned().reduce(|a, b| &a & &b).unwrap_or_else(|| zones_of(d, PoolId::ALL));
+        let zones = if all.is_empty() { each.into_iter().flatten().collect() } else { all };
+        Demand { volume: v.name.clone(), from, zones, units_a_byte: 1.0 / unit }
+    };
+    let budgets = d.crossings.iter().filter_map(|c| match c.of {
+        Across::Pair(from, to) => Some(Budget { from: from.0, to: to.0, most: c.limit.rate }),
+        Across::Plan(_) => None,
+    });
+    Ok(Question {
+        zones: d.zones.clone(),
+        can,
+        a_node,
+        demands: d.volumes.iter().enumerate().map(demand).collect(),
+        budgets: budgets.collect(),
+        price: vec![vec![price; count]; count],
+    })
+}
+
+fn child(name: &str, values: impl IntoIterator<Item = String>) -> KdlNode {
+    let mut n = KdlNode::new(name);
+    values.into_iter().for_each(|v| n.push(KdlEntry::new(v)));
+    n
+}
+
+/// The document with pools and routes by the plan: all other entries as they are, in one text.
+pub fn proposal(document: &KdlDocument, d: &Deployment, plan: &Plan) -> String {
+    let mut made: BTreeMap<String, KdlNode> = BTreeMap::new();
+    let mut routes = Vec::new();
+    for (place, v) in d.volumes.iter().enumerate() {
+        let all: f64 = plan.to[place].iter().sum();
+        let used: BTreeSet<usize> =
+            (0..d.zones.len()).filter(|z| plan.to[place][*z] > all * LEAST && all > 0.0).collect();
+        for (pool, types) in pools(d, place) {
+            let zones: Vec<usize> = used.intersection(&zones_of(d, pool)).copied().collect();
+            // Nothing to say of a volume that asks for nothing: it keeps its pool.
+            let name = if zones.is_empty() {
+                d.routes.name(pool).to_string()
+            } else {
+                let names: Vec<_> = zones.iter().map(|z| d.zones[*z].as_str()).collect();
+                format!("{}-in-{}", d.routes.name(pool), names.join("-"))
+            };
+            if name != gullsail_configuration::routes::ALL {
+                let old = pool.0.checked_sub(1).and_then(|place| d.routes.pools.get(place));
+                let mut n = KdlNode::new("pool");
+                n.push(KdlEntry::new(name.clone()));
+                let mut children = KdlDocument::new();
+                let zones = if zones.is_empty() {
+                    old.map(|p| p.zones.iter().map(|z| z.0).collect()).unwrap_or_default()
+                } else {
+                    zones
+                };
+                if !zones.is_empty() {
+                    children.nodes_mut().push(child("zone", zones.iter().map(|z| d.zones[*z].clone())));
+                }
+                if let Some(p) = old.filter(|p| !p.kinds.is_empty()) {
+                    children.nodes_mut().push(child("kind", p.kinds.iter().cloned()));
+                }
+                n.set_children(children);
+                made.entry(name.clone()).or_insert(n);
+            }
+            let mut n = KdlNode::new("route");
+            n.push(KdlEntry::new_prop("to", name));
+            let mut children = KdlDocument::new();
+            children.nodes_mut().push(child("volume", [glob_of(&v.name)]));
+            let names = types.iter().map(|t| d.stream_types[*t].name.clone());
+            children.nodes_mut().push(child("stream-type", names));
+            n.set_children(children);
+            routes.push(n);
+        }
+    }
+    let mut rest = KdlNode::new("route");
+    rest.push(KdlEntry::new_prop("to", gullsail_configuration::routes::ALL));
+    routes.push(rest);
+    let mut out = KdlDocument::new();
+    let kept = document.nodes().iter().filter(|n| !["pool", "route"].contains(&n.name().value()));
+    out.nodes_mut().extend(kept.cloned().chain(made.into_values()).chain(routes));
+    out.autoformat();
+    out.to_string()
+}
+
+/// A name as a pattern that matches it alone.
+fn glob_of(name: &str) -> String {
+    name.chars().fold(String::new(), |text, c| {
+        if ['*', '?', '[', ']'].contains(&c) { format!("{text}[{c}]") } else { text + &c.to_string() }
+    })
+}
+
+/// The zone of a name.
+pub fn zone(d: &Deployment, name: &str) -> Option<ZoneId> {
+    d.zones.iter().position(|z| z == name).map(ZoneId)
+}
