--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -185,7 +185,17 @@
     }
     day.start_all(&addresses).await?;
     let played = day.play_script(&addresses).await;
-    let hosts = day.states().await;
+    let mut hosts = day.states().await;
+    // What nodes still answer is counted by hosts and relays alike once nothing comes any more.
+    for _ in 0..QUIET_LOOKS {
+        tokio::time::sleep(QUIET).await;
+        let before = std::mem::replace(&mut hosts, day.states().await);
+        let moved =
+            |all: &[State]| -> Vec<u64> { all.iter().map(|h| legs_bytes(h).values().sum()).collect() };
+        if d.crossings.is_empty() || moved(&before) == moved(&hosts) {
+            break;
+        }
+    }
     let said = stage.dir.join("hosts.json");
     let text = serde_json::to_string(&hosts).unwrap_or_default();
     std::fs::write(&said, text).map_err(io(said.display().to_string()))?;
@@ -219,6 +229,19 @@
     Ok(Report { name, seed, happened: day.happened, outcomes, verdicts, untested, faults, hosts })
 }
 
+/// How often, and how far apart, hosts are looked at after a day until nothing crosses any more.
+const QUIET_LOOKS: u32 = 12;
+const QUIET: Duration = Duration::from_millis(400);
+
+/// Bytes of legs and answers that a host counted, by zones.
+fn legs_bytes(h: &State) -> BTreeMap<(String, String), u64> {
+    let mut counted = BTreeMap::new();
+    for c in h.crossed.iter().filter(|c| c.reason != gullsail_zones::Reason::Peers) {
+        *counted.entry((c.from.clone(), c.to.clone())).or_default() += c.total.bytes;
+    }
+    counted
+}
+
 /// Hosts' accounts against the recording, to the byte; where connections were broken on purpose, frames that a host
 /// sent may never have come to the relay.
 fn accounts(seen: &BTreeMap<(String, String, String), u64>, hosts: &[State], script: &Script) -> Vec<String> {
@@ -233,12 +256,9 @@
     }
     let mut faults = Vec::new();
     for h in hosts {
-        let mut counted: BTreeMap<(String, String, String), u64> = BTreeMap::new();
-        for c in h.crossed.iter().filter(|c| c.reason != gullsail_zones::Reason::Peers) {
-            *counted.entry((h.host.clone(), c.from.clone(), c.to.clone())).or_default() += c.total.bytes;
-        }
+        let counted = legs_bytes(h);
         for (key, bytes) in seen.iter().filter(|(key, _)| key.0 == h.host) {
-            let counted = counted.get(key).copied().unwrap_or_default();
+            let counted = counted.get(&(key.1.clone(), key.2.clone())).copied().unwrap_or_default();
             if counted != *bytes {
                 faults
                     .push(format!("{}: {bytes} bytes from {} to {}, {counted} counted", key.0, key.1, key.2));
