A document with plans in another order no longer lifts a volume's limit

Documents must also reach back to every revision that this host still counts, so that a host that starts with one counts it too; and a first number is taken from a document without one, as the message says. Each refusal has its case.

--- a/crates/host/src/core/changes.rs
+++ b/crates/host/src/core/changes.rs
@@ -70,20 +70,7 @@
         if !against.is_empty() {
             return Err(against);
         }
-        let same_place = p.to.place.revision == self.turnover.revision();
-        if !same_place {
-            self.turnover.go_on(p.to.line.clone(), self.now).map_err(|e| vec![e.to_string()])?;
-        } else if !self.turnover.promises_as(p.to.line.last()) {
-            let held = self.turnover.revision().0;
-            let why = if held == 0 {
-                "limits or hosts of volumes change: give the documents their revisions first, the old one too \
-                 (`revision 1`, then `revision 2 after=\"old.kdl\"`)"
-                    .to_string()
-            } else {
-                format!("limits or hosts of volumes change, and this is revision {held} as before")
-            };
-            return Err(vec![why]);
-        }
+        self.turnover.go_on(p.to.line.clone(), self.now).map_err(|e| vec![e.to_string()])?;
         let (old, new) = (self.deployment.clone(), p.to.clone());
         self.deployment = new;
         // Places of plans may be others now, so these come even if nobody's terms change.
--- a/crates/host/tests/host/changes.rs
+++ b/crates/host/tests/host/changes.rs
@@ -34,6 +34,49 @@
     reply
 }
 
+/// As a day goes on: from a document without a number to one that has it and changes limits.
+#[test]
+fn documents_get_their_first_numbers() {
+    let old = document(&[]);
+    let numbered = |change: &[(&str, &str)], revision: &str| {
+        let files =
+            [("new.kdl".to_string(), text_of(change) + revision), ("old.kdl".to_string(), text_of(&[]))];
+        Arc::new(load(&Memory(files.into()), "new.kdl").unwrap().0)
+    };
+    for (revision, why) in [
+        ("revision 1 after=\"old.kdl\"\n", None),
+        ("revision 1\n", Some("revision 1 comes after 1, but this host holds to 0")),
+        ("", Some("revision 0 is the one that this host holds to: give the document the next number")),
+    ] {
+        let mut r = Rig::new(&old, 0, START);
+        match (propose(&mut r, &old, &numbered(&[LIMIT], revision), false), why) {
+            (Reply::Taken { revision }, None) => assert_eq!(revision.0, 1),
+            (Reply::TurnedDown(all), Some(why)) => assert!(all[0].contains(why), "{all:?}"),
+            (reply, _) => panic!("{revision}: {reply:?}"),
+        }
+    }
+}
+
+/// While a host is not known to have followed, documents must go on naming what it may hold to.
+#[test]
+fn what_others_may_hold_to_stays_named() {
+    let old = first();
+    let mut r = Rig::new(&old, 0, START);
+    let second = after(&[LIMIT], SECOND);
+    assert!(matches!(propose(&mut r, &old, &second, false), Reply::Taken { .. }));
+    let alone = after(&[LIMIT], "revision 2\nroute to=\"all\"\n");
+    match propose(&mut r, &second, &alone, true) {
+        Reply::TurnedDown(why) => assert!(why[0].contains("gone past revision 1: keep naming it"), "{why:?}"),
+        taken => panic!("{taken:?}"),
+    }
+    // The other host says that it has followed.
+    let link = r.core.accept(r.now).unwrap();
+    r.frame(link, Hello { role: Role::Host as i32, name: "h2".into(), ..Hello::default() });
+    r.frame(link, Reached { held: 2, revision: 2, hosts: vec![0b10] });
+    assert!(r.core.document().1.is_empty());
+    assert!(matches!(propose(&mut r, &second, &alone, false), Reply::Taken { .. }));
+}
+
 const SECOND: &str = "revision 2 after=\"first.kdl\"\nroute to=\"all\"\n";
 const LIMIT: (&str, &str) = ("limit=\"40units/s\"", "limit=\"30units/s\"");
 
@@ -48,7 +91,7 @@
         (&[("slack=0", "slack=0 weight=3 price=2")], FIRST, false, None),
         (&[("plan \"held\"", "plan \"new\"\nplan \"held\"")], FIRST, false, None),
         (&[("volume \"w\"", "volume \"x\" plan=\"free\"\nvolume \"w\"")], SECOND, false, None),
-        (&[LIMIT], FIRST, false, Some("this is revision 1 as before")),
+        (&[LIMIT], FIRST, false, Some("revision 1 is the one that this host holds to")),
         (&[LIMIT], "route to=\"all\"\n", false, Some("not later than 1")),
         (&[LIMIT], "revision 2\nroute to=\"all\"\n", false, Some("this host holds to 1")),
         (
@@ -152,3 +195,35 @@
     assert!(matches!(propose(&mut r, &old, &to, false), Reply::Taken { .. }));
     assert_eq!(put(&mut r, 200), [0, 12]);
 }
+
+/// Plans that stand in another order are the same plans: a volume keeps its own limit, and one without stays without.
+#[test]
+fn plans_change_places() {
+    let plans = (
+        "plan \"free\"\nplan \"held\" limit=\"40units/s\" burst=64 slack=0",
+        "plan \"held\" limit=\"40units/s\" burst=64 slack=0\nplan \"free\"",
+    );
+    let more = ("plan \"held\"", "plan \"new\"\nplan \"held\"");
+    for change in [plans, more] {
+        for (volume, most, least) in [("w", 33, 32), ("v", 100, 100)] {
+            let old = first();
+            let mut r = Rig::new(&old, 0, START);
+            let (c, (n1, _)) = (r.client(), r.nodes_up());
+            // The volume is known by its old place, and its bucket full.
+            r.submit_to(c, 1, "read", volume, 1);
+            r.pass(ms(20.0));
+            r.legs(n1).into_iter().for_each(|l| r.answer(n1, l.leg, LegResult::Done));
+            r.pass(ms(4000.0));
+            assert!(matches!(propose(&mut r, &old, &after(&[change], FIRST), false), Reply::Taken { .. }));
+            r.new_legs();
+            for id in 100..200 {
+                r.submit_to(c, id, "read", volume, 1);
+                for (_, link, leg) in r.new_legs() {
+                    r.answer(link, leg.leg, LegResult::Done);
+                }
+            }
+            let done = (100..200).filter(|id| r.outcomes(c, *id) == [Outcome::Done]).count();
+            assert!((least..=most).contains(&done), "{change:?} {volume}: {done}");
+        }
+    }
+}
--- a/crates/limits/src/promises.rs
+++ b/crates/limits/src/promises.rs
@@ -42,6 +42,14 @@
 }
 
 impl Promises {
+    /// The same limits over the same hosts; places of plans may differ.
+    pub(crate) fn promise_as(&self, other: &Promises) -> bool {
+        let what = |p: &Promises| -> Vec<_> {
+            p.volumes.iter().map(|(id, v)| (*id, v.limit, v.hosts.clone())).collect()
+        };
+        what(self) == what(other)
+    }
+
     /// A volume that the document does not know is sent nothing by those who hold to it, and so takes nothing
     /// from what others may send: it counts as without a limit.
     pub fn part(&self, volume: VolumeId, host: HostId) -> Option<Limit> {
--- a/crates/limits/src/turnover.rs
+++ b/crates/limits/src/turnover.rs
@@ -14,7 +14,7 @@
 //! line that the document names reaches back to a revision that no host is older than. Both are the operator's
 //! to keep; a host that is seen to go back is reported ([`Heard::WentBack`]).
 
-use crate::promises::{Promises, Revision, Shared, lower};
+use crate::promises::{Promises, Revision, lower};
 use gullsail_interface::{HostId, Instant, Limit, PlanId, Span, Terms, VolumeId};
 use rand::Rng;
 use std::collections::{BTreeMap, VecDeque};
@@ -57,10 +57,15 @@
 pub enum Refused {
     #[error("revision {} is not later than {}, which this host holds to", .next.0, .held.0)]
     NotLater { held: Revision, next: Revision },
+    #[error("limits or hosts of volumes change, and revision {} is the one that this host holds to: give the \
+             document the next number, and name the file of the one before with `after`", .0.0)]
+    SameRevision(Revision),
     #[error("the document named for revision {} is not the one that this host holds to", .0.0)]
     Other(Revision),
     #[error("revision {} comes after {}, but this host holds to {}", .next.0, .after.0, .held.0)]
     NotNext { held: Revision, after: Revision, next: Revision },
+    #[error("some hosts are not known to have gone past revision {}: keep naming it with `after`", .0.0)]
+    TooShort(Revision),
 }
 
 pub struct Turnover {
@@ -133,39 +138,45 @@
         }
     }
 
-    /// Takes the next documents, oldest first; the first of them may be those that are held already.
+    /// Takes the next document, with those before it, oldest first. One of the same revision must promise the same;
+    /// places of plans may be others.
     ///
     /// # Errors
-    /// They do not go on from what is held: nothing is changed then.
+    /// They do not go on from what is held, or do not reach back to all that other hosts may still hold to: nothing is
+    /// changed then.
     pub fn go_on(&mut self, line: Vec<Promises>, now: Instant) -> Result<(), Refused> {
         let held = self.revision();
-        let last = line.last().map_or(Revision(0), |p| p.revision);
-        if last <= held {
-            return Err(Refused::NotLater { held, next: last });
+        let (first, last) = match (line.first(), line.last()) {
+            (Some(first), Some(last)) => (first.revision, last),
+            _ => return Err(Refused::NotLater { held, next: Revision(0) }),
+        };
+        let next = last.revision;
+        if next < held {
+            return Err(Refused::NotLater { held, next });
         }
-        match line.iter().find(|p| p.revision == held) {
-            Some(same) if same.volumes == self.held().volumes => {}
+        let same = line.iter().find(|p| p.revision == held);
+        match same {
+            Some(same) if same.promise_as(self.held()) => {}
+            Some(_) if next == held => return Err(Refused::SameRevision(held)),
             Some(_) => return Err(Refused::Other(held)),
             None => {
-                let after = line.iter().rev().nth(1).map_or(last, |p| p.revision);
-                return Err(Refused::NotNext { held, after, next: last });
+                let after = line.iter().rev().nth(1).map_or(next, |p| p.revision);
+                return Err(Refused::NotNext { held, after, next });
             }
         }
-        self.line.extend(line.into_iter().filter(|p| p.revision > held));
-        self.arrive();
-        (self.next, self.wait, self.farewells) = (now, FIRST, FAREWELLS);
+        // A host that starts with it must count all that this one counts.
+        if let Some(oldest) = self.line.front().map(|p| p.revision).filter(|oldest| first > *oldest) {
+            return Err(Refused::TooShort(oldest));
+        }
+        self.line.pop_back();
+        self.line.extend(line.into_iter().filter(|p| p.revision >= held));
+        if next > held {
+            self.arrive();
+            (self.next, self.wait, self.farewells) = (now, FIRST, FAREWELLS);
+        }
         Ok(())
     }
 
-    /// Whether these promises are those that are held to; places of plans may differ.
-    pub fn promises_as(&self, other: Option<&Promises>) -> bool {
-        let same = |a: &Shared, b: &Shared| a.limit == b.limit && a.hosts == b.hosts;
-        let (ours, theirs) = (&self.held().volumes, other.map(|o| &o.volumes));
-        theirs.is_some_and(|theirs| {
-            ours.len() == theirs.len() && ours.iter().zip(theirs).all(|((a, x), (b, y))| a == b && same(x, y))
-        })
-    }
-
     /// Every host is known to hold to this one.
     pub fn settled(&self) -> bool {
         self.missing().next().is_none()
--- a/crates/limits/tests/turnover.rs
+++ b/crates/limits/tests/turnover.rs
@@ -65,7 +65,8 @@
     }
 
     fn go_on(&mut self, host: usize, to: usize) {
-        let line = self.line(to);
+        // Hosts know later than the operator who has followed: all that may be counted is named.
+        let line = self.documents[..=to].to_vec();
         if let (file, Some(turnover)) = &mut self.hosts[host] {
             turnover.go_on(line, self.now).unwrap();
             *file = to;
@@ -218,22 +219,35 @@
 
 #[test]
 fn lines_that_do_not_go_on_are_refused() {
-    let line = |revisions: &[u64]| revisions.iter().map(|r| promises(*r, &[])).collect::<Vec<_>>();
-    let refused = |line, held: u64| {
-        let mut t = Turnover::new(HostId(0), 3, vec![promises(held, &[])], at(0));
-        (t.go_on(line, at(1)).err().map(|e| e.to_string()), t.revision().0)
-    };
-    let cases: [(&[u64], u64, Option<&str>); 5] = [
-        (&[4, 5], 4, None),
-        (&[3, 4, 5, 6], 4, None),
-        (&[4], 4, Some("revision 4 is not later than 4, which this host holds to")),
-        (&[2], 4, Some("revision 2 is not later than 4, which this host holds to")),
-        (&[5, 6], 4, Some("revision 6 comes after 5, but this host holds to 4")),
+    let document = |revision: u64| promises(revision, &[(7, Some(revision as f64), &[0, 1])]);
+    let line = |revisions: &[u64]| revisions.iter().copied().map(document).collect::<Vec<_>>();
+    let other = |revision, limit| promises(revision, &[(7, Some(limit), &[0, 1])]);
+    // what the host holds to, with those it counts; the next line; why it is refused
+    let cases: [(&[u64], Vec<Promises>, Option<&str>); 11] = [
+        (&[4], line(&[4, 5]), None),
+        (&[4], line(&[3, 4, 5, 6]), None),
+        (&[4], line(&[4]), None),
+        (&[4], vec![other(4, 9.0)], Some("limits or hosts of volumes change, and revision 4 is the one")),
+        (&[4], vec![other(4, 9.0), document(5)], Some("the document named for revision 4 is not the one")),
+        (&[4], line(&[2]), Some("revision 2 is not later than 4")),
+        (&[4], line(&[]), Some("revision 0 is not later than 4")),
+        (&[4], line(&[5, 6]), Some("revision 6 comes after 5, but this host holds to 4")),
+        (&[3, 4], line(&[4, 5]), Some("not known to have gone past revision 3")),
+        (&[3, 4], line(&[4]), Some("not known to have gone past revision 3")),
+        (&[3, 4], line(&[3, 4, 5]), None),
     ];
-    for (revisions, held, expected) in cases {
-        let (error, now) = refused(line(revisions), held);
-        assert_eq!(error.as_deref(), expected);
-        assert_eq!(now, if expected.is_some() { held } else { *revisions.last().unwrap() });
+    for (held, next, refused) in cases {
+        let mut t = Turnover::new(HostId(0), 3, line(held), at(0));
+        let (last, before) = (next.last().map(|p| p.revision), t.revision());
+        let part = t.part(VolumeId(7));
+        match (t.go_on(next, at(1)), refused) {
+            (Ok(()), None) => assert_eq!(Some(t.revision()), last),
+            (Err(e), Some(why)) => {
+                assert!(e.to_string().contains(why), "{e}");
+                assert_eq!((t.revision(), t.part(VolumeId(7))), (before, part), "nothing has changed");
+            }
+            (result, _) => panic!("{held:?}: {result:?}"),
+        }
     }
 }
 
