--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -170,7 +170,7 @@
     for (node, lives) in &h.lives {
         let Some(place) = d.node(node) else { continue };
         let Some(machine) = d.machines.get(place.machine) else { continue };
-        let a_second = f64::from(machine.cores) / machine.unit.secs().max(1e-9);
+        let a_second = machine.can();
         for (born, _) in lives.iter().filter(|l| matches!(l.1, Life::Started { .. })) {
             // Those that were there before the day began are warm.
             if *born <= 0 {
--- a/crates/configuration/src/crossings.rs
+++ b/crates/configuration/src/crossings.rs
@@ -2,7 +2,7 @@
 //! pair, `crossing plan="base" ...` for all that crosses for the volumes of a plan.
 
 use crate::deployment::{NamedCrossing, Place, number};
-use crate::reader::{Names, Reader};
+use crate::reader::{Names, Reader, entries};
 use gullsail_interface::*;
 use kdl::{KdlDocument, KdlNode};
 use std::collections::BTreeMap;
@@ -62,7 +62,7 @@
 }
 
 pub(crate) fn together(r: &mut Reader, document: &KdlDocument, all: &[NamedCrossing]) {
-    let nodes: Vec<_> = document.nodes().iter().filter(|n| n.name().value() == "crossing").collect();
+    let nodes: Vec<_> = entries(document, "crossing").collect();
     if nodes.len() != all.len() {
         return;
     }
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -1,7 +1,7 @@
 //! What a document means. Each kind of entry has a struct and a function that reads it; [`build`] goes through
 //! the document from top to bottom and then looks at what must fit together.
 
-use crate::reader::{Names, Reader};
+use crate::reader::{Names, Reader, entries};
 use crate::revisions;
 use crate::routes::{self, Routes};
 use fnv::FnvHasher;
@@ -104,6 +104,16 @@
     pub falls_over: f64,
 }
 
+impl Machine {
+    /// Units a second that all its cores do.
+    pub fn can(&self) -> f64 {
+        f64::from(self.cores) / self.unit.secs().max(1e-9)
+    }
+}
+
+/// The part of what machines can do that may be promised: the rest is for pauses and restarts.
+pub const PROMISABLE: f64 = 0.9;
+
 /// What bounds a host's memory and patience on its sockets.
 #[derive(Clone, Debug)]
 pub struct HostBounds {
@@ -225,7 +235,7 @@
             r.note("unknown-node", format!("`{name}` is no entry of a deployment"), n.name().span(), help);
         }
     }
-    let all = |name: &'static str| document.nodes().iter().filter(move |n| n.name().value() == name);
+    let all = |name: &'static str| entries(document, name);
     let named = |r: &mut Reader, kind: &'static str| names(r, all(kind));
     let zones = named(r, "zone");
     for n in all("zone") {
@@ -366,8 +376,8 @@
 /// Top entries that are not about the deployment itself: the script of a day.
 pub const KEPT: [&str; 1] = ["day"];
 
-fn single<'a>(r: &mut Reader, document: &'a KdlDocument, kind: &str) -> Option<&'a KdlNode> {
-    let mut found = document.nodes().iter().filter(|n| n.name().value() == kind);
+fn single<'a>(r: &mut Reader, document: &'a KdlDocument, kind: &'static str) -> Option<&'a KdlNode> {
+    let mut found = entries(document, kind);
     let first = found.next();
     for second in found {
         r.note("twice", format!("a second `{kind}`"), second.name().span(), None);
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -133,6 +133,14 @@
     }
 }
 
+/// The entries of a kind, in their order.
+pub(crate) fn entries<'a>(
+    document: &'a KdlDocument,
+    kind: &'static str,
+) -> impl DoubleEndedIterator<Item = &'a KdlNode> {
+    document.nodes().iter().filter(move |n| n.name().value() == kind)
+}
+
 struct Noted {
     code: &'static str,
     weight: Weight,
--- a/crates/configuration/src/revisions.rs
+++ b/crates/configuration/src/revisions.rs
@@ -3,7 +3,7 @@
 //! limits comes with the last of them.
 
 use crate::deployment::{self, Deployment};
-use crate::reader::{Problem, Problems, Reader};
+use crate::reader::{Problem, Problems, Reader, entries};
 use crate::sources::{Loader, beside};
 use gullsail_limits::{MOST_HOSTS, Promises, Revision, Shared};
 use kdl::{KdlDocument, KdlNode};
@@ -20,7 +20,7 @@
 }
 
 pub(crate) fn entry(document: &KdlDocument) -> Option<&KdlNode> {
-    document.nodes().iter().find(|n| n.name().value() == "revision")
+    entries(document, "revision").next()
 }
 
 pub(crate) fn read(document: &KdlDocument, r: &mut Reader) -> Place {
--- a/crates/configuration/src/routes.rs
+++ b/crates/configuration/src/routes.rs
@@ -3,7 +3,7 @@
 //! transfer is given is worked out once for each volume and stream type, so that looking it up costs nothing.
 
 use crate::deployment::{NamedPlan, NamedStreamType, NamedVolume, NodePlace};
-use crate::reader::{Names, Reader};
+use crate::reader::{Names, Reader, entries};
 use gullsail_interface::{PoolId, StreamTypeId, ZoneId};
 use kdl::{KdlDocument, KdlNode};
 use std::collections::BTreeSet;
@@ -84,10 +84,6 @@
     pub nodes: &'a [NodePlace],
 }
 
-fn all<'a>(document: &'a KdlDocument, kind: &'static str) -> impl Iterator<Item = &'a KdlNode> {
-    document.nodes().iter().filter(move |n| n.name().value() == kind)
-}
-
 /// The values of all children of that name.
 fn values<'a>(n: &'a KdlNode, name: &'static str) -> impl Iterator<Item = &'a kdl::KdlEntry> {
     n.iter_children().filter(move |c| c.name().value() == name).flat_map(|c| c.entries())
@@ -152,11 +148,11 @@
 /// Reads pools and routes, and looks at whether they make sense together.
 pub fn read(document: &KdlDocument, r: &mut Reader, known: &Known) -> Routes {
     let before = r.noted();
-    let pools: Vec<Pool> = all(document, "pool").map(|n| pool(r, n, known)).collect();
+    let pools: Vec<Pool> = entries(document, "pool").map(|n| pool(r, n, known)).collect();
     let names: Names = std::iter::once(ALL.to_string()).chain(pools.iter().map(|p| p.name.clone())).collect();
-    let routes: Vec<Route> = all(document, "route").map(|n| route(r, n, &names, known)).collect();
+    let routes: Vec<Route> = entries(document, "route").map(|n| route(r, n, &names, known)).collect();
     let mut built = Routes { pools, routes, table: Vec::new(), stream_types: known.stream_types.len() };
-    for (place, n) in all(document, "pool").enumerate() {
+    for (place, n) in entries(document, "pool").enumerate() {
         let nodes = known.nodes.iter().filter(|node| !node.spare);
         let p = &built.pools[place];
         let found = nodes.clone().filter(|node| p.holds(node.place.zone, &node.kind)).count();
@@ -171,7 +167,7 @@
             r.warn("unused", format!("pool \"{}\" is used by no route", p.name), n.span(), None);
         }
     }
-    let Some(last) = all(document, "route").last() else { return built };
+    let Some(last) = entries(document, "route").last() else { return built };
     if !built.routes.last().is_some_and(Route::is_rest) && r.noted() == before {
         let help = Some(format!("end with `route to=\"{ALL}\"`, or with another pool for all the rest"));
         r.note("no-rest", "the last route does not take all the rest".into(), last.span(), help);
@@ -180,7 +176,7 @@
         && second.to == rest.to
         && rest.is_rest()
     {
-        let n = all(document, "route").nth(built.routes.len() - 2);
+        let n = entries(document, "route").nth(built.routes.len() - 2);
         let message = "the rest goes there anyway".to_string();
         r.warn("no-effect", message, n.map_or(last.span(), |n| n.span()), None);
     }
@@ -210,7 +206,7 @@
     if r.noted() > before || known.volumes.is_empty() || !known.stream_types.iter().any(|s| s.write) {
         return;
     }
-    let places: Vec<_> = all(document, "route").map(|n| n.span()).collect();
+    let places: Vec<_> = entries(document, "route").map(|n| n.span()).collect();
     for place in (0..taken.len()).filter(|place| taken[*place] == 0) {
         let rest = built.routes[place].is_rest();
         match instead[place] {
--- a/crates/configuration/src/sense.rs
+++ b/crates/configuration/src/sense.rs
@@ -1,29 +1,26 @@
 //! What is well-formed and still makes no sense, or probably not what was meant.
 
-use crate::deployment::Deployment;
-use crate::reader::Reader;
+use crate::deployment::{Deployment, PROMISABLE};
+use crate::reader::{Reader, entries};
 use gullsail_interface::{Effect, Plan};
-use kdl::{KdlDocument, KdlNode};
+use kdl::KdlDocument;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The part of what machines can do that reserves may take: the rest is for pauses and restarts.
-const RESERVABLE: f64 = 0.9;
-
 /// Looks at a deployment as a whole.
 pub fn check(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
-    let all = |kind: &'static str| document.nodes().iter().filter(move |n| n.name().value() == kind);
+    let all = |kind: &'static str| entries(document, kind);
     let name = |n: &kdl::KdlNode| n.get(0).and_then(|v| v.as_string()).unwrap_or_default().to_string();
     // Reserves against what the machines of the nodes can do, where that is stated.
     let running: Vec<_> = d.nodes.iter().filter(|n| !n.spare).collect();
     let machines: Option<Vec<_>> = running.iter().map(|n| d.machines.get(n.machine)).collect();
     if let Some(machines) = machines.filter(|m| !m.is_empty()) {
-        let can: f64 = machines.iter().map(|m| f64::from(m.cores) / m.unit.secs().max(1e-9)).sum();
+        let can: f64 = machines.iter().map(|m| m.can()).sum();
         let reserved: f64 =
             d.volumes.iter().map(|v| d.plans.get(v.plan.0).map_or(0.0, |p| p.decisions.reserve)).sum();
-        if let Some(last) = all("volume").next_back().filter(|_| reserved > can * RESERVABLE) {
+        if let Some(last) = all("volume").next_back().filter(|_| reserved > can * PROMISABLE) {
             let message = format!("reserves sum to {reserved} units a second; the nodes can do {can:.0}");
             let help =
-                format!("at most {:.0} can be promised: lower reserves, or add nodes", can * RESERVABLE);
+                format!("at most {:.0} can be promised: lower reserves, or add nodes", can * PROMISABLE);
             r.note("reserves-too-large", message, last.span(), Some(help));
         }
     }
@@ -104,14 +101,10 @@
     }
 }
 
-fn all<'a>(document: &'a KdlDocument, kind: &'static str) -> impl Iterator<Item = &'a KdlNode> {
-    document.nodes().iter().filter(move |n| n.name().value() == kind)
-}
-
 fn plans(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
     let running: Vec<_> = d.nodes.iter().filter(|n| !n.spare).map(|n| d.machines.get(n.machine)).collect();
-    let can = running.iter().flatten().map(|m| f64::from(m.cores) / m.unit.secs().max(1e-9)).sum::<f64>();
-    for (p, n) in d.plans.iter().zip(all(document, "plan")) {
+    let can = running.iter().flatten().map(|m| m.can()).sum::<f64>();
+    for (p, n) in d.plans.iter().zip(entries(document, "plan")) {
         let at = |key: &str| n.entry(key).map_or(n.span(), |e| e.span());
         let warn =
             |r: &mut Reader, code, message: &str, key: &str| r.warn(code, message.into(), at(key), None);
@@ -132,7 +125,7 @@
 }
 
 fn stream_types(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
-    for (s, n) in d.stream_types.iter().zip(all(document, "stream-type")) {
+    for (s, n) in d.stream_types.iter().zip(entries(document, "stream-type")) {
         let at = |key: &str| n.entry(key).map_or(n.span(), |e| e.span());
         if s.decisions.slo_time == s.expiry && n.entry("late-part").is_some() {
             let message = "no answer is late: the SLO time is the expiry".into();
@@ -153,8 +146,8 @@
 
 fn places(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
     let mut addresses: BTreeMap<&str, usize> = BTreeMap::new();
-    let hosts = d.hosts.iter().zip(all(document, "host"));
-    let nodes = d.nodes.iter().map(|n| &n.place).zip(all(document, "node"));
+    let hosts = d.hosts.iter().zip(entries(document, "host"));
+    let nodes = d.nodes.iter().map(|n| &n.place).zip(entries(document, "node"));
     for (p, n) in hosts.chain(nodes).filter(|(p, _)| !p.address.is_empty() && !p.address.ends_with(":0")) {
         if let Some(first) = addresses.get(p.address.as_str()) {
             let message = format!("\"{}\" has the address of another", p.name);
@@ -165,7 +158,7 @@
     }
     let mut served = vec![false; d.hosts.len()];
     d.volumes.iter().flat_map(|v| v.hosts.iter()).for_each(|h| served[h.0 as usize] = true);
-    for (place, n) in all(document, "host").enumerate() {
+    for (place, n) in entries(document, "host").enumerate() {
         if !served.get(place).copied().unwrap_or(true) && !d.volumes.is_empty() {
             r.warn(
                 "unused",
@@ -176,13 +169,13 @@
         }
     }
     let mut cells: BTreeMap<i64, usize> = BTreeMap::new();
-    for (node, n) in d.nodes.iter().zip(all(document, "node")).filter(|(node, _)| !node.spare) {
+    for (node, n) in d.nodes.iter().zip(entries(document, "node")).filter(|(node, _)| !node.spare) {
         if cells.insert(node.cell.0, n.span().offset()).is_some() {
             let message = format!("another running node holds cell {} too", node.cell.0);
             r.warn("cell-twice", message, n.span(), Some("one that takes over later is spare=#true".into()));
         }
     }
-    for (node, n) in d.nodes.iter().zip(all(document, "node")).filter(|(node, _)| node.spare) {
+    for (node, n) in d.nodes.iter().zip(entries(document, "node")).filter(|(node, _)| node.spare) {
         if !cells.contains_key(&node.cell.0) {
             let message = format!("no running node holds cell {}, for which it stands by", node.cell.0);
             r.warn("spare-alone", message, n.span(), None);
--- a/crates/planner/src/documents.rs
+++ b/crates/planner/src/documents.rs
@@ -4,13 +4,11 @@
 //! is sized for is placed, even over its hosts, and what nodes can do is nine tenths of their machines.
 
 use crate::{Budget, Demand, Plan, Question};
-use gullsail_configuration::Deployment;
-use gullsail_interface::{Across, PoolId, StreamTypeId, ZoneId};
+use gullsail_configuration::{Deployment, PROMISABLE};
+use gullsail_interface::{Across, PoolId, StreamTypeId};
 use kdl::{KdlDocument, KdlEntry, KdlNode};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Of what machines can do: the rest is for pauses and restarts, as reserves are judged.
-const USABLE: f64 = 0.9;
 /// Of a volume's bytes a second: less is the solver's rounding, and no reason for a zone.
 const LEAST: f64 = 0.001;
 
@@ -55,7 +53,7 @@
     let (mut can, mut nodes) = (vec![0.0; count], vec![0.0f64; count]);
     for n in d.nodes.iter().filter(|n| !n.spare) {
         let m = d.machines.get(n.machine).ok_or_else(|| Lacks::Machine(n.place.name.clone()))?;
-        can[n.place.zone.0] += f64::from(m.cores) / m.unit.secs().max(1e-9) * USABLE;
+        can[n.place.zone.0] += m.can() * PROMISABLE;
         nodes[n.place.zone.0] += 1.0;
     }
     let a_node = can.iter().zip(&nodes).map(|(can, nodes)| can / nodes.max(1.0)).collect();
@@ -154,8 +152,3 @@
         if ['*', '?', '[', ']'].contains(&c) { format!("{text}[{c}]") } else { text + &c.to_string() }
     })
 }
-
-/// The zone of a name.
-pub fn zone(d: &Deployment, name: &str) -> Option<ZoneId> {
-    d.zones.iter().position(|z| z == name).map(ZoneId)
-}
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -73,7 +73,7 @@
     /// Units that a cold node bears within the rule's window: what is borne in any case, or some times what it
     /// can do now.
     fn bears(&self, now: Instant) -> f64 {
-        let a_second = f64::from(self.machine.cores) / self.machine.unit.secs().max(1e-9);
+        let a_second = self.machine.can();
         let can = a_second * self.speed(now) * self.cold.window.secs();
         self.cold.units.max(self.machine.falls_over * can)
     }
--- a/crates/zones/src/breaches.rs
+++ b/crates/zones/src/breaches.rs
@@ -1,6 +1,7 @@
 //! What went past a budget, and why, as it was known when it was decided. Bytes that follow each other for the same
 //! cause are one breach with its interval.
 
+use gullsail::fading::Fading;
 use gullsail_interface::{Cause, Instant, PlanId, Span, VolumeId};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -31,28 +32,11 @@
 const LATELY: Span = Span::from_micros(3_000_000);
 const USUALLY: Span = Span::from_micros(60_000_000);
 
-/// A sum that fades over a span of time; its mean a second.
-#[derive(Clone, Copy, Debug)]
-struct Rate {
-    sum: f64,
-    at: Instant,
-}
-
-impl Rate {
-    fn read(&self, now: Instant, over: Span) -> f64 {
-        self.sum * (-((now - self.at).secs().max(0.0) / over.secs())).exp()
-    }
-
-    fn add(&mut self, now: Instant, over: Span, what: f64) {
-        *self = Rate { sum: self.read(now, over) + what, at: self.at.max(now) };
-    }
-}
-
 #[derive(Debug, Default)]
 pub struct Breaches {
     all: VecDeque<Breach>,
     /// What each plan had cross, lately and usually.
-    plans: BTreeMap<PlanId, (Rate, Rate)>,
+    plans: BTreeMap<PlanId, (Fading, Fading)>,
     began: Option<Instant>,
 }
 
@@ -60,18 +44,17 @@
     /// Bytes of a plan crossed, within budgets or past them.
     pub fn crossed(&mut self, now: Instant, plan: PlanId, bytes: f64) {
         self.began.get_or_insert(now);
-        let none = Rate { sum: 0.0, at: now };
-        let (lately, usually) = self.plans.entry(plan).or_insert((none, none));
+        let (lately, usually) = self.plans.entry(plan).or_default();
         lately.add(now, LATELY, bytes);
         usually.add(now, USUALLY, bytes);
     }
 
     /// The plan that makes most of what crosses and far more than it used to, if there is one.
-    fn surge(&self, now: Instant) -> Option<PlanId> {
+    fn surge(&mut self, now: Instant) -> Option<PlanId> {
         // What is usual is known after a while only; a sum that is young has seen but a part of its span.
         let seen = (now - self.began?).secs();
         let part = 1.0 - (-seen / USUALLY.secs()).exp();
-        let rates = self.plans.iter().map(|(plan, (lately, usually))| {
+        let rates = self.plans.iter_mut().map(|(plan, (lately, usually))| {
             let rate = lately.read(now, LATELY) / LATELY.secs();
             (*plan, rate, usually.read(now, USUALLY) / USUALLY.secs() / part.max(1e-9))
         });
--- a/src/fading.rs
+++ b/src/fading.rs
@@ -3,7 +3,7 @@
 use gullsail_interface::{Instant, Span};
 
 /// Falls by 1/e after each `over`; brought up to date when it is read.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Fading {
     sum: f64,
     at: Instant,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,7 @@
 //! what it is told and what it asks for stands in `gullsail-interface`.
 
 pub mod brain;
-mod fading;
+pub mod fading;
 
 pub use brain::Brain;
 pub use gullsail_interface as interface;
