--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -3,6 +3,7 @@
 use gullsail_configuration::diff::{Class, diff as compare};
 use gullsail_configuration::{Deployment, Files, Problem, Problems, Reader, Said, Weight, explain as codes};
 use gullsail_host::control::{Ask, Load, State, Told};
+use kdl::KdlNode;
 use miette::{GraphicalReportHandler, IntoDiagnostic, Result, WrapErr, miette};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -111,6 +112,18 @@
     })
 }
 
+/// A line for each value of an entry that a template was given elsewhere.
+fn given(reader: &Reader, node: &KdlNode, out: &mut String) {
+    for e in node.entries() {
+        let from = reader.given_at(e.span().offset());
+        if !from.is_empty() {
+            let name = e.name().map(|n| format!("{}=", n.value())).unwrap_or_default();
+            *out += &format!("//   {name}{} given at {}\n", e.value(), from.join(" and "));
+        }
+    }
+    node.iter_children().for_each(|child| given(reader, child, out));
+}
+
 pub fn show(file: &Path, host: &str) -> Result<ExitCode> {
     let (d, _) = read(file)?;
     let me = d.host(host).ok_or_else(|| {
@@ -132,7 +145,9 @@
         if !foreign && !["machine", "day"].contains(&kind) {
             let origin = reader.origin(node.span().offset());
             // Who reads it may have seen enough.
-            if writeln!(out, "// {origin}\n{}", node.to_string().trim()).is_err() {
+            let mut values = String::new();
+            given(&reader, node, &mut values);
+            if writeln!(out, "// {origin}\n{values}{}", node.to_string().trim()).is_err() {
                 break;
             }
         }
--- a/crates/cli/tests/documents.rs
+++ b/crates/cli/tests/documents.rs
@@ -93,10 +93,29 @@
     let dir = folder();
     let shown = out(&gullsail(dir.path(), &["show", "main.kdl", "--host", "h1"]));
     assert!(shown.contains("// plans.kdl:1:1\nplan"), "{shown}");
-    assert!(shown.contains("// main.kdl:6:5, used at main.kdl:8:1\nvolume mine"), "{shown}");
+    let mine = "// main.kdl:6:5, used at main.kdl:8:1\n//   mine given at main.kdl:8:9\nvolume mine";
+    assert!(shown.contains(mine), "{shown}");
     assert!(!shown.contains("theirs"), "{shown}");
 }
 
+/// Through templates in templates: what a use gives, what an outer one hands on, and what stands unless given.
+#[test]
+fn show_says_where_each_value_was_given() {
+    let dir = folder();
+    let nested = "include \"plans.kdl\"\nstream-type \"r\" effect=\"repeatable\" slo=\"1s\" expiry=\"2s\"\n\
+        host \"h1\"\ntemplate \"in\" plan=\"p\" host=\"h1\" {\n  volume \"$a-$b\" plan=\"$plan\" { hosts \"$host\"; }\n}\n\
+        template \"out\" {\n  use \"in\" a=\"$x\" b=\"two\"\n}\nuse \"out\" x=\"one\"\n";
+    std::fs::write(dir.path().join("main.kdl"), nested).unwrap();
+    let shown = out(&gullsail(dir.path(), &["show", "main.kdl", "--host", "h1"]));
+    for line in [
+        "//   one-two given at main.kdl:10:11 and main.kdl:8:19, used at main.kdl:10:1",
+        "//   plan=p given at main.kdl:4:15",
+        "//   h1 given at main.kdl:4:24",
+    ] {
+        assert!(shown.contains(line), "{line}\n{shown}");
+    }
+}
+
 const ZONED: &str = r#"rules unit="64KiB"
 zone "a"
 zone "b"
@@ -138,13 +157,9 @@
     assert_eq!(gullsail(dir.path(), &["check", "new.kdl"]).status.code(), Some(0));
     let diff = gullsail(dir.path(), &["diff", "main.kdl", "new.kdl"]);
     assert_eq!(diff.status.code(), Some(0), "{}", out(&diff));
-    assert!(
-        out(&diff).contains("volume \"v\" pool of w: \"disks\" -> \"disks-in-a-b\"")
-            || out(&diff).contains("disks-in-a-b"),
-        "{}",
-        out(&diff)
-    );
-    assert!(out(&diff).contains("all-in-b"), "{}", out(&diff));
+    for says in ["volume \"v\" pool of w: disks -> disks-in-a-b", "volume \"w\" pool of w: all -> all-in-b"] {
+        assert!(out(&diff).contains(says), "{says}\n{}", out(&diff));
+    }
     write("5");
     let plan = gullsail(dir.path(), &["zones", "plan", "main.kdl"]);
     assert_eq!(plan.status.code(), Some(1));
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -155,6 +155,8 @@
     name: String,
     sources: Sources,
     noted: Vec<Noted>,
+    /// Of values that templates filled in: where what they are filled with stands.
+    filled: BTreeMap<usize, Vec<usize>>,
 }
 
 impl Reader {
@@ -206,6 +208,21 @@
         self.sources.add(name, text, Some(used_at)) as isize - old as isize
     }
 
+    pub(crate) fn comes_from(&mut self, at: usize, from: usize) {
+        self.filled.entry(at).or_default().push(from);
+    }
+
+    /// Where the parameters that a value was filled with were given first; empty: it stands in its own place.
+    pub fn given_at(&self, place: usize) -> Vec<String> {
+        let from = self.filled.get(&place).map(Vec::as_slice).unwrap_or_default();
+        from.iter()
+            .flat_map(|from| match self.given_at(*from) {
+                first if first.is_empty() => vec![self.origin(*from)],
+                first => first,
+            })
+            .collect()
+    }
+
     /// Where a place of the document comes from, with the uses of templates that brought it there.
     pub fn origin(&self, place: usize) -> String {
         let mut text = self.sources.say(place);
@@ -220,7 +237,7 @@
     /// # Errors
     /// What was found; warnings alone are no error and come with what was built.
     pub fn close<T>(self, built: T) -> Result<(T, Vec<Problem>), Problems> {
-        let Reader { name, sources, mut noted } = self;
+        let Reader { name, sources, mut noted, .. } = self;
         noted.sort_by_key(|n| n.at.offset());
         let errors = noted.iter().any(|n| n.weight == Weight::Error);
         // With errors about, a warning is mostly one's consequence: what is misspelt is used nowhere.
--- a/crates/configuration/src/resolve.rs
+++ b/crates/configuration/src/resolve.rs
@@ -16,9 +16,12 @@
 /// Entries after all is resolved: templates that use each other grow fast.
 const MOST_ENTRIES: usize = 1_000_000;
 
+/// Parameters: what each is, and where that stands.
+type Values = BTreeMap<String, (KdlValue, usize)>;
+
 struct Template {
     node: KdlNode,
-    defaults: BTreeMap<String, KdlValue>,
+    defaults: Values,
     used: bool,
 }
 
@@ -152,7 +155,7 @@
         let mut defaults = BTreeMap::new();
         for e in node.entries() {
             if let Some(key) = e.name() {
-                defaults.insert(key.value().to_string(), e.value().clone());
+                defaults.insert(key.value().to_string(), (e.value().clone(), e.span().offset()));
             }
         }
         if let Some(first) = self.templates.get(&name) {
@@ -190,7 +193,7 @@
         let node = t.node.clone();
         for e in at.entries() {
             if let Some(key) = e.name() {
-                values.insert(key.value().to_string(), e.value().clone());
+                values.insert(key.value().to_string(), (e.value().clone(), e.span().offset()));
             }
         }
         let by = self.r.again(node.span().offset(), at.span().offset());
@@ -221,12 +224,7 @@
     }
 
     /// A text that is `$name` becomes the value of that name; `$name` within a text, its text.
-    fn fill(
-        &mut self,
-        node: &mut KdlNode,
-        values: &BTreeMap<String, KdlValue>,
-        needed: &mut BTreeSet<String>,
-    ) {
+    fn fill(&mut self, node: &mut KdlNode, values: &Values, needed: &mut BTreeSet<String>) {
         for e in node.entries_mut() {
             let KdlValue::String(text) = e.value() else { continue };
             let (text, at) = (text.clone(), e.span());
@@ -243,7 +241,8 @@
                 let (name, tail) = after.split_at(end);
                 needed.insert(name.to_string());
                 match values.get(name) {
-                    Some(v) => {
+                    Some((v, from)) => {
+                        self.r.comes_from(at.offset(), *from);
                         whole =
                             (before.is_empty() && tail.is_empty() && filled.is_empty()).then(|| v.clone());
                         filled += &v.as_string().map_or_else(|| v.to_string(), str::to_string);
--- a/crates/configuration/tests/files.rs
+++ b/crates/configuration/tests/files.rs
@@ -445,8 +445,14 @@
         let files: BTreeMap<_, _> = found.map(|p| (name(&p), read(&p))).collect();
         all.extend(firsts.into_iter().map(|first| (first.to_string(), Memory(files.clone()))));
     }
-    let fleet = read(&root.join("crates/day/days/fleet.kdl"));
-    all.push(("fleet.kdl".into(), Memory([("fleet.kdl".to_string(), fleet)].into())));
+    let days = root.join("crates/day/days");
+    let fleet = read(&days.join("fleet.kdl"));
+    let scripts = glob::glob(&days.join("*.kdl").to_string_lossy()).unwrap().flatten();
+    for script in scripts.filter(|p| !p.ends_with("fleet.kdl")) {
+        let text = format!("{fleet}\n{}", read(&script));
+        all.push(("day.kdl".into(), Memory([("day.kdl".to_string(), text)].into())));
+    }
+    assert!(all.len() > 20);
     all
 }
 
@@ -460,14 +466,13 @@
         let formatted: BTreeMap<_, _> = formatted.collect();
         for (name, text) in &formatted {
             assert_eq!(&format(text).unwrap(), text, "{name}");
-            // The days' texts are put together with scripts, and keep their columns.
-            assert!(name == "fleet.kdl" || files.0[name] == *text, "{name} is not formatted");
+            // Days' texts are put together of two, and keep their columns.
+            assert!(name == "day.kdl" || files.0[name] == *text, "{name} is not formatted");
         }
         let (b, _) = load(&Memory(formatted), &first).unwrap();
         assert_eq!(diff(&a, &b), vec![], "{first}");
         assert!(
-            first == "fleet.kdl"
-                || (a.hosts.len() == 200 && a.nodes.iter().filter(|n| !n.spare).count() == 60)
+            first == "day.kdl" || (a.hosts.len() == 200 && a.nodes.iter().filter(|n| !n.spare).count() == 60)
         );
     }
 }
