--- /dev/null
+++ b/crates/cli/tests/control.rs
@@ -0,0 +1,146 @@
+//! The control socket of a running host, as its operator uses it.
+
+use std::io::{BufRead, BufReader, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::process::{Child, Command, Output, Stdio};
+
+const DOCUMENT: &str = "rules tick=\"20ms\"\nstream-type \"r\" effect=\"repeatable\" slo=\"1s\" expiry=\"2s\"\n\
+    plan \"p\" limit=\"100units/s\" burst=64 usual=\"60units/s\"\n\
+    host \"h1\" address=\"127.0.0.1:0\"\nhost \"h2\" address=\"127.0.0.1:0\"\nvolume \"v\" plan=\"p\"\n";
+
+fn gullsail(dir: &Path, arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gullsail"));
+    command.current_dir(dir).args(["--log-level", "error"]).args(arguments).output().unwrap()
+}
+
+/// A host that serves; ended by its own id when it is dropped.
+struct Host(Child);
+
+impl Host {
+    fn start(dir: &Path) -> Host {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_gullsail"))
+            .current_dir(dir)
+            .args(["--log-level", "error", "host", "main.kdl", "--name", "h1", "--control", "h1.sock"])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        // It says where it listens once it does.
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        assert!(line.contains("address"), "{line}");
+        Host(child)
+    }
+
+    fn stop(mut self) -> Option<i32> {
+        let id = nix::unistd::Pid::from_raw(self.0.id() as i32);
+        nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).unwrap();
+        self.0.wait().unwrap().code()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // It may have ended.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn said(o: &Output) -> String {
+    String::from_utf8_lossy(&o.stdout).into_owned() + &String::from_utf8_lossy(&o.stderr)
+}
+
+fn status(dir: &Path) -> serde_json::Value {
+    let out = gullsail(dir, &["status", "h1.sock"]);
+    serde_json::from_slice(&out.stdout).unwrap_or_else(|e| panic!("{e}: {}", said(&out)))
+}
+
+#[test]
+fn documents_are_reloaded_over_the_socket() {
+    let dir = tempfile::tempdir().unwrap();
+    let dir = dir.path();
+    let write = |name: &str, text: &str| std::fs::write(dir.join(name), text).unwrap();
+    write("main.kdl", DOCUMENT);
+    write("first.kdl", DOCUMENT);
+    let host = Host::start(dir);
+    assert_eq!(dir.join("h1.sock").metadata().unwrap().permissions().mode() & 0o777, 0o600);
+    let lower = DOCUMENT.replace("limit=\"100", "limit=\"80") + "revision 1 after=\"first.kdl\"\n";
+    let tiny = DOCUMENT.replace("limit=\"100", "limit=\"50") + "revision 2 after=\"second.kdl\"\n";
+    // the document, arguments, exit code, what is said, the revision served by then
+    let cases: [(String, &[&str], i32, &str, u64); 7] = [
+        (DOCUMENT.into(), &[], 0, "taken: revision 0, 0 change(s)", 0),
+        (
+            DOCUMENT.replace("100units/s", "100"),
+            &[],
+            2,
+            "main.kdl:3:10: wrong-kind: \"100\" is not a rate",
+            0,
+        ),
+        (DOCUMENT.replace("20ms", "9ms"), &["--insist"], 1, "turned down: rules tick", 0),
+        (lower.clone(), &[], 0, "taken: revision 1, 1 change(s)", 1),
+        (tiny.clone(), &[], 1, "dangerous, and not insisted on", 1),
+        (tiny.clone(), &["--json"], 1, "{\"told\":\"turned-down\",\"why\":[\"plan", 1),
+        (tiny, &["--insist"], 0, "taken: revision 2", 2),
+    ];
+    write("second.kdl", &lower);
+    for (text, arguments, code, says, revision) in cases {
+        write("main.kdl", &text);
+        let out = gullsail(dir, &[&["reload", "h1.sock"], arguments].concat());
+        assert_eq!(
+            (out.status.code(), said(&out).contains(says)),
+            (Some(code), true),
+            "{says}\n{}",
+            said(&out)
+        );
+        let state = status(dir);
+        assert_eq!((state["host"].as_str(), state["revision"].as_u64()), (Some("h1"), Some(revision)));
+        let behind = if revision > 0 { serde_json::json!(["h2"]) } else { serde_json::json!([]) };
+        assert_eq!(state["behind"], behind);
+    }
+    let state = status(dir);
+    assert_eq!(
+        (state["counts"]["documents_taken"].as_u64(), state["counts"]["documents_turned_down"].as_u64()),
+        (Some(3), Some(3))
+    );
+    assert_eq!(host.stop(), Some(0));
+    assert!(!dir.join("h1.sock").exists(), "the socket goes with its host");
+}
+
+#[test]
+fn strange_askers_and_sockets() {
+    let dir = tempfile::tempdir().unwrap();
+    let dir = dir.path();
+    std::fs::write(dir.join("main.kdl"), DOCUMENT).unwrap();
+    let gone = gullsail(dir, &["status", "h1.sock"]);
+    assert_eq!((gone.status.code(), said(&gone).contains("no host answers at h1.sock")), (Some(2), true));
+    // A file that a host left behind when it was killed is replaced.
+    let killed = Host::start(dir);
+    drop(killed);
+    assert!(dir.join("h1.sock").exists());
+    let host = Host::start(dir);
+    // Another host is refused, and the first one still answers.
+    let other = gullsail(dir, &["host", "main.kdl", "--name", "h2", "--control", "h1.sock"]);
+    assert_eq!(
+        (other.status.code(), said(&other).contains("another process answers")),
+        (Some(2), true),
+        "{}",
+        said(&other)
+    );
+    for asked in ["nonsense\n", "{\"ask\":\"shutdown\"}\n", "{}\n"] {
+        let mut stream = UnixStream::connect(dir.join("h1.sock")).unwrap();
+        stream.write_all(asked.as_bytes()).unwrap();
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line).unwrap();
+        assert!(line.contains("\"told\":\"error\"") && line.contains("not understood"), "{asked}: {line}");
+    }
+    // One that says too much, and one that is gone before its answer.
+    let mut long = UnixStream::connect(dir.join("h1.sock")).unwrap();
+    // It may be hung up on while it writes.
+    let _ = long.write_all(&[b'x'; 100_000]);
+    drop(long);
+    UnixStream::connect(dir.join("h1.sock")).unwrap().write_all(b"{\"ask\":\"status\"}\n").unwrap();
+    assert_eq!(status(dir)["revision"].as_u64(), Some(0));
+    assert_eq!(host.stop(), Some(0));
+}
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -318,8 +318,14 @@
             None => document.nodes_mut().push(entry),
         }
     }
+    numbered(&document.to_string(), number, Some(&format!("revision-{}.kdl", number - 1)))
+}
+
+/// The document with this revision in the place of its own.
+fn numbered(text: &str, number: u64, after: Option<&str>) -> String {
+    let Ok(mut document) = KdlDocument::parse_v2(text) else { return text.into() };
     document.nodes_mut().retain(|n| n.name().value() != "revision");
-    document.nodes_mut().push(revision(number, Some(&format!("revision-{}.kdl", number - 1))));
+    document.nodes_mut().push(revision(number, after));
     document.to_string()
 }
 
@@ -612,6 +618,9 @@
                 }
                 self.later.push((until(after), Step::HostBack { host }));
             }
+            Trouble::Reload { .. } if self.stage.baseline => {
+                self.say("the baseline takes no other document: it keeps its own".into());
+            }
             Trouble::Reload { host, every, insist, expect, entries } => {
                 let number = self.newest.0 + 1;
                 let text = changed(&self.newest.1, &entries, number);
@@ -667,8 +676,7 @@
         }
         if next.expect == Expect::Taken {
             // Alone, as the judge reads it.
-            let alone = next.text.replace(&format!("after=revision-{}.kdl", next.revision - 1), "");
-            let alone = alone.replace(&format!("after=\"revision-{}.kdl\"", next.revision - 1), "");
+            let alone = numbered(&next.text, next.revision, None);
             self.note_document(host, next.revision, Some(alone), false);
         }
         let told =
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -12,7 +12,7 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         match (&link.who, frame.message) {
             (_, Message::Newer { kind }) => debug!(link = id.0, kind, "kind of a newer version: skipped"),
-            (Who::Stranger, Message::Hello(hello)) => self.greeted_by_stranger(id, hello),
+            (Who::Stranger(_), Message::Hello(hello)) => self.greeted_by_stranger(id, hello),
             (Who::Client, Message::Submit(s)) => self.submit(id, s, frame.body),
             (Who::Client, Message::Withdraw(w)) => self.withdraw(id, w.id),
             (Who::PeerIn { .. }, Message::Label(l)) => self.label(id, l.bytes),
@@ -73,18 +73,20 @@
             },
             _ => return self.hang_up(id, "only clients and hosts connect to a host"),
         };
-        let peer = matches!(who, Who::PeerIn { .. });
+        let peer = if let Who::PeerIn { host, .. } = &who { Some(*host) } else { None };
+        let mut sent = 0;
         if let Some(link) = self.links.get_mut(&id) {
+            if let Who::Stranger(bytes) = link.who {
+                sent = bytes;
+            }
             if matches!(who, Who::Client) {
                 // What was sent to it so far, this host's own first frame, counts as its answers do.
                 self.unsent += link.unsent;
             }
             (link.who, link.due_by) = (who, None);
         }
-        if peer {
-            // What it was sent before it said who it is.
-            let first = self.hello();
-            self.frame_crosses(id, &first, true);
+        if let Some(host) = peer {
+            self.crosses_to_peer(host, sent);
             self.ask_clock(id);
         } else {
             self.pressure(id);
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -135,8 +135,8 @@
 }
 
 enum Who {
-    /// It has not said yet who it is.
-    Stranger,
+    /// It has not said yet who it is; it was sent so many bytes.
+    Stranger(usize),
     Client,
     /// A peer that speaks to us, and what is known of its clock; labels wait until something is.
     PeerIn {
@@ -250,9 +250,10 @@
         if self.links.len() >= MOST_LINKS || self.stopping {
             return None;
         }
-        let link = self.link(Who::Stranger);
+        let hello = self.hello();
+        let link = self.link(Who::Stranger(hello.len()));
         self.slow(link, PATIENCE);
-        self.send(link, self.hello());
+        self.send(link, hello);
         Some(link)
     }
 
@@ -390,7 +391,7 @@
         self.counts.links_broken += 1;
         let redial = self.deployment.bounds.redial;
         match link.who {
-            Who::Stranger => info!(link = id.0, why, "connection ended before it said whose it is"),
+            Who::Stranger(_) => info!(link = id.0, why, "connection ended before it said whose it is"),
             Who::Client => {
                 self.unsent -= link.unsent;
                 let left = self.transfers.of_link(id);
@@ -553,7 +554,7 @@
             return;
         }
         let why = match link.who {
-            Who::Stranger => "no first frame in time",
+            Who::Stranger(_) => "no first frame in time",
             Who::List if self.list_asked => "no reply in time",
             _ => "no connection or no first frame in time",
         };
--- a/crates/host/src/core/zones.rs
+++ b/crates/host/src/core/zones.rs
@@ -82,16 +82,29 @@
         if matches!(frame.message, Message::Leg(_) | Message::LegAnswer(_)) {
             return;
         }
-        let there = match self.links.get(&link).map(|l| &l.who) {
-            Some(Who::Node(node)) => self.nodes.get(*node).map(|n| n.zone),
+        match self.links.get(&link).map(|l| &l.who) {
+            Some(Who::Node(node)) => {
+                let Some(there) = self.nodes.get(*node).map(|n| n.zone) else { return };
+                let (from, to) = if out { (here, there) } else { (there, here) };
+                self.peers_cross(from, to, frame.len());
+            }
             Some(Who::PeerOut(host) | Who::PeerIn { host, .. }) if out => {
-                self.deployment.hosts.get(host.0 as usize).map(|h| h.zone)
+                let host = *host;
+                self.crosses_to_peer(host, frame.len());
             }
-            _ => None,
-        };
-        let Some(there) = there else { return };
-        let (from, to) = if out { (here, there) } else { (there, here) };
-        self.account.count(self.now, Flow { from, to, reason: Reason::Peers, of: None }, frame.len(), false);
+            _ => {}
+        }
+    }
+
+    pub(super) fn crosses_to_peer(&mut self, host: HostId, bytes: usize) {
+        let there = self.deployment.hosts.get(host.0 as usize).map(|h| h.zone);
+        if let Some((here, there)) = self.here().zip(there) {
+            self.peers_cross(here, there, bytes);
+        }
+    }
+
+    fn peers_cross(&mut self, from: ZoneId, to: ZoneId, bytes: usize) {
+        self.account.count(self.now, Flow { from, to, reason: Reason::Peers, of: None }, bytes, false);
     }
 
     fn flow(&self, from: ZoneId, to: ZoneId, transfer: TransferId, leg: u32) -> Flow {
