A model of the seven rules, stepped beside the module and beside whole hosts

Worlds from fixed seeds drive 1 to 8 Brains (tests/decisions/model.rs) and two whole Cores by their frames (crates/host/tests/host/model.rs): nodes that are slow, full, erring, resetting, restarting cold and draining, labels lost, late and repeated, hosts killed and reborn, documents that change, clients that leave.

--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -3,4 +3,5 @@
 mod changes;
 mod clocks;
 mod core;
+mod model;
 mod rig;
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -2,5 +2,6 @@
 
 mod common;
 mod limits;
+mod model;
 mod rules;
 mod symptoms;
