--- a/crates/host/src/core/due.rs
+++ b/crates/host/src/core/due.rs
@@ -39,6 +39,11 @@
             .map(|e| e.remove())
     }
 
+    /// How many are set.
+    pub fn len(&self) -> usize {
+        self.buckets.values().map(Vec::len).sum()
+    }
+
     /// A bucket that was taken and emptied.
     pub fn give_back(&mut self, mut bucket: Vec<T>) {
         if self.spare.len() < 64 {
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod dial;
 mod due;
 mod hear;
+mod lengths;
 pub mod nodes;
 mod serve;
 pub mod transfers;
--- a/crates/host/src/core/nodes.rs
+++ b/crates/host/src/core/nodes.rs
@@ -51,6 +51,11 @@
         start
     }
 
+    /// How many starts are remembered.
+    pub fn starts(&self) -> usize {
+        self.starts.len()
+    }
+
     pub fn entry(&self, id: NodeId, started: Option<Instant>) -> NodeEntry {
         NodeEntry {
             node: id,
--- a/crates/host/src/core/transfers.rs
+++ b/crates/host/src/core/transfers.rs
@@ -58,6 +58,10 @@
     pub fn legs_out(&self) -> usize {
         self.legs.len()
     }
+    /// Of the open ones, of their names, and of legs.
+    pub fn lengths(&self) -> (usize, usize, usize) {
+        (self.open.len(), self.named.len(), self.legs.len())
+    }
     pub fn get(&self, id: TransferId) -> Option<&Open> {
         self.open.get(&id).map(Box::as_ref)
     }
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -263,7 +263,8 @@
     pub most_bytes: f64,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// In the order in which a node goes through them: only a newer start leads back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
     #[default]
     Ready,
--- a/crates/limits/src/turnover.rs
+++ b/crates/limits/src/turnover.rs
@@ -106,6 +106,11 @@
         turnover
     }
 
+    /// How many documents are in the line, and how many volumes' terms are remembered.
+    pub fn lengths(&self) -> (usize, usize) {
+        (self.line.len(), self.told.len())
+    }
+
     fn held(&self) -> &Promises {
         self.line.back().expect("the line is never empty")
     }
@@ -222,6 +227,9 @@
         for t in &changed {
             self.told.insert(t.volume, t.clone());
         }
+        // Told that it is gone, and named by no document of the line: nothing is left to compare with.
+        let named = |id: &VolumeId| self.line.iter().any(|p| p.volumes.contains_key(id));
+        self.told.retain(|id, t| t.hosts > 0 || named(id));
         changed
     }
 
--- a/crates/zones/src/breaches.rs
+++ b/crates/zones/src/breaches.rs
@@ -81,6 +81,11 @@
         self.all.push_back(Breach { crossing, known, from: now, to: now, bytes });
     }
 
+    /// How much is kept.
+    pub fn kept(&self) -> usize {
+        self.all.len() + self.plans.len()
+    }
+
     pub fn all(&self) -> impl Iterator<Item = &Breach> {
         self.all.iter()
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,8 @@
 //! volume ([`Volume`]: token bucket, rate rule, loans, reserve), the desk ([`Desk`]: transfers, order,
 //! legs, answers, labels). Parts talk only by notes put into inboxes that the loop empties.
 
+mod lengths;
+
 use crate::fading::Fading;
 use gullsail_interface::*;
 use rand::{SeedableRng, seq::IndexedRandom};
@@ -14,7 +16,6 @@
 pub struct Brain {
     nodes: BTreeMap<NodeId, Node>,
     called: BTreeSet<NodeId>, // those with notes in their inboxes: only these are looked at
-    gone: VecDeque<(Instant, NodeId)>,
     desk: Desk,
     rng: ChaCha8Rng,
 }
@@ -24,7 +25,7 @@
 
     pub fn new(facts: Facts, seed: u64, now: Instant) -> Self {
         let (rng, desk) = (ChaCha8Rng::seed_from_u64(seed), Desk::new(facts, now));
-        Brain { nodes: BTreeMap::new(), called: BTreeSet::new(), gone: VecDeque::new(), desk, rng }
+        Brain { nodes: BTreeMap::new(), called: BTreeSet::new(), desk, rng }
     }
 
     pub fn step(&mut self, now: Instant, events: Vec<Event>) -> Vec<Action> {
@@ -47,17 +48,11 @@
         let missing = missing.filter(|e| e.standing != Standing::Gone).cloned();
         let missing: Vec<_> = missing.map(|e| NodeEntry { standing: Standing::Gone, ..e }).collect();
         for e in missing.iter().chain(entries) {
-            if e.standing == Standing::Gone {
-                self.gone.push_back((now, e.node));
-            }
             self.nodes.entry(e.node).or_insert_with(|| Node::new(e.clone(), now));
             self.post(e.node, NodeNote::Listed(e.clone(), seen));
         }
-        while let Some((_, id)) = self.gone.pop_front_if(|g| now - g.0 > Self::FORGET) {
-            if self.nodes.get(&id).is_some_and(|nd| nd.entry.standing == Standing::Gone) {
-                self.nodes.remove(&id);
-            }
-        }
+        let kept = |nd: &Node| nd.entry.standing != Standing::Gone || now - nd.gone <= Self::FORGET;
+        self.nodes.retain(|_, nd| kept(nd) || !nd.inbox.is_empty());
     }
 
     fn post(&mut self, id: NodeId, note: NodeNote) {
@@ -104,6 +99,7 @@
     answers: Fading,
     halved: Instant,
     heard: Instant,
+    gone: Instant, // since when, if it is
     last_sent: Instant,
     cold_sent: Vec<ColdLeg>, // kept exactly: a rule counts it
 }
@@ -132,7 +128,8 @@
     const LONE_LEG: f64 = 0.25; // of what is borne in any case, by however many hosts
 
     fn new(entry: NodeEntry, now: Instant) -> Self {
-        Node { entry, window: Self::START, halved: now, heard: now, last_sent: now, ..Node::default() }
+        let (gone, window) = (now, Self::START);
+        Node { entry, window, halved: now, heard: now, gone, last_sent: now, ..Node::default() }
     }
 
     fn take(&mut self, note: NodeNote, now: Instant) {
@@ -145,7 +142,10 @@
                 }
                 // The list is late: a drain is believed at once, but taken back only by a newer start.
                 let ended = self.entry.standing != Standing::Ready && e.started <= self.entry.started;
-                let standing = if ended { self.entry.standing } else { e.standing };
+                let standing = if ended { self.entry.standing.max(e.standing) } else { e.standing };
+                if standing == Standing::Gone && self.entry.standing != Standing::Gone {
+                    self.gone = now;
+                }
                 // A connection that broke is taken for a restart until the same process says otherwise.
                 let started = if seen { e.started } else { e.started.max(self.entry.started) };
                 self.entry = NodeEntry { standing, started, ..e };
@@ -257,6 +257,7 @@
     plan: PlanId,
     hosts: f64,
     part: Option<Limit>, // while documents change: this host's part, where it is not an even one
+    left: bool,          // no longer through this host
     asked: Fading,
     /// Tokens at this host, and the units of first legs that wait here.
     level: f64,
@@ -293,7 +294,7 @@
     /// Also where the plan has none any more and other hosts still hold to the one it had.
     fn limit(&self, facts: &Facts) -> Option<Limit> {
         let limit = self.crossing.map(|place| facts.crossings[place].limit);
-        limit.or_else(|| facts.plans[self.plan.0].limit).or(self.part)
+        limit.or_else(|| facts.plans.get(self.plan.0)?.limit).or(self.part)
     }
 
     fn refill(&mut self, now: Instant, facts: &Facts) {
@@ -324,7 +325,7 @@
         let most = if self.crossing.is_some() { facts.most_bytes } else { facts.most_units };
         let gift = label::rounded(want.min(self.level - keep.max(self.waiting.min(most))));
         self.level -= gift;
-        self.lent.push_back((now + ASK_EVERY, gift));
+        self.lent.extend((gift > 0.0).then_some((now + ASK_EVERY, gift)));
         gift
     }
 }
@@ -423,6 +424,12 @@
     }
 
     fn take(&mut self, note: DeskNote, rng: &mut ChaCha8Rng) {
+        // Whatever comes, also while no node has room: else what is accepted then would only pile up.
+        if let Some(b) = self.facts.leg_budget {
+            let since = self.now - b.window;
+            while self.accepted.pop_front_if(|at| *at <= since).is_some() {}
+            while self.resent.pop_front_if(|at| *at < since).is_some() {}
+        }
         match note {
             DeskNote::Room(room) => {
                 self.enter(&room, rng);
@@ -469,6 +476,7 @@
         let place = |e: &NodeEntry| (e.cell, e.pools.clone());
         if let Some(old) = self.rooms.get(&id).filter(|r| !ready || place(&r.entry) != place(&room.entry)) {
             self.cells.entry(old.entry.cell).and_modify(|c| _ = c.remove(&id));
+            self.cells.retain(|_, nodes| !nodes.is_empty());
             self.ready.values_mut().for_each(|nodes| nodes.retain(|other| *other != id));
             self.drawn.retain(|d| d.0 != id);
             self.rooms.remove(&id);
@@ -496,15 +504,16 @@
 
     /// The budgets that bytes of a plan's volume from zone to zone count against, and which are hard.
     fn across(&self, plan: PlanId, from: ZoneId, to: ZoneId) -> impl Iterator<Item = (VolumeId, bool)> {
-        let of = [Across::Pair(from, to), Across::Plan(plan)];
-        let some =
-            self.facts.crossings.iter().filter(move |c| from != to && c.hosts > 0 && of.contains(&c.of));
+        let (of, all) = ([Across::Pair(from, to), Across::Plan(plan)], self.facts.crossings.iter());
+        let some = all.filter(move |c| from != to && c.hosts > 0 && of.contains(&c.of));
         some.map(|c| (label::carried(c.id), c.hard))
     }
 
-    /// Takes bytes that cross from their budgets; what goes past one is told with its cause.
-    fn cross(&mut self, id: TransferId, plan: PlanId, way: (ZoneId, ZoneId), bytes: f64, cause: Cause) {
-        for (crossing, _) in self.across(plan, way.0, way.1).collect::<Vec<_>>() {
+    /// Takes bytes that cross to that zone or from it from their budgets; what goes past is told with its cause.
+    fn cross(&mut self, id: TransferId, plan: PlanId, (there, to): (ZoneId, bool), bytes: f64, cause: Cause) {
+        let Some(me) = self.facts.zone else { return };
+        let (from, to) = if to { (me, there) } else { (there, me) };
+        for (crossing, _) in self.across(plan, from, to).collect::<Vec<_>>() {
             let Some(v) = self.volumes.get_mut(&crossing) else { continue };
             v.refill(self.now, &self.facts);
             v.asked.add(self.now, LAST, bytes);
@@ -548,7 +557,7 @@
         for t in terms {
             let id = label::carried(t.volume);
             let v = self.volumes.entry(id).or_insert_with(|| Volume { at: now, ..Volume::default() });
-            (v.plan, v.hosts, v.part) = (t.plan, f64::from(t.hosts.max(1)), t.part);
+            (v.plan, v.hosts, v.part, v.left) = (t.plan, f64::from(t.hosts.max(1)), t.part, t.hosts == 0);
             v.refill(now, &self.facts);
             let waits = |x: &Xfer| x.t.volume == id && x.legs == 0;
             let left = self.xfers.iter().filter(|(_, x)| t.hosts == 0 && waits(x)).map(|(id, _)| *id);
@@ -560,7 +569,10 @@
         t.volume = label::carried(t.volume);
         let (now, id, volume) = (self.now, t.id, t.volume);
         let f = &self.facts;
-        let (Some(s), true) = (f.stream_types.get(t.stream_type.0), t.plan.0 < f.plans.len()) else { return };
+        let (Some(s), true) = (f.stream_types.get(t.stream_type.0), t.plan.0 < f.plans.len()) else {
+            // No document knows it any more. It never ran, and would else never be answered.
+            return self.actions.push(Action::Defer { id, come_back: None });
+        };
         self.accepted.extend(f.leg_budget.map(|_| now));
         let expiry = now + t.ttl - f.tick - f.tick;
         // A client's next try has less time than its first had: the SLO time has run all the while. With
@@ -600,9 +612,8 @@
     }
 
     fn leave_line(&mut self, id: TransferId) {
-        let Some((x, key)) = self.xfers.get_mut(&id).and_then(|x| x.line.take().map(|k| (x, k))) else {
-            return;
-        };
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        let Some(key) = x.line.take() else { return };
         let (Some(line), group) = (self.lines.get_mut(&key), (x.t.volume, x.t.stream_type)) else { return };
         line.groups.entry(group).and_modify(|g| _ = g.remove(&(x.slo_end, id)));
         line.groups.retain(|_, g| !g.is_empty());
@@ -630,11 +641,9 @@
             // Nothing at home, and no tokens in time for anywhere else: answered at once.
             lost.extend(lacks.iter().filter(|(_, x)| homeless && !zones.is_empty() && !hope(x)).map(|l| l.0));
             let bytes = lacks.iter().map(|(_, x)| x.t.bytes).sum::<f64>();
-            for c in self.facts.crossings.iter().filter(|c| late && c.hosts > 0).map(|c| label::carried(c.id))
-            {
-                self.volumes.entry(c).and_modify(|v| v.waiting = bytes);
-                wanted.push(c);
-            }
+            let shared = self.facts.crossings.iter().filter(|c| late && c.hosts > 0);
+            wanted.extend(shared.map(|c| label::carried(c.id)));
+            wanted.iter().for_each(|c| _ = self.volumes.entry(*c).and_modify(|v| v.waiting = bytes));
         }
         for id in lost {
             self.give_up(id);
@@ -672,13 +681,11 @@
         self.good.add(self.now, RECENT, f64::from(ending == Ending::Done));
         let Some(x) = self.xfers.get_mut(&id) else { return };
         if let (Some(used), Some(v)) = (e.used, self.volumes.get_mut(&x.t.volume)) {
-            v.used = Some(used * self.facts.plans[v.plan.0].usual);
+            v.used = self.facts.plans.get(v.plan.0).map(|p| used * p.usual);
         }
         x.out = x.out.saturating_sub(1);
         let plan = x.t.plan;
-        if let Some(me) = self.facts.zone {
-            self.cross(id, plan, (e.zone, me), e.bytes, Cause::Bound);
-        }
+        self.cross(id, plan, (e.zone, false), e.bytes, Cause::Bound);
         let Some(x) = self.xfers.get_mut(&id) else { return };
         x.maybe_ran = x.maybe_ran.filter(|m| m.0 != leg || !ending.never_ran());
         let unknown = matches!(ending, Ending::TimedOut | Ending::Broken | Ending::Cancelled);
@@ -793,11 +800,6 @@
         if room.slots == 0 || self.sent.read(self.now, RECENT) > earned {
             return;
         }
-        if let Some(b) = self.facts.leg_budget {
-            let since = self.now - b.window;
-            while self.accepted.pop_front_if(|at| *at <= since).is_some() {}
-            while self.resent.pop_front_if(|at| *at < since).is_some() {}
-        }
         for further in [false, true] {
             let own = self.best((further, Where::Cell(room.entry.cell)), room);
             // A new object can wait for a node that nobody's data waits for, until half its time
@@ -810,9 +812,7 @@
             let new = new.filter(|(n, _)| own.is_none_or(|o| n.0 > o.0 && must(n.1)));
             if let Some((_, id)) = new.map(|n| n.0).or(own) {
                 self.send(id, room);
-                return if let Some((_, pool)) = new {
-                    self.draw(pool, rng)
-                };
+                return new.into_iter().for_each(|n| self.draw(n.1, rng));
             }
         }
     }
@@ -863,11 +863,9 @@
         x.maybe_ran.get_or_insert((leg, room.entry.cell, room.entry.zone, self.now));
         self.outbox.push((node, NodeNote::Out { id, leg, units, slo_time }));
         self.actions.push(Action::Leg { id, node, time_out: Some(x.slo_end - self.now) });
-        if let Some(me) = self.facts.zone {
-            let else_why = if first { Cause::Bound } else { Cause::Further };
-            let choice = self.homeless(t.pool).filter(|_| t.cell.is_none());
-            self.cross(id, t.plan, (me, room.entry.zone), t.bytes, choice.unwrap_or(else_why));
-        }
+        let else_why = if first { Cause::Bound } else { Cause::Further };
+        let choice = self.homeless(t.pool).filter(|_| t.cell.is_none());
+        self.cross(id, t.plan, (room.entry.zone, true), t.bytes, choice.unwrap_or(else_why));
     }
 
     fn epoch(&mut self) {
@@ -878,6 +876,9 @@
         let lasts = EPOCH.times(f64::from(4 << SEEKS));
         self.users.values_mut().for_each(|u| u.retain(|_, at| now - *at < lasts));
         self.users.retain(|_, u| !u.is_empty());
+        // What left is forgotten long after its last transfer came: no label or loan of it is under way then.
+        let open = |id: &VolumeId| self.xfers.values().any(|x| x.t.volume == *id);
+        self.volumes.retain(|id, v| !v.left || v.asked.read(now, LAST) > 1e-9 || open(id));
         let (mut sum, mut busy, mut seek) = (0.0, 0.0, Vec::new());
         for (id, v) in self.volumes.iter_mut() {
             v.refill(now, f);
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -70,6 +70,11 @@
         host
     }
 
+    /// The length of one of the module's collections.
+    pub fn held(&self, name: &str) -> usize {
+        self.brain.lengths().into_iter().find(|l| l.0 == name).expect("a collection of this name").1
+    }
+
     pub fn tell(&mut self, event: Event) -> Vec<Action> {
         let actions = self.brain.step(self.now, vec![event]);
         for a in &actions {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! The decisions, event by event, without the bench.
 
+mod bounds;
 mod common;
 mod limits;
 mod model;
