--- a/crates/cli/benches/service/main.rs
+++ b/crates/cli/benches/service/main.rs
@@ -1,7 +1,9 @@
-//! Days of service in a minute or two: `cargo bench -p gullsail-cli --bench service -- HOURS [EVERY]`. Hosts, nodes, clients,
+//! Days of service in a minute or two: `cargo bench -p gullsail-cli --bench service -- HOURS [EVERY]`, or `-- sockets [WAVES]`
+//! for the real host on loopback (`sockets.rs`). Of the first: hosts, nodes, clients,
 //! objects, volumes and documents come and go all the while. Each hour has a quiet end in which all clients have left;
 //! what is held then, and how long steps took, is a row. The first third of the hours is set beside the last.
 
+mod sockets;
 mod world;
 
 use gullsail_interface::Span;
@@ -31,6 +33,9 @@
 
 fn main() {
     let arguments: Vec<f64> = std::env::args().filter_map(|a| a.parse().ok()).collect();
+    if std::env::args().any(|a| a == "sockets") {
+        return sockets::run(arguments.first().copied().unwrap_or(30.0) as usize);
+    }
     let hours = arguments.first().copied().unwrap_or(48.0) as usize;
     let every = arguments.get(1).copied().unwrap_or(4.0);
     let mut w = World::new(1, every);
