Bounds in bytes and in places: frames that wait, bytes to nodes, connections; each stage has its end

Seen by reading and by tests of the host's core. Frames read and not yet handled were bounded by number, 1,024 of up to 17 MiB each (drive::INBOX). Clients could take the last descriptors, each failing accept wrote a line each 5 ms, and idle clients held their places for ever (MOST_LINKS).

Change: all links' unsent bytes count as held, and a link whose other side takes nothing for client-stall is ended, whoever it is; frames take room in bytes until they are handled (a quarter of held-bytes); others may open what descriptors are left after those kept for nodes, peers, the list and the process, and an idle client gives way when all places are taken; lines on accepting are at most one in five seconds, with their number; dead machines' connections end by keepalive.

--- a/crates/cli/benches/service/main.rs
+++ b/crates/cli/benches/service/main.rs
@@ -1,5 +1,5 @@
 //! Days of service in a minute or two: `cargo bench -p gullsail-cli --bench service -- HOURS [EVERY]`, or `-- sockets [WAVES]`
-//! for the real host on loopback (`sockets.rs`). Of the first: hosts, nodes, clients,
+//! for the real host on loopback (`sockets.rs`), or `-- load [SECONDS] [EVERY]` under a profiler. Of the first: hosts, nodes, clients,
 //! objects, volumes and documents come and go all the while. Each hour has a quiet end in which all clients have left;
 //! what is held then, and how long steps took, is a row. The first third of the hours is set beside the last.
 
@@ -36,6 +36,14 @@
     if std::env::args().any(|a| a == "sockets") {
         return sockets::run(arguments.first().copied().unwrap_or(30.0) as usize);
     }
+    if std::env::args().any(|a| a == "load") {
+        // For a profiler: some seconds of steady load, and nothing else.
+        let (seconds, every) =
+            (arguments.first().copied().unwrap_or(60.0), arguments.get(1).copied().unwrap_or(0.05));
+        let mut w = World::new(1, every);
+        w.play(Span::from_millis(seconds * 1e3));
+        return println!("{} answered", w.answered);
+    }
     let hours = arguments.first().copied().unwrap_or(48.0) as usize;
     let every = arguments.get(1).copied().unwrap_or(4.0);
     let mut w = World::new(1, every);
--- a/crates/cli/benches/service/sockets.rs
+++ b/crates/cli/benches/service/sockets.rs
@@ -68,7 +68,8 @@
     for id in 0..20 {
         let handle = Some(Handle { cell: (place + id) as i64 % NODES, object: id });
         let (stream_type, volume) = ("read".into(), "v".into());
-        let s = Submit { id, stream_type, volume, units: 1.0, handle, ttl_us: 1_500_000, ..Submit::default() };
+        let s =
+            Submit { id, stream_type, volume, units: 1.0, handle, ttl_us: 1_500_000, ..Submit::default() };
         out.extend(wire(s.into()));
         if place % 10 == 3 {
             out.extend(wire(Withdraw { id }.into()));
@@ -181,8 +182,13 @@
         let Ok(Told::Status(state)) = state else { panic!("{state:?}") };
         let descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
         let log_kb = (log.load(Ordering::Relaxed) - before) as f64 / 1e3;
-        let row =
-            [descriptors as f64, status("Threads:"), metrics.num_alive_tasks() as f64, status("VmRSS:") / 1e3, log_kb];
+        let row = [
+            descriptors as f64,
+            status("Threads:"),
+            metrics.num_alive_tasks() as f64,
+            status("VmRSS:") / 1e3,
+            log_kb,
+        ];
         rows.push(row);
         println!(
             "{wave:>4} {answers:>8} {:>12} {:>8} {:>6} {:>12.1} {:>7.1} {:>5} {:>11}",
--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -1,5 +1,6 @@
 //! The commands on documents: check, explain, fmt, diff, show.
 
+use crate::{logs, whole};
 use gullsail_configuration::diff::{Class, diff as compare};
 use gullsail_configuration::{Deployment, Files, Problem, Problems, Reader, Said, Weight, explain as codes};
 use gullsail_host::control::{Ask, Load, State, Told};
@@ -44,13 +45,13 @@
         } else {
             let mut text = String::new();
             GraphicalReportHandler::new().render_report(&mut text, p).into_diagnostic()?;
-            eprintln!("{}:{}:{}\n{text}", p.file, p.line, p.column);
+            logs::say(&format!("{}:{}:{}\n{text}", p.file, p.line, p.column));
         }
     }
     let Some(d) = sound else {
         if !json {
             let errors = problems.iter().filter(|p| p.weight == Weight::Error).count();
-            eprintln!("{}: {errors} error(s); `gullsail explain CODE` tells more", file.display());
+            logs::say(&format!("{}: {errors} error(s); `gullsail explain CODE` tells more", file.display()));
         }
         return Ok(ExitCode::from(2));
     };
@@ -84,7 +85,7 @@
         if check {
             println!("{} would change", file.display());
         } else {
-            std::fs::write(file, formatted).into_diagnostic().wrap_err_with(|| file.display().to_string())?;
+            whole::write(file, &formatted).into_diagnostic().wrap_err_with(|| file.display().to_string())?;
         }
     }
     Ok(if check && differ { ExitCode::from(1) } else { ExitCode::SUCCESS })
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,8 @@
 //! process could not go on; 2: the arguments or a document are wrong.
 
 mod documents;
+mod logs;
+mod whole;
 mod zones;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -12,13 +14,13 @@
 use gullsail_interface::Span;
 use gullsail_protocol::{ListEntry, ListStanding};
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tracing::info;
-use tracing_subscriber::EnvFilter;
 
 /// A storage gateway that keeps volumes to their reservations, shares and limits.
 #[derive(Parser)]
@@ -179,32 +181,30 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let filter = EnvFilter::new(&arguments.log_level);
-    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    match arguments.log {
-        LogForm::Text => logs.with_ansi(false).init(),
-        LogForm::Json => logs.json().flatten_event(true).init(),
-    }
+    let logs = logs::start(&arguments.log_level, matches!(arguments.log, LogForm::Json));
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
-            eprintln!("no runtime: {e}");
+            logs::say(&format!("no runtime: {e}"));
             return ExitCode::from(1);
         }
     };
-    match runtime.block_on(run(arguments.command)) {
+    let ended = runtime.block_on(run(arguments.command, &logs));
+    // A document that a disk never gives back is read in a thread that can't be ended: it is not waited for.
+    runtime.shutdown_background();
+    match ended {
         Ok(code) => code,
         Err(report) => {
-            eprintln!("{report:?}");
+            logs::say(&format!("{report:?}"));
             ExitCode::from(2)
         }
     }
 }
 
-async fn run(command: Command) -> Result<ExitCode> {
+async fn run(command: Command, logs: &logs::Logs) -> Result<ExitCode> {
     match command {
         Command::Host { file, name, seed, clock_ahead, control } => {
-            host(&file, &name, seed.unwrap_or_else(rand::random), &clock_ahead, control).await
+            host(&file, &name, seed.unwrap_or_else(rand::random), &clock_ahead, control, logs).await
         }
         Command::Reload { control, insist, json } => documents::reload(&control, insist, json).await,
         Command::Status { control } => documents::status(&control).await,
@@ -252,7 +252,9 @@
     let listener = bound.wrap_err_with(|| format!("{name} can't listen at {address}"))?;
     let address = listener.local_addr().into_diagnostic()?.to_string();
     let listening = Listening { address, incarnation: rand::random::<u64>().max(1) };
-    println!("{}", serde_json::to_string(&listening).into_diagnostic()?);
+    let line = serde_json::to_string(&listening).into_diagnostic()? + "\n";
+    let told = std::io::stdout().write_all(line.as_bytes()).and_then(|()| std::io::stdout().flush());
+    told.into_diagnostic().wrap_err("can't say on standard output where this listens")?;
     Ok((listener, listening.incarnation))
 }
 
@@ -280,6 +282,7 @@
     seed: u64,
     clock_ahead: &str,
     control: Option<PathBuf>,
+    logs: &logs::Logs,
 ) -> Result<ExitCode> {
     let (d, _) = documents::read(file)?;
     let known: Vec<_> = d.hosts.iter().map(|h| h.name.as_str()).collect();
@@ -299,8 +302,17 @@
     let clock = HostClock::start(ahead(clock_ahead)?);
     info!(host = name, incarnation, "serving");
     let life = Life { deployment: Arc::new(d), me, seed, incarnation, clock };
-    let counts = drive::run(life, listener, control, stopped()).await;
-    info!(host = name, counts = serde_json::to_string(&counts).unwrap_or_default(), "left");
+    logs::outlive_full_files();
+    let counts = tokio::select! {
+        counts = drive::run(life, listener, control, stopped()) => counts,
+        () = logs.watch() => return Ok(ExitCode::from(1)),
+    };
+    info!(
+        host = name,
+        log_lines_lost = logs.lost(),
+        counts = serde_json::to_string(&counts).unwrap_or_default(),
+        "left"
+    );
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/cli/src/zones.rs
+++ b/crates/cli/src/zones.rs
@@ -1,6 +1,6 @@
 //! The commands on zones: plan, report.
 
-use crate::documents;
+use crate::{documents, whole};
 use gullsail_configuration::Reader;
 use gullsail_host::control::State;
 use gullsail_planner::{NoPlan, documents::proposal, documents::question};
@@ -62,7 +62,7 @@
         let (files, name) = documents::files(file)?;
         let (document, _) = Reader::open(&files, &name);
         let made = proposal(&document, &d, &plan);
-        std::fs::write(&out, made).into_diagnostic().wrap_err_with(|| out.display().to_string())?;
+        whole::write(&out, &made).into_diagnostic().wrap_err_with(|| out.display().to_string())?;
         text += &format!("written to {}; compare with `gullsail diff`\n", out.display());
     }
     say(&text);
--- a/crates/configuration/src/sources.rs
+++ b/crates/configuration/src/sources.rs
@@ -25,6 +25,8 @@
     TooLarge(u64),
     #[error("it is not UTF-8: byte {0} can't be read")]
     NotText(usize),
+    #[error("it is no regular file")]
+    NoFile,
     #[error("it changed while it was read")]
     Changed,
     #[error("{0}")]
@@ -84,6 +86,10 @@
         let stamp = || -> Result<Stamp, LoadError> {
             path.metadata().map(|m| (m.len(), m.modified().ok())).map_err(other)
         };
+        // A pipe or a device may never end, or never begin.
+        if !path.metadata().map_err(other)?.is_file() {
+            return Err(LoadError::NoFile);
+        }
         let before = stamp()?;
         if before.0 > MOST_FILE as u64 {
             return Err(LoadError::TooLarge(before.0));
--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -9,18 +9,21 @@
 use gullsail_configuration::{Deployment, Said};
 use serde::{Deserialize, Serialize};
 use std::io;
-use std::os::unix::fs::PermissionsExt;
+use std::os::unix::fs::{MetadataExt, PermissionsExt};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
 
 /// A line asks for little.
 const LINE: u64 = 4096;
 /// For the asker to say it, and to take the answer. One is heard at a time.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// For a document to be read and checked: a disk that stands still must not hold the socket for good.
+const READING: Duration = Duration::from_secs(20);
 
 /// Reads the host's document again: what it says, or all that is wrong with it.
 pub type Load = dyn Fn() -> Result<Deployment, Vec<Said>> + Send + Sync;
@@ -86,7 +89,16 @@
 pub struct Control {
     listener: UnixListener,
     path: PathBuf,
+    /// Of the socket's file, device and number: another process may have put its own there since.
+    file: Option<(u64, u64)>,
     load: Arc<Load>,
+    /// A reading that took too long and goes on by itself; there is no second one beside it.
+    reading: Mutex<Option<JoinHandle<()>>>,
+    reads_within: Duration,
+}
+
+fn file_at(path: &Path) -> Option<(u64, u64)> {
+    std::fs::symlink_metadata(path).ok().map(|m| (m.dev(), m.ino()))
 }
 
 impl Control {
@@ -104,7 +116,20 @@
         }
         let listener = UnixListener::bind(path)?;
         std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
-        Ok(Control { listener, path: path.into(), load })
+        Ok(Control {
+            listener,
+            path: path.into(),
+            file: file_at(path),
+            load,
+            reading: Mutex::default(),
+            reads_within: READING,
+        })
+    }
+
+    /// How long a document may take to be read, where it is not to be the twenty seconds that it is else.
+    pub fn reading_within(mut self, reads_within: Duration) -> Control {
+        self.reads_within = reads_within;
+        self
     }
 
     /// Answers one asker after the other; ends with the loop.
@@ -138,11 +163,35 @@
     async fn reload(&self, insist: bool, to_loop: &mpsc::Sender<ToLoop>) -> Option<Told> {
         let from = told(to_loop, ToLoop::Document).await?;
         let (load, old) = (self.load.clone(), from.clone());
-        let read = move || load().map(|new| (diff(&old, &new), Arc::new(new)));
-        let (changes, to) = match tokio::task::spawn_blocking(read).await {
-            Ok(Ok(both)) => both,
-            Ok(Err(problems)) => return Some(Told::Broken { problems }),
-            Err(e) => return Some(Told::Error { why: format!("the document could not be read: {e}") }),
+        let still = |reading: &mut Option<JoinHandle<()>>| {
+            reading.take_if(|r| r.is_finished()).is_none() && reading.is_some()
+        };
+        if self.reading.lock().is_ok_and(|mut r| still(&mut r)) {
+            let why =
+                "the document is still being read for an earlier reload; the one that is served by stays";
+            return Some(Told::Error { why: why.into() });
+        }
+        let (said, told_of) = oneshot::channel();
+        let reading = tokio::task::spawn_blocking(move || {
+            // Whoever asked may have given up.
+            let _ = said.send(load().map(|new| (diff(&old, &new), Arc::new(new))));
+        });
+        if let Ok(mut kept) = self.reading.lock() {
+            *kept = Some(reading);
+        }
+        let (changes, to) = match tokio::time::timeout(self.reads_within, told_of).await {
+            Ok(Ok(Ok(both))) => both,
+            Ok(Ok(Err(problems))) => return Some(Told::Broken { problems }),
+            Ok(Err(_)) => {
+                return Some(Told::Error { why: "the document could not be read: its reader failed".into() });
+            }
+            Err(_) => {
+                let why = format!(
+                    "the document was not read within {:?}; the one that is served by stays",
+                    self.reads_within
+                );
+                return Some(Told::Error { why });
+            }
         };
         let (reply, replied) = oneshot::channel();
         let (kept, both) = (changes.clone(), (from.clone(), to.clone()));
@@ -163,8 +212,10 @@
 
 impl Drop for Control {
     fn drop(&mut self) {
-        // If it is gone already, so be it.
-        let _ = std::fs::remove_file(&self.path);
+        // If it is gone already, or another process's by now, so be it.
+        if self.file.is_some() && file_at(&self.path) == self.file {
+            let _ = std::fs::remove_file(&self.path);
+        }
     }
 }
 
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -10,6 +10,7 @@
         let (name, bytes) = (frame.message.name(), frame.len());
         self.frame_crosses(id, &frame, false);
         let Some(link) = self.links.get_mut(&id) else { return };
+        link.heard = self.now;
         match (&link.who, frame.message) {
             (_, Message::Newer { kind }) => debug!(link = id.0, kind, "kind of a newer version: skipped"),
             (Who::Stranger(_), Message::Hello(hello)) => self.greeted_by_stranger(id, hello),
@@ -79,10 +80,6 @@
             if let Who::Stranger(bytes) = link.who {
                 sent = bytes;
             }
-            if matches!(who, Who::Client) {
-                // What was sent to it so far, this host's own first frame, counts as its answers do.
-                self.unsent += link.unsent;
-            }
             (link.who, link.due_by) = (who, None);
         }
         if let Some(host) = peer {
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -103,6 +103,9 @@
     pub nodes_restarted: u64,
     pub nodes_met_again: u64,
     pub list_lost: u64,
+    /// Connections that were not taken, since all places for them were.
+    #[serde(default)]
+    pub links_refused: u64,
     /// Times that clients had to wait since the host held all it may.
     pub held_back: u64,
     /// The longest that the loop was at work between two waits, and how often for more than ten milliseconds.
@@ -116,8 +119,10 @@
 
 /// Labels that wait for a connection or a clock: they count for a tenth of a second only.
 const LABELS_WAIT: usize = 8;
-/// Connections that others opened to this host.
+/// Connections that others open to this host, where nobody says how many it can hold.
 const MOST_LINKS: usize = 20_000;
+/// Between looks for one that is idle, while all places are taken.
+const LOOK_AGAIN: Span = Span::from_micros(100_000);
 /// Times the connect time-out that the first frame, or a list's reply, may take.
 const PATIENCE: f64 = 4.0;
 /// One bucket of the account of what crosses.
@@ -131,6 +136,8 @@
     /// Since when it has taken nothing of what waits for it.
     stuck_since: Instant,
     reading: bool,
+    /// When its last frame came.
+    heard: Instant,
     /// By when it must stand, say whose it is, or reply.
     due_by: Option<Instant>,
 }
@@ -196,8 +203,12 @@
     breaches: Breaches,
     turnover: Turnover,
     rounds_at: Option<Instant>,
-    /// Bytes that wait for clients.
+    /// Bytes that wait for the other sides of all links.
     unsent: usize,
+    /// Links that others opened, and how many there may be.
+    taken_in: usize,
+    most_links: usize,
+    look_again: Instant,
     held_back: bool,
     stopping: bool,
     left: bool,
@@ -230,6 +241,9 @@
             account: Account::new(ACCOUNT_EVERY, now),
             breaches: Breaches::default(),
             unsent: 0,
+            taken_in: 0,
+            most_links: MOST_LINKS,
+            look_again: now,
             held_back: false,
             stopping: false,
             left: false,
@@ -248,9 +262,11 @@
     /// Somebody connected; `None`: there are too many already, and the connection is to be dropped.
     pub fn accept(&mut self, now: Instant) -> Option<LinkId> {
         self.now = self.now.max(now);
-        if self.links.len() >= MOST_LINKS || self.stopping {
+        if self.stopping || (self.taken_in >= self.most_links && !self.make_room()) {
+            self.counts.links_refused += 1;
             return None;
         }
+        self.taken_in += 1;
         let hello = self.hello();
         let link = self.link(Who::Stranger(hello.len()));
         self.slow(link, PATIENCE);
@@ -258,6 +274,31 @@
         Some(link)
     }
 
+    /// How many connections others may open: below what the process can hold, so that nodes, peers, the list and the
+    /// operator can still be reached when clients take all they get.
+    pub fn set_most_links(&mut self, most: usize) {
+        self.most_links = most.clamp(1, MOST_LINKS);
+    }
+
+    /// Lets go of the client that has been idle longest, if one has been for as long as a stalled one may be. Looked
+    /// for only now and then: it costs a look at all links.
+    fn make_room(&mut self) -> bool {
+        if self.now < self.look_again {
+            return false;
+        }
+        self.look_again = self.now + LOOK_AGAIN;
+        let idle = |id: LinkId, l: &Link| {
+            matches!(l.who, Who::Client) && l.unsent == 0 && !self.transfers.has_any(id)
+        };
+        let oldest = self.links.iter().filter(|(id, l)| idle(**id, l)).min_by_key(|(_, l)| l.heard);
+        let patience = self.deployment.bounds.client_stall;
+        let Some(id) = oldest.filter(|(_, l)| self.now - l.heard > patience).map(|(id, _)| *id) else {
+            return false;
+        };
+        self.hang_up(id, "idle, and others want its place");
+        true
+    }
+
     pub fn handle(&mut self, now: Instant, input: Input) {
         self.now = self.now.max(now);
         match input {
@@ -326,7 +367,8 @@
 
     fn link(&mut self, who: Who) -> LinkId {
         self.last_link += 1;
-        let link = Link { who, unsent: 0, stuck_since: self.now, reading: true, due_by: None };
+        let (stuck_since, heard) = (self.now, self.now);
+        let link = Link { who, unsent: 0, stuck_since, reading: true, heard, due_by: None };
         self.links.insert(LinkId(self.last_link), link);
         LinkId(self.last_link)
     }
@@ -361,9 +403,7 @@
             link.stuck_since = self.now;
         }
         link.unsent += frame.len();
-        if matches!(link.who, Who::Client) {
-            self.unsent += frame.len();
-        }
+        self.unsent += frame.len();
         self.outputs.push(Output::Send { link: to, frame });
     }
 
@@ -372,9 +412,7 @@
         let bytes = bytes.min(link.unsent);
         link.unsent -= bytes;
         link.stuck_since = self.now;
-        if matches!(link.who, Who::Client) {
-            self.unsent -= bytes;
-        }
+        self.unsent -= bytes;
         self.pressure(id);
     }
 
@@ -390,11 +428,12 @@
     fn over(&mut self, id: LinkId, why: &str) {
         let Some(link) = self.links.remove(&id) else { return };
         self.counts.links_broken += 1;
+        self.unsent -= link.unsent;
+        self.taken_in -= usize::from(matches!(link.who, Who::Stranger(_) | Who::Client | Who::PeerIn { .. }));
         let redial = self.deployment.bounds.redial;
         match link.who {
             Who::Stranger(_) => info!(link = id.0, why, "connection ended before it said whose it is"),
             Who::Client => {
-                self.unsent -= link.unsent;
                 let left = self.transfers.of_link(id);
                 info!(link = id.0, why, open = left.len(), "client gone");
                 for transfer in left {
@@ -531,13 +570,16 @@
             }
             Due::Sweep => {
                 let patience = self.deployment.bounds.client_stall;
-                let stuck = |l: &Link| {
-                    matches!(l.who, Who::Client) && l.unsent > 0 && self.now - l.stuck_since > patience
-                };
-                let stuck: Vec<_> = self.links.iter().filter(|(_, l)| stuck(l)).map(|(id, _)| *id).collect();
-                for link in stuck {
-                    warn!(link = link.0, "client takes none of its answers: let go");
-                    self.hang_up(link, "takes none of its answers");
+                let stuck = |l: &Link| l.unsent > 0 && self.now - l.stuck_since > patience;
+                let stuck = self.links.iter().filter(|(_, l)| stuck(l));
+                let stuck: Vec<_> = stuck.map(|(id, l)| (*id, matches!(l.who, Who::Client))).collect();
+                for (link, client) in stuck {
+                    if client {
+                        warn!(link = link.0, "client takes none of its answers: let go");
+                    } else {
+                        warn!(link = link.0, "the other side takes none of what is sent to it: let go");
+                    }
+                    self.hang_up(link, "takes none of what is sent to it");
                 }
                 self.nodes.forget(self.now);
                 self.at(self.now + SWEEP, Due::Sweep);
--- a/crates/host/src/core/transfers.rs
+++ b/crates/host/src/core/transfers.rs
@@ -86,6 +86,11 @@
         Some(open)
     }
 
+    /// Is any of a client's transfers open?
+    pub fn has_any(&self, link: LinkId) -> bool {
+        self.named.range((link, 0)..=(link, u64::MAX)).next().is_some()
+    }
+
     pub fn of_link(&self, link: LinkId) -> Vec<TransferId> {
         self.named.range((link, 0)..=(link, u64::MAX)).map(|(_, id)| *id).collect()
     }
--- a/crates/host/src/drive.rs
+++ b/crates/host/src/drive.rs
@@ -6,7 +6,8 @@
 use crate::core::{Core, Counts, Input, LinkId, Output};
 use gullsail_configuration::Deployment;
 use gullsail_interface::{HostId, Instant, Span};
-use gullsail_links::{Happened, Link};
+use gullsail_links::{Happened, Link, Room};
+use nix::sys::resource::{Resource, getrlimit};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::sync::Arc;
@@ -20,6 +21,12 @@
 const INBOX: usize = 1024;
 /// Frames that wait to be written to one link; a link on which more pile up is ended.
 const OUTBOX: usize = 16_384;
+/// Descriptors kept back for the process itself: standard streams, listener, control socket and its asker, a document that
+/// is read, the runtime's own.
+const OWN: usize = 24;
+/// Between tries to accept while that fails, and between lines in the log that say so.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+const SAY_AGAIN: Duration = Duration::from_secs(5);
 /// Askers on the control socket: one is heard at a time, and each asks twice.
 const ASKS: usize = 2;
 /// Handled together before anything is sent.
@@ -60,6 +67,17 @@
     pub clock: HostClock,
 }
 
+/// How many connections others may open, of so many descriptors: nodes, peers and the list come first, twice over since
+/// they may be replaced and connect anew; a quarter is left to others in any case.
+fn for_others(descriptors: usize, d: &Deployment) -> usize {
+    let kept = OWN + 2 * (d.nodes.len() + d.hosts.len() + 1);
+    let left = descriptors.saturating_sub(kept);
+    if left < descriptors / 4 {
+        warn!(descriptors, kept, "few file descriptors for this document: raise the limit");
+    }
+    left.max(descriptors / 4)
+}
+
 /// Serves until `stop` is ready and all that was taken is answered.
 pub async fn run(
     life: Life,
@@ -69,7 +87,13 @@
 ) -> Counts {
     let Life { deployment, me, seed, incarnation, clock } = life;
     let bounds = deployment.bounds.frame;
+    // Frames that wait to be handled: a part of what may be held, and at least one of the largest.
+    let room = Room::new((deployment.bounds.most_held / 4).max(bounds.message + bounds.body));
+    let descriptors = getrlimit(Resource::RLIMIT_NOFILE).map_or(usize::MAX, |(soft, _)| soft as usize);
+    let for_others = for_others(descriptors, &deployment);
     let mut core = Core::new(deployment, me, seed, incarnation, clock.now());
+    core.set_most_links(for_others);
+    let within = (bounds, Some(room.clone()));
     let (sink, mut inbox) = mpsc::channel(INBOX);
     let mut links: BTreeMap<LinkId, Link> = BTreeMap::new();
     let mut tasks = JoinSet::new();
@@ -78,6 +102,7 @@
     let mut batch = Vec::with_capacity(BATCH);
     let (mut listener, mut left) = (Some(listener), false);
     let mut accept_from = tokio::time::Instant::now();
+    let (mut say_from, mut unsaid) = (accept_from, 0u64);
     let (to_loop, mut asks) = mpsc::channel(ASKS);
     let mut askers: BTreeMap<u64, oneshot::Sender<Reply>> = BTreeMap::new();
     let mut last_asker = 0;
@@ -143,14 +168,19 @@
                     woke = tokio::time::Instant::now();
                     // The core's first frame to it is among its outputs, so the link must stand before those.
                     if let Some(id) = core.accept(clock.now()) {
-                        links.insert(id, Link::open(stream, id, bounds, OUTBOX, &sink, &mut tasks));
+                        let link = Link::open_within(stream, id, within.clone(), OUTBOX, &sink, &mut tasks);
+                        links.insert(id, link);
                     }
                 }
                 Err(e) => {
                     // Out of file descriptors, mostly: a moment later there may be some.
                     woke = tokio::time::Instant::now();
-                    warn!(error = %e, "cannot accept a connection");
-                    accept_from = tokio::time::Instant::now() + Duration::from_millis(5);
+                    unsaid += 1;
+                    if woke >= say_from {
+                        warn!(error = %e, times = unsaid, "cannot accept a connection");
+                        (say_from, unsaid) = (woke + SAY_AGAIN, 0);
+                    }
+                    accept_from = woke + ACCEPT_AGAIN;
                 }
             },
             made = dials.join_next(), if !dials.is_empty() => {
@@ -160,7 +190,8 @@
                 {
                     let input = match made {
                         Ok(stream) => {
-                            links.insert(id, Link::open(stream, id, bounds, OUTBOX, &sink, &mut tasks));
+                            let link = Link::open_within(stream, id, within.clone(), OUTBOX, &sink, &mut tasks);
+                            links.insert(id, link);
                             Input::Dialled(id)
                         }
                         Err(e) => Input::DialFailed(id, e.to_string()),
@@ -173,7 +204,10 @@
                 let now = clock.now();
                 for (id, happened) in batch.drain(..) {
                     let input = match happened {
-                        Happened::Frame(frame) => Input::Frame(id, frame),
+                        Happened::Frame(frame) => {
+                            room.give_back(frame.len());
+                            Input::Frame(id, frame)
+                        }
                         Happened::Written(bytes) => Input::Written(id, bytes),
                         Happened::Closed(why) => {
                             links.remove(&id);
--- /dev/null
+++ b/crates/host/tests/host/bounds.rs
@@ -0,0 +1,378 @@
+//! Bounds of a host's core, and what is given back at each stage of a transfer's path.
+
+use crate::changes::{first, propose};
+use crate::rig::*;
+use bytes::Bytes;
+use gullsail_configuration::diff::{Class, diff};
+use gullsail_configuration::{Memory, load};
+use gullsail_host::core::changes::Reply;
+use gullsail_host::core::{Input, LinkId};
+use gullsail_interface::*;
+use gullsail_protocol::*;
+use std::sync::Arc;
+
+const START: Instant = Instant::from_micros(1_000_000_000);
+
+fn held(r: &Rig, name: &str) -> usize {
+    r.core.lengths().into_iter().find(|l| l.0 == name).unwrap().1
+}
+
+/// What a transfer may hold anywhere: nothing of it is left.
+fn nothing_is_held(r: &Rig, what: &str) {
+    for name in [
+        "core.open",
+        "core.named",
+        "core.legs",
+        "core.pending",
+        "desk.xfers",
+        "desk.lines",
+        "desk.turns",
+        "nodes.out",
+    ] {
+        assert_eq!(held(r, name), 0, "{what}: {name}");
+    }
+    assert_eq!(r.core.load(), (0, 0, 0), "{what}");
+}
+
+fn write(r: &mut Rig, c: LinkId, id: u64, volume: &str, bytes: usize) {
+    let s = Submit {
+        id,
+        stream_type: "trip".into(),
+        volume: volume.into(),
+        units: 1.0,
+        handle: Some(Handle { cell: 1, object: id }),
+        order_key: if volume == "w" { "key".into() } else { String::new() },
+        mark: format!("m{id}"),
+        ttl_us: 1_500_000,
+        ..Submit::default()
+    };
+    r.frame(c, Frame::from(s).with_body(Bytes::from(vec![1; bytes])));
+}
+
+/// Each stage of a transfer's path by what may happen to it there: the one answer, or none where the client left; what the
+/// node is told; and that all that was held is given back.
+#[test]
+fn a_transfer_may_end_at_each_stage() {
+    #[derive(Clone, Copy, Debug, PartialEq)]
+    enum Stage {
+        InLine,
+        ForTokens,
+        ForItsTurn,
+        ForTheConnection,
+        InTheLink,
+        AtTheNode,
+        BetweenLegs,
+        Answered,
+    }
+    #[derive(Clone, Copy, Debug, PartialEq)]
+    enum End {
+        Withdrawn,
+        ClientGone,
+        Expiry,
+        NodeBreaks,
+        Stop,
+    }
+    use End::*;
+    use Outcome::{Abandoned, Deferred, Done};
+    use Stage::*;
+    // stage, what happens, answers, legs that the node saw, whether it is told that nobody waits
+    type Case = (Stage, End, &'static [Outcome], usize, bool);
+    let cases: [Case; 40] = [
+        (InLine, Withdrawn, &[], 0, false),
+        (InLine, ClientGone, &[], 0, false),
+        (InLine, Expiry, &[Deferred], 0, false),
+        (InLine, NodeBreaks, &[Deferred], 0, false),
+        (InLine, Stop, &[Deferred], 0, false),
+        (ForTokens, Withdrawn, &[], 0, false),
+        (ForTokens, ClientGone, &[], 0, false),
+        (ForTokens, Expiry, &[Deferred], 0, false),
+        (ForTokens, NodeBreaks, &[Deferred], 0, false),
+        (ForTokens, Stop, &[Deferred], 0, false),
+        (ForItsTurn, Withdrawn, &[], 0, false),
+        (ForItsTurn, ClientGone, &[], 0, false),
+        (ForItsTurn, Expiry, &[Deferred], 0, false),
+        (ForItsTurn, NodeBreaks, &[Deferred], 0, false),
+        (ForItsTurn, Stop, &[Deferred], 0, false),
+        (ForTheConnection, Withdrawn, &[], 0, false),
+        (ForTheConnection, ClientGone, &[], 0, false),
+        (ForTheConnection, Expiry, &[Deferred], 0, false),
+        (ForTheConnection, NodeBreaks, &[Deferred], 0, false),
+        (ForTheConnection, Stop, &[Deferred], 0, false),
+        // Its bytes are on their way: it may run, whatever comes.
+        (InTheLink, Withdrawn, &[], 1, true),
+        (InTheLink, ClientGone, &[], 1, true),
+        (InTheLink, Expiry, &[Abandoned], 1, true),
+        (InTheLink, NodeBreaks, &[Abandoned], 1, false),
+        (InTheLink, Stop, &[Abandoned], 1, true),
+        (AtTheNode, Withdrawn, &[], 1, true),
+        (AtTheNode, ClientGone, &[], 1, true),
+        (AtTheNode, Expiry, &[Abandoned], 1, true),
+        (AtTheNode, NodeBreaks, &[Abandoned], 1, false),
+        (AtTheNode, Stop, &[Abandoned], 1, true),
+        (BetweenLegs, Withdrawn, &[], 1, false),
+        (BetweenLegs, ClientGone, &[], 1, false),
+        (BetweenLegs, Expiry, &[Deferred], 1, false),
+        (BetweenLegs, NodeBreaks, &[Deferred], 1, false),
+        (BetweenLegs, Stop, &[Deferred], 1, false),
+        (Answered, Withdrawn, &[Done], 1, false),
+        (Answered, ClientGone, &[Done], 1, false),
+        (Answered, Expiry, &[Done], 1, false),
+        (Answered, NodeBreaks, &[Done], 1, false),
+        (Answered, Stop, &[Done], 1, false),
+    ];
+    for (stage, end, answers, legs, cancelled) in cases {
+        let what = format!("{stage:?} {end:?}");
+        let ordered = ("effect=\"unrepeatable\"", "effect=\"unrepeatable\" in-order=#true");
+        let d = document(&[ordered, ("limit=\"40units/s\"", "limit=\"1units/s\"")]);
+        let mut r = Rig::new(&d, 0, START);
+        let (c, other) = (r.client(), r.client());
+        let mut n = LinkId(0);
+        if !matches!(stage, InLine | ForTheConnection) {
+            n = r.node_up("n1", 11, ms(1e7));
+        }
+        let mut earlier = 0;
+        match stage {
+            InLine => {
+                // The list says that its node drains: it waits for a successor.
+                let list = r.dialled("list").unwrap();
+                r.tell(Input::Dialled(list));
+                r.frame(list, Hello { role: Role::List as i32, name: "list".into(), ..Hello::default() });
+                let entry = ListEntry {
+                    name: "n1".into(),
+                    address: "n1".into(),
+                    cell: 1,
+                    standing: ListStanding::Draining as i32,
+                    ..ListEntry::default()
+                };
+                r.frame(list, ListNews { version: 1, whole: false, entries: vec![entry] });
+                write(&mut r, c, 5, "v", 100);
+            }
+            // A newborn's bucket is empty.
+            ForTokens => write(&mut r, c, 5, "w", 100),
+            ForItsTurn => {
+                r.pass(ms(2000.0));
+                write(&mut r, other, 4, "w", 100);
+                write(&mut r, c, 5, "w", 100);
+                earlier = 1;
+            }
+            ForTheConnection => write(&mut r, c, 5, "v", 100),
+            InTheLink | AtTheNode => {
+                if stage == InTheLink {
+                    r.stuck.insert(n);
+                }
+                write(&mut r, c, 5, "v", 100);
+            }
+            BetweenLegs => {
+                write(&mut r, c, 5, "v", 100);
+                let leg = r.legs(n)[0].leg;
+                // The node takes no more, so the further leg waits in its line.
+                let list = r.dialled("list").unwrap();
+                r.tell(Input::Dialled(list));
+                r.frame(list, Hello { role: Role::List as i32, name: "list".into(), ..Hello::default() });
+                let entry = ListEntry {
+                    name: "n1".into(),
+                    address: "n1".into(),
+                    cell: 1,
+                    standing: ListStanding::Draining as i32,
+                    ..ListEntry::default()
+                };
+                r.frame(list, ListNews { version: 1, whole: false, entries: vec![entry] });
+                r.answer(n, leg, LegResult::TurnedAway);
+            }
+            Answered => {
+                r.stuck.insert(c);
+                write(&mut r, c, 5, "v", 100);
+                let leg = r.legs(n)[0].leg;
+                r.answer(n, leg, LegResult::Done);
+            }
+        }
+        assert_eq!(r.core.load().0, earlier + usize::from(stage != Answered), "{what}: it stands there");
+        match end {
+            Withdrawn => r.frame(c, Withdraw { id: 5 }),
+            ClientGone => r.tell(Input::Closed(c, "gone".into())),
+            Expiry => {}
+            NodeBreaks => {
+                let link = r.dialled("n1").unwrap();
+                r.tell(Input::Closed(link, "reset".into()));
+            }
+            Stop => r.tell(Input::Stop),
+        }
+        if stage == InTheLink && end != NodeBreaks {
+            // Its bytes go out at last.
+            r.stuck.clear();
+            r.tell(Input::Written(n, 10_000));
+        }
+        if stage == Answered && end != ClientGone {
+            r.stuck.clear();
+            r.tell(Input::Written(c, 10_000));
+        }
+        r.pass(ms(1600.0));
+        assert_eq!(r.outcomes(c, 5), answers, "{what}");
+        let seen: Vec<_> = r.new_legs().into_iter().filter(|l| l.2.mark == "m5").collect();
+        assert_eq!(seen.len(), legs, "{what}");
+        let told =
+            seen.iter().any(|l| r.on(l.1).any(|f| f.message == Message::Cancel(Cancel { leg: l.2.leg })));
+        assert_eq!(told, cancelled, "{what}");
+        nothing_is_held(&r, &what);
+        let counts = r.core.counts();
+        let ended = counts.done + counts.deferred + counts.abandoned + counts.clients_left;
+        assert_eq!(counts.taken, ended, "{what}: {counts:?}");
+        // Nothing comes of it later, and a host that was not stopped still serves.
+        let before = r.outcomes(c, 5).len();
+        r.pass(ms(1000.0));
+        assert_eq!(r.outcomes(c, 5).len(), before, "{what}");
+        assert_eq!(r.left, end == Stop, "{what}");
+    }
+}
+
+/// A node that reads nothing: what waits for it counts as held, it is let go as a client is, and all is as before once it
+/// reads again.
+#[test]
+fn bytes_to_a_node_that_reads_nothing_are_bounded() {
+    let d = document(&[("open=50", "open=50 held-bytes=\"20000B\" body-bytes=\"10000B\"")]);
+    let mut r = Rig::new(&d, 0, START);
+    let (c, n) = (r.client(), r.node_up("n1", 11, ms(1e7)));
+    r.stuck.insert(n);
+    // One for each object: legs go out together.
+    (0..4).for_each(|id| write(&mut r, c, id, "v", 3000));
+    r.pass(ms(1600.0));
+    let (open, _, held) = r.core.load();
+    assert_eq!(open, 0, "they were answered");
+    assert!(held >= 3000 * 4, "what waits for the node is counted: {held}");
+    assert!(!r.closed.contains(&n));
+    r.pass(ms(3000.0));
+    assert!(r.closed.contains(&n), "client-stall has passed");
+    assert_eq!(r.core.load().2, 0);
+    let n = r.node_up("n1", 11, ms(1e7 + 10_000.0));
+    write(&mut r, c, 100, "v", 3000);
+    r.answer(n, r.legs(n)[0].leg, LegResult::Done);
+    assert_eq!(r.outcomes(c, 100), [Outcome::Done]);
+    assert_eq!(r.core.counts().nodes_restarted, 0, "it is the same process");
+}
+
+/// All places taken: who has been idle for as long as a stalled one may be gives way, whoever has something open or spoke
+/// just now does not, and peers' and nodes' connections of our own take none.
+#[test]
+fn idle_clients_give_their_places_to_others() {
+    let mut r = Rig::new(&document(&[]), 0, START);
+    r.core.set_most_links(3);
+    r.nodes_up();
+    let (idle, busy, later) = (r.client(), r.client(), r.client());
+    assert_eq!(r.core.accept(r.now), None, "all have just come");
+    r.pass(ms(2500.0));
+    r.frame(later, Withdraw { id: 1 });
+    r.submit(busy, 5, "read");
+    r.pass(ms(900.0));
+    assert!(r.core.accept(r.now).is_some(), "the idle one goes after client-stall");
+    r.settle();
+    let closed = [idle, busy, later].map(|link| r.closed.contains(&link));
+    assert_eq!(closed, [true, false, false]);
+    assert_eq!(r.core.accept(r.now), None, "one look each 0.1 s, and nobody else is idle");
+    assert_eq!(r.core.counts().links_refused, 2);
+    r.tell(Input::Closed(later, "gone".into()));
+    assert!(r.core.accept(r.now).is_some(), "there is room again");
+}
+
+/// A process that stood still for an hour: all timers are due in one step. Each transfer has its one answer, no leg goes
+/// out for what is over, and what comes after is served.
+#[test]
+fn a_suspended_host_ends_what_it_held() {
+    let mut r = Rig::new(&document(&[]), 0, START);
+    let (c, (n, _)) = (r.client(), r.nodes_up());
+    (0..20).for_each(|id| r.submit(c, id, ["read", "write", "trip"][id as usize % 3]));
+    let legs = r.new_legs().len();
+    r.now = r.now + ms(3.6e6);
+    r.settle();
+    assert!((0..20).all(|id| r.outcomes(c, id).len() == 1));
+    assert!(r.new_legs().is_empty() && legs > 0);
+    r.pass(ms(2000.0));
+    assert_eq!(r.core.load(), (0, 0, 0));
+    let before = r.legs(n).len();
+    r.submit(c, 100, "read");
+    let leg = r.legs(n).last().unwrap().leg;
+    assert_eq!(r.legs(n).len(), before + 1);
+    r.answer(n, leg, LegResult::Done);
+    assert_eq!(r.outcomes(c, 100), [Outcome::Done]);
+}
+
+/// A document with none of the plans and volumes that were, while transfers wait and legs are out.
+#[test]
+fn a_document_with_other_plans_alone_is_borne() {
+    let old = first();
+    let mut r = Rig::new(&old, 0, START);
+    let (c, (n, _)) = (r.client(), r.nodes_up());
+    r.pass(ms(3000.0));
+    (1..=3).for_each(|id| r.submit_to(c, id, "read", ["v", "w"][id as usize % 2], 1));
+    let others = |line: &&str| !line.starts_with("plan") && !line.starts_with("volume");
+    let text = text_of(&[]).lines().filter(others).collect::<Vec<_>>().join("\n");
+    let text = text
+        + "\nplan \"z\"\nvolume \"z\" plan=\"z\" { hosts \"h2\"; }\nroute to=\"all\"\nrevision 2 after=\"first.kdl\"\n";
+    let before = text_of(&[]) + "revision 1\nroute to=\"all\"\n";
+    let files = [("new.kdl".to_string(), text), ("first.kdl".to_string(), before)];
+    let (new, _) = load(&Memory(files.into()), "new.kdl").unwrap_or_else(|e| panic!("{:?}", e.problems));
+    let new = Arc::new(new);
+    assert!(matches!(propose(&mut r, &old, &new, true), Reply::Taken { .. }));
+    for l in r.legs(n) {
+        r.frame(
+            n,
+            LegAnswer {
+                leg: l.leg,
+                result: LegResult::Done as i32,
+                used_plus_one: 51,
+                ..LegAnswer::default()
+            },
+        );
+    }
+    r.pass(ms(3000.0));
+    assert!((1..=3).all(|id| r.outcomes(c, id).len() == 1));
+    r.submit(c, 9, "read");
+    assert_eq!(r.not_taken(c), ["no volume is called \"v\""]);
+}
+
+/// A document of two files cut at every byte, as if it were read half written: it is turned down, or what is left of it is
+/// sound, not dangerous, and served by whole. With its revision as the last line every cut of the first file is turned down.
+#[test]
+fn half_written_documents_are_turned_down_or_whole() {
+    let old = first();
+    let whole = text_of(&[("limit=\"40units/s\"", "limit=\"50units/s\"")]);
+    let (head, tail) = whole.split_at(whole.find("host \"h1\"").unwrap());
+    let main = format!("include \"tail.kdl\"\n{head}route to=\"all\"\nrevision 2 after=\"first.kdl\"\n");
+    let before = text_of(&[]) + "revision 1\nroute to=\"all\"\n";
+    let (mut taken_main, mut taken_tail, mut down) = (0, 0, 0);
+    for (cuts_main, length) in [(true, main.len()), (false, tail.len())] {
+        for cut in 0..length {
+            let (main, tail) = if cuts_main { (&main[..cut], tail) } else { (&main[..], &tail[..cut]) };
+            let files = [("new.kdl", main), ("tail.kdl", tail), ("first.kdl", &before)];
+            let files = files.map(|(name, text)| (name.to_string(), text.to_string()));
+            let Ok((d, _)) = load(&Memory(files.into()), "new.kdl") else {
+                down += 1;
+                continue;
+            };
+            let mut r = Rig::new(&old, 0, START);
+            let c = r.client();
+            r.submit(c, 1, "read");
+            let new = Arc::new(d);
+            let changes = diff(&old, &new);
+            match propose(&mut r, &old, &new, false) {
+                Reply::Taken { revision } => {
+                    assert_eq!(revision.0, 2);
+                    assert!(Arc::ptr_eq(r.core.document().0, &new), "whole");
+                    assert!(changes.iter().all(|c| c.class == Class::Safe), "cut {cut}: {changes:?}");
+                    *(if cuts_main { &mut taken_main } else { &mut taken_tail }) += 1;
+                }
+                Reply::TurnedDown(why) => {
+                    assert!(!why.is_empty());
+                    assert!(Arc::ptr_eq(r.core.document().0, &old), "the old one, whole");
+                    down += 1;
+                }
+            }
+            r.pass(ms(1600.0));
+            assert_eq!(r.outcomes(c, 1).len(), 1);
+        }
+    }
+    // Only the line end of its last line may lack: nothing is lost with that.
+    assert!(taken_main <= 1 && down > 500, "{taken_main} {taken_tail} {down}");
+    println!(
+        "taken: {taken_main} cuts of the first file, {taken_tail} of the included one; turned down: {down}"
+    );
+}
--- a/crates/host/tests/host/changes.rs
+++ b/crates/host/tests/host/changes.rs
@@ -21,11 +21,11 @@
     Arc::new(d)
 }
 
-fn first() -> Arc<Deployment> {
+pub fn first() -> Arc<Deployment> {
     after(&[], FIRST)
 }
 
-fn propose(r: &mut Rig, from: &Arc<Deployment>, to: &Arc<Deployment>, insist: bool) -> Reply {
+pub fn propose(r: &mut Rig, from: &Arc<Deployment>, to: &Arc<Deployment>, insist: bool) -> Reply {
     let changes = diff(from, to);
     let (from, to) = (from.clone(), to.clone());
     r.tell(Input::Propose(Box::new(Proposal { asker: 7, from, to, changes, insist })));
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -1,5 +1,6 @@
 //! The host without a socket, in given time.
 
+mod bounds;
 mod changes;
 mod clocks;
 mod core;
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -4,12 +4,14 @@
 
 use bytes::{Bytes, BytesMut};
 use gullsail_protocol::{Bounds, Frame, decode};
+use socket2::{SockRef, TcpKeepalive};
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -18,6 +20,8 @@
 /// Heads of frames that are ready together leave in one write; bodies beyond this are written on their own.
 const GATHER: usize = 16 << 10;
 const READ: usize = 32 << 10;
+/// Without a byte for so long, the system asks whether the other side is still there.
+const QUIET: Duration = Duration::from_secs(60);
 
 /// What came of a link.
 #[derive(Debug)]
@@ -32,6 +36,43 @@
 /// Who is told, with the name that the opener gave the link.
 pub type Sink<K> = mpsc::Sender<(K, Happened)>;
 
+/// Room in bytes for frames that were read and wait to be handled, shared by links: a queue that counts frames alone
+/// would hold as many of the largest bodies. Whoever handles a frame gives its room back.
+#[derive(Clone, Debug)]
+pub struct Room {
+    free: Arc<Semaphore>,
+    all: usize,
+}
+
+impl Room {
+    /// In bytes. A frame larger than all of it takes all of it.
+    pub fn new(all: usize) -> Room {
+        let all = all.clamp(1, u32::MAX as usize);
+        Room { free: Arc::new(Semaphore::new(all)), all }
+    }
+
+    fn share(&self, bytes: usize) -> u32 {
+        bytes.min(self.all) as u32
+    }
+
+    async fn take(&self, bytes: usize) {
+        // It is never closed.
+        if let Ok(taken) = self.free.acquire_many(self.share(bytes)).await {
+            taken.forget();
+        }
+    }
+
+    /// A frame of so many bytes is handled.
+    pub fn give_back(&self, bytes: usize) {
+        self.free.add_permits(self.share(bytes) as usize);
+    }
+
+    /// What is free now, in bytes.
+    pub fn free(&self) -> usize {
+        self.free.available_permits()
+    }
+}
+
 #[derive(Debug)]
 pub struct Link {
     /// `None`: nothing more is written, while reading goes on.
@@ -53,15 +94,30 @@
         queue: usize,
         sink: &Sink<K>,
         tasks: &mut JoinSet<()>,
+    ) -> Link {
+        Link::open_within(stream, key, (bounds, None), queue, sink, tasks)
+    }
+
+    /// The same, and frames that come in take their room first, where there is one to take it from.
+    pub fn open_within<K: Copy + Send + 'static>(
+        stream: TcpStream,
+        key: K,
+        (bounds, room): (Bounds, Option<Room>),
+        queue: usize,
+        sink: &Sink<K>,
+        tasks: &mut JoinSet<()>,
     ) -> Link {
         // Small frames must not wait for each other; a socket that refuses this is about to break anyway.
         let _ = stream.set_nodelay(true);
+        // A machine that went away says nothing more: without this its connection would stand for ever.
+        let alive = TcpKeepalive::new().with_time(QUIET).with_interval(QUIET / 4);
+        let _ = SockRef::from(&stream).set_tcp_keepalive(&alive);
         let (from, to) = stream.into_split();
         let (frames, queued) = mpsc::channel(queue);
         let (reading, may_read) = watch::channel(true);
         let told = sink.clone();
         tasks.spawn(async move {
-            let why = read(from, key, bounds, &told, may_read).await;
+            let why = read(from, key, (bounds, room), &told, may_read).await;
             // Whoever is told may be gone already.
             let _ = told.send((key, Happened::Closed(why))).await;
         });
@@ -96,7 +152,7 @@
 async fn read<K: Copy>(
     mut from: OwnedReadHalf,
     key: K,
-    bounds: Bounds,
+    (bounds, room): (Bounds, Option<Room>),
     sink: &Sink<K>,
     mut may_read: watch::Receiver<bool>,
 ) -> String {
@@ -109,6 +165,9 @@
             }
             match decode(&mut buf, bounds) {
                 Ok(Some(frame)) => {
+                    if let Some(room) = &room {
+                        room.take(frame.len()).await;
+                    }
                     if sink.send((key, Happened::Frame(frame))).await.is_err() {
                         return "nobody listens".into();
                     }
