--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -325,8 +325,7 @@
         }
         // A leg that can't go out ends at once and may bring another; legs of a transfer are bounded.
         while !self.events.is_empty() {
-            let events = std::mem::take(&mut self.events);
-            for action in self.brain.step(self.now, events) {
+            for action in self.brain.step(self.now, self.events.drain(..)) {
                 self.act(action);
             }
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,17 +1,19 @@
 //! Every decision of gullsail stands in this file. A caller makes one [`Brain`] for each life of a host
 //! and calls [`Brain::step`] with the clock and the events since; it carries out the actions that come
 //! back, in their order. Events, actions, ids and facts are those of the crate `gullsail-interface`.
-//! Read from the top: the loop ([`Brain`]), a storage node ([`Node`]: window, health, cold start), a
-//! volume ([`Volume`]: token bucket, rate rule, loans, reserve), the desk ([`Desk`]: transfers, order,
-//! legs, answers, labels). Parts talk only by notes put into inboxes that the loop empties.
+//! Read from the top: the loop ([`Brain`]), a storage node ([`Node`]: window, health, cold start), the desk
+//! ([`Desk`]: transfers, order, legs, answers); then `brain/volumes.rs`: a volume ([`Volume`]: token bucket,
+//! rate rule, loans, reserve) and labels. Parts talk only by notes put into inboxes that the loop empties.
 
 mod lengths;
+mod volumes;
 
 use crate::fading::Fading;
 use gullsail_interface::*;
 use rand::{SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use volumes::{EPOCH, Volume};
 
 pub struct Brain {
     nodes: BTreeMap<NodeId, Node>,
@@ -28,7 +30,7 @@
         Brain { nodes: BTreeMap::new(), called: BTreeSet::new(), desk, rng }
     }
 
-    pub fn step(&mut self, now: Instant, events: Vec<Event>) -> Vec<Action> {
+    pub fn step(&mut self, now: Instant, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
         self.desk.now = now;
         for event in events {
             if let Event::List { extent, entries } = &event {
@@ -67,7 +69,7 @@
             while let Some(note) = self.desk.inbox.pop_front() {
                 self.desk.take(note, &mut self.rng);
             }
-            for (id, note) in std::mem::take(&mut self.desk.outbox) {
+            while let Some((id, note)) = self.desk.outbox.pop_front() {
                 self.post(id, note);
             }
             let Some(id) = self.called.pop_first() else { return };
@@ -250,86 +252,6 @@
     }
 }
 
-/// Whatever has a limit over all hosts: a volume, in units, or a budget of bytes between zones.
-#[derive(Default)]
-struct Volume {
-    crossing: Option<usize>, // which budget it is
-    plan: PlanId,
-    hosts: f64,
-    part: Option<Limit>, // while documents change: this host's part, where it is not an even one
-    left: bool,          // no longer through this host
-    asked: Fading,
-    /// Tokens at this host, and the units of first legs that wait here.
-    level: f64,
-    waiting: f64,
-    at: Instant,
-    /// What was lent just now may still be under way: this host's cap is lower by it until then.
-    lent: VecDeque<(Instant, f64)>,
-    reserve: f64,
-    used: Option<f64>, // units a second through all hosts, as answers tell, some seconds late
-    extra: Fading,     // units sent past the reserve, by weight
-    peers: BTreeMap<HostId, (Instant, f64)>, // when its newest label was said, and what was asked there
-    turn: usize,       // of the peers: who is asked next, and when
-    ask_at: Instant,
-    seeks: u32, // looks for more of them so far, and when next
-    seek_at: Instant,
-}
-
-const EPOCH: Span = Span::from_micros(250_000); // volumes are looked over, at common points of the clock
-/// A few round trips between hosts: how often tokens are asked for, and how long lent ones may travel.
-const ASK_EVERY: Span = Span::from_micros(100_000);
-const ASK_PEERS: usize = 3; // at a time: few messages, and one that is lost or has nothing costs little
-const SEEKS: u32 = 6; // so often the wait between looks for a volume's other hosts doubles, to 16 s
-
-impl Volume {
-    /// This host's part of the rate and of the burst; what was lent is missing from the burst.
-    fn even(&mut self, now: Instant, limit: &Limit) -> (f64, f64) {
-        while self.lent.pop_front_if(|l| l.0 <= now).is_some() {}
-        let lent: f64 = self.lent.iter().map(|l| l.1).sum();
-        let even = Limit { rate: limit.rate / self.hosts, burst: limit.burst / self.hosts };
-        let part = self.part.unwrap_or(even);
-        (part.rate, part.burst - lent)
-    }
-
-    /// Also where the plan has none any more and other hosts still hold to the one it had.
-    fn limit(&self, facts: &Facts) -> Option<Limit> {
-        let limit = self.crossing.map(|place| facts.crossings[place].limit);
-        limit.or_else(|| facts.plans.get(self.plan.0)?.limit).or(self.part)
-    }
-
-    fn refill(&mut self, now: Instant, facts: &Facts) {
-        let span = (now - self.at).secs().max(0.0);
-        if let Some(limit) = &self.limit(facts) {
-            let (rate, cap) = self.even(now, limit);
-            self.level = (self.level + rate * span).min(cap);
-        }
-        let own = self.asked.read(now, LAST);
-        self.at = self.at.max(now);
-        let Some(plan) = facts.plans.get(self.plan.0).filter(|_| self.crossing.is_none()) else { return };
-        let all = self.used.map_or(own * self.hosts, |used| used.max(own)).max(1e-9);
-        let rate = plan.reserve * (own / all).max(1.0 / self.hosts / 2.0);
-        self.reserve = (self.reserve + rate * span).min(rate + facts.most_units);
-    }
-
-    /// Tokens for a host that lacks some. The rate rule of the design page says what this host keeps: its
-    /// own demand while the sum is under the limit, above that its part of the limit by demand. The lender
-    /// lowers itself at once, level and cap; a gift that is lost is lost to all.
-    fn lend(&mut self, now: Instant, facts: &Facts, want: f64) -> f64 {
-        let Some(limit) = self.limit(facts) else { return 0.0 };
-        self.refill(now, facts);
-        let own = self.asked.last();
-        let fresh = self.peers.values().filter(|p| now - p.0 < LAST);
-        let all = own + fresh.map(|p| p.1).sum::<f64>();
-        let keep = if all > limit.rate { own / all * limit.rate } else { own } * LAST.secs();
-        // And what its next transfer needs: many who ask would else leave none enough for a whole one.
-        let most = if self.crossing.is_some() { facts.most_bytes } else { facts.most_units };
-        let gift = label::rounded(want.min(self.level - keep.max(self.waiting.min(most))));
-        self.level -= gift;
-        self.lent.extend((gift > 0.0).then_some((now + ASK_EVERY, gift)));
-        gift
-    }
-}
-
 enum DeskNote {
     Event(Event),
     Room(Room),
@@ -371,7 +293,7 @@
 #[derive(Default)]
 struct Desk {
     inbox: VecDeque<DeskNote>,
-    outbox: Vec<(NodeId, NodeNote)>,
+    outbox: VecDeque<(NodeId, NodeNote)>,
     actions: Vec<Action>,
     now: Instant,
     born: Instant,
@@ -473,8 +395,8 @@
 
     fn enter(&mut self, room: &Room, rng: &mut ChaCha8Rng) {
         let (id, ready) = (room.entry.node, room.entry.standing == Standing::Ready);
-        let place = |e: &NodeEntry| (e.cell, e.pools.clone());
-        if let Some(old) = self.rooms.get(&id).filter(|r| !ready || place(&r.entry) != place(&room.entry)) {
+        let moved = |e: &NodeEntry| e.cell != room.entry.cell || e.pools != room.entry.pools;
+        if let Some(old) = self.rooms.get(&id).filter(|r| !ready || moved(&r.entry)) {
             self.cells.entry(old.entry.cell).and_modify(|c| _ = c.remove(&id));
             self.cells.retain(|_, nodes| !nodes.is_empty());
             self.ready.values_mut().for_each(|nodes| nodes.retain(|other| *other != id));
@@ -509,7 +431,7 @@
         some.map(|c| (label::carried(c.id), c.hard))
     }
 
-    /// Takes bytes that cross to that zone or from it from their budgets; what goes past is told with its cause.
+    /// Takes bytes that cross to or from a zone from their budgets; what goes past is told with its cause.
     fn cross(&mut self, id: TransferId, plan: PlanId, (there, to): (ZoneId, bool), bytes: f64, cause: Cause) {
         let Some(me) = self.facts.zone else { return };
         let (from, to) = if to { (me, there) } else { (there, me) };
@@ -645,9 +567,7 @@
             wanted.extend(shared.map(|c| label::carried(c.id)));
             wanted.iter().for_each(|c| _ = self.volumes.entry(*c).and_modify(|v| v.waiting = bytes));
         }
-        for id in lost {
-            self.give_up(id);
-        }
+        lost.into_iter().for_each(|id| self.give_up(id));
         let Some(line) = self.lines.get_mut(&key) else { return };
         if line.beat.is_none() {
             self.last_beat += 1;
@@ -660,7 +580,8 @@
         wanted.into_iter().for_each(|v| self.ask(v));
         match key.1 {
             Where::Cell(cell) => {
-                self.outbox.extend(self.holders(cell).map(|nd| (nd, NodeNote::Beat)).collect::<Vec<_>>())
+                let holders = self.cells.get(&cell).into_iter().flatten();
+                self.outbox.extend(holders.map(|nd| (*nd, NodeNote::Beat)));
             }
             Where::Pool(pool) => self.draw(pool, rng),
         }
@@ -677,16 +598,15 @@
 
     fn leg_ended(&mut self, e: LegEnd, rng: &mut ChaCha8Rng) {
         let LegEnd { id, leg, node, ending, took, .. } = e;
-        self.outbox.push((node, NodeNote::Ended { id, leg, ending, took }));
+        self.outbox.push_back((node, NodeNote::Ended { id, leg, ending, took }));
         self.good.add(self.now, RECENT, f64::from(ending == Ending::Done));
+        let Some(plan) = self.xfers.get(&id).map(|x| x.t.plan) else { return };
+        self.cross(id, plan, (e.zone, false), e.bytes, Cause::Bound);
         let Some(x) = self.xfers.get_mut(&id) else { return };
         if let (Some(used), Some(v)) = (e.used, self.volumes.get_mut(&x.t.volume)) {
             v.used = self.facts.plans.get(v.plan.0).map(|p| used * p.usual);
         }
         x.out = x.out.saturating_sub(1);
-        let plan = x.t.plan;
-        self.cross(id, plan, (e.zone, false), e.bytes, Cause::Bound);
-        let Some(x) = self.xfers.get_mut(&id) else { return };
         x.maybe_ran = x.maybe_ran.filter(|m| m.0 != leg || !ending.never_ran());
         let unknown = matches!(ending, Ending::TimedOut | Ending::Broken | Ending::Cancelled);
         if let (true, Some(turn)) = (unknown, x.t.object.and_then(|o| self.turns.get_mut(&o))) {
@@ -712,10 +632,9 @@
     /// The final answer of a transfer that gets no more legs, at once.
     fn give_up(&mut self, id: TransferId) {
         let Some(x) = self.xfers.get(&id).filter(|x| !x.closed) else { return };
-        let may_defer = match self.facts.stream_types[x.t.stream_type.0].effect {
-            Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
-            _ => x.maybe_ran.is_none() && x.out == 0,
-        };
+        let effect = self.facts.stream_types[x.t.stream_type.0].effect;
+        let harmless = matches!(effect, Effect::Repeatable | Effect::Keyed { group: Group::All, .. });
+        let may_defer = harmless || (x.maybe_ran.is_none() && x.out == 0);
         let advice = x.t.cell.map_or(EPOCH, |cell| self.soonest(Where::Cell(cell))).max(EPOCH);
         let come_back = self.facts.longest_advice.map(|most| advice.min(most));
         self.actions.push(if may_defer { Action::Defer { id, come_back } } else { Action::Abandon { id } });
@@ -781,9 +700,8 @@
         for (volume, _) in line.groups.keys() {
             self.volumes.get_mut(volume)?.refill(self.now, &self.facts);
         }
-        for c in &self.facts.crossings {
-            self.volumes.entry(label::carried(c.id)).and_modify(|v| v.refill(self.now, &self.facts));
-        }
+        let shared = self.facts.crossings.iter().map(|c| label::carried(c.id));
+        shared.for_each(|c| _ = self.volumes.entry(c).and_modify(|v| v.refill(self.now, &self.facts)));
         let heads = line.groups.values().flat_map(|g| g.iter().take(HEADS)).map(|w| (w.1, &self.xfers[&w.1]));
         let ready = heads.filter(|(id, x)| self.may_go(*id, x, room));
         let ranked = ready.map(|(id, x)| (self.due(x), x.slo_end, id));
@@ -804,10 +722,9 @@
             let own = self.best((further, Where::Cell(room.entry.cell)), room);
             // A new object can wait for a node that nobody's data waits for, until half its time
             // is gone: where data lies unevenly, it would else crowd out what has one node only.
-            let news: Vec<_> =
-                drawn.iter().map(|d| (self.best((further, Where::Pool(d.1)), room), d.1)).collect();
-            let new = news.into_iter().filter_map(|(best, pool)| Some((best?, pool)));
-            let new = new.max_by(|a, b| a.0.0.total_cmp(&b.0.0));
+            let news =
+                drawn.iter().filter_map(|d| Some((self.best((further, Where::Pool(d.1)), room)?, d.1)));
+            let new = news.max_by(|a, b| a.0.0.total_cmp(&b.0.0));
             let must = |n: TransferId| self.now >= self.xfers[&n].half_time;
             let new = new.filter(|(n, _)| own.is_none_or(|o| n.0 > o.0 && must(n.1)));
             if let Some((_, id)) = new.map(|n| n.0).or(own) {
@@ -820,22 +737,20 @@
     /// Draws the node for the next new object: among a few, with odds in step with the room they have. Those
     /// without are asked anew. A cold one beyond the even part only where most are warm: never as a refuge.
     fn draw(&mut self, pool: PoolId, rng: &mut ChaCha8Rng) {
-        let Some(ready) = self.ready.get(&pool) else { return };
-        if ![false, true].iter().any(|further| self.lines.contains_key(&(*further, Where::Pool(pool)))) {
-            return;
-        }
+        let waits = |further| self.lines.contains_key(&(further, Where::Pool(pool)));
+        let ready = self.ready.get(&pool).filter(|_| waits(false) || waits(true));
+        let Some(ready) = ready else { return };
         let few: Vec<_> = ready.choose_multiple(rng, SAMPLE).map(|nd| &self.rooms[nd]).collect();
         let warm = |r: &&&Room| r.slots > 0 && r.units.is_infinite();
         let cold = 2 * few.iter().filter(warm).count() > few.len() || few.iter().all(|r| r.units.is_finite());
         let fits = |r: &&&Room| r.slots > 0 && (cold || r.even >= self.facts.most_units);
         let takers: Vec<_> = few.iter().filter(fits).collect();
-        let far = |r: &Room| self.facts.zone.is_some_and(|me| me != r.entry.zone);
-        let cost = if self.homeless(pool).is_some() { 1.0 } else { FAR };
-        let cost = |r: &Room| if far(r) { cost } else { 1.0 };
+        let away = if self.homeless(pool).is_some() { 1.0 } else { FAR };
+        let cost = |r: &Room| if self.facts.zone.is_some_and(|me| me != r.entry.zone) { away } else { 1.0 };
         let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3) * cost(r);
         if let Ok(r) = takers.choose_weighted(rng, odds) {
             self.drawn.insert((r.entry.node, pool));
-            self.outbox.push((r.entry.node, NodeNote::Beat));
+            self.outbox.push_back((r.entry.node, NodeNote::Beat));
         }
         let full = few.iter().filter(|r| r.slots == 0);
         self.outbox.extend(full.map(|r| (r.entry.node, NodeNote::Beat)));
@@ -861,117 +776,10 @@
         x.legs += 1;
         x.out += 1;
         x.maybe_ran.get_or_insert((leg, room.entry.cell, room.entry.zone, self.now));
-        self.outbox.push((node, NodeNote::Out { id, leg, units, slo_time }));
+        self.outbox.push_back((node, NodeNote::Out { id, leg, units, slo_time }));
         self.actions.push(Action::Leg { id, node, time_out: Some(x.slo_end - self.now) });
         let else_why = if first { Cause::Bound } else { Cause::Further };
         let choice = self.homeless(t.pool).filter(|_| t.cell.is_none());
         self.cross(id, t.plan, (room.entry.zone, true), t.bytes, choice.unwrap_or(else_why));
     }
-
-    fn epoch(&mut self) {
-        let (now, f) = (self.now, &self.facts);
-        let next = (now.micros().div_euclid(EPOCH.micros()) + 1) * EPOCH.micros();
-        self.actions.push(Action::Timer { id: NEXT_EPOCH, at: Instant::from_micros(next) });
-        self.turns.retain(|_, t| !t.0.is_empty() || t.1 > now);
-        let lasts = EPOCH.times(f64::from(4 << SEEKS));
-        self.users.values_mut().for_each(|u| u.retain(|_, at| now - *at < lasts));
-        self.users.retain(|_, u| !u.is_empty());
-        // What left is forgotten long after its last transfer came: no label or loan of it is under way then.
-        let open = |id: &VolumeId| self.xfers.values().any(|x| x.t.volume == *id);
-        self.volumes.retain(|id, v| !v.left || v.asked.read(now, LAST) > 1e-9 || open(id));
-        let (mut sum, mut busy, mut seek) = (0.0, 0.0, Vec::new());
-        for (id, v) in self.volumes.iter_mut() {
-            v.refill(now, f);
-            let extra = v.extra.read(now, LAST);
-            (sum, busy) = (sum + extra, busy + f64::from(extra > 0.1));
-            if v.limit(f).is_none() || v.hosts <= 1.0 || now < v.seek_at || !f.peers_talk {
-                continue;
-            }
-            // Two hosts keep a volume's map, in turn: one may be down, or have lost it.
-            let keeper = (id.0 + u64::from(v.seeks % 2)) % u64::from(f.hosts.max(1));
-            seek.push((HostId(keeper as u32), *id));
-            v.seek_at = now + EPOCH.times(f64::from(1 << v.seeks.min(SEEKS)));
-            v.seeks = v.seeks.wrapping_add(1);
-        }
-        self.fair = sum / f64::max(busy, 1.0);
-        for (to, volume) in seek {
-            if to == self.facts.me {
-                self.meet(to, volume);
-            } else {
-                self.actions.push(Action::Tell { to, bytes: label::pack_seek(volume) });
-            }
-        }
-    }
-
-    /// The paper's map of gateways and users, spread over the hosts: one asks, and is told the others.
-    fn meet(&mut self, from: HostId, volume: VolumeId) {
-        let users = self.users.entry(volume).or_default();
-        let new = users.insert(from, self.now).is_none();
-        let others: Vec<_> = users.keys().filter(|h| **h != from).map(|h| (volume, *h)).collect();
-        self.name(from, &others);
-        // Who asked before hears of a new one at once.
-        others.iter().filter(|_| new).for_each(|o| self.name(o.1, &[(volume, from)]));
-    }
-
-    fn name(&mut self, to: HostId, users: &[(VolumeId, HostId)]) {
-        if to == self.facts.me {
-            return users.iter().for_each(|(volume, host)| self.know(*volume, *host));
-        }
-        let parts = users.chunks(label::PAIRS).map(label::pack_users);
-        self.actions.extend(parts.map(|bytes| Action::Tell { to, bytes }));
-    }
-
-    fn know(&mut self, volume: VolumeId, host: HostId) {
-        let sound = host != self.facts.me && host.0 < self.facts.hosts;
-        self.volumes.entry(volume).and_modify(|v| _ = sound.then(|| v.peers.entry(host).or_default()));
-    }
-
-    fn ask(&mut self, id: VolumeId) {
-        let (now, f) = (self.now, &self.facts);
-        let Some(v) = self.volumes.get_mut(&id) else { return };
-        let Some(limit) = v.limit(f).filter(|_| now >= v.ask_at) else { return };
-        v.refill(now, f);
-        if v.waiting <= v.level || !f.peers_talk || v.peers.is_empty() {
-            return;
-        }
-        let (own, cap) = (v.asked.last(), v.even(now, &limit).1);
-        let (few, place) = (v.peers.len().min(ASK_PEERS), v.turn % v.peers.len());
-        let want = ((v.waiting + own * LAST.secs()).min(cap) - v.level) / few as f64;
-        (v.turn, v.ask_at) = (place + few, now + ASK_EVERY);
-        let bytes = label::pack(now, &[label::Line { volume: id, asked: own, want, lent: 0.0 }]);
-        let few = v.peers.keys().cycle().skip(place).take(few);
-        self.actions.extend(few.map(|to| Action::Tell { to: *to, bytes: bytes.clone() }));
-    }
-
-    fn hear(&mut self, from: HostId, bytes: &[u8]) {
-        let now = self.now;
-        // The hosts' clock is one: what comes from the future, or from long ago, is foreign or overtaken.
-        let fresh = |said: Instant| said <= now && now - said < LAST;
-        let (said, lines) = match label::unpack(bytes) {
-            _ if from == self.facts.me || from.0 >= self.facts.hosts => return,
-            Some(label::Said::Labels(said, lines)) if fresh(said) => (said, lines),
-            Some(label::Said::Seeks(volumes)) => return volumes.into_iter().for_each(|v| self.meet(from, v)),
-            Some(label::Said::Users(pairs)) => return pairs.into_iter().for_each(|p| self.know(p.0, p.1)),
-            _ => return,
-        };
-        for l in lines {
-            let Some(v) = self.volumes.get_mut(&l.volume) else { continue };
-            v.refill(now, &self.facts);
-            let p = v.peers.entry(from).or_default();
-            // Late and repeated labels: the newest counts, and nothing lent to an earlier life.
-            if said <= p.0 {
-                continue;
-            }
-            *p = (said, l.asked);
-            if let Some(limit) = v.limit(&self.facts).filter(|_| said > self.born) {
-                let lent = if now - said < ASK_EVERY { l.lent } else { 0.0 };
-                v.level = (v.level + lent).min(v.even(now, &limit).1);
-            }
-            let lent = if l.want > 0.0 { v.lend(now, &self.facts, l.want) } else { 0.0 };
-            if lent > 0.0 {
-                let line = label::Line { asked: v.asked.last(), want: 0.0, lent, ..l };
-                self.actions.push(Action::Tell { to: from, bytes: label::pack(now, &[line]) });
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/brain/volumes.rs
@@ -0,0 +1,192 @@
+//! Volumes: tokens, the rate rule, loans; and what hosts say to each other of them, at the desk.
+
+use super::*;
+
+/// Whatever has a limit over all hosts: a volume, in units, or a budget of bytes between zones.
+#[derive(Default)]
+pub(super) struct Volume {
+    pub(super) crossing: Option<usize>, // which budget it is
+    pub(super) plan: PlanId,
+    pub(super) hosts: f64,
+    pub(super) part: Option<Limit>, // while documents change: this host's part, where it is not an even one
+    pub(super) left: bool,          // no longer through this host
+    pub(super) asked: Fading,
+    /// Tokens at this host, and the units of first legs that wait here.
+    pub(super) level: f64,
+    pub(super) waiting: f64,
+    pub(super) at: Instant,
+    /// What was lent just now may still be under way: this host's cap is lower by it until then.
+    pub(super) lent: VecDeque<(Instant, f64)>,
+    pub(super) reserve: f64,
+    pub(super) used: Option<f64>, // units a second through all hosts, as answers tell, some seconds late
+    pub(super) extra: Fading,     // units sent past the reserve, by weight
+    pub(super) peers: BTreeMap<HostId, (Instant, f64)>, // when its newest label was said; what was asked
+    pub(super) turn: usize,       // of the peers: who is asked next, and when
+    pub(super) ask_at: Instant,
+    pub(super) seeks: u32, // looks for more of them so far, and when next
+    pub(super) seek_at: Instant,
+}
+
+pub(super) const EPOCH: Span = Span::from_micros(250_000); // volumes are looked over, at common points
+/// A few round trips between hosts: how often tokens are asked for, and how long lent ones may travel.
+const ASK_EVERY: Span = Span::from_micros(100_000);
+const ASK_PEERS: usize = 3; // at a time: few messages, and one that is lost or has nothing costs little
+const SEEKS: u32 = 6; // so often the wait between looks for a volume's other hosts doubles, to 16 s
+
+impl Volume {
+    /// This host's part of the rate and of the burst; what was lent is missing from the burst.
+    pub(super) fn even(&mut self, now: Instant, limit: &Limit) -> (f64, f64) {
+        while self.lent.pop_front_if(|l| l.0 <= now).is_some() {}
+        let lent: f64 = self.lent.iter().map(|l| l.1).sum();
+        let even = Limit { rate: limit.rate / self.hosts, burst: limit.burst / self.hosts };
+        let part = self.part.unwrap_or(even);
+        (part.rate, part.burst - lent)
+    }
+
+    /// Also where the plan has none any more and other hosts still hold to the one it had.
+    pub(super) fn limit(&self, facts: &Facts) -> Option<Limit> {
+        let limit = self.crossing.map(|place| facts.crossings[place].limit);
+        limit.or_else(|| facts.plans.get(self.plan.0)?.limit).or(self.part)
+    }
+
+    pub(super) fn refill(&mut self, now: Instant, facts: &Facts) {
+        let span = (now - self.at).secs().max(0.0);
+        if let Some(limit) = &self.limit(facts) {
+            let (rate, cap) = self.even(now, limit);
+            self.level = (self.level + rate * span).min(cap);
+        }
+        let own = self.asked.read(now, LAST);
+        self.at = self.at.max(now);
+        let Some(plan) = facts.plans.get(self.plan.0).filter(|_| self.crossing.is_none()) else { return };
+        let all = self.used.map_or(own * self.hosts, |used| used.max(own)).max(1e-9);
+        let rate = plan.reserve * (own / all).max(1.0 / self.hosts / 2.0);
+        self.reserve = (self.reserve + rate * span).min(rate + facts.most_units);
+    }
+
+    /// Tokens for a host that lacks some. The rate rule of the design page says what this host keeps: its
+    /// own demand while the sum is under the limit, above that its part of the limit by demand. The lender
+    /// lowers itself at once, level and cap; a gift that is lost is lost to all.
+    pub(super) fn lend(&mut self, now: Instant, facts: &Facts, want: f64) -> f64 {
+        let Some(limit) = self.limit(facts) else { return 0.0 };
+        self.refill(now, facts);
+        let own = self.asked.last();
+        let fresh = self.peers.values().filter(|p| now - p.0 < LAST);
+        let all = own + fresh.map(|p| p.1).sum::<f64>();
+        let keep = if all > limit.rate { own / all * limit.rate } else { own } * LAST.secs();
+        // And what its next transfer needs: many who ask would else leave none enough for a whole one.
+        let most = if self.crossing.is_some() { facts.most_bytes } else { facts.most_units };
+        let gift = label::rounded(want.min(self.level - keep.max(self.waiting.min(most))));
+        self.level -= gift;
+        self.lent.extend((gift > 0.0).then_some((now + ASK_EVERY, gift)));
+        gift
+    }
+}
+
+impl Desk {
+    pub(super) fn epoch(&mut self) {
+        let (now, f) = (self.now, &self.facts);
+        let next = (now.micros().div_euclid(EPOCH.micros()) + 1) * EPOCH.micros();
+        self.actions.push(Action::Timer { id: NEXT_EPOCH, at: Instant::from_micros(next) });
+        self.turns.retain(|_, t| !t.0.is_empty() || t.1 > now);
+        let lasts = EPOCH.times(f64::from(4 << SEEKS));
+        self.users.values_mut().for_each(|u| u.retain(|_, at| now - *at < lasts));
+        self.users.retain(|_, u| !u.is_empty());
+        // What left is forgotten long after its last transfer came: no label or loan of it is under way then.
+        let open = |id: &VolumeId| self.xfers.values().any(|x| x.t.volume == *id);
+        self.volumes.retain(|id, v| !v.left || v.asked.read(now, LAST) > 1e-9 || open(id));
+        let (mut sum, mut busy, mut seek) = (0.0, 0.0, Vec::new());
+        for (id, v) in self.volumes.iter_mut() {
+            v.refill(now, f);
+            let extra = v.extra.read(now, LAST);
+            (sum, busy) = (sum + extra, busy + f64::from(extra > 0.1));
+            if v.limit(f).is_none() || v.hosts <= 1.0 || now < v.seek_at || !f.peers_talk {
+                continue;
+            }
+            // Two hosts keep a volume's map, in turn: one may be down, or have lost it.
+            let keeper = (id.0 + u64::from(v.seeks % 2)) % u64::from(f.hosts.max(1));
+            seek.push((HostId(keeper as u32), *id));
+            v.seek_at = now + EPOCH.times(f64::from(1 << v.seeks.min(SEEKS)));
+            v.seeks = v.seeks.wrapping_add(1);
+        }
+        self.fair = sum / f64::max(busy, 1.0);
+        for (to, volume) in seek {
+            if to == self.facts.me {
+                self.meet(to, volume);
+            } else {
+                self.actions.push(Action::Tell { to, bytes: label::pack_seek(volume) });
+            }
+        }
+    }
+
+    /// The paper's map of gateways and users, spread over the hosts: one asks, and is told the others.
+    fn meet(&mut self, from: HostId, volume: VolumeId) {
+        let users = self.users.entry(volume).or_default();
+        let new = users.insert(from, self.now).is_none();
+        let others: Vec<_> = users.keys().filter(|h| **h != from).map(|h| (volume, *h)).collect();
+        self.name(from, &others);
+        // Who asked before hears of a new one at once.
+        others.iter().filter(|_| new).for_each(|o| self.name(o.1, &[(volume, from)]));
+    }
+
+    fn name(&mut self, to: HostId, users: &[(VolumeId, HostId)]) {
+        if to == self.facts.me {
+            return users.iter().for_each(|(volume, host)| self.know(*volume, *host));
+        }
+        let parts = users.chunks(label::PAIRS).map(label::pack_users);
+        self.actions.extend(parts.map(|bytes| Action::Tell { to, bytes }));
+    }
+
+    fn know(&mut self, volume: VolumeId, host: HostId) {
+        let sound = host != self.facts.me && host.0 < self.facts.hosts;
+        self.volumes.entry(volume).and_modify(|v| _ = sound.then(|| v.peers.entry(host).or_default()));
+    }
+
+    pub(super) fn ask(&mut self, id: VolumeId) {
+        let (now, f) = (self.now, &self.facts);
+        let Some(v) = self.volumes.get_mut(&id) else { return };
+        let Some(limit) = v.limit(f).filter(|_| now >= v.ask_at) else { return };
+        v.refill(now, f);
+        if v.waiting <= v.level || !f.peers_talk || v.peers.is_empty() {
+            return;
+        }
+        let (own, cap) = (v.asked.last(), v.even(now, &limit).1);
+        let (few, place) = (v.peers.len().min(ASK_PEERS), v.turn % v.peers.len());
+        let want = ((v.waiting + own * LAST.secs()).min(cap) - v.level) / few as f64;
+        (v.turn, v.ask_at) = (place + few, now + ASK_EVERY);
+        let bytes = label::pack(now, &[label::Line { volume: id, asked: own, want, lent: 0.0 }]);
+        let few = v.peers.keys().cycle().skip(place).take(few);
+        self.actions.extend(few.map(|to| Action::Tell { to: *to, bytes: bytes.clone() }));
+    }
+
+    pub(super) fn hear(&mut self, from: HostId, bytes: &[u8]) {
+        let now = self.now;
+        // The hosts' clock is one: what comes from the future, or from long ago, is foreign or overtaken.
+        let fresh = |said: Instant| said <= now && now - said < LAST;
+        let (said, lines) = match label::unpack(bytes) {
+            _ if from == self.facts.me || from.0 >= self.facts.hosts => return,
+            Some(label::Said::Labels(said, lines)) if fresh(said) => (said, lines),
+            Some(label::Said::Seeks(volumes)) => return volumes.into_iter().for_each(|v| self.meet(from, v)),
+            Some(label::Said::Users(pairs)) => return pairs.into_iter().for_each(|p| self.know(p.0, p.1)),
+            _ => return,
+        };
+        for l in lines {
+            let Some(v) = self.volumes.get_mut(&l.volume) else { continue };
+            v.refill(now, &self.facts);
+            let p = v.peers.entry(from).or_default();
+            // Late and repeated labels: the newest counts, and nothing lent to an earlier life.
+            if said <= p.0 {
+                continue;
+            }
+            *p = (said, l.asked);
+            if let Some(limit) = v.limit(&self.facts).filter(|_| said > self.born) {
+                let lent = if now - said < ASK_EVERY { l.lent } else { 0.0 };
+                v.level = (v.level + lent).min(v.even(now, &limit).1);
+            }
+            let lent = if l.want > 0.0 { v.lend(now, &self.facts, l.want) } else { 0.0 };
+            if lent > 0.0 {
+                let line = label::Line { asked: v.asked.last(), want: 0.0, lent, ..l };
+                self.actions.push(Action::Tell { to: from, bytes: label::pack(now, &[line]) });
+            }
+        }
+    }
+}
