--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -216,8 +216,9 @@
 
 async fn ask(control: &Path, ask: Ask) -> Result<Told> {
     let told = gullsail_host::control::ask(control, ask, Duration::from_secs(60)).await;
-    let told =
-        told.into_diagnostic().wrap_err_with(|| format!("no host answers at {}", control.display()))?;
+    let strange = told.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::InvalidData);
+    let what = if strange { "what answers is not understood" } else { "no host answers" };
+    let told = told.into_diagnostic().wrap_err_with(|| format!("{what} at {}", control.display()))?;
     match told {
         Told::Error { why } => Err(miette!("{why}")),
         told => Ok(told),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -202,6 +202,7 @@
 }
 
 async fn run(command: Command, logs: &logs::Logs) -> Result<ExitCode> {
+    logs::outlive_full_files();
     match command {
         Command::Host { file, name, seed, clock_ahead, control } => {
             host(&file, &name, seed.unwrap_or_else(rand::random), &clock_ahead, control, logs).await
@@ -251,7 +252,9 @@
     let bound = TcpListener::bind(address).await.into_diagnostic();
     let listener = bound.wrap_err_with(|| format!("{name} can't listen at {address}"))?;
     let address = listener.local_addr().into_diagnostic()?.to_string();
-    let listening = Listening { address, incarnation: rand::random::<u64>().max(1) };
+    // Within what every reader of JSON keeps exactly.
+    let incarnation = (rand::random::<u64>() >> 11).max(1);
+    let listening = Listening { address, incarnation };
     let line = serde_json::to_string(&listening).into_diagnostic()? + "\n";
     let told = std::io::stdout().write_all(line.as_bytes()).and_then(|()| std::io::stdout().flush());
     told.into_diagnostic().wrap_err("can't say on standard output where this listens")?;
@@ -302,7 +305,6 @@
     let clock = HostClock::start(ahead(clock_ahead)?);
     info!(host = name, incarnation, "serving");
     let life = Life { deployment: Arc::new(d), me, seed, incarnation, clock };
-    logs::outlive_full_files();
     let counts = tokio::select! {
         counts = drive::run(life, listener, control, stopped()) => counts,
         () = logs.watch() => return Ok(ExitCode::from(1)),
--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -61,7 +61,9 @@
     },
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// What one version does not tell is empty or 0 where another reads it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct State {
     pub host: String,
     pub revision: u64,
@@ -72,9 +74,7 @@
     pub held_bytes: usize,
     pub counts: Counts,
     /// What crossed between zones in this life of the host, and what of it went past budgets.
-    #[serde(default)]
     pub crossed: Vec<Crossed>,
-    #[serde(default)]
     pub past: Vec<Past>,
 }
 
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -85,7 +85,10 @@
 }
 
 /// What was counted since the start.
+///
+/// Whoever reads these from another version finds 0 for what that one does not count.
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
 pub struct Counts {
     pub taken: u64,
     pub not_taken: u64,
@@ -104,7 +107,6 @@
     pub nodes_met_again: u64,
     pub list_lost: u64,
     /// Connections that were not taken, since all places for them were.
-    #[serde(default)]
     pub links_refused: u64,
     /// Times that clients had to wait since the host held all it may.
     pub held_back: u64,
