A document that its disk does not give back holds up neither askers nor the host

Need: the bound on reading, put to the test in process: the asker is told, the next is told that it is still being read, the state is answered meanwhile, and a reload is as ever once the disk is back. Change: the test.

--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -144,3 +144,51 @@
     assert_eq!(status(dir)["revision"].as_u64(), Some(0));
     assert_eq!(host.stop(), Some(0));
 }
+
+/// A disk that does not give a document back: the asker is told, the next one too, the state is still told, and once it
+/// comes a reload is as ever.
+#[test]
+fn a_document_that_is_not_read_holds_nobody_up() {
+    use gullsail_host::control::{Ask, Control, Told, ask};
+    use gullsail_host::drive::{self, HostClock, Life};
+    use std::sync::{Arc, Mutex, mpsc};
+    use std::time::Duration;
+    let dir = tempfile::tempdir().unwrap();
+    let socket = dir.path().join("h1.sock");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let (gives, disk) = mpsc::channel::<()>();
+    let disk = Mutex::new(disk);
+    let load = move || {
+        let _ = disk.lock().unwrap().recv();
+        Ok(gullsail_configuration::parse("main.kdl", DOCUMENT).unwrap())
+    };
+    runtime.block_on(async {
+        let control =
+            Control::bind(&socket, Arc::new(load)).unwrap().reading_within(Duration::from_millis(100));
+        let d = Arc::new(gullsail_configuration::parse("main.kdl", DOCUMENT).unwrap());
+        let clock = HostClock::start(gullsail_interface::Span::ZERO);
+        let me = gullsail_interface::HostId(0);
+        let life = Life { deployment: d, me, seed: 1, incarnation: 1, clock };
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+        let host = tokio::spawn(drive::run(life, listener, Some(control), async {
+            let _ = stopped.await;
+        }));
+        let long = Duration::from_secs(30);
+        let reload = || ask(&socket, Ask::Reload { insist: false }, long);
+        for expected in ["was not read within", "still being read", "still being read"] {
+            match reload().await.unwrap() {
+                Told::Error { why } => assert!(why.contains(expected), "{why}"),
+                told => panic!("{told:?}"),
+            }
+            assert!(matches!(ask(&socket, Ask::Status, long).await.unwrap(), Told::Status(_)));
+        }
+        // The disk is back: for the reading that still waits, and for those to come.
+        (0..50).for_each(|_| gives.send(()).unwrap());
+        while !matches!(reload().await.unwrap(), Told::Taken { .. }) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        stop.send(()).unwrap();
+        assert_eq!(host.await.unwrap().documents_taken, 1);
+    });
+}
