--- a/tests/decisions/model.rs
+++ b/tests/decisions/model.rs
@@ -171,7 +171,10 @@
                     zone: ZoneId::default(),
                     bytes: 0.0,
                 };
-                self.mail.push((self.now + took, me, Mail::End(life, end)));
+                // Now and then its end is told late, after the expiry too: the answer must not wait for it.
+                let late =
+                    if self.rng.random_bool(0.02) { ms(self.rng.random_range(0..2000)) } else { ms(0) };
+                self.mail.push((self.now + took + late, me, Mail::End(life, end)));
             }
             Action::Tell { to, bytes } => {
                 for chance in [0.8, 0.2] {
