Rules 4 and 7 hold for legs that wait for their connection

A connection breaks with no leg out, so the decisions hear nothing; the process is started anew, and what was decided meanwhile for a warm node goes to the cold one in one go when it greets: 27 units where 6 are borne by all hosts (rule 4). And while a leg waits its volume's bucket fills up behind it: the store for all hosts went to -4 with no slack, by up to the limit's rate times the connect time-out (rule 7).

At fault: Core::node_up, which sent all that waited; Desk::send, which let the burst refill at once. Change: what waited for a cold process that this host had not met ends as never sent and is decided anew; a leg that never went out takes nothing from a cold node's part; the burst is lower by a leg's units until it must have gone out, as by a loan, and the window for cold nodes is longer by that wait.

Tests: two in crates/host/tests/host/bounds.rs, failing before with 27 units and with a store at -4.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -259,7 +259,6 @@
             free: free.unwrap_or(0.0),
             share: share.unwrap_or(0.0),
             window: Span::from_millis(window),
-            wait: Span::ZERO,
         }),
         _ => None,
     };
@@ -276,6 +275,7 @@
             ramp: Span::from_millis(b.rules.ramp_time),
         },
         leg_budget,
+        leg_wait: Span::ZERO,
         order_settle: Span::from_millis(b.rules.order_settle),
         most_legs: b.limits.max_attempts,
         most_units: b.family_info.max_units,
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -318,14 +318,12 @@
             free: r.number_at(n, "free", 0.0).unwrap_or_default(),
             share: r.part_at(n, "share").unwrap_or_default(),
             window,
-            wait: Span::ZERO,
         });
     }
     let bounds_node = single(r, "bounds");
     let bounds = bounds(r, bounds_node);
     // And the host's timers come up to a millisecond late.
-    let wait = bounds.connect + Span::from_micros(2000);
-    facts.leg_budget.iter_mut().for_each(|b| b.wait = wait);
+    facts.leg_wait = bounds.connect + Span::from_micros(2000);
     let plans: Vec<_> = all("plan").map(|n| plan(r, n, unit)).collect();
     facts.plans = plans.iter().map(|p| p.decisions.clone()).collect();
     let everyone: Arc<[HostId]> = (0..hosts.len() as u32).map(HostId).collect();
--- a/crates/host/src/core/serve.rs
+++ b/crates/host/src/core/serve.rs
@@ -255,6 +255,7 @@
 
     /// A node said who it is: its start is told to the decisions before anything is sent to it.
     pub(super) fn node_up(&mut self, node: NodeId, link: LinkId, incarnation: u64, age: Span) {
+        let met = self.nodes.get(node).is_some_and(|n| n.incarnation == Some(incarnation));
         let Some((entry, another)) = self.nodes.greeted(node, incarnation, age, self.now) else { return };
         let Some(n) = self.nodes.get(node) else { return };
         n.dial.is_up(link);
@@ -269,7 +270,16 @@
             debug!(node = name, "node is up, the same process as before");
         }
         self.events.push(Event::List { extent: Extent::Seen, entries: vec![entry] });
-        pending.into_iter().for_each(|leg| self.send_leg(leg));
+        // What waited was decided for the process before, or for one of whose start nobody knew: to a cold one it does not
+        // go all together, but is decided anew. None of it ran.
+        let cold = !met && age < self.deployment.figures().cold.ramp;
+        for leg in pending {
+            if cold {
+                self.leg_over(leg, Ending::Unsent, None);
+            } else {
+                self.send_leg(leg);
+            }
+        }
     }
 
     /// Its connection is over, or did not come about. Legs that were sent may have run; others wait for the
--- a/crates/host/tests/host/bounds.rs
+++ b/crates/host/tests/host/bounds.rs
@@ -442,3 +442,80 @@
     let near = further.windows(2).find(|w| w[1] - w[0] < ms(1000.0));
     assert_eq!(near, None, "one in any second: {further:?}");
 }
+
+/// Rule 7: what is taken for a leg that waits for its connection is missing from the store until it goes out: else the store
+/// would fill up behind it and all of it go out on top.
+#[test]
+fn tokens_of_legs_that_wait_are_not_filled_up_behind_them() {
+    let (rate, burst) = (40.0, 64.0);
+    let mut r = Rig::new(
+        &document(&[("volume \"w\" plan=\"held\"", "volume \"w\" plan=\"held\" { hosts \"h1\"; }")]),
+        0,
+        START,
+    );
+    let c = r.client();
+    let (n1, n2) = r.nodes_up();
+    // A newborn's bucket is empty, and fills from the first transfer on.
+    r.submit_to(c, 900, "read", "w", 2);
+    r.pass(ms(100.0));
+    let leg = r.legs(n2).last().unwrap().leg;
+    r.answer(n2, leg, LegResult::Done);
+    // The bucket is full, and the window of the other node wide.
+    for id in 1000..1200 {
+        r.submit_to(c, id, "read", "v", 2);
+        let leg = r.legs(n2).last().unwrap().leg;
+        r.pass(ms(1.0));
+        r.answer(n2, leg, LegResult::Done);
+    }
+    r.pass(ms(4000.0));
+    r.new_legs();
+    r.tell(Input::Closed(n1, "reset".into()));
+    (1..=5).for_each(|id| r.submit_to(c, id, "read", "w", 1));
+    r.pass(ms(180.0));
+    r.node_up("n1", 11, ms(1e7 + 5000.0));
+    for id in 10..90 {
+        r.submit_to(c, id, "read", "w", 2);
+        for l in r.legs(n2).into_iter().filter(|l| l.mark == format!("m{id}")) {
+            r.answer(n2, l.leg, LegResult::Done);
+        }
+    }
+    // The store for all hosts, by what went out and when.
+    let (mut level, mut at, mut low) = (burst, START, burst);
+    let sent: Vec<_> = r.new_legs().into_iter().filter(|l| l.2.volume == "w").collect();
+    assert!(sent.len() > 60 && sent.iter().any(|l| l.1 != n2), "{}", sent.len());
+    for (when, _, leg) in sent {
+        level = f64::min(level + rate * (when - at).secs(), burst) - leg.units;
+        (at, low) = (when, low.min(level));
+    }
+    assert!(low >= -1e-6, "the store went to {low}");
+}
+
+/// Rule 4: legs that were decided while nobody knew of a restart, and waited for the connection, do not go out together to
+/// the cold node that greets; they are decided anew, now that its start is known.
+#[test]
+fn legs_that_waited_are_not_poured_on_a_cold_node() {
+    for (incarnation, age, cold) in [(99, 0.0, true), (11, 1e7, false)] {
+        let mut r = Rig::new(&document(&[("open=50", "open=500")]), 0, START);
+        let (c, n) = (r.client(), r.node_up("n1", 11, ms(1e7)));
+        // Its window grows while it is full and answers soon.
+        for id in 1000..1400 {
+            r.submit(c, id, "read");
+        }
+        for _ in 0..400 {
+            let legs = r.new_legs();
+            legs.into_iter().for_each(|l| r.answer(n, l.2.leg, LegResult::Done));
+        }
+        // It breaks with no leg out: the decisions hear nothing of it.
+        r.new_legs();
+        r.tell(Input::Closed(n, "reset".into()));
+        (1..=30).for_each(|id| r.submit(c, id, ["read", "trip"][id as usize % 2]));
+        r.pass(ms(50.0));
+        r.node_up("n1", incarnation, ms(age));
+        let sent: f64 = r.new_legs().iter().map(|l| l.2.units).sum();
+        // Six units are borne, for two hosts.
+        assert_eq!(sent <= 6.0, cold, "{sent} units to incarnation {incarnation}");
+        r.pass(ms(1600.0));
+        assert!((1..=30).all(|id| r.outcomes(c, id).len() == 1));
+        nothing_is_held(&r, "cold");
+    }
+}
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -221,8 +221,6 @@
     pub free: f64,
     pub share: f64,
     pub window: Span,
-    /// So much later than it was asked for a leg may go out, while it waits for its connection.
-    pub wait: Span,
 }
 
 /// What bounds the work sent to a node that has just started.
@@ -247,6 +245,8 @@
     pub plans: Vec<Plan>,
     pub cold: ColdStart,
     pub leg_budget: Option<LegBudget>,
+    /// So much later than it was asked for a leg may go out, while it waits for its connection.
+    pub leg_wait: Span,
     pub order_settle: Span,
     pub most_legs: u32,
     pub most_units: f64,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -145,9 +145,7 @@
                 // The list is late: a drain is believed at once, but taken back only by a newer start.
                 let ended = self.entry.standing != Standing::Ready && e.started <= self.entry.started;
                 let standing = if ended { self.entry.standing.max(e.standing) } else { e.standing };
-                if standing == Standing::Gone && self.entry.standing != Standing::Gone {
-                    self.gone = now;
-                }
+                self.gone = if self.entry.standing == Standing::Gone { self.gone } else { now };
                 // A connection that broke is taken for a restart until the same process says otherwise.
                 let started = if seen { e.started } else { e.started.max(self.entry.started) };
                 self.entry = NodeEntry { standing, started, ..e };
@@ -167,7 +165,7 @@
                 } else if answered {
                     self.heard = now;
                 }
-                self.cold_sent.iter_mut().filter(|c| done && c.0 == (id, leg)).for_each(|c| c.3 = true);
+                self.cold_sent.retain_mut(|c| c.0 != (id, leg) || (c.3 |= done, ending != Ending::Unsent).1);
                 // Errors and full queues answer fast, time-outs cut short what would have taken longer: were
                 // they not counted as long, a jammed node would look the best of all and stay jammed.
                 if answered || timed_out {
@@ -216,8 +214,8 @@
         let gained = (age - cold.window).secs().max(0.0) / cold.ramp.secs();
         let growth = (1.0 - cold.first_part) * gained / cold.first_part.max(0.01);
         let part = cold.units / f64::from(facts.hosts.max(1)) * (1.0 + Self::RAMP_TRUST * growth);
-        // A tenth longer than the rule's window: legs sent apart may arrive together.
-        let window = cold.window.times(1.1);
+        // A tenth longer than the rule's window: legs sent apart may arrive together, or go out later.
+        let window = cold.window.times(1.1) + facts.leg_wait;
         self.cold_sent.retain(|c| now - c.1 <= window);
         let weight = |c: &ColdLeg| if c.3 { c.2 * Self::PROVEN } else { c.2 };
         let left = part - self.cold_sent.iter().map(weight).sum::<f64>();
@@ -349,7 +347,8 @@
         // Whatever comes, also while no node has room: else what is accepted then would only pile up.
         if let Some(b) = self.facts.leg_budget {
             // A leg may go out later than decided: it counts for longer, and what was accepted less long.
-            let (accepted, resent) = (self.now - (b.window - b.wait), self.now - (b.window + b.wait));
+            let wait = self.facts.leg_wait;
+            let (accepted, resent) = (self.now - (b.window - wait), self.now - (b.window + wait));
             while self.accepted.pop_front_if(|at| *at <= accepted).is_some() {}
             while self.resent.pop_front_if(|at| *at < resent).is_some() {}
         }
@@ -657,12 +656,9 @@
         let f = &self.facts;
         let (v, s) = (&self.volumes[&x.t.volume], &f.stream_types[x.t.stream_type.0]);
         let full = s.benefit * f.plans[v.plan.0].price; // benefit still due per unit
-        if v.reserve >= x.t.units {
-            return full;
-        }
         // The weighted share: who was sent less than the others, by weight, is inside it.
         let over = (self.fair / v.extra.last().max(1e-9)).min(1.0);
-        full * (f.spare_part + (f.share_part - f.spare_part) * over)
+        full * if v.reserve >= x.t.units { 1.0 } else { f.spare_part + (f.share_part - f.spare_part) * over }
     }
 
     /// May this transfer have a leg at that node now, by the rules and the volume's tokens?
@@ -698,11 +694,9 @@
 
     fn best(&mut self, key: LineKey, room: &Room) -> Option<(f64, TransferId)> {
         let line = self.lines.get(&key)?;
-        for (volume, _) in line.groups.keys() {
-            self.volumes.get_mut(volume)?.refill(self.now, &self.facts);
-        }
         let shared = self.facts.crossings.iter().map(|c| label::carried(c.id));
-        shared.for_each(|c| _ = self.volumes.entry(c).and_modify(|v| v.refill(self.now, &self.facts)));
+        let all = line.groups.keys().map(|g| g.0).chain(shared);
+        all.for_each(|v| _ = self.volumes.entry(v).and_modify(|v| v.refill(self.now, &self.facts)));
         let heads = line.groups.values().flat_map(|g| g.iter().take(HEADS)).map(|w| (w.1, &self.xfers[&w.1]));
         let ready = heads.filter(|(id, x)| self.may_go(*id, x, room));
         let ranked = ready.map(|(id, x)| (self.due(x), x.slo_end, id));
@@ -739,8 +733,7 @@
     /// without are asked anew. A cold one beyond the even part only where most are warm: never as a refuge.
     fn draw(&mut self, pool: PoolId, rng: &mut ChaCha8Rng) {
         let waits = |further| self.lines.contains_key(&(further, Where::Pool(pool)));
-        let ready = self.ready.get(&pool).filter(|_| waits(false) || waits(true));
-        let Some(ready) = ready else { return };
+        let Some(ready) = self.ready.get(&pool).filter(|_| waits(false) || waits(true)) else { return };
         let few: Vec<_> = ready.choose_multiple(rng, SAMPLE).map(|nd| &self.rooms[nd]).collect();
         let warm = |r: &&&Room| r.slots > 0 && r.units.is_infinite();
         let cold = 2 * few.iter().filter(warm).count() > few.len() || few.iter().all(|r| r.units.is_finite());
@@ -764,6 +757,14 @@
         let v = self.volumes.get_mut(&x.t.volume).expect("an open transfer's volume is known");
         if x.legs == 0 {
             v.level -= x.t.units;
+            if self.facts.leg_wait > Span::ZERO && v.limit(&self.facts).is_some() {
+                // Until it has gone out the burst is lower by it, as by a loan: none fills up behind it.
+                let until = self.now + self.facts.leg_wait + BEAT_EVERY;
+                match v.lent.back_mut().filter(|l| until - l.0 < BEAT_EVERY) {
+                    Some(last) => last.1 += x.t.units,
+                    None => v.lent.push_back((until, x.t.units)),
+                }
+            }
             if v.reserve >= x.t.units {
                 v.reserve -= x.t.units;
             } else {
@@ -771,15 +772,14 @@
             }
         }
         let slo_time = self.facts.stream_types[x.t.stream_type.0].slo_time.min(self.tight);
-        let (t, first) = (x.t.clone(), x.legs == 0);
-        let (leg, units, node) = (x.legs, x.t.units, room.entry.node);
+        let (t, leg, node) = (x.t.clone(), x.legs, room.entry.node);
         self.sent.add(self.now, RECENT, 1.0);
         x.legs += 1;
         x.out += 1;
         x.maybe_ran.get_or_insert((leg, room.entry.cell, room.entry.zone, self.now));
-        self.outbox.push_back((node, NodeNote::Out { id, leg, units, slo_time }));
+        self.outbox.push_back((node, NodeNote::Out { id, leg, units: t.units, slo_time }));
         self.actions.push(Action::Leg { id, node, time_out: Some(x.slo_end - self.now) });
-        let else_why = if first { Cause::Bound } else { Cause::Further };
+        let else_why = if leg == 0 { Cause::Bound } else { Cause::Further };
         let choice = self.homeless(t.pool).filter(|_| t.cell.is_none());
         self.cross(id, t.plan, (room.entry.zone, true), t.bytes, choice.unwrap_or(else_why));
     }
--- a/tests/decisions/bounds.rs
+++ b/tests/decisions/bounds.rs
@@ -48,7 +48,7 @@
 #[test]
 fn the_budget_keeps_its_window_only() {
     let mut f = facts();
-    f.leg_budget = Some(LegBudget { free: 3.0, share: 0.1, window: ms(1000), wait: ms(0) });
+    f.leg_budget = Some(LegBudget { free: 3.0, share: 0.1, window: ms(1000) });
     for nodes in [vec![], vec![node(1, 0)]] {
         let silent = !nodes.is_empty();
         let mut h = Host::new(f.clone(), nodes, at(1000));
--- a/tests/decisions/model.rs
+++ b/tests/decisions/model.rs
@@ -62,7 +62,7 @@
     let mut f = facts();
     f.hosts = hosts;
     f.order_settle = ms(60);
-    f.leg_budget = Some(LegBudget { free: 1.0, share: 0.05, window: ms(1000), wait: ms(0) });
+    f.leg_budget = Some(LegBudget { free: 1.0, share: 0.05, window: ms(1000) });
     f.cold = ColdStart { units: 12.0, window: ms(1000), first_part: 0.2, ramp: ms(4000) };
     let group = [Group::All, Group::Zone, Group::Cell][rng.random_range(0..3)];
     f.stream_types[1].effect = Effect::Keyed { group, window: ms(60) };
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -192,7 +192,7 @@
 fn further_legs_stay_within_their_budget() {
     for (free, share, most) in [(0.0, 0.0, 0), (3.0, 0.0, 3), (1.0, 0.1, 5)] {
         let mut f = facts();
-        f.leg_budget = Some(LegBudget { free, share, window: ms(5000), wait: ms(0) });
+        f.leg_budget = Some(LegBudget { free, share, window: ms(5000) });
         let mut h = Host::new(f, vec![node(1, 0)], at(1000));
         for id in 0..20 {
             h.tell(Event::Arrived(xfer(id + 100, 0)));
