The worlds' clients come with time to be served

Cause, in the worlds alone: times to live were drawn evenly, and the module takes less than the longest for a next try whose SLO time has run. Now most are first tries.

--- a/crates/cli/benches/service/main.rs
+++ b/crates/cli/benches/service/main.rs
@@ -42,7 +42,11 @@
             (arguments.first().copied().unwrap_or(60.0), arguments.get(1).copied().unwrap_or(0.05));
         let mut w = World::new(1, every);
         w.play(Span::from_millis(seconds * 1e3));
-        return println!("{} answered", w.answered);
+        return println!(
+            "{} answered; taken, not taken, done, deferred, abandoned, left: {:?}",
+            w.answered,
+            w.outcomes()
+        );
     }
     let hours = arguments.first().copied().unwrap_or(48.0) as usize;
     let every = arguments.get(1).copied().unwrap_or(4.0);
@@ -84,6 +88,7 @@
             sum(&quiet)
         );
     }
+    println!("taken, not taken, done, deferred, abandoned, left, of hosts that are up: {:?}", w.outcomes());
     println!("answered {}, lives of hosts {}, documents taken {}", w.answered, w.lives, w.taken_documents);
     w.turned_down.iter().for_each(|(why, n)| println!("turned down {n} times: {why}"));
     println!("\ncollection             busy: first third  last third   quiet: first third  last third");
--- a/crates/cli/benches/service/world.rs
+++ b/crates/cli/benches/service/world.rs
@@ -552,7 +552,12 @@
             ),
             mark: format!("m{id}"),
             repeat: 0,
-            ttl_us: self.rng.random_range(100_000..2_000_000),
+            // Mostly a first try; some are a next one, or impatient.
+            ttl_us: if self.rng.random_bool(0.85) {
+                2_000_000
+            } else {
+                self.rng.random_range(100_000..2_000_000)
+            },
         };
         let body = if stream_type == "read" { Bytes::new() } else { Bytes::from_static(&[1; 256]) };
         self.members[h].clients.insert(l, id);
@@ -620,6 +625,15 @@
         self.now = end;
     }
 
+    /// Of the hosts that are up: taken, not taken, done, deferred, abandoned, withdrawn.
+    pub fn outcomes(&self) -> [u64; 6] {
+        let all = self.members.iter().filter_map(|m| m.core.as_ref()).map(Core::counts);
+        all.fold([0; 6], |s, c| {
+            let new = [c.taken, c.not_taken, c.done, c.deferred, c.abandoned, c.clients_left];
+            std::array::from_fn(|place| s[place] + new[place])
+        })
+    }
+
     /// What all hosts hold, by collection.
     pub fn lengths(&self) -> BTreeMap<&'static str, usize> {
         let mut all = BTreeMap::new();
--- a/crates/cli/tests/service.rs
+++ b/crates/cli/tests/service.rs
@@ -21,6 +21,8 @@
         quiet.push(w.lengths());
     }
     assert!(w.answered > 20_000 && w.lives > 10 && w.taken_documents > 100, "too little happened");
+    let [taken, _, done, ..] = w.outcomes();
+    assert!(done * 2 > taken, "{done} done of {taken}: that is no service");
     for name in quiet[0].keys() {
         let of = |part: &[BTreeMap<&str, usize>]| part.iter().map(|l| l[name]).sum::<usize>() / part.len();
         let (first, last) = (of(&quiet[..2]), of(&quiet[4..]));
--- a/crates/host/tests/host/model.rs
+++ b/crates/host/tests/host/model.rs
@@ -301,7 +301,12 @@
             order_key: if kind == 2 { format!("k{key}") } else { String::new() },
             mark: format!("m{id}"),
             repeat: 0,
-            ttl_us: self.rng.random_range(60_000..1_500_000),
+            // Mostly a first try; some are a next one, or impatient.
+            ttl_us: if self.rng.random_bool(0.8) {
+                1_500_000
+            } else {
+                self.rng.random_range(60_000..1_500_000)
+            },
         };
         let t = Transfer {
             id: TransferId(id),
--- a/tests/decisions/model.rs
+++ b/tests/decisions/model.rs
@@ -305,7 +305,8 @@
             units: [1.0, 1.0, 2.0, 4.0][self.rng.random_range(0..4)],
             cell,
             object: self.rng.random_bool(0.6).then(|| ObjectId(self.rng.random_range(0..6))),
-            ttl: ms(self.rng.random_range(60..1200)),
+            // Mostly a first try; some are a next one, or impatient.
+            ttl: ms(if self.rng.random_bool(0.8) { 1200 } else { self.rng.random_range(60..1200) }),
             volume_hosts: self.members.len() as u32,
             ..xfer(self.last_id, stream_type)
         };
