A header alone has little set aside; two open findings have tests that are expected to fail

Seen: decode set a whole frame aside, up to 17 MiB, for a header of twelve bytes on each connection. Change: room for 256 KiB at a time. Measured: crates/protocol/tests/frames.rs, an 8 MiB frame in parts never has more than four times what came and 1 MiB. What is still open, with tests marked as expected to fail: frames that are coming in count nowhere (finding 16), and budgets between zones fill up behind legs that wait for a connection (finding 17).

--- a/crates/cli/tests/shortages.rs
+++ b/crates/cli/tests/shortages.rs
@@ -448,3 +448,24 @@
         assert_eq!((state.host.as_str(), state.open, state.counts.deferred), ("h1", open, deferred));
     }
 }
+
+/// Open finding 16 of docs/release-review.md: frames that are still coming in count nowhere, so connections that each stop in
+/// the middle of a large one hold a frame's worth of memory each, for as long as they like.
+#[test]
+#[should_panic(expected = "finding 16")]
+fn half_frames_are_bounded() {
+    let dir = tempfile::tempdir().unwrap();
+    let bounds = "bounds held-bytes=\"32MiB\" body-bytes=\"16MiB\"\n";
+    std::fs::write(dir.path().join("main.kdl"), document(&node(&yes(), &no()), bounds)).unwrap();
+    let host = Host::start(dir.path(), "ulimit -v 500000; ", "info", Stdio::null());
+    let s = Submit { id: 1, stream_type: "trip".into(), volume: "v".into(), units: 1.0, ..Submit::default() };
+    let whole = wire(Frame::from(s).with_body(Bytes::from(vec![1; 16 << 20])));
+    let mut half = Vec::new();
+    for _ in 0..40 {
+        let mut c = Socket::client(&host.address);
+        let sent = c.stream.write_all(&whole[..15 << 20]);
+        assert!(sent.is_ok(), "finding 16: the host is gone after {} half frames", half.len());
+        half.push(c);
+    }
+    assert!(Socket::client(&host.address).served(1), "finding 16: nobody is served");
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -26,6 +26,8 @@
 pub const LABEL_BYTES: usize = 256;
 pub const HEADER: usize = 12;
 const TAG: u8 = 0x9d;
+/// Room made for bytes that are announced and have not come: whole for all but the largest pieces.
+const AHEAD: usize = 256 << 10;
 
 /// What one end of a connection accepts at most.
 #[derive(Clone, Copy, Debug)]
@@ -183,7 +185,8 @@
     }
     let whole = HEADER + message + body;
     if buf.len() < whole {
-        buf.reserve(whole - buf.len());
+        // Not all at once: a header alone must not have its whole frame set aside.
+        buf.reserve((whole - buf.len()).min(AHEAD));
         return Ok(None);
     }
     let mut frame = buf.split_to(whole).freeze();
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -111,3 +111,22 @@
         prop_assert!(buf.capacity() <= 200 + HEADER + BOUNDS.message + BOUNDS.body);
     }
 }
+
+/// A header that announces a frame as large as may be has little set aside for it; what has come grows with what came.
+#[test]
+fn a_header_alone_costs_little() {
+    let frame = Frame::from(Withdraw { id: 1 }).with_body(bytes::Bytes::from(vec![5; 8 << 20]));
+    let mut wire = bytes::BytesMut::new();
+    frame.head(&mut wire);
+    wire.extend_from_slice(&frame.body);
+    let mut buf = bytes::BytesMut::new();
+    for part in wire.chunks(100_000) {
+        buf.extend_from_slice(part);
+        let come = buf.len();
+        if let Some(found) = decode(&mut buf, Bounds::DEFAULT).unwrap() {
+            return assert_eq!(found, frame);
+        }
+        assert!(buf.capacity() <= 4 * come + (1 << 20), "{} set aside for {come}", buf.capacity());
+    }
+    panic!("the frame never came");
+}
--- a/tests/decisions/bounds.rs
+++ b/tests/decisions/bounds.rs
@@ -138,3 +138,29 @@
     h.pass(ms(3000));
     assert_eq!((h.held("desk.xfers"), h.answers(4)), (0, vec!["deferred"]));
 }
+
+/// Open finding 17 of docs/release-review.md: a budget between zones fills up behind a leg that waits for its connection, as
+/// volumes' stores did: what goes out may pass the budget by its rate times that wait.
+#[test]
+#[should_panic(expected = "finding 17")]
+fn budgets_are_not_filled_up_behind_legs_that_wait() {
+    let limit = Limit { rate: 10_000.0, burst: 10_000.0 };
+    let of = Across::Pair(ZoneId(0), ZoneId(1));
+    let crossings = vec![Crossing { id: VolumeId(901), of, limit, hard: true, hosts: 1 }];
+    let leg_wait = ms(250);
+    let f = Facts { zone: Some(ZoneId(0)), crossings, most_bytes: 1000.0, leg_wait, ..facts() };
+    let mut h = Host::new(f, vec![NodeEntry { zone: ZoneId(1), ..node(3, 3) }], at(0));
+    h.pass(ms(10_000));
+    let new = |id| Event::Arrived(Transfer { cell: None, bytes: 1000.0, ..xfer(id, 0) });
+    // Two legs wait, by their host, as long as they may, and go out then; so do ten that are asked for then.
+    (1..=2).for_each(|id| drop(h.tell(new(id))));
+    assert_eq!(h.order().len(), 2);
+    h.pass(ms(240));
+    (1..=2).for_each(|id| h.end(id, 0, 3, Ending::Done, 240));
+    for id in 10..40 {
+        h.tell(new(id));
+        h.legs(id).into_iter().for_each(|nd| h.end(id, 0, nd, Ending::Done, 1));
+    }
+    let bytes = h.order().len() as f64 * 1000.0;
+    assert!(bytes <= limit.burst, "finding 17: {bytes} bytes at once of a budget of {}", limit.burst);
+}
