--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,4 +1,4 @@
-//! Every decision of gullsail stands in this file. A caller makes one [`Brain`] for each life of a host
+//! Every decision of gullsail stands here and in `brain/volumes.rs`. A caller makes one [`Brain`] for each life of a host
 //! and calls [`Brain::step`] with the clock and the events since; it carries out the actions that come
 //! back, in their order. Events, actions, ids and facts are those of the crate `gullsail-interface`.
 //! Read from the top: the loop ([`Brain`]), a storage node ([`Node`]: window, health, cold start), the desk
