--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,6 @@
-//! Every decision of gullsail stands here and in `brain/volumes.rs`. A caller makes one [`Brain`] for each life
-//! of a host and calls [`Brain::step`] with the clock and the events since; it carries out the actions that come
-//! back, in their order. Events, actions, ids and facts are those of the crate `gullsail-interface`.
+//! Every decision of gullsail stands here and in `brain/volumes.rs`. A caller makes one [`Brain`] for each
+//! life of a host and calls [`Brain::step`] with the clock and the events since; it carries out the actions
+//! that come back, in their order. Events, actions, ids and facts are those of `gullsail-interface`.
 //! Read from the top: the loop ([`Brain`]), a storage node ([`Node`]: window, health, cold start), the desk
 //! ([`Desk`]: transfers, order, legs, answers); then `brain/volumes.rs`: a volume ([`Volume`]: token bucket,
 //! rate rule, loans, reserve) and labels. Parts talk only by notes put into inboxes that the loop empties.
