--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -396,8 +396,10 @@
             at = (*when).max(at);
             level -= *bytes as f64;
             v.tested += u64::from(level < c.limit.burst / 2.0);
+            // What went past it once is not held against what comes after.
             if level < 0.0 {
-                past += (*bytes as f64).min(-level);
+                past -= level;
+                level = 0.0;
                 lines += 1;
             }
         }
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -54,7 +54,7 @@
     d.pools();
     d.crossings();
     d.order();
-    d.rest();
+
     d.changes
 }
 
@@ -76,12 +76,11 @@
         self.changes[since..].iter_mut().for_each(|c| c.while_serving |= c.class == Class::Dangerous);
     }
 
-    /// Ids are places: the order of these counts.
+    /// Ids are places: the order of these counts. Hosts tell their numbers with their places.
     fn order(&mut self) {
         let names = |d: &Deployment| {
             let types: Vec<_> = d.stream_types.iter().map(|s| s.name.clone()).collect();
-            let hosts: Vec<_> = d.hosts.iter().map(|h| h.name.clone()).collect();
-            [("stream types", types), ("hosts", hosts), ("zones", d.zones.clone())]
+            [("stream types", types), ("zones", d.zones.clone())]
         };
         for ((what, a), (_, b)) in names(self.old).into_iter().zip(names(self.new)) {
             let sorted = |names: &[String]| names.iter().cloned().collect::<BTreeSet<_>>();
--- a/crates/configuration/tests/documents.rs
+++ b/crates/configuration/tests/documents.rs
@@ -102,3 +102,13 @@
     assert_eq!(problems.problems.iter().map(|p| p.code).collect::<Vec<_>>(), ["wrong-kind", "unknown-name"]);
     assert!(problems.to_string().contains("2 problems in broken.kdl"), "{problems}");
 }
+
+/// Where a part of the text can't be read, what may stand in it is not called missing.
+#[test]
+fn what_cannot_be_read_is_not_missing() {
+    let cut = SOUND.replace("volume \"v2\"", "volume \"v2\" {");
+    let unread = parse("broken.kdl", &cut).unwrap_err();
+    assert!(unread.problems.iter().all(|p| p.code == "syntax"), "{unread:?}");
+    let empty = parse("empty.kdl", "").unwrap_err();
+    assert_eq!(empty.problems.iter().map(|p| p.code).collect::<Vec<_>>(), ["missing", "missing"]);
+}
--- a/crates/host/tests/host/changes.rs
+++ b/crates/host/tests/host/changes.rs
@@ -194,6 +194,10 @@
     let to = after(&kinds, &routes("far"));
     assert!(matches!(propose(&mut r, &old, &to, false), Reply::Taken { .. }));
     assert_eq!(put(&mut r, 200), [0, 12]);
+    // The pools themselves change: the fast one is of disks now.
+    let turned = routes("far").replace("disk", "#").replace("chip", "disk").replace('#', "chip");
+    assert!(matches!(propose(&mut r, &to, &after(&kinds, &turned), false), Reply::Taken { .. }));
+    assert_eq!(put(&mut r, 300), [12, 0]);
 }
 
 /// Plans that stand in another order are the same plans: a volume keeps its own limit, and one without stays without.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -402,7 +402,6 @@
 const RETURN: f64 = 2.0; // half of the legs may fail before a host holds back, as in any rough hour
 const RECENT: Span = Span::from_micros(3_000_000); // long enough for some legs of a host that sends seldom
 const HEADS: usize = 4; // looked at in each group: the first may be too large for now, or wait its turn
-const FAR: f64 = 0.1; // of the odds of a node at home that one elsewhere has
 const SAMPLE: usize = 8; // nodes looked at for a new object: enough that some have room
 const NEXT_EPOCH: TimerId = TimerId(1 << 40);
 const ASK_LIST: TimerId = TimerId(NEXT_EPOCH.0 + 1);
@@ -502,14 +501,17 @@
         some.map(|c| (label::carried(c.id), c.hard))
     }
 
-    /// Takes bytes that cross from their budgets; what goes past one is told with its cause.
-    fn cross(&mut self, id: TransferId, plan: PlanId, way: (ZoneId, ZoneId), bytes: f64, cause: Cause) {
-        for (crossing, _) in self.across(plan, way.0, way.1).collect::<Vec<_>>() {
+    /// Takes bytes that cross, out to a zone or in from it, from their budgets. What is past one is told, and
+    /// not held against what comes after.
+    fn cross(&mut self, id: TransferId, plan: PlanId, way: (bool, ZoneId), bytes: f64, cause: Cause) {
+        let Some(me) = self.facts.zone else { return };
+        let (from, to) = if way.0 { (me, way.1) } else { (way.1, me) };
+        for (crossing, _) in self.across(plan, from, to).collect::<Vec<_>>() {
             let Some(v) = self.volumes.get_mut(&crossing) else { continue };
             v.refill(self.now, &self.facts);
             v.asked.add(self.now, LAST, bytes);
-            (v.level, v.waiting) = (v.level - bytes, bytes);
-            let over = bytes.min(-v.level);
+            let over = bytes - v.level;
+            (v.level, v.waiting) = ((-over).max(0.0), bytes);
             if over > 0.0 {
                 self.actions.push(Action::Past { id, crossing, bytes: over, cause });
             }
@@ -620,18 +622,20 @@
         let lost = line.groups.values().flat_map(|g| g.iter().take_while(|w| w.0 <= least));
         let mut lost: Vec<_> = lost.map(|w| w.1).collect();
         if let (Where::Pool(pool), true) = (key.1, self.facts.zone.is_some()) {
-            let ids = line.groups.values().flatten().map(|w| w.1);
-            let lacks: Vec<_> = ids.map(|id| (id, &self.xfers[&id])).collect();
+            let lacks: Vec<_> = line.groups.values().flatten().map(|w| (w.1, &self.xfers[&w.1])).collect();
             let homeless = self.homeless(pool).is_some();
             let rooms = self.ready.get(&pool).into_iter().flatten().map(|nd| self.rooms[nd].entry.zone);
-            let zones: BTreeSet<_> = rooms.filter(|z| Some(*z) != self.facts.zone).collect();
-            let hope = |x: &Xfer| zones.iter().any(|z| self.may_cross(x, *z, x.slo_end - self.now));
+            let far: BTreeSet<_> = rooms.filter(|z| Some(*z) != self.facts.zone).collect();
+            // Tokens that peers may lend take a round: half of its time before its half time it came.
+            let lent = self.volumes.values().any(|v| v.crossing.is_some() && !v.peers.is_empty());
+            let asks = |x: &Xfer| lent && self.now - x.half_time + (x.slo_end - x.half_time) < ASK_EVERY;
+            let hope = |x: &Xfer| asks(x) || far.iter().any(|z| self.may_cross(x, *z, x.slo_end - self.now));
             let late = lacks.iter().any(|(_, x)| homeless || self.now >= x.half_time);
             // Nothing at home, and no tokens in time for anywhere else: answered at once.
-            lost.extend(lacks.iter().filter(|(_, x)| homeless && !zones.is_empty() && !hope(x)).map(|l| l.0));
+            lost.extend(lacks.iter().filter(|(_, x)| homeless && !far.is_empty() && !hope(x)).map(|l| l.0));
             let bytes = lacks.iter().map(|(_, x)| x.t.bytes).sum::<f64>();
-            for c in self.facts.crossings.iter().filter(|c| late && c.hosts > 0).map(|c| label::carried(c.id))
-            {
+            let budgets = self.facts.crossings.iter().filter(|c| late && c.hosts > 0);
+            for c in budgets.map(|c| label::carried(c.id)) {
                 self.volumes.entry(c).and_modify(|v| v.waiting = bytes);
                 wanted.push(c);
             }
@@ -676,9 +680,7 @@
         }
         x.out = x.out.saturating_sub(1);
         let plan = x.t.plan;
-        if let Some(me) = self.facts.zone {
-            self.cross(id, plan, (e.zone, me), e.bytes, Cause::Bound);
-        }
+        self.cross(id, plan, (false, e.zone), e.bytes, Cause::Bound);
         let Some(x) = self.xfers.get_mut(&id) else { return };
         x.maybe_ran = x.maybe_ran.filter(|m| m.0 != leg || !ending.never_ran());
         let unknown = matches!(ending, Ending::TimedOut | Ending::Broken | Ending::Cancelled);
@@ -820,19 +822,19 @@
     /// Draws the node for the next new object: among a few, with odds in step with the room they have. Those
     /// without are asked anew. A cold one beyond the even part only where most are warm: never as a refuge.
     fn draw(&mut self, pool: PoolId, rng: &mut ChaCha8Rng) {
-        let Some(ready) = self.ready.get(&pool) else { return };
-        if ![false, true].iter().any(|further| self.lines.contains_key(&(*further, Where::Pool(pool)))) {
-            return;
-        }
+        let waits = |further| self.lines.contains_key(&(further, Where::Pool(pool)));
+        let ready = self.ready.get(&pool).filter(|_| waits(false) || waits(true));
+        let Some(ready) = ready else { return };
         let few: Vec<_> = ready.choose_multiple(rng, SAMPLE).map(|nd| &self.rooms[nd]).collect();
         let warm = |r: &&&Room| r.slots > 0 && r.units.is_infinite();
         let cold = 2 * few.iter().filter(warm).count() > few.len() || few.iter().all(|r| r.units.is_finite());
         let fits = |r: &&&Room| r.slots > 0 && (cold || r.even >= self.facts.most_units);
-        let takers: Vec<_> = few.iter().filter(fits).collect();
-        let far = |r: &Room| self.facts.zone.is_some_and(|me| me != r.entry.zone);
-        let cost = if self.homeless(pool).is_some() { 1.0 } else { FAR };
-        let cost = |r: &Room| if far(r) { cost } else { 1.0 };
-        let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3) * cost(r);
+        let mut takers: Vec<_> = few.iter().filter(fits).collect();
+        // At home where a node there has room: what may not cross yet would wait for the next draw.
+        let home = |r: &&&Room| self.facts.zone.is_none_or(|me| me == r.entry.zone);
+        let any = takers.iter().any(home);
+        takers.retain(|r| home(r) || !any);
+        let odds = |r: &&&Room| r.slots as f64 / r.latency.secs().max(1e-3);
         if let Ok(r) = takers.choose_weighted(rng, odds) {
             self.drawn.insert((r.entry.node, pool));
             self.outbox.push((r.entry.node, NodeNote::Beat));
@@ -863,11 +865,9 @@
         x.maybe_ran.get_or_insert((leg, room.entry.cell, room.entry.zone, self.now));
         self.outbox.push((node, NodeNote::Out { id, leg, units, slo_time }));
         self.actions.push(Action::Leg { id, node, time_out: Some(x.slo_end - self.now) });
-        if let Some(me) = self.facts.zone {
-            let else_why = if first { Cause::Bound } else { Cause::Further };
-            let choice = self.homeless(t.pool).filter(|_| t.cell.is_none());
-            self.cross(id, t.plan, (me, room.entry.zone), t.bytes, choice.unwrap_or(else_why));
-        }
+        let choice = self.homeless(t.pool).filter(|_| t.cell.is_none());
+        let cause = choice.unwrap_or(if first { Cause::Bound } else { Cause::Further });
+        self.cross(id, t.plan, (true, room.entry.zone), t.bytes, cause);
     }
 
     fn epoch(&mut self) {
