--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -55,7 +55,7 @@
                 continue;
             }
             WireEvent::Born { host, rng_seed, boot_info } => {
-                let (facts, names) = wire::facts(boot_info)?;
+                let (facts, names) = wire::facts(&boot_info)?;
                 let brain = Brain::new(facts, rng_seed, now);
                 instances.insert(host, Instance { brain, names, events: Vec::new(), touched: true });
                 touched.push(host);
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,10 +1,10 @@
 //! The wire's shapes and their translation to and from gullsail's words.
 
 use std::collections::BTreeMap;
-use std::hash::Hasher;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
+use gullsail_facts::{Stated, hash};
 use gullsail_interface::*;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -34,7 +34,7 @@
     Born {
         host: u64,
         rng_seed: u64,
-        boot_info: Box<BootInfo>,
+        boot_info: Box<Stated>,
     },
     Page {
         table: u64,
@@ -127,196 +127,16 @@
     }
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct BootInfo {
-    #[serde(default)]
-    failure_domains: Vec<String>,
-    #[serde(default)]
-    family_info: FamilyInfo,
-    limits: Limits,
-    membership_mode: String,
-    peers_total: u32,
-    #[serde(default)]
-    policies: Vec<Policy>,
-    profiles: Vec<Profile>,
-    rank: u32,
-    rules: Rules,
-    tick: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-struct FamilyInfo {
-    cold_units: f64,
-    max_units: f64,
-    within_share: f64,
-    idle_worth: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Limits {
-    max_attempts: u32,
-    #[serde(default)]
-    max_retry_after: f64,
-    #[serde(default)]
-    peer_messages: bool,
-    #[serde(default)]
-    retry_after: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Policy {
-    name: String,
-    #[serde(default)]
-    limit: f64,
-    #[serde(default)]
-    limit_burst: f64,
-    #[serde(default)]
-    parts: f64,
-    #[serde(default)]
-    reserve: f64,
-    #[serde(default)]
-    nominal: f64,
-    #[serde(default = "whole")]
-    value_factor: f64,
-}
-
-fn whole() -> f64 {
-    1.0
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Profile {
-    name: String,
-    effect: String,
-    /// Required by the wire; a transfer's own `ttl` is what decides.
-    #[serde(rename = "give-up")]
-    _give_up: f64,
-    objective: f64,
-    #[serde(default)]
-    group: String,
-    #[serde(default)]
-    window: f64,
-    #[serde(default)]
-    late_value: f64,
-    #[serde(default = "whole")]
-    worth: f64,
-    #[serde(default)]
-    serial_by_key: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Rules {
-    #[serde(default)]
-    overload_for: f64,
-    #[serde(default)]
-    start_capacity: f64,
-    #[serde(default)]
-    ramp_time: f64,
-    #[serde(default)]
-    order_settle: f64,
-    free_resends: Option<f64>,
-    extra_per_request: Option<f64>,
-    look_back: Option<f64>,
-}
-
-/// The wire's names of one instance, each with its number in the interface.
+/// The wire's names of one instance: those of the settings, and the nodes met so far.
 #[derive(Default)]
 pub struct Names {
-    zones: Vec<String>,
-    plans: Vec<String>,
-    stream_types: Vec<String>,
+    stated: gullsail_facts::Names,
     nodes: BTreeMap<NodeId, String>,
 }
 
-/// Ids must be the same at every host and in every process, so they are hashes of the names.
-fn hash(name: &str) -> u64 {
-    let mut h = fnv::FnvHasher::default();
-    h.write(name.as_bytes());
-    h.finish()
-}
-
-fn place(list: &[String], name: &str, what: &str) -> Result<usize, String> {
-    list.iter().position(|n| n == name).ok_or_else(|| format!("unknown {what} '{name}'"))
-}
-
-pub fn facts(b: Box<BootInfo>) -> Result<(Facts, Names), String> {
-    let stream_types = b.profiles.iter().map(stream_type).collect::<Result<_, _>>()?;
-    let plans = b.policies.iter().map(|p| Plan {
-        limit: (p.limit > 0.0).then_some(Limit { rate: p.limit, burst: p.limit_burst }),
-        reserve: p.reserve,
-        usual: p.nominal,
-        weight: p.parts,
-        price: p.value_factor,
-    });
-    let leg_budget = match (b.rules.free_resends, b.rules.extra_per_request, b.rules.look_back) {
-        (free, share, Some(window)) => Some(LegBudget {
-            free: free.unwrap_or(0.0),
-            share: share.unwrap_or(0.0),
-            window: Span::from_millis(window),
-        }),
-        _ => None,
-    };
-    let facts = Facts {
-        me: HostId(b.rank),
-        hosts: b.peers_total,
-        tick: Span::from_millis(b.tick),
-        stream_types,
-        plans: plans.collect(),
-        cold: ColdStart {
-            units: b.family_info.cold_units,
-            window: Span::from_millis(b.rules.overload_for),
-            first_part: b.rules.start_capacity,
-            ramp: Span::from_millis(b.rules.ramp_time),
-        },
-        leg_budget,
-        leg_wait: Span::ZERO,
-        order_settle: Span::from_millis(b.rules.order_settle),
-        most_legs: b.limits.max_attempts,
-        most_units: b.family_info.max_units,
-        share_part: b.family_info.within_share,
-        spare_part: b.family_info.idle_worth,
-        longest_advice: b.limits.retry_after.then_some(Span::from_millis(b.limits.max_retry_after)),
-        peers_talk: b.limits.peer_messages,
-        list_asked: b.membership_mode == "ask",
-        zone: None,
-        crossings: Vec::new(),
-        most_bytes: 0.0,
-    };
-    let names = Names {
-        zones: b.failure_domains,
-        plans: b.policies.into_iter().map(|p| p.name).collect(),
-        stream_types: b.profiles.into_iter().map(|p| p.name).collect(),
-        nodes: BTreeMap::new(),
-    };
-    Ok((facts, names))
-}
-
-fn stream_type(p: &Profile) -> Result<StreamType, String> {
-    let group = || match p.group.as_str() {
-        "all" => Ok(Group::All),
-        "zone" => Ok(Group::Zone),
-        "cell" => Ok(Group::Cell),
-        other => Err(format!("unknown group '{other}'")),
-    };
-    let effect = match p.effect.as_str() {
-        "pure" => Effect::Repeatable,
-        "token" => Effect::Keyed { group: group()?, window: Span::from_millis(p.window) },
-        "side_effect" => Effect::Unrepeatable,
-        other => return Err(format!("unknown effect '{other}'")),
-    };
-    Ok(StreamType {
-        effect,
-        slo_time: Span::from_millis(p.objective),
-        benefit: p.worth,
-        late_part: p.late_value,
-        in_order: p.serial_by_key,
-    })
+pub fn facts(b: &Stated) -> Result<(Facts, Names), String> {
+    let (facts, stated) = gullsail_facts::facts(b).map_err(|e| e.to_string())?;
+    Ok((facts, Names { stated, nodes: BTreeMap::new() }))
 }
 
 /// The event in the interface's words; `None`: it concerns no decision.
@@ -356,8 +176,8 @@
             ..
         } => Event::Arrived(Transfer {
             id: TransferId(id),
-            stream_type: StreamTypeId(place(&names.stream_types, &profile, "profile")?),
-            plan: PlanId(place(&names.plans, &grade, "grade")?),
+            stream_type: names.stated.stream_type(&profile).map_err(|e| e.to_string())?,
+            plan: names.stated.plan(&grade).map_err(|e| e.to_string())?,
             volume: VolumeId(hash(&store_user)),
             units: quota_units,
             cell: (lies_in >= 0).then_some(CellId(lies_in)),
@@ -397,11 +217,10 @@
 fn entry(n: &Entry, names: &mut Names) -> Result<NodeEntry, String> {
     let node = NodeId(hash(&n.node));
     names.nodes.entry(node).or_insert_with(|| n.node.clone());
-    let zone = names.zones.iter().position(|z| *z == n.region_part).unwrap_or(usize::MAX);
     Ok(NodeEntry {
         node,
         cell: CellId(n.group),
-        zone: ZoneId(zone),
+        zone: names.stated.zone(&n.region_part),
         standing: match n.health.as_str() {
             "Ready" => Standing::Ready,
             "Terminating" => Standing::Draining,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -73,6 +73,12 @@
     },
     /// What a running host serves by, which hosts have not followed yet, what it holds and what it counted.
     Status { control: PathBuf },
+    /// Runs one host on the users' platform until it is told to stop (SIGTERM). SIGHUP has it read its document again.
+    Platform {
+        /// The platform's JSON document for this host.
+        #[arg(env = "PROXY_CONFIG")]
+        file: PathBuf,
+    },
     /// Runs a baseline in a host's place: it sends all at once within even limits.
     Baseline {
         file: PathBuf,
@@ -207,6 +213,7 @@
         Command::Host { file, name, seed, clock_ahead, control } => {
             host(&file, &name, seed.unwrap_or_else(rand::random), &clock_ahead, control, logs).await
         }
+        Command::Platform { file } => platform(file, logs).await,
         Command::Reload { control, insist, json } => documents::reload(&control, insist, json).await,
         Command::Status { control } => documents::status(&control).await,
         Command::Baseline { file, name, seed } => {
@@ -318,6 +325,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn platform(file: PathBuf, logs: &logs::Logs) -> Result<ExitCode> {
+    // First of all: until somebody takes it, SIGHUP ends a process.
+    let signals = gullsail_platform::drive::Signals::take()?;
+    let document = gullsail_platform::drive::read(&file)?;
+    tokio::select! {
+        served = gullsail_platform::drive::run(file, document, signals) => served.map(|_| ExitCode::SUCCESS),
+        () = logs.watch() => Ok(ExitCode::from(1)),
+    }
+}
+
 async fn baseline(file: &Path, name: &str, seed: u64) -> Result<ExitCode> {
     let (d, _) = documents::read(file)?;
     let me = d.host(name).ok_or_else(|| miette!("{}: no host \"{name}\"", file.display()))?;
--- /dev/null
+++ b/crates/facts/src/lib.rs
@@ -0,0 +1,271 @@
+//! The operators' settings, as they stand in the bench's first message and in a host's configuration, made into
+//! [`Facts`] for the decisions. Both routes come through here, so both feed the module the same. Read [`facts`] for
+//! what becomes of the settings, [`Names`] for what stands behind the numbers.
+
+use gullsail_interface::*;
+use serde::Deserialize;
+use std::hash::Hasher;
+
+/// The settings of one host, by the names that the operators state them under. Times in milliseconds.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Stated {
+    #[serde(default)]
+    failure_domains: Vec<String>,
+    #[serde(default)]
+    family_info: FamilyInfo,
+    limits: Limits,
+    membership_mode: String,
+    peers_total: u32,
+    #[serde(default)]
+    policies: Vec<Policy>,
+    profiles: Vec<Profile>,
+    rank: u32,
+    rules: Rules,
+    tick: f64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct FamilyInfo {
+    cold_units: f64,
+    max_units: f64,
+    within_share: f64,
+    idle_worth: f64,
+    slots_total: i64,
+    /// Of each stream type: does it write?
+    writes: Vec<bool>,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Limits {
+    max_attempts: u32,
+    #[serde(default = "quarter_second")]
+    connect_timeout: f64,
+    #[serde(default = "half_minute")]
+    keepalive: f64,
+    #[serde(default)]
+    max_retry_after: f64,
+    #[serde(default)]
+    peer_messages: bool,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Policy {
+    name: String,
+    #[serde(default)]
+    limit: f64,
+    #[serde(default)]
+    limit_burst: f64,
+    #[serde(default)]
+    parts: f64,
+    #[serde(default)]
+    reserve: f64,
+    #[serde(default)]
+    nominal: f64,
+    #[serde(default = "whole")]
+    value_factor: f64,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+fn quarter_second() -> f64 {
+    250.0
+}
+
+fn half_minute() -> f64 {
+    30_000.0
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Profile {
+    name: String,
+    effect: String,
+    /// Required by the wire; a transfer's own `ttl` is what decides.
+    #[serde(rename = "give-up")]
+    _give_up: f64,
+    objective: f64,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    window: f64,
+    #[serde(default)]
+    late_value: f64,
+    #[serde(default = "whole")]
+    worth: f64,
+    #[serde(default)]
+    serial_by_key: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Rules {
+    #[serde(default)]
+    overload_for: f64,
+    #[serde(default)]
+    start_capacity: f64,
+    #[serde(default)]
+    ramp_time: f64,
+    #[serde(default)]
+    order_settle: f64,
+    free_resends: Option<f64>,
+    extra_per_request: Option<f64>,
+    look_back: Option<f64>,
+}
+
+/// Something that is stated in a word that is not known.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("unknown {what} '{found}'")]
+pub struct Problem {
+    what: &'static str,
+    found: String,
+}
+
+impl Problem {
+    pub fn unknown(what: &'static str, found: &str) -> Problem {
+        Problem { what, found: found.chars().take(80).collect() }
+    }
+}
+
+/// The names of one host's settings, in the order of their numbers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    pub zones: Vec<String>,
+    pub plans: Vec<String>,
+    pub stream_types: Vec<String>,
+}
+
+impl Names {
+    /// # Errors
+    /// No plan is called so.
+    pub fn plan(&self, name: &str) -> Result<PlanId, Problem> {
+        place(&self.plans, name).map(PlanId).ok_or_else(|| Problem::unknown("plan", name))
+    }
+    /// # Errors
+    /// No stream type is called so.
+    pub fn stream_type(&self, name: &str) -> Result<StreamTypeId, Problem> {
+        place(&self.stream_types, name).map(StreamTypeId).ok_or_else(|| Problem::unknown("stream type", name))
+    }
+    /// A zone that no settings name is none of theirs.
+    pub fn zone(&self, name: &str) -> ZoneId {
+        ZoneId(place(&self.zones, name).unwrap_or(usize::MAX))
+    }
+}
+
+fn place(list: &[String], name: &str) -> Option<usize> {
+    list.iter().position(|n| n == name)
+}
+
+/// Ids must be the same at every host and in every process, so they are hashes of the names.
+pub fn hash(name: &str) -> u64 {
+    let mut h = fnv::FnvHasher::default();
+    h.write(name.as_bytes());
+    h.finish()
+}
+
+/// What a host on sockets is told beyond the facts for the decisions.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reach {
+    pub connect_time_out: Span,
+    /// Idle connections to nodes end after this.
+    pub keep_alive: Span,
+    /// Of each stream type: does it write?
+    pub writes: Vec<bool>,
+    /// How many cells there are, numbered from 0; 0: not told.
+    pub cells: i64,
+}
+
+impl Stated {
+    pub fn reach(&self) -> Reach {
+        Reach {
+            connect_time_out: Span::from_millis(self.limits.connect_timeout),
+            keep_alive: Span::from_millis(self.limits.keepalive),
+            writes: self.family_info.writes.clone(),
+            cells: self.family_info.slots_total,
+        }
+    }
+}
+
+/// Facts for the decisions, and the names behind their numbers.
+///
+/// # Errors
+/// Something is stated in a word that is not known.
+pub fn facts(b: &Stated) -> Result<(Facts, Names), Problem> {
+    let stream_types = b.profiles.iter().map(stream_type).collect::<Result<_, _>>()?;
+    let plans = b.policies.iter().map(|p| Plan {
+        limit: (p.limit > 0.0).then_some(Limit { rate: p.limit, burst: p.limit_burst }),
+        reserve: p.reserve,
+        usual: p.nominal,
+        weight: p.parts,
+        price: p.value_factor,
+    });
+    let leg_budget = match (b.rules.free_resends, b.rules.extra_per_request, b.rules.look_back) {
+        (free, share, Some(window)) => Some(LegBudget {
+            free: free.unwrap_or(0.0),
+            share: share.unwrap_or(0.0),
+            window: Span::from_millis(window),
+        }),
+        _ => None,
+    };
+    let facts = Facts {
+        me: HostId(b.rank),
+        hosts: b.peers_total,
+        tick: Span::from_millis(b.tick),
+        stream_types,
+        plans: plans.collect(),
+        cold: ColdStart {
+            units: b.family_info.cold_units,
+            window: Span::from_millis(b.rules.overload_for),
+            first_part: b.rules.start_capacity,
+            ramp: Span::from_millis(b.rules.ramp_time),
+        },
+        leg_budget,
+        leg_wait: Span::ZERO,
+        order_settle: Span::from_millis(b.rules.order_settle),
+        most_legs: b.limits.max_attempts,
+        most_units: b.family_info.max_units,
+        share_part: b.family_info.within_share,
+        spare_part: b.family_info.idle_worth,
+        longest_advice: b.limits.retry_after.then_some(Span::from_millis(b.limits.max_retry_after)),
+        peers_talk: b.limits.peer_messages,
+        list_asked: b.membership_mode == "ask",
+        zone: None,
+        crossings: Vec::new(),
+        most_bytes: 0.0,
+    };
+    let names = Names {
+        zones: b.failure_domains.clone(),
+        plans: b.policies.iter().map(|p| p.name.clone()).collect(),
+        stream_types: b.profiles.iter().map(|p| p.name.clone()).collect(),
+    };
+    Ok((facts, names))
+}
+
+fn stream_type(p: &Profile) -> Result<StreamType, Problem> {
+    let group = || match p.group.as_str() {
+        "all" => Ok(Group::All),
+        "zone" => Ok(Group::Zone),
+        "cell" => Ok(Group::Cell),
+        other => Err(Problem::unknown("group", other)),
+    };
+    let effect = match p.effect.as_str() {
+        "pure" => Effect::Repeatable,
+        "token" => Effect::Keyed { group: group()?, window: Span::from_millis(p.window) },
+        "side_effect" => Effect::Unrepeatable,
+        other => return Err(Problem::unknown("effect", other)),
+    };
+    Ok(StreamType {
+        effect,
+        slo_time: Span::from_millis(p.objective),
+        benefit: p.worth,
+        late_part: p.late_value,
+        in_order: p.serial_by_key,
+    })
+}
--- a/crates/host/src/core/lengths.rs
+++ b/crates/host/src/core/lengths.rs
@@ -20,7 +20,7 @@
             ("core.open", open),
             ("core.named", named),
             ("core.legs", legs),
-            ("core.timers", self.due.len()),
+            ("core.timers", self.due.pending()),
             ("core.account", self.account.kept()),
             ("core.breaches", self.breaches.kept()),
             ("limits.line", line),
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -9,7 +9,6 @@
 pub mod changes;
 pub mod clock;
 pub mod dial;
-mod due;
 mod hear;
 mod lengths;
 pub mod nodes;
@@ -19,12 +18,12 @@
 
 use clock::PeerClock;
 use dial::{Dial, State};
-use due::Timers;
 use gullsail::Brain;
 use gullsail_configuration::Deployment;
 use gullsail_interface::*;
 use gullsail_limits::Turnover;
 use gullsail_protocol::{ClockAsk, Frame, Hello, Label, ListAsk, NotTaken, Role};
+use gullsail_timing::Timers;
 use gullsail_zones::{Account, Breaches};
 use nodes::Nodes;
 use rand::SeedableRng;
--- a/crates/host/src/drive.rs
+++ b/crates/host/src/drive.rs
@@ -5,13 +5,14 @@
 use crate::core::changes::Reply;
 use crate::core::{Core, Counts, Input, LinkId, Output};
 use gullsail_configuration::Deployment;
-use gullsail_interface::{HostId, Instant, Span};
+use gullsail_interface::{HostId, Span};
 use gullsail_links::{Happened, Link, Room};
+pub use gullsail_timing::HostClock;
 use nix::sys::resource::{Resource, getrlimit};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, JoinSet};
@@ -32,31 +33,6 @@
 /// Handled together before anything is sent.
 const BATCH: usize = 256;
 
-/// Runs from the wall clock at its start and never back: a machine's clock that is set while the host runs
-/// does not move it.
-#[derive(Clone, Copy, Debug)]
-pub struct HostClock {
-    base: tokio::time::Instant,
-    wall: Instant,
-}
-
-impl HostClock {
-    /// `ahead` is for tests of hosts whose clocks differ.
-    pub fn start(ahead: Span) -> HostClock {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let wall = Instant::from_micros(wall.as_micros() as i64) + ahead;
-        HostClock { base: tokio::time::Instant::now(), wall }
-    }
-
-    pub fn now(&self) -> Instant {
-        self.wall + Span::from_micros(self.base.elapsed().as_micros() as i64)
-    }
-
-    fn at(&self, at: Instant) -> tokio::time::Instant {
-        self.base + Duration::from_micros((at - self.wall).micros().max(0) as u64)
-    }
-}
-
 /// Which host this is, and in which life.
 #[derive(Clone, Debug)]
 pub struct Life {
--- /dev/null
+++ b/crates/platform/src/core/clients.rs
@@ -0,0 +1,292 @@
+//! Connections of clients: what comes on them, what they are answered, which give way when places run out. One message
+//! at a time on each; what comes meanwhile waits, unread, in a small buffer.
+
+use super::ask::{self, Refused};
+use super::*;
+use gullsail_http::{Decoder, Encoder, Fault, Message, Start};
+
+/// A message is whole within this time from its first byte, the first one from connecting: the platform owes an error
+/// or a close within 3 s.
+const WHOLE: Span = Span::from_micros(2_200_000);
+/// So long a connection may stand idle between messages. The platform allows 2 s; usual clients come back sooner than
+/// this, and those that never do must not add up.
+const IDLE: Span = Span::from_micros(5_000_000);
+/// The least that the platform allows for it, when places run out.
+const IDLE_LEAST: Span = Span::from_micros(2_000_000);
+/// A newcomer may be silent this long before it gives way to others.
+const SILENT_LEAST: Span = Span::from_micros(300_000);
+/// What may wait unread behind an open transfer; then nothing more is read.
+const AHEAD: usize = 8 << 10;
+
+#[derive(Debug, PartialEq)]
+enum Stage {
+    /// Between messages, or within one that is coming.
+    Reading,
+    /// Its transfer is open; the message said whether the connection goes on.
+    Busy(TransferId, bool),
+    /// It has its last answer.
+    Ending,
+}
+
+#[derive(Debug)]
+struct Client {
+    decoder: Decoder,
+    stage: Stage,
+    /// When it connected, when the last message was answered, or when the first byte of this one came.
+    since: Instant,
+    served: u64,
+    paused: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Clients {
+    all: BTreeMap<ConnId, Client>,
+    most: usize,
+    coming: usize,
+    most_coming: usize,
+}
+
+impl Clients {
+    pub(super) fn new(most: usize, most_coming: usize) -> Clients {
+        Clients { all: BTreeMap::new(), most, coming: 0, most_coming }
+    }
+    pub(super) fn len(&self) -> usize {
+        self.all.len()
+    }
+    pub(super) fn has(&self, conn: ConnId) -> bool {
+        self.all.contains_key(&conn)
+    }
+    /// Bytes of messages that are not whole.
+    pub(super) fn coming(&self) -> usize {
+        self.coming
+    }
+
+    /// Who gives way to a newcomer: who ends anyway, then who never said anything, then who idles longest.
+    fn gives_way(&self, now: Instant) -> Option<ConnId> {
+        let age = |c: &Client| now - c.since;
+        let rank = |c: &Client| match c.stage {
+            Stage::Ending => Some(0),
+            Stage::Reading if c.served == 0 && age(c) >= SILENT_LEAST => Some(1),
+            Stage::Reading if age(c) >= IDLE_LEAST => Some(2),
+            _ => None,
+        };
+        let all = self.all.iter().filter_map(|(id, c)| Some((rank(c)?, c.since, *id)));
+        all.min().map(|(_, _, id)| id)
+    }
+}
+
+impl Core {
+    /// A client connects; `None`: there is no place for it.
+    pub fn accept(&mut self, now: Instant) -> Option<ConnId> {
+        self.now = self.now.max(now);
+        if self.clients.len() >= self.clients.most {
+            let Some(other) = self.clients.gives_way(self.now) else {
+                self.counts.no_place += 1;
+                return None;
+            };
+            self.counts.made_room += 1;
+            self.drop_client(other);
+        }
+        self.counts.accepted += 1;
+        let conn = self.conn();
+        let decoder = Decoder::requests(BOUNDS);
+        let client = Client { decoder, stage: Stage::Reading, since: self.now, served: 0, paused: false };
+        self.clients.all.insert(conn, client);
+        self.keep_looking();
+        Some(conn)
+    }
+
+    pub(super) fn client_came(&mut self, conn: ConnId, bytes: &[u8]) {
+        let now = self.now;
+        let Some(c) = self.clients.all.get_mut(&conn) else { return };
+        if c.stage == Stage::Ending {
+            return;
+        }
+        if c.stage == Stage::Reading && c.decoder.is_empty() && c.served > 0 {
+            c.since = now;
+        }
+        let before = c.decoder.holds();
+        c.decoder.feed(bytes);
+        self.clients.coming += c.decoder.holds() - before;
+        if matches!(c.stage, Stage::Busy(..)) && c.decoder.holds() > AHEAD && !c.paused {
+            c.paused = true;
+            self.outputs.push(Output::Reading { conn, on: false });
+        }
+        self.read_client(conn);
+        // Who has been coming longest gives way: whole messages of usual clients come at once.
+        while self.clients.coming > self.clients.most_coming {
+            let all =
+                self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading && !c.decoder.is_empty());
+            let Some(slow) = all.min_by_key(|(_, c)| c.since).map(|(id, _)| *id) else { break };
+            self.refuse(slow, Refused::NoRoom, false);
+        }
+    }
+
+    fn read_client(&mut self, conn: ConnId) {
+        while let Some(c) = self.clients.all.get_mut(&conn).filter(|c| c.stage == Stage::Reading) {
+            let before = c.decoder.holds();
+            let next = c.decoder.take();
+            self.clients.coming -= before - c.decoder.holds().min(before);
+            match next {
+                Ok(None) => return,
+                Ok(Some(m)) => self.asked(conn, &m),
+                Err(fault) => {
+                    let why = match fault {
+                        Fault::HeadTooLong | Fault::TooManyLines => Refused::HeadTooLong,
+                        Fault::BodyTooLong => Refused::BodyTooLong,
+                        _ => Refused::Unreadable,
+                    };
+                    self.refuse(conn, why, false);
+                }
+            }
+        }
+    }
+
+    fn asked(&mut self, conn: ConnId, m: &Message) {
+        let health = |m: &Message| match &m.start {
+            Start::Request { method, target } => method.as_ref() == b"GET" && target.as_ref() == b"/_health",
+            Start::Answer { .. } => false,
+        };
+        if health(m) {
+            let (status, reason) = if self.ready { (200, "OK") } else { (500, "Internal Server Error") };
+            return self.reply(conn, status, reason, m.stays, |e| e.body(b""));
+        }
+        let asked = match ask::read(m, &self.names, &self.facts, &self.reach) {
+            Ok(asked) => asked,
+            Err(why) => return self.refuse(conn, why, m.stays),
+        };
+        if self.transfers.is_open(asked.trace) {
+            return self.refuse(conn, Refused::IdIsOpen, m.stays);
+        }
+        let Some(t) = self.transfers.take(conn, asked, self.now) else {
+            return self.refuse(conn, Refused::NoRoom, m.stays);
+        };
+        self.counts.taken += 1;
+        if let Some(c) = self.clients.all.get_mut(&conn) {
+            c.stage = Stage::Busy(t.id, m.stays);
+        }
+        self.events.push(Event::Arrived(t));
+    }
+
+    /// Answers on a connection that then goes on, or is finished.
+    fn reply(
+        &mut self,
+        conn: ConnId,
+        status: u16,
+        reason: &str,
+        stays: bool,
+        rest: impl FnOnce(Encoder) -> Bytes,
+    ) {
+        let stays = stays && self.leaving == Leaving::No;
+        let now = self.now;
+        let Some(c) = self.clients.all.get_mut(&conn).filter(|c| c.stage != Stage::Ending) else { return };
+        let e = Encoder::answer(status, reason);
+        let bytes = rest(if stays { e } else { e.field("Connection", b"close") });
+        self.outputs.push(Output::Answer { conn, bytes });
+        (c.since, c.served) = (now, c.served + 1);
+        if std::mem::take(&mut c.paused) {
+            self.outputs.push(Output::Reading { conn, on: true });
+        }
+        if stays {
+            c.stage = Stage::Reading;
+        } else {
+            self.finish_client(conn);
+        }
+    }
+
+    fn refuse(&mut self, conn: ConnId, why: Refused, stays: bool) {
+        *self.counts.refused.entry(why).or_default() += 1;
+        let (status, reason) = why.status();
+        self.reply(conn, status, reason, stays, |e| {
+            e.field("Content-Type", b"text/plain").body(why.meant().as_bytes())
+        });
+    }
+
+    fn finish_client(&mut self, conn: ConnId) {
+        let Some(c) = self.clients.all.get_mut(&conn) else { return };
+        self.clients.coming -= c.decoder.holds();
+        (c.stage, c.decoder) = (Stage::Ending, Decoder::requests(BOUNDS));
+        self.outputs.push(Output::Finish { conn });
+    }
+
+    /// Its place is free at once, whatever it was doing.
+    fn drop_client(&mut self, conn: ConnId) {
+        if let Some(c) = self.clients.all.remove(&conn) {
+            self.clients.coming -= c.decoder.holds();
+            self.outputs.push(Output::Close { conn });
+        }
+    }
+
+    pub(super) fn client_ended(&mut self, conn: ConnId) {
+        let Some(c) = self.clients.all.remove(&conn) else { return };
+        self.clients.coming -= c.decoder.holds();
+        if let Stage::Busy(id, _) = c.stage {
+            self.counts.client_left += 1;
+            self.transfers.end(id);
+            self.events.push(Event::ClientLeft(id));
+        }
+    }
+
+    pub(super) fn look_over_clients(&mut self) {
+        let now = self.now;
+        let reading = self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading);
+        let (mut slow, mut idle) = (Vec::new(), Vec::new());
+        let leaving = !matches!(self.leaving, Leaving::No | Leaving::StillAccepting);
+        for (id, c) in reading {
+            let between = c.decoder.is_empty() && c.served > 0;
+            if leaving && c.decoder.is_empty() {
+                idle.push(*id);
+            } else if !between && now - c.since >= WHOLE {
+                slow.push(*id);
+            } else if between && now - c.since >= IDLE {
+                idle.push(*id);
+            }
+        }
+        slow.into_iter().for_each(|conn| self.refuse(conn, Refused::TooSlow, false));
+        self.outputs.extend(idle.into_iter().map(|conn| Output::CloseQuiet { conn }));
+    }
+
+    /// The host leaves: connections between messages are ended unless something has come on them.
+    pub(super) fn close_idle_clients(&mut self) {
+        let idle = self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading && c.decoder.is_empty());
+        self.outputs.extend(idle.map(|(id, _)| Output::CloseQuiet { conn: *id }));
+    }
+
+    fn answer(
+        &mut self,
+        id: TransferId,
+        status: u16,
+        reason: &str,
+        rest: impl FnOnce(Encoder) -> Bytes,
+    ) -> bool {
+        let Some(conn) = self.transfers.end(id) else { return false };
+        let stays = match self.clients.all.get(&conn).map(|c| &c.stage) {
+            Some(Stage::Busy(of, stays)) if *of == id => *stays,
+            _ => return false,
+        };
+        self.reply(conn, status, reason, stays, rest);
+        // What waited behind it.
+        self.read_client(conn);
+        true
+    }
+
+    /// Says whether anybody had waited for it.
+    pub(super) fn serve(&mut self, id: TransferId, body: &[u8]) -> bool {
+        let answered = self.answer(id, 200, "OK", |e| e.body(body));
+        self.counts.done += u64::from(answered);
+        answered
+    }
+
+    pub(super) fn defer(&mut self, id: TransferId, come_back: Option<Span>) {
+        let answered = self.answer(id, 503, "Service Unavailable", |e| match come_back {
+            Some(wait) => e.number("Retry-After", format_args!("{:.3}", wait.secs())).body(b""),
+            None => e.body(b""),
+        });
+        self.counts.deferred += u64::from(answered);
+    }
+
+    pub(super) fn abandon(&mut self, id: TransferId) {
+        let answered = self.answer(id, 500, "Internal Server Error", |e| e.body(b""));
+        self.counts.abandoned += u64::from(answered);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/counts.rs
@@ -0,0 +1,59 @@
+//! What this host counted since its start, by cause: to be set against what went over the sockets.
+
+use super::ask::Refused;
+use gullsail_interface::Ending;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Counts {
+    /// Connections of clients; those turned away for lack of descriptors; those closed to make room.
+    pub accepted: u64,
+    pub no_place: u64,
+    pub made_room: u64,
+    /// Transfers, and how they were answered.
+    pub taken: u64,
+    pub done: u64,
+    pub deferred: u64,
+    pub abandoned: u64,
+    pub client_left: u64,
+    /// Messages that were no transfer.
+    pub refused: BTreeMap<Refused, u64>,
+    /// Legs that went out, and how all ended.
+    pub sent: u64,
+    pub endings: BTreeMap<&'static str, u64>,
+    /// Answers that could not be read, and bytes that nobody had asked for.
+    pub spoilt: BTreeMap<String, u64>,
+    pub surplus: u64,
+    /// Connections to nodes.
+    pub opened: u64,
+    pub used_again: u64,
+    pub found_dead: u64,
+    pub not_reached: u64,
+    /// Breaks, and those after which the same process was proven to live on.
+    pub breaks: u64,
+    pub lives_on: u64,
+    pub lists: u64,
+    pub changes: u64,
+    pub list_lost: u64,
+    pub told: u64,
+    pub heard: u64,
+    pub foreign_datagrams: u64,
+    pub reloads: u64,
+}
+
+impl Counts {
+    pub fn ending(&mut self, ending: Ending) {
+        let name = match ending {
+            Ending::Done => "done",
+            Ending::Failed => "failed",
+            Ending::TurnedAway => "turned_away",
+            Ending::Unreached => "unreached",
+            Ending::Unsent => "unsent",
+            Ending::TimedOut => "timed_out",
+            Ending::Broken => "broken",
+            Ending::Cancelled => "cancelled",
+        };
+        *self.endings.entry(name).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/links.rs
@@ -0,0 +1,364 @@
+//! Connections to nodes: one message at a time on each, kept while they are of use, the one used last taken first so
+//! that the others age out. None is opened ahead. What a node says of itself beyond answers is read here too: a break
+//! that was no restart.
+
+use super::legs::{At, LegKey};
+use super::*;
+use gullsail_http::{Decoder, Found, Message, Start};
+use std::collections::VecDeque;
+use tracing::debug;
+
+/// An answer that comes so long after a break, on a connection that stood before it, was not under way then.
+const AFTER_BREAK: Span = Span::from_micros(100_000);
+/// Idle connections end at this part of the time after which nodes end them: what crosses that end is lost.
+const MARGIN: f64 = 0.8;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Use {
+    Dialling,
+    Idle,
+    Busy(LegKey),
+}
+
+#[derive(Debug)]
+struct Link {
+    node: NodeId,
+    usage: Use,
+    /// Since when it stands.
+    opened: Instant,
+    /// Since when it idles, if it does.
+    idle: Instant,
+    used: u64,
+    decoder: Decoder,
+}
+
+#[derive(Debug)]
+struct Node {
+    entry: NodeEntry,
+    dial: String,
+    /// The one used last at the end.
+    idle: Vec<ConnId>,
+    waiting: VecDeque<LegKey>,
+    dialling: usize,
+    /// A connection broke then, and nothing has proven yet that the process lives on.
+    broke: Option<Instant>,
+}
+
+#[derive(Debug)]
+pub(super) struct Links {
+    nodes: BTreeMap<NodeId, Node>,
+    all: BTreeMap<ConnId, Link>,
+    most: usize,
+}
+
+impl Links {
+    pub(super) fn new(most: usize) -> Links {
+        Links { nodes: BTreeMap::new(), all: BTreeMap::new(), most }
+    }
+    pub(super) fn len(&self) -> usize {
+        self.all.len()
+    }
+    pub(super) fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+    pub(super) fn started(&self, node: NodeId) -> Option<Instant> {
+        self.nodes.get(&node)?.entry.started
+    }
+    pub(super) fn zone(&self, node: NodeId) -> ZoneId {
+        self.nodes.get(&node).map_or(ZoneId::default(), |n| n.entry.zone)
+    }
+    pub(super) fn is_ready(&self, node: NodeId) -> bool {
+        self.nodes.get(&node).is_some_and(|n| n.entry.standing == Standing::Ready)
+    }
+    pub(super) fn busy(&mut self, conn: ConnId, key: LegKey) {
+        if let Some(l) = self.all.get_mut(&conn) {
+            l.usage = Use::Busy(key);
+        }
+    }
+    /// Says whether a connection to the node was being made.
+    pub(super) fn stop_waiting(&mut self, node: NodeId, key: LegKey) -> bool {
+        let Some(n) = self.nodes.get_mut(&node) else { return false };
+        n.waiting.retain(|w| *w != key);
+        n.dialling > 0
+    }
+    /// All of them, by name.
+    pub(super) fn known(&self) -> impl Iterator<Item = NodeId> {
+        self.nodes.keys().copied()
+    }
+
+    /// Takes it out, wherever it stands.
+    fn remove(&mut self, conn: ConnId) -> Option<Link> {
+        let l = self.all.remove(&conn)?;
+        if let Some(n) = self.nodes.get_mut(&l.node) {
+            n.idle.retain(|c| *c != conn);
+            n.dialling -= usize::from(l.usage == Use::Dialling);
+        }
+        Some(l)
+    }
+
+    fn idles_longest(&self) -> Option<ConnId> {
+        let idle = self.all.iter().filter(|(_, l)| l.usage == Use::Idle);
+        idle.min_by_key(|(_, l)| l.idle).map(|(id, _)| *id)
+    }
+}
+
+impl Core {
+    /// What the list says of a node.
+    pub(super) fn listed(&mut self, entry: &NodeEntry, dial: &str) {
+        let node = entry.node;
+        let n = self.links.nodes.entry(node).or_insert_with(|| Node {
+            entry: entry.clone(),
+            dial: dial.into(),
+            idle: Vec::new(),
+            waiting: VecDeque::new(),
+            dialling: 0,
+            broke: None,
+        });
+        if n.entry.started != entry.started {
+            n.broke = None;
+        }
+        (n.entry, n.dial) = (entry.clone(), dial.into());
+        if entry.standing != Standing::Ready {
+            let idle = std::mem::take(&mut n.idle);
+            idle.into_iter().for_each(|conn| self.close_link(conn));
+        }
+        self.forget_node(node);
+    }
+
+    /// The list holds it no more.
+    pub(super) fn unlisted(&mut self, node: NodeId) {
+        if let Some(n) = self.links.nodes.get(&node) {
+            let (entry, dial) = (NodeEntry { standing: Standing::Gone, ..n.entry.clone() }, n.dial.clone());
+            self.listed(&entry, &dial);
+        }
+    }
+
+    fn forget_node(&mut self, node: NodeId) {
+        let in_use = |n: &Node| !n.waiting.is_empty() || self.links.all.values().any(|l| l.node == node);
+        if self.links.nodes.get(&node).is_some_and(|n| n.entry.standing == Standing::Gone && !in_use(n)) {
+            self.links.nodes.remove(&node);
+        }
+    }
+
+    /// An idle connection to the node that is not about to end.
+    pub(super) fn idle_link(&mut self, node: NodeId) -> Option<ConnId> {
+        let conn = self.links.nodes.get_mut(&node)?.idle.pop()?;
+        let l = self.links.all.get_mut(&conn)?;
+        l.used += 1;
+        self.counts.used_again += 1;
+        Some(conn)
+    }
+
+    pub(super) fn wait_for_link(&mut self, key: LegKey, node: NodeId) {
+        let Some(n) = self.links.nodes.get_mut(&node).filter(|n| n.entry.standing == Standing::Ready) else {
+            return self.leg_over(key, Ending::Unsent, None);
+        };
+        n.waiting.push_back(key);
+        self.due.set(self.now + self.reach.connect_time_out, Due::LegWaited(key));
+        self.dial_node(node);
+    }
+
+    /// As many connections are being made as legs wait, within what descriptors allow.
+    fn dial_node(&mut self, node: NodeId) {
+        while let Some(n) = self.links.nodes.get(&node).filter(|n| n.dialling < n.waiting.len()) {
+            let address = n.dial.clone();
+            if self.links.len() >= self.links.most {
+                let Some(other) = self.links.idles_longest() else { return };
+                self.close_link(other);
+            }
+            let conn = self.conn();
+            let decoder = Decoder::answers(BOUNDS);
+            let (opened, idle) = (self.now, self.now);
+            self.links.all.insert(conn, Link { node, usage: Use::Dialling, opened, idle, used: 0, decoder });
+            self.links.nodes.entry(node).and_modify(|n| n.dialling += 1);
+            self.counts.opened += 1;
+            self.outputs.push(Output::Dial { conn, address });
+            self.due.set(self.now + self.reach.connect_time_out, Due::DialEnds(conn));
+            self.keep_looking();
+        }
+    }
+
+    pub(super) fn link_up(&mut self, conn: ConnId) {
+        let now = self.now;
+        let Some(l) = self.links.all.get_mut(&conn).filter(|l| l.usage == Use::Dialling) else { return };
+        (l.usage, l.opened, l.idle, l.used) = (Use::Idle, now, now, 1);
+        let node = l.node;
+        self.links.nodes.entry(node).and_modify(|n| n.dialling -= 1);
+        self.link_free(conn, node);
+    }
+
+    /// It goes to who waits longest and still may go, else it idles.
+    fn link_free(&mut self, conn: ConnId, node: NodeId) {
+        while let Some(key) = self.links.nodes.get_mut(&node).and_then(|n| n.waiting.pop_front()) {
+            if self.may_still_go(key) {
+                return self.dispatch(key, conn);
+            }
+            self.leg_over(key, Ending::Unsent, None);
+        }
+        match (self.links.all.get_mut(&conn), self.links.nodes.get_mut(&node)) {
+            (Some(l), Some(n)) if n.entry.standing == Standing::Ready => {
+                (l.usage, l.idle) = (Use::Idle, self.now);
+                n.idle.push(conn);
+            }
+            _ => self.close_link(conn),
+        }
+    }
+
+    pub(super) fn link_written(&mut self, conn: ConnId) {
+        let Some(Link { usage: Use::Busy(key), .. }) = self.links.all.get(&conn) else { return };
+        if let Some(leg) = self.legs.get_mut(key).filter(|l| l.at == At::Going(conn)) {
+            leg.at = At::Gone(conn, self.now);
+            self.counts.sent += 1;
+        }
+    }
+
+    /// The other side had ended it before: nothing was written, so the leg takes another.
+    pub(super) fn link_unwritten(&mut self, conn: ConnId) {
+        let Some(Link { usage: Use::Busy(key), node, .. }) = self.links.all.get(&conn) else { return };
+        let (key, node) = (*key, *node);
+        self.counts.found_dead += 1;
+        self.close_link(conn);
+        if !self.may_still_go(key) {
+            return self.leg_over(key, Ending::Unsent, None);
+        }
+        if let Some(leg) = self.legs.get_mut(&key) {
+            leg.at = At::Waiting;
+        }
+        match self.idle_link(node) {
+            Some(other) => self.dispatch(key, other),
+            None => self.wait_for_link(key, node),
+        }
+    }
+
+    /// Ended by the other side, or it never came about.
+    pub(super) fn link_ended(&mut self, conn: ConnId) {
+        let Some(l) = self.links.remove(conn) else { return };
+        let node = l.node;
+        match l.usage {
+            Use::Dialling => {
+                self.counts.not_reached += 1;
+                self.one_unreached(node);
+            }
+            Use::Idle => {}
+            Use::Busy(key) => {
+                let gone = self.legs.get(&key).is_some_and(|l| matches!(l.at, At::Gone(..)));
+                if gone {
+                    self.counts.breaks += 1;
+                    let now = self.now;
+                    self.links.nodes.entry(node).and_modify(|n| n.broke = Some(now));
+                }
+                self.leg_over(key, if gone { Ending::Broken } else { Ending::Unreached }, None);
+            }
+        }
+        self.room_for_links(node);
+    }
+
+    fn one_unreached(&mut self, node: NodeId) {
+        let first = self.links.nodes.get_mut(&node).and_then(|n| n.waiting.pop_front());
+        first.into_iter().for_each(|key| self.leg_over(key, Ending::Unreached, None));
+    }
+
+    pub(super) fn dial_ends(&mut self, conn: ConnId) {
+        if self.links.all.get(&conn).is_some_and(|l| l.usage == Use::Dialling) {
+            let node = self.links.all[&conn].node;
+            self.counts.not_reached += 1;
+            self.close_link(conn);
+            self.one_unreached(node);
+        }
+    }
+
+    /// By this side.
+    pub(super) fn close_link(&mut self, conn: ConnId) {
+        let Some(l) = self.links.remove(conn) else { return };
+        self.outputs.push(Output::Close { conn });
+        self.room_for_links(l.node);
+    }
+
+    /// A place is free: for who waits at the same node, else for who waits at any.
+    fn room_for_links(&mut self, node: NodeId) {
+        let lacks = |n: &Node| n.dialling < n.waiting.len();
+        if self.links.nodes.get(&node).is_some_and(lacks) {
+            return self.dial_node(node);
+        }
+        let other = self.links.nodes.iter().find(|(_, n)| lacks(n)).map(|(id, _)| *id);
+        other.into_iter().for_each(|node| self.dial_node(node));
+        self.forget_node(node);
+    }
+
+    pub(super) fn link_came(&mut self, conn: ConnId, bytes: &[u8]) {
+        let Some(l) = self.links.all.get_mut(&conn) else { return };
+        let Use::Busy(key) = l.usage else {
+            // Nobody asked for it: whatever it is, an answer behind it would be another's.
+            self.counts.surplus += 1;
+            return self.close_link(conn);
+        };
+        l.decoder.feed(bytes);
+        match l.decoder.take() {
+            Ok(None) => {}
+            Ok(Some(m)) => self.answered(conn, key, &m),
+            Err(fault) => {
+                *self.counts.spoilt.entry(fault.to_string()).or_default() += 1;
+                debug!(conn = conn.0, %fault, "an answer that cannot be read");
+                self.close_link(conn);
+                self.leg_over(key, Ending::Failed, None);
+            }
+        }
+    }
+
+    fn answered(&mut self, conn: ConnId, key: LegKey, m: &Message) {
+        let Start::Answer { status } = m.start else { return };
+        let Some(l) = self.links.all.get(&conn) else { return };
+        let (node, opened, surplus) = (l.node, l.opened, !l.decoder.is_empty());
+        // An answer to what is not written yet is none.
+        let Some(At::Gone(_, sent)) = self.legs.get(&key).map(|l| l.at) else {
+            self.counts.surplus += 1;
+            self.close_link(conn);
+            return self.leg_over(key, Ending::Failed, None);
+        };
+        let never_ran = m.field("X-Never-Ran") == Found::One(b"1");
+        let ending = match status {
+            200 => Ending::Done,
+            503 | 504 if never_ran => Ending::TurnedAway,
+            _ => Ending::Failed,
+        };
+        self.lives_on(node, opened, sent);
+        if ending == Ending::Done {
+            self.serve(key.0, &m.body);
+        }
+        self.counts.surplus += u64::from(surplus);
+        if surplus || !m.stays {
+            self.close_link(conn);
+        } else {
+            self.link_free(conn, node);
+        }
+        self.leg_over(key, ending, used(m));
+    }
+
+    /// A connection that stood before another broke, and brings an answer that was not under way then, ends at the same
+    /// process: the break was no restart, and the module learns that its node is as old as it was.
+    fn lives_on(&mut self, node: NodeId, opened: Instant, sent: Instant) {
+        let now = self.now;
+        let Some(n) = self.links.nodes.get_mut(&node) else { return };
+        let proven = n.broke.is_some_and(|b| opened < b && (sent > b || now - b >= AFTER_BREAK));
+        if proven && n.entry.standing == Standing::Ready {
+            n.broke = None;
+            self.counts.lives_on += 1;
+            self.events.push(Event::List { extent: Extent::Seen, entries: vec![n.entry.clone()] });
+        }
+    }
+
+    pub(super) fn look_over_links(&mut self) {
+        let age = self.reach.keep_alive.times(MARGIN);
+        let old = self.links.all.iter().filter(|(_, l)| l.usage == Use::Idle && self.now - l.idle >= age);
+        let old: Vec<_> = old.map(|(id, _)| *id).collect();
+        old.into_iter().for_each(|conn| self.close_link(conn));
+    }
+}
+
+/// What the volume was served through all hosts, as a part of its usual rate; what cannot be read is not told.
+fn used(m: &Message) -> Option<f64> {
+    let Found::One(digits) = m.field("X-Meter") else { return None };
+    let sound = !digits.is_empty() && digits.len() <= 6 && digits.iter().all(u8::is_ascii_digit);
+    let percent: f64 = std::str::from_utf8(digits).ok().filter(|_| sound)?.parse().ok()?;
+    Some(percent / 100.0)
+}
--- /dev/null
+++ b/crates/platform/src/core/list.rs
@@ -0,0 +1,191 @@
+//! Discovery: the whole list, then what changes in it, by questions that wait a while; after a silence or an end the
+//! whole list anew. What cannot be read changes nothing.
+
+use super::*;
+use crate::document::{Entry, Page};
+use gullsail_http::{Decoder, Encoder, Start};
+use tracing::warn;
+
+/// How long a question waits for news: short, so that silence is noticed soon.
+const WAIT_MS: u64 = 2_000;
+/// An answer that is so much later than its wait is none.
+const SILENT: Span = Span::from_micros(1_500_000);
+/// Between tries, doubled from the first to the last.
+const AGAIN: Span = Span::from_micros(50_000);
+const AGAIN_MOST: Span = Span::from_micros(800_000);
+
+#[derive(Debug)]
+pub(super) struct List {
+    address: String,
+    conn: Option<ConnId>,
+    decoder: Decoder,
+    /// Of the last page, on this connection.
+    seq: Option<u64>,
+    /// Numbers each question, so that a timer knows its own.
+    question: u64,
+    failed: u32,
+    heard: Option<Instant>,
+}
+
+impl List {
+    pub(super) fn new(address: String) -> List {
+        let decoder = Decoder::answers(BOUNDS);
+        List { address, conn: None, decoder, seq: None, question: 0, failed: 0, heard: None }
+    }
+    pub(super) fn is(&self, conn: ConnId) -> bool {
+        self.conn == Some(conn)
+    }
+    pub(super) fn age(&self, now: Instant) -> Option<Span> {
+        self.heard.map(|at| now - at)
+    }
+}
+
+impl Core {
+    pub(super) fn dial_list(&mut self) {
+        if self.list.conn.is_some() {
+            return;
+        }
+        let conn = self.conn();
+        let l = &mut self.list;
+        (l.conn, l.seq, l.decoder) = (Some(conn), None, Decoder::answers(BOUNDS));
+        let address = l.address.clone();
+        self.outputs.push(Output::Dial { conn, address });
+        self.expect_list(SILENT);
+    }
+
+    fn expect_list(&mut self, within: Span) {
+        self.list.question += 1;
+        self.due.set(self.now + within, Due::ListSilent(self.list.question));
+    }
+
+    pub(super) fn list_up(&mut self) {
+        self.ask_list();
+    }
+
+    fn ask_list(&mut self) {
+        let Some(conn) = self.list.conn else { return };
+        let (target, within) = match self.list.seq {
+            None => ("/catalog/members".to_string(), SILENT),
+            Some(seq) => {
+                let target = format!("/catalog/members?after={seq}&wait_ms={WAIT_MS}");
+                (target, Span::from_millis(WAIT_MS as f64) + SILENT)
+            }
+        };
+        let host = self.list.address.clone();
+        let bytes = Encoder::request(b"GET", target.as_bytes()).field("Host", host.as_bytes()).bare();
+        self.outputs.push(Output::Send { conn, bytes });
+        self.expect_list(within);
+    }
+
+    pub(super) fn list_silent(&mut self, question: u64) {
+        if self.list.conn.is_some() && self.list.question == question {
+            self.list_lost("it says nothing");
+        }
+    }
+
+    /// Anew, a little later; what is known stays.
+    pub(super) fn list_lost(&mut self, why: &str) {
+        let Some(conn) = self.list.conn.take() else { return };
+        self.counts.list_lost += 1;
+        if self.list.failed == 0 {
+            warn!(why, address = self.list.address, "discovery is lost");
+        }
+        self.outputs.push(Output::Close { conn });
+        self.events.push(Event::ListLost);
+        let wait = AGAIN.times(f64::from(1u32 << self.list.failed.min(10))).min(AGAIN_MOST);
+        self.list.failed += 1;
+        self.due.set(self.now + wait, Due::ListAgain);
+    }
+
+    pub(super) fn list_came(&mut self, bytes: &[u8]) {
+        self.list.decoder.feed(bytes);
+        match self.list.decoder.take() {
+            Ok(None) => {}
+            Ok(Some(m)) if m.start == Start::Answer { status: 200 } => {
+                match serde_json::from_slice::<Page>(&m.body)
+                    .map_err(|e| e.to_string())
+                    .and_then(|p| self.page(p))
+                {
+                    Ok(()) if m.stays && self.list.decoder.is_empty() => self.ask_list(),
+                    Ok(()) => self.list_lost("it ends the connection"),
+                    Err(why) => self.list_lost(&why),
+                }
+            }
+            Ok(Some(_)) => self.list_lost("it does not answer the question"),
+            Err(fault) => self.list_lost(&fault.to_string()),
+        }
+    }
+
+    /// Takes a page whole or not at all.
+    fn page(&mut self, page: Page) -> Result<(), String> {
+        let all = page.hosts.iter().map(|e| self.entry(e).map(|n| (n, e))).collect::<Result<Vec<_>, _>>()?;
+        let extent = if page.whole { Extent::Whole } else { Extent::Changes };
+        if !page.whole && self.list.seq.is_none() {
+            return Err("changes came where the whole list was asked for".into());
+        }
+        if page.whole {
+            self.counts.lists += 1;
+        }
+        self.counts.changes += all.len() as u64;
+        (self.list.seq, self.list.failed, self.list.heard) = (Some(page.seq), 0, Some(self.now));
+        if !self.ready {
+            info!(nodes = all.len(), "ready");
+        }
+        self.ready = true;
+        if page.whole || !all.is_empty() {
+            self.take_list(extent, all);
+        }
+        Ok(())
+    }
+
+    /// What this host had when it last ran, perhaps long ago.
+    pub(super) fn remember(&mut self, page: Page) {
+        match page.hosts.iter().map(|e| self.entry(e).map(|n| (n, e))).collect::<Result<Vec<_>, _>>() {
+            Ok(all) => self.take_list(Extent::Remembered, all),
+            Err(why) => warn!(why, "the remembered list cannot be read"),
+        }
+    }
+
+    fn take_list(&mut self, extent: Extent, all: Vec<(NodeEntry, &Entry)>) {
+        if extent != Extent::Changes {
+            let missing = self.links.known().filter(|nd| all.iter().all(|(n, _)| n.node != *nd));
+            let missing: Vec<_> = missing.collect();
+            missing.into_iter().for_each(|node| self.unlisted(node));
+        }
+        all.iter().for_each(|(n, e)| self.listed(n, &e.dial));
+        let entries = all.into_iter().map(|(n, _)| n).collect();
+        self.events.push(Event::List { extent, entries });
+    }
+
+    fn entry(&self, e: &Entry) -> Result<NodeEntry, String> {
+        let standing = match e.health.as_str() {
+            "SERVING" => Standing::Ready,
+            "DRAINING" => Standing::Draining,
+            "DELETED" => Standing::Gone,
+            other => return Err(format!("unknown health '{}'", other.chars().take(40).collect::<String>())),
+        };
+        Ok(NodeEntry {
+            node: NodeId(gullsail_facts::hash(&e.host)),
+            cell: CellId(e.block),
+            zone: self.names.zone(&e.site),
+            standing,
+            started: (e.born_ms > 0.0).then_some(Instant::from_millis(e.born_ms)),
+            pools: Vec::new(),
+        })
+    }
+
+    /// Another document: discovery has moved, or is asked anew where it is.
+    pub(super) fn reload(&mut self, d: Document) {
+        self.counts.reloads += 1;
+        let (facts, peers) = (format!("{:?}", d.facts), d.peers);
+        if facts != format!("{:?}", self.facts) || peers != self.peers || d.names != self.names {
+            warn!("settings and peers change only with a start: of the new document, discovery counts");
+        }
+        info!(from = self.list.address, to = d.discovery, "another document");
+        if let Some(conn) = self.list.conn.take() {
+            self.outputs.push(Output::Close { conn });
+        }
+        (self.list.address, self.list.failed) = (d.discovery, 0);
+        self.dial_list();
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/mod.rs
@@ -0,0 +1,338 @@
+//! A host on the platform as a state machine: [`Input`]s and the time go in, [`Output`]s come out, nothing else. It has
+//! no socket, no clock and no chance of its own, so tests play it at any speed.
+//!
+//! A caller hands over what happened with [`Core::handle`], any number of times, then calls [`Core::advance`] once and
+//! carries out [`Core::outputs`] in their order; [`Core::next_timer`] says when to call again at the latest. Read
+//! `mod.rs` for time and the module's actions, [`ask`] for what a message must hold, `clients` for connections of
+//! clients, `legs` and `links` for legs and connections to nodes, `list` for discovery, `leave` for the end.
+
+pub mod ask;
+mod clients;
+mod counts;
+mod leave;
+mod legs;
+mod links;
+mod list;
+mod transfers;
+
+use crate::document::Document;
+use bytes::Bytes;
+use clients::Clients;
+pub use counts::Counts;
+use gullsail::Brain;
+use gullsail_facts::{Names, Reach};
+use gullsail_http::Bounds;
+use gullsail_interface::*;
+use gullsail_timing::Timers;
+use leave::Leaving;
+use legs::{Leg, LegKey};
+use links::Links;
+use list::List;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tracing::info;
+use transfers::Transfers;
+
+/// What messages may hold, both ways: of the platform's page.
+pub const BOUNDS: Bounds = Bounds { head: 16 << 10, body: 64 << 10 };
+/// Between lines of the log that hold the counts.
+const SAY: Span = Span::from_micros(5_000_000);
+/// After so long without a list a host serves by what it remembers.
+const READY: Span = Span::from_micros(1_000_000);
+/// Clients and idle links are looked over so often, while there are any.
+const LOOK: Span = Span::from_micros(200_000);
+/// Descriptors kept back: standard streams, listener, UDP, the runtime's own, the document that is read, discovery
+/// twice while it moves.
+const OWN: usize = 24;
+/// Of the descriptors that are left, the part that clients may hold; nodes have the rest.
+const OF_CLIENTS: f64 = 0.6;
+/// Of the memory, the part that open transfers may hold, and the part that what is still coming may.
+const HELD: f64 = 0.2;
+const COMING: f64 = 0.1;
+
+/// A connection, by a number that is never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnId(pub u64);
+
+/// What happened on sockets. Of a connection [`Input::Ended`] is always the last.
+#[derive(Debug)]
+pub enum Input {
+    /// A connection that was dialled stands.
+    Up(ConnId),
+    Came(ConnId, Bytes),
+    /// All that was to be written is with the operating system.
+    Written(ConnId),
+    /// It was found over before a byte of what was to be written left.
+    Unwritten(ConnId),
+    Ended(ConnId),
+    Datagram(SocketAddr, Bytes),
+    /// Another document: of it only where discovery is counts while serving.
+    Reload(Box<Document>),
+    Stop,
+    /// At once, whatever is open.
+    StopNow,
+}
+
+/// What the caller is to do.
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    Dial {
+        conn: ConnId,
+        address: String,
+    },
+    /// To a node or discovery: only if nothing is there to be read, which would mean that it is over.
+    Send {
+        conn: ConnId,
+        bytes: Bytes,
+    },
+    /// To a client.
+    Answer {
+        conn: ConnId,
+        bytes: Bytes,
+    },
+    Reading {
+        conn: ConnId,
+        on: bool,
+    },
+    /// Writes out what is to be written, ends its sending, reads over what comes for a while, then closes.
+    Finish {
+        conn: ConnId,
+    },
+    /// Closes it unless there is something to read.
+    CloseQuiet {
+        conn: ConnId,
+    },
+    Close {
+        conn: ConnId,
+    },
+    Datagram {
+        to: SocketAddr,
+        bytes: Bytes,
+    },
+    /// Takes what waits to be accepted, then no more.
+    StopAccepting,
+    /// All is done.
+    Left,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    Module(TimerId),
+    /// The time of a leg is over.
+    LegEnds(LegKey),
+    /// It may not wait for a connection any longer.
+    LegWaited(LegKey),
+    DialEnds(ConnId),
+    Look,
+    /// Discovery says nothing in answer to this question.
+    ListSilent(u64),
+    ListAgain,
+    Ready,
+    Say,
+    Leave,
+}
+
+pub struct Core {
+    now: Instant,
+    brain: Brain,
+    events: Vec<Event>,
+    outputs: Vec<Output>,
+    due: Timers<Due>,
+    names: Names,
+    facts: Facts,
+    reach: Reach,
+    peers: Vec<SocketAddr>,
+    last_conn: u64,
+    clients: Clients,
+    transfers: Transfers,
+    legs: BTreeMap<LegKey, Leg>,
+    links: Links,
+    list: List,
+    leaving: Leaving,
+    ready: bool,
+    looks: bool,
+    counts: Counts,
+}
+
+impl Core {
+    /// `descriptors`: what the process itself may hold.
+    pub fn new(d: Document, descriptors: usize, now: Instant) -> Core {
+        let sockets = d.limits.sockets.min(descriptors).max(OWN + 8);
+        let of_clients = ((sockets - OWN) as f64 * OF_CLIENTS) as usize;
+        let bytes = |part: f64| (d.limits.memory_mb * part * 1e6) as usize;
+        info!(host = d.name, sockets, of_clients, memory_mb = d.limits.memory_mb, "starting");
+        let mut core = Core {
+            now,
+            brain: Brain::new(d.facts.clone(), d.seed, now),
+            events: Vec::new(),
+            outputs: Vec::new(),
+            due: Timers::default(),
+            names: d.names,
+            facts: d.facts,
+            reach: d.reach,
+            peers: d.peers,
+            last_conn: 0,
+            clients: Clients::new(of_clients, bytes(COMING)),
+            transfers: Transfers::new(bytes(HELD)),
+            legs: BTreeMap::new(),
+            links: Links::new(sockets - OWN - of_clients),
+            list: List::new(d.discovery),
+            leaving: Leaving::No,
+            ready: false,
+            looks: false,
+            counts: Counts::default(),
+        };
+        if let Some(known) = d.known {
+            core.remember(known);
+        }
+        core.dial_list();
+        core.due.set(now + READY, Due::Ready);
+        core.due.set(now + SAY, Due::Say);
+        core
+    }
+
+    fn conn(&mut self) -> ConnId {
+        self.last_conn += 1;
+        ConnId(self.last_conn)
+    }
+
+    pub fn handle(&mut self, now: Instant, input: Input) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Up(conn) if self.list.is(conn) => self.list_up(),
+            Input::Up(conn) => self.link_up(conn),
+            Input::Came(conn, bytes) if self.list.is(conn) => self.list_came(&bytes),
+            Input::Came(conn, bytes) if self.clients.has(conn) => self.client_came(conn, &bytes),
+            Input::Came(conn, bytes) => self.link_came(conn, &bytes),
+            Input::Written(conn) => self.link_written(conn),
+            Input::Unwritten(conn) => self.link_unwritten(conn),
+            Input::Ended(conn) if self.list.is(conn) => self.list_lost("its connection ended"),
+            Input::Ended(conn) if self.clients.has(conn) => self.client_ended(conn),
+            Input::Ended(conn) => self.link_ended(conn),
+            Input::Datagram(from, bytes) => self.peer_said(from, &bytes),
+            Input::Reload(d) => self.reload(*d),
+            Input::Stop => self.stop(),
+            Input::StopNow => self.left(),
+        }
+    }
+
+    /// Timers, then the module until it wants nothing more at this time.
+    pub fn advance(&mut self, now: Instant) {
+        self.now = self.now.max(now);
+        while let Some(mut bucket) = self.due.take(self.now) {
+            bucket.drain(..).for_each(|due| self.is_due(due));
+            self.due.give_back(bucket);
+        }
+        loop {
+            let events = std::mem::take(&mut self.events);
+            let actions = self.brain.step(self.now, events);
+            actions.into_iter().for_each(|a| self.act(a));
+            if self.events.is_empty() {
+                break;
+            }
+        }
+        self.leave_if_done();
+    }
+
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    pub fn next_timer(&self) -> Option<Instant> {
+        self.due.next()
+    }
+
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// What is held now, by name: nothing of it may grow with what came and went.
+    pub fn lengths(&self) -> Vec<(&'static str, usize)> {
+        let mut all = self.brain.lengths();
+        all.extend([
+            ("clients", self.clients.len()),
+            ("transfers", self.transfers.len()),
+            ("legs", self.legs.len()),
+            ("links", self.links.len()),
+            ("links.nodes", self.links.nodes()),
+            ("due", self.due.pending()),
+            ("bytes", self.transfers.held() + self.clients.coming()),
+        ]);
+        all
+    }
+
+    fn is_due(&mut self, due: Due) {
+        match due {
+            Due::Module(id) => self.events.push(Event::Timer(id)),
+            Due::LegEnds(key) => self.leg_ends(key),
+            Due::LegWaited(key) => self.leg_waited(key),
+            Due::DialEnds(conn) => self.dial_ends(conn),
+            Due::Look => {
+                self.looks = false;
+                self.look_over_clients();
+                self.look_over_links();
+                self.keep_looking();
+            }
+            Due::ListSilent(question) => self.list_silent(question),
+            Due::ListAgain => self.dial_list(),
+            Due::Ready => self.ready = true,
+            Due::Say => {
+                self.say("counts");
+                self.due.set(self.now + SAY, Due::Say);
+            }
+            Due::Leave => self.leave_further(),
+        }
+    }
+
+    /// The next look, if there is anything to look at.
+    fn keep_looking(&mut self) {
+        if !self.looks && (self.clients.len() > 0 || self.links.len() > 0) {
+            self.looks = true;
+            self.due.set(self.now + LOOK, Due::Look);
+        }
+    }
+
+    fn say(&self, what: &str) {
+        let counts = serde_json::to_string(&self.counts).unwrap_or_default();
+        let list_age_ms = self.list.age(self.now).map(|a| a.millis() as i64);
+        info!(
+            clients = self.clients.len(),
+            links = self.links.len(),
+            open = self.transfers.open(),
+            legs = self.legs.len(),
+            held = self.transfers.held() + self.clients.coming(),
+            list_age_ms,
+            counts,
+            "{what}"
+        );
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Leg { id, node, time_out } => self.start_leg(id, node, time_out),
+            Action::Defer { id, come_back } => self.defer(id, come_back),
+            Action::Abandon { id } => self.abandon(id),
+            // It is followed all the time.
+            Action::Watch => {}
+            Action::Timer { id, at } => self.due.set(at, Due::Module(id)),
+            // The platform states no budgets between zones.
+            Action::Past { .. } => {}
+            Action::Tell { to, bytes } => {
+                if let Some(to) = self.peers.get(to.0 as usize) {
+                    self.counts.told += 1;
+                    self.outputs.push(Output::Datagram { to: *to, bytes: bytes.into() });
+                }
+            }
+        }
+    }
+
+    fn peer_said(&mut self, from: SocketAddr, bytes: &[u8]) {
+        match self.peers.iter().position(|p| *p == from) {
+            Some(host) if bytes.len() <= 256 => {
+                self.counts.heard += 1;
+                self.events.push(Event::PeerSaid { from: HostId(host as u32), bytes: bytes.to_vec() });
+            }
+            _ => self.counts.foreign_datagrams += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/transfers.rs
@@ -0,0 +1,100 @@
+//! The open transfers, from the moment each is taken until its one final answer is given and no leg of it is out.
+
+use super::ConnId;
+use super::ask::{Asked, Parts};
+use bytes::Bytes;
+use gullsail_interface::*;
+use std::collections::BTreeMap;
+
+#[derive(Debug)]
+pub(super) struct Open {
+    /// Whom to answer; `None`: it has its answer, or nobody waits for one.
+    pub(super) client: Option<ConnId>,
+    pub(super) trace: u64,
+    pub(super) parts: Parts,
+    pub(super) body: Bytes,
+    /// When its client gives up.
+    pub(super) expiry: Instant,
+    pub(super) legs: u32,
+    pub(super) out: u32,
+    held: usize,
+}
+
+#[derive(Debug)]
+pub(super) struct Transfers {
+    all: BTreeMap<TransferId, Open>,
+    /// By what clients call them: of those that are open, and of those with a leg out.
+    traces: BTreeMap<u64, TransferId>,
+    last: u64,
+    held: usize,
+    most_held: usize,
+    open: usize,
+}
+
+/// What one takes beside its bytes.
+const BESIDE: usize = 600;
+
+impl Transfers {
+    pub(super) fn new(most_held: usize) -> Transfers {
+        Transfers { all: BTreeMap::new(), traces: BTreeMap::new(), last: 0, held: 0, most_held, open: 0 }
+    }
+    pub(super) fn len(&self) -> usize {
+        self.all.len()
+    }
+    /// Those that wait for their answer.
+    pub(super) fn open(&self) -> usize {
+        self.open
+    }
+    /// In bytes.
+    pub(super) fn held(&self) -> usize {
+        self.held
+    }
+    pub(super) fn is_open(&self, trace: u64) -> bool {
+        self.traces.contains_key(&trace)
+    }
+    pub(super) fn get(&mut self, id: TransferId) -> Option<&mut Open> {
+        self.all.get_mut(&id)
+    }
+
+    /// `None`: there is no room for it.
+    pub(super) fn take(&mut self, client: ConnId, asked: Asked, now: Instant) -> Option<Transfer> {
+        let Asked { trace, transfer, parts, body } = asked;
+        let held = BESIDE + parts.held() + body.len();
+        if self.held + held > self.most_held {
+            return None;
+        }
+        self.last += 1;
+        let id = TransferId(self.last);
+        let expiry = now + transfer.ttl;
+        let open = Open { client: Some(client), trace, parts, body, expiry, legs: 0, out: 0, held };
+        (self.held, self.open) = (self.held + held, self.open + 1);
+        self.traces.insert(trace, id);
+        self.all.insert(id, open);
+        Some(Transfer { id, ..transfer })
+    }
+
+    /// Whom to answer, at most once for each.
+    pub(super) fn end(&mut self, id: TransferId) -> Option<ConnId> {
+        let client = self.all.get_mut(&id)?.client.take()?;
+        self.open -= 1;
+        self.forget(id);
+        Some(client)
+    }
+
+    /// One of its legs is over. Says whether it had its answer before.
+    pub(super) fn leg_over(&mut self, id: TransferId) -> bool {
+        let Some(open) = self.all.get_mut(&id) else { return true };
+        open.out = open.out.saturating_sub(1);
+        let answered = open.client.is_none();
+        self.forget(id);
+        answered
+    }
+
+    fn forget(&mut self, id: TransferId) {
+        if let Some(open) = self.all.get(&id).filter(|o| o.client.is_none() && o.out == 0) {
+            self.held -= open.held;
+            self.traces.remove(&open.trace);
+            self.all.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/timing/src/clock.rs
@@ -0,0 +1,30 @@
+//! The clock of a running host.
+
+use gullsail_interface::{Instant, Span};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Runs from the wall clock at its start and never back: a machine's clock that is set while the host runs
+/// does not move it.
+#[derive(Clone, Copy, Debug)]
+pub struct HostClock {
+    base: tokio::time::Instant,
+    wall: Instant,
+}
+
+impl HostClock {
+    /// `ahead` is for tests of hosts whose clocks differ.
+    pub fn start(ahead: Span) -> HostClock {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let wall = Instant::from_micros(wall.as_micros() as i64) + ahead;
+        HostClock { base: tokio::time::Instant::now(), wall }
+    }
+
+    pub fn now(&self) -> Instant {
+        self.wall + Span::from_micros(self.base.elapsed().as_micros() as i64)
+    }
+
+    /// The same point on the timer's clock.
+    pub fn at(&self, at: Instant) -> tokio::time::Instant {
+        self.base + Duration::from_micros((at - self.wall).micros().max(0) as u64)
+    }
+}
--- a/crates/host/src/core/due.rs
+++ b/crates/timing/src/due.rs
@@ -40,7 +40,7 @@
     }
 
     /// How many are set.
-    pub fn len(&self) -> usize {
+    pub fn pending(&self) -> usize {
         self.buckets.values().map(Vec::len).sum()
     }
 
