Breaks between two close signs of life are no restarts; tests of the platform's host

Checked: each break makes the module take its node for cold (ramp of some ten seconds), and the proof asked for an older connection, which a host with one leg at a node at a time mostly lacks. Ruled out: connections found dead before use (7), refused ones (13), limits of descriptors (75 of 384).

At fault: `lives_on` in platform/core/links.rs. Now a sign of life (a connection that comes up, an answer) within 250 ms of the last one before the break proves it too: no process ends and is replaced in less. An earlier unproven break holds what comes after it. With two finds of the new tests: room made for a link could pass the bound by one (`dial_node`), and noise without a line's end was waited for (`Decoder::feed`).

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -19,6 +19,8 @@
 
 /// The most lines of a head.
 const LINES: usize = 64;
+/// The beginning of a head is looked at as it comes, the rest when a line has ended.
+const FIRST: usize = 256;
 /// The most 1xx answers before the one that counts.
 const INTERIM: u32 = 8;
 
@@ -125,7 +127,8 @@
     }
 
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.no_head &= !bytes.contains(&b'\n');
+        // Noise shows in its first bytes: nobody should wait for a line's end that never comes.
+        self.no_head &= !bytes.contains(&b'\n') && self.held.len() > FIRST;
         self.held.extend_from_slice(bytes);
     }
 
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -10,6 +10,8 @@
 
 /// An answer that comes so long after a break, on a connection that stood before it, was not under way then.
 const AFTER_BREAK: Span = Span::from_micros(100_000);
+/// No process ends and another is there in its place in less: two signs of life that close are of one process.
+const RESTART: Span = Span::from_micros(250_000);
 /// Idle connections end at this part of the time after which nodes end them: what crosses that end is lost.
 const MARGIN: f64 = 0.8;
 
@@ -40,8 +42,10 @@
     idle: Vec<ConnId>,
     waiting: VecDeque<LegKey>,
     dialling: usize,
-    /// A connection broke then, and nothing has proven yet that the process lives on.
-    broke: Option<Instant>,
+    /// When it last showed that it lives: a connection came up, or an answer came.
+    alive: Option<Instant>,
+    /// A connection broke then, with the last sign of life before; nothing has proven yet that the process lives on.
+    broke: Option<(Instant, Option<Instant>)>,
 }
 
 #[derive(Debug)]
@@ -112,6 +116,7 @@
             idle: Vec::new(),
             waiting: VecDeque::new(),
             dialling: 0,
+            alive: None,
             broke: None,
         });
         if n.entry.started != entry.started {
@@ -164,7 +169,9 @@
             let address = n.dial.clone();
             if self.links.len() >= self.links.most {
                 let Some(other) = self.links.idles_longest() else { return };
+                // Whoever waits takes the free place, perhaps this one: it is looked at anew.
                 self.close_link(other);
+                continue;
             }
             let conn = self.conn();
             let decoder = Decoder::answers(BOUNDS);
@@ -184,6 +191,7 @@
         (l.usage, l.opened, l.idle, l.used) = (Use::Idle, now, now, 1);
         let node = l.node;
         self.links.nodes.entry(node).and_modify(|n| n.dialling -= 1);
+        self.lives(node, now, None);
         self.link_free(conn, node);
     }
 
@@ -244,8 +252,11 @@
                 let gone = self.legs.get(&key).is_some_and(|l| matches!(l.at, At::Gone(..)));
                 if gone {
                     self.counts.breaks += 1;
-                    let now = self.now;
-                    self.links.nodes.entry(node).and_modify(|n| n.broke = Some(now));
+                    // An earlier one that is unproven holds what comes after it, for as long as it matters.
+                    let (now, ramp) = (self.now, self.facts.cold.ramp);
+                    self.links.nodes.entry(node).and_modify(|n| {
+                        n.broke = n.broke.filter(|b| now - b.0 < ramp).or(Some((now, n.alive)));
+                    });
                 }
                 self.leg_over(key, if gone { Ending::Broken } else { Ending::Unreached }, None);
             }
@@ -321,7 +332,7 @@
             503 | 504 if never_ran => Ending::TurnedAway,
             _ => Ending::Failed,
         };
-        self.lives_on(node, opened, sent);
+        self.lives(node, opened, Some(sent));
         if ending == Ending::Done {
             self.serve(key.0, &m.body);
         }
@@ -334,13 +345,16 @@
         self.leg_over(key, ending, used(m));
     }
 
-    /// A connection that stood before another broke, and brings an answer that was not under way then, ends at the same
-    /// process: the break was no restart, and the module learns that its node is as old as it was.
-    fn lives_on(&mut self, node: NodeId, opened: Instant, sent: Instant) {
+    /// The node lives. A break before that was no restart if the sign comes on a connection that stood before the break
+    /// and was not under way then, or so soon after the last sign before it that no restart fits between. Then the module
+    /// learns that its node is as old as the list says.
+    fn lives(&mut self, node: NodeId, opened: Instant, sent: Option<Instant>) {
         let now = self.now;
         let Some(n) = self.links.nodes.get_mut(&node) else { return };
-        let proven = n.broke.is_some_and(|b| opened < b && (sent > b || now - b >= AFTER_BREAK));
-        if proven && n.entry.standing == Standing::Ready {
+        n.alive = Some(now);
+        let stood = |b: Instant| opened < b && sent.is_some_and(|sent| sent > b || now - b >= AFTER_BREAK);
+        let close = |last: Option<Instant>| last.is_some_and(|last| now - last < RESTART);
+        if n.broke.is_some_and(|(b, last)| stood(b) || close(last)) && n.entry.standing == Standing::Ready {
             n.broke = None;
             self.counts.lives_on += 1;
             self.events.push(Event::List { extent: Extent::Seen, entries: vec![n.entry.clone()] });
--- a/crates/platform/src/drive.rs
+++ b/crates/platform/src/drive.rs
@@ -101,6 +101,8 @@
     let clock = HostClock::start(Span::ZERO);
     let (sink, mut inbox) = mpsc::channel(INBOX);
     let core = Core::new(d, descriptors, clock.now());
+    let at = listener.local_addr().into_diagnostic()?;
+    info!("serves clients at={at}");
     let (held, tasks) = (BTreeMap::new(), JoinSet::new());
     let mut s = Sockets { core, clock, held, tasks, sink, listener: Some(listener), peers };
     let mut batch = Vec::with_capacity(BATCH);
