A connection that broke is made again at once; breaks no longer halve a node's window

Traced: idle time, time since the last byte, whether an answer had begun, for each break; windows, latency, units and lines in the module each 1.5 s. Checked and ruled out: cells without a ready node, the legs' budget (3 of some 50 used), holding back.

Changed: a broken connection is dialled again at once, which shows whether the process lives; two signs of life close around a break prove it, and so does discovery's silence on starts after 6 s. `Broken` leaves the window. A genuine restart shows in the list, which overrides all of it.

--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -10,8 +10,12 @@
 
 /// An answer that comes so long after a break, on a connection that stood before it, was not under way then.
 const AFTER_BREAK: Span = Span::from_micros(100_000);
-/// No process ends and another is there in its place in less: two signs of life that close are of one process.
+/// No process ends and another takes its place in less; and no machine is gone, comes back and serves in less than
+/// [`RETURN`]. So a break between two signs of life that are that close was no restart.
 const RESTART: Span = Span::from_micros(250_000);
+const RETURN: Span = Span::from_micros(2_000_000);
+/// What discovery has to tell is told by then.
+const TOLD: Span = Span::from_micros(6_000_000);
 /// Idle connections end at this part of the time after which nodes end them: what crosses that end is lost.
 const MARGIN: f64 = 0.8;
 
@@ -147,7 +151,8 @@
 
     /// An idle connection to the node that is not about to end.
     pub(super) fn idle_link(&mut self, node: NodeId) -> Option<ConnId> {
-        let conn = self.links.nodes.get_mut(&node)?.idle.pop()?;
+        let n = self.links.nodes.get_mut(&node)?;
+        let conn = n.idle.pop()?;
         let l = self.links.all.get_mut(&conn)?;
         l.used += 1;
         self.counts.used_again += 1;
@@ -165,23 +170,37 @@
 
     /// As many connections are being made as legs wait, within what descriptors allow.
     fn dial_node(&mut self, node: NodeId) {
-        while let Some(n) = self.links.nodes.get(&node).filter(|n| n.dialling < n.waiting.len()) {
-            let address = n.dial.clone();
+        while self.links.nodes.get(&node).is_some_and(|n| n.dialling < n.waiting.len()) {
             if self.links.len() >= self.links.most {
                 let Some(other) = self.links.idles_longest() else { return };
                 // Whoever waits takes the free place, perhaps this one: it is looked at anew.
                 self.close_link(other);
                 continue;
             }
-            let conn = self.conn();
-            let decoder = Decoder::answers(BOUNDS);
-            let (opened, idle) = (self.now, self.now);
-            self.links.all.insert(conn, Link { node, usage: Use::Dialling, opened, idle, used: 0, decoder });
-            self.links.nodes.entry(node).and_modify(|n| n.dialling += 1);
-            self.counts.opened += 1;
-            self.outputs.push(Output::Dial { conn, address });
-            self.due.set(self.now + self.reach.connect_time_out, Due::DialEnds(conn));
-            self.keep_looking();
+            self.open(node);
+        }
+    }
+
+    fn open(&mut self, node: NodeId) {
+        let Some(n) = self.links.nodes.get_mut(&node) else { return };
+        n.dialling += 1;
+        let address = n.dial.clone();
+        let conn = self.conn();
+        let decoder = Decoder::answers(BOUNDS);
+        let (opened, idle) = (self.now, self.now);
+        self.links.all.insert(conn, Link { node, usage: Use::Dialling, opened, idle, used: 0, decoder });
+        self.counts.opened += 1;
+        self.outputs.push(Output::Dial { conn, address });
+        self.due.set(self.now + self.reach.connect_time_out, Due::DialEnds(conn));
+        self.keep_looking();
+    }
+
+    /// A connection that broke is made again at once, where a place is free: that shows whether the process lives, while
+    /// it is still certain that none could have followed it, and the next leg takes it.
+    fn open_again(&mut self, node: NodeId) {
+        let lacks = |n: &Node| n.entry.standing == Standing::Ready && n.dialling == 0;
+        if self.links.len() < self.links.most && self.links.nodes.get(&node).is_some_and(lacks) {
+            self.open(node);
         }
     }
 
@@ -259,6 +278,9 @@
                     });
                 }
                 self.leg_over(key, if gone { Ending::Broken } else { Ending::Unreached }, None);
+                if gone {
+                    self.open_again(node);
+                }
             }
         }
         self.room_for_links(node);
@@ -346,21 +368,36 @@
     }
 
     /// The node lives. A break before that was no restart if the sign comes on a connection that stood before the break
-    /// and was not under way then, or so soon after the last sign before it that no restart fits between. Then the module
-    /// learns that its node is as old as the list says.
+    /// and was not under way then, or so soon after it, and it so soon after the last sign before, that none fits between.
     fn lives(&mut self, node: NodeId, opened: Instant, sent: Option<Instant>) {
         let now = self.now;
         let Some(n) = self.links.nodes.get_mut(&node) else { return };
         n.alive = Some(now);
         let stood = |b: Instant| opened < b && sent.is_some_and(|sent| sent > b || now - b >= AFTER_BREAK);
-        let close = |last: Option<Instant>| last.is_some_and(|last| now - last < RESTART);
-        if n.broke.is_some_and(|(b, last)| stood(b) || close(last)) && n.entry.standing == Standing::Ready {
-            n.broke = None;
-            self.counts.lives_on += 1;
-            self.events.push(Event::List { extent: Extent::Seen, entries: vec![n.entry.clone()] });
+        let close =
+            |b: Instant, last: Option<Instant>| now - b < RESTART && last.is_some_and(|l| b - l < RETURN);
+        if n.broke.is_some_and(|(b, last)| stood(b) || close(b, last)) {
+            self.lives_on(node);
         }
     }
 
+    /// The module learns that its node is as old as the list says.
+    fn lives_on(&mut self, node: NodeId) {
+        let Some(n) = self.links.nodes.get_mut(&node).filter(|n| n.entry.standing == Standing::Ready) else {
+            return;
+        };
+        n.broke = None;
+        self.counts.lives_on += 1;
+        self.events.push(Event::List { extent: Extent::Seen, entries: vec![n.entry.clone()] });
+    }
+
+    /// Discovery has told of every start before, and of none for these.
+    pub(super) fn told_of_starts(&mut self) {
+        let told = |n: &Node| n.broke.is_some_and(|(b, _)| self.now - b >= TOLD);
+        let old: Vec<_> = self.links.nodes.iter().filter(|(_, n)| told(n)).map(|(id, _)| *id).collect();
+        old.into_iter().for_each(|node| self.lives_on(node));
+    }
+
     pub(super) fn look_over_links(&mut self) {
         let age = self.reach.keep_alive.times(MARGIN);
         let old = self.links.all.iter().filter(|(_, l)| l.usage == Use::Idle && self.now - l.idle >= age);
--- a/crates/platform/src/core/list.rs
+++ b/crates/platform/src/core/list.rs
@@ -135,6 +135,7 @@
         if page.whole || !all.is_empty() {
             self.take_list(extent, all);
         }
+        self.told_of_starts();
         Ok(())
     }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -160,7 +160,7 @@
                 let (done, timed_out) = (ending == Ending::Done, ending == Ending::TimedOut);
                 let answered = done || matches!(ending, Ending::Failed | Ending::TurnedAway);
                 if ending == Ending::Broken {
-                    // The process died: whatever answers next has just started, list or no list.
+                    // The process died, no jam: the window stays. What answers next has just started.
                     self.entry.started = self.entry.started.max(Some(now));
                 } else if answered {
                     self.heard = now;
@@ -180,7 +180,7 @@
                     } else if self.out.len() + 1 >= self.window as usize {
                         self.window = (self.window + 1.0 / self.window).min(Self::CEILING);
                     }
-                } else if !matches!(ending, Ending::Unsent | Ending::Cancelled) {
+                } else if !matches!(ending, Ending::Unsent | Ending::Cancelled | Ending::Broken) {
                     self.halve(now);
                 }
             }
--- a/tests/decisions/symptoms.rs
+++ b/tests/decisions/symptoms.rs
@@ -128,3 +128,24 @@
         assert!(to_cold <= 1, "one lone leg of each host: {to_cold}");
     }
 }
+
+/// A broken connection is no sign of a jam: where the node says that it lives on, its window is what it was.
+#[test]
+fn breaks_leave_the_window() {
+    // how every third leg ends, and how many of ten go out together then
+    for (ending, some) in [(Ending::Broken, 4..=4), (Ending::Failed, 1..=3)] {
+        let mut h = Host::new(facts(), vec![node(1, 0)], at(1000));
+        for id in 0..12 {
+            h.tell(Event::Arrived(xfer(id, 2)));
+            h.pass(ms(60));
+            h.end(id, 0, 1, if id % 3 == 2 { ending } else { Ending::Done }, 60);
+            h.list(Extent::Seen, vec![node(1, 0)]);
+            h.pass(ms(300));
+        }
+        let before = h.order().len();
+        (100..110).for_each(|id| _ = h.tell(Event::Arrived(xfer(id, 2))));
+        h.pass(ms(1));
+        let together = h.order().len() - before;
+        assert!(some.contains(&together), "{ending:?}: {together}");
+    }
+}
