A host that leaves serves on until what it takes last can still be answered

The logs: a host closed its idle clients 0.5 s after SIGTERM and ended a moment later; it was back 3.0 s after SIGTERM whenever it ended (four restarts, all to 10 ms). Clients use the connections they have for as long as these are open. Ruled out: discovery (3 whole lists, none lost), nodes.

At fault: leave.rs, `STILL_COMING` and the announced ends from the first moment. Now it takes transfers, also on new connections, for as long as the last one has its SLO time before the platform ends the host (settings: longest expiry, at most 3 s, and 0.7 s). What is open 0.1 s before that is answered 500; before, it would have been lost.

--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -88,9 +88,8 @@
 struct Profile {
     name: String,
     effect: String,
-    /// Required by the wire; a transfer's own `ttl` is what decides.
-    #[serde(rename = "give-up")]
-    _give_up: f64,
+    /// A transfer's own expiry is what decides; this is the longest.
+    give_up: f64,
     objective: f64,
     #[serde(default)]
     group: String,
@@ -178,13 +177,17 @@
     pub keep_alive: Span,
     /// Of each stream type: does it write?
     pub writes: Vec<bool>,
+    /// The longest expiry, and the longest SLO time.
+    pub longest: (Span, Span),
     /// How many cells there are, numbered from 0; 0: not told.
     pub cells: i64,
 }
 
 impl Stated {
     pub fn reach(&self) -> Reach {
+        let longest = |of: fn(&Profile) -> f64| self.profiles.iter().map(of).fold(0.0, f64::max);
         Reach {
+            longest: (Span::from_millis(longest(|p| p.give_up)), Span::from_millis(longest(|p| p.objective))),
             connect_time_out: Span::from_millis(self.limits.connect_timeout),
             keep_alive: Span::from_millis(self.limits.keepalive),
             writes: self.family_info.writes.clone(),
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -177,7 +177,7 @@
         stays: bool,
         rest: impl FnOnce(Encoder) -> Bytes,
     ) {
-        let stays = stays && self.leaving == Leaving::No;
+        let stays = stays && self.leaving.takes();
         let now = self.now;
         let Some(c) = self.clients.all.get_mut(&conn).filter(|c| c.stage != Stage::Ending) else { return };
         let e = Encoder::answer(status, reason);
@@ -231,7 +231,7 @@
         let now = self.now;
         let reading = self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading);
         let (mut slow, mut idle) = (Vec::new(), Vec::new());
-        let leaving = !matches!(self.leaving, Leaving::No | Leaving::StillAccepting);
+        let leaving = !self.leaving.takes();
         for (id, c) in reading {
             let between = c.decoder.is_empty() && c.served > 0;
             if leaving && c.decoder.is_empty() {
--- a/crates/platform/src/core/transfers.rs
+++ b/crates/platform/src/core/transfers.rs
@@ -45,6 +45,9 @@
     pub(super) fn open(&self) -> usize {
         self.open
     }
+    pub(super) fn all_open(&self) -> Vec<TransferId> {
+        self.all.iter().filter(|(_, o)| o.client.is_some()).map(|(id, _)| *id).collect()
+    }
     /// In bytes.
     pub(super) fn held(&self) -> usize {
         self.held
