--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -11,8 +11,6 @@
 /// So long a connection may stand idle between messages: the least that the platform names. Who asks once and stays holds
 /// one of the connections that clients, too, have only so many of; to connect anew costs little.
 const IDLE: Span = Span::from_micros(2_000_000);
-/// So many of the places may idle, as a part of all, before those that idle longest are closed sooner.
-const MOST_IDLE: f64 = 0.25;
 /// A newcomer's first message may be this long in coming before it gives way to others.
 const COMING_LEAST: Span = Span::from_micros(300_000);
 /// What may wait unread behind an open transfer; then nothing more is read.
@@ -40,12 +38,6 @@
     closing: bool,
 }
 
-impl Client {
-    fn idles(&self) -> bool {
-        self.stage == Stage::Reading && self.served > 0 && self.decoder.is_empty()
-    }
-}
-
 #[derive(Debug)]
 pub(super) struct Clients {
     all: BTreeMap<ConnId, Client>,
@@ -69,15 +61,15 @@
         self.coming
     }
 
-    /// Who gives way to a newcomer: who ends anyway; then who never said anything, then who idles, always the longest first
-    /// and however short: usual clients speak at once and come back soon, and a crowd that is silent, or asks once and
-    /// stays, comes faster than any least age would let it go. A host may close a connection between messages; what
-    /// crosses that is sent once more. Last goes whose first message does not come to its end.
+    /// Who gives way to a newcomer: who ends anyway; then who never said anything, the oldest first and however young, since
+    /// usual clients speak at once and a silent crowd comes faster than any least age would let it go; then who idles
+    /// longest, though never under the 2 s that the platform's page of days leaves to it; then whose first message does
+    /// not come to its end. A crowd that asks once and stays can so hold all places for 2 s.
     fn gives_way(&self, now: Instant) -> Option<ConnId> {
         let rank = |c: &Client| match (&c.stage, c.served > 0, c.decoder.is_empty()) {
             (Stage::Ending, ..) => Some(0),
             (Stage::Reading, false, true) => Some(1),
-            (Stage::Reading, true, true) => Some(2),
+            (Stage::Reading, true, true) if now - c.since >= IDLE => Some(2),
             (Stage::Reading, false, false) if now - c.since >= COMING_LEAST => Some(3),
             _ => None,
         };
@@ -208,22 +200,11 @@
         }
         if stays {
             c.stage = Stage::Reading;
-            self.close_longest_idle();
         } else {
             self.finish_client(conn);
         }
     }
 
-    fn close_longest_idle(&mut self) {
-        let most = (self.clients.most as f64 * MOST_IDLE) as usize;
-        let idle = || self.clients.all.iter().filter(|(_, c)| c.idles() && !c.closing);
-        if idle().count() > most
-            && let Some(conn) = idle().min_by_key(|(_, c)| c.since).map(|(id, _)| *id)
-        {
-            self.close_quiet(conn);
-        }
-    }
-
     fn close_quiet(&mut self, conn: ConnId) {
         if let Some(c) = self.clients.all.get_mut(&conn).filter(|c| !c.closing) {
             c.closing = true;
