Lists, plans and settings that are put together otherwise end nothing and hide nothing

Cause: docs/assumptions.md, read out of the code: one entry with an unknown health word had the platform's host drop the whole list again and again, drains in it included (list::page), and ended the bench's adapter (wire::entry); a transfer of an unstated plan, or a deployment without plans, ended the adapter; nodes of two unknown zones passed for one group (Names::zone, rule 2); must-ask-in was not read; settings that contradict each other were served by.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Entry {
+    #[serde(default = "new_object")]
     group: i64,
     health: String,
     node: String,
@@ -53,8 +54,11 @@
         id: u64,
         quota_units: f64,
         ttl: f64,
+        #[serde(default)]
         grade: String,
+        #[serde(default)]
         profile: String,
+        #[serde(default)]
         store_user: String,
         #[serde(default = "new_object")]
         lies_in: i64,
@@ -154,7 +158,7 @@
                 return Ok(Some(Event::ListLost));
             }
             let page = pages.get(&table).ok_or_else(|| format!("unknown page {table}"))?;
-            let entries = page.iter().map(|n| entry(n, names)).collect::<Result<_, _>>()?;
+            let entries = page.iter().filter_map(|n| entry(n, names)).collect();
             let extent = match mode.as_str() {
                 "incr" => Extent::Changes,
                 "total" => Extent::Whole,
@@ -176,8 +180,9 @@
             ..
         } => Event::Arrived(Transfer {
             id: TransferId(id),
-            stream_type: names.stated.stream_type(&profile).map_err(|e| e.to_string())?,
-            plan: names.stated.plan(&grade).map_err(|e| e.to_string())?,
+            // What no settings state is answered by the module at once.
+            stream_type: names.stated.stream_type(&profile).unwrap_or(StreamTypeId(usize::MAX)),
+            plan: names.stated.plan(&grade).unwrap_or(PlanId(usize::MAX)),
             volume: VolumeId(hash(&store_user)),
             units: quota_units,
             cell: (lies_in >= 0).then_some(CellId(lies_in)),
@@ -214,10 +219,11 @@
     }))
 }
 
-fn entry(n: &Entry, names: &mut Names) -> Result<NodeEntry, String> {
+/// `None`: its health is a word that is not known, so what was known of it stays.
+fn entry(n: &Entry, names: &mut Names) -> Option<NodeEntry> {
     let node = NodeId(hash(&n.node));
     names.nodes.entry(node).or_insert_with(|| n.node.clone());
-    Ok(NodeEntry {
+    Some(NodeEntry {
         node,
         cell: CellId(n.group),
         zone: names.stated.zone(&n.region_part),
@@ -225,7 +231,7 @@
             "Ready" => Standing::Ready,
             "Terminating" => Standing::Draining,
             "Gone" => Standing::Gone,
-            other => return Err(format!("unknown health '{other}'")),
+            _ => return None,
         },
         started: (n.online_since > 0.0).then_some(Instant::from_millis(n.online_since)),
         pools: Vec::new(),
--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -1,9 +1,13 @@
 //! The operators' settings, as they stand in the bench's first message and in a host's configuration, made into
 //! [`Facts`] for the decisions. Both routes come through here, so both feed the module the same. Read [`facts`] for
-//! what becomes of the settings, [`Names`] for what stands behind the numbers.
+//! what becomes of the settings, [`Names`] for what stands behind the numbers, `sound` for settings that contradict
+//! each other. Keys that are not known are skipped.
+
+mod sound;
 
 use gullsail_interface::*;
 use serde::Deserialize;
+pub use sound::Contradiction;
 use std::hash::Hasher;
 
 /// The settings of one host, by the names that the operators state them under. Times in milliseconds.
@@ -22,7 +26,14 @@
     profiles: Vec<Profile>,
     rank: u32,
     rules: Rules,
+    /// The tiers' names, and which of them is this host's.
+    #[serde(default)]
+    stages: Vec<String>,
+    #[serde(default)]
+    tier: i64,
     tick: f64,
+    #[serde(default)]
+    zone: String,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
@@ -117,6 +128,8 @@
     free_resends: Option<f64>,
     extra_per_request: Option<f64>,
     look_back: Option<f64>,
+    /// Where the list is asked for: who does not ask for so long counts as told.
+    must_ask_in: Option<f64>,
 }
 
 /// Something that is stated in a word that is not known.
@@ -142,9 +155,14 @@
 }
 
 impl Names {
+    /// Where no plans are stated, any name is the one that has neither limit nor reserve.
+    ///
     /// # Errors
     /// No plan is called so.
     pub fn plan(&self, name: &str) -> Result<PlanId, Problem> {
+        if self.plans.is_empty() {
+            return Ok(PlanId(0));
+        }
         place(&self.plans, name).map(PlanId).ok_or_else(|| Problem::unknown("plan", name))
     }
     /// # Errors
@@ -152,9 +170,10 @@
     pub fn stream_type(&self, name: &str) -> Result<StreamTypeId, Problem> {
         place(&self.stream_types, name).map(StreamTypeId).ok_or_else(|| Problem::unknown("stream type", name))
     }
-    /// A zone that no settings name is none of theirs.
+    /// A zone that no settings name is none of theirs, and not that of another such name: nodes of two of them must not
+    /// be taken for one group that knows a keyed transfer's repeats.
     pub fn zone(&self, name: &str) -> ZoneId {
-        ZoneId(place(&self.zones, name).unwrap_or(usize::MAX))
+        ZoneId(place(&self.zones, name).unwrap_or_else(|| hash(name) as usize | 1 << (usize::BITS - 1)))
     }
 }
 
@@ -209,6 +228,8 @@
         weight: p.parts,
         price: p.value_factor,
     });
+    let free = Plan { limit: None, reserve: 0.0, usual: 0.0, weight: 1.0, price: 1.0 };
+    let plans = plans.chain(b.policies.is_empty().then_some(free));
     let leg_budget = match (b.rules.free_resends, b.rules.extra_per_request, b.rules.look_back) {
         (free, share, Some(window)) => Some(LegBudget {
             free: free.unwrap_or(0.0),
@@ -239,6 +260,7 @@
         longest_advice: b.limits.retry_after.then_some(Span::from_millis(b.limits.max_retry_after)),
         peers_talk: b.limits.peer_messages,
         list_asked: b.membership_mode == "ask",
+        ask_within: b.rules.must_ask_in.map(Span::from_millis),
         zone: None,
         crossings: Vec::new(),
         most_bytes: 0.0,
@@ -272,3 +294,17 @@
         in_order: p.serial_by_key,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Rule 2: nodes of zones that no settings name are not of one zone because of it.
+    #[test]
+    fn unknown_zones_are_no_zone_together() {
+        let names = Names { zones: vec!["a".into()], ..Names::default() };
+        let all = ["a", "x", "y", ""].map(|n| names.zone(n));
+        assert_eq!((all[0], names.zone("x")), (ZoneId(0), all[1]));
+        assert!(all.iter().enumerate().all(|(at, z)| !all[..at].contains(z)));
+    }
+}
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -258,6 +258,8 @@
     pub peers_talk: bool,
     /// The node list answers only when asked.
     pub list_asked: bool,
+    /// Then it is asked for again at the latest after this; else what it held counts as told.
+    pub ask_within: Option<Span>,
     /// Where this host is; `None`: zones count for nothing.
     pub zone: Option<ZoneId>,
     pub crossings: Vec<Crossing>,
--- a/crates/platform/src/core/ask.rs
+++ b/crates/platform/src/core/ask.rs
@@ -179,7 +179,8 @@
     }
     let trace_text = one(m, TRACE).ok_or(Refused::Trace)?;
     let trace = hex(trace_text).ok_or(Refused::Trace)?;
-    let plan_name = one(m, PLAN).and_then(text).ok_or(Refused::Plan)?;
+    let unnamed = names.plans.is_empty() && m.field(PLAN) == Found::None;
+    let plan_name = if unnamed { "" } else { one(m, PLAN).and_then(text).ok_or(Refused::Plan)? };
     let plan = names.plan(plan_name).map_err(|_| Refused::Plan)?;
     let ttl =
         one(m, EXPIRY).and_then(whole).filter(|ms| (1..=LONGEST).contains(ms)).ok_or(Refused::Expiry)?;
@@ -200,7 +201,7 @@
     let copy = Bytes::copy_from_slice;
     let mut fields =
         vec![("Host", copy(host)), (TRACE, copy(trace_text)), (STREAM_TYPE, copy(kind.as_bytes()))];
-    fields.push((PLAN, copy(plan_name.as_bytes())));
+    fields.extend((!unnamed).then(|| (PLAN, copy(plan_name.as_bytes()))));
     fields.extend([EXTENT, AGAIN].into_iter().filter_map(|n| Some((n, copy(one(m, n)?)))));
     fields.extend(key.map(|key| (KEY, copy(key))));
     let number = |digits: &[u8]| hash(text(digits).unwrap_or_default());
--- a/crates/platform/src/core/counts.rs
+++ b/crates/platform/src/core/counts.rs
@@ -36,6 +36,8 @@
     pub lists: u64,
     pub changes: u64,
     pub list_lost: u64,
+    /// Entries of the list that could not be read.
+    pub entries_skipped: u64,
     pub told: u64,
     pub heard: u64,
     pub foreign_datagrams: u64,
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -72,6 +72,10 @@
     pub(super) fn started(&self, node: NodeId) -> Option<Instant> {
         self.nodes.get(&node)?.entry.started
     }
+    /// As the list has it, and where to dial.
+    pub(super) fn listed(&self, node: NodeId) -> Option<(NodeEntry, String)> {
+        self.nodes.get(&node).map(|n| (n.entry.clone(), n.dial.clone()))
+    }
     pub(super) fn zone(&self, node: NodeId) -> ZoneId {
         self.nodes.get(&node).map_or(ZoneId::default(), |n| n.entry.zone)
     }
--- a/crates/platform/src/core/list.rs
+++ b/crates/platform/src/core/list.rs
@@ -2,7 +2,7 @@
 //! whole list anew. What cannot be read changes nothing.
 
 use super::*;
-use crate::document::{Entry, Page};
+use crate::document::{Entry, Item, Page};
 use gullsail_http::{Decoder, Encoder, Start};
 use tracing::warn;
 
@@ -116,9 +116,9 @@
         }
     }
 
-    /// Takes a page whole or not at all.
+    /// Takes a page; of its entries those that can be read.
     fn page(&mut self, page: Page) -> Result<(), String> {
-        let all = page.hosts.iter().map(|e| self.entry(e).map(|n| (n, e))).collect::<Result<Vec<_>, _>>()?;
+        let all = self.entries(&page);
         let extent = if page.whole { Extent::Whole } else { Extent::Changes };
         if !page.whole && self.list.seq.is_none() {
             return Err("changes came where the whole list was asked for".into());
@@ -133,7 +133,7 @@
         }
         self.ready = true;
         if page.whole || !all.is_empty() {
-            self.take_list(extent, all);
+            self.take_list(extent, &all);
         }
         self.told_of_starts();
         Ok(())
@@ -141,31 +141,52 @@
 
     /// What this host had when it last ran, perhaps long ago.
     pub(super) fn remember(&mut self, page: Page) {
-        match page.hosts.iter().map(|e| self.entry(e).map(|n| (n, e))).collect::<Result<Vec<_>, _>>() {
-            Ok(all) => self.take_list(Extent::Remembered, all),
-            Err(why) => warn!(why, "the remembered list cannot be read"),
+        let all = self.entries(&page);
+        self.take_list(Extent::Remembered, &all);
+    }
+
+    /// What can be read of a page, with where to dial. An entry that can't be changes nothing for its node: in a whole
+    /// list it stays as it is, since one word that nobody knows must not hide what the others say, drains above all.
+    fn entries(&mut self, page: &Page) -> Vec<(NodeEntry, String)> {
+        let mut all = Vec::with_capacity(page.hosts.len());
+        for item in &page.hosts {
+            let (name, read) = match item {
+                Item::Node(e) => (Some(e.host.as_str()), self.entry(e)),
+                Item::Other(v) => (v.get("host").and_then(|h| h.as_str()), None),
+            };
+            if let (Item::Node(e), Some(n)) = (item, read) {
+                all.push((n, e.dial.clone()));
+                continue;
+            }
+            if self.counts.entries_skipped == 0 {
+                warn!(node = name, "an entry of the list cannot be read and is skipped");
+            }
+            self.counts.entries_skipped += 1;
+            let known = name.and_then(|n| self.links.listed(NodeId(gullsail_facts::hash(n))));
+            all.extend(known.filter(|_| page.whole));
         }
+        all
     }
 
-    fn take_list(&mut self, extent: Extent, all: Vec<(NodeEntry, &Entry)>) {
+    fn take_list(&mut self, extent: Extent, all: &[(NodeEntry, String)]) {
         if extent != Extent::Changes {
             let missing = self.links.known().filter(|nd| all.iter().all(|(n, _)| n.node != *nd));
             let missing: Vec<_> = missing.collect();
             missing.into_iter().for_each(|node| self.unlisted(node));
         }
-        all.iter().for_each(|(n, e)| self.listed(n, &e.dial));
-        let entries = all.into_iter().map(|(n, _)| n).collect();
+        all.iter().for_each(|(n, dial)| self.listed(n, dial));
+        let entries = all.iter().map(|(n, _)| n.clone()).collect();
         self.events.push(Event::List { extent, entries });
     }
 
-    fn entry(&self, e: &Entry) -> Result<NodeEntry, String> {
+    fn entry(&self, e: &Entry) -> Option<NodeEntry> {
         let standing = match e.health.as_str() {
             "SERVING" => Standing::Ready,
             "DRAINING" => Standing::Draining,
             "DELETED" => Standing::Gone,
-            other => return Err(format!("unknown health '{}'", other.chars().take(40).collect::<String>())),
+            _ => return None,
         };
-        Ok(NodeEntry {
+        Some(NodeEntry {
             node: NodeId(gullsail_facts::hash(&e.host)),
             cell: CellId(e.block),
             zone: self.names.zone(&e.site),
--- a/crates/platform/src/document.rs
+++ b/crates/platform/src/document.rs
@@ -43,13 +43,21 @@
     pub born_ms: f64,
 }
 
+/// An entry that can be read, or anything else: that is skipped, and the rest of the page counts.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(untagged)]
+pub enum Item {
+    Node(Entry),
+    Other(serde_json::Value),
+}
+
 /// The list of nodes, or what changed in it.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Page {
     pub seq: u64,
     pub whole: bool,
     #[serde(default)]
-    pub hosts: Vec<Entry>,
+    pub hosts: Vec<Item>,
 }
 
 #[derive(Deserialize)]
@@ -96,13 +104,16 @@
             let text = NamedSource::new(file, text.to_string()).with_language("json");
             Box::new(Unsound { what, help: help.into(), text, place })
         };
-        let written: Written = serde_json::from_str(text).map_err(|e| {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let written: Written = serde_path_to_error::deserialize(&mut json).map_err(|e| {
             let help = "a JSON object with listen, discovery, limits and settings was meant";
-            unsound(
-                format!("{file}, line {}, column {}: {e}", e.line(), e.column()),
-                help,
-                Some(place(text, &e)),
-            )
+            let (at, e) = (e.path().to_string(), e.into_inner());
+            let place = Some(place(text, &e));
+            unsound(format!("{file}, line {}, column {}, at {at}: {e}", e.line(), e.column()), help, place)
+        })?;
+        json.end().map_err(|e| {
+            let what = format!("{file}, line {}, column {}: {e}", e.line(), e.column());
+            unsound(what, "one JSON object and nothing behind it was meant", Some(place(text, &e)))
         })?;
         let w = written;
         let (mut facts, names) = facts(&w.settings).map_err(|e| {
@@ -128,6 +139,10 @@
         if let Some((_, help)) = wrong.iter().find(|(wrong, _)| *wrong) {
             return Err(unsound(format!("{file}: {help}"), help, None));
         }
+        if let Some(c) = w.settings.contradictions().first() {
+            let what = format!("{file}, settings.{}: {}", c.place, c.meant);
+            return Err(unsound(what, "settings that agree with each other were meant", key(text, &c.place)));
+        }
         // Whatever its form, it only has to differ from start to start.
         let seed = u64::from_str_radix(&w.seed, 16).unwrap_or_else(|_| gullsail_facts::hash(&w.seed));
         Ok(Document {
@@ -151,3 +166,18 @@
     let at = lines.map(str::len).sum::<usize>() + e.column().saturating_sub(1);
     SourceSpan::from((at.min(text.len().saturating_sub(1)), 0))
 }
+
+/// Where the last key of a path such as `policies[1].limit` stands in the text, looked for step by step.
+fn key(text: &str, path: &str) -> Option<SourceSpan> {
+    let (mut at, mut length) = (text.find("\"settings\"")?, 0);
+    for step in path.split('.') {
+        let (name, nth) = step.split_once('[').unwrap_or((step, "]"));
+        let quoted = format!("\"{name}\"");
+        (at, length) = (at + text[at..].find(&quoted)?, quoted.len());
+        // An element of a list: so many opening braces further.
+        if let Ok(nth) = nth.trim_end_matches(']').parse::<usize>() {
+            at += text[at..].match_indices('{').nth(nth)?.0;
+        }
+    }
+    Some(SourceSpan::from((at, length)))
+}
