A transfer that lacks tokens is given up on only behind those no larger than it

Lines: starves counted every transfer before it as taking tokens first, but best sends whatever the level holds, so small ones go before large ones; and Volume::hope took a host that asks for its own part for one that lends nothing, though its bucket may be full. Change: only those no larger count, and only hosts that ask for the whole limit lend nothing. The test fails without the change.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -217,14 +217,26 @@
 fn without_a_sound_document_it_ends_with_code_2_and_says_why() {
     let dir = tempfile::tempdir().unwrap();
     let file = dir.path().join("config.json");
-    for (text, says) in [(None, "config.json"), (Some("{\"listen\":7}"), "line 1"), (Some("{}"), "listen")] {
+    let sound = document("127.0.0.1:1".parse().unwrap());
+    let below = sound.replace(r#""parts":1.0"#, r#""parts":1.0,"limit":-1.0"#);
+    let small = sound.replace(r#""parts":1.0"#, r#""parts":1.0,"limit":9.0,"limit-burst":5.0"#);
+    let cases = [
+        (None, "config.json"),
+        (Some("{\"listen\":7}"), "line 1"),
+        (Some("{}"), "listen"),
+        (Some(below.as_str()), "settings.policies[0].limit: a figure of 0 or more"),
+        (Some(small.as_str()), "settings.policies[0].limit-burst: room for one"),
+    ];
+    for (text, says) in cases {
         text.into_iter().for_each(|t| std::fs::write(&file, t).unwrap());
         let ended = Command::new(env!("CARGO_BIN_EXE_gullsail"))
             .arg("platform")
             .env("PROXY_CONFIG", &file)
             .output()
             .unwrap();
-        let said = String::from_utf8(ended.stderr).unwrap();
+        // As it was said, whatever the lines are broken into.
+        let said = String::from_utf8(ended.stderr).unwrap().replace('│', " ");
+        let said = said.split_whitespace().collect::<Vec<_>>().join(" ");
         assert_eq!(ended.status.code(), Some(2), "{said}");
         assert!(said.contains("config.json") && said.contains(says), "{said}");
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -511,15 +511,15 @@
         self.look_over(key, self.now, rng);
     }
 
-    /// Will all tokens that can come in its time go to what waits here for its volume and goes before it? It
-    /// would wait only to keep its client from asking again. Harms where those before it give up meanwhile.
+    /// Will all tokens that can come in its time go to what waits here for its volume and goes before it, as
+    /// it is no larger? It would wait only to keep its client away. Harms where those before it give up.
     fn starves(&mut self, id: TransferId) -> bool {
         let Some(x) = self.xfers.get(&id).filter(|x| x.legs == 0) else { return false };
         let Some(v) = self.volumes.get_mut(&x.t.volume) else { return false };
         let hope = v.hope(self.now, x.slo_end, &self.facts);
         let rank = |x: &Xfer| (self.facts.stream_types[x.t.stream_type.0].benefit, self.now - x.slo_end);
-        let before =
-            |o: &&Xfer| o.t.volume == x.t.volume && o.legs == 0 && o.line.is_some() && rank(o) >= rank(x);
+        let waits = |o: &Xfer| o.t.volume == x.t.volume && o.legs == 0 && o.line.is_some();
+        let before = |o: &&Xfer| waits(o) && o.t.units <= x.t.units && rank(o) >= rank(x);
         v.waiting > hope && self.xfers.values().filter(before).map(|o| o.t.units).sum::<f64>() > hope
     }
 
--- a/src/brain/volumes.rs
+++ b/src/brain/volumes.rs
@@ -64,12 +64,12 @@
     }
 
     /// The units that may be sent here until then: what its own part brings, and what other hosts could lend,
-    /// unless each of them said of late that it asks for its whole part itself.
+    /// unless each of them said of late that it asks for the whole limit itself.
     pub(super) fn hope(&mut self, now: Instant, until: Instant, facts: &Facts) -> f64 {
         let Some(limit) = self.limit(facts) else { return f64::INFINITY };
         self.refill(now, facts);
         let (rate, span) = (self.even(now, &limit).0, (until - now).secs().max(0.0));
-        let busy = |p: &&(Instant, f64)| now - p.0 < LAST && p.1 >= limit.rate / self.hosts;
+        let busy = |p: &&(Instant, f64)| now - p.0 < LAST && p.1 >= limit.rate;
         let alone = !facts.peers_talk || self.peers.values().filter(busy).count() as f64 + 1.0 >= self.hosts;
         self.level + if alone { rate * span } else { limit.burst + limit.rate * span }
     }
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -115,6 +115,31 @@
     }
 }
 
+/// What tokens can still reach waits: a small one goes before larger ones, and others may lend while they don't ask for
+/// the whole limit.
+#[test]
+fn what_tokens_can_reach_is_not_given_up() {
+    // hosts of the volume, what the other asks for in a second, units of the fifth; whether it is answered at once
+    let cases = [
+        (1, 0.0, 8.0, true),
+        (1, 0.0, 1.0, false),
+        (2, 39.0, 8.0, false),
+        (2, 40.0, 8.0, true),
+        (2, 40.0, 1.0, false),
+    ];
+    for (volume_hosts, asked, units, at_once) in cases {
+        let mut h = Host::new(facts(), vec![node(1, 0)], at(1000));
+        let t = Transfer { plan: PlanId(1), volume_hosts, units: 8.0, ..xfer(5, 0) };
+        for id in 1..=2 {
+            h.tell(Event::Arrived(Transfer { id: TransferId(id), ..t.clone() }));
+        }
+        let line = label::Line { volume: label::carried(t.volume), asked, want: 0.0, lent: 0.0 };
+        h.tell(Event::PeerSaid { from: HostId(1), bytes: label::pack(at(1000), &[line]) });
+        h.tell(Event::Arrived(Transfer { units, ..t }));
+        assert_eq!(h.answers(5).len(), usize::from(at_once), "{volume_hosts} {asked} {units}");
+    }
+}
+
 /// Rule 2: what may have run goes again only as its effect allows.
 #[test]
 fn no_effect_happens_twice() {
