--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -115,6 +115,22 @@
     }
 }
 
+/// A cell or a pool without a node waits for a successor while one may come, a minute, and no longer; one that never had a
+/// node waits for nothing.
+#[test]
+fn only_a_successor_that_may_come_is_waited_for() {
+    for cell in [Some(CellId(0)), None] {
+        for (listed, after, at_once) in
+            [(vec![], 10, true), (leaving(0), 10, false), (leaving(0), 61_000, true)]
+        {
+            let mut h = Host::new(facts(), listed, at(1000));
+            h.pass(ms(after));
+            h.tell(Event::Arrived(Transfer { cell, ..xfer(5, 0) }));
+            assert_eq!(h.answers(5).len(), usize::from(at_once), "{cell:?} after {after} ms");
+        }
+    }
+}
+
 /// What tokens can still reach waits: a small one goes before larger ones, and others may lend while they don't ask for
 /// the whole limit.
 #[test]
@@ -137,6 +153,14 @@
         h.tell(Event::PeerSaid { from: HostId(1), bytes: label::pack(at(1000), &[line]) });
         h.tell(Event::Arrived(Transfer { units, ..t }));
         assert_eq!(h.answers(5).len(), usize::from(at_once), "{volume_hosts} {asked} {units}");
+        // At least until the own part has brought what waits before it and its own units.
+        let least = Span::from_millis(16.0 / (40.0 / f64::from(volume_hosts)) * 1e3).min(ms(1000));
+        let told = |a: &(Instant, Action)| match a.1 {
+            Action::Defer { id: TransferId(5), come_back } => Some(come_back),
+            _ => None,
+        };
+        let advice = h.asked.iter().find_map(told).flatten();
+        assert!(!at_once || advice >= Some(least), "{volume_hosts} {asked} {units}: {advice:?}");
     }
 }
 
