A host that stood still answers and sends nothing late; faults between processes

Cause: a time to live is counted from when a frame is read, and a loop that was away does not know it. Lines at fault: Core::submit (the whole time to live from `now`), Core::answer (no look at the expiry), Link's writer (frames that waited behind the stop).

Change: the loop turns at least each 20 ms and takes a turn 60 ms late for a stop; for 10 ms it only hears, ages what it hears, and then decides; answers past their expiry are withheld; queued frames carry until when they are of use. The audit excuses a missing answer only while the host stood still, as the script recorded it, and counts a try as over when it was not taken or its client's patience ended (rule 5 saw later ones as overtaking it).

--- a/crates/audit/src/history.rs
+++ b/crates/audit/src/history.rs
@@ -251,11 +251,17 @@
         let lives = self.lives.get(name).map(Vec::as_slice).unwrap_or_default();
         let began =
             lives.iter().filter(|l| matches!(l.1, Life::Started { .. }) && l.0 <= at).map(|l| l.0).max();
-        let ended =
-            lives.iter().filter(|l| !matches!(l.1, Life::Started { .. }) && l.0 > at).map(|l| l.0).min();
+        let ended = lives.iter().filter(|l| l.1.is_end() && l.0 > at).map(|l| l.0).min();
         (began.unwrap_or(i64::MIN), ended.unwrap_or(i64::MAX))
     }
 
+    /// From when to when a process stood still, as the script has it.
+    pub fn pauses(&self, name: &str) -> Vec<(i64, i64)> {
+        let lives = self.lives.get(name).map(Vec::as_slice).unwrap_or_default();
+        let begun = lives.iter().enumerate().filter(|(_, l)| l.1 == Life::Paused);
+        begun.map(|(place, l)| (l.0, lives.get(place + 1).map_or(i64::MAX, |next| next.0))).collect()
+    }
+
     pub fn host_killed(&self, name: &str, after: i64, by: i64) -> bool {
         self.life(name, after).1 <= by
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -56,6 +56,9 @@
         /// Sets this host's clock ahead, or behind with a minus: for trials.
         #[arg(long, allow_hyphen_values = true, default_value = "0s")]
         clock_ahead: String,
+        /// Has this host's clock run faster by this part, or slower with a minus: for trials.
+        #[arg(long, allow_hyphen_values = true, default_value_t = 0.0)]
+        clock_drift: f64,
         /// Where the host's operator asks for its state and for reloads: a local socket, for this user only.
         #[arg(long)]
         control: Option<PathBuf>,
@@ -210,8 +213,9 @@
 async fn run(command: Command, logs: &logs::Logs) -> Result<ExitCode> {
     logs::outlive_full_files();
     match command {
-        Command::Host { file, name, seed, clock_ahead, control } => {
-            host(&file, &name, seed.unwrap_or_else(rand::random), &clock_ahead, control, logs).await
+        Command::Host { file, name, seed, clock_ahead, clock_drift, control } => {
+            let clock = (clock_ahead.as_str(), clock_drift);
+            host(&file, &name, seed.unwrap_or_else(rand::random), clock, control, logs).await
         }
         Command::Platform { file } => platform(file, logs).await,
         Command::Reload { control, insist, json } => documents::reload(&control, insist, json).await,
@@ -290,7 +294,7 @@
     file: &Path,
     name: &str,
     seed: u64,
-    clock_ahead: &str,
+    (clock_ahead, drift): (&str, f64),
     control: Option<PathBuf>,
     logs: &logs::Logs,
 ) -> Result<ExitCode> {
@@ -309,7 +313,7 @@
     });
     let control = control.transpose()?;
     let (listener, incarnation) = listen(&d.hosts[me.0 as usize].listen, name).await?;
-    let clock = HostClock::start(ahead(clock_ahead)?);
+    let clock = HostClock::start(ahead(clock_ahead)?).running(drift);
     info!(host = name, incarnation, "serving");
     let life = Life { deployment: Arc::new(d), me, seed, incarnation, clock };
     let counts = tokio::select! {
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -39,6 +39,11 @@
     day("host-crash");
 }
 
+#[test]
+fn the_stopped_host_day_passes() {
+    day("stopped-host");
+}
+
 #[test]
 fn the_reload_day_passes() {
     day("reload");
--- a/crates/day/src/built_in.rs
+++ b/crates/day/src/built_in.rs
@@ -13,7 +13,7 @@
 }
 
 days! {
-    "quiet" "bad-day" "host-crash" "burst" "release" "list-down" "give-up" "costly" "hot-volume" "mass-restart"
+    "quiet" "bad-day" "stopped-host" "host-crash" "burst" "release" "list-down" "give-up" "costly" "hot-volume" "mass-restart"
     "neighbour" "pauses" "lead-moves" "scan" "plan-surge" "ageing" "broken-links" "silent-links" "clocks" "reload" "zones-surge" "zones-drain" "zones-hard"
 }
 
--- a/crates/day/src/processes.rs
+++ b/crates/day/src/processes.rs
@@ -62,6 +62,16 @@
         Ok(Process { name: name.into(), listening, child })
     }
 
+    /// Stops it where it is, or has it go on.
+    ///
+    /// # Errors
+    /// It has ended.
+    pub fn signal(&self, signal: Signal) -> Result<(), RunError> {
+        let fail = |why: String| RunError::Process { name: self.name.clone(), why };
+        let id = self.child.id().ok_or_else(|| fail("it has ended by itself".into()))?;
+        kill(Pid::from_raw(id as i32), signal).map_err(|e| fail(e.to_string()))
+    }
+
     /// Outright, as a machine that loses its power.
     pub async fn kill(mut self) {
         // An error says that it has ended already.
@@ -76,6 +86,8 @@
         let fail = |why: String| RunError::Process { name: self.name.clone(), why };
         if let Some(id) = self.child.id() {
             kill(Pid::from_raw(id as i32), Signal::SIGTERM).map_err(|e| fail(e.to_string()))?;
+            // One that stands still hears it only when it goes on.
+            kill(Pid::from_raw(id as i32), Signal::SIGCONT).map_err(|e| fail(e.to_string()))?;
         }
         match tokio::time::timeout(wait, self.child.wait()).await {
             Ok(status) => status.map_err(|e| fail(e.to_string())),
--- /dev/null
+++ b/crates/day/src/run/documents.rs
@@ -0,0 +1,131 @@
+//! The documents of a day: resolved for its processes, changed by its script, given to hosts as their operators do it.
+
+use super::*;
+use gullsail_host::control::{Ask, Told, ask};
+use kdl::{KdlDocument, KdlEntry, KdlNode};
+
+/// The document with everybody's address: the relay's. Processes bind free ports of their own.
+pub(super) fn resolve(text: &str, addresses: &BTreeMap<String, String>, reloads: bool) -> String {
+    let Ok(mut document) = KdlDocument::parse_v2(text) else { return text.into() };
+    for n in document.nodes_mut() {
+        let name = match n.name().value() {
+            "host" | "node" => n.get(0).and_then(|v| v.as_string()).map(str::to_string),
+            "list" => Some("list".to_string()),
+            _ => None,
+        };
+        if let Some(address) = name.and_then(|name| addresses.get(&name)) {
+            for (key, value) in [("address", address.as_str()), ("listen", "127.0.0.1:0")] {
+                n.entries_mut().retain(|e| e.name().is_none_or(|k| k.value() != key));
+                n.push(KdlEntry::new_prop(key, value));
+            }
+        }
+    }
+    // Days number their documents themselves.
+    document.nodes_mut().retain(|n| !["day", "revision"].contains(&n.name().value()));
+    if reloads {
+        document.nodes_mut().push(revision(1, None));
+    }
+    document.to_string()
+}
+
+pub(super) fn revision(number: u64, after: Option<&str>) -> KdlNode {
+    let mut n = KdlNode::new("revision");
+    n.push(KdlEntry::new(i128::from(number)));
+    if let Some(after) = after {
+        n.push(KdlEntry::new_prop("after", after));
+    }
+    n
+}
+
+/// The document with other entries in the place of its own of their kinds and names, and the number after its own.
+pub(super) fn changed(text: &str, entries: &[String], number: u64) -> String {
+    let Ok(mut document) = KdlDocument::parse_v2(text) else { return text.into() };
+    for entry in entries.iter().filter_map(|e| KdlDocument::parse_v2(e).ok()).flat_map(|d| d.nodes().to_vec())
+    {
+        let same = |n: &KdlNode| n.name().value() == entry.name().value() && n.get(0) == entry.get(0);
+        match document.nodes_mut().iter_mut().find(|n| same(n)) {
+            Some(n) => {
+                // Where a process listens is not the script's to say.
+                let kept: Vec<_> =
+                    ["address", "listen"].iter().filter_map(|key| n.entry(*key).cloned()).collect();
+                *n = entry;
+                kept.into_iter().for_each(|e| n.push(e));
+            }
+            None => document.nodes_mut().push(entry),
+        }
+    }
+    numbered(&document.to_string(), number, Some(&format!("revision-{}.kdl", number - 1)))
+}
+
+/// The document with this revision in the place of its own.
+pub(super) fn numbered(text: &str, number: u64, after: Option<&str>) -> String {
+    let Ok(mut document) = KdlDocument::parse_v2(text) else { return text.into() };
+    document.nodes_mut().retain(|n| n.name().value() != "revision");
+    document.nodes_mut().push(revision(number, after));
+    document.to_string()
+}
+
+impl Day<'_> {
+    pub(super) fn note_document(&self, host: &str, revision: u64, text: Option<String>, serves: bool) {
+        self.wire.note(host, What::Document { revision, text, serves });
+    }
+
+    /// A host that starts serves by what is in its file.
+    pub(super) fn note_start(&self, host: &str) {
+        let file = self.stage.dir.join(format!("{host}.kdl"));
+        let text = std::fs::read_to_string(file).unwrap_or_default();
+        let document = KdlDocument::parse_v2(&text).unwrap_or_default();
+        let number = document.get("revision").and_then(|n| n.get(0)).and_then(|v| v.as_integer());
+        if let Some(revision) = number.and_then(|n| u64::try_from(n).ok()) {
+            self.note_document(host, revision, None, true);
+        }
+    }
+
+    /// As a host's operator does it: the new document into its file, then the question. What is not taken goes back.
+    pub(super) async fn reload(&mut self, host: &str, next: &Next) {
+        let file = self.stage.dir.join(format!("{host}.kdl"));
+        let before = std::fs::read_to_string(&file).unwrap_or_default();
+        if let Err(e) = std::fs::write(&file, &next.text) {
+            return self.faults.push(format!("{}: {e}", file.display()));
+        }
+        if self.places.get(host).is_none_or(|p| p.process.is_none()) {
+            self.say(format!("{host} is down: it finds revision {} when it is back", next.revision));
+            if next.expect != Expect::Taken {
+                _ = std::fs::write(&file, before);
+            }
+            return;
+        }
+        if next.expect == Expect::Taken {
+            // Alone, as the judge reads it.
+            let alone = numbered(&next.text, next.revision, None);
+            self.note_document(host, next.revision, Some(alone), false);
+        }
+        let told =
+            ask(&self.socket(host), Ask::Reload { insist: next.insist }, Duration::from_secs(20)).await;
+        let (got, say) = match told {
+            Ok(Told::Taken { revision, changes }) => {
+                self.note_document(host, revision, None, true);
+                (Some(Expect::Taken), format!("{} change(s) taken", changes.len()))
+            }
+            Ok(Told::TurnedDown { why }) => {
+                (Some(Expect::TurnedDown), format!("turned down: {}", why.join("; ")))
+            }
+            Ok(Told::Broken { problems }) => {
+                let first = problems.first().map(|p| format!("{}:{} {}", p.line, p.column, p.message));
+                (Some(Expect::Broken), format!("not sound: {}", first.unwrap_or_default()))
+            }
+            Ok(other) => (None, format!("{other:?}")),
+            Err(e) => (None, e.to_string()),
+        };
+        self.say(format!("{host}, revision {}: {say}", next.revision));
+        if got != Some(next.expect) {
+            self.faults.push(format!(
+                "{host}, revision {}: {:?} expected, got {got:?}: {say}",
+                next.revision, next.expect
+            ));
+        }
+        if got != Some(Expect::Taken) {
+            _ = std::fs::write(&file, before);
+        }
+    }
+}
--- /dev/null
+++ b/crates/day/src/run/started.rs
@@ -0,0 +1,180 @@
+//! What is started and stopped: nodes, the list, hosts; and what is said to them on connections of their own.
+
+use super::*;
+use gullsail_host::control::{Ask, Told, ask};
+use gullsail_links::{Happened, Link};
+use gullsail_protocol::{Bounds, Frame, Hello, Role};
+use tokio::net::TcpStream;
+
+impl Day<'_> {
+    pub(super) async fn start_all(&mut self, addresses: &BTreeMap<String, String>) -> Result<(), RunError> {
+        let nodes: Vec<_> = self.d.nodes.iter().filter(|n| !n.spare).cloned().collect();
+        for n in &nodes {
+            self.start_node(n, true).await?;
+        }
+        self.start("list", vec!["list".into()], Some(0)).await?;
+        // What the list knows from the start: who runs, and where.
+        let entries = nodes.iter().map(|n| self.entry(n, ListStanding::Ready, addresses)).collect();
+        self.order("list", Order { what: "set".into(), entries, ..Order::default() }).await;
+        // Some come only later.
+        let late = |name: &String| {
+            let troubles = &mut self.script.troubles.iter();
+            troubles.any(|t| matches!(&t.1, Trouble::StartHost { host } if host == name))
+        };
+        let hosts: Vec<_> = self.d.hosts.iter().map(|h| h.name.clone()).filter(|h| !late(h)).collect();
+        for host in hosts {
+            self.start_host(&host).await?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn start(
+        &mut self,
+        name: &str,
+        args: Vec<String>,
+        at: Option<i64>,
+    ) -> Result<(), RunError> {
+        let mut args = args;
+        let own = self.stage.dir.join(format!("{name}.kdl"));
+        let file = if own.exists() { own } else { self.document.clone() };
+        args.push(file.display().to_string());
+        let process = Process::start(&self.stage.program, name, &args, &self.stage.dir).await?;
+        let incarnation = process.listening.incarnation;
+        self.wire.process(name, at.unwrap_or(self.wire.now()), Life::Started { incarnation });
+        if let Some(place) = self.places.get_mut(name) {
+            place.target.send_replace(Some(process.listening.address.clone()));
+            (place.process, place.started, place.warm) = (Some(process), Instant::now(), at == Some(0));
+        }
+        Ok(())
+    }
+
+    pub(super) async fn start_node(&mut self, n: &NodePlace, warm: bool) -> Result<(), RunError> {
+        let mut args = vec!["node".into(), "--name".into(), n.place.name.clone()];
+        if warm {
+            args.extend(["--age".into(), "1h".into()]);
+        }
+        self.start(&n.place.name, args, warm.then_some(0)).await
+    }
+
+    pub(super) async fn start_host(&mut self, host: &str) -> Result<(), RunError> {
+        let program = if self.stage.baseline { "baseline" } else { "host" };
+        let mut args = vec![program.to_string(), "--name".into(), host.into()];
+        let life = self.happened.len() as u64;
+        args.extend(["--seed".into(), (self.stage.seed.wrapping_mul(31).wrapping_add(life)).to_string()]);
+        if let (false, Some((_, ahead))) =
+            (self.stage.baseline, self.script.clocks.iter().find(|c| c.0 == host))
+        {
+            args.extend(["--clock-ahead".into(), format!("{}us", ahead.micros())]);
+        }
+        if let (false, Some((_, drift))) =
+            (self.stage.baseline, self.script.drifts.iter().find(|c| c.0 == host))
+        {
+            args.extend(["--clock-drift".into(), drift.to_string()]);
+        }
+        if !self.stage.baseline {
+            args.extend(["--control".into(), self.socket(host).display().to_string()]);
+        }
+        self.start(host, args, None).await?;
+        self.note_start(host);
+        Ok(())
+    }
+
+    pub(super) fn entry(
+        &self,
+        n: &NodePlace,
+        standing: ListStanding,
+        addresses: &BTreeMap<String, String>,
+    ) -> ListEntry {
+        let place = self.places.get(&n.place.name);
+        let incarnation = place.and_then(|p| p.process.as_ref()).map_or(0, |p| p.listening.incarnation);
+        let age = place.map_or(0, |p| if p.warm { OLD_US } else { p.started.elapsed().as_micros() as i64 });
+        ListEntry {
+            name: n.place.name.clone(),
+            address: addresses.get(&n.place.name).cloned().unwrap_or_default(),
+            cell: n.cell.0,
+            zone: self.d.zones.get(n.place.zone.0).cloned().unwrap_or_default(),
+            standing: standing as i32,
+            age_us: age,
+            incarnation,
+            kind: n.kind.clone(),
+        }
+    }
+
+    /// To a stand-in, on a connection of its own.
+    pub(super) async fn order(&self, name: &str, order: Order) {
+        let address = self.places.get(name).and_then(|p| p.target.borrow().clone());
+        let Some(address) = address else { return };
+        let Ok(stream) = TcpStream::connect(&address).await else {
+            return warn!(process = name, "can't be given an order");
+        };
+        let (sink, mut inbox) = mpsc::channel(8);
+        let mut tasks = JoinSet::new();
+        let link = Link::open(stream, (), Bounds::DEFAULT, 8, &sink, &mut tasks);
+        let hello = Hello { role: Role::Client as i32, name: "script".into(), ..Hello::default() };
+        let bytes = Frame::from(hello.clone()).len() + Frame::from(order.clone()).len();
+        let (_, _) = (link.send(Frame::from(hello)), link.send(Frame::from(order)));
+        let written = async {
+            let mut left = bytes;
+            while let Some(((), happened)) = inbox.recv().await {
+                match happened {
+                    Happened::Written(n) => left = left.saturating_sub(n),
+                    Happened::Closed(_) => break,
+                    Happened::Frame(_) => {}
+                }
+                if left == 0 {
+                    break;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(Duration::from_secs(2), written).await;
+        drop(link);
+        while tasks.join_next().await.is_some() {}
+    }
+
+    pub(super) fn socket(&self, host: &str) -> PathBuf {
+        self.stage.dir.join(format!("{host}.sock"))
+    }
+
+    pub(super) async fn states(&self) -> Vec<State> {
+        let mut all = Vec::new();
+        for h in self.d.hosts.iter().filter(|_| !self.stage.baseline) {
+            let told = ask(&self.socket(&h.name), Ask::Status, Duration::from_secs(5)).await;
+            if let Ok(Told::Status(state)) = told {
+                all.push(*state);
+            }
+        }
+        all
+    }
+
+    /// As its operator does it; it must leave by itself.
+    pub(super) async fn stop_host(&mut self, host: &str) {
+        let longest = self.d.stream_types.iter().map(|s| s.expiry).max().unwrap_or_default();
+        let Some(process) = self.places.get_mut(host).and_then(|p| p.process.take()) else { return };
+        match process.stop(duration(longest) + Duration::from_secs(10)).await {
+            Ok(status) if status.success() => self.wire.process(host, self.wire.now(), Life::Ended),
+            Ok(status) => self.faults.push(format!("{host} ended with {status}")),
+            Err(e) => self.faults.push(e.to_string()),
+        }
+    }
+
+    /// Hosts are asked to stop and must leave by themselves; stand-ins are ended.
+    pub(super) async fn stop_all(&mut self) -> Vec<String> {
+        let longest = self.d.stream_types.iter().map(|s| s.expiry).max().unwrap_or_default();
+        let wait = duration(longest) + Duration::from_secs(10);
+        let mut faults = Vec::new();
+        let hosts: Vec<_> = self.d.hosts.iter().map(|h| h.name.clone()).collect();
+        for (name, place) in &mut self.places {
+            let Some(process) = place.process.take() else { continue };
+            if !hosts.contains(name) {
+                process.kill().await;
+                continue;
+            }
+            match process.stop(wait).await {
+                Ok(status) if status.success() => self.wire.process(name, self.wire.now(), Life::Ended),
+                Ok(status) => faults.push(format!("{name} ended with {status}")),
+                Err(e) => faults.push(e.to_string()),
+            }
+        }
+        faults
+    }
+}
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -3,7 +3,7 @@
 
 use super::clock::Learned;
 use super::*;
-use gullsail_protocol::{ClockTell, ListNews, Message};
+use gullsail_protocol::{ClockTell, ListNews};
 
 impl Core {
     pub(super) fn hear(&mut self, id: LinkId, frame: Frame) {
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -22,7 +22,7 @@
 use gullsail_configuration::Deployment;
 use gullsail_interface::*;
 use gullsail_limits::Turnover;
-use gullsail_protocol::{ClockAsk, Frame, Hello, Label, ListAsk, NotTaken, Role};
+use gullsail_protocol::{ClockAsk, Frame, Hello, Label, ListAsk, Message, NotTaken, Role};
 use gullsail_timing::Timers;
 use gullsail_zones::{Account, Breaches};
 use nodes::Nodes;
@@ -44,6 +44,8 @@
     Dialled(LinkId),
     DialFailed(LinkId, String),
     Frame(LinkId, Frame),
+    /// One that may have waited as long before it was read: the process stood still.
+    Waited(LinkId, Frame, Span),
     /// So many bytes that were sent are off our hands.
     Written(LinkId, usize),
     /// The link is over; nothing more comes of it.
@@ -61,9 +63,11 @@
         link: LinkId,
         address: String,
     },
+    /// Not after `until`: nobody waits for it then.
     Send {
         link: LinkId,
         frame: Frame,
+        until: Option<Instant>,
     },
     /// Writes what was sent, then ends it; also a connection that is still being made.
     Close {
@@ -112,6 +116,13 @@
     /// The longest that the loop was at work between two waits, and how often for more than ten milliseconds.
     pub longest_step_us: u64,
     pub long_steps: u64,
+    /// Times that the process stood still, and the longest of them.
+    pub stood_still: u64,
+    pub longest_still_us: u64,
+    /// Transfers whose time was shortened by what they may have waited meanwhile, and answers that were not given since
+    /// their client no longer waited.
+    pub aged: u64,
+    pub answers_withheld: u64,
     pub documents_taken: u64,
     pub documents_turned_down: u64,
     pub most_open: u64,
@@ -306,6 +317,17 @@
             Input::Dialled(link) => self.dialled(link),
             Input::DialFailed(link, why) => self.over(link, &why),
             Input::Frame(link, frame) => self.hear(link, frame),
+            Input::Waited(link, mut frame, waited) => {
+                // Its client has counted on since it sent this. What is left must hold two ticks, by which its last
+                // answer is given before the expiry: with less it is not taken, and nothing of it ran.
+                let least = self.deployment.figures().tick.times(2.0);
+                if let Message::Submit(s) = &mut frame.message {
+                    let left = Span::from_micros(s.ttl_us) - waited;
+                    s.ttl_us = if left > least { left.micros() } else { 0 };
+                    self.counts.aged += 1;
+                }
+                self.hear(link, frame);
+            }
             Input::Written(link, bytes) => self.written(link, bytes),
             Input::Closed(link, why) => self.over(link, &why),
             Input::Propose(p) => self.propose(*p),
@@ -352,6 +374,13 @@
         self.counts.long_steps += u64::from(us > 10_000);
     }
 
+    /// The loop around this was away for so long, and nobody asked for it.
+    pub fn stood_still(&mut self, span: Span) {
+        warn!(ms = span.millis(), "this process stood still");
+        self.counts.stood_still += 1;
+        self.counts.longest_still_us = self.counts.longest_still_us.max(span.micros().max(0) as u64);
+    }
+
     pub fn counts(&self) -> &Counts {
         &self.counts
     }
@@ -397,6 +426,10 @@
     }
 
     fn send(&mut self, to: LinkId, frame: Frame) {
+        self.send_by(to, frame, None);
+    }
+
+    fn send_by(&mut self, to: LinkId, frame: Frame, until: Option<Instant>) {
         self.frame_crosses(to, &frame, true);
         let Some(link) = self.links.get_mut(&to) else { return };
         if link.unsent == 0 {
@@ -404,7 +437,7 @@
         }
         link.unsent += frame.len();
         self.unsent += frame.len();
-        self.outputs.push(Output::Send { link: to, frame });
+        self.outputs.push(Output::Send { link: to, frame, until });
     }
 
     fn written(&mut self, id: LinkId, bytes: usize) {
--- a/crates/host/src/core/serve.rs
+++ b/crates/host/src/core/serve.rs
@@ -103,13 +103,19 @@
         body: bytes::Bytes,
     ) {
         let Some(open) = self.transfers.end(id) else { return };
+        // Guards rule 1 after the process stood still: its client has given up, and may have tried elsewhere. Where
+        // a transfer's answer is due exactly at its expiry it harms; answers are due two ticks before.
+        if self.now > open.expiry {
+            self.counts.answers_withheld += 1;
+            return;
+        }
         match outcome {
             Outcome::Done => self.counts.done += 1,
             Outcome::Deferred => self.counts.deferred += 1,
             _ => self.counts.abandoned += 1,
         }
         let answer = Answer { id: open.submit.id, outcome: outcome as i32, handle, come_back_us };
-        self.send(open.link, Frame::from(answer).with_body(body));
+        self.send_by(open.link, Frame::from(answer).with_body(body), Some(open.expiry));
         self.pressure(open.link);
     }
 
@@ -174,7 +180,7 @@
         }
         let zone = self.nodes.get(node).map_or(ZoneId::default(), |n| n.zone);
         self.leg_crosses(zone, transfer, number, frame.len());
-        self.send(link, frame);
+        self.send_by(link, frame, Some(ends));
         self.at(ends, Due::Leg(leg));
     }
 
--- a/crates/host/src/drive.rs
+++ b/crates/host/src/drive.rs
@@ -4,6 +4,7 @@
 use crate::control::{Control, State, ToLoop};
 use crate::core::changes::Reply;
 use crate::core::{Core, Counts, Input, LinkId, Output};
+use crate::still::Still;
 use gullsail_configuration::Deployment;
 use gullsail_interface::{HostId, Span};
 use gullsail_links::{Happened, Link, Room};
@@ -86,13 +87,22 @@
     let control = control.map(|control| tasks.spawn(control.serve(to_loop)));
     tokio::pin!(stop);
     let mut woke = tokio::time::Instant::now();
+    let mut still = Still::new(woke);
     loop {
-        core.advance(clock.now());
+        if let Some(span) = still.look(tokio::time::Instant::now(), inbox.is_empty()) {
+            core.stood_still(micros(span));
+        }
+        // What came in meanwhile is heard before anything is decided on what is known from before.
+        if !still.settling() {
+            core.advance(clock.now());
+        }
         let mut full = Vec::new();
-        for output in core.outputs() {
+        let outputs = if still.settling() { None } else { Some(core.outputs()) };
+        for output in outputs.into_iter().flatten() {
             match output {
-                Output::Send { link, frame } => {
-                    if links.get(&link).is_some_and(|l| l.send(frame).is_err()) {
+                Output::Send { link, frame, until } => {
+                    let until = until.map(|until| clock.at(until));
+                    if links.get(&link).is_some_and(|l| l.send_by(frame, until).is_err()) {
                         full.push(link);
                     }
                 }
@@ -132,8 +142,8 @@
             }
             continue;
         }
-        core.worked(Span::from_micros(woke.elapsed().as_micros() as i64));
-        let wake = core.next_timer().map(|at| clock.at(at));
+        core.worked(micros(woke.elapsed()));
+        let wake = still.wake(core.next_timer().map(|at| clock.at(at)));
         tokio::select! {
             () = &mut stop, if listener.is_some() => {
                 woke = tokio::time::Instant::now();
@@ -178,12 +188,19 @@
             }
             _ = inbox.recv_many(&mut batch, BATCH) => {
                 woke = tokio::time::Instant::now();
+                if let Some(span) = still.look(woke, false) {
+                    core.stood_still(micros(span));
+                }
                 let now = clock.now();
+                let waited = still.waited(woke).map(micros);
                 for (id, happened) in batch.drain(..) {
                     let input = match happened {
                         Happened::Frame(frame) => {
                             room.give_back(frame.len());
-                            Input::Frame(id, frame)
+                            match waited {
+                                Some(waited) => Input::Waited(id, frame, waited),
+                                None => Input::Frame(id, frame),
+                            }
                         }
                         Happened::Written(bytes) => Input::Written(id, bytes),
                         Happened::Closed(why) => {
@@ -209,7 +226,7 @@
                     }
                 }
             }
-            () = sleep_until(wake) => woke = tokio::time::Instant::now(),
+            () = tokio::time::sleep_until(wake) => woke = tokio::time::Instant::now(),
             _ = tasks.join_next(), if !tasks.is_empty() => woke = tokio::time::Instant::now(),
         }
     }
@@ -248,11 +265,8 @@
     }
 }
 
-async fn sleep_until(wake: Option<tokio::time::Instant>) {
-    match wake {
-        Some(at) => tokio::time::sleep_until(at).await,
-        None => std::future::pending().await,
-    }
+fn micros(span: Duration) -> Span {
+    Span::from_micros(i64::try_from(span.as_micros()).unwrap_or(i64::MAX))
 }
 
 /// Lets each link write what it still holds, for a bounded time, then ends all that is left.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod control;
 pub mod core;
 pub mod drive;
+mod still;
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -13,7 +13,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// How long a link that was dropped may go on writing what it holds.
 pub const LINGER: Duration = Duration::from_millis(500);
@@ -84,7 +84,7 @@
 #[derive(Debug)]
 pub struct Link {
     /// `None`: nothing more is written, while reading goes on.
-    frames: Option<mpsc::Sender<Frame>>,
+    frames: Option<mpsc::Sender<(Frame, Option<Instant>)>>,
     reading: watch::Sender<bool>,
 }
 
@@ -143,7 +143,16 @@
     /// # Errors
     /// [`Full`]: the frame is not queued.
     pub fn send(&self, frame: Frame) -> Result<(), Full> {
-        self.frames.as_ref().ok_or(Full)?.try_send(frame).map_err(|_| Full)
+        self.send_by(frame, None)
+    }
+
+    /// Queues a frame that is of no use to anybody after `until`: it is not written then, as when this process or the
+    /// other side stood still.
+    ///
+    /// # Errors
+    /// [`Full`]: the frame is not queued.
+    pub fn send_by(&self, frame: Frame, until: Option<Instant>) -> Result<(), Full> {
+        self.frames.as_ref().ok_or(Full)?.try_send((frame, until)).map_err(|_| Full)
     }
 
     /// Writes what is queued and then ends this direction alone; reading goes on.
@@ -223,15 +232,19 @@
 async fn write<K: Copy>(
     mut to: OwnedWriteHalf,
     key: K,
-    mut queued: mpsc::Receiver<Frame>,
+    mut queued: mpsc::Receiver<(Frame, Option<Instant>)>,
     mut gone: watch::Receiver<bool>,
     sink: &Sink<K>,
 ) -> io::Result<()> {
     let mut gathered = BytesMut::with_capacity(GATHER);
     while let Some(first) = queued.recv().await {
         let (mut next, mut bytes) = (Some(first), 0);
-        while let Some(frame) = next {
+        while let Some((frame, until)) = next {
             bytes += frame.len();
+            if until.is_some_and(|until| Instant::now() > until) {
+                next = queued.try_recv().ok();
+                continue;
+            }
             frame.head(&mut gathered);
             if frame.body.len() <= GATHER / 4 {
                 gathered.extend_from_slice(&frame.body);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -121,6 +121,7 @@
     31 ClockAsk;
     32 ClockTell;
     33 Reached;
+    34 FleetNote;
     40 ListAsk;
     41 ListNews;
     42 ListRefused;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -235,6 +235,93 @@
     pub hosts: Vec<u8>,
 }
 
+/// What a note of the fleet is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration, Serialize, Deserialize)]
+#[repr(i32)]
+pub enum FleetWhat {
+    Unknown = 0,
+    /// To a voter: promise this ballot. Back: promised, with the lease that is live there, if one is.
+    Prepare = 1,
+    Promise = 2,
+    /// To a voter: the lease on deciding, by this ballot. Back: it is given.
+    Propose = 3,
+    Accept = 4,
+    /// From a voter: a later ballot is promised.
+    Refuse = 5,
+    /// To a voter: the lease is handed back before its end.
+    Release = 6,
+    /// From the coordinator to all: say what you hold.
+    Ask = 7,
+    /// From a member: what it holds and asks. Back: what it may use.
+    Renew = 8,
+    Grant = 9,
+    /// From a member: it holds nothing any more and goes. Back: heard.
+    Leave = 10,
+    Left = 11,
+    /// To a process whose name another one holds.
+    Fence = 12,
+}
+
+/// What somebody may use of a budget, or asks of it.
+#[derive(Clone, Copy, PartialEq, Message, Serialize, Deserialize)]
+pub struct FleetPart {
+    #[prost(fixed64, tag = "1")]
+    pub budget: u64,
+    /// In millionths of the whole.
+    #[prost(uint32, tag = "2")]
+    pub share: u32,
+    /// In the budget's own measure, a second.
+    #[prost(float, tag = "3")]
+    pub asked: f32,
+}
+
+#[derive(Clone, Copy, PartialEq, Message, Serialize, Deserialize)]
+pub struct FleetMember {
+    #[prost(uint32, tag = "1")]
+    pub host: u32,
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+    #[prost(uint32, tag = "3")]
+    pub standing: u32,
+}
+
+/// From host to host, of who belongs to the fleet and what each may use; what it means is told in `crates/fleet`.
+#[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
+pub struct FleetNote {
+    /// Which fleet, and which version of its rules.
+    #[prost(fixed64, tag = "1")]
+    pub fleet: u64,
+    #[prost(uint32, tag = "2")]
+    pub rules: u32,
+    #[prost(enumeration = "FleetWhat", tag = "3")]
+    pub what: i32,
+    /// Who wrote it and for whom, by number and incarnation (0: any): a third host may have passed it on.
+    #[prost(uint32, tag = "4")]
+    pub from: u32,
+    #[prost(fixed64, tag = "5")]
+    pub from_life: u64,
+    #[prost(uint32, tag = "6")]
+    pub to: u32,
+    #[prost(fixed64, tag = "7")]
+    pub to_life: u64,
+    #[prost(uint64, tag = "8")]
+    pub round: u64,
+    #[prost(uint32, tag = "9")]
+    pub by: u32,
+    #[prost(uint64, tag = "10")]
+    pub epoch: u64,
+    /// Of a question, and of the reply to it.
+    #[prost(uint64, tag = "11")]
+    pub number: u64,
+    /// Of a grant: the coordinator counts them; of a renewal: the one that is held by.
+    #[prost(uint64, tag = "12")]
+    pub serial: u64,
+    #[prost(message, repeated, tag = "13")]
+    pub parts: Vec<FleetPart>,
+    #[prost(message, repeated, tag = "14")]
+    pub members: Vec<FleetMember>,
+}
+
 /// Asks for the whole node list, and with `watch` for all changes from then on.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
 pub struct ListAsk {
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -60,7 +60,18 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Life {
-    Started { incarnation: u64 },
+    Started {
+        incarnation: u64,
+    },
     Killed,
     Ended,
+    /// It stands still, and goes on as it was.
+    Paused,
+    Resumed,
+}
+
+impl Life {
+    pub fn is_end(self) -> bool {
+        matches!(self, Life::Killed | Life::Ended)
+    }
 }
--- a/crates/timing/src/clock.rs
+++ b/crates/timing/src/clock.rs
@@ -9,6 +9,8 @@
 pub struct HostClock {
     base: tokio::time::Instant,
     wall: Instant,
+    /// How fast it runs, beside the machine's.
+    rate: f64,
 }
 
 impl HostClock {
@@ -16,15 +18,20 @@
     pub fn start(ahead: Span) -> HostClock {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let wall = Instant::from_micros(wall.as_micros() as i64) + ahead;
-        HostClock { base: tokio::time::Instant::now(), wall }
+        HostClock { base: tokio::time::Instant::now(), wall, rate: 1.0 }
+    }
+
+    /// For tests of hosts whose clocks run unevenly: faster by this part, or slower where it is negative.
+    pub fn running(self, faster: f64) -> HostClock {
+        HostClock { rate: 1.0 + faster.clamp(-0.5, 0.5), ..self }
     }
 
     pub fn now(&self) -> Instant {
-        self.wall + Span::from_micros(self.base.elapsed().as_micros() as i64)
+        self.wall + Span::from_micros((self.base.elapsed().as_micros() as f64 * self.rate) as i64)
     }
 
     /// The same point on the timer's clock.
     pub fn at(&self, at: Instant) -> tokio::time::Instant {
-        self.base + Duration::from_micros((at - self.wall).micros().max(0) as u64)
+        self.base + Duration::from_micros(((at - self.wall).micros().max(0) as f64 / self.rate) as u64)
     }
 }
