--- a/crates/audit/src/history.rs
+++ b/crates/audit/src/history.rs
@@ -2,7 +2,7 @@
 
 use gullsail_configuration::Deployment;
 use gullsail_protocol::record::{Entry, Fate, Life, What};
-use gullsail_protocol::{Answer, Frame, Leg, LegResult, ListEntry, ListStanding, Message, Submit};
+use gullsail_protocol::{Answer, FleetWhat, Frame, Leg, LegResult, ListEntry, ListStanding, Message, Submit};
 use std::collections::BTreeMap;
 
 #[derive(Debug, thiserror::Error)]
@@ -64,6 +64,8 @@
 
 #[derive(Debug, Default)]
 pub struct History {
+    /// The document's, by their numbers.
+    hosts: Vec<String>,
     pub taken: Vec<Taken>,
     pub legs: Vec<LegSeen>,
     /// By host and node, in order of time.
@@ -78,9 +80,30 @@
     pub moved: Vec<(i64, String, String, usize)>,
     /// Bytes past budgets, by budget, as hosts said at the end.
     pub past: BTreeMap<String, u64>,
+    /// What hosts wrote down of what they may use, by host, in order of time.
+    pub parts: BTreeMap<String, Vec<Parts>>,
+    /// Grants of coordinators, as they left their hosts, in order of time.
+    pub grants: Vec<Grant>,
     pub end: i64,
 }
 
+/// What a host may use of budgets from then on, in millionths; its lease lasts so long, or it has none.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    pub at: i64,
+    pub line: usize,
+    pub lasts_us: i64,
+    pub parts: BTreeMap<String, u32>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Grant {
+    pub at: i64,
+    pub line: usize,
+    pub by: String,
+    pub ballot: (u64, u32),
+}
+
 /// A host is asked to serve by a document, or does now.
 #[derive(Clone, Copy, Debug)]
 pub struct Follows {
@@ -92,7 +115,7 @@
 impl History {
     /// # Errors
     /// The first line that can't be read.
-    pub fn read(recording: &str) -> Result<History, Fault> {
+    pub fn read(d: &Deployment, recording: &str) -> Result<History, Fault> {
         let mut entries = Vec::new();
         for (line, text) in recording.lines().enumerate() {
             let entry: Entry =
@@ -101,7 +124,8 @@
         }
         // Links write as they pass on; what a host was given first comes first.
         entries.sort_by_key(|(line, e)| (e.out, *line));
-        let mut h = History::default();
+        let hosts = d.hosts.iter().map(|p| p.name.clone()).collect();
+        let mut h = History { hosts, ..History::default() };
         let mut tries: BTreeMap<(u64, u64), usize> = BTreeMap::new();
         let mut legs: BTreeMap<(u64, u64), usize> = BTreeMap::new();
         let mut lists: BTreeMap<u64, (String, Vec<ListEntry>)> = BTreeMap::new();
@@ -129,11 +153,16 @@
                     let follows = Follows { at: e.at, revision, serves };
                     h.follows.entry(e.to).or_default().push(follows);
                 }
+                What::Parts { lasts_us, parts, .. } => {
+                    let parts = Parts { at: e.at, line, lasts_us, parts };
+                    h.parts.entry(e.to).or_default().push(parts);
+                }
                 What::Process { life } => h.lives.entry(e.to).or_default().push((e.at, life)),
                 _ => {}
             }
         }
         h.join();
+        h.grants.sort_by_key(|g| (g.at, g.line));
         Ok(h)
     }
 
@@ -199,6 +228,13 @@
                     _ => {}
                 }
             }
+            // Passed on by a third host it says nothing of when it left its own.
+            Message::FleetNote(n)
+                if n.what() == FleetWhat::Grant && self.hosts.get(n.from as usize) == Some(&from) =>
+            {
+                let ballot = (n.round, n.by);
+                self.grants.push(Grant { at, line, by: from, ballot });
+            }
             Message::ListNews(news) => {
                 // The list speaks to the host that asked.
                 let (host, known) = lists.entry(link).or_insert_with(|| (to, Vec::new()));
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! [`History`] puts the recording in order by who and what; each rule is a function of it in [`rules`].
 
+mod fleet;
 mod history;
 mod rules;
 
@@ -48,7 +49,7 @@
 /// # Errors
 /// A line that is no entry.
 pub fn judge(d: &Deployment, recording: &str) -> Result<Vec<Verdict>, Fault> {
-    let h = History::read(recording)?;
+    let h = History::read(d, recording)?;
     let mut verdicts = vec![
         rules::answered(d, &h),
         rules::once(d, &h),
@@ -61,6 +62,9 @@
     if !d.crossings.is_empty() {
         verdicts.push(rules::crossings(d, &h));
     }
+    if d.fleet.is_some() {
+        verdicts.extend([fleet::parts(d, &h), fleet::deciding(d, &h)]);
+    }
     Ok(verdicts)
 }
 
@@ -92,7 +96,7 @@
 /// # Errors
 /// A line that is no entry.
 pub fn crossed(d: &Deployment, recording: &str) -> Result<BTreeMap<(String, String, String), u64>, Fault> {
-    let h = History::read(recording)?;
+    let h = History::read(d, recording)?;
     let zone = |name: &str| {
         let host = d.hosts.iter().find(|p| p.name == name);
         let place = host.or_else(|| d.node(name).map(|n| &n.place))?;
--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -309,7 +309,7 @@
             Some((_, life)) => !life.is_end(),
             None => true,
         };
-        let (mut sure, mut may) = (u64::MAX, u64::MAX);
+        let (mut sure, mut may, mut last) = (u64::MAX, u64::MAX, 0);
         for p in d.hosts.iter().filter(|p| runs(&p.name)) {
             let follows = h.follows.get(&p.name).map(Vec::as_slice).unwrap_or_default();
             // One that starts reads what its file holds, which may be what it was asked for while it was down.
@@ -318,8 +318,11 @@
                     |f: &&Follows| f.serves == serves && f.at + if serves { LET_GO } else { 0 } <= point;
                 follows.iter().filter(until).map(|f| f.revision).max().unwrap_or(first)
             };
-            (sure, may) = (sure.min(newest(true)), may.min(newest(false).max(newest(true))));
+            let (serves, asked) = (newest(true), newest(false).max(newest(true)));
+            (sure, may, last) = (sure.min(serves), may.min(asked), last.max(asked));
         }
+        // One that a fleet has put out may hold to an older document than all others, and uses its floor by it.
+        let may = if d.fleet.is_some() { last } else { may };
         let range = h.documents.range(sure.min(may)..=may).map(|(_, d)| of(d));
         let all: Vec<Allowed> = range.chain((sure == first).then(|| of(document(first)))).collect();
         let all: Vec<Allowed> = if all.is_empty() { vec![of(d)] } else { all };
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -408,3 +408,64 @@
         assert_eq!((v.kept(), v.tested > 0), (!broken, true), "{legs} {told}: {v:?}");
     }
 }
+
+/// What hosts wrote down of their parts, and grants on the wire. Both new rules find what is planted, and nothing else.
+#[test]
+fn parts_past_the_whole_and_two_coordinators_are_found() {
+    let text = DOCUMENT.to_string() + "fleet \"f\" lease=\"1s\" drift=0.01 voters=1 floor=0.2\n";
+    let d = parse("planted.kdl", &text).unwrap();
+    // what h1 and h2 write, as (host, ms, lease in ms or -1, share); when h1 is killed; whether it is broken
+    type Wrote = (&'static str, i64, i64, u32);
+    let cases: [(&[Wrote], Option<i64>, bool); 7] = [
+        (&[("h1", 0, -1, 100_000), ("h2", 0, 1000, 900_000)], None, false),
+        (&[("h1", 0, -1, 100_001), ("h2", 0, 1000, 900_000)], None, true),
+        // The lease is over, by the slowest clock, before the other's part begins; or not.
+        (&[("h1", 0, 1000, 800_000), ("h2", 1011, 1000, 900_000)], None, false),
+        (&[("h1", 0, 1000, 800_000), ("h2", 1009, 1000, 900_000)], None, true),
+        // Let go of before, or killed before.
+        (&[("h1", 0, 1000, 800_000), ("h1", 500, 1000, 100_000), ("h2", 501, 1000, 900_000)], None, false),
+        (&[("h1", 0, 1000, 800_000), ("h2", 501, 1000, 900_000)], Some(500), false),
+        (&[("h1", 0, 1000, 800_000), ("h2", 499, 1000, 900_000)], Some(500), true),
+    ];
+    for (wrote, killed, broken) in cases {
+        let mut r = Recording::new();
+        for (host, at, lasts, share) in wrote {
+            let lasts_us = if *lasts < 0 { -1 } else { lasts * MS };
+            let parts = [("w".to_string(), *share)].into();
+            r.put(*at, 0, "script", host, What::Parts { life: 1, epoch: 1, lasts_us, parts });
+        }
+        killed.into_iter().for_each(|at| r.process("h1", at, Life::Killed));
+        assert_eq!(broken_rules(&d, &r), if broken { vec![9] } else { vec![] }, "{wrote:?}");
+    }
+    // grants as (by, round, ms); a host that stood still until then
+    type Grants = &'static [(u32, u64, i64)];
+    let cases: [(Grants, Option<i64>, bool); 5] = [
+        (&[(0, 5, 0), (0, 5, 100), (1, 6, 1200), (1, 6, 1400)], None, false),
+        (&[(0, 5, 0), (1, 6, 1200), (0, 5, 1300)], None, true),
+        // Written before, and a little late at the relay; or after it stood still.
+        (&[(0, 5, 0), (1, 6, 1200), (0, 5, 1210)], None, false),
+        (&[(0, 5, 0), (1, 6, 1200), (0, 5, 1300)], Some(1295), false),
+        // The same one, by a later ballot and a note of the earlier.
+        (&[(0, 5, 0), (0, 7, 1200), (0, 5, 1300)], None, false),
+    ];
+    for (grants, still, broken) in cases {
+        let mut r = Recording::new();
+        if let Some(until) = still {
+            r.process("h1", 1, Life::Paused);
+            r.process("h1", until, Life::Resumed);
+        }
+        for (by, round, at) in grants {
+            let names = ["h1", "h2"];
+            let what = FleetWhat::Grant as i32;
+            let note =
+                FleetNote { what, from: *by, to: 1 - by, round: *round, by: *by, ..FleetNote::default() };
+            r.frame(*at, 9, names[*by as usize], names[1 - *by as usize], Message::FleetNote(note));
+        }
+        assert_eq!(broken_rules(&d, &r), if broken { vec![10] } else { vec![] }, "{grants:?}");
+    }
+}
+
+fn broken_rules(d: &Deployment, r: &Recording) -> Vec<u8> {
+    let verdicts = judge(d, &r.lines.join("\n")).unwrap();
+    verdicts.iter().filter(|v| !v.kept()).map(|v| v.rule).collect()
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,12 +2,13 @@
 //! process could not go on; 2: the arguments or a document are wrong.
 
 mod documents;
+mod fleet;
 mod logs;
 mod whole;
 mod zones;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use gullsail_configuration::HostBounds;
+use gullsail_configuration::{HostBounds, Memory};
 use gullsail_day::processes::Listening;
 use gullsail_host::control::Control;
 use gullsail_host::drive::{self, HostClock, Life};
@@ -119,6 +120,9 @@
         #[arg(long)]
         baseline: bool,
     },
+    /// What hosts settle among themselves.
+    #[command(subcommand)]
+    Fleet(Fleet),
     /// Traffic between zones.
     #[command(subcommand)]
     Zones(Zones),
@@ -161,6 +165,18 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Fleet {
+    /// Epoch, coordinator, members with standing and reason, parts of budgets, as one host sees them; sums by the
+    /// coordinator. Exit code 1: that host knows of no coordinator.
+    Status {
+        /// The host's control socket.
+        control: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(Subcommand)]
 enum Zones {
     /// Where volumes' new objects should go, zone by zone, to keep reserves and cost least. Exit code 1: nothing
@@ -235,6 +251,7 @@
         Command::Day { day, seed, record, json, baseline, .. } => {
             play(&day.unwrap_or_default(), seed, record, json, baseline).await
         }
+        Command::Fleet(Fleet::Status { control, json }) => fleet::status(&control, json).await,
         Command::Zones(Zones::Plan { file, price, out }) => zones::plan(&file, price, out),
         Command::Zones(Zones::Report { sources, price, json, csv }) => {
             zones::report(&sources, price, json, csv).await
@@ -403,8 +420,8 @@
     };
     let (text, d, script) = match built_in {
         Some(text) => {
-            let (d, script) = gullsail_day::script::read(day, &text)?;
-            (text, d, script)
+            let files = Memory([(day.to_string(), text)].into());
+            gullsail_day::script::load(&files, day)?
         }
         None if Path::new(day).exists() => {
             let (files, name) = documents::files(Path::new(day))?;
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -24,8 +24,9 @@
     assert!(again.status.success(), "{}", text(&again.stdout));
     let rules = |s: String| s.lines().filter(|l| l.contains("kept")).map(str::to_string).collect::<Vec<_>>();
     let again = rules(text(&again.stdout));
-    // The head of the table, seven rules, and one for budgets where there are some.
-    assert_eq!(again.len(), if name.starts_with("zones") { 9 } else { 8 });
+    // The head of the table, seven rules, one for budgets between zones and two for a fleet where there are some.
+    let more = if name.starts_with("zones") { 1 } else { 2 * usize::from(name.starts_with("budget")) };
+    assert_eq!(again.len(), 8 + more);
     assert!(rules(text(&out.stdout)).ends_with(&again));
 }
 
@@ -44,6 +45,13 @@
     day("stopped-host");
 }
 
+#[test]
+fn the_days_of_a_fleet_pass() {
+    for name in ["budget-cut", "budget-join", "budget-takeover", "budget-storm"] {
+        day(name);
+    }
+}
+
 #[test]
 fn the_reload_day_passes() {
     day("reload");
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -1,6 +1,7 @@
 //! What a document means. Each kind of entry has a struct and a function that reads it; [`build`] goes through
 //! the document from top to bottom and then looks at what must fit together.
 
+use crate::fleet::NamedFleet;
 use crate::reader::{Names, Reader, entries};
 use crate::revisions;
 use crate::routes::{self, Routes};
@@ -152,6 +153,8 @@
     pub unit: Option<f64>,
     pub routes: Routes,
     pub crossings: Vec<NamedCrossing>,
+    /// How hosts settle things among themselves; `None`: they don't.
+    pub fleet: Option<NamedFleet>,
     pub place: revisions::Place,
     /// What this document and those before it promise of limits, oldest first.
     pub line: Vec<gullsail_limits::Promises>,
@@ -205,7 +208,8 @@
     NodeId(number(name))
 }
 
-const TOP: [&str; 16] = [
+const TOP: [&str; 17] = [
+    "fleet",
     "crossing",
     "revision",
     "pool",
@@ -326,10 +330,15 @@
     facts.leg_wait = bounds.connect + Span::from_micros(2000);
     let plans: Vec<_> = all("plan").map(|n| plan(r, n, unit)).collect();
     facts.plans = plans.iter().map(|p| p.decisions.clone()).collect();
+    let fleet_node = single(r, "fleet");
+    let fleet = crate::fleet::read(r, fleet_node, &hosts, facts.tick);
     let everyone: Arc<[HostId]> = (0..hosts.len() as u32).map(HostId).collect();
     let mut volumes = Vec::new();
+    // A part too small for a largest transfer moves around where hosts settle it among themselves.
+    let split = fleet.is_none();
     for n in all("volume") {
-        volumes.push(volume(r, n, &plans, &plan_names, &host_names, &everyone, facts.most_units));
+        let most = (facts.most_units, split);
+        volumes.push(volume(r, n, &plans, &plan_names, &host_names, &everyone, most));
     }
     together(r, document, &hosts, &volumes);
     facts.most_bytes = bounds.frame.body as f64;
@@ -354,6 +363,7 @@
         unit,
         routes,
         crossings,
+        fleet,
         place,
         line: Vec::new(),
         zones: zones.list().to_vec(),
@@ -532,7 +542,7 @@
     plan_names: &Names,
     hosts: &Names,
     everyone: &Arc<[HostId]>,
-    most_units: f64,
+    (most_units, split): (f64, bool),
 ) -> NamedVolume {
     r.only(n, 1, &["plan"], &["hosts"]);
     let name = r.text(n, 0, "a name");
@@ -550,7 +560,7 @@
     // None stated: all of them.
     let through = if through.is_empty() { everyone.clone() } else { through.into_iter().collect() };
     if let Some(l) = plans.get(plan).and_then(|p| p.decisions.limit) {
-        let least = 2.0 * most_units * through.len() as f64;
+        let least = 2.0 * most_units * if split { through.len() as f64 } else { 1.0 };
         if l.burst < least {
             let message = format!("the plan's burst of {} is too small for {} hosts", l.burst, through.len());
             let help = format!("each host's part must hold two of the largest transfers: {least} or more");
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -117,6 +117,10 @@
         let bounds = |d: &Deployment| say(&d.bounds);
         let (a, b) = (bounds(self.old), bounds(self.new));
         self.change("bounds", "figures", a, b, Class::Restart, "sockets are bound by them from their start");
+        let fleet = |d: &Deployment| d.fleet.as_ref().map_or("none".to_string(), say);
+        let why =
+            "hosts that hold to different leases, voters or floors could use more than the whole together";
+        self.change("fleet", "figures", fleet(self.old), fleet(self.new), Class::Restart, why);
         let list = |d: &Deployment| d.list.address.clone();
         let (a, b) = (list(self.old), list(self.new));
         self.change("list", "address", a, b, Class::Restart, "it is read at a start only");
--- a/crates/configuration/src/explain.rs
+++ b/crates/configuration/src/explain.rs
@@ -73,6 +73,10 @@
         "limit-under-reserve",
         "A plan's limit is lower than what it reserves: the reserve could never be used.",
     ),
+    (
+        "voters-together",
+        "All hosts that elect the fleet's coordinator are in one zone: without it nobody decides, and all hosts use their floors only.",
+    ),
     (
         "burst-too-small",
         "The burst is split evenly over the volume's hosts, and each part must hold two of the largest transfers; else a transfer could wait for ever for tokens that fit into no bucket.",
--- /dev/null
+++ b/crates/configuration/src/fleet.rs
@@ -0,0 +1,83 @@
+//! How hosts settle things among themselves: `fleet "town" lease="2s" drift=0.002 voters=5 floor=0.3`. Without the entry, or
+//! with `off=#true`, each host keeps to even parts by the document alone.
+
+use crate::deployment::Place;
+use crate::reader::Reader;
+use gullsail_interface::Span;
+use kdl::KdlNode;
+
+/// The `fleet` entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedFleet {
+    /// Hosts of another name are not listened to.
+    pub name: String,
+    pub lease: Span,
+    /// By how much, at most, a second by a host's clock differs from a true one.
+    pub drift: f64,
+    /// The first so many hosts of the document elect the coordinator.
+    pub voters: u32,
+    /// The part of its even part that a host may use without a lease.
+    pub floor: f64,
+}
+
+/// Shorter, and a busy machine's delays end leases; longer, and a dead host's part lies idle for minutes.
+const LEASES: (f64, f64) = (100.0, 60_000.0);
+/// Between coordinated clocks it is some parts in ten thousand; a tenth is a broken one.
+const MOST_DRIFT: f64 = 0.1;
+/// More only cost notes: seven bear three that are down.
+const MOST_VOTERS: u32 = 15;
+
+/// `None`: there is none, or it is off.
+pub(crate) fn read(r: &mut Reader, n: Option<&KdlNode>, hosts: &[Place], tick: Span) -> Option<NamedFleet> {
+    let n = n?;
+    r.only(n, 1, &["lease", "drift", "voters", "floor", "off"], &[]);
+    let before = r.noted();
+    let fleet = NamedFleet {
+        name: r.text(n, 0, "the fleet's name"),
+        lease: r.span(n, "lease"),
+        drift: r.number_at(n, "drift", 0.0).unwrap_or(0.002),
+        voters: r.whole(n, "voters", 1, 5.min(hosts.len().max(1) as u32)),
+        floor: r.part(n, "floor"),
+    };
+    let mut wrong = |key: &str, message: String, help: String| {
+        let span = n.entry(key).map_or(n.span(), |e| e.span());
+        r.note("contradiction", message, span, Some(help));
+    };
+    let (least, most) = LEASES;
+    let ms = fleet.lease.millis();
+    // A lease that could not be read is told already.
+    if fleet.lease == Span::ZERO {
+        return None;
+    }
+    if !(least..=most).contains(&ms) {
+        wrong(
+            "lease",
+            format!("a lease of {ms} ms"),
+            format!("from {least} ms to {most} ms; two seconds suit most"),
+        );
+    } else if fleet.lease < tick.times(8.0) {
+        let help = format!(
+            "a lease is renewed four times, at least a tick apart: {} ms or more",
+            tick.millis() * 8.0
+        );
+        wrong("lease", format!("a lease of {ms} ms, with a tick of {} ms", tick.millis()), help);
+    }
+    if fleet.drift > MOST_DRIFT {
+        let help = format!("at most {MOST_DRIFT}: a clock that runs so unevenly is broken");
+        wrong("drift", format!("a drift of {}", fleet.drift), help);
+    }
+    if fleet.voters as usize > hosts.len() || fleet.voters > MOST_VOTERS {
+        let most = MOST_VOTERS.min(hosts.len() as u32);
+        let message = format!("{} voters among {} hosts", fleet.voters, hosts.len());
+        wrong("voters", message, format!("at most {most}: the document's first so many hosts"));
+    }
+    let off = r.flag(n, "off");
+    let zone = |p: &Place| p.zone;
+    let zones = |p: &[Place]| p.iter().map(zone).collect::<std::collections::BTreeSet<_>>().len();
+    let voters = hosts.get(..fleet.voters as usize).unwrap_or(hosts);
+    if !off && fleet.voters > 2 && zones(voters) == 1 && zones(hosts) > 1 {
+        let help = "with that zone nobody decides: let the document's first hosts lie in different zones";
+        r.warn("voters-together", "all voters are in one zone".into(), n.span(), Some(help.into()));
+    }
+    (!off && r.noted() == before).then_some(fleet)
+}
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod deployment;
 pub mod diff;
 pub mod explain;
+pub mod fleet;
 pub mod format;
 mod ranges;
 pub mod reader;
--- a/crates/day/src/built_in.rs
+++ b/crates/day/src/built_in.rs
@@ -5,6 +5,8 @@
 use rand_chacha::ChaCha8Rng;
 
 const FLEET: &str = include_str!("../days/fleet.kdl");
+/// The same nodes and volumes, with 24 hosts.
+const MANY: &str = include_str!("../days/many.kdl");
 
 macro_rules! days {
     ($($name:literal)*) => {
@@ -13,7 +15,7 @@
 }
 
 days! {
-    "quiet" "bad-day" "stopped-host" "host-crash" "burst" "release" "list-down" "give-up" "costly" "hot-volume" "mass-restart"
+    "quiet" "bad-day" "stopped-host" "budget-gone" "budget-cut" "budget-join" "budget-takeover" "budget-storm" "budget-many" "host-crash" "burst" "release" "list-down" "give-up" "costly" "hot-volume" "mass-restart"
     "neighbour" "pauses" "lead-moves" "scan" "plan-surge" "ageing" "broken-links" "silent-links" "clocks" "reload" "zones-surge" "zones-drain" "zones-hard"
 }
 
@@ -25,13 +27,15 @@
 /// The whole document of a day.
 pub fn day(name: &str) -> Option<String> {
     let script = DAYS.iter().find(|d| d.0 == name)?.1;
-    Some(format!("{FLEET}\n{script}"))
+    let hosts = if name.starts_with("budget-many") { MANY } else { FLEET };
+    Some(format!("{hosts}\n{script}"))
 }
 
 /// Two troubles of the built-in days, over each other at moments drawn by the seed.
 pub fn random(seed: u64) -> String {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let single: Vec<_> = DAYS.iter().filter(|d| !["quiet", "bad-day"].contains(&d.0)).collect();
+    let single: Vec<_> =
+        DAYS.iter().filter(|d| !["quiet", "bad-day"].contains(&d.0) && !d.0.starts_with("budget")).collect();
     let mut text = String::from("// Two kinds of trouble, drawn by a seed.\n");
     text += &format!("day \"random-{seed}\" lasts=\"12s\" bytes=512 fresh=0.3 tries=2 {{\n");
     for line in [
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -3,6 +3,7 @@
 //! wrong in `troubles`, other documents in `documents`, what came of it in `report`.
 
 mod documents;
+mod parts;
 mod report;
 mod started;
 mod troubles;
@@ -159,6 +160,7 @@
         }
     }
     let mut faults = day.stop_all().await;
+    day.note_parts();
     faults.append(&mut day.faults);
     wire.flush().map_err(io("the recording"))?;
     relays.shutdown().await;
--- a/crates/day/src/run/started.rs
+++ b/crates/day/src/run/started.rs
@@ -59,6 +59,10 @@
     pub(super) async fn start_host(&mut self, host: &str) -> Result<(), RunError> {
         let program = if self.stage.baseline { "baseline" } else { "host" };
         let mut args = vec![program.to_string(), "--name".into(), host.into()];
+        if !self.stage.baseline && self.d.fleet.is_some() {
+            // What it may use is written down there, and read again for the judge.
+            args.extend(["--log", "json", "--log-level", "info"].map(String::from));
+        }
         let life = self.happened.len() as u64;
         args.extend(["--seed".into(), (self.stage.seed.wrapping_mul(31).wrapping_add(life)).to_string()]);
         if let (false, Some((_, ahead))) =
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -258,9 +258,9 @@
             "tests" => {
                 r.only(n, usize::MAX, &[], &[]);
                 for e in n.entries() {
-                    match e.value().as_integer().filter(|rule| (1..=7).contains(rule)) {
+                    match e.value().as_integer().filter(|rule| (1..=10).contains(rule)) {
                         Some(rule) => s.tests.push(rule as u8),
-                        None => r.note("wrong-kind", "rules have numbers 1 to 7".into(), e.span(), None),
+                        None => r.note("wrong-kind", "rules have numbers 1 to 10".into(), e.span(), None),
                     }
                 }
             }
--- /dev/null
+++ b/crates/fleet/tests/notes.rs
@@ -0,0 +1,155 @@
+//! What comes from elsewhere, and what a fleet of two or three says to it: bad notes change nothing and are counted by
+//! cause; one name is one process.
+
+use gullsail_fleet::{Budget, Event, Fleet, Terms, WHOLE};
+use gullsail_interface::{HostId, Instant, Span, VolumeId};
+use gullsail_protocol::{FleetNote, FleetPart, FleetWhat};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+fn terms(hosts: u32, voters: u32) -> Arc<Terms> {
+    let budget = Budget {
+        through: (0..hosts).map(HostId).collect(),
+        floor: WHOLE / 5 / hosts,
+        stragglers: BTreeMap::new(),
+        least: 1000,
+    };
+    let budgets = [(VolumeId(1), budget)].into();
+    Arc::new(Terms { fleet: 7, hosts, lease: Span::from_millis(1000.0), drift: 0.001, voters, budgets })
+}
+
+fn ms(at: i64) -> Instant {
+    Instant::from_micros(1_000_000_000 + at * 1000)
+}
+
+/// The only voter of two hosts, coordinator by now.
+fn coordinator() -> Fleet {
+    let mut f = Fleet::new(terms(2, 1), HostId(0), 11, 1, ms(0));
+    (0..3000).step_by(10).for_each(|at| f.advance(ms(at)));
+    f.outputs().for_each(drop);
+    assert!(f.decides(ms(3000)));
+    f
+}
+
+/// What h2 asks, in this life, with the newest ballot that it heard.
+fn renewal(f: &mut Fleet, life: u64, at: i64) -> FleetNote {
+    f.advance(ms(at));
+    let asked = f.outputs().filter(|o| o.note.what() == FleetWhat::Ask).map(|o| o.note).next_back();
+    let (round, by) = asked.map_or((u64::MAX >> 20, 0), |n| (n.round, n.by));
+    FleetNote {
+        fleet: 7,
+        rules: 1,
+        what: FleetWhat::Renew as i32,
+        from: 1,
+        from_life: life,
+        number: 1,
+        round,
+        by,
+        ..FleetNote::default()
+    }
+}
+
+fn answers(f: &mut Fleet, note: FleetNote, at: i64) -> Vec<FleetWhat> {
+    // Time has passed all the while; what is behind it already is nothing new.
+    (at - 1000..at).step_by(10).for_each(|at| f.advance(ms(at)));
+    f.outputs().for_each(drop);
+    f.handle(ms(at), Event::Note { link: HostId(1), note });
+    f.outputs().filter(|o| o.to == HostId(1)).map(|o| o.note.what()).collect()
+}
+
+#[test]
+fn bad_notes_change_nothing_and_are_counted_by_cause() {
+    type Spoil = fn(&mut FleetNote);
+    let cases: [(Spoil, &str); 10] = [
+        (|n| n.fleet = 8, "of another fleet"),
+        (|n| n.rules = 2, "of other rules"),
+        (|n| n.from = 9, "of an unknown host"),
+        (|n| n.to = 9, "of an unknown host"),
+        (|n| n.from = 0, "of another process with this host's name"),
+        (|n| n.to_life = 99, "for an earlier process of this name"),
+        (|n| n.what = 77, "of an unknown kind"),
+        (|n| n.what = FleetWhat::Left as i32, "out of place"),
+        (|n| n.parts[0].asked = f32::NAN, "with figures that make no sense"),
+        (|n| n.parts[0].share = WHOLE + 1, "with figures that make no sense"),
+    ];
+    for (place, (spoil, why)) in cases.into_iter().enumerate() {
+        let mut f = coordinator();
+        let mut note = renewal(&mut f, 21, 3500);
+        note.parts = vec![FleetPart { budget: 1, share: 0, asked: 3.0 }];
+        spoil(&mut note);
+        let what = |f: &Fleet| (f.epoch(), f.share(VolumeId(1)), f.status().members.len());
+        let before = what(&f);
+        assert_eq!(answers(&mut f, note, 3501), [], "case {place}");
+        assert_eq!(what(&f), before, "case {place}");
+        assert_eq!(f.status().dropped.get(why), Some(&1), "case {place}: {:?}", f.status().dropped);
+    }
+}
+
+/// Two processes under one name: the first that is heard holds it for as long as it renews; then the other may.
+#[test]
+fn one_name_is_one_process() {
+    let mut f = coordinator();
+    let first = renewal(&mut f, 21, 3500);
+    assert_eq!(answers(&mut f, first.clone(), 3501), [FleetWhat::Grant]);
+    let second = FleetNote { from_life: 22, ..first.clone() };
+    assert_eq!(answers(&mut f, second.clone(), 3700), [FleetWhat::Fence]);
+    assert_eq!(answers(&mut f, first, 3800), [FleetWhat::Grant]);
+    assert_eq!(
+        answers(&mut f, second.clone(), 4700),
+        [FleetWhat::Fence],
+        "the first one's lease is not over"
+    );
+    assert_eq!(answers(&mut f, second.clone(), 4801), [FleetWhat::Grant]);
+    // And whoever is told so uses nothing, not even its floor.
+    let mut other = Fleet::new(terms(2, 1), HostId(1), 22, 1, ms(0));
+    assert!(other.share(VolumeId(1)) > 0);
+    let fence =
+        FleetNote { what: FleetWhat::Fence as i32, from: 0, from_life: 11, to: 1, to_life: 22, ..second };
+    other.handle(ms(10), Event::Note { link: HostId(0), note: fence });
+    assert_eq!((other.share(VolumeId(1)), other.status().fenced), (0, true));
+}
+
+/// A third host passes a note on once, to whom it is for; what was passed on is not passed on again.
+#[test]
+fn notes_are_passed_on_once() {
+    let mut f = Fleet::new(terms(3, 3), HostId(0), 11, 1, ms(0));
+    let note = FleetNote {
+        fleet: 7,
+        rules: 1,
+        what: FleetWhat::Renew as i32,
+        from: 1,
+        to: 2,
+        ..FleetNote::default()
+    };
+    f.handle(ms(1), Event::Note { link: HostId(1), note: note.clone() });
+    assert_eq!(f.outputs().map(|o| (o.to, o.note)).collect::<Vec<_>>(), [(HostId(2), note.clone())]);
+    f.handle(ms(2), Event::Note { link: HostId(2), note });
+    assert_eq!(f.outputs().count(), 0);
+    assert_eq!(f.status().dropped.get("passed on twice"), Some(&1));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_algorithm: prop::test_runner::RngAlgorithm::ChaCha, ..ProptestConfig::with_cases(500) })]
+
+    /// Any notes whatever: nothing panics, no part passes the whole, the epoch only grows.
+    #[test]
+    fn any_notes_are_borne(notes in prop::collection::vec(
+        (0i32..14, 0u32..4, 0u32..4, any::<u64>(), any::<u32>(), any::<u64>(), prop::collection::vec((0u64..3, any::<u32>(), any::<f32>()), 0..3)),
+        1..40,
+    )) {
+        let mut f = coordinator();
+        let (mut at, mut epoch) = (3000, f.epoch());
+        for (what, from, to, round, by, number, parts) in notes {
+            at += 37;
+            let parts = parts.into_iter().map(|(budget, share, asked)| FleetPart { budget, share, asked }).collect();
+            let note = FleetNote { fleet: 7, rules: 1, what, from, to, round: round >> 12, by, number, serial: number, epoch: round >> 12, parts, ..FleetNote::default() };
+            f.handle(ms(at), Event::Note { link: HostId(from % 2), note });
+            f.advance(ms(at));
+            f.outputs().for_each(drop);
+            prop_assert!(f.share(VolumeId(1)) <= WHOLE);
+            prop_assert!(f.epoch() >= epoch);
+            epoch = f.epoch();
+        }
+    }
+}
--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -3,6 +3,7 @@
 //! compared here, away from the loop that serves; the loop only takes or turns down what is ready.
 
 use crate::core::changes::Reply;
+use crate::core::fleet::FleetView;
 use crate::core::zones::{Crossed, Past};
 use crate::core::{Counts, Input};
 use gullsail_configuration::diff::{Change, diff};
@@ -76,6 +77,8 @@
     /// What crossed between zones in this life of the host, and what of it went past budgets.
     pub crossed: Vec<Crossed>,
     pub past: Vec<Past>,
+    /// What the hosts settled, as this one sees it; `None`: nothing is settled here.
+    pub fleet: Option<FleetView>,
 }
 
 /// What the socket's task wants of the loop.
--- a/crates/host/src/core/changes.rs
+++ b/crates/host/src/core/changes.rs
@@ -72,6 +72,7 @@
         self.turnover.go_on(p.to.line.clone(), self.now).map_err(|e| vec![e.to_string()])?;
         let (old, new) = (self.deployment.clone(), p.to.clone());
         self.deployment = new;
+        self.fleet_document();
         // Places of plans may be others now, so these come even if nobody's terms change.
         self.change_terms(true);
         if old.routes.pools != self.deployment.routes.pools || old.zones != self.deployment.zones {
--- /dev/null
+++ b/crates/host/src/core/fleet.rs
@@ -0,0 +1,194 @@
+//! What the fleet settles, as this host takes part in it: its notes go to and from `gullsail-fleet` over the links between
+//! hosts, what is asked of each budget is told there, and the shares that come back are terms for the decisions.
+
+use super::*;
+use gullsail_fleet::terms::{floor, least};
+use gullsail_fleet::{Budget, Event as FleetEvent, Fleet, Status, Terms as FleetTerms, WHOLE};
+use gullsail_protocol::FleetNote;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// The fleet as this host sees it, with names.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct FleetView {
+    pub name: String,
+    pub lease_ms: f64,
+    /// By their numbers, which `status` speaks of.
+    pub hosts: Vec<String>,
+    /// Of budgets, by their numbers there.
+    pub budgets: BTreeMap<u64, String>,
+    pub status: Status,
+}
+
+impl Core {
+    /// What the document says of the fleet, in its own terms; `None`: nothing.
+    fn fleet_terms(&self) -> Option<FleetTerms> {
+        let d = &self.deployment;
+        let fleet = d.fleet.as_ref()?;
+        let mut budgets = BTreeMap::new();
+        for v in &d.volumes {
+            let Some(limit) = d.plans.get(v.plan.0).and_then(|p| p.decisions.limit) else { continue };
+            let mut stragglers: BTreeMap<HostId, u32> = BTreeMap::new();
+            for (host, count) in self.turnover.stragglers(v.id) {
+                let most = stragglers.entry(host).or_default();
+                *most = floor(fleet.floor, count).max(*most);
+            }
+            let through = v.hosts.clone();
+            let (floor, least) =
+                (floor(fleet.floor, through.len()), least(d.figures().most_units, limit.burst));
+            budgets.insert(v.id, Budget { through, floor, stragglers, least });
+        }
+        for c in &d.crossings {
+            let through = c.hosts.clone();
+            let least = least(d.figures().most_bytes, c.limit.burst);
+            let floor = floor(fleet.floor, through.len());
+            budgets.insert(c.id, Budget { through, floor, stragglers: BTreeMap::new(), least });
+        }
+        Some(FleetTerms {
+            fleet: gullsail_configuration::number(&fleet.name),
+            hosts: d.hosts.len() as u32,
+            lease: fleet.lease,
+            drift: fleet.drift,
+            voters: fleet.voters,
+            budgets,
+        })
+    }
+
+    pub(super) fn start_fleet(&mut self, seed: u64) {
+        if let Some(terms) = self.fleet_terms() {
+            self.fleet = Some(Fleet::new(Arc::new(terms), self.me, self.incarnation, seed, self.now));
+            self.settle();
+            self.fleet_turn();
+        }
+    }
+
+    fn tell_fleet(&mut self, event: FleetEvent) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.handle(self.now, event);
+        }
+    }
+
+    pub(super) fn fleet_note(&mut self, link: HostId, note: FleetNote) {
+        self.tell_fleet(FleetEvent::Note { link, note });
+    }
+
+    pub(super) fn fleet_asked(&mut self, budget: VolumeId, units: f64) {
+        self.tell_fleet(FleetEvent::Asked { budget, units });
+    }
+
+    /// What crosses between zones counts against its budgets.
+    pub(super) fn fleet_crossed(&mut self, from: ZoneId, to: ZoneId, plan: Option<PlanId>, bytes: usize) {
+        if self.fleet.is_none() {
+            return;
+        }
+        let d = self.deployment.clone();
+        let of = |a: &Across| *a == Across::Pair(from, to) || plan.is_some_and(|p| *a == Across::Plan(p));
+        for c in d.crossings.iter().filter(|c| of(&c.of)) {
+            self.fleet_asked(c.id, bytes as f64);
+        }
+    }
+
+    pub(super) fn fleet_document(&mut self) {
+        if let Some(terms) = self.fleet_terms() {
+            self.tell_fleet(FleetEvent::Terms(Arc::new(terms)));
+        }
+    }
+
+    /// Before anything is decided: what the clock ended, and what came, is settled first.
+    pub(super) fn fleet_turn(&mut self) {
+        let Some(fleet) = &mut self.fleet else { return };
+        fleet.advance(self.now);
+        let outputs: Vec<_> = fleet.outputs().collect();
+        let (next, changed) = (fleet.next(), fleet.changed());
+        for output in outputs {
+            self.tell_frame(output.to, Frame::from(output.note));
+        }
+        if changed {
+            self.settle();
+        }
+        if self.fleet_at.is_none_or(|at| at <= self.now || next < at) {
+            // A timer that is set anew is played once more for nothing.
+            let at = next.max(self.now + Span::from_micros(1000));
+            self.fleet_at = Some(at);
+            self.at(at, Due::Fleet);
+        }
+    }
+
+    /// Shares as the decisions are told them, ahead of what came in this step.
+    fn settle(&mut self) {
+        let Some(fleet) = &self.fleet else { return };
+        let d = self.deployment.clone();
+        let share = |id: VolumeId| f64::from(fleet.share(id)) / f64::from(WHOLE);
+        let shares: BTreeMap<VolumeId, f64> = d.volumes.iter().map(|v| (v.id, share(v.id))).collect();
+        let crossings: Vec<(VolumeId, f64)> = d.crossings.iter().map(|c| (c.id, share(c.id))).collect();
+        let out: BTreeSet<HostId> = fleet.out().collect();
+        let was_out = std::mem::replace(&mut self.fleet_out, out.clone());
+        self.write_down();
+        self.turnover.settle(shares, out);
+        let mut terms = self.turnover.changed();
+        for (id, share) in crossings {
+            let Some(c) = d.crossings.iter().find(|c| c.id == id && c.hosts.binary_search(&self.me).is_ok())
+            else {
+                continue;
+            };
+            let part = Limit { rate: c.limit.rate * share, burst: c.limit.burst * share };
+            let t = Terms { volume: id, plan: PlanId(0), hosts: c.hosts.len() as u32, part: Some(part) };
+            if self.told_crossings.insert(id, t.clone()).as_ref() != Some(&t) {
+                terms.push(t);
+            }
+        }
+        if !terms.is_empty() {
+            let plans = d.figures().plans.clone();
+            let event = Event::Plans { plans, terms, crossings: d.crossings_at(self.me) };
+            // After documents that came in the same step, before all else.
+            let last = self.events.iter().rposition(|e| matches!(e, Event::Plans { .. }));
+            self.events.insert(last.map_or(0, |place| place + 1), event);
+        }
+        if was_out != self.fleet_out {
+            // Floors of those who may hold to older documents are others now.
+            self.fleet_document();
+            self.plan_rounds();
+        }
+    }
+
+    /// What this host may use from now on, and for how long, for whoever judges it later.
+    fn write_down(&self) {
+        let Some(fleet) = &self.fleet else { return };
+        let s = fleet.status();
+        let lasts_us = s.lease_ms.map_or(-1, |ms| (ms * 1e3) as i64);
+        let d = &self.deployment;
+        let held = s.budgets.iter().filter_map(|b| Some((self.budget_name(b.budget)?, b.share)));
+        let held: BTreeMap<_, _> = held.collect();
+        let (epoch, held) = (s.epoch, serde_json::to_string(&held).unwrap_or_default());
+        let member = d.hosts.get(self.me.0 as usize).map_or("", |h| h.name.as_str());
+        let life = self.incarnation;
+        info!(target: "gullsail_parts", member, life, epoch, lasts_us, parts = held, "parts");
+    }
+
+    fn budget_name(&self, id: u64) -> Option<String> {
+        let d = &self.deployment;
+        let volume = d.volumes.iter().find(|v| v.id.0 == id).map(|v| v.name.clone());
+        volume.or_else(|| d.crossings.iter().find(|c| c.id.0 == id).map(|c| format!("crossing {}", c.name)))
+    }
+
+    /// All is answered: the fleet is told, and this host may leave once it knows, or soon.
+    pub(super) fn left_fleet(&mut self) -> bool {
+        self.tell_fleet(FleetEvent::Leave);
+        self.fleet_turn();
+        self.fleet.as_ref().is_none_or(Fleet::gone)
+    }
+
+    pub fn fleet(&self) -> Option<FleetView> {
+        let (fleet, named) = (self.fleet.as_ref()?, self.deployment.fleet.as_ref()?);
+        let status = fleet.status();
+        let names = status.budgets.iter().filter_map(|b| Some((b.budget, self.budget_name(b.budget)?)));
+        Some(FleetView {
+            name: named.name.clone(),
+            lease_ms: named.lease.millis(),
+            hosts: self.deployment.hosts.iter().map(|h| h.name.clone()).collect(),
+            budgets: names.collect(),
+            status,
+        })
+    }
+}
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -22,6 +22,10 @@
                 let host = *host;
                 self.reached(host, r);
             }
+            (Who::PeerIn { host, .. }, Message::FleetNote(note)) => {
+                let host = *host;
+                self.fleet_note(host, note);
+            }
             (Who::PeerOut(_), Message::ClockAsk(a)) => {
                 let clock_us = self.now.micros();
                 self.send(id, Frame::from(ClockTell { asked_us: a.asked_us, clock_us }));
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod changes;
 pub mod clock;
 pub mod dial;
+pub mod fleet;
 mod hear;
 mod lengths;
 pub mod nodes;
@@ -20,6 +21,7 @@
 use dial::{Dial, State};
 use gullsail::Brain;
 use gullsail_configuration::Deployment;
+use gullsail_fleet::Fleet;
 use gullsail_interface::*;
 use gullsail_limits::Turnover;
 use gullsail_protocol::{ClockAsk, Frame, Hello, Label, ListAsk, Message, NotTaken, Role};
@@ -28,7 +30,7 @@
 use nodes::Nodes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use tracing::{debug, info, warn};
 use transfers::{LegId, Transfers};
@@ -187,6 +189,8 @@
     RedialPeer(HostId),
     Clocks,
     Sweep,
+    /// The fleet has something to do.
+    Fleet,
     /// Peers are told which documents hosts hold to.
     Rounds,
 }
@@ -215,6 +219,12 @@
     breaches: Breaches,
     turnover: Turnover,
     rounds_at: Option<Instant>,
+    /// What hosts settle among themselves, where the document wants it; when it is looked at next; who is out by it; and
+    /// this host's parts of budgets between zones as they were told.
+    fleet: Option<Fleet>,
+    fleet_at: Option<Instant>,
+    fleet_out: BTreeSet<HostId>,
+    told_crossings: BTreeMap<VolumeId, Terms>,
     /// Bytes that wait for the other sides of all links.
     unsent: usize,
     /// Links that others opened, and how many there may be.
@@ -250,6 +260,10 @@
             transfers: Transfers::default(),
             turnover: Turnover::new(me, deployment.hosts.len() as u32, deployment.line.clone(), now),
             rounds_at: None,
+            fleet: None,
+            fleet_at: None,
+            fleet_out: BTreeSet::new(),
+            told_crossings: BTreeMap::new(),
             account: Account::new(ACCOUNT_EVERY, now),
             breaches: Breaches::default(),
             unsent: 0,
@@ -265,6 +279,7 @@
         let remembered = core.nodes.iter().map(|(id, n)| n.entry(id, None)).collect();
         core.events.push(Event::List { extent: Extent::Remembered, entries: remembered });
         core.start_turnover();
+        core.start_fleet(seed);
         core.dial_nodes();
         core.at(now + core.deployment.bounds.clock_every, Due::Clocks);
         core.at(now + SWEEP, Due::Sweep);
@@ -346,6 +361,7 @@
             due.drain(..).for_each(|d| self.play(d));
             self.due.give_back(due);
         }
+        self.fleet_turn();
         // A leg that can't go out ends at once and may bring another; legs of a transfer are bounded.
         while !self.events.is_empty() {
             for action in self.brain.step(self.now, self.events.drain(..)) {
@@ -353,7 +369,8 @@
             }
         }
         self.hold_back();
-        if self.stopping && self.transfers.open() == 0 && !std::mem::replace(&mut self.left, true) {
+        if self.stopping && self.transfers.open() == 0 && !self.left && self.left_fleet() {
+            self.left = true;
             info!("all is answered");
             self.outputs.push(Output::Left);
         }
@@ -594,6 +611,8 @@
                 }
             }
             Due::Rounds => self.round(),
+            // It is looked at in each step anyway.
+            Due::Fleet => {}
             Due::Clocks => {
                 let peers = self.links.iter().filter(|(_, l)| matches!(l.who, Who::PeerIn { .. }));
                 for link in peers.map(|(id, _)| *id).collect::<Vec<_>>() {
--- a/crates/host/src/core/zones.rs
+++ b/crates/host/src/core/zones.rs
@@ -144,6 +144,7 @@
 
     fn count(&mut self, flow: Flow, bytes: usize, for_nothing: bool) {
         self.account.count(self.now, flow, bytes, for_nothing);
+        self.fleet_crossed(flow.from, flow.to, flow.of.map(|of| of.0), bytes);
         if let Some((plan, ..)) = flow.of {
             self.breaches.crossed(self.now, plan, bytes as f64);
         }
--- a/crates/host/src/drive.rs
+++ b/crates/host/src/drive.rs
@@ -247,6 +247,7 @@
         counts: core.counts().clone(),
         crossed,
         past,
+        fleet: core.fleet(),
     }
 }
 
--- a/crates/limits/src/promises.rs
+++ b/crates/limits/src/promises.rs
@@ -24,12 +24,12 @@
         self.hosts.binary_search(&host).is_ok()
     }
 
-    /// What that host may send by this document alone: an even part if it serves the volume, else nothing.
-    /// `None`: as much as it likes.
-    fn part(&self, host: HostId) -> Option<Limit> {
+    /// What that host may send by this document alone: an even part, or the `share` that it was granted, if it serves the
+    /// volume, else nothing. `None`: as much as it likes.
+    fn part(&self, host: HostId, share: Option<f64>) -> Option<Limit> {
         let limit = self.limit?;
         let count = self.hosts.len().max(1) as f64;
-        let by = if self.through(host) { 1.0 / count } else { 0.0 };
+        let by = if self.through(host) { share.unwrap_or(1.0 / count) } else { 0.0 };
         Some(Limit { rate: limit.rate * by, burst: limit.burst * by })
     }
 }
@@ -52,8 +52,8 @@
 
     /// A volume that the document does not know is sent nothing by those who hold to it, and so takes nothing
     /// from what others may send: it counts as without a limit.
-    pub fn part(&self, volume: VolumeId, host: HostId) -> Option<Limit> {
-        self.volumes.get(&volume)?.part(host)
+    pub fn part(&self, volume: VolumeId, host: HostId, share: Option<f64>) -> Option<Limit> {
+        self.volumes.get(&volume)?.part(host, share)
     }
 }
 
--- a/crates/limits/src/turnover.rs
+++ b/crates/limits/src/turnover.rs
@@ -17,7 +17,7 @@
 use crate::promises::{Promises, Revision, lower};
 use gullsail_interface::{HostId, Instant, Limit, PlanId, Span, Terms, VolumeId};
 use rand::Rng;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Who is told at a time. Three, and news is with all of two hundred hosts after five or six rounds.
 const FEW: usize = 3;
@@ -78,6 +78,12 @@
     next: Instant,
     wait: Span,
     farewells: u32,
+    /// By volume, the part of it that a fleet settled for this host; `None`: even parts by the document.
+    shares: Option<BTreeMap<VolumeId, f64>>,
+    /// Hosts that the fleet has put out: they use nothing but their floors.
+    out: BTreeSet<HostId>,
+    /// Documents that all others are past, and one that is out may still hold to.
+    kept: Vec<Promises>,
 }
 
 impl Turnover {
@@ -97,6 +103,9 @@
             next: now,
             wait: FIRST,
             farewells: FAREWELLS,
+            shares: None,
+            out: BTreeSet::new(),
+            kept: Vec::new(),
         };
         turnover.arrive();
         // A host that starts holds to its even parts by itself.
@@ -135,12 +144,38 @@
         self.let_go();
     }
 
-    /// What all are past needs no keeping.
+    /// What all are past needs no keeping. One that is out holds nobody up: it uses its floor by the document that it
+    /// holds to, which is kept as long as it may.
     fn let_go(&mut self) {
-        let oldest = self.reached.iter().min().copied().unwrap_or_default();
+        let all = || self.reached.iter().enumerate().map(|(place, r)| (HostId(place as u32), *r));
+        let oldest = all().filter(|(h, _)| !self.out.contains(h)).map(|(_, r)| r).min().unwrap_or_default();
+        let last = all().map(|(_, r)| r).min().unwrap_or_default();
         while self.line.len() > 1 && self.line.front().is_some_and(|p| p.revision < oldest) {
-            self.line.pop_front();
+            self.kept.extend(self.line.pop_front());
         }
+        self.kept.retain(|p| p.revision >= last);
+    }
+
+    /// What a fleet settled: this host's part of each volume, and who is out. Parts by all documents of the line are
+    /// lower or higher with it.
+    pub fn settle(&mut self, shares: BTreeMap<VolumeId, f64>, out: BTreeSet<HostId>) {
+        (self.shares, self.out) = (Some(shares), out);
+        self.let_go();
+    }
+
+    /// Who may still use a volume by a document before the one that is held to, and among how many hosts by that one.
+    pub fn stragglers(&self, volume: VolumeId) -> impl Iterator<Item = (HostId, usize)> {
+        let held = self.revision();
+        let older = self.kept.iter().chain(&self.line).filter(move |p| p.revision < held);
+        older.flat_map(move |p| {
+            let v = p.volumes.get(&volume).filter(|v| v.limit.is_some());
+            let behind = move |h: &&HostId| self.reached.get(h.0 as usize).is_none_or(|r| *r <= p.revision);
+            v.into_iter().flat_map(move |v| v.hosts.iter().filter(behind).map(|h| (*h, v.hosts.len())))
+        })
+    }
+
+    fn share(&self, volume: VolumeId) -> Option<f64> {
+        self.shares.as_ref().map(|s| s.get(&volume).copied().unwrap_or_default())
     }
 
     /// Takes the next document, with those before it, oldest first. One of the same revision must promise the same;
@@ -173,6 +208,7 @@
         if let Some(oldest) = self.line.front().map(|p| p.revision).filter(|oldest| first > *oldest) {
             return Err(Refused::TooShort(oldest));
         }
+        // Hosts that come with it have reached it: they start with no older one.
         self.line.pop_back();
         self.line.extend(line.into_iter().filter(|p| p.revision >= held));
         if next > held {
@@ -191,12 +227,13 @@
     pub fn missing(&self) -> impl Iterator<Item = HostId> {
         let revision = self.revision();
         let behind = self.reached.iter().enumerate().filter(move |(_, r)| **r < revision);
-        behind.map(|(place, _)| HostId(place as u32))
+        behind.map(|(place, _)| HostId(place as u32)).filter(|h| !self.out.contains(h))
     }
 
     /// What this host may send for a volume; `None`: no limit is to be kept.
     pub fn part(&self, volume: VolumeId) -> Option<Limit> {
-        self.line.iter().fold(None, |least, p| lower(least, p.part(volume, self.me)))
+        let share = self.share(volume);
+        self.line.iter().fold(None, |least, p| lower(least, p.part(volume, self.me, share)))
     }
 
     fn by_itself(&self, id: VolumeId) -> Terms {
@@ -211,7 +248,7 @@
 
     fn terms(&self, id: VolumeId) -> Terms {
         let even = self.by_itself(id);
-        let (part, own) = (self.part(id), self.held().part(id, self.me));
+        let (part, own) = (self.part(id), self.held().part(id, self.me, None));
         // An even part is left to whoever holds it: rounding must not make two of one.
         if even.hosts == 0 { even } else { Terms { part: part.filter(|_| part != own), ..even } }
     }
--- a/crates/limits/tests/turnover.rs
+++ b/crates/limits/tests/turnover.rs
@@ -109,7 +109,7 @@
             assert!(rate <= limit.rate + 1e-9 && burst <= limit.burst + 1e-9, "{rate} of {limit:?}");
             let own = self.hosts.iter().enumerate().filter_map(|(me, h)| {
                 let held = &self.documents[h.1.as_ref()?.revision().0 as usize - 1];
-                Some(held.part(*id, HostId(me as u32)).map_or(1e9, |p| p.rate))
+                Some(held.part(*id, HostId(me as u32), None).map_or(1e9, |p| p.rate))
             });
             self.needed += u32::from(own.sum::<f64>() > limit.rate + 1e-9);
         }
@@ -157,7 +157,7 @@
         let turnover = turnover.as_ref().unwrap();
         assert_eq!(turnover.missing().collect::<Vec<_>>(), [], "host {me} waits");
         for id in [VolumeId(0), VolumeId(1)] {
-            assert_eq!(turnover.part(id), run.documents[last].part(id, HostId(me as u32)));
+            assert_eq!(turnover.part(id), run.documents[last].part(id, HostId(me as u32), None));
         }
     }
     run.needed
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -3,6 +3,7 @@
 
 use crate::Message;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -44,6 +45,14 @@
         cause: String,
         bytes: u64,
     },
+    /// What the host called `to` wrote down at the time: what it may use of budgets from then on, in millionths of each,
+    /// and how long its lease lasts; -1: it has none.
+    Parts {
+        life: u64,
+        epoch: u64,
+        lasts_us: i64,
+        parts: BTreeMap<String, u32>,
+    },
     /// By the script, for people.
     Trouble {
         text: String,
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -10,7 +10,7 @@
 use std::collections::VecDeque;
 use std::io::Write;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -52,6 +52,7 @@
 /// What all relays of one run share: the clock, the recording, what is done to frames.
 pub struct Wire {
     began: Instant,
+    wall: SystemTime,
     inner: Mutex<Inner>,
     cut: watch::Sender<(u64, String, String)>,
 }
@@ -69,7 +70,7 @@
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let inner = Inner { disturbances: Vec::new(), recording, last_link: 0, rng };
         let cut = watch::Sender::new((0, String::new(), String::new()));
-        Arc::new(Wire { began: Instant::now(), inner: Mutex::new(inner), cut })
+        Arc::new(Wire { began: Instant::now(), wall: SystemTime::now(), inner: Mutex::new(inner), cut })
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -96,6 +97,12 @@
         self.record(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
     }
 
+    /// Of what a process of this machine wrote down itself, with the machine's time.
+    pub fn wrote(&self, name: &str, when: SystemTime, what: What) {
+        let at = when.duration_since(self.wall).map_or(0, |since| since.as_micros() as i64);
+        self.record(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
+    }
+
     /// `at` 0: it was there before the run began.
     pub fn process(&self, name: &str, at: i64, life: Life) {
         let what = What::Process { life };
