Hosts join by a document while others serve; cold nodes' bearing is settled by the fleet

Cause: hosts were fixed at the start (diff classed a new one as a restart, Turnover had a place for each, the module dropped labels of others), and what a cold node bears was split by the document's count, whoever lived.

Change: with a `fleet`, hosts at the document's end are safe to add: Turnover, the fleet's terms and the module (Event::Plans tells among how many) follow. What cold nodes bear is a budget: it goes by what each host is asked for. Facts::borne is the same figure to the bit where nothing is settled. A fleet's crossings are shared as its volumes are.

Proof: a test with four processes (one joins by a document, one dies and is out after its lease, a second process under a held name holds nothing); steps of a voter and of who seeks the lease as tables.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -72,10 +72,14 @@
     let mut budgets = comfy_table::Table::new();
     budgets.load_style(comfy_table::presets::UTF8_HORIZONTAL_ONLY);
     budgets.set_header(["budget", "this host may use", "counted of the whole", "by host"]);
+    let name_of = |id: u64| {
+        let named = view.budgets.iter().find(|b| b.0 == id).map(|b| b.1.clone());
+        named.unwrap_or_else(|| format!("budget {id}"))
+    };
     for b in &s.budgets {
         let parts = b.parts.iter().map(|(h, share)| format!("{} {}", name(*h), part(u64::from(*share))));
         budgets.add_row([
-            view.budgets.get(&b.budget).cloned().unwrap_or_else(|| b.budget.to_string()),
+            name_of(b.budget),
             part(u64::from(b.share)),
             b.counted.map_or("-".into(), part),
             parts.collect::<Vec<_>>().join(", "),
--- /dev/null
+++ b/crates/cli/tests/fleet.rs
@@ -0,0 +1,125 @@
+//! Hosts as processes that settle who belongs: one that no document named joins, one that is killed is out after its
+//! lease, a second process under one name is refused. What each says of itself is asked over its control socket.
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// A process of this test, ended by its own id.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn gullsail(dir: &Path, arguments: &[&str]) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gullsail"));
+    let out = command.current_dir(dir).args(["--log-level", "error"]).args(arguments).output().unwrap();
+    (
+        out.status.code(),
+        String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr),
+    )
+}
+
+fn host(dir: &Path, file: &str, name: &str, socket: &str) -> Process {
+    let log = std::fs::File::create(dir.join(format!("{socket}.log"))).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gullsail"));
+    command.current_dir(dir).args(["host", file, "--name", name, "--control", socket]);
+    Process(command.stdout(Stdio::null()).stderr(log).spawn().unwrap())
+}
+
+/// Waits until the host at this socket says so of the fleet; generous, since nothing here is about speed.
+fn until(
+    dir: &Path,
+    socket: &str,
+    what: &str,
+    fits: impl Fn(&serde_json::Value) -> bool,
+) -> serde_json::Value {
+    let end = Instant::now() + Duration::from_secs(60);
+    loop {
+        let (_, text) = gullsail(dir, &["fleet", "status", socket, "--json"]);
+        let said = serde_json::from_str(&text).unwrap_or(serde_json::Value::Null);
+        if fits(&said) {
+            return said;
+        }
+        assert!(Instant::now() < end, "{what}: {text}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// How the host with this number stands, as told.
+fn standing(said: &serde_json::Value, host: u64) -> String {
+    let members = said["status"]["members"].as_array().cloned().unwrap_or_default();
+    let found = members.iter().find(|m| m["host"] == host);
+    found.and_then(|m| m["standing"].as_str()).unwrap_or_default().to_string()
+}
+
+#[test]
+fn a_host_joins_by_the_document_dies_and_is_not_doubled() {
+    let dir = tempfile::tempdir().unwrap();
+    let dir = dir.path();
+    let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let places = [free(), free(), free()];
+    let document = |hosts: usize, revision: &str| {
+        let mut text = String::from(
+            "fleet \"f\" lease=\"800ms\" drift=0.01 voters=1 floor=0.3\nrules tick=\"20ms\" most-units=8\n\
+             stream-type \"r\" effect=\"repeatable\" slo=\"1s\" expiry=\"2s\"\n\
+             plan \"p\" limit=\"100units/s\" burst=640 usual=\"60units/s\"\nvolume \"v\" plan=\"p\"\n",
+        );
+        for (place, at) in places[..hosts].iter().enumerate() {
+            text += &format!("host \"h{}\" address=\"{at}\"\n", place + 1);
+        }
+        text + revision
+    };
+    std::fs::write(dir.join("first.kdl"), document(2, "revision 1\n")).unwrap();
+    std::fs::write(dir.join("h1.kdl"), document(2, "revision 1\n")).unwrap();
+    std::fs::write(dir.join("h2.kdl"), document(2, "revision 1\n")).unwrap();
+    let _h1 = host(dir, "h1.kdl", "h1", "h1.sock");
+    let h2 = host(dir, "h2.kdl", "h2", "h2.sock");
+    until(dir, "h1.sock", "both are members", |s| standing(s, 1) == "member");
+    // A third, which neither knew of: it waits until they have its document.
+    let next = document(3, "revision 2 after=\"first.kdl\"\n");
+    std::fs::write(dir.join("h3.kdl"), &next).unwrap();
+    let _h3 = host(dir, "h3.kdl", "h3", "h3.sock");
+    for (file, socket) in [("h1.kdl", "h1.sock"), ("h2.kdl", "h2.sock")] {
+        std::fs::write(dir.join(file), &next).unwrap();
+        let (code, said) = gullsail(dir, &["reload", socket]);
+        assert_eq!(code, Some(0), "{said}");
+    }
+    until(dir, "h3.sock", "it knows its coordinator", |s| s["status"]["coordinator"] == 0);
+    let said = until(dir, "h1.sock", "the third is a member", |s| standing(s, 2) == "member");
+    let counted =
+        said["status"]["budgets"].as_array().unwrap().iter().map(|b| b["counted"].as_u64().unwrap());
+    assert!(counted.max().unwrap() <= 1_000_000, "{said}");
+    // A second process under a name that is held uses nothing, and both say so.
+    let double = dir.join("double.kdl");
+    std::fs::write(
+        &double,
+        next.replace(&format!("address=\"{}\"", places[2]), &format!("address=\"{}\"", free())),
+    )
+    .unwrap();
+    let twin = host(dir, "double.kdl", "h3", "twin.sock");
+    // Notes to it go to the address that the others know: it hears nothing, and holds nothing but its floor.
+    let said = until(dir, "twin.sock", "it is up", |s| s["status"]["me"] == 2);
+    assert!(said["status"]["lease_ms"].is_null(), "{said}");
+    drop(twin);
+    // Killed: out after its lease, and what it held is the others'.
+    drop(h2);
+    let said = until(dir, "h1.sock", "the dead one is out", |s| standing(s, 1) == "out");
+    assert_eq!(standing(&said, 2), "member");
+    let part = |s: &serde_json::Value| {
+        let budgets = s["status"]["budgets"].as_array().cloned().unwrap_or_default();
+        let of = |b: &serde_json::Value| b["parts"].as_array().cloned().unwrap_or_default();
+        budgets.iter().flat_map(of).filter(|p| p[0] == 1).filter_map(|p| p[1].as_u64()).max().unwrap_or(0)
+    };
+    until(dir, "h1.sock", "its floor alone is counted", |s| part(s) == 100_000);
+    // And a table for people.
+    let (code, text) = gullsail(dir, &["fleet", "status", "h1.sock"]);
+    let wanted = ["fleet f", "coordinator: this host", "its lease is over", "cold nodes"];
+    assert!(code == Some(0) && wanted.iter().all(|w| text.contains(w)), "{text}");
+}
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -92,10 +92,18 @@
                 let class = if b.starts_with(&a) { Class::Safe } else { Class::Restart };
                 let why = "a new one at the end takes no number from another";
                 self.change(what, "names", say(&a), say(&b), class, why);
+            } else if what == "hosts" && self.joins() && !b.starts_with(&a) {
+                let why = "a new host has to stand at the end, or it takes the number of another";
+                self.change(what, "names", say(&a), say(&b), Class::Restart, why);
             }
         }
     }
 
+    /// Hosts can join while others serve: these settle among themselves who belongs.
+    fn joins(&self) -> bool {
+        self.old.fleet.is_some() && self.old.fleet == self.new.fleet
+    }
+
     fn crossings(&mut self) {
         let index = |d: &Deployment| -> BTreeMap<String, (f64, f64, bool)> {
             d.crossings.iter().map(|c| (c.name.clone(), (c.limit.rate, c.limit.burst, c.hard))).collect()
@@ -349,9 +357,17 @@
         for name in a.keys().chain(b.keys()).collect::<BTreeSet<_>>() {
             let of = format!("host \"{name}\"");
             let (from, to) = (a.get(name).map_or("none".into(), say), b.get(name).map_or("none".into(), say));
-            let why = "hosts know each other by their places and addresses, which are read at a start only";
-            let class =
-                if a.contains_key(name) && !b.contains_key(name) { Class::Dangerous } else { Class::Restart };
+            let new = !a.contains_key(name);
+            let why = if new && self.joins() {
+                "it is a member once it runs and the others have this document"
+            } else {
+                "hosts know each other by their places and addresses, which are read at a start only"
+            };
+            let class = match (new, b.contains_key(name)) {
+                (true, _) if self.joins() => Class::Safe,
+                (false, false) => Class::Dangerous,
+                _ => Class::Restart,
+            };
             self.change(&of, "place", from, to, class, why);
         }
     }
--- a/crates/configuration/src/revisions.rs
+++ b/crates/configuration/src/revisions.rs
@@ -113,8 +113,11 @@
         return Err((format!("{file} has revision {its}, which is not before {ours}"), None));
     }
     let names = |d: &Deployment| d.hosts.iter().map(|h| h.name.clone()).collect::<Vec<_>>();
-    if names(&earlier) != names(d) {
-        let help = "hosts are known to each other by their places: change them with all of them stopped";
+    // Where hosts settle among themselves who belongs, others may come at the end.
+    let joins = d.fleet.is_some() && names(d).starts_with(&names(&earlier));
+    if names(&earlier) != names(d) && !joins {
+        let help = "hosts are known to each other by their places: change them with all of them stopped; \
+                    with a `fleet` new ones can stand at the end";
         return Err((format!("{file} has other hosts, or in another order"), Some(help.into())));
     }
     Ok(earlier.line)
--- a/crates/configuration/tests/files.rs
+++ b/crates/configuration/tests/files.rs
@@ -446,10 +446,11 @@
         all.extend(firsts.into_iter().map(|first| (first.to_string(), Memory(files.clone()))));
     }
     let days = root.join("crates/day/days");
-    let fleet = read(&days.join("fleet.kdl"));
+    let (fleet, many) = (read(&days.join("fleet.kdl")), read(&days.join("many.kdl")));
     let scripts = glob::glob(&days.join("*.kdl").to_string_lossy()).unwrap().flatten();
-    for script in scripts.filter(|p| !p.ends_with("fleet.kdl")) {
-        let text = format!("{fleet}\n{}", read(&script));
+    for script in scripts.filter(|p| !p.ends_with("fleet.kdl") && !p.ends_with("many.kdl")) {
+        let hosts = if script.ends_with("budget-many.kdl") { &many } else { &fleet };
+        let text = format!("{hosts}\n{}", read(&script));
         all.push(("day.kdl".into(), Memory([("day.kdl".to_string(), text)].into())));
     }
     assert!(all.len() > 20);
--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -239,6 +239,7 @@
         _ => None,
     };
     let facts = Facts {
+        cold_part: None,
         me: HostId(b.rank),
         hosts: b.peers_total,
         tick: Span::from_millis(b.tick),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod demand;
 pub mod fleet;
 pub mod holder;
+pub mod lag;
 pub mod lease;
 pub mod parts;
 pub mod status;
--- a/crates/fleet/tests/notes.rs
+++ b/crates/fleet/tests/notes.rs
@@ -1,10 +1,13 @@
 //! What comes from elsewhere, and what a fleet of two or three says to it: bad notes change nothing and are counted by
 //! cause; one name is one process.
 
+use gullsail_fleet::lease::{Ballot, Bid, Office, Vote, Voter};
 use gullsail_fleet::{Budget, Event, Fleet, Terms, WHOLE};
 use gullsail_interface::{HostId, Instant, Span, VolumeId};
 use gullsail_protocol::{FleetNote, FleetPart, FleetWhat};
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -129,6 +132,58 @@
     assert_eq!(f.status().dropped.get("passed on twice"), Some(&1));
 }
 
+/// What a voter says to a ballot, step by step; of two who seek the lease, and after a new start of the voter.
+#[test]
+fn a_voter_keeps_what_it_promised_and_a_newborn_says_nothing() {
+    use Vote::*;
+    let (t, a, b) = (terms(3, 3), (HostId(1), 21), (HostId(2), 31));
+    let ballot = |round, by| Ballot { round, by };
+    let mut v = Voter::new(&t, ms(0));
+    // For two leases what an earlier life promised may be in force.
+    assert_eq!(v.prepare(ballot(9, 1), a, ms(1999)), Mute);
+    assert_eq!(v.propose(&t, ballot(9, 1), a, ms(1999)), Mute);
+    assert_eq!(v.prepare(ballot(9, 1), a, ms(2000)), Promised { taken: false });
+    assert_eq!(v.prepare(ballot(8, 2), b, ms(2001)), Refused(ballot(9, 1)));
+    assert_eq!(v.propose(&t, ballot(8, 2), b, ms(2001)), Refused(ballot(9, 1)));
+    assert_eq!(v.propose(&t, ballot(9, 1), (HostId(1), 22), ms(2002)), Refused(ballot(9, 1)), "another life");
+    assert_eq!(v.propose(&t, ballot(9, 1), a, ms(2002)), Accepted);
+    // Live for a lease; whoever else asks is told, and takes no ballot away by asking.
+    assert_eq!(v.prepare(ballot(12, 2), b, ms(3001)), Promised { taken: true });
+    assert_eq!(v.propose(&t, ballot(9, 1), a, ms(3001)), Accepted);
+    assert_eq!(v.prepare(ballot(12, 2), b, ms(4000)), Promised { taken: true });
+    assert_eq!(v.prepare(ballot(12, 2), b, ms(4001)), Promised { taken: false });
+    assert_eq!(v.propose(&t, ballot(9, 1), a, ms(4002)), Refused(ballot(12, 2)));
+    v.propose(&t, ballot(12, 2), b, ms(4003));
+    v.release(a);
+    assert!(v.live(ms(4004)).is_some(), "only who holds it lets go of it");
+    v.release(b);
+    assert!(v.live(ms(4004)).is_none());
+}
+
+/// Promises that come a lease after they were asked for are worth nothing: a voter born since may have promised another.
+#[test]
+fn a_ballot_is_given_up_after_a_lease() {
+    let t = terms(3, 3);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for (late, goes_on) in [(500, true), (997, true), (999, false), (1500, false)] {
+        let mut office = Office::new(HostId(0), 5, ms(0));
+        let Some(Bid::Prepare(ballot)) = office.advance(&t, None, ms(0), &mut rng) else { panic!() };
+        assert_eq!(
+            office.promised(&t, HostId(0), ballot, false, ms(late)),
+            None,
+            "one of three is no majority"
+        );
+        let bid = office.promised(&t, HostId(1), ballot, false, ms(late));
+        assert_eq!(bid.is_some(), goes_on, "{late}");
+        // And belief begins when it was proposed, not when it was accepted.
+        if let Some(Bid::Propose(ballot, number)) = bid {
+            office.accepted(&t, HostId(0), (ballot, number), ms(late + 900));
+            assert!(office.accepted(&t, HostId(2), (ballot, number), ms(late + 900)));
+            assert_eq!(office.held(ms(late + 900)).unwrap().1, ms(late) + t.held());
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_algorithm: prop::test_runner::RngAlgorithm::ChaCha, ..ProptestConfig::with_cases(500) })]
 
--- a/crates/host/src/core/changes.rs
+++ b/crates/host/src/core/changes.rs
@@ -72,6 +72,7 @@
         self.turnover.go_on(p.to.line.clone(), self.now).map_err(|e| vec![e.to_string()])?;
         let (old, new) = (self.deployment.clone(), p.to.clone());
         self.deployment = new;
+        self.turnover.joined(self.deployment.hosts.len() as u32);
         self.fleet_document();
         // Places of plans may be others now, so these come even if nobody's terms change.
         self.change_terms(true);
@@ -88,7 +89,7 @@
         if plans_too || !terms.is_empty() {
             let plans = self.deployment.figures().plans.clone();
             let crossings = self.deployment.crossings_at(self.me);
-            self.events.push(Event::Plans { plans, terms, crossings });
+            self.events.push(Event::Plans { plans, terms, crossings, among: self.told_among });
         }
     }
 
--- a/crates/host/src/core/fleet.rs
+++ b/crates/host/src/core/fleet.rs
@@ -2,12 +2,16 @@
 //! hosts, what is asked of each budget is told there, and the shares that come back are terms for the decisions.
 
 use super::*;
+use gullsail_fleet::lag::Lag;
 use gullsail_fleet::terms::{floor, least};
 use gullsail_fleet::{Budget, Event as FleetEvent, Fleet, Status, Terms as FleetTerms, WHOLE};
 use gullsail_protocol::FleetNote;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
+/// What cold nodes bear, among the budgets: numbers of volumes are shorter.
+const COLD: VolumeId = VolumeId(u64::MAX);
+
 /// The fleet as this host sees it, with names.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -17,7 +21,7 @@
     /// By their numbers, which `status` speaks of.
     pub hosts: Vec<String>,
     /// Of budgets, by their numbers there.
-    pub budgets: BTreeMap<u64, String>,
+    pub budgets: Vec<(u64, String)>,
     pub status: Status,
 }
 
@@ -29,22 +33,23 @@
         let mut budgets = BTreeMap::new();
         for v in &d.volumes {
             let Some(limit) = d.plans.get(v.plan.0).and_then(|p| p.decisions.limit) else { continue };
-            let mut stragglers: BTreeMap<HostId, u32> = BTreeMap::new();
-            for (host, count) in self.turnover.stragglers(v.id) {
-                let most = stragglers.entry(host).or_default();
-                *most = floor(fleet.floor, count).max(*most);
-            }
+            let stragglers = self.stragglers(v.id, fleet.floor);
             let through = v.hosts.clone();
             let (floor, least) =
                 (floor(fleet.floor, through.len()), least(d.figures().most_units, limit.burst));
             budgets.insert(v.id, Budget { through, floor, stragglers, least });
         }
         for c in &d.crossings {
-            let through = c.hosts.clone();
-            let least = least(d.figures().most_bytes, c.limit.burst);
+            let (through, least) = (c.hosts.clone(), least(d.figures().most_bytes, c.limit.burst));
             let floor = floor(fleet.floor, through.len());
-            budgets.insert(c.id, Budget { through, floor, stragglers: BTreeMap::new(), least });
+            let stragglers = self.stragglers(c.id, fleet.floor);
+            budgets.insert(c.id, Budget { through, floor, stragglers, least });
         }
+        // What cold nodes bear: of all hosts, by what each is asked for in all.
+        let through: Arc<[HostId]> = (0..d.hosts.len() as u32).map(HostId).collect();
+        let least = least(d.figures().most_units, d.figures().cold.units);
+        let floor = floor(fleet.floor, through.len());
+        budgets.insert(COLD, Budget { through, floor, stragglers: BTreeMap::new(), least });
         Some(FleetTerms {
             fleet: gullsail_configuration::number(&fleet.name),
             hosts: d.hosts.len() as u32,
@@ -55,6 +60,16 @@
         })
     }
 
+    /// Who may still use a floor by a document from before.
+    fn stragglers(&self, budget: VolumeId, part: f64) -> BTreeMap<HostId, u32> {
+        let mut all: BTreeMap<HostId, u32> = BTreeMap::new();
+        for (host, count) in self.turnover.stragglers(budget) {
+            let most = all.entry(host).or_default();
+            *most = floor(part, count).max(*most);
+        }
+        all
+    }
+
     pub(super) fn start_fleet(&mut self, seed: u64) {
         if let Some(terms) = self.fleet_terms() {
             self.fleet = Some(Fleet::new(Arc::new(terms), self.me, self.incarnation, seed, self.now));
@@ -77,6 +92,12 @@
         self.tell_fleet(FleetEvent::Asked { budget, units });
     }
 
+    /// A transfer was taken: it counts for its volume, and for what cold nodes bear of this host.
+    pub(super) fn fleet_took(&mut self, volume: VolumeId, units: f64) {
+        self.fleet_asked(volume, units);
+        self.fleet_asked(COLD, units);
+    }
+
     /// What crosses between zones counts against its budgets.
     pub(super) fn fleet_crossed(&mut self, from: ZoneId, to: ZoneId, plan: Option<PlanId>, bytes: usize) {
         if self.fleet.is_none() {
@@ -104,7 +125,7 @@
         for output in outputs {
             self.tell_frame(output.to, Frame::from(output.note));
         }
-        if changed {
+        if changed || self.cold_at.is_some_and(|at| at <= self.now) {
             self.settle();
         }
         if self.fleet_at.is_none_or(|at| at <= self.now || next < at) {
@@ -120,27 +141,22 @@
         let Some(fleet) = &self.fleet else { return };
         let d = self.deployment.clone();
         let share = |id: VolumeId| f64::from(fleet.share(id)) / f64::from(WHOLE);
-        let shares: BTreeMap<VolumeId, f64> = d.volumes.iter().map(|v| (v.id, share(v.id))).collect();
-        let crossings: Vec<(VolumeId, f64)> = d.crossings.iter().map(|c| (c.id, share(c.id))).collect();
+        let ids = d.volumes.iter().map(|v| v.id).chain(d.crossings.iter().map(|c| c.id));
+        let shares: BTreeMap<VolumeId, f64> = ids.map(|id| (id, share(id))).collect();
+        let cold = fleet.share(COLD);
         let out: BTreeSet<HostId> = fleet.out().collect();
         let was_out = std::mem::replace(&mut self.fleet_out, out.clone());
         self.write_down();
         self.turnover.settle(shares, out);
-        let mut terms = self.turnover.changed();
-        for (id, share) in crossings {
-            let Some(c) = d.crossings.iter().find(|c| c.id == id && c.hosts.binary_search(&self.me).is_ok())
-            else {
-                continue;
-            };
-            let part = Limit { rate: c.limit.rate * share, burst: c.limit.burst * share };
-            let t = Terms { volume: id, plan: PlanId(0), hosts: c.hosts.len() as u32, part: Some(part) };
-            if self.told_crossings.insert(id, t.clone()).as_ref() != Some(&t) {
-                terms.push(t);
-            }
-        }
-        if !terms.is_empty() {
+        let terms = self.turnover.changed();
+        let (cold, look) = self.cold.hold(cold, self.now);
+        self.cold_at = look;
+        look.into_iter().for_each(|at| self.at(at, Due::Fleet));
+        let among = self.among(cold);
+        if !terms.is_empty() || self.told_among != Some(among) {
+            self.told_among = Some(among);
             let plans = d.figures().plans.clone();
-            let event = Event::Plans { plans, terms, crossings: d.crossings_at(self.me) };
+            let event = Event::Plans { plans, terms, crossings: d.crossings_at(self.me), among: Some(among) };
             // After documents that came in the same step, before all else.
             let last = self.events.iter().rposition(|e| matches!(e, Event::Plans { .. }));
             self.events.insert(last.map_or(0, |place| place + 1), event);
@@ -152,6 +168,11 @@
         }
     }
 
+    fn among(&self, cold: u32) -> Among {
+        let cold_part = Some(f64::from(cold) / f64::from(WHOLE));
+        Among { hosts: self.deployment.hosts.len() as u32, cold_part }
+    }
+
     /// What this host may use from now on, and for how long, for whoever judges it later.
     fn write_down(&self) {
         let Some(fleet) = &self.fleet else { return };
@@ -168,11 +189,20 @@
 
     fn budget_name(&self, id: u64) -> Option<String> {
         let d = &self.deployment;
+        if id == COLD.0 {
+            return Some("cold nodes".into());
+        }
         let volume = d.volumes.iter().find(|v| v.id.0 == id).map(|v| v.name.clone());
         volume.or_else(|| d.crossings.iter().find(|c| c.id.0 == id).map(|c| format!("crossing {}", c.name)))
     }
 
     /// All is answered: the fleet is told, and this host may leave once it knows, or soon.
+    /// Shares of what cold nodes bear count a window later: a tenth longer than the rule's, as the decisions count it, and
+    /// as long as a leg may wait.
+    pub(super) fn cold_lag(d: &Deployment) -> Lag {
+        Lag::new(d.figures().cold.window.times(1.1) + d.figures().leg_wait)
+    }
+
     pub(super) fn left_fleet(&mut self) -> bool {
         self.tell_fleet(FleetEvent::Leave);
         self.fleet_turn();
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -22,6 +22,7 @@
 use gullsail::Brain;
 use gullsail_configuration::Deployment;
 use gullsail_fleet::Fleet;
+use gullsail_fleet::lag::Lag;
 use gullsail_interface::*;
 use gullsail_limits::Turnover;
 use gullsail_protocol::{ClockAsk, Frame, Hello, Label, ListAsk, Message, NotTaken, Role};
@@ -219,12 +220,14 @@
     breaches: Breaches,
     turnover: Turnover,
     rounds_at: Option<Instant>,
-    /// What hosts settle among themselves, where the document wants it; when it is looked at next; who is out by it; and
-    /// this host's parts of budgets between zones as they were told.
+    /// What hosts settle among themselves, where the document wants it; when it is looked at next; who is out by it;
+    /// this host's part of what cold nodes bear, and what the decisions were told last of it.
     fleet: Option<Fleet>,
     fleet_at: Option<Instant>,
     fleet_out: BTreeSet<HostId>,
-    told_crossings: BTreeMap<VolumeId, Terms>,
+    cold: Lag,
+    cold_at: Option<Instant>,
+    told_among: Option<Among>,
     /// Bytes that wait for the other sides of all links.
     unsent: usize,
     /// Links that others opened, and how many there may be.
@@ -263,7 +266,9 @@
             fleet: None,
             fleet_at: None,
             fleet_out: BTreeSet::new(),
-            told_crossings: BTreeMap::new(),
+            cold: Core::cold_lag(&deployment),
+            cold_at: None,
+            told_among: None,
             account: Account::new(ACCOUNT_EVERY, now),
             breaches: Breaches::default(),
             unsent: 0,
--- a/crates/host/src/core/serve.rs
+++ b/crates/host/src/core/serve.rs
@@ -62,7 +62,7 @@
         let (write, expiry) = (stream_type.write, self.now + transfer.ttl);
         let id = self.transfers.take(Open { link, submit, write, body, expiry, legs: 0 });
         self.counts.taken += 1;
-        self.fleet_asked(transfer.volume, transfer.units);
+        self.fleet_took(transfer.volume, transfer.units);
         self.events.push(Event::Arrived(Transfer { id, ..transfer }));
     }
 
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -244,6 +244,8 @@
     pub stream_types: Vec<StreamType>,
     pub plans: Vec<Plan>,
     pub cold: ColdStart,
+    /// This host's part of what a cold node bears, where hosts settle it; `None`: an even one.
+    pub cold_part: Option<f64>,
     pub leg_budget: Option<LegBudget>,
     /// So much later than it was asked for a leg may go out, while it waits for its connection.
     pub leg_wait: Span,
@@ -267,6 +269,33 @@
     pub most_bytes: f64,
 }
 
+impl Facts {
+    /// Units that a cold node bears from this host in any case, within the rule's window.
+    pub fn borne(&self) -> f64 {
+        match self.cold_part {
+            Some(part) => self.cold.units * part,
+            None => self.cold.units / f64::from(self.hosts.max(1)),
+        }
+    }
+
+    /// What changes while serving.
+    pub fn follow(&mut self, plans: Vec<Plan>, crossings: Vec<Crossing>, among: Option<Among>) {
+        (self.plans, self.crossings) = (plans, crossings);
+        if let Some(among) = among {
+            (self.hosts, self.cold_part) = (among.hosts, among.cold_part);
+        }
+    }
+}
+
+/// Among whom things are shared, where hosts settle that while they serve.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Among {
+    /// Those that there are, running or not.
+    pub hosts: u32,
+    /// As in [`Facts::cold_part`].
+    pub cold_part: Option<f64>,
+}
+
 /// In the order in which a node goes through them: only a newer start leads back.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
@@ -378,6 +407,8 @@
         plans: Vec<Plan>,
         terms: Vec<Terms>,
         crossings: Vec<Crossing>,
+        /// `None`: as before.
+        among: Option<Among>,
     },
     Timer(TimerId),
     ClientLeft(TransferId),
--- a/crates/limits/src/turnover.rs
+++ b/crates/limits/src/turnover.rs
@@ -156,6 +156,13 @@
         self.kept.retain(|p| p.revision >= last);
     }
 
+    /// Hosts at the end of the document that none before it named: they never held to an older one.
+    pub fn joined(&mut self, hosts: u32) {
+        let revision = self.revision();
+        let all = (hosts as usize).max(self.reached.len());
+        self.reached.resize(all, revision);
+    }
+
     /// What a fleet settled: this host's part of each volume, and who is out. Parts by all documents of the line are
     /// lower or higher with it.
     pub fn settle(&mut self, shares: BTreeMap<VolumeId, f64>, out: BTreeSet<HostId>) {
@@ -208,7 +215,6 @@
         if let Some(oldest) = self.line.front().map(|p| p.revision).filter(|oldest| first > *oldest) {
             return Err(Refused::TooShort(oldest));
         }
-        // Hosts that come with it have reached it: they start with no older one.
         self.line.pop_back();
         self.line.extend(line.into_iter().filter(|p| p.revision >= held));
         if next > held {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -199,7 +199,7 @@
         };
         let gained = (age - cold.window).secs().max(0.0) / cold.ramp.secs();
         let growth = (1.0 - cold.first_part) * gained / cold.first_part.max(0.01);
-        let part = cold.units / f64::from(facts.hosts.max(1)) * (1.0 + Self::RAMP_TRUST * growth);
+        let part = facts.borne() * (1.0 + Self::RAMP_TRUST * growth);
         // A tenth longer than the rule's window: legs sent apart may arrive together, or go out later.
         let window = cold.window.times(1.1) + facts.leg_wait;
         self.cold_sent.retain(|c| now - c.1 <= window);
@@ -342,9 +342,9 @@
             }
             DeskNote::Event(Event::List { extent: Extent::Remembered | Extent::Seen, .. }) => {}
             DeskNote::Event(Event::List { .. }) => self.ask_again = ASK_FIRST,
-            DeskNote::Event(Event::Plans { plans, terms, crossings }) => {
+            DeskNote::Event(Event::Plans { plans, terms, crossings, among }) => {
                 self.volumes.values_mut().for_each(|v| v.refill(self.now, &self.facts));
-                (self.facts.plans, self.facts.crossings) = (plans, crossings);
+                self.facts.follow(plans, crossings, among);
                 self.budgets();
                 self.change(&terms);
             }
--- a/tests/decisions/bounds.rs
+++ b/tests/decisions/bounds.rs
@@ -70,7 +70,7 @@
 #[test]
 fn volumes_that_left_are_forgotten() {
     let mut h = Host::new(facts(), vec![node(1, 0)], at(1000));
-    let plans = |terms| Event::Plans { plans: facts().plans, terms, crossings: vec![] };
+    let plans = |terms| Event::Plans { plans: facts().plans, terms, crossings: vec![], among: None };
     for v in 0..200 {
         h.tell(plans(vec![terms(v, 2)]));
         let t = Transfer { plan: PlanId(1), volume: VolumeId(v), volume_hosts: 2, ..xfer(v, 0) };
@@ -130,6 +130,7 @@
         plans: vec![],
         terms: vec![Terms { plan: PlanId(0), ..terms(7, 0) }],
         crossings: vec![],
+        among: None,
     });
     let used = Some(0.5);
     let (id, node, ending, took) = (TransferId(5), NodeId(1), Ending::Done, ms(5));
--- a/tests/decisions/limits.rs
+++ b/tests/decisions/limits.rs
@@ -147,6 +147,7 @@
             plans: plans.clone(),
             terms: vec![Terms { volume: VolumeId(7), plan: PlanId(1), hosts, part }],
             crossings: Vec::new(),
+            among: None,
         };
         let mut h = Host::new(facts(), vec![node(1, 0)], at(0));
         h.tell(terms(before));
--- a/tests/decisions/model.rs
+++ b/tests/decisions/model.rs
@@ -277,7 +277,7 @@
         }
         plans[0].price *= 1.5;
         let terms = (0..VOLUMES).map(|v| self.terms(me, v)).collect();
-        self.step(me, Event::Plans { plans, terms, crossings: Vec::new() });
+        self.step(me, Event::Plans { plans, terms, crossings: Vec::new(), among: None });
     }
 
     fn plan(&self, me: usize, volume: u64) -> PlanId {
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -91,7 +91,12 @@
                 Left => {
                     h.tell(Event::Arrived(Transfer { plan: PlanId(1), ..t }));
                     let terms = Terms { volume: VolumeId(7), plan: PlanId(1), hosts: 0, part: None };
-                    h.tell(Event::Plans { plans: facts().plans, terms: vec![terms], crossings: vec![] });
+                    h.tell(Event::Plans {
+                        plans: facts().plans,
+                        terms: vec![terms],
+                        crossings: vec![],
+                        among: None,
+                    });
                 }
                 Ends(ending) => {
                     h.tell(Event::Arrived(t));
