The lease on deciding is half of a member's, so that a takeover finds members with what they hold

Cause: in budget-many (24 hosts) members' leases were over before another coordinator was chosen, since both leases lasted alike and who seeks one waits for the end of the last (log: coordinator killed, nine members lose their leases 0.9 to 1.3 s later, the next one chosen after 2.3 s). Then all use floors for a takeover.

Change: Terms::office, half of the lease, for voters and who holds by them; newborn voters are mute for one lease, not two.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -90,7 +90,7 @@
     pub fn new(terms: Arc<Terms>, me: HostId, life: u64, seed: u64, now: Instant) -> Fleet {
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ life);
         let voter = Voter::new(&terms, now);
-        let wait = terms.lease.times(rng.random_range(0.0..0.5));
+        let wait = terms.office().times(rng.random_range(0.0..0.5));
         // Rounds begin at the clock's milliseconds: past those of earlier lives, unless clocks are far off. Nothing rests
         // on it: a voter takes one ballot of one life alone.
         let office = Office::new(me, (now.micros() / 1000).max(0) as u64, voter.mute_until() + wait);
@@ -224,7 +224,7 @@
             next = next.min(self.office.next());
         }
         if self.chair.is_some() {
-            next = next.min(self.now + tick(self.terms.lease));
+            next = next.min(self.now + tick(&self.terms));
         }
         if let Going::Said(until) = self.going {
             next = next.min(until);
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -47,7 +47,7 @@
 
 impl Voter {
     pub fn new(terms: &Terms, now: Instant) -> Voter {
-        Voter { promised: Default::default(), accepted: None, mute_until: now + terms.lease.times(2.0) }
+        Voter { promised: Default::default(), accepted: None, mute_until: now + terms.office().times(2.0) }
     }
 
     pub fn mute_until(&self) -> Instant {
@@ -90,7 +90,7 @@
             return Vote::Refused(self.promised.0);
         }
         self.promised = (ballot, who.1);
-        self.accepted = Some((ballot, who, now + terms.lease));
+        self.accepted = Some((ballot, who, now + terms.office()));
         Vote::Accepted
     }
 
@@ -159,7 +159,7 @@
             return None;
         }
         if let Some((ballot, _)) = self.held {
-            self.next = now + terms.lease.times(RENEW);
+            self.next = now + terms.office().times(RENEW);
             // One that was refused goes on with a higher ballot, which is already prepared.
             if let Stage::Preparing { .. } = self.stage {
                 return Some(self.prepare(now));
@@ -167,7 +167,7 @@
             return Some(self.propose(ballot, now));
         }
         // Spread by chance: two who seek at once shut each other out.
-        let wait = terms.lease.times(rng.random_range(SEEK));
+        let wait = terms.office().times(rng.random_range(SEEK));
         if let Some(until) = busy.filter(|until| *until > now) {
             (self.stage, self.next) = (Stage::Idle, until + wait);
             return None;
@@ -197,7 +197,7 @@
         };
         // Guards against a ballot that is proposed long after it was prepared: a voter born since may have forgotten
         // that it promised a later one. Harms where a round trip takes a lease.
-        if of != *ballot || now - *sent >= terms.held() {
+        if of != *ballot || now - *sent >= terms.office_held() {
             return None;
         }
         if taken {
@@ -222,7 +222,7 @@
     /// Whether this one made it the holder, or kept it one.
     pub fn accepted(&mut self, terms: &Terms, from: HostId, of: (Ballot, u64), now: Instant) -> bool {
         let Stage::Proposing { ballot, number, sent, accepted } = &mut self.stage else { return false };
-        let until = *sent + terms.held();
+        let until = *sent + terms.office_held();
         // Guards against late acceptances: a lease is renewed by the same ballot, and one that was accepted before would
         // lengthen the holder's belief past the voters'. Found by a drawn world: two decided. Harms nobody.
         if of != (*ballot, *number) || now >= until {
@@ -234,7 +234,7 @@
         }
         let chosen = (*ballot, until);
         if self.held.is_none() {
-            self.next = now + terms.lease.times(RENEW);
+            self.next = now + terms.office().times(RENEW);
         }
         (self.held, self.stage) = (Some(chosen), Stage::Idle);
         true
@@ -271,7 +271,7 @@
 /// who seeks it waits so long between tries: long beside a round trip, short beside the lease that a takeover may wait.
 const SEEK: std::ops::Range<f64> = 0.1..0.5;
 
-/// How often somebody must look, while nothing happens.
-pub fn tick(lease: Span) -> Span {
-    lease.times(RENEW / 2.0)
+/// How often whoever decides must look, while nothing happens.
+pub fn tick(terms: &Terms) -> Span {
+    terms.office().times(RENEW / 2.0)
 }
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -61,6 +61,16 @@
         self.lease.times((1.0 - self.drift) / (1.0 + self.drift))
     }
 
+    /// As long as the lease on deciding lasts, for a voter and for its holder. Half of a member's: whoever follows is chosen
+    /// before the members' leases are over, and finds them with what they held.
+    pub fn office(&self) -> Span {
+        self.lease.times(0.5)
+    }
+
+    pub fn office_held(&self) -> Span {
+        self.held().times(0.5)
+    }
+
     pub fn is_voter(&self, host: HostId) -> bool {
         host.0 < self.voters.min(self.hosts)
     }
