--- a/crates/fleet/tests/sides.rs
+++ b/crates/fleet/tests/sides.rs
@@ -33,7 +33,8 @@
 #[test]
 fn a_grant_counts_from_its_question_and_only_forwards() {
     let t = terms(2);
-    let cases: [&[((u64, u64, u64, i64), bool, Option<u32>)]; 6] = [
+    type Grant = ((u64, u64, u64, i64), bool, Option<u32>);
+    let cases: [&[Grant]; 6] = [
         &[((5, 1, 1, 100), true, Some(1))],
         // A lease less the drift after the question went out it is over.
         &[((5, 1, 1, 979), true, Some(1)), ((5, 2, 1, 981), false, None)],
@@ -152,7 +153,8 @@
 #[test]
 fn budgets_go_by_what_is_asked_over_floors_and_in_turns_where_they_are_small() {
     let k = 1000;
-    let cases: [(&[f64], u64, u32, u64, &[u32]); 8] = [
+    type Case = (&'static [f64], u64, u32, u64, &'static [u32]);
+    let cases: [Case; 8] = [
         (&[0.0, 0.0, 0.0, 0.0], 0, 1, 0, &[250 * k, 250 * k, 250 * k, 250 * k]),
         (&[10.0, 0.0, 0.0, 0.0], 0, 1, 0, &[790 * k, 70 * k, 70 * k, 70 * k]),
         (&[30.0, 10.0, 0.0, 0.0], 0, 1, 0, &[610 * k, 250 * k, 70 * k, 70 * k]),
