--- a/crates/cli/benches/host_cost.rs
+++ b/crates/cli/benches/host_cost.rs
@@ -332,6 +332,27 @@
     }
 }
 
+/// The same load at a host with a fleet and without one, in turn.
+fn fleet() {
+    let (mut ratios, limit) = (Vec::new(), "limit=\"1000000000units/s\" burst=1000000000");
+    for round in 0..7 {
+        let by_cpu = ["", "fleet \"f\" lease=\"1s\" drift=0.001 voters=1 floor=0.3\n"].map(|entry| {
+            let ((nl, na), (hl, ha)) = (listeners(8), listeners(1));
+            nodes(nl, Some(0));
+            let text = document_text(&ha, &na, limit) + entry;
+            let d = parse("bench.kdl", &text).unwrap_or_else(|p| panic!("{:?}", p.problems));
+            let running = hosts(&Arc::new(d), 0, hl);
+            let load = Load { outstanding: 128, rate: 0.0, seconds: 3.0, cells: 8, bytes: 0, warm: 0.5 };
+            let (done, ..) = clients(&ha, &load, false);
+            done as f64 / running.end().0
+        });
+        println!("round {round}: off {:.0}, on {:.0} transfers by processor second", by_cpu[0], by_cpu[1]);
+        ratios.extend((round > 0).then_some(by_cpu[0] / by_cpu[1] - 1.0));
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!("on costs {:.1}% more (median of {})", ratios[ratios.len() / 2] * 100.0, ratios.len());
+}
+
 fn memory() {
     for round in 0..2 {
         let ((nl, na), (hl, ha)) = (listeners(8), listeners(1));
@@ -449,6 +470,7 @@
     let arguments: Vec<String> = std::env::args().skip(1).filter(|a| a != "--bench").collect();
     match arguments.first().map(String::as_str) {
         None | Some("cost") => cost(),
+        Some("fleet") => fleet(),
         Some("memory") => memory(),
         Some("scale") => scale(),
         Some("scale-part") => match &arguments[1..] {
@@ -458,6 +480,6 @@
             _ => eprintln!("scale-part FILE FROM TO"),
         },
         Some("soak") => soak(arguments.get(1).and_then(|s| s.parse().ok()).unwrap_or(600.0)),
-        Some(other) => eprintln!("no mode is called {other}: cost, memory, scale, soak SECONDS"),
+        Some(other) => eprintln!("no mode is called {other}: cost, fleet, memory, scale, soak SECONDS"),
     }
 }
--- a/crates/fleet/tests/sides.rs
+++ b/crates/fleet/tests/sides.rs
@@ -152,27 +152,27 @@
 /// Asked by members, kept by others, the least that holds something whole; what each has, within some.
 #[test]
 fn budgets_go_by_what_is_asked_over_floors_and_in_turns_where_they_are_small() {
-    let k = 1000;
+    const K: u32 = 1000;
     type Case = (&'static [f64], u64, u32, u64, &'static [u32]);
     let cases: [Case; 8] = [
-        (&[0.0, 0.0, 0.0, 0.0], 0, 1, 0, &[250 * k, 250 * k, 250 * k, 250 * k]),
-        (&[10.0, 0.0, 0.0, 0.0], 0, 1, 0, &[790 * k, 70 * k, 70 * k, 70 * k]),
-        (&[30.0, 10.0, 0.0, 0.0], 0, 1, 0, &[610 * k, 250 * k, 70 * k, 70 * k]),
-        (&[10.0, 10.0, 0.0, 0.0], 600 * k as u64, 1, 0, &[145 * k, 145 * k, 55 * k, 55 * k]),
+        (&[0.0, 0.0, 0.0, 0.0], 0, 1, 0, &[250 * K, 250 * K, 250 * K, 250 * K]),
+        (&[10.0, 0.0, 0.0, 0.0], 0, 1, 0, &[790 * K, 70 * K, 70 * K, 70 * K]),
+        (&[30.0, 10.0, 0.0, 0.0], 0, 1, 0, &[610 * K, 250 * K, 70 * K, 70 * K]),
+        (&[10.0, 10.0, 0.0, 0.0], 600_000, 1, 0, &[145 * K, 145 * K, 55 * K, 55 * K]),
         // A whole one for each that asks comes first.
-        (&[99.0, 1.0, 0.0, 0.0], 0, 200 * k, 0, &[650 * k, 210 * k, 70 * k, 70 * k]),
+        (&[99.0, 1.0, 0.0, 0.0], 0, 200 * K, 0, &[650 * K, 210 * K, 70 * K, 70 * K]),
         // Two of four at a time.
-        (&[1.0, 1.0, 1.0, 1.0], 0, 400 * k, 0, &[500 * k, 400 * k, 50 * k, 50 * k]),
-        (&[1.0, 1.0, 1.0, 1.0], 0, 400 * k, 1, &[50 * k, 500 * k, 400 * k, 50 * k]),
-        (&[1.0, 1.0, 1.0, 1.0], 0, 400 * k, 3, &[400 * k, 50 * k, 50 * k, 500 * k]),
+        (&[1.0, 1.0, 1.0, 1.0], 0, 400 * K, 0, &[500 * K, 400 * K, 50 * K, 50 * K]),
+        (&[1.0, 1.0, 1.0, 1.0], 0, 400 * K, 1, &[50 * K, 500 * K, 400 * K, 50 * K]),
+        (&[1.0, 1.0, 1.0, 1.0], 0, 400 * K, 3, &[400 * K, 50 * K, 50 * K, 500 * K]),
     ];
     for (asked, kept, least, turn, wanted) in cases {
-        let of = budget(4, 50 * k, least);
+        let of = budget(4, 50 * K, least);
         let asked: Vec<_> = asked.iter().enumerate().map(|(h, a)| (HostId(h as u32), *a)).collect();
         let parts: Vec<u32> = divide(&of, &asked, kept, turn).into_iter().map(|p| p.1).collect();
         let sum: u64 = parts.iter().map(|p| u64::from(*p)).sum();
         assert!(sum + kept <= u64::from(WHOLE) && sum + kept > u64::from(WHOLE) - 10, "{parts:?}");
-        let near = parts.iter().zip(wanted).all(|(a, b)| a.abs_diff(*b) <= 50 * k);
+        let near = parts.iter().zip(wanted).all(|(a, b)| a.abs_diff(*b) <= 50 * K);
         assert!(near, "{asked:?} {kept} {least} {turn}: {parts:?}, {wanted:?} meant");
     }
 }
