--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -18,6 +18,11 @@
 impl Demand {
     pub fn add(&mut self, budget: VolumeId, units: f64, now: Instant) {
         let (sum, at) = self.0.entry(budget).or_insert((0.0, now));
+        // Fading is looked at some times in a half-life: a power for each transfer would cost more than all else here.
+        if now - *at < HALF.times(0.01) {
+            *sum += units;
+            return;
+        }
         (*sum, *at) = (faded(*sum, now - *at) + units, now);
     }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -133,6 +133,12 @@
         self.holder.share(budget, now).unwrap_or(floor)
     }
 
+    /// What may be used of each budget now, and how long the lease lasts that it rests on; `None`: there is none.
+    pub fn parts(&self) -> (impl Iterator<Item = (VolumeId, u32)>, Option<Span>) {
+        let parts = self.terms.budgets.keys().map(|id| (*id, self.share(*id)));
+        (parts, self.holder.until().map(|until| until - self.now))
+    }
+
     /// Since this was last asked, shares became others or may have.
     pub fn changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
--- a/crates/host/src/core/fleet.rs
+++ b/crates/host/src/core/fleet.rs
@@ -8,6 +8,7 @@
 use gullsail_protocol::FleetNote;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use tracing::{Level, enabled};
 
 /// What cold nodes bear, among the budgets: numbers of volumes are shorter.
 const COLD: VolumeId = VolumeId(u64::MAX);
@@ -173,18 +174,21 @@
         Among { hosts: self.deployment.hosts.len() as u32, cold_part }
     }
 
-    /// What this host may use from now on, and for how long, for whoever judges it later.
+    /// What this host may use from now on, and for how long, for whoever judges it later: a line for each change, as long
+    /// as the document has budgets, so only where it is asked for.
     fn write_down(&self) {
-        let Some(fleet) = &self.fleet else { return };
-        let s = fleet.status();
-        let lasts_us = s.lease_ms.map_or(-1, |ms| (ms * 1e3) as i64);
-        let d = &self.deployment;
-        let held = s.budgets.iter().filter_map(|b| Some((self.budget_name(b.budget)?, b.share)));
-        let held: BTreeMap<_, _> = held.collect();
-        let (epoch, held) = (s.epoch, serde_json::to_string(&held).unwrap_or_default());
-        let member = d.hosts.get(self.me.0 as usize).map_or("", |h| h.name.as_str());
+        let Some(fleet) = self.fleet.as_ref().filter(|_| enabled!(target: "gullsail_parts", Level::DEBUG))
+        else {
+            return;
+        };
+        let (parts, lease) = fleet.parts();
+        let held: BTreeMap<_, _> =
+            parts.filter_map(|(id, share)| Some((self.budget_name(id.0)?, share))).collect();
+        let (epoch, held) = (fleet.epoch(), serde_json::to_string(&held).unwrap_or_default());
+        let lasts_us = lease.map_or(-1, Span::micros);
+        let member = self.deployment.hosts.get(self.me.0 as usize).map_or("", |h| h.name.as_str());
         let life = self.incarnation;
-        info!(target: "gullsail_parts", member, life, epoch, lasts_us, parts = held, "parts");
+        debug!(target: "gullsail_parts", member, life, epoch, lasts_us, parts = held, "parts");
     }
 
     fn budget_name(&self, id: u64) -> Option<String> {
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -6,7 +6,7 @@
 use gullsail_protocol::{ClockTell, ListNews};
 
 impl Core {
-    pub(super) fn hear(&mut self, id: LinkId, frame: Frame) {
+    pub(super) fn hear(&mut self, id: LinkId, frame: Frame, aged: bool) {
         let (name, bytes) = (frame.message.name(), frame.len());
         self.frame_crosses(id, &frame, false);
         let Some(link) = self.links.get_mut(&id) else { return };
@@ -14,7 +14,7 @@
         match (&link.who, frame.message) {
             (_, Message::Newer { kind }) => debug!(link = id.0, kind, "kind of a newer version: skipped"),
             (Who::Stranger(_), Message::Hello(hello)) => self.greeted_by_stranger(id, hello),
-            (Who::Client, Message::Submit(s)) => self.submit(id, s, frame.body),
+            (Who::Client, Message::Submit(s)) => self.submit(id, s, frame.body, aged),
             (Who::Client, Message::Withdraw(w)) => self.withdraw(id, w.id),
             (Who::PeerIn { .. }, Message::Label(l)) => self.label(id, l.bytes),
             (Who::PeerIn { .. }, Message::ClockTell(t)) => self.clock_told(id, t),
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -336,7 +336,7 @@
         match input {
             Input::Dialled(link) => self.dialled(link),
             Input::DialFailed(link, why) => self.over(link, &why),
-            Input::Frame(link, frame) => self.hear(link, frame),
+            Input::Frame(link, frame) => self.hear(link, frame, false),
             Input::Waited(link, mut frame, waited) => {
                 // Its client has counted on since it sent this. What is left must hold two ticks, by which its last
                 // answer is given before the expiry: with less it is not taken, and nothing of it ran.
@@ -346,7 +346,7 @@
                     s.ttl_us = if left > least { left.micros() } else { 0 };
                     self.counts.aged += 1;
                 }
-                self.hear(link, frame);
+                self.hear(link, frame, true);
             }
             Input::Written(link, bytes) => self.written(link, bytes),
             Input::Closed(link, why) => self.over(link, &why),
--- a/crates/host/src/core/serve.rs
+++ b/crates/host/src/core/serve.rs
@@ -9,7 +9,7 @@
 
 impl Core {
     /// A client hands a transfer over. What can't be taken is told so at once, with the reason.
-    pub(super) fn submit(&mut self, link: LinkId, submit: Submit, body: bytes::Bytes) {
+    pub(super) fn submit(&mut self, link: LinkId, submit: Submit, body: bytes::Bytes, aged: bool) {
         let d = &self.deployment;
         if self.transfers.find(link, submit.id).is_some() {
             return self.hang_up(link, "one id for two open transfers");
@@ -60,7 +60,7 @@
         let names = submit.stream_type.len() + submit.volume.len() + submit.mark.len();
         let transfer = Transfer { bytes: (LEG_HEAD + names + body.len()) as f64, ..transfer };
         let (write, expiry) = (stream_type.write, self.now + transfer.ttl);
-        let id = self.transfers.take(Open { link, submit, write, body, expiry, legs: 0 });
+        let id = self.transfers.take(Open { link, submit, write, body, expiry, aged, legs: 0 });
         self.counts.taken += 1;
         self.fleet_took(transfer.volume, transfer.units);
         self.events.push(Event::Arrived(Transfer { id, ..transfer }));
@@ -108,6 +108,10 @@
         // a transfer's answer is due exactly at its expiry it harms; answers are due two ticks before.
         if self.now > open.expiry {
             self.counts.answers_withheld += 1;
+            if open.aged && open.legs == 0 {
+                // Perhaps somebody does wait: nothing of it ran.
+                self.not_taken(open.link, open.submit.id, "its time may be up".into(), false);
+            }
             return;
         }
         match outcome {
--- a/crates/host/src/core/transfers.rs
+++ b/crates/host/src/core/transfers.rs
@@ -21,6 +21,8 @@
     pub body: Bytes,
     /// When its client gives up.
     pub expiry: Instant,
+    /// Its time was shortened by what it may have waited: its client may wait longer than that.
+    pub aged: bool,
     pub legs: u32,
 }
 
