A host that decided and leaves tells whoever decides next; a test that raced itself

Cause: a coordinator whose machine goes resigns and told its leaving to itself, so the next one waited out its lease (seen in fleet works: lease waited out). The test of words said two reasons at once and took the first for certain.

--- a/crates/cli/src/works.rs
+++ b/crates/cli/src/works.rs
@@ -101,7 +101,7 @@
         text += "no coordinator has told this host the line: it sends to no machine until one does\n";
     }
     if view.anew {
-        text += "most hosts had lost their memory when this line began: orders given before may be lost, say them again\n";
+        text += "most hosts were newly started when this line began: orders given before that are lost, say them again\n";
     }
     let mut table = comfy_table::Table::new();
     table.load_style(comfy_table::presets::UTF8_HORIZONTAL_ONLY);
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -173,13 +173,15 @@
     // Through two hosts at once, and it is one order; the host answers what it has, leaves and ends by itself.
     let out = ["fleet", "out", "h1.sock", "h3", "--reason", "a new kernel", "--wait"];
     std::thread::scope(|s| {
-        let other = s.spawn(|| gullsail(dir, &["fleet", "out", "h2.sock", "h3"]));
+        let other = s.spawn(|| gullsail(dir, &["fleet", "out", "h2.sock", "h3", "--reason", "a new kernel"]));
         let (code, said) = gullsail(dir, &out);
         assert!(code == Some(0) && said.contains("a new kernel"), "{said}");
         assert_eq!(other.join().unwrap().0, Some(0));
     });
     let view = works("h2.sock");
     assert!(view["orders"].as_array().is_some_and(|o| o.len() == 1), "{view}");
+    // It said that it goes, also where it decided until then: no lease had to be waited out.
+    assert_eq!(view["orders"][0]["hosts"].as_array().map(Vec::len), Some(0), "{view}");
     assert!(h3.0.wait().unwrap().success());
     let (code, said) = gullsail(dir, &["fleet", "cancel", "h2.sock", "h3"]);
     assert!(code == Some(1) && said.contains("it is out already"), "{said}");
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -91,8 +91,6 @@
     counts: Counts,
 }
 
-/// Leaving is said again after this part of a lease, and waited for as long as one.
-const SAY_AGAIN: f64 = 0.25;
 /// Hosts that are no members are asked so often, in leases: one that is gone for good costs next to nothing.
 const ASK: f64 = 0.5;
 
@@ -425,8 +423,8 @@
 
     fn say_leave(&mut self) {
         self.holder.let_go();
-        if self.resign() {
-            self.going = Going::Said(self.now + self.terms.lease.times(SAY_AGAIN));
+        // Who decided until now tells whoever asks next, if somebody does within a lease.
+        if self.resign() || self.holder.coordinator() == Some(self.me) {
             return;
         }
         match self.holder.coordinator() {
--- a/crates/fleet/src/fleet/notes.rs
+++ b/crates/fleet/src/fleet/notes.rs
@@ -92,6 +92,11 @@
             FleetWhat::Accept => self.chosen(&n),
             FleetWhat::Refuse => self.office.refused(ballot, self.now),
             FleetWhat::Ask if self.going == Going::No => self.asked(&n, link),
+            // What was said of leaving was lost, or there was nobody yet who decides.
+            FleetWhat::Ask if matches!(self.going, Going::Said(_)) => {
+                let note = self.blank(FleetWhat::Leave, HostId(n.from), n.from_life);
+                self.tell(note, Some(link));
+            }
             FleetWhat::Renew => self.renewed(&n, link),
             FleetWhat::Grant if self.going == Going::No => self.granted(&n),
             FleetWhat::Leave => {
--- a/crates/fleet/src/works/foreman.rs
+++ b/crates/fleet/src/works/foreman.rs
@@ -258,11 +258,9 @@
                     // Whose process never said that it let go.
                     let said = |h: &HostId| self.sends.get(h).is_some_and(|s| self.said(s, o));
                     let expired: Vec<u32> = whose.iter().filter(|h| !said(h)).map(|h| h.0).collect();
-                    if waits.is_empty() && self.committed(t, o.version) {
+                    if waits.is_empty() {
                         moves.push((o.machine, Stage::LetGo));
                         says.push((o.machine, String::new(), expired));
-                    } else if waits.is_empty() {
-                        says.push((o.machine, "most hosts do not know of it yet".into(), vec![]));
                     } else {
                         says.push((o.machine, "hosts have not let go".into(), waits));
                     }
@@ -271,6 +269,9 @@
                     moves.push((o.machine, Stage::Out));
                     says.push((o.machine, String::new(), o.hosts.clone()));
                 }
+                Stage::LetGo => {
+                    says.push((o.machine, "most hosts do not know of it yet".into(), o.hosts.clone()));
+                }
                 Stage::Out | Stage::Overdue => {
                     let anew = seen.is_some_and(|s| s.life != 0 && s.life != o.life) && well;
                     if o.returns && anew {
