--- a/crates/fleet/tests/works.rs
+++ b/crates/fleet/tests/works.rs
@@ -359,3 +359,58 @@
         assert_eq!(got, taken, "{remember:?}");
     }
 }
+
+/// All have let go, but it is told to be out only when most know that; from then on no cancel is taken, by whoever decides.
+#[test]
+fn out_is_told_when_most_know_that_all_let_go_and_is_not_taken_back() {
+    let at = |ms: i64| Instant::from_micros(1_000_000_000 + ms * 1000);
+    let (w, machines, members) = (terms(), machines(), (0..5).collect());
+    let t = Terms {
+        fleet: 7,
+        hosts: 5,
+        lease: Span::from_millis(1000.0),
+        drift: 0.0,
+        voters: 3,
+        budgets: BTreeMap::new(),
+        works: Some(w.clone()),
+    };
+    let stands = Now {
+        machines: &machines,
+        members: &members,
+        hosts: 5,
+        voters: 3,
+        served: 0.0,
+        coordinator: 4,
+        second: 40_000,
+    };
+    let ballot = Ballot { round: 9, by: 0 };
+    let before = Line { at: LineAt { ballot, count: 3 }, orders: vec![order(1, Stage::Leaving, 0)], anew: 0 };
+    let mut f = Foreman::new(ballot, Some(before.clone()), at(0));
+    // The first so many know the newest line, the others the one before it; all let go of machine 1.
+    let heard = |f: &mut Foreman, ms: i64, know: u32, old: Option<LineAt>| {
+        for host in 0..5 {
+            let knows = if host < know { f.line().map(|l| l.at) } else { old };
+            let (let_go, member_for) = (BTreeSet::from([MachineId(1)]), Span::from_millis(60_000.0));
+            let h = Heard { host: HostId(host), life: 1, knows, let_go, member_for, served: 0.0 };
+            f.heard(&t, &w, h, at(ms));
+            f.granted(HostId(host), at(ms));
+        }
+        f.advance(&t, &w, at(ms), &stands, ballot, true);
+        f.line().and_then(|l| l.order(MachineId(1))).map(|o| o.stage)
+    };
+    let word = |kind: u32| FleetWord { kind, machines: vec![1], ..FleetWord::default() };
+    assert_eq!(
+        heard(&mut f, 0, 0, Some(before.at)),
+        Some(Stage::Leaving),
+        "nobody knows the line that was taken over"
+    );
+    let taken = f.line().map(|l| l.at);
+    assert_eq!(heard(&mut f, 100, 5, taken), Some(Stage::LetGo));
+    assert_eq!(heard(&mut f, 200, 2, taken), Some(Stage::LetGo), "two of five know");
+    let said = f.word(&t, &w, &word(3), &machines, at(200));
+    assert!(matches!(said, Said::Refused(_, why) if why.contains("out already")));
+    assert_eq!(heard(&mut f, 300, 3, taken), Some(Stage::Out));
+    assert!(matches!(f.word(&t, &w, &word(3), &machines, at(300)), Said::Refused(..)));
+    assert_eq!(f.word(&t, &w, &word(2), &machines, at(300)), Said::Later);
+    assert_eq!(heard(&mut f, 350, 3, taken), Some(Stage::Back));
+}
