Works: what orders wait for is told twice a lease; a word is answered by its own version

Cause, seen with 100 hosts in simulated time: each host that let go made a new version of the line for all (868 in ten leases), and a word for many machines was never answered, since it waited for the version of stages that went on meanwhile. Change: what orders wait for makes a version twice a lease while none moves; a word of out waits for what is still asked alone.

--- a/crates/fleet/src/works/foreman.rs
+++ b/crates/fleet/src/works/foreman.rs
@@ -71,8 +71,12 @@
     sends: BTreeMap<HostId, Sends>,
     remember: BTreeSet<HostId>,
     newborn: BTreeSet<HostId>,
+    /// When what orders wait for was told last.
+    said: Instant,
 }
 
+/// What orders wait for is told so often, in leases, while none moves.
+const SAY: f64 = 0.5;
 /// Changes of a line are fewer than two to this power.
 const COUNTS: u32 = 20;
 /// What is over is shown for so long.
@@ -90,6 +94,7 @@
             sends: BTreeMap::new(),
             remember: BTreeSet::new(),
             newborn: BTreeSet::new(),
+            said: now,
         }
     }
 
@@ -233,6 +238,7 @@
         }
         self.adopt(t, settled);
         let Some(line) = &self.line else { return };
+        let before = line.at.count;
         let hosts: Vec<HostId> = t.everyone().collect();
         let mut moves: Vec<(MachineId, Stage)> = Vec::new();
         let mut says: Vec<(MachineId, String, Vec<u32>)> = Vec::new();
@@ -331,11 +337,17 @@
                 o.life = if o.machine == machine { life } else { o.life };
             }
         }
-        self.say(says);
+        let moved = self.line.as_ref().is_some_and(|l| l.at.count != before);
+        self.say(says, moved, t, now);
     }
 
     /// What orders wait for is part of the line, but a change of it alone makes no new one as often as hosts come and go.
-    fn say(&mut self, says: Vec<(MachineId, String, Vec<u32>)>) {
+    fn say(&mut self, says: Vec<(MachineId, String, Vec<u32>)>, moved: bool, t: &Terms, now: Instant) {
+        // A new version goes to all hosts: with hundreds that let go one by one it would at each of their renewals.
+        if !moved && now - self.said < t.lease.times(SAY) {
+            return;
+        }
+        self.said = now;
         let mut changed = false;
         for (machine, waits, hosts) in says {
             let orders = self.line.iter_mut().flat_map(|l| &mut l.orders);
@@ -420,7 +432,10 @@
                 }
                 _ => {}
             }
-            latest = latest.max(self.line.as_ref().and_then(|l| l.order(m)).map_or(0, |o| o.version));
+            // One that is asked for and has gone on is known to a majority: it went on by that.
+            let order = self.line.as_ref().and_then(|l| l.order(m));
+            let order = order.filter(|o| kind != WordKind::Out || o.stage == Stage::Asked);
+            latest = latest.max(order.map_or(0, |o| o.version));
         }
         if self.committed(t, latest) { Said::Taken } else { Said::Later }
     }
--- a/crates/fleet/tests/world/rig.rs
+++ b/crates/fleet/tests/world/rig.rs
@@ -39,7 +39,7 @@
 
 /// Two for each cell, each as able as the others; numbers from this on.
 pub const NODES: u64 = 6;
-pub const FIRST: u64 = 100;
+pub const FIRST: u64 = 10_000;
 
 enum What {
     Note { to: u32, link: u32, note: FleetNote },
@@ -368,6 +368,13 @@
         self.turn(host);
     }
 
+    /// With so many nodes, two for each cell.
+    pub fn with_nodes(mut self, nodes: u64) -> World {
+        self.nodes = (0..nodes).map(|n| (n + 1, true)).collect();
+        self.hosts.iter_mut().for_each(|h| h.used = vec![i64::MIN / 2; nodes as usize]);
+        self
+    }
+
     pub fn cut_both(&mut self, a: u32, b: u32, span: i64) {
         self.cut(a, b, span);
         self.cut(b, a, span);
--- a/crates/fleet/tests/world/works.rs
+++ b/crates/fleet/tests/world/works.rs
@@ -168,3 +168,45 @@
         assert!(uses, "all send to it again");
     }
 }
+
+/// How long a line takes and what it costs, by size: for docs/results.md, by hand.
+#[test]
+#[ignore = "figures, not a verdict: cargo test -p gullsail-fleet --release --test world line_by_size -- --ignored --nocapture"]
+fn line_by_size() {
+    for (hosts, nodes) in [(24, 24), (100, 60), (300, 200)] {
+        let works = WorksTerms { at_once: 4, in_zone: 4, in_pool: 4, keep: 0.8, ..terms() };
+        let mut w = World::uneven(hosts, 1, 10_000, DRIFT, Some(works)).with_nodes(nodes);
+        w.run(5 * LEASE);
+        w.notes.iter_mut().for_each(|n| *n = 0);
+        w.run(5 * LEASE);
+        let mut calm = std::mem::take(&mut w.notes);
+        w.notes = vec![0; hosts as usize];
+        // One of each two that hold a cell, up to forty.
+        let line: Vec<MachineId> = (0..nodes).step_by(2).take(40).map(node).collect();
+        let at = w.now;
+        w.word(hosts / 2, WordKind::Out, &line, FleetWord { returns: true, ..FleetWord::default() });
+        let mut off: BTreeSet<MachineId> = BTreeSet::new();
+        let done = |w: &World| line.iter().filter(|m| stage(w, **m) == Some(Stage::Done)).count();
+        while done(&w) < line.len() && w.now - at < 600 * SECOND {
+            w.run(50_000);
+            let out: Vec<_> =
+                line.iter().filter(|m| stage(&w, **m) == Some(Stage::Out) && off.insert(**m)).collect();
+            for m in out {
+                let place = (m.0 - FIRST) as usize;
+                w.nodes[place] = (w.nodes[place].0 + 1000, true);
+            }
+        }
+        let leases = (w.now - at) as f64 / LEASE as f64;
+        let median = |notes: &mut Vec<u64>, span: f64| {
+            notes.sort_unstable();
+            notes[notes.len() / 2] as f64 / span
+        };
+        println!(
+            "{hosts} hosts, {nodes} nodes: {} in line, four at once, done after {leases:.1} leases; {:.1} notes a second from a host \
+             meanwhile, {:.1} before",
+            line.len(),
+            median(&mut w.notes, leases),
+            median(&mut calm, 5.0),
+        );
+    }
+}
