--- a/crates/fleet/tests/works.rs
+++ b/crates/fleet/tests/works.rs
@@ -58,6 +58,12 @@
     }
 }
 
+/// Lease a second, clocks alike.
+fn fleet_of(hosts: u32, works: &WorksTerms) -> Terms {
+    let (lease, budgets) = (Span::from_millis(1000.0), BTreeMap::new());
+    Terms { fleet: 7, hosts, lease, drift: 0.0, voters: 3, budgets, works: Some(works.clone()) }
+}
+
 #[test]
 fn the_order_keeps_the_terms_and_holds_nobody_up() {
     use Stage::*;
@@ -242,15 +248,7 @@
     let ms = |ms: i64| Instant::from_micros(1_000_000_000 + ms * 1000);
     let span = Span::from_millis;
     let (w, ballot) = (terms(), Ballot { round: 9, by: 0 });
-    let t = Terms {
-        fleet: 7,
-        hosts: 3,
-        lease: span(1000.0),
-        drift: 0.0,
-        voters: 3,
-        budgets: BTreeMap::new(),
-        works: Some(w.clone()),
-    };
+    let t = fleet_of(3, &w);
     let (machines, members) = (machines(), (0..5).collect());
     let stands = Now {
         machines: &machines,
@@ -305,15 +303,7 @@
 fn a_line_is_taken_over_from_enough_hosts_or_begun_anew() {
     let at = |ms: i64| Instant::from_micros(1_000_000_000 + ms * 1000);
     let (w, machines, members) = (terms(), machines(), (0..5).collect());
-    let t = Terms {
-        fleet: 7,
-        hosts: 5,
-        lease: Span::from_millis(1000.0),
-        drift: 0.0,
-        voters: 3,
-        budgets: BTreeMap::new(),
-        works: Some(w.clone()),
-    };
+    let t = fleet_of(5, &w);
     let stands = Now {
         machines: &machines,
         members: &members,
@@ -365,15 +355,7 @@
 fn out_is_told_when_most_know_that_all_let_go_and_is_not_taken_back() {
     let at = |ms: i64| Instant::from_micros(1_000_000_000 + ms * 1000);
     let (w, machines, members) = (terms(), machines(), (0..5).collect());
-    let t = Terms {
-        fleet: 7,
-        hosts: 5,
-        lease: Span::from_millis(1000.0),
-        drift: 0.0,
-        voters: 3,
-        budgets: BTreeMap::new(),
-        works: Some(w.clone()),
-    };
+    let t = fleet_of(5, &w);
     let stands = Now {
         machines: &machines,
         members: &members,
