The host leaves when its answers are written; closes take no message with them

Change: the last answers are given 0.35 s before the platform ends the host, each connection is ended in order, and the host is gone when all of them have ended or 0.05 s before the platform would end it. A second signal answers what is open first.

By the same reading, in clients.rs and conn.rs: - an order to close an idle connection names how much was handled when it was given; its task does nothing if it read more (a message that was read and waited in the inbox was closed over), else ends its sending and reads over what crosses that; - who gives way to a newcomer is closed in that way too, in places kept for newcomers; without any, newcomers wait with the system instead of being closed without a word; - what comes behind an open transfer beyond 8 KiB is read over instead of left unread: the client's end stands behind it; - what waits behind an answer is begun when that is written: several orders at once ran over a connection's queue and ended it.

Connections' tasks are tested on real sockets with the crossing held still (sockets.rs).

--- a/crates/platform/src/core/ask.rs
+++ b/crates/platform/src/core/ask.rs
@@ -1,6 +1,6 @@
 //! What a client asks, read strictly: a transfer, or why it is none. Everything that counts must be there once and in
 //! its form; the rest is ignored. What is refused here never reaches the decisions and never says 429 or 503, which
-//! would promise something.
+//! would promise something, but for what comes when the host leaves: that it never ran is so.
 
 use bytes::Bytes;
 use gullsail_facts::{Names, Reach, hash};
@@ -27,6 +27,7 @@
     ReadWithBody,
     IdIsOpen,
     NoRoom,
+    Leaving,
 }
 
 impl Refused {
@@ -38,6 +39,7 @@
             Refused::IdIsOpen => (409, "Conflict"),
             Refused::Length => (411, "Length Required"),
             Refused::BodyTooLong | Refused::NoRoom => (413, "Content Too Large"),
+            Refused::Leaving => (503, "Service Unavailable"),
             Refused::HeadTooLong => (431, "Request Header Fields Too Large"),
             _ => (400, "Bad Request"),
         }
@@ -62,6 +64,7 @@
             Refused::ReadWithBody => "a read without a body was meant",
             Refused::IdIsOpen => "an id that is not open was meant",
             Refused::NoRoom => "the host holds all that it has room for",
+            Refused::Leaving => "another host was meant: this one leaves",
         }
     }
 }
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -13,8 +13,11 @@
 const IDLE: Span = Span::from_micros(2_000_000);
 /// A newcomer's first message may be this long in coming before it gives way to others.
 const COMING_LEAST: Span = Span::from_micros(300_000);
-/// What may wait unread behind an open transfer; then nothing more is read.
+/// What may wait behind an open transfer. Clients send one message at a time: what comes beyond this is read over, since the
+/// end of the connection stands behind it, and the connection is over with the open transfer's answer.
 const AHEAD: usize = 8 << 10;
+/// Of the places of clients, the part that only newcomers get while an older connection gives way to each, and the most.
+const NEWCOMERS: usize = 8;
 
 #[derive(Debug, PartialEq)]
 enum Stage {
@@ -22,8 +25,12 @@
     Reading,
     /// Its transfer is open; the message said whether the connection goes on.
     Busy(TransferId, bool),
-    /// It has its last answer.
+    /// Its answer is being written; what waits behind it is read then.
+    Answering,
+    /// It has its last answer, which is being written.
     Ending,
+    /// All is written and its sending has ended; only the client's own end is waited for.
+    Shut,
 }
 
 #[derive(Debug)]
@@ -33,7 +40,10 @@
     /// When it connected, when the last message was answered, or when the first byte of this one came.
     since: Instant,
     served: u64,
-    paused: bool,
+    /// Bytes that came, all of them handled: an order to close holds only while the connection's task has read no more.
+    heard: u64,
+    /// More came behind an open transfer than may wait.
+    crowded: bool,
     /// It idles, and is to be closed if nothing has come on it.
     closing: bool,
 }
@@ -42,13 +52,16 @@
 pub(super) struct Clients {
     all: BTreeMap<ConnId, Client>,
     most: usize,
+    /// Beyond these each newcomer has another give way.
+    usual: usize,
     coming: usize,
     most_coming: usize,
 }
 
 impl Clients {
     pub(super) fn new(most: usize, most_coming: usize) -> Clients {
-        Clients { all: BTreeMap::new(), most, coming: 0, most_coming }
+        let usual = most - (most / 8).clamp(1, NEWCOMERS);
+        Clients { all: BTreeMap::new(), most, usual, coming: 0, most_coming }
     }
     pub(super) fn len(&self) -> usize {
         self.all.len()
@@ -61,36 +74,44 @@
         self.coming
     }
 
-    /// Who gives way to a newcomer: who ends anyway; then who never said anything, the oldest first and however young, since
-    /// usual clients speak at once and a silent crowd comes faster than any least age would let it go; then who idles
-    /// longest, though never under the 2 s that the platform's page of days leaves to it; then whose first message does
-    /// not come to its end. A crowd that asks once and stays can so hold all places for 2 s.
+    /// Without those that are ending, whose places are free in a moment.
+    fn staying(&self) -> usize {
+        let ends = |c: &&Client| c.closing || matches!(c.stage, Stage::Ending | Stage::Shut);
+        self.len() - self.all.values().filter(ends).count()
+    }
+
+    /// Of those that have a rank the one that comes first.
+    fn oldest(&self, rank: impl Fn(&Client) -> Option<u32>) -> Option<ConnId> {
+        let all = self.all.iter().filter_map(|(id, c)| Some((rank(c)?, c.since, *id)));
+        all.min().map(|(_, _, id)| id)
+    }
+
+    /// Who gives way to a newcomer: who never said anything, the oldest first and however young, since usual clients speak
+    /// at once and a silent crowd comes faster than any least age would let it go; then who idles longest, though never
+    /// under the 2 s that the platform's page of days leaves to it; then whose first message does not come to its end. A
+    /// crowd that asks once and stays can so hold all places for 2 s.
     fn gives_way(&self, now: Instant) -> Option<ConnId> {
-        let rank = |c: &Client| match (&c.stage, c.served > 0, c.decoder.is_empty()) {
-            (Stage::Ending, ..) => Some(0),
+        self.oldest(|c| match (&c.stage, c.served > 0, c.decoder.is_empty()) {
+            _ if c.closing => None,
             (Stage::Reading, false, true) => Some(1),
             (Stage::Reading, true, true) if now - c.since >= IDLE => Some(2),
             (Stage::Reading, false, false) if now - c.since >= COMING_LEAST => Some(3),
             _ => None,
-        };
-        let all = self.all.iter().filter_map(|(id, c)| Some((rank(c)?, c.since, *id)));
-        all.min().map(|(_, _, id)| id)
+        })
     }
 }
 
 impl Core {
-    /// A client connects; `None`: there is no place for it.
-    pub fn accept(&mut self, now: Instant) -> Option<ConnId> {
+    /// Is there a place for a client that connects? Else it waits with the system, which loses nothing.
+    pub fn has_place(&self) -> bool {
+        self.clients.len() < self.clients.most
+    }
+
+    /// A client connects.
+    pub fn accept(&mut self, now: Instant) -> ConnId {
         self.now = self.now.max(now);
-        if self.clients.len() >= self.clients.most {
-            let Some(other) = self.clients.gives_way(self.now) else {
-                self.counts.no_place += 1;
-                return None;
-            };
-            self.counts.made_room += 1;
-            self.drop_client(other);
-        }
         self.counts.accepted += 1;
+        self.make_room(1);
         let conn = self.conn();
         let decoder = Decoder::requests(BOUNDS);
         let client = Client {
@@ -98,31 +119,58 @@
             stage: Stage::Reading,
             since: self.now,
             served: 0,
-            paused: false,
+            heard: 0,
+            crowded: false,
             closing: false,
         };
         self.clients.all.insert(conn, client);
         self.keep_looking();
-        Some(conn)
+        conn
+    }
+
+    /// For so many newcomers: others give way, each as far as nothing that was read or answered is lost with it.
+    fn make_room(&mut self, newcomers: usize) {
+        let (usual, now) = (self.clients.usual, self.now);
+        while self.clients.len() + newcomers > usual
+            && let Some(ended) = self.clients.oldest(|c| (c.stage == Stage::Shut).then_some(0))
+        {
+            self.counts.made_room += 1;
+            self.drop_client(ended);
+        }
+        while self.clients.staying() + newcomers > usual {
+            let Some(other) = self.clients.gives_way(now) else {
+                self.counts.no_place += newcomers as u64;
+                return;
+            };
+            self.counts.made_room += 1;
+            if self.clients.all[&other].decoder.is_empty() {
+                self.close_quiet(other);
+            } else {
+                self.refuse(other, Refused::TooSlow, false);
+            }
+        }
     }
 
     pub(super) fn client_came(&mut self, conn: ConnId, bytes: &[u8]) {
         let now = self.now;
         let Some(c) = self.clients.all.get_mut(&conn) else { return };
-        if c.stage == Stage::Ending {
-            return;
-        }
-        if c.stage == Stage::Reading && c.decoder.is_empty() && c.served > 0 {
-            c.since = now;
+        c.heard += bytes.len() as u64;
+        match c.stage {
+            Stage::Ending | Stage::Shut => return,
+            Stage::Busy(..) | Stage::Answering if c.decoder.holds() + bytes.len() > AHEAD => {
+                if !std::mem::replace(&mut c.crowded, true) {
+                    self.counts.crowded += 1;
+                    self.outputs.push(Output::Ignore { conn });
+                }
+                return;
+            }
+            Stage::Reading if c.decoder.is_empty() && c.served > 0 => c.since = now,
+            _ => {}
         }
         c.closing = false;
         let before = c.decoder.holds();
         c.decoder.feed(bytes);
         self.clients.coming += c.decoder.holds() - before;
-        if matches!(c.stage, Stage::Busy(..)) && c.decoder.holds() > AHEAD && !c.paused {
-            c.paused = true;
-            self.outputs.push(Output::Reading { conn, on: false });
-        }
         self.read_client(conn);
         // Who has been coming longest gives way: whole messages of usual clients come at once.
         while self.clients.coming > self.clients.most_coming {
@@ -133,6 +181,22 @@
         }
     }
 
+    /// All of its answer is with the operating system.
+    pub(super) fn client_written(&mut self, conn: ConnId) {
+        let now = self.now;
+        let Some(c) = self.clients.all.get_mut(&conn).filter(|c| c.stage == Stage::Answering) else { return };
+        (c.stage, c.since) = (Stage::Reading, now);
+        // What waited behind it.
+        self.read_client(conn);
+    }
+
+    /// Its last answer is written and its sending has ended.
+    pub(super) fn client_shut(&mut self, conn: ConnId) {
+        let Some(c) = self.clients.all.get_mut(&conn) else { return };
+        self.clients.coming -= c.decoder.holds();
+        (c.stage, c.closing, c.decoder) = (Stage::Shut, false, Decoder::requests(BOUNDS));
+    }
+
     fn read_client(&mut self, conn: ConnId) {
         while let Some(c) = self.clients.all.get_mut(&conn).filter(|c| c.stage == Stage::Reading) {
             let before = c.decoder.holds();
@@ -166,6 +230,9 @@
             Ok(asked) => asked,
             Err(why) => return self.refuse(conn, why, m.stays),
         };
+        if self.leaving == Leaving::Writing {
+            return self.refuse(conn, Refused::Leaving, false);
+        }
         if self.transfers.is_open(asked.trace) {
             return self.refuse(conn, Refused::IdIsOpen, m.stays);
         }
@@ -188,18 +255,19 @@
         stays: bool,
         rest: impl FnOnce(Encoder) -> Bytes,
     ) {
-        let stays = stays && self.leaving.takes();
-        let now = self.now;
-        let Some(c) = self.clients.all.get_mut(&conn).filter(|c| c.stage != Stage::Ending) else { return };
+        let (now, most) = (self.now, self.clients.usual);
+        let guest = self.clients.len() > most && self.clients.staying() > most;
+        let Some(c) = self.clients.all.get_mut(&conn) else { return };
+        if !matches!(c.stage, Stage::Reading | Stage::Busy(..)) {
+            return;
+        }
+        let stays = stays && !guest && !c.crowded && self.leaving.takes();
         let e = Encoder::answer(status, reason);
         let bytes = rest(if stays { e } else { e.field("Connection", b"close") });
         self.outputs.push(Output::Answer { conn, bytes });
         (c.since, c.served) = (now, c.served + 1);
-        if std::mem::take(&mut c.paused) {
-            self.outputs.push(Output::Reading { conn, on: true });
-        }
         if stays {
-            c.stage = Stage::Reading;
+            c.stage = Stage::Answering;
         } else {
             self.finish_client(conn);
         }
@@ -208,7 +276,8 @@
     fn close_quiet(&mut self, conn: ConnId) {
         if let Some(c) = self.clients.all.get_mut(&conn).filter(|c| !c.closing) {
             c.closing = true;
-            self.outputs.push(Output::CloseQuiet { conn });
+            let seen = c.heard;
+            self.outputs.push(Output::CloseQuiet { conn, seen });
         }
     }
 
@@ -227,7 +296,7 @@
         self.outputs.push(Output::Finish { conn });
     }
 
-    /// Its place is free at once, whatever it was doing.
+    /// Its place is free at once: all of it is written.
     fn drop_client(&mut self, conn: ConnId) {
         if let Some(c) = self.clients.all.remove(&conn) {
             self.clients.coming -= c.decoder.holds();
@@ -249,12 +318,9 @@
         let now = self.now;
         let reading = self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading);
         let (mut slow, mut idle) = (Vec::new(), Vec::new());
-        let leaving = !self.leaving.takes();
         for (id, c) in reading {
             let between = c.decoder.is_empty() && c.served > 0;
-            if leaving && c.decoder.is_empty() {
-                idle.push(*id);
-            } else if !between && now - c.since >= WHOLE {
+            if !between && now - c.since >= WHOLE {
                 slow.push(*id);
             } else if between && now - c.since >= IDLE {
                 idle.push(*id);
@@ -262,15 +328,30 @@
         }
         slow.into_iter().for_each(|conn| self.refuse(conn, Refused::TooSlow, false));
         idle.into_iter().for_each(|conn| self.close_quiet(conn));
+        if !self.leaving.takes() {
+            self.close_idle_clients(LOOK);
+        }
+        self.make_room(0);
     }
 
     /// The host leaves: connections between messages are ended unless something has come on them.
-    pub(super) fn close_idle_clients(&mut self) {
-        let idle = self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading && c.decoder.is_empty());
+    pub(super) fn close_idle_clients(&mut self, least_age: Span) {
+        let now = self.now;
+        // Of who connected just now the first message is on its way.
+        let idle = |c: &Client| c.decoder.is_empty() && (c.served > 0 || now - c.since >= least_age);
+        let idle = self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading && idle(c));
         let idle: Vec<_> = idle.map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|conn| self.close_quiet(conn));
     }
 
+    /// No more is taken: who idles is closed, and who is still saying something gets an answer.
+    pub(super) fn end_clients(&mut self) {
+        self.close_idle_clients(Span::ZERO);
+        let coming = self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading && !c.closing);
+        let coming: Vec<_> = coming.map(|(id, _)| *id).collect();
+        coming.into_iter().for_each(|conn| self.refuse(conn, Refused::Leaving, false));
+    }
+
     fn answer(
         &mut self,
         id: TransferId,
@@ -284,8 +365,6 @@
             _ => return false,
         };
         self.reply(conn, status, reason, stays, rest);
-        // What waited behind it.
-        self.read_client(conn);
         true
     }
 
--- a/crates/platform/src/core/counts.rs
+++ b/crates/platform/src/core/counts.rs
@@ -7,10 +7,12 @@
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Counts {
-    /// Connections of clients; those turned away for lack of descriptors; those closed to make room.
+    /// Connections of clients; those to which nobody could give way; those closed to make room; those on which more came
+    /// behind an open transfer than may wait.
     pub accepted: u64,
     pub no_place: u64,
     pub made_room: u64,
+    pub crowded: u64,
     /// Transfers, and how they were answered.
     pub taken: u64,
     pub done: u64,
--- a/crates/platform/src/core/leave.rs
+++ b/crates/platform/src/core/leave.rs
@@ -1,6 +1,7 @@
 //! Leaving: for a while everything goes on, since clients use the connections they have for as long as these are open and
 //! nobody else serves them; then nothing new is taken, what is open is finished, and the host is gone before the platform
-//! ends it.
+//! ends it. An answer that is given is not yet written: the host leaves when each connection has ended, in order, or when
+//! the platform would end it the next moment.
 
 use super::*;
 
@@ -10,17 +11,24 @@
 const BEYOND: Span = Span::from_micros(700_000);
 /// New connections come for this long at the most.
 const STILL_COMING: Span = Span::from_micros(500_000);
-/// Kept for what takes longer than it should.
-const SPARE: Span = Span::from_micros(250_000);
-/// What is open so long before the end gets its final answer then: unanswered it would be lost.
-const LAST: Span = Span::from_micros(100_000);
+/// Kept for what takes longer than it should, and for the writing at the end.
+const SPARE: Span = Span::from_micros(500_000);
+/// So long before the platform ends it the host is gone, whatever is unwritten then.
+const LAST: Span = Span::from_micros(50_000);
+/// What is open so long before that gets its final answer: unanswered it would be lost, and the answer has to be written
+/// and the connection ended too, by a process that shares its core.
+const WRITING: Span = Span::from_micros(300_000);
+/// After a second word all is answered at once, and so long is left for writing it to who reads slowly.
+const AT_ONCE: Span = Span::from_micros(1_000_000);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Leaving {
     No,
-    /// Until the second point all has to be answered.
+    /// Until the point given the host has to be gone.
     StillTaking(Instant),
-    Finishing,
+    Finishing(Instant),
+    /// All that was open has its final answer; what comes now is refused.
+    Writing,
     Left,
 }
 
@@ -44,24 +52,46 @@
         self.due.set(self.now + takes, Due::Leave);
     }
 
+    /// A second word: whatever is open is answered now.
+    pub(super) fn stop_now(&mut self) {
+        if matches!(self.leaving, Leaving::Writing | Leaving::Left) {
+            return;
+        }
+        if self.leaving.takes() {
+            self.outputs.push(Output::StopAccepting);
+        }
+        let gone = match self.leaving {
+            Leaving::StillTaking(gone) | Leaving::Finishing(gone) => gone.min(self.now + AT_ONCE),
+            _ => self.now + AT_ONCE,
+        };
+        self.answer_all(gone);
+    }
+
+    /// A timer for an earlier stage than this one's finds nothing to do.
     pub(super) fn leave_further(&mut self) {
         match self.leaving {
-            Leaving::StillTaking(until) => {
-                self.leaving = Leaving::Finishing;
+            Leaving::StillTaking(gone) => {
+                self.leaving = Leaving::Finishing(gone);
+                // The listener goes first: who finds its connection closed and comes again is told so at once.
                 self.outputs.push(Output::StopAccepting);
-                self.close_idle_clients();
-                self.due.set(until, Due::Leave);
-            }
-            Leaving::Finishing => {
-                self.transfers.all_open().into_iter().for_each(|id| self.abandon(id));
-                self.left();
+                self.close_idle_clients(LOOK);
+                self.due.set(gone - WRITING, Due::Leave);
             }
-            Leaving::No | Leaving::Left => {}
+            Leaving::Finishing(gone) if self.now >= gone - WRITING => self.answer_all(gone),
+            Leaving::No | Leaving::Finishing(_) | Leaving::Writing | Leaving::Left => {}
         }
     }
 
+    fn answer_all(&mut self, gone: Instant) {
+        self.leaving = Leaving::Writing;
+        self.transfers.all_open().into_iter().for_each(|id| self.abandon(id));
+        self.end_clients();
+        self.due.set(gone, Due::Gone);
+    }
+
     pub(super) fn leave_if_done(&mut self) {
-        if self.leaving == Leaving::Finishing && self.transfers.open() == 0 && self.clients.len() == 0 {
+        let finishing = matches!(self.leaving, Leaving::Finishing(_) | Leaving::Writing);
+        if finishing && self.transfers.open() == 0 && self.clients.len() == 0 {
             self.left();
         }
     }
--- a/crates/platform/src/core/legs.rs
+++ b/crates/platform/src/core/legs.rs
@@ -66,8 +66,8 @@
         let left = leg.ends - now;
         let Some(open) = self.transfers.get(key.0) else { return };
         let bytes = open.parts.message(left, &open.body);
-        self.links.busy(conn, key);
-        self.outputs.push(Output::Send { conn, bytes });
+        let seen = self.links.busy(conn, key);
+        self.outputs.push(Output::Send { conn, bytes, seen });
     }
 
     pub(super) fn leg_ends(&mut self, key: LegKey) {
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -35,6 +35,8 @@
     /// Since when it idles, if it does.
     idle: Instant,
     used: u64,
+    /// Bytes that came, all of them handled: an order to send holds only while the connection's task has read no more.
+    heard: u64,
     decoder: Decoder,
 }
 
@@ -82,10 +84,11 @@
     pub(super) fn is_ready(&self, node: NodeId) -> bool {
         self.nodes.get(&node).is_some_and(|n| n.entry.standing == Standing::Ready)
     }
-    pub(super) fn busy(&mut self, conn: ConnId, key: LegKey) {
-        if let Some(l) = self.all.get_mut(&conn) {
-            l.usage = Use::Busy(key);
-        }
+    /// It carries a leg from now on. Says how much came on it so far.
+    pub(super) fn busy(&mut self, conn: ConnId, key: LegKey) -> u64 {
+        let Some(l) = self.all.get_mut(&conn) else { return 0 };
+        l.usage = Use::Busy(key);
+        l.heard
     }
     /// Says whether a connection to the node was being made.
     pub(super) fn stop_waiting(&mut self, node: NodeId, key: LegKey) -> bool {
@@ -192,7 +195,9 @@
         let conn = self.conn();
         let decoder = Decoder::answers(BOUNDS);
         let (opened, idle) = (self.now, self.now);
-        self.links.all.insert(conn, Link { node, usage: Use::Dialling, opened, idle, used: 0, decoder });
+        self.links
+            .all
+            .insert(conn, Link { node, usage: Use::Dialling, opened, idle, used: 0, heard: 0, decoder });
         self.counts.opened += 1;
         self.outputs.push(Output::Dial { conn, address });
         self.due.set(self.now + self.reach.connect_time_out, Due::DialEnds(conn));
@@ -324,6 +329,7 @@
 
     pub(super) fn link_came(&mut self, conn: ConnId, bytes: &[u8]) {
         let Some(l) = self.links.all.get_mut(&conn) else { return };
+        l.heard += bytes.len() as u64;
         let Use::Busy(key) = l.usage else {
             // Nobody asked for it: whatever it is, an answer behind it would be another's.
             self.counts.surplus += 1;
--- a/crates/platform/src/core/list.rs
+++ b/crates/platform/src/core/list.rs
@@ -26,6 +26,8 @@
     address: String,
     conn: Option<ConnId>,
     decoder: Decoder,
+    /// Bytes that came on this connection.
+    heard_bytes: u64,
     /// Of the last page, on this connection.
     seq: Option<u64>,
     /// Numbers each question, so that a timer knows its own.
@@ -37,7 +39,7 @@
 impl List {
     pub(super) fn new(address: String) -> List {
         let decoder = Decoder::answers(BOUNDS);
-        List { address, conn: None, decoder, seq: None, question: 0, failed: 0, heard: None }
+        List { address, conn: None, decoder, heard_bytes: 0, seq: None, question: 0, failed: 0, heard: None }
     }
     pub(super) fn is(&self, conn: ConnId) -> bool {
         self.conn == Some(conn)
@@ -59,7 +61,7 @@
         }
         let conn = self.conn();
         let l = &mut self.list;
-        (l.conn, l.seq, l.decoder) = (Some(conn), None, Decoder::answers(BOUNDS));
+        (l.conn, l.seq, l.decoder, l.heard_bytes) = (Some(conn), None, Decoder::answers(BOUNDS), 0);
         let address = l.address.clone();
         self.outputs.push(Output::Dial { conn, address });
         let (silent, _) = self.list.patience(!self.facts.list_asked);
@@ -86,7 +88,7 @@
         };
         let host = self.list.address.clone();
         let bytes = Encoder::request(b"GET", target.as_bytes()).field("Host", host.as_bytes()).bare();
-        self.outputs.push(Output::Send { conn, bytes });
+        self.outputs.push(Output::Send { conn, bytes, seen: self.list.heard_bytes });
         self.expect_list(within);
     }
 
@@ -112,6 +114,7 @@
     }
 
     pub(super) fn list_came(&mut self, bytes: &[u8]) {
+        self.list.heard_bytes += bytes.len() as u64;
         self.list.decoder.feed(bytes);
         match self.list.decoder.take() {
             Ok(None) => {}
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -64,12 +64,14 @@
     Written(ConnId),
     /// It was found over before a byte of what was to be written left.
     Unwritten(ConnId),
+    /// Its sending has ended behind all that was to be written.
+    Shut(ConnId),
     Ended(ConnId),
     Datagram(SocketAddr, Bytes),
     /// Another document: of it only where discovery is counts while serving.
     Reload(Box<Document>),
     Stop,
-    /// At once, whatever is open.
+    /// A second word: what is open is answered at once.
     StopNow,
 }
 
@@ -80,27 +82,30 @@
         conn: ConnId,
         address: String,
     },
-    /// To a node or discovery: only if nothing is there to be read, which would mean that it is over.
+    /// To a node or discovery: only if nothing is there to be read and no more than `seen` bytes were read on it before,
+    /// which would mean that it is over.
     Send {
         conn: ConnId,
         bytes: Bytes,
+        seen: u64,
     },
     /// To a client.
     Answer {
         conn: ConnId,
         bytes: Bytes,
     },
-    Reading {
+    /// Reads over what comes from now on: only the end is of interest.
+    Ignore {
         conn: ConnId,
-        on: bool,
     },
     /// Writes out what is to be written, ends its sending, reads over what comes for a while, then closes.
     Finish {
         conn: ConnId,
     },
-    /// Closes it unless there is something to read.
+    /// The same, unless there is something to read, or more than `seen` bytes were read on it before.
     CloseQuiet {
         conn: ConnId,
+        seen: u64,
     },
     Close {
         conn: ConnId,
@@ -111,7 +116,7 @@
     },
     /// Takes what waits to be accepted, then no more.
     StopAccepting,
-    /// All is done.
+    /// All is written and every connection of a client has ended, or there is no more time for it.
     Left,
 }
 
@@ -130,6 +135,8 @@
     Ready,
     Say,
     Leave,
+    /// The platform would end the host the next moment.
+    Gone,
 }
 
 pub struct Core {
@@ -204,7 +211,9 @@
             Input::Came(conn, bytes) if self.list.is(conn) => self.list_came(&bytes),
             Input::Came(conn, bytes) if self.clients.has(conn) => self.client_came(conn, &bytes),
             Input::Came(conn, bytes) => self.link_came(conn, &bytes),
+            Input::Written(conn) if self.clients.has(conn) => self.client_written(conn),
             Input::Written(conn) => self.link_written(conn),
+            Input::Shut(conn) => self.client_shut(conn),
             Input::Unwritten(conn) => self.link_unwritten(conn),
             Input::Ended(conn) if self.list.is(conn) => self.list_lost("its connection ended"),
             Input::Ended(conn) if self.clients.has(conn) => self.client_ended(conn),
@@ -212,7 +221,7 @@
             Input::Datagram(from, bytes) => self.peer_said(from, &bytes),
             Input::Reload(d) => self.reload(*d),
             Input::Stop => self.stop(),
-            Input::StopNow => self.left(),
+            Input::StopNow => self.stop_now(),
         }
     }
 
@@ -281,6 +290,7 @@
                 self.due.set(self.now + SAY, Due::Say);
             }
             Due::Leave => self.leave_further(),
+            Due::Gone => self.left(),
         }
     }
 
--- a/crates/platform/src/drive.rs
+++ b/crates/platform/src/drive.rs
@@ -2,7 +2,7 @@
 //! whatever it asks for is done; nothing is decided here. Each connection is a task of its own (`conn`), which this loop
 //! owns and ends.
 
-mod conn;
+pub mod conn;
 
 use crate::core::{ConnId, Core, Counts, Input, Output};
 use crate::document::{Document, Unsound};
@@ -133,7 +133,7 @@
                     Err(why) => warn!("the new document is not taken, the old one stays: {why:?}"),
                 }
             }
-            came = accept(s.listener.as_ref(), accept_from) => match came {
+            came = accept(s.listener.as_ref(), accept_from), if s.core.has_place() => match came {
                 Ok(stream) => s.client(stream),
                 Err(e) => {
                     // Out of descriptors, mostly: a moment later there may be some.
@@ -166,11 +166,10 @@
     }
 
     fn client(&mut self, stream: TcpStream) {
-        if let Some(conn) = self.core.accept(self.clock.now()) {
-            let (orders, queue) = mpsc::channel(ORDERS);
-            let task = self.tasks.spawn(conn::serve(conn, stream, queue, self.sink.clone()));
-            self.held.insert(conn, Held { orders, task });
-        }
+        let conn = self.core.accept(self.clock.now());
+        let (orders, queue) = mpsc::channel(ORDERS);
+        let task = self.tasks.spawn(conn::serve(conn, stream, queue, self.sink.clone()));
+        self.held.insert(conn, Held { orders, task });
     }
 
     fn happened(&mut self, now: gullsail_interface::Instant, conn: ConnId, happened: Happened) {
@@ -179,6 +178,7 @@
             Happened::Came(bytes) => Input::Came(conn, bytes),
             Happened::Written => Input::Written(conn),
             Happened::Unwritten => Input::Unwritten(conn),
+            Happened::Shut => Input::Shut(conn),
             Happened::Ended => {
                 self.held.remove(&conn);
                 Input::Ended(conn)
@@ -203,11 +203,15 @@
                         let task = self.tasks.spawn(conn::dial(conn, address, queue, self.sink.clone()));
                         self.held.insert(conn, Held { orders, task });
                     }
-                    Output::Send { conn, bytes } => self.order(conn, Order::Send(bytes), &mut stuck),
+                    Output::Send { conn, bytes, seen } => {
+                        self.order(conn, Order::Send { bytes, seen }, &mut stuck);
+                    }
                     Output::Answer { conn, bytes } => self.order(conn, Order::Answer(bytes), &mut stuck),
-                    Output::Reading { conn, on } => self.order(conn, Order::Reading(on), &mut stuck),
+                    Output::Ignore { conn } => self.order(conn, Order::Ignore, &mut stuck),
                     Output::Finish { conn } => self.order(conn, Order::Finish, &mut stuck),
-                    Output::CloseQuiet { conn } => self.order(conn, Order::CloseQuiet, &mut stuck),
+                    Output::CloseQuiet { conn, seen } => {
+                        self.order(conn, Order::CloseQuiet { seen }, &mut stuck);
+                    }
                     Output::Close { conn } => {
                         if let Some(held) = self.held.remove(&conn) {
                             held.task.abort();
--- a/crates/platform/src/drive/conn.rs
+++ b/crates/platform/src/drive/conn.rs
@@ -23,26 +23,34 @@
 
 /// What came of a connection.
 #[derive(Debug)]
-pub(super) enum Happened {
+pub enum Happened {
     Up,
     Came(Bytes),
     Written,
     Unwritten,
+    Shut,
     Ended,
 }
 
 #[derive(Debug)]
-pub(super) enum Order {
-    Send(Bytes),
+pub enum Order {
+    /// Unless more was handed up than its owner has handled, or something is there to be read.
+    Send {
+        bytes: Bytes,
+        seen: u64,
+    },
     Answer(Bytes),
-    Reading(bool),
+    Ignore,
     Finish,
-    CloseQuiet,
+    /// Under the same condition.
+    CloseQuiet {
+        seen: u64,
+    },
 }
 
 type Sink = mpsc::Sender<(ConnId, Happened)>;
 
-pub(super) async fn dial(conn: ConnId, address: String, orders: mpsc::Receiver<Order>, sink: Sink) {
+pub async fn dial(conn: ConnId, address: String, orders: mpsc::Receiver<Order>, sink: Sink) {
     // Names are not looked up: the platform has no service for it.
     if let Ok(address) = address.parse::<SocketAddr>()
         && let Ok(stream) = TcpStream::connect(address).await
@@ -53,69 +61,103 @@
     let _ = sink.send((conn, Happened::Ended)).await;
 }
 
-pub(super) async fn serve(
-    conn: ConnId,
-    mut stream: TcpStream,
-    mut orders: mpsc::Receiver<Order>,
-    sink: Sink,
-) {
+pub async fn serve(conn: ConnId, stream: TcpStream, mut orders: mpsc::Receiver<Order>, sink: Sink) {
     // Without it small messages wait for one another; a socket that can't is over anyway.
     let _ = stream.set_nodelay(true);
-    let ended = work(conn, &mut stream, &mut orders, &sink).await;
+    let mut c = Conn { conn, stream, sink, handed: 0, ignores: None };
+    // What can't be told, nobody wants to know.
+    let _ = c.work(&mut orders).await;
+    let Conn { stream, sink, .. } = c;
     drop(stream);
-    if ended {
-        let _ = sink.send((conn, Happened::Ended)).await;
-    }
+    let _ = sink.send((conn, Happened::Ended)).await;
 }
 
-/// `false`: nobody wants to know.
-async fn work(conn: ConnId, stream: &mut TcpStream, orders: &mut mpsc::Receiver<Order>, sink: &Sink) -> bool {
-    let mut reading = true;
-    loop {
-        tokio::select! {
-            order = orders.recv() => match order {
-                None => return false,
-                Some(Order::Reading(on)) => reading = on,
-                Some(Order::Send(bytes)) => {
-                    if !quiet(stream) {
-                        return sink.send((conn, Happened::Unwritten)).await.is_ok();
-                    }
-                    if stream.write_all(&bytes).await.is_err() {
-                        return true;
-                    }
-                    if sink.send((conn, Happened::Written)).await.is_err() {
-                        return false;
-                    }
-                }
-                Some(Order::Answer(bytes)) => {
-                    if !matches!(timeout(TAKES, stream.write_all(&bytes)).await, Ok(Ok(()))) {
-                        return true;
+/// The owner does not listen any more.
+struct Unheard;
+
+struct Conn {
+    conn: ConnId,
+    stream: TcpStream,
+    sink: Sink,
+    /// Bytes that were handed up.
+    handed: u64,
+    /// Bytes that may still be read over, where nothing is handed up any more.
+    ignores: Option<usize>,
+}
+
+impl Conn {
+    async fn tell(&self, happened: Happened) -> Result<(), Unheard> {
+        self.sink.send((self.conn, happened)).await.map_err(|_| Unheard)
+    }
+
+    /// Until the connection is over.
+    async fn work(&mut self, orders: &mut mpsc::Receiver<Order>) -> Result<(), Unheard> {
+        loop {
+            tokio::select! {
+                order = orders.recv() => match order {
+                    None => return Err(Unheard),
+                    Some(Order::Ignore) => self.ignores = Some(OVER),
+                    Some(Order::Send { bytes, seen }) => {
+                        if !self.quiet(seen) {
+                            return self.tell(Happened::Unwritten).await;
+                        }
+                        if self.stream.write_all(&bytes).await.is_err() {
+                            return Ok(());
+                        }
+                        self.tell(Happened::Written).await?;
                     }
-                }
-                Some(Order::CloseQuiet) if quiet(stream) => return true,
-                Some(Order::CloseQuiet) => {}
-                Some(Order::Finish) => {
-                    if stream.shutdown().await.is_ok() {
-                        read_over(stream).await;
+                    Some(Order::Answer(bytes)) => {
+                        if !matches!(timeout(TAKES, self.stream.write_all(&bytes)).await, Ok(Ok(()))) {
+                            return Ok(());
+                        }
+                        self.tell(Happened::Written).await?;
                     }
-                    return true;
-                }
-            },
-            ready = stream.readable(), if reading => {
-                let came = ready.and_then(|()| piece(stream));
-                match came {
+                    Some(Order::CloseQuiet { seen }) if self.quiet(seen) => return self.linger().await,
+                    Some(Order::CloseQuiet { .. }) => {}
+                    Some(Order::Finish) => return self.linger().await,
+                },
+                ready = self.stream.readable() => match ready.and_then(|()| piece(&self.stream)) {
                     Ok(None) => {}
-                    Ok(Some(bytes)) if bytes.is_empty() => return true,
-                    Ok(Some(bytes)) => {
-                        if sink.send((conn, Happened::Came(bytes))).await.is_err() {
-                            return false;
+                    Ok(Some(bytes)) if bytes.is_empty() => return Ok(()),
+                    Ok(Some(bytes)) => match &mut self.ignores {
+                        Some(left) if bytes.len() > *left => return Ok(()),
+                        Some(left) => *left -= bytes.len(),
+                        None => {
+                            self.handed += bytes.len() as u64;
+                            self.tell(Happened::Came(bytes)).await?;
                         }
-                    }
-                    Err(_) => return true,
-                }
+                    },
+                    Err(_) => return Ok(()),
+                },
             }
         }
     }
+
+    /// Does its owner know of all that came? What was handed up and is not handled yet counts, and what is still to be read:
+    /// for that the socket itself is asked, since what the runtime knows may be a moment old.
+    fn quiet(&self, seen: u64) -> bool {
+        let mut one = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut one);
+        self.handed == seen && matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Ends its sending and reads over what still comes, for a bounded time and size. What crossed the end is handed to
+    /// nobody; a close at once would answer it with a reset, which takes along what the other side has not read yet.
+    async fn linger(&mut self) -> Result<(), Unheard> {
+        if self.stream.shutdown().await.is_err() {
+            return Ok(());
+        }
+        self.tell(Happened::Shut).await?;
+        let (until, mut left) = (Instant::now() + OVER_FOR, OVER);
+        while left > 0 && matches!(timeout_at(until, self.stream.readable()).await, Ok(Ok(()))) {
+            match piece(&self.stream) {
+                Ok(None) => {}
+                Ok(Some(bytes)) if !bytes.is_empty() => left = left.saturating_sub(bytes.len()),
+                _ => break,
+            }
+        }
+        Ok(())
+    }
 }
 
 /// `None`: nothing is there yet; empty: the other side has ended it.
@@ -127,23 +169,3 @@
         Err(e) => Err(e),
     }
 }
-
-/// Is it open, with nothing to be read? The socket itself is asked: what the runtime knows may be a moment old.
-fn quiet(stream: &TcpStream) -> bool {
-    let mut one = [MaybeUninit::uninit()];
-    matches!(SockRef::from(stream).peek(&mut one), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-}
-
-async fn read_over(stream: &TcpStream) {
-    let (until, mut left) = (Instant::now() + OVER_FOR, OVER);
-    while left > 0 {
-        match timeout_at(until, stream.readable()).await {
-            Ok(Ok(())) => match piece(stream) {
-                Ok(None) => {}
-                Ok(Some(bytes)) if !bytes.is_empty() => left = left.saturating_sub(bytes.len()),
-                _ => return,
-            },
-            _ => return,
-        }
-    }
-}
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -5,3 +5,4 @@
 mod legs;
 mod list;
 mod rig;
+mod sockets;
