What was handed to a connection may have run; a stray answer is part of no other

Found by reading, each forced by a test (crossings.rs: six of its ten tests fail on the lines as they were, one for each point below and 'is elsewhere'; those on ends, gone clients, closes and moves of discovery hold either way): - legs.rs, leg_ends: a leg whose time ended while the word 'written' was under way was told as never run, so that an unrepeatable transfer could be sent twice. It is told as timed out. - links.rs, link_came: bytes that were read before a message was written on the same connection began the answer to that message (a second answer's head took the next answer's bytes for its body). They belong to nothing, and the order to write names how much was handled, so mostly nothing is written behind them. - legs.rs, start_leg: a leg decided for a transfer whose client left in the same batch ended untold; its place in the node's window was never free again. It is told as unsent. What the batch says of nodes is looked at there, too. - links.rs, listed: legs that waited for a node that drains were told when their wait was over, now at once; connections to where a node was before its address changed were used on. - legs.rs, may_still_go: a further leg that waited for its connection could go out past the window for repeats.

--- a/crates/platform/src/core/legs.rs
+++ b/crates/platform/src/core/legs.rs
@@ -3,6 +3,9 @@
 
 use super::*;
 
+/// From the order to write a message until the node has its first byte, at the longest on a link that works.
+const FLIGHT: Span = Span::from_micros(10_000);
+
 /// Which transfer, and which of its legs.
 pub(super) type LegKey = (TransferId, u32);
 
@@ -29,7 +32,10 @@
 impl Core {
     pub(super) fn start_leg(&mut self, id: TransferId, node: NodeId, time_out: Option<Span>) {
         let now = self.now;
-        let Some(open) = self.transfers.get(id) else { return };
+        let Some(open) = self.transfers.get(id) else {
+            // Its client left in the batch that it was decided in: the module waits for the leg's ending all the same.
+            return self.unsent(id, node);
+        };
         let left = open.expiry - now;
         let (number, lasts) = (open.legs, time_out.map_or(left, |t| t.min(left)));
         (open.legs, open.out) = (open.legs + 1, open.out + 1);
@@ -37,7 +43,8 @@
         let started = self.links.started(node);
         let leg = Leg { node, made: now, ends: now + lasts, at: At::Waiting, started };
         self.legs.insert(key, leg);
-        if lasts <= Span::ZERO {
+        // What came in the batch that it was decided in may speak against it.
+        if !self.may_still_go(key) {
             return self.leg_over(key, Ending::Unsent, None);
         }
         self.due.set(now + lasts, Due::LegEnds(key));
@@ -52,10 +59,18 @@
     /// transfer has its answer, or its time is over.
     pub(super) fn may_still_go(&mut self, key: LegKey) -> bool {
         let Some(leg) = self.legs.get(&key).copied() else { return false };
-        let open = self.transfers.get(key.0).is_some_and(|o| o.client.is_some());
-        open && self.now < leg.ends
-            && self.links.is_ready(leg.node)
-            && self.links.started(leg.node) == leg.started
+        let now = self.now;
+        let open = self.transfers.get(key.0).is_some_and(|o| {
+            // Guards against a repeat that begins, after the wait for its connection, when nobody knows any more that the
+            // first may have run. It harms where the window is about as short as that wait.
+            let repeats = |effect| match (effect, o.ran) {
+                (_, None) | (Effect::Repeatable, _) => true,
+                (Effect::Keyed { window, .. }, Some((_, since))) => now + FLIGHT - since < window,
+                (Effect::Unrepeatable, Some(_)) => false,
+            };
+            o.client.is_some() && repeats(self.facts.stream_types[o.stream_type.0].effect)
+        });
+        open && now < leg.ends && self.links.is_ready(leg.node) && self.links.started(leg.node) == leg.started
     }
 
     /// Writes it to a connection that is up and free.
@@ -64,7 +79,9 @@
         let Some(leg) = self.legs.get_mut(&key) else { return };
         leg.at = At::Going(conn);
         let left = leg.ends - now;
+        let made = leg.made;
         let Some(open) = self.transfers.get(key.0) else { return };
+        open.ran.get_or_insert((key.1, made));
         let bytes = open.parts.message(left, &open.body);
         let seen = self.links.busy(conn, key);
         self.outputs.push(Output::Send { conn, bytes, seen });
@@ -73,13 +90,9 @@
     pub(super) fn leg_ends(&mut self, key: LegKey) {
         match self.legs.get(&key).map(|l| l.at) {
             Some(At::Waiting) => self.leg_waited(key),
-            Some(At::Going(conn)) => {
-                // Not all of it is written, so it never ran; the connection is over with it.
-                self.close_link(conn);
-                self.leg_over(key, Ending::Unreached, None);
-            }
-            // The connection goes first: no second leg may be out beside this one.
-            Some(At::Gone(conn, _)) => {
+            // The connection goes first: no second leg may be out beside this one. What was handed to its task may have
+            // run until the task says otherwise: the word that all is written may be under way.
+            Some(At::Going(conn) | At::Gone(conn, _)) => {
                 self.close_link(conn);
                 self.leg_over(key, Ending::TimedOut, None);
             }
@@ -94,11 +107,27 @@
         self.leg_over(key, if dialled { Ending::Unreached } else { Ending::Unsent }, None);
     }
 
+    /// A leg of a transfer that is no more: its first, since those of one with a leg out are kept.
+    fn unsent(&mut self, id: TransferId, node: NodeId) {
+        self.counts.ending(Ending::Unsent);
+        self.events.push(Event::LegEnded(LegEnd {
+            id,
+            leg: 0,
+            node,
+            ending: Ending::Unsent,
+            took: Span::ZERO,
+            finished: true,
+            used: None,
+            zone: self.links.zone(node),
+            bytes: 0.0,
+        }));
+    }
+
     /// Tells the module.
     pub(super) fn leg_over(&mut self, key: LegKey, ending: Ending, used: Option<f64>) {
         let Some(leg) = self.legs.remove(&key) else { return };
         self.counts.ending(ending);
-        let finished = self.transfers.leg_over(key.0);
+        let finished = self.transfers.leg_over(key.0, key.1, ending);
         self.events.push(Event::LegEnded(LegEnd {
             id: key.0,
             leg: key.1,
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -37,6 +37,10 @@
     used: u64,
     /// Bytes that came, all of them handled: an order to send holds only while the connection's task has read no more.
     heard: u64,
+    /// Something came on it before the message that it carries was written.
+    spoilt: bool,
+    /// Not to be used again: its node is elsewhere by now.
+    stale: bool,
     decoder: Decoder,
 }
 
@@ -133,10 +137,18 @@
         if n.entry.started != entry.started {
             n.broke = None;
         }
+        let moved = n.dial != dial;
         (n.entry, n.dial) = (entry.clone(), dial.into());
-        if entry.standing != Standing::Ready {
-            let idle = std::mem::take(&mut n.idle);
-            idle.into_iter().for_each(|conn| self.close_link(conn));
+        let ready = entry.standing == Standing::Ready;
+        if moved || !ready {
+            // Whoever waits is told at once if it is sent nothing more, else dials where the node is now.
+            let waiting = if ready { VecDeque::new() } else { std::mem::take(&mut n.waiting) };
+            waiting.into_iter().for_each(|key| self.leg_over(key, Ending::Unsent, None));
+            let of_no_use = |l: &Link| l.node == node && !matches!(l.usage, Use::Busy(_));
+            let all = self.links.all.iter().filter(|(_, l)| of_no_use(l)).map(|(id, _)| *id);
+            all.collect::<Vec<_>>().into_iter().for_each(|conn| self.close_link(conn));
+            // What is out there goes on, and its connection is not used again.
+            self.links.all.values_mut().filter(|l| l.node == node).for_each(|l| l.stale = true);
         }
         self.forget_node(node);
     }
@@ -195,9 +207,20 @@
         let conn = self.conn();
         let decoder = Decoder::answers(BOUNDS);
         let (opened, idle) = (self.now, self.now);
-        self.links
-            .all
-            .insert(conn, Link { node, usage: Use::Dialling, opened, idle, used: 0, heard: 0, decoder });
+        self.links.all.insert(
+            conn,
+            Link {
+                node,
+                usage: Use::Dialling,
+                opened,
+                idle,
+                used: 0,
+                heard: 0,
+                spoilt: false,
+                stale: false,
+                decoder,
+            },
+        );
         self.counts.opened += 1;
         self.outputs.push(Output::Dial { conn, address });
         self.due.set(self.now + self.reach.connect_time_out, Due::DialEnds(conn));
@@ -241,10 +264,15 @@
     }
 
     pub(super) fn link_written(&mut self, conn: ConnId) {
-        let Some(Link { usage: Use::Busy(key), .. }) = self.links.all.get(&conn) else { return };
-        if let Some(leg) = self.legs.get_mut(key).filter(|l| l.at == At::Going(conn)) {
-            leg.at = At::Gone(conn, self.now);
-            self.counts.sent += 1;
+        let Some(Link { usage: Use::Busy(key), spoilt, .. }) = self.links.all.get(&conn) else { return };
+        let (key, spoilt) = (*key, *spoilt);
+        let Some(leg) = self.legs.get_mut(&key).filter(|l| l.at == At::Going(conn)) else { return };
+        leg.at = At::Gone(conn, self.now);
+        self.counts.sent += 1;
+        if spoilt {
+            // Whose answer comes behind what came before can't be told.
+            self.close_link(conn);
+            self.leg_over(key, Ending::Failed, None);
         }
     }
 
@@ -335,6 +363,13 @@
             self.counts.surplus += 1;
             return self.close_link(conn);
         };
+        if self.legs.get(&key).is_some_and(|leg| leg.at == At::Going(conn)) {
+            // It was read before the message was written, so it is no answer to it, nor the beginning of one. Whether the
+            // message was written is for the connection's task to say, and it says so next.
+            self.counts.surplus += 1;
+            l.spoilt = true;
+            return;
+        }
         l.decoder.feed(bytes);
         match l.decoder.take() {
             Ok(None) => {}
@@ -351,13 +386,8 @@
     fn answered(&mut self, conn: ConnId, key: LegKey, m: &Message) {
         let Start::Answer { status } = m.start else { return };
         let Some(l) = self.links.all.get(&conn) else { return };
-        let (node, opened, surplus) = (l.node, l.opened, !l.decoder.is_empty());
-        // An answer to what is not written yet is none.
-        let Some(At::Gone(_, sent)) = self.legs.get(&key).map(|l| l.at) else {
-            self.counts.surplus += 1;
-            self.close_link(conn);
-            return self.leg_over(key, Ending::Failed, None);
-        };
+        let (node, opened, surplus, stale) = (l.node, l.opened, !l.decoder.is_empty(), l.stale);
+        let Some(At::Gone(_, sent)) = self.legs.get(&key).map(|l| l.at) else { return };
         let never_ran = m.field("X-Never-Ran") == Found::One(b"1");
         let ending = match status {
             200 => Ending::Done,
@@ -369,7 +399,7 @@
             self.serve(key.0, &m.body);
         }
         self.counts.surplus += u64::from(surplus);
-        if surplus || !m.stays {
+        if surplus || stale || !m.stays {
             self.close_link(conn);
         } else {
             self.link_free(conn, node);
--- a/crates/platform/src/core/transfers.rs
+++ b/crates/platform/src/core/transfers.rs
@@ -11,12 +11,15 @@
     /// Whom to answer; `None`: it has its answer, or nobody waits for one.
     pub(super) client: Option<ConnId>,
     pub(super) trace: u64,
+    pub(super) stream_type: StreamTypeId,
     pub(super) parts: Parts,
     pub(super) body: Bytes,
     /// When its client gives up.
     pub(super) expiry: Instant,
     pub(super) legs: u32,
     pub(super) out: u32,
+    /// The first leg that may have run, by its number, and when it was decided.
+    pub(super) ran: Option<(u32, Instant)>,
     held: usize,
 }
 
@@ -69,7 +72,19 @@
         self.last += 1;
         let id = TransferId(self.last);
         let expiry = now + transfer.ttl;
-        let open = Open { client: Some(client), trace, parts, body, expiry, legs: 0, out: 0, held };
+        let stream_type = transfer.stream_type;
+        let open = Open {
+            client: Some(client),
+            trace,
+            stream_type,
+            parts,
+            body,
+            expiry,
+            legs: 0,
+            out: 0,
+            ran: None,
+            held,
+        };
         (self.held, self.open) = (self.held + held, self.open + 1);
         self.traces.insert(trace, id);
         self.all.insert(id, open);
@@ -85,8 +100,9 @@
     }
 
     /// One of its legs is over. Says whether it had its answer before.
-    pub(super) fn leg_over(&mut self, id: TransferId) -> bool {
+    pub(super) fn leg_over(&mut self, id: TransferId, leg: u32, ending: Ending) -> bool {
         let Some(open) = self.all.get_mut(&id) else { return true };
+        open.ran = open.ran.filter(|ran| ran.0 != leg || !ending.never_ran());
         open.out = open.out.saturating_sub(1);
         let answered = open.client.is_none();
         self.forget(id);
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod bounds;
 mod clients;
+mod crossings;
 mod legs;
 mod list;
 mod rig;
