Discovery: a silent call stays open beside the next; older lists and long ones

Change: a call that is silent is left open beside the next one, made at once; whichever answers first is followed. So a slow agent is heard without long tries, and tries are 0.15 s apart where lists are pushed. A list that is older than one before it is not taken unless nothing newer comes for 6 s: nodes that it does not hold yet would be gone for good, since what is gone comes back only by a newer start.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -206,16 +206,16 @@
     pub fn handle(&mut self, now: Instant, input: Input) {
         self.now = self.now.max(now);
         match input {
-            Input::Up(conn) if self.list.is(conn) => self.list_up(),
+            Input::Up(conn) if self.list.is(conn) => self.ask_list(conn),
             Input::Up(conn) => self.link_up(conn),
-            Input::Came(conn, bytes) if self.list.is(conn) => self.list_came(&bytes),
+            Input::Came(conn, bytes) if self.list.is(conn) => self.list_came(conn, &bytes),
             Input::Came(conn, bytes) if self.clients.has(conn) => self.client_came(conn, &bytes),
             Input::Came(conn, bytes) => self.link_came(conn, &bytes),
             Input::Written(conn) if self.clients.has(conn) => self.client_written(conn),
             Input::Written(conn) => self.link_written(conn),
             Input::Shut(conn) => self.client_shut(conn),
             Input::Unwritten(conn) => self.link_unwritten(conn),
-            Input::Ended(conn) if self.list.is(conn) => self.list_lost("its connection ended"),
+            Input::Ended(conn) if self.list.is(conn) => self.list_lost(conn, "its connection ended"),
             Input::Ended(conn) if self.clients.has(conn) => self.client_ended(conn),
             Input::Ended(conn) => self.link_ended(conn),
             Input::Datagram(from, bytes) => self.peer_said(from, &bytes),
