--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform/rig.rs
@@ -1,4 +1,4 @@
-//! The real program on the platform's protocol: loopback, scripted peers, limits of its own.
+//! The real program and its peers, scripted: clients, nodes, discovery on loopback.
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -9,10 +9,10 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
-const SOON: Duration = Duration::from_secs(20);
+pub const SOON: Duration = Duration::from_secs(20);
 
 /// One message: its head, and as much body as it states.
-fn message(from: &mut BufReader<TcpStream>) -> Option<String> {
+pub fn message(from: &mut BufReader<TcpStream>) -> Option<String> {
     let (mut text, mut length) = (String::new(), 0);
     loop {
         let at = text.len();
@@ -33,7 +33,7 @@
 }
 
 /// Answers every message on every connection; what `answer` returns `None` for waits for ever.
-fn serve(answer: impl Fn(&str) -> Option<String> + Clone + Send + 'static) -> SocketAddr {
+pub fn serve(answer: impl Fn(&str) -> Option<String> + Clone + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
     std::thread::spawn(move || {
@@ -54,12 +54,12 @@
     at
 }
 
-fn reply(body: &str) -> String {
+pub fn reply(body: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
 /// Says which question came, and lets watches wait.
-fn discovery(node: SocketAddr) -> (SocketAddr, Receiver<String>) {
+pub fn discovery(node: SocketAddr) -> (SocketAddr, Receiver<String>) {
     let (say, said): (Sender<String>, _) = channel();
     let at = serve(move |text| {
         let _ = say.send(text.lines().next().unwrap_or_default().into());
@@ -72,7 +72,7 @@
     (at, said)
 }
 
-fn document(discovery: SocketAddr) -> String {
+pub fn document(discovery: SocketAddr) -> String {
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1f",
         "limits":{{"cores":1.0,"memory_mb":32,"sockets":64}},"peer_listen":"127.0.0.1:0","peers":[],
@@ -83,20 +83,24 @@
     )
 }
 
-struct Host {
-    child: Child,
-    at: SocketAddr,
+pub struct Host {
+    pub child: Child,
+    pub at: SocketAddr,
     log: Receiver<String>,
-    file: PathBuf,
+    pub file: PathBuf,
     _dir: tempfile::TempDir,
 }
 
 impl Host {
-    /// With so many descriptors, whatever the document says.
-    fn start(discovery: SocketAddr) -> Host {
+    pub fn start(discovery: SocketAddr) -> Host {
+        Host::with(&document(discovery))
+    }
+
+    /// With 64 descriptors, whatever the document says.
+    pub fn with(document: &str) -> Host {
         let dir = tempfile::tempdir().unwrap();
         let file = dir.path().join("config.json");
-        std::fs::write(&file, document(discovery)).unwrap();
+        std::fs::write(&file, document).unwrap();
         let mut child = Command::new("/bin/sh")
             .args(["-c", "ulimit -n 64; exec \"$0\" platform", env!("CARGO_BIN_EXE_gullsail")])
             .env("PROXY_CONFIG", &file)
@@ -113,7 +117,7 @@
     }
 
     /// The next line of the log that holds this.
-    fn line(&self, part: &str) -> String {
+    pub fn line(&self, part: &str) -> String {
         loop {
             let line = self.log.recv_timeout(SOON).unwrap_or_else(|_| panic!("no line with {part}"));
             if line.contains(part) {
@@ -122,17 +126,17 @@
         }
     }
 
-    fn signal(&self, signal: Signal) {
+    pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
     }
 
-    fn client(&self) -> BufReader<TcpStream> {
+    pub fn client(&self) -> BufReader<TcpStream> {
         let stream = TcpStream::connect(self.at).unwrap();
         stream.set_read_timeout(Some(SOON)).unwrap();
         BufReader::new(stream)
     }
 
-    fn ready(&self) {
+    pub fn ready(&self) {
         loop {
             let mut c = self.client();
             c.get_mut().write_all(b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
@@ -150,7 +154,7 @@
     }
 }
 
-fn asks(client: &mut BufReader<TcpStream>, trace: u64) {
+pub fn asks(client: &mut BufReader<TcpStream>, trace: u64) {
     let text = format!(
         "GET /read/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {trace:016x}\r\nX-Qos: read\r\n\
          X-Storage-Class: free\r\nX-Expires-In-Ms: 9000\r\nX-Extent: units=1,shard=0,hosts=1\r\n\r\n"
@@ -158,86 +162,6 @@
     client.get_mut().write_all(text.as_bytes()).unwrap();
 }
 
-fn status(client: &mut BufReader<TcpStream>) -> Option<String> {
+pub fn status(client: &mut BufReader<TcpStream>) -> Option<String> {
     message(client).map(|t| t[9..12].to_string())
 }
-
-#[test]
-fn it_serves_through_crowds_reloads_and_leaves_with_everything_answered() {
-    let (go, gate) = channel::<()>();
-    let gate = std::sync::Arc::new(std::sync::Mutex::new(gate));
-    let node = serve(move |text| {
-        // One of them is answered only when the test says so.
-        if text.contains("00000000000000ff") {
-            gate.lock().unwrap().recv_timeout(SOON).ok()?;
-        }
-        Some(reply("made by the node"))
-    });
-    let (old, asked) = discovery(node);
-    let mut h = Host::start(old);
-    h.ready();
-    let mut usual = h.client();
-    asks(&mut usual, 1);
-    assert!(message(&mut usual).unwrap().ends_with("made by the node"));
-    // More connections than it has descriptors, all of them silent.
-    let crowd: Vec<_> = (0..90).map(|_| h.client()).collect();
-    std::thread::sleep(Duration::from_millis(400));
-    let newcomer = (0..50).find_map(|_| {
-        let mut c = h.client();
-        asks(&mut c, 2);
-        status(&mut c)
-    });
-    assert_eq!(newcomer.as_deref(), Some("200"));
-    drop(crowd);
-    // Noise is answered with an error.
-    let mut rude = h.client();
-    rude.get_mut().write_all(b"\x01\x02 noise\r\n\r\n").unwrap();
-    assert_eq!(status(&mut rude).as_deref(), Some("400"));
-    // A half-written document keeps what is; a whole one moves discovery.
-    std::fs::write(&h.file, &document(old)[..100]).unwrap();
-    h.signal(Signal::SIGHUP);
-    h.line("the old one stays");
-    let (new, asked_anew) = discovery(node);
-    std::fs::write(&h.file, document(new)).unwrap();
-    h.signal(Signal::SIGHUP);
-    assert_eq!(asked_anew.recv_timeout(SOON).unwrap(), "GET /catalog/members HTTP/1.1");
-    assert_eq!(asked.recv_timeout(SOON).unwrap(), "GET /catalog/members HTTP/1.1");
-    // It leaves: what is open is answered first.
-    let mut open = h.client();
-    asks(&mut open, 0xff);
-    h.signal(Signal::SIGTERM);
-    h.line("accepts no more");
-    assert!(h.child.try_wait().unwrap().is_none());
-    go.send(()).unwrap();
-    assert_eq!(status(&mut open).as_deref(), Some("200"));
-    assert_eq!(h.child.wait().unwrap().code(), Some(0));
-}
-
-#[test]
-fn without_a_sound_document_it_ends_with_code_2_and_says_why() {
-    let dir = tempfile::tempdir().unwrap();
-    let file = dir.path().join("config.json");
-    let sound = document("127.0.0.1:1".parse().unwrap());
-    let below = sound.replace(r#""parts":1.0"#, r#""parts":1.0,"limit":-1.0"#);
-    let small = sound.replace(r#""parts":1.0"#, r#""parts":1.0,"limit":9.0,"limit-burst":5.0"#);
-    let cases = [
-        (None, "config.json"),
-        (Some("{\"listen\":7}"), "line 1"),
-        (Some("{}"), "listen"),
-        (Some(below.as_str()), "settings.policies[0].limit: a figure of 0 or more"),
-        (Some(small.as_str()), "settings.policies[0].limit-burst: room for one"),
-    ];
-    for (text, says) in cases {
-        text.into_iter().for_each(|t| std::fs::write(&file, t).unwrap());
-        let ended = Command::new(env!("CARGO_BIN_EXE_gullsail"))
-            .arg("platform")
-            .env("PROXY_CONFIG", &file)
-            .output()
-            .unwrap();
-        // As it was said, whatever the lines are broken into.
-        let said = String::from_utf8(ended.stderr).unwrap().replace('│', " ");
-        let said = said.split_whitespace().collect::<Vec<_>>().join(" ");
-        assert_eq!(ended.status.code(), Some(2), "{said}");
-        assert!(said.contains("config.json") && said.contains(says), "{said}");
-    }
-}
