--- a/tests/decisions/cold_fleet.rs
+++ b/tests/decisions/cold_fleet.rs
@@ -101,8 +101,8 @@
     let mut last = 0;
     for now in began..LASTS {
         let t = at(20_000 + now);
-        for h in 0..hosts as usize {
-            if told[h] == now {
+        for (h, told) in told.iter().enumerate() {
+            if *told == now {
                 let entries = vec![cold.clone()];
                 let actions = w.hosts[h].step(t, [Event::List { extent: Extent::Changes, entries }]);
                 w.acts(h, now, actions, &f);
@@ -116,8 +116,8 @@
             }
         }
         let all: f64 = weights.iter().sum();
-        for h in 0..hosts as usize {
-            if !rng.random_bool((rate * weights[h] / all).min(1.0)) {
+        for (h, weight) in weights.iter().enumerate() {
+            if !rng.random_bool((rate * weight / all).min(1.0)) {
                 continue;
             }
             last += 1;
