Turns move on evenly, and who is served by a cold node may send the next

Change: turns move on evenly instead of by blocks, so that a window holds the beginnings of one turn, not of two; and who was served within the window may send the next, one at a time, within a quarter of what is borne.

--- a/crates/cli/tests/platform/crossings.rs
+++ b/crates/cli/tests/platform/crossings.rs
@@ -349,3 +349,24 @@
     }
     panic!("{} descriptors, before {before}", holds(&h).0);
 }
+
+/// A process that starts again while discovery is refused, silent, or silent in the middle of its answer is ready by what it
+/// remembers, and serves.
+#[test]
+fn a_restarted_host_is_ready_without_discovery() {
+    let (at_node, _asked) = node(Some(reply("made by the node")));
+    let refuses = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let silent = serve(|_| None);
+    let half = serve(|_| Some("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"seq\":2,".into()));
+    let known = format!(
+        r#""known":{{"seq":1,"whole":true,"hosts":[{{"host":"s-1","dial":"{at_node}","site":"a","class":"m","block":0,
+        "health":"SERVING","share":1.0,"born_ms":0}}]}},"settings""#
+    );
+    for (what, at) in [("refuses", refuses), ("silent", silent), ("half", half)] {
+        let h = Host::with(&document(at).replacen("\"settings\"", &known, 1));
+        h.ready();
+        let mut c = h.client();
+        asks(&mut c, 1);
+        assert!(message(&mut c).unwrap().ends_with("made by the node"), "{what}");
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -116,7 +116,6 @@
     const PROVEN: f64 = 0.33; // of a served leg still counts: its work may be put off, or was cheap
     const SELDOM: f64 = 0.5; // answers in the last second: with fewer, its window would learn after the jam
     const LONE_LEG: f64 = 0.25; // of what is borne in any case, by however many hosts
-    const TURNS: f64 = 0.4; // of what is borne: who waits finds two turns, and a window holds parts of two
 
     fn new(entry: NodeEntry, now: Instant) -> Self {
         let (gone, window) = (now, Self::START);
@@ -193,8 +192,9 @@
     /// How many units a cold node may be sent now; infinite once it is warm. What is borne in any case is
     /// split evenly between hosts and grows as the ramp promises. Legs that were served within the rule's
     /// window prove that there was room for them and count in part. Where an even part holds no whole
-    /// transfer, a lone leg keeps reads alive: by turns, a window each, where all hosts ask for more than is
-    /// borne, since a leg of each would push it over. Harms where this host asks unlike the others.
+    /// transfer, a lone leg at a time keeps reads alive, the next once it is served; who was served none of
+    /// late begins by turns, a window each, as all hosts ask for more than is borne: a leg of each would push
+    /// it over. Harms where this host asks unlike the others.
     fn cold_room(&mut self, now: Instant, facts: &Facts, crowd: f64) -> (f64, f64) {
         let cold = &facts.cold;
         let Some(age) = self.entry.started.map(|s| now - s).filter(|age| *age < cold.ramp) else {
@@ -208,12 +208,14 @@
         let window = cold.window.times(1.1) + facts.leg_wait;
         self.cold_sent.retain(|c| now - c.1 <= window);
         let weight = |c: &ColdLeg| if c.3 { c.2 * Self::PROVEN } else { c.2 };
-        let left = part - self.cold_sent.iter().map(weight).sum::<f64>();
-        let (hosts, turn) = (f64::from(facts.hosts.max(1)), now.micros() / cold.window.micros().max(1));
-        let at_once = (hosts * (Self::TURNS * part * hosts / crowd).min(1.0)).ceil();
-        let place = f64::from(facts.me.0) + (self.entry.node.0 % 4096) as f64 + turn as f64 * at_once;
-        let lone = left > 0.0 && place % hosts < at_once && self.cold_sent.iter().all(|c| c.3);
-        (if lone { left.max(cold.units * Self::LONE_LEG) } else { left }, left)
+        let sent: f64 = self.cold_sent.iter().map(weight).sum();
+        let hosts = f64::from(facts.hosts.max(1));
+        let turns = (crowd / (part * hosts)).max(1.0).ceil();
+        let place = (f64::from(facts.me.0) + (self.entry.node.0 % 4096) as f64) / hosts * turns;
+        let mine = (place + now.millis() / cold.window.millis()) % turns < 1.0;
+        let (one, served) = (cold.units * Self::LONE_LEG, self.cold_sent.iter().all(|c| c.3));
+        let lone = served && sent < part.max(one) && (mine || !self.cold_sent.is_empty());
+        (if lone { one.max(part - sent) } else { part - sent }, part - sent)
     }
 
     fn room(&mut self, now: Instant, facts: &Facts, crowd: f64) -> Room {
@@ -364,8 +366,7 @@
                 let Some(key) = self.beats.remove(&id) else { return };
                 if let Some(line) = self.lines.get_mut(&key).filter(|l| l.beat == Some(id)) {
                     line.beat = None;
-                    let soonest = self.soonest(key.1);
-                    self.look_over(key, self.now + soonest.times(USUAL).max(BEAT_EVERY), rng);
+                    self.look_over(key, self.now + self.soonest(key.1).times(USUAL).max(BEAT_EVERY), rng);
                 }
             }
             DeskNote::Event(Event::Timer(TimerId(id))) => self.give_up(TransferId(id)),
@@ -623,10 +624,9 @@
         if x.closed || e.finished {
             return self.close(id);
         }
-        let latency = self.rooms.get(&node).map_or(Span::ZERO, |r| r.latency);
-        let in_time = self.now + latency < x.slo_end;
+        let answered = self.now + self.rooms.get(&node).map_or(Span::ZERO, |r| r.latency);
         // After a time-out another leg mostly does the same work twice.
-        let again = in_time && ending != Ending::TimedOut && x.legs < self.facts.most_legs;
+        let again = answered < x.slo_end && ending != Ending::TimedOut && x.legs < self.facts.most_legs;
         let effect = self.facts.stream_types[x.t.stream_type.0].effect;
         if again && (effect != Effect::Unrepeatable || x.maybe_ran.is_none()) {
             self.queue(id, rng);
