--- a/tests/decisions/cold_fleet.rs
+++ b/tests/decisions/cold_fleet.rs
@@ -172,7 +172,7 @@
     // hosts, units that it bears at its start
     for (hosts, cold_units) in [(5, 24.0), (20, 12.0), (30, 6.0), (30, 12.0), (60, 24.0)] {
         // demand in parts of these, the least part of it that is sent
-        for (demand, least) in [(0.25, 0.7), (1.0, 0.6), (4.0, 0.15)] {
+        for (demand, least) in [(0.25, 0.9), (1.0, 0.65), (4.0, 0.2)] {
             for (uneven, told_within) in [(false, 0), (true, 0), (true, 2_000)] {
                 for seed in 1..=3 {
                     let (over, part) = play(hosts, cold_units, demand, uneven, told_within, seed);
