Names: shutdown, idle closes and socket events by the field's words

Cause: the platform's host called its graceful shutdown leaving, and the end of an idle connection a quiet close. Change: names alone, through crates/platform: shutdown.rs, Shutdown (Serving, Accepting, Finishing, Flushing, Done), CloseIdle, SocketEvent, Output::Exit. Lines of the log stay.

--- a/crates/platform/src/core/ask.rs
+++ b/crates/platform/src/core/ask.rs
@@ -27,7 +27,7 @@
     ReadWithBody,
     IdIsOpen,
     NoRoom,
-    Leaving,
+    ShuttingDown,
 }
 
 impl Refused {
@@ -39,7 +39,7 @@
             Refused::IdIsOpen => (409, "Conflict"),
             Refused::Length => (411, "Length Required"),
             Refused::BodyTooLong | Refused::NoRoom => (413, "Content Too Large"),
-            Refused::Leaving => (503, "Service Unavailable"),
+            Refused::ShuttingDown => (503, "Service Unavailable"),
             Refused::HeadTooLong => (431, "Request Header Fields Too Large"),
             _ => (400, "Bad Request"),
         }
@@ -64,7 +64,7 @@
             Refused::ReadWithBody => "a read without a body was meant",
             Refused::IdIsOpen => "an id that is not open was meant",
             Refused::NoRoom => "the host holds all that it has room for",
-            Refused::Leaving => "another host was meant: this one leaves",
+            Refused::ShuttingDown => "another host was meant: this one leaves",
         }
     }
 }
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -146,7 +146,7 @@
             };
             self.counts.made_room += 1;
             if self.clients.all[&other].decoder.is_empty() {
-                self.close_quiet(other);
+                self.close_idle(other);
             } else {
                 self.refuse(other, Refused::TooSlow, false);
             }
@@ -232,8 +232,8 @@
             Ok(asked) => asked,
             Err(why) => return self.refuse(conn, why, m.stays),
         };
-        if self.leaving == Leaving::Writing {
-            return self.refuse(conn, Refused::Leaving, false);
+        if self.shutdown == Shutdown::Flushing {
+            return self.refuse(conn, Refused::ShuttingDown, false);
         }
         if self.transfers.is_open(asked.trace) {
             return self.refuse(conn, Refused::IdIsOpen, m.stays);
@@ -263,7 +263,7 @@
         if !matches!(c.stage, Stage::Reading | Stage::Busy(..)) {
             return;
         }
-        let stays = stays && !guest && !c.crowded && self.leaving.takes();
+        let stays = stays && !guest && !c.crowded && self.shutdown.takes();
         let e = Encoder::answer(status, reason);
         let bytes = rest(if stays { e } else { e.field("Connection", b"close") });
         self.outputs.push(Output::Answer { conn, bytes });
@@ -275,11 +275,11 @@
         }
     }
 
-    fn close_quiet(&mut self, conn: ConnId) {
+    fn close_idle(&mut self, conn: ConnId) {
         if let Some(c) = self.clients.all.get_mut(&conn).filter(|c| !c.closing) {
             c.closing = true;
             let seen = c.heard;
-            self.outputs.push(Output::CloseQuiet { conn, seen });
+            self.outputs.push(Output::CloseIdle { conn, seen });
         }
     }
 
@@ -329,8 +329,8 @@
             }
         }
         slow.into_iter().for_each(|conn| self.refuse(conn, Refused::TooSlow, false));
-        idle.into_iter().for_each(|conn| self.close_quiet(conn));
-        if !self.leaving.takes() {
+        idle.into_iter().for_each(|conn| self.close_idle(conn));
+        if !self.shutdown.takes() {
             self.close_idle_clients(LOOK);
         }
         self.make_room(0);
@@ -343,7 +343,7 @@
         let idle = |c: &Client| c.decoder.is_empty() && (c.served > 0 || now - c.since >= least_age);
         let idle = self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading && idle(c));
         let idle: Vec<_> = idle.map(|(id, _)| *id).collect();
-        idle.into_iter().for_each(|conn| self.close_quiet(conn));
+        idle.into_iter().for_each(|conn| self.close_idle(conn));
     }
 
     /// No more is taken: who idles is closed, and who is still saying something gets an answer.
@@ -351,7 +351,7 @@
         self.close_idle_clients(Span::ZERO);
         let coming = self.clients.all.iter().filter(|(_, c)| c.stage == Stage::Reading && !c.closing);
         let coming: Vec<_> = coming.map(|(id, _)| *id).collect();
-        coming.into_iter().for_each(|conn| self.refuse(conn, Refused::Leaving, false));
+        coming.into_iter().for_each(|conn| self.refuse(conn, Refused::ShuttingDown, false));
     }
 
     fn answer(
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -4,15 +4,15 @@
 //! A caller hands over what happened with [`Core::handle`], any number of times, then calls [`Core::advance`] once and
 //! carries out [`Core::outputs`] in their order; [`Core::next_timer`] says when to call again at the latest. Read
 //! `mod.rs` for time and the module's actions, [`ask`] for what a message must hold, `clients` for connections of
-//! clients, `legs` and `links` for legs and connections to nodes, `list` for discovery, `leave` for the end.
+//! clients, `legs` and `links` for legs and connections to nodes, `list` for discovery, `shutdown` for the end.
 
 pub mod ask;
 mod clients;
 mod counts;
-mod leave;
 mod legs;
 mod links;
 mod list;
+mod shutdown;
 mod transfers;
 
 use crate::document::Document;
@@ -24,10 +24,10 @@
 use gullsail_http::Bounds;
 use gullsail_interface::*;
 use gullsail_timing::Timers;
-use leave::Leaving;
 use legs::{Leg, LegKey};
 use links::Links;
 use list::List;
+use shutdown::Shutdown;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tracing::info;
@@ -103,7 +103,7 @@
         conn: ConnId,
     },
     /// The same, unless there is something to read, or more than `seen` bytes were read on it before.
-    CloseQuiet {
+    CloseIdle {
         conn: ConnId,
         seen: u64,
     },
@@ -117,7 +117,7 @@
     /// Takes what waits to be accepted, then no more.
     StopAccepting,
     /// All is written and every connection of a client has ended, or there is no more time for it.
-    Left,
+    Exit,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -134,9 +134,9 @@
     ListAgain,
     Ready,
     Say,
-    Leave,
+    ShutDown,
     /// The platform would end the host the next moment.
-    Gone,
+    Exit,
 }
 
 pub struct Core {
@@ -155,7 +155,7 @@
     legs: BTreeMap<LegKey, Leg>,
     links: Links,
     list: List,
-    leaving: Leaving,
+    shutdown: Shutdown,
     ready: bool,
     looks: bool,
     counts: Counts,
@@ -184,7 +184,7 @@
             legs: BTreeMap::new(),
             links: Links::new(sockets - OWN - of_clients),
             list: List::new(d.discovery),
-            leaving: Leaving::No,
+            shutdown: Shutdown::Serving,
             ready: false,
             looks: false,
             counts: Counts::default(),
@@ -240,7 +240,7 @@
                 break;
             }
         }
-        self.leave_if_done();
+        self.exit_if_done();
     }
 
     pub fn outputs(&mut self) -> Vec<Output> {
@@ -289,8 +289,8 @@
                 self.say("counts");
                 self.due.set(self.now + SAY, Due::Say);
             }
-            Due::Leave => self.leave_further(),
-            Due::Gone => self.left(),
+            Due::ShutDown => self.shut_down_further(),
+            Due::Exit => self.left(),
         }
     }
 
--- a/crates/platform/src/core/leave.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -1,4 +1,4 @@
-//! Leaving: for a while everything goes on, since clients use the connections they have for as long as these are open and
+//! Shutdown: for a while everything goes on, since clients use the connections they have for as long as these are open and
 //! nobody else serves them; then nothing new is taken, what is open is finished, and the host is gone before the platform
 //! ends it. An answer that is given is not yet written: the host leaves when each connection has ended, in order, or when
 //! the platform would end it the next moment.
@@ -22,25 +22,25 @@
 const AT_ONCE: Span = Span::from_micros(1_000_000);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Leaving {
-    No,
+pub(super) enum Shutdown {
+    Serving,
     /// Until the point given the host has to be gone.
-    StillTaking(Instant),
+    Accepting(Instant),
     Finishing(Instant),
     /// All that was open has its final answer; what comes now is refused.
-    Writing,
-    Left,
+    Flushing,
+    Done,
 }
 
-impl Leaving {
+impl Shutdown {
     pub(super) fn takes(self) -> bool {
-        matches!(self, Leaving::No | Leaving::StillTaking(_))
+        matches!(self, Shutdown::Serving | Shutdown::Accepting(_))
     }
 }
 
 impl Core {
     pub(super) fn stop(&mut self) {
-        if self.leaving != Leaving::No {
+        if self.shutdown != Shutdown::Serving {
             return;
         }
         let (expiry, slo_time) = self.reach.longest;
@@ -48,59 +48,59 @@
         // What is taken at the last moment has its SLO time still: the module answers by then.
         let takes = (lasts - slo_time - SPARE).max(STILL_COMING);
         info!(open = self.transfers.open(), takes_ms = takes.millis(), "leaving");
-        self.leaving = Leaving::StillTaking(self.now + lasts - LAST);
-        self.due.set(self.now + takes, Due::Leave);
+        self.shutdown = Shutdown::Accepting(self.now + lasts - LAST);
+        self.due.set(self.now + takes, Due::ShutDown);
     }
 
     /// A second word: whatever is open is answered now.
     pub(super) fn stop_now(&mut self) {
-        if matches!(self.leaving, Leaving::Writing | Leaving::Left) {
+        if matches!(self.shutdown, Shutdown::Flushing | Shutdown::Done) {
             return;
         }
-        if self.leaving.takes() {
+        if self.shutdown.takes() {
             self.outputs.push(Output::StopAccepting);
         }
-        let gone = match self.leaving {
-            Leaving::StillTaking(gone) | Leaving::Finishing(gone) => gone.min(self.now + AT_ONCE),
+        let gone = match self.shutdown {
+            Shutdown::Accepting(gone) | Shutdown::Finishing(gone) => gone.min(self.now + AT_ONCE),
             _ => self.now + AT_ONCE,
         };
         self.answer_all(gone);
     }
 
     /// A timer for an earlier stage than this one's finds nothing to do.
-    pub(super) fn leave_further(&mut self) {
-        match self.leaving {
-            Leaving::StillTaking(gone) => {
-                self.leaving = Leaving::Finishing(gone);
+    pub(super) fn shut_down_further(&mut self) {
+        match self.shutdown {
+            Shutdown::Accepting(gone) => {
+                self.shutdown = Shutdown::Finishing(gone);
                 // The listener goes first: who finds its connection closed and comes again is told so at once.
                 self.outputs.push(Output::StopAccepting);
                 self.close_idle_clients(LOOK);
-                self.due.set(gone - WRITING, Due::Leave);
+                self.due.set(gone - WRITING, Due::ShutDown);
             }
-            Leaving::Finishing(gone) if self.now >= gone - WRITING => self.answer_all(gone),
-            Leaving::No | Leaving::Finishing(_) | Leaving::Writing | Leaving::Left => {}
+            Shutdown::Finishing(gone) if self.now >= gone - WRITING => self.answer_all(gone),
+            Shutdown::Serving | Shutdown::Finishing(_) | Shutdown::Flushing | Shutdown::Done => {}
         }
     }
 
     fn answer_all(&mut self, gone: Instant) {
-        self.leaving = Leaving::Writing;
+        self.shutdown = Shutdown::Flushing;
         self.transfers.all_open().into_iter().for_each(|id| self.abandon(id));
         self.end_clients();
-        self.due.set(gone, Due::Gone);
+        self.due.set(gone, Due::Exit);
     }
 
-    pub(super) fn leave_if_done(&mut self) {
-        let finishing = matches!(self.leaving, Leaving::Finishing(_) | Leaving::Writing);
+    pub(super) fn exit_if_done(&mut self) {
+        let finishing = matches!(self.shutdown, Shutdown::Finishing(_) | Shutdown::Flushing);
         if finishing && self.transfers.open() == 0 && self.clients.len() == 0 {
             self.left();
         }
     }
 
     pub(super) fn left(&mut self) {
-        if self.leaving != Leaving::Left {
-            self.leaving = Leaving::Left;
+        if self.shutdown != Shutdown::Done {
+            self.shutdown = Shutdown::Done;
             self.say("left");
-            self.outputs.push(Output::Left);
+            self.outputs.push(Output::Exit);
         }
     }
 }
--- a/crates/platform/src/drive.rs
+++ b/crates/platform/src/drive.rs
@@ -6,7 +6,7 @@
 
 use crate::core::{ConnId, Core, Counts, Input, Output};
 use crate::document::{Document, Unsound};
-use conn::{Happened, Order};
+use conn::{Order, SocketEvent};
 use gullsail_interface::Span;
 use gullsail_timing::HostClock;
 use miette::{Context, IntoDiagnostic, Report, Result, miette};
@@ -78,7 +78,7 @@
     clock: HostClock,
     held: BTreeMap<ConnId, Held>,
     tasks: JoinSet<()>,
-    sink: mpsc::Sender<(ConnId, Happened)>,
+    sink: mpsc::Sender<(ConnId, SocketEvent)>,
     listener: Option<TcpListener>,
     peers: Option<UdpSocket>,
 }
@@ -172,14 +172,14 @@
         self.held.insert(conn, Held { orders, task });
     }
 
-    fn happened(&mut self, now: gullsail_interface::Instant, conn: ConnId, happened: Happened) {
+    fn happened(&mut self, now: gullsail_interface::Instant, conn: ConnId, happened: SocketEvent) {
         let input = match happened {
-            Happened::Up => Input::Up(conn),
-            Happened::Came(bytes) => Input::Came(conn, bytes),
-            Happened::Written => Input::Written(conn),
-            Happened::Unwritten => Input::Unwritten(conn),
-            Happened::Shut => Input::Shut(conn),
-            Happened::Ended => {
+            SocketEvent::Up => Input::Up(conn),
+            SocketEvent::Came(bytes) => Input::Came(conn, bytes),
+            SocketEvent::Written => Input::Written(conn),
+            SocketEvent::Unwritten => Input::Unwritten(conn),
+            SocketEvent::Shut => Input::Shut(conn),
+            SocketEvent::Ended => {
                 self.held.remove(&conn);
                 Input::Ended(conn)
             }
@@ -209,8 +209,8 @@
                     Output::Answer { conn, bytes } => self.order(conn, Order::Answer(bytes), &mut stuck),
                     Output::Ignore { conn } => self.order(conn, Order::Ignore, &mut stuck),
                     Output::Finish { conn } => self.order(conn, Order::Finish, &mut stuck),
-                    Output::CloseQuiet { conn, seen } => {
-                        self.order(conn, Order::CloseQuiet { seen }, &mut stuck);
+                    Output::CloseIdle { conn, seen } => {
+                        self.order(conn, Order::CloseIdle { seen }, &mut stuck);
                     }
                     Output::Close { conn } => {
                         if let Some(held) = self.held.remove(&conn) {
@@ -224,7 +224,7 @@
                         }
                     }
                     Output::StopAccepting => self.stop_accepting(),
-                    Output::Left => left = true,
+                    Output::Exit => left = true,
                 }
             }
             // Their tasks do not follow: they are ended.
--- a/crates/platform/src/drive/conn.rs
+++ b/crates/platform/src/drive/conn.rs
@@ -23,7 +23,7 @@
 
 /// What came of a connection.
 #[derive(Debug)]
-pub enum Happened {
+pub enum SocketEvent {
     Up,
     Came(Bytes),
     Written,
@@ -43,22 +43,22 @@
     Ignore,
     Finish,
     /// Under the same condition.
-    CloseQuiet {
+    CloseIdle {
         seen: u64,
     },
 }
 
-type Sink = mpsc::Sender<(ConnId, Happened)>;
+type Sink = mpsc::Sender<(ConnId, SocketEvent)>;
 
 pub async fn dial(conn: ConnId, address: String, orders: mpsc::Receiver<Order>, sink: Sink) {
     // Names are not looked up: the platform has no service for it.
     if let Ok(address) = address.parse::<SocketAddr>()
         && let Ok(stream) = TcpStream::connect(address).await
-        && sink.send((conn, Happened::Up)).await.is_ok()
+        && sink.send((conn, SocketEvent::Up)).await.is_ok()
     {
         return serve(conn, stream, orders, sink).await;
     }
-    let _ = sink.send((conn, Happened::Ended)).await;
+    let _ = sink.send((conn, SocketEvent::Ended)).await;
 }
 
 pub async fn serve(conn: ConnId, stream: TcpStream, mut orders: mpsc::Receiver<Order>, sink: Sink) {
@@ -69,7 +69,7 @@
     let _ = c.work(&mut orders).await;
     let Conn { stream, sink, .. } = c;
     drop(stream);
-    let _ = sink.send((conn, Happened::Ended)).await;
+    let _ = sink.send((conn, SocketEvent::Ended)).await;
 }
 
 /// The owner does not listen any more.
@@ -86,7 +86,7 @@
 }
 
 impl Conn {
-    async fn tell(&self, happened: Happened) -> Result<(), Unheard> {
+    async fn tell(&self, happened: SocketEvent) -> Result<(), Unheard> {
         self.sink.send((self.conn, happened)).await.map_err(|_| Unheard)
     }
 
@@ -99,21 +99,21 @@
                     Some(Order::Ignore) => self.ignores = Some(OVER),
                     Some(Order::Send { bytes, seen }) => {
                         if !self.quiet(seen) {
-                            return self.tell(Happened::Unwritten).await;
+                            return self.tell(SocketEvent::Unwritten).await;
                         }
                         if self.stream.write_all(&bytes).await.is_err() {
                             return Ok(());
                         }
-                        self.tell(Happened::Written).await?;
+                        self.tell(SocketEvent::Written).await?;
                     }
                     Some(Order::Answer(bytes)) => {
                         if !matches!(timeout(TAKES, self.stream.write_all(&bytes)).await, Ok(Ok(()))) {
                             return Ok(());
                         }
-                        self.tell(Happened::Written).await?;
+                        self.tell(SocketEvent::Written).await?;
                     }
-                    Some(Order::CloseQuiet { seen }) if self.quiet(seen) => return self.linger().await,
-                    Some(Order::CloseQuiet { .. }) => {}
+                    Some(Order::CloseIdle { seen }) if self.quiet(seen) => return self.linger().await,
+                    Some(Order::CloseIdle { .. }) => {}
                     Some(Order::Finish) => return self.linger().await,
                 },
                 ready = self.stream.readable() => match ready.and_then(|()| piece(&self.stream)) {
@@ -124,7 +124,7 @@
                         Some(left) => *left -= bytes.len(),
                         None => {
                             self.handed += bytes.len() as u64;
-                            self.tell(Happened::Came(bytes)).await?;
+                            self.tell(SocketEvent::Came(bytes)).await?;
                         }
                     },
                     Err(_) => return Ok(()),
@@ -147,7 +147,7 @@
         if self.stream.shutdown().await.is_err() {
             return Ok(());
         }
-        self.tell(Happened::Shut).await?;
+        self.tell(SocketEvent::Shut).await?;
         let (until, mut left) = (Instant::now() + OVER_FOR, OVER);
         while left > 0 && matches!(timeout_at(until, self.stream.readable()).await, Ok(Ok(()))) {
             match piece(&self.stream) {
--- a/crates/platform/tests/platform/bounds.rs
+++ b/crates/platform/tests/platform/bounds.rs
@@ -11,7 +11,7 @@
     // A crowd, and then one after the other at any rate: the oldest of the silent ones goes, unless it says something.
     let silent: Vec<_> = (0..usual_places).map(|_| r.client()).collect();
     let usual = r.asks(&ask("read", 1, 0));
-    assert_eq!((r.closed_quietly(silent[0]), r.closed_quietly(silent[1])), (1, 0));
+    assert_eq!((r.closed_idle(silent[0]), r.closed_idle(silent[1])), (1, 0));
     r.put(Input::Shut(silent[0]));
     let link = r.up(0);
     r.say(link, &answer(200, "", "b"));
@@ -21,13 +21,13 @@
         r.client();
         r.pass(1.0);
         // Each that is told to end does so; its client may still hold on.
-        let told = |o: &Output| if let Output::CloseQuiet { conn, .. } = o { Some(*conn) } else { None };
+        let told = |o: &Output| if let Output::CloseIdle { conn, .. } = o { Some(*conn) } else { None };
         let told: Vec<_> = r.out.iter().filter_map(told).collect();
-        r.out.retain(|o| !matches!(o, Output::CloseQuiet { .. }));
+        r.out.retain(|o| !matches!(o, Output::CloseIdle { .. }));
         told.into_iter().for_each(|conn| r.put(Input::Shut(conn)));
     }
     assert!(r.length("clients") <= most);
-    let kept = |r: &Rig, conn| !r.closed(conn) && r.closed_quietly(conn) == 0 && !r.finished(conn);
+    let kept = |r: &Rig, conn| !r.closed(conn) && r.closed_idle(conn) == 0 && !r.finished(conn);
     assert!(kept(&r, usual), "who was served before keeps its place");
     assert!(kept(&r, slow), "and so does who is saying something");
     assert_eq!(r.counts().no_place, 0);
@@ -40,7 +40,7 @@
     let all: Vec<_> = (0..usual_places).map(|_| r.asks(health)).collect();
     r.pass(1900.0);
     let guests: Vec<_> = (0..8).map(|_| r.asks(health)).collect();
-    assert!(!r.core.has_place() && all.iter().all(|c| !r.closed(*c) && r.closed_quietly(*c) == 0));
+    assert!(!r.core.has_place() && all.iter().all(|c| !r.closed(*c) && r.closed_idle(*c) == 0));
     assert!(guests.iter().all(|c| r.statuses(*c) == ["500"] || r.statuses(*c) == ["200"] && r.finished(*c)));
     assert_eq!(r.counts().no_place, 8);
     // Who is ended but for the client's own end is dropped for a newcomer at once.
@@ -52,14 +52,14 @@
     r.put(Input::Ended(newcomer));
     assert!(r.core.has_place());
     r.pass(300.0);
-    assert!(all.iter().all(|c| r.closed_quietly(*c) == 1), "after 2 s they give way");
+    assert!(all.iter().all(|c| r.closed_idle(*c) == 1), "after 2 s they give way");
 }
 
 /// Clients have only so many connections themselves: who asks once and stays must not hold them from the others.
 #[test]
 fn idle_connections_are_closed_after_two_seconds_and_not_before() {
     let health = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
-    let quiet = |r: &Rig, conn| r.closed_quietly(conn);
+    let quiet = |r: &Rig, conn| r.closed_idle(conn);
     let mut r = Rig::with(&document(256, 32, DISCOVERY));
     let (one, back) = (r.asks(health), r.asks(health));
     r.pass(1500.0);
@@ -77,7 +77,7 @@
     let all: Vec<_> = (0..most).map(|i| r.asks(&ask("read", 100 + i as u64, 0))).collect();
     r.pass(400.0);
     assert!(!r.core.has_place());
-    assert!(all.iter().all(|c| !r.closed(*c) && r.closed_quietly(*c) == 0));
+    assert!(all.iter().all(|c| !r.closed(*c) && r.closed_idle(*c) == 0));
 }
 
 #[test]
@@ -141,14 +141,14 @@
         r.say(link, &answer(200, "", "b"));
         assert_eq!(r.statuses(client), ["200"], "{after} {before}");
         assert_eq!(r.heard(client)[0].contains("Connection: close"), !goes_on, "{after} {before}");
-        assert!(!r.out.contains(&Output::Left));
+        assert!(!r.out.contains(&Output::Exit));
         r.pass(1200.0 - after);
-        let quiet = |conn| r.closed_quietly(conn) > 0;
+        let quiet = |conn| r.closed_idle(conn) > 0;
         assert!(r.out.contains(&Output::StopAccepting) && quiet(busy), "{after} {before}");
         for conn in [busy, early, client] {
             r.put(Input::Ended(conn));
         }
-        assert_eq!(r.out.last(), Some(&Output::Left), "{after} {before}");
+        assert_eq!(r.out.last(), Some(&Output::Exit), "{after} {before}");
     }
 }
 
@@ -158,9 +158,9 @@
     let idle = r.client();
     r.put(Input::Stop);
     r.pass(1090.0);
-    assert!(r.closed_quietly(idle) == 0 && !r.out.contains(&Output::StopAccepting));
+    assert!(r.closed_idle(idle) == 0 && !r.out.contains(&Output::StopAccepting));
     r.pass(20.0);
-    assert!(r.closed_quietly(idle) == 1 && r.out.contains(&Output::StopAccepting));
+    assert!(r.closed_idle(idle) == 1 && r.out.contains(&Output::StopAccepting));
 }
 
 #[test]
@@ -174,18 +174,18 @@
     let patient = r.asks(&ask("read", 1, 0).replace("Ms: 1500", "Ms: 9000"));
     r.up(0);
     r.pass(1340.0);
-    assert!(r.statuses(patient).is_empty() && !r.out.contains(&Output::Left));
+    assert!(r.statuses(patient).is_empty() && !r.out.contains(&Output::Exit));
     r.pass(30.0);
     // Answered, but not gone before all of it is written and the connections have ended,
     assert_eq!((r.statuses(patient), r.statuses(half)), (vec!["500".to_string()], vec!["503".to_string()]));
-    assert!(r.finished(patient) && r.finished(half) && !r.out.contains(&Output::Left));
+    assert!(r.finished(patient) && r.finished(half) && !r.out.contains(&Output::Exit));
     r.put(Input::Ended(patient));
-    assert!(!r.out.contains(&Output::Left));
+    assert!(!r.out.contains(&Output::Exit));
     // unless the platform would end the host: a reader that takes nothing holds it up no longer.
     r.pass(280.0);
-    assert!(!r.out.contains(&Output::Left));
+    assert!(!r.out.contains(&Output::Exit));
     r.pass(20.0);
-    assert_eq!(r.out.last(), Some(&Output::Left));
+    assert_eq!(r.out.last(), Some(&Output::Exit));
 }
 
 /// A second word ends all within a second, and what was taken has its answer first, whatever stage the host is at.
@@ -204,13 +204,13 @@
         let statuses = [waits, out].map(|c| r.statuses(c));
         let first = if after < 600.0 { "500" } else { "503" };
         assert_eq!(statuses, [[first], ["500"]], "{after}");
-        assert!(r.finished(out) && r.closed_quietly(resting) == 1, "{after}");
-        assert!(r.out.contains(&Output::StopAccepting) && !r.out.contains(&Output::Left), "{after}");
+        assert!(r.finished(out) && r.closed_idle(resting) == 1, "{after}");
+        assert!(r.out.contains(&Output::StopAccepting) && !r.out.contains(&Output::Exit), "{after}");
         // What crossed the end of a connection that rested is refused: it never ran.
         r.say(resting, &ask("read", 3, 0));
         assert_eq!((r.statuses(resting).last().unwrap().as_str(), r.counts().taken), ("503", 2), "{after}");
         [waits, out, resting].into_iter().for_each(|conn| r.put(Input::Ended(conn)));
-        assert_eq!(r.out.last(), Some(&Output::Left), "{after}");
+        assert_eq!(r.out.last(), Some(&Output::Exit), "{after}");
     }
 }
 
@@ -232,9 +232,9 @@
             }
             r.pass(20.0);
             // Who is told to end does so.
-            let told = |o: &Output| if let Output::CloseQuiet { conn, .. } = o { Some(*conn) } else { None };
+            let told = |o: &Output| if let Output::CloseIdle { conn, .. } = o { Some(*conn) } else { None };
             let told: Vec<_> = r.out.iter().filter_map(told).collect();
-            r.out.retain(|o| !matches!(o, Output::CloseQuiet { .. }));
+            r.out.retain(|o| !matches!(o, Output::CloseIdle { .. }));
             told.into_iter().for_each(|conn| r.put(Input::Ended(conn)));
         }
         r.list(&page(10 + round, false, &[]));
--- a/crates/platform/tests/platform/crossings.rs
+++ b/crates/platform/tests/platform/crossings.rs
@@ -267,7 +267,7 @@
         }
         let orders = |r: &Rig| {
             let seen = |o: &Output| match o {
-                Output::CloseQuiet { conn, seen } if *conn == client => Some(*seen as usize),
+                Output::CloseIdle { conn, seen } if *conn == client => Some(*seen as usize),
                 _ => None,
             };
             r.out.iter().filter_map(seen).collect::<Vec<_>>()
--- a/crates/platform/tests/platform/rig.rs
+++ b/crates/platform/tests/platform/rig.rs
@@ -179,8 +179,8 @@
     }
 
     /// How often it was to be closed unless something had come.
-    pub fn closed_quietly(&self, which: ConnId) -> usize {
-        let quiet = |o: &&Output| matches!(o, Output::CloseQuiet { conn, .. } if *conn == which);
+    pub fn closed_idle(&self, which: ConnId) -> usize {
+        let quiet = |o: &&Output| matches!(o, Output::CloseIdle { conn, .. } if *conn == which);
         self.out.iter().filter(quiet).count()
     }
 
--- a/crates/platform/tests/platform/sockets.rs
+++ b/crates/platform/tests/platform/sockets.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use gullsail_platform::core::ConnId;
-use gullsail_platform::drive::conn::{self, Happened, Order};
+use gullsail_platform::drive::conn::{self, Order, SocketEvent};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -13,7 +13,7 @@
     /// The other side.
     peer: TcpStream,
     orders: mpsc::Sender<Order>,
-    inbox: mpsc::Receiver<(ConnId, Happened)>,
+    inbox: mpsc::Receiver<(ConnId, SocketEvent)>,
 }
 
 impl Held {
@@ -35,7 +35,7 @@
     /// What it says next.
     async fn next(&mut self) -> String {
         match self.inbox.recv().await {
-            Some((_, Happened::Came(bytes))) => String::from_utf8_lossy(&bytes).into_owned(),
+            Some((_, SocketEvent::Came(bytes))) => String::from_utf8_lossy(&bytes).into_owned(),
             Some((_, other)) => format!("{other:?}"),
             None => "nothing more".into(),
         }
@@ -71,12 +71,12 @@
         while h.inbox.is_empty() {
             tokio::task::yield_now().await;
         }
-        h.order(Order::CloseQuiet { seen: 5 }).await;
+        h.order(Order::CloseIdle { seen: 5 }).await;
         assert_eq!(h.next().await, "second");
         h.order(Order::Answer(Bytes::from_static(b"answer"))).await;
         assert_eq!(h.next().await, "Written");
         // With all of it handled the order holds.
-        h.order(Order::CloseQuiet { seen: 11 }).await;
+        h.order(Order::CloseIdle { seen: 11 }).await;
         assert_eq!(h.next().await, "Shut");
         assert_eq!(h.rest().await, ("answer".into(), true));
         // What crossed the end is read over, and nobody answers it with a reset.
@@ -104,7 +104,7 @@
         }
         // The inbox is full: this one is read and waits in the task, or lies in the socket.
         h.says(b"second").await;
-        h.order(Order::CloseQuiet { seen: 5 }).await;
+        h.order(Order::CloseIdle { seen: 5 }).await;
         assert_eq!(h.next().await, "first");
         assert_eq!(h.next().await, "second");
         h.order(Order::Answer(Bytes::from_static(b"answer"))).await;
@@ -150,8 +150,8 @@
             drop(h.peer);
             loop {
                 match h.inbox.recv().await {
-                    Some((_, Happened::Ended)) => break,
-                    Some((_, Happened::Came(_) | Happened::Written | Happened::Shut)) => {}
+                    Some((_, SocketEvent::Ended)) => break,
+                    Some((_, SocketEvent::Came(_) | SocketEvent::Written | SocketEvent::Shut)) => {}
                     other => panic!("{other:?}"),
                 }
             }
@@ -179,7 +179,7 @@
             let Held { peer, orders, inbox } = h;
             drop(peer);
             let mut inbox = inbox;
-            assert!(matches!(inbox.recv().await, Some((_, Happened::Ended))), "{reset}");
+            assert!(matches!(inbox.recv().await, Some((_, SocketEvent::Ended))), "{reset}");
             drop(orders);
         });
     }
