--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -248,6 +248,8 @@
     held_back: bool,
     stopping: bool,
     left: bool,
+    /// Words that are not answered yet, and until when the host does not leave for their sake.
+    words: BTreeMap<u64, Instant>,
     counts: Counts,
 }
 
@@ -291,6 +293,7 @@
             held_back: false,
             stopping: false,
             left: false,
+            words: BTreeMap::new(),
             counts: Counts::default(),
             deployment,
         };
@@ -386,7 +389,10 @@
             }
         }
         self.hold_back();
-        if self.stopping && self.transfers.open() == 0 && !self.left && self.left_fleet() {
+        // Guards against a host that takes itself out and is gone before whoever asked has heard that it may. It harms
+        // nothing but the end, which is later by that.
+        let worded = self.words.values().all(|until| *until <= self.now);
+        if self.stopping && worded && self.transfers.open() == 0 && !self.left && self.left_fleet() {
             self.left = true;
             info!("all is answered");
             self.outputs.push(Output::Left);
--- a/crates/host/src/core/works.rs
+++ b/crates/host/src/core/works.rs
@@ -51,6 +51,8 @@
     pub orders: Vec<OrderView>,
 }
 
+/// A word is answered within this time, as long as a majority of voters hears it; a host that leaves waits no longer for it.
+const ANSWERED: Span = Span::from_micros(2_000_000);
 /// Between looks at machines, while nothing happens: short beside a renewal, by which it is told.
 const LOOK: Span = Span::from_micros(50_000);
 /// Of one word.
@@ -99,6 +101,7 @@
             self.stopping = true;
         }
         for (asker, said) in answers {
+            self.words.remove(&asker);
             let said = said.map_err(|(machine, why)| format!("{}: {why}", self.machine_name(machine)));
             self.outputs.push(Output::Worded { asker, said });
         }
@@ -252,6 +255,10 @@
                     reason: word.reason,
                     ..FleetWord::default()
                 };
+                let until = self.now + ANSWERED;
+                self.words.retain(|_, until| *until > self.now);
+                self.words.insert(asker, until);
+                self.at(until, Due::Fleet);
                 return self.tell_fleet(FleetEvent::Word { number: asker, word });
             }
         };
--- a/crates/host/src/drive.rs
+++ b/crates/host/src/drive.rs
@@ -20,6 +20,8 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tracing::{info, warn};
 
+/// For a last answer to an operator, of some hundred bytes on a local socket.
+const ANSWERS: std::time::Duration = std::time::Duration::from_millis(20);
 /// Frames that wait to be handled, over all links; then sockets are not read.
 const INBOX: usize = 1024;
 /// Frames that wait to be written to one link; a link on which more pile up is ended.
@@ -132,9 +134,10 @@
             }
         }
         if left {
-            // It waits for askers, and not for the end.
-            control.into_iter().for_each(|task| task.abort());
+            // Whoever was answered just now has it written before the end; then it waits for askers, and not for the end.
+            tokio::time::sleep(ANSWERS).await;
             leave(links, &mut tasks).await;
+            control.into_iter().for_each(|task| task.abort());
             return core.counts().clone();
         }
         if !full.is_empty() {
