--- a/crates/audit/src/fleet.rs
+++ b/crates/audit/src/fleet.rs
@@ -28,7 +28,7 @@
             } else {
                 p.at + (p.lasts_us as f64 / (1.0 - fleet.drift)) as i64
             };
-            let end = next.min(over).min(h.life(host, p.at).1);
+            let end = next.min(over).min(h.incarnation(host, p.at).1);
             for (budget, share) in &p.parts {
                 let all = moments.entry(budget).or_default();
                 all.push((p.at, true, host, u64::from(*share), p.line));
@@ -90,8 +90,8 @@
 type Done<'a> = Vec<(i64, &'a str, usize)>;
 
 /// What all hosts together do to one node so many times a second, where the document says so: over any span no more than
-/// that, and one for each life of a host. Connections are counted as they come to the node's door, whether it is there or
-/// not; probes are legs to a node of which the two before ran into their time, with nothing of it since. Tested by each
+/// that, and one for each incarnation of a host. Connections are counted as they come to the node's door, whether it is there or
+/// not; probes are attempts to a node of which the two before ran into their time, with nothing of it since. Tested by each
 /// that came within a second of another.
 pub fn rates(d: &Deployment, h: &History) -> Vec<Verdict> {
     let Some(fleet) = &d.fleet else { return Vec::new() };
@@ -101,8 +101,9 @@
         (11, "connections to a node within their rate", fleet.connects.map(|rate| (rate, came()))),
         (12, "probes of a node within their rate", fleet.probes.map(|rate| (rate, probes(h)))),
     ];
-    let lives = |host: &String| h.lives.get(host).into_iter().flatten().filter(|l| !l.1.is_end()).count();
-    let each = h.hosts().iter().map(lives).sum::<usize>().max(1) as f64;
+    let incarnations =
+        |host: &String| h.process_events.get(host).into_iter().flatten().filter(|l| !l.1.is_end()).count();
+    let each = h.hosts().iter().map(incarnations).sum::<usize>().max(1) as f64;
     let judged = all.into_iter().filter_map(|(rule, name, done)| Some((rule, name, done?)));
     let judge = |(rule, name, (rate, mut done)): (u8, &'static str, (f64, Done))| {
         let mut v = Verdict::new(rule, name);
@@ -128,17 +129,17 @@
 /// When each was sent, to which node, and its line.
 fn probes(h: &History) -> Done<'_> {
     let mut of: BTreeMap<(&str, &str), Vec<usize>> = BTreeMap::new();
-    for (place, l) in h.legs.iter().enumerate() {
+    for (place, l) in h.attempts.iter().enumerate() {
         of.entry((&l.host, &l.node)).or_default().push(place);
     }
     let mut all = Vec::new();
-    for ((host, node), legs) in of {
-        for (place, l) in legs.iter().map(|l| &h.legs[*l]).enumerate() {
-            let before: Vec<_> = legs[..place].iter().map(|l| &h.legs[*l]).collect();
-            // The newest that ran into their time by then, of this life of the host.
-            let born = h.life(host, l.at).0;
-            let timed_out = |b: &&&crate::history::LegSeen| {
-                let ends = b.at + b.leg.time_out_us;
+    for ((host, node), attempts) in of {
+        for (place, l) in attempts.iter().map(|l| &h.attempts[*l]).enumerate() {
+            let before: Vec<_> = attempts[..place].iter().map(|l| &h.attempts[*l]).collect();
+            // The newest that ran into their time by then, of this incarnation of the host.
+            let born = h.incarnation(host, l.at).0;
+            let timed_out = |b: &&&crate::history::AttemptSeen| {
+                let ends = b.at + b.attempt.time_out_us;
                 let answered = b.answer.is_some_and(|a| a.1 <= ends + WAY);
                 let broke = b.broke.is_some_and(|at| at <= ends + WAY);
                 b.at > born && ends + WAY <= l.at && !answered && !broke
@@ -146,8 +147,11 @@
             let lost: Vec<i64> = before.iter().rev().filter(timed_out).take(2).map(|b| b.at).collect();
             let [_, first] = lost[..] else { continue };
             let heard = before.iter().filter_map(|b| b.answer).any(|a| a.1 > first && a.1 <= l.at + WAY);
-            let lives = h.lives.get(node).into_iter().flatten();
-            let another = lives.filter(|life| life.0 > first && life.0 <= l.at + WAY).count() > 0;
+            let incarnations = h.process_events.get(node).into_iter().flatten();
+            let another = incarnations
+                .filter(|incarnation| incarnation.0 > first && incarnation.0 <= l.at + WAY)
+                .count()
+                > 0;
             if !heard && !another {
                 all.push((l.at, node, l.line));
             }
--- a/crates/audit/src/history.rs
+++ b/crates/audit/src/history.rs
@@ -1,8 +1,10 @@
-//! A recording put in order: transfers with their answers and legs, lists with what they told, processes.
+//! A recording put in order: requests with their answers and attempts, lists with what they told, processes.
 
 use gullsail_configuration::Deployment;
-use gullsail_protocol::record::{Entry, Fate, Life, What};
-use gullsail_protocol::{Answer, FleetWhat, Frame, Leg, LegResult, ListEntry, ListStanding, Message, Submit};
+use gullsail_protocol::record::{Delivery, Entry, ProcessEvent, What};
+use gullsail_protocol::{
+    Answer, Attempt, AttemptResult, FleetWhat, Frame, ListedEndpoint, ListedState, Message, Submit,
+};
 use std::collections::BTreeMap;
 
 #[derive(Debug, thiserror::Error)]
@@ -26,12 +28,12 @@
     pub withdrawn: Option<i64>,
     /// The connection's end, or the host's.
     pub link_closed: Option<i64>,
-    /// Legs, in the order they were sent.
-    pub legs: Vec<usize>,
+    /// Attempts, in the order they were sent.
+    pub attempts: Vec<usize>,
 }
 
 #[derive(Clone, Debug)]
-pub struct LegSeen {
+pub struct AttemptSeen {
     pub line: usize,
     /// When the host sent it, and when the node was given it.
     pub at: i64,
@@ -39,17 +41,17 @@
     pub host: String,
     pub node: String,
     pub link: u64,
-    pub leg: Leg,
+    pub attempt: Attempt,
     /// When the host was given an answer, and which; `ran` is the node's own word.
-    pub answer: Option<(usize, i64, LegResult, bool)>,
+    pub answer: Option<(usize, i64, AttemptResult, bool)>,
     /// When its connection was over without an answer.
     pub broke: Option<i64>,
 }
 
-impl LegSeen {
+impl AttemptSeen {
     /// Known at its host, by then, not to have run.
     pub fn never_ran(&self, by: i64) -> bool {
-        self.answer.is_some_and(|a| a.2 == LegResult::TurnedAway && a.1 <= by)
+        self.answer.is_some_and(|a| a.2 == AttemptResult::Rejected && a.1 <= by)
     }
 }
 
@@ -58,7 +60,7 @@
 pub struct Told {
     pub at: i64,
     pub line: usize,
-    pub standing: ListStanding,
+    pub state: ListedState,
     pub incarnation: u64,
 }
 
@@ -68,16 +70,16 @@
     hosts: Vec<String>,
     pub began_with: usize,
     pub taken: Vec<Taken>,
-    pub legs: Vec<LegSeen>,
+    pub attempts: Vec<AttemptSeen>,
     /// By host and node, in order of time.
     pub told: BTreeMap<(String, String), Vec<Told>>,
     /// When each process started or ended.
-    pub lives: BTreeMap<String, Vec<(i64, Life)>>,
+    pub process_events: BTreeMap<String, Vec<(i64, ProcessEvent)>>,
     /// Documents that hosts were asked to serve by, by revision.
     pub documents: BTreeMap<u64, Deployment>,
     /// When each host was asked to serve by which, or said that it does.
     pub follows: BTreeMap<String, Vec<Follows>>,
-    /// Frames of legs and their answers: when they were given on, from, to, and their bytes.
+    /// Frames of attempts and their answers: when they were given on, from, to, and their bytes.
     pub moved: Vec<(i64, String, String, usize)>,
     /// When somebody connected to a process, and to which, in order of time.
     pub came: Vec<(i64, String)>,
@@ -132,19 +134,28 @@
         let hosts = d.hosts.iter().map(|p| p.name.clone()).collect();
         let mut h = History { hosts, began_with: d.hosts.len(), ..History::default() };
         let mut tries: BTreeMap<(u64, u64), usize> = BTreeMap::new();
-        let mut legs: BTreeMap<(u64, u64), usize> = BTreeMap::new();
-        let mut lists: BTreeMap<u64, (String, Vec<ListEntry>)> = BTreeMap::new();
+        let mut attempts: BTreeMap<(u64, u64), usize> = BTreeMap::new();
+        let mut lists: BTreeMap<u64, (String, Vec<ListedEndpoint>)> = BTreeMap::new();
         for (line, e) in entries {
             h.end = h.end.max(e.out);
             match e.what {
-                What::Past { budget, bytes, .. } => *h.past.entry(budget).or_default() += bytes,
-                What::Frame { message, fate, body } if fate != Fate::Dropped => {
-                    if matches!(message, Message::Leg(_) | Message::LegAnswer(_)) {
+                What::BudgetOverrun { budget, bytes, .. } => *h.past.entry(budget).or_default() += bytes,
+                What::Frame { message, delivery, body } if delivery != Delivery::Dropped => {
+                    if matches!(message, Message::Attempt(_) | Message::AttemptAnswer(_)) {
                         let bytes = Frame { message: message.clone(), body: Default::default() }.len() + body;
                         h.moved.push((e.at, e.from.clone(), e.to.clone(), bytes));
                     }
                     h.frame(
-                        line, e.at, e.out, e.link, e.from, e.to, message, fate, &mut tries, &mut legs,
+                        line,
+                        e.at,
+                        e.out,
+                        e.link,
+                        e.from,
+                        e.to,
+                        message,
+                        delivery,
+                        &mut tries,
+                        &mut attempts,
                         &mut lists,
                     );
                 }
@@ -165,9 +176,9 @@
                     let parts = Parts { at: e.at, line, lasts_us, parts };
                     h.parts.entry(e.to).or_default().push(parts);
                 }
-                What::Stage { machine, number, stage } => h.stages.push((e.at, machine, number, stage, line)),
+                What::Stage { server, number, stage } => h.stages.push((e.at, server, number, stage, line)),
                 What::Came => h.came.push((e.at, e.to)),
-                What::Process { life } => h.lives.entry(e.to).or_default().push((e.at, life)),
+                What::Process { event } => h.process_events.entry(e.to).or_default().push((e.at, event)),
                 _ => {}
             }
         }
@@ -186,10 +197,10 @@
         from: String,
         to: String,
         message: Message,
-        fate: Fate,
+        delivery: Delivery,
         tries: &mut BTreeMap<(u64, u64), usize>,
-        legs: &mut BTreeMap<(u64, u64), usize>,
-        lists: &mut BTreeMap<u64, (String, Vec<ListEntry>)>,
+        attempts: &mut BTreeMap<(u64, u64), usize>,
+        lists: &mut BTreeMap<u64, (String, Vec<ListedEndpoint>)>,
     ) {
         match message {
             Message::Submit(submit) => {
@@ -204,7 +215,7 @@
                     not_taken: None,
                     withdrawn: None,
                     link_closed: None,
-                    legs: Vec::new(),
+                    attempts: Vec::new(),
                 });
             }
             Message::Answer(a) => {
@@ -222,37 +233,50 @@
                     self.taken[*t].withdrawn.get_or_insert(out);
                 }
             }
-            Message::Leg(leg) => {
-                legs.insert((link, leg.leg), self.legs.len());
+            Message::Attempt(attempt) => {
+                attempts.insert((link, attempt.attempt), self.attempts.len());
                 let (host, node) = (from, to);
-                self.legs.push(LegSeen { line, at, out, host, node, link, leg, answer: None, broke: None });
+                self.attempts.push(AttemptSeen {
+                    line,
+                    at,
+                    out,
+                    host,
+                    node,
+                    link,
+                    attempt,
+                    answer: None,
+                    broke: None,
+                });
             }
-            Message::LegAnswer(a) => {
-                let Some(seen) = legs.get(&(link, a.leg)).and_then(|l| self.legs.get_mut(*l)) else { return };
-                let result = LegResult::try_from(a.result).unwrap_or(LegResult::Unknown);
-                match (&mut seen.answer, fate) {
+            Message::AttemptAnswer(a) => {
+                let Some(seen) = attempts.get(&(link, a.attempt)).and_then(|l| self.attempts.get_mut(*l))
+                else {
+                    return;
+                };
+                let result = AttemptResult::try_from(a.result).unwrap_or(AttemptResult::Unknown);
+                match (&mut seen.answer, delivery) {
                     // The original of an answer that was turned into an error tells what the node did.
-                    (answer @ None, Fate::Altered) => *answer = Some((line, i64::MAX, result, a.ran)),
+                    (answer @ None, Delivery::Altered) => *answer = Some((line, i64::MAX, result, a.ran)),
                     (Some(answer), _) if answer.1 == i64::MAX => (answer.1, answer.2) = (out, result),
                     (answer @ None, _) => *answer = Some((line, out, result, a.ran)),
                     _ => {}
                 }
             }
             // Passed on by a third host it says nothing of when it left its own.
-            Message::FleetNote(n)
+            Message::FleetMessage(n)
                 if n.what() == FleetWhat::Grant && self.hosts.get(n.from as usize) == Some(&from) =>
             {
                 let ballot = (n.round, n.by);
                 self.grants.push(Grant { at, line, by: from, ballot });
             }
-            Message::ListNews(news) => {
+            Message::EndpointListUpdate(news) => {
                 // The list speaks to the host that asked.
                 let (host, known) = lists.entry(link).or_insert_with(|| (to, Vec::new()));
                 if news.whole {
-                    let gone = |k: &&ListEntry| !news.entries.iter().any(|e| e.name == k.name);
+                    let gone = |k: &&ListedEndpoint| !news.entries.iter().any(|e| e.name == k.name);
                     let missing: Vec<_> = known.iter().filter(gone).cloned().collect();
-                    let gone = ListStanding::Gone as i32;
-                    let missing = missing.into_iter().map(|e| ListEntry { standing: gone, ..e });
+                    let gone = ListedState::Gone as i32;
+                    let missing = missing.into_iter().map(|e| ListedEndpoint { state: gone, ..e });
                     for e in missing.collect::<Vec<_>>() {
                         tell(&mut self.told, host, &e, out, line);
                     }
@@ -271,41 +295,46 @@
         for t in self.taken.iter_mut().filter(|t| t.link == link) {
             t.link_closed.get_or_insert(at);
         }
-        for l in self.legs.iter_mut().filter(|l| l.link == link && l.answer.is_none()) {
+        for l in self.attempts.iter_mut().filter(|l| l.link == link && l.answer.is_none()) {
             l.broke.get_or_insert(at);
         }
     }
 
-    /// Legs belong to the try with their mark and number of repeat at their host; what a client does not mark
+    /// Attempts belong to the try with their mark and number of repeat at their host; what a client does not mark
     /// can't be told apart.
     fn join(&mut self) {
         let mut by_mark: BTreeMap<(&str, &str, u32), usize> = BTreeMap::new();
         for (place, t) in self.taken.iter().enumerate() {
             by_mark.insert((&t.host, &t.submit.mark, t.submit.repeat), place);
         }
-        let of = |l: &LegSeen| by_mark.get(&(l.host.as_str(), l.leg.mark.as_str(), l.leg.repeat)).copied();
-        let found: Vec<_> = self.legs.iter().map(of).collect();
-        for (leg, place) in found.into_iter().enumerate() {
+        let of = |l: &AttemptSeen| {
+            by_mark.get(&(l.host.as_str(), l.attempt.mark.as_str(), l.attempt.repeat)).copied()
+        };
+        let found: Vec<_> = self.attempts.iter().map(of).collect();
+        for (attempt, place) in found.into_iter().enumerate() {
             if let Some(place) = place {
-                self.taken[place].legs.push(leg);
+                self.taken[place].attempts.push(attempt);
             }
         }
     }
 
-    /// When the host's life that held this point began and ended.
-    pub fn life(&self, name: &str, at: i64) -> (i64, i64) {
-        let lives = self.lives.get(name).map(Vec::as_slice).unwrap_or_default();
-        let began =
-            lives.iter().filter(|l| matches!(l.1, Life::Started { .. }) && l.0 <= at).map(|l| l.0).max();
-        let ended = lives.iter().filter(|l| l.1.is_end() && l.0 > at).map(|l| l.0).min();
+    /// When the host's incarnation that held this point began and ended.
+    pub fn incarnation(&self, name: &str, at: i64) -> (i64, i64) {
+        let process_events = self.process_events.get(name).map(Vec::as_slice).unwrap_or_default();
+        let began = process_events
+            .iter()
+            .filter(|l| matches!(l.1, ProcessEvent::Started { .. }) && l.0 <= at)
+            .map(|l| l.0)
+            .max();
+        let ended = process_events.iter().filter(|l| l.1.is_end() && l.0 > at).map(|l| l.0).min();
         (began.unwrap_or(i64::MIN), ended.unwrap_or(i64::MAX))
     }
 
     /// From when to when a process stood still, as the script has it.
     pub fn pauses(&self, name: &str) -> Vec<(i64, i64)> {
-        let lives = self.lives.get(name).map(Vec::as_slice).unwrap_or_default();
-        let begun = lives.iter().enumerate().filter(|(_, l)| l.1 == Life::Paused);
-        begun.map(|(place, l)| (l.0, lives.get(place + 1).map_or(i64::MAX, |next| next.0))).collect()
+        let process_events = self.process_events.get(name).map(Vec::as_slice).unwrap_or_default();
+        let begun = process_events.iter().enumerate().filter(|(_, l)| l.1 == ProcessEvent::Paused);
+        begun.map(|(place, l)| (l.0, process_events.get(place + 1).map_or(i64::MAX, |next| next.0))).collect()
     }
 
     /// All hosts that any of the documents names.
@@ -314,12 +343,18 @@
     }
 
     pub fn host_killed(&self, name: &str, after: i64, by: i64) -> bool {
-        self.life(name, after).1 <= by
+        self.incarnation(name, after).1 <= by
     }
 }
 
-fn tell(told: &mut BTreeMap<(String, String), Vec<Told>>, host: &str, e: &ListEntry, at: i64, line: usize) {
-    let standing = ListStanding::try_from(e.standing).unwrap_or(ListStanding::Draining);
+fn tell(
+    told: &mut BTreeMap<(String, String), Vec<Told>>,
+    host: &str,
+    e: &ListedEndpoint,
+    at: i64,
+    line: usize,
+) {
+    let state = ListedState::try_from(e.state).unwrap_or(ListedState::Draining);
     let told = told.entry((host.to_string(), e.name.clone())).or_default();
-    told.push(Told { at, line, standing, incarnation: e.incarnation });
+    told.push(Told { at, line, state, incarnation: e.incarnation });
 }
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -1,13 +1,13 @@
 //! Judges the seven rules from what relays recorded and the document alone; it shares no state with a host and
 //! none of its code. For each rule: kept or broken, how often it was put to the test, how near its bound came,
-//! and for each breach the transfer with its frames.
+//! and for each breach the request with its frames.
 //!
 //! [`History`] puts the recording in order by who and what; each rule is a function of it in [`rules`].
 
 mod fleet;
 mod history;
+mod maintenance;
 mod rules;
-mod works;
 
 use gullsail_configuration::Deployment;
 pub use history::{Fault, History};
@@ -60,13 +60,13 @@
         rules::budget(d, &h),
         rules::limits(d, &h),
     ];
-    if !d.crossings.is_empty() {
-        verdicts.push(rules::crossings(d, &h));
+    if !d.cross_zone_budgets.is_empty() {
+        verdicts.push(rules::cross_zone_budgets(d, &h));
     }
     if d.fleet.is_some() {
         verdicts.extend([fleet::parts(d, &h), fleet::deciding(d, &h)]);
         verdicts.extend(fleet::rates(d, &h));
-        verdicts.extend(works::rules(d, &h));
+        verdicts.extend(maintenance::rules(d, &h));
     }
     Ok(verdicts)
 }
@@ -94,7 +94,7 @@
     text
 }
 
-/// Bytes of legs and their answers that went from zone to zone to or from a host, by host and the zones' names.
+/// Bytes of attempts and their answers that went from zone to zone to or from a host, by host and the zones' names.
 ///
 /// # Errors
 /// A line that is no entry.
--- a/crates/audit/src/works.rs
+++ b/crates/audit/src/maintenance.rs
@@ -1,4 +1,4 @@
-//! What works promise, from what hosts wrote down at the time and from legs on the wire: nothing is sent to what any host was
+//! What works promise, from what hosts wrote down at the time and from attempts on the wire: nothing is sent to what any host was
 //! told to be out, and no more machines are out than the document allows, whoever decided.
 
 use crate::Verdict;
@@ -11,7 +11,7 @@
 
 /// One order: from when on any host knew its machine to be out, until when any knew it to be back, and to be done; the line.
 struct Away<'a> {
-    machine: &'a str,
+    server: &'a str,
     out: i64,
     back: i64,
     done: i64,
@@ -20,10 +20,10 @@
 
 fn away(h: &History) -> Vec<Away<'_>> {
     let mut all: BTreeMap<(&str, u64), Away> = BTreeMap::new();
-    for (at, machine, number, stage, line) in &h.stages {
+    for (at, server, number, stage, line) in &h.stages {
         let stage = stage.as_str();
-        let order = all.entry((machine, *number)).or_insert(Away {
-            machine,
+        let order = all.entry((server, *number)).or_insert(Away {
+            server,
             out: i64::MAX,
             back: i64::MAX,
             done: i64::MAX,
@@ -40,14 +40,15 @@
 }
 
 pub fn rules(d: &Deployment, h: &History) -> Vec<Verdict> {
-    let Some(works) = &d.works else { return Vec::new() };
+    let Some(maintenance) = &d.maintenance else { return Vec::new() };
     let all = away(h);
     let mut sent = Verdict::new(13, "nothing sent to what is out for work");
     for a in &all {
         sent.tested += 1;
-        let to = h.legs.iter().filter(|l| l.node == a.machine && l.at > a.out + WAY && l.at + WAY < a.back);
+        let to =
+            h.attempts.iter().filter(|l| l.node == a.server && l.at > a.out + WAY && l.at + WAY < a.back);
         for l in to {
-            let what = format!("{} sent to {} {} us after it was out", l.host, a.machine, l.at - a.out);
+            let what = format!("{} sent to {} {} us after it was out", l.host, a.server, l.at - a.out);
             sent.breach(what, [a.line, l.line]);
         }
     }
@@ -60,21 +61,21 @@
     for a in &all {
         // Those that are out in the moment in which this one is told to be.
         let with: Vec<&Away> = all.iter().filter(|o| o.out <= a.out && a.out + WAY < o.done).collect();
-        let own = place(a.machine);
-        let zone = with.iter().filter(|o| place(o.machine).map(|p| p.0) == own.as_ref().map(|p| p.0)).count();
+        let own = place(a.server);
+        let zone = with.iter().filter(|o| place(o.server).map(|p| p.0) == own.as_ref().map(|p| p.0)).count();
         let pool = with
             .iter()
-            .filter(|o| place(o.machine).map(|p| (p.1, p.2)) == own.clone().map(|p| (p.1, p.2)))
+            .filter(|o| place(o.server).map(|p| (p.1, p.2)) == own.clone().map(|p| (p.1, p.2)))
             .count();
-        many.tested += u64::from(with.len() > 1 || works.at_once == 1);
+        many.tested += u64::from(with.len() > 1 || maintenance.at_once == 1);
         for (most, count, of) in [
-            (works.at_once, with.len(), "in all"),
-            (works.in_zone, zone, "in its zone"),
-            (works.in_pool, pool, "in its pool"),
+            (maintenance.at_once, with.len(), "in all"),
+            (maintenance.in_zone, zone, "in its zone"),
+            (maintenance.in_pool, pool, "in its pool"),
         ] {
             many.nearest = many.nearest.max(count as f64 / f64::from(most.max(1)));
             if count as u32 > most {
-                let names: Vec<_> = with.iter().map(|o| o.machine).collect();
+                let names: Vec<_> = with.iter().map(|o| o.server).collect();
                 many.breach(
                     format!("{count} of {most} out {of}: {}", names.join(" ")),
                     with.iter().map(|o| o.line),
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -5,13 +5,13 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 
-use gullsail::Brain;
-use gullsail_interface::{Action, Event, Instant};
+use gullsail::Scheduler;
+use gullsail_scheduler_api::{Action, Event, Instant};
 use wire::{Batch, Names, WireEvent};
 
 /// One living instance, and what this batch holds for it.
 struct Instance {
-    brain: Brain,
+    scheduler: Scheduler,
     names: Names,
     events: Vec<Event>,
     touched: bool,
@@ -55,9 +55,9 @@
                 continue;
             }
             WireEvent::Born { host, rng_seed, boot_info } => {
-                let (facts, names) = wire::facts(&boot_info)?;
-                let brain = Brain::new(facts, rng_seed, now);
-                instances.insert(host, Instance { brain, names, events: Vec::new(), touched: true });
+                let (config, names) = wire::config(&boot_info)?;
+                let scheduler = Scheduler::new(config, rng_seed, now);
+                instances.insert(host, Instance { scheduler, names, events: Vec::new(), touched: true });
                 touched.push(host);
                 continue;
             }
@@ -85,7 +85,7 @@
         if let Some(instance) = instances.get_mut(&host).filter(|i| i.touched) {
             instance.touched = false;
             let events = std::mem::take(&mut instance.events);
-            let actions: Vec<Action> = instance.brain.step(now, events);
+            let actions: Vec<Action> = instance.scheduler.step(now, events);
             outbox.extend(actions.into_iter().filter_map(|a| wire::action(host, a, &instance.names)));
         }
     }
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -4,8 +4,8 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use gullsail_facts::{Stated, hash};
-use gullsail_interface::*;
+use gullsail_scheduler_api::*;
+use gullsail_scheduler_settings::{Stated, hash};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -53,7 +53,8 @@
         host: u64,
         id: u64,
         quota_units: f64,
-        ttl: f64,
+        #[serde(rename = "ttl")]
+        timeout: f64,
         #[serde(default)]
         grade: String,
         #[serde(default)]
@@ -134,13 +135,13 @@
 /// The wire's names of one instance: those of the settings, and the nodes met so far.
 #[derive(Default)]
 pub struct Names {
-    stated: gullsail_facts::Names,
+    stated: gullsail_scheduler_settings::Names,
     nodes: BTreeMap<NodeId, String>,
 }
 
-pub fn facts(b: &Stated) -> Result<(Facts, Names), String> {
-    let (facts, stated) = gullsail_facts::facts(b).map_err(|e| e.to_string())?;
-    Ok((facts, Names { stated, nodes: BTreeMap::new() }))
+pub fn config(b: &Stated) -> Result<(SchedulerConfig, Names), String> {
+    let (config, stated) = gullsail_scheduler_settings::config(b).map_err(|e| e.to_string())?;
+    Ok((config, Names { stated, nodes: BTreeMap::new() }))
 }
 
 /// The event in the interface's words; `None`: it concerns no decision.
@@ -155,22 +156,22 @@
         }
         WireEvent::Fleet { table, mode, .. } => {
             if mode == "lost" {
-                return Ok(Some(Event::ListLost));
+                return Ok(Some(Event::EndpointListLost));
             }
             let page = pages.get(&table).ok_or_else(|| format!("unknown page {table}"))?;
             let entries = page.iter().filter_map(|n| entry(n, names)).collect();
-            let extent = match mode.as_str() {
-                "incr" => Extent::Changes,
-                "total" => Extent::Whole,
-                "warm_copy" => Extent::Remembered,
+            let update_kind = match mode.as_str() {
+                "incr" => UpdateKind::Delta,
+                "total" => UpdateKind::Snapshot,
+                "warm_copy" => UpdateKind::StaleSnapshot,
                 other => return Err(format!("unknown mode '{other}'")),
             };
-            Event::List { extent, entries }
+            Event::EndpointList { update_kind, entries }
         }
         WireEvent::Accept {
             id,
             quota_units,
-            ttl,
+            timeout,
             grade,
             profile,
             store_user,
@@ -178,59 +179,59 @@
             object,
             mounts,
             ..
-        } => Event::Arrived(Transfer {
-            id: TransferId(id),
+        } => Event::RequestArrived(Request {
+            id: RequestId(id),
             // What no settings state is answered by the module at once.
-            stream_type: names.stated.stream_type(&profile).unwrap_or(StreamTypeId(usize::MAX)),
+            request_class: names.stated.request_class(&profile).unwrap_or(RequestClassId(usize::MAX)),
             plan: names.stated.plan(&grade).unwrap_or(PlanId(usize::MAX)),
             volume: VolumeId(hash(&store_user)),
             units: quota_units,
-            cell: (lies_in >= 0).then_some(CellId(lies_in)),
+            shard: (lies_in >= 0).then_some(ShardId(lies_in)),
             object: object.map(|o| ObjectId(hash(&o))),
-            ttl: Span::from_millis(ttl),
+            timeout: Span::from_millis(timeout),
             volume_hosts: mounts,
             pool: PoolId::ALL,
             bytes: 0.0,
         }),
         WireEvent::Timer { name, .. } => Event::Timer(TimerId(name)),
-        WireEvent::Dropped { id, .. } => Event::ClientLeft(TransferId(id)),
+        WireEvent::Dropped { id, .. } => Event::ClientDisconnected(RequestId(id)),
         WireEvent::Heard { src, octets, .. } => {
             let bytes = BASE64.decode(&octets).map_err(|e| format!("octets are not base64: {e}"))?;
-            Event::PeerSaid { from: HostId(src), bytes }
+            Event::PeerMessage { from: HostId(src), bytes }
         }
         WireEvent::Resolved { id, spent, attempt, state_code, node, complete, metered, .. } => {
-            Event::LegEnded(LegEnd {
-                id: TransferId(id),
-                leg: attempt,
+            Event::AttemptEnded(AttemptEnd {
+                id: RequestId(id),
+                attempt: attempt,
                 node: NodeId(hash(&node)),
-                ending: ending(&state_code)?,
-                took: Span::from_millis(spent),
+                outcome: outcome(&state_code)?,
+                latency: Span::from_millis(spent),
                 finished: complete,
                 used: metered.checked_sub(1).map(|percent| f64::from(percent) / 100.0),
                 zone: ZoneId::default(),
                 bytes: 0.0,
             })
         }
-        WireEvent::AckFirst { id, node, spent, .. } => Event::StreamBegan {
-            id: TransferId(id),
+        WireEvent::AckFirst { id, node, spent, .. } => Event::ResponseStarted {
+            id: RequestId(id),
             node: NodeId(hash(&node)),
-            took: Span::from_millis(spent),
+            latency: Span::from_millis(spent),
         },
     }))
 }
 
 /// `None`: its health is a word that is not known, so what was known of it stays.
-fn entry(n: &Entry, names: &mut Names) -> Option<NodeEntry> {
+fn entry(n: &Entry, names: &mut Names) -> Option<Endpoint> {
     let node = NodeId(hash(&n.node));
     names.nodes.entry(node).or_insert_with(|| n.node.clone());
-    Some(NodeEntry {
+    Some(Endpoint {
         node,
-        cell: CellId(n.group),
+        shard: ShardId(n.group),
         zone: names.stated.zone(&n.region_part),
-        standing: match n.health.as_str() {
-            "Ready" => Standing::Ready,
-            "Terminating" => Standing::Draining,
-            "Gone" => Standing::Gone,
+        state: match n.health.as_str() {
+            "Ready" => EndpointState::Ready,
+            "Terminating" => EndpointState::Draining,
+            "Gone" => EndpointState::Gone,
             _ => return None,
         },
         started: (n.online_since > 0.0).then_some(Instant::from_millis(n.online_since)),
@@ -238,16 +239,16 @@
     })
 }
 
-fn ending(code: &str) -> Result<Ending, String> {
+fn outcome(code: &str) -> Result<AttemptOutcome, String> {
     Ok(match code {
-        "delivered" => Ending::Done,
-        "app_error" => Ending::Failed,
-        "shed" => Ending::TurnedAway,
-        "dial_failed" => Ending::Unreached,
-        "unused" => Ending::Unsent,
-        "expired" => Ending::TimedOut,
-        "dropped" => Ending::Broken,
-        "revoked" => Ending::Cancelled,
+        "delivered" => AttemptOutcome::Succeeded,
+        "app_error" => AttemptOutcome::Failed,
+        "shed" => AttemptOutcome::Rejected,
+        "dial_failed" => AttemptOutcome::Unreachable,
+        "unused" => AttemptOutcome::NotSent,
+        "expired" => AttemptOutcome::TimedOut,
+        "dropped" => AttemptOutcome::ConnectionLost,
+        "revoked" => AttemptOutcome::Cancelled,
         other => return Err(format!("unknown state-code '{other}'")),
     })
 }
@@ -256,20 +257,20 @@
 pub fn action(host: u64, a: Action, names: &Names) -> Option<Value> {
     Some(match a {
         // Facts from here state no budgets between zones.
-        Action::Past { .. } => return None,
-        Action::Leg { id, node, time_out } => json!({
+        Action::BudgetOverrun { .. } => return None,
+        Action::StartAttempt { id, node, time_out } => json!({
             "type": "PassOn", "host": host, "id": id.0, "node": names.nodes.get(&node),
             "give-up-after": time_out.map(Span::millis),
         }),
-        Action::Defer { id, come_back } => json!({
-            "type": "NotNow", "host": host, "id": id.0, "retry-after": come_back.map(Span::millis),
+        Action::Reject { id, retry_after } => json!({
+            "type": "NotNow", "host": host, "id": id.0, "retry-after": retry_after.map(Span::millis),
         }),
-        Action::Abandon { id } => json!({ "type": "Surrender", "host": host, "id": id.0 }),
-        Action::Watch => json!({ "type": "StreamChanges", "host": host, "enable": true }),
-        Action::Timer { id, at } => {
+        Action::Fail { id } => json!({ "type": "Surrender", "host": host, "id": id.0 }),
+        Action::WatchEndpoints => json!({ "type": "StreamChanges", "host": host, "enable": true }),
+        Action::SetTimer { id, at } => {
             json!({ "type": "Defer", "host": host, "due-at": at.millis(), "name": id.0 })
         }
-        Action::Tell { to, bytes } => {
+        Action::SendToPeer { to, bytes } => {
             json!({ "type": "Post", "host": host, "whom": to.0, "octets": BASE64.encode(bytes) })
         }
     })
@@ -281,7 +282,7 @@
 
     /// The bench's adapter and the platform's host make the same facts and ids of the same settings.
     #[test]
-    fn both_routes_make_the_same_facts_and_ids() {
+    fn both_routes_make_the_same_config_and_ids() {
         let settings = r#"{"clients":{"marks-retry":false},"failure-domains":["a","b"],"family":"stores",
             "family-info":{"cold-units":15.0,"idle-worth":0.08,"max-units":8,"slots-total":9,"within-share":0.35,
             "writes":[false,true]},"limits":{"connect-timeout":250.0,"keepalive":15000.0,"max-attempts":4,
@@ -295,23 +296,23 @@
             "ramp-time":17000.0,"start-capacity":0.17,"order-settle":100.0},"tick":2.0}"#;
         let born = format!(r#"{{"type":"Born","host":1,"rng-seed":9,"boot-info":{settings}}}"#);
         let Ok(WireEvent::Born { boot_info, .. }) = serde_json::from_str(&born) else { panic!("{born}") };
-        let (here, names) = facts(&boot_info).unwrap();
+        let (here, names) = config(&boot_info).unwrap();
         let text = format!(
             r#"{{"listen":"127.0.0.1:0","discovery":"x:1","limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
             "settings":{settings}}}"#
         );
         let d = gullsail_platform::document::Document::read("d", &text).unwrap();
-        // A leg can wait for its connection on sockets alone.
-        let there = Facts { leg_wait: Span::ZERO, ..d.facts.clone() };
+        // A attempt can wait for its connection on sockets alone.
+        let there = SchedulerConfig { connect_wait: Span::ZERO, ..d.config.clone() };
         assert_eq!((format!("{here:?}"), &names.stated), (format!("{there:?}"), &d.names));
-        assert_eq!(d.facts.leg_wait, Span::from_millis(250.0));
+        assert_eq!(d.config.connect_wait, Span::from_millis(250.0));
         let (volume, object) = ("00000003b4d60021", "7f3a9c21e0b4d655");
         let accept = format!(
             r#"{{"type":"Accept","host":1,"id":5,"quota-units":2,"ttl":900.0,"grade":"best","profile":"w",
             "store-user":"{volume}","lies-in":3,"object":"{object}","mounts":3}}"#
         );
         let mut names = names;
-        let Ok(Some(Event::Arrived(here))) =
+        let Ok(Some(Event::RequestArrived(here))) =
             event(serde_json::from_str(&accept).unwrap(), &mut names, &BTreeMap::new())
         else {
             panic!("{accept}")
@@ -326,8 +327,8 @@
             .as_bytes(),
         );
         let m = decoder.take().unwrap().unwrap();
-        let asked = gullsail_platform::core::ask::read(&m, &d.names, &d.facts, &d.reach).unwrap();
-        let there = Transfer { id: TransferId(5), ..asked.transfer };
+        let asked = gullsail_platform::core::ask::read(&m, &d.names, &d.config, &d.reach).unwrap();
+        let there = Request { id: RequestId(5), ..asked.request };
         assert_eq!(format!("{here:?}"), format!("{there:?}"));
     }
 }
--- a/crates/benchlink/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn a_transfer_goes_out_and_input_ends() {
+fn a_request_goes_out_and_input_ends() {
     let all = batch(&[]) + &batch(&[BORN, LIST, r#"{"type":"Novelty","host":3}"#, ACCEPT]);
     let (code, out, err) = run(&all);
     assert_eq!((code, err.as_str()), (Some(0), ""));
@@ -42,7 +42,7 @@
     }
 }
 
-/// What no settings state is answered at once and ends nothing: a plan, a stream type, a node's health; a deployment
+/// What no settings state is answered at once and ends nothing: a plan, a request class, a node's health; a deployment
 /// may have no plans at all.
 #[test]
 fn what_nothing_defines_is_answered_at_once() {
--- a/crates/cli/benches/documents.rs
+++ b/crates/cli/benches/documents.rs
@@ -17,7 +17,7 @@
     }
 }
 
-/// The text of one more town: its own names, addresses and cells, the same plans and stream types.
+/// The text of one more town: its own names, addresses and shards, the same plans and request classes.
 fn moved(text: &str, copy: usize) -> String {
     let mut text = text.to_string();
     for name in ["quay", "mill", "hill", "station", "harbour", "works-", "desk-"] {
@@ -27,7 +27,7 @@
         .replace("template desk", &format!("template desk{copy}"))
         .replace("use desk ", &format!("use desk{copy} "));
     text = text.replace("\"10.", &format!("\"n{copy}.10."));
-    // Sixty cells further for each copy.
+    // Sixty shards further for each copy.
     let mut out = String::new();
     let mut rest = text.as_str();
     while let Some((before, after)) = rest.split_once("cell=") {
@@ -35,11 +35,11 @@
         let end = after.find(' ').unwrap_or(after.len());
         let digits: Vec<usize> =
             after[..end].split(|c: char| !c.is_ascii_digit()).filter_map(|d| d.parse().ok()).collect();
-        let cells: Vec<String> = digits.iter().map(|d| (d + 60 * copy).to_string()).collect();
-        out += &if cells.len() == 2 {
-            format!("cell=\"{{{}}}\"", cells.join(".."))
+        let shards: Vec<String> = digits.iter().map(|d| (d + 60 * copy).to_string()).collect();
+        out += &if shards.len() == 2 {
+            format!("cell=\"{{{}}}\"", shards.join(".."))
         } else {
-            format!("cell={}", cells[0])
+            format!("cell={}", shards[0])
         };
         rest = &after[end..];
     }
--- a/crates/cli/benches/host_cost.rs
+++ b/crates/cli/benches/host_cost.rs
@@ -1,18 +1,18 @@
 //! What the host costs, as ratios within one run. `cargo bench -p gullsail-cli --bench host_cost -- MODE`:
 //!
 //! * `cost` (as `cargo bench` runs it): a host and a bare relay of the same frames, each on one thread, the same
-//!   client and the same nodes that answer at once: transfers for a second of that thread's processor time, and
-//!   the time of one transfer at a time.
-//! * `memory`: bytes for each open transfer. `soak SECONDS`: resident memory while it serves.
-//! * `scale`: 10, 50 and 100 hosts, 60 nodes, volumes over all hosts: labels and processor time by transfer.
+//!   client and the same nodes that answer at once: requests for a second of that thread's processor time, and
+//!   the time of one request at a time.
+//! * `memory`: bytes for each open request. `soak SECONDS`: resident memory while it serves.
+//! * `scale`: 10, 50 and 100 hosts, 60 nodes, volumes over all hosts: demand reports and processor time by request.
 
 use bytes::Bytes;
 use gullsail_configuration::{Deployment, parse};
+use gullsail_connections::{Happened, Link};
 use gullsail_host::core::Counts;
-use gullsail_host::drive::{self, HostClock, Life};
-use gullsail_interface::{HostId, Span};
-use gullsail_links::{Happened, Link};
+use gullsail_host::drive::{self, HostClock, HostProcess};
 use gullsail_protocol::*;
+use gullsail_scheduler_api::{HostId, Span};
 use hdrhistogram::Histogram;
 use nix::time::{ClockId, clock_gettime};
 use std::collections::BTreeMap;
@@ -62,37 +62,37 @@
     text
 }
 
-/// Nodes that answer at once, or never; all on one thread, for as long as the process lives.
+/// Nodes that answer at once, or never; all on one thread, for as long as the process incarnations.
 fn nodes(listeners: Vec<StdListener>, answer: Option<usize>) {
     std::thread::spawn(move || {
         runtime().block_on(async move {
             let (sink, mut inbox) = mpsc::channel(4096);
             let (mut tasks, mut links) = (JoinSet::new(), BTreeMap::new());
             let (opened, mut opening) = mpsc::channel(64);
-            for (cell, listener) in listeners.into_iter().enumerate() {
+            for (shard, listener) in listeners.into_iter().enumerate() {
                 let (listener, opened) = (TcpListener::from_std(listener).expect("a listener"), opened.clone());
                 tokio::spawn(async move {
                     while let Ok((stream, _)) = listener.accept().await {
-                        let _ = opened.send((cell, stream)).await;
+                        let _ = opened.send((shard, stream)).await;
                     }
                 });
             }
             let (body, mut last) = (Bytes::from(vec![7; answer.unwrap_or(0)]), 0u64);
             loop {
                 tokio::select! {
-                    Some((cell, stream)) = opening.recv() => {
+                    Some((shard, stream)) = opening.recv() => {
                         last += 1;
                         let link = Link::open(stream, last, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
-                        let (role, name) = (Role::Node as i32, format!("n{cell}"));
-                        let (incarnation, cell_plus_one) = (cell as u64 + 1, cell as i64 + 1);
-                        let _ = link.send(Hello { role, name, incarnation, age_us: 1 << 40, cell_plus_one }.into());
+                        let (role, name) = (Role::Node as i32, format!("n{shard}"));
+                        let (incarnation, shard_plus_one) = (shard as u64 + 1, shard as i64 + 1);
+                        let _ = link.send(Hello { role, name, incarnation, age_us: 1 << 40, shard_plus_one }.into());
                         links.insert(last, link);
                     }
                     Some((id, happened)) = inbox.recv() => if let Happened::Frame(frame) = happened
-                        && let Message::Leg(leg) = frame.message
+                        && let Message::Attempt(attempt) = frame.message
                         && answer.is_some()
                     {
-                        let a = LegAnswer { leg: leg.leg, result: LegResult::Done as i32, ..LegAnswer::default() };
+                        let a = AttemptAnswer { attempt: attempt.attempt, result: AttemptResult::Succeeded as i32, ..AttemptAnswer::default() };
                         let _ = links[&id].send(Frame::from(a).with_body(body.clone()));
                     },
                 }
@@ -129,14 +129,14 @@
             for (i, (listener, stopped)) in listeners.into_iter().zip(stopped).enumerate() {
                 let listener = TcpListener::from_std(listener).expect("a listener");
                 let clock = HostClock::start(Span::ZERO);
-                let life = Life {
+                let process = HostProcess {
                     deployment: d.clone(),
                     me: HostId((first + i) as u32),
                     seed: 1,
                     incarnation: 1,
                     clock,
                 };
-                all.spawn(drive::run(life, listener, None, async {
+                all.spawn(drive::run(process, listener, None, async {
                     let _ = stopped.await;
                 }));
             }
@@ -147,7 +147,7 @@
     Running { thread, stop }
 }
 
-/// Passes frames on to the node of their cell, over as many connections as a host has, and does nothing else:
+/// Passes frames on to the node of their shard, over as many connections as a host has, and does nothing else:
 /// what any process between client and nodes must do.
 fn bare_relay(listener: StdListener, targets: Vec<String>) -> Running {
     let (stop, stopped) = oneshot::channel::<()>();
@@ -168,11 +168,11 @@
                 while inbox.recv_many(&mut batch, 256).await > 0 {
                     for (side, happened) in batch.drain(..) {
                         if let Happened::Frame(frame) = happened {
-                            let cell = match &frame.message {
-                                Message::Leg(l) => l.handle.map_or(0, |h| h.cell as usize),
+                            let shard = match &frame.message {
+                                Message::Attempt(l) => l.handle.map_or(0, |h| h.shard as usize),
                                 _ => 0,
                             };
-                            let _ = if side == 0 { nodes[cell].send(frame) } else { client.send(frame) };
+                            let _ = if side == 0 { nodes[shard].send(frame) } else { client.send(frame) };
                         }
                     }
                 }
@@ -188,18 +188,18 @@
 }
 
 struct Load {
-    /// Transfers out at a time over all connections; 0: as many as come in `rate`.
+    /// Requests out at a time over all connections; 0: as many as come in `rate`.
     outstanding: usize,
     rate: f64,
     seconds: f64,
-    cells: i64,
+    shards: i64,
     bytes: usize,
     /// Seconds for connections to stand and clocks to be known.
     warm: f64,
 }
 
 /// Plays clients; how many were done, and the time of each in microseconds.
-fn clients(addresses: &[String], load: &Load, as_legs: bool) -> (u64, u64, Histogram<u64>) {
+fn clients(addresses: &[String], load: &Load, as_attempts: bool) -> (u64, u64, Histogram<u64>) {
     runtime().block_on(async {
         let (sink, mut inbox) = mpsc::channel(4096);
         let (mut tasks, mut links) = (JoinSet::new(), Vec::new());
@@ -218,31 +218,31 @@
         let mut batch = Vec::new();
         let send = |last: &mut u64, began: &mut BTreeMap<u64, Instant>| {
             *last += 1;
-            let handle = Some(Handle { cell: *last as i64 % load.cells, object: *last });
-            let (stream_type, mark) = ("read".to_string(), format!("m{last}"));
+            let handle = Some(Handle { shard: *last as i64 % load.shards, object: *last });
+            let (request_class, mark) = ("read".to_string(), format!("m{last}"));
             // Each host is asked for both in turn.
             let volume = if (*last as usize / links.len()).is_multiple_of(2) { "v" } else { "w" }.to_string();
-            let frame: Frame = if as_legs {
-                Leg {
-                    leg: *last,
-                    stream_type,
+            let frame: Frame = if as_attempts {
+                Attempt {
+                    attempt: *last,
+                    request_class,
                     volume,
                     units: 1.0,
                     handle,
                     mark,
                     time_out_us: 1_000_000,
-                    ..Leg::default()
+                    ..Attempt::default()
                 }
                 .into()
             } else {
                 Submit {
                     id: *last,
-                    stream_type,
+                    request_class,
                     volume,
                     units: 1.0,
                     handle,
                     mark,
-                    ttl_us: 4_000_000,
+                    timeout_us: 4_000_000,
                     ..Submit::default()
                 }
                 .into()
@@ -265,8 +265,8 @@
                 _ = inbox.recv_many(&mut batch, 256) => for (_, happened) in batch.drain(..) {
                     let Happened::Frame(frame) = happened else { continue };
                     let (id, ok) = match frame.message {
-                        Message::Answer(a) => (a.id, a.outcome == Outcome::Done as i32),
-                        Message::LegAnswer(a) => (a.leg, a.result == LegResult::Done as i32),
+                        Message::Answer(a) => (a.id, a.outcome == Outcome::Succeeded as i32),
+                        Message::AttemptAnswer(a) => (a.attempt, a.result == AttemptResult::Succeeded as i32),
                         Message::NotTaken(n) => (n.id, false),
                         _ => continue,
                     };
@@ -296,7 +296,7 @@
     } else {
         hosts(&document(&ha, &na, ""), 0, hl)
     };
-    let load = Load { outstanding, rate: 0.0, seconds, cells: count as i64, bytes: 0, warm: 0.5 };
+    let load = Load { outstanding, rate: 0.0, seconds, shards: count as i64, bytes: 0, warm: 0.5 };
     let (done, other, times) = clients(&ha, &load, relay);
     assert!(other * 100 <= done, "{other} not done beside {done}");
     let (cpu, _) = running.end();
@@ -347,7 +347,7 @@
             let text = document_text(&ha, &na, limit) + entry;
             let d = parse("bench.kdl", &text).unwrap_or_else(|p| panic!("{:?}", p.problems));
             let running = hosts(&Arc::new(d), 0, hl);
-            let load = Load { outstanding: 128, rate: 0.0, seconds: 1.0, cells: 8, bytes: 0, warm: 0.5 };
+            let load = Load { outstanding: 128, rate: 0.0, seconds: 1.0, shards: 8, bytes: 0, warm: 0.5 };
             let (done, ..) = clients(&ha, &load, false);
             by_cpu[which] = done as f64 / running.end().0;
         }
@@ -369,7 +369,7 @@
         nodes(nl, None);
         let running = hosts(&document(&ha, &na, ""), 0, hl);
         let before = resident();
-        let load = Load { outstanding: 0, rate: 40_000.0, seconds: 0.75, cells: 8, bytes: 0, warm: 0.5 };
+        let load = Load { outstanding: 0, rate: 40_000.0, seconds: 0.75, shards: 8, bytes: 0, warm: 0.5 };
         let watch = std::thread::spawn(move || {
             std::thread::sleep(Duration::from_millis(1300));
             resident()
@@ -395,7 +395,7 @@
             std::thread::sleep(Duration::from_secs(60));
         }
     });
-    let load = Load { outstanding: 0, rate: 3000.0, seconds, cells: 8, bytes: 0, warm: 0.5 };
+    let load = Load { outstanding: 0, rate: 3000.0, seconds, shards: 8, bytes: 0, warm: 0.5 };
     let (done, other, times) = clients(&ha, &load, false);
     println!(
         "{done} done, {other} not; p50 {} us, p99 {} us",
@@ -410,7 +410,7 @@
 /// Hosts of one process: a hundred hosts hold more connections than one may.
 const HOSTS_A_PROCESS: usize = 25;
 
-/// Runs some hosts of a document until standard input ends; writes processor time and labels sent.
+/// Runs some hosts of a document until standard input ends; writes processor time and demand reports sent.
 fn scale_part(file: &str, from: usize, to: usize) {
     let text = std::fs::read_to_string(file).expect("the document");
     let d = Arc::new(parse(file, &text).unwrap_or_else(|p| panic!("{:?}", p.problems)));
@@ -422,7 +422,7 @@
     let running = hosts(&d, from, (from..to).map(bind).collect());
     let _ = std::io::stdin().read_line(&mut String::new());
     let (cpu, counts) = running.end();
-    println!("{cpu} {}", counts.iter().map(|c| c.labels_sent).sum::<u64>());
+    println!("{cpu} {}", counts.iter().map(|c| c.demand_reports_sent).sum::<u64>());
 }
 
 fn scale() {
@@ -450,16 +450,16 @@
             })
             .collect();
         std::thread::sleep(Duration::from_secs(1));
-        let load = Load { outstanding: 0, rate: 2000.0, seconds: 20.0, cells: 60, bytes: 0, warm: 4.0 };
+        let load = Load { outstanding: 0, rate: 2000.0, seconds: 20.0, shards: 60, bytes: 0, warm: 4.0 };
         let (done, other, times) = clients(&ha, &load, false);
-        let (mut cpu, mut labels) = (0.0, 0.0);
+        let (mut cpu, mut demand_reports) = (0.0, 0.0);
         for mut part in parts {
             drop(part.stdin.take());
             let out = part.wait_with_output().expect("what it counted");
             let text = String::from_utf8_lossy(&out.stdout).into_owned();
             let mut figures = text.split_whitespace().filter_map(|f| f.parse::<f64>().ok());
             cpu += figures.next().expect("processor time");
-            labels += figures.next().expect("labels");
+            demand_reports += figures.next().expect("labels");
         }
         let _ = std::fs::remove_file(&file);
         let all = (done + other).max(1) as f64;
@@ -467,8 +467,8 @@
             "{count:>5} {:>12.0} {:>5.2} {:>9.0} {:>19.2} {:>24.0} {:>7} {:>7}",
             all / load.seconds,
             done as f64 / all,
-            labels / load.seconds,
-            labels / all,
+            demand_reports / load.seconds,
+            demand_reports / all,
             cpu / all * 1e6,
             times.value_at_quantile(0.5),
             times.value_at_quantile(0.99)
--- a/crates/cli/benches/service/main.rs
+++ b/crates/cli/benches/service/main.rs
@@ -6,7 +6,7 @@
 mod sockets;
 mod world;
 
-use gullsail_interface::Span;
+use gullsail_scheduler_api::Span;
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::sync::OnceLock;
@@ -57,29 +57,29 @@
     let (mut times, mut memory) = (Vec::new(), Vec::new());
     println!("hour  steps    p50 us  p99 us  p99.9 us  worst ms  resident MB  held busy  held quiet");
     for hour in 0..hours {
-        let mut took = Histogram::<u64>::new_with_bounds(1, 60_000_000_000, 3).expect("a histogram");
+        let mut latency = Histogram::<u64>::new_with_bounds(1, 60_000_000_000, 3).expect("a histogram");
         w.open = true;
         // Lengths are sampled each minute at full load, then once all clients have left.
         let mut most = BTreeMap::new();
         for _ in 0..54 {
             w.play(minutes(1.0));
-            w.lengths().into_iter().for_each(|(name, n)| *most.entry(name).or_insert(0) += n);
-            w.took.drain(..).for_each(|ns| took.saturating_record(ns.max(1)));
+            w.size_metrics().into_iter().for_each(|(name, n)| *most.entry(name).or_insert(0) += n);
+            w.latency.drain(..).for_each(|ns| latency.saturating_record(ns.max(1)));
         }
         most.values_mut().for_each(|n| *n /= 54);
         w.open = false;
         w.play(minutes(6.0));
-        w.took.clear();
+        w.latency.clear();
         busy.push(most);
-        quiet.push(w.lengths());
-        let us = |q| took.value_at_quantile(q) as f64 / 1e3;
-        times.push((us(0.5), us(0.99), us(0.999), took.max() as f64 / 1e6));
+        quiet.push(w.size_metrics());
+        let us = |q| latency.value_at_quantile(q) as f64 / 1e3;
+        times.push((us(0.5), us(0.99), us(0.999), latency.max() as f64 / 1e6));
         memory.push(status("VmRSS:") / 1e3);
         let sum = |all: &[BTreeMap<&str, usize>]| all.last().map_or(0, |l| l.values().sum::<usize>());
         let (t, rss) = (times[hour], memory[hour]);
         println!(
             "{hour:>4} {:>6} {:>9.1} {:>7.1} {:>9.1} {:>9.2} {rss:>12.1} {:>10} {:>11}",
-            took.len(),
+            latency.len(),
             t.0,
             t.1,
             t.2,
@@ -89,7 +89,10 @@
         );
     }
     println!("taken, not taken, done, deferred, abandoned, left, of hosts that are up: {:?}", w.outcomes());
-    println!("answered {}, lives of hosts {}, documents taken {}", w.answered, w.lives, w.taken_documents);
+    println!(
+        "answered {}, lives of hosts {}, documents taken {}",
+        w.answered, w.incarnations, w.taken_documents
+    );
     w.turned_down.iter().for_each(|(why, n)| println!("turned down {n} times: {why}"));
     println!("\ncollection             busy: first third  last third   quiet: first third  last third");
     let mut grows = Vec::new();
--- a/crates/cli/benches/service/sockets.rs
+++ b/crates/cli/benches/service/sockets.rs
@@ -4,11 +4,11 @@
 use crate::{status, thirds};
 use bytes::BytesMut;
 use gullsail_configuration::{Deployment, Memory, load};
-use gullsail_host::control::{Ask, Control, Told, ask};
-use gullsail_host::drive::{self, HostClock, Life};
-use gullsail_interface::{HostId, Span};
+use gullsail_host::control::{Control, ControlReply, ControlRequest, ask};
+use gullsail_host::drive::{self, HostClock, HostProcess};
 use gullsail_protocol::*;
-use gullsail_standin::{list, node};
+use gullsail_scheduler_api::{HostId, Span};
+use gullsail_simulator::{discovery, node};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -41,8 +41,8 @@
              volume \"w{n}\" plan=\"p\"\nrevision {n}{after}\n",
             4000 + n
         );
-        for (cell, address) in nodes.iter().enumerate() {
-            t += &format!("node \"n{cell}\" cell={cell} address=\"{address}\" machine=\"box\"\n");
+        for (shard, address) in nodes.iter().enumerate() {
+            t += &format!("node \"n{shard}\" cell={shard} address=\"{address}\" machine=\"box\"\n");
         }
         t
     };
@@ -66,10 +66,17 @@
     }
     let mut out = wire(hello.into());
     for id in 0..20 {
-        let handle = Some(Handle { cell: (place + id) as i64 % NODES, object: id });
-        let (stream_type, volume) = ("read".into(), "v".into());
-        let s =
-            Submit { id, stream_type, volume, units: 1.0, handle, ttl_us: 1_500_000, ..Submit::default() };
+        let handle = Some(Handle { shard: (place + id) as i64 % NODES, object: id });
+        let (request_class, volume) = ("read".into(), "v".into());
+        let s = Submit {
+            id,
+            request_class,
+            volume,
+            units: 1.0,
+            handle,
+            timeout_us: 1_500_000,
+            ..Submit::default()
+        };
         out.extend(wire(s.into()));
         if place % 10 == 3 {
             out.extend(wire(Withdraw { id }.into()));
@@ -120,28 +127,28 @@
     std::thread::spawn(move || {
         Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(async move {
             let entries = |d: &Deployment| {
-                let entry = |n: &gullsail_configuration::NodePlace| ListEntry {
+                let entry = |n: &gullsail_configuration::NodePlace| ListedEndpoint {
                     name: n.place.name.clone(),
                     address: n.place.address.clone(),
-                    cell: n.cell.0,
-                    ..ListEntry::default()
+                    shard: n.shard.0,
+                    ..ListedEndpoint::default()
                 };
                 d.nodes.iter().map(entry).collect::<Vec<_>>()
             };
             let mut serving = JoinSet::new();
             let at = TcpListener::from_std(list_at).expect("a listener");
-            serving.spawn(list::serve(entries(&stand_ins), Span::ZERO, at));
-            for (cell, at) in nodes_at.into_iter().enumerate() {
-                let life = node::NodeLife {
-                    name: format!("n{cell}"),
-                    cell: cell as i64,
-                    machine: stand_ins.machines[0].clone(),
-                    cold: stand_ins.figures().cold,
+            serving.spawn(discovery::serve(entries(&stand_ins), Span::ZERO, at));
+            for (shard, at) in nodes_at.into_iter().enumerate() {
+                let process = node::NodeProcess {
+                    name: format!("n{shard}"),
+                    shard: shard as i64,
+                    server: stand_ins.servers[0].clone(),
+                    slow_start: stand_ins.figures().slow_start,
                     incarnation: 7,
                     age: Span::from_millis(1e7),
                     bounds: Bounds::DEFAULT,
                 };
-                serving.spawn(node::serve(life, TcpListener::from_std(at).expect("a listener")));
+                serving.spawn(node::serve(process, TcpListener::from_std(at).expect("a listener")));
             }
             serving.join_all().await;
         });
@@ -154,12 +161,12 @@
         runtime.block_on(async move {
             let control = Control::bind(&control, Arc::new(reads)).expect("a control socket");
             let clock = HostClock::start(Span::ZERO);
-            let life = Life { deployment: d, me: HostId(0), seed: 1, incarnation: 9, clock };
+            let process = HostProcess { deployment: d, me: HostId(0), seed: 1, incarnation: 9, clock };
             let listener = TcpListener::from_std(listener).expect("a listener");
             let stop = async {
                 let _ = stopped.await;
             };
-            drive::run(life, listener, Some(control), stop).await
+            drive::run(process, listener, Some(control), stop).await
         })
     });
     println!("wave  answers  descriptors  threads  tasks  resident MB  log KB  open  held bytes");
@@ -171,15 +178,15 @@
             let mut all = JoinSet::new();
             (0..CLIENTS).for_each(|place| _ = all.spawn(client(address.clone(), place)));
             tokio::time::sleep(Duration::from_millis(50)).await;
-            let told = ask(&socket, Ask::Reload { insist: true }, Duration::from_secs(10)).await;
+            let told = ask(&socket, ControlRequest::Reload { insist: true }, Duration::from_secs(10)).await;
             let answers: u64 = all.join_all().await.into_iter().sum();
             // Those who said nothing are let go after four connect time-outs; then all is still.
             tokio::time::sleep(Duration::from_millis(300)).await;
             (answers, told)
         });
-        taken += usize::from(matches!(told, Ok(Told::Taken { .. })));
-        let state = clients.block_on(ask(&socket, Ask::Status, Duration::from_secs(10)));
-        let Ok(Told::Status(state)) = state else { panic!("{state:?}") };
+        taken += usize::from(matches!(told, Ok(ControlReply::Taken { .. })));
+        let state = clients.block_on(ask(&socket, ControlRequest::Status, Duration::from_secs(10)));
+        let Ok(ControlReply::Status(state)) = state else { panic!("{state:?}") };
         let descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
         let log_kb = (log.load(Ordering::Relaxed) - before) as f64 / 1e3;
         let row = [
--- a/crates/cli/benches/service/world.rs
+++ b/crates/cli/benches/service/world.rs
@@ -6,9 +6,9 @@
 use gullsail_configuration::{Deployment, Memory, load};
 use gullsail_host::core::changes::{Proposal, Reply};
 use gullsail_host::core::{Core, Input, LinkId, Output};
-use gullsail_interface::{HostId, Instant, Span};
 use gullsail_protocol::*;
-use gullsail_standin::model::{Arrival, Model};
+use gullsail_scheduler_api::{HostId, Instant, Span};
+use gullsail_simulator::node_model::{Arrival, Model};
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,7 +19,7 @@
 pub const HOSTS: usize = 4;
 /// Totals that one account keeps at most: in its buckets, and of those that are gone.
 pub const ACCOUNT: usize = 16_384 + 2 * 4096;
-const CELLS: i64 = 6;
+const SHARDS: i64 = 6;
 const VOLUMES: u64 = 8;
 const CLIENTS: usize = 12; // at each host
 const DOCUMENT_EVERY: i64 = 180; // seconds
@@ -42,7 +42,7 @@
     for h in 0..HOSTS {
         t += &format!("host \"h{h}\" address=\"h{h}\" zone=\"{}\"\n", ["a", "b"][h % 2]);
     }
-    for c in 0..CELLS {
+    for c in 0..SHARDS {
         t += &format!(
             "node \"n{c}\" cell={c} address=\"n{c}\" zone=\"{}\" kind=\"k{}\"\n",
             ["a", "b"][c as usize % 2],
@@ -70,14 +70,15 @@
     let after = if n > 1 { " after=\"old.kdl\"" } else { "" };
     files.insert("new.kdl".to_string(), revision(n, after));
     files.insert("old.kdl".to_string(), revision(n.max(2) - 1, ""));
-    let (d, _) = load(&Memory(files), "new.kdl")
-        .unwrap_or_else(|e| panic!("{e}: {:?}", e.problems.iter().map(|p| p.said()).collect::<Vec<_>>()));
+    let (d, _) = load(&Memory(files), "new.kdl").unwrap_or_else(|e| {
+        panic!("{e}: {:?}", e.problems.iter().map(|p| p.diagnostic()).collect::<Vec<_>>())
+    });
     Arc::new(d)
 }
 
 /// What is due when.
 enum Due {
-    /// Of one life of a host.
+    /// Of one incarnation of a host.
     ToHost(usize, u64, Input),
     HostWakes(usize, u64),
     ToNode(String, Way, Frame),
@@ -87,7 +88,7 @@
     Second,
 }
 
-/// A host's end of a connection: host, its life, link.
+/// A host's end of a connection: host, its incarnation, link.
 type Way = (usize, u64, LinkId);
 
 struct Event(Instant, u64, Due);
@@ -111,7 +112,7 @@
 
 struct Member {
     core: Option<Core>,
-    life: u64,
+    incarnation: u64,
     wakes: Option<Instant>,
     /// Where each link leads; links to other hosts name their end there.
     ways: BTreeMap<LinkId, Peer>,
@@ -128,13 +129,13 @@
 
 struct Node {
     name: String,
-    cell: i64,
+    shard: i64,
     model: Model,
     incarnation: u64,
     born: Instant,
-    standing: ListStanding,
+    state: ListedState,
     last: u64,
-    /// Work by the model's number: whose leg it is, and whether a new object is written.
+    /// Work by the model's number: whose attempt it is, and whether a new object is written.
     work: BTreeMap<u64, (Way, u64, bool)>,
 }
 
@@ -151,18 +152,18 @@
     revision: u64,
     /// Clients are there, and ask.
     pub open: bool,
-    /// Seconds between a client's transfers, in the mean.
+    /// Seconds between a client's requests, in the mean.
     every: f64,
     pub answered: u64,
     pub taken_documents: u64,
     pub turned_down: BTreeMap<String, u64>,
-    pub lives: u64,
+    pub incarnations: u64,
     /// Nanoseconds; a test's stands still.
     pub clock: fn() -> u64,
     /// What each step of a host took.
-    pub took: Vec<u64>,
+    pub latency: Vec<u64>,
     began: Instant,
-    last_xfer: u64,
+    last_request: u64,
 }
 
 fn start() -> Instant {
@@ -179,7 +180,7 @@
             heap: BinaryHeap::new(),
             members: Vec::new(),
             nodes: BTreeMap::new(),
-            last_node: CELLS as u64,
+            last_node: SHARDS as u64,
             lists: Vec::new(),
             d: document(1),
             revision: 1,
@@ -188,17 +189,22 @@
             answered: 0,
             taken_documents: 0,
             turned_down: BTreeMap::new(),
-            lives: 0,
+            incarnations: 0,
             clock: || 0,
-            took: Vec::new(),
+            latency: Vec::new(),
             began: now,
-            last_xfer: 0,
+            last_request: 0,
         };
-        for c in 0..CELLS {
+        for c in 0..SHARDS {
             w.node(format!("n{c}"), c);
         }
-        let member =
-            |_| Member { core: None, life: 0, wakes: None, ways: BTreeMap::new(), clients: BTreeMap::new() };
+        let member = |_| Member {
+            core: None,
+            incarnation: 0,
+            wakes: None,
+            ways: BTreeMap::new(),
+            clients: BTreeMap::new(),
+        };
         w.members = (0..HOSTS).map(member).collect();
         (0..HOSTS).for_each(|h| w.birth(h));
         w.at(Span::from_micros(1_000_000), Due::Second);
@@ -214,16 +220,16 @@
         Span::from_micros(self.rng.random_range(100..2000))
     }
 
-    fn node(&mut self, name: String, cell: i64) {
-        let machine = self.d.machines[0].clone();
+    fn node(&mut self, name: String, shard: i64) {
+        let server = self.d.servers[0].clone();
         let rng = ChaCha8Rng::seed_from_u64(self.rng.random());
         let node = Node {
             name: name.clone(),
-            cell,
-            model: Model::new(machine, self.d.figures().cold, self.now, self.now, rng),
+            shard,
+            model: Model::new(server, self.d.figures().slow_start, self.now, self.now, rng),
             incarnation: self.rng.random_range(1..u64::MAX),
             born: self.now,
-            standing: ListStanding::Ready,
+            state: ListedState::Ready,
             last: 0,
             work: BTreeMap::new(),
         };
@@ -234,8 +240,8 @@
         let (seed, incarnation) = (self.rng.random(), self.rng.random());
         let core = Core::new(self.d.clone(), HostId(h as u32), seed, incarnation, self.now);
         let m = &mut self.members[h];
-        (m.core, m.life, m.wakes) = (Some(core), m.life + 1, None);
-        self.lives += 1;
+        (m.core, m.incarnation, m.wakes) = (Some(core), m.incarnation + 1, None);
+        self.incarnations += 1;
         self.settle(h);
         for c in 0..CLIENTS {
             let wait = Span::from_micros(self.rng.random_range(0..60_000_000) + c as i64);
@@ -255,8 +261,9 @@
             }
         }
         self.lists.retain(|w| w.0 != h);
-        let (life, after) = (self.members[h].life, Span::from_micros(self.rng.random_range(1..20_000_000)));
-        self.at(after, Due::HostWakes(h, life));
+        let (incarnation, after) =
+            (self.members[h].incarnation, Span::from_micros(self.rng.random_range(1..20_000_000)));
+        self.at(after, Due::HostWakes(h, incarnation));
     }
 
     /// One input to a host, and all that follows at once.
@@ -269,7 +276,7 @@
     }
 
     fn step(&mut self, h: usize, input: Option<Input>) {
-        let (now, life) = (self.now, self.members[h].life);
+        let (now, incarnation) = (self.now, self.members[h].incarnation);
         let Some(core) = &mut self.members[h].core else { return };
         let before = (self.clock)();
         if let Some(input) = input {
@@ -277,12 +284,12 @@
         }
         core.advance(now);
         let outputs: Vec<Output> = core.outputs().collect();
-        self.took.push((self.clock)() - before);
+        self.latency.push((self.clock)() - before);
         let next = core.next_timer();
         for output in outputs {
             match output {
                 Output::Send { link, frame, .. } => self.send(h, link, frame),
-                Output::Dial { link, address } => self.dial((h, life, link), &address),
+                Output::Dial { link, address } => self.dial((h, incarnation, link), &address),
                 Output::Close { link } => {
                     if let Some(Peer::Host(way)) = self.members[h].ways.remove(&link) {
                         let after = self.way();
@@ -294,7 +301,7 @@
                     Reply::Taken { .. } => self.taken_documents += 1,
                     Reply::TurnedDown(why) => *self.turned_down.entry(why.join("; ")).or_default() += 1,
                 },
-                Output::Worded { .. } => {}
+                Output::CommandOutcome { .. } => {}
                 Output::Left => return self.death(h),
                 Output::Reading { .. } => {}
             }
@@ -302,30 +309,30 @@
         let m = &mut self.members[h];
         if let Some(at) = next.filter(|at| m.wakes.is_none_or(|w| w > *at || w <= now)) {
             m.wakes = Some(at);
-            self.at(at - now, Due::HostWakes(h, life));
+            self.at(at - now, Due::HostWakes(h, incarnation));
         }
     }
 
     fn send(&mut self, h: usize, link: LinkId, frame: Frame) {
-        let life = self.members[h].life;
+        let incarnation = self.members[h].incarnation;
         let Some(peer) = self.members[h].ways.get(&link).cloned() else { return };
         let (len, after) = (frame.len(), self.way());
-        self.at(Span::ZERO, Due::ToHost(h, life, Input::Written(link, len)));
+        self.at(Span::ZERO, Due::ToHost(h, incarnation, Input::Written(link, len)));
         match peer {
             Peer::Client => {
                 self.answered +=
                     u64::from(matches!(frame.message, Message::Answer(_) | Message::NotTaken(_)));
             }
-            Peer::Node(name) => self.at(after, Due::ToNode(name, (h, life, link), frame)),
-            Peer::List => self.at(after, Due::ToList((h, life, link), frame)),
+            Peer::Node(name) => self.at(after, Due::ToNode(name, (h, incarnation, link), frame)),
+            Peer::List => self.at(after, Due::ToList((h, incarnation, link), frame)),
             Peer::Host(way) => self.at(after, Due::ToHost(way.0, way.1, Input::Frame(way.2, frame))),
         }
     }
 
     fn dial(&mut self, way: Way, address: &str) {
-        let (h, life, link) = way;
+        let (h, incarnation, link) = way;
         let after = self.way();
-        let refused = |why: &str| Due::ToHost(h, life, Input::DialFailed(link, why.into()));
+        let refused = |why: &str| Due::ToHost(h, incarnation, Input::DialFailed(link, why.into()));
         let peer = if address == "list" {
             Some(Peer::List)
         } else if self.nodes.contains_key(address) {
@@ -335,7 +342,7 @@
             let theirs = m.core.as_mut().and_then(|c| c.accept(now));
             theirs.map(|l| {
                 m.ways.insert(l, Peer::Host(way));
-                Peer::Host((other, m.life, l))
+                Peer::Host((other, m.incarnation, l))
             })
         } else {
             None
@@ -343,7 +350,7 @@
         let Some(peer) = peer else { return self.at(after, refused("refused")) };
         let other = if let Peer::Host(other) = &peer { Some(other.0) } else { None };
         self.members[h].ways.insert(link, peer);
-        self.at(after, Due::ToHost(h, life, Input::Dialled(link)));
+        self.at(after, Due::ToHost(h, incarnation, Input::Dialled(link)));
         if let Some(other) = other {
             self.settle(other);
         }
@@ -367,26 +374,29 @@
                     name: n.name.clone(),
                     incarnation: n.incarnation,
                     age_us: (now - n.born).micros(),
-                    cell_plus_one: n.cell + 1,
+                    shard_plus_one: n.shard + 1,
                 };
                 self.back(way, hello);
             }
-            Message::Leg(l) => {
+            Message::Attempt(l) => {
                 n.last += 1;
                 let id = n.last;
                 let said = match n.model.arrive(now, id, l.units, l.write, 1.0) {
                     Arrival::Taken => {
-                        n.work.insert(id, (way, l.leg, l.write && l.handle.is_none()));
+                        n.work.insert(id, (way, l.attempt, l.write && l.handle.is_none()));
                         let at = n.model.next();
                         return self.at(at - now, Due::NodeWakes(name.into()));
                     }
-                    Arrival::Full => LegResult::TurnedAway,
-                    Arrival::FellOver => LegResult::Failed,
+                    Arrival::Full => AttemptResult::Rejected,
+                    Arrival::FellOver => AttemptResult::Failed,
                 };
-                self.back(way, LegAnswer { leg: l.leg, result: said as i32, ..LegAnswer::default() });
+                self.back(
+                    way,
+                    AttemptAnswer { attempt: l.attempt, result: said as i32, ..AttemptAnswer::default() },
+                );
             }
             Message::Cancel(c) => {
-                let of = n.work.iter().find(|(_, w)| w.0 == way && w.1 == c.leg).map(|(id, _)| *id);
+                let of = n.work.iter().find(|(_, w)| w.0 == way && w.1 == c.attempt).map(|(id, _)| *id);
                 if let Some(id) = of.filter(|id| n.model.cancel(*id)) {
                     n.work.remove(&id);
                 }
@@ -400,12 +410,18 @@
         let Some(n) = self.nodes.get_mut(name) else { return };
         let done = n.model.advance(now);
         let work: Vec<_> = done.into_iter().filter_map(|id| Some((id, n.work.remove(&id)?))).collect();
-        let (cell, busy, next) = (n.cell, !n.work.is_empty(), n.model.next());
-        for (id, (way, leg, new)) in work {
-            let handle = new.then_some(Handle { cell, object: id });
+        let (shard, busy, next) = (n.shard, !n.work.is_empty(), n.model.next());
+        for (id, (way, attempt, new)) in work {
+            let handle = new.then_some(Handle { shard, object: id });
             self.back(
                 way,
-                LegAnswer { leg, result: LegResult::Done as i32, handle, ran: true, ..LegAnswer::default() },
+                AttemptAnswer {
+                    attempt,
+                    result: AttemptResult::Succeeded as i32,
+                    handle,
+                    ran: true,
+                    ..AttemptAnswer::default()
+                },
             );
         }
         if busy {
@@ -413,23 +429,23 @@
         }
     }
 
-    fn entry(&self, name: &str) -> Option<ListEntry> {
+    fn entry(&self, name: &str) -> Option<ListedEndpoint> {
         let n = self.nodes.get(name)?;
-        Some(ListEntry {
+        Some(ListedEndpoint {
             name: name.into(),
             address: name.into(),
-            cell: n.cell,
-            zone: ["a", "b"][n.cell as usize % 2].into(),
-            standing: n.standing as i32,
+            shard: n.shard,
+            zone: ["a", "b"][n.shard as usize % 2].into(),
+            state: n.state as i32,
             age_us: (self.now - n.born).micros(),
             incarnation: n.incarnation,
-            kind: format!("k{}", n.cell % 2),
+            kind: format!("k{}", n.shard % 2),
         })
     }
 
-    fn news(&mut self, whole: bool, entries: Vec<ListEntry>) {
+    fn news(&mut self, whole: bool, entries: Vec<ListedEndpoint>) {
         for way in self.lists.clone() {
-            let news = ListNews { version: self.last, whole, entries: entries.clone() };
+            let news = EndpointListUpdate { version: self.last, whole, entries: entries.clone() };
             self.back(way, news);
         }
     }
@@ -439,11 +455,11 @@
             Message::Hello(_) => {
                 self.back(way, Hello { role: Role::List as i32, name: "list".into(), ..Hello::default() })
             }
-            Message::ListAsk(_) => {
+            Message::EndpointListQuery(_) => {
                 let names: Vec<_> = self.nodes.keys().cloned().collect();
                 let entries = names.iter().filter_map(|n| self.entry(n)).collect();
                 self.lists.push(way);
-                self.back(way, ListNews { version: self.last, whole: true, entries });
+                self.back(way, EndpointListUpdate { version: self.last, whole: true, entries });
             }
             _ => {}
         }
@@ -457,8 +473,8 @@
             for link in links {
                 let m = &mut self.members[h];
                 m.ways.remove(&link);
-                let (life, after) = (m.life, Span::from_micros(500));
-                self.at(after, Due::ToHost(h, life, Input::Closed(link, "reset".into())));
+                let (incarnation, after) = (m.incarnation, Span::from_micros(500));
+                self.at(after, Due::ToHost(h, incarnation, Input::Closed(link, "reset".into())));
             }
         }
     }
@@ -466,25 +482,25 @@
     /// A node restarts, or drains and is followed by one of another name.
     fn nodes_change(&mut self) {
         let Some(name) = self.nodes.keys().choose(&mut self.rng).cloned() else { return };
-        let cell = self.nodes[&name].cell;
+        let shard = self.nodes[&name].shard;
         if self.rng.random_bool(0.5) {
             self.break_links(&name);
-            self.node(name.clone(), cell);
+            self.node(name.clone(), shard);
             let entry = self.entry(&name).into_iter().collect();
             return self.news(false, entry);
         }
         self.last_node += 1;
         let next = format!("n{}", self.last_node);
         if let Some(n) = self.nodes.get_mut(&name) {
-            n.standing = ListStanding::Draining;
+            n.state = ListedState::Draining;
         }
-        self.node(next.clone(), cell);
+        self.node(next.clone(), shard);
         let drains = [name.as_str(), &next].iter().filter_map(|n| self.entry(n)).collect();
         self.news(false, drains);
         let mut gone = self.entry(&name);
         self.break_links(&name);
         self.nodes.remove(&name);
-        gone.iter_mut().for_each(|g| g.standing = ListStanding::Gone as i32);
+        gone.iter_mut().for_each(|g| g.state = ListedState::Gone as i32);
         self.news(false, gone.into_iter().collect());
     }
 
@@ -503,7 +519,7 @@
     /// A client's turn: it comes, asks, withdraws, or goes.
     fn client(&mut self, h: usize, link: u64) {
         let now = self.now;
-        let life = self.members[h].life;
+        let incarnation = self.members[h].incarnation;
         if link == u64::MAX {
             if self.open {
                 let m = &mut self.members[h];
@@ -533,18 +549,18 @@
             let id = self.members[h].clients[&l];
             self.tell(h, Input::Frame(l, Withdraw { id }.into()));
         }
-        self.last_xfer += 1;
-        let id = self.last_xfer;
+        self.last_request += 1;
+        let id = self.last_request;
         let volumes = volumes(self.revision);
-        let stream_type = ["read", "read", "write", "trip"][self.rng.random_range(0..4)];
-        let old = stream_type == "read" || self.rng.random_bool(0.5);
-        let cell = self.rng.random_range(0..CELLS);
+        let request_class = ["read", "read", "write", "trip"][self.rng.random_range(0..4)];
+        let old = request_class == "read" || self.rng.random_bool(0.5);
+        let shard = self.rng.random_range(0..SHARDS);
         let submit = Submit {
             id,
-            stream_type: stream_type.into(),
+            request_class: request_class.into(),
             volume: volumes[self.rng.random_range(0..volumes.len())].clone(),
             units: self.rng.random_range(1.0..4.0),
-            handle: old.then_some(Handle { cell, object: id / 7 }),
+            handle: old.then_some(Handle { shard, object: id / 7 }),
             // The keys of an hour are not those of the next.
             order_key: format!(
                 "k{}/{}",
@@ -554,16 +570,16 @@
             mark: format!("m{id}"),
             repeat: 0,
             // Mostly a first try; some are a next one, or impatient.
-            ttl_us: if self.rng.random_bool(0.85) {
+            timeout_us: if self.rng.random_bool(0.85) {
                 2_000_000
             } else {
                 self.rng.random_range(100_000..2_000_000)
             },
         };
-        let body = if stream_type == "read" { Bytes::new() } else { Bytes::from_static(&[1; 256]) };
+        let body = if request_class == "read" { Bytes::new() } else { Bytes::from_static(&[1; 256]) };
         self.members[h].clients.insert(l, id);
         self.tell(h, Input::Frame(l, Frame::from(submit).with_body(body)));
-        if self.members[h].life == life {
+        if self.members[h].incarnation == incarnation {
             let wait = Span::from_millis(self.every * 1e3 * self.rng.random_range(0.2..1.8));
             self.at(wait, Due::Client(h, link));
         }
@@ -578,7 +594,7 @@
             self.next_document();
         }
         if second % HOST_EVERY == 0 {
-            // The others live through all of it: a slow leak shows in a long life only.
+            // The others live through all of it: a slow leak shows in a long incarnation only.
             let h = self.members.len() - 1;
             if self.rng.random_bool(0.5) {
                 self.tell(h, Input::Stop);
@@ -605,9 +621,11 @@
             let Some(Reverse(Event(at, _, due))) = self.heap.pop() else { break };
             self.now = self.now.max(at);
             match due {
-                Due::ToHost(h, life, input) if self.members[h].life == life => self.tell(h, input),
+                Due::ToHost(h, incarnation, input) if self.members[h].incarnation == incarnation => {
+                    self.tell(h, input)
+                }
                 Due::ToHost(..) => {}
-                Due::HostWakes(h, life) if self.members[h].life == life => {
+                Due::HostWakes(h, incarnation) if self.members[h].incarnation == incarnation => {
                     if self.members[h].core.is_none() {
                         self.birth(h);
                     } else if self.members[h].wakes.is_some_and(|w| w <= self.now) {
@@ -626,20 +644,20 @@
         self.now = end;
     }
 
-    /// Of the hosts that are up: taken, not taken, done, deferred, abandoned, withdrawn.
+    /// Of the hosts that are up: taken, not taken, done, rejected, abandoned, withdrawn.
     pub fn outcomes(&self) -> [u64; 6] {
         let all = self.members.iter().filter_map(|m| m.core.as_ref()).map(Core::counts);
         all.fold([0; 6], |s, c| {
-            let new = [c.taken, c.not_taken, c.done, c.deferred, c.abandoned, c.clients_left];
+            let new = [c.taken, c.not_taken, c.done, c.rejected, c.failed, c.clients_left];
             std::array::from_fn(|place| s[place] + new[place])
         })
     }
 
     /// What all hosts hold, by collection.
-    pub fn lengths(&self) -> BTreeMap<&'static str, usize> {
+    pub fn size_metrics(&self) -> BTreeMap<&'static str, usize> {
         let mut all = BTreeMap::new();
         for core in self.members.iter().filter_map(|m| m.core.as_ref()) {
-            for (name, length) in core.lengths() {
+            for (name, length) in core.size_metrics() {
                 *all.entry(name).or_default() += length;
             }
         }
--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -1,9 +1,11 @@
 //! The commands on documents: check, explain, fmt, diff, show.
 
-use crate::{logs, whole};
+use crate::{atomic_file, logs};
 use gullsail_configuration::diff::{Class, diff as compare};
-use gullsail_configuration::{Deployment, Files, Problem, Problems, Reader, Said, Weight, explain as codes};
-use gullsail_host::control::{Ask, Load, State, Told};
+use gullsail_configuration::{
+    Deployment, DiagnosticRecord, Files, Problem, Problems, Reader, Weight, explain as codes,
+};
+use gullsail_host::control::{ControlReply, ControlRequest, Load, State};
 use kdl::KdlNode;
 use miette::{GraphicalReportHandler, IntoDiagnostic, Result, WrapErr, miette};
 use std::io::Write;
@@ -41,7 +43,7 @@
     };
     for p in &problems {
         if json {
-            println!("{}", serde_json::to_string(&p.said()).into_diagnostic()?);
+            println!("{}", serde_json::to_string(&p.diagnostic()).into_diagnostic()?);
         } else {
             let mut text = String::new();
             GraphicalReportHandler::new().render_report(&mut text, p).into_diagnostic()?;
@@ -85,7 +87,9 @@
         if check {
             println!("{} would change", file.display());
         } else {
-            whole::write(file, &formatted).into_diagnostic().wrap_err_with(|| file.display().to_string())?;
+            atomic_file::write(file, &formatted)
+                .into_diagnostic()
+                .wrap_err_with(|| file.display().to_string())?;
         }
     }
     Ok(if check && differ { ExitCode::from(1) } else { ExitCode::SUCCESS })
@@ -160,8 +164,8 @@
 pub fn reader_of(file: PathBuf) -> Arc<Load> {
     Arc::new(move || match load(&file) {
         Ok(Ok((d, _))) => Ok(d),
-        Ok(Err(e)) => Err(e.problems.iter().map(Problem::said).collect()),
-        Err(e) => Err(vec![Said {
+        Ok(Err(e)) => Err(e.problems.iter().map(Problem::diagnostic).collect()),
+        Err(e) => Err(vec![DiagnosticRecord {
             code: "file".into(),
             weight: Weight::Error,
             file: file.display().to_string(),
@@ -176,22 +180,22 @@
 
 /// Has a host read its document again. Exit code 0: it serves by it now; 1: turned down; 2: it is not sound.
 pub async fn reload(control: &Path, insist: bool, json: bool) -> Result<ExitCode> {
-    let told = ask(control, Ask::Reload { insist }).await?;
+    let told = ask(control, ControlRequest::Reload { insist }).await?;
     if json {
         println!("{}", serde_json::to_string(&told).into_diagnostic()?);
     }
     Ok(match &told {
-        Told::Taken { revision, changes } => {
+        ControlReply::Taken { revision, changes } => {
             if !json {
                 println!("taken: revision {revision}, {} change(s)", changes.len());
             }
             ExitCode::SUCCESS
         }
-        Told::TurnedDown { why } => {
+        ControlReply::TurnedDown { why } => {
             why.iter().filter(|_| !json).for_each(|w| println!("turned down: {w}"));
             ExitCode::from(1)
         }
-        Told::Broken { problems } => {
+        ControlReply::Broken { problems } => {
             for p in problems.iter().filter(|_| !json) {
                 let help = p.help.as_deref().map(|h| format!(" ({h})")).unwrap_or_default();
                 println!("{}:{}:{}: {}: {}{help}", p.file, p.line, p.column, p.code, p.message);
@@ -208,19 +212,19 @@
 }
 
 pub async fn state(control: &Path) -> Result<State> {
-    match ask(control, Ask::Status).await? {
-        Told::Status(state) => Ok(*state),
+    match ask(control, ControlRequest::Status).await? {
+        ControlReply::Status(state) => Ok(*state),
         other => Err(miette!("unexpected reply: {other:?}")),
     }
 }
 
-async fn ask(control: &Path, ask: Ask) -> Result<Told> {
+async fn ask(control: &Path, ask: ControlRequest) -> Result<ControlReply> {
     let told = gullsail_host::control::ask(control, ask, Duration::from_secs(60)).await;
     let strange = told.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::InvalidData);
     let what = if strange { "what answers is not understood" } else { "no host answers" };
     let told = told.into_diagnostic().wrap_err_with(|| format!("{what} at {}", control.display()))?;
     match told {
-        Told::Error { why } => Err(miette!("{why}")),
+        ControlReply::Error { why } => Err(miette!("{why}")),
         told => Ok(told),
     }
 }
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -64,7 +64,7 @@
     for m in &s.members {
         members.add_row([
             name(m.host),
-            format!("{:?}", m.standing).to_lowercase(),
+            format!("{:?}", m.state).to_lowercase(),
             why(m, &name),
             ms(m.over_ms),
         ]);
@@ -96,9 +96,9 @@
 }
 
 fn why(m: &MemberStatus, name: &impl Fn(u32) -> String) -> String {
-    use gullsail_fleet::Standing::*;
+    use gullsail_fleet::MemberState::*;
     let heard = m.heard_ms.map_or(String::new(), |ms| format!("heard {ms:.0} ms ago"));
-    match (m.standing, m.via) {
+    match (m.state, m.via) {
         (Member, Some(via)) => format!("{heard}, through {} only", name(via)),
         (Member, None) => heard,
         (Suspected, _) => format!("silent for half of its lease, asked through others; {heard}"),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,21 +1,21 @@
 //! The program `gullsail`: arguments, logs, exit codes. Exit code 0: done as asked; 1: a day failed, or a
 //! process could not go on; 2: the arguments or a document are wrong.
 
+mod atomic_file;
 mod documents;
 mod fleet;
 mod logs;
-mod whole;
-mod works;
+mod maintenance;
 mod zones;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use gullsail_configuration::{HostBounds, Memory};
-use gullsail_day::processes::Listening;
 use gullsail_host::control::Control;
-use gullsail_host::core::works::Word;
-use gullsail_host::drive::{self, HostClock, Life};
-use gullsail_interface::Span;
-use gullsail_protocol::{ListEntry, ListStanding};
+use gullsail_host::core::maintenance::OperatorCommand;
+use gullsail_host::drive::{self, HostClock, HostProcess};
+use gullsail_protocol::{ListedEndpoint, ListedState};
+use gullsail_scenario::processes::Listening;
+use gullsail_scheduler_api::Span;
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -105,7 +105,8 @@
     /// Runs a stand-in of the node list service.
     List { file: PathBuf },
     /// Plays a scripted day with real processes on loopback and judges the rules.
-    Day {
+    #[command(alias = "day")]
+    Scenario {
         /// A built-in day (see --list), `random`, or a document with a `day`.
         #[arg(required_unless_present = "list")]
         day: Option<String>,
@@ -190,9 +191,9 @@
         r#for: Option<humantime::Duration>,
         #[arg(long, default_value = "")]
         reason: String,
-        /// Cells may be without a holder meanwhile.
-        #[arg(long)]
-        cell_away: bool,
+        /// Shards may be without a holder meanwhile.
+        #[arg(long = "cell-away")]
+        shard_away: bool,
         /// Each is back as soon as it has started anew; else `fleet back` says so.
         #[arg(long)]
         returns: bool,
@@ -213,7 +214,8 @@
         names: Vec<String>,
     },
     /// Machines in line, how far each is and what it waits for.
-    Works {
+    #[command(alias = "works")]
+    Maintenance {
         control: PathBuf,
         #[arg(long)]
         json: bool,
@@ -284,32 +286,32 @@
         }
         Command::Node { file, name, age } => node(&file, &name, age).await,
         Command::List { file } => list(&file).await,
-        Command::Day { list: true, .. } => {
-            for (name, what) in gullsail_day::built_in::all() {
+        Command::Scenario { list: true, .. } => {
+            for (name, what) in gullsail_scenario::built_in::all() {
                 println!("{name:<14} {what}");
             }
             println!("{:<14} Two kinds of trouble, drawn by --seed.", "random");
             Ok(ExitCode::SUCCESS)
         }
-        Command::Day { day, seed, record, json, baseline, .. } => {
+        Command::Scenario { day, seed, record, json, baseline, .. } => {
             play(&day.unwrap_or_default(), seed, record, json, baseline).await
         }
         Command::Fleet(Fleet::Status { control, json }) => fleet::status(&control, json).await,
-        Command::Fleet(Fleet::Out { control, names, r#for, reason, cell_away, returns, wait }) => {
+        Command::Fleet(Fleet::Out { control, names, r#for, reason, shard_away, returns, wait }) => {
             let longest_ms = r#for.map_or(0, |f| f.as_millis() as u64);
             let (kind, waits) = ("out".to_string(), wait.then(|| names.clone()));
-            let word = Word { kind, names, longest_ms, cell_away, returns, reason };
-            works::say(&control, word, waits).await
+            let command = OperatorCommand { kind, names, longest_ms, shard_away, returns, reason };
+            maintenance::say(&control, command, waits).await
         }
         Command::Fleet(Fleet::Back { control, names }) => {
-            let word = Word { kind: "back".into(), names, ..Word::default() };
-            works::say(&control, word, None).await
+            let command = OperatorCommand { kind: "back".into(), names, ..OperatorCommand::default() };
+            maintenance::say(&control, command, None).await
         }
         Command::Fleet(Fleet::Cancel { control, names }) => {
-            let word = Word { kind: "cancel".into(), names, ..Word::default() };
-            works::say(&control, word, None).await
+            let command = OperatorCommand { kind: "cancel".into(), names, ..OperatorCommand::default() };
+            maintenance::say(&control, command, None).await
         }
-        Command::Fleet(Fleet::Works { control, json }) => works::show(&control, json).await,
+        Command::Fleet(Fleet::Maintenance { control, json }) => maintenance::show(&control, json).await,
         Command::Zones(Zones::Plan { file, price, out }) => zones::plan(&file, price, out),
         Command::Zones(Zones::Report { sources, price, json, csv }) => {
             zones::report(&sources, price, json, csv).await
@@ -390,9 +392,9 @@
     let (listener, incarnation) = listen(&d.hosts[me.0 as usize].listen, name).await?;
     let clock = HostClock::start(ahead(clock_ahead)?).running(drift);
     info!(host = name, incarnation, "serving");
-    let life = Life { deployment: Arc::new(d), me, seed, incarnation, clock };
+    let process = HostProcess { deployment: Arc::new(d), me, seed, incarnation, clock };
     let counts = tokio::select! {
-        counts = drive::run(life, listener, control, stopped()) => counts,
+        counts = drive::run(process, listener, control, stopped()) => counts,
         () = logs.watch() => return Ok(ExitCode::from(1)),
     };
     info!(
@@ -419,7 +421,7 @@
     let me = d.host(name).ok_or_else(|| miette!("{}: no host \"{name}\"", file.display()))?;
     let (listener, _) = listen(&d.hosts[me.0 as usize].listen, name).await?;
     tokio::select! {
-        () = gullsail_standin::naive::serve(Arc::new(d), me, seed, listener) => Ok(ExitCode::from(1)),
+        () = gullsail_simulator::baseline::serve(Arc::new(d), me, seed, listener) => Ok(ExitCode::from(1)),
         () = stopped() => Ok(ExitCode::SUCCESS),
     }
 }
@@ -427,7 +429,7 @@
 async fn node(file: &Path, name: &str, age: humantime::Duration) -> Result<ExitCode> {
     let (d, _) = documents::read(file)?;
     let n = d.node(name).ok_or_else(|| miette!("{}: no node \"{name}\"", file.display()))?;
-    let machine = d.machines.get(n.machine).ok_or_else(|| {
+    let server = d.servers.get(n.server).ok_or_else(|| {
         miette!(
             help = "machine \"box\" cores=2 unit=\"5ms\"",
             "{}: node \"{name}\" has no machine",
@@ -436,17 +438,17 @@
     })?;
     let (listener, incarnation) = listen(&n.place.listen, name).await?;
     let HostBounds { frame: bounds, .. } = d.bounds;
-    let life = gullsail_standin::node::NodeLife {
+    let process = gullsail_simulator::node::NodeProcess {
         name: name.into(),
-        cell: n.cell.0,
-        machine: machine.clone(),
-        cold: d.figures().cold,
+        shard: n.shard.0,
+        server: server.clone(),
+        slow_start: d.figures().slow_start,
         incarnation,
         age: Span::from_millis(age.as_secs_f64() * 1e3),
         bounds,
     };
     tokio::select! {
-        () = gullsail_standin::node::serve(life, listener) => Ok(ExitCode::from(1)),
+        () = gullsail_simulator::node::serve(process, listener) => Ok(ExitCode::from(1)),
         () = stopped() => Ok(ExitCode::SUCCESS),
     }
 }
@@ -454,39 +456,39 @@
 async fn list(file: &Path) -> Result<ExitCode> {
     let (d, _) = documents::read(file)?;
     let (listener, _) = listen(&d.list.listen, "the list").await?;
-    let entries = d.nodes.iter().filter(|n| !n.spare).map(|n| ListEntry {
+    let entries = d.nodes.iter().filter(|n| !n.spare).map(|n| ListedEndpoint {
         name: n.place.name.clone(),
         address: n.place.address.clone(),
-        cell: n.cell.0,
+        shard: n.shard.0,
         zone: d.zones.get(n.place.zone.0).cloned().unwrap_or_default(),
-        standing: ListStanding::Ready as i32,
+        state: ListedState::Ready as i32,
         age_us: 0,
         incarnation: 0,
         kind: n.kind.clone(),
     });
     tokio::select! {
-        () = gullsail_standin::list::serve(entries.collect(), d.list_late, listener) => Ok(ExitCode::from(1)),
+        () = gullsail_simulator::discovery::serve(entries.collect(), d.list_late, listener) => Ok(ExitCode::from(1)),
         () = stopped() => Ok(ExitCode::SUCCESS),
     }
 }
 
 async fn play(day: &str, seed: u64, record: Option<PathBuf>, json: bool, baseline: bool) -> Result<ExitCode> {
     let built_in = if day == "random" {
-        Some(gullsail_day::built_in::random(seed))
+        Some(gullsail_scenario::built_in::random(seed))
     } else {
-        gullsail_day::built_in::day(day)
+        gullsail_scenario::built_in::day(day)
     };
     let (text, d, script) = match built_in {
         Some(text) => {
             let files = Memory([(day.to_string(), text)].into());
-            gullsail_day::script::load(&files, day)?
+            gullsail_scenario::script::load(&files, day)?
         }
         None if Path::new(day).exists() => {
             let (files, name) = documents::files(Path::new(day))?;
-            gullsail_day::script::load(&files, &name)?
+            gullsail_scenario::script::load(&files, &name)?
         }
         None => {
-            let names: Vec<_> = gullsail_day::built_in::all().map(|d| d.0).collect();
+            let names: Vec<_> = gullsail_scenario::built_in::all().map(|d| d.0).collect();
             let help = format!("built-in days: {}, random; or a file with a day", names.join(", "));
             return Err(miette!(help = help, "no day is called \"{day}\", and no file"));
         }
@@ -495,8 +497,8 @@
     let temporary = tempfile::tempdir().into_diagnostic()?;
     let dir = record.unwrap_or_else(|| temporary.path().into());
     let program = std::env::current_exe().into_diagnostic()?;
-    let stage = gullsail_day::Stage { program, dir, seed, baseline };
-    let report = gullsail_day::play(&text, d, &script, &stage).await?;
+    let stage = gullsail_scenario::Stage { program, dir, seed, baseline };
+    let report = gullsail_scenario::play(&text, d, &script, &stage).await?;
     if json {
         println!("{}", serde_json::to_string_pretty(&report).into_diagnostic()?);
     } else {
--- a/crates/cli/src/works.rs
+++ b/crates/cli/src/maintenance.rs
@@ -1,9 +1,9 @@
 //! Machines out for work: operators' words to any host, and the line as that host knows it.
 
 use crate::documents::state;
-use gullsail_fleet::works::Stage;
-use gullsail_host::control::{Ask, Told, ask};
-use gullsail_host::core::works::{OrderView, Word, WorksView};
+use gullsail_fleet::maintenance::Stage;
+use gullsail_host::control::{ControlReply, ControlRequest, ask};
+use gullsail_host::core::maintenance::{MaintenanceView, OperatorCommand, OrderView};
 use indicatif::{ProgressBar, ProgressStyle};
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use std::path::Path;
@@ -15,11 +15,11 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(250);
 
 /// Exit code 0: it counts; 1: it is refused, or with `wait` one is overdue.
-pub async fn say(control: &Path, word: Word, wait: Option<Vec<String>>) -> Result<ExitCode> {
-    let told = ask(control, Ask::Word(word), PATIENCE).await.into_diagnostic();
+pub async fn say(control: &Path, command: OperatorCommand, wait: Option<Vec<String>>) -> Result<ExitCode> {
+    let told = ask(control, ControlRequest::OperatorCommand(command), PATIENCE).await.into_diagnostic();
     match told.wrap_err_with(|| format!("the host at {}", control.display()))? {
-        Told::WordTaken => {}
-        Told::TurnedDown { why } => {
+        ControlReply::CommandTaken => {}
+        ControlReply::TurnedDown { why } => {
             println!("refused: {}", why.join("; "));
             return Ok(ExitCode::from(1));
         }
@@ -40,19 +40,19 @@
     let mut mine: Option<Vec<String>> = None;
     loop {
         let view = view(control).await?;
-        let machines = mine.get_or_insert_with(|| {
-            let machine = |name: &String| view.orders.iter().any(|o| o.machine == *name);
-            let all = names.iter().all(machine);
-            let open = view.orders.iter().filter(|o| !o.stage.over() && (!all || names.contains(&o.machine)));
-            open.map(|o| o.machine.clone()).collect()
+        let servers = mine.get_or_insert_with(|| {
+            let server = |name: &String| view.orders.iter().any(|o| o.server == *name);
+            let all = names.iter().all(server);
+            let open = view.orders.iter().filter(|o| !o.stage.over() && (!all || names.contains(&o.server)));
+            open.map(|o| o.server.clone()).collect()
         });
-        let orders: Vec<&OrderView> = view.orders.iter().filter(|o| machines.contains(&o.machine)).collect();
-        let waiting: Vec<&&OrderView> = orders.iter().filter(|o| o.stage < Stage::Out).collect();
-        bar.set_length(machines.len() as u64);
-        bar.set_position((machines.len() - waiting.len().min(machines.len())) as u64);
+        let orders: Vec<&OrderView> = view.orders.iter().filter(|o| servers.contains(&o.server)).collect();
+        let waiting: Vec<&&OrderView> = orders.iter().filter(|o| o.stage < Stage::Offline).collect();
+        bar.set_length(servers.len() as u64);
+        bar.set_position((servers.len() - waiting.len().min(servers.len())) as u64);
         if let Some(o) = orders.iter().find(|o| matches!(o.stage, Stage::Overdue | Stage::Cancelled)) {
             bar.abandon();
-            println!("{} is {}{}", o.machine, name(o.stage), why(o));
+            println!("{} is {}{}", o.server, name(o.stage), why(o));
             return Ok(ExitCode::from(1));
         }
         let Some(next) = waiting.first() else {
@@ -60,15 +60,15 @@
             print!("{}", text(&view));
             return Ok(ExitCode::SUCCESS);
         };
-        bar.set_message(format!("{} {}{}", next.machine, name(next.stage), why(next)));
+        bar.set_message(format!("{} {}{}", next.server, name(next.stage), why(next)));
         tokio::time::sleep(LOOK_AGAIN).await;
     }
 }
 
-async fn view(control: &Path) -> Result<WorksView> {
+async fn view(control: &Path) -> Result<MaintenanceView> {
     let state = state(control).await?;
     let help = "works at-once=1 keep=0.8 longest=\"30min\" watched=\"30s\" blind=\"5min\"";
-    state.works.ok_or_else(|| miette!(help = help, "{}: its document has no `works`", state.host))
+    state.maintenance.ok_or_else(|| miette!(help = help, "{}: its document has no `works`", state.host))
 }
 
 pub async fn show(control: &Path, json: bool) -> Result<ExitCode> {
@@ -81,21 +81,32 @@
     Ok(if view.known { ExitCode::SUCCESS } else { ExitCode::from(1) })
 }
 
-fn name(stage: Stage) -> String {
-    format!("{stage:?}").to_lowercase()
+/// As operators read it; these texts stay when a stage of the program gets another name.
+fn name(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Requested => "asked",
+        Stage::Approved => "cleared",
+        Stage::Draining => "leaving",
+        Stage::Drained => "letgo",
+        Stage::Offline => "out",
+        Stage::Overdue => "overdue",
+        Stage::Returning => "back",
+        Stage::Done => "done",
+        Stage::Cancelled => "cancelled",
+    }
 }
 
 fn why(o: &OrderView) -> String {
     let hosts = match o.stage {
         _ if o.hosts.is_empty() => String::new(),
-        Stage::Leaving => format!(": {}", o.hosts.join(" ")),
+        Stage::Draining => format!(": {}", o.hosts.join(" ")),
         _ => format!("; lease waited out: {}", o.hosts.join(" ")),
     };
     let waits = if o.waits.is_empty() { String::new() } else { format!(", {}", o.waits) };
     waits + &hosts
 }
 
-fn text(view: &WorksView) -> String {
+fn text(view: &MaintenanceView) -> String {
     let mut text = String::new();
     if !view.known {
         text += "no coordinator has told this host the line: it sends to no machine until one does\n";
@@ -109,7 +120,14 @@
     for o in &view.orders {
         let since = humantime::format_duration(Duration::from_secs((o.for_ms / 1e3) as u64)).to_string();
         let why = why(o).trim_start_matches([',', ';', ' ']).to_string();
-        table.add_row([o.machine.clone(), name(o.stage), since, o.before.to_string(), why, o.reason.clone()]);
+        table.add_row([
+            o.server.clone(),
+            name(o.stage).to_string(),
+            since,
+            o.before.to_string(),
+            why,
+            o.reason.clone(),
+        ]);
     }
     text + &if view.orders.is_empty() { "no machine is in line\n".to_string() } else { format!("{table}\n") }
 }
--- a/crates/cli/src/zones.rs
+++ b/crates/cli/src/zones.rs
@@ -1,9 +1,9 @@
 //! The commands on zones: plan, report.
 
-use crate::{documents, whole};
+use crate::{atomic_file, documents};
 use gullsail_configuration::Reader;
 use gullsail_host::control::State;
-use gullsail_planner::{NoPlan, documents::proposal, documents::question};
+use gullsail_placement::{NoPlan, documents::proposal, documents::question};
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -52,7 +52,7 @@
     text += &format!("cost: {:.4} an hour\n", plan.cost * 3600.0);
     for b in &plan.binding {
         let (step, saves) = match b.bound {
-            gullsail_planner::Bound::Budget(_) => ("GiB an hour more", b.saves * GIB),
+            gullsail_placement::Bound::Budget(_) => ("GiB an hour more", b.saves * GIB),
             _ => ("node more", b.saves * 3600.0),
         };
         text +=
@@ -62,7 +62,7 @@
         let (files, name) = documents::files(file)?;
         let (document, _) = Reader::open(&files, &name);
         let made = proposal(&document, &d, &plan);
-        whole::write(&out, &made).into_diagnostic().wrap_err_with(|| out.display().to_string())?;
+        atomic_file::write(&out, &made).into_diagnostic().wrap_err_with(|| out.display().to_string())?;
         text += &format!("written to {}; compare with `gullsail diff`\n", out.display());
     }
     say(&text);
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -149,8 +149,8 @@
 /// comes a reload is as ever.
 #[test]
 fn a_document_that_is_not_read_holds_nobody_up() {
-    use gullsail_host::control::{Ask, Control, Told, ask};
-    use gullsail_host::drive::{self, HostClock, Life};
+    use gullsail_host::control::{Control, ControlReply, ControlRequest, ask};
+    use gullsail_host::drive::{self, HostClock, HostProcess};
     use std::sync::{Arc, Mutex, mpsc};
     use std::time::Duration;
     let dir = tempfile::tempdir().unwrap();
@@ -166,26 +166,29 @@
         let control =
             Control::bind(&socket, Arc::new(load)).unwrap().reading_within(Duration::from_millis(100));
         let d = Arc::new(gullsail_configuration::parse("main.kdl", DOCUMENT).unwrap());
-        let clock = HostClock::start(gullsail_interface::Span::ZERO);
-        let me = gullsail_interface::HostId(0);
-        let life = Life { deployment: d, me, seed: 1, incarnation: 1, clock };
+        let clock = HostClock::start(gullsail_scheduler_api::Span::ZERO);
+        let me = gullsail_scheduler_api::HostId(0);
+        let process = HostProcess { deployment: d, me, seed: 1, incarnation: 1, clock };
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
-        let host = tokio::spawn(drive::run(life, listener, Some(control), async {
+        let host = tokio::spawn(drive::run(process, listener, Some(control), async {
             let _ = stopped.await;
         }));
         let long = Duration::from_secs(30);
-        let reload = || ask(&socket, Ask::Reload { insist: false }, long);
+        let reload = || ask(&socket, ControlRequest::Reload { insist: false }, long);
         for expected in ["was not read within", "still being read", "still being read"] {
             match reload().await.unwrap() {
-                Told::Error { why } => assert!(why.contains(expected), "{why}"),
+                ControlReply::Error { why } => assert!(why.contains(expected), "{why}"),
                 told => panic!("{told:?}"),
             }
-            assert!(matches!(ask(&socket, Ask::Status, long).await.unwrap(), Told::Status(_)));
+            assert!(matches!(
+                ask(&socket, ControlRequest::Status, long).await.unwrap(),
+                ControlReply::Status(_)
+            ));
         }
         // The disk is back: for the reading that still waits, and for those to come.
         (0..50).for_each(|_| gives.send(()).unwrap());
-        while !matches!(reload().await.unwrap(), Told::Taken { .. }) {
+        while !matches!(reload().await.unwrap(), ControlReply::Taken { .. }) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         stop.send(()).unwrap();
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -64,7 +64,7 @@
 }
 
 #[test]
-fn the_days_of_machines_out_for_work_pass() {
+fn the_days_of_servers_out_for_work_pass() {
     for name in ["out-nodes", "out-takeover"] {
         day(name);
     }
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -53,7 +53,7 @@
 }
 
 /// How the host with this number stands, as told.
-fn standing(said: &serde_json::Value, host: u64) -> String {
+fn state(said: &serde_json::Value, host: u64) -> String {
     let members = said["status"]["members"].as_array().cloned().unwrap_or_default();
     let found = members.iter().find(|m| m["host"] == host);
     found.and_then(|m| m["standing"].as_str()).unwrap_or_default().to_string()
@@ -81,7 +81,7 @@
     std::fs::write(dir.join("h2.kdl"), document(2, "revision 1\n")).unwrap();
     let _h1 = host(dir, "h1.kdl", "h1", "h1.sock");
     let h2 = host(dir, "h2.kdl", "h2", "h2.sock");
-    until(dir, "h1.sock", "both are members", |s| standing(s, 1) == "member");
+    until(dir, "h1.sock", "both are members", |s| state(s, 1) == "member");
     // A third, which neither knew of: it waits until they have its document.
     let next = document(3, "revision 2 after=\"first.kdl\"\n");
     std::fs::write(dir.join("h3.kdl"), &next).unwrap();
@@ -92,7 +92,7 @@
         assert_eq!(code, Some(0), "{said}");
     }
     until(dir, "h3.sock", "it knows its coordinator", |s| s["status"]["coordinator"] == 0);
-    let said = until(dir, "h1.sock", "the third is a member", |s| standing(s, 2) == "member");
+    let said = until(dir, "h1.sock", "the third is a member", |s| state(s, 2) == "member");
     let counted =
         said["status"]["budgets"].as_array().unwrap().iter().map(|b| b["counted"].as_u64().unwrap());
     assert!(counted.max().unwrap() <= 1_000_000, "{said}");
@@ -110,8 +110,8 @@
     drop(twin);
     // Killed: out after its lease, and what it held is the others'.
     drop(h2);
-    let said = until(dir, "h1.sock", "the dead one is out", |s| standing(s, 1) == "out");
-    assert_eq!(standing(&said, 2), "member");
+    let said = until(dir, "h1.sock", "the dead one is out", |s| state(s, 1) == "out");
+    assert_eq!(state(&said, 2), "member");
     let part = |s: &serde_json::Value| {
         let budgets = s["status"]["budgets"].as_array().cloned().unwrap_or_default();
         let of = |b: &serde_json::Value| b["parts"].as_array().cloned().unwrap_or_default();
@@ -125,7 +125,7 @@
 }
 
 #[test]
-fn machines_go_out_for_work_by_words_to_any_host() {
+fn servers_go_out_for_work_by_words_to_any_host() {
     let dir = tempfile::tempdir().unwrap();
     let dir = dir.path();
     let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
@@ -143,14 +143,14 @@
         let known = |s: &serde_json::Value| s["status"]["lease_ms"].is_number();
         until(dir, name, "it has a lease", known);
     }
-    let works = |socket: &str| {
+    let maintenance = |socket: &str| {
         let (_, said) = gullsail(dir, &["fleet", "works", socket, "--json"]);
         serde_json::from_str::<serde_json::Value>(&said).unwrap_or_default()
     };
     let wait = |socket: &str, fits: &dyn Fn(&serde_json::Value) -> bool| {
         let end = Instant::now() + Duration::from_secs(60);
-        while !fits(&works(socket)) {
-            assert!(Instant::now() < end, "{}", works(socket));
+        while !fits(&maintenance(socket)) {
+            assert!(Instant::now() < end, "{}", maintenance(socket));
             std::thread::sleep(Duration::from_millis(50));
         }
     };
@@ -169,7 +169,7 @@
         let (code, said) = gullsail(dir, words);
         assert!(code.is_some_and(|c| c > 0) && said.contains(why), "{words:?}: {code:?} {said}");
     }
-    assert_eq!(works("h1.sock")["orders"].as_array().map(Vec::len), Some(0));
+    assert_eq!(maintenance("h1.sock")["orders"].as_array().map(Vec::len), Some(0));
     // Through two hosts at once, and it is one order; the host answers what it has, leaves and ends by itself.
     let out = ["fleet", "out", "h1.sock", "h3", "--reason", "a new kernel", "--wait"];
     std::thread::scope(|s| {
@@ -178,7 +178,7 @@
         assert!(code == Some(0) && said.contains("a new kernel"), "{said}");
         assert_eq!(other.join().unwrap().0, Some(0));
     });
-    let view = works("h2.sock");
+    let view = maintenance("h2.sock");
     assert!(view["orders"].as_array().is_some_and(|o| o.len() == 1), "{view}");
     // It said that it goes, also where it decided until then: no lease had to be waited out.
     assert_eq!(view["orders"][0]["hosts"].as_array().map(Vec::len), Some(0), "{view}");
@@ -189,7 +189,7 @@
     drop(h3);
     let _h3 = start("h3");
     std::thread::sleep(Duration::from_millis(1500));
-    assert_eq!(stage(&works("h1.sock")), "out");
+    assert_eq!(stage(&maintenance("h1.sock")), "out");
     let said = until(dir, "h3.sock", "it is up", |s| s["status"]["me"] == 2);
     assert!(said["status"]["lease_ms"].is_null(), "{said}");
     assert_eq!(gullsail(dir, &["fleet", "back", "h2.sock", "h3"]).0, Some(0));
--- a/crates/cli/tests/loopback.rs
+++ b/crates/cli/tests/loopback.rs
@@ -4,10 +4,10 @@
 use bytes::{Bytes, BytesMut};
 use gullsail_configuration::{Deployment, parse};
 use gullsail_host::core::Counts;
-use gullsail_host::drive::{self, HostClock, Life};
-use gullsail_interface::{HostId, Span};
+use gullsail_host::drive::{self, HostClock, HostProcess};
 use gullsail_protocol::*;
-use gullsail_standin::node::{self, NodeLife};
+use gullsail_scheduler_api::{HostId, Span};
+use gullsail_simulator::node::{self, NodeProcess};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,8 +60,8 @@
     let (stop, stopped) = oneshot::channel::<()>();
     let address = listener.local_addr().unwrap().to_string();
     let clock = HostClock::start(Span::ZERO);
-    let life = Life { deployment: d.clone(), me: HostId(0), seed: 1, incarnation: 5, clock };
-    let task = tokio::spawn(drive::run(life, listener, None, async {
+    let process = HostProcess { deployment: d.clone(), me: HostId(0), seed: 1, incarnation: 5, clock };
+    let task = tokio::spawn(drive::run(process, listener, None, async {
         let _ = stopped.await;
     }));
     Host { task, stop: Some(stop), address }
@@ -75,16 +75,16 @@
 }
 
 fn stand_in(d: &Deployment, listener: TcpListener) -> JoinHandle<()> {
-    let life = NodeLife {
+    let process = NodeProcess {
         name: "n1".into(),
-        cell: 1,
-        machine: d.machines[0].clone(),
-        cold: d.figures().cold,
+        shard: 1,
+        server: d.servers[0].clone(),
+        slow_start: d.figures().slow_start,
         incarnation: 77,
         age: Span::from_millis(1e7),
         bounds: Bounds::DEFAULT,
     };
-    tokio::spawn(node::serve(life, listener))
+    tokio::spawn(node::serve(process, listener))
 }
 
 /// A socket that speaks frames, or whatever it likes.
@@ -134,8 +134,8 @@
         self.until(|f| if let Message::Answer(a) = f.message { Some((a, f.body)) } else { None }).await
     }
 
-    async fn leg(&mut self) -> Option<Leg> {
-        self.until(|f| if let Message::Leg(l) = f.message { Some(l) } else { None }).await
+    async fn attempt(&mut self) -> Option<Attempt> {
+        self.until(|f| if let Message::Attempt(l) = f.message { Some(l) } else { None }).await
     }
 }
 
@@ -146,15 +146,15 @@
     [&bytes, &frame.body[..]].concat()
 }
 
-fn submit(id: u64, stream_type: &str) -> Submit {
+fn submit(id: u64, request_class: &str) -> Submit {
     Submit {
         id,
-        stream_type: stream_type.into(),
+        request_class: request_class.into(),
         volume: "v".into(),
         units: 1.0,
-        handle: Some(Handle { cell: 1, object: 3 }),
+        handle: Some(Handle { shard: 1, object: 3 }),
         mark: format!("mark-{id}"),
-        ttl_us: 15_000_000,
+        timeout_us: 15_000_000,
         ..Submit::default()
     }
 }
@@ -164,7 +164,7 @@
     let (stream, _) = timeout(LONG, listener.accept()).await.unwrap().unwrap();
     let mut raw = Raw { stream, buf: BytesMut::new() };
     let (role, name) = (Role::Node as i32, "n1".to_string());
-    raw.send(Hello { role, name, incarnation, age_us: 1 << 40, cell_plus_one: 2 }).await;
+    raw.send(Hello { role, name, incarnation, age_us: 1 << 40, shard_plus_one: 2 }).await;
     raw
 }
 
@@ -183,9 +183,9 @@
             bad.bytes(&bytes).await;
             assert!(bad.until(|_| None::<()>).await.is_none(), "it is closed");
             sound.send(submit(u64::from(bytes[0]) << 32 | bytes.len() as u64, "read")).await;
-            assert_eq!(sound.answer().await.unwrap().0.outcome, Outcome::Done as i32);
+            assert_eq!(sound.answer().await.unwrap().0.outcome, Outcome::Succeeded as i32);
         }
-        // Half a frame, then nothing: the transfer was never taken.
+        // Half a frame, then nothing: the request was never taken.
         let mut half = Raw::client(&host.address).await;
         half.bytes(&wire(submit(9, "read"))[..20]).await;
         drop(half);
@@ -203,27 +203,32 @@
         let host = host(&d, hl).await;
         let mut n = greet(&nl, 1).await;
         let mut c = Raw::client(&host.address).await;
-        // The transfer too comes byte by byte.
+        // The request too comes byte by byte.
         for b in wire(Frame::from(submit(4, "write")).with_body(Bytes::from_static(b"photo"))) {
             c.bytes(&[b]).await;
             tokio::task::yield_now().await;
         }
-        let leg = n.leg().await.unwrap();
-        let a = LegAnswer { leg: leg.leg, result: LegResult::Done as i32, ran: true, ..LegAnswer::default() };
+        let attempt = n.attempt().await.unwrap();
+        let a = AttemptAnswer {
+            attempt: attempt.attempt,
+            result: AttemptResult::Succeeded as i32,
+            ran: true,
+            ..AttemptAnswer::default()
+        };
         for b in wire(Frame::from(a).with_body(Bytes::from_static(b"the bytes"))) {
             n.bytes(&[b]).await;
             n.stream.flush().await.unwrap();
             tokio::task::yield_now().await;
         }
         let (answer, body) = c.answer().await.unwrap();
-        assert_eq!((answer.id, answer.outcome, &body[..]), (4, Outcome::Done as i32, &b"the bytes"[..]));
+        assert_eq!((answer.id, answer.outcome, &body[..]), (4, Outcome::Succeeded as i32, &b"the bytes"[..]));
         let counts = host.stop().await;
         assert_eq!((counts.taken, counts.done), (1, 1));
     });
 }
 
 #[test]
-fn an_unrepeatable_write_whose_connection_breaks_is_abandoned() {
+fn a_non_idempotent_write_whose_connection_breaks_is_failed() {
     run(async {
         let ((hl, ha), (nl, na)) = (free().await, free().await);
         let d = document(&ha, &na);
@@ -234,38 +239,38 @@
         let (early, _) = nl.accept().await.unwrap();
         drop(early);
         let mut n = greet(&nl, 1).await;
-        let leg = n.leg().await.unwrap();
-        assert_eq!(leg.mark, "mark-1");
+        let attempt = n.attempt().await.unwrap();
+        assert_eq!(attempt.mark, "mark-1");
         drop(n);
         let (answer, _) = c.answer().await.unwrap();
-        assert_eq!(answer.outcome, Outcome::Abandoned as i32, "after the last byte nobody knows");
+        assert_eq!(answer.outcome, Outcome::Failed as i32, "after the last byte nobody knows");
         let mut again = greet(&nl, 1).await;
         c.send(submit(2, "trip")).await;
-        assert_eq!(again.leg().await.unwrap().mark, "mark-2", "the first is not sent again");
+        assert_eq!(again.attempt().await.unwrap().mark, "mark-2", "the first is not sent again");
         host.task.abort();
     });
 }
 
-/// The host is killed between a leg and its answer; the client repeats to its successor; the mark keeps the
+/// The host is killed between an attempt and its answer; the client repeats to its successor; the mark keeps the
 /// write from taking effect twice.
 #[test]
-fn a_keyed_write_repeated_after_a_kill_takes_effect_once() {
+fn an_idempotency_key_write_repeated_after_a_kill_takes_effect_once() {
     run(async {
         let ((hl, ha), (nl, na)) = (free().await, free().await);
         let d = document(&ha, &na);
-        // Between the host and the stand-in: sees legs and answers, and holds the first answer back.
+        // Between the host and the stand-in: sees attempts and answers, and holds the first answer back.
         let (inner, inner_address) = free().await;
         let node = stand_in(&d, inner);
         let first = host(&d, hl).await;
         let mut c = Raw::client(&first.address).await;
         c.send(Frame::from(submit(1, "write")).with_body(Bytes::from_static(b"trip record"))).await;
         let mut n = greet(&nl, 77).await;
-        let leg = n.leg().await.unwrap();
+        let attempt = n.attempt().await.unwrap();
         let mut direct =
             Raw { stream: TcpStream::connect(&inner_address).await.unwrap(), buf: BytesMut::new() };
         direct.send(Hello { role: Role::Host as i32, name: "h1".into(), ..Hello::default() }).await;
-        direct.send(Frame::from(leg.clone()).with_body(Bytes::from_static(b"trip record"))).await;
-        let ran = direct.until(|f| if let Message::LegAnswer(a) = f.message { Some(a) } else { None });
+        direct.send(Frame::from(attempt.clone()).with_body(Bytes::from_static(b"trip record"))).await;
+        let ran = direct.until(|f| if let Message::AttemptAnswer(a) = f.message { Some(a) } else { None });
         let ran = ran.await.unwrap();
         assert!(ran.ran);
         first.task.abort();
@@ -283,12 +288,12 @@
         let (answer, _) = c.answer().await.unwrap();
         assert_eq!(
             (answer.outcome, answer.handle),
-            (Outcome::Done as i32, ran.handle),
+            (Outcome::Succeeded as i32, ran.handle),
             "the first one's answer"
         );
-        // The node's own word: a third leg with the mark does not run either.
-        direct.send(Frame::from(Leg { leg: 99, repeat: 2, ..leg })).await;
-        let third = direct.until(|f| if let Message::LegAnswer(a) = f.message { Some(a) } else { None });
+        // The node's own word: a third attempt with the mark does not run either.
+        direct.send(Frame::from(Attempt { attempt: 99, repeat: 2, ..attempt })).await;
+        let third = direct.until(|f| if let Message::AttemptAnswer(a) = f.message { Some(a) } else { None });
         assert!(!third.await.unwrap().ran);
         assert_eq!(second.stop().await.done, 1);
         node.abort();
@@ -303,8 +308,12 @@
         let host = host(&d, hl).await;
         let mut n = greet(&nl, 1).await;
         let nodes = tokio::spawn(async move {
-            while let Some(leg) = n.leg().await {
-                let a = LegAnswer { leg: leg.leg, result: LegResult::Done as i32, ..LegAnswer::default() };
+            while let Some(attempt) = n.attempt().await {
+                let a = AttemptAnswer {
+                    attempt: attempt.attempt,
+                    result: AttemptResult::Succeeded as i32,
+                    ..AttemptAnswer::default()
+                };
                 n.send(Frame::from(a).with_body(Bytes::from(vec![7; 500_000]))).await;
             }
         });
@@ -341,8 +350,11 @@
         let _node = greet(&nl, 1).await;
         let mut c = Raw::client(&host.address).await;
         for id in 0..1000 {
-            c.send(Submit { ttl_us: 1_500_000, ..submit(id, ["read", "write", "trip"][id as usize % 3]) })
-                .await;
+            c.send(Submit {
+                timeout_us: 1_500_000,
+                ..submit(id, ["read", "write", "trip"][id as usize % 3])
+            })
+            .await;
         }
         // All taken, since frames of one connection are in order.
         c.send(submit(7777, "nothing")).await;
@@ -358,7 +370,7 @@
         }
         assert_eq!((answered.len(), answered.values().max()), (1000, Some(&1)));
         let counts = stopping.await.unwrap();
-        assert_eq!(counts.taken, counts.done + counts.deferred + counts.abandoned);
+        assert_eq!(counts.taken, counts.done + counts.rejected + counts.failed);
     });
 }
 
@@ -374,13 +386,16 @@
             let mut served = 0u32;
             loop {
                 let mut n = greet(&nl, 1).await;
-                while let Some(leg) = n.leg().await {
+                while let Some(attempt) = n.attempt().await {
                     served += 1;
                     if served.is_multiple_of(10) {
                         break;
                     }
-                    let a =
-                        LegAnswer { leg: leg.leg, result: LegResult::Done as i32, ..LegAnswer::default() };
+                    let a = AttemptAnswer {
+                        attempt: attempt.attempt,
+                        result: AttemptResult::Succeeded as i32,
+                        ..AttemptAnswer::default()
+                    };
                     n.send(a).await;
                 }
             }
@@ -389,7 +404,7 @@
         let mut done = 0;
         for id in 0..200 {
             c.send(submit(id, "read")).await;
-            done += u32::from(c.answer().await.unwrap().0.outcome == Outcome::Done as i32);
+            done += u32::from(c.answer().await.unwrap().0.outcome == Outcome::Succeeded as i32);
         }
         assert_eq!(done, 200, "each is sent again on the next connection");
         let counts = host.stop().await;
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -1,6 +1,6 @@
 //! The real program on the platform's protocol: loopback, scripted peers, limits of its own.
 
-mod crossings;
+mod races;
 mod rig;
 
 use nix::sys::signal::Signal;
--- a/crates/cli/tests/platform/crossings.rs
+++ b/crates/cli/tests/platform/races.rs
@@ -10,9 +10,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// A document whose transfers have this SLO time and expiry, in ms.
-fn patient(discovery: SocketAddr, slo_time: u32, expiry: u32) -> String {
-    let times = format!("\"give-up\":{expiry}.0,\"objective\":{slo_time}.0");
+/// A document whose requests have this latency objective and deadline, in ms.
+fn patient(discovery: SocketAddr, latency_objective: u32, deadline: u32) -> String {
+    let times = format!("\"give-up\":{deadline}.0,\"objective\":{latency_objective}.0");
     document(discovery).replace("\"give-up\":9000.0,\"objective\":9000.0", &times)
 }
 
@@ -35,7 +35,7 @@
     (all, client.get_mut().read(&mut [0; 1]).is_ok_and(|n| n == 0))
 }
 
-/// SIGTERM, with a transfer whose node hangs until the last moment: its answer is written before the process ends, once and
+/// SIGTERM, with a request whose node hangs until the last moment: its answer is written before the process ends, once and
 /// whole, also by a second signal.
 #[test]
 fn what_is_open_at_the_end_is_answered_before_it() {
@@ -163,7 +163,7 @@
     }
 }
 
-/// A client that leaves while its leg waits for a connection: in order, by a reset, behind more bytes than may wait, and many
+/// A client that leaves while its attempt waits for a connection: in order, by a reset, behind more bytes than may wait, and many
 /// at once. Nothing is sent for it when the connection comes up; who stays is served.
 #[test]
 fn nothing_is_sent_for_a_client_that_left_while_the_connection_was_late() {
@@ -328,7 +328,7 @@
                 served && spoilt == 0xee || answer.starts_with("HTTP/1.1 50"),
                 "{round} {spoilt:x}: {answer}"
             );
-            // Usual clients are served meanwhile; more than half of all legs come back, else the host would hold back.
+            // Usual clients are served meanwhile; more than half of all attempts come back, else the host would hold back.
             for usual in 1..=8 {
                 asks(&mut c, trace + (usual << 32));
                 let answer = message(&mut c).unwrap_or_default();
--- a/crates/cli/tests/service.rs
+++ b/crates/cli/tests/service.rs
@@ -4,7 +4,7 @@
 #[path = "../benches/service/world.rs"]
 mod world;
 
-use gullsail_interface::Span;
+use gullsail_scheduler_api::Span;
 use std::collections::BTreeMap;
 use world::World;
 
@@ -18,9 +18,9 @@
         w.play(minutes(35.0));
         w.open = false;
         w.play(minutes(6.0));
-        quiet.push(w.lengths());
+        quiet.push(w.size_metrics());
     }
-    assert!(w.answered > 20_000 && w.lives > 10 && w.taken_documents > 100, "too little happened");
+    assert!(w.answered > 20_000 && w.incarnations > 10 && w.taken_documents > 100, "too little happened");
     let [taken, _, done, ..] = w.outcomes();
     assert!(done * 2 > taken, "{done} done of {taken}: that is no service");
     for name in quiet[0].keys() {
--- a/crates/cli/tests/shortages.rs
+++ b/crates/cli/tests/shortages.rs
@@ -120,14 +120,14 @@
         }
     }
 
-    fn submit(&mut self, id: u64, stream_type: &str, body: usize) -> std::io::Result<()> {
+    fn submit(&mut self, id: u64, request_class: &str, body: usize) -> std::io::Result<()> {
         let s = Submit {
             id,
-            stream_type: stream_type.into(),
+            request_class: request_class.into(),
             volume: "v".into(),
             units: 1.0,
-            handle: Some(Handle { cell: 1, object: id }),
-            ttl_us: 20_000_000,
+            handle: Some(Handle { shard: 1, object: id }),
+            timeout_us: 20_000_000,
             ..Submit::default()
         };
         self.send(Frame::from(s).with_body(Bytes::from(vec![1; body])))
@@ -143,11 +143,11 @@
 
     /// One read, from asked to answered.
     fn served(&mut self, id: u64) -> bool {
-        self.submit(id, "read", 0).is_ok() && self.outcome() == Some(Outcome::Done as i32)
+        self.submit(id, "read", 0).is_ok() && self.outcome() == Some(Outcome::Succeeded as i32)
     }
 }
 
-/// A node by hand, on a thread that ends with the test's process: it answers all legs while `answers`, and breaks its
+/// A node by hand, on a thread that ends with the test's process: it answers all attempts while `answers`, and breaks its
 /// connection when `breaks`.
 fn node(answers: &Arc<AtomicBool>, breaks: &Arc<AtomicBool>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -161,7 +161,7 @@
                 s.stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
                 let (role, name) = (Role::Node as i32, "n1".to_string());
                 let age_us = 10_000_000_000;
-                let hello = Hello { role, name, incarnation: 7, age_us, cell_plus_one: 2 };
+                let hello = Hello { role, name, incarnation: 7, age_us, shard_plus_one: 2 };
                 if s.send(hello.into()).is_err() {
                     return;
                 }
@@ -177,11 +177,11 @@
                         Err(_) => return,
                     }
                     while let Some(frame) = decode(&mut s.buf, Bounds::DEFAULT).unwrap() {
-                        if let (Message::Leg(l), true) = (frame.message, answers.load(Ordering::SeqCst)) {
-                            let a = LegAnswer {
-                                leg: l.leg,
-                                result: LegResult::Done as i32,
-                                ..LegAnswer::default()
+                        if let (Message::Attempt(l), true) = (frame.message, answers.load(Ordering::SeqCst)) {
+                            let a = AttemptAnswer {
+                                attempt: l.attempt,
+                                result: AttemptResult::Succeeded as i32,
+                                ..AttemptAnswer::default()
                             };
                             if s.send(a.into()).is_err() {
                                 return;
@@ -209,7 +209,7 @@
         .unwrap_or_else(|e| panic!("{e}: {}", String::from_utf8_lossy(&out.stderr)))
 }
 
-/// A log that nobody reads: the pipe is full after some hundred lines, and transfers are answered as before. Once somebody
+/// A log that nobody reads: the pipe is full after some hundred lines, and requests are answered as before. Once somebody
 /// reads, lines come again, and one says how many were lost.
 #[test]
 fn a_log_that_nobody_reads_holds_up_nothing() {
@@ -310,7 +310,7 @@
 }
 
 /// Little memory, and writers that offer far more than there is, to a node that answers nothing: they wait, what is held stays
-/// within its bound, each transfer that was taken has its answer, and when the node answers again all is served.
+/// within its bound, each request that was taken has its answer, and when the node answers again all is served.
 #[test]
 fn memory_is_bounded_while_a_node_answers_nothing() {
     const MIB: usize = 1 << 20;
@@ -417,7 +417,7 @@
     for child in both {
         assert_eq!(child.wait_with_output().unwrap().status.code(), Some(0));
     }
-    // A transfer keeps it from leaving at once.
+    // A request keeps it from leaving at once.
     let mut c = Socket::client(&host.address);
     c.submit(1, "trip", 10).unwrap();
     while status(dir.path())["open"] != 1 {}
@@ -447,8 +447,8 @@
 /// Lines on the control socket from an older host, which tells less, and a newer one, which tells more.
 #[test]
 fn the_control_sockets_lines_may_grow() {
-    use gullsail_host::control::Told;
-    for (line, open, deferred) in [
+    use gullsail_host::control::ControlReply;
+    for (line, open, rejected) in [
         ("{\"told\":\"status\",\"host\":\"h1\",\"revision\":3}", 0, 0),
         (
             "{\"told\":\"status\",\"host\":\"h1\",\"open\":4,\"new\":[1],\"counts\":{\"deferred\":2,\"new\":1}}",
@@ -456,12 +456,12 @@
             2,
         ),
     ] {
-        let Ok(Told::Status(state)) = serde_json::from_str(line) else { panic!("{line}") };
-        assert_eq!((state.host.as_str(), state.open, state.counts.deferred), ("h1", open, deferred));
+        let Ok(ControlReply::Status(state)) = serde_json::from_str(line) else { panic!("{line}") };
+        assert_eq!((state.host.as_str(), state.open, state.counts.rejected), ("h1", open, rejected));
     }
 }
 
-/// Many large frames that each stop halfway: one at a time takes its room, the others wait unread, small transfers are served
+/// Many large frames that each stop halfway: one at a time takes its room, the others wait unread, small requests are served
 /// all the while, and once those that stand still are let go a whole large one is taken.
 #[test]
 fn half_frames_are_bounded() {
@@ -469,7 +469,8 @@
     let bounds = "bounds held-bytes=\"32MiB\" body-bytes=\"16MiB\" client-stall=\"250ms\"\n";
     std::fs::write(dir.path().join("main.kdl"), document(&node(&yes(), &no()), bounds)).unwrap();
     let host = Host::start(dir.path(), "ulimit -v 500000; ", "info", Stdio::null());
-    let s = Submit { id: 1, stream_type: "trip".into(), volume: "v".into(), units: 1.0, ..Submit::default() };
+    let s =
+        Submit { id: 1, request_class: "trip".into(), volume: "v".into(), units: 1.0, ..Submit::default() };
     let whole = wire(Frame::from(s).with_body(Bytes::from(vec![1; 16 << 20])));
     let half: Vec<Socket> = (0..32)
         .map(|_| {
@@ -486,7 +487,7 @@
     loop {
         let mut c = Socket::client(&host.address);
         c.stream.set_write_timeout(Some(LONG)).unwrap();
-        if c.submit(7, "trip", 16 << 20).is_ok() && c.outcome() == Some(Outcome::Done as i32) {
+        if c.submit(7, "trip", 16 << 20).is_ok() && c.outcome() == Some(Outcome::Succeeded as i32) {
             break;
         }
         assert!(Instant::now() < end, "a whole large one is taken once there is room");
--- a/crates/limits/src/promises.rs
+++ b/crates/config-transition/src/revision_limits.rs
@@ -1,6 +1,6 @@
 //! What one document promises of limits, in the form that every host computes alike.
 
-use gullsail_interface::{HostId, Limit, PlanId, VolumeId};
+use gullsail_scheduler_api::{HostId, Limit, PlanId, VolumeId};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -36,15 +36,15 @@
 
 /// One document's promises.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Promises {
+pub struct RevisionLimits {
     pub revision: Revision,
     pub volumes: BTreeMap<VolumeId, Shared>,
 }
 
-impl Promises {
+impl RevisionLimits {
     /// The same limits over the same hosts; places of plans may differ.
-    pub(crate) fn promise_as(&self, other: &Promises) -> bool {
-        let what = |p: &Promises| -> Vec<_> {
+    pub(crate) fn promise_as(&self, other: &RevisionLimits) -> bool {
+        let what = |p: &RevisionLimits| -> Vec<_> {
             p.volumes.iter().map(|(id, v)| (*id, v.limit, v.hosts.clone())).collect()
         };
         what(self) == what(other)
--- a/crates/limits/src/turnover.rs
+++ b/crates/config-transition/src/transition.rs
@@ -14,8 +14,8 @@
 //! line that the document names reaches back to a revision that no host is older than. Both are the operator's
 //! to keep; a host that is seen to go back is reported ([`Heard::WentBack`]).
 
-use crate::promises::{Promises, Revision, lower};
-use gullsail_interface::{HostId, Instant, Limit, PlanId, Span, Terms, VolumeId};
+use crate::revision_limits::{Revision, RevisionLimits, lower};
+use gullsail_scheduler_api::{HostId, Instant, Limit, PlanId, Span, VolumeAllocation, VolumeId};
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -68,13 +68,13 @@
     TooShort(Revision),
 }
 
-pub struct Turnover {
+pub struct ConfigTransition {
     me: HostId,
     /// Oldest first; never empty. The last is held to.
-    line: VecDeque<Promises>,
+    line: VecDeque<RevisionLimits>,
     /// By host: it holds to this one, or to a later.
     reached: Vec<Revision>,
-    told: BTreeMap<VolumeId, Terms>,
+    told: BTreeMap<VolumeId, VolumeAllocation>,
     next: Instant,
     wait: Span,
     farewells: u32,
@@ -83,19 +83,19 @@
     /// Hosts that the fleet has put out: they use nothing but their floors.
     out: BTreeSet<HostId>,
     /// Documents that all others are past, and one that is out may still hold to.
-    kept: Vec<Promises>,
+    kept: Vec<RevisionLimits>,
 }
 
-impl Turnover {
+impl ConfigTransition {
     /// `line` is the document and those it names before it, oldest first; none of `hosts` hosts is older than
     /// the first of them. An empty line promises nothing.
-    pub fn new(me: HostId, hosts: u32, mut line: Vec<Promises>, now: Instant) -> Turnover {
+    pub fn new(me: HostId, hosts: u32, mut line: Vec<RevisionLimits>, now: Instant) -> ConfigTransition {
         line.sort_by_key(|p| p.revision);
         let oldest = line.first().map_or(Revision(0), |p| p.revision);
         if line.is_empty() {
-            line.push(Promises::default());
+            line.push(RevisionLimits::default());
         }
-        let mut turnover = Turnover {
+        let mut config_transition = ConfigTransition {
             me,
             line: line.into(),
             reached: vec![oldest; hosts as usize],
@@ -107,20 +107,20 @@
             out: BTreeSet::new(),
             kept: Vec::new(),
         };
-        turnover.arrive();
+        config_transition.arrive();
         // A host that starts holds to its even parts by itself.
-        let held = turnover.held();
-        let even: Vec<_> = held.volumes.keys().map(|id| (*id, turnover.by_itself(*id))).collect();
-        turnover.told = even.into_iter().collect();
-        turnover
+        let held = config_transition.held();
+        let even: Vec<_> = held.volumes.keys().map(|id| (*id, config_transition.by_itself(*id))).collect();
+        config_transition.told = even.into_iter().collect();
+        config_transition
     }
 
-    /// How many documents are in the line, and how many volumes' terms are remembered.
-    pub fn lengths(&self) -> (usize, usize) {
+    /// How many documents are in the line, and how many volumes' allocations are remembered.
+    pub fn size_metrics(&self) -> (usize, usize) {
         (self.line.len(), self.told.len())
     }
 
-    fn held(&self) -> &Promises {
+    fn held(&self) -> &RevisionLimits {
         self.line.back().expect("the line is never empty")
     }
 
@@ -191,7 +191,7 @@
     /// # Errors
     /// They do not go on from what is held, or do not reach back to all that other hosts may still hold to: nothing is
     /// changed then.
-    pub fn go_on(&mut self, line: Vec<Promises>, now: Instant) -> Result<(), Refused> {
+    pub fn go_on(&mut self, line: Vec<RevisionLimits>, now: Instant) -> Result<(), Refused> {
         let held = self.revision();
         let (first, last) = match (line.first(), line.last()) {
             (Some(first), Some(last)) => (first.revision, last),
@@ -242,30 +242,30 @@
         self.line.iter().fold(None, |least, p| lower(least, p.part(volume, self.me, share)))
     }
 
-    fn by_itself(&self, id: VolumeId) -> Terms {
+    fn by_itself(&self, id: VolumeId) -> VolumeAllocation {
         match self.held().volumes.get(&id).filter(|v| v.through(self.me)) {
-            Some(v) => Terms { volume: id, plan: v.plan, hosts: v.hosts.len() as u32, part: None },
+            Some(v) => VolumeAllocation { volume: id, plan: v.plan, hosts: v.hosts.len() as u32, part: None },
             None => {
                 let part = Some(Limit { rate: 0.0, burst: 0.0 });
-                Terms { volume: id, plan: PlanId::default(), hosts: 0, part }
+                VolumeAllocation { volume: id, plan: PlanId::default(), hosts: 0, part }
             }
         }
     }
 
-    fn terms(&self, id: VolumeId) -> Terms {
+    fn allocations(&self, id: VolumeId) -> VolumeAllocation {
         let even = self.by_itself(id);
         let (part, own) = (self.part(id), self.held().part(id, self.me, None));
         // An even part is left to whoever holds it: rounding must not make two of one.
-        if even.hosts == 0 { even } else { Terms { part: part.filter(|_| part != own), ..even } }
+        if even.hosts == 0 { even } else { VolumeAllocation { part: part.filter(|_| part != own), ..even } }
     }
 
-    /// The terms that changed since this was last called, of all volumes of the line and those served before.
-    pub fn changed(&mut self) -> Vec<Terms> {
+    /// The allocations that changed since this was last called, of all volumes of the line and those served before.
+    pub fn changed(&mut self) -> Vec<VolumeAllocation> {
         let mut ids: Vec<VolumeId> = self.told.keys().copied().collect();
         ids.extend(self.line.iter().flat_map(|p| p.volumes.keys().copied()));
         ids.sort_unstable();
         ids.dedup();
-        let all: Vec<Terms> = ids.into_iter().map(|id| self.terms(id)).collect();
+        let all: Vec<VolumeAllocation> = ids.into_iter().map(|id| self.allocations(id)).collect();
         let changed = all.into_iter().filter(|t| self.told.get(&t.volume) != Some(t)).collect::<Vec<_>>();
         for t in &changed {
             self.told.insert(t.volume, t.clone());
@@ -312,7 +312,7 @@
         (heard, more.then_some(ours))
     }
 
-    /// When [`Turnover::tell`] has something to say at the latest.
+    /// When [`ConfigTransition::tell`] has something to say at the latest.
     pub fn next(&self) -> Option<Instant> {
         let done = self.settled() && self.farewells == 0;
         (!done && self.revision() > Revision(0) && self.reached.len() > 1).then_some(self.next)
--- a/crates/limits/tests/turnover.rs
+++ b/crates/config-transition/tests/transition.rs
@@ -1,8 +1,8 @@
 //! Hosts that go from document to document in any order, die, come back, and hear some notes late, twice or not
 //! at all: what they may send never sums past the limit of the oldest document that one of them holds to.
 
-use gullsail_interface::*;
-use gullsail_limits::*;
+use gullsail_config_transition::*;
+use gullsail_scheduler_api::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use rand::seq::IndexedRandom;
@@ -13,18 +13,18 @@
     Instant::from_micros(ms * 1000)
 }
 
-fn promises(revision: u64, volumes: &[(u64, Option<f64>, &[u32])]) -> Promises {
+fn revision_limits(revision: u64, volumes: &[(u64, Option<f64>, &[u32])]) -> RevisionLimits {
     let shared = |limit: Option<f64>, hosts: &[u32]| Shared {
         plan: PlanId(0),
         limit: limit.map(|rate| Limit { rate, burst: rate * 3.0 }),
         hosts: hosts.iter().copied().map(HostId).collect(),
     };
     let volumes = volumes.iter().map(|(id, limit, hosts)| (VolumeId(*id), shared(*limit, hosts)));
-    Promises { revision: Revision(revision), volumes: volumes.collect() }
+    RevisionLimits { revision: Revision(revision), volumes: volumes.collect() }
 }
 
 /// Some documents of two volumes that come after each other.
-fn documents(rng: &mut ChaCha8Rng, hosts: u32, count: u64) -> Vec<Promises> {
+fn documents(rng: &mut ChaCha8Rng, hosts: u32, count: u64) -> Vec<RevisionLimits> {
     let document = |revision| {
         let mut volumes = Vec::new();
         for id in 0..2 {
@@ -35,15 +35,15 @@
             }
         }
         let volumes: Vec<_> = volumes.iter().map(|(id, l, h)| (*id, *l, h.as_slice())).collect();
-        promises(revision, &volumes)
+        revision_limits(revision, &volumes)
     };
     (1..=count).map(document).collect()
 }
 
 struct Run {
     /// By host: what is in its file, as a place among the documents, and the host while it runs.
-    hosts: Vec<(usize, Option<Turnover>)>,
-    documents: Vec<Promises>,
+    hosts: Vec<(usize, Option<ConfigTransition>)>,
+    documents: Vec<RevisionLimits>,
     mail: Vec<(Instant, HostId, HostId, Note)>,
     rng: ChaCha8Rng,
     now: Instant,
@@ -53,7 +53,7 @@
 
 impl Run {
     /// What a document names before it: back to the oldest that any host has in its file.
-    fn line(&self, last: usize) -> Vec<Promises> {
+    fn line(&self, last: usize) -> Vec<RevisionLimits> {
         let oldest = self.hosts.iter().map(|h| h.0).min().unwrap_or_default();
         self.documents[oldest..=last].to_vec()
     }
@@ -61,14 +61,14 @@
     fn start(&mut self, host: usize) {
         let line = self.line(self.hosts[host].0);
         let count = self.hosts.len() as u32;
-        self.hosts[host].1 = Some(Turnover::new(HostId(host as u32), count, line, self.now));
+        self.hosts[host].1 = Some(ConfigTransition::new(HostId(host as u32), count, line, self.now));
     }
 
     fn go_on(&mut self, host: usize, to: usize) {
         // Hosts know later than the operator who has followed: all that may be counted is named.
         let line = self.documents[..=to].to_vec();
-        if let (file, Some(turnover)) = &mut self.hosts[host] {
-            turnover.go_on(line, self.now).unwrap();
+        if let (file, Some(config_transition)) = &mut self.hosts[host] {
+            config_transition.go_on(line, self.now).unwrap();
             *file = to;
         }
     }
@@ -77,8 +77,8 @@
         for _ in 0..ms / 20 {
             self.now = self.now + Span::from_micros(20_000);
             for host in 0..self.hosts.len() {
-                let Some(turnover) = self.hosts[host].1.as_mut() else { continue };
-                for (to, note) in turnover.tell(self.now, &mut self.rng) {
+                let Some(config_transition) = self.hosts[host].1.as_mut() else { continue };
+                for (to, note) in config_transition.tell(self.now, &mut self.rng) {
                     let way =
                         Span::from_millis(self.rng.random_range(1.0..if lost > 0.0 { 3000.0 } else { 30.0 }));
                     self.mail.push((self.now + way, HostId(host as u32), to, note));
@@ -89,8 +89,8 @@
                 for _ in 0..u32::from(self.rng.random_bool(1.0 - lost))
                     + u32::from(self.rng.random_bool(lost / 3.0))
                 {
-                    let Some(turnover) = self.hosts[to.0 as usize].1.as_mut() else { continue };
-                    if let (_, Some(reply)) = turnover.hear(from, &note, now) {
+                    let Some(config_transition) = self.hosts[to.0 as usize].1.as_mut() else { continue };
+                    if let (_, Some(reply)) = config_transition.hear(from, &note, now) {
                         self.mail.push((now + Span::from_millis(1.0), to, from, reply));
                     }
                 }
@@ -99,7 +99,7 @@
     }
 
     fn judge(&mut self) {
-        let alive: Vec<&Turnover> = self.hosts.iter().filter_map(|h| h.1.as_ref()).collect();
+        let alive: Vec<&ConfigTransition> = self.hosts.iter().filter_map(|h| h.1.as_ref()).collect();
         let Some(oldest) = alive.iter().map(|t| t.revision()).min() else { return };
         let promised = &self.documents[oldest.0 as usize - 1];
         for (id, shared) in &promised.volumes {
@@ -153,11 +153,11 @@
         run.judge();
     }
     run.pass(20_000, 0.0);
-    for (me, (_, turnover)) in run.hosts.iter().enumerate() {
-        let turnover = turnover.as_ref().unwrap();
-        assert_eq!(turnover.missing().collect::<Vec<_>>(), [], "host {me} waits");
+    for (me, (_, config_transition)) in run.hosts.iter().enumerate() {
+        let config_transition = config_transition.as_ref().unwrap();
+        assert_eq!(config_transition.missing().collect::<Vec<_>>(), [], "host {me} waits");
         for id in [VolumeId(0), VolumeId(1)] {
-            assert_eq!(turnover.part(id), run.documents[last].part(id, HostId(me as u32), None));
+            assert_eq!(config_transition.part(id), run.documents[last].part(id, HostId(me as u32), None));
         }
     }
     run.needed
@@ -181,8 +181,8 @@
 /// One volume over hosts 0 and 1, then over all three with another limit.
 #[test]
 fn parts_on_the_way() {
-    let old = promises(1, &[(7, Some(60.0), &[0, 1])]);
-    let rate = |t: &Turnover| t.part(VolumeId(7)).map(|p| p.rate);
+    let old = revision_limits(1, &[(7, Some(60.0), &[0, 1])]);
+    let rate = |t: &ConfigTransition| t.part(VolumeId(7)).map(|p| p.rate);
     // the limit after; what hosts 0 and 2 may send once host 0 alone, then all have changed
     let cases = [
         (Some(60.0), [20.0, 0.0], [20.0, 20.0]),
@@ -190,9 +190,9 @@
         (Some(30.0), [10.0, 0.0], [10.0, 10.0]),
     ];
     for (limit, first, then) in cases {
-        let line = vec![old.clone(), promises(2, &[(7, limit, &[0, 1, 2])])];
+        let line = vec![old.clone(), revision_limits(2, &[(7, limit, &[0, 1, 2])])];
         let mut hosts: Vec<_> =
-            (0..3).map(|me| Turnover::new(HostId(me), 3, vec![old.clone()], at(0))).collect();
+            (0..3).map(|me| ConfigTransition::new(HostId(me), 3, vec![old.clone()], at(0))).collect();
         assert_eq!(hosts[0].changed(), []);
         hosts[0].go_on(line.clone(), at(1)).unwrap();
         hosts[2].go_on(line.clone(), at(1)).unwrap();
@@ -219,11 +219,11 @@
 
 #[test]
 fn lines_that_do_not_go_on_are_refused() {
-    let document = |revision: u64| promises(revision, &[(7, Some(revision as f64), &[0, 1])]);
+    let document = |revision: u64| revision_limits(revision, &[(7, Some(revision as f64), &[0, 1])]);
     let line = |revisions: &[u64]| revisions.iter().copied().map(document).collect::<Vec<_>>();
-    let other = |revision, limit| promises(revision, &[(7, Some(limit), &[0, 1])]);
+    let other = |revision, limit| revision_limits(revision, &[(7, Some(limit), &[0, 1])]);
     // what the host holds to, with those it counts; the next line; why it is refused
-    let cases: [(&[u64], Vec<Promises>, Option<&str>); 11] = [
+    let cases: [(&[u64], Vec<RevisionLimits>, Option<&str>); 11] = [
         (&[4], line(&[4, 5]), None),
         (&[4], line(&[3, 4, 5, 6]), None),
         (&[4], line(&[4]), None),
@@ -237,7 +237,7 @@
         (&[3, 4], line(&[3, 4, 5]), None),
     ];
     for (held, next, refused) in cases {
-        let mut t = Turnover::new(HostId(0), 3, line(held), at(0));
+        let mut t = ConfigTransition::new(HostId(0), 3, line(held), at(0));
         let (last, before) = (next.last().map(|p| p.revision), t.revision());
         let part = t.part(VolumeId(7));
         match (t.go_on(next, at(1)), refused) {
@@ -268,8 +268,8 @@
         (1, note(3, 3, &[]), Heard::WentBack { from: Revision(4), to: Revision(3) }),
     ];
     for (from, note, expected) in cases {
-        let line = vec![promises(4, &[]), promises(5, &[])];
-        let mut t = Turnover::new(HostId(0), 3, line, at(0));
+        let line = vec![revision_limits(4, &[]), revision_limits(5, &[])];
+        let mut t = ConfigTransition::new(HostId(0), 3, line, at(0));
         assert_eq!(t.hear(HostId(from), &note, at(1)).0, expected, "{note:?}");
     }
 }
@@ -279,7 +279,10 @@
 fn two_hundred_hosts() {
     let count = 200;
     let hosts = (0..count).map(|_| (0, None)).collect();
-    let documents = vec![promises(1, &[(0, Some(10.0), &[0, 1])]), promises(2, &[(0, Some(20.0), &[0, 1])])];
+    let documents = vec![
+        revision_limits(1, &[(0, Some(10.0), &[0, 1])]),
+        revision_limits(2, &[(0, Some(20.0), &[0, 1])]),
+    ];
     let rng = ChaCha8Rng::seed_from_u64(3);
     let mut run = Run { hosts, documents, mail: Vec::new(), rng, now: at(0), needed: 0 };
     (0..count).for_each(|host| run.start(host));
--- a/crates/configuration/src/crossings.rs
+++ b/crates/configuration/src/cross_zone_budgets.rs
@@ -1,9 +1,9 @@
 //! Budgets of bytes between zones: `crossing from="east" to="west" limit="20MiB/s" burst="256MiB"` for an ordered
 //! pair, `crossing plan="base" ...` for all that crosses for the volumes of a plan.
 
-use crate::deployment::{NamedCrossing, Place, number};
+use crate::deployment::{NamedCrossZoneBudget, Place, number};
 use crate::reader::{Names, Reader, entries};
-use gullsail_interface::*;
+use gullsail_scheduler_api::*;
 use kdl::{KdlDocument, KdlNode};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -15,8 +15,8 @@
     plans: &Names,
     places: &[Place],
     everyone: &Arc<[HostId]>,
-    most_bytes: f64,
-) -> Option<NamedCrossing> {
+    max_bytes: f64,
+) -> Option<NamedCrossZoneBudget> {
     r.only(n, 0, &["from", "to", "plan", "limit", "burst", "hard"], &[]);
     let before = r.noted();
     let of = if n.entry("plan").is_some() {
@@ -26,14 +26,14 @@
                 r.note("contradiction", format!("`{key}` does not go with `plan`"), e.span(), help);
             }
         }
-        Across::Plan(PlanId(r.refer_at(n, "plan", "plan", plans)?))
+        BudgetScope::Plan(PlanId(r.refer_at(n, "plan", "plan", plans)?))
     } else {
         let (from, to) = (r.refer_at(n, "from", "zone", zones), r.refer_at(n, "to", "zone", zones));
         let (from, to) = (ZoneId(from?), ZoneId(to?));
         if from == to {
             r.note("contradiction", "nothing crosses from a zone to itself".into(), n.span(), None);
         }
-        Across::Pair(from, to)
+        BudgetScope::ZonePair(from, to)
     };
     let rate = r.bytes_a_second(n, "limit");
     let burst = r.bytes(n, "burst", 0) as f64;
@@ -42,26 +42,26 @@
     }
     let hard = r.flag(n, "hard");
     let (name, hosts) = match of {
-        Across::Plan(p) => (format!("plan {}", plans.list()[p.0]), everyone.clone()),
-        Across::Pair(from, to) => {
+        BudgetScope::Plan(p) => (format!("plan {}", plans.list()[p.0]), everyone.clone()),
+        BudgetScope::ZonePair(from, to) => {
             let near = |p: &Place| p.zone == from || p.zone == to;
             let hosts = places.iter().enumerate().filter(|(_, p)| near(p)).map(|(h, _)| HostId(h as u32));
             (format!("{} to {}", zones.list()[from.0], zones.list()[to.0]), hosts.collect())
         }
     };
-    let least = 2.0 * most_bytes * hosts.len() as f64;
+    let least = 2.0 * max_bytes * hosts.len() as f64;
     if r.noted() == before && burst < least {
         let message =
             format!("a burst of {burst} bytes is too small for the {} hosts that share it", hosts.len());
         let help =
-            format!("each part must hold two of the largest bodies ({most_bytes} bytes): {least} or more");
+            format!("each part must hold two of the largest bodies ({max_bytes} bytes): {least} or more");
         r.note("burst-too-small", message, n.span(), Some(help));
     }
-    let id = label::carried(VolumeId(number(&format!("crossing/{name}"))));
-    Some(NamedCrossing { name, id, of, limit: Limit { rate, burst }, hard, hosts })
+    let id = demand_report::carried(VolumeId(number(&format!("crossing/{name}"))));
+    Some(NamedCrossZoneBudget { name, id, of, limit: Limit { rate, burst }, hard, hosts })
 }
 
-pub(crate) fn together(r: &mut Reader, document: &KdlDocument, all: &[NamedCrossing]) {
+pub(crate) fn together(r: &mut Reader, document: &KdlDocument, all: &[NamedCrossZoneBudget]) {
     let nodes: Vec<_> = entries(document, "crossing").collect();
     if nodes.len() != all.len() {
         return;
@@ -73,9 +73,9 @@
         }
     }
     // A plan's budget that all pairs together could not fill says nothing.
-    let pairs = all.iter().filter(|c| matches!(c.of, Across::Pair(..)));
+    let pairs = all.iter().filter(|c| matches!(c.of, BudgetScope::ZonePair(..)));
     let sum: f64 = pairs.clone().map(|c| c.limit.rate).sum();
-    for (c, n) in all.iter().zip(&nodes).filter(|(c, _)| matches!(c.of, Across::Plan(_))) {
+    for (c, n) in all.iter().zip(&nodes).filter(|(c, _)| matches!(c.of, BudgetScope::Plan(_))) {
         if pairs.clone().next().is_some() && c.limit.rate > sum {
             let message = format!("{} may cross more than all pairs of zones together", c.name);
             r.warn("over-limit", message, n.span(), None);
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -6,9 +6,9 @@
 use crate::revisions;
 use crate::routes::{self, Routes};
 use fnv::FnvHasher;
-use gullsail_fleet::works::WorksTerms;
-use gullsail_interface::*;
+use gullsail_fleet::maintenance::MaintenanceConfig;
 use gullsail_protocol::Bounds;
+use gullsail_scheduler_api::*;
 use kdl::{KdlDocument, KdlNode};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
@@ -21,13 +21,13 @@
     h.finish()
 }
 
-/// A stream type as the document names it; what decides is in `decisions`.
+/// A request class as the document names it; what decides is in `decisions`.
 #[derive(Clone, Debug)]
-pub struct NamedStreamType {
+pub struct NamedRequestClass {
     pub name: String,
     pub write: bool,
-    pub expiry: Span,
-    pub decisions: StreamType,
+    pub deadline: Span,
+    pub decisions: RequestClass,
 }
 
 #[derive(Clone, Debug)]
@@ -43,7 +43,7 @@
     pub name: String,
     pub id: VolumeId,
     pub plan: PlanId,
-    /// Through which hosts its transfers come, in order of their numbers.
+    /// Through which hosts its requests come, in order of their numbers.
     pub hosts: Arc<[HostId]>,
 }
 
@@ -55,11 +55,11 @@
 
 /// A budget of bytes between zones, as the document has it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct NamedCrossing {
+pub struct NamedCrossZoneBudget {
     /// Such as `east to west`, or `plan base`.
     pub name: String,
     pub id: VolumeId,
-    pub of: Across,
+    pub of: BudgetScope,
     /// In bytes.
     pub limit: Limit,
     pub hard: bool,
@@ -67,7 +67,7 @@
     pub hosts: Arc<[HostId]>,
 }
 
-/// Where a process lives. `listen` is where it binds, `address` where others reach it.
+/// Where a process incarnations. `listen` is where it binds, `address` where others reach it.
 #[derive(Clone, Debug)]
 pub struct Place {
     pub name: String,
@@ -79,23 +79,23 @@
 #[derive(Clone, Debug)]
 pub struct NodePlace {
     pub place: Place,
-    pub cell: CellId,
+    pub shard: ShardId,
     /// What sort of node it is, for pools; a word of the document's own.
     pub kind: String,
     /// Of the stand-ins' machines.
-    pub machine: usize,
+    pub server: usize,
     /// It does not run yet: a successor that hosts hear of from the list.
     pub spare: bool,
 }
 
 /// What a stand-in node is like. Nothing here is told to a host.
 #[derive(Clone, Debug)]
-pub struct Machine {
+pub struct Server {
     pub name: String,
     pub cores: u32,
     /// The work of one unit on one core.
     pub unit: Span,
-    /// Transfers that wait at most, beside those that run.
+    /// Requests that wait at most, beside those that run.
     pub queue: u32,
     pub pause: Span,
     pub pause_every: Span,
@@ -106,7 +106,7 @@
     pub falls_over: f64,
 }
 
-impl Machine {
+impl Server {
     /// Units a second that all its cores do.
     pub fn can(&self) -> f64 {
         f64::from(self.cores) / self.unit.secs().max(1e-9)
@@ -119,7 +119,7 @@
 /// What bounds a host's memory and patience on its sockets.
 #[derive(Clone, Debug)]
 pub struct HostBounds {
-    /// Open transfers, and the body bytes that they hold; beyond, clients are not read from.
+    /// Open requests, and the body bytes that they hold; beyond, clients are not read from.
     pub most_open: u32,
     pub most_held: usize,
     pub frame: Bounds,
@@ -139,12 +139,12 @@
 #[derive(Clone, Debug)]
 pub struct Deployment {
     pub zones: Vec<String>,
-    pub stream_types: Vec<NamedStreamType>,
+    pub request_classes: Vec<NamedRequestClass>,
     pub plans: Vec<NamedPlan>,
     pub volumes: Vec<NamedVolume>,
     pub hosts: Vec<Place>,
     pub nodes: Vec<NodePlace>,
-    pub machines: Vec<Machine>,
+    pub servers: Vec<Server>,
     pub list: Place,
     /// How late the list tells what it knows.
     pub list_late: Span,
@@ -153,40 +153,46 @@
     /// Bytes that a unit of work stands for, where it is said.
     pub unit: Option<f64>,
     pub routes: Routes,
-    pub crossings: Vec<NamedCrossing>,
+    pub cross_zone_budgets: Vec<NamedCrossZoneBudget>,
     /// How hosts settle things among themselves; `None`: they don't.
     pub fleet: Option<NamedFleet>,
     /// How machines go out for work; `None`: there are no such orders.
-    pub works: Option<WorksTerms>,
+    pub maintenance: Option<MaintenanceConfig>,
     pub place: revisions::Place,
     /// What this document and those before it promise of limits, oldest first.
-    pub line: Vec<gullsail_limits::Promises>,
-    facts: Facts,
+    pub line: Vec<gullsail_config_transition::RevisionLimits>,
+    config: SchedulerConfig,
     volumes_by_name: BTreeMap<String, usize>,
 }
 
 impl Deployment {
     /// The figures that are the same at every host.
-    pub fn figures(&self) -> &Facts {
-        &self.facts
+    pub fn figures(&self) -> &SchedulerConfig {
+        &self.config
     }
 
     /// What the decisions at one host are told.
-    pub fn facts(&self, me: HostId) -> Facts {
-        let zone = self.hosts.get(me.0 as usize).map(|h| h.zone).filter(|_| !self.crossings.is_empty());
-        Facts { me, zone, crossings: self.crossings_at(me), ..self.facts.clone() }
+    pub fn config(&self, me: HostId) -> SchedulerConfig {
+        let zone =
+            self.hosts.get(me.0 as usize).map(|h| h.zone).filter(|_| !self.cross_zone_budgets.is_empty());
+        SchedulerConfig {
+            me,
+            zone,
+            cross_zone_budgets: self.cross_zone_budgets_at(me),
+            ..self.config.clone()
+        }
     }
 
     /// The budgets as one host shares them.
-    pub fn crossings_at(&self, me: HostId) -> Vec<Crossing> {
-        let share = |c: &NamedCrossing| Crossing {
+    pub fn cross_zone_budgets_at(&self, me: HostId) -> Vec<CrossZoneBudget> {
+        let share = |c: &NamedCrossZoneBudget| CrossZoneBudget {
             id: c.id,
             of: c.of,
             limit: c.limit,
             hard: c.hard,
             hosts: if c.hosts.binary_search(&me).is_ok() { c.hosts.len() as u32 } else { 0 },
         };
-        self.crossings.iter().map(share).collect()
+        self.cross_zone_budgets.iter().map(share).collect()
     }
 
     pub fn host(&self, name: &str) -> Option<HostId> {
@@ -251,20 +257,20 @@
     }
     let plan_names = named(r, "plan");
     let host_names = named(r, "host");
-    let machine_names = named(r, "machine");
+    let server_names = named(r, "machine");
     named(r, "node");
     named(r, "stream-type");
     named(r, "volume");
     named(r, "pool");
-    let stream_types: Vec<_> = all("stream-type").map(|n| stream_type(r, n)).collect();
-    let machines: Vec<_> = all("machine").map(|n| machine(r, n)).collect();
+    let request_classes: Vec<_> = all("stream-type").map(|n| request_class(r, n)).collect();
+    let servers: Vec<_> = all("machine").map(|n| server(r, n)).collect();
     let hosts: Vec<_> = all("host")
         .map(|n| {
             r.only(n, 1, &["zone", "address", "listen"], &[]);
             place(r, n, &zones)
         })
         .collect();
-    let nodes: Vec<_> = all("node").map(|n| node(r, n, &zones, &machine_names)).collect();
+    let nodes: Vec<_> = all("node").map(|n| node(r, n, &zones, &server_names)).collect();
     let single = |r: &mut Reader, kind: &'static str| single(r, document, kind);
     let mut late = Span::ZERO;
     let mut list =
@@ -275,17 +281,17 @@
         list.address = r.text_at(n, "address").unwrap_or_default();
         list.listen = r.text_at(n, "listen").unwrap_or_else(|| list.address.clone());
     }
-    let mut facts = Facts {
+    let mut config = SchedulerConfig {
         hosts: hosts.len() as u32,
         tick: Span::from_millis(20.0),
-        most_legs: 3,
-        most_units: 8.0,
+        max_attempts: 3,
+        max_units: 8.0,
         share_part: 1.0,
         spare_part: 1.0,
-        peers_talk: true,
-        list_asked: true,
-        stream_types: stream_types.iter().map(|s| s.decisions.clone()).collect(),
-        ..Facts::default()
+        peer_messages_enabled: true,
+        poll_endpoints: true,
+        request_classes: request_classes.iter().map(|s| s.decisions.clone()).collect(),
+        ..SchedulerConfig::default()
     };
     let mut unit = None;
     let mut drain_grace = Span::from_millis(1000.0);
@@ -302,27 +308,27 @@
         ];
         r.only(n, 0, &known, &[]);
         unit = n.entry("unit").map(|_| r.bytes(n, "unit", 0).max(1) as f64);
-        facts.tick = r.span_at(n, "tick").unwrap_or(facts.tick);
+        config.tick = r.span_at(n, "tick").unwrap_or(config.tick);
         drain_grace = r.span_at(n, "drain-grace").unwrap_or(drain_grace);
-        facts.order_settle = r.span_at(n, "order-settle").unwrap_or_default();
-        facts.most_units = r.number_at(n, "most-units", 0.0).unwrap_or(facts.most_units);
-        facts.share_part = r.part_at(n, "share-part").unwrap_or(1.0);
-        facts.spare_part = r.part_at(n, "spare-part").unwrap_or(1.0);
-        facts.longest_advice = r.span_at(n, "advice");
+        config.order_settle = r.span_at(n, "order-settle").unwrap_or_default();
+        config.max_units = r.number_at(n, "most-units", 0.0).unwrap_or(config.max_units);
+        config.share_part = r.part_at(n, "share-part").unwrap_or(1.0);
+        config.spare_part = r.part_at(n, "spare-part").unwrap_or(1.0);
+        config.max_retry_after = r.span_at(n, "advice");
     }
     if let Some(n) = single(r, "cold") {
         r.only(n, 0, &["units", "window", "first-part", "ramp"], &[]);
-        facts.cold = ColdStart {
+        config.slow_start = SlowStart {
             units: r.number(n, "units", 0.0),
             window: r.span(n, "window"),
-            first_part: r.part(n, "first-part"),
+            initial_fraction: r.part(n, "first-part"),
             ramp: r.span(n, "ramp"),
         };
     }
     if let Some(n) = single(r, "legs") {
         r.only(n, 0, &["most", "free", "share", "window"], &[]);
-        facts.most_legs = r.whole(n, "most", 1, 3);
-        facts.leg_budget = r.span_at(n, "window").map(|window| LegBudget {
+        config.max_attempts = r.whole(n, "most", 1, 3);
+        config.retry_budget = r.span_at(n, "window").map(|window| RetryBudget {
             free: r.number_at(n, "free", 0.0).unwrap_or_default(),
             share: r.part_at(n, "share").unwrap_or_default(),
             window,
@@ -331,32 +337,32 @@
     let bounds_node = single(r, "bounds");
     let bounds = bounds(r, bounds_node);
     // And the host's timers come up to a millisecond late.
-    facts.leg_wait = bounds.connect + Span::from_micros(2000);
+    config.connect_wait = bounds.connect + Span::from_micros(2000);
     let plans: Vec<_> = all("plan").map(|n| plan(r, n, unit)).collect();
-    facts.plans = plans.iter().map(|p| p.decisions.clone()).collect();
+    config.plans = plans.iter().map(|p| p.decisions.clone()).collect();
     let fleet_node = single(r, "fleet");
-    let fleet = crate::fleet::read(r, fleet_node, &hosts, facts.tick);
-    let works_node = single(r, "works");
-    let works = crate::works::read(r, works_node, fleet.as_ref());
+    let fleet = crate::fleet::read(r, fleet_node, &hosts, config.tick);
+    let maintenance_node = single(r, "works");
+    let maintenance = crate::maintenance::read(r, maintenance_node, fleet.as_ref());
     let everyone: Arc<[HostId]> = (0..hosts.len() as u32).map(HostId).collect();
     let mut volumes = Vec::new();
-    // A part too small for a largest transfer moves around where hosts settle it among themselves.
+    // A part too small for a largest request moves around where hosts settle it among themselves.
     let split = fleet.is_none();
     for n in all("volume") {
-        let most = (facts.most_units, split);
+        let most = (config.max_units, split);
         volumes.push(volume(r, n, &plans, &plan_names, &host_names, &everyone, most));
     }
     together(r, document, &hosts, &volumes);
-    facts.most_bytes = bounds.frame.body as f64;
-    let crossings: Vec<_> = all("crossing")
+    config.max_bytes = bounds.frame.body as f64;
+    let cross_zone_budgets: Vec<_> = all("crossing")
         .filter_map(|n| {
-            crate::crossings::read(r, n, &zones, &plan_names, &hosts, &everyone, facts.most_bytes)
+            crate::cross_zone_budgets::read(r, n, &zones, &plan_names, &hosts, &everyone, config.max_bytes)
         })
         .collect();
-    crate::crossings::together(r, document, &crossings);
+    crate::cross_zone_budgets::together(r, document, &cross_zone_budgets);
     let known = routes::Known {
         zones: &zones,
-        stream_types: &stream_types,
+        request_classes: &request_classes,
         plans: &plans,
         volumes: &volumes,
         nodes: &nodes,
@@ -368,27 +374,27 @@
     let built = Deployment {
         unit,
         routes,
-        crossings,
+        cross_zone_budgets,
         fleet,
-        works,
+        maintenance,
         place,
         line: Vec::new(),
         zones: zones.list().to_vec(),
-        stream_types,
+        request_classes,
         plans,
         volumes,
         hosts,
         nodes,
-        machines,
+        servers,
         list,
         list_late: late,
         drain_grace,
         bounds,
-        facts,
+        config,
         volumes_by_name,
     };
     once(r, &built, document);
-    crate::sense::check(&built, document, r);
+    crate::lints::check(&built, document, r);
     built
 }
 
@@ -453,25 +459,25 @@
     Place { name: r.text(n, 0, "a name"), zone: ZoneId(zone), address, listen }
 }
 
-fn node(r: &mut Reader, n: &KdlNode, zones: &Names, machines: &Names) -> NodePlace {
+fn node(r: &mut Reader, n: &KdlNode, zones: &Names, servers: &Names) -> NodePlace {
     r.only(n, 1, &["cell", "zone", "kind", "address", "listen", "machine", "spare"], &[]);
-    let machine =
-        if n.entry("machine").is_some() { r.refer_at(n, "machine", "machine", machines) } else { None };
+    let server =
+        if n.entry("machine").is_some() { r.refer_at(n, "machine", "machine", servers) } else { None };
     _ = r.number(n, "cell", 0.0);
-    let cell = CellId(i64::from(r.whole(n, "cell", 0, 0)));
+    let shard = ShardId(i64::from(r.whole(n, "cell", 0, 0)));
     NodePlace {
         place: place(r, n, zones),
-        cell,
+        shard,
         kind: r.text_at(n, "kind").unwrap_or_default(),
-        machine: machine.unwrap_or_default(),
+        server: server.unwrap_or_default(),
         spare: r.flag(n, "spare"),
     }
 }
 
-fn machine(r: &mut Reader, n: &KdlNode) -> Machine {
+fn server(r: &mut Reader, n: &KdlNode) -> Server {
     let known = ["cores", "unit", "queue", "pause", "pause-every", "put-off", "flush-every", "falls-over"];
     r.only(n, 1, &known, &[]);
-    Machine {
+    Server {
         name: r.text(n, 0, "a name"),
         cores: r.whole(n, "cores", 1, 1),
         unit: r.span(n, "unit"),
@@ -484,38 +490,42 @@
     }
 }
 
-fn stream_type(r: &mut Reader, n: &KdlNode) -> NamedStreamType {
+fn request_class(r: &mut Reader, n: &KdlNode) -> NamedRequestClass {
     let known = ["effect", "group", "window", "slo", "expiry", "benefit", "late-part", "in-order", "write"];
     r.only(n, 1, &known, &[]);
     let words = [("repeatable", 0), ("keyed", 1), ("unrepeatable", 2)];
-    let effect = match r.word(n, "effect", &words) {
+    let idempotency = match r.word(n, "effect", &words) {
         Some(1) => {
-            let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
-            let group = r.word(n, "group", &groups).unwrap_or(Group::Cell);
-            Effect::Keyed { group, window: r.span(n, "window") }
+            let groups = [
+                ("all", IdempotencyScope::All),
+                ("zone", IdempotencyScope::Zone),
+                ("cell", IdempotencyScope::Shard),
+            ];
+            let group = r.word(n, "group", &groups).unwrap_or(IdempotencyScope::Shard);
+            Idempotency::WithKey { group, window: r.span(n, "window") }
         }
-        Some(2) => Effect::Unrepeatable,
-        _ => Effect::Repeatable,
+        Some(2) => Idempotency::NonIdempotent,
+        _ => Idempotency::Idempotent,
     };
     for key in ["group", "window"] {
-        if let (false, Some(e)) = (matches!(effect, Effect::Keyed { .. }), n.entry(key)) {
+        if let (false, Some(e)) = (matches!(idempotency, Idempotency::WithKey { .. }), n.entry(key)) {
             let help = Some("write effect=\"keyed\", or take it out".into());
             r.note("contradiction", format!("`{key}` is for keyed stream types only"), e.span(), help);
         }
     }
-    let (slo_time, expiry) = (r.span(n, "slo"), r.span(n, "expiry"));
-    if slo_time > expiry {
+    let (latency_objective, deadline) = (r.span(n, "slo"), r.span(n, "expiry"));
+    if latency_objective > deadline {
         let help = Some("the client gives up at the expiry, after the answer was wanted".into());
         r.note("slo-past-expiry", "the SLO time is longer than the expiry".into(), n.span(), help);
     }
-    let decisions = StreamType {
-        effect,
-        slo_time,
-        benefit: r.number_at(n, "benefit", 0.0).unwrap_or(1.0),
-        late_part: r.part_at(n, "late-part").unwrap_or_default(),
+    let decisions = RequestClass {
+        idempotency,
+        latency_objective,
+        priority_weight: r.number_at(n, "benefit", 0.0).unwrap_or(1.0),
+        late_weight: r.part_at(n, "late-part").unwrap_or_default(),
         in_order: r.flag(n, "in-order"),
     };
-    NamedStreamType { name: r.text(n, 0, "a name"), write: r.flag(n, "write"), expiry, decisions }
+    NamedRequestClass { name: r.text(n, 0, "a name"), write: r.flag(n, "write"), deadline, decisions }
 }
 
 fn plan(r: &mut Reader, n: &KdlNode, unit: Option<f64>) -> NamedPlan {
@@ -535,7 +545,7 @@
     let decisions = Plan {
         limit,
         reserve,
-        usual: r.rate_at(n, "usual", 0.0, unit).unwrap_or(reserve),
+        nominal_rate: r.rate_at(n, "usual", 0.0, unit).unwrap_or(reserve),
         weight: r.number_at(n, "weight", 0.0).unwrap_or(1.0),
         price: r.number_at(n, "price", 0.0).unwrap_or(1.0),
     };
@@ -549,7 +559,7 @@
     plan_names: &Names,
     hosts: &Names,
     everyone: &Arc<[HostId]>,
-    (most_units, split): (f64, bool),
+    (max_units, split): (f64, bool),
 ) -> NamedVolume {
     r.only(n, 1, &["plan"], &["hosts"]);
     let name = r.text(n, 0, "a name");
@@ -567,7 +577,7 @@
     // None stated: all of them.
     let through = if through.is_empty() { everyone.clone() } else { through.into_iter().collect() };
     if let Some(l) = plans.get(plan).and_then(|p| p.decisions.limit) {
-        let least = 2.0 * most_units * if split { through.len() as f64 } else { 1.0 };
+        let least = 2.0 * max_units * if split { through.len() as f64 } else { 1.0 };
         if l.burst < least {
             let message = format!("the plan's burst of {} is too small for {} hosts", l.burst, through.len());
             let help = format!("each host's part must hold two of the largest transfers: {least} or more");
@@ -575,7 +585,7 @@
         }
     }
     // Six bytes of the number travel in labels.
-    let id = label::carried(VolumeId(number(&name)));
+    let id = demand_report::carried(VolumeId(number(&name)));
     NamedVolume { name, id, plan: PlanId(plan), hosts: through }
 }
 
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -2,11 +2,11 @@
 //! Each change is classed by what it does to hosts that serve meanwhile.
 
 use crate::deployment::{Deployment, NamedVolume};
+use crate::diff_values::{self as values, plain as say};
 use crate::routes::Pool;
-use gullsail_interface::{HostId, StreamTypeId};
+use gullsail_scheduler_api::{HostId, RequestClassId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt::Debug;
 
 /// What a change asks of whoever makes it, mildest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -46,22 +46,18 @@
 pub fn diff(old: &Deployment, new: &Deployment) -> Vec<Change> {
     let mut d = Differ { old, new, changes: Vec::new() };
     d.rules();
-    d.stream_types();
+    d.request_classes();
     d.plans();
     d.volumes();
     d.hosts();
     d.nodes();
     d.pools();
-    d.crossings();
+    d.cross_zone_budgets();
     d.order();
     d.rest();
     d.changes
 }
 
-fn say<T: Debug>(value: &T) -> String {
-    format!("{value:?}").replace("Span(", "us(")
-}
-
 impl Differ<'_> {
     fn change(&mut self, of: &str, what: &str, from: String, to: String, class: Class, why: &str) {
         if from != to {
@@ -79,7 +75,7 @@
     /// Ids are places: the order of these counts.
     fn order(&mut self) {
         let names = |d: &Deployment| {
-            let types: Vec<_> = d.stream_types.iter().map(|s| s.name.clone()).collect();
+            let types: Vec<_> = d.request_classes.iter().map(|s| s.name.clone()).collect();
             let hosts: Vec<_> = d.hosts.iter().map(|h| h.name.clone()).collect();
             [("stream types", types), ("hosts", hosts), ("zones", d.zones.clone())]
         };
@@ -104,9 +100,12 @@
         self.old.fleet.is_some() && self.old.fleet == self.new.fleet
     }
 
-    fn crossings(&mut self) {
+    fn cross_zone_budgets(&mut self) {
         let index = |d: &Deployment| -> BTreeMap<String, (f64, f64, bool)> {
-            d.crossings.iter().map(|c| (c.name.clone(), (c.limit.rate, c.limit.burst, c.hard))).collect()
+            d.cross_zone_budgets
+                .iter()
+                .map(|c| (c.name.clone(), (c.limit.rate, c.limit.burst, c.hard)))
+                .collect()
         };
         let (a, b) = (index(self.old), index(self.new));
         if a.is_empty() != b.is_empty() {
@@ -129,15 +128,17 @@
         let why =
             "hosts that hold to different leases, voters or floors could use more than the whole together";
         self.change("fleet", "figures", fleet(self.old), fleet(self.new), Class::Restart, why);
-        let works = |d: &Deployment| d.works.as_ref().map_or("none".to_string(), say);
+        let maintenance =
+            |d: &Deployment| d.maintenance.as_ref().map_or("none".to_string(), values::maintenance);
         let why = "whoever decides and those who let go must hold to the same times";
-        self.change("works", "figures", works(self.old), works(self.new), Class::Restart, why);
+        self.change("works", "figures", maintenance(self.old), maintenance(self.new), Class::Restart, why);
         let list = |d: &Deployment| d.list.address.clone();
         let (a, b) = (list(self.old), list(self.new));
         self.change("list", "address", a, b, Class::Restart, "it is read at a start only");
-        let machines =
-            |d: &Deployment| say(&d.machines.iter().map(|m| (&m.name, say(m))).collect::<BTreeMap<_, _>>());
-        let (a, b) = (machines(self.old), machines(self.new));
+        let servers = |d: &Deployment| {
+            say(&d.servers.iter().map(|m| (&m.name, values::server(m))).collect::<BTreeMap<_, _>>())
+        };
+        let (a, b) = (servers(self.old), servers(self.new));
         self.change("machines", "figures", a, b, Class::Safe, "they are the stand-ins'; no host reads them");
     }
 
@@ -156,15 +157,15 @@
         }
         let pools = |d: &Deployment, name: &str| -> BTreeMap<String, String> {
             let Some(volume) = d.volume_at(name) else { return BTreeMap::new() };
-            let types = d.stream_types.iter().enumerate().filter(|(_, s)| s.write);
-            let to = |place| d.routes.name(d.routes.pool(volume, StreamTypeId(place))).to_string();
+            let types = d.request_classes.iter().enumerate().filter(|(_, s)| s.write);
+            let to = |place| d.routes.name(d.routes.pool(volume, RequestClassId(place))).to_string();
             types.map(|(place, s)| (s.name.clone(), to(place))).collect()
         };
         for v in &self.new.volumes {
             let (a, b) = (pools(self.old, &v.name), pools(self.new, &v.name));
-            for (stream_type, to) in &b {
-                let Some(from) = a.get(stream_type) else { continue };
-                let what = format!("pool of {stream_type}");
+            for (request_class, to) in &b {
+                let Some(from) = a.get(request_class) else { continue };
+                let what = format!("pool of {request_class}");
                 self.change(
                     &format!("volume \"{}\"", v.name),
                     &what,
@@ -186,47 +187,46 @@
         };
         c("tick", say(&a.tick), say(&b.tick));
         c("order-settle", say(&a.order_settle), say(&b.order_settle));
-        c("most-units", say(&a.most_units), say(&b.most_units));
+        c("most-units", say(&a.max_units), say(&b.max_units));
         c("share-part", say(&a.share_part), say(&b.share_part));
         c("spare-part", say(&a.spare_part), say(&b.spare_part));
-        c("advice", say(&a.longest_advice), say(&b.longest_advice));
+        c("advice", say(&a.max_retry_after), say(&b.max_retry_after));
         c(
             "legs",
-            say(&(a.most_legs, a.leg_budget.map(|l| (l.free, l.share, l.window)))),
-            say(&(b.most_legs, b.leg_budget.map(|l| (l.free, l.share, l.window)))),
+            say(&(a.max_attempts, a.retry_budget.map(|l| (l.free, l.share, l.window)))),
+            say(&(b.max_attempts, b.retry_budget.map(|l| (l.free, l.share, l.window)))),
         );
         c("drain-grace", say(&graces.0), say(&graces.1));
-        let (x, y) = (a.cold, b.cold);
+        let (x, y) = (a.slow_start, b.slow_start);
         let why = "hosts with the old and the new figures together may send a cold node more than it bears";
         self.change(
             "cold",
             "figures",
-            say(&(x.units, x.window, x.first_part, x.ramp)),
-            say(&(y.units, y.window, y.first_part, y.ramp)),
+            say(&(x.units, x.window, x.initial_fraction, x.ramp)),
+            say(&(y.units, y.window, y.initial_fraction, y.ramp)),
             Class::Dangerous,
             why,
         );
     }
 
-    fn stream_types(&mut self) {
+    fn request_classes(&mut self) {
         let index = |d: &Deployment| -> BTreeMap<String, String> {
-            d.stream_types
-                .iter()
-                .map(|s| {
-                    (s.name.clone(), format!("{:?} expiry {:?}, write {}", s.decisions, s.expiry, s.write))
-                })
-                .collect()
+            d.request_classes.iter().map(|s| (s.name.clone(), values::request_class(s))).collect()
         };
         let (a, b) = (index(self.old), index(self.new));
         for name in a.keys().chain(b.keys()).collect::<BTreeSet<_>>() {
             let of = format!("stream-type \"{name}\"");
             let none = "none".to_string();
             let (from, to) = (a.get(name).unwrap_or(&none), b.get(name).unwrap_or(&none));
-            let effect = |d: &Deployment| {
-                d.stream_types.iter().find(|s| s.name == *name).map(|s| say(&s.decisions.effect))
+            let idempotency = |d: &Deployment| {
+                d.request_classes
+                    .iter()
+                    .find(|s| s.name == *name)
+                    .map(|s| values::idempotency(&s.decisions.idempotency))
             };
-            let changed =
-                effect(self.old) != effect(self.new) && a.contains_key(name) && b.contains_key(name);
+            let changed = idempotency(self.old) != idempotency(self.new)
+                && a.contains_key(name)
+                && b.contains_key(name);
             if changed {
                 let why = "transfers that may have run by the old effect would be repeated by the new one";
                 self.change(&of, "effect", from.clone(), to.clone(), Class::Dangerous, why);
@@ -264,7 +264,7 @@
                 (Some(x), Some(y)) => y.0 < x.0 || y.1 < x.1,
                 _ => false,
             };
-            let sized = b.decisions.usual.max(b.decisions.reserve);
+            let sized = b.decisions.nominal_rate.max(b.decisions.reserve);
             let under = lowered && y.is_some_and(|y| y.0 < sized);
             let (class, why) = if under {
                 (
@@ -286,7 +286,14 @@
                 Class::Safe,
                 safe,
             );
-            self.change(&of, "usual", say(&a.decisions.usual), say(&b.decisions.usual), Class::Safe, safe);
+            self.change(
+                &of,
+                "usual",
+                say(&a.decisions.nominal_rate),
+                say(&b.decisions.nominal_rate),
+                Class::Safe,
+                safe,
+            );
             self.change(&of, "weight", say(&a.decisions.weight), say(&b.decisions.weight), Class::Safe, safe);
             self.change(&of, "price", say(&a.decisions.price), say(&b.decisions.price), Class::Safe, safe);
             self.change(&of, "slack", say(&a.slack), say(&b.slack), Class::Safe, "hosts do not use it");
@@ -320,7 +327,7 @@
             let plan = |d: &Deployment, v: &NamedVolume| d.plans[v.plan.0].clone();
             let (x, y) = (plan(self.old, &a), plan(self.new, &b));
             let limit = y.decisions.limit.map_or(f64::INFINITY, |l| l.rate);
-            let (class, why) = if limit < x.decisions.usual.max(x.decisions.reserve) {
+            let (class, why) = if limit < x.decisions.nominal_rate.max(x.decisions.reserve) {
                 (Class::Dangerous, "the new plan's limit is under what the volume was sized for")
             } else {
                 (Class::Safe, "each host keeps to the lower of its parts until all have followed")
@@ -379,7 +386,7 @@
         let index = |d: &Deployment| -> BTreeMap<String, (i64, String, String)> {
             let zone = |z: usize| d.zones.get(z).cloned().unwrap_or_default();
             let place =
-                |n: &crate::deployment::NodePlace| (n.cell.0, zone(n.place.zone.0), n.place.address.clone());
+                |n: &crate::deployment::NodePlace| (n.shard.0, zone(n.place.zone.0), n.place.address.clone());
             d.nodes.iter().filter(|n| !n.spare).map(|n| (n.place.name.clone(), place(n))).collect()
         };
         let (a, b) = (index(self.old), index(self.new));
@@ -395,13 +402,13 @@
                 "hosts follow the node list; the document is where they start from",
             );
         }
-        let cells =
+        let shards =
             |m: &BTreeMap<String, (i64, String, String)>| m.values().map(|n| n.0).collect::<BTreeSet<_>>();
         let before = self.changes.len();
-        for cell in cells(&a).difference(&cells(&b)) {
+        for shard in shards(&a).difference(&shards(&b)) {
             let why = "no node is left that holds it: reads of its data can't be served";
             self.change(
-                &format!("cell {cell}"),
+                &format!("cell {shard}"),
                 "nodes",
                 "some".into(),
                 "none".into(),
--- a/crates/configuration/src/fleet.rs
+++ b/crates/configuration/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use crate::deployment::Place;
 use crate::reader::Reader;
-use gullsail_interface::Span;
+use gullsail_scheduler_api::Span;
 use kdl::KdlNode;
 
 /// The `fleet` entry.
@@ -18,7 +18,7 @@
     pub voters: u32,
     /// The part of its even part that a host may use without a lease.
     pub floor: f64,
-    /// New connections to one node, and legs to one of which nothing comes, a second from all hosts together; `None`: each
+    /// New connections to one node, and attempts to one of which nothing comes, a second from all hosts together; `None`: each
     /// host opens and asks as it sees fit.
     pub connects: Option<f64>,
     pub probes: Option<f64>,
--- a/crates/configuration/src/format.rs
+++ b/crates/configuration/src/format.rs
@@ -1,6 +1,6 @@
 //! The one way to write a document: indents, spaces and quotes are made alike, comments and order stay.
 
-use crate::sources::{NESTED, too_nested};
+use crate::source_map::{NESTED, too_nested};
 use kdl::{FormatConfig, KdlDocument};
 
 /// # Errors
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -1,28 +1,29 @@
-//! The document that a deployment is run from, in KDL: hosts, storage nodes, the list service, stream types,
+//! The document that a deployment is run from, in KDL: hosts, storage nodes, the list service, request classes,
 //! plans, volumes, the rules' figures. [`parse`] finds every problem in one go, each with its place and what
 //! was meant; what it returns is immutable. Files are read through a [`Loader`] alone.
 //!
 //! Its stages: [`sources`] and `resolve` (files, includes, templates: one flat document comes out), [`reader`]
 //! (how entries are read and what is wrong with them noted), [`deployment`] (what a document means).
 
-mod crossings;
+mod cross_zone_budgets;
 pub mod deployment;
 pub mod diff;
+mod diff_values;
 pub mod explain;
 pub mod fleet;
 pub mod format;
+mod lints;
+mod maintenance;
 mod ranges;
 pub mod reader;
 mod resolve;
 mod revisions;
 pub mod routes;
-mod sense;
-pub mod sources;
-mod works;
+pub mod source_map;
 
 pub use deployment::*;
-pub use reader::{Names, Problem, Problems, Reader, Said, Weight, meant};
-pub use sources::{Files, LoadError, Loader, Memory};
+pub use reader::{DiagnosticRecord, Names, Problem, Problems, Reader, Weight, meant};
+pub use source_map::{Files, LoadError, Loader, Memory};
 
 /// Reads a document of one text. `name` is what messages call it; nothing can be included.
 ///
