--- a/crates/configuration/src/sense.rs
+++ b/crates/configuration/src/lints.rs
@@ -2,7 +2,7 @@
 
 use crate::deployment::{Deployment, PROMISABLE};
 use crate::reader::{Reader, entries};
-use gullsail_interface::{Effect, Plan};
+use gullsail_scheduler_api::{Idempotency, Plan};
 use kdl::KdlDocument;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,9 +12,9 @@
     let name = |n: &kdl::KdlNode| n.get(0).and_then(|v| v.as_string()).unwrap_or_default().to_string();
     // Reserves against what the machines of the nodes can do, where that is stated.
     let running: Vec<_> = d.nodes.iter().filter(|n| !n.spare).collect();
-    let machines: Option<Vec<_>> = running.iter().map(|n| d.machines.get(n.machine)).collect();
-    if let Some(machines) = machines.filter(|m| !m.is_empty()) {
-        let can: f64 = machines.iter().map(|m| m.can()).sum();
+    let servers: Option<Vec<_>> = running.iter().map(|n| d.servers.get(n.server)).collect();
+    if let Some(servers) = servers.filter(|m| !m.is_empty()) {
+        let can: f64 = servers.iter().map(|m| m.can()).sum();
         let reserved: f64 =
             d.volumes.iter().map(|v| d.plans.get(v.plan.0).map_or(0.0, |p| p.decisions.reserve)).sum();
         if let Some(last) = all("volume").next_back().filter(|_| reserved > can * PROMISABLE) {
@@ -32,7 +32,7 @@
     }
     let used: [(&'static str, BTreeSet<usize>, bool); 2] = [
         ("plan", d.volumes.iter().map(|v| v.plan.0).collect(), !d.volumes.is_empty()),
-        ("machine", d.nodes.iter().map(|n| n.machine).collect(), !d.nodes.is_empty()),
+        ("machine", d.nodes.iter().map(|n| n.server).collect(), !d.nodes.is_empty()),
     ];
     for (kind, used, counts) in used {
         for (_, n) in all(kind).enumerate().filter(|(place, _)| counts && !used.contains(place)) {
@@ -40,7 +40,7 @@
         }
     }
     plans(d, document, r);
-    stream_types(d, document, r);
+    request_classes(d, document, r);
     places(d, document, r);
     let f = d.figures();
     if let Some(n) = all("rules").next() {
@@ -48,12 +48,12 @@
             let message = "units past the share would earn more than those within it".into();
             r.warn("odd-parts", message, n.span(), Some("spare-part is at most share-part".into()));
         }
-        if n.entry("order-settle").is_some() && !f.stream_types.iter().any(|s| s.in_order) {
+        if n.entry("order-settle").is_some() && !f.request_classes.iter().any(|s| s.in_order) {
             let message =
                 "`order-settle` counts for stream types with in-order=#true, and there is none".into();
             r.warn("no-effect", message, n.span(), None);
         }
-        let shortest = f.stream_types.iter().map(|s| s.slo_time).min();
+        let shortest = f.request_classes.iter().map(|s| s.latency_objective).min();
         if shortest.is_some_and(|slo| f.tick.times(4.0) > slo) {
             let message =
                 "two ticks before the expiry the last answer is given: that is half of an SLO time".into();
@@ -71,7 +71,7 @@
         }
     }
     if let Some(n) = all("cold").next() {
-        if f.cold.window > f.cold.ramp {
+        if f.slow_start.window > f.slow_start.ramp {
             let message = "the window is longer than the ramp: a node is warm before it ends".into();
             r.note(
                 "contradiction",
@@ -80,18 +80,18 @@
                 Some("window is how long it must be sent too much".into()),
             );
         }
-        if f.cold.units < f.most_units {
+        if f.slow_start.units < f.max_units {
             let message =
-                format!("{} units are less than one largest transfer ({})", f.cold.units, f.most_units);
+                format!("{} units are less than one largest transfer ({})", f.slow_start.units, f.max_units);
             r.warn("cold-too-small", message, n.span(), None);
         }
     }
-    let nothing = f.leg_budget.is_some_and(|b| b.free < 1.0 && b.share == 0.0);
-    if let Some(n) = all("legs").next().filter(|_| nothing && f.most_legs > 1) {
+    let nothing = f.retry_budget.is_some_and(|b| b.free < 1.0 && b.share == 0.0);
+    if let Some(n) = all("legs").next().filter(|_| nothing && f.max_attempts > 1) {
         let message = "the budget allows no further leg at all".into();
         r.warn("no-effect", message, n.span(), Some("most=1 says so plainly".into()));
     }
-    if let Some(n) = all("legs").next().filter(|_| f.leg_budget.is_some() && f.most_legs == 1) {
+    if let Some(n) = all("legs").next().filter(|_| f.retry_budget.is_some() && f.max_attempts == 1) {
         r.warn(
             "no-effect",
             "with one leg for each transfer there are no further legs to budget".into(),
@@ -102,17 +102,17 @@
 }
 
 fn plans(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
-    let running: Vec<_> = d.nodes.iter().filter(|n| !n.spare).map(|n| d.machines.get(n.machine)).collect();
+    let running: Vec<_> = d.nodes.iter().filter(|n| !n.spare).map(|n| d.servers.get(n.server)).collect();
     let can = running.iter().flatten().map(|m| m.can()).sum::<f64>();
     for (p, n) in d.plans.iter().zip(entries(document, "plan")) {
         let at = |key: &str| n.entry(key).map_or(n.span(), |e| e.span());
         let warn =
             |r: &mut Reader, code, message: &str, key: &str| r.warn(code, message.into(), at(key), None);
-        let Plan { limit, usual, weight, price, .. } = p.decisions;
+        let Plan { limit, nominal_rate, weight, price, .. } = p.decisions;
         for key in ["burst", "slack"].into_iter().filter(|key| limit.is_none() && n.entry(*key).is_some()) {
             warn(r, "no-effect", "it belongs to a limit, and the plan has none", key);
         }
-        if limit.is_some_and(|l| usual > l.rate) {
+        if limit.is_some_and(|l| nominal_rate > l.rate) {
             warn(r, "over-limit", "its volumes are sized for more than the limit lets through", "usual");
         }
         if limit.is_some_and(|l| l.rate > can) && can > 0.0 && running.iter().all(Option::is_some) {
@@ -124,19 +124,19 @@
     }
 }
 
-fn stream_types(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
-    for (s, n) in d.stream_types.iter().zip(entries(document, "stream-type")) {
+fn request_classes(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
+    for (s, n) in d.request_classes.iter().zip(entries(document, "stream-type")) {
         let at = |key: &str| n.entry(key).map_or(n.span(), |e| e.span());
-        if s.decisions.slo_time == s.expiry && n.entry("late-part").is_some() {
+        if s.decisions.latency_objective == s.deadline && n.entry("late-part").is_some() {
             let message = "no answer is late: the SLO time is the expiry".into();
             r.warn("no-effect", message, at("late-part"), None);
         }
-        if s.decisions.benefit == 0.0 {
+        if s.decisions.priority_weight == 0.0 {
             let message = "without a benefit it comes after all others".into();
             r.warn("served-last", message, at("benefit"), None);
         }
-        if let Effect::Keyed { window, .. } = s.decisions.effect
-            && window < s.decisions.slo_time
+        if let Idempotency::WithKey { window, .. } = s.decisions.idempotency
+            && window < s.decisions.latency_objective
         {
             let message = "nodes forget a key before the answer is wanted: a late repeat is given up".into();
             r.warn("window-short", message, at("window"), None);
@@ -168,16 +168,16 @@
             );
         }
     }
-    let mut cells: BTreeMap<i64, usize> = BTreeMap::new();
+    let mut shards: BTreeMap<i64, usize> = BTreeMap::new();
     for (node, n) in d.nodes.iter().zip(entries(document, "node")).filter(|(node, _)| !node.spare) {
-        if cells.insert(node.cell.0, n.span().offset()).is_some() {
-            let message = format!("another running node holds cell {} too", node.cell.0);
+        if shards.insert(node.shard.0, n.span().offset()).is_some() {
+            let message = format!("another running node holds cell {} too", node.shard.0);
             r.warn("cell-twice", message, n.span(), Some("one that takes over later is spare=#true".into()));
         }
     }
     for (node, n) in d.nodes.iter().zip(entries(document, "node")).filter(|(node, _)| node.spare) {
-        if !cells.contains_key(&node.cell.0) {
-            let message = format!("no running node holds cell {}, for which it stands by", node.cell.0);
+        if !shards.contains_key(&node.shard.0) {
+            let message = format!("no running node holds cell {}, for which it stands by", node.shard.0);
             r.warn("spare-alone", message, n.span(), None);
         }
     }
--- a/crates/configuration/src/works.rs
+++ b/crates/configuration/src/maintenance.rs
@@ -3,26 +3,30 @@
 
 use crate::fleet::NamedFleet;
 use crate::reader::Reader;
-use gullsail_fleet::works::WorksTerms;
-use gullsail_interface::Span;
+use gullsail_fleet::maintenance::MaintenanceConfig;
+use gullsail_scheduler_api::Span;
 use kdl::KdlNode;
 
 /// Longer, and a host that nobody decides for goes on with what it knows for hours.
 const MOST_BLIND: Span = Span::from_micros(3_600_000_000);
 
 /// `None`: there are no works.
-pub(crate) fn read(r: &mut Reader, n: Option<&KdlNode>, fleet: Option<&NamedFleet>) -> Option<WorksTerms> {
+pub(crate) fn read(
+    r: &mut Reader,
+    n: Option<&KdlNode>,
+    fleet: Option<&NamedFleet>,
+) -> Option<MaintenanceConfig> {
     let n = n?;
     let known = ["at-once", "in-zone", "in-pool", "keep", "keep-cell", "busy", "longest", "watched", "blind"];
     r.only(n, 0, &known, &["rest"]);
     let before = r.noted();
     let at_once = r.whole(n, "at-once", 1, 1);
-    let mut works = WorksTerms {
+    let mut maintenance = MaintenanceConfig {
         at_once,
         in_zone: r.whole(n, "in-zone", 1, at_once),
         in_pool: r.whole(n, "in-pool", 1, at_once),
         keep: r.part(n, "keep"),
-        keep_cell: r.part_at(n, "keep-cell").unwrap_or_default(),
+        keep_shard: r.part_at(n, "keep-cell").unwrap_or_default(),
         busy: r.part_at(n, "busy").unwrap_or(0.9),
         longest: r.span(n, "longest"),
         watched: r.span(n, "watched"),
@@ -37,7 +41,7 @@
                 let help = "from=\"07:00\" to=\"19:00\": one that never ends lets nobody go";
                 r.note("contradiction", "a rest of no length".into(), rest.span(), Some(help.into()));
             }
-            works.rests.push((from, to));
+            maintenance.rests.push((from, to));
         }
     }
     let mut wrong = |key: &str, message: String, help: String| {
@@ -52,23 +56,23 @@
         );
         return None;
     };
-    for (key, most) in [("in-zone", works.in_zone), ("in-pool", works.in_pool)] {
-        if most > works.at_once {
+    for (key, most) in [("in-zone", maintenance.in_zone), ("in-pool", maintenance.in_pool)] {
+        if most > maintenance.at_once {
             wrong(
                 key,
-                format!("{key}={most}, and {} at once in all", works.at_once),
+                format!("{key}={most}, and {} at once in all", maintenance.at_once),
                 "at most at-once".into(),
             );
         }
     }
-    if works.keep >= 1.0 {
+    if maintenance.keep >= 1.0 {
         wrong("keep", "no capacity may go".into(), "keep=0.8: a fifth of it may be away".into());
     }
-    if works.longest > Span::ZERO && works.blind > MOST_BLIND || works.blind < fleet.lease {
+    if maintenance.longest > Span::ZERO && maintenance.blind > MOST_BLIND || maintenance.blind < fleet.lease {
         let help = format!("from one lease ({} ms) to an hour", fleet.lease.millis());
-        wrong("blind", format!("a blind time of {} ms", works.blind.millis()), help);
+        wrong("blind", format!("a blind time of {} ms", maintenance.blind.millis()), help);
     }
-    (r.noted() == before).then_some(works)
+    (r.noted() == before).then_some(maintenance)
 }
 
 /// Of a day, as `"07:30"`, in seconds.
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -3,8 +3,8 @@
 //! if there was any.
 
 use crate::resolve;
-use crate::sources::{Loader, NESTED, Sources, shift, too_nested};
-use gullsail_interface::Span;
+use crate::source_map::{Loader, NESTED, Sources, shift, too_nested};
+use gullsail_scheduler_api::Span;
 use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
 use miette::{Diagnostic, LabeledSpan, NamedSource, Severity, SourceCode, SourceSpan};
 use serde::{Deserialize, Serialize};
@@ -38,7 +38,7 @@
 
 /// A problem as programs are told of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Said {
+pub struct DiagnosticRecord {
     pub code: String,
     pub weight: Weight,
     pub file: String,
@@ -50,8 +50,8 @@
 }
 
 impl Problem {
-    pub fn said(&self) -> Said {
-        Said {
+    pub fn diagnostic(&self) -> DiagnosticRecord {
+        DiagnosticRecord {
             code: self.code.into(),
             weight: self.weight,
             file: self.file.clone(),
--- a/crates/configuration/src/resolve.rs
+++ b/crates/configuration/src/resolve.rs
@@ -7,7 +7,7 @@
 
 use crate::ranges;
 use crate::reader::Reader;
-use crate::sources::{Loader, MOST_ALL, beside, shift};
+use crate::source_map::{Loader, MOST_ALL, beside, shift};
 use kdl::{KdlDocument, KdlNode, KdlValue};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/configuration/src/revisions.rs
+++ b/crates/configuration/src/revisions.rs
@@ -4,8 +4,8 @@
 
 use crate::deployment::{self, Deployment};
 use crate::reader::{Problem, Problems, Reader, entries};
-use crate::sources::{Loader, beside};
-use gullsail_limits::{MOST_HOSTS, Promises, Revision, Shared};
+use crate::source_map::{Loader, beside};
+use gullsail_config_transition::{MOST_HOSTS, Revision, RevisionLimits, Shared};
 use kdl::{KdlDocument, KdlNode};
 
 /// Documents before documents: the line is as long as hosts are behind.
@@ -46,7 +46,7 @@
     Place { revision: Revision(revision), after: r.text_at(n, "after") }
 }
 
-pub(crate) fn promises(d: &Deployment) -> Promises {
+pub(crate) fn revision_limits(d: &Deployment) -> RevisionLimits {
     let shared = |v: &deployment::NamedVolume| Shared {
         plan: v.plan,
         limit: d.plans.get(v.plan.0).and_then(|p| p.decisions.limit),
@@ -54,11 +54,11 @@
     };
     let volumes = d.volumes.iter().map(|v| (v.id, shared(v)));
     // Budgets between zones are limits like others.
-    let budget = |c: &deployment::NamedCrossing| {
+    let budget = |c: &deployment::NamedCrossZoneBudget| {
         (c.id, Shared { plan: Default::default(), limit: Some(c.limit), hosts: c.hosts.clone() })
     };
-    let volumes = volumes.chain(d.crossings.iter().map(budget));
-    Promises { revision: d.place.revision, volumes: volumes.collect() }
+    let volumes = volumes.chain(d.cross_zone_budgets.iter().map(budget));
+    RevisionLimits { revision: d.place.revision, volumes: volumes.collect() }
 }
 
 pub(crate) fn load(
@@ -80,7 +80,7 @@
         let message = format!("documents of more than {MOST_HOSTS} hosts can't be numbered yet");
         r.note("too-much", message, n.span(), None);
     }
-    line.push(promises(&built));
+    line.push(revision_limits(&built));
     built.line = line;
     r.close(built)
 }
@@ -93,7 +93,7 @@
     after: &str,
     chain: &[String],
     d: &Deployment,
-) -> Result<Vec<Promises>, Wrong> {
+) -> Result<Vec<RevisionLimits>, Wrong> {
     if chain.len() + 1 >= MOST {
         return Err((format!("more than {MOST} documents after each other"), None));
     }
--- a/crates/configuration/src/routes.rs
+++ b/crates/configuration/src/routes.rs
@@ -1,10 +1,10 @@
-//! Where new objects may lie: pools are sets of nodes, routes say which volumes' and stream types' new objects go
-//! to which pool. The first route that matches a transfer decides, and the last takes all the rest. What a
-//! transfer is given is worked out once for each volume and stream type, so that looking it up costs nothing.
+//! Where new objects may lie: pools are sets of nodes, routes say which volumes' and request classes' new objects go
+//! to which pool. The first route that matches a request decides, and the last takes all the rest. What a
+//! request is given is worked out once for each volume and request class, so that looking it up costs nothing.
 
-use crate::deployment::{NamedPlan, NamedStreamType, NamedVolume, NodePlace};
+use crate::deployment::{NamedPlan, NamedRequestClass, NamedVolume, NodePlace};
 use crate::reader::{Names, Reader, entries};
-use gullsail_interface::{PoolId, StreamTypeId, ZoneId};
+use gullsail_scheduler_api::{PoolId, RequestClassId, ZoneId};
 use kdl::{KdlDocument, KdlNode};
 use std::collections::BTreeSet;
 
@@ -32,36 +32,36 @@
     pub to: PoolId,
     volumes: Vec<glob::Pattern>,
     plans: BTreeSet<usize>,
-    stream_types: BTreeSet<usize>,
+    request_classes: BTreeSet<usize>,
 }
 
 impl Route {
-    fn takes(&self, v: &NamedVolume, stream_type: usize) -> bool {
+    fn takes(&self, v: &NamedVolume, request_class: usize) -> bool {
         (self.volumes.is_empty() || self.volumes.iter().any(|p| p.matches(&v.name)))
             && (self.plans.is_empty() || self.plans.contains(&v.plan.0))
-            && (self.stream_types.is_empty() || self.stream_types.contains(&stream_type))
+            && (self.request_classes.is_empty() || self.request_classes.contains(&request_class))
     }
 
     fn is_rest(&self) -> bool {
-        self.volumes.is_empty() && self.plans.is_empty() && self.stream_types.is_empty()
+        self.volumes.is_empty() && self.plans.is_empty() && self.request_classes.is_empty()
     }
 }
 
-/// All pools and routes, and the pool for each volume's and stream type's new objects.
+/// All pools and routes, and the pool for each volume's and request class's new objects.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Routes {
     /// The pool with number 1 and those after it.
     pub pools: Vec<Pool>,
     pub routes: Vec<Route>,
-    /// By place of the volume, then of the stream type; empty without routes.
+    /// By place of the volume, then of the request class; empty without routes.
     table: Vec<PoolId>,
-    stream_types: usize,
+    request_classes: usize,
 }
 
 impl Routes {
-    /// Where a volume's new object of that stream type may lie. Places are those of the deployment.
-    pub fn pool(&self, volume: usize, stream_type: StreamTypeId) -> PoolId {
-        self.table.get(volume * self.stream_types + stream_type.0).copied().unwrap_or(PoolId::ALL)
+    /// Where a volume's new object of that request class may lie. Places are those of the deployment.
+    pub fn pool(&self, volume: usize, request_class: RequestClassId) -> PoolId {
+        self.table.get(volume * self.request_classes + request_class.0).copied().unwrap_or(PoolId::ALL)
     }
 
     /// The pools that a node of that zone and kind is in, beside that of all.
@@ -78,7 +78,7 @@
 /// What routes are read against.
 pub struct Known<'a> {
     pub zones: &'a Names,
-    pub stream_types: &'a [NamedStreamType],
+    pub request_classes: &'a [NamedRequestClass],
     pub plans: &'a [NamedPlan],
     pub volumes: &'a [NamedVolume],
     pub nodes: &'a [NodePlace],
@@ -115,12 +115,12 @@
     n.iter_children().for_each(|c| r.only(c, usize::MAX, &[], &[]));
     let to = r.refer_at(n, "to", "pool", pools).unwrap_or_default();
     let plans: Names = known.plans.iter().map(|p| p.name.clone()).collect();
-    let types: Names = known.stream_types.iter().map(|s| s.name.clone()).collect();
-    let mut stream_types = BTreeSet::new();
+    let types: Names = known.request_classes.iter().map(|s| s.name.clone()).collect();
+    let mut request_classes = BTreeSet::new();
     for e in values(n, "stream-type") {
         let Some(place) = r.refer(e, "stream type", &types) else { continue };
-        stream_types.insert(place);
-        if !known.stream_types[place].write {
+        request_classes.insert(place);
+        if !known.request_classes[place].write {
             let message =
                 format!("\"{}\" is read where its data lies: no route leads it", types.list()[place]);
             r.warn("no-effect", message, e.span(), None);
@@ -142,7 +142,7 @@
             Err(why) => r.note("wrong-kind", format!("\"{text}\" is no pattern: {why}"), e.span(), None),
         }
     }
-    Route { to: PoolId(to), volumes, plans, stream_types }
+    Route { to: PoolId(to), volumes, plans, request_classes }
 }
 
 /// Reads pools and routes, and looks at whether they make sense together.
@@ -151,7 +151,7 @@
     let pools: Vec<Pool> = entries(document, "pool").map(|n| pool(r, n, known)).collect();
     let names: Names = std::iter::once(ALL.to_string()).chain(pools.iter().map(|p| p.name.clone())).collect();
     let routes: Vec<Route> = entries(document, "route").map(|n| route(r, n, &names, known)).collect();
-    let mut built = Routes { pools, routes, table: Vec::new(), stream_types: known.stream_types.len() };
+    let mut built = Routes { pools, routes, table: Vec::new(), request_classes: known.request_classes.len() };
     for (place, n) in entries(document, "pool").enumerate() {
         let nodes = known.nodes.iter().filter(|node| !node.spare);
         let p = &built.pools[place];
@@ -192,18 +192,18 @@
     let mut taken = vec![0usize; built.routes.len()];
     let mut instead: Vec<Option<usize>> = vec![None; built.routes.len()];
     for v in known.volumes {
-        for stream_type in 0..known.stream_types.len() {
-            let takes = built.routes.iter().enumerate().filter(|(_, route)| route.takes(v, stream_type));
+        for request_class in 0..known.request_classes.len() {
+            let takes = built.routes.iter().enumerate().filter(|(_, route)| route.takes(v, request_class));
             let mut takes = takes.map(|(place, _)| place);
             let first = takes.next();
             built.table.push(first.map_or(PoolId::ALL, |place| built.routes[place].to));
-            if let (Some(first), true) = (first, known.stream_types[stream_type].write) {
+            if let (Some(first), true) = (first, known.request_classes[request_class].write) {
                 taken[first] += 1;
                 takes.for_each(|later| _ = instead[later].get_or_insert(first));
             }
         }
     }
-    if r.noted() > before || known.volumes.is_empty() || !known.stream_types.iter().any(|s| s.write) {
+    if r.noted() > before || known.volumes.is_empty() || !known.request_classes.iter().any(|s| s.write) {
         return;
     }
     let places: Vec<_> = entries(document, "route").map(|n| n.span()).collect();
--- a/crates/configuration/tests/documents.rs
+++ b/crates/configuration/tests/documents.rs
@@ -1,7 +1,7 @@
 //! Sound and broken documents, with the place and the code that each must bring.
 
 use gullsail_configuration::*;
-use gullsail_interface::*;
+use gullsail_scheduler_api::*;
 
 const SOUND: &str = r#"
 zone "a"
@@ -22,16 +22,16 @@
 "#;
 
 #[test]
-fn a_sound_document_becomes_facts() {
+fn a_sound_document_becomes_config() {
     let d = parse("sound.kdl", SOUND).unwrap();
-    let f = d.facts(HostId(1));
-    assert_eq!((f.me, f.hosts, f.most_legs), (HostId(1), 2, 3));
-    assert_eq!((f.tick, f.cold.window), (Span::from_millis(20.0), Span::from_millis(1500.0)));
+    let f = d.config(HostId(1));
+    assert_eq!((f.me, f.hosts, f.max_attempts), (HostId(1), 2, 3));
+    assert_eq!((f.tick, f.slow_start.window), (Span::from_millis(20.0), Span::from_millis(1500.0)));
     assert_eq!(
-        f.stream_types[1].effect,
-        Effect::Keyed { group: Group::Cell, window: Span::from_millis(5000.0) }
+        f.request_classes[1].idempotency,
+        Idempotency::WithKey { group: IdempotencyScope::Shard, window: Span::from_millis(5000.0) }
     );
-    assert!(f.stream_types[1].in_order && d.stream_types[1].write);
+    assert!(f.request_classes[1].in_order && d.request_classes[1].write);
     assert_eq!(f.plans[0].limit.map(|l| (l.rate, l.burst)), Some((40.0, 64.0)));
     assert_eq!(*d.volumes[0].hosts, [HostId(0), HostId(1)]);
     assert_eq!(d.volumes[1].hosts.len(), 2, "none stated: all");
--- a/crates/configuration/tests/files.rs
+++ b/crates/configuration/tests/files.rs
@@ -343,26 +343,26 @@
     assert!(broken.starts_with("line "), "{broken}");
 }
 
-fn document(limit: u32, hosts: &str, cells: &str) -> String {
+fn document(limit: u32, hosts: &str, shards: &str) -> String {
     format!(
         "plan \"p\" limit=\"{limit}units/s\" burst=200 usual=\"60units/s\"\nstream-type \"r\" effect=\"repeatable\" slo=\"1s\" expiry=\"2s\"\n\
-         host \"h1\"\nhost \"h2\"\nhost \"h3\"\n{cells}volume \"v\" plan=\"p\" {{ hosts {hosts}; }}\n"
+         host \"h1\"\nhost \"h2\"\nhost \"h3\"\n{shards}volume \"v\" plan=\"p\" {{ hosts {hosts}; }}\n"
     )
 }
 
 #[test]
 fn a_diff_says_what_a_change_asks_for() {
-    let cells = "node \"n1\" cell=1\nnode \"n2\" cell=2\n";
-    let base = document(100, "\"h1\" \"h2\"", cells);
+    let shards = "node \"n1\" cell=1\nnode \"n2\" cell=2\n";
+    let base = document(100, "\"h1\" \"h2\"", shards);
     // the new document, what changed, its class
     let cases = [
         (base.clone(), vec![]),
-        (document(120, "\"h1\" \"h2\"", cells), vec![("plan \"p\"", "limit", Class::Safe)]),
-        (document(80, "\"h1\" \"h2\"", cells), vec![("plan \"p\"", "limit", Class::Safe)]),
-        (document(50, "\"h1\" \"h2\"", cells), vec![("plan \"p\"", "limit", Class::Dangerous)]),
-        (document(100, "\"h1\"", cells), vec![("volume \"v\"", "hosts", Class::Dangerous)]),
-        (document(100, "\"h1\" \"h2\" \"h3\"", cells), vec![("volume \"v\"", "hosts", Class::Safe)]),
-        (document(100, "\"h2\" \"h1\"", cells), vec![]),
+        (document(120, "\"h1\" \"h2\"", shards), vec![("plan \"p\"", "limit", Class::Safe)]),
+        (document(80, "\"h1\" \"h2\"", shards), vec![("plan \"p\"", "limit", Class::Safe)]),
+        (document(50, "\"h1\" \"h2\"", shards), vec![("plan \"p\"", "limit", Class::Dangerous)]),
+        (document(100, "\"h1\"", shards), vec![("volume \"v\"", "hosts", Class::Dangerous)]),
+        (document(100, "\"h1\" \"h2\" \"h3\"", shards), vec![("volume \"v\"", "hosts", Class::Safe)]),
+        (document(100, "\"h2\" \"h1\"", shards), vec![]),
         (
             document(100, "\"h1\" \"h2\"", "node \"n1\" cell=1\n"),
             vec![("node \"n2\"", "place", Class::Safe), ("cell 2", "nodes", Class::Dangerous)],
@@ -445,7 +445,7 @@
         let files: BTreeMap<_, _> = found.map(|p| (name(&p), read(&p))).collect();
         all.extend(firsts.into_iter().map(|first| (first.to_string(), Memory(files.clone()))));
     }
-    let days = root.join("crates/day/days");
+    let days = root.join("crates/scenario/days");
     let (fleet, many) = (read(&days.join("fleet.kdl")), read(&days.join("many.kdl")));
     let scripts = glob::glob(&days.join("*.kdl").to_string_lossy()).unwrap().flatten();
     for script in scripts.filter(|p| !p.ends_with("fleet.kdl") && !p.ends_with("many.kdl")) {
--- a/crates/configuration/tests/fuzz.rs
+++ b/crates/configuration/tests/fuzz.rs
@@ -58,7 +58,7 @@
     for _ in 0..3 {
         all.extend(texts(doubtful).map(|t| (t.to_string(), base)));
         all.push((include_str!("../../../examples/studio/studio-3.kdl").into(), ""));
-        all.push((include_str!("../../day/days/fleet.kdl").into(), ""));
+        all.push((include_str!("../../scenario/days/fleet.kdl").into(), ""));
     }
     all
 }
--- a/crates/links/tests/room.rs
+++ b/crates/connections/tests/room.rs
@@ -1,7 +1,7 @@
 //! Frames that wait to be handled are bounded in bytes over all links; who sends more waits, and goes on when there is room.
 
 use bytes::{Bytes, BytesMut};
-use gullsail_links::{Happened, Link, Room};
+use gullsail_connections::{Happened, Link, Room};
 use gullsail_protocol::*;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
--- a/crates/links/tests/until.rs
+++ b/crates/connections/tests/until.rs
@@ -1,6 +1,6 @@
 //! What is of no use any more is not written.
 
-use gullsail_links::{Happened, Link};
+use gullsail_connections::{Happened, Link};
 use gullsail_protocol::{Bounds, Frame, Message, Withdraw};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/fleet/src/parts.rs
+++ b/crates/fleet/src/allocation.rs
@@ -7,8 +7,8 @@
 //! clock, which ends before the ledger strikes it out, else its floor, which is always counted. So what is in use is at
 //! most what is counted, host by host, at any moment.
 
-use crate::terms::{Budget, Terms, WHOLE};
-use gullsail_interface::{HostId, Instant, VolumeId};
+use crate::config::{Budget, FleetConfig, WHOLE};
+use gullsail_scheduler_api::{HostId, Instant, VolumeId};
 use std::collections::BTreeMap;
 
 pub type Shares = BTreeMap<VolumeId, u32>;
@@ -38,14 +38,14 @@
 const MOST_GRANTS: usize = 16;
 
 impl Ledger {
-    pub fn new(terms: &Terms) -> Ledger {
+    pub fn new(terms: &FleetConfig) -> Ledger {
         let mut ledger = Ledger::default();
         ledger.retell(terms);
         ledger
     }
 
     /// The document has changed: floors and budgets are others.
-    pub fn retell(&mut self, terms: &Terms) {
+    pub fn retell(&mut self, terms: &FleetConfig) {
         self.sums = terms.budgets.iter().map(|(id, b)| (*id, b.floors())).collect();
         let hosts: Vec<_> = self.hosts.keys().copied().collect();
         // Each entry's most is counted anew, over the floors that the sums begin with.
@@ -73,7 +73,7 @@
         self.hosts.get(&host)?.granted.iter().map(|g| g.until).max()
     }
 
-    fn count(&mut self, terms: &Terms, host: HostId) {
+    fn count(&mut self, terms: &FleetConfig, host: HostId) {
         let Some(e) = self.hosts.get_mut(&host) else { return };
         let mut most = Shares::new();
         for (id, share) in e.granted.iter().flat_map(|g| &g.shares) {
@@ -94,7 +94,7 @@
         }
     }
 
-    pub fn grant(&mut self, terms: &Terms, host: HostId, serial: u64, until: Instant, shares: Shares) {
+    pub fn grant(&mut self, terms: &FleetConfig, host: HostId, serial: u64, until: Instant, shares: Shares) {
         let e = self.hosts.entry(host).or_default();
         if e.granted.len() >= MOST_GRANTS {
             // The two oldest as one that holds what either does.
@@ -111,7 +111,7 @@
     }
 
     /// The host holds by this one, so by none before it.
-    pub fn let_go(&mut self, terms: &Terms, host: HostId, before: u64) {
+    pub fn let_go(&mut self, terms: &FleetConfig, host: HostId, before: u64) {
         if let Some(e) = self.hosts.get_mut(&host) {
             e.granted.retain(|g| g.serial >= before);
             self.count(terms, host);
@@ -119,12 +119,12 @@
     }
 
     /// It said itself that it holds nothing and will not.
-    pub fn clear(&mut self, terms: &Terms, host: HostId) {
+    pub fn clear(&mut self, terms: &FleetConfig, host: HostId) {
         self.let_go(terms, host, u64::MAX);
     }
 
     /// Strikes out what is surely over.
-    pub fn expire(&mut self, terms: &Terms, now: Instant) {
+    pub fn expire(&mut self, terms: &FleetConfig, now: Instant) {
         let over = |e: &Entry| e.granted.iter().any(|g| g.until <= now);
         let hosts: Vec<_> = self.hosts.iter().filter(|(_, e)| over(e)).map(|(h, _)| *h).collect();
         for host in hosts {
@@ -145,7 +145,7 @@
 /// Of what goes by demand, this part goes evenly: who begins to ask has something to begin with.
 const EVEN: f64 = 0.1;
 
-/// What each member should have of a budget: its floor, then by what it asks. Where parts would hold no largest transfer,
+/// What each member should have of a budget: its floor, then by what it asks. Where parts would hold no largest request,
 /// as many as can have one, in turns.
 ///
 /// `asked`: by member, in any one measure; `kept`: what may be in use by others. The results sum to at most the whole
@@ -159,7 +159,7 @@
     let wanting: Vec<usize> = (0..asked.len()).filter(|p| asked[*p].1 > 0.0).collect();
     let needed: u64 = wanting.iter().map(|p| lacks(*p)).sum();
     if needed > rest {
-        // Too small to be split: some hold one largest transfer's part now, others next.
+        // Too small to be split: some hold one largest request's part now, others next.
         let begin = (turn % wanting.len() as u64) as usize;
         for place in wanting.iter().cycle().skip(begin).take(wanting.len()) {
             let lack = lacks(*place);
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/config.rs
@@ -1,7 +1,7 @@
 //! What all hosts of a fleet hold to, from the operator's document; and how long a lease lasts on either side of it.
 
-use crate::works::WorksTerms;
-use gullsail_interface::{HostId, Span, VolumeId};
+use crate::maintenance::MaintenanceConfig;
+use gullsail_scheduler_api::{HostId, Span, VolumeId};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -17,7 +17,7 @@
     pub floor: u32,
     /// Hosts that may still use a larger floor, or one at all, by a document from before.
     pub stragglers: BTreeMap<HostId, u32>,
-    /// The share that holds one largest transfer.
+    /// The share that holds one largest request.
     pub least: u32,
 }
 
@@ -40,8 +40,8 @@
 
 /// What all hosts hold to alike.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Terms {
-    /// The fleet's name, as a number: notes of another one are dropped.
+pub struct FleetConfig {
+    /// The fleet's name, as a number: messages of another one are dropped.
     pub fleet: u64,
     pub hosts: u32,
     /// What a granter waits, by its own clock, until a lease is surely over.
@@ -52,10 +52,10 @@
     pub voters: u32,
     pub budgets: BTreeMap<VolumeId, Budget>,
     /// Of machines out for work; `None`: there are no such orders.
-    pub works: Option<WorksTerms>,
+    pub maintenance: Option<MaintenanceConfig>,
 }
 
-impl Terms {
+impl FleetConfig {
     /// What a holder counts on, by its own clock, from before it asked.
     ///
     /// The holder's span takes at most `held / (1 - drift)` of true time, the granter's at least
--- a/crates/fleet/src/chair.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -4,10 +4,10 @@
 //! answered or one lease is over, grants each just what it says it holds. Within that time what an earlier coordinator
 //! granted is over: it was granted before this one was chosen, in answer to a question asked before.
 
+use crate::allocation::{Ledger, Shares, divide};
+use crate::config::{Budget, FleetConfig};
 use crate::lease::{Ballot, Who};
-use crate::parts::{Ledger, Shares, divide};
-use crate::terms::{Budget, Terms};
-use gullsail_interface::{HostId, Instant, VolumeId};
+use gullsail_scheduler_api::{HostId, Instant, VolumeId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -15,7 +15,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 #[repr(u32)]
-pub enum Standing {
+pub enum MemberState {
     Member = 1,
     /// Not heard for half of its lease; others are asked to reach it.
     Suspected = 2,
@@ -25,9 +25,9 @@
     Left = 4,
 }
 
-impl Standing {
-    pub fn of(number: u32) -> Option<Standing> {
-        [Standing::Member, Standing::Suspected, Standing::Out, Standing::Left]
+impl MemberState {
+    pub fn of(number: u32) -> Option<MemberState> {
+        [MemberState::Member, MemberState::Suspected, MemberState::Out, MemberState::Left]
             .into_iter()
             .find(|s| *s as u32 == number)
     }
@@ -35,10 +35,10 @@
 
 #[derive(Clone, Debug)]
 pub struct Seat {
-    pub life: u64,
-    pub standing: Standing,
+    pub incarnation: u64,
+    pub state: MemberState,
     pub heard: Instant,
-    /// The host that passed its last note on, where it does not reach this one by itself.
+    /// The host that passed its last message on, where it does not reach this one by itself.
     pub via: Option<HostId>,
     /// When what it may hold is over.
     pub until: Instant,
@@ -48,7 +48,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Chair {
+pub struct Coordinator {
     pub ballot: Ballot,
     pub epoch: u64,
     /// The first ballot of this term: who has not heard of it may still take what an earlier one granted.
@@ -94,9 +94,9 @@
 /// A part that differs by less than this part of itself is left as it is: it costs each host a look at all its volumes.
 const NEAR: f64 = 0.05;
 
-impl Chair {
-    pub fn new(terms: &Terms, ballot: Ballot, epoch: u64, now: Instant) -> Chair {
-        Chair {
+impl Coordinator {
+    pub fn new(terms: &FleetConfig, ballot: Ballot, epoch: u64, now: Instant) -> Coordinator {
+        Coordinator {
             ballot,
             epoch,
             first: ballot,
@@ -116,7 +116,7 @@
     }
 
     /// When what an earlier one granted is surely over.
-    pub fn settles(&self, terms: &Terms) -> Instant {
+    pub fn settles(&self, terms: &FleetConfig) -> Instant {
         self.since + terms.lease
     }
 
@@ -133,7 +133,7 @@
         all
     }
 
-    pub fn retell(&mut self, terms: &Terms) {
+    pub fn retell(&mut self, terms: &FleetConfig) {
         self.ledger.retell(terms);
         self.divided = None;
     }
@@ -144,18 +144,18 @@
     }
 
     /// Who is silent is suspected, then out; who is suspected newly comes back, to be asked through others.
-    pub fn advance(&mut self, terms: &Terms, now: Instant) -> Vec<HostId> {
+    pub fn advance(&mut self, terms: &FleetConfig, now: Instant) -> Vec<HostId> {
         self.ledger.expire(terms, now);
         let (mut suspects, mut out) = (Vec::new(), false);
         for (host, seat) in &mut self.seats {
             let silent = now - seat.heard;
-            match seat.standing {
-                Standing::Member if silent >= terms.lease.times(SUSPECT) => {
-                    seat.standing = Standing::Suspected;
+            match seat.state {
+                MemberState::Member if silent >= terms.lease.times(SUSPECT) => {
+                    seat.state = MemberState::Suspected;
                     suspects.push(*host);
                 }
-                Standing::Suspected if now >= seat.until => {
-                    seat.standing = Standing::Out;
+                MemberState::Suspected if now >= seat.until => {
+                    seat.state = MemberState::Out;
                     out = true;
                 }
                 _ => {}
@@ -175,24 +175,26 @@
     }
 
     /// A member asks.
-    pub fn renew(&mut self, terms: &Terms, r: Renewal, now: Instant) -> Answered {
-        let (host, life) = r.who;
+    pub fn renew(&mut self, terms: &FleetConfig, r: Renewal, now: Instant) -> Answered {
+        let (host, incarnation) = r.who;
         // Guards against what a member wrote before it heard of this term, late: it may have taken more from an earlier
         // coordinator since. Found by a drawn world. Harms nobody: it is asked again.
         if r.ballot < self.first {
             return Answered::Early;
         }
         let until = now + terms.lease;
-        let known = self.seats.get(&host).map(|s| (s.life, s.standing, s.until));
+        let known = self.seats.get(&host).map(|s| (s.incarnation, s.state, s.until));
         match known {
-            Some((other, Standing::Member | Standing::Suspected, until)) if other != life && now < until => {
+            Some((other, MemberState::Member | MemberState::Suspected, until))
+                if other != incarnation && now < until =>
+            {
                 // Guards against two processes under one name, each with a lease. Harms a host that was killed and is
                 // back within its lease: it waits for the rest of it.
                 return Answered::Fenced;
             }
-            Some((other, Standing::Member | Standing::Suspected, _)) if other == life => {
+            Some((other, MemberState::Member | MemberState::Suspected, _)) if other == incarnation => {
                 if let Some(seat) = self.seats.get_mut(&host) {
-                    (seat.standing, seat.heard, seat.via) = (Standing::Member, now, r.via);
+                    (seat.state, seat.heard, seat.via) = (MemberState::Member, now, r.via);
                     seat.asked = r.asked;
                 }
                 if r.serial > 0 {
@@ -202,8 +204,8 @@
             _ => {
                 // New here: what it says it holds was granted by an earlier coordinator, or it is out and holds nothing.
                 let seat = Seat {
-                    life,
-                    standing: Standing::Member,
+                    incarnation,
+                    state: MemberState::Member,
                     heard: now,
                     via: r.via,
                     until,
@@ -228,7 +230,7 @@
         Answered::Granted { serial: self.serial, shares }
     }
 
-    fn shares(&self, terms: &Terms, host: HostId) -> Shares {
+    fn shares(&self, terms: &FleetConfig, host: HostId) -> Shares {
         let held = self.seats.get(&host).map(|s| &s.held);
         let through = terms.budgets.iter().filter(|(_, b)| b.through.binary_search(&host).is_ok());
         let share = |(id, b): (&VolumeId, &Budget)| {
@@ -244,7 +246,7 @@
         through.map(share).collect()
     }
 
-    fn divide(&mut self, terms: &Terms, now: Instant) {
+    fn divide(&mut self, terms: &FleetConfig, now: Instant) {
         if self.divided.is_some_and(|at| now - at < terms.lease.times(DIVIDE)) || !self.settled {
             return;
         }
@@ -254,7 +256,7 @@
             let here = |h: &&HostId| {
                 self.seats
                     .get(h)
-                    .is_some_and(|s| matches!(s.standing, Standing::Member | Standing::Suspected))
+                    .is_some_and(|s| matches!(s.state, MemberState::Member | MemberState::Suspected))
             };
             let members: Vec<HostId> = b.through.iter().filter(here).copied().collect();
             let asks =
@@ -276,18 +278,18 @@
     }
 
     /// It holds nothing any more and goes.
-    pub fn leave(&mut self, terms: &Terms, who: Who) {
-        if let Some(seat) = self.seats.get_mut(&who.0).filter(|s| s.life == who.1) {
-            seat.standing = Standing::Left;
+    pub fn leave(&mut self, terms: &FleetConfig, who: Who) {
+        if let Some(seat) = self.seats.get_mut(&who.0).filter(|s| s.incarnation == who.1) {
+            seat.state = MemberState::Left;
             self.ledger.clear(terms, who.0);
             self.turn_epoch();
         }
     }
 
     /// Hosts that were never heard of, or not since a document changed: to be asked.
-    pub fn unheard(&self, terms: &Terms) -> Vec<HostId> {
+    pub fn unheard(&self, terms: &FleetConfig) -> Vec<HostId> {
         let here = |h: &HostId| {
-            self.seats.get(h).is_some_and(|s| matches!(s.standing, Standing::Member | Standing::Suspected))
+            self.seats.get(h).is_some_and(|s| matches!(s.state, MemberState::Member | MemberState::Suspected))
         };
         terms.everyone().filter(|h| !here(h)).collect()
     }
--- a/crates/fleet/src/lag.rs
+++ b/crates/fleet/src/delayed_increase.rs
@@ -1,20 +1,20 @@
 //! A part that counts work within a window, and not a store of tokens: who gives some up may have used it just now, so who
 //! gains it may use it only a window later. What is lost is lost at once.
 
-use gullsail_interface::{Instant, Span};
+use gullsail_scheduler_api::{Instant, Span};
 use std::collections::VecDeque;
 
 /// The least that was held at any moment of the last window.
 #[derive(Clone, Debug)]
-pub struct Lag {
+pub struct DelayedIncrease {
     window: Span,
     /// Since when what was held, as far back as it counts; each is larger than those before it.
     held: VecDeque<(Instant, u32)>,
 }
 
-impl Lag {
-    pub fn new(window: Span) -> Lag {
-        Lag { window, held: VecDeque::new() }
+impl DelayedIncrease {
+    pub fn new(window: Span) -> DelayedIncrease {
+        DelayedIncrease { window, held: VecDeque::new() }
     }
 
     /// So much is held from now on; what may be used of it now, and when that is looked at again at the latest.
@@ -51,9 +51,9 @@
             (2800, 400, 400, None),
         ];
         let ms = |ms: i64| Instant::from_micros(ms * 1000);
-        let mut lag = Lag::new(Span::from_millis(1000.0));
+        let mut delayed_increase = DelayedIncrease::new(Span::from_millis(1000.0));
         for (at, share, used, next) in cases {
-            assert_eq!(lag.hold(share, ms(at)), (used, next.map(ms)), "at {at}");
+            assert_eq!(delayed_increase.hold(share, ms(at)), (used, next.map(ms)), "at {at}");
         }
     }
 }
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -1,6 +1,6 @@
 //! What this host is asked for, by budget: a decaying sum, so that a quiet host's part shrinks within seconds.
 
-use gullsail_interface::{Instant, Span, VolumeId};
+use gullsail_scheduler_api::{Instant, Span, VolumeId};
 use std::collections::BTreeMap;
 
 /// What was asked counts half after this: a surge shows within one lease, and a gap of some hundred ms is none.
@@ -18,7 +18,7 @@
 impl Demand {
     pub fn add(&mut self, budget: VolumeId, units: f64, now: Instant) {
         let (sum, at) = self.0.entry(budget).or_insert((0.0, now));
-        // Fading is looked at some times in a half-life: a power for each transfer would cost more than all else here.
+        // Fading is looked at some times in a half-life: a power for each request would cost more than all else here.
         if now - *at < HALF.times(0.01) {
             *sum += units;
             return;
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,25 +1,25 @@
 //! One host's part in the fleet: [`Fleet::handle`] takes what happened, [`Fleet::advance`] plays what is due,
 //! [`Fleet::outputs`] says whom to tell what. No clock, no socket; chance from a seed. What a host may use at some point
-//! is [`Fleet::share`], and [`Fleet::changed`] tells that it differs from before. Deciding is in `deciding`, what notes
-//! say and lead to in `notes`.
+//! is [`Fleet::share`], and [`Fleet::changed`] tells that it differs from before. Deciding is in `deciding`, what messages
+//! say and lead to in `messages`.
 
-mod deciding;
-mod notes;
-mod working;
+mod coordination;
+mod maintenance;
+mod messages;
 
-pub use working::Answer;
+pub use maintenance::Answer;
 
-use crate::chair::{Answered, Chair, Renewal, Standing};
+use crate::allocation::Shares;
+use crate::config::{FleetConfig, WHOLE};
+use crate::coordinator::{Answered, Coordinator, MemberState, Renewal};
 use crate::demand::Demand;
-use crate::holder::Holder;
 use crate::lease::{Ballot, Bid, Office, Vote, Voter, tick};
-use crate::parts::Shares;
+use crate::lease_holder::Holder;
+use crate::maintenance::coordinator::MaintenanceCoordinator;
+use crate::maintenance::{Line, ServerId, Servers};
 use crate::status::{BudgetStatus, Counts, MemberStatus, Status};
-use crate::terms::{Terms, WHOLE};
-use crate::works::foreman::Foreman;
-use crate::works::{Line, MachineId, Machines};
-use gullsail_interface::{HostId, Instant, Span, VolumeId};
-use gullsail_protocol::{FleetMember, FleetNote, FleetPart, FleetWhat, FleetWord};
+use gullsail_protocol::{FleetCommand, FleetMember, FleetMessage, FleetPart, FleetWhat};
+use gullsail_scheduler_api::{HostId, Instant, Span, VolumeId};
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,30 +27,30 @@
 use std::sync::Arc;
 use tracing::{info, warn};
 
-/// Of these rules; notes by others are dropped.
+/// Of these rules; messages by others are dropped.
 pub const RULES: u32 = 1;
 
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A note came on the link of this host.
-    Note { link: HostId, note: FleetNote },
+    /// A message came on the link of this host.
+    Message { link: HostId, message: FleetMessage },
     /// Clients ask for so much of a budget.
     Asked { budget: VolumeId, units: f64 },
     /// Another document.
-    Terms(Arc<Terms>),
+    Config(Arc<FleetConfig>),
     /// All is answered: nothing is used any more.
     Leave,
-    /// Machines as this host sees them, and those that it let go of: no leg, no connection.
-    Sees { machines: Machines, let_go: BTreeSet<MachineId> },
+    /// Machines as this host sees them, and those that it let go of: no attempt, no connection.
+    Sees { servers: Servers, let_go: BTreeSet<ServerId> },
     /// An operator's word; what it comes to is among [`Fleet::answers`] under this number.
-    Word { number: u64, word: FleetWord },
+    OperatorCommand { number: u64, command: FleetCommand },
 }
 
 /// To be told to a host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Output {
     pub to: HostId,
-    pub note: FleetNote,
+    pub message: FleetMessage,
 }
 
 /// How far leaving has come.
@@ -65,13 +65,13 @@
 #[derive(Clone, Debug)]
 pub struct Fleet {
     me: HostId,
-    life: u64,
-    terms: Arc<Terms>,
+    incarnation: u64,
+    terms: Arc<FleetConfig>,
     rng: ChaCha8Rng,
     now: Instant,
     voter: Voter,
     office: Office,
-    chair: Option<Chair>,
+    chair: Option<Coordinator>,
     holder: Holder,
     demand: Demand,
     epoch: u64,
@@ -80,13 +80,13 @@
     fenced: bool,
     going: Going,
     ask_at: Instant,
-    /// When there is something to do again, unless a note comes.
+    /// When there is something to do again, unless a message comes.
     due: Instant,
     out: Vec<Output>,
-    own: VecDeque<FleetNote>,
+    own: VecDeque<FleetMessage>,
     changed: bool,
-    works: working::Works,
-    foreman: Option<Foreman>,
+    maintenance: maintenance::Maintenance,
+    maintenance_coordinator: Option<MaintenanceCoordinator>,
     dropped: BTreeMap<&'static str, u64>,
     counts: Counts,
 }
@@ -95,17 +95,17 @@
 const ASK: f64 = 0.5;
 
 impl Fleet {
-    /// `life` and `seed` are drawn anew for each life of a host.
-    pub fn new(terms: Arc<Terms>, me: HostId, life: u64, seed: u64, now: Instant) -> Fleet {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ life);
+    /// `incarnation` and `seed` are drawn anew for each incarnation of a host.
+    pub fn new(terms: Arc<FleetConfig>, me: HostId, incarnation: u64, seed: u64, now: Instant) -> Fleet {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ incarnation);
         let voter = Voter::new(&terms, now);
         let wait = terms.office().times(rng.random_range(0.0..0.5));
-        // Rounds begin at the clock's milliseconds: past those of earlier lives, unless clocks are far off. Nothing rests
-        // on it: a voter takes one ballot of one life alone.
+        // Rounds begin at the clock's milliseconds: past those of earlier incarnations, unless clocks are far off. Nothing rests
+        // on it: a voter takes one ballot of one incarnation alone.
         let office = Office::new(me, (now.micros() / 1000).max(0) as u64, voter.mute_until() + wait);
         Fleet {
             me,
-            life,
+            incarnation,
             rng,
             now,
             voter,
@@ -122,8 +122,8 @@
             out: Vec::new(),
             own: VecDeque::new(),
             changed: false,
-            works: working::Works::default(),
-            foreman: None,
+            maintenance: maintenance::Maintenance::default(),
+            maintenance_coordinator: None,
             dropped: BTreeMap::new(),
             counts: Counts::default(),
             terms,
@@ -166,7 +166,8 @@
 
     /// Hosts that count for nothing but their floor: out, or gone as they said, by the newest word of a coordinator.
     pub fn out(&self) -> impl Iterator<Item = HostId> {
-        let out = |m: &&FleetMember| matches!(Standing::of(m.standing), Some(Standing::Out | Standing::Left));
+        let out =
+            |m: &&FleetMember| matches!(MemberState::of(m.state), Some(MemberState::Out | MemberState::Left));
         self.members.iter().filter(out).map(|m| HostId(m.host))
     }
 
@@ -181,12 +182,12 @@
             self.due = now;
         }
         match event {
-            Event::Note { link, note } => {
-                self.counts.notes_in += 1;
-                self.note(link, note);
+            Event::Message { link, message } => {
+                self.counts.messages_in += 1;
+                self.message(link, message);
             }
             Event::Asked { budget, units } => self.demand.add(budget, units, now),
-            Event::Terms(terms) => {
+            Event::Config(terms) => {
                 self.terms = terms;
                 if let Some(chair) = &mut self.chair {
                     chair.retell(&self.terms);
@@ -200,10 +201,12 @@
                 self.say_leave();
             }
             Event::Leave => {}
-            Event::Sees { machines, let_go } => (self.works.sees, self.works.let_go) = (machines, let_go),
-            Event::Word { number, word } => self.worded(number, word),
+            Event::Sees { servers, let_go } => {
+                (self.maintenance.sees, self.maintenance.let_go) = (servers, let_go)
+            }
+            Event::OperatorCommand { number, command } => self.command_finished(number, command),
         }
-        self.own_notes();
+        self.own_messages();
     }
 
     /// Plays what is due. Between two points that are due it costs next to nothing.
@@ -219,13 +222,13 @@
         } else {
             self.bid();
             self.decide();
-            self.say_words();
+            self.say_commands();
             let question = self.holder.question(&self.terms, now, &mut self.rng);
             if let Some((number, detour)) = question {
                 self.renew(number, detour);
             }
         }
-        self.own_notes();
+        self.own_messages();
         self.due = self.soonest();
     }
 
@@ -249,7 +252,7 @@
         if let Going::Said(until) = self.going {
             next = next.min(until);
         }
-        self.works_next().into_iter().fold(next, Instant::min)
+        self.maintenance_next().into_iter().fold(next, Instant::min)
     }
 
     /// First of all, whatever happened: what is over by this clock is over. A process that stood still sees it here,
@@ -262,10 +265,10 @@
             warn!(member = self.me.0, epoch = self.epoch, "lease is over: floors count until there is one");
         }
         if self.chair.is_some() && self.office.held(self.now).is_none() {
-            (self.chair, self.foreman) = (None, None);
+            (self.chair, self.maintenance_coordinator) = (None, None);
             warn!(member = self.me.0, epoch = self.epoch, "no longer coordinator: its lease is over");
         }
-        self.works_turn();
+        self.maintenance_turn();
     }
 
     // Seeking and keeping the lease on deciding.
@@ -276,7 +279,7 @@
             return;
         }
         let live = self.voter.live(self.now);
-        let busy = live.filter(|(who, _)| *who != (self.me, self.life)).map(|(_, until)| until);
+        let busy = live.filter(|(who, _)| *who != (self.me, self.incarnation)).map(|(_, until)| until);
         if let Some(bid) = self.office.advance(&self.terms, busy, self.now, &mut self.rng) {
             self.tell_voters(bid);
         }
@@ -288,13 +291,14 @@
             Bid::Propose(ballot, number) => (FleetWhat::Propose, ballot, number),
         };
         for voter in self.terms.voters().collect::<Vec<_>>() {
-            let note = FleetNote { number, round: ballot.round, by: ballot.by, ..self.blank(what, voter, 0) };
-            self.tell(note, None);
+            let message =
+                FleetMessage { number, round: ballot.round, by: ballot.by, ..self.blank(what, voter, 0) };
+            self.tell(message, None);
         }
     }
 
-    fn voted(&mut self, n: &FleetNote, link: HostId) {
-        let (ballot, who) = (Ballot { round: n.round, by: n.by }, (HostId(n.from), n.from_life));
+    fn voted(&mut self, n: &FleetMessage, link: HostId) {
+        let (ballot, who) = (Ballot { round: n.round, by: n.by }, (HostId(n.from), n.from_incarnation));
         self.office.heard_of(ballot);
         let vote = if n.what() == FleetWhat::Prepare {
             self.voter.prepare(ballot, who, self.now)
@@ -307,11 +311,11 @@
             Vote::Promised { taken } => (FleetWhat::Promise, ballot, u64::from(taken)),
             Vote::Accepted => (FleetWhat::Accept, ballot, n.number),
         };
-        let note = FleetNote { round: of.round, by: of.by, number, ..self.blank(what, who.0, who.1) };
-        self.tell(note, Some(link));
+        let message = FleetMessage { round: of.round, by: of.by, number, ..self.blank(what, who.0, who.1) };
+        self.tell(message, Some(link));
     }
 
-    fn chosen(&mut self, n: &FleetNote) {
+    fn chosen(&mut self, n: &FleetMessage) {
         let ballot = Ballot { round: n.round, by: n.by };
         if !self.office.accepted(&self.terms, HostId(n.from), (ballot, n.number), self.now) {
             return;
@@ -329,8 +333,9 @@
                     round = ballot.round,
                     "coordinator from now on"
                 );
-                self.chair = Some(Chair::new(&self.terms, ballot, self.epoch, self.now));
-                self.foreman = Some(Foreman::new(ballot, self.works.line.clone(), self.now));
+                self.chair = Some(Coordinator::new(&self.terms, ballot, self.epoch, self.now));
+                self.maintenance_coordinator =
+                    Some(MaintenanceCoordinator::new(ballot, self.maintenance.line.clone(), self.now));
                 self.ask_at = self.now;
                 self.decide();
             }
@@ -355,7 +360,7 @@
             parts.entry(id).or_insert_with(|| empty(id)).asked = asked as f32;
         }
         let ballot = self.holder.ballot();
-        let note = FleetNote {
+        let message = FleetMessage {
             number,
             serial,
             round: ballot.round,
@@ -363,29 +368,29 @@
             parts: parts.into_values().collect(),
             ..self.blank(FleetWhat::Renew, coordinator, 0)
         };
-        let note = self.works_renewal(note);
+        let message = self.maintenance_renewal(message);
         if detour {
             for via in self.helpers(coordinator) {
-                self.tell(note.clone(), Some(via));
+                self.tell(message.clone(), Some(via));
             }
         }
-        self.tell(note, None);
+        self.tell(message, None);
     }
 
-    fn asked(&mut self, n: &FleetNote, link: HostId) {
+    fn asked(&mut self, n: &FleetMessage, link: HostId) {
         let ballot = Ballot { round: n.round, by: n.by };
         if !self.holder.asked_by(HostId(n.from), ballot, self.now) {
             // It may be a later one whose voters all forgot: it goes on above what is told it here.
             let known = self.holder.ballot();
-            let note = self.blank(FleetWhat::Refuse, HostId(n.from), n.from_life);
-            self.tell(FleetNote { round: known.round, by: known.by, ..note }, Some(link));
+            let message = self.blank(FleetWhat::Refuse, HostId(n.from), n.from_incarnation);
+            self.tell(FleetMessage { round: known.round, by: known.by, ..message }, Some(link));
             return self.drop("of an earlier coordinator");
         }
         let number = self.holder.ask(self.now);
         self.renew(number, link.0 != n.from);
     }
 
-    fn granted(&mut self, n: &FleetNote) {
+    fn granted(&mut self, n: &FleetMessage) {
         let shares: Shares = n.parts.iter().map(part).collect();
         let ballot = Ballot { round: n.round, by: n.by };
         let before: Vec<u32> = self.terms.budgets.keys().map(|b| self.share(*b)).collect();
@@ -395,7 +400,7 @@
         if std::mem::take(&mut self.fenced) {
             info!(member = self.me.0, "this process holds its name now");
         }
-        self.works_granted(n);
+        self.maintenance_granted(n);
         if n.epoch > self.epoch || !n.members.is_empty() {
             self.epoch = n.epoch.max(self.epoch);
             if !n.members.is_empty() {
@@ -411,13 +416,16 @@
     fn resign(&mut self) -> bool {
         let Some((ballot, _)) = self.office.held(self.now) else { return false };
         self.office.resign();
-        (self.chair, self.foreman) = (None, None);
+        (self.chair, self.maintenance_coordinator) = (None, None);
         for voter in self.terms.voters().filter(|v| *v != self.me).collect::<Vec<_>>() {
-            let note =
-                FleetNote { round: ballot.round, by: ballot.by, ..self.blank(FleetWhat::Release, voter, 0) };
-            self.tell(note, None);
+            let message = FleetMessage {
+                round: ballot.round,
+                by: ballot.by,
+                ..self.blank(FleetWhat::Release, voter, 0)
+            };
+            self.tell(message, None);
         }
-        self.voter.release((self.me, self.life));
+        self.voter.release((self.me, self.incarnation));
         true
     }
 
@@ -429,8 +437,8 @@
         }
         match self.holder.coordinator() {
             Some(coordinator) => {
-                let note = self.blank(FleetWhat::Leave, coordinator, 0);
-                self.tell(note, None);
+                let message = self.blank(FleetWhat::Leave, coordinator, 0);
+                self.tell(message, None);
             }
             None => self.going = Going::Gone,
         }
--- a/crates/fleet/src/fleet/deciding.rs
+++ b/crates/fleet/src/fleet/coordination.rs
@@ -23,41 +23,42 @@
             }
         }
         self.follow_chair();
-        self.decide_works();
+        self.decide_maintenance();
     }
 
     /// Two others, drawn anew each time, that may reach whom this host does not.
     pub(super) fn helpers(&mut self, of: HostId) -> Vec<HostId> {
-        let others = self.members.iter().map(|m| (HostId(m.host), Standing::of(m.standing)));
-        let well = others.filter(|(h, s)| *h != of && *h != self.me && *s == Some(Standing::Member));
+        let others = self.members.iter().map(|m| (HostId(m.host), MemberState::of(m.state)));
+        let well = others.filter(|(h, s)| *h != of && *h != self.me && *s == Some(MemberState::Member));
         well.map(|w| w.0).choose_multiple(&mut self.rng, 2)
     }
 
     pub(super) fn ask(&mut self, host: HostId, ballot: Ballot, via: Option<HostId>) {
-        let note = FleetNote { round: ballot.round, by: ballot.by, ..self.blank(FleetWhat::Ask, host, 0) };
-        self.tell(note, via);
+        let message =
+            FleetMessage { round: ballot.round, by: ballot.by, ..self.blank(FleetWhat::Ask, host, 0) };
+        self.tell(message, via);
     }
 
-    /// What this host knows of members is what its own chair knows.
+    /// What this host knows of members is what its own coordinator knows.
     pub(super) fn follow_chair(&mut self) {
         let Some(chair) = &self.chair else { return };
         let moved = chair.epoch != self.epoch;
         self.epoch = chair.epoch;
-        let of = |(h, s): (&HostId, &crate::chair::Seat)| FleetMember {
+        let of = |(h, s): (&HostId, &crate::coordinator::Seat)| FleetMember {
             host: h.0,
-            life: s.life,
-            standing: s.standing as u32,
+            incarnation: s.incarnation,
+            state: s.state as u32,
         };
         self.members = chair.seats.iter().map(of).collect();
         if moved {
             self.changed = true;
-            let here = chair.seats.values().filter(|s| s.standing == Standing::Member).count();
+            let here = chair.seats.values().filter(|s| s.state == MemberState::Member).count();
             info!(epoch = self.epoch, members = here, "membership");
         }
     }
 
-    pub(super) fn renewed(&mut self, n: &FleetNote, link: HostId) {
-        let who = (HostId(n.from), n.from_life);
+    pub(super) fn renewed(&mut self, n: &FleetMessage, link: HostId) {
+        let who = (HostId(n.from), n.from_incarnation);
         if self.chair.is_some() && !self.may_join(who) {
             return self.drop("of a machine that is out for work");
         }
@@ -71,30 +72,30 @@
         let answered = chair.renew(&self.terms, renewal, self.now);
         let ballot = chair.ballot;
         self.follow_chair();
-        let note = match answered {
+        let message = match answered {
             Answered::Early => return self.ask(who.0, ballot, via),
             Answered::Fenced => {
-                warn!(member = who.0.0, life = who.1, "refused: another process holds this name");
+                warn!(member = who.0.0, incarnation = who.1, "refused: another process holds this name");
                 self.blank(FleetWhat::Fence, who.0, who.1)
             }
             Answered::Granted { serial, shares } => {
                 self.counts.granted += 1;
-                let works = self.works_renewed(n);
+                let maintenance = self.maintenance_renewed(n);
                 let parts =
                     shares.iter().map(|(id, share)| FleetPart { budget: id.0, share: *share, asked: 0.0 });
                 // Who belongs is told to those that do not know it yet.
                 let members = if knows == self.epoch { Vec::new() } else { self.members.clone() };
-                FleetNote {
+                FleetMessage {
                     serial,
                     parts: parts.collect(),
                     members,
-                    works,
+                    maintenance,
                     ..self.blank(FleetWhat::Grant, who.0, who.1)
                 }
             }
         };
-        let note = FleetNote { number: n.number, round: ballot.round, by: ballot.by, ..note };
-        self.tell(note, Some(link));
+        let message = FleetMessage { number: n.number, round: ballot.round, by: ballot.by, ..message };
+        self.tell(message, Some(link));
     }
 
     pub fn status(&self) -> Status {
@@ -104,8 +105,8 @@
             let seat = chair.and_then(|c| c.seats.get(&HostId(m.host)));
             Some(MemberStatus {
                 host: m.host,
-                life: m.life,
-                standing: Standing::of(m.standing)?,
+                incarnation: m.incarnation,
+                state: MemberState::of(m.state)?,
                 heard_ms: seat.map(|s| (self.now - s.heard).millis()),
                 via: seat.and_then(|s| s.via).map(|v| v.0),
                 over_ms: seat.map(|s| left(s.until)),
--- a/crates/fleet/src/fleet/notes.rs
+++ b/crates/fleet/src/fleet/messages.rs
@@ -1,36 +1,36 @@
-//! Notes of hosts to each other: what is written on each, which are dropped and why, and who reads what.
+//! Messages of hosts to each other: what is written on each, which are dropped and why, and who reads what.
 
 use super::*;
-use gullsail_protocol::FleetWorks;
+use gullsail_protocol::FleetMaintenance;
 
 impl Fleet {
-    pub(super) fn blank(&self, what: FleetWhat, to: HostId, to_life: u64) -> FleetNote {
-        FleetNote {
+    pub(super) fn blank(&self, what: FleetWhat, to: HostId, to_incarnation: u64) -> FleetMessage {
+        FleetMessage {
             fleet: self.terms.fleet,
             rules: RULES,
             what: what as i32,
             from: self.me.0,
-            from_life: self.life,
+            from_incarnation: self.incarnation,
             to: to.0,
-            to_life,
+            to_incarnation,
             epoch: self.epoch,
-            ..FleetNote::default()
+            ..FleetMessage::default()
         }
     }
 
-    pub(super) fn tell(&mut self, note: FleetNote, via: Option<HostId>) {
-        if note.to == self.me.0 {
-            return self.own.push_back(note);
+    pub(super) fn tell(&mut self, message: FleetMessage, via: Option<HostId>) {
+        if message.to == self.me.0 {
+            return self.own.push_back(message);
         }
-        let to = via.filter(|v| *v != self.me).unwrap_or(HostId(note.to));
-        self.counts.notes_out += 1;
-        self.out.push(Output { to, note });
+        let to = via.filter(|v| *v != self.me).unwrap_or(HostId(message.to));
+        self.counts.messages_out += 1;
+        self.out.push(Output { to, message });
     }
 
     /// What is told to oneself is heard in the same step; each answer leads one stage further, so this ends.
-    pub(super) fn own_notes(&mut self) {
-        while let Some(note) = self.own.pop_front() {
-            self.read(self.me, note);
+    pub(super) fn own_messages(&mut self) {
+        while let Some(message) = self.own.pop_front() {
+            self.read(self.me, message);
         }
     }
 
@@ -38,20 +38,21 @@
         *self.dropped.entry(why).or_default() += 1;
     }
 
-    pub(super) fn note(&mut self, link: HostId, note: FleetNote) {
+    pub(super) fn message(&mut self, link: HostId, message: FleetMessage) {
         let known = |h: u32| h < self.terms.hosts;
         let sound = |p: &FleetPart| p.share <= WHOLE && p.asked.is_finite() && p.asked >= 0.0;
-        let line = |w: &FleetWorks| w.line.as_ref().is_none_or(|l| Line::read(l, self.now).is_some());
-        let works = |w: &FleetWorks| line(w) && w.served.is_finite() && w.served >= 0.0;
-        let wrong = if note.rules != RULES {
+        let line = |w: &FleetMaintenance| w.line.as_ref().is_none_or(|l| Line::read(l, self.now).is_some());
+        let maintenance = |w: &FleetMaintenance| line(w) && w.served.is_finite() && w.served >= 0.0;
+        let wrong = if message.rules != RULES {
             Some("of other rules")
-        } else if note.fleet != self.terms.fleet {
+        } else if message.fleet != self.terms.fleet {
             Some("of another fleet")
-        } else if !known(note.from) || !known(note.to) || !known(link.0) {
+        } else if !known(message.from) || !known(message.to) || !known(link.0) {
             Some("of an unknown host")
-        } else if note.from == self.me.0 {
+        } else if message.from == self.me.0 {
             Some("of another process with this host's name")
-        } else if !note.parts.iter().all(sound) || !note.works.as_deref().is_none_or(works) {
+        } else if !message.parts.iter().all(sound) || !message.maintenance.as_deref().is_none_or(maintenance)
+        {
             Some("with figures that make no sense")
         } else {
             None
@@ -59,28 +60,28 @@
         if let Some(why) = wrong {
             return self.drop(why);
         }
-        if note.to != self.me.0 {
+        if message.to != self.me.0 {
             // Passed on once, from who wrote it.
-            if link.0 != note.from {
+            if link.0 != message.from {
                 return self.drop("passed on twice");
             }
             self.counts.passed_on += 1;
-            return self.out.push(Output { to: HostId(note.to), note });
+            return self.out.push(Output { to: HostId(message.to), message });
         }
-        if note.to_life != 0 && note.to_life != self.life {
+        if message.to_incarnation != 0 && message.to_incarnation != self.incarnation {
             return self.drop("for an earlier process of this name");
         }
-        self.read(link, note);
+        self.read(link, message);
     }
 
-    pub(super) fn read(&mut self, link: HostId, n: FleetNote) {
+    pub(super) fn read(&mut self, link: HostId, n: FleetMessage) {
         let ballot = Ballot { round: n.round, by: n.by };
         let voter = self.terms.is_voter(self.me);
         match n.what() {
             FleetWhat::Prepare | FleetWhat::Propose if voter && self.going == Going::No => {
                 self.voted(&n, link)
             }
-            FleetWhat::Release if voter => self.voter.release((HostId(n.from), n.from_life)),
+            FleetWhat::Release if voter => self.voter.release((HostId(n.from), n.from_incarnation)),
             FleetWhat::Promise => {
                 self.epoch = self.epoch.max(n.epoch);
                 let from = HostId(n.from);
@@ -94,18 +95,18 @@
             FleetWhat::Ask if self.going == Going::No => self.asked(&n, link),
             // What was said of leaving was lost, or there was nobody yet who decides.
             FleetWhat::Ask if matches!(self.going, Going::Said(_)) => {
-                let note = self.blank(FleetWhat::Leave, HostId(n.from), n.from_life);
-                self.tell(note, Some(link));
+                let message = self.blank(FleetWhat::Leave, HostId(n.from), n.from_incarnation);
+                self.tell(message, Some(link));
             }
             FleetWhat::Renew => self.renewed(&n, link),
             FleetWhat::Grant if self.going == Going::No => self.granted(&n),
             FleetWhat::Leave => {
                 if let Some(chair) = &mut self.chair {
-                    chair.leave(&self.terms, (HostId(n.from), n.from_life));
-                    self.foreman.iter_mut().for_each(|f| f.left(HostId(n.from)));
+                    chair.leave(&self.terms, (HostId(n.from), n.from_incarnation));
+                    self.maintenance_coordinator.iter_mut().for_each(|f| f.left(HostId(n.from)));
                     self.follow_chair();
-                    let note = self.blank(FleetWhat::Left, HostId(n.from), n.from_life);
-                    self.tell(note, Some(link));
+                    let message = self.blank(FleetWhat::Left, HostId(n.from), n.from_incarnation);
+                    self.tell(message, Some(link));
                 }
             }
             FleetWhat::Left if matches!(self.going, Going::Said(_)) => self.going = Going::Gone,
@@ -115,8 +116,8 @@
                 self.holder.let_go();
                 self.changed = true;
             }
-            FleetWhat::Word => self.word_heard(&n, link),
-            FleetWhat::Heard => self.word_answered(&n),
+            FleetWhat::OperatorCommand => self.command_heard(&n, link),
+            FleetWhat::Heard => self.command_answered(&n),
             FleetWhat::Unknown => self.drop("of an unknown kind"),
             _ => self.drop("out of place"),
         }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -6,12 +6,12 @@
 //! the first: it either names the live lease in its promise, or its entry is over and so is the belief. A promise also
 //! shuts out lower ballots, so a proposal from before cannot be accepted by a majority afterwards.
 //!
-//! **A newborn voter** remembers no promise of its earlier life. It is mute for two leases: for that long a ballot that
+//! **A newborn voter** remembers no promise of its earlier incarnation. It is mute for two leases: for that long a ballot that
 //! was prepared before its end can still be proposed and believed in, and no longer, for who prepared gives a ballot up
 //! after one lease, and a proposal is believed for one.
 
-use crate::terms::Terms;
-use gullsail_interface::{HostId, Instant, Span};
+use crate::config::FleetConfig;
+use gullsail_scheduler_api::{HostId, Instant, Span};
 use rand::Rng;
 use std::collections::BTreeSet;
 
@@ -22,7 +22,7 @@
     pub by: u32,
 }
 
-/// Who asks, in which of its lives.
+/// Who asks, in which of its incarnations.
 pub type Who = (HostId, u64);
 
 #[derive(Clone, Debug)]
@@ -34,7 +34,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Vote {
-    /// Newly born: what the earlier life promised is not known.
+    /// Newly born: what the earlier incarnation promised is not known.
     Mute,
     /// A later ballot is promised.
     Refused(Ballot),
@@ -46,7 +46,7 @@
 }
 
 impl Voter {
-    pub fn new(terms: &Terms, now: Instant) -> Voter {
+    pub fn new(terms: &FleetConfig, now: Instant) -> Voter {
         Voter { promised: Default::default(), accepted: None, mute_until: now + terms.office().times(2.0) }
     }
 
@@ -59,13 +59,13 @@
         self.accepted.filter(|a| now < a.2).map(|a| (a.1, a.2))
     }
 
-    /// The same ballot of another life is not the same.
-    fn passed(&self, ballot: Ballot, life: u64) -> bool {
-        ballot < self.promised.0 || (ballot == self.promised.0 && life != self.promised.1)
+    /// The same ballot of another incarnation is not the same.
+    fn passed(&self, ballot: Ballot, incarnation: u64) -> bool {
+        ballot < self.promised.0 || (ballot == self.promised.0 && incarnation != self.promised.1)
     }
 
     pub fn prepare(&mut self, ballot: Ballot, who: Who, now: Instant) -> Vote {
-        // Guards against a promise of the earlier life that is forgotten: a proposal it had shut out could be accepted.
+        // Guards against a promise of the earlier incarnation that is forgotten: a proposal it had shut out could be accepted.
         // Harms where most voters start at once: nobody is chosen for two leases.
         if now < self.mute_until {
             return Vote::Mute;
@@ -82,7 +82,7 @@
         Vote::Promised { taken: false }
     }
 
-    pub fn propose(&mut self, terms: &Terms, ballot: Ballot, who: Who, now: Instant) -> Vote {
+    pub fn propose(&mut self, terms: &FleetConfig, ballot: Ballot, who: Who, now: Instant) -> Vote {
         if now < self.mute_until {
             return Vote::Mute;
         }
@@ -128,7 +128,7 @@
 }
 
 impl Office {
-    /// `round`: where to begin; past those of earlier lives, mostly.
+    /// `round`: where to begin; past those of earlier incarnations, mostly.
     pub fn new(me: HostId, round: u64, from: Instant) -> Office {
         Office { me, stage: Stage::Idle, held: None, round, next: from, proposals: 0 }
     }
@@ -149,7 +149,7 @@
     /// `busy`: until when somebody else's lease is known to be live.
     pub fn advance(
         &mut self,
-        terms: &Terms,
+        terms: &FleetConfig,
         busy: Option<Instant>,
         now: Instant,
         rng: &mut impl Rng,
@@ -186,7 +186,7 @@
 
     pub fn promised(
         &mut self,
-        terms: &Terms,
+        terms: &FleetConfig,
         from: HostId,
         of: Ballot,
         taken: bool,
@@ -220,7 +220,7 @@
     }
 
     /// Whether this one made it the holder, or kept it one.
-    pub fn accepted(&mut self, terms: &Terms, from: HostId, of: (Ballot, u64), now: Instant) -> bool {
+    pub fn accepted(&mut self, terms: &FleetConfig, from: HostId, of: (Ballot, u64), now: Instant) -> bool {
         let Stage::Proposing { ballot, number, sent, accepted } = &mut self.stage else { return false };
         let until = *sent + terms.office_held();
         // Guards against late acceptances: a lease is renewed by the same ballot, and one that was accepted before would
@@ -272,6 +272,6 @@
 const SEEK: std::ops::Range<f64> = 0.1..0.5;
 
 /// How often whoever decides must look, while nothing happens.
-pub fn tick(terms: &Terms) -> Span {
+pub fn tick(terms: &FleetConfig) -> Span {
     terms.office().times(RENEW / 2.0)
 }
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/lease_holder.rs
@@ -1,9 +1,9 @@
 //! The member's side: what this host holds, from whom, and until when by its own clock.
 
+use crate::allocation::Shares;
+use crate::config::FleetConfig;
 use crate::lease::Ballot;
-use crate::parts::Shares;
-use crate::terms::Terms;
-use gullsail_interface::{HostId, Instant, Span, VolumeId};
+use gullsail_scheduler_api::{HostId, Instant, Span, VolumeId};
 use rand::Rng;
 use std::collections::VecDeque;
 
@@ -89,7 +89,7 @@
     }
 
     /// The next question, if it is time for one: its number, and whether others are to pass it on.
-    pub fn question(&mut self, terms: &Terms, now: Instant, rng: &mut impl Rng) -> Option<(u64, bool)> {
+    pub fn question(&mut self, terms: &FleetConfig, now: Instant, rng: &mut impl Rng) -> Option<(u64, bool)> {
         if now < self.next {
             return None;
         }
@@ -116,7 +116,7 @@
     /// An answer: what is held by from now on, counted from when the question went out. Whether it is taken.
     pub fn granted(
         &mut self,
-        terms: &Terms,
+        terms: &FleetConfig,
         (by, serial): (Ballot, u64),
         number: u64,
         shares: Shares,
--- a/crates/fleet/src/works.rs
+++ b/crates/fleet/src/maintenance.rs
@@ -1,37 +1,37 @@
 //! Machines out for work: which goes, when, and that it may be switched off. [`line`](self::Line) is what all hosts know
-//! alike, with a version that one coordinator at a time counts on; [`choose`] says who may go next; [`foreman`] is the
+//! alike, with a version that one coordinator at a time counts on; [`selection`] says who may go next; [`maintenance_coordinator`] is the
 //! coordinator's side; what a host may send to is [`may_use`]. The whole argument is in docs/works.md.
 //!
 //! **Why nothing is sent to a machine that is out.** A host sends to a machine only while it has heard a line, and
 //! either holds a lease and knows no order by which the machine has left, or has lost its lease less than `blind` ago and
-//! knows no order for it at all. `Out` is decided only when every host of the document has said, in this life, that it
+//! knows no order for it at all. `Out` is decided only when every host of the document has said, in this incarnation, that it
 //! let go; or it left; or its last lease is over, with `blind` on top unless it had said that it knows the order. And a
 //! majority of all hosts must have said that they know that the machine leaves: a later coordinator takes over the newest
 //! line of a majority that has memory, so it knows too.
 
-pub mod choose;
-pub mod foreman;
+pub mod coordinator;
+pub mod selection;
 
 use crate::lease::Ballot;
-use gullsail_interface::{Instant, Span};
 use gullsail_protocol::{FleetLine, FleetOrder};
+use gullsail_scheduler_api::{Instant, Span};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// A storage node or a host, by its name's number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct MachineId(pub u64);
+pub struct ServerId(pub u64);
 
 /// The document's `works` entry.
 #[derive(Clone, Debug, PartialEq)]
-pub struct WorksTerms {
+pub struct MaintenanceConfig {
     /// Machines away at once: in all, in a zone, in a pool. One that failed by itself counts.
     pub at_once: u32,
     pub in_zone: u32,
     pub in_pool: u32,
-    /// The least part of the nodes' capacity that stays, overall and of the holders of a cell.
+    /// The least part of the nodes' capacity that stays, overall and of the holders of a shard.
     pub keep: f64,
-    pub keep_cell: f64,
+    pub keep_shard: f64,
     /// What stays may be so busy by what is served now, as a part of what it can.
     pub busy: f64,
     /// How long a machine may be away, unless its order says otherwise.
@@ -44,7 +44,7 @@
     pub rests: Vec<(u32, u32)>,
 }
 
-impl WorksTerms {
+impl MaintenanceConfig {
     /// What a host counts on of `blind`, by a clock that may run unevenly.
     pub fn blind_held(&self, drift: f64) -> Span {
         self.blind.times((1.0 - drift) / (1.0 + drift))
@@ -56,31 +56,37 @@
 #[serde(rename_all = "kebab-case")]
 #[repr(u32)]
 pub enum Stage {
-    Asked = 1,
+    #[serde(rename = "asked")]
+    Requested = 1,
     /// A majority of the hosts knows of it: it goes when the terms allow.
-    Cleared = 2,
-    Leaving = 3,
+    #[serde(rename = "cleared")]
+    Approved = 2,
+    #[serde(rename = "leaving")]
+    Draining = 3,
     /// No host sends to it any more; it is not told to be out before a majority knows that, so that no later coordinator
     /// can take it back.
-    LetGo = 4,
+    #[serde(rename = "let-go")]
+    Drained = 4,
     /// It may be switched off.
-    Out = 5,
+    #[serde(rename = "out")]
+    Offline = 5,
     /// Out for longer than it may be.
     Overdue = 6,
-    Back = 7,
+    #[serde(rename = "back")]
+    Returning = 7,
     Done = 8,
     Cancelled = 9,
 }
 
 impl Stage {
     pub const ALL: [Stage; 9] = [
-        Stage::Asked,
-        Stage::Cleared,
-        Stage::Leaving,
-        Stage::LetGo,
-        Stage::Out,
+        Stage::Requested,
+        Stage::Approved,
+        Stage::Draining,
+        Stage::Drained,
+        Stage::Offline,
         Stage::Overdue,
-        Stage::Back,
+        Stage::Returning,
         Stage::Done,
         Stage::Cancelled,
     ];
@@ -91,12 +97,12 @@
 
     /// No host may send to the machine.
     pub fn barred(self) -> bool {
-        matches!(self, Stage::Leaving | Stage::LetGo | Stage::Out | Stage::Overdue)
+        matches!(self, Stage::Draining | Stage::Drained | Stage::Offline | Stage::Overdue)
     }
 
     /// It counts as away on purpose.
     pub fn away(self) -> bool {
-        self.barred() || self == Stage::Back
+        self.barred() || self == Stage::Returning
     }
 
     pub fn open(self) -> bool {
@@ -111,7 +117,7 @@
 /// One machine's order. What it waits for is told beside it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
-    pub machine: MachineId,
+    pub server: ServerId,
     /// Counted by coordinators: the place in line.
     pub number: u64,
     pub stage: Stage,
@@ -121,8 +127,8 @@
     pub age: Span,
     pub as_of: Instant,
     pub longest: Span,
-    /// Its cell may be without a holder meanwhile.
-    pub cell_away: bool,
+    /// Its shard may be without a holder meanwhile.
+    pub shard_away: bool,
     /// It is back as soon as it has started anew; else an operator says so.
     pub returns: bool,
     pub reason: String,
@@ -132,7 +138,7 @@
     /// So many that came later have gone before it.
     pub passed: u32,
     /// The process that goes: another one of its name has started anew.
-    pub life: u64,
+    pub incarnation: u64,
 }
 
 impl Order {
@@ -159,8 +165,8 @@
 }
 
 /// Units a second that a host serves, among what it is asked for.
-pub const SERVED: gullsail_interface::VolumeId = gullsail_interface::VolumeId(u64::MAX - 3);
-/// Open orders at most: a note with all of them stays below the bound of a frame.
+pub const SERVED: gullsail_scheduler_api::VolumeId = gullsail_scheduler_api::VolumeId(u64::MAX - 3);
+/// Open orders at most: a message with all of them stays below the bound of a frame.
 pub const MOST_ORDERS: usize = 1024;
 /// Of what is written for people.
 const MOST_TEXT: usize = 200;
@@ -179,8 +185,8 @@
 
 impl Line {
     /// The newest order for a machine.
-    pub fn order(&self, machine: MachineId) -> Option<&Order> {
-        self.orders.iter().rev().find(|o| o.machine == machine)
+    pub fn order(&self, server: ServerId) -> Option<&Order> {
+        self.orders.iter().rev().find(|o| o.server == server)
     }
 
     pub fn open(&self) -> impl Iterator<Item = &Order> {
@@ -189,19 +195,19 @@
 
     pub fn written(&self, now: Instant) -> FleetLine {
         let order = |o: &Order| FleetOrder {
-            machine: o.machine.0,
+            server: o.server.0,
             number: o.number,
             stage: o.stage as u32,
             version: o.version,
             age_ms: ms(o.aged(now)),
             longest_ms: ms(o.longest),
-            cell_away: o.cell_away,
+            shard_away: o.shard_away,
             returns: o.returns,
             reason: o.reason.clone(),
             waits: o.waits.clone(),
             hosts: o.hosts.clone(),
             passed: o.passed,
-            life: o.life,
+            incarnation: o.incarnation,
         };
         FleetLine {
             round: self.at.ballot.round,
@@ -217,20 +223,20 @@
         let order = |o: &FleetOrder| {
             let stage = Stage::of(o.stage)?;
             Some(Order {
-                machine: MachineId(o.machine),
+                server: ServerId(o.server),
                 number: o.number,
                 stage,
                 version: o.version,
                 age: of_ms(o.age_ms),
                 as_of: now,
                 longest: of_ms(o.longest_ms),
-                cell_away: o.cell_away,
+                shard_away: o.shard_away,
                 returns: o.returns,
                 reason: text(&o.reason),
                 waits: text(&o.waits),
                 hosts: o.hosts.clone(),
                 passed: o.passed,
-                life: o.life,
+                incarnation: o.incarnation,
             })
         };
         let sound = l.count > 0 && l.orders.len() <= 2 * MOST_ORDERS;
@@ -243,16 +249,16 @@
 /// May a host send to a machine, by the line it knows and its lease? `lost`: since when it has none; `None`: it has one.
 pub fn may_use(
     line: Option<&Line>,
-    terms: &WorksTerms,
+    terms: &MaintenanceConfig,
     drift: f64,
     lost: Option<Instant>,
-    machine: MachineId,
+    server: ServerId,
     now: Instant,
 ) -> bool {
     // Guards against a newborn that knows of nobody's order. Harms where all hosts start at once: none sends to any
     // machine until a coordinator has told the line.
     let Some(line) = line else { return false };
-    let order = line.order(machine).map(|o| o.stage).filter(|s| s.open());
+    let order = line.order(server).map(|o| o.stage).filter(|s| s.open());
     match lost {
         None => order.is_none_or(|s| !s.barred()),
         // Guards against orders that were given since. Harms hosts that nobody decides for: they serve nothing after it.
@@ -262,25 +268,25 @@
 
 /// What a host knows of a machine, by its own eyes.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Seen {
-    pub what: What,
+pub struct ServerObservation {
+    pub what: ServerRole,
     pub zone: u32,
     /// It serves: ready by the list and connected here; of a host it is the coordinator who knows.
     pub well: bool,
     /// The process that runs there, as far as it is known; 0: not. Of a node, for how long.
-    pub life: u64,
+    pub incarnation: u64,
     pub up: Span,
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum What {
+pub enum ServerRole {
     /// What it can do, in units a second, and the pool (its kind) that it is in.
     Node {
-        cell: i64,
+        shard: i64,
         pool: u64,
         can: f64,
     },
     Host(u32),
 }
 
-pub type Machines = BTreeMap<MachineId, Seen>;
+pub type Servers = BTreeMap<ServerId, ServerObservation>;
--- a/crates/fleet/src/works/foreman.rs
+++ b/crates/fleet/src/maintenance/coordinator.rs
@@ -1,22 +1,24 @@
 //! The coordinator's side of works, for as long as it decides: takes over the newest line that a majority knows, hears who
 //! let go of what, and moves each order from stage to stage. It owns no state either: all of the line is known by others.
 
-use super::choose::{Now, never, next};
-use super::{Line, LineAt, MOST_ORDERS, MachineId, Machines, Order, Stage, What, WorksTerms, text};
+use super::selection::{Now, never, next};
+use super::{
+    Line, LineAt, MOST_ORDERS, MaintenanceConfig, Order, ServerId, ServerRole, Servers, Stage, text,
+};
+use crate::config::FleetConfig;
 use crate::lease::Ballot;
-use crate::terms::Terms;
-use gullsail_interface::{HostId, Instant, Span};
-use gullsail_protocol::FleetWord;
+use gullsail_protocol::FleetCommand;
+use gullsail_scheduler_api::{HostId, Instant, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a host may still send to, as far as is known here.
 #[derive(Clone, Debug)]
 struct Sends {
     /// Of the process that holds the name: it was granted a lease last then; what line it knows; what it let go of.
-    life: u64,
+    incarnation: u64,
     granted: Instant,
     knows: Option<LineAt>,
-    let_go: BTreeSet<MachineId>,
+    let_go: BTreeSet<ServerId>,
     left: bool,
     served: f64,
     /// Other processes of its name may send until then.
@@ -26,9 +28,9 @@
 /// What a host said with its renewal.
 pub struct Heard {
     pub host: HostId,
-    pub life: u64,
+    pub incarnation: u64,
     pub knows: Option<LineAt>,
-    pub let_go: BTreeSet<MachineId>,
+    pub let_go: BTreeSet<ServerId>,
     /// Since it was granted its first lease, by its own clock.
     pub member_for: Span,
     /// Units a second.
@@ -41,26 +43,26 @@
     /// It counts, whoever decides next: a majority knows.
     Taken,
     /// All of it: for this machine, and why.
-    Refused(MachineId, String),
+    Refused(ServerId, String),
     /// Not yet: to be asked again.
     Later,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WordKind {
+pub enum CommandKind {
     Out = 1,
     Back = 2,
     Cancel = 3,
 }
 
-impl WordKind {
-    pub fn of(number: u32) -> Option<WordKind> {
-        [WordKind::Out, WordKind::Back, WordKind::Cancel].into_iter().find(|k| *k as u32 == number)
+impl CommandKind {
+    pub fn of(number: u32) -> Option<CommandKind> {
+        [CommandKind::Out, CommandKind::Back, CommandKind::Cancel].into_iter().find(|k| *k as u32 == number)
     }
 }
 
 #[derive(Clone, Debug)]
-pub struct Foreman {
+pub struct MaintenanceCoordinator {
     since: Instant,
     ballot: Ballot,
     /// The line's count when it first had this ballot: who knows that one knows all before it.
@@ -82,10 +84,10 @@
 /// What is over is shown for so long.
 const SHOWN: Span = Span::from_micros(120_000_000);
 
-impl Foreman {
+impl MaintenanceCoordinator {
     /// `own`: the line that this host knows, if it knows one.
-    pub fn new(ballot: Ballot, own: Option<Line>, now: Instant) -> Foreman {
-        Foreman {
+    pub fn new(ballot: Ballot, own: Option<Line>, now: Instant) -> MaintenanceCoordinator {
+        MaintenanceCoordinator {
             since: now,
             ballot,
             first: 0,
@@ -110,14 +112,14 @@
     }
 
     /// Hosts whose word is not heard are taken to be granted a lease by an earlier coordinator just before this one.
-    fn unheard(&self, t: &Terms, w: &WorksTerms) -> Instant {
+    fn unheard(&self, t: &FleetConfig, w: &MaintenanceConfig) -> Instant {
         self.since + t.lease + w.blind
     }
 
-    pub fn heard(&mut self, t: &Terms, w: &WorksTerms, h: Heard, now: Instant) {
+    pub fn heard(&mut self, t: &FleetConfig, w: &MaintenanceConfig, h: Heard, now: Instant) {
         let unheard = self.unheard(t, w);
         let fresh = Sends {
-            life: h.life,
+            incarnation: h.incarnation,
             granted: now,
             knows: None,
             let_go: BTreeSet::new(),
@@ -128,7 +130,7 @@
         };
         let others = |s: &Sends| s.others.max(if s.left { now } else { s.granted + t.lease + w.blind });
         let s = self.sends.entry(h.host).or_insert(fresh.clone());
-        if s.life != h.life {
+        if s.incarnation != h.incarnation {
             *s = Sends { others: others(s), ..fresh };
         }
         (s.knows, s.let_go, s.left, s.served) = (h.knows, h.let_go, false, h.served);
@@ -145,7 +147,7 @@
     }
 
     /// Units a second, by all hosts that were heard within a lease.
-    pub fn served(&self, t: &Terms, now: Instant) -> f64 {
+    pub fn served(&self, t: &FleetConfig, now: Instant) -> f64 {
         self.sends.values().filter(|s| !s.left && now - s.granted < t.lease).map(|s| s.served).sum()
     }
 
@@ -153,7 +155,7 @@
         self.sends.entry(host).and_modify(|s| s.left = true);
     }
 
-    fn majority(t: &Terms) -> usize {
+    fn majority(t: &FleetConfig) -> usize {
         t.hosts as usize / 2 + 1
     }
 
@@ -163,18 +165,24 @@
         self.sends.values().filter(|s| s.knows.is_some_and(|k| k >= at)).count()
     }
 
-    fn committed(&self, t: &Terms, count: u64) -> bool {
+    fn committed(&self, t: &FleetConfig, count: u64) -> bool {
         self.known(count) >= Self::majority(t)
     }
 
     /// Did it say that it uses the machine no more? Of an order from before, that it may have used since, it says nothing.
     fn said(&self, s: &Sends, o: &Order) -> bool {
         let leaving = LineAt { ballot: self.ballot, count: o.version };
-        s.left || s.knows.is_some_and(|k| k >= leaving) && s.let_go.contains(&o.machine)
+        s.left || s.knows.is_some_and(|k| k >= leaving) && s.let_go.contains(&o.server)
     }
 
     /// Until when a host may still send to a machine that leaves by this order; `None`: no longer, as it said itself.
-    fn sends_until(&self, t: &Terms, w: &WorksTerms, host: HostId, o: &Order) -> Option<Instant> {
+    fn sends_until(
+        &self,
+        t: &FleetConfig,
+        w: &MaintenanceConfig,
+        host: HostId,
+        o: &Order,
+    ) -> Option<Instant> {
         let Some(s) = self.sends.get(&host) else { return Some(self.unheard(t, w)) };
         // Who knows a line of this one's with the order in it uses the machine no longer than its lease lasts.
         let count = if o.number >> COUNTS == self.ballot.round { o.number & ((1 << COUNTS) - 1) } else { 0 };
@@ -191,17 +199,17 @@
         Some(line.at.count)
     }
 
-    fn turn(&mut self, machine: MachineId, stage: Stage, now: Instant) {
+    fn turn(&mut self, server: ServerId, stage: Stage, now: Instant) {
         let Some(count) = self.change() else { return };
         let orders = self.line.iter_mut().flat_map(|l| &mut l.orders);
-        if let Some(o) = orders.rev().find(|o| o.machine == machine) {
+        if let Some(o) = orders.rev().find(|o| o.server == server) {
             (o.stage, o.version, o.age, o.as_of) = (stage, count, Span::ZERO, now);
             o.waits.clear();
         }
     }
 
     /// The newest line that a majority knows is this one's from now on.
-    fn adopt(&mut self, t: &Terms, settled: bool) {
+    fn adopt(&mut self, t: &FleetConfig, settled: bool) {
         if self.line.is_some() || !settled {
             return;
         }
@@ -224,8 +232,8 @@
     /// Plays what is due. `settled`: whoever decides has taken over.
     pub fn advance(
         &mut self,
-        t: &Terms,
-        w: &WorksTerms,
+        t: &FleetConfig,
+        w: &MaintenanceConfig,
         now: Instant,
         stands: &Now,
         ballot: Ballot,
@@ -240,20 +248,20 @@
         let Some(line) = &self.line else { return };
         let before = line.at.count;
         let hosts: Vec<HostId> = t.everyone().collect();
-        let mut moves: Vec<(MachineId, Stage)> = Vec::new();
-        let mut says: Vec<(MachineId, String, Vec<u32>)> = Vec::new();
+        let mut moves: Vec<(ServerId, Stage)> = Vec::new();
+        let mut says: Vec<(ServerId, String, Vec<u32>)> = Vec::new();
         for o in line.open() {
-            let seen = stands.machines.get(&o.machine);
+            let seen = stands.servers.get(&o.server);
             let well = seen.is_some_and(|s| match s.what {
-                What::Node { .. } => s.well,
-                What::Host(h) => stands.members.contains(&h),
+                ServerRole::Node { .. } => s.well,
+                ServerRole::Host(h) => stands.members.contains(&h),
             });
             match o.stage {
-                Stage::Asked if self.committed(t, o.version) => moves.push((o.machine, Stage::Cleared)),
-                Stage::Asked => says.push((o.machine, "most hosts do not know of it yet".into(), vec![])),
-                Stage::Leaving => {
-                    let host =
-                        seen.and_then(|s| if let What::Host(h) = s.what { Some(HostId(h)) } else { None });
+                Stage::Requested if self.committed(t, o.version) => moves.push((o.server, Stage::Approved)),
+                Stage::Requested => says.push((o.server, "most hosts do not know of it yet".into(), vec![])),
+                Stage::Draining => {
+                    let host = seen
+                        .and_then(|s| if let ServerRole::Host(h) = s.what { Some(HostId(h)) } else { None });
                     // A host that leaves holds nothing once it said so; of a node all hosts must let go.
                     let whose = host.map_or(hosts.clone(), |h| vec![h]);
                     let until: Vec<_> = whose
@@ -265,34 +273,36 @@
                     let said = |h: &HostId| self.sends.get(h).is_some_and(|s| self.said(s, o));
                     let expired: Vec<u32> = whose.iter().filter(|h| !said(h)).map(|h| h.0).collect();
                     if waits.is_empty() {
-                        moves.push((o.machine, Stage::LetGo));
-                        says.push((o.machine, String::new(), expired));
+                        moves.push((o.server, Stage::Drained));
+                        says.push((o.server, String::new(), expired));
                     } else {
-                        says.push((o.machine, "hosts have not let go".into(), waits));
+                        says.push((o.server, "hosts have not let go".into(), waits));
                     }
                 }
-                Stage::LetGo if self.committed(t, o.version) => {
-                    moves.push((o.machine, Stage::Out));
-                    says.push((o.machine, String::new(), o.hosts.clone()));
+                Stage::Drained if self.committed(t, o.version) => {
+                    moves.push((o.server, Stage::Offline));
+                    says.push((o.server, String::new(), o.hosts.clone()));
                 }
-                Stage::LetGo => {
-                    says.push((o.machine, "most hosts do not know of it yet".into(), o.hosts.clone()));
+                Stage::Drained => {
+                    says.push((o.server, "most hosts do not know of it yet".into(), o.hosts.clone()));
                 }
-                Stage::Out | Stage::Overdue => {
+                Stage::Offline | Stage::Overdue => {
                     // One that started before it was out, and of which that is heard late, is not back from work.
-                    let since = if o.stage == Stage::Out { o.aged(now) } else { o.longest + o.aged(now) };
-                    let anew = seen.is_some_and(|s| s.life != 0 && s.life != o.life && s.up < since) && well;
+                    let since = if o.stage == Stage::Offline { o.aged(now) } else { o.longest + o.aged(now) };
+                    let anew = seen.is_some_and(|s| {
+                        s.incarnation != 0 && s.incarnation != o.incarnation && s.up < since
+                    }) && well;
                     if o.returns && anew {
-                        moves.push((o.machine, Stage::Back));
-                    } else if o.stage == Stage::Out && o.aged(now) >= o.longest {
-                        moves.push((o.machine, Stage::Overdue));
+                        moves.push((o.server, Stage::Returning));
+                    } else if o.stage == Stage::Offline && o.aged(now) >= o.longest {
+                        moves.push((o.server, Stage::Overdue));
                     }
                 }
-                Stage::Back if o.aged(now) >= w.watched => {
+                Stage::Returning if o.aged(now) >= w.watched => {
                     if well {
-                        moves.push((o.machine, Stage::Done));
+                        moves.push((o.server, Stage::Done));
                     } else {
-                        says.push((o.machine, "it does not serve since it is back".into(), vec![]));
+                        says.push((o.server, "it does not serve since it is back".into(), vec![]));
                     }
                 }
                 _ => {}
@@ -300,25 +310,25 @@
         }
         // A host that died while it left and is back has to leave again.
         let anew = |o: &&Order| {
-            let life = stands
-                .machines
-                .get(&o.machine)
-                .filter(|s| matches!(s.what, What::Host(_)))
-                .map_or(0, |s| s.life);
-            o.stage == Stage::Leaving && life != 0 && o.life != life
+            let incarnation = stands
+                .servers
+                .get(&o.server)
+                .filter(|s| matches!(s.what, ServerRole::Host(_)))
+                .map_or(0, |s| s.incarnation);
+            o.stage == Stage::Draining && incarnation != 0 && o.incarnation != incarnation
         };
         let again: Vec<_> =
-            line.open().filter(anew).map(|o| (o.number, stands.machines[&o.machine].life)).collect();
+            line.open().filter(anew).map(|o| (o.number, stands.servers[&o.server].incarnation)).collect();
         let over = |o: &Order| !o.stage.open() && o.aged(now) >= SHOWN;
         let drop: Vec<u64> = line.orders.iter().filter(|o| over(o)).map(|o| o.number).collect();
-        for (machine, stage) in moves {
-            self.turn(machine, stage, now);
+        for (server, stage) in moves {
+            self.turn(server, stage, now);
         }
         if !again.is_empty() {
             self.change();
-            for (number, life) in again {
+            for (number, incarnation) in again {
                 let orders = self.line.iter_mut().flat_map(|l| &mut l.orders);
-                orders.filter(|o| o.number == number).for_each(|o| o.life = life);
+                orders.filter(|o| o.number == number).for_each(|o| o.incarnation = incarnation);
             }
         }
         if !drop.is_empty() {
@@ -328,13 +338,13 @@
         let Some(line) = &self.line else { return };
         let (goes, waits) = next(line, w, stands);
         says.extend(waits.into_iter().map(|(m, why)| (m, why, vec![])));
-        if let Some(machine) = goes {
-            let life = stands.machines.get(&machine).map_or(0, |s| s.life);
-            let number = line.order(machine).map_or(0, |o| o.number);
-            self.turn(machine, Stage::Leaving, now);
+        if let Some(server) = goes {
+            let incarnation = stands.servers.get(&server).map_or(0, |s| s.incarnation);
+            let number = line.order(server).map_or(0, |o| o.number);
+            self.turn(server, Stage::Draining, now);
             for o in self.line.iter_mut().flat_map(|l| &mut l.orders) {
-                o.passed += u32::from(o.stage == Stage::Cleared && o.number < number);
-                o.life = if o.machine == machine { life } else { o.life };
+                o.passed += u32::from(o.stage == Stage::Approved && o.number < number);
+                o.incarnation = if o.server == server { incarnation } else { o.incarnation };
             }
         }
         let moved = self.line.as_ref().is_some_and(|l| l.at.count != before);
@@ -342,16 +352,16 @@
     }
 
     /// What orders wait for is part of the line, but a change of it alone makes no new one as often as hosts come and go.
-    fn say(&mut self, says: Vec<(MachineId, String, Vec<u32>)>, moved: bool, t: &Terms, now: Instant) {
+    fn say(&mut self, says: Vec<(ServerId, String, Vec<u32>)>, moved: bool, t: &FleetConfig, now: Instant) {
         // A new version goes to all hosts: with hundreds that let go one by one it would at each of their renewals.
         if !moved && now - self.said < t.lease.times(SAY) {
             return;
         }
         self.said = now;
         let mut changed = false;
-        for (machine, waits, hosts) in says {
+        for (server, waits, hosts) in says {
             let orders = self.line.iter_mut().flat_map(|l| &mut l.orders);
-            if let Some(o) = orders.rev().find(|o| o.machine == machine) {
+            if let Some(o) = orders.rev().find(|o| o.server == server) {
                 changed |= o.waits != waits || o.hosts != hosts;
                 (o.waits, o.hosts) = (text(&waits), hosts);
             }
@@ -363,49 +373,50 @@
 
     /// May this process of a host be a member? While it leaves it must hear so; once it has left, only another one may, where
     /// that is how it comes back.
-    pub fn may_join(&self, machine: MachineId, life: u64) -> bool {
-        let order = self.line.as_ref().and_then(|l| l.order(machine));
+    pub fn may_join(&self, server: ServerId, incarnation: u64) -> bool {
+        let order = self.line.as_ref().and_then(|l| l.order(server));
         order.is_none_or(|o| match o.stage {
-            Stage::Leaving => true,
-            s => !s.barred() || o.returns && o.life != life,
+            Stage::Draining => true,
+            s => !s.barred() || o.returns && o.incarnation != incarnation,
         })
     }
 
     /// An operator's word. The same word again changes nothing, through whichever host it comes.
-    pub fn word(
+    pub fn command(
         &mut self,
-        t: &Terms,
-        w: &WorksTerms,
-        word: &FleetWord,
-        machines: &Machines,
+        t: &FleetConfig,
+        w: &MaintenanceConfig,
+        command: &FleetCommand,
+        servers: &Servers,
         now: Instant,
     ) -> Said {
-        let (Some(kind), Some(line)) = (WordKind::of(word.kind), &self.line) else { return Said::Later };
-        let named: Vec<MachineId> = word.machines.iter().map(|m| MachineId(*m)).collect();
+        let (Some(kind), Some(line)) = (CommandKind::of(command.kind), &self.line) else {
+            return Said::Later;
+        };
+        let named: Vec<ServerId> = command.servers.iter().map(|m| ServerId(*m)).collect();
         // All or nothing.
         for m in &named {
             let order = line.order(*m).filter(|o| o.stage.open());
             let refused = match (kind, order.map(|o| o.stage)) {
-                (_, _) if !machines.contains_key(m) => {
+                (_, _) if !servers.contains_key(m) => {
                     Some("no such machine is known to whoever decides".to_string())
                 }
-                (WordKind::Out, None) => never(w, machines, *m),
-                (WordKind::Back, None) | (WordKind::Cancel, None) => {
+                (CommandKind::Out, None) => never(w, servers, *m),
+                (CommandKind::Back, None) | (CommandKind::Cancel, None) => {
                     let done = line.order(*m).map(|o| o.stage);
                     match (kind, done) {
-                        (WordKind::Back, Some(Stage::Done)) | (WordKind::Cancel, Some(Stage::Cancelled)) => {
-                            None
-                        }
+                        (CommandKind::Back, Some(Stage::Done))
+                        | (CommandKind::Cancel, Some(Stage::Cancelled)) => None,
                         _ => Some("there is no order for it".into()),
                     }
                 }
-                (WordKind::Back, Some(s)) if s < Stage::LetGo => {
+                (CommandKind::Back, Some(s)) if s < Stage::Drained => {
                     Some("it is not out yet: `cancel` takes its order back".into())
                 }
-                (WordKind::Cancel, Some(s)) if s >= Stage::LetGo => {
+                (CommandKind::Cancel, Some(s)) if s >= Stage::Drained => {
                     Some("it is out already: `back` says that it is back".into())
                 }
-                (WordKind::Cancel, Some(Stage::Leaving)) if self.is_host(machines, *m) => {
+                (CommandKind::Cancel, Some(Stage::Draining)) if self.is_host(servers, *m) => {
                     Some("this host is leaving already, and will be out".into())
                 }
                 _ => None,
@@ -415,7 +426,7 @@
             }
         }
         let new = named.iter().filter(|m| line.order(**m).is_none_or(|o| !o.stage.open())).count();
-        if kind == WordKind::Out && line.open().count() + new > MOST_ORDERS {
+        if kind == CommandKind::Out && line.open().count() + new > MOST_ORDERS {
             return Said::Refused(named[0], format!("more than {MOST_ORDERS} orders would be open"));
         }
         let mut latest = 0;
@@ -423,49 +434,49 @@
             let order =
                 self.line.as_ref().and_then(|l| l.order(m)).filter(|o| o.stage.open()).map(|o| o.stage);
             match (kind, order) {
-                (WordKind::Out, None) => self.ask(w, m, word, now),
-                (WordKind::Back, Some(Stage::LetGo | Stage::Out | Stage::Overdue)) => {
-                    self.turn(m, Stage::Back, now)
+                (CommandKind::Out, None) => self.ask(w, m, command, now),
+                (CommandKind::Back, Some(Stage::Drained | Stage::Offline | Stage::Overdue)) => {
+                    self.turn(m, Stage::Returning, now)
                 }
-                (WordKind::Cancel, Some(Stage::Asked | Stage::Cleared | Stage::Leaving)) => {
+                (CommandKind::Cancel, Some(Stage::Requested | Stage::Approved | Stage::Draining)) => {
                     self.turn(m, Stage::Cancelled, now);
                 }
                 _ => {}
             }
             // One that is asked for and has gone on is known to a majority: it went on by that.
             let order = self.line.as_ref().and_then(|l| l.order(m));
-            let order = order.filter(|o| kind != WordKind::Out || o.stage == Stage::Asked);
+            let order = order.filter(|o| kind != CommandKind::Out || o.stage == Stage::Requested);
             latest = latest.max(order.map_or(0, |o| o.version));
         }
         if self.committed(t, latest) { Said::Taken } else { Said::Later }
     }
 
-    fn is_host(&self, machines: &Machines, m: MachineId) -> bool {
-        machines.get(&m).is_some_and(|s| matches!(s.what, What::Host(_)))
+    fn is_host(&self, servers: &Servers, m: ServerId) -> bool {
+        servers.get(&m).is_some_and(|s| matches!(s.what, ServerRole::Host(_)))
     }
 
-    fn ask(&mut self, w: &WorksTerms, machine: MachineId, word: &FleetWord, now: Instant) {
+    fn ask(&mut self, w: &MaintenanceConfig, server: ServerId, command: &FleetCommand, now: Instant) {
         let Some(version) = self.change() else { return };
         let Some(line) = &mut self.line else { return };
         // One that is over gives its place to the new one.
-        line.orders.retain(|o| o.machine != machine);
-        let asked = Span::from_millis(word.longest_ms as f64);
+        line.orders.retain(|o| o.server != server);
+        let asked = Span::from_millis(command.longest_ms as f64);
         line.orders.push(Order {
-            machine,
+            server,
             // Another coordinator may count alike, where it never heard of this one's last changes.
             number: self.ballot.round << COUNTS | version,
-            stage: Stage::Asked,
+            stage: Stage::Requested,
             version,
             age: Span::ZERO,
             as_of: now,
-            longest: if word.longest_ms == 0 { w.longest } else { asked },
-            cell_away: word.cell_away,
-            returns: word.returns,
-            reason: text(&word.reason),
+            longest: if command.longest_ms == 0 { w.longest } else { asked },
+            shard_away: command.shard_away,
+            returns: command.returns,
+            reason: text(&command.reason),
             waits: String::new(),
             hosts: Vec::new(),
             passed: 0,
-            life: 0,
+            incarnation: 0,
         });
     }
 }
--- a/crates/fleet/src/works/choose.rs
+++ b/crates/fleet/src/maintenance/selection.rs
@@ -1,11 +1,11 @@
 //! Who may go next: a function of the line, the machines and the terms alone, so that every host can repeat it.
 
-use super::{Line, MachineId, Machines, Order, Seen, Stage, What, WorksTerms};
+use super::{Line, MaintenanceConfig, Order, ServerId, ServerObservation, ServerRole, Servers, Stage};
 use std::collections::BTreeSet;
 
 /// How things stand, beside the line.
 pub struct Now<'a> {
-    pub machines: &'a Machines,
+    pub servers: &'a Servers,
     /// Hosts that are members; of how many, of which the first so many are voters.
     pub members: &'a BTreeSet<u32>,
     pub hosts: u32,
@@ -22,10 +22,10 @@
 const PATIENT: u32 = 4;
 
 impl Now<'_> {
-    fn well(&self, seen: &Seen) -> bool {
+    fn well(&self, seen: &ServerObservation) -> bool {
         match seen.what {
-            What::Node { .. } => seen.well,
-            What::Host(h) => self.members.contains(&h),
+            ServerRole::Node { .. } => seen.well,
+            ServerRole::Host(h) => self.members.contains(&h),
         }
     }
 }
@@ -33,25 +33,29 @@
 /// The next of those that are cleared, in the order in which they go; and what each of the others waits for.
 ///
 /// Those that cannot go hold nobody up; sick ones go first, since they count as away already.
-pub fn next(line: &Line, terms: &WorksTerms, now: &Now) -> (Option<MachineId>, Vec<(MachineId, String)>) {
-    let mut cleared: Vec<&Order> = line.orders.iter().filter(|o| o.stage == Stage::Cleared).collect();
-    let sick = |o: &Order| now.machines.get(&o.machine).is_some_and(|s| !now.well(s));
+pub fn next(
+    line: &Line,
+    terms: &MaintenanceConfig,
+    now: &Now,
+) -> (Option<ServerId>, Vec<(ServerId, String)>) {
+    let mut cleared: Vec<&Order> = line.orders.iter().filter(|o| o.stage == Stage::Approved).collect();
+    let sick = |o: &Order| now.servers.get(&o.server).is_some_and(|s| !now.well(s));
     cleared.sort_by_key(|o| (o.passed < PATIENT, !sick(o), o.number));
     let mut waits = Vec::new();
     let mut gone = None;
-    let mut held: Option<MachineId> = None;
+    let mut held: Option<ServerId> = None;
     for o in cleared {
         match blocked(line, terms, now, o) {
             // Who was passed over too often is not passed over again: what holds it up must become free.
-            None if held.is_none_or(|h| !same_limits(now, h, o.machine)) && gone.is_none() => {
-                gone = Some(o.machine);
+            None if held.is_none_or(|h| !same_limits(now, h, o.server)) && gone.is_none() => {
+                gone = Some(o.server);
             }
-            None => waits.push((o.machine, "another goes first".to_string())),
+            None => waits.push((o.server, "another goes first".to_string())),
             Some(Waits { others, why }) => {
                 if o.passed >= PATIENT && others && held.is_none() {
-                    held = Some(o.machine);
+                    held = Some(o.server);
                 }
-                waits.push((o.machine, why));
+                waits.push((o.server, why));
             }
         }
     }
@@ -59,8 +63,8 @@
 }
 
 /// Both are nodes, or both hosts: the capacity or the counts that one takes the other lacks.
-fn same_limits(now: &Now, a: MachineId, b: MachineId) -> bool {
-    let host = |m| now.machines.get(&m).map(|s| matches!(s.what, What::Host(_)));
+fn same_limits(now: &Now, a: ServerId, b: ServerId) -> bool {
+    let host = |m| now.servers.get(&m).map(|s| matches!(s.what, ServerRole::Host(_)));
     host(a) == host(b)
 }
 
@@ -71,29 +75,30 @@
 }
 
 /// Why this one cannot go now; `None`: it can.
-pub fn blocked(line: &Line, terms: &WorksTerms, now: &Now, o: &Order) -> Option<Waits> {
+pub fn blocked(line: &Line, terms: &MaintenanceConfig, now: &Now, o: &Order) -> Option<Waits> {
     let own = |why: String| Some(Waits { others: false, why });
     let others = |why: String| Some(Waits { others: true, why });
-    let Some(seen) = now.machines.get(&o.machine) else {
+    let Some(seen) = now.servers.get(&o.server) else {
         return own("nobody knows this machine any more".into());
     };
     if let Some((from, to)) = terms.rests.iter().find(|r| within(**r, now.second)) {
         return own(format!("none goes between {} and {}", clock(*from), clock(*to)));
     }
-    if let What::Host(h) = seen.what
+    if let ServerRole::Host(h) = seen.what
         && h == now.coordinator
-        && line.open().any(|other| other.machine != o.machine && other.stage <= Stage::Leaving)
+        && line.open().any(|other| other.server != o.server && other.stage <= Stage::Draining)
     {
         return own("it decides, and goes last".into());
     }
-    let ordered = |m: &MachineId| *m != o.machine && line.order(*m).is_some_and(|o| o.stage.away());
-    let gone = |m: &MachineId, s: &Seen| ordered(m) || (*m != o.machine && !now.well(s));
+    let ordered = |m: &ServerId| *m != o.server && line.order(*m).is_some_and(|o| o.stage.away());
+    let gone = |m: &ServerId, s: &ServerObservation| ordered(m) || (*m != o.server && !now.well(s));
     // A spare that never ran is no machine that failed.
-    let there = |s: &Seen| s.well || s.life != 0 || matches!(s.what, What::Host(_));
+    let there = |s: &ServerObservation| s.well || s.incarnation != 0 || matches!(s.what, ServerRole::Host(_));
     // One that failed by itself is away already: others that failed do not hold it up, but others at work do.
     let sick = !now.well(seen);
-    let counts = |m: &MachineId, s: &Seen| if sick { ordered(m) } else { there(s) && gone(m, s) };
-    let away: Vec<&Seen> = now.machines.iter().filter(|(m, s)| counts(m, s)).map(|m| m.1).collect();
+    let counts = |m: &ServerId, s: &ServerObservation| if sick { ordered(m) } else { there(s) && gone(m, s) };
+    let away: Vec<&ServerObservation> =
+        now.servers.iter().filter(|(m, s)| counts(m, s)).map(|m| m.1).collect();
     let most = [
         (terms.at_once, away.len(), "in all"),
         (terms.in_zone, away.iter().filter(|s| s.zone == seen.zone).count(), "in its zone"),
@@ -102,11 +107,11 @@
     if let Some((most, count, of)) = most.into_iter().find(|(most, count, _)| *count as u32 >= *most) {
         return others(format!("{count} of {most} away {of}"));
     }
-    let What::Node { cell, can, .. } = seen.what else {
+    let ServerRole::Node { shard, can, .. } = seen.what else {
         // Without most voters nobody decides, and without most hosts nobody could take the line over.
-        let What::Host(me) = seen.what else { return None };
+        let ServerRole::Host(me) = seen.what else { return None };
         let going: BTreeSet<u32> =
-            now.machines.iter().filter(|(m, _)| ordered(m)).filter_map(|(_, s)| host_of(s)).collect();
+            now.servers.iter().filter(|(m, _)| ordered(m)).filter_map(|(_, s)| host_of(s)).collect();
         let stay = now.members.iter().filter(|h| **h != me && !going.contains(h));
         let voters = stay.clone().filter(|h| **h < now.voters).count() as u32;
         let few = stay.count() as u32 <= now.hosts / 2 || voters <= now.voters / 2;
@@ -114,18 +119,18 @@
         return if few && !sick { others(why.into()) } else { None };
     };
     let nodes = || {
-        now.machines.iter().filter_map(|(m, s)| match s.what {
-            What::Node { cell, can, .. } => Some((m, s, cell, can)),
-            What::Host(_) => None,
+        now.servers.iter().filter_map(|(m, s)| match s.what {
+            ServerRole::Node { shard, can, .. } => Some((m, s, shard, can)),
+            ServerRole::Host(_) => None,
         })
     };
-    let stays = |m: &MachineId, s: &Seen| *m != o.machine && !gone(m, s);
-    let of_cell = |only: bool| {
-        let all = nodes().filter(|n| n.2 == cell && there(n.1));
+    let stays = |m: &ServerId, s: &ServerObservation| *m != o.server && !gone(m, s);
+    let of_shard = |only: bool| {
+        let all = nodes().filter(|n| n.2 == shard && there(n.1));
         all.filter(|n| !only || stays(n.0, n.1)).map(|n| n.3).sum::<f64>()
     };
-    if !o.cell_away && of_cell(true) < (terms.keep_cell * of_cell(false)).max(f64::MIN_POSITIVE) {
-        return own(format!("cell {cell} would be left with too few holders"));
+    if !o.shard_away && of_shard(true) < (terms.keep_shard * of_shard(false)).max(f64::MIN_POSITIVE) {
+        return own(format!("cell {shard} would be left with too few holders"));
     }
     let all: f64 = nodes().filter(|n| there(n.1)).map(|n| n.3).sum();
     let rest: f64 = nodes().filter(|n| stays(n.0, n.1)).map(|n| n.3).sum();
@@ -147,12 +152,12 @@
 }
 
 /// What no waiting can mend: the term that clashes.
-pub fn never(terms: &WorksTerms, machines: &Machines, machine: MachineId) -> Option<String> {
-    let seen = machines.get(&machine)?;
-    let What::Node { can, .. } = seen.what else { return None };
-    let all: f64 = machines
+pub fn never(terms: &MaintenanceConfig, servers: &Servers, server: ServerId) -> Option<String> {
+    let seen = servers.get(&server)?;
+    let ServerRole::Node { can, .. } = seen.what else { return None };
+    let all: f64 = servers
         .values()
-        .filter_map(|s| if let What::Node { can, .. } = s.what { Some(can) } else { None })
+        .filter_map(|s| if let ServerRole::Node { can, .. } = s.what { Some(can) } else { None })
         .sum();
     let rest = all - can;
     (rest < terms.keep * all - 1e-9).then(|| {
@@ -164,14 +169,14 @@
     })
 }
 
-fn host_of(seen: &Seen) -> Option<u32> {
-    if let What::Host(h) = seen.what { Some(h) } else { None }
+fn host_of(seen: &ServerObservation) -> Option<u32> {
+    if let ServerRole::Host(h) = seen.what { Some(h) } else { None }
 }
 
-fn same_pool(a: &Seen, b: &Seen) -> bool {
+fn same_pool(a: &ServerObservation, b: &ServerObservation) -> bool {
     match (&a.what, &b.what) {
-        (What::Node { pool: a, .. }, What::Node { pool: b, .. }) => a == b,
-        (What::Host(_), What::Host(_)) => true,
+        (ServerRole::Node { pool: a, .. }, ServerRole::Node { pool: b, .. }) => a == b,
+        (ServerRole::Host(_), ServerRole::Host(_)) => true,
         _ => false,
     }
 }
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/rate_pacer.rs
@@ -3,7 +3,7 @@
 //! begin at most the rate brings, and one for each host; and since each begins at a point drawn by chance, hosts that
 //! lose the same node in the same instant come back to it one after the other.
 
-use gullsail_interface::{Instant, Span};
+use gullsail_scheduler_api::{Instant, Span};
 use rand::Rng;
 
 /// Not asked for as long as two take, it was idle: who waits for its turn asks after one at the latest.
@@ -11,13 +11,13 @@
 
 /// What one host does to one node.
 #[derive(Clone, Debug, Default)]
-pub struct Pace {
+pub struct RatePacer {
     /// What has come together of the next one, up to a whole; as of when, and how long one took then. `None`: it never did
     /// any.
     gathered: Option<(f64, Instant, Span)>,
 }
 
-impl Pace {
+impl RatePacer {
     /// Asks to do it now, with so long between two by this host's part. `Err`: when to ask again.
     ///
     /// What was not used for long gathers to one at most, and is drawn anew then: else all hosts would have one to spend
@@ -27,7 +27,7 @@
             return Ok(());
         }
         // A part that grew counts from now on: until just now another host may have had it.
-        let brought = |at: Instant, took: Span| (now - at).secs().max(0.0) / every.max(took).secs();
+        let brought = |at: Instant, latency: Span| (now - at).secs().max(0.0) / every.max(latency).secs();
         let fresh = self.gathered.filter(|g| brought(g.1, g.2) < IDLE);
         let gathered = fresh.map_or_else(|| rng.random_range(0.0..1.0), |g| g.0 + brought(g.1, g.2));
         // A point in time has microseconds: what is a hair below one is one.
@@ -50,10 +50,10 @@
     fn played(hosts: u64, every: f64, until: f64) -> Vec<f64> {
         let mut all = Vec::new();
         for seed in 0..hosts {
-            let (mut pace, mut rng) = (Pace::default(), ChaCha8Rng::seed_from_u64(seed));
+            let (mut rate_pacer, mut rng) = (RatePacer::default(), ChaCha8Rng::seed_from_u64(seed));
             let mut now = Instant::from_micros(0);
             while now < Instant::from_micros((until * 1e6) as i64) {
-                match pace.take(Span::from_millis(every), now, &mut rng) {
+                match rate_pacer.take(Span::from_millis(every), now, &mut rng) {
                     Ok(()) => all.push(now.micros() as f64 / 1e6),
                     Err(at) => now = at,
                 }
@@ -85,7 +85,7 @@
     fn a_part_that_grows_or_shrinks_counts_from_then_on() {
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let ms = |ms: i64| Instant::from_micros(ms * 1000);
-        let mut pace = Pace { gathered: Some((0.0, ms(0), Span::from_millis(1000.0))) };
+        let mut rate_pacer = RatePacer { gathered: Some((0.0, ms(0), Span::from_millis(1000.0))) };
         // at, between two, whether it may
         let cases = [
             (100, 1000.0, false), // a tenth
@@ -98,7 +98,7 @@
             (760, 1e6, false),
         ];
         for (at, every, may) in cases {
-            let got = pace.take(Span::from_millis(every), ms(at), &mut rng);
+            let got = rate_pacer.take(Span::from_millis(every), ms(at), &mut rng);
             assert_eq!(got.is_ok(), may, "at {at}: {got:?}");
         }
     }
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -1,6 +1,6 @@
 //! What an operator is shown of the fleet, as one host sees it.
 
-use crate::chair::Standing;
+use crate::coordinator::MemberState;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -26,7 +26,7 @@
     pub fenced: bool,
     pub members: Vec<MemberStatus>,
     pub budgets: Vec<BudgetStatus>,
-    /// Notes that were dropped, by cause.
+    /// Messages that were dropped, by cause.
     pub dropped: BTreeMap<String, u64>,
     pub counts: Counts,
 }
@@ -34,8 +34,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberStatus {
     pub host: u32,
-    pub life: u64,
-    pub standing: Standing,
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+    #[serde(rename = "standing")]
+    pub state: MemberState,
     /// Of a coordinator's own view: heard so long ago, through whom, and its lease is over then.
     pub heard_ms: Option<f64>,
     pub via: Option<u32>,
@@ -56,8 +58,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Counts {
-    pub notes_out: u64,
-    pub notes_in: u64,
+    #[serde(rename = "notes_out")]
+    pub messages_out: u64,
+    #[serde(rename = "notes_in")]
+    pub messages_in: u64,
     pub passed_on: u64,
     pub elected: u64,
     pub leases_lost: u64,
--- a/crates/fleet/tests/explored.rs
+++ b/crates/fleet/tests/explored.rs
@@ -1,10 +1,10 @@
-//! All orders of what can happen next, some steps deep, in worlds of three hosts and one budget: any note in flight comes, is
+//! All orders of what can happen next, some steps deep, in worlds of three hosts and one budget: any message in flight comes, is
 //! lost or comes twice, time passes, a host dies, comes back, stands still or goes on. From points where it matters:
 //! before anybody is chosen, while parts move, after the coordinator died. `FLEET_DEPTH` looks deeper.
 
-use gullsail_fleet::{Budget, Event, Fleet, Terms, WHOLE};
-use gullsail_interface::{HostId, Instant, Span, VolumeId};
-use gullsail_protocol::FleetNote;
+use gullsail_fleet::{Budget, Event, Fleet, FleetConfig, WHOLE};
+use gullsail_protocol::FleetMessage;
+use gullsail_scheduler_api::{HostId, Instant, Span, VolumeId};
 use std::collections::{BTreeMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -20,9 +20,9 @@
     now: i64,
     hosts: Vec<Option<Fleet>>,
     still: [bool; 3],
-    lives: u64,
+    incarnations: u64,
     /// Who sends to whom, in the order they were sent.
-    flying: Vec<(u32, u32, FleetNote)>,
+    flying: Vec<(u32, u32, FleetMessage)>,
     faults: u32,
 }
 
@@ -38,18 +38,18 @@
     GoesOn(u32),
 }
 
-fn terms() -> Arc<Terms> {
+fn terms() -> Arc<FleetConfig> {
     let through = (0..3).map(HostId).collect();
     let budget = Budget { through, floor: 100_000, stragglers: BTreeMap::new(), least: 1000 };
     let lease = Span::from_micros(LEASE);
-    Arc::new(Terms {
+    Arc::new(FleetConfig {
         fleet: 7,
         hosts: 3,
         lease,
         drift: DRIFT,
         voters: 3,
         budgets: [(BUDGET, budget)].into(),
-        works: None,
+        maintenance: None,
     })
 }
 
@@ -59,7 +59,7 @@
             now: 0,
             hosts: vec![None, None, None],
             still: [false; 3],
-            lives: 0,
+            incarnations: 0,
             flying: vec![],
             faults: 0,
         };
@@ -72,9 +72,10 @@
     }
 
     fn start(&mut self, h: u32) {
-        self.lives += 1;
-        let life = u64::from(h + 1) << 32 | self.lives;
-        self.hosts[h as usize] = Some(Fleet::new(terms(), HostId(h), life, u64::from(h), self.clock(h)));
+        self.incarnations += 1;
+        let incarnation = u64::from(h + 1) << 32 | self.incarnations;
+        self.hosts[h as usize] =
+            Some(Fleet::new(terms(), HostId(h), incarnation, u64::from(h), self.clock(h)));
         self.still[h as usize] = false;
     }
 
@@ -82,17 +83,17 @@
         let now = self.clock(h);
         let Some(f) = self.hosts[h as usize].as_mut().filter(|_| !self.still[h as usize]) else { return };
         f.advance(now);
-        self.flying.extend(f.outputs().map(|o| (h, o.to.0, o.note)));
+        self.flying.extend(f.outputs().map(|o| (h, o.to.0, o.message)));
     }
 
     fn comes(&mut self, place: usize, stays: bool) {
-        let (from, to, note) = self.flying[place].clone();
+        let (from, to, message) = self.flying[place].clone();
         if !stays {
             self.flying.remove(place);
         }
         let now = self.clock(to);
         if let Some(f) = self.hosts[to as usize].as_mut().filter(|_| !self.still[to as usize]) {
-            f.handle(now, Event::Note { link: HostId(from), note });
+            f.handle(now, Event::Message { link: HostId(from), message });
             self.turn(to);
         }
     }
--- a/crates/fleet/tests/works.rs
+++ b/crates/fleet/tests/maintenance.rs
@@ -1,23 +1,23 @@
 //! Which machine goes next, by tables: a function of the line, the machines and the terms alone.
 
-use gullsail_fleet::Terms;
+use gullsail_fleet::FleetConfig;
 use gullsail_fleet::lease::Ballot;
-use gullsail_fleet::works::choose::{Now, never, next};
-use gullsail_fleet::works::foreman::{Foreman, Heard, Said};
-use gullsail_fleet::works::{
-    Line, LineAt, MachineId, Machines, Order, Seen, Stage, What, WorksTerms, may_use,
+use gullsail_fleet::maintenance::coordinator::{Heard, MaintenanceCoordinator, Said};
+use gullsail_fleet::maintenance::selection::{Now, never, next};
+use gullsail_fleet::maintenance::{
+    Line, LineAt, MaintenanceConfig, Order, ServerId, ServerObservation, ServerRole, Servers, Stage, may_use,
 };
-use gullsail_interface::{HostId, Instant, Span};
-use gullsail_protocol::FleetWord;
+use gullsail_protocol::FleetCommand;
+use gullsail_scheduler_api::{HostId, Instant, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
-fn terms() -> WorksTerms {
-    WorksTerms {
+fn terms() -> MaintenanceConfig {
+    MaintenanceConfig {
         at_once: 2,
         in_zone: 1,
         in_pool: 2,
         keep: 0.5,
-        keep_cell: 0.0,
+        keep_shard: 0.0,
         busy: 0.9,
         longest: Span::from_millis(1000.0),
         watched: Span::from_millis(100.0),
@@ -26,42 +26,56 @@
     }
 }
 
-/// Nodes 1 to 6: two for each cell, odd ones in zone 0, each can do 100; hosts 11 to 15 are hosts 0 to 4, in zone 2 and on.
-fn machines() -> Machines {
+/// Nodes 1 to 6: two for each shard, odd ones in zone 0, each can do 100; hosts 11 to 15 are hosts 0 to 4, in zone 2 and on.
+fn servers() -> Servers {
     let node = |n: u64| {
-        let what = What::Node { cell: (n as i64 + 1) / 2, pool: 0, can: 100.0 };
-        (MachineId(n), Seen { what, zone: n as u32 % 2, well: true, life: 1, up: Span::ZERO })
+        let what = ServerRole::Node { shard: (n as i64 + 1) / 2, pool: 0, can: 100.0 };
+        (
+            ServerId(n),
+            ServerObservation { what, zone: n as u32 % 2, well: true, incarnation: 1, up: Span::ZERO },
+        )
     };
     let host = |h: u32| {
-        let what = What::Host(h);
-        (MachineId(11 + u64::from(h)), Seen { what, zone: 2 + h, well: true, life: 1, up: Span::ZERO })
+        let what = ServerRole::Host(h);
+        (
+            ServerId(11 + u64::from(h)),
+            ServerObservation { what, zone: 2 + h, well: true, incarnation: 1, up: Span::ZERO },
+        )
     };
     (1..=6).map(node).chain((0..5).map(host)).collect()
 }
 
-fn order(machine: u64, stage: Stage, passed: u32) -> Order {
+fn order(server: u64, stage: Stage, passed: u32) -> Order {
     Order {
-        machine: MachineId(machine),
-        number: machine,
+        server: ServerId(server),
+        number: server,
         stage,
         version: 1,
         age: Span::ZERO,
         as_of: Instant::from_micros(0),
         longest: Span::from_millis(1000.0),
-        cell_away: false,
+        shard_away: false,
         returns: false,
         reason: String::new(),
         waits: String::new(),
         hosts: Vec::new(),
         passed,
-        life: 1,
+        incarnation: 1,
     }
 }
 
 /// Lease a second, clocks alike.
-fn fleet_of(hosts: u32, works: &WorksTerms) -> Terms {
+fn fleet_of(hosts: u32, maintenance: &MaintenanceConfig) -> FleetConfig {
     let (lease, budgets) = (Span::from_millis(1000.0), BTreeMap::new());
-    Terms { fleet: 7, hosts, lease, drift: 0.0, voters: 3, budgets, works: Some(works.clone()) }
+    FleetConfig {
+        fleet: 7,
+        hosts,
+        lease,
+        drift: 0.0,
+        voters: 3,
+        budgets,
+        maintenance: Some(maintenance.clone()),
+    }
 }
 
 #[test]
@@ -80,11 +94,11 @@
     );
     let all: &[u32] = &[0, 1, 2, 3, 4];
     let cases: [Case; 17] = [
-        (&[(1, Cleared, 0), (2, Cleared, 0)], &[], all, 0.0, 40_000, Some(1), &[(2, "another goes first")]),
-        // Asked is not cleared; one in its zone is away; a place that is free goes to who can have it.
-        (&[(1, Asked, 0)], &[], all, 0.0, 40_000, None, &[]),
+        (&[(1, Approved, 0), (2, Approved, 0)], &[], all, 0.0, 40_000, Some(1), &[(2, "another goes first")]),
+        // Requested is not cleared; one in its zone is away; a place that is free goes to who can have it.
+        (&[(1, Requested, 0)], &[], all, 0.0, 40_000, None, &[]),
         (
-            &[(1, Out, 0), (3, Cleared, 0), (4, Cleared, 0)],
+            &[(1, Offline, 0), (3, Approved, 0), (4, Approved, 0)],
             &[],
             all,
             0.0,
@@ -93,7 +107,7 @@
             &[(3, "1 of 1 away in its zone")],
         ),
         (
-            &[(1, Leaving, 0), (4, Back, 0), (12, Cleared, 0)],
+            &[(1, Draining, 0), (4, Returning, 0), (12, Approved, 0)],
             &[],
             all,
             0.0,
@@ -102,14 +116,22 @@
             &[(12, "2 of 2 away in all")],
         ),
         // Done and cancelled ones are not away.
-        (&[(1, Done, 0), (3, Cleared, 0)], &[], all, 0.0, 40_000, Some(3), &[]),
-        // The other holder of its cell is away, or failed by itself.
-        (&[(1, Out, 0), (2, Cleared, 0)], &[], all, 0.0, 40_000, None, &[(2, "cell 1 would be left")]),
-        (&[(1, Cleared, 0)], &[2], all, 0.0, 40_000, None, &[(1, "cell 1 would be left")]),
+        (&[(1, Done, 0), (3, Approved, 0)], &[], all, 0.0, 40_000, Some(3), &[]),
+        // The other holder of its shard is away, or failed by itself.
+        (&[(1, Offline, 0), (2, Approved, 0)], &[], all, 0.0, 40_000, None, &[(2, "cell 1 would be left")]),
+        (&[(1, Approved, 0)], &[2], all, 0.0, 40_000, None, &[(1, "cell 1 would be left")]),
         // A sick one goes first, and takes nothing away by going; but no more are at work than may be.
-        (&[(1, Cleared, 0), (4, Cleared, 0)], &[4], all, 0.0, 40_000, Some(4), &[(1, "another goes first")]),
         (
-            &[(1, Out, 0), (12, Out, 0), (4, Cleared, 0)],
+            &[(1, Approved, 0), (4, Approved, 0)],
+            &[4],
+            all,
+            0.0,
+            40_000,
+            Some(4),
+            &[(1, "another goes first")],
+        ),
+        (
+            &[(1, Offline, 0), (12, Offline, 0), (4, Approved, 0)],
             &[4],
             all,
             0.0,
@@ -118,16 +140,16 @@
             &[(4, "2 of 2 away in all")],
         ),
         // Three of six would stay, of which half must; two of six would not do.
-        (&[(1, Cleared, 0)], &[4, 6], all, 0.0, 40_000, None, &[(1, "2 of 2 away in all")]),
+        (&[(1, Approved, 0)], &[4, 6], all, 0.0, 40_000, None, &[(1, "2 of 2 away in all")]),
         // What is served now must fit: five do 500 units, nine tenths of that may be busy.
-        (&[(1, Cleared, 0)], &[], all, 449.0, 40_000, Some(1), &[]),
-        (&[(1, Cleared, 0)], &[], all, 451.0, 40_000, None, &[(1, "no room to spare")]),
+        (&[(1, Approved, 0)], &[], all, 449.0, 40_000, Some(1), &[]),
+        (&[(1, Approved, 0)], &[], all, 451.0, 40_000, None, &[(1, "no room to spare")]),
         // None goes at night.
-        (&[(1, Cleared, 0)], &[], all, 0.0, 80_000, None, &[(1, "none goes between 22:00 and 06:00")]),
-        (&[(1, Cleared, 0)], &[], all, 0.0, 21_600, Some(1), &[]),
+        (&[(1, Approved, 0)], &[], all, 0.0, 80_000, None, &[(1, "none goes between 22:00 and 06:00")]),
+        (&[(1, Approved, 0)], &[], all, 0.0, 21_600, Some(1), &[]),
         // Whoever decides (host 0) goes last; most hosts and voters (the first three) must be left.
         (
-            &[(11, Cleared, 0), (1, Cleared, 0)],
+            &[(11, Approved, 0), (1, Approved, 0)],
             &[],
             all,
             0.0,
@@ -135,10 +157,10 @@
             Some(1),
             &[(11, "it decides, and goes last")],
         ),
-        (&[(11, Cleared, 0)], &[], &[0, 1, 3], 0.0, 40_000, None, &[(11, "2 of 2 away in all")]),
+        (&[(11, Approved, 0)], &[], &[0, 1, 3], 0.0, 40_000, None, &[(11, "2 of 2 away in all")]),
         // Passed over too often, it goes before those that would take its place: the next is not 5.
         (
-            &[(2, Out, 0), (4, Cleared, 4), (5, Cleared, 0)],
+            &[(2, Offline, 0), (4, Approved, 4), (5, Approved, 0)],
             &[],
             all,
             0.0,
@@ -149,36 +171,30 @@
     ];
     for (orders, sick, members, served, second, goes, waits) in cases {
         let line = Line { orders: orders.iter().map(|o| order(o.0, o.1, o.2)).collect(), ..Line::default() };
-        let mut machines = machines();
+        let mut servers = servers();
         for m in sick {
-            machines.get_mut(&MachineId(*m)).unwrap().well = false;
+            servers.get_mut(&ServerId(*m)).unwrap().well = false;
         }
         let members: BTreeSet<u32> = members.iter().copied().collect();
-        let now = Now {
-            machines: &machines,
-            members: &members,
-            hosts: 5,
-            voters: 3,
-            served,
-            coordinator: 0,
-            second,
-        };
+        let now =
+            Now { servers: &servers, members: &members, hosts: 5, voters: 3, served, coordinator: 0, second };
         let (got, why) = next(&line, &terms(), &now);
-        assert_eq!(got, goes.map(MachineId), "{orders:?} {sick:?}: {why:?}");
-        for (machine, says) in waits {
-            let said = why.iter().find(|w| w.0.0 == *machine).map(|w| w.1.as_str()).unwrap_or_default();
-            assert!(said.contains(says), "{orders:?} {sick:?}: {machine} waits for {said:?}, not {says:?}");
+        assert_eq!(got, goes.map(ServerId), "{orders:?} {sick:?}: {why:?}");
+        for (server, says) in waits {
+            let said = why.iter().find(|w| w.0.0 == *server).map(|w| w.1.as_str()).unwrap_or_default();
+            assert!(said.contains(says), "{orders:?} {sick:?}: {server} waits for {said:?}, not {says:?}");
         }
     }
 }
 
 #[test]
 fn too_few_voters_and_capacity_hold_it_up() {
-    let mut t = WorksTerms { at_once: 9, in_zone: 9, in_pool: 9, ..terms() };
-    let machines = machines();
+    let mut t = MaintenanceConfig { at_once: 9, in_zone: 9, in_pool: 9, ..terms() };
+    let servers = servers();
     let members: BTreeSet<u32> = (0..5).collect();
     let line = |gone: &[u64], next: u64| {
-        let orders = gone.iter().map(|m| order(*m, Stage::Out, 0)).chain([order(next, Stage::Cleared, 0)]);
+        let orders =
+            gone.iter().map(|m| order(*m, Stage::Offline, 0)).chain([order(next, Stage::Approved, 0)]);
         Line { orders: orders.collect(), ..Line::default() }
     };
     // gone, next, whether it goes
@@ -190,9 +206,9 @@
         (&[1, 3, 5], 2, false),
         (&[14], 11, true),
     ];
-    let blocked = |t: &WorksTerms, gone: &[u64], machine: u64| {
+    let blocked = |t: &MaintenanceConfig, gone: &[u64], server: u64| {
         let now = Now {
-            machines: &machines,
+            servers: &servers,
             members: &members,
             hosts: 5,
             voters: 3,
@@ -200,14 +216,14 @@
             coordinator: 9,
             second: 40_000,
         };
-        next(&line(gone, machine), t, &now).0 != Some(MachineId(machine))
+        next(&line(gone, server), t, &now).0 != Some(ServerId(server))
     };
-    for (gone, machine, goes) in cases {
-        assert_eq!(!blocked(&t, gone, machine), goes, "{gone:?}, then {machine}");
+    for (gone, server, goes) in cases {
+        assert_eq!(!blocked(&t, gone, server), goes, "{gone:?}, then {server}");
     }
-    assert_eq!(never(&t, &machines, MachineId(1)), None);
+    assert_eq!(never(&t, &servers, ServerId(1)), None);
     t.keep = 0.9;
-    assert!(never(&t, &machines, MachineId(1)).is_some_and(|why| why.contains("keep=0.9")));
+    assert!(never(&t, &servers, ServerId(1)).is_some_and(|why| why.contains("keep=0.9")));
 }
 
 #[test]
@@ -217,28 +233,28 @@
     // order for the machine, since when there is no lease, now; may it send
     let cases = [
         (None, None, 0, true),
-        (Some(Asked), None, 0, true),
-        (Some(Leaving), None, 0, false),
-        (Some(LetGo), None, 0, false),
-        (Some(Out), None, 0, false),
+        (Some(Requested), None, 0, true),
+        (Some(Draining), None, 0, false),
+        (Some(Drained), None, 0, false),
+        (Some(Offline), None, 0, false),
         (Some(Overdue), None, 0, false),
-        (Some(Back), None, 0, true),
+        (Some(Returning), None, 0, true),
         (Some(Cancelled), None, 0, true),
         // Without a lease: what is in line at all is let go of at once, all else once it is out of touch for too long.
         (None, Some(100), 200, true),
         (None, Some(100), 3000, true),
         (None, Some(100), 3100, false),
-        (Some(Asked), Some(100), 100, false),
-        (Some(Back), Some(100), 100, false),
+        (Some(Requested), Some(100), 100, false),
+        (Some(Returning), Some(100), 100, false),
         (Some(Done), Some(100), 200, true),
     ];
     for (stage, lost, now, may) in cases {
         let orders = stage.map(|s| order(1, s, 0)).into_iter().collect();
         let line = Line { orders, ..Line::default() };
-        let got = may_use(Some(&line), &terms(), 0.0, lost.map(at), MachineId(1), at(now));
+        let got = may_use(Some(&line), &terms(), 0.0, lost.map(at), ServerId(1), at(now));
         assert_eq!(got, may, "{stage:?}, no lease since {lost:?}, at {now}");
     }
-    assert!(!may_use(None, &terms(), 0.0, None, MachineId(1), at(0)), "a newborn that knows no line");
+    assert!(!may_use(None, &terms(), 0.0, None, ServerId(1), at(0)), "a newborn that knows no line");
 }
 
 /// A host that died and is back says that it let go; the process before may live on, cut off, with a lease and then blind:
@@ -249,9 +265,9 @@
     let span = Span::from_millis;
     let (w, ballot) = (terms(), Ballot { round: 9, by: 0 });
     let t = fleet_of(3, &w);
-    let (machines, members) = (machines(), (0..5).collect());
+    let (servers, members) = (servers(), (0..5).collect());
     let stands = Now {
-        machines: &machines,
+        servers: &servers,
         members: &members,
         hosts: 3,
         voters: 3,
@@ -259,18 +275,18 @@
         coordinator: 2,
         second: 40_000,
     };
-    for (life, let_go_at) in [(1, 2500), (2, 6000)] {
-        let mut f = Foreman::new(ballot, None, ms(-20_000));
-        // Host 0 is heard last at 2000 in its first life; from then on as the case has it.
-        let heard = |f: &mut Foreman, at: i64, let_go: bool| {
+    for (incarnation, let_go_at) in [(1, 2500), (2, 6000)] {
+        let mut f = MaintenanceCoordinator::new(ballot, None, ms(-20_000));
+        // Host 0 is heard last at 2000 in its first incarnation; from then on as the case has it.
+        let heard = |f: &mut MaintenanceCoordinator, at: i64, let_go: bool| {
             for host in 0..3 {
                 let anew = host == 0 && at > 2000;
                 let h = Heard {
                     host: HostId(host),
-                    life: if anew { life } else { 1 },
+                    incarnation: if anew { incarnation } else { 1 },
                     knows: f.line().map(|l| l.at),
-                    let_go: let_go.then_some(MachineId(1)).into_iter().collect(),
-                    member_for: if anew && life == 2 { Span::ZERO } else { span(19_000.0) },
+                    let_go: let_go.then_some(ServerId(1)).into_iter().collect(),
+                    member_for: if anew && incarnation == 2 { Span::ZERO } else { span(19_000.0) },
                     served: 0.0,
                 };
                 f.heard(&t, &w, h, ms(at));
@@ -279,21 +295,21 @@
             f.advance(&t, &w, ms(at), &stands, ballot, true);
         };
         heard(&mut f, 0, false);
-        let word = FleetWord { kind: 1, machines: vec![1], cell_away: true, ..FleetWord::default() };
-        assert_eq!(f.word(&t, &w, &word, &machines, ms(0)), Said::Later);
+        let command = FleetCommand { kind: 1, servers: vec![1], shard_away: true, ..FleetCommand::default() };
+        assert_eq!(f.command(&t, &w, &command, &servers, ms(0)), Said::Later);
         for at in [500, 1000, 1500, 2000] {
             heard(&mut f, at, false);
         }
-        assert_eq!(f.word(&t, &w, &word, &machines, ms(2000)), Said::Taken);
-        let stage = |f: &Foreman| f.line().and_then(|l| l.order(MachineId(1))).map(|o| o.stage);
-        assert_eq!(stage(&f), Some(Stage::Leaving));
+        assert_eq!(f.command(&t, &w, &command, &servers, ms(2000)), Said::Taken);
+        let stage = |f: &MaintenanceCoordinator| f.line().and_then(|l| l.order(ServerId(1))).map(|o| o.stage);
+        assert_eq!(stage(&f), Some(Stage::Draining));
         let mut went = None;
         for at in (2500..12_000).step_by(500) {
             heard(&mut f, at, true);
-            went = went.or((stage(&f) > Some(Stage::Leaving)).then_some(at));
+            went = went.or((stage(&f) > Some(Stage::Draining)).then_some(at));
         }
         // 2000 and a lease and the blind time, or with the first word that it let go and knows the order.
-        assert_eq!(went, Some(let_go_at), "life {life}");
+        assert_eq!(went, Some(let_go_at), "life {incarnation}");
     }
 }
 
@@ -302,10 +318,10 @@
 #[test]
 fn a_line_is_taken_over_from_enough_hosts_or_begun_anew() {
     let at = |ms: i64| Instant::from_micros(1_000_000_000 + ms * 1000);
-    let (w, machines, members) = (terms(), machines(), (0..5).collect());
+    let (w, servers, members) = (terms(), servers(), (0..5).collect());
     let t = fleet_of(5, &w);
     let stands = Now {
-        machines: &machines,
+        servers: &servers,
         members: &members,
         hosts: 5,
         voters: 3,
@@ -326,26 +342,28 @@
         (&[4, 4], None),
         (&[4, 4, 0, 0], None),
         (&[4, 4, 6], Some((Some(Stage::Overdue), false))),
-        (&[4, 4, 4], Some((Some(Stage::Cleared), false))),
-        (&[4, 0, 0, 0], Some((Some(Stage::Cleared), true))),
+        (&[4, 4, 4], Some((Some(Stage::Approved), false))),
+        (&[4, 0, 0, 0], Some((Some(Stage::Approved), true))),
     ];
     for (remember, taken) in cases {
-        let mut f = Foreman::new(Ballot { round: 9, by: 0 }, Some(line(4, Stage::Cleared)), at(0));
+        let mut f =
+            MaintenanceCoordinator::new(Ballot { round: 9, by: 0 }, Some(line(4, Stage::Approved)), at(0));
         for (host, round) in remember.iter().enumerate() {
-            let known = if *round == 6 { line(6, Stage::Out) } else { line(4, Stage::Cleared) };
+            let known = if *round == 6 { line(6, Stage::Offline) } else { line(4, Stage::Approved) };
             let knows = (*round > 0).then_some(known.at);
             let (let_go, member_for) = (BTreeSet::new(), Span::from_millis(60_000.0));
-            let h = Heard { host: HostId(host as u32), life: 1, knows, let_go, member_for, served: 0.0 };
+            let h =
+                Heard { host: HostId(host as u32), incarnation: 1, knows, let_go, member_for, served: 0.0 };
             f.heard(&t, &w, h, at(0));
             knows.into_iter().for_each(|_| f.told(known.clone()));
         }
         f.advance(&t, &w, at(500), &stands, Ballot { round: 9, by: 0 }, false);
         assert_eq!(f.line(), None, "{remember:?}: before what was granted is over");
         f.advance(&t, &w, at(1000), &stands, Ballot { round: 9, by: 0 }, true);
-        let got = f.line().map(|l| (l.order(MachineId(1)).map(|o| o.stage), l.anew != 0));
+        let got = f.line().map(|l| (l.order(ServerId(1)).map(|o| o.stage), l.anew != 0));
         // What is cleared may go in the same step.
         let got =
-            got.map(|(s, anew)| (s.map(|s| if s == Stage::Leaving { Stage::Cleared } else { s }), anew));
+            got.map(|(s, anew)| (s.map(|s| if s == Stage::Draining { Stage::Approved } else { s }), anew));
         assert_eq!(got, taken, "{remember:?}");
     }
 }
@@ -354,10 +372,10 @@
 #[test]
 fn out_is_told_when_most_know_that_all_let_go_and_is_not_taken_back() {
     let at = |ms: i64| Instant::from_micros(1_000_000_000 + ms * 1000);
-    let (w, machines, members) = (terms(), machines(), (0..5).collect());
+    let (w, servers, members) = (terms(), servers(), (0..5).collect());
     let t = fleet_of(5, &w);
     let stands = Now {
-        machines: &machines,
+        servers: &servers,
         members: &members,
         hosts: 5,
         voters: 3,
@@ -366,33 +384,34 @@
         second: 40_000,
     };
     let ballot = Ballot { round: 9, by: 0 };
-    let before = Line { at: LineAt { ballot, count: 3 }, orders: vec![order(1, Stage::Leaving, 0)], anew: 0 };
-    let mut f = Foreman::new(ballot, Some(before.clone()), at(0));
+    let before =
+        Line { at: LineAt { ballot, count: 3 }, orders: vec![order(1, Stage::Draining, 0)], anew: 0 };
+    let mut f = MaintenanceCoordinator::new(ballot, Some(before.clone()), at(0));
     // The first so many know the newest line, the others the one before it; all let go of machine 1.
-    let heard = |f: &mut Foreman, ms: i64, know: u32, old: Option<LineAt>| {
+    let heard = |f: &mut MaintenanceCoordinator, ms: i64, know: u32, old: Option<LineAt>| {
         for host in 0..5 {
             let knows = if host < know { f.line().map(|l| l.at) } else { old };
-            let (let_go, member_for) = (BTreeSet::from([MachineId(1)]), Span::from_millis(60_000.0));
-            let h = Heard { host: HostId(host), life: 1, knows, let_go, member_for, served: 0.0 };
+            let (let_go, member_for) = (BTreeSet::from([ServerId(1)]), Span::from_millis(60_000.0));
+            let h = Heard { host: HostId(host), incarnation: 1, knows, let_go, member_for, served: 0.0 };
             f.heard(&t, &w, h, at(ms));
             f.granted(HostId(host), at(ms));
         }
         f.advance(&t, &w, at(ms), &stands, ballot, true);
-        f.line().and_then(|l| l.order(MachineId(1))).map(|o| o.stage)
+        f.line().and_then(|l| l.order(ServerId(1))).map(|o| o.stage)
     };
-    let word = |kind: u32| FleetWord { kind, machines: vec![1], ..FleetWord::default() };
+    let command = |kind: u32| FleetCommand { kind, servers: vec![1], ..FleetCommand::default() };
     assert_eq!(
         heard(&mut f, 0, 0, Some(before.at)),
-        Some(Stage::Leaving),
+        Some(Stage::Draining),
         "nobody knows the line that was taken over"
     );
     let taken = f.line().map(|l| l.at);
-    assert_eq!(heard(&mut f, 100, 5, taken), Some(Stage::LetGo));
-    assert_eq!(heard(&mut f, 200, 2, taken), Some(Stage::LetGo), "two of five know");
-    let said = f.word(&t, &w, &word(3), &machines, at(200));
+    assert_eq!(heard(&mut f, 100, 5, taken), Some(Stage::Drained));
+    assert_eq!(heard(&mut f, 200, 2, taken), Some(Stage::Drained), "two of five know");
+    let said = f.command(&t, &w, &command(3), &servers, at(200));
     assert!(matches!(said, Said::Refused(_, why) if why.contains("out already")));
-    assert_eq!(heard(&mut f, 300, 3, taken), Some(Stage::Out));
-    assert!(matches!(f.word(&t, &w, &word(3), &machines, at(300)), Said::Refused(..)));
-    assert_eq!(f.word(&t, &w, &word(2), &machines, at(300)), Said::Later);
-    assert_eq!(heard(&mut f, 350, 3, taken), Some(Stage::Back));
+    assert_eq!(heard(&mut f, 300, 3, taken), Some(Stage::Offline));
+    assert!(matches!(f.command(&t, &w, &command(3), &servers, at(300)), Said::Refused(..)));
+    assert_eq!(f.command(&t, &w, &command(2), &servers, at(300)), Said::Later);
+    assert_eq!(heard(&mut f, 350, 3, taken), Some(Stage::Returning));
 }
--- a/crates/fleet/tests/notes.rs
+++ b/crates/fleet/tests/notes.rs
@@ -1,17 +1,17 @@
-//! What comes from elsewhere, and what a fleet of two or three says to it: bad notes change nothing and are counted by
+//! What comes from elsewhere, and what a fleet of two or three says to it: bad messages change nothing and are counted by
 //! cause; one name is one process.
 
 use gullsail_fleet::lease::{Ballot, Bid, Office, Vote, Voter};
-use gullsail_fleet::{Budget, Event, Fleet, Terms, WHOLE};
-use gullsail_interface::{HostId, Instant, Span, VolumeId};
-use gullsail_protocol::{FleetNote, FleetPart, FleetWhat};
+use gullsail_fleet::{Budget, Event, Fleet, FleetConfig, WHOLE};
+use gullsail_protocol::{FleetMessage, FleetPart, FleetWhat};
+use gullsail_scheduler_api::{HostId, Instant, Span, VolumeId};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-fn terms(hosts: u32, voters: u32) -> Arc<Terms> {
+fn terms(hosts: u32, voters: u32) -> Arc<FleetConfig> {
     let budget = Budget {
         through: (0..hosts).map(HostId).collect(),
         floor: WHOLE / 5 / hosts,
@@ -19,14 +19,14 @@
         least: 1000,
     };
     let budgets = [(VolumeId(1), budget)].into();
-    Arc::new(Terms {
+    Arc::new(FleetConfig {
         fleet: 7,
         hosts,
         lease: Span::from_millis(1000.0),
         drift: 0.001,
         voters,
         budgets,
-        works: None,
+        maintenance: None,
     })
 }
 
@@ -43,42 +43,42 @@
     f
 }
 
-/// What h2 asks, in this life, with the newest ballot that it heard.
-fn renewal(f: &mut Fleet, life: u64, at: i64) -> FleetNote {
+/// What h2 asks, in this incarnation, with the newest ballot that it heard.
+fn renewal(f: &mut Fleet, incarnation: u64, at: i64) -> FleetMessage {
     f.advance(ms(at));
-    let asked = f.outputs().filter(|o| o.note.what() == FleetWhat::Ask).map(|o| o.note).next_back();
+    let asked = f.outputs().filter(|o| o.message.what() == FleetWhat::Ask).map(|o| o.message).next_back();
     let (round, by) = asked.map_or((u64::MAX >> 20, 0), |n| (n.round, n.by));
-    FleetNote {
+    FleetMessage {
         fleet: 7,
         rules: 1,
         what: FleetWhat::Renew as i32,
         from: 1,
-        from_life: life,
+        from_incarnation: incarnation,
         number: 1,
         round,
         by,
-        ..FleetNote::default()
+        ..FleetMessage::default()
     }
 }
 
-fn answers(f: &mut Fleet, note: FleetNote, at: i64) -> Vec<FleetWhat> {
+fn answers(f: &mut Fleet, message: FleetMessage, at: i64) -> Vec<FleetWhat> {
     // Time has passed all the while; what is behind it already is nothing new.
     (at - 1000..at).step_by(10).for_each(|at| f.advance(ms(at)));
     f.outputs().for_each(drop);
-    f.handle(ms(at), Event::Note { link: HostId(1), note });
-    f.outputs().filter(|o| o.to == HostId(1)).map(|o| o.note.what()).collect()
+    f.handle(ms(at), Event::Message { link: HostId(1), message });
+    f.outputs().filter(|o| o.to == HostId(1)).map(|o| o.message.what()).collect()
 }
 
 #[test]
-fn bad_notes_change_nothing_and_are_counted_by_cause() {
-    type Spoil = fn(&mut FleetNote);
+fn bad_messages_change_nothing_and_are_counted_by_cause() {
+    type Spoil = fn(&mut FleetMessage);
     let cases: [(Spoil, &str); 10] = [
         (|n| n.fleet = 8, "of another fleet"),
         (|n| n.rules = 2, "of other rules"),
         (|n| n.from = 9, "of an unknown host"),
         (|n| n.to = 9, "of an unknown host"),
         (|n| n.from = 0, "of another process with this host's name"),
-        (|n| n.to_life = 99, "for an earlier process of this name"),
+        (|n| n.to_incarnation = 99, "for an earlier process of this name"),
         (|n| n.what = 77, "of an unknown kind"),
         (|n| n.what = FleetWhat::Left as i32, "out of place"),
         (|n| n.parts[0].asked = f32::NAN, "with figures that make no sense"),
@@ -86,12 +86,12 @@
     ];
     for (place, (spoil, why)) in cases.into_iter().enumerate() {
         let mut f = coordinator();
-        let mut note = renewal(&mut f, 21, 3500);
-        note.parts = vec![FleetPart { budget: 1, share: 0, asked: 3.0 }];
-        spoil(&mut note);
+        let mut message = renewal(&mut f, 21, 3500);
+        message.parts = vec![FleetPart { budget: 1, share: 0, asked: 3.0 }];
+        spoil(&mut message);
         let what = |f: &Fleet| (f.epoch(), f.share(VolumeId(1)), f.status().members.len());
         let before = what(&f);
-        assert_eq!(answers(&mut f, note, 3501), [], "case {place}");
+        assert_eq!(answers(&mut f, message, 3501), [], "case {place}");
         assert_eq!(what(&f), before, "case {place}");
         assert_eq!(f.status().dropped.get(why), Some(&1), "case {place}: {:?}", f.status().dropped);
     }
@@ -103,7 +103,7 @@
     let mut f = coordinator();
     let first = renewal(&mut f, 21, 3500);
     assert_eq!(answers(&mut f, first.clone(), 3501), [FleetWhat::Grant]);
-    let second = FleetNote { from_life: 22, ..first.clone() };
+    let second = FleetMessage { from_incarnation: 22, ..first.clone() };
     assert_eq!(answers(&mut f, second.clone(), 3700), [FleetWhat::Fence]);
     assert_eq!(answers(&mut f, first, 3800), [FleetWhat::Grant]);
     assert_eq!(
@@ -115,34 +115,40 @@
     // And whoever is told so uses nothing, not even its floor.
     let mut other = Fleet::new(terms(2, 1), HostId(1), 22, 1, ms(0));
     assert!(other.share(VolumeId(1)) > 0);
-    let fence =
-        FleetNote { what: FleetWhat::Fence as i32, from: 0, from_life: 11, to: 1, to_life: 22, ..second };
-    other.handle(ms(10), Event::Note { link: HostId(0), note: fence });
+    let fence = FleetMessage {
+        what: FleetWhat::Fence as i32,
+        from: 0,
+        from_incarnation: 11,
+        to: 1,
+        to_incarnation: 22,
+        ..second
+    };
+    other.handle(ms(10), Event::Message { link: HostId(0), message: fence });
     assert_eq!((other.share(VolumeId(1)), other.status().fenced), (0, true));
 }
 
-/// A third host passes a note on once, to whom it is for; what was passed on is not passed on again.
+/// A third host passes a message on once, to whom it is for; what was passed on is not passed on again.
 #[test]
-fn notes_are_passed_on_once() {
+fn messages_are_passed_on_once() {
     let mut f = Fleet::new(terms(3, 3), HostId(0), 11, 1, ms(0));
-    let note = FleetNote {
+    let message = FleetMessage {
         fleet: 7,
         rules: 1,
         what: FleetWhat::Renew as i32,
         from: 1,
         to: 2,
-        ..FleetNote::default()
+        ..FleetMessage::default()
     };
-    f.handle(ms(1), Event::Note { link: HostId(1), note: note.clone() });
-    assert_eq!(f.outputs().map(|o| (o.to, o.note)).collect::<Vec<_>>(), [(HostId(2), note.clone())]);
-    f.handle(ms(2), Event::Note { link: HostId(2), note });
+    f.handle(ms(1), Event::Message { link: HostId(1), message: message.clone() });
+    assert_eq!(f.outputs().map(|o| (o.to, o.message)).collect::<Vec<_>>(), [(HostId(2), message.clone())]);
+    f.handle(ms(2), Event::Message { link: HostId(2), message });
     assert_eq!(f.outputs().count(), 0);
     assert_eq!(f.status().dropped.get("passed on twice"), Some(&1));
 }
 
 /// With a lease on deciding of one second.
-fn slow() -> Terms {
-    Terms { lease: Span::from_millis(2000.0), ..(*terms(3, 3)).clone() }
+fn slow() -> FleetConfig {
+    FleetConfig { lease: Span::from_millis(2000.0), ..(*terms(3, 3)).clone() }
 }
 
 /// What a voter says to a ballot, step by step; of two who seek the lease, and after a new start of the voter.
@@ -152,7 +158,7 @@
     let (t, a, b) = (slow(), (HostId(1), 21), (HostId(2), 31));
     let ballot = |round, by| Ballot { round, by };
     let mut v = Voter::new(&t, ms(0));
-    // For two leases what an earlier life promised may be in force.
+    // For two leases what an earlier incarnation promised may be in force.
     assert_eq!(v.prepare(ballot(9, 1), a, ms(1999)), Mute);
     assert_eq!(v.propose(&t, ballot(9, 1), a, ms(1999)), Mute);
     assert_eq!(v.prepare(ballot(9, 1), a, ms(2000)), Promised { taken: false });
@@ -200,19 +206,19 @@
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_algorithm: prop::test_runner::RngAlgorithm::ChaCha, ..ProptestConfig::with_cases(500) })]
 
-    /// Any notes whatever: nothing panics, no part passes the whole, the epoch only grows.
+    /// Any messages whatever: nothing panics, no part passes the whole, the epoch only grows.
     #[test]
-    fn any_notes_are_borne(notes in prop::collection::vec(
+    fn any_messages_are_borne(messages in prop::collection::vec(
         (0i32..14, 0u32..4, 0u32..4, any::<u64>(), any::<u32>(), any::<u64>(), prop::collection::vec((0u64..3, any::<u32>(), any::<f32>()), 0..3)),
         1..40,
     )) {
         let mut f = coordinator();
         let (mut at, mut epoch) = (3000, f.epoch());
-        for (what, from, to, round, by, number, parts) in notes {
+        for (what, from, to, round, by, number, parts) in messages {
             at += 37;
             let parts = parts.into_iter().map(|(budget, share, asked)| FleetPart { budget, share, asked }).collect();
-            let note = FleetNote { fleet: 7, rules: 1, what, from, to, round: round >> 12, by, number, serial: number, epoch: round >> 12, parts, ..FleetNote::default() };
-            f.handle(ms(at), Event::Note { link: HostId(from % 2), note });
+            let message = FleetMessage { fleet: 7, rules: 1, what, from, to, round: round >> 12, by, number, serial: number, epoch: round >> 12, parts, ..FleetMessage::default() };
+            f.handle(ms(at), Event::Message { link: HostId(from % 2), message });
             f.advance(ms(at));
             f.outputs().for_each(drop);
             prop_assert!(f.share(VolumeId(1)) <= WHOLE);
--- a/crates/fleet/tests/sides.rs
+++ b/crates/fleet/tests/sides.rs
@@ -1,11 +1,11 @@
 //! The two sides of a grant, each by itself, and how a budget is divided.
 
-use gullsail_fleet::chair::{Answered, Chair, Renewal};
-use gullsail_fleet::holder::Holder;
+use gullsail_fleet::allocation::divide;
+use gullsail_fleet::coordinator::{Answered, Coordinator, Renewal};
 use gullsail_fleet::lease::Ballot;
-use gullsail_fleet::parts::divide;
-use gullsail_fleet::{Budget, Terms, WHOLE};
-use gullsail_interface::{HostId, Instant, Span, VolumeId};
+use gullsail_fleet::lease_holder::Holder;
+use gullsail_fleet::{Budget, FleetConfig, WHOLE};
+use gullsail_scheduler_api::{HostId, Instant, Span, VolumeId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -16,9 +16,17 @@
     Budget { through: (0..hosts).map(HostId).collect(), floor, stragglers: BTreeMap::new(), least }
 }
 
-fn terms(hosts: u32) -> Terms {
+fn terms(hosts: u32) -> FleetConfig {
     let budgets = [(B, budget(hosts, 50_000, 1000))].into();
-    Terms { fleet: 7, hosts, lease: Span::from_millis(1000.0), drift: 0.01, voters: 1, budgets, works: None }
+    FleetConfig {
+        fleet: 7,
+        hosts,
+        lease: Span::from_millis(1000.0),
+        drift: 0.01,
+        voters: 1,
+        budgets,
+        maintenance: None,
+    }
 }
 
 fn ms(at: i64) -> Instant {
@@ -121,7 +129,7 @@
         (Some(0), 10, 300, 300_000),
     ];
     for (other, told, at, share) in cases {
-        let mut chair = Chair::new(&t, ballot(9), 1, ms(0));
+        let mut chair = Coordinator::new(&t, ballot(9), 1, ms(0));
         assert_eq!(granted(chair.renew(&t, renewal(0, 9, 5, 300_000), ms(1))), Some(300_000));
         if let Some(held) = other {
             chair.renew(&t, renewal(1, 9, u64::from(held > 0), held), ms(told));
@@ -133,7 +141,7 @@
         assert!(now.abs_diff(share) <= 50_000, "{other:?} at {at}: {now}, {share} meant");
     }
     // What was written before this term was heard of is no word on what is held now.
-    let mut chair = Chair::new(&t, ballot(9), 1, ms(0));
+    let mut chair = Coordinator::new(&t, ballot(9), 1, ms(0));
     assert!(matches!(chair.renew(&t, renewal(1, 8, 5, 300_000), ms(1)), Answered::Early));
     assert!(chair.seats.is_empty());
 }
@@ -142,7 +150,7 @@
 #[test]
 fn parts_shrink_first() {
     let t = terms(2);
-    let mut chair = Chair::new(&t, ballot(9), 1, ms(0));
+    let mut chair = Coordinator::new(&t, ballot(9), 1, ms(0));
     let asks = |host: u32, serial: u64, asked: f64| Renewal {
         asked: [(B, asked)].into(),
         ..renewal(host, 9, serial, 0)
--- a/crates/fleet/tests/world/main.rs
+++ b/crates/fleet/tests/world/main.rs
@@ -1,11 +1,11 @@
-//! Whole fleets in simulated time, by `rig`; machines out for work in `works`. A failure names its seed, and
+//! Whole fleets in simulated time, by `rig`; machines out for work in `maintenance`. A failure names its seed, and
 //! `FLEET_SEEDS=from..to` plays others.
 
+mod maintenance;
 mod rig;
-mod works;
 
 use gullsail_fleet::WHOLE;
-use gullsail_interface::VolumeId;
+use gullsail_scheduler_api::VolumeId;
 use rig::{DRIFT, LEASE, SECOND, World};
 use std::collections::BTreeMap;
 
@@ -17,9 +17,9 @@
         let mut w = World::new(hosts, 1, 1);
         (0..hosts).for_each(|h| w.asks(h, 1.0));
         w.run(5 * LEASE);
-        w.notes.iter_mut().for_each(|n| *n = 0);
+        w.messages.iter_mut().for_each(|n| *n = 0);
         w.run(10 * LEASE);
-        let (most, mut all) = (w.notes.iter().max().copied().unwrap_or_default(), w.notes.clone());
+        let (most, mut all) = (w.messages.iter().max().copied().unwrap_or_default(), w.messages.clone());
         all.sort_unstable();
         let (median, used) = (all[all.len() / 2], w.in_use(1));
         // Seven of fifteen die at once, two voters of five among them; whoever decides is one of those at every other size.
@@ -59,7 +59,7 @@
 
 /// Everything goes wrong at once; afterwards there is one coordinator again, and nearly all of every budget is in use.
 #[test]
-fn parts_hold_through_drawn_worlds_and_come_back() {
+fn parts_hold_through_drawn_worlds_and_retry_after() {
     let mut met = BTreeMap::new();
     for seed in seeds(60) {
         let hosts = [3, 4, 5, 8][seed as usize % 4];
@@ -96,7 +96,7 @@
 /// Cases that operators name, each over three seeds: the promises are looked at after each event, and twelve leases later
 /// nearly all is in use again by those that live.
 #[test]
-fn hard_cases_keep_the_promises_and_come_back() {
+fn hard_cases_keep_the_promises_and_retry_after() {
     let cases: [Hard; 7] = [
         (
             "twelve join at once while six leave",
@@ -106,7 +106,7 @@
             },
             Some(20),
         ),
-        // Every second host hears nothing of it and is not heard: the others pass its notes on.
+        // Every second host hears nothing of it and is not heard: the others pass its messages on.
         (
             "suspected by every second one",
             |w| (0..12).filter(|h| h % 2 == 0 && *h != 7).for_each(|h| w.cut_both(h, 7, 6 * LEASE)),
--- a/crates/fleet/tests/world/works.rs
+++ b/crates/fleet/tests/world/maintenance.rs
@@ -3,20 +3,20 @@
 
 use crate::rig::{DRIFT, FIRST, LEASE, NODES, SECOND, World};
 use crate::seeds;
-use gullsail_fleet::works::foreman::WordKind;
-use gullsail_fleet::works::{MachineId, Stage, WorksTerms};
-use gullsail_interface::Span;
-use gullsail_protocol::FleetWord;
+use gullsail_fleet::maintenance::coordinator::CommandKind;
+use gullsail_fleet::maintenance::{MaintenanceConfig, ServerId, Stage};
+use gullsail_protocol::FleetCommand;
+use gullsail_scheduler_api::Span;
 use rand::Rng;
 use std::collections::BTreeSet;
 
-pub fn terms() -> WorksTerms {
-    WorksTerms {
+pub fn terms() -> MaintenanceConfig {
+    MaintenanceConfig {
         at_once: 2,
         in_zone: 2,
         in_pool: 2,
         keep: 0.5,
-        keep_cell: 0.5,
+        keep_shard: 0.5,
         busy: 0.9,
         longest: Span::from_millis(60_000.0),
         watched: Span::from_millis(300.0),
@@ -25,20 +25,20 @@
     }
 }
 
-fn node(place: u64) -> MachineId {
-    MachineId(FIRST + place)
+fn node(place: u64) -> ServerId {
+    ServerId(FIRST + place)
 }
 
-fn host(number: u32) -> MachineId {
-    MachineId(u64::from(number) + 1)
+fn host(number: u32) -> ServerId {
+    ServerId(u64::from(number) + 1)
 }
 
-fn stage(w: &World, machine: MachineId) -> Option<Stage> {
-    w.told.iter().filter(|t| t.0.0 == machine).max_by_key(|t| t.0.1).map(|t| *t.1)
+fn stage(w: &World, server: ServerId) -> Option<Stage> {
+    w.told.iter().filter(|t| t.0.0 == server).max_by_key(|t| t.0.1).map(|t| *t.1)
 }
 
-fn away(returns: bool) -> FleetWord {
-    FleetWord { cell_away: true, returns, ..FleetWord::default() }
+fn away(returns: bool) -> FleetCommand {
+    FleetCommand { shard_away: true, returns, ..FleetCommand::default() }
 }
 
 /// What operators do meanwhile: who is out is switched off, started anew after a while, and said to be back.
@@ -49,8 +49,8 @@
         // As any host shows it: a `back` that only few heard of may be lost with who decided, and is said again.
         let fleets = w.hosts.iter().filter_map(|h| h.fleet.as_ref());
         let shown =
-            fleets.flat_map(|f| f.orders().filter(|o| matches!(o.stage, Stage::Out | Stage::Overdue)));
-        let out: BTreeSet<MachineId> = shown.map(|o| o.machine).collect();
+            fleets.flat_map(|f| f.orders().filter(|o| matches!(o.stage, Stage::Offline | Stage::Overdue)));
+        let out: BTreeSet<ServerId> = shown.map(|o| o.server).collect();
         for m in out {
             if m.0 >= FIRST {
                 let place = (m.0 - FIRST) as usize;
@@ -60,7 +60,7 @@
                 w.start(m.0 as u32 - 1);
             }
             let through = w.rng.random_range(0..w.terms.hosts);
-            w.word(through, WordKind::Back, &[m], FleetWord::default());
+            w.command(through, CommandKind::Back, &[m], FleetCommand::default());
         }
     }
 }
@@ -72,7 +72,7 @@
         let status = f.status();
         let orders = f
             .orders()
-            .map(|o| format!("{}#{} {:?} {} {:?}", o.machine.0, o.number, o.stage, o.waits, o.hosts));
+            .map(|o| format!("{}#{} {:?} {} {:?}", o.server.0, o.number, o.stage, o.waits, o.hosts));
         let orders: Vec<_> = orders.collect();
         let at = f.line().map(|l| l.at);
         format!(
@@ -87,7 +87,7 @@
 
 /// Faults of all kinds, and words through any host, some twice, some taken back.
 #[test]
-fn works_keep_their_promises_through_drawn_worlds() {
+fn maintenance_keep_their_promises_through_drawn_worlds() {
     let (mut orders, mut done, mut anew) = (0, 0, 0);
     for seed in seeds(60) {
         let hosts = [3, 5, 5, 8][seed as usize % 4];
@@ -96,16 +96,16 @@
         w.faults(w.now + 30 * SECOND, [0.0, 0.05, 0.3][seed as usize % 3]);
         let end = w.now + 30 * SECOND;
         while w.now < end {
-            let machine = if w.rng.random_bool(0.7) {
+            let server = if w.rng.random_bool(0.7) {
                 node(w.rng.random_range(0..NODES))
             } else {
                 host(w.rng.random_range(0..hosts))
             };
-            let kind = if w.rng.random_bool(0.8) { WordKind::Out } else { WordKind::Cancel };
+            let kind = if w.rng.random_bool(0.8) { CommandKind::Out } else { CommandKind::Cancel };
             for _ in 0..w.rng.random_range(1..3) {
                 let through = w.rng.random_range(0..hosts);
                 let returns = w.rng.random_bool(0.5);
-                w.word(through, kind, &[machine], away(returns));
+                w.command(through, kind, &[server], away(returns));
             }
             let span = w.rng.random_range(0..2 * SECOND);
             work(&mut w, span);
@@ -147,20 +147,20 @@
         let mut w = World::uneven(5, 1, 10_000, DRIFT, Some(terms()));
         w.run(4 * LEASE);
         // Twice, through two hosts: one order.
-        w.word(3, WordKind::Out, &[node(0)], away(returns));
-        w.word(1, WordKind::Out, &[node(0)], away(returns));
+        w.command(3, CommandKind::Out, &[node(0)], away(returns));
+        w.command(1, CommandKind::Out, &[node(0)], away(returns));
         w.run(2 * LEASE);
-        assert_eq!((stage(&w, node(0)), w.told.len()), (Some(Stage::Out), 1));
+        assert_eq!((stage(&w, node(0)), w.told.len()), (Some(Stage::Offline), 1));
         assert!(w.answers.iter().filter(|a| a.1.is_ok()).count() == 2, "{:?}", w.answers);
         // Heard late of: it had started before it was out.
         (w.nodes[0], w.up) = ((98, true), Span::from_millis(60_000.0));
         w.run(2 * LEASE);
-        assert_eq!(stage(&w, node(0)), Some(Stage::Out), "returns {returns}");
+        assert_eq!(stage(&w, node(0)), Some(Stage::Offline), "returns {returns}");
         (w.nodes[0], w.up) = ((99, true), Span::ZERO);
         w.run(2 * LEASE);
-        let wanted = if returns { Stage::Done } else { Stage::Out };
+        let wanted = if returns { Stage::Done } else { Stage::Offline };
         assert_eq!(stage(&w, node(0)), Some(wanted), "returns {returns}");
-        w.word(4, WordKind::Back, &[node(0)], FleetWord::default());
+        w.command(4, CommandKind::Back, &[node(0)], FleetCommand::default());
         w.run(3 * LEASE);
         assert_eq!(stage(&w, node(0)), Some(Stage::Done));
         let uses = (0..5)
@@ -174,38 +174,43 @@
 #[ignore = "figures, not a verdict: cargo test -p gullsail-fleet --release --test world line_by_size -- --ignored --nocapture"]
 fn line_by_size() {
     for (hosts, nodes) in [(24, 24), (100, 60), (300, 200)] {
-        let works = WorksTerms { at_once: 4, in_zone: 4, in_pool: 4, keep: 0.8, ..terms() };
-        let mut w = World::uneven(hosts, 1, 10_000, DRIFT, Some(works)).with_nodes(nodes);
+        let maintenance = MaintenanceConfig { at_once: 4, in_zone: 4, in_pool: 4, keep: 0.8, ..terms() };
+        let mut w = World::uneven(hosts, 1, 10_000, DRIFT, Some(maintenance)).with_nodes(nodes);
         w.run(5 * LEASE);
-        w.notes.iter_mut().for_each(|n| *n = 0);
+        w.messages.iter_mut().for_each(|n| *n = 0);
         w.run(5 * LEASE);
-        let mut calm = std::mem::take(&mut w.notes);
-        w.notes = vec![0; hosts as usize];
-        // One of each two that hold a cell, up to forty.
-        let line: Vec<MachineId> = (0..nodes).step_by(2).take(40).map(node).collect();
+        let mut calm = std::mem::take(&mut w.messages);
+        w.messages = vec![0; hosts as usize];
+        // One of each two that hold a shard, up to forty.
+        let line: Vec<ServerId> = (0..nodes).step_by(2).take(40).map(node).collect();
         let at = w.now;
-        w.word(hosts / 2, WordKind::Out, &line, FleetWord { returns: true, ..FleetWord::default() });
-        let mut off: BTreeSet<MachineId> = BTreeSet::new();
+        w.command(
+            hosts / 2,
+            CommandKind::Out,
+            &line,
+            FleetCommand { returns: true, ..FleetCommand::default() },
+        );
+        let mut off: BTreeSet<ServerId> = BTreeSet::new();
         let done = |w: &World| line.iter().filter(|m| stage(w, **m) == Some(Stage::Done)).count();
         while done(&w) < line.len() && w.now - at < 600 * SECOND {
             w.run(50_000);
             let out: Vec<_> =
-                line.iter().filter(|m| stage(&w, **m) == Some(Stage::Out) && off.insert(**m)).collect();
+                line.iter().filter(|m| stage(&w, **m) == Some(Stage::Offline) && off.insert(**m)).collect();
             for m in out {
                 let place = (m.0 - FIRST) as usize;
                 w.nodes[place] = (w.nodes[place].0 + 1000, true);
             }
         }
         let leases = (w.now - at) as f64 / LEASE as f64;
-        let median = |notes: &mut Vec<u64>, span: f64| {
-            notes.sort_unstable();
-            notes[notes.len() / 2] as f64 / span
+        let median = |messages: &mut Vec<u64>, span: f64| {
+            messages.sort_unstable();
+            messages[messages.len() / 2] as f64 / span
         };
         println!(
             "{hosts} hosts, {nodes} nodes: {} in line, four at once, done after {leases:.1} leases; {:.1} notes a second from a host \
              meanwhile, {:.1} before",
             line.len(),
-            median(&mut w.notes, leases),
+            median(&mut w.messages, leases),
             median(&mut calm, 5.0),
         );
     }
--- a/crates/fleet/tests/world/rig.rs
+++ b/crates/fleet/tests/world/rig.rs
@@ -1,13 +1,15 @@
-//! A whole fleet in simulated time: hosts with clocks of their own, notes that are late, lost, twice or out of order, cuts one
+//! A whole fleet in simulated time: hosts with clocks of their own, messages that are late, lost, twice or out of order, cuts one
 //! way and both, hosts that stand still, die, come back and leave. After each event the promises are looked at. A
 //! failure names its seed, and `FLEET_SEEDS=from..to` plays others; `FLEET_HOSTS` more hosts.
 
 use gullsail_fleet::fleet::Answer;
-use gullsail_fleet::works::foreman::WordKind;
-use gullsail_fleet::works::{MachineId, Machines, Seen, Stage, What as Kind, WorksTerms};
-use gullsail_fleet::{Budget, Event, Fleet, Terms, WHOLE};
-use gullsail_interface::{HostId, Instant, Span, VolumeId};
-use gullsail_protocol::{FleetNote, FleetWord};
+use gullsail_fleet::maintenance::coordinator::CommandKind;
+use gullsail_fleet::maintenance::{
+    MaintenanceConfig, ServerId, ServerObservation, ServerRole as Kind, Servers, Stage,
+};
+use gullsail_fleet::{Budget, Event, Fleet, FleetConfig, WHOLE};
+use gullsail_protocol::{FleetCommand, FleetMessage};
+use gullsail_scheduler_api::{HostId, Instant, Span, VolumeId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -18,7 +20,7 @@
 pub const DRIFT: f64 = 0.005;
 pub const SECOND: i64 = 1_000_000;
 
-fn terms(hosts: u32, least: u32, drift: f64) -> Terms {
+fn terms(hosts: u32, least: u32, drift: f64) -> FleetConfig {
     let budget = |through: Vec<u32>, least| {
         let floor = WHOLE * 3 / 10 / through.len() as u32;
         let through = through.into_iter().map(HostId).collect();
@@ -26,23 +28,23 @@
     };
     let some = (0..hosts).filter(|h| h % 2 == 0).collect();
     let budgets = [(VolumeId(1), budget((0..hosts).collect(), least)), (VolumeId(2), budget(some, 1000))];
-    Terms {
+    FleetConfig {
         fleet: 7,
         hosts,
         lease: Span::from_micros(LEASE),
         drift,
         voters: hosts.min(5),
         budgets: budgets.into(),
-        works: None,
+        maintenance: None,
     }
 }
 
-/// Two for each cell, each as able as the others; numbers from this on.
+/// Two for each shard, each as able as the others; numbers from this on.
 pub const NODES: u64 = 6;
 pub const FIRST: u64 = 10_000;
 
 enum What {
-    Note { to: u32, link: u32, note: FleetNote },
+    Message { to: u32, link: u32, message: FleetMessage },
     Wake { host: u32 },
     Fault,
 }
@@ -56,10 +58,10 @@
     /// When it is to be called; earlier plans are void.
     wake: i64,
     /// What it was sent while it stood still.
-    waiting: Vec<(u32, FleetNote)>,
+    waiting: Vec<(u32, FleetMessage)>,
     asks: f64,
-    lives: u64,
-    /// With its life: an epoch only grows within one.
+    incarnations: u64,
+    /// With its incarnation: an epoch only grows within one.
     epoch: (u64, u64),
     /// When it may have sent to each node last.
     used: Vec<i64>,
@@ -69,7 +71,7 @@
     pub seed: u64,
     pub rng: ChaCha8Rng,
     pub now: i64,
-    pub terms: Arc<Terms>,
+    pub terms: Arc<FleetConfig>,
     pub hosts: Vec<Host>,
     queue: BinaryHeap<Reverse<(i64, u64)>>,
     what: BTreeMap<u64, What>,
@@ -77,8 +79,8 @@
     /// From, to, until.
     cuts: Vec<(u32, u32, i64)>,
     pub lossy: f64,
-    /// What is looked at: notes, elections, the nearest that parts came to the whole.
-    pub notes: Vec<u64>,
+    /// What is looked at: messages, elections, the nearest that parts came to the whole.
+    pub messages: Vec<u64>,
     pub nearest: u64,
     pub coordinators: BTreeMap<u32, u64>,
     /// Nodes: the process that runs, and whether it does.
@@ -86,11 +88,11 @@
     /// For how long each has run, as hosts see it.
     pub up: Span,
     /// What hosts were told of orders: by machine and number, the furthest stage.
-    pub told: BTreeMap<(MachineId, u64), Stage>,
+    pub told: BTreeMap<(ServerId, u64), Stage>,
     pub anew: BTreeSet<u64>,
     lineage: u64,
     pub answers: Vec<Answer>,
-    last_word: u64,
+    last_command: u64,
 }
 
 impl World {
@@ -99,9 +101,15 @@
     }
 
     /// With clocks that run apart by up to twice this part.
-    pub fn uneven(hosts: u32, seed: u64, least: u32, drift: f64, works: Option<WorksTerms>) -> World {
+    pub fn uneven(
+        hosts: u32,
+        seed: u64,
+        least: u32,
+        drift: f64,
+        maintenance: Option<MaintenanceConfig>,
+    ) -> World {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let terms = Arc::new(Terms { works, ..terms(hosts, least, drift) });
+        let terms = Arc::new(FleetConfig { maintenance, ..terms(hosts, least, drift) });
         let all = (0..hosts).map(|_| Host {
             fleet: None,
             ahead: rng.random_range(0..100 * SECOND),
@@ -110,7 +118,7 @@
             wake: 0,
             waiting: Vec::new(),
             asks: 0.0,
-            lives: 0,
+            incarnations: 0,
             epoch: (0, 0),
             used: vec![i64::MIN / 2; NODES as usize],
         });
@@ -127,7 +135,7 @@
             last: 0,
             cuts: Vec::new(),
             lossy: 0.0,
-            notes: vec![0; hosts_count],
+            messages: vec![0; hosts_count],
             nearest: 0,
             coordinators: BTreeMap::new(),
             nodes: (0..NODES).map(|n| (n + 1, true)).collect(),
@@ -136,7 +144,7 @@
             anew: BTreeSet::new(),
             lineage: 0,
             answers: Vec::new(),
-            last_word: 0,
+            last_command: 0,
         };
         for h in 0..w.hosts.len() as u32 {
             w.start(h);
@@ -158,11 +166,11 @@
     pub fn start(&mut self, host: u32) {
         let now = self.clock(host, self.now);
         let h = &mut self.hosts[host as usize];
-        h.lives += 1;
+        h.incarnations += 1;
         h.still_until = 0;
         h.waiting.clear();
-        let life = (u64::from(host) + 1) << 32 | h.lives;
-        h.fleet = Some(Fleet::new(self.terms.clone(), HostId(host), life, self.seed, now));
+        let incarnation = (u64::from(host) + 1) << 32 | h.incarnations;
+        h.fleet = Some(Fleet::new(self.terms.clone(), HostId(host), incarnation, self.seed, now));
         self.turn(host);
     }
 
@@ -186,7 +194,7 @@
         if fleet.gone() {
             return self.kill(host);
         }
-        if self.terms.works.is_some() {
+        if self.terms.maintenance.is_some() {
             self.sees(host, now);
         }
         let Some(fleet) = &mut self.hosts[host as usize].fleet else { return };
@@ -195,17 +203,17 @@
         let wait = ((next - now).micros().max(200) as f64 / self.hosts[host as usize].rate) as i64;
         self.wake_at(host, self.now + wait);
         for output in outputs {
-            self.notes[host as usize] += 1;
-            let (to, note) = (output.to.0, output.note);
+            self.messages[host as usize] += 1;
+            let (to, message) = (output.to.0, output.message);
             self.cuts.retain(|c| c.2 > self.now);
             if self.cuts.iter().any(|c| (c.0, c.1) == (host, to)) || self.rng.random_bool(self.lossy) {
                 continue;
             }
             for _ in 0..if self.lossy > 0.0 && self.rng.random_bool(0.05) { 2 } else { 1 } {
-                // Mostly fast; some a good part of a lease, so that notes overtake each other.
+                // Mostly fast; some a good part of a lease, so that messages overtake each other.
                 let slow = self.lossy > 0.0 && self.rng.random_bool(0.03);
                 let way = self.rng.random_range(100..if slow { 2 * LEASE } else { 3000 });
-                self.at(self.now + way, What::Note { to, link: host, note: note.clone() });
+                self.at(self.now + way, What::Message { to, link: host, message: message.clone() });
             }
         }
     }
@@ -215,24 +223,39 @@
         let at = self.now;
         let h = &mut self.hosts[host as usize];
         let Some(fleet) = &mut h.fleet else { return };
-        let mut machines = Machines::new();
+        let mut servers = Servers::new();
         let mut let_go = BTreeSet::new();
-        for (place, (life, well)) in self.nodes.iter().enumerate() {
-            let id = MachineId(FIRST + place as u64);
+        for (place, (incarnation, well)) in self.nodes.iter().enumerate() {
+            let id = ServerId(FIRST + place as u64);
             if fleet.may_use(id, now) {
                 h.used[place] = at;
             } else if at - h.used[place] > 30_000 {
-                // Legs that were out have ended by then.
+                // Attempts that were out have ended by then.
                 let_go.insert(id);
             }
-            let what = Kind::Node { cell: place as i64 / 2, pool: 0, can: 100.0 };
-            machines.insert(id, Seen { what, zone: place as u32 % 2, well: *well, life: *life, up: self.up });
+            let what = Kind::Node { shard: place as i64 / 2, pool: 0, can: 100.0 };
+            servers.insert(
+                id,
+                ServerObservation {
+                    what,
+                    zone: place as u32 % 2,
+                    well: *well,
+                    incarnation: *incarnation,
+                    up: self.up,
+                },
+            );
         }
         for other in 0..self.terms.hosts {
-            let seen = Seen { what: Kind::Host(other), zone: other % 2, well: true, life: 0, up: Span::ZERO };
-            machines.insert(MachineId(u64::from(other) + 1), seen);
+            let seen = ServerObservation {
+                what: Kind::Host(other),
+                zone: other % 2,
+                well: true,
+                incarnation: 0,
+                up: Span::ZERO,
+            };
+            servers.insert(ServerId(u64::from(other) + 1), seen);
         }
-        fleet.handle(now, Event::Sees { machines, let_go });
+        fleet.handle(now, Event::Sees { servers, let_go });
         self.answers.extend(fleet.answers());
         let Some(line) = fleet.line() else { return };
         // What most hosts forgot is lost, as is said with the line that begins then; who still knows it counts no more.
@@ -243,63 +266,60 @@
             return;
         }
         for o in &line.orders {
-            let told = self.told.entry((o.machine, o.number)).or_insert(o.stage);
+            let told = self.told.entry((o.server, o.number)).or_insert(o.stage);
             *told = o.stage.max(*told);
             // A newer order is given only once the one before it is over.
-            let before = self.told.range_mut((o.machine, 0)..(o.machine, o.number));
+            let before = self.told.range_mut((o.server, 0)..(o.server, o.number));
             before.filter(|(_, s)| s.open()).for_each(|(_, s)| *s = Stage::Done);
         }
     }
 
     /// An operator's word, through a host.
-    pub fn word(&mut self, host: u32, kind: WordKind, machines: &[MachineId], more: FleetWord) -> u64 {
-        self.last_word += 1;
-        let (number, now) = (self.last_word, self.clock(host, self.now));
-        let machines = machines.iter().map(|m| m.0).collect();
-        let word = FleetWord { kind: kind as u32, machines, ..more };
+    pub fn command(&mut self, host: u32, kind: CommandKind, servers: &[ServerId], more: FleetCommand) -> u64 {
+        self.last_command += 1;
+        let (number, now) = (self.last_command, self.clock(host, self.now));
+        let servers = servers.iter().map(|m| m.0).collect();
+        let command = FleetCommand { kind: kind as u32, servers, ..more };
         if let Some(f) = &mut self.hosts[host as usize].fleet {
-            f.handle(now, Event::Word { number, word });
+            f.handle(now, Event::OperatorCommand { number, command });
         }
         self.turn(host);
         number
     }
 
     /// Nothing is sent to what is out, and no more machines are away than may be. Of hosts that were told so, whenever.
-    fn look_at_works(&self, running: &[u32]) {
-        let Some(works) = &self.terms.works else { return };
-        let out = |s: &&Stage| matches!(s, Stage::Out | Stage::Overdue | Stage::Back);
+    fn look_at_maintenance(&self, running: &[u32]) {
+        let Some(maintenance) = &self.terms.maintenance else { return };
+        let out = |s: &&Stage| matches!(s, Stage::Offline | Stage::Overdue | Stage::Returning);
         let away = self.told.values().filter(out).count();
         assert!(
-            away <= works.at_once as usize,
+            away <= maintenance.at_once as usize,
             "seed {}, at {}: {away} away: {:?}",
             self.seed,
             self.now,
             self.told
         );
-        let barred = |s: &Stage| matches!(s, Stage::Out | Stage::Overdue);
-        for ((machine, _), _) in self.told.iter().filter(|(_, s)| barred(s)) {
+        let barred = |s: &Stage| matches!(s, Stage::Offline | Stage::Overdue);
+        for ((server, _), _) in self.told.iter().filter(|(_, s)| barred(s)) {
             let uses = |h: &&u32| {
                 let fleet = self.hosts[**h as usize].fleet.as_ref();
-                fleet.is_some_and(|f| f.may_use(*machine, self.clock(**h, self.now)))
+                fleet.is_some_and(|f| f.may_use(*server, self.clock(**h, self.now)))
             };
             let using: Vec<_> = running.iter().filter(uses).collect();
-            let node = machine.0 >= FIRST;
+            let node = server.0 >= FIRST;
             assert!(
                 !node || using.is_empty(),
-                "seed {}, at {}: {using:?} send to {machine:?}",
+                "seed {}, at {}: {using:?} send to {server:?}",
                 self.seed,
                 self.now
             );
             let runs = !node
-                && self.hosts[machine.0 as usize - 1]
-                    .fleet
-                    .as_ref()
-                    .is_some_and(|f| f.share(VolumeId(1)) > 0);
+                && self.hosts[server.0 as usize - 1].fleet.as_ref().is_some_and(|f| f.share(VolumeId(1)) > 0);
             // It may have started anew, and not know yet.
-            let old = runs && self.hosts[machine.0 as usize - 1].fleet.as_ref().is_some_and(|f| f.goes());
+            let old = runs && self.hosts[server.0 as usize - 1].fleet.as_ref().is_some_and(|f| f.goes());
             assert!(
                 !old,
-                "seed {}, at {}: host {machine:?} is out and uses what it held",
+                "seed {}, at {}: host {server:?} is out and uses what it held",
                 self.seed, self.now
             );
         }
@@ -319,16 +339,16 @@
             match what {
                 What::Wake { host } if self.hosts[host as usize].wake > at => continue,
                 What::Wake { host } => self.wake(host),
-                What::Note { to, link, note } => {
+                What::Message { to, link, message } => {
                     let h = &mut self.hosts[to as usize];
                     if h.fleet.is_none() {
                         continue;
                     }
                     if h.still_until > at {
-                        h.waiting.push((link, note));
+                        h.waiting.push((link, message));
                         continue;
                     }
-                    self.hear(to, link, note);
+                    self.hear(to, link, message);
                 }
                 What::Fault => self.fault(),
             }
@@ -337,10 +357,10 @@
         self.now = end;
     }
 
-    fn hear(&mut self, to: u32, link: u32, note: FleetNote) {
+    fn hear(&mut self, to: u32, link: u32, message: FleetMessage) {
         let now = self.clock(to, self.now);
         if let Some(f) = &mut self.hosts[to as usize].fleet {
-            f.handle(now, Event::Note { link: HostId(link), note });
+            f.handle(now, Event::Message { link: HostId(link), message });
         }
         self.turn(to);
     }
@@ -362,13 +382,13 @@
                 f.handle(clock, Event::Asked { budget: *budget, units: asks });
             }
         }
-        for (link, note) in waiting {
-            self.hear(host, link, note);
+        for (link, message) in waiting {
+            self.hear(host, link, message);
         }
         self.turn(host);
     }
 
-    /// With so many nodes, two for each cell.
+    /// With so many nodes, two for each shard.
     pub fn with_nodes(mut self, nodes: u64) -> World {
         self.nodes = (0..nodes).map(|n| (n + 1, true)).collect();
         self.hosts.iter_mut().for_each(|h| h.used = vec![i64::MIN / 2; nodes as usize]);
@@ -475,7 +495,7 @@
                 self.now
             );
         }
-        self.look_at_works(&running);
+        self.look_at_maintenance(&running);
         let decides = |h: &&u32| {
             let fleet = self.hosts[**h as usize].fleet.as_ref();
             fleet.is_some_and(|f| f.decides(self.clock(**h, self.now)))
@@ -487,7 +507,7 @@
         }
         for host in &mut self.hosts {
             let Some(fleet) = &host.fleet else { continue };
-            let before = std::mem::replace(&mut host.epoch, (host.lives, fleet.epoch()));
+            let before = std::mem::replace(&mut host.epoch, (host.incarnations, fleet.epoch()));
             assert!(
                 before <= host.epoch,
                 "seed {}: epoch and life {:?} after {before:?}",
