--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -4,11 +4,11 @@
 
 use crate::core::changes::Reply;
 use crate::core::fleet::FleetView;
-use crate::core::works::{Word, Worded, WorksView};
-use crate::core::zones::{Crossed, Past};
+use crate::core::maintenance::{CommandOutcome, MaintenanceView, OperatorCommand};
+use crate::core::zones::{BudgetOverrun, Crossed};
 use crate::core::{Counts, Input};
 use gullsail_configuration::diff::{Change, diff};
-use gullsail_configuration::{Deployment, Said};
+use gullsail_configuration::{Deployment, DiagnosticRecord};
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::os::unix::fs::{MetadataExt, PermissionsExt};
@@ -28,11 +28,11 @@
 const READING: Duration = Duration::from_secs(20);
 
 /// Reads the host's document again: what it says, or all that is wrong with it.
-pub type Load = dyn Fn() -> Result<Deployment, Vec<Said>> + Send + Sync;
+pub type Load = dyn Fn() -> Result<Deployment, Vec<DiagnosticRecord>> + Send + Sync;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "ask", rename_all = "kebab-case")]
-pub enum Ask {
+pub enum ControlRequest {
     /// Read the document again and serve by it. `insist`: with dangerous changes too.
     Reload {
         #[serde(default)]
@@ -40,12 +40,13 @@
     },
     Status,
     /// Machines are to go out for work, are back, or are not to go.
-    Word(Word),
+    #[serde(rename = "word")]
+    OperatorCommand(OperatorCommand),
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "told", rename_all = "kebab-case")]
-pub enum Told {
+pub enum ControlReply {
     Taken {
         revision: u64,
         changes: Vec<Change>,
@@ -56,11 +57,12 @@
     },
     /// It is not sound.
     Broken {
-        problems: Vec<Said>,
+        problems: Vec<DiagnosticRecord>,
     },
     Status(Box<State>),
     /// The order counts, whoever decides; what it waits for is in the state.
-    WordTaken,
+    #[serde(rename = "word-taken")]
+    CommandTaken,
     /// The asker was not understood.
     Error {
         why: String,
@@ -76,16 +78,18 @@
     /// Hosts not known to have followed to this revision: until then the lower parts of limits hold.
     pub behind: Vec<String>,
     pub open: usize,
-    pub legs_out: usize,
+    #[serde(rename = "legs_out")]
+    pub attempts_out: usize,
     pub held_bytes: usize,
     pub counts: Counts,
-    /// What crossed between zones in this life of the host, and what of it went past budgets.
+    /// What crossed between zones in this incarnation of the host, and what of it went past budgets.
     pub crossed: Vec<Crossed>,
-    pub past: Vec<Past>,
+    pub past: Vec<BudgetOverrun>,
     /// What the hosts settled, as this one sees it; `None`: nothing is settled here.
     pub fleet: Option<FleetView>,
     /// Machines out for work; `None`: there are no such orders.
-    pub works: Option<WorksView>,
+    #[serde(rename = "works")]
+    pub maintenance: Option<MaintenanceView>,
 }
 
 /// What the socket's task wants of the loop.
@@ -93,7 +97,7 @@
     Document(oneshot::Sender<Arc<Deployment>>),
     State(oneshot::Sender<State>),
     Propose(Box<dyn FnOnce(u64) -> Input + Send>, oneshot::Sender<Reply>),
-    Word(Word, oneshot::Sender<Worded>),
+    OperatorCommand(OperatorCommand, oneshot::Sender<CommandOutcome>),
 }
 
 /// A socket that is bound, and what it reads documents with.
@@ -161,23 +165,25 @@
         let mut from = BufReader::new(from.take(LINE));
         tokio::time::timeout(PATIENCE, from.read_line(&mut line)).await??;
         let told = match serde_json::from_str(&line) {
-            Ok(Ask::Status) => told(to_loop, ToLoop::State).await.map(|state| Told::Status(Box::new(state))),
-            Ok(Ask::Reload { insist }) => self.reload(insist, to_loop).await,
-            Ok(Ask::Word(word)) => {
-                told(to_loop, |reply| ToLoop::Word(word, reply)).await.map(|said| match said {
-                    Ok(()) => Told::WordTaken,
-                    Err(why) => Told::TurnedDown { why: vec![why] },
+            Ok(ControlRequest::Status) => {
+                told(to_loop, ToLoop::State).await.map(|state| ControlReply::Status(Box::new(state)))
+            }
+            Ok(ControlRequest::Reload { insist }) => self.reload(insist, to_loop).await,
+            Ok(ControlRequest::OperatorCommand(command)) => {
+                told(to_loop, |reply| ToLoop::OperatorCommand(command, reply)).await.map(|said| match said {
+                    Ok(()) => ControlReply::CommandTaken,
+                    Err(why) => ControlReply::TurnedDown { why: vec![why] },
                 })
             }
-            Err(e) => Some(Told::Error { why: format!("not understood: {e}") }),
+            Err(e) => Some(ControlReply::Error { why: format!("not understood: {e}") }),
         };
-        let told = told.unwrap_or(Told::Error { why: "this host is leaving".into() });
+        let told = told.unwrap_or(ControlReply::Error { why: "this host is leaving".into() });
         let mut text = serde_json::to_string(&told)?;
         text.push('\n');
         tokio::time::timeout(PATIENCE, to.write_all(text.as_bytes())).await?
     }
 
-    async fn reload(&self, insist: bool, to_loop: &mpsc::Sender<ToLoop>) -> Option<Told> {
+    async fn reload(&self, insist: bool, to_loop: &mpsc::Sender<ToLoop>) -> Option<ControlReply> {
         let from = told(to_loop, ToLoop::Document).await?;
         let (load, old) = (self.load.clone(), from.clone());
         let still = |reading: &mut Option<JoinHandle<()>>| {
@@ -186,7 +192,7 @@
         if self.reading.lock().is_ok_and(|mut r| still(&mut r)) {
             let why =
                 "the document is still being read for an earlier reload; the one that is served by stays";
-            return Some(Told::Error { why: why.into() });
+            return Some(ControlReply::Error { why: why.into() });
         }
         let (said, told_of) = oneshot::channel();
         let reading = tokio::task::spawn_blocking(move || {
@@ -198,16 +204,18 @@
         }
         let (changes, to) = match tokio::time::timeout(self.reads_within, told_of).await {
             Ok(Ok(Ok(both))) => both,
-            Ok(Ok(Err(problems))) => return Some(Told::Broken { problems }),
+            Ok(Ok(Err(problems))) => return Some(ControlReply::Broken { problems }),
             Ok(Err(_)) => {
-                return Some(Told::Error { why: "the document could not be read: its reader failed".into() });
+                return Some(ControlReply::Error {
+                    why: "the document could not be read: its reader failed".into(),
+                });
             }
             Err(_) => {
                 let why = format!(
                     "the document was not read within {:?}; the one that is served by stays",
                     self.reads_within
                 );
-                return Some(Told::Error { why });
+                return Some(ControlReply::Error { why });
             }
         };
         let (reply, replied) = oneshot::channel();
@@ -221,8 +229,8 @@
         // The last hold on the one that is not served by is let go here, not in the loop; nothing comes of it.
         let _ = tokio::task::spawn_blocking(move || drop(both)).await;
         Some(match reply {
-            Reply::Taken { revision } => Told::Taken { revision: revision.0, changes: kept },
-            Reply::TurnedDown(why) => Told::TurnedDown { why },
+            Reply::Taken { revision } => ControlReply::Taken { revision: revision.0, changes: kept },
+            Reply::TurnedDown(why) => ControlReply::TurnedDown { why },
         })
     }
 }
@@ -250,7 +258,7 @@
 ///
 /// # Errors
 /// Nobody answers there, or not in time.
-pub async fn ask(path: &Path, ask: Ask, wait: Duration) -> io::Result<Told> {
+pub async fn ask(path: &Path, ask: ControlRequest, wait: Duration) -> io::Result<ControlReply> {
     let asked = async {
         let mut stream = UnixStream::connect(path).await?;
         let mut text = serde_json::to_string(&ask)?;
--- a/crates/host/src/core/changes.rs
+++ b/crates/host/src/core/changes.rs
@@ -1,9 +1,9 @@
 //! Another document while serving: taken whole between two steps, or turned down whole with the reasons. What it
-//! means for limits on the way is decided by [`gullsail_limits::Turnover`].
+//! means for limits on the way is decided by [`gullsail_config_transition::ConfigTransition`].
 
 use super::*;
+use gullsail_config_transition::{Heard, Note, Revision};
 use gullsail_configuration::diff::{Change, Class};
-use gullsail_limits::{Heard, Note, Revision};
 use gullsail_protocol::Reached;
 
 /// A document that somebody wants this host to serve by.
@@ -47,14 +47,19 @@
 impl Core {
     pub(super) fn propose(&mut self, p: Proposal) {
         let reply = match self.take(&p) {
-            Ok(()) => Reply::Taken { revision: self.turnover.revision() },
+            Ok(()) => Reply::Taken { revision: self.config_transition.revision() },
             Err(why) => Reply::TurnedDown(why),
         };
         match &reply {
             Reply::Taken { .. } => self.counts.documents_taken += 1,
             Reply::TurnedDown(_) => self.counts.documents_turned_down += 1,
         }
-        info!(revision = self.turnover.revision().0, ?reply, changes = p.changes.len(), "another document");
+        info!(
+            revision = self.config_transition.revision().0,
+            ?reply,
+            changes = p.changes.len(),
+            "another document"
+        );
         self.outputs.push(Output::Replied { asker: p.asker, reply });
     }
 
@@ -69,39 +74,45 @@
         if !against.is_empty() {
             return Err(against);
         }
-        self.turnover.go_on(p.to.line.clone(), self.now).map_err(|e| vec![e.to_string()])?;
+        self.config_transition.go_on(p.to.line.clone(), self.now).map_err(|e| vec![e.to_string()])?;
         let (old, new) = (self.deployment.clone(), p.to.clone());
         self.deployment = new;
-        self.turnover.joined(self.deployment.hosts.len() as u32);
+        self.config_transition.joined(self.deployment.hosts.len() as u32);
         self.fleet_document();
-        // Places of plans may be others now, so these come even if nobody's terms change.
+        // Places of plans may be others now, so these come even if nobody's allocations change.
         self.change_terms(true);
         if old.routes.pools != self.deployment.routes.pools || old.zones != self.deployment.zones {
             let entries = self.nodes.sort(&self.deployment);
-            self.events.push(Event::List { extent: Extent::Changes, entries });
+            self.events.push(Event::EndpointList { update_kind: UpdateKind::Delta, entries });
         }
         self.plan_rounds();
         Ok(())
     }
 
     fn change_terms(&mut self, plans_too: bool) {
-        let terms = self.turnover.changed();
-        if plans_too || !terms.is_empty() {
+        let allocations = self.config_transition.changed();
+        if plans_too || !allocations.is_empty() {
             let plans = self.deployment.figures().plans.clone();
-            let crossings = self.deployment.crossings_at(self.me);
-            self.events.push(Event::Plans { plans, terms, crossings, among: self.told_among });
+            let cross_zone_budgets = self.deployment.cross_zone_budgets_at(self.me);
+            self.events.push(Event::ConfigChanged {
+                plans,
+                allocations,
+                cross_zone_budgets,
+                fleet_membership: self.told_membership,
+            });
         }
     }
 
     /// What a host starts with may already differ from its even parts.
-    pub(super) fn start_turnover(&mut self) {
+    pub(super) fn start_config_transition(&mut self) {
         self.change_terms(false);
         self.plan_rounds();
     }
 
     /// The next round of notes, if there is to be one.
     pub(super) fn plan_rounds(&mut self) {
-        let Some(at) = self.turnover.next().filter(|at| self.rounds_at.is_none_or(|set| *at < set)) else {
+        let Some(at) = self.config_transition.next().filter(|at| self.rounds_at.is_none_or(|set| *at < set))
+        else {
             return;
         };
         self.rounds_at = Some(at);
@@ -111,7 +122,7 @@
     pub(super) fn round(&mut self) {
         if self.rounds_at.is_some_and(|at| at <= self.now) {
             self.rounds_at = None;
-            for (to, note) in self.turnover.tell(self.now, &mut self.rng) {
+            for (to, note) in self.config_transition.tell(self.now, &mut self.rng) {
                 self.tell_reached(to, note);
             }
         }
@@ -125,7 +136,7 @@
 
     pub(super) fn reached(&mut self, from: HostId, r: Reached) {
         let note = Note { held: Revision(r.held), revision: Revision(r.revision), hosts: r.hosts };
-        let (heard, reply) = self.turnover.hear(from, &note, self.now);
+        let (heard, reply) = self.config_transition.hear(from, &note, self.now);
         match heard {
             Heard::Nothing => {}
             Heard::News => self.change_terms(false),
@@ -146,6 +157,6 @@
 
     /// The document that is served by, and which hosts are not known to have followed to it.
     pub fn document(&self) -> (&Arc<Deployment>, Vec<HostId>) {
-        (&self.deployment, self.turnover.missing().collect())
+        (&self.deployment, self.config_transition.missing().collect())
     }
 }
--- a/crates/host/src/core/clock.rs
+++ b/crates/host/src/core/clock.rs
@@ -3,7 +3,7 @@
 //! `said - heard` and `said - asked`: a bound, not a guess (the interval form of Marzullo's algorithm). Each
 //! answer narrows the interval; drift widens what was learned before.
 
-use gullsail_interface::{Instant, Span};
+use gullsail_scheduler_api::{Instant, Span};
 
 /// How much faster or slower than ours a sound clock may run: quartz is ten times better, and a clock being
 /// slewed by its machine may reach it.
@@ -52,7 +52,7 @@
         Some((low - drift, high + drift))
     }
 
-    /// What must be added to a point of the peer's clock to have the earliest that it can be by ours. A label
+    /// What must be added to a point of the peer's clock to have the earliest that it can be by ours. A demand report
     /// then never looks fresher than it is, so that nothing lent counts for longer than its lender reckons.
     pub fn earliest(&self, now: Instant) -> Option<Span> {
         self.bounds(now).map(|(_, most)| Span::ZERO - most)
--- a/crates/host/src/core/dial.rs
+++ b/crates/host/src/core/dial.rs
@@ -2,7 +2,7 @@
 //! try with growing, jittered waits.
 
 use super::LinkId;
-use gullsail_interface::{Instant, Span};
+use gullsail_scheduler_api::{Instant, Span};
 use rand::Rng;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/host/src/core/fleet.rs
+++ b/crates/host/src/core/fleet.rs
@@ -1,19 +1,19 @@
-//! What the fleet settles, as this host takes part in it: its notes go to and from `gullsail-fleet` over the links between
+//! What the fleet settles, as this host takes part in it: its messages go to and from `gullsail-fleet` over the links between
 //! hosts, what is asked of each budget is told there, and the shares that come back are terms for the decisions.
 
 use super::*;
-use gullsail_fleet::lag::Lag;
-use gullsail_fleet::terms::{floor, least};
-use gullsail_fleet::works::SERVED;
-use gullsail_fleet::{Budget, Status, Terms as FleetTerms, WHOLE};
-use gullsail_protocol::FleetNote;
+use gullsail_fleet::config::{floor, least};
+use gullsail_fleet::delayed_increase::DelayedIncrease;
+use gullsail_fleet::maintenance::SERVED;
+use gullsail_fleet::{Budget, FleetConfig, Status, WHOLE};
+use gullsail_protocol::FleetMessage;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use tracing::{Level, enabled};
 
 /// What cold nodes bear, among the budgets: numbers of volumes are shorter.
 const COLD: VolumeId = VolumeId(u64::MAX);
-/// New connections to nodes, and legs to nodes of which nothing comes, a second to each.
+/// New connections to nodes, and attempts to nodes of which nothing comes, a second to each.
 const CONNECTS: VolumeId = VolumeId(u64::MAX - 1);
 const PROBES: VolumeId = VolumeId(u64::MAX - 2);
 /// Where a host has next to no part: as often at the least, so that no node is given up on for good.
@@ -34,7 +34,7 @@
 
 impl Core {
     /// What the document says of the fleet, in its own terms; `None`: nothing.
-    fn fleet_terms(&self) -> Option<FleetTerms> {
+    fn fleet_config(&self) -> Option<FleetConfig> {
         let d = &self.deployment;
         let fleet = d.fleet.as_ref()?;
         let mut budgets = BTreeMap::new();
@@ -43,18 +43,18 @@
             let stragglers = self.stragglers(v.id, fleet.floor);
             let through = v.hosts.clone();
             let (floor, least) =
-                (floor(fleet.floor, through.len()), least(d.figures().most_units, limit.burst));
+                (floor(fleet.floor, through.len()), least(d.figures().max_units, limit.burst));
             budgets.insert(v.id, Budget { through, floor, stragglers, least });
         }
-        for c in &d.crossings {
-            let (through, least) = (c.hosts.clone(), least(d.figures().most_bytes, c.limit.burst));
+        for c in &d.cross_zone_budgets {
+            let (through, least) = (c.hosts.clone(), least(d.figures().max_bytes, c.limit.burst));
             let floor = floor(fleet.floor, through.len());
             let stragglers = self.stragglers(c.id, fleet.floor);
             budgets.insert(c.id, Budget { through, floor, stragglers, least });
         }
         // What cold nodes bear: of all hosts, by what each is asked for in all.
         let through: Arc<[HostId]> = (0..d.hosts.len() as u32).map(HostId).collect();
-        let least = least(d.figures().most_units, d.figures().cold.units);
+        let least = least(d.figures().max_units, d.figures().slow_start.units);
         let floor = floor(fleet.floor, through.len());
         let cold = Budget { through, floor, stragglers: BTreeMap::new(), least };
         // Rates have no largest that a part must hold: each is spaced out.
@@ -63,21 +63,21 @@
             rates.iter().filter_map(|(id, rate)| rate.map(|_| (*id, Budget { least: 0, ..cold.clone() }))),
         );
         budgets.insert(COLD, cold);
-        Some(FleetTerms {
+        Some(FleetConfig {
             fleet: gullsail_configuration::number(&fleet.name),
             hosts: d.hosts.len() as u32,
             lease: fleet.lease,
             drift: fleet.drift,
             voters: fleet.voters,
             budgets,
-            works: d.works.clone(),
+            maintenance: d.maintenance.clone(),
         })
     }
 
     /// Who may still use a floor by a document from before.
     fn stragglers(&self, budget: VolumeId, part: f64) -> BTreeMap<HostId, u32> {
         let mut all: BTreeMap<HostId, u32> = BTreeMap::new();
-        for (host, count) in self.turnover.stragglers(budget) {
+        for (host, count) in self.config_transition.stragglers(budget) {
             let most = all.entry(host).or_default();
             *most = floor(part, count).max(*most);
         }
@@ -85,8 +85,8 @@
     }
 
     pub(super) fn start_fleet(&mut self, seed: u64) {
-        if let Some(terms) = self.fleet_terms() {
-            self.fleet = Some(Fleet::new(Arc::new(terms), self.me, self.incarnation, seed, self.now));
+        if let Some(fleet_config) = self.fleet_config() {
+            self.fleet = Some(Fleet::new(Arc::new(fleet_config), self.me, self.incarnation, seed, self.now));
             self.settle();
             self.fleet_turn();
         }
@@ -98,17 +98,17 @@
         }
     }
 
-    pub(super) fn fleet_note(&mut self, link: HostId, note: FleetNote) {
-        self.tell_fleet(FleetEvent::Note { link, note });
+    pub(super) fn fleet_message(&mut self, link: HostId, message: FleetMessage) {
+        self.tell_fleet(FleetEvent::Message { link, message });
     }
 
     pub(super) fn fleet_asked(&mut self, budget: VolumeId, units: f64) {
         self.tell_fleet(FleetEvent::Asked { budget, units });
     }
 
-    /// A transfer was taken: it counts for its volume, for what cold nodes bear of this host, and for how often it may ask
+    /// A request was taken: it counts for its volume, for what cold nodes bear of this host, and for how often it may ask
     /// silent ones: who has more to send has more to learn of them.
-    pub(super) fn fleet_took(&mut self, volume: VolumeId, units: f64) {
+    pub(super) fn fleet_latency(&mut self, volume: VolumeId, units: f64) {
         self.fleet_asked(volume, units);
         self.fleet_asked(COLD, units);
         self.fleet_asked(PROBES, units);
@@ -130,7 +130,7 @@
     pub(super) fn may_connect(&mut self, node: NodeId) -> Result<(), Instant> {
         let every = self.every(CONNECTS, self.deployment.fleet.as_ref().and_then(|f| f.connects));
         let Some(n) = self.nodes.get(node) else { return Ok(()) };
-        let may = n.pace.take(every, self.now, &mut self.rng);
+        let may = n.rate_pacer.take(every, self.now, &mut self.rng);
         self.fleet_asked(CONNECTS, 1.0);
         may
     }
@@ -141,15 +141,17 @@
             return;
         }
         let d = self.deployment.clone();
-        let of = |a: &Across| *a == Across::Pair(from, to) || plan.is_some_and(|p| *a == Across::Plan(p));
-        for c in d.crossings.iter().filter(|c| of(&c.of)) {
+        let of = |a: &BudgetScope| {
+            *a == BudgetScope::ZonePair(from, to) || plan.is_some_and(|p| *a == BudgetScope::Plan(p))
+        };
+        for c in d.cross_zone_budgets.iter().filter(|c| of(&c.of)) {
             self.fleet_asked(c.id, bytes as f64);
         }
     }
 
     pub(super) fn fleet_document(&mut self) {
-        if let Some(terms) = self.fleet_terms() {
-            self.tell_fleet(FleetEvent::Terms(Arc::new(terms)));
+        if let Some(fleet_config) = self.fleet_config() {
+            self.tell_fleet(FleetEvent::Config(Arc::new(fleet_config)));
         }
     }
 
@@ -160,12 +162,12 @@
         let outputs: Vec<_> = fleet.outputs().collect();
         let (next, changed) = (fleet.next(), fleet.changed());
         for output in outputs {
-            self.tell_frame(output.to, Frame::from(output.note));
+            self.tell_frame(output.to, Frame::from(output.message));
         }
         if changed || self.cold_at.is_some_and(|at| at <= self.now) {
             self.settle();
         }
-        self.works_turn(changed);
+        self.maintenance_turn(changed);
         if self.fleet_at.is_none_or(|at| at <= self.now || next < at) {
             // A timer that is set anew is played once more for nothing.
             let at = next.max(self.now + Span::from_micros(1000));
@@ -179,24 +181,29 @@
         let Some(fleet) = &self.fleet else { return };
         let d = self.deployment.clone();
         let share = |id: VolumeId| f64::from(fleet.share(id)) / f64::from(WHOLE);
-        let ids = d.volumes.iter().map(|v| v.id).chain(d.crossings.iter().map(|c| c.id));
+        let ids = d.volumes.iter().map(|v| v.id).chain(d.cross_zone_budgets.iter().map(|c| c.id));
         let shares: BTreeMap<VolumeId, f64> = ids.map(|id| (id, share(id))).collect();
         let cold = fleet.share(COLD);
         let out: BTreeSet<HostId> = fleet.out().collect();
         let was_out = std::mem::replace(&mut self.fleet_out, out.clone());
         self.write_down();
-        self.turnover.settle(shares, out);
-        let terms = self.turnover.changed();
+        self.config_transition.settle(shares, out);
+        let allocations = self.config_transition.changed();
         let (cold, look) = self.cold.hold(cold, self.now);
         self.cold_at = look;
         look.into_iter().for_each(|at| self.at(at, Due::Fleet));
-        let among = self.among(cold);
-        if !terms.is_empty() || self.told_among != Some(among) {
-            self.told_among = Some(among);
+        let fleet_membership = self.fleet_membership(cold);
+        if !allocations.is_empty() || self.told_membership != Some(fleet_membership) {
+            self.told_membership = Some(fleet_membership);
             let plans = d.figures().plans.clone();
-            let event = Event::Plans { plans, terms, crossings: d.crossings_at(self.me), among: Some(among) };
+            let event = Event::ConfigChanged {
+                plans,
+                allocations,
+                cross_zone_budgets: d.cross_zone_budgets_at(self.me),
+                fleet_membership: Some(fleet_membership),
+            };
             // After documents that came in the same step, before all else.
-            let last = self.events.iter().rposition(|e| matches!(e, Event::Plans { .. }));
+            let last = self.events.iter().rposition(|e| matches!(e, Event::ConfigChanged { .. }));
             self.events.insert(last.map_or(0, |place| place + 1), event);
         }
         if was_out != self.fleet_out {
@@ -206,10 +213,10 @@
         }
     }
 
-    fn among(&self, cold: u32) -> Among {
-        let cold_part = Some(f64::from(cold) / f64::from(WHOLE));
-        let probe_every = self.every(PROBES, self.deployment.fleet.as_ref().and_then(|f| f.probes));
-        Among { hosts: self.deployment.hosts.len() as u32, cold_part, probe_every }
+    fn fleet_membership(&self, cold: u32) -> FleetMembership {
+        let slow_start_share = Some(f64::from(cold) / f64::from(WHOLE));
+        let probe_interval = self.every(PROBES, self.deployment.fleet.as_ref().and_then(|f| f.probes));
+        FleetMembership { hosts: self.deployment.hosts.len() as u32, slow_start_share, probe_interval }
     }
 
     /// What this host may use from now on, and for how long, for whoever judges it later: a line for each change, as long
@@ -225,8 +232,8 @@
         let (epoch, held) = (fleet.epoch(), serde_json::to_string(&held).unwrap_or_default());
         let lasts_us = lease.map_or(-1, Span::micros);
         let member = self.deployment.hosts.get(self.me.0 as usize).map_or("", |h| h.name.as_str());
-        let life = self.incarnation;
-        debug!(target: "gullsail_parts", member, life, epoch, lasts_us, parts = held, "parts");
+        let incarnation = self.incarnation;
+        debug!(target: "gullsail_parts", member, incarnation, epoch, lasts_us, parts = held, "parts");
     }
 
     fn budget_name(&self, id: u64) -> Option<String> {
@@ -236,14 +243,16 @@
             return Some(name.to_string());
         }
         let volume = d.volumes.iter().find(|v| v.id.0 == id).map(|v| v.name.clone());
-        volume.or_else(|| d.crossings.iter().find(|c| c.id.0 == id).map(|c| format!("crossing {}", c.name)))
+        volume.or_else(|| {
+            d.cross_zone_budgets.iter().find(|c| c.id.0 == id).map(|c| format!("crossing {}", c.name))
+        })
     }
 
     /// All is answered: the fleet is told, and this host may leave once it knows, or soon.
     /// Shares of what cold nodes bear count a window later: a tenth longer than the rule's, as the decisions count it, and
-    /// as long as a leg may wait.
-    pub(super) fn cold_lag(d: &Deployment) -> Lag {
-        Lag::new(d.figures().cold.window.times(1.1) + d.figures().leg_wait)
+    /// as long as an attempt may wait.
+    pub(super) fn cold_delayed_increase(d: &Deployment) -> DelayedIncrease {
+        DelayedIncrease::new(d.figures().slow_start.window.times(1.1) + d.figures().connect_wait)
     }
 
     pub(super) fn left_fleet(&mut self) -> bool {
--- a/crates/host/src/core/hear.rs
+++ b/crates/host/src/core/hear.rs
@@ -3,7 +3,7 @@
 
 use super::clock::Learned;
 use super::*;
-use gullsail_protocol::{ClockTell, ListNews};
+use gullsail_protocol::{ClockReply, EndpointListUpdate};
 
 impl Core {
     pub(super) fn hear(&mut self, id: LinkId, frame: Frame, aged: bool) {
@@ -16,19 +16,19 @@
             (Who::Stranger(_), Message::Hello(hello)) => self.greeted_by_stranger(id, hello),
             (Who::Client, Message::Submit(s)) => self.submit(id, s, frame.body, aged),
             (Who::Client, Message::Withdraw(w)) => self.withdraw(id, w.id),
-            (Who::PeerIn { .. }, Message::Label(l)) => self.label(id, l.bytes),
-            (Who::PeerIn { .. }, Message::ClockTell(t)) => self.clock_told(id, t),
+            (Who::PeerIn { .. }, Message::DemandReport(l)) => self.demand_report(id, l.bytes),
+            (Who::PeerIn { .. }, Message::ClockReply(t)) => self.clock_told(id, t),
             (Who::PeerIn { host, .. }, Message::Reached(r)) => {
                 let host = *host;
                 self.reached(host, r);
             }
-            (Who::PeerIn { host, .. }, Message::FleetNote(note)) => {
+            (Who::PeerIn { host, .. }, Message::FleetMessage(note)) => {
                 let host = *host;
-                self.fleet_note(host, note);
+                self.fleet_message(host, note);
             }
-            (Who::PeerOut(_), Message::ClockAsk(a)) => {
+            (Who::PeerOut(_), Message::ClockQuery(a)) => {
                 let clock_us = self.now.micros();
-                self.send(id, Frame::from(ClockTell { asked_us: a.asked_us, clock_us }));
+                self.send(id, Frame::from(ClockReply { asked_us: a.asked_us, clock_us }));
             }
             (Who::PeerOut(host), Message::Hello(hello)) => {
                 let host = *host;
@@ -38,9 +38,9 @@
                 let node = *node;
                 self.greeted_by_node(id, node, hello);
             }
-            (Who::Node(node), Message::LegAnswer(a)) => {
+            (Who::Node(node), Message::AttemptAnswer(a)) => {
                 let node = *node;
-                self.leg_answer(node, a, frame.body, bytes);
+                self.attempt_answer(node, a, frame.body, bytes);
             }
             (Who::Node(_), Message::ProbeAnswer(_)) => {}
             (Who::List, Message::Hello(hello)) => {
@@ -51,13 +51,13 @@
                 self.in_time(id);
                 self.dial_list();
             }
-            (Who::List, Message::ListNews(news)) => {
+            (Who::List, Message::EndpointListUpdate(news)) => {
                 self.in_time(id);
                 self.list_news(news);
             }
-            (Who::List, Message::ListRefused(r)) => {
+            (Who::List, Message::EndpointListRefused(r)) => {
                 self.in_time(id);
-                self.list_asked = false;
+                self.poll_endpoints = false;
                 self.list_is_lost(&r.reason);
             }
             _ => {
@@ -110,11 +110,11 @@
     fn greeted_by_node(&mut self, id: LinkId, node: NodeId, hello: Hello) {
         let Some(n) = self.nodes.get(node) else { return self.hang_up(id, "forgotten") };
         let (is_node, same_name) = (hello.role == Role::Node as i32, n.name == hello.name);
-        if !is_node || !same_name || n.cell != CellId(hello.cell_plus_one - 1) {
+        if !is_node || !same_name || n.shard != ShardId(hello.shard_plus_one - 1) {
             warn!(
                 node = n.name,
                 found = hello.name,
-                cell = hello.cell_plus_one - 1,
+                shard = hello.shard_plus_one - 1,
                 "another node answers there"
             );
             return self.hang_up(id, "another node answers at this node's address");
@@ -124,19 +124,19 @@
         }
     }
 
-    fn list_news(&mut self, news: ListNews) {
-        self.list_asked = false;
+    fn list_news(&mut self, news: EndpointListUpdate) {
+        self.poll_endpoints = false;
         debug!(version = news.version, whole = news.whole, entries = news.entries.len(), "node list");
         let entries = self.nodes.listed(news.whole, news.entries, &self.deployment, self.now);
-        for (cell, names) in self.nodes.cells_twice() {
-            warn!(cell = cell.0, nodes = names.join(" "), "the list names two ready nodes with one cell");
+        for (shard, names) in self.nodes.shards_twice() {
+            warn!(shard = shard.0, nodes = names.join(" "), "the list names two ready nodes with one cell");
         }
-        let extent = if news.whole { Extent::Whole } else { Extent::Changes };
-        self.events.push(Event::List { extent, entries });
+        let update_kind = if news.whole { UpdateKind::Snapshot } else { UpdateKind::Delta };
+        self.events.push(Event::EndpointList { update_kind, entries });
         self.dial_nodes();
     }
 
-    fn clock_told(&mut self, id: LinkId, tell: ClockTell) {
+    fn clock_told(&mut self, id: LinkId, tell: ClockReply) {
         let apart = self.deployment.bounds.clock_apart;
         let now = self.now;
         let Some(Link { who: Who::PeerIn { host, clock, waiting, far }, .. }) = self.links.get_mut(&id)
@@ -166,27 +166,27 @@
             );
         }
         if learned != Learned::Nothing {
-            waiting.into_iter().for_each(|bytes| self.label(id, bytes));
+            waiting.into_iter().for_each(|bytes| self.demand_report(id, bytes));
         }
     }
 
-    /// A label is read by our clock. One whose sender's clock is not known waits for it; one whose sender's
-    /// clock is too far off is dropped: something is wrong there, and a lost label costs no limit.
-    fn label(&mut self, id: LinkId, bytes: Vec<u8>) {
+    /// A demand report is read by our clock. One whose sender's clock is not known waits for it; one whose sender's
+    /// clock is too far off is dropped: something is wrong there, and a lost demand report costs no limit.
+    fn demand_report(&mut self, id: LinkId, bytes: Vec<u8>) {
         let now = self.now;
         let Some(Link { who: Who::PeerIn { host, clock, waiting, far }, .. }) = self.links.get_mut(&id)
         else {
             return;
         };
         let Some(by) = clock.earliest(now).filter(|_| !*far) else {
-            self.counts.labels_dropped += u64::from(*far || waiting.len() >= LABELS_WAIT);
+            self.counts.demand_reports_dropped += u64::from(*far || waiting.len() >= LABELS_WAIT);
             if !*far && waiting.len() < LABELS_WAIT {
                 waiting.push_back(bytes);
             }
             return;
         };
-        self.counts.labels_heard += 1;
+        self.counts.demand_reports_received += 1;
         let from = *host;
-        self.events.push(Event::PeerSaid { from, bytes: label::moved(&bytes, by) });
+        self.events.push(Event::PeerMessage { from, bytes: demand_report::moved(&bytes, by) });
     }
 }
--- a/crates/host/src/core/works.rs
+++ b/crates/host/src/core/maintenance.rs
@@ -3,32 +3,34 @@
 
 use super::*;
 use gullsail_configuration::{meant, node_id, number};
-use gullsail_fleet::works::{MachineId, Order, Seen, Stage, What};
-use gullsail_protocol::FleetWord;
+use gullsail_fleet::maintenance::{Order, ServerId, ServerObservation, ServerRole, Stage};
+use gullsail_protocol::FleetCommand;
 use serde::{Deserialize, Serialize};
 
 /// What an operator says of machines.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
-pub struct Word {
+pub struct OperatorCommand {
     /// `out`, `back` or `cancel`.
     pub kind: String,
     /// Nodes, hosts, or zones: all that is in them.
     pub names: Vec<String>,
     /// How long they may be away; 0: as the document says.
     pub longest_ms: u64,
-    pub cell_away: bool,
+    #[serde(rename = "cell_away")]
+    pub shard_away: bool,
     pub returns: bool,
     pub reason: String,
 }
 
 /// What came of it: taken, or why not.
-pub type Worded = Result<(), String>;
+pub type CommandOutcome = Result<(), String>;
 
 /// An order, with names.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OrderView {
-    pub machine: String,
+    #[serde(rename = "machine")]
+    pub server: String,
     /// Of orders that are open, so many come before it.
     pub before: usize,
     pub stage: Stage,
@@ -43,7 +45,7 @@
 /// All orders as one host knows them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
-pub struct WorksView {
+pub struct MaintenanceView {
     /// A coordinator has told the line.
     pub known: bool,
     /// Too many hosts had lost their memory when it began: orders given before may be lost.
@@ -58,40 +60,40 @@
 /// Of one word.
 const MOST_NAMES: usize = 1024;
 
-fn of_host(name: &str) -> MachineId {
-    MachineId(number(&format!("host {name}")))
+fn of_host(name: &str) -> ServerId {
+    ServerId(number(&format!("host {name}")))
 }
 
-fn of_node(id: NodeId) -> MachineId {
-    MachineId(id.0)
+fn of_node(id: NodeId) -> ServerId {
+    ServerId(id.0)
 }
 
 impl Core {
-    fn works(&self) -> bool {
-        self.fleet.is_some() && self.deployment.works.is_some()
+    fn maintenance(&self) -> bool {
+        self.fleet.is_some() && self.deployment.maintenance.is_some()
     }
 
     /// At the start nothing is known of any machine: nothing may be sent.
-    pub(super) fn start_works(&mut self) {
-        if self.works() {
+    pub(super) fn start_maintenance(&mut self) {
+        if self.maintenance() {
             self.bars();
         }
     }
 
     /// After the fleet's turn, ahead of what is decided in this step.
-    pub(super) fn works_turn(&mut self, changed: bool) {
-        if !self.works() {
+    pub(super) fn maintenance_turn(&mut self, changed: bool) {
+        if !self.maintenance() {
             return;
         }
         if changed {
             self.bars();
             self.write_stages();
         }
-        if self.works_at <= self.now || changed {
+        if self.maintenance_at <= self.now || changed {
             self.let_go_of();
-            self.works_at = self.now + LOOK;
+            self.maintenance_at = self.now + LOOK;
             if self.nodes.iter().any(|(_, n)| n.barred && n.dial.link().is_some()) {
-                self.at(self.works_at, Due::Fleet);
+                self.at(self.maintenance_at, Due::Fleet);
             }
         }
         let Some(fleet) = &mut self.fleet else { return };
@@ -101,9 +103,9 @@
             self.stopping = true;
         }
         for (asker, said) in answers {
-            self.words.remove(&asker);
-            let said = said.map_err(|(machine, why)| format!("{}: {why}", self.machine_name(machine)));
-            self.outputs.push(Output::Worded { asker, said });
+            self.commands.remove(&asker);
+            let said = said.map_err(|(server, why)| format!("{}: {why}", self.server_name(server)));
+            self.outputs.push(Output::CommandOutcome { asker, said });
         }
     }
 
@@ -125,65 +127,67 @@
             }
         }
         if !entries.is_empty() {
-            let last =
-                self.events.iter().rposition(|e| matches!(e, Event::Plans { .. } | Event::List { .. }));
-            let event = Event::List { extent: Extent::Changes, entries };
+            let last = self
+                .events
+                .iter()
+                .rposition(|e| matches!(e, Event::ConfigChanged { .. } | Event::EndpointList { .. }));
+            let event = Event::EndpointList { update_kind: UpdateKind::Delta, entries };
             self.events.insert(last.map_or(0, |place| place + 1), event);
         }
         // None of them went out.
-        waiting.into_iter().for_each(|leg| self.leg_over(leg, Ending::Unsent, None));
+        waiting.into_iter().for_each(|attempt| self.attempt_over(attempt, AttemptOutcome::NotSent, None));
         if turned.iter().any(|t| !t.1) {
             self.dial_nodes();
         }
     }
 
-    /// Barred nodes with no leg lose their connection; then they are let go of, and the fleet is told what is seen.
+    /// Barred nodes with no attempt lose their connection; then they are let go of, and the fleet is told what is seen.
     fn let_go_of(&mut self) {
         let barred = self.nodes.iter().filter(|(_, n)| n.barred);
         let barred: Vec<_> = barred.map(|(id, n)| (id, n.dial.link())).collect();
         for (id, link) in barred {
-            if let Some(link) = link.filter(|_| self.transfers.at_node(id).is_empty()) {
+            if let Some(link) = link.filter(|_| self.requests.at_node(id).is_empty()) {
                 self.hang_up(link, "out for work");
             }
         }
         let d = self.deployment.clone();
         let can = |name: &str| {
-            let machine = d.node(name).and_then(|n| d.machines.get(n.machine));
-            machine.map_or(1.0, gullsail_configuration::Machine::can)
+            let server = d.node(name).and_then(|n| d.servers.get(n.server));
+            server.map_or(1.0, gullsail_configuration::Server::can)
         };
-        let mut machines = gullsail_fleet::works::Machines::new();
+        let mut servers = gullsail_fleet::maintenance::Servers::new();
         let mut let_go = BTreeSet::new();
         for (id, n) in self.nodes.iter() {
-            let ready = n.standing == Standing::Ready;
-            let what = What::Node { cell: n.cell.0, pool: number(&n.kind), can: can(&n.name) };
+            let ready = n.state == EndpointState::Ready;
+            let what = ServerRole::Node { shard: n.shard.0, pool: number(&n.kind), can: can(&n.name) };
             let well = ready && (n.barred || n.dial.up().is_some());
-            let (life, started) = n.newest();
+            let (incarnation, started) = n.newest();
             let up = started.map_or(Span::ZERO, |at| (self.now - at).max(Span::ZERO));
-            let seen = Seen { what, zone: n.zone.0 as u32, well, life, up };
-            machines.insert(of_node(id), seen);
-            if n.barred && n.dial.link().is_none() && self.transfers.at_node(id).is_empty() {
+            let seen = ServerObservation { what, zone: n.zone.0 as u32, well, incarnation, up };
+            servers.insert(of_node(id), seen);
+            if n.barred && n.dial.link().is_none() && self.requests.at_node(id).is_empty() {
                 let_go.insert(of_node(id));
             }
         }
         for (place, h) in d.hosts.iter().enumerate() {
-            let (what, zone) = (What::Host(place as u32), h.zone.0 as u32);
-            let seen = Seen { what, zone, well: true, life: 0, up: Span::ZERO };
-            machines.insert(of_host(&h.name), seen);
+            let (what, zone) = (ServerRole::Host(place as u32), h.zone.0 as u32);
+            let seen = ServerObservation { what, zone, well: true, incarnation: 0, up: Span::ZERO };
+            servers.insert(of_host(&h.name), seen);
         }
-        self.tell_fleet(FleetEvent::Sees { machines, let_go });
+        self.tell_fleet(FleetEvent::Sees { servers, let_go });
     }
 
     /// For whoever judges it later: when this host knew which stage of which order.
     fn write_stages(&mut self) {
         let Some(line) = self.fleet.as_ref().and_then(Fleet::line) else { return };
-        let stages: Vec<_> = line.orders.iter().map(|o| (o.number, o.machine, o.stage)).collect();
-        for (number, machine, stage) in stages {
+        let stages: Vec<_> = line.orders.iter().map(|o| (o.number, o.server, o.stage)).collect();
+        for (number, server, stage) in stages {
             let known = self.stages.insert(number, stage);
             if known != Some(stage) {
-                let (member, life, name) = (self.name(), self.incarnation, self.machine_name(machine));
+                let (member, incarnation, name) = (self.name(), self.incarnation, self.server_name(server));
                 let stage = serde_json::to_value(stage).ok().and_then(|s| s.as_str().map(str::to_string));
                 let stage = stage.unwrap_or_default();
-                debug!(target: "gullsail_works", member, life, number, machine = name, stage, "stage");
+                debug!(target: "gullsail_works", member, incarnation, number, server = name, stage, "stage");
             }
         }
         while self.stages.len() > 4096 {
@@ -195,22 +199,22 @@
         self.deployment.hosts.get(self.me.0 as usize).map_or(String::new(), |h| h.name.clone())
     }
 
-    fn machine_name(&self, machine: MachineId) -> String {
-        let node = self.nodes.iter().find(|(id, _)| of_node(*id) == machine).map(|(_, n)| n.name.clone());
+    fn server_name(&self, server: ServerId) -> String {
+        let node = self.nodes.iter().find(|(id, _)| of_node(*id) == server).map(|(_, n)| n.name.clone());
         let host =
-            || self.deployment.hosts.iter().find(|h| of_host(&h.name) == machine).map(|h| h.name.clone());
-        node.or_else(host).unwrap_or_else(|| format!("machine {}", machine.0))
+            || self.deployment.hosts.iter().find(|h| of_host(&h.name) == server).map(|h| h.name.clone());
+        node.or_else(host).unwrap_or_else(|| format!("machine {}", server.0))
     }
 
     /// Names as machines; else what is wrong with them. A zone's name stands for all that is in it.
-    fn machines(&self, names: &[String]) -> Result<Vec<MachineId>, String> {
+    fn servers(&self, names: &[String]) -> Result<Vec<ServerId>, String> {
         let d = &self.deployment;
         let mut all = Vec::new();
         for name in names {
             let before = all.len();
             if let Some(zone) = d.zones.iter().position(|z| z == name) {
                 let nodes =
-                    self.nodes.iter().filter(|(_, n)| n.zone.0 == zone && n.standing == Standing::Ready);
+                    self.nodes.iter().filter(|(_, n)| n.zone.0 == zone && n.state == EndpointState::Ready);
                 all.extend(nodes.map(|(id, _)| of_node(id)));
                 all.extend(d.hosts.iter().filter(|h| h.zone.0 == zone).map(|h| of_host(&h.name)));
             }
@@ -236,43 +240,43 @@
         Ok(all)
     }
 
-    pub(super) fn word(&mut self, asker: u64, word: Word) {
-        let kind = ["out", "back", "cancel"].iter().position(|k| *k == word.kind);
-        let machines = self.machines(&word.names);
-        let said = match (kind, machines) {
-            _ if !self.works() => {
+    pub(super) fn command(&mut self, asker: u64, command: OperatorCommand) {
+        let kind = ["out", "back", "cancel"].iter().position(|k| *k == command.kind);
+        let servers = self.servers(&command.names);
+        let said = match (kind, servers) {
+            _ if !self.maintenance() => {
                 Err("the document has no `works`: machines are not taken out here".to_string())
             }
-            (None, _) => Err(format!("\"{}\": out, back or cancel", word.kind)),
+            (None, _) => Err(format!("\"{}\": out, back or cancel", command.kind)),
             (_, Err(why)) => Err(why),
-            (Some(kind), Ok(machines)) => {
-                let word = FleetWord {
+            (Some(kind), Ok(servers)) => {
+                let command = FleetCommand {
                     kind: kind as u32 + 1,
-                    machines: machines.into_iter().map(|m| m.0).collect(),
-                    longest_ms: word.longest_ms,
-                    cell_away: word.cell_away,
-                    returns: word.returns,
-                    reason: word.reason,
-                    ..FleetWord::default()
+                    servers: servers.into_iter().map(|m| m.0).collect(),
+                    longest_ms: command.longest_ms,
+                    shard_away: command.shard_away,
+                    returns: command.returns,
+                    reason: command.reason,
+                    ..FleetCommand::default()
                 };
                 let until = self.now + ANSWERED;
-                self.words.retain(|_, until| *until > self.now);
-                self.words.insert(asker, until);
+                self.commands.retain(|_, until| *until > self.now);
+                self.commands.insert(asker, until);
                 self.at(until, Due::Fleet);
-                return self.tell_fleet(FleetEvent::Word { number: asker, word });
+                return self.tell_fleet(FleetEvent::OperatorCommand { number: asker, command });
             }
         };
-        self.outputs.push(Output::Worded { asker, said });
+        self.outputs.push(Output::CommandOutcome { asker, said });
     }
 
-    pub fn works_view(&self) -> Option<WorksView> {
-        let fleet = self.fleet.as_ref().filter(|_| self.works())?;
+    pub fn maintenance_view(&self) -> Option<MaintenanceView> {
+        let fleet = self.fleet.as_ref().filter(|_| self.maintenance())?;
         let name =
             |h: &u32| self.deployment.hosts.get(*h as usize).map_or(format!("host {h}"), |h| h.name.clone());
         let line = fleet.line();
         let before = |o: &Order| line.map_or(0, |l| l.open().filter(|b| b.number < o.number).count());
         let order = |o: &Order| OrderView {
-            machine: self.machine_name(o.machine),
+            server: self.server_name(o.server),
             before: before(o),
             stage: o.stage,
             for_ms: o.aged(self.now).millis(),
@@ -281,7 +285,7 @@
             hosts: o.hosts.iter().map(name).collect(),
             reason: o.reason.clone(),
         };
-        Some(WorksView {
+        Some(MaintenanceView {
             known: line.is_some(),
             anew: line.is_some_and(|l| l.anew != 0),
             orders: fleet.orders().map(order).collect(),
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -3,39 +3,39 @@
 //!
 //! A caller hands over what happened with [`Core::handle`], any number of times, then calls
 //! [`Core::advance`] once and carries out [`Core::outputs`] in their order; [`Core::next_timer`] says when to
-//! call again at the latest. Read `mod.rs` for links and time, [`serve`] for transfers and legs, [`hear`] for
-//! frames that come in, [`nodes`], [`transfers`], [`dial`] and [`clock`] for what they keep.
+//! call again at the latest. Read `mod.rs` for links and time, [`serve`] for requests and attempts, [`hear`] for
+//! frames that come in, [`nodes`], [`requests`], [`dial`] and [`clock`] for what they keep.
 
 pub mod changes;
 pub mod clock;
 pub mod dial;
 pub mod fleet;
 mod hear;
-mod lengths;
+pub mod maintenance;
 pub mod nodes;
+pub mod requests;
 mod serve;
-pub mod transfers;
-pub mod works;
+mod size_metrics;
 pub mod zones;
 
 use clock::PeerClock;
 use dial::{Dial, State};
-use gullsail::Brain;
+use gullsail::Scheduler;
+use gullsail_config_transition::ConfigTransition;
 use gullsail_configuration::Deployment;
-use gullsail_fleet::lag::Lag;
+use gullsail_fleet::delayed_increase::DelayedIncrease;
 use gullsail_fleet::{Event as FleetEvent, Fleet};
-use gullsail_interface::*;
-use gullsail_limits::Turnover;
-use gullsail_protocol::{ClockAsk, Frame, Hello, Label, ListAsk, Message, NotTaken, Role};
-use gullsail_timing::Timers;
-use gullsail_zones::{Account, Breaches};
+use gullsail_protocol::{ClockQuery, DemandReport, EndpointListQuery, Frame, Hello, Message, NotTaken, Role};
+use gullsail_scheduler_api::*;
+use gullsail_timers::Timers;
+use gullsail_zone_traffic::{Account, Breaches};
 use nodes::Nodes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use requests::{AttemptId, Requests};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use tracing::{debug, info, warn};
-use transfers::{LegId, Transfers};
 
 /// A connection, named by the core.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -57,7 +57,7 @@
     /// Another document, compared with the one that is served by.
     Propose(Box<changes::Proposal>),
     /// An operator's word on machines.
-    Word(u64, works::Word),
+    OperatorCommand(u64, maintenance::OperatorCommand),
     /// Take nothing new, answer what is held, then leave.
     Stop,
 }
@@ -90,9 +90,9 @@
         reply: changes::Reply,
     },
     /// What came of an operator's word.
-    Worded {
+    CommandOutcome {
         asker: u64,
-        said: works::Worded,
+        said: maintenance::CommandOutcome,
     },
     /// All is answered and the stop was asked for.
     Left,
@@ -107,16 +107,22 @@
     pub taken: u64,
     pub not_taken: u64,
     pub done: u64,
-    pub deferred: u64,
-    pub abandoned: u64,
+    #[serde(rename = "deferred")]
+    pub rejected: u64,
+    #[serde(rename = "abandoned")]
+    pub failed: u64,
     pub clients_left: u64,
-    pub legs: u64,
+    #[serde(rename = "legs")]
+    pub attempts: u64,
     pub late_node_answers: u64,
     pub links_broken: u64,
-    pub labels_sent: u64,
-    pub labels_heard: u64,
+    #[serde(rename = "labels_sent")]
+    pub demand_reports_sent: u64,
+    #[serde(rename = "labels_heard")]
+    pub demand_reports_received: u64,
     /// Not passed on: the sender's clock is not known yet, or too far off.
-    pub labels_dropped: u64,
+    #[serde(rename = "labels_dropped")]
+    pub demand_reports_dropped: u64,
     pub nodes_restarted: u64,
     pub nodes_met_again: u64,
     pub list_lost: u64,
@@ -130,7 +136,7 @@
     /// Times that the process stood still, and the longest of them.
     pub stood_still: u64,
     pub longest_still_us: u64,
-    /// Transfers whose time was shortened by what they may have waited meanwhile, and answers that were not given since
+    /// Requests whose time was shortened by what they may have waited meanwhile, and answers that were not given since
     /// their client no longer waited.
     pub aged: u64,
     pub answers_withheld: u64,
@@ -140,7 +146,7 @@
     pub most_held: u64,
 }
 
-/// Labels that wait for a connection or a clock: they count for a tenth of a second only.
+/// Demand reports that wait for a connection or a clock: they count for a tenth of a second only.
 const LABELS_WAIT: usize = 8;
 /// Connections that others open to this host, where nobody says how many it can hold.
 const MOST_LINKS: usize = 20_000;
@@ -169,7 +175,7 @@
     /// It has not said yet who it is; it was sent so many bytes.
     Stranger(usize),
     Client,
-    /// A peer that speaks to us, and what is known of its clock; labels wait until something is.
+    /// A peer that speaks to us, and what is known of its clock; demand reports wait until something is.
     PeerIn {
         host: HostId,
         clock: PeerClock,
@@ -189,9 +195,9 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Due {
-    Brain(TimerId),
-    /// A leg has waited long enough for its connection, or for its answer.
-    Leg(LegId),
+    Scheduler(TimerId),
+    /// A attempt has waited long enough for its connection, or for its answer.
+    Attempt(AttemptId),
     /// A connection, its first frame, or the list's reply may have taken too long.
     Slow(LinkId),
     RedialNode(NodeId),
@@ -207,7 +213,7 @@
 pub struct Core {
     me: HostId,
     deployment: Arc<Deployment>,
-    brain: Brain,
+    scheduler: Scheduler,
     rng: ChaCha8Rng,
     now: Instant,
     born: Instant,
@@ -221,24 +227,24 @@
     peers: BTreeMap<HostId, PeerOut>,
     list: Dial,
     /// The list was asked on its link and has not replied yet.
-    list_asked: bool,
-    transfers: Transfers,
+    poll_endpoints: bool,
+    requests: Requests,
     /// What crossed between zones, and what went past budgets.
     account: Account,
     breaches: Breaches,
-    turnover: Turnover,
+    config_transition: ConfigTransition,
     rounds_at: Option<Instant>,
     /// What hosts settle among themselves, where the document wants it; when it is looked at next; who is out by it;
     /// this host's part of what cold nodes bear, and what the decisions were told last of it.
     fleet: Option<Fleet>,
     fleet_at: Option<Instant>,
     fleet_out: BTreeSet<HostId>,
-    cold: Lag,
+    cold: DelayedIncrease,
     cold_at: Option<Instant>,
-    told_among: Option<Among>,
+    told_membership: Option<FleetMembership>,
     /// When machines are looked at next, and which stage of each order was written down.
-    works_at: Instant,
-    stages: BTreeMap<u64, gullsail_fleet::works::Stage>,
+    maintenance_at: Instant,
+    stages: BTreeMap<u64, gullsail_fleet::maintenance::Stage>,
     /// Bytes that wait for the other sides of all links.
     unsent: usize,
     /// Links that others opened, and how many there may be.
@@ -249,17 +255,17 @@
     stopping: bool,
     left: bool,
     /// Words that are not answered yet, and until when the host does not leave for their sake.
-    words: BTreeMap<u64, Instant>,
+    commands: BTreeMap<u64, Instant>,
     counts: Counts,
 }
 
 impl Core {
-    /// `seed` and `incarnation` are drawn anew for each life of a host.
+    /// `seed` and `incarnation` are drawn anew for each incarnation of a host.
     pub fn new(deployment: Arc<Deployment>, me: HostId, seed: u64, incarnation: u64, now: Instant) -> Core {
         let nodes = Nodes::from_document(&deployment);
         let mut core = Core {
             me,
-            brain: Brain::new(deployment.facts(me), seed, now),
+            scheduler: Scheduler::new(deployment.config(me), seed, now),
             rng: ChaCha8Rng::seed_from_u64(seed ^ incarnation),
             now,
             born: now,
@@ -272,17 +278,22 @@
             nodes,
             peers: BTreeMap::new(),
             list: Dial::default(),
-            list_asked: false,
-            transfers: Transfers::default(),
-            turnover: Turnover::new(me, deployment.hosts.len() as u32, deployment.line.clone(), now),
+            poll_endpoints: false,
+            requests: Requests::default(),
+            config_transition: ConfigTransition::new(
+                me,
+                deployment.hosts.len() as u32,
+                deployment.line.clone(),
+                now,
+            ),
             rounds_at: None,
             fleet: None,
             fleet_at: None,
             fleet_out: BTreeSet::new(),
-            cold: Core::cold_lag(&deployment),
+            cold: Core::cold_delayed_increase(&deployment),
             cold_at: None,
-            told_among: None,
-            works_at: now,
+            told_membership: None,
+            maintenance_at: now,
             stages: BTreeMap::new(),
             account: Account::new(ACCOUNT_EVERY, now),
             breaches: Breaches::default(),
@@ -293,15 +304,15 @@
             held_back: false,
             stopping: false,
             left: false,
-            words: BTreeMap::new(),
+            commands: BTreeMap::new(),
             counts: Counts::default(),
             deployment,
         };
         let remembered = core.nodes.iter().map(|(id, n)| n.entry(id, None)).collect();
-        core.events.push(Event::List { extent: Extent::Remembered, entries: remembered });
-        core.start_turnover();
+        core.events.push(Event::EndpointList { update_kind: UpdateKind::StaleSnapshot, entries: remembered });
+        core.start_config_transition();
         core.start_fleet(seed);
-        core.start_works();
+        core.start_maintenance();
         core.dial_nodes();
         core.at(now + core.deployment.bounds.clock_every, Due::Clocks);
         core.at(now + SWEEP, Due::Sweep);
@@ -337,7 +348,7 @@
         }
         self.look_again = self.now + LOOK_AGAIN;
         let idle = |id: LinkId, l: &Link| {
-            matches!(l.who, Who::Client) && l.unsent == 0 && !self.transfers.has_any(id)
+            matches!(l.who, Who::Client) && l.unsent == 0 && !self.requests.has_any(id)
         };
         let oldest = self.links.iter().filter(|(id, l)| idle(**id, l)).min_by_key(|(_, l)| l.heard);
         let patience = self.deployment.bounds.client_stall;
@@ -357,7 +368,7 @@
             Input::Waited(link, mut frame, waited) => {
                 // Its client has counted on since it sent this. What has too little left is not taken.
                 if let Message::Submit(s) = &mut frame.message {
-                    s.ttl_us = (Span::from_micros(s.ttl_us) - waited).micros();
+                    s.timeout_us = (Span::from_micros(s.timeout_us) - waited).micros();
                     self.counts.aged += 1;
                 }
                 self.hear(link, frame, true);
@@ -365,9 +376,9 @@
             Input::Written(link, bytes) => self.written(link, bytes),
             Input::Closed(link, why) => self.over(link, &why),
             Input::Propose(p) => self.propose(*p),
-            Input::Word(asker, word) => self.word(asker, word),
+            Input::OperatorCommand(asker, command) => self.command(asker, command),
             Input::Stop if !self.stopping => {
-                info!(open = self.transfers.open(), "stopping: nothing new is taken");
+                info!(open = self.requests.open(), "stopping: nothing new is taken");
                 self.stopping = true;
             }
             Input::Stop => {}
@@ -382,17 +393,17 @@
             self.due.give_back(due);
         }
         self.fleet_turn();
-        // A leg that can't go out ends at once and may bring another; legs of a transfer are bounded.
+        // A attempt that can't go out ends at once and may bring another; attempts of a request are bounded.
         while !self.events.is_empty() {
-            for action in self.brain.step(self.now, self.events.drain(..)) {
+            for action in self.scheduler.step(self.now, self.events.drain(..)) {
                 self.act(action);
             }
         }
         self.hold_back();
         // Guards against a host that takes itself out and is gone before whoever asked has heard that it may. It harms
         // nothing but the end, which is later by that.
-        let worded = self.words.values().all(|until| *until <= self.now);
-        if self.stopping && worded && self.transfers.open() == 0 && !self.left && self.left_fleet() {
+        let command_finished = self.commands.values().all(|until| *until <= self.now);
+        if self.stopping && command_finished && self.requests.open() == 0 && !self.left && self.left_fleet() {
             self.left = true;
             info!("all is answered");
             self.outputs.push(Output::Left);
@@ -425,9 +436,9 @@
         &self.counts
     }
 
-    /// Open transfers, legs that are out, and bytes held for either and for clients.
+    /// Open requests, attempts that are out, and bytes held for either and for clients.
     pub fn load(&self) -> (usize, usize, usize) {
-        (self.transfers.open(), self.transfers.legs_out(), self.transfers.held() + self.unsent)
+        (self.requests.open(), self.requests.attempts_out(), self.requests.held() + self.unsent)
     }
 
     fn at(&mut self, at: Instant, due: Due) {
@@ -462,7 +473,7 @@
         let name = self.deployment.hosts[self.me.0 as usize].name.clone();
         let age_us = (self.now - self.born).micros();
         let role = Role::Host as i32;
-        Frame::from(Hello { role, name, incarnation: self.incarnation, age_us, cell_plus_one: 0 })
+        Frame::from(Hello { role, name, incarnation: self.incarnation, age_us, shard_plus_one: 0 })
     }
 
     fn send(&mut self, to: LinkId, frame: Frame) {
@@ -507,10 +518,10 @@
         match link.who {
             Who::Stranger(_) => info!(link = id.0, why, "connection ended before it said whose it is"),
             Who::Client => {
-                let left = self.transfers.of_link(id);
+                let left = self.requests.of_link(id);
                 info!(link = id.0, why, open = left.len(), "client gone");
-                for transfer in left {
-                    self.client_left(transfer);
+                for request in left {
+                    self.client_left(request);
                 }
             }
             Who::PeerIn { host, .. } => debug!(peer = host.0, why, "peer gone"),
@@ -526,7 +537,7 @@
             Who::Node(node) => self.node_lost(node, why),
             Who::List => {
                 self.list.state = State::Idle;
-                self.list_asked = false;
+                self.poll_endpoints = false;
                 self.list_is_lost(why);
             }
         }
@@ -535,7 +546,7 @@
     fn list_is_lost(&mut self, why: &str) {
         warn!(why, "node list out of reach");
         self.counts.list_lost += 1;
-        self.events.push(Event::ListLost);
+        self.events.push(Event::EndpointListLost);
     }
 
     fn dialled(&mut self, id: LinkId) {
@@ -568,7 +579,7 @@
             .nodes
             .iter()
             .filter(|(_, n)| {
-                let wanted = n.standing != Standing::Gone && !n.barred;
+                let wanted = n.state != EndpointState::Gone && !n.barred;
                 wanted && n.dial.state == State::Idle && !n.address.is_empty()
             })
             .map(|(id, n)| (id, n.address.clone()))
@@ -588,8 +599,8 @@
 
     fn dial_list(&mut self) {
         if let Some(link) = self.list.up() {
-            if !std::mem::replace(&mut self.list_asked, true) {
-                self.send(link, Frame::from(ListAsk { watch: true }));
+            if !std::mem::replace(&mut self.poll_endpoints, true) {
+                self.send(link, Frame::from(EndpointListQuery { watch: true }));
                 self.slow(link, PATIENCE);
             }
         } else if self.list.link().is_none() {
@@ -600,8 +611,8 @@
     }
 
     fn tell(&mut self, to: HostId, bytes: Vec<u8>) {
-        self.counts.labels_sent += 1;
-        self.tell_frame(to, Frame::from(Label { bytes }));
+        self.counts.demand_reports_sent += 1;
+        self.tell_frame(to, Frame::from(DemandReport { bytes }));
     }
 
     fn tell_frame(&mut self, to: HostId, frame: Frame) {
@@ -624,8 +635,8 @@
 
     fn play(&mut self, due: Due) {
         match due {
-            Due::Brain(id) => self.events.push(Event::Timer(id)),
-            Due::Leg(leg) => self.leg_is_late(leg),
+            Due::Scheduler(id) => self.events.push(Event::Timer(id)),
+            Due::Attempt(attempt) => self.attempt_is_late(attempt),
             Due::Slow(link) => self.is_slow(link),
             Due::RedialNode(node) => {
                 if let Some(n) = self.nodes.get(node).filter(|n| matches!(n.dial.state, State::Waiting(_))) {
@@ -669,7 +680,7 @@
     }
 
     fn ask_clock(&mut self, link: LinkId) {
-        self.send(link, Frame::from(ClockAsk { asked_us: self.now.micros() }));
+        self.send(link, Frame::from(ClockQuery { asked_us: self.now.micros() }));
     }
 
     fn is_slow(&mut self, id: LinkId) {
@@ -679,7 +690,7 @@
         }
         let why = match link.who {
             Who::Stranger(_) => "no first frame in time",
-            Who::List if self.list_asked => "no reply in time",
+            Who::List if self.poll_endpoints => "no reply in time",
             _ => "no connection or no first frame in time",
         };
         self.hang_up(id, why);
@@ -688,13 +699,13 @@
     /// Clients wait while this host holds all it may; each waits while its own answers pile up.
     fn hold_back(&mut self) {
         let b = &self.deployment.bounds;
-        let held = self.transfers.held() + self.unsent;
-        self.counts.most_open = self.counts.most_open.max(self.transfers.open() as u64);
+        let held = self.requests.held() + self.unsent;
+        self.counts.most_open = self.counts.most_open.max(self.requests.open() as u64);
         self.counts.most_held = self.counts.most_held.max(held as u64);
-        let full = self.transfers.open() >= b.most_open as usize || held >= b.most_held;
+        let full = self.requests.open() >= b.most_open as usize || held >= b.most_held;
         // Some room first, so that reading does not go on and off with each frame.
         let roomy =
-            self.transfers.open() < b.most_open as usize / 10 * 9 + 1 && held < b.most_held / 10 * 9 + 1;
+            self.requests.open() < b.most_open as usize / 10 * 9 + 1 && held < b.most_held / 10 * 9 + 1;
         if full != self.held_back && (full || roomy) {
             self.held_back = full;
             self.counts.held_back += u64::from(full);
--- a/crates/host/src/core/nodes.rs
+++ b/crates/host/src/core/nodes.rs
@@ -3,11 +3,11 @@
 //! first; else a start told twice would look like two, and a drain would be taken back by the second telling.
 
 use super::dial::Dial;
-use super::transfers::LegId;
+use super::requests::AttemptId;
 use gullsail_configuration::{Deployment, node_id};
-use gullsail_fleet::pace::Pace;
-use gullsail_interface::*;
-use gullsail_protocol::{ListEntry, ListStanding};
+use gullsail_fleet::rate_pacer::RatePacer;
+use gullsail_protocol::{ListedEndpoint, ListedState};
+use gullsail_scheduler_api::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Incarnations remembered for a node: the list is late by a few restarts at most.
@@ -19,12 +19,12 @@
 pub struct NodeSide {
     pub name: String,
     pub address: String,
-    pub cell: CellId,
+    pub shard: ShardId,
     pub zone: ZoneId,
     pub kind: String,
     /// By its zone and kind.
     pub pools: Vec<PoolId>,
-    pub standing: Standing,
+    pub state: EndpointState,
     pub dial: Dial,
     /// Nothing may be sent to it: it is out for work, or this host does not know whether it is.
     pub barred: bool,
@@ -32,15 +32,15 @@
     /// microsecond.
     again: i64,
     /// New connections to it, where hosts share out how many.
-    pub pace: Pace,
+    pub rate_pacer: RatePacer,
     /// As it said on its newest connection.
     pub incarnation: Option<u64>,
     /// When each incarnation started, as first told.
     starts: VecDeque<(u64, Option<Instant>)>,
     /// Since when the list calls it gone.
     gone: Option<Instant>,
-    /// Legs that wait for the connection.
-    pub pending: BTreeSet<LegId>,
+    /// Attempts that wait for the connection.
+    pub pending: BTreeSet<AttemptId>,
 }
 
 impl NodeSide {
@@ -75,13 +75,13 @@
         self.starts.back().copied().unwrap_or_default()
     }
 
-    pub fn entry(&self, id: NodeId, started: Option<Instant>) -> NodeEntry {
+    pub fn entry(&self, id: NodeId, started: Option<Instant>) -> Endpoint {
         let since = |started: Option<Instant>| started.unwrap_or_default() + Span::from_micros(self.again);
-        NodeEntry {
+        Endpoint {
             node: id,
-            cell: self.cell,
+            shard: self.shard,
             zone: self.zone,
-            standing: if self.barred { self.standing.max(Standing::Draining) } else { self.standing },
+            state: if self.barred { self.state.max(EndpointState::Draining) } else { self.state },
             // What is not known of it yet must not look like a start that it had.
             started: match (self.barred, self.again) {
                 (true, _) => None,
@@ -103,15 +103,15 @@
         let side = |n: &gullsail_configuration::NodePlace| NodeSide {
             name: n.place.name.clone(),
             address: n.place.address.clone(),
-            cell: n.cell,
+            shard: n.shard,
             zone: n.place.zone,
             kind: n.kind.clone(),
             pools: d.routes.pools_of(n.place.zone, &n.kind),
-            standing: Standing::Ready,
+            state: EndpointState::Ready,
             dial: Dial::default(),
             barred: false,
             again: 0,
-            pace: Pace::default(),
+            rate_pacer: RatePacer::default(),
             incarnation: None,
             starts: VecDeque::new(),
             gone: None,
@@ -133,43 +133,43 @@
     pub fn listed(
         &mut self,
         whole: bool,
-        news: Vec<ListEntry>,
+        news: Vec<ListedEndpoint>,
         d: &Deployment,
         now: Instant,
-    ) -> Vec<NodeEntry> {
+    ) -> Vec<Endpoint> {
         let named: BTreeSet<NodeId> = news.iter().map(|e| node_id(&e.name)).collect();
         if whole {
             let missing = self.all.iter_mut().filter(|(id, _)| !named.contains(id));
-            missing.for_each(|(_, n)| n.standing = Standing::Gone);
+            missing.for_each(|(_, n)| n.state = EndpointState::Gone);
         }
         let mut entries = Vec::with_capacity(news.len());
         for e in news {
             let id = node_id(&e.name);
             let zone = ZoneId(d.zones.iter().position(|z| *z == e.zone).unwrap_or(usize::MAX));
-            let standing = match ListStanding::try_from(e.standing) {
-                Ok(ListStanding::Ready) => Standing::Ready,
-                Ok(ListStanding::Gone) => Standing::Gone,
+            let state = match ListedState::try_from(e.state) {
+                Ok(ListedState::Ready) => EndpointState::Ready,
+                Ok(ListedState::Gone) => EndpointState::Gone,
                 // A standing of a newer version: whatever it is, it is not plainly ready.
-                Ok(ListStanding::Draining) | Err(_) => Standing::Draining,
+                Ok(ListedState::Draining) | Err(_) => EndpointState::Draining,
             };
             let side = self.all.entry(id).or_insert_with(|| NodeSide {
                 name: e.name.clone(),
                 address: String::new(),
-                cell: CellId(e.cell),
+                shard: ShardId(e.shard),
                 zone,
                 kind: String::new(),
                 pools: Vec::new(),
-                standing,
+                state,
                 dial: Dial::default(),
                 barred: false,
                 again: 0,
-                pace: Pace::default(),
+                rate_pacer: RatePacer::default(),
                 incarnation: None,
                 starts: VecDeque::new(),
                 gone: None,
                 pending: BTreeSet::new(),
             });
-            (side.address, side.cell, side.zone, side.standing) = (e.address, CellId(e.cell), zone, standing);
+            (side.address, side.shard, side.zone, side.state) = (e.address, ShardId(e.shard), zone, state);
             (side.kind, side.pools) = (e.kind.clone(), d.routes.pools_of(zone, &e.kind));
             let started = side.start(e.incarnation, Span::from_micros(e.age_us), now);
             entries.push(side.entry(id, started));
@@ -184,7 +184,7 @@
         incarnation: u64,
         age: Span,
         now: Instant,
-    ) -> Option<(NodeEntry, bool)> {
+    ) -> Option<(Endpoint, bool)> {
         let side = self.all.get_mut(&id)?;
         let started = side.start(incarnation, age, now);
         let another = side.incarnation.replace(incarnation).is_some_and(|before| before != incarnation);
@@ -192,26 +192,26 @@
     }
 
     /// Another document has other pools: all entries as they are now, told anew.
-    pub fn sort(&mut self, d: &Deployment) -> Vec<NodeEntry> {
+    pub fn sort(&mut self, d: &Deployment) -> Vec<Endpoint> {
         for n in self.all.values_mut() {
             n.pools = d.routes.pools_of(n.zone, &n.kind);
         }
         self.all.iter().map(|(id, n)| n.entry(*id, n.starts.back().and_then(|s| s.1))).collect()
     }
 
-    /// Ready nodes that hold the same cell as another, which only a hand-over explains.
-    pub fn cells_twice(&self) -> Vec<(CellId, Vec<&str>)> {
-        let mut cells: BTreeMap<CellId, Vec<&str>> = BTreeMap::new();
-        for n in self.all.values().filter(|n| n.standing == Standing::Ready) {
-            cells.entry(n.cell).or_default().push(&n.name);
+    /// Ready nodes that hold the same shard as another, which only a hand-over explains.
+    pub fn shards_twice(&self) -> Vec<(ShardId, Vec<&str>)> {
+        let mut shards: BTreeMap<ShardId, Vec<&str>> = BTreeMap::new();
+        for n in self.all.values().filter(|n| n.state == EndpointState::Ready) {
+            shards.entry(n.shard).or_default().push(&n.name);
         }
-        cells.into_iter().filter(|c| c.1.len() > 1).collect()
+        shards.into_iter().filter(|c| c.1.len() > 1).collect()
     }
 
     /// Forgets nodes that are long gone and that nothing here needs.
     pub fn forget(&mut self, now: Instant) {
         for n in self.all.values_mut() {
-            n.gone = (n.standing == Standing::Gone).then(|| n.gone.unwrap_or(now));
+            n.gone = (n.state == EndpointState::Gone).then(|| n.gone.unwrap_or(now));
         }
         let needed = |n: &NodeSide| !n.pending.is_empty() || n.dial.link().is_some();
         self.all.retain(|_, n| needed(n) || n.gone.is_none_or(|since| now - since <= FORGET));
--- a/crates/host/src/core/lengths.rs
+++ b/crates/host/src/core/size_metrics.rs
@@ -4,11 +4,11 @@
 
 impl Core {
     /// The length of each collection, by name, those of the decisions included. Unit: entries.
-    pub fn lengths(&self) -> Vec<(&'static str, usize)> {
+    pub fn size_metrics(&self) -> Vec<(&'static str, usize)> {
         let waits = |l: &Link| if let Who::PeerIn { waiting, .. } = &l.who { waiting.len() } else { 0 };
-        let (open, named, legs) = self.transfers.lengths();
-        let (line, told) = self.turnover.lengths();
-        let mut all = self.brain.lengths();
+        let (open, named, attempts) = self.requests.size_metrics();
+        let (line, told) = self.config_transition.size_metrics();
+        let mut all = self.scheduler.size_metrics();
         all.extend([
             ("core.links", self.links.len()),
             ("core.labels_wait", self.links.values().map(waits).sum()),
@@ -19,7 +19,7 @@
             ("core.peers_wait", self.peers.values().map(|p| p.waiting.len()).sum()),
             ("core.open", open),
             ("core.named", named),
-            ("core.legs", legs),
+            ("core.legs", attempts),
             ("core.timers", self.due.pending()),
             ("core.account", self.account.kept()),
             ("core.breaches", self.breaches.kept()),
--- a/crates/host/src/core/zones.rs
+++ b/crates/host/src/core/zones.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use gullsail_protocol::Message;
-use gullsail_zones::{Breach, Flow, Known, Reason, Total};
+use gullsail_zone_traffic::{Breach, Flow, Known, Reason, Total};
 use serde::{Deserialize, Serialize};
 
 /// A flow and its total, by the document's names.
@@ -11,17 +11,18 @@
     pub from: String,
     pub to: String,
     pub reason: Reason,
-    /// Of a transfer; empty where there is none.
+    /// Of a request; empty where there is none.
     pub plan: String,
     pub volume: String,
-    pub stream_type: String,
+    #[serde(rename = "stream_type")]
+    pub request_class: String,
     #[serde(flatten)]
     pub total: Total,
 }
 
 /// Bytes past a budget.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Past {
+pub struct BudgetOverrun {
     pub budget: String,
     pub cause: String,
     /// By the host's clock.
@@ -31,8 +32,8 @@
 }
 
 impl Core {
-    /// The account and the breaches of this life, by name.
-    pub fn zones(&self) -> (Vec<Crossed>, Vec<Past>) {
+    /// The account and the breaches of this incarnation, by name.
+    pub fn zones(&self) -> (Vec<Crossed>, Vec<BudgetOverrun>) {
         let d = &self.deployment;
         let zone = |z: ZoneId| d.zones.get(z.0).cloned().unwrap_or_else(|| "unknown".into());
         let plan = |p: PlanId| d.plans.get(p.0).map(|p| p.name.clone()).unwrap_or_default();
@@ -45,23 +46,24 @@
             reason: f.reason,
             plan: f.of.map(|of| plan(of.0)).unwrap_or_default(),
             volume: f.of.map(|of| volume(of.1)).unwrap_or_default(),
-            stream_type: f
+            request_class: f
                 .of
-                .and_then(|of| d.stream_types.get(of.2.0))
+                .and_then(|of| d.request_classes.get(of.2.0))
                 .map(|s| s.name.clone())
                 .unwrap_or_default(),
             total,
         };
         let cause = |k: Known| match k {
-            Known::Decided(Cause::Bound) => "bound to data".to_string(),
-            Known::Decided(Cause::Drained) => "zone drained".into(),
-            Known::Decided(Cause::Silent) => "zone silent".into(),
-            Known::Decided(Cause::Further) => "further legs".into(),
+            Known::Decided(OverrunCause::DataPlacement) => "bound to data".to_string(),
+            Known::Decided(OverrunCause::NoLocalNode) => "zone drained".into(),
+            Known::Decided(OverrunCause::LocalNodesSilent) => "zone silent".into(),
+            Known::Decided(OverrunCause::Retry) => "further legs".into(),
             Known::Surge(p) => format!("surge of plan {}", plan(p)),
         };
-        let budget = |id| d.crossings.iter().find(|c| c.id == id).map(|c| c.name.clone()).unwrap_or_default();
-        let past = |b: Breach| Past {
-            budget: budget(b.crossing),
+        let budget =
+            |id| d.cross_zone_budgets.iter().find(|c| c.id == id).map(|c| c.name.clone()).unwrap_or_default();
+        let past = |b: Breach| BudgetOverrun {
+            budget: budget(b.cross_zone_budget),
             cause: cause(b.known),
             from_us: b.from.micros(),
             to_us: b.to.micros(),
@@ -73,13 +75,13 @@
     fn here(&self) -> Option<ZoneId> {
         // Where no budgets are, nobody asks what crosses, and it costs nothing.
         let place = self.deployment.hosts.get(self.me.0 as usize)?;
-        (!self.deployment.crossings.is_empty()).then_some(place.zone)
+        (!self.deployment.cross_zone_budgets.is_empty()).then_some(place.zone)
     }
 
-    /// Frames that carry no leg: counted by who sends them to a host, and at the host of those to and from nodes.
+    /// Frames that carry no attempt: counted by who sends them to a host, and at the host of those to and from nodes.
     pub(super) fn frame_crosses(&mut self, link: LinkId, frame: &Frame, out: bool) {
         let Some(here) = self.here() else { return };
-        if matches!(frame.message, Message::Leg(_) | Message::LegAnswer(_)) {
+        if matches!(frame.message, Message::Attempt(_) | Message::AttemptAnswer(_)) {
             return;
         }
         match self.links.get(&link).map(|l| &l.who) {
@@ -107,24 +109,24 @@
         self.account.count(self.now, Flow { from, to, reason: Reason::Peers, of: None }, bytes, false);
     }
 
-    fn flow(&self, from: ZoneId, to: ZoneId, transfer: TransferId, leg: u32) -> Flow {
-        let Some(open) = self.transfers.get(transfer) else {
+    fn flow(&self, from: ZoneId, to: ZoneId, request: RequestId, attempt: u32) -> Flow {
+        let Some(open) = self.requests.get(request) else {
             return Flow { from, to, reason: Reason::Further, of: None };
         };
-        let reason = match (leg, open.submit.handle.is_some()) {
+        let reason = match (attempt, open.submit.handle.is_some()) {
             (0, true) => Reason::Bound,
             (0, false) => Reason::Placed,
             _ => Reason::Further,
         };
         let volume = self.deployment.volume(&open.submit.volume);
-        let place = self.deployment.stream_types.iter().position(|s| s.name == open.submit.stream_type);
-        Flow { from, to, reason, of: volume.zip(place).map(|(v, s)| (v.plan, v.id, StreamTypeId(s))) }
+        let place = self.deployment.request_classes.iter().position(|s| s.name == open.submit.request_class);
+        Flow { from, to, reason, of: volume.zip(place).map(|(v, s)| (v.plan, v.id, RequestClassId(s))) }
     }
 
-    /// A leg goes out to a node in that zone.
-    pub(super) fn leg_crosses(&mut self, zone: ZoneId, transfer: TransferId, leg: u32, bytes: usize) {
+    /// A attempt goes out to a node in that zone.
+    pub(super) fn attempt_crosses(&mut self, zone: ZoneId, request: RequestId, attempt: u32, bytes: usize) {
         let Some(here) = self.here().filter(|here| *here != zone) else { return };
-        let flow = self.flow(here, zone, transfer, leg);
+        let flow = self.flow(here, zone, request, attempt);
         self.count(flow, bytes, false);
     }
 
@@ -132,13 +134,13 @@
     pub(super) fn answer_crosses(
         &mut self,
         zone: ZoneId,
-        leg: Option<(TransferId, u32)>,
+        attempt: Option<(RequestId, u32)>,
         bytes: usize,
         used: bool,
     ) {
         let Some(here) = self.here().filter(|here| *here != zone) else { return };
         let none = Flow { from: zone, to: here, reason: Reason::Further, of: None };
-        let flow = leg.map_or(none, |(transfer, number)| self.flow(zone, here, transfer, number));
+        let flow = attempt.map_or(none, |(request, number)| self.flow(zone, here, request, number));
         self.count(flow, bytes, !used);
     }
 
@@ -150,8 +152,8 @@
         }
     }
 
-    pub(super) fn past(&mut self, crossing: VolumeId, bytes: f64, cause: Cause) {
-        self.breaches.past(self.now, crossing, bytes, cause);
+    pub(super) fn past(&mut self, cross_zone_budget: VolumeId, bytes: f64, cause: OverrunCause) {
+        self.breaches.past(self.now, cross_zone_budget, bytes, cause);
     }
 
     fn crossed(&self) -> (BTreeMap<Flow, Total>, Vec<Breach>) {
--- a/crates/host/src/drive.rs
+++ b/crates/host/src/drive.rs
@@ -3,13 +3,13 @@
 
 use crate::control::{Control, State, ToLoop};
 use crate::core::changes::Reply;
-use crate::core::works::Worded;
+use crate::core::maintenance::CommandOutcome;
 use crate::core::{Core, Counts, Input, LinkId, Output};
 use crate::still::Still;
 use gullsail_configuration::Deployment;
-use gullsail_interface::{HostId, Span};
-use gullsail_links::{Happened, Link, Room};
-pub use gullsail_timing::HostClock;
+use gullsail_connections::{Happened, Link, Room};
+use gullsail_scheduler_api::{HostId, Span};
+pub use gullsail_timers::HostClock;
 use nix::sys::resource::{Resource, getrlimit};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -37,9 +37,9 @@
 /// Handled together before anything is sent.
 const BATCH: usize = 256;
 
-/// Which host this is, and in which life.
+/// Which host this is, and in which process.
 #[derive(Clone, Debug)]
-pub struct Life {
+pub struct HostProcess {
     pub deployment: Arc<Deployment>,
     pub me: HostId,
     pub seed: u64,
@@ -60,12 +60,12 @@
 
 /// Serves until `stop` is ready and all that was taken is answered.
 pub async fn run(
-    life: Life,
+    process: HostProcess,
     listener: TcpListener,
     control: Option<Control>,
     stop: impl Future<Output = ()>,
 ) -> Counts {
-    let Life { deployment, me, seed, incarnation, clock } = life;
+    let HostProcess { deployment, me, seed, incarnation, clock } = process;
     let bounds = deployment.bounds.frame;
     // Frames that wait to be handled: a part of what may be held, and at least one of the largest.
     let room = Room::new((deployment.bounds.most_held / 4).max(bounds.message + bounds.body));
@@ -86,7 +86,7 @@
     let (mut say_from, mut unsaid) = (accept_from, 0u64);
     let (to_loop, mut asks) = mpsc::channel(ASKS);
     let mut askers: BTreeMap<u64, oneshot::Sender<Reply>> = BTreeMap::new();
-    let mut wording: BTreeMap<u64, oneshot::Sender<Worded>> = BTreeMap::new();
+    let mut wording: BTreeMap<u64, oneshot::Sender<CommandOutcome>> = BTreeMap::new();
     let mut last_asker = 0;
     let control = control.map(|control| tasks.spawn(control.serve(to_loop)));
     tokio::pin!(stop);
@@ -129,7 +129,7 @@
                     // It may have left meanwhile.
                     let _ = askers.remove(&asker).map(|a| a.send(reply));
                 }
-                Output::Worded { asker, said } => _ = wording.remove(&asker).map(|a| a.send(said)),
+                Output::CommandOutcome { asker, said } => _ = wording.remove(&asker).map(|a| a.send(said)),
                 Output::Left => left = true,
             }
         }
@@ -230,10 +230,10 @@
                         askers.insert(last_asker, reply);
                         core.handle(clock.now(), propose(last_asker));
                     }
-                    ToLoop::Word(word, reply) => {
+                    ToLoop::OperatorCommand(command, reply) => {
                         last_asker += 1;
                         wording.insert(last_asker, reply);
-                        core.handle(clock.now(), Input::Word(last_asker, word));
+                        core.handle(clock.now(), Input::OperatorCommand(last_asker, command));
                     }
                 }
             }
@@ -245,7 +245,7 @@
 
 fn state(core: &Core) -> State {
     let (deployment, behind) = core.document();
-    let (open, legs_out, held_bytes) = core.load();
+    let (open, attempts_out, held_bytes) = core.load();
     let (crossed, past) = core.zones();
     let name = |h: &HostId| deployment.hosts.get(h.0 as usize).map(|p| p.name.clone());
     State {
@@ -253,13 +253,13 @@
         revision: deployment.place.revision.0,
         behind: behind.iter().filter_map(name).collect(),
         open,
-        legs_out,
+        attempts_out,
         held_bytes,
         counts: core.counts().clone(),
         crossed,
         past,
         fleet: core.fleet(),
-        works: core.works_view(),
+        maintenance: core.maintenance_view(),
     }
 }
 
@@ -288,6 +288,6 @@
     drop(links);
     let all = async { while tasks.join_next().await.is_some() {} };
     // Both a reader that waits for its queue and a writer whose other side is stuck end with the set.
-    let _ = tokio::time::timeout(gullsail_links::LINGER * 2, all).await;
+    let _ = tokio::time::timeout(gullsail_connections::LINGER * 2, all).await;
     tasks.shutdown().await;
 }
--- a/crates/host/src/still.rs
+++ b/crates/host/src/still.rs
@@ -7,10 +7,10 @@
 use tokio::time::Instant;
 
 /// The loop turns at least so often. Short beside two ticks of any document, by which answers are given before their
-/// expiry; fifty turns a second cost a thousandth of a core.
+/// deadline; fifty turns a second cost a thousandth of a core.
 const EVERY: Duration = Duration::from_millis(20);
 /// A turn that comes so late tells that the process stood still: a busy machine's delays are mostly below. Taken too
-/// small, transfers lose that much of their time for nothing; too large, as much is given that nobody has.
+/// small, requests lose that much of their time for nothing; too large, as much is given that nobody has.
 const LATE: Duration = Duration::from_millis(60);
 /// For so long after it, what was in sockets is read first and nothing is decided; the runtime asks the system for what
 /// is ready many times in that.
--- a/crates/host/tests/host/bounds.rs
+++ b/crates/host/tests/host/bounds.rs
@@ -1,4 +1,4 @@
-//! Bounds of a host's core, and what is given back at each stage of a transfer's path.
+//! Bounds of a host's core, and what is given back at each stage of a request's path.
 
 use crate::changes::{first, propose};
 use crate::rig::*;
@@ -7,34 +7,34 @@
 use gullsail_configuration::{Memory, load};
 use gullsail_host::core::changes::Reply;
 use gullsail_host::core::{Input, LinkId};
-use gullsail_interface::*;
 use gullsail_protocol::*;
+use gullsail_scheduler_api::*;
 use std::sync::Arc;
 
 const START: Instant = Instant::from_micros(1_000_000_000);
 
 fn held(r: &Rig, name: &str) -> usize {
-    r.core.lengths().into_iter().find(|l| l.0 == name).unwrap().1
+    r.core.size_metrics().into_iter().find(|l| l.0 == name).unwrap().1
 }
 
 /// The list is reached, and says how the first node stands.
-fn list_says(r: &mut Rig, standing: ListStanding) {
+fn list_says(r: &mut Rig, state: ListedState) {
     let list = r.dialled("list").unwrap();
     r.tell(Input::Dialled(list));
     r.frame(list, Hello { role: Role::List as i32, name: "list".into(), ..Hello::default() });
-    let entry = ListEntry {
+    let entry = ListedEndpoint {
         name: "n1".into(),
         address: "n1".into(),
-        cell: 1,
-        standing: standing as i32,
+        shard: 1,
+        state: state as i32,
         incarnation: 11,
         age_us: 10_000_000_000,
-        ..ListEntry::default()
+        ..ListedEndpoint::default()
     };
-    r.frame(list, ListNews { version: 1, whole: false, entries: vec![entry] });
+    r.frame(list, EndpointListUpdate { version: 1, whole: false, entries: vec![entry] });
 }
 
-/// What a transfer may hold anywhere: nothing of it is left.
+/// What a request may hold anywhere: nothing of it is left.
 fn nothing_is_held(r: &Rig, what: &str) {
     for name in [
         "core.open",
@@ -54,22 +54,22 @@
 fn write(r: &mut Rig, c: LinkId, id: u64, volume: &str, bytes: usize) {
     let s = Submit {
         id,
-        stream_type: "trip".into(),
+        request_class: "trip".into(),
         volume: volume.into(),
         units: 1.0,
-        handle: Some(Handle { cell: 1, object: id }),
+        handle: Some(Handle { shard: 1, object: id }),
         order_key: if volume == "w" { "key".into() } else { String::new() },
         mark: format!("m{id}"),
-        ttl_us: 1_500_000,
+        timeout_us: 1_500_000,
         ..Submit::default()
     };
     r.frame(c, Frame::from(s).with_body(Bytes::from(vec![1; bytes])));
 }
 
-/// Each stage of a transfer's path by what may happen to it there: the one answer, or none where the client left; what the
+/// Each stage of a request's path by what may happen to it there: the one answer, or none where the client left; what the
 /// node is told; and that all that was held is given back.
 #[test]
-fn a_transfer_may_end_at_each_stage() {
+fn a_request_may_end_at_each_stage() {
     #[derive(Clone, Copy, Debug, PartialEq)]
     enum Stage {
         InLine,
@@ -78,66 +78,66 @@
         ForTheConnection,
         InTheLink,
         AtTheNode,
-        BetweenLegs,
+        BetweenAttempts,
         Answered,
     }
     #[derive(Clone, Copy, Debug, PartialEq)]
     enum End {
         Withdrawn,
         ClientGone,
-        Expiry,
+        Deadline,
         NodeBreaks,
         Stop,
     }
     use End::*;
-    use Outcome::{Abandoned, Deferred, Done};
+    use Outcome::{Failed, Rejected, Succeeded};
     use Stage::*;
-    // stage, what happens, answers, legs that the node saw, whether it is told that nobody waits
+    // stage, what happens, answers, attempts that the node saw, whether it is told that nobody waits
     type Case = (Stage, End, &'static [Outcome], usize, bool);
     let cases: [Case; 40] = [
         (InLine, Withdrawn, &[], 0, false),
         (InLine, ClientGone, &[], 0, false),
-        (InLine, Expiry, &[Deferred], 0, false),
-        (InLine, NodeBreaks, &[Deferred], 0, false),
-        (InLine, Stop, &[Deferred], 0, false),
+        (InLine, Deadline, &[Rejected], 0, false),
+        (InLine, NodeBreaks, &[Rejected], 0, false),
+        (InLine, Stop, &[Rejected], 0, false),
         (ForTokens, Withdrawn, &[], 0, false),
         (ForTokens, ClientGone, &[], 0, false),
-        (ForTokens, Expiry, &[Deferred], 0, false),
-        (ForTokens, NodeBreaks, &[Deferred], 0, false),
-        (ForTokens, Stop, &[Deferred], 0, false),
+        (ForTokens, Deadline, &[Rejected], 0, false),
+        (ForTokens, NodeBreaks, &[Rejected], 0, false),
+        (ForTokens, Stop, &[Rejected], 0, false),
         (ForItsTurn, Withdrawn, &[], 0, false),
         (ForItsTurn, ClientGone, &[], 0, false),
-        (ForItsTurn, Expiry, &[Deferred], 0, false),
-        (ForItsTurn, NodeBreaks, &[Deferred], 0, false),
-        (ForItsTurn, Stop, &[Deferred], 0, false),
+        (ForItsTurn, Deadline, &[Rejected], 0, false),
+        (ForItsTurn, NodeBreaks, &[Rejected], 0, false),
+        (ForItsTurn, Stop, &[Rejected], 0, false),
         (ForTheConnection, Withdrawn, &[], 0, false),
         (ForTheConnection, ClientGone, &[], 0, false),
-        (ForTheConnection, Expiry, &[Deferred], 0, false),
-        (ForTheConnection, NodeBreaks, &[Deferred], 0, false),
-        (ForTheConnection, Stop, &[Deferred], 0, false),
+        (ForTheConnection, Deadline, &[Rejected], 0, false),
+        (ForTheConnection, NodeBreaks, &[Rejected], 0, false),
+        (ForTheConnection, Stop, &[Rejected], 0, false),
         // Its bytes are on their way: it may run, whatever comes.
         (InTheLink, Withdrawn, &[], 1, true),
         (InTheLink, ClientGone, &[], 1, true),
-        (InTheLink, Expiry, &[Abandoned], 1, true),
-        (InTheLink, NodeBreaks, &[Abandoned], 1, false),
-        (InTheLink, Stop, &[Abandoned], 1, true),
+        (InTheLink, Deadline, &[Failed], 1, true),
+        (InTheLink, NodeBreaks, &[Failed], 1, false),
+        (InTheLink, Stop, &[Failed], 1, true),
         (AtTheNode, Withdrawn, &[], 1, true),
         (AtTheNode, ClientGone, &[], 1, true),
-        (AtTheNode, Expiry, &[Abandoned], 1, true),
-        (AtTheNode, NodeBreaks, &[Abandoned], 1, false),
-        (AtTheNode, Stop, &[Abandoned], 1, true),
-        (BetweenLegs, Withdrawn, &[], 1, false),
-        (BetweenLegs, ClientGone, &[], 1, false),
-        (BetweenLegs, Expiry, &[Deferred], 1, false),
-        (BetweenLegs, NodeBreaks, &[Deferred], 1, false),
-        (BetweenLegs, Stop, &[Deferred], 1, false),
-        (Answered, Withdrawn, &[Done], 1, false),
-        (Answered, ClientGone, &[Done], 1, false),
-        (Answered, Expiry, &[Done], 1, false),
-        (Answered, NodeBreaks, &[Done], 1, false),
-        (Answered, Stop, &[Done], 1, false),
+        (AtTheNode, Deadline, &[Failed], 1, true),
+        (AtTheNode, NodeBreaks, &[Failed], 1, false),
+        (AtTheNode, Stop, &[Failed], 1, true),
+        (BetweenAttempts, Withdrawn, &[], 1, false),
+        (BetweenAttempts, ClientGone, &[], 1, false),
+        (BetweenAttempts, Deadline, &[Rejected], 1, false),
+        (BetweenAttempts, NodeBreaks, &[Rejected], 1, false),
+        (BetweenAttempts, Stop, &[Rejected], 1, false),
+        (Answered, Withdrawn, &[Succeeded], 1, false),
+        (Answered, ClientGone, &[Succeeded], 1, false),
+        (Answered, Deadline, &[Succeeded], 1, false),
+        (Answered, NodeBreaks, &[Succeeded], 1, false),
+        (Answered, Stop, &[Succeeded], 1, false),
     ];
-    for (stage, end, answers, legs, cancelled) in cases {
+    for (stage, end, answers, attempts, cancelled) in cases {
         let what = format!("{stage:?} {end:?}");
         let ordered = ("effect=\"unrepeatable\"", "effect=\"unrepeatable\" in-order=#true");
         let d = document(&[ordered, ("limit=\"40units/s\"", "limit=\"1units/s\"")]);
@@ -151,7 +151,7 @@
         match stage {
             InLine => {
                 // The list says that its node drains: it waits for a successor.
-                list_says(&mut r, ListStanding::Draining);
+                list_says(&mut r, ListedState::Draining);
                 write(&mut r, c, 5, "v", 100);
             }
             // A newborn's bucket is empty.
@@ -169,25 +169,25 @@
                 }
                 write(&mut r, c, 5, "v", 100);
             }
-            BetweenLegs => {
+            BetweenAttempts => {
                 write(&mut r, c, 5, "v", 100);
-                let leg = r.legs(n)[0].leg;
-                // The node takes no more, so the further leg waits in its line.
-                list_says(&mut r, ListStanding::Draining);
-                r.answer(n, leg, LegResult::TurnedAway);
+                let attempt = r.attempts(n)[0].attempt;
+                // The node takes no more, so the further attempt waits in its line.
+                list_says(&mut r, ListedState::Draining);
+                r.answer(n, attempt, AttemptResult::Rejected);
             }
             Answered => {
                 r.stuck.insert(c);
                 write(&mut r, c, 5, "v", 100);
-                let leg = r.legs(n)[0].leg;
-                r.answer(n, leg, LegResult::Done);
+                let attempt = r.attempts(n)[0].attempt;
+                r.answer(n, attempt, AttemptResult::Succeeded);
             }
         }
         assert_eq!(r.core.load().0, earlier + usize::from(stage != Answered), "{what}: it stands there");
         match end {
             Withdrawn => r.frame(c, Withdraw { id: 5 }),
             ClientGone => r.tell(Input::Closed(c, "gone".into())),
-            Expiry => {}
+            Deadline => {}
             NodeBreaks => {
                 let link = r.dialled("n1").unwrap();
                 r.tell(Input::Closed(link, "reset".into()));
@@ -205,14 +205,15 @@
         }
         r.pass(ms(1600.0));
         assert_eq!(r.outcomes(c, 5), answers, "{what}");
-        let seen: Vec<_> = r.new_legs().into_iter().filter(|l| l.2.mark == "m5").collect();
-        assert_eq!(seen.len(), legs, "{what}");
-        let told =
-            seen.iter().any(|l| r.on(l.1).any(|f| f.message == Message::Cancel(Cancel { leg: l.2.leg })));
+        let seen: Vec<_> = r.new_attempts().into_iter().filter(|l| l.2.mark == "m5").collect();
+        assert_eq!(seen.len(), attempts, "{what}");
+        let told = seen
+            .iter()
+            .any(|l| r.on(l.1).any(|f| f.message == Message::Cancel(Cancel { attempt: l.2.attempt })));
         assert_eq!(told, cancelled, "{what}");
         nothing_is_held(&r, &what);
         let counts = r.core.counts();
-        let ended = counts.done + counts.deferred + counts.abandoned + counts.clients_left;
+        let ended = counts.done + counts.rejected + counts.failed + counts.clients_left;
         assert_eq!(counts.taken, ended, "{what}: {counts:?}");
         // Nothing comes of it later, and a host that was not stopped still serves.
         let before = r.outcomes(c, 5).len();
@@ -230,7 +231,7 @@
     let mut r = Rig::new(&d, 0, START);
     let (c, n) = (r.client(), r.node_up("n1", 11, ms(1e7)));
     r.stuck.insert(n);
-    // One for each object: legs go out together.
+    // One for each object: attempts go out together.
     (0..4).for_each(|id| write(&mut r, c, id, "v", 3000));
     r.pass(ms(1600.0));
     let (open, _, held) = r.core.load();
@@ -242,8 +243,8 @@
     assert_eq!(r.core.load().2, 0);
     let n = r.node_up("n1", 11, ms(1e7 + 10_000.0));
     write(&mut r, c, 100, "v", 3000);
-    r.answer(n, r.legs(n)[0].leg, LegResult::Done);
-    assert_eq!(r.outcomes(c, 100), [Outcome::Done]);
+    r.answer(n, r.attempts(n)[0].attempt, AttemptResult::Succeeded);
+    assert_eq!(r.outcomes(c, 100), [Outcome::Succeeded]);
     assert_eq!(r.core.counts().nodes_restarted, 0, "it is the same process");
 }
 
@@ -271,29 +272,29 @@
 }
 
 /// A process that stood still for an hour: all timers are due in one step. Nobody waits for an answer any more, so none
-/// goes out, nor a leg; nothing is kept, and what comes after is served.
+/// goes out, nor an attempt; nothing is kept, and what comes after is served.
 #[test]
 fn a_suspended_host_ends_what_it_held() {
     let mut r = Rig::new(&document(&[]), 0, START);
     let (c, (n, _)) = (r.client(), r.nodes_up());
     (0..20).for_each(|id| r.submit(c, id, ["read", "write", "trip"][id as usize % 3]));
-    let legs = r.new_legs().len();
+    let attempts = r.new_attempts().len();
     r.now = r.now + ms(3.6e6);
     r.settle();
     assert!((0..20).all(|id| r.outcomes(c, id).is_empty()));
     assert_eq!(r.core.counts().answers_withheld, 20);
-    assert!(r.new_legs().is_empty() && legs > 0);
+    assert!(r.new_attempts().is_empty() && attempts > 0);
     r.pass(ms(2000.0));
     assert_eq!(r.core.load(), (0, 0, 0));
-    let before = r.legs(n).len();
+    let before = r.attempts(n).len();
     r.submit(c, 100, "read");
-    let leg = r.legs(n).last().unwrap().leg;
-    assert_eq!(r.legs(n).len(), before + 1);
-    r.answer(n, leg, LegResult::Done);
-    assert_eq!(r.outcomes(c, 100), [Outcome::Done]);
+    let attempt = r.attempts(n).last().unwrap().attempt;
+    assert_eq!(r.attempts(n).len(), before + 1);
+    r.answer(n, attempt, AttemptResult::Succeeded);
+    assert_eq!(r.outcomes(c, 100), [Outcome::Succeeded]);
 }
 
-/// A document with none of the plans and volumes that were, while transfers wait and legs are out.
+/// A document with none of the plans and volumes that were, while requests wait and attempts are out.
 #[test]
 fn a_document_with_other_plans_alone_is_borne() {
     let old = first();
@@ -310,14 +311,14 @@
     let (new, _) = load(&Memory(files.into()), "new.kdl").unwrap_or_else(|e| panic!("{:?}", e.problems));
     let new = Arc::new(new);
     assert!(matches!(propose(&mut r, &old, &new, true), Reply::Taken { .. }));
-    for l in r.legs(n) {
+    for l in r.attempts(n) {
         r.frame(
             n,
-            LegAnswer {
-                leg: l.leg,
-                result: LegResult::Done as i32,
+            AttemptAnswer {
+                attempt: l.attempt,
+                result: AttemptResult::Succeeded as i32,
                 used_plus_one: 51,
-                ..LegAnswer::default()
+                ..AttemptAnswer::default()
             },
         );
     }
@@ -375,11 +376,11 @@
     );
 }
 
-/// Rule 3: a leg that waits for its node's connection is not sent once the node is known to drain; what may still run
+/// Rule 3: an attempt that waits for its node's connection is not sent once the node is known to drain; what may still run
 /// elsewhere does, and the rest is answered.
 #[test]
 fn what_waits_for_a_connection_does_not_go_to_a_node_that_drains() {
-    for standing in [ListStanding::Draining, ListStanding::Gone] {
+    for state in [ListedState::Draining, ListedState::Gone] {
         let mut r = Rig::new(&document(&[]), 0, START);
         let c = r.client();
         let n = r.node_up("n1", 11, ms(1e7));
@@ -389,20 +390,20 @@
         r.pass(ms(25.0));
         let n = r.dialled("n1").unwrap();
         r.tell(Input::Dialled(n));
-        list_says(&mut r, standing);
+        list_says(&mut r, state);
         let hello = Hello { name: "n1".into(), incarnation: 11, age_us: 10_000_025_000, ..Hello::default() };
-        r.frame(n, Hello { role: Role::Node as i32, cell_plus_one: 2, ..hello });
+        r.frame(n, Hello { role: Role::Node as i32, shard_plus_one: 2, ..hello });
         r.pass(ms(1600.0));
-        assert_eq!(r.new_legs().len(), 0, "{standing:?}");
-        assert_eq!((r.outcomes(c, 5), r.outcomes(c, 6)), (vec![Outcome::Deferred], vec![Outcome::Deferred]));
+        assert_eq!(r.new_attempts().len(), 0, "{state:?}");
+        assert_eq!((r.outcomes(c, 5), r.outcomes(c, 6)), (vec![Outcome::Rejected], vec![Outcome::Rejected]));
         nothing_is_held(&r, "drained");
     }
 }
 
-/// Rule 6: a further leg that was decided while its node's connection was down goes out later; it counts for the window in
+/// Rule 6: a further attempt that was decided while its node's connection was down goes out later; it counts for the window in
 /// which it goes out too.
 #[test]
-fn legs_that_waited_for_a_connection_count_when_they_go_out() {
+fn attempts_that_waited_for_a_connection_count_when_they_go_out() {
     let budget = ("legs most=3", "legs most=3 free=1 share=0 window=\"1s\"");
     let mut r = Rig::new(&document(&[budget]), 0, START);
     let c = r.client();
@@ -411,28 +412,29 @@
     r.tell(Input::Closed(n1, "reset".into()));
     r.pass(ms(150.0));
     r.node_up("n1", 11, ms(1e7 + 150.0));
-    // At the other node two fail, each of which would have a further leg: a second after the first was decided, and later.
+    // At the other node two fail, each of which would have a further attempt: a second after the first was decided, and later.
     for id in 10..200 {
         r.submit_to(c, id, "read", "v", 2);
-        if let Some(l) = r.legs(n2).last().filter(|l| l.mark == format!("m{id}")) {
+        if let Some(l) = r.attempts(n2).last().filter(|l| l.mark == format!("m{id}")) {
             let failed = [101, 160].contains(&id) && l.number == 0;
-            r.answer(n2, l.leg, if failed { LegResult::Failed } else { LegResult::Done });
+            r.answer(n2, l.attempt, if failed { AttemptResult::Failed } else { AttemptResult::Succeeded });
         }
-        if let Some(l) = r.legs(n2).last().filter(|l| l.number > 0 && l.mark == format!("m{id}")) {
-            r.answer(n2, l.leg, LegResult::Done);
+        if let Some(l) = r.attempts(n2).last().filter(|l| l.number > 0 && l.mark == format!("m{id}")) {
+            r.answer(n2, l.attempt, AttemptResult::Succeeded);
         }
         r.pass(ms(10.0));
     }
-    let further: Vec<Instant> = r.new_legs().into_iter().filter(|l| l.2.number > 0).map(|l| l.0).collect();
+    let further: Vec<Instant> =
+        r.new_attempts().into_iter().filter(|l| l.2.number > 0).map(|l| l.0).collect();
     assert!(further.len() >= 2, "{further:?}");
     let near = further.windows(2).find(|w| w[1] - w[0] < ms(1000.0));
     assert_eq!(near, None, "one in any second: {further:?}");
 }
 
-/// Rule 7: what is taken for a leg that waits for its connection is missing from the store until it goes out: else the store
+/// Rule 7: what is taken for an attempt that waits for its connection is missing from the store until it goes out: else the store
 /// would fill up behind it and all of it go out on top.
 #[test]
-fn tokens_of_legs_that_wait_are_not_filled_up_behind_them() {
+fn tokens_of_attempts_that_wait_are_not_filled_up_behind_them() {
     let (rate, burst) = (40.0, 64.0);
     let mut r = Rig::new(
         &document(&[("volume \"w\" plan=\"held\"", "volume \"w\" plan=\"held\" { hosts \"h1\"; }")]),
@@ -441,45 +443,45 @@
     );
     let c = r.client();
     let (n1, n2) = r.nodes_up();
-    // A newborn's bucket is empty, and fills from the first transfer on.
+    // A newborn's bucket is empty, and fills from the first request on.
     r.submit_to(c, 900, "read", "w", 2);
     r.pass(ms(100.0));
-    let leg = r.legs(n2).last().unwrap().leg;
-    r.answer(n2, leg, LegResult::Done);
+    let attempt = r.attempts(n2).last().unwrap().attempt;
+    r.answer(n2, attempt, AttemptResult::Succeeded);
     // The bucket is full, and the window of the other node wide.
     for id in 1000..1200 {
         r.submit_to(c, id, "read", "v", 2);
-        let leg = r.legs(n2).last().unwrap().leg;
+        let attempt = r.attempts(n2).last().unwrap().attempt;
         r.pass(ms(1.0));
-        r.answer(n2, leg, LegResult::Done);
+        r.answer(n2, attempt, AttemptResult::Succeeded);
     }
     r.pass(ms(4000.0));
-    r.new_legs();
+    r.new_attempts();
     r.tell(Input::Closed(n1, "reset".into()));
     (1..=5).for_each(|id| r.submit_to(c, id, "read", "w", 1));
     r.pass(ms(180.0));
     r.node_up("n1", 11, ms(1e7 + 5000.0));
     for id in 10..90 {
         r.submit_to(c, id, "read", "w", 2);
-        for l in r.legs(n2).into_iter().filter(|l| l.mark == format!("m{id}")) {
-            r.answer(n2, l.leg, LegResult::Done);
+        for l in r.attempts(n2).into_iter().filter(|l| l.mark == format!("m{id}")) {
+            r.answer(n2, l.attempt, AttemptResult::Succeeded);
         }
     }
     // The store for all hosts, by what went out and when.
     let (mut level, mut at, mut low) = (burst, START, burst);
-    let sent: Vec<_> = r.new_legs().into_iter().filter(|l| l.2.volume == "w").collect();
+    let sent: Vec<_> = r.new_attempts().into_iter().filter(|l| l.2.volume == "w").collect();
     assert!(sent.len() > 60 && sent.iter().any(|l| l.1 != n2), "{}", sent.len());
-    for (when, _, leg) in sent {
-        level = f64::min(level + rate * (when - at).secs(), burst) - leg.units;
+    for (when, _, attempt) in sent {
+        level = f64::min(level + rate * (when - at).secs(), burst) - attempt.units;
         (at, low) = (when, low.min(level));
     }
     assert!(low >= -1e-6, "the store went to {low}");
 }
 
-/// Rule 4: legs that were decided while nobody knew of a restart, and waited for the connection, do not go out together to
+/// Rule 4: attempts that were decided while nobody knew of a restart, and waited for the connection, do not go out together to
 /// the cold node that greets; they are decided anew, now that its start is known.
 #[test]
-fn legs_that_waited_are_not_poured_on_a_cold_node() {
+fn attempts_that_waited_are_not_poured_on_a_cold_node() {
     for (incarnation, age, cold) in [(99, 0.0, true), (11, 1e7, false)] {
         let mut r = Rig::new(&document(&[("open=50", "open=500")]), 0, START);
         let (c, n) = (r.client(), r.node_up("n1", 11, ms(1e7)));
@@ -488,16 +490,16 @@
             r.submit(c, id, "read");
         }
         for _ in 0..400 {
-            let legs = r.new_legs();
-            legs.into_iter().for_each(|l| r.answer(n, l.2.leg, LegResult::Done));
+            let attempts = r.new_attempts();
+            attempts.into_iter().for_each(|l| r.answer(n, l.2.attempt, AttemptResult::Succeeded));
         }
-        // It breaks with no leg out: the decisions hear nothing of it.
-        r.new_legs();
+        // It breaks with no attempt out: the decisions hear nothing of it.
+        r.new_attempts();
         r.tell(Input::Closed(n, "reset".into()));
         (1..=30).for_each(|id| r.submit(c, id, ["read", "trip"][id as usize % 2]));
         r.pass(ms(50.0));
         r.node_up("n1", incarnation, ms(age));
-        let sent: f64 = r.new_legs().iter().map(|l| l.2.units).sum();
+        let sent: f64 = r.new_attempts().iter().map(|l| l.2.units).sum();
         // Six units are borne, for two hosts.
         assert_eq!(sent <= 6.0, cold, "{sent} units to incarnation {incarnation}");
         r.pass(ms(1600.0));
--- a/crates/host/tests/host/changes.rs
+++ b/crates/host/tests/host/changes.rs
@@ -5,8 +5,8 @@
 use gullsail_configuration::{Deployment, Memory, load};
 use gullsail_host::core::Input;
 use gullsail_host::core::changes::{Proposal, Reply};
-use gullsail_interface::*;
 use gullsail_protocol::*;
+use gullsail_scheduler_api::*;
 use std::sync::Arc;
 
 const START: Instant = Instant::from_micros(1_000_000_000);
@@ -128,11 +128,14 @@
             (reply, _) => panic!("{change:?} {revision}: {reply:?}"),
         }
         assert!(Arc::ptr_eq(r.core.document().0, if why.is_none() { &to } else { &old }));
-        // What was under way goes on, and new transfers are taken.
-        r.answer(n1, r.legs(n1)[0].leg, LegResult::Done);
+        // What was under way goes on, and new requests are taken.
+        r.answer(n1, r.attempts(n1)[0].attempt, AttemptResult::Succeeded);
         r.submit(c, 6, "read");
-        r.answer(n1, r.legs(n1)[1].leg, LegResult::Done);
-        assert_eq!((r.outcomes(c, 5), r.outcomes(c, 6)), (vec![Outcome::Done], vec![Outcome::Done]));
+        r.answer(n1, r.attempts(n1)[1].attempt, AttemptResult::Succeeded);
+        assert_eq!(
+            (r.outcomes(c, 5), r.outcomes(c, 6)),
+            (vec![Outcome::Succeeded], vec![Outcome::Succeeded])
+        );
         // What was compared with a document that is no longer served by is not taken.
         if why.is_none() {
             let stale = propose(&mut r, &old, &after(&[], FIRST), true);
@@ -150,14 +153,14 @@
     let (c, (n1, _)) = (r.client(), r.nodes_up());
     r.pass(ms(2000.0));
     (1..=60).for_each(|id| r.submit_to(c, id, "read", "w", 1));
-    let sent = r.legs(n1).len() as u64;
+    let sent = r.attempts(n1).len() as u64;
     assert!((4..60).contains(&sent), "{sent}");
     let leaves = ("volume \"w\" plan=\"held\"", "volume \"w\" plan=\"held\" { hosts \"h2\"; }");
     let to = after(&[leaves], SECOND);
     assert!(matches!(propose(&mut r, &old, &to, true), Reply::Taken { .. }));
-    let deferred = (1..=60).filter(|id| r.outcomes(c, *id) == [Outcome::Deferred]).count() as u64;
-    assert_eq!(deferred, 60 - sent, "at once");
-    r.legs(n1).into_iter().for_each(|l| r.answer(n1, l.leg, LegResult::Done));
+    let rejected = (1..=60).filter(|id| r.outcomes(c, *id) == [Outcome::Rejected]).count() as u64;
+    assert_eq!(rejected, 60 - sent, "at once");
+    r.attempts(n1).into_iter().for_each(|l| r.answer(n1, l.attempt, AttemptResult::Succeeded));
     assert!((1..=60).all(|id| r.outcomes(c, id).len() == 1));
     r.submit_to(c, 99, "read", "w", 1);
     assert_eq!(r.not_taken(c), ["volume \"w\" does not come through this host"]);
@@ -178,17 +181,24 @@
     let (c, nodes) = (r.client(), r.nodes_up());
     let put = |r: &mut Rig, first: u64| {
         for id in first..first + 12 {
-            let (stream_type, volume, mark) = ("write".into(), "v".into(), format!("m{id}"));
-            let s =
-                Submit { id, stream_type, volume, units: 1.0, mark, ttl_us: 1_500_000, ..Submit::default() };
+            let (request_class, volume, mark) = ("write".into(), "v".into(), format!("m{id}"));
+            let s = Submit {
+                id,
+                request_class,
+                volume,
+                units: 1.0,
+                mark,
+                timeout_us: 1_500_000,
+                ..Submit::default()
+            };
             r.frame(c, s);
             r.pass(ms(5.0));
-            for (_, link, leg) in r.new_legs() {
-                r.answer(link, leg.leg, LegResult::Done);
+            for (_, link, attempt) in r.new_attempts() {
+                r.answer(link, attempt.attempt, AttemptResult::Succeeded);
             }
         }
         [nodes.0, nodes.1]
-            .map(|n| r.legs(n).iter().filter(|l| l.mark[1..].parse::<u64>().unwrap() >= first).count())
+            .map(|n| r.attempts(n).iter().filter(|l| l.mark[1..].parse::<u64>().unwrap() >= first).count())
     };
     assert_eq!(put(&mut r, 100), [12, 0]);
     let to = after(&kinds, &routes("far"));
@@ -212,17 +222,17 @@
             // The volume is known by its old place, and its bucket full.
             r.submit_to(c, 1, "read", volume, 1);
             r.pass(ms(20.0));
-            r.legs(n1).into_iter().for_each(|l| r.answer(n1, l.leg, LegResult::Done));
+            r.attempts(n1).into_iter().for_each(|l| r.answer(n1, l.attempt, AttemptResult::Succeeded));
             r.pass(ms(4000.0));
             assert!(matches!(propose(&mut r, &old, &after(&[change], FIRST), false), Reply::Taken { .. }));
-            r.new_legs();
+            r.new_attempts();
             for id in 100..200 {
                 r.submit_to(c, id, "read", volume, 1);
-                for (_, link, leg) in r.new_legs() {
-                    r.answer(link, leg.leg, LegResult::Done);
+                for (_, link, attempt) in r.new_attempts() {
+                    r.answer(link, attempt.attempt, AttemptResult::Succeeded);
                 }
             }
-            let done = (100..200).filter(|id| r.outcomes(c, *id) == [Outcome::Done]).count();
+            let done = (100..200).filter(|id| r.outcomes(c, *id) == [Outcome::Succeeded]).count();
             assert!((least..=most).contains(&done), "{change:?} {volume}: {done}");
         }
     }
--- a/crates/host/tests/host/clocks.rs
+++ b/crates/host/tests/host/clocks.rs
@@ -1,11 +1,11 @@
 //! Hosts whose clocks differ: what is learned of a peer's clock is a bound, and limits hold over two hosts
-//! that lend to each other through labels which are late, lost, and said by clocks a second apart.
+//! that lend to each other through demand reports which are late, lost, and said by clocks a second apart.
 
 use crate::rig::*;
 use gullsail_host::core::clock::{Learned, PeerClock};
 use gullsail_host::core::{Input, LinkId};
-use gullsail_interface::*;
 use gullsail_protocol::*;
+use gullsail_scheduler_api::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::{Rng, SeedableRng};
@@ -20,7 +20,7 @@
         ..ProptestConfig::default()
     })]
     /// Whatever the ways there and back take, and within the drift allowed, the truth lies within the bounds,
-    /// and a label never looks fresher than it is.
+    /// and a demand report never looks fresher than it is.
     #[test]
     fn the_truth_lies_within_the_bounds(
         ahead in -2_000_000i64..2_000_000,
@@ -71,7 +71,7 @@
     rng: ChaCha8Rng,
     now: Instant,
     lose: f64,
-    /// First legs, with their units.
+    /// First attempts, with their units.
     first: Vec<(Instant, f64)>,
 }
 
@@ -110,15 +110,18 @@
                 }
             }
             for (_, link, frame) in new_sent {
-                if let Message::Leg(leg) = &frame.message {
-                    if leg.number == 0 {
-                        self.first.push((self.now, leg.units));
+                if let Message::Attempt(attempt) = &frame.message {
+                    if attempt.number == 0 {
+                        self.first.push((self.now, attempt.units));
                     }
-                    let done =
-                        LegAnswer { leg: leg.leg, result: LegResult::Done as i32, ..LegAnswer::default() };
+                    let done = AttemptAnswer {
+                        attempt: attempt.attempt,
+                        result: AttemptResult::Succeeded as i32,
+                        ..AttemptAnswer::default()
+                    };
                     self.carried.push((self.now + ms(5.0), from, Input::Frame(link, done.into())));
                 } else if let Some((to, there)) = self.ways.get(&(from, link)).copied() {
-                    let is_label = matches!(frame.message, Message::Label(_));
+                    let is_label = matches!(frame.message, Message::DemandReport(_));
                     if is_label && self.rng.random_bool(self.lose) {
                         continue;
                     }
@@ -151,7 +154,7 @@
 }
 
 /// Rule 7 over two hosts: one asks for far more than its part, the other little, and roles change. What was
-/// sent, the lowest level of the store, labels heard and dropped.
+/// sent, the lowest level of the store, demand reports heard and dropped.
 fn ten_seconds(apart: f64, lose: f64) -> (f64, f64, u64, u64) {
     let mut p = Pair::new(ms(apart), lose, 7);
     let clients: Vec<_> = p.hosts.iter_mut().map(Rig::client).collect();
@@ -171,14 +174,14 @@
         (at, lowest) = (*when, lowest.min(level));
     }
     let sum = |count: fn(&Rig) -> u64| p.hosts.iter().map(count).sum::<u64>();
-    let heard = sum(|h| h.core.counts().labels_heard);
-    let dropped = sum(|h| h.core.counts().labels_dropped);
+    let heard = sum(|h| h.core.counts().demand_reports_received);
+    let dropped = sum(|h| h.core.counts().demand_reports_dropped);
     (p.first.iter().map(|f| f.1).sum(), lowest, heard, dropped)
 }
 
 #[test]
 fn a_limit_holds_with_clocks_a_second_apart() {
-    // Too far apart, labels are dropped, and each host keeps to its even part.
+    // Too far apart, demand reports are dropped, and each host keeps to its even part.
     let (alone, lowest, heard, dropped) = ten_seconds(5000.0, 0.0);
     assert!(lowest >= -1e-6, "{lowest} below the store");
     assert!(heard == 0 && dropped > 3, "{heard} heard, {dropped} dropped");
--- a/crates/host/tests/host/core.rs
+++ b/crates/host/tests/host/core.rs
@@ -3,8 +3,8 @@
 use crate::rig::*;
 use bytes::Bytes;
 use gullsail_host::core::{Input, LinkId};
-use gullsail_interface::*;
 use gullsail_protocol::*;
+use gullsail_scheduler_api::*;
 
 const START: Instant = Instant::from_micros(1_000_000_000);
 
@@ -12,40 +12,40 @@
     Rig::new(&document(&[]), 0, START)
 }
 
-/// How a sent leg ends, by stream type: what the client is told, and how many legs there are.
+/// How a sent attempt ends, by request class: what the client is told, and how many attempts there are.
 #[test]
 fn what_may_have_run_is_repeated_only_as_its_effect_allows() {
     use Outcome::*;
     enum End {
-        Answer(LegResult),
+        Answer(AttemptResult),
         Break,
         Silence,
         NeverSent,
     }
-    // stream type, how the first leg ends, legs in all, outcome
+    // request class, how the first attempt ends, attempts in all, outcome
     let cases = [
-        ("read", End::Answer(LegResult::Done), 1, Done),
-        ("read", End::Answer(LegResult::Failed), 2, Deferred),
-        ("read", End::Silence, 1, Deferred),
-        ("trip", End::Answer(LegResult::Failed), 1, Abandoned),
-        ("trip", End::Answer(LegResult::TurnedAway), 2, Abandoned),
-        ("trip", End::Break, 1, Abandoned),
-        ("trip", End::Silence, 1, Abandoned),
+        ("read", End::Answer(AttemptResult::Succeeded), 1, Succeeded),
+        ("read", End::Answer(AttemptResult::Failed), 2, Rejected),
+        ("read", End::Silence, 1, Rejected),
+        ("trip", End::Answer(AttemptResult::Failed), 1, Failed),
+        ("trip", End::Answer(AttemptResult::Rejected), 2, Failed),
+        ("trip", End::Break, 1, Failed),
+        ("trip", End::Silence, 1, Failed),
         // The connection never came about: it certainly did not run.
-        ("trip", End::NeverSent, 0, Deferred),
-        ("write", End::Silence, 1, Abandoned),
-        ("write", End::Break, 2, Abandoned),
+        ("trip", End::NeverSent, 0, Rejected),
+        ("write", End::Silence, 1, Failed),
+        ("write", End::Break, 2, Failed),
     ];
-    for (place, (stream_type, end, legs, outcome)) in cases.into_iter().enumerate() {
+    for (place, (request_class, end, attempts, outcome)) in cases.into_iter().enumerate() {
         let mut r = rig();
         let c = r.client();
         let up = !matches!(end, End::NeverSent);
         let n = if up { r.node_up("n1", 11, ms(1e7)) } else { LinkId(0) };
-        r.submit(c, 5, stream_type);
-        assert_eq!(r.legs(n).len(), usize::from(up), "case {place}");
+        r.submit(c, 5, request_class);
+        assert_eq!(r.attempts(n).len(), usize::from(up), "case {place}");
         r.pass(ms(10.0));
         match end {
-            End::Answer(result) => r.answer(n, r.legs(n)[0].leg, result),
+            End::Answer(result) => r.answer(n, r.attempts(n)[0].attempt, result),
             End::Break => {
                 r.tell(Input::Closed(n, "reset".into()));
                 r.pass(ms(30.0));
@@ -54,8 +54,8 @@
             End::Silence | End::NeverSent => {}
         }
         r.pass(ms(3000.0));
-        let sent = r.new_legs();
-        assert_eq!((sent.len(), r.outcomes(c, 5)), (legs, vec![outcome]), "case {place}");
+        let sent = r.new_attempts();
+        assert_eq!((sent.len(), r.outcomes(c, 5)), (attempts, vec![outcome]), "case {place}");
         assert!(sent.iter().all(|s| s.2.mark == "m5"), "a repeat is known by its mark");
         assert!(sent.iter().enumerate().all(|(number, s)| s.2.number == number as u32));
     }
@@ -66,14 +66,14 @@
     let mut r = rig();
     let (c, (n, _)) = (r.client(), r.nodes_up());
     r.submit(c, 5, "read");
-    let leg = r.legs(n)[0].leg;
+    let attempt = r.attempts(n)[0].attempt;
     r.pass(ms(1000.0));
-    assert!(r.on(n).any(|f| f.message == Message::Cancel(Cancel { leg })), "the node is told");
-    assert_eq!(r.outcomes(c, 5), [Outcome::Deferred]);
-    r.answer(n, leg, LegResult::Done);
+    assert!(r.on(n).any(|f| f.message == Message::Cancel(Cancel { attempt })), "the node is told");
+    assert_eq!(r.outcomes(c, 5), [Outcome::Rejected]);
+    r.answer(n, attempt, AttemptResult::Succeeded);
     // And answers to what was never asked, or was asked of another node.
-    r.answer(n, 999, LegResult::Done);
-    assert_eq!(r.outcomes(c, 5), [Outcome::Deferred]);
+    r.answer(n, 999, AttemptResult::Succeeded);
+    assert_eq!(r.outcomes(c, 5), [Outcome::Rejected]);
     assert_eq!(r.core.counts().late_node_answers, 2);
 }
 
@@ -82,11 +82,11 @@
     let mut r = rig();
     let (c, (n1, n2)) = (r.client(), r.nodes_up());
     r.submit(c, 5, "read");
-    let leg = r.legs(n1)[0].leg;
-    r.answer(n2, leg, LegResult::Done);
+    let attempt = r.attempts(n1)[0].attempt;
+    r.answer(n2, attempt, AttemptResult::Succeeded);
     assert_eq!(r.outcomes(c, 5), []);
-    r.answer_with(n1, leg, LegResult::Done, Bytes::from_static(b"bytes"));
-    assert_eq!(r.outcomes(c, 5), [Outcome::Done]);
+    r.answer_with(n1, attempt, AttemptResult::Succeeded, Bytes::from_static(b"bytes"));
+    assert_eq!(r.outcomes(c, 5), [Outcome::Succeeded]);
     assert!(r.on(c).any(|f| f.body == "bytes"));
 }
 
@@ -98,20 +98,20 @@
         let mut r = rig();
         let c = r.client();
         let n = r.node_up("n1", 11, ms(1e7));
-        // With a leg out, or the decisions hear nothing of the break.
+        // With an attempt out, or the decisions hear nothing of the break.
         r.submit(c, 99, "trip");
         r.tell(Input::Closed(n, "reset".into()));
-        assert_eq!(r.outcomes(c, 99), [Outcome::Abandoned]);
+        assert_eq!(r.outcomes(c, 99), [Outcome::Failed]);
         r.pass(ms(50.0));
         let n = r.node_up("n1", incarnation, ms(age));
         for id in 0..40 {
             r.submit(c, id, "read");
             r.pass(ms(5.0));
-            if let Some(l) = r.legs(n).last().cloned() {
-                r.answer(n, l.leg, LegResult::Done);
+            if let Some(l) = r.attempts(n).last().cloned() {
+                r.answer(n, l.attempt, AttemptResult::Succeeded);
             }
         }
-        let sent = r.legs(n).len();
+        let sent = r.attempts(n).len();
         assert_eq!(sent < 20, cold, "{sent} legs to incarnation {incarnation}");
         assert_eq!(r.core.counts().nodes_restarted, restarts);
     }
@@ -121,20 +121,20 @@
 /// the list as ready, takes one back.
 #[test]
 fn a_drain_is_taken_back_by_a_newer_start_only() {
-    let entry = |standing: ListStanding, incarnation, age_ms: i64| ListNews {
+    let entry = |state: ListedState, incarnation, age_ms: i64| EndpointListUpdate {
         version: 1,
         whole: false,
-        entries: vec![ListEntry {
+        entries: vec![ListedEndpoint {
             name: "n1".into(),
             address: "n1".into(),
-            cell: 1,
-            standing: standing as i32,
+            shard: 1,
+            state: state as i32,
             incarnation,
             age_us: age_ms * 1000,
-            ..ListEntry::default()
+            ..ListedEndpoint::default()
         }],
     };
-    use ListStanding::*;
+    use ListedState::*;
     // what is told after the drain, and whether the node may be used then
     let cases = [
         (vec![], false),
@@ -154,10 +154,10 @@
         r.pass(ms(50.0));
         r.node_up("n1", 11, ms(1e7 + 50.0));
         news.into_iter().for_each(|n| r.frame(list, n));
-        r.new_legs();
+        r.new_attempts();
         r.submit(c, 5, "read");
         r.pass(ms(100.0));
-        assert_eq!(!r.new_legs().is_empty(), may, "case {place}");
+        assert_eq!(!r.new_attempts().is_empty(), may, "case {place}");
     }
 }
 
@@ -177,9 +177,10 @@
     r.pass(ms(1500.0));
     assert!(r.left);
     assert!((0..1000).all(|id| r.outcomes(c, id).len() == 1));
-    let legs = r.sent.len();
+    let attempts = r.sent.len();
     r.pass(ms(3000.0));
-    let later = r.sent[legs..].iter().filter(|s| matches!(s.2.message, Message::Leg(_) | Message::Answer(_)));
+    let later =
+        r.sent[attempts..].iter().filter(|s| matches!(s.2.message, Message::Attempt(_) | Message::Answer(_)));
     assert_eq!(later.count(), 0, "nothing is sent after the answers");
 }
 
@@ -193,38 +194,39 @@
     r.frame(c, Withdraw { id: 6 });
     r.tell(Input::Closed(c, "gone".into()));
     let before = r.on(c).count();
-    for leg in r.legs(n) {
-        r.answer(n, leg.leg, LegResult::Done);
+    for attempt in r.attempts(n) {
+        r.answer(n, attempt.attempt, AttemptResult::Succeeded);
     }
     r.pass(ms(2000.0));
-    assert_eq!((r.on(c).count(), r.outcomes(other, 5)), (before, vec![Outcome::Done]));
+    assert_eq!((r.on(c).count(), r.outcomes(other, 5)), (before, vec![Outcome::Succeeded]));
     assert_eq!((r.core.counts().clients_left, r.core.load().0), (2, 0));
 }
 
-/// A leg fails and its client leaves before the decisions hear of either: they ask for one more leg, which does not
+/// A attempt fails and its client leaves before the decisions hear of either: they ask for one more attempt, which does not
 /// go out and must not stay in the node's window.
 #[test]
-fn legs_of_those_who_left_keep_no_room() {
+fn attempts_of_those_who_left_keep_no_room() {
     let mut r = rig();
     let (stays, n) = (r.client(), r.node_up("n1", 11, ms(1e7)));
     for id in 0..40 {
         let c = r.client();
         r.submit(c, id, "read");
-        let leg = r.legs(n).last().unwrap().leg;
-        let failed = LegAnswer { leg, result: LegResult::Failed as i32, ..LegAnswer::default() };
+        let attempt = r.attempts(n).last().unwrap().attempt;
+        let failed =
+            AttemptAnswer { attempt, result: AttemptResult::Failed as i32, ..AttemptAnswer::default() };
         r.core.handle(r.now, Input::Frame(n, failed.into()));
         r.core.handle(r.now, Input::Closed(c, "gone".into()));
         r.settle();
         // In between, the node serves well: its window does not fall for the failures alone.
         for other in 0..4 {
             r.submit(stays, 1000 + id * 4 + other, "read");
-            let leg = r.legs(n).last().unwrap().leg;
-            r.answer(n, leg, LegResult::Done);
+            let attempt = r.attempts(n).last().unwrap().attempt;
+            r.answer(n, attempt, AttemptResult::Succeeded);
             r.pass(ms(20.0));
         }
     }
     assert_eq!(r.core.load().1, 0, "no leg is out");
-    let done = (1000..1160).filter(|id| r.outcomes(stays, *id) == [Outcome::Done]).count();
+    let done = (1000..1160).filter(|id| r.outcomes(stays, *id) == [Outcome::Succeeded]).count();
     assert_eq!(done, 160, "the node has room throughout");
 }
 
@@ -233,21 +235,21 @@
     let mut r = rig();
     r.nodes_up();
     let good = Submit {
-        stream_type: "read".into(),
+        request_class: "read".into(),
         volume: "v".into(),
         units: 1.0,
-        handle: Some(Handle { cell: 1, object: 1 }),
-        ttl_us: 1_000_000,
+        handle: Some(Handle { shard: 1, object: 1 }),
+        timeout_us: 1_000_000,
         ..Submit::default()
     };
     let cases = [
-        (Submit { stream_type: "raed".into(), ..good.clone() }, "no stream type is called \"raed\""),
+        (Submit { request_class: "raed".into(), ..good.clone() }, "no stream type is called \"raed\""),
         (Submit { volume: "x".into(), ..good.clone() }, "no volume is called \"x\""),
         (Submit { volume: "far".into(), ..good.clone() }, "does not come through this host"),
         (Submit { units: 9.0, ..good.clone() }, "9 units; more than 0 and at most 8"),
         (Submit { units: f64::NAN, ..good.clone() }, "NaN units"),
-        (Submit { ttl_us: 0, ..good.clone() }, "its time is up"),
-        (Submit { ttl_us: 40_000, ..good.clone() }, "less than two ticks"),
+        (Submit { timeout_us: 0, ..good.clone() }, "its time is up"),
+        (Submit { timeout_us: 40_000, ..good.clone() }, "less than two ticks"),
         (Submit { handle: None, ..good.clone() }, "needs the handle"),
     ];
     let c = r.client();
@@ -263,19 +265,24 @@
 /// A frame that its sender may not send ends that link and no other.
 #[test]
 fn misbehaviour_ends_one_link() {
-    let leg: Frame = Leg::default().into();
-    let label: Frame = Label { bytes: vec![1] }.into();
-    for bad in [leg, label, ListNews::default().into(), LegAnswer::default().into(), Hello::default().into()]
-    {
+    let attempt: Frame = Attempt::default().into();
+    let demand_report: Frame = DemandReport { bytes: vec![1] }.into();
+    for bad in [
+        attempt,
+        demand_report,
+        EndpointListUpdate::default().into(),
+        AttemptAnswer::default().into(),
+        Hello::default().into(),
+    ] {
         let mut r = rig();
         let (c, other, (n, _)) = (r.client(), r.client(), r.nodes_up());
         r.frame(c, bad.clone());
         assert_eq!(r.closed, [c], "{bad:?}");
         r.submit(other, 5, "read");
-        r.answer(n, r.legs(n)[0].leg, LegResult::Done);
-        assert_eq!(r.outcomes(other, 5), [Outcome::Done]);
+        r.answer(n, r.attempts(n)[0].attempt, AttemptResult::Succeeded);
+        assert_eq!(r.outcomes(other, 5), [Outcome::Succeeded]);
     }
-    // One id for two open transfers can't be answered: that link ends too.
+    // One id for two open requests can't be answered: that link ends too.
     let mut r = rig();
     let c = r.client();
     r.submit(c, 5, "read");
@@ -290,13 +297,13 @@
     let stranger = r.core.accept(r.now).unwrap();
     let n = r.dialled("n1").unwrap();
     r.tell(Input::Dialled(n));
-    r.frame(n, Hello { role: Role::Node as i32, name: "n2".into(), cell_plus_one: 3, ..Hello::default() });
+    r.frame(n, Hello { role: Role::Node as i32, name: "n2".into(), shard_plus_one: 3, ..Hello::default() });
     assert_eq!(r.closed, [n]);
     r.pass(ms(1000.0));
     assert!(r.closed.contains(&stranger) && !r.closed.contains(&c));
 }
 
-/// A port that refuses, and one that accepts and stays silent: legs end as certainly not run within the
+/// A port that refuses, and one that accepts and stays silent: attempts end as certainly not run within the
 /// connect time-out, and tries come ever more seldom, with no end.
 #[test]
 fn nodes_that_cannot_be_reached_cost_a_bounded_wait() {
@@ -317,7 +324,7 @@
             seen = r.dials.len();
             r.pass(ms(1.0));
         }
-        assert_eq!(r.outcomes(c, 5), [Outcome::Deferred], "it never ran, and is told so");
+        assert_eq!(r.outcomes(c, 5), [Outcome::Rejected], "it never ran, and is told so");
         let answered = r.sent.iter().find(|s| matches!(s.2.message, Message::Answer(_))).unwrap().0;
         assert!(answered - START <= ms(650.0), "{}", (answered - START).millis());
         let dials: Vec<_> = r.dials.iter().filter(|d| d.2 == "n1").map(|d| d.0).collect();
@@ -345,8 +352,8 @@
     r.stuck.insert(slow);
     for id in 0..5 {
         r.submit(slow, id, "read");
-        let leg = r.legs(n).last().unwrap().leg;
-        r.answer_with(n, leg, LegResult::Done, Bytes::from(vec![0; 1000]));
+        let attempt = r.attempts(n).last().unwrap().attempt;
+        r.answer_with(n, attempt, AttemptResult::Succeeded, Bytes::from(vec![0; 1000]));
     }
     assert_eq!((r.reading.get(&slow), r.reading.get(&c)), (Some(&false), None));
     assert!(r.core.load().2 >= 4000, "what waits for it is counted");
@@ -355,32 +362,35 @@
 }
 
 #[test]
-fn a_list_may_name_two_nodes_with_one_cell() {
+fn a_list_may_name_two_nodes_with_one_shard() {
     let mut r = rig();
     let (c, (n1, _)) = (r.client(), r.nodes_up());
     let list = r.dialled("list").unwrap();
     r.tell(Input::Dialled(list));
     r.frame(list, Hello { role: Role::List as i32, name: "list".into(), ..Hello::default() });
-    let entry = |name: &str, incarnation| ListEntry {
+    let entry = |name: &str, incarnation| ListedEndpoint {
         name: name.into(),
         address: name.into(),
-        cell: 1,
+        shard: 1,
         incarnation,
         age_us: 1 << 40,
-        ..ListEntry::default()
+        ..ListedEndpoint::default()
     };
-    r.frame(list, ListNews { version: 1, whole: true, entries: vec![entry("n1", 11), entry("n9", 19)] });
+    r.frame(
+        list,
+        EndpointListUpdate { version: 1, whole: true, entries: vec![entry("n1", 11), entry("n9", 19)] },
+    );
     let n9 = r.dialled("n9").unwrap();
     r.tell(Input::Dialled(n9));
     let (role, name) = (Role::Node as i32, "n9".to_string());
-    r.frame(n9, Hello { role, name, incarnation: 19, age_us: 1 << 40, cell_plus_one: 2 });
+    r.frame(n9, Hello { role, name, incarnation: 19, age_us: 1 << 40, shard_plus_one: 2 });
     for id in 0..40 {
         r.submit(c, id, "read");
     }
-    for leg in r.new_legs() {
-        r.answer(leg.1, leg.2.leg, LegResult::Done);
+    for attempt in r.new_attempts() {
+        r.answer(attempt.1, attempt.2.attempt, AttemptResult::Succeeded);
     }
-    assert!(!r.legs(n1).is_empty() && !r.legs(n9).is_empty(), "both serve the cell");
+    assert!(!r.attempts(n1).is_empty() && !r.attempts(n9).is_empty(), "both serve the cell");
 }
 
 /// The list: a refusal, a silent service and a broken watch are each told to the decisions once, which ask
@@ -406,15 +416,20 @@
 /// What waited while the process stood still has as much less time; what would have next to none is not taken.
 #[test]
 fn what_waited_while_the_process_stood_still_has_less_time() {
-    // ttl and wait in ms; whether it is taken, and the most of its time that a leg of it has
+    // ttl and wait in ms; whether it is taken, and the most of its time that an attempt of it has
     let cases = [(1500, 0, true, 400), (1500, 100, true, 300), (1500, 1470, false, 0), (300, 800, false, 0)];
-    for (ttl, waited, taken, lasts) in cases {
+    for (timeout, waited, taken, lasts) in cases {
         let mut r = rig();
         let (c, (n, _)) = (r.client(), r.nodes_up());
         r.submit(c, 1, "read");
-        let submit = Submit { ttl_us: ttl * 1000, id: 9, mark: "m9".into(), ..r.submitted("read", "v", 1) };
+        let submit =
+            Submit { timeout_us: timeout * 1000, id: 9, mark: "m9".into(), ..r.submitted("read", "v", 1) };
         r.tell(Input::Waited(c, Frame::from(submit), ms(waited as f64)));
-        assert_eq!((r.not_taken(c).is_empty(), r.legs(n).len()), (taken, 1 + usize::from(taken)), "{waited}");
-        assert!(r.legs(n).iter().skip(1).all(|l| l.time_out_us <= lasts * 1000), "{:?}", r.legs(n));
+        assert_eq!(
+            (r.not_taken(c).is_empty(), r.attempts(n).len()),
+            (taken, 1 + usize::from(taken)),
+            "{waited}"
+        );
+        assert!(r.attempts(n).iter().skip(1).all(|l| l.time_out_us <= lasts * 1000), "{:?}", r.attempts(n));
     }
 }
--- a/crates/host/tests/host/model.rs
+++ b/crates/host/tests/host/model.rs
@@ -1,13 +1,13 @@
 //! Whole hosts beside the model of the rules, by their frames: what goes to clients and nodes is what was done, what
 //! comes from them is what was seen. Nodes are slow, err, reset, restart cold and drain; clients withdraw and leave;
-//! hosts are killed. Peers can't be reached, so every label is lost. `GULLSAIL_SEED=N` plays another world by hand.
+//! hosts are killed. Peers can't be reached, so every demand report is lost. `GULLSAIL_SEED=N` plays another world by hand.
 
 use crate::rig::*;
 use gullsail_configuration::Deployment;
 use gullsail_host::core::{Input, LinkId};
-use gullsail_interface::*;
-use gullsail_model::{Breach, Model, Stated};
 use gullsail_protocol::*;
+use gullsail_reference_model::{Breach, Model, Stated};
+use gullsail_scheduler_api::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -17,31 +17,31 @@
 const LASTS: i64 = 6000; // ms
 const CAN: f64 = 80.0;
 
-/// What is on its way to a host, and for which life.
+/// What is on its way to a host, and for which incarnation.
 struct Mail {
     at: Instant,
     host: usize,
-    life: u32,
+    incarnation: u32,
     link: LinkId,
-    leg: u64,
-    result: LegResult,
+    attempt: u64,
+    result: AttemptResult,
 }
 
-/// A leg that is out at a node: transfer, its place among the transfer's legs, link, node.
-type Out = BTreeMap<u64, (TransferId, u32, LinkId, usize)>;
+/// A attempt that is out at a node: request, its place among the request's attempts, link, node.
+type Out = BTreeMap<u64, (RequestId, u32, LinkId, usize)>;
 
 struct Side {
     rig: Rig,
-    life: u32,
+    incarnation: u32,
     client: LinkId,
     links: [Option<LinkId>; 2],
     /// What its list said of the nodes last.
-    told: [ListStanding; 2],
+    told: [ListedState; 2],
     list: Option<LinkId>,
     seen: usize,
     dials: usize,
     out: Out,
-    legs: BTreeMap<TransferId, u32>,
+    attempts: BTreeMap<RequestId, u32>,
 }
 
 struct World {
@@ -52,7 +52,7 @@
     hosts: Vec<Side>,
     mail: Vec<Mail>,
     /// Incarnation, start, standing, chance of an error, how many times as slow, when it is free.
-    nodes: [(u64, Instant, ListStanding, f64, f64, Instant); 2],
+    nodes: [(u64, Instant, ListedState, f64, f64, Instant); 2],
     last: u64,
     breaches: Vec<Breach>,
 }
@@ -72,7 +72,7 @@
         let stated =
             Stated { drain_grace: ms(0.0), slack: 0.0, multiple: 2.0, can: CAN, answer_slack: ms(0.0) };
         let warm = start() - ms(1e6);
-        let node = |n| (n, warm, ListStanding::Ready, 0.0, 1.0, start());
+        let node = |n| (n, warm, ListedState::Ready, 0.0, 1.0, start());
         let mut w = World {
             rng: ChaCha8Rng::seed_from_u64(seed),
             d,
@@ -91,28 +91,43 @@
         w
     }
 
-    fn birth(&mut self, h: usize, life: u32) -> Side {
+    fn birth(&mut self, h: usize, incarnation: u32) -> Side {
         let host = HostId(h as u32);
         self.model.step();
-        self.model.born(self.now, host, &self.d.facts(host));
+        self.model.born(self.now, host, &self.d.config(host));
         // A newborn knows its document, and learns of drains from the list.
-        let entries = (0..2).map(|n| self.entry(n, ListStanding::Ready, None)).collect();
-        self.model.saw(self.now, host, &Event::List { extent: Extent::Remembered, entries });
+        let entries = (0..2).map(|n| self.entry(n, ListedState::Ready, None)).collect();
+        self.model.saw(
+            self.now,
+            host,
+            &Event::EndpointList { update_kind: UpdateKind::StaleSnapshot, entries },
+        );
         let mut rig = Rig::new(&self.d, h as u32, self.now);
         let client = rig.client();
-        let (out, legs) = (BTreeMap::new(), BTreeMap::new());
-        let told = [ListStanding::Ready; 2];
-        Side { rig, life, client, links: [None; 2], told, list: None, seen: 0, dials: 0, out, legs }
+        let (out, attempts) = (BTreeMap::new(), BTreeMap::new());
+        let told = [ListedState::Ready; 2];
+        Side {
+            rig,
+            incarnation,
+            client,
+            links: [None; 2],
+            told,
+            list: None,
+            seen: 0,
+            dials: 0,
+            out,
+            attempts,
+        }
     }
 
-    fn entry(&self, n: usize, standing: ListStanding, started: Option<Instant>) -> NodeEntry {
-        let standing = match standing {
-            ListStanding::Ready => Standing::Ready,
-            ListStanding::Draining => Standing::Draining,
-            ListStanding::Gone => Standing::Gone,
+    fn entry(&self, n: usize, state: ListedState, started: Option<Instant>) -> Endpoint {
+        let state = match state {
+            ListedState::Ready => EndpointState::Ready,
+            ListedState::Draining => EndpointState::Draining,
+            ListedState::Gone => EndpointState::Gone,
         };
         let node = gullsail_configuration::node_id(NAMES[n]);
-        NodeEntry { node, cell: CellId(n as i64 + 1), standing, started, ..NodeEntry::default() }
+        Endpoint { node, shard: ShardId(n as i64 + 1), state, started, ..Endpoint::default() }
     }
 
     /// Hands an input over, then tells the model what came of it.
@@ -126,20 +141,20 @@
         self.model.saw(self.now, HostId(h as u32), event);
     }
 
-    fn ended(&mut self, h: usize, leg: u64, ending: Ending) {
-        let Some((id, number, ..)) = self.hosts[h].out.remove(&leg) else { return };
-        let end = LegEnd {
+    fn ended(&mut self, h: usize, attempt: u64, outcome: AttemptOutcome) {
+        let Some((id, number, ..)) = self.hosts[h].out.remove(&attempt) else { return };
+        let end = AttemptEnd {
             id,
-            leg: number,
+            attempt: number,
             node: NodeId(0),
-            ending,
-            took: Span::ZERO,
-            finished: ending == Ending::Done,
+            outcome,
+            latency: Span::ZERO,
+            finished: outcome == AttemptOutcome::Succeeded,
             used: None,
             zone: ZoneId::default(),
             bytes: 0.0,
         };
-        self.saw(h, &Event::LegEnded(end));
+        self.saw(h, &Event::AttemptEnded(end));
     }
 
     /// Frames that the host sent since the last look.
@@ -149,29 +164,29 @@
             let (at, link, frame) = self.hosts[h].rig.sent[self.hosts[h].seen].clone();
             self.hosts[h].seen += 1;
             let found = match frame.message {
-                Message::Leg(l) => {
-                    let id = TransferId(l.mark[1..].parse().unwrap());
+                Message::Attempt(l) => {
+                    let id = RequestId(l.mark[1..].parse().unwrap());
                     let n = self.hosts[h].links.iter().position(|x| *x == Some(link)).unwrap();
-                    let number = self.hosts[h].legs.entry(id).or_default();
+                    let number = self.hosts[h].attempts.entry(id).or_default();
                     let place = *number;
                     *number += 1;
-                    self.hosts[h].out.insert(l.leg, (id, place, link, n));
+                    self.hosts[h].out.insert(l.attempt, (id, place, link, n));
                     let node = gullsail_configuration::node_id(NAMES[n]);
-                    let found = self.model.did(at, host, &Action::Leg { id, node, time_out: None });
+                    let found = self.model.did(at, host, &Action::StartAttempt { id, node, time_out: None });
                     self.node_takes(h, n, link, &l);
                     found
                 }
                 Message::Cancel(c) => {
-                    self.ended(h, c.leg, Ending::TimedOut);
+                    self.ended(h, c.attempt, AttemptOutcome::TimedOut);
                     Ok(())
                 }
                 Message::Answer(a) => {
-                    let id = TransferId(a.id);
+                    let id = RequestId(a.id);
                     match Outcome::try_from(a.outcome) {
-                        Ok(Outcome::Deferred) => {
-                            self.model.did(at, host, &Action::Defer { id, come_back: None })
+                        Ok(Outcome::Rejected) => {
+                            self.model.did(at, host, &Action::Reject { id, retry_after: None })
                         }
-                        Ok(Outcome::Abandoned) => self.model.did(at, host, &Action::Abandon { id }),
+                        Ok(Outcome::Failed) => self.model.did(at, host, &Action::Fail { id }),
                         _ => Ok(()),
                     }
                 }
@@ -181,17 +196,20 @@
         }
     }
 
-    fn node_takes(&mut self, h: usize, n: usize, link: LinkId, l: &Leg) {
+    fn node_takes(&mut self, h: usize, n: usize, link: LinkId, l: &Attempt) {
         let (now, node) = (self.now, &mut self.nodes[n]);
         let part = (0.2 + 0.8 * (now - node.1).secs() / 10.0).min(1.0);
         node.5 = node.5.max(now) + Span::from_millis(l.units / (CAN * part) * 1e3 * node.4);
         let result = if self.rng.random_bool(node.3) {
-            if self.rng.random_bool(0.3) { LegResult::TurnedAway } else { LegResult::Failed }
+            if self.rng.random_bool(0.3) { AttemptResult::Rejected } else { AttemptResult::Failed }
         } else {
-            LegResult::Done
+            AttemptResult::Succeeded
         };
-        let (at, life) = (if result == LegResult::Done { node.5 } else { now } + ms(2.0), self.hosts[h].life);
-        self.mail.push(Mail { at, host: h, life, link, leg: l.leg, result });
+        let (at, incarnation) = (
+            if result == AttemptResult::Succeeded { node.5 } else { now } + ms(2.0),
+            self.hosts[h].incarnation,
+        );
+        self.mail.push(Mail { at, host: h, incarnation, link, attempt: l.attempt, result });
     }
 
     /// New connections: nodes and the list answer, peers do not.
@@ -215,10 +233,10 @@
                     name: address,
                     incarnation,
                     age_us: (self.now - born).micros(),
-                    cell_plus_one: n as i64 + 2,
+                    shard_plus_one: n as i64 + 2,
                 };
                 let entries = vec![self.entry(n, self.hosts[h].told[n], Some(born))];
-                self.saw(h, &Event::List { extent: Extent::Seen, entries });
+                self.saw(h, &Event::EndpointList { update_kind: UpdateKind::SelfReported, entries });
                 self.tell(h, Input::Frame(link, hello.into()));
             } else {
                 self.tell(h, Input::DialFailed(link, "refused".into()));
@@ -229,28 +247,32 @@
     fn reset(&mut self, h: usize, n: usize) {
         let Some(link) = self.hosts[h].links[n].take() else { return };
         self.model.step();
-        let legs: Vec<u64> = self.hosts[h].out.iter().filter(|(_, o)| o.2 == link).map(|(l, _)| *l).collect();
-        legs.into_iter().for_each(|leg| self.ended(h, leg, Ending::Broken));
+        let attempts: Vec<u64> =
+            self.hosts[h].out.iter().filter(|(_, o)| o.2 == link).map(|(l, _)| *l).collect();
+        attempts.into_iter().for_each(|attempt| self.ended(h, attempt, AttemptOutcome::ConnectionLost));
         self.tell(h, Input::Closed(link, "reset".into()));
     }
 
     fn list(&mut self, h: usize, n: usize) {
         let Some(link) = self.hosts[h].list else { return };
-        let (incarnation, born, standing, ..) = self.nodes[n];
-        let entry = ListEntry {
+        let (incarnation, born, state, ..) = self.nodes[n];
+        let entry = ListedEndpoint {
             name: NAMES[n].into(),
             address: NAMES[n].into(),
-            cell: n as i64 + 1,
-            standing: standing as i32,
+            shard: n as i64 + 1,
+            state: state as i32,
             age_us: (self.now - born).micros(),
             incarnation,
-            ..ListEntry::default()
+            ..ListedEndpoint::default()
         };
         self.model.step();
-        self.hosts[h].told[n] = standing;
-        let entries = vec![self.entry(n, standing, Some(born))];
-        self.saw(h, &Event::List { extent: Extent::Changes, entries });
-        self.tell(h, Input::Frame(link, ListNews { version: 1, whole: false, entries: vec![entry] }.into()));
+        self.hosts[h].told[n] = state;
+        let entries = vec![self.entry(n, state, Some(born))];
+        self.saw(h, &Event::EndpointList { update_kind: UpdateKind::Delta, entries });
+        self.tell(
+            h,
+            Input::Frame(link, EndpointListUpdate { version: 1, whole: false, entries: vec![entry] }.into()),
+        );
     }
 
     fn trouble(&mut self) {
@@ -264,21 +286,21 @@
                 // Restarts, cold; connections break, the list says so.
                 let now = self.now;
                 self.nodes[n] =
-                    (self.rng.random_range(100..u64::MAX), now, ListStanding::Ready, 0.0, 1.0, now);
+                    (self.rng.random_range(100..u64::MAX), now, ListedState::Ready, 0.0, 1.0, now);
                 for h in 0..2 {
                     self.reset(h, n);
                     self.list(h, n);
                 }
             }
             6 => {
-                self.nodes[n].2 = ListStanding::Draining;
+                self.nodes[n].2 = ListedState::Draining;
                 (0..2).for_each(|h| self.list(h, n));
             }
             _ => {
                 // A host is killed, and is back at once.
                 self.model.killed(self.now, HostId(h as u32));
-                let life = self.hosts[h].life + 1;
-                self.hosts[h] = self.birth(h, life);
+                let incarnation = self.hosts[h].incarnation + 1;
+                self.hosts[h] = self.birth(h, incarnation);
             }
         }
     }
@@ -288,13 +310,13 @@
         let (id, now) = (self.last, self.now);
         let kind = self.rng.random_range(0..3);
         let held = self.rng.random_bool(0.5);
-        let cell = self.rng.random_range(1..=2);
+        let shard = self.rng.random_range(1..=2);
         let key = self.rng.random_range(0..4u64);
         let units = self.rng.random_range(1.0..4.0);
-        let handle = (kind == 0 || self.rng.random_bool(0.7)).then_some(Handle { cell, object: id });
+        let handle = (kind == 0 || self.rng.random_bool(0.7)).then_some(Handle { shard, object: id });
         let s = Submit {
             id,
-            stream_type: ["read", "write", "trip"][kind].into(),
+            request_class: ["read", "write", "trip"][kind].into(),
             volume: ["v", "w"][usize::from(held)].into(),
             units,
             handle,
@@ -302,27 +324,27 @@
             mark: format!("m{id}"),
             repeat: 0,
             // Mostly a first try; some are a next one, or impatient.
-            ttl_us: if self.rng.random_bool(0.8) {
+            timeout_us: if self.rng.random_bool(0.8) {
                 1_500_000
             } else {
                 self.rng.random_range(60_000..1_500_000)
             },
         };
-        let t = Transfer {
-            id: TransferId(id),
-            stream_type: StreamTypeId(kind),
+        let t = Request {
+            id: RequestId(id),
+            request_class: RequestClassId(kind),
             plan: PlanId(usize::from(held)),
             volume: VolumeId(u64::from(held)),
             units,
-            cell: handle.map(|h| CellId(h.cell)),
+            shard: handle.map(|h| ShardId(h.shard)),
             object: (kind == 2).then_some(ObjectId(key)),
-            ttl: Span::from_micros(s.ttl_us),
+            timeout: Span::from_micros(s.timeout_us),
             volume_hosts: 2,
-            ..Transfer::default()
+            ..Request::default()
         };
         self.model.step();
         // By the host's own clock it came now; it is taken unless it says otherwise.
-        self.saw(h, &Event::Arrived(t));
+        self.saw(h, &Event::RequestArrived(t));
         let client = self.hosts[h].client;
         let before = self.hosts[h].rig.core.counts().not_taken;
         self.tell(h, Input::Frame(client, s.into()));
@@ -340,20 +362,26 @@
                 self.dials(h);
                 let due = self.mail.extract_if(.., |m| m.host == h && m.at <= self.now).collect::<Vec<_>>();
                 for m in due {
-                    if m.life != self.hosts[h].life || !self.hosts[h].links.contains(&Some(m.link)) {
+                    if m.incarnation != self.hosts[h].incarnation
+                        || !self.hosts[h].links.contains(&Some(m.link))
+                    {
                         continue;
                     }
                     self.model.step();
                     self.ended(
                         h,
-                        m.leg,
+                        m.attempt,
                         match m.result {
-                            LegResult::Done => Ending::Done,
-                            LegResult::TurnedAway => Ending::TurnedAway,
-                            _ => Ending::Failed,
+                            AttemptResult::Succeeded => AttemptOutcome::Succeeded,
+                            AttemptResult::Rejected => AttemptOutcome::Rejected,
+                            _ => AttemptOutcome::Failed,
                         },
                     );
-                    let a = LegAnswer { leg: m.leg, result: m.result as i32, ..LegAnswer::default() };
+                    let a = AttemptAnswer {
+                        attempt: m.attempt,
+                        result: m.result as i32,
+                        ..AttemptAnswer::default()
+                    };
                     self.tell(h, Input::Frame(m.link, a.into()));
                 }
                 if self.rng.random_bool(0.08) {
@@ -363,7 +391,7 @@
                     // The newest is withdrawn, whether it is open still or not.
                     let (id, client) = (self.last, self.hosts[h].client);
                     self.model.step();
-                    self.saw(h, &Event::ClientLeft(TransferId(id)));
+                    self.saw(h, &Event::ClientDisconnected(RequestId(id)));
                     self.tell(h, Input::Frame(client, Withdraw { id }.into()));
                 }
             }
--- a/crates/host/tests/host/rig.rs
+++ b/crates/host/tests/host/rig.rs
@@ -4,8 +4,8 @@
 use gullsail_configuration::{Deployment, parse};
 use gullsail_host::core::changes::Reply;
 use gullsail_host::core::{Core, Input, LinkId, Output};
-use gullsail_interface::*;
 use gullsail_protocol::*;
+use gullsail_scheduler_api::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -57,7 +57,7 @@
     pub left: bool,
     /// What came of proposals, and for whom.
     pub replies: Vec<(u64, Reply)>,
-    pub worded: Vec<(u64, Result<(), String>)>,
+    pub command_finished: Vec<(u64, Result<(), String>)>,
     taken: usize,
 }
 
@@ -74,7 +74,7 @@
             stuck: BTreeSet::new(),
             left: false,
             replies: Vec::new(),
-            worded: Vec::new(),
+            command_finished: Vec::new(),
             taken: 0,
         };
         rig.settle();
@@ -96,7 +96,7 @@
                     Output::Close { link } => self.closed.push(link),
                     Output::Reading { link, on } => _ = self.reading.insert(link, on),
                     Output::Replied { asker, reply } => self.replies.push((asker, reply)),
-                    Output::Worded { asker, said } => self.worded.push((asker, said)),
+                    Output::CommandOutcome { asker, said } => self.command_finished.push((asker, said)),
                     Output::Left => self.left = true,
                 }
             }
@@ -141,9 +141,9 @@
     pub fn node_up(&mut self, name: &str, incarnation: u64, age: Span) -> LinkId {
         let link = self.dialled(name).unwrap();
         self.tell(Input::Dialled(link));
-        let cell_plus_one = name[1..].parse::<i64>().unwrap() + 1;
+        let shard_plus_one = name[1..].parse::<i64>().unwrap() + 1;
         let (role, name, age_us) = (Role::Node as i32, name.to_string(), age.micros());
-        self.frame(link, Hello { role, name, incarnation, age_us, cell_plus_one });
+        self.frame(link, Hello { role, name, incarnation, age_us, shard_plus_one });
         link
     }
 
@@ -152,24 +152,24 @@
         (self.node_up("n1", 11, ms(1e7)), self.node_up("n2", 12, ms(1e7)))
     }
 
-    pub fn submit(&mut self, link: LinkId, id: u64, stream_type: &str) {
-        self.submit_to(link, id, stream_type, "v", 1);
+    pub fn submit(&mut self, link: LinkId, id: u64, request_class: &str) {
+        self.submit_to(link, id, request_class, "v", 1);
     }
 
-    pub fn submit_to(&mut self, link: LinkId, id: u64, stream_type: &str, volume: &str, cell: i64) {
-        let handle = Some(Handle { cell, object: id });
-        let s = Submit { id, handle, mark: format!("m{id}"), ..self.submitted(stream_type, volume, cell) };
+    pub fn submit_to(&mut self, link: LinkId, id: u64, request_class: &str, volume: &str, shard: i64) {
+        let handle = Some(Handle { shard, object: id });
+        let s = Submit { id, handle, mark: format!("m{id}"), ..self.submitted(request_class, volume, shard) };
         self.frame(link, s);
     }
 
     /// What a client may hand over.
-    pub fn submitted(&self, stream_type: &str, volume: &str, cell: i64) -> Submit {
+    pub fn submitted(&self, request_class: &str, volume: &str, shard: i64) -> Submit {
         Submit {
-            stream_type: stream_type.into(),
+            request_class: request_class.into(),
             volume: volume.into(),
             units: 1.0,
-            handle: Some(Handle { cell, object: 0 }),
-            ttl_us: 1_500_000,
+            handle: Some(Handle { shard, object: 0 }),
+            timeout_us: 1_500_000,
             ..Submit::default()
         }
     }
@@ -178,15 +178,15 @@
         self.sent.iter().filter(move |s| s.1 == link).map(|s| &s.2)
     }
 
-    pub fn legs(&self, link: LinkId) -> Vec<Leg> {
-        let leg = |f: &Frame| if let Message::Leg(l) = &f.message { Some(l.clone()) } else { None };
-        self.on(link).filter_map(leg).collect()
+    pub fn attempts(&self, link: LinkId) -> Vec<Attempt> {
+        let attempt = |f: &Frame| if let Message::Attempt(l) = &f.message { Some(l.clone()) } else { None };
+        self.on(link).filter_map(attempt).collect()
     }
 
     /// Those that were not seen by an earlier call, on whatever link.
-    pub fn new_legs(&mut self) -> Vec<(Instant, LinkId, Leg)> {
+    pub fn new_attempts(&mut self) -> Vec<(Instant, LinkId, Attempt)> {
         let new = self.sent[self.taken..].iter().filter_map(|(at, link, f)| match &f.message {
-            Message::Leg(l) => Some((*at, *link, l.clone())),
+            Message::Attempt(l) => Some((*at, *link, l.clone())),
             _ => None,
         });
         let new = new.collect();
@@ -210,12 +210,12 @@
         self.on(link).filter_map(reason).collect()
     }
 
-    pub fn answer(&mut self, link: LinkId, leg: u64, result: LegResult) {
-        self.answer_with(link, leg, result, Bytes::new());
+    pub fn answer(&mut self, link: LinkId, attempt: u64, result: AttemptResult) {
+        self.answer_with(link, attempt, result, Bytes::new());
     }
 
-    pub fn answer_with(&mut self, link: LinkId, leg: u64, result: LegResult, body: Bytes) {
-        let a = LegAnswer { leg, result: result as i32, ran: true, ..LegAnswer::default() };
+    pub fn answer_with(&mut self, link: LinkId, attempt: u64, result: AttemptResult, body: Bytes) {
+        let a = AttemptAnswer { attempt, result: result as i32, ran: true, ..AttemptAnswer::default() };
         self.frame(link, Frame::from(a).with_body(body));
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -36,7 +36,7 @@
     #[error("a version other than HTTP/1.1")]
     Version,
     #[error("lengths that contradict each other")]
-    Lengths,
+    SizeMetrics,
     #[error("a length that is no number")]
     BadLength,
     #[error("a transfer coding other than one final chunked")]
@@ -249,7 +249,9 @@
     let answer = matches!(start, Start::Answer { .. });
     let none = matches!(start, Start::Answer { status: 100..=199 | 204 | 304 });
     Ok(match (length, coding) {
-        (Found::Several, _) | (Found::One(_), Found::One(_) | Found::Several) => return Err(Fault::Lengths),
+        (Found::Several, _) | (Found::One(_), Found::One(_) | Found::Several) => {
+            return Err(Fault::SizeMetrics);
+        }
         (_, Found::Several) => return Err(Fault::Coding),
         _ if none => (Framing::Length(0), true),
         (Found::One(digits), Found::None) => (Framing::Length(number(digits)?), true),
--- a/crates/planner/src/documents.rs
+++ b/crates/placement/src/documents.rs
@@ -5,7 +5,7 @@
 
 use crate::{Budget, Demand, Plan, Question};
 use gullsail_configuration::{Deployment, PROMISABLE};
-use gullsail_interface::{Across, PoolId, StreamTypeId};
+use gullsail_scheduler_api::{BudgetScope, PoolId, RequestClassId};
 use kdl::{KdlDocument, KdlEntry, KdlNode};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,16 +19,16 @@
     #[error(
         "node \"{0}\" has no machine: machine \"box\" cores=2 unit=\"5ms\", and machine=\"box\" at the node"
     )]
-    Machine(String),
+    Server(String),
     #[error("there are no zones to plan for")]
     Zones,
 }
 
-/// The pools that a volume's new objects go to, with the stream types that go there.
+/// The pools that a volume's new objects go to, with the request classes that go there.
 fn pools(d: &Deployment, volume: usize) -> BTreeMap<PoolId, Vec<usize>> {
     let mut all: BTreeMap<PoolId, Vec<usize>> = BTreeMap::new();
-    for place in (0..d.stream_types.len()).filter(|place| d.stream_types[*place].write) {
-        all.entry(d.routes.pool(volume, StreamTypeId(place))).or_default().push(place);
+    for place in (0..d.request_classes.len()).filter(|place| d.request_classes[*place].write) {
+        all.entry(d.routes.pool(volume, RequestClassId(place))).or_default().push(place);
     }
     all
 }
@@ -52,14 +52,14 @@
     }
     let (mut can, mut nodes) = (vec![0.0; count], vec![0.0f64; count]);
     for n in d.nodes.iter().filter(|n| !n.spare) {
-        let m = d.machines.get(n.machine).ok_or_else(|| Lacks::Machine(n.place.name.clone()))?;
+        let m = d.servers.get(n.server).ok_or_else(|| Lacks::Server(n.place.name.clone()))?;
         can[n.place.zone.0] += m.can() * PROMISABLE;
         nodes[n.place.zone.0] += 1.0;
     }
     let a_node = can.iter().zip(&nodes).map(|(can, nodes)| can / nodes.max(1.0)).collect();
     let demand = |(place, v): (usize, &gullsail_configuration::NamedVolume)| {
         let plan = &d.plans[v.plan.0].decisions;
-        let bytes = plan.usual.max(plan.reserve) * unit;
+        let bytes = plan.nominal_rate.max(plan.reserve) * unit;
         let mut from = vec![0.0; count];
         for h in v.hosts.iter() {
             from[d.hosts[h.0 as usize].zone.0] += bytes / v.hosts.len() as f64;
@@ -70,9 +70,9 @@
         let zones = if all.is_empty() { each.into_iter().flatten().collect() } else { all };
         Demand { volume: v.name.clone(), from, zones, units_a_byte: 1.0 / unit }
     };
-    let budgets = d.crossings.iter().filter_map(|c| match c.of {
-        Across::Pair(from, to) => Some(Budget { from: from.0, to: to.0, most: c.limit.rate }),
-        Across::Plan(_) => None,
+    let budgets = d.cross_zone_budgets.iter().filter_map(|c| match c.of {
+        BudgetScope::ZonePair(from, to) => Some(Budget { from: from.0, to: to.0, most: c.limit.rate }),
+        BudgetScope::Plan(_) => None,
     });
     Ok(Question {
         zones: d.zones.clone(),
@@ -130,7 +130,7 @@
             n.push(KdlEntry::new_prop("to", name));
             let mut children = KdlDocument::new();
             children.nodes_mut().push(child("volume", [glob_of(&v.name)]));
-            let names = types.iter().map(|t| d.stream_types[*t].name.clone());
+            let names = types.iter().map(|t| d.request_classes[*t].name.clone());
             children.nodes_mut().push(child("stream-type", names));
             n.set_children(children);
             routes.push(n);
--- a/crates/planner/tests/plans.rs
+++ b/crates/placement/tests/plans.rs
@@ -1,6 +1,6 @@
 //! Small questions whose answers are known.
 
-use gullsail_planner::*;
+use gullsail_placement::*;
 
 /// Two zones, and a third that is dear to reach.
 fn question(
--- a/crates/platform/src/core/ask.rs
+++ b/crates/platform/src/core/ask.rs
@@ -1,13 +1,13 @@
-//! What a client asks, read strictly: a transfer, or why it is none. Everything that counts must be there once and in
+//! What a client asks, read strictly: a request, or why it is none. Everything that counts must be there once and in
 //! its form; the rest is ignored. What is refused here never reaches the decisions and never says 429 or 503, which
 //! would promise something, but for what comes when the host leaves: that it never ran is so.
 
 use bytes::Bytes;
-use gullsail_facts::{Names, Reach, hash};
 use gullsail_http::{Encoder, Found, Message, Start};
-use gullsail_interface::*;
+use gullsail_scheduler_api::*;
+use gullsail_scheduler_settings::{Names, Reach, hash};
 
-/// Why a message is no transfer, each with its status.
+/// Why a message is no request, each with its status.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refused {
@@ -17,10 +17,12 @@
     TooSlow,
     Path,
     Method,
-    StreamType,
+    #[serde(rename = "stream_type")]
+    RequestClass,
     Plan,
     Trace,
-    Expiry,
+    #[serde(rename = "expiry")]
+    Deadline,
     Extent,
     Key,
     Length,
@@ -54,10 +56,10 @@
             Refused::TooSlow => "a whole message within two seconds was meant",
             Refused::Path => "a path of stream type, volume and object was meant",
             Refused::Method => "GET for a read and PUT for a write were meant",
-            Refused::StreamType => "X-Qos with the stream type of the path was meant",
+            Refused::RequestClass => "X-Qos with the stream type of the path was meant",
             Refused::Plan => "X-Storage-Class with a plan of the settings was meant",
             Refused::Trace => "X-Trace-Id with 16 hexadecimal digits was meant",
-            Refused::Expiry => "X-Expires-In-Ms with whole milliseconds was meant",
+            Refused::Deadline => "X-Expires-In-Ms with whole milliseconds was meant",
             Refused::Extent => "X-Extent with units, shard and hosts in range was meant",
             Refused::Key => "an Idempotency-Key was meant",
             Refused::Length => "a length of the body was meant",
@@ -69,12 +71,12 @@
     }
 }
 
-/// A transfer as it came, without its number.
+/// A request as it came, without its number.
 #[derive(Clone, Debug)]
 pub struct Asked {
     pub trace: u64,
-    pub transfer: Transfer,
-    /// What every leg's head begins with; the time left and the body are added.
+    pub request: Request,
+    /// What every attempt's head begins with; the time left and the body are added.
     pub parts: Parts,
     pub body: Bytes,
 }
@@ -89,9 +91,9 @@
 }
 
 const TRACE: &str = "X-Trace-Id";
-const STREAM_TYPE: &str = "X-Qos";
+const REQUEST_CLASS: &str = "X-Qos";
 const PLAN: &str = "X-Storage-Class";
-const EXPIRY: &str = "X-Expires-In-Ms";
+const DEADLINE: &str = "X-Expires-In-Ms";
 const EXTENT: &str = "X-Extent";
 const KEY: &str = "Idempotency-Key";
 const AGAIN: &str = "X-Second-Try";
@@ -104,7 +106,7 @@
     pub fn message(&self, left: Span, body: &[u8]) -> Bytes {
         let e = Encoder::request(&self.method, &self.target);
         let e = self.fields.iter().fold(e, |e, (name, value)| e.field(name, value));
-        let e = e.number(EXPIRY, (left.micros() / 1000).max(1));
+        let e = e.number(DEADLINE, (left.micros() / 1000).max(1));
         if self.framed { e.body(body) } else { e.bare() }
     }
 
@@ -132,25 +134,25 @@
     text(digits).filter(|_| sound)?.parse().ok()
 }
 
-/// Units, cell and hosts.
+/// Units, shard and hosts.
 fn extent(value: &[u8]) -> Option<(f64, i64, u32)> {
-    let (mut units, mut cell, mut hosts) = (None, None, None);
+    let (mut units, mut shard, mut hosts) = (None, None, None);
     for pair in text(value)?.split(',') {
         let (name, figure) = pair.trim().split_once('=')?;
         match name {
             "units" if units.is_none() => units = Some(figure.parse::<f64>().ok()?),
-            "shard" if cell.is_none() => cell = Some(figure.parse::<i64>().ok()?),
+            "shard" if shard.is_none() => shard = Some(figure.parse::<i64>().ok()?),
             "hosts" if hosts.is_none() => hosts = Some(figure.parse::<u32>().ok()?),
             "units" | "shard" | "hosts" => return None,
             _ => {}
         }
     }
-    Some((units?, cell?, hosts?))
+    Some((units?, shard?, hosts?))
 }
 
 /// # Errors
-/// It is no transfer, and why.
-pub fn read(m: &Message, names: &Names, facts: &Facts, reach: &Reach) -> Result<Asked, Refused> {
+/// It is no request, and why.
+pub fn read(m: &Message, names: &Names, config: &SchedulerConfig, reach: &Reach) -> Result<Asked, Refused> {
     let Start::Request { method, target } = &m.start else { return Err(Refused::Unreadable) };
     let path = target.split(|b| *b == b'?').next().unwrap_or_default();
     let mut steps = path.split(|b| *b == b'/');
@@ -162,16 +164,16 @@
     let (Some(_), Some(_), Some(kind)) = (hex(volume), hex(object), text(kind)) else {
         return Err(Refused::Path);
     };
-    let stream_type = names.stream_type(kind).map_err(|_| Refused::Path)?;
-    if one(m, STREAM_TYPE) != Some(kind.as_bytes()) {
-        return Err(Refused::StreamType);
+    let request_class = names.request_class(kind).map_err(|_| Refused::Path)?;
+    if one(m, REQUEST_CLASS) != Some(kind.as_bytes()) {
+        return Err(Refused::RequestClass);
     }
     let writes = match method.as_ref() {
         b"GET" => false,
         b"PUT" => true,
         _ => return Err(Refused::Method),
     };
-    if reach.writes.get(stream_type.0).is_some_and(|w| *w != writes) {
+    if reach.writes.get(request_class.0).is_some_and(|w| *w != writes) {
         return Err(Refused::Method);
     }
     if !writes && !m.body.is_empty() {
@@ -185,17 +187,17 @@
     let unnamed = names.plans.is_empty() && m.field(PLAN) == Found::None;
     let plan_name = if unnamed { "" } else { one(m, PLAN).and_then(text).ok_or(Refused::Plan)? };
     let plan = names.plan(plan_name).map_err(|_| Refused::Plan)?;
-    let ttl =
-        one(m, EXPIRY).and_then(whole).filter(|ms| (1..=LONGEST).contains(ms)).ok_or(Refused::Expiry)?;
-    let (units, cell, hosts) = one(m, EXTENT).and_then(extent).ok_or(Refused::Extent)?;
-    let most = if facts.most_units > 0.0 { facts.most_units } else { f64::MAX };
-    let cells = if reach.cells > 0 { reach.cells } else { i64::MAX };
-    let in_range = units > 0.0 && units <= most && (-1..cells).contains(&cell);
-    if !in_range || !(1..=facts.hosts.max(1)).contains(&hosts) {
+    let timeout =
+        one(m, DEADLINE).and_then(whole).filter(|ms| (1..=LONGEST).contains(ms)).ok_or(Refused::Deadline)?;
+    let (units, shard, hosts) = one(m, EXTENT).and_then(extent).ok_or(Refused::Extent)?;
+    let most = if config.max_units > 0.0 { config.max_units } else { f64::MAX };
+    let shards = if reach.shards > 0 { reach.shards } else { i64::MAX };
+    let in_range = units > 0.0 && units <= most && (-1..shards).contains(&shard);
+    if !in_range || !(1..=config.hosts.max(1)).contains(&hosts) {
         return Err(Refused::Extent);
     }
-    let key = match (facts.stream_types[stream_type.0].effect, m.field(KEY)) {
-        (_, Found::Several) | (Effect::Keyed { .. }, Found::None) => return Err(Refused::Key),
+    let key = match (config.request_classes[request_class.0].idempotency, m.field(KEY)) {
+        (_, Found::Several) | (Idempotency::WithKey { .. }, Found::None) => return Err(Refused::Key),
         (_, Found::One(key)) if key.is_empty() || key.len() > LONGEST_KEY => return Err(Refused::Key),
         (_, Found::One(key)) => Some(key),
         (_, Found::None) => None,
@@ -203,24 +205,24 @@
     let host = one(m, "Host").ok_or(Refused::Unreadable)?;
     let copy = Bytes::copy_from_slice;
     let mut fields =
-        vec![("Host", copy(host)), (TRACE, copy(trace_text)), (STREAM_TYPE, copy(kind.as_bytes()))];
+        vec![("Host", copy(host)), (TRACE, copy(trace_text)), (REQUEST_CLASS, copy(kind.as_bytes()))];
     fields.extend((!unnamed).then(|| (PLAN, copy(plan_name.as_bytes()))));
     fields.extend([EXTENT, AGAIN].into_iter().filter_map(|n| Some((n, copy(one(m, n)?)))));
     fields.extend(key.map(|key| (KEY, copy(key))));
     let number = |digits: &[u8]| hash(text(digits).unwrap_or_default());
-    let transfer = Transfer {
-        id: TransferId(0),
-        stream_type,
+    let request = Request {
+        id: RequestId(0),
+        request_class,
         plan,
         volume: VolumeId(number(volume)),
         units,
         bytes: 0.0,
-        cell: (cell >= 0).then_some(CellId(cell)),
+        shard: (shard >= 0).then_some(ShardId(shard)),
         object: Some(ObjectId(number(object))),
         pool: PoolId::ALL,
-        ttl: Span::from_millis(ttl as f64),
+        timeout: Span::from_millis(timeout as f64),
         volume_hosts: hosts,
     };
     let parts = Parts { method: method.clone(), target: target.clone(), fields, framed: m.framed };
-    Ok(Asked { trace, transfer, parts, body: m.body.clone() })
+    Ok(Asked { trace, request, parts, body: m.body.clone() })
 }
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -13,8 +13,8 @@
 const IDLE: Span = Span::from_micros(2_000_000);
 /// A newcomer's first message may be this long in coming before it gives way to others.
 const COMING_LEAST: Span = Span::from_micros(300_000);
-/// What may wait behind an open transfer. Clients send one message at a time: what comes beyond this is read over, since the
-/// end of the connection stands behind it, and the connection is over with the open transfer's answer.
+/// What may wait behind an open request. Clients send one message at a time: what comes beyond this is read over, since the
+/// end of the connection stands behind it, and the connection is over with the open request's answer.
 const AHEAD: usize = 8 << 10;
 /// Of the places of clients, the part that only newcomers get while an older connection gives way to each, and the most.
 const NEWCOMERS: usize = 8;
@@ -23,12 +23,12 @@
 enum Stage {
     /// Between messages, or within one that is coming.
     Reading,
-    /// Its transfer is open; the message said whether the connection goes on.
-    Busy(TransferId, bool),
+    /// Its request is open; the message said whether the connection goes on.
+    Busy(RequestId, bool),
     /// Its answer is being written; what waits behind it is read then.
     Answering,
     /// It has its last answer, which is being written.
-    Ending,
+    AttemptOutcome,
     /// All is written and its sending has ended; only the client's own end is waited for.
     Shut,
 }
@@ -42,7 +42,7 @@
     served: u64,
     /// Bytes that came, all of them handled: an order to close holds only while the connection's task has read no more.
     heard: u64,
-    /// More came behind an open transfer than may wait.
+    /// More came behind an open request than may wait.
     crowded: bool,
     /// It idles, and is to be closed if nothing has come on it.
     closing: bool,
@@ -76,7 +76,7 @@
 
     /// Without those that are ending, whose places are free in a moment.
     fn staying(&self) -> usize {
-        let ends = |c: &&Client| c.closing || matches!(c.stage, Stage::Ending | Stage::Shut);
+        let ends = |c: &&Client| c.closing || matches!(c.stage, Stage::AttemptOutcome | Stage::Shut);
         self.len() - self.all.values().filter(ends).count()
     }
 
@@ -158,7 +158,7 @@
         let Some(c) = self.clients.all.get_mut(&conn) else { return };
         c.heard += bytes.len() as u64;
         match c.stage {
-            Stage::Ending | Stage::Shut => return,
+            Stage::AttemptOutcome | Stage::Shut => return,
             Stage::Busy(..) | Stage::Answering if c.decoder.holds() + bytes.len() > AHEAD => {
                 if !std::mem::replace(&mut c.crowded, true) {
                     self.counts.crowded += 1;
@@ -228,24 +228,24 @@
             let (status, reason) = if self.ready { (200, "OK") } else { (500, "Internal Server Error") };
             return self.reply(conn, status, reason, m.stays, |e| e.body(b""));
         }
-        let asked = match ask::read(m, &self.names, &self.facts, &self.reach) {
+        let asked = match ask::read(m, &self.names, &self.config, &self.reach) {
             Ok(asked) => asked,
             Err(why) => return self.refuse(conn, why, m.stays),
         };
         if self.shutdown == Shutdown::Flushing {
             return self.refuse(conn, Refused::ShuttingDown, false);
         }
-        if self.transfers.is_open(asked.trace) {
+        if self.requests.is_open(asked.trace) {
             return self.refuse(conn, Refused::IdIsOpen, m.stays);
         }
-        let Some(t) = self.transfers.take(conn, asked, self.now) else {
+        let Some(t) = self.requests.take(conn, asked, self.now) else {
             return self.refuse(conn, Refused::NoRoom, m.stays);
         };
         self.counts.taken += 1;
         if let Some(c) = self.clients.all.get_mut(&conn) {
             c.stage = Stage::Busy(t.id, m.stays);
         }
-        self.events.push(Event::Arrived(t));
+        self.events.push(Event::RequestArrived(t));
     }
 
     /// Answers on a connection that then goes on, or is finished.
@@ -294,7 +294,7 @@
     fn finish_client(&mut self, conn: ConnId) {
         let Some(c) = self.clients.all.get_mut(&conn) else { return };
         self.clients.coming -= c.decoder.holds();
-        (c.stage, c.decoder) = (Stage::Ending, Decoder::requests(BOUNDS));
+        (c.stage, c.decoder) = (Stage::AttemptOutcome, Decoder::requests(BOUNDS));
         self.outputs.push(Output::Finish { conn });
     }
 
@@ -311,8 +311,8 @@
         self.clients.coming -= c.decoder.holds();
         if let Stage::Busy(id, _) = c.stage {
             self.counts.client_left += 1;
-            self.transfers.end(id);
-            self.events.push(Event::ClientLeft(id));
+            self.requests.end(id);
+            self.events.push(Event::ClientDisconnected(id));
         }
     }
 
@@ -356,12 +356,12 @@
 
     fn answer(
         &mut self,
-        id: TransferId,
+        id: RequestId,
         status: u16,
         reason: &str,
         rest: impl FnOnce(Encoder) -> Bytes,
     ) -> bool {
-        let Some(conn) = self.transfers.end(id) else { return false };
+        let Some(conn) = self.requests.end(id) else { return false };
         let stays = match self.clients.all.get(&conn).map(|c| &c.stage) {
             Some(Stage::Busy(of, stays)) if *of == id => *stays,
             _ => return false,
@@ -371,22 +371,22 @@
     }
 
     /// Says whether anybody had waited for it.
-    pub(super) fn serve(&mut self, id: TransferId, body: &[u8]) -> bool {
+    pub(super) fn serve(&mut self, id: RequestId, body: &[u8]) -> bool {
         let answered = self.answer(id, 200, "OK", |e| e.body(body));
         self.counts.done += u64::from(answered);
         answered
     }
 
-    pub(super) fn defer(&mut self, id: TransferId, come_back: Option<Span>) {
-        let answered = self.answer(id, 503, "Service Unavailable", |e| match come_back {
+    pub(super) fn reject(&mut self, id: RequestId, retry_after: Option<Span>) {
+        let answered = self.answer(id, 503, "Service Unavailable", |e| match retry_after {
             Some(wait) => e.number("Retry-After", format_args!("{:.3}", wait.secs())).body(b""),
             None => e.body(b""),
         });
-        self.counts.deferred += u64::from(answered);
+        self.counts.rejected += u64::from(answered);
     }
 
-    pub(super) fn abandon(&mut self, id: TransferId) {
+    pub(super) fn fail(&mut self, id: RequestId) {
         let answered = self.answer(id, 500, "Internal Server Error", |e| e.body(b""));
-        self.counts.abandoned += u64::from(answered);
+        self.counts.failed += u64::from(answered);
     }
 }
--- a/crates/platform/src/core/counts.rs
+++ b/crates/platform/src/core/counts.rs
@@ -1,27 +1,29 @@
 //! What this host counted since its start, by cause: to be set against what went over the sockets.
 
 use super::ask::Refused;
-use gullsail_interface::Ending;
+use gullsail_scheduler_api::AttemptOutcome;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Counts {
     /// Connections of clients; those to which nobody could give way; those closed to make room; those on which more came
-    /// behind an open transfer than may wait.
+    /// behind an open request than may wait.
     pub accepted: u64,
     pub no_place: u64,
     pub made_room: u64,
     pub crowded: u64,
-    /// Transfers, and how they were answered.
+    /// Requests, and how they were answered.
     pub taken: u64,
     pub done: u64,
-    pub deferred: u64,
-    pub abandoned: u64,
+    #[serde(rename = "deferred")]
+    pub rejected: u64,
+    #[serde(rename = "abandoned")]
+    pub failed: u64,
     pub client_left: u64,
-    /// Messages that were no transfer.
+    /// Messages that were no request.
     pub refused: BTreeMap<Refused, u64>,
-    /// Legs that went out, and how all ended.
+    /// Attempts that went out, and how all ended.
     pub sent: u64,
     pub endings: BTreeMap<&'static str, u64>,
     /// Answers that could not be read, and bytes that nobody had asked for.
@@ -47,16 +49,16 @@
 }
 
 impl Counts {
-    pub fn ending(&mut self, ending: Ending) {
-        let name = match ending {
-            Ending::Done => "done",
-            Ending::Failed => "failed",
-            Ending::TurnedAway => "turned_away",
-            Ending::Unreached => "unreached",
-            Ending::Unsent => "unsent",
-            Ending::TimedOut => "timed_out",
-            Ending::Broken => "broken",
-            Ending::Cancelled => "cancelled",
+    pub fn outcome(&mut self, outcome: AttemptOutcome) {
+        let name = match outcome {
+            AttemptOutcome::Succeeded => "done",
+            AttemptOutcome::Failed => "failed",
+            AttemptOutcome::Rejected => "turned_away",
+            AttemptOutcome::Unreachable => "unreached",
+            AttemptOutcome::NotSent => "unsent",
+            AttemptOutcome::TimedOut => "timed_out",
+            AttemptOutcome::ConnectionLost => "broken",
+            AttemptOutcome::Cancelled => "cancelled",
         };
         *self.endings.entry(name).or_default() += 1;
     }
