--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -2,7 +2,7 @@
 //! that the others age out. None is opened ahead. What a node says of itself beyond answers is read here too: a break
 //! that was no restart.
 
-use super::legs::{At, LegKey};
+use super::attempts::{At, AttemptKey};
 use super::*;
 use gullsail_http::{Decoder, Found, Message, Start};
 use std::collections::VecDeque;
@@ -11,7 +11,7 @@
 /// An answer that comes so long after a break, on a connection that stood before it, was not under way then.
 const AFTER_BREAK: Span = Span::from_micros(100_000);
 /// No process ends and another takes its place in less; and no machine is gone, comes back and serves in less than
-/// [`RETURN`]. So a break between two signs of life that are that close was no restart.
+/// [`RETURN`]. So a break between two signs of incarnation that are that close was no restart.
 const RESTART: Span = Span::from_micros(250_000);
 const RETURN: Span = Span::from_micros(2_000_000);
 /// What discovery has to tell is told by then.
@@ -23,7 +23,7 @@
 enum Use {
     Dialling,
     Idle,
-    Busy(LegKey),
+    Busy(AttemptKey),
 }
 
 #[derive(Debug)]
@@ -46,15 +46,15 @@
 
 #[derive(Debug)]
 struct Node {
-    entry: NodeEntry,
+    entry: Endpoint,
     dial: String,
     /// The one used last at the end.
     idle: Vec<ConnId>,
-    waiting: VecDeque<LegKey>,
+    waiting: VecDeque<AttemptKey>,
     dialling: usize,
-    /// When it last showed that it lives: a connection came up, or an answer came.
+    /// When it last showed that it incarnations: a connection came up, or an answer came.
     alive: Option<Instant>,
-    /// A connection broke then, with the last sign of life before; nothing has proven yet that the process lives on.
+    /// A connection broke then, with the last sign of incarnation before; nothing has proven yet that the process incarnations on.
     broke: Option<(Instant, Option<Instant>)>,
 }
 
@@ -79,23 +79,23 @@
         self.nodes.get(&node)?.entry.started
     }
     /// As the list has it, and where to dial.
-    pub(super) fn listed(&self, node: NodeId) -> Option<(NodeEntry, String)> {
+    pub(super) fn listed(&self, node: NodeId) -> Option<(Endpoint, String)> {
         self.nodes.get(&node).map(|n| (n.entry.clone(), n.dial.clone()))
     }
     pub(super) fn zone(&self, node: NodeId) -> ZoneId {
         self.nodes.get(&node).map_or(ZoneId::default(), |n| n.entry.zone)
     }
     pub(super) fn is_ready(&self, node: NodeId) -> bool {
-        self.nodes.get(&node).is_some_and(|n| n.entry.standing == Standing::Ready)
+        self.nodes.get(&node).is_some_and(|n| n.entry.state == EndpointState::Ready)
     }
-    /// It carries a leg from now on. Says how much came on it so far.
-    pub(super) fn busy(&mut self, conn: ConnId, key: LegKey) -> u64 {
+    /// It carries an attempt from now on. Says how much came on it so far.
+    pub(super) fn busy(&mut self, conn: ConnId, key: AttemptKey) -> u64 {
         let Some(l) = self.all.get_mut(&conn) else { return 0 };
         l.usage = Use::Busy(key);
         l.heard
     }
     /// Says whether a connection to the node was being made.
-    pub(super) fn stop_waiting(&mut self, node: NodeId, key: LegKey) -> bool {
+    pub(super) fn stop_waiting(&mut self, node: NodeId, key: AttemptKey) -> bool {
         let Some(n) = self.nodes.get_mut(&node) else { return false };
         n.waiting.retain(|w| *w != key);
         n.dialling > 0
@@ -123,7 +123,7 @@
 
 impl Core {
     /// What the list says of a node.
-    pub(super) fn listed(&mut self, entry: &NodeEntry, dial: &str) {
+    pub(super) fn listed(&mut self, entry: &Endpoint, dial: &str) {
         let node = entry.node;
         let n = self.links.nodes.entry(node).or_insert_with(|| Node {
             entry: entry.clone(),
@@ -139,11 +139,11 @@
         }
         let moved = n.dial != dial;
         (n.entry, n.dial) = (entry.clone(), dial.into());
-        let ready = entry.standing == Standing::Ready;
+        let ready = entry.state == EndpointState::Ready;
         if moved || !ready {
             // Whoever waits is told at once if it is sent nothing more, else dials where the node is now.
             let waiting = if ready { VecDeque::new() } else { std::mem::take(&mut n.waiting) };
-            waiting.into_iter().for_each(|key| self.leg_over(key, Ending::Unsent, None));
+            waiting.into_iter().for_each(|key| self.attempt_over(key, AttemptOutcome::NotSent, None));
             let of_no_use = |l: &Link| l.node == node && !matches!(l.usage, Use::Busy(_));
             let all = self.links.all.iter().filter(|(_, l)| of_no_use(l)).map(|(id, _)| *id);
             all.collect::<Vec<_>>().into_iter().for_each(|conn| self.close_link(conn));
@@ -156,14 +156,14 @@
     /// The list holds it no more.
     pub(super) fn unlisted(&mut self, node: NodeId) {
         if let Some(n) = self.links.nodes.get(&node) {
-            let (entry, dial) = (NodeEntry { standing: Standing::Gone, ..n.entry.clone() }, n.dial.clone());
+            let (entry, dial) = (Endpoint { state: EndpointState::Gone, ..n.entry.clone() }, n.dial.clone());
             self.listed(&entry, &dial);
         }
     }
 
     fn forget_node(&mut self, node: NodeId) {
         let in_use = |n: &Node| !n.waiting.is_empty() || self.links.all.values().any(|l| l.node == node);
-        if self.links.nodes.get(&node).is_some_and(|n| n.entry.standing == Standing::Gone && !in_use(n)) {
+        if self.links.nodes.get(&node).is_some_and(|n| n.entry.state == EndpointState::Gone && !in_use(n)) {
             self.links.nodes.remove(&node);
         }
     }
@@ -178,16 +178,17 @@
         Some(conn)
     }
 
-    pub(super) fn wait_for_link(&mut self, key: LegKey, node: NodeId) {
-        let Some(n) = self.links.nodes.get_mut(&node).filter(|n| n.entry.standing == Standing::Ready) else {
-            return self.leg_over(key, Ending::Unsent, None);
+    pub(super) fn wait_for_link(&mut self, key: AttemptKey, node: NodeId) {
+        let Some(n) = self.links.nodes.get_mut(&node).filter(|n| n.entry.state == EndpointState::Ready)
+        else {
+            return self.attempt_over(key, AttemptOutcome::NotSent, None);
         };
         n.waiting.push_back(key);
-        self.due.set(self.now + self.reach.connect_time_out, Due::LegWaited(key));
+        self.due.set(self.now + self.reach.connect_time_out, Due::AttemptWaited(key));
         self.dial_node(node);
     }
 
-    /// As many connections are being made as legs wait, within what descriptors allow.
+    /// As many connections are being made as attempts wait, within what descriptors allow.
     fn dial_node(&mut self, node: NodeId) {
         while self.links.nodes.get(&node).is_some_and(|n| n.dialling < n.waiting.len()) {
             if self.links.len() >= self.links.most {
@@ -227,10 +228,10 @@
         self.keep_looking();
     }
 
-    /// A connection that broke is made again at once, where a place is free: that shows whether the process lives, while
-    /// it is still certain that none could have followed it, and the next leg takes it.
+    /// A connection that broke is made again at once, where a place is free: that shows whether the process incarnations, while
+    /// it is still certain that none could have followed it, and the next attempt takes it.
     fn open_again(&mut self, node: NodeId) {
-        let lacks = |n: &Node| n.entry.standing == Standing::Ready && n.dialling == 0;
+        let lacks = |n: &Node| n.entry.state == EndpointState::Ready && n.dialling == 0;
         if self.links.len() < self.links.most && self.links.nodes.get(&node).is_some_and(lacks) {
             self.open(node);
         }
@@ -242,7 +243,7 @@
         (l.usage, l.opened, l.idle, l.used) = (Use::Idle, now, now, 1);
         let node = l.node;
         self.links.nodes.entry(node).and_modify(|n| n.dialling -= 1);
-        self.lives(node, now, None);
+        self.incarnations(node, now, None);
         self.link_free(conn, node);
     }
 
@@ -252,10 +253,10 @@
             if self.may_still_go(key) {
                 return self.dispatch(key, conn);
             }
-            self.leg_over(key, Ending::Unsent, None);
+            self.attempt_over(key, AttemptOutcome::NotSent, None);
         }
         match (self.links.all.get_mut(&conn), self.links.nodes.get_mut(&node)) {
-            (Some(l), Some(n)) if n.entry.standing == Standing::Ready => {
+            (Some(l), Some(n)) if n.entry.state == EndpointState::Ready => {
                 (l.usage, l.idle) = (Use::Idle, self.now);
                 n.idle.push(conn);
             }
@@ -266,27 +267,27 @@
     pub(super) fn link_written(&mut self, conn: ConnId) {
         let Some(Link { usage: Use::Busy(key), spoilt, .. }) = self.links.all.get(&conn) else { return };
         let (key, spoilt) = (*key, *spoilt);
-        let Some(leg) = self.legs.get_mut(&key).filter(|l| l.at == At::Going(conn)) else { return };
-        leg.at = At::Gone(conn, self.now);
+        let Some(attempt) = self.attempts.get_mut(&key).filter(|l| l.at == At::Going(conn)) else { return };
+        attempt.at = At::Gone(conn, self.now);
         self.counts.sent += 1;
         if spoilt {
             // Whose answer comes behind what came before can't be told.
             self.close_link(conn);
-            self.leg_over(key, Ending::Failed, None);
+            self.attempt_over(key, AttemptOutcome::Failed, None);
         }
     }
 
-    /// The other side had ended it before: nothing was written, so the leg takes another.
+    /// The other side had ended it before: nothing was written, so the attempt takes another.
     pub(super) fn link_unwritten(&mut self, conn: ConnId) {
         let Some(Link { usage: Use::Busy(key), node, .. }) = self.links.all.get(&conn) else { return };
         let (key, node) = (*key, *node);
         self.counts.found_dead += 1;
         self.close_link(conn);
         if !self.may_still_go(key) {
-            return self.leg_over(key, Ending::Unsent, None);
+            return self.attempt_over(key, AttemptOutcome::NotSent, None);
         }
-        if let Some(leg) = self.legs.get_mut(&key) {
-            leg.at = At::Waiting;
+        if let Some(attempt) = self.attempts.get_mut(&key) {
+            attempt.at = At::Waiting;
         }
         match self.idle_link(node) {
             Some(other) => self.dispatch(key, other),
@@ -305,16 +306,20 @@
             }
             Use::Idle => {}
             Use::Busy(key) => {
-                let gone = self.legs.get(&key).is_some_and(|l| matches!(l.at, At::Gone(..)));
+                let gone = self.attempts.get(&key).is_some_and(|l| matches!(l.at, At::Gone(..)));
                 if gone {
                     self.counts.breaks += 1;
                     // An earlier one that is unproven holds what comes after it, for as long as it matters.
-                    let (now, ramp) = (self.now, self.facts.cold.ramp);
+                    let (now, ramp) = (self.now, self.config.slow_start.ramp);
                     self.links.nodes.entry(node).and_modify(|n| {
                         n.broke = n.broke.filter(|b| now - b.0 < ramp).or(Some((now, n.alive)));
                     });
                 }
-                self.leg_over(key, if gone { Ending::Broken } else { Ending::Unreached }, None);
+                self.attempt_over(
+                    key,
+                    if gone { AttemptOutcome::ConnectionLost } else { AttemptOutcome::Unreachable },
+                    None,
+                );
                 if gone {
                     self.open_again(node);
                 }
@@ -325,7 +330,7 @@
 
     fn one_unreached(&mut self, node: NodeId) {
         let first = self.links.nodes.get_mut(&node).and_then(|n| n.waiting.pop_front());
-        first.into_iter().for_each(|key| self.leg_over(key, Ending::Unreached, None));
+        first.into_iter().for_each(|key| self.attempt_over(key, AttemptOutcome::Unreachable, None));
     }
 
     pub(super) fn dial_ends(&mut self, conn: ConnId) {
@@ -363,7 +368,7 @@
             self.counts.surplus += 1;
             return self.close_link(conn);
         };
-        if self.legs.get(&key).is_some_and(|leg| leg.at == At::Going(conn)) {
+        if self.attempts.get(&key).is_some_and(|attempt| attempt.at == At::Going(conn)) {
             // It was read before the message was written, so it is no answer to it, nor the beginning of one. Whether the
             // message was written is for the connection's task to say, and it says so next.
             self.counts.surplus += 1;
@@ -378,24 +383,24 @@
                 *self.counts.spoilt.entry(fault.to_string()).or_default() += 1;
                 debug!(conn = conn.0, %fault, "an answer that cannot be read");
                 self.close_link(conn);
-                self.leg_over(key, Ending::Failed, None);
+                self.attempt_over(key, AttemptOutcome::Failed, None);
             }
         }
     }
 
-    fn answered(&mut self, conn: ConnId, key: LegKey, m: &Message) {
+    fn answered(&mut self, conn: ConnId, key: AttemptKey, m: &Message) {
         let Start::Answer { status } = m.start else { return };
         let Some(l) = self.links.all.get(&conn) else { return };
         let (node, opened, surplus, stale) = (l.node, l.opened, !l.decoder.is_empty(), l.stale);
-        let Some(At::Gone(_, sent)) = self.legs.get(&key).map(|l| l.at) else { return };
+        let Some(At::Gone(_, sent)) = self.attempts.get(&key).map(|l| l.at) else { return };
         let never_ran = m.field("X-Never-Ran") == Found::One(b"1");
-        let ending = match status {
-            200 => Ending::Done,
-            503 | 504 if never_ran => Ending::TurnedAway,
-            _ => Ending::Failed,
+        let outcome = match status {
+            200 => AttemptOutcome::Succeeded,
+            503 | 504 if never_ran => AttemptOutcome::Rejected,
+            _ => AttemptOutcome::Failed,
         };
-        self.lives(node, opened, Some(sent));
-        if ending == Ending::Done {
+        self.incarnations(node, opened, Some(sent));
+        if outcome == AttemptOutcome::Succeeded {
             self.serve(key.0, &m.body);
         }
         self.counts.surplus += u64::from(surplus);
@@ -404,12 +409,12 @@
         } else {
             self.link_free(conn, node);
         }
-        self.leg_over(key, ending, used(m));
+        self.attempt_over(key, outcome, used(m));
     }
 
-    /// The node lives. A break before that was no restart if the sign comes on a connection that stood before the break
+    /// The node incarnations. A break before that was no restart if the sign comes on a connection that stood before the break
     /// and was not under way then, or so soon after it, and it so soon after the last sign before, that none fits between.
-    fn lives(&mut self, node: NodeId, opened: Instant, sent: Option<Instant>) {
+    fn incarnations(&mut self, node: NodeId, opened: Instant, sent: Option<Instant>) {
         let now = self.now;
         let Some(n) = self.links.nodes.get_mut(&node) else { return };
         n.alive = Some(now);
@@ -423,12 +428,16 @@
 
     /// The module learns that its node is as old as the list says.
     fn lives_on(&mut self, node: NodeId) {
-        let Some(n) = self.links.nodes.get_mut(&node).filter(|n| n.entry.standing == Standing::Ready) else {
+        let Some(n) = self.links.nodes.get_mut(&node).filter(|n| n.entry.state == EndpointState::Ready)
+        else {
             return;
         };
         n.broke = None;
         self.counts.lives_on += 1;
-        self.events.push(Event::List { extent: Extent::Seen, entries: vec![n.entry.clone()] });
+        self.events.push(Event::EndpointList {
+            update_kind: UpdateKind::SelfReported,
+            entries: vec![n.entry.clone()],
+        });
     }
 
     /// Discovery has told of every start before, and of none for these.
--- a/crates/platform/src/core/list.rs
+++ b/crates/platform/src/core/list.rs
@@ -98,7 +98,7 @@
         self.list.call = Some(Call { conn, decoder, heard: 0, seq: None, question: 0, since });
         let address = self.list.address.clone();
         self.outputs.push(Output::Dial { conn, address });
-        self.expect_list(conn, List::patience(!self.facts.list_asked).0);
+        self.expect_list(conn, List::patience(!self.config.poll_endpoints).0);
     }
 
     fn expect_list(&mut self, conn: ConnId, within: Span) {
@@ -114,7 +114,7 @@
         let host = self.list.address.clone();
         let Some(call) = self.list.get(conn) else { return };
         let (target, within) = match call.seq {
-            None => ("/catalog/members".to_string(), List::patience(!self.facts.list_asked).0),
+            None => ("/catalog/members".to_string(), List::patience(!self.config.poll_endpoints).0),
             Some(seq) => {
                 let target = format!("/catalog/members?after={seq}&wait_ms={WAIT_MS}");
                 (target, Span::from_millis(WAIT_MS as f64) + SILENT)
@@ -148,7 +148,7 @@
             warn!(why, address = self.list.address, "discovery is lost");
         }
         self.list.failed += 1;
-        self.events.push(Event::ListLost);
+        self.events.push(Event::EndpointListLost);
     }
 
     /// Anew, a little later; what is known stays.
@@ -158,7 +158,7 @@
             return;
         }
         self.list.call = None;
-        let (_, most) = List::patience(!self.facts.list_asked);
+        let (_, most) = List::patience(!self.config.poll_endpoints);
         let wait = AGAIN.times(f64::from(1u32 << self.list.failed.min(10))).min(most);
         self.list_is_lost(why);
         self.due.set(self.now + wait, Due::ListAgain);
@@ -199,7 +199,7 @@
             }
         }
         let all = self.entries(&page);
-        let extent = if page.whole { Extent::Whole } else { Extent::Changes };
+        let update_kind = if page.whole { UpdateKind::Snapshot } else { UpdateKind::Delta };
         if page.whole {
             self.counts.lists += 1;
         }
@@ -222,7 +222,7 @@
         }
         self.ready = true;
         if page.whole || !all.is_empty() {
-            self.take_list(extent, &all);
+            self.take_list(update_kind, &all);
         }
         self.told_of_starts();
         Ok(())
@@ -231,12 +231,12 @@
     /// What this host had when it last ran, perhaps long ago.
     pub(super) fn remember(&mut self, page: Page) {
         let all = self.entries(&page);
-        self.take_list(Extent::Remembered, &all);
+        self.take_list(UpdateKind::StaleSnapshot, &all);
     }
 
     /// What can be read of a page, with where to dial. An entry that can't be changes nothing for its node: in a whole
     /// list it stays as it is, since one word that nobody knows must not hide what the others say, drains above all.
-    fn entries(&mut self, page: &Page) -> Vec<(NodeEntry, String)> {
+    fn entries(&mut self, page: &Page) -> Vec<(Endpoint, String)> {
         let mut all = Vec::with_capacity(page.hosts.len());
         for item in &page.hosts {
             let (name, read) = match item {
@@ -251,35 +251,35 @@
                 warn!(node = name, "an entry of the list cannot be read and is skipped");
             }
             self.counts.entries_skipped += 1;
-            let known = name.and_then(|n| self.links.listed(NodeId(gullsail_facts::hash(n))));
+            let known = name.and_then(|n| self.links.listed(NodeId(gullsail_scheduler_settings::hash(n))));
             all.extend(known.filter(|_| page.whole));
         }
         all
     }
 
-    fn take_list(&mut self, extent: Extent, all: &[(NodeEntry, String)]) {
-        if extent != Extent::Changes {
+    fn take_list(&mut self, update_kind: UpdateKind, all: &[(Endpoint, String)]) {
+        if update_kind != UpdateKind::Delta {
             let missing = self.links.known().filter(|nd| all.iter().all(|(n, _)| n.node != *nd));
             let missing: Vec<_> = missing.collect();
             missing.into_iter().for_each(|node| self.unlisted(node));
         }
         all.iter().for_each(|(n, dial)| self.listed(n, dial));
         let entries = all.iter().map(|(n, _)| n.clone()).collect();
-        self.events.push(Event::List { extent, entries });
+        self.events.push(Event::EndpointList { update_kind, entries });
     }
 
-    fn entry(&self, e: &Entry) -> Option<NodeEntry> {
-        let standing = match e.health.as_str() {
-            "SERVING" => Standing::Ready,
-            "DRAINING" => Standing::Draining,
-            "DELETED" => Standing::Gone,
+    fn entry(&self, e: &Entry) -> Option<Endpoint> {
+        let state = match e.health.as_str() {
+            "SERVING" => EndpointState::Ready,
+            "DRAINING" => EndpointState::Draining,
+            "DELETED" => EndpointState::Gone,
             _ => return None,
         };
-        Some(NodeEntry {
-            node: NodeId(gullsail_facts::hash(&e.host)),
-            cell: CellId(e.block),
+        Some(Endpoint {
+            node: NodeId(gullsail_scheduler_settings::hash(&e.host)),
+            shard: ShardId(e.block),
             zone: self.names.zone(&e.site),
-            standing,
+            state,
             started: (e.born_ms > 0.0).then_some(Instant::from_millis(e.born_ms)),
             pools: Vec::new(),
         })
@@ -288,8 +288,8 @@
     /// Another document: discovery has moved, or is asked anew where it is.
     pub(super) fn reload(&mut self, d: Document) {
         self.counts.reloads += 1;
-        let (facts, peers) = (format!("{:?}", d.facts), d.peers);
-        if facts != format!("{:?}", self.facts) || peers != self.peers || d.names != self.names {
+        let (config, peers) = (format!("{:?}", d.config), d.peers);
+        if config != format!("{:?}", self.config) || peers != self.peers || d.names != self.names {
             warn!("settings and peers change only with a start: of the new document, discovery counts");
         }
         info!(from = self.list.address, to = d.discovery, "another document");
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -4,34 +4,34 @@
 //! A caller hands over what happened with [`Core::handle`], any number of times, then calls [`Core::advance`] once and
 //! carries out [`Core::outputs`] in their order; [`Core::next_timer`] says when to call again at the latest. Read
 //! `mod.rs` for time and the module's actions, [`ask`] for what a message must hold, `clients` for connections of
-//! clients, `legs` and `links` for legs and connections to nodes, `list` for discovery, `shutdown` for the end.
+//! clients, `attempts` and `links` for attempts and connections to nodes, `list` for discovery, `shutdown` for the end.
 
 pub mod ask;
+mod attempts;
 mod clients;
 mod counts;
-mod legs;
 mod links;
 mod list;
+mod requests;
 mod shutdown;
-mod transfers;
 
 use crate::document::Document;
+use attempts::{Attempt, AttemptKey};
 use bytes::Bytes;
 use clients::Clients;
 pub use counts::Counts;
-use gullsail::Brain;
-use gullsail_facts::{Names, Reach};
+use gullsail::Scheduler;
 use gullsail_http::Bounds;
-use gullsail_interface::*;
-use gullsail_timing::Timers;
-use legs::{Leg, LegKey};
+use gullsail_scheduler_api::*;
+use gullsail_scheduler_settings::{Names, Reach};
+use gullsail_timers::Timers;
 use links::Links;
 use list::List;
+use requests::Requests;
 use shutdown::Shutdown;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tracing::info;
-use transfers::Transfers;
 
 /// What messages may hold, both ways: of the platform's page.
 pub const BOUNDS: Bounds = Bounds { head: 16 << 10, body: 64 << 10 };
@@ -46,7 +46,7 @@
 const OWN: usize = 24;
 /// Of the descriptors that are left, the part that clients may hold; nodes have the rest.
 const OF_CLIENTS: f64 = 0.6;
-/// Of the memory, the part that open transfers may hold, and the part that what is still coming may.
+/// Of the memory, the part that open requests may hold, and the part that what is still coming may.
 const HELD: f64 = 0.2;
 const COMING: f64 = 0.1;
 
@@ -123,10 +123,10 @@
 #[derive(Clone, Copy, Debug)]
 enum Due {
     Module(TimerId),
-    /// The time of a leg is over.
-    LegEnds(LegKey),
+    /// The time of an attempt is over.
+    AttemptEnds(AttemptKey),
     /// It may not wait for a connection any longer.
-    LegWaited(LegKey),
+    AttemptWaited(AttemptKey),
     DialEnds(ConnId),
     Look,
     /// Discovery says nothing in answer to this question.
@@ -141,18 +141,18 @@
 
 pub struct Core {
     now: Instant,
-    brain: Brain,
+    scheduler: Scheduler,
     events: Vec<Event>,
     outputs: Vec<Output>,
     due: Timers<Due>,
     names: Names,
-    facts: Facts,
+    config: SchedulerConfig,
     reach: Reach,
     peers: Vec<SocketAddr>,
     last_conn: u64,
     clients: Clients,
-    transfers: Transfers,
-    legs: BTreeMap<LegKey, Leg>,
+    requests: Requests,
+    attempts: BTreeMap<AttemptKey, Attempt>,
     links: Links,
     list: List,
     shutdown: Shutdown,
@@ -170,18 +170,18 @@
         info!(host = d.name, sockets, of_clients, memory_mb = d.limits.memory_mb, "starting");
         let mut core = Core {
             now,
-            brain: Brain::new(d.facts.clone(), d.seed, now),
+            scheduler: Scheduler::new(d.config.clone(), d.seed, now),
             events: Vec::new(),
             outputs: Vec::new(),
             due: Timers::default(),
             names: d.names,
-            facts: d.facts,
+            config: d.config,
             reach: d.reach,
             peers: d.peers,
             last_conn: 0,
             clients: Clients::new(of_clients, bytes(COMING)),
-            transfers: Transfers::new(bytes(HELD)),
-            legs: BTreeMap::new(),
+            requests: Requests::new(bytes(HELD)),
+            attempts: BTreeMap::new(),
             links: Links::new(sockets - OWN - of_clients),
             list: List::new(d.discovery),
             shutdown: Shutdown::Serving,
@@ -234,7 +234,7 @@
         }
         loop {
             let events = std::mem::take(&mut self.events);
-            let actions = self.brain.step(self.now, events);
+            let actions = self.scheduler.step(self.now, events);
             actions.into_iter().for_each(|a| self.act(a));
             if self.events.is_empty() {
                 break;
@@ -256,16 +256,16 @@
     }
 
     /// What is held now, by name: nothing of it may grow with what came and went.
-    pub fn lengths(&self) -> Vec<(&'static str, usize)> {
-        let mut all = self.brain.lengths();
+    pub fn size_metrics(&self) -> Vec<(&'static str, usize)> {
+        let mut all = self.scheduler.size_metrics();
         all.extend([
             ("clients", self.clients.len()),
-            ("transfers", self.transfers.len()),
-            ("legs", self.legs.len()),
+            ("transfers", self.requests.len()),
+            ("legs", self.attempts.len()),
             ("links", self.links.len()),
             ("links.nodes", self.links.nodes()),
             ("due", self.due.pending()),
-            ("bytes", self.transfers.held() + self.clients.coming()),
+            ("bytes", self.requests.held() + self.clients.coming()),
         ]);
         all
     }
@@ -273,8 +273,8 @@
     fn is_due(&mut self, due: Due) {
         match due {
             Due::Module(id) => self.events.push(Event::Timer(id)),
-            Due::LegEnds(key) => self.leg_ends(key),
-            Due::LegWaited(key) => self.leg_waited(key),
+            Due::AttemptEnds(key) => self.attempt_ends(key),
+            Due::AttemptWaited(key) => self.attempt_waited(key),
             Due::DialEnds(conn) => self.dial_ends(conn),
             Due::Look => {
                 self.looks = false;
@@ -308,9 +308,9 @@
         info!(
             clients = self.clients.len(),
             links = self.links.len(),
-            open = self.transfers.open(),
-            legs = self.legs.len(),
-            held = self.transfers.held() + self.clients.coming(),
+            open = self.requests.open(),
+            attempts = self.attempts.len(),
+            held = self.requests.held() + self.clients.coming(),
             list_age_ms,
             counts,
             "{what}"
@@ -319,15 +319,15 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Leg { id, node, time_out } => self.start_leg(id, node, time_out),
-            Action::Defer { id, come_back } => self.defer(id, come_back),
-            Action::Abandon { id } => self.abandon(id),
+            Action::StartAttempt { id, node, time_out } => self.start_attempt(id, node, time_out),
+            Action::Reject { id, retry_after } => self.reject(id, retry_after),
+            Action::Fail { id } => self.fail(id),
             // It is followed all the time.
-            Action::Watch => {}
-            Action::Timer { id, at } => self.due.set(at, Due::Module(id)),
+            Action::WatchEndpoints => {}
+            Action::SetTimer { id, at } => self.due.set(at, Due::Module(id)),
             // The platform states no budgets between zones.
-            Action::Past { .. } => {}
-            Action::Tell { to, bytes } => {
+            Action::BudgetOverrun { .. } => {}
+            Action::SendToPeer { to, bytes } => {
                 if let Some(to) = self.peers.get(to.0 as usize) {
                     self.counts.told += 1;
                     self.outputs.push(Output::Datagram { to: *to, bytes: bytes.into() });
@@ -340,7 +340,7 @@
         match self.peers.iter().position(|p| *p == from) {
             Some(host) if bytes.len() <= 256 => {
                 self.counts.heard += 1;
-                self.events.push(Event::PeerSaid { from: HostId(host as u32), bytes: bytes.to_vec() });
+                self.events.push(Event::PeerMessage { from: HostId(host as u32), bytes: bytes.to_vec() });
             }
             _ => self.counts.foreign_datagrams += 1,
         }
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -5,8 +5,8 @@
 
 use super::*;
 
-/// After the first word the platform waits for the longest expiry, which it counts as no more than this,
-const EXPIRY: Span = Span::from_micros(3_000_000);
+/// After the first word the platform waits for the longest deadline, which it counts as no more than this,
+const DEADLINE: Span = Span::from_micros(3_000_000);
 /// and for this; then it ends the host.
 const BEYOND: Span = Span::from_micros(700_000);
 /// New connections come for this long at the most.
@@ -43,11 +43,11 @@
         if self.shutdown != Shutdown::Serving {
             return;
         }
-        let (expiry, slo_time) = self.reach.longest;
-        let lasts = expiry.min(EXPIRY) + BEYOND;
-        // What is taken at the last moment has its SLO time still: the module answers by then.
-        let takes = (lasts - slo_time - SPARE).max(STILL_COMING);
-        info!(open = self.transfers.open(), takes_ms = takes.millis(), "leaving");
+        let (deadline, latency_objective) = self.reach.longest;
+        let lasts = deadline.min(DEADLINE) + BEYOND;
+        // What is taken at the last moment has its latency objective still: the module answers by then.
+        let takes = (lasts - latency_objective - SPARE).max(STILL_COMING);
+        info!(open = self.requests.open(), takes_ms = takes.millis(), "leaving");
         self.shutdown = Shutdown::Accepting(self.now + lasts - LAST);
         self.due.set(self.now + takes, Due::ShutDown);
     }
@@ -84,14 +84,14 @@
 
     fn answer_all(&mut self, gone: Instant) {
         self.shutdown = Shutdown::Flushing;
-        self.transfers.all_open().into_iter().for_each(|id| self.abandon(id));
+        self.requests.all_open().into_iter().for_each(|id| self.fail(id));
         self.end_clients();
         self.due.set(gone, Due::Exit);
     }
 
     pub(super) fn exit_if_done(&mut self) {
         let finishing = matches!(self.shutdown, Shutdown::Finishing(_) | Shutdown::Flushing);
-        if finishing && self.transfers.open() == 0 && self.clients.len() == 0 {
+        if finishing && self.requests.open() == 0 && self.clients.len() == 0 {
             self.left();
         }
     }
--- a/crates/platform/src/document.rs
+++ b/crates/platform/src/document.rs
@@ -1,8 +1,8 @@
 //! What a host is told at its start and again at each reload: one JSON document. [`Document::read`] takes it whole or
 //! says what is wrong, where, and what was meant.
 
-use gullsail_facts::{Names, Reach, Stated, facts};
-use gullsail_interface::Facts;
+use gullsail_scheduler_api::SchedulerConfig;
+use gullsail_scheduler_settings::{Names, Reach, Stated, config};
 use miette::{Diagnostic, NamedSource, SourceSpan};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -91,7 +91,7 @@
     pub peers: Vec<SocketAddr>,
     /// The list of nodes as this host last had it, perhaps long ago.
     pub known: Option<Page>,
-    pub facts: Facts,
+    pub config: SchedulerConfig,
     pub names: Names,
     pub reach: Reach,
 }
@@ -116,7 +116,7 @@
             unsound(what, "one JSON object and nothing behind it was meant", Some(place(text, &e)))
         })?;
         let w = written;
-        let (mut facts, names) = facts(&w.settings).map_err(|e| {
+        let (mut config, names) = config(&w.settings).map_err(|e| {
             unsound(
                 format!("{file}, settings: {e}"),
                 "one of the words of the settings' page was meant",
@@ -124,13 +124,13 @@
             )
         })?;
         let reach = w.settings.reach();
-        facts.leg_wait = reach.connect_time_out;
+        config.connect_wait = reach.connect_time_out;
         let positive = |f: f64| f.is_finite() && f > 0.0;
         let wrong = [
             (!positive(w.limits.memory_mb), "limits.memory_mb: a positive number of megabytes was meant"),
             (w.limits.sockets < 32, "limits.sockets: at least 32 descriptors were meant"),
             (w.discovery.is_empty(), "discovery: an address such as 10.2.0.1:8500 was meant"),
-            (facts.stream_types.is_empty(), "settings.profiles: at least one stream type was meant"),
+            (config.request_classes.is_empty(), "settings.profiles: at least one stream type was meant"),
             (
                 reach.connect_time_out.micros() <= 0,
                 "settings.limits.connect-timeout: a positive time was meant",
@@ -144,7 +144,8 @@
             return Err(unsound(what, "settings that agree with each other were meant", key(text, &c.place)));
         }
         // Whatever its form, it only has to differ from start to start.
-        let seed = u64::from_str_radix(&w.seed, 16).unwrap_or_else(|_| gullsail_facts::hash(&w.seed));
+        let seed =
+            u64::from_str_radix(&w.seed, 16).unwrap_or_else(|_| gullsail_scheduler_settings::hash(&w.seed));
         Ok(Document {
             name: w.name,
             listen: w.listen,
@@ -154,7 +155,7 @@
             peer_listen: w.peer_listen,
             peers: w.peers,
             known: w.known,
-            facts,
+            config,
             names,
             reach,
         })
--- a/crates/platform/src/drive.rs
+++ b/crates/platform/src/drive.rs
@@ -7,8 +7,8 @@
 use crate::core::{ConnId, Core, Counts, Input, Output};
 use crate::document::{Document, Unsound};
 use conn::{Order, SocketEvent};
-use gullsail_interface::Span;
-use gullsail_timing::HostClock;
+use gullsail_scheduler_api::Span;
+use gullsail_timers::HostClock;
 use miette::{Context, IntoDiagnostic, Report, Result, miette};
 use nix::sys::resource::{Resource, getrlimit};
 use socket2::SockRef;
@@ -172,7 +172,7 @@
         self.held.insert(conn, Held { orders, task });
     }
 
-    fn happened(&mut self, now: gullsail_interface::Instant, conn: ConnId, happened: SocketEvent) {
+    fn happened(&mut self, now: gullsail_scheduler_api::Instant, conn: ConnId, happened: SocketEvent) {
         let input = match happened {
             SocketEvent::Up => Input::Up(conn),
             SocketEvent::Came(bytes) => Input::Came(conn, bytes),
--- a/crates/platform/tests/platform/legs.rs
+++ b/crates/platform/tests/platform/attempts.rs
@@ -1,9 +1,9 @@
-//! Every ending of a leg, and what may go out on which connection.
+//! Every ending of an attempt, and what may go out on which connection.
 
 use crate::rig::*;
 use gullsail_platform::core::{Input, Output};
 
-/// What a node, or the network, does once the leg is written.
+/// What a node, or the network, does once the attempt is written.
 enum Does {
     Says(String),
     Ends,
@@ -11,11 +11,11 @@
 }
 
 #[test]
-fn every_ending_is_what_the_socket_proves() {
+fn every_outcome_is_what_the_socket_proves() {
     let never = "X-Never-Ran: 1\r\n";
     let says = |status, fields, body| Does::Says(answer(status, fields, body));
     let long = format!("HTTP/1.1 200 OK\r\nA: {}", "x".repeat(20_000));
-    // What happens, the ending, the client's answer to a transfer that must not run twice, and whether the connection
+    // What happens, the ending, the client's answer to a request that must not run twice, and whether the connection
     // is of further use.
     let cases = [
         (says(200, "", "made for it"), "done", "200", true),
@@ -41,7 +41,7 @@
         (Does::Ends, "broken", "500", false),
         (Does::Nothing, "timed_out", "500", false),
     ];
-    for (does, ending, status, of_use) in cases {
+    for (does, outcome, status, of_use) in cases {
         let mut r = Rig::new();
         let client = r.asks(&ask("once", 7, 0));
         let link = r.up(0);
@@ -55,7 +55,7 @@
             Does::Ends => r.put(Input::Ended(link)),
             Does::Nothing => r.pass(1600.0),
         }
-        assert_eq!((r.ended(ending), r.counts().sent), (1, 1), "{what}: {:?}", r.counts().endings);
+        assert_eq!((r.ended(outcome), r.counts().sent), (1, 1), "{what}: {:?}", r.counts().endings);
         assert_eq!(r.statuses(client), [status], "{what}");
         if status == "200" {
             assert!(r.heard(client)[0].ends_with("\r\n\r\nb") || r.heard(client)[0].ends_with("made for it"));
@@ -72,13 +72,13 @@
 }
 
 #[test]
-fn a_leg_that_never_ran_lets_even_an_unrepeatable_transfer_go_again() {
+fn a_attempt_that_never_ran_lets_even_a_non_idempotent_request_go_again() {
     // Turned away; refused; never up; broken before the last byte was written.
     for how in 0..4 {
         let mut r = Rig::new();
         let client = r.asks(&ask("once", 7, 0));
         let conn = r.dialled(NODES[0].1)[0];
-        let ending = match how {
+        let outcome = match how {
             0 => {
                 r.up(0);
                 r.say(conn, &answer(503, "X-Never-Ran: 1\r\n", ""));
@@ -99,7 +99,7 @@
                 "unreached"
             }
         };
-        assert_eq!(r.ended(ending), 1, "{how}: {:?}", r.counts().endings);
+        assert_eq!(r.ended(outcome), 1, "{how}: {:?}", r.counts().endings);
         r.pass(100.0);
         assert!(r.statuses(client).is_empty(), "{how}: it is still open");
         if how > 0 {
@@ -131,7 +131,7 @@
 }
 
 #[test]
-fn a_connection_found_dead_costs_the_leg_nothing() {
+fn a_connection_found_dead_costs_the_attempt_nothing() {
     let mut r = Rig::new();
     r.asks(&ask("once", 1, 0));
     let old = r.up(0);
@@ -172,7 +172,7 @@
 }
 
 #[test]
-fn a_leg_that_waited_for_its_connection_is_asked_again() {
+fn a_attempt_that_waited_for_its_connection_is_asked_again() {
     // What comes while it waits, and whether it still goes out.
     let drains = page(2, false, &[(0, "DRAINING", 0.0)]);
     let anew = page(2, false, &[(0, "SERVING", 50.0)]);
@@ -205,7 +205,7 @@
 
 #[test]
 fn a_break_is_no_restart_where_the_sockets_prove_it() {
-    // How long before the break the node last showed that it lives, how long after it a new connection stood, and
+    // How long before the break the node last showed that it incarnations, how long after it a new connection stood, and
     // whether another connection stood all the while and then answers.
     let cases = [
         (10.0, 10.0, false, true),
--- a/crates/platform/tests/platform/bounds.rs
+++ b/crates/platform/tests/platform/bounds.rs
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn open_transfers_never_give_way() {
+fn open_requests_never_give_way() {
     let mut r = Rig::with(&document(64, 32, DISCOVERY));
     let most = (64 - 24) * 6 / 10;
     let all: Vec<_> = (0..most).map(|i| r.asks(&ask("read", 100 + i as u64, 0))).collect();
@@ -118,7 +118,7 @@
     assert_eq!((r.closed(links[0]), r.dialled(NODES[1].1).len(), r.length("links")), (true, 1, 4));
 }
 
-/// The settings of these tests: an expiry of 1.5 s, an SLO time of 0.6 s. The platform ends a host 2.2 s after the word, and
+/// The settings of these tests: an deadline of 1.5 s, an latency objective of 0.6 s. The platform ends a host 2.2 s after the word, and
 /// half a second of that is left for answers to be written.
 #[test]
 fn leaving_answers_all_and_ends() {
@@ -165,7 +165,7 @@
 
 #[test]
 fn leaving_ends_before_the_platform_ends_it_and_answers_what_is_open() {
-    // An SLO time so long that what is taken within the first half second can be open then.
+    // An latency objective so long that what is taken within the first half second can be open then.
     let mut r =
         Rig::with(&document(1024, 192, DISCOVERY).replace("\"objective\":600.0", "\"objective\":1900.0"));
     r.put(Input::Stop);
@@ -218,7 +218,7 @@
 fn nothing_grows_with_what_came_and_went() {
     let mut r = Rig::with(&document(256, 32, DISCOVERY));
     let mut trace = 100;
-    let mut lengths = Vec::new();
+    let mut size_metrics = Vec::new();
     for round in 0..40u64 {
         for _ in 0..50 {
             trace += 1;
@@ -241,14 +241,14 @@
         let newest = [NODES[0].1, DISCOVERY].map(|to| *r.dialled(to).last().unwrap());
         r.out.retain(|o| matches!(o, Output::Dial { conn, .. } if newest.contains(conn)));
         r.pass(1000.0);
-        lengths.push(r.core.lengths());
+        size_metrics.push(r.core.size_metrics());
     }
-    let most = |lengths: &[Vec<(&'static str, usize)>], name: &str| {
+    let most = |size_metrics: &[Vec<(&'static str, usize)>], name: &str| {
         let of = |all: &Vec<(&str, usize)>| all.iter().find(|l| l.0 == name).unwrap().1;
-        lengths.iter().map(of).max().unwrap()
+        size_metrics.iter().map(of).max().unwrap()
     };
-    for (name, _) in &lengths[0] {
-        let (early, late) = (most(&lengths[10..20], name), most(&lengths[30..], name));
+    for (name, _) in &size_metrics[0] {
+        let (early, late) = (most(&size_metrics[10..20], name), most(&size_metrics[30..], name));
         assert!(late <= early + early / 5 + 2, "{name}: {early}, then {late}");
     }
 }
--- a/crates/platform/tests/platform/clients.rs
+++ b/crates/platform/tests/platform/clients.rs
@@ -1,10 +1,10 @@
-//! What clients are answered: transfers, what is none, and clients that go or come at every stage.
+//! What clients are answered: requests, what is none, and clients that go or come at every stage.
 
 use crate::rig::*;
 use gullsail_platform::core::{Input, Output};
 
 #[test]
-fn what_is_no_transfer_is_refused_with_its_status_and_never_passed_on() {
+fn what_is_no_request_is_refused_with_its_status_and_never_passed_on() {
     let sound = ask("write", 7, 0);
     let but = |from: &str, to: &str| {
         assert!(sound.contains(from), "{from}");
@@ -86,7 +86,7 @@
 
 #[test]
 fn a_client_that_goes_takes_only_its_own_with_it() {
-    // Before a word, within a head, within a body, while its leg waits, while it is out, and after the answer.
+    // Before a word, within a head, within a body, while its attempt waits, while it is out, and after the answer.
     let text = ask("write", 7, 0);
     for (stage, said) in
         [(0, 0), (1, 40), (2, text.len() - 2), (3, text.len()), (4, text.len()), (5, text.len())]
@@ -100,7 +100,7 @@
         r.put(Input::Ended(client));
         assert_eq!(r.counts().client_left, u64::from(stage == 3 || stage == 4), "{stage}");
         if let (4, Some(link)) = (stage, link) {
-            // Its leg runs to its end, and the connection goes on.
+            // Its attempt runs to its end, and the connection goes on.
             assert!(!r.closed(link) && r.length("legs") == 1);
             r.say(link, &answer(200, "", "b"));
             r.asks(&ask("read", 8, 0));
@@ -142,7 +142,7 @@
     r.say(link, &answer(200, "", "b"));
     assert_eq!((r.statuses(client), r.finished(client)), (vec!["200".to_string()], true));
     assert_eq!(r.counts().taken, 1, "what waited is not sent on");
-    // It ends meanwhile: no leg goes out for it.
+    // It ends meanwhile: no attempt goes out for it.
     let mut r = Rig::new();
     let client = r.asks(&ask("read", 1, 0));
     r.say(client, &ask("read", 2, 0).repeat(60));
@@ -182,7 +182,7 @@
 }
 
 #[test]
-fn what_is_given_up_on_is_answered_at_once_and_says_when_to_come_back() {
+fn what_is_given_up_on_is_answered_at_once_and_says_when_to_retry_after() {
     let mut r = Rig::new();
     r.list(&page(2, true, &[(1, "SERVING", 0.0)]));
     let client = r.asks(&ask("read", 7, 0));
@@ -198,7 +198,7 @@
     let health = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
     for (waits, listed, status) in [(0.0, false, "500"), (500.0, true, "200"), (1100.0, false, "200")] {
         let d = gullsail_platform::document::Document::read("d", &document(256, 32, DISCOVERY)).unwrap();
-        let now = gullsail_interface::Instant::from_millis(1e9);
+        let now = gullsail_scheduler_api::Instant::from_millis(1e9);
         let core = gullsail_platform::core::Core::new(d, 4096, now);
         let mut r = Rig { core, now, out: Vec::new(), stuck: false };
         r.go();
--- a/crates/platform/tests/platform/list.rs
+++ b/crates/platform/tests/platform/list.rs
@@ -39,11 +39,11 @@
 }
 
 /// An entry that cannot be read is skipped: its node stays as it was, and what the others say counts. Nodes of zones,
-/// cells and kinds that no settings name, or none at all, end nothing; what no node takes is answered at once.
+/// shards and kinds that no settings name, or none at all, end nothing; what no node takes is answered at once.
 #[test]
 fn an_odd_entry_does_not_hide_the_others() {
     let both = page(2, true, &[(0, "SERVING", 0.0), (1, "DRAINING", 0.0)]);
-    // the page, entries skipped, what a read for each cell is answered at once, if anything
+    // the page, entries skipped, what a read for each shard is answered at once, if anything
     let cases = [
         (both.replacen("SERVING", "SLEEPING", 1), 1, [None, None]),
         (both.replacen("\"block\":0", "\"block\":\"x\"", 1), 1, [None, None]),
@@ -58,9 +58,9 @@
         let mut r = Rig::new();
         r.list(&text);
         assert_eq!((r.counts().entries_skipped, r.counts().list_lost), (skipped, 0), "{text}");
-        for (cell, wanted) in answers.into_iter().enumerate() {
-            let client = r.asks(&ask("read", cell as u64 + 1, cell as i64));
-            assert_eq!(r.statuses(client).first().map(String::as_str), wanted, "{text}: cell {cell}");
+        for (shard, wanted) in answers.into_iter().enumerate() {
+            let client = r.asks(&ask("read", shard as u64 + 1, shard as i64));
+            assert_eq!(r.statuses(client).first().map(String::as_str), wanted, "{text}: cell {shard}");
         }
         // The one that drains is sent nothing in any case.
         assert_eq!(r.dialled(NODES[1].1).len(), 0, "{text}");
@@ -159,8 +159,8 @@
                 // From here it could be reached: by the next call at the latest.
                 let back = r.now;
                 let conn = next(&mut r, &mut tried);
-                let took = (r.now - back).millis();
-                assert!(took <= most, "{what}: {took} ms");
+                let latency = (r.now - back).millis();
+                assert!(latency <= most, "{what}: {latency} ms");
                 r.put(Input::Up(conn));
                 r.say(conn, &answer(200, "", &page(9, true, &[(0, "DRAINING", 0.0), (1, "SERVING", 0.0)])));
                 r.asks(&ask("read", 1, 0));
@@ -277,7 +277,7 @@
 
 #[test]
 fn another_document_moves_discovery_and_touches_nothing_else() {
-    // While a client is within its head, its leg waits, its leg is out, and while the host leaves; always twice.
+    // While a client is within its head, its attempt waits, its attempt is out, and while the host leaves; always twice.
     let moved = Document::read("d", &document(1024, 192, "10.2.0.9:8500")).unwrap();
     for stage in 0..4 {
         let mut r = Rig::new();
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -1,9 +1,9 @@
 //! The platform's host without a socket, in given time.
 
+mod attempts;
 mod bounds;
 mod clients;
-mod crossings;
-mod legs;
 mod list;
+mod races;
 mod rig;
 mod sockets;
--- a/crates/platform/tests/platform/crossings.rs
+++ b/crates/platform/tests/platform/races.rs
@@ -13,7 +13,7 @@
     Input::Came(conn, text.as_bytes().to_vec().into())
 }
 
-/// The word that a message is written, and the end of its leg's time: whichever comes first, the leg may have run.
+/// The word that a message is written, and the end of its attempt's time: whichever comes first, the attempt may have run.
 #[test]
 fn what_was_handed_to_a_connection_may_have_run() {
     for written_first in [true, false] {
@@ -41,14 +41,14 @@
 /// it never did.
 #[test]
 fn an_end_before_the_last_byte_proves_that_it_never_ran() {
-    for (written, ending, goes_on) in [(false, "unreached", true), (true, "broken", false)] {
+    for (written, outcome, goes_on) in [(false, "unreached", true), (true, "broken", false)] {
         let mut r = Rig::new();
         let client = r.asks(&ask("once", 7, 0));
         let link = *r.dialled(NODES[0].1).last().unwrap();
         r.put(Input::Up(link));
         let word = written.then_some(Input::Written(link));
         together(&mut r, word.into_iter().chain([Input::Ended(link)]).collect());
-        assert_eq!(r.ended(ending), 1, "{written}");
+        assert_eq!(r.ended(outcome), 1, "{written}");
         assert_eq!(r.statuses(client).is_empty(), goes_on, "{written}");
     }
 }
@@ -60,7 +60,7 @@
     let copy = answer(200, "", "another's");
     // What comes behind the first answer, and at which of its bytes it is cut off.
     for cut in [copy.len(), copy.len() - 1, 40, 17, 5, 1] {
-        for (written, status, ending) in [(true, "500", "failed"), (false, "200", "done")] {
+        for (written, status, outcome) in [(true, "500", "failed"), (false, "200", "done")] {
             let mut r = Rig::new();
             r.asks(&ask("once", 1, 0));
             let link = r.up(0);
@@ -87,14 +87,14 @@
             }
             assert!(r.closed(link), "{cut} {written}: it carries nothing more");
             assert_eq!(r.statuses(client), [status], "{cut} {written}");
-            assert!(r.ended(ending) >= 1, "{cut} {written}");
+            assert!(r.ended(outcome) >= 1, "{cut} {written}");
             let served = r.heard(client)[0].ends_with("made for it");
             assert_eq!(served, !written, "{cut} {written}");
         }
     }
 }
 
-/// The list says that a node drains, is gone, started anew or is elsewhere, and a connection to it comes up for a leg that
+/// The list says that a node drains, is gone, started anew or is elsewhere, and a connection to it comes up for an attempt that
 /// waits: in both orders, and in one batch.
 #[test]
 fn nothing_goes_to_a_node_that_the_list_speaks_against() {
@@ -152,9 +152,9 @@
     assert_eq!((r.ended("unsent"), r.closed(dialling), r.length("legs")), (1, true, 0));
 }
 
-/// The client's end and what would send its transfer on: its connection's coming up, its decision, a free connection, the
-/// refusal of a first leg. In both orders and in one batch, nothing begins once the end is known, and the module is told of
-/// every leg that it decided.
+/// The client's end and what would send its request on: its connection's coming up, its decision, a free connection, the
+/// refusal of a first attempt. In both orders and in one batch, nothing begins once the end is known, and the module is told of
+/// every attempt that it decided.
 #[test]
 fn nothing_begins_for_a_client_that_is_gone() {
     for what in ["up", "decision", "free", "turned away", "unreached"] {
@@ -162,39 +162,39 @@
             let mut r = Rig::new();
             let case = format!("{what}, gone first: {gone_first}, one batch: {batch}");
             let client = r.client();
-            let (mut crossing, mut link) = (Vec::new(), None);
+            let (mut cross_zone_budget, mut link) = (Vec::new(), None);
             match what {
                 "up" => {
                     r.say(client, &ask("read", 1, 0));
                     link = r.dialled(NODES[0].1).last().copied();
-                    crossing.extend(link.map(Input::Up));
+                    cross_zone_budget.extend(link.map(Input::Up));
                 }
-                "decision" => crossing.push(came(client, &ask("read", 1, 0))),
+                "decision" => cross_zone_budget.push(came(client, &ask("read", 1, 0))),
                 "free" => {
                     // Its connection does not come up; another's comes free.
                     r.asks(&ask("read", 8, 0));
                     link = Some(r.up(0));
                     r.say(client, &ask("read", 1, 0));
-                    crossing.extend(link.map(|l| came(l, &answer(200, "", "b"))));
+                    cross_zone_budget.extend(link.map(|l| came(l, &answer(200, "", "b"))));
                 }
                 _ => {
                     r.say(client, &ask("read", 1, 0));
                     let first = r.up(0);
-                    crossing.push(match what {
+                    cross_zone_budget.push(match what {
                         "turned away" => came(first, &answer(503, "X-Never-Ran: 1\r\n", "")),
                         _ => Input::Ended(first),
                     });
                 }
             }
             let before = r.counts().sent;
-            crossing.push(Input::Ended(client));
+            cross_zone_budget.push(Input::Ended(client));
             if gone_first {
-                crossing.reverse();
+                cross_zone_budget.reverse();
             }
             if batch {
-                together(&mut r, crossing);
+                together(&mut r, cross_zone_budget);
             } else {
-                crossing.into_iter().for_each(|i| r.put(i));
+                cross_zone_budget.into_iter().for_each(|i| r.put(i));
             }
             let sends = |r: &Rig| r.out.iter().filter(|o| matches!(o, Output::Send { .. })).count();
             let sent = sends(&r);
@@ -222,7 +222,7 @@
     }
 }
 
-/// In one batch a transfer comes, the list changes and the client leaves: the list is known to what is decided, and a leg
+/// In one batch a request comes, the list changes and the client leaves: the list is known to what is decided, and an attempt
 /// that is decided for who is gone ends untold to nobody.
 #[test]
 fn one_batch_decides_on_all_that_it_holds() {
@@ -244,8 +244,8 @@
                 let dialled = r.dialled(NODES[0].1).len();
                 assert_eq!(dialled, usize::from(to_node && !leaves), "{order:?} {leaves}");
                 r.pass(3000.0);
-                let lengths = ["transfers", "legs", "nodes.out", "desk.xfers"].map(|l| r.length(l));
-                assert_eq!(lengths, [0; 4], "{order:?} {leaves}");
+                let size_metrics = ["transfers", "legs", "nodes.out", "desk.xfers"].map(|l| r.length(l));
+                assert_eq!(size_metrics, [0; 4], "{order:?} {leaves}");
             }
         }
     }
@@ -288,9 +288,9 @@
     }
 }
 
-/// A further leg waits for its connection, and the time ends within which a repeat is known as one.
+/// A further attempt waits for its connection, and the time ends within which a repeat is known as one.
 #[test]
-fn a_keyed_transfer_is_not_repeated_past_its_window() {
+fn an_idempotency_key_request_is_not_repeated_past_its_window() {
     for (wait, goes) in [(100.0, true), (180.0, true), (195.0, false), (230.0, false)] {
         let mut r =
             Rig::with(&document(1024, 192, DISCOVERY).replace("\"window\":5000.0", "\"window\":200.0"));
--- a/crates/platform/tests/platform/rig.rs
+++ b/crates/platform/tests/platform/rig.rs
@@ -1,9 +1,9 @@
 //! A host with two nodes, discovery and clients, all played by hand: bytes in, bytes out, time as a number.
 
 use bytes::Bytes;
-use gullsail_interface::{Instant, Span};
 use gullsail_platform::core::{ConnId, Core, Counts, Input, Output};
 use gullsail_platform::document::Document;
+use gullsail_scheduler_api::{Instant, Span};
 
 pub const DISCOVERY: &str = "10.2.0.1:8500";
 pub const NODES: [(&str, &str); 2] = [("s-a", "10.1.0.1:5000"), ("s-b", "10.1.0.2:5000")];
@@ -12,9 +12,9 @@
 
 /// What an operator writes; `limits` and discovery may be others.
 pub fn document(sockets: usize, memory_mb: usize, discovery: &str) -> String {
-    let profile = |name: &str, effect: &str| {
+    let profile = |name: &str, idempotency: &str| {
         format!(
-            r#"{{"name":"{name}","effect":"{effect}","group":"cell","window":5000.0,"give-up":1500.0,
+            r#"{{"name":"{name}","effect":"{idempotency}","group":"cell","window":5000.0,"give-up":1500.0,
             "objective":600.0,"worth":1.0,"late-value":0.1}}"#
         )
     };
@@ -48,8 +48,8 @@
     format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, entries.join(","))
 }
 
-/// A message of this stream type, by its id, for the cell of a node.
-pub fn ask(kind: &str, trace: u64, cell: i64) -> String {
+/// A message of this request class, by its id, for the shard of a node.
+pub fn ask(kind: &str, trace: u64, shard: i64) -> String {
     let (method, rest) = match kind {
         "read" => ("GET", "\r\n"),
         "write" => ("PUT", "Idempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody"),
@@ -57,7 +57,7 @@
     };
     format!(
         "{method} /{kind}/00000003b4d60021/7f3a9c21e0b4d655?q=1 HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {trace:016x}\r\n\
-         X-Qos: {kind}\r\nX-Storage-Class: free\r\nX-Expires-In-Ms: 1500\r\nX-Extent: units=1,shard={cell},hosts=1\r\n{rest}"
+         X-Qos: {kind}\r\nX-Storage-Class: free\r\nX-Expires-In-Ms: 1500\r\nX-Extent: units=1,shard={shard},hosts=1\r\n{rest}"
     )
 }
 
@@ -209,11 +209,11 @@
         self.core.counts()
     }
 
-    pub fn ended(&self, ending: &str) -> u64 {
-        self.counts().endings.get(ending).copied().unwrap_or_default()
+    pub fn ended(&self, outcome: &str) -> u64 {
+        self.counts().endings.get(outcome).copied().unwrap_or_default()
     }
 
     pub fn length(&self, of: &str) -> usize {
-        self.core.lengths().iter().find(|l| l.0 == of).unwrap().1
+        self.core.size_metrics().iter().find(|l| l.0 == of).unwrap().1
     }
 }
--- a/crates/platform/tests/platform/sockets.rs
+++ b/crates/platform/tests/platform/sockets.rs
@@ -185,7 +185,7 @@
     }
 }
 
-/// Who sends without end behind an open transfer is cut off at a bound.
+/// Who sends without end behind an open request is cut off at a bound.
 #[test]
 fn what_is_read_over_has_a_bound() {
     runs(async {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -22,8 +22,8 @@
 /// Of this program. Raised when a message gets a field or a kind that older ones may skip; anything that
 /// they may not skip needs another tag.
 pub const VERSION: u8 = 1;
-/// The longest label between hosts, as the design has it.
-pub const LABEL_BYTES: usize = 256;
+/// The longest demand report between hosts, as the design has it.
+pub const MAX_DEMAND_REPORT_BYTES: usize = 256;
 pub const HEADER: usize = 12;
 const TAG: u8 = 0x9d;
 /// Room made for bytes that are announced and have not come: whole for all but the largest pieces.
@@ -55,11 +55,11 @@
 }
 
 macro_rules! messages {
-    ($($kind:literal $name:ident;)*) => {
+    ($($kind:literal $name:ident as $recorded:literal;)*) => {
         /// Any message; each has its kind number.
         #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
         pub enum Message {
-            $($name($name),)*
+            $(#[serde(rename = $recorded)] $name($name),)*
             /// Of a newer version: to be skipped.
             Newer { kind: u16 },
         }
@@ -74,7 +74,7 @@
             /// The name as logs and recordings have it.
             pub fn name(&self) -> &'static str {
                 match self {
-                    $(Message::$name(_) => stringify!($name),)*
+                    $(Message::$name(_) => $recorded,)*
                     Message::Newer { .. } => "Newer",
                 }
             }
@@ -107,25 +107,25 @@
 }
 
 messages! {
-    1 Hello;
-    10 Submit;
-    11 Answer;
-    12 NotTaken;
-    13 Withdraw;
-    20 Leg;
-    21 LegAnswer;
-    22 Cancel;
-    23 Probe;
-    24 ProbeAnswer;
-    30 Label;
-    31 ClockAsk;
-    32 ClockTell;
-    33 Reached;
-    34 FleetNote;
-    40 ListAsk;
-    41 ListNews;
-    42 ListRefused;
-    90 Order;
+    1 Hello as "Hello";
+    10 Submit as "Submit";
+    11 Answer as "Answer";
+    12 NotTaken as "NotTaken";
+    13 Withdraw as "Withdraw";
+    20 Attempt as "Leg";
+    21 AttemptAnswer as "LegAnswer";
+    22 Cancel as "Cancel";
+    23 Probe as "Probe";
+    24 ProbeAnswer as "ProbeAnswer";
+    30 DemandReport as "Label";
+    31 ClockQuery as "ClockAsk";
+    32 ClockReply as "ClockTell";
+    33 Reached as "Reached";
+    34 FleetMessage as "FleetNote";
+    40 EndpointListQuery as "ListAsk";
+    41 EndpointListUpdate as "ListNews";
+    42 EndpointListRefused as "ListRefused";
+    90 Order as "Order";
 }
 
 /// A message and the bytes that follow it.
@@ -164,8 +164,8 @@
 
 /// How long the frame at the front is, header included, once its header has come. Its bounds are not judged here.
 pub fn announced(buf: &BytesMut) -> Option<usize> {
-    let mut lengths = buf.get(4..HEADER)?;
-    Some(HEADER + lengths.get_u32_le() as usize + lengths.get_u32_le() as usize)
+    let mut size_metrics = buf.get(4..HEADER)?;
+    Some(HEADER + size_metrics.get_u32_le() as usize + size_metrics.get_u32_le() as usize)
 }
 
 /// Takes the next frame off the front of what has been read; `None`: more must be read first. The body is a
@@ -200,15 +200,19 @@
     frame.advance(HEADER);
     let message = Message::decode(kind, frame.split_to(message))
         .map_err(|e| Broken::Malformed { kind, why: e.to_string() })?;
-    if let Message::Label(l) = &message
-        && l.bytes.len() > LABEL_BYTES
+    if let Message::DemandReport(l) = &message
+        && l.bytes.len() > MAX_DEMAND_REPORT_BYTES
     {
-        return Err(Broken::TooLong { what: "label", found: l.bytes.len(), most: LABEL_BYTES });
+        return Err(Broken::TooLong { what: "label", found: l.bytes.len(), most: MAX_DEMAND_REPORT_BYTES });
     }
     if let Message::Reached(r) = &message
-        && r.hosts.len() > LABEL_BYTES
+        && r.hosts.len() > MAX_DEMAND_REPORT_BYTES
     {
-        return Err(Broken::TooLong { what: "note on revisions", found: r.hosts.len(), most: LABEL_BYTES });
+        return Err(Broken::TooLong {
+            what: "note on revisions",
+            found: r.hosts.len(),
+            most: MAX_DEMAND_REPORT_BYTES,
+        });
     }
     Ok(Some(Frame { message, body: frame }))
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,6 +1,6 @@
 //! The messages, by who speaks to whom. Each is a protobuf message by `prost`: a field that a newer version
 //! adds is skipped by an older one. Spans travel in microseconds, and only spans: two processes never have
-//! to agree on a point in time, but for a label's, whose receiver corrects it by what it knows of the clocks.
+//! to agree on a point in time, but for a demand report's, whose receiver corrects it by what it knows of the clocks.
 
 use prost::{Enumeration, Message};
 use serde::{Deserialize, Serialize};
@@ -28,28 +28,31 @@
     /// How long the process has been up.
     #[prost(int64, tag = "4")]
     pub age_us: i64,
-    /// Of a node: the cell it holds, plus one.
+    /// Of a node: the shard it holds, plus one.
+    #[serde(rename = "cell_plus_one")]
     #[prost(int64, tag = "5")]
-    pub cell_plus_one: i64,
+    pub shard_plus_one: i64,
 }
 
 /// Names a written object for good: a later read needs no lookup.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Message, Serialize, Deserialize)]
 pub struct Handle {
+    #[serde(rename = "cell")]
     #[prost(int64, tag = "1")]
-    pub cell: i64,
+    pub shard: i64,
     #[prost(fixed64, tag = "2")]
     pub object: u64,
 }
 
-/// A client hands a transfer over; a write's bytes follow as the body.
+/// A client hands a request over; a write's bytes follow as the body.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
 pub struct Submit {
     /// Names it on this connection, until it is answered.
     #[prost(uint64, tag = "1")]
     pub id: u64,
+    #[serde(rename = "stream_type")]
     #[prost(string, tag = "2")]
-    pub stream_type: String,
+    pub request_class: String,
     #[prost(string, tag = "3")]
     pub volume: String,
     #[prost(double, tag = "4")]
@@ -57,7 +60,7 @@
     /// Where its data lies; none: a new object.
     #[prost(message, optional, tag = "5")]
     pub handle: Option<Handle>,
-    /// Transfers of a stream type that keeps order take turns by this; empty: by the handle.
+    /// Requests of a request class that keeps order take turns by this; empty: by the handle.
     #[prost(string, tag = "6")]
     pub order_key: String,
     /// The same in every try of what a client wants once: a repeat is known by it.
@@ -67,19 +70,23 @@
     #[prost(uint32, tag = "8")]
     pub repeat: u32,
     /// How long from now until the client gives up on this try.
+    #[serde(rename = "ttl_us")]
     #[prost(int64, tag = "9")]
-    pub ttl_us: i64,
+    pub timeout_us: i64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration, Serialize, Deserialize)]
 #[repr(i32)]
 pub enum Outcome {
     Unknown = 0,
-    Done = 1,
+    #[serde(rename = "Done")]
+    Succeeded = 1,
     /// It may be sent again without harm.
-    Deferred = 2,
+    #[serde(rename = "Deferred")]
+    Rejected = 2,
     /// Promises nothing: it may have run.
-    Abandoned = 3,
+    #[serde(rename = "Abandoned")]
+    Failed = 3,
 }
 
 /// The one final answer; a read's bytes follow as the body.
@@ -92,12 +99,13 @@
     /// Of a write that is done.
     #[prost(message, optional, tag = "3")]
     pub handle: Option<Handle>,
-    /// Of a deferral: when to come back; 0: no advice.
+    /// Of a rejection: when to come back; 0: no advice.
+    #[serde(rename = "come_back_us")]
     #[prost(int64, tag = "4")]
-    pub come_back_us: i64,
+    pub retry_after_us: i64,
 }
 
-/// The transfer was not taken: nothing of it ran, and no answer follows.
+/// The request was not taken: nothing of it ran, and no answer follows.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
 pub struct NotTaken {
     #[prost(uint64, tag = "1")]
@@ -116,14 +124,16 @@
     pub id: u64,
 }
 
-/// One leg of a transfer, to a node; a write's bytes follow as the body.
+/// One attempt of a request, to a node; a write's bytes follow as the body.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct Leg {
+pub struct Attempt {
     /// Names it on this connection.
+    #[serde(rename = "leg")]
     #[prost(uint64, tag = "1")]
-    pub leg: u64,
+    pub attempt: u64,
+    #[serde(rename = "stream_type")]
     #[prost(string, tag = "2")]
-    pub stream_type: String,
+    pub request_class: String,
     #[prost(string, tag = "3")]
     pub volume: String,
     #[prost(double, tag = "4")]
@@ -134,7 +144,7 @@
     pub handle: Option<Handle>,
     #[prost(string, tag = "7")]
     pub mark: String,
-    /// Which of the client's tries, and which leg of that one, each from 0.
+    /// Which of the client's tries, and which attempt of that one, each from 0.
     #[prost(uint32, tag = "8")]
     pub repeat: u32,
     #[prost(uint32, tag = "9")]
@@ -146,21 +156,24 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration, Serialize, Deserialize)]
 #[repr(i32)]
-pub enum LegResult {
+pub enum AttemptResult {
     Unknown = 0,
-    Done = 1,
+    #[serde(rename = "Done")]
+    Succeeded = 1,
     /// It may have run.
     Failed = 2,
     /// Turned away unseen: it never ran.
-    TurnedAway = 3,
+    #[serde(rename = "TurnedAway")]
+    Rejected = 3,
 }
 
-/// What came of a leg; a read's bytes follow as the body.
+/// What came of an attempt; a read's bytes follow as the body.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct LegAnswer {
+pub struct AttemptAnswer {
+    #[serde(rename = "leg")]
     #[prost(uint64, tag = "1")]
-    pub leg: u64,
-    #[prost(enumeration = "LegResult", tag = "2")]
+    pub attempt: u64,
+    #[prost(enumeration = "AttemptResult", tag = "2")]
     pub result: i32,
     #[prost(message, optional, tag = "3")]
     pub handle: Option<Handle>,
@@ -168,7 +181,7 @@
     /// 0: not told.
     #[prost(uint32, tag = "4")]
     pub used_plus_one: u32,
-    /// It took effect now, and not in an earlier leg whose mark it bears.
+    /// It took effect now, and not in an earlier attempt whose mark it bears.
     #[prost(bool, tag = "5")]
     pub ran: bool,
     /// Why it failed, for people.
@@ -176,11 +189,12 @@
     pub reason: String,
 }
 
-/// Nobody waits for this leg any more.
+/// Nobody waits for this attempt any more.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
 pub struct Cancel {
+    #[serde(rename = "leg")]
     #[prost(uint64, tag = "1")]
-    pub leg: u64,
+    pub attempt: u64,
 }
 
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
@@ -199,22 +213,22 @@
     pub queued: u32,
 }
 
-/// From host to host: bytes of the decisions' own, at most [`crate::LABEL_BYTES`].
+/// From host to host: bytes of the decisions' own, at most [`crate::MAX_DEMAND_REPORT_BYTES`].
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct Label {
+pub struct DemandReport {
     #[prost(bytes = "vec", tag = "1")]
     pub bytes: Vec<u8>,
 }
 
 /// What is your clock? `asked_us` is the asker's, and comes back as it was.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct ClockAsk {
+pub struct ClockQuery {
     #[prost(int64, tag = "1")]
     pub asked_us: i64,
 }
 
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct ClockTell {
+pub struct ClockReply {
     #[prost(int64, tag = "1")]
     pub asked_us: i64,
     /// The clock of the one asked, between the question's arrival and this.
@@ -261,7 +275,8 @@
     /// To a process whose name another one holds.
     Fence = 12,
     /// To the coordinator: an operator's word on machines. Back: what it came to.
-    Word = 13,
+    #[serde(rename = "Word")]
+    OperatorCommand = 13,
     Heard = 14,
 }
 
@@ -282,15 +297,17 @@
 pub struct FleetMember {
     #[prost(uint32, tag = "1")]
     pub host: u32,
+    #[serde(rename = "life")]
     #[prost(fixed64, tag = "2")]
-    pub life: u64,
+    pub incarnation: u64,
+    #[serde(rename = "standing")]
     #[prost(uint32, tag = "3")]
-    pub standing: u32,
+    pub state: u32,
 }
 
 /// From host to host, of who belongs to the fleet and what each may use; what it means is told in `crates/fleet`.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct FleetNote {
+pub struct FleetMessage {
     /// Which fleet, and which version of its rules.
     #[prost(fixed64, tag = "1")]
     pub fleet: u64,
@@ -301,12 +318,14 @@
     /// Who wrote it and for whom, by number and incarnation (0: any): a third host may have passed it on.
     #[prost(uint32, tag = "4")]
     pub from: u32,
+    #[serde(rename = "from_life")]
     #[prost(fixed64, tag = "5")]
-    pub from_life: u64,
+    pub from_incarnation: u64,
     #[prost(uint32, tag = "6")]
     pub to: u32,
+    #[serde(rename = "to_life")]
     #[prost(fixed64, tag = "7")]
-    pub to_life: u64,
+    pub to_incarnation: u64,
     #[prost(uint64, tag = "8")]
     pub round: u64,
     #[prost(uint32, tag = "9")]
@@ -324,14 +343,15 @@
     #[prost(message, repeated, tag = "14")]
     pub members: Vec<FleetMember>,
     /// Of machines out for work, where there are such orders.
+    #[serde(rename = "works")]
     #[prost(message, optional, boxed, tag = "15")]
     #[serde(default)]
-    pub works: Option<Box<FleetWorks>>,
+    pub maintenance: Option<Box<FleetMaintenance>>,
 }
 
 /// What hosts tell each other of machines out for work.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct FleetWorks {
+pub struct FleetMaintenance {
     /// The whole line, where the other side does not know it.
     #[prost(message, optional, tag = "1")]
     pub line: Option<FleetLine>,
@@ -350,15 +370,17 @@
     pub member_for_ms: u64,
     #[prost(float, tag = "7")]
     pub served: f32,
+    #[serde(rename = "word")]
     #[prost(message, optional, tag = "8")]
-    pub word: Option<FleetWord>,
+    pub command: Option<FleetCommand>,
 }
 
 /// One machine's order; what the figures mean is told in `crates/fleet`.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
 pub struct FleetOrder {
+    #[serde(rename = "machine")]
     #[prost(fixed64, tag = "1")]
-    pub machine: u64,
+    pub server: u64,
     #[prost(uint64, tag = "2")]
     pub number: u64,
     #[prost(uint32, tag = "3")]
@@ -369,8 +391,9 @@
     pub age_ms: u64,
     #[prost(uint64, tag = "6")]
     pub longest_ms: u64,
+    #[serde(rename = "cell_away")]
     #[prost(bool, tag = "7")]
-    pub cell_away: bool,
+    pub shard_away: bool,
     #[prost(bool, tag = "8")]
     pub returns: bool,
     #[prost(string, tag = "9")]
@@ -381,8 +404,9 @@
     pub hosts: Vec<u32>,
     #[prost(uint32, tag = "12")]
     pub passed: u32,
+    #[serde(rename = "life")]
     #[prost(fixed64, tag = "13")]
-    pub life: u64,
+    pub incarnation: u64,
 }
 
 /// All orders, as of one change: by whose ballot, and its count.
@@ -402,17 +426,19 @@
 
 /// An operator's word on machines, and what it came to.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct FleetWord {
+pub struct FleetCommand {
     /// 1: out, 2: back, 3: cancel.
     #[prost(uint32, tag = "1")]
     pub kind: u32,
+    #[serde(rename = "machines")]
     #[prost(fixed64, repeated, tag = "2")]
-    pub machines: Vec<u64>,
+    pub servers: Vec<u64>,
     /// 0: as long as the document says.
     #[prost(uint64, tag = "3")]
     pub longest_ms: u64,
+    #[serde(rename = "cell_away")]
     #[prost(bool, tag = "4")]
-    pub cell_away: bool,
+    pub shard_away: bool,
     #[prost(bool, tag = "5")]
     pub returns: bool,
     #[prost(string, tag = "6")]
@@ -426,32 +452,34 @@
 
 /// Asks for the whole node list, and with `watch` for all changes from then on.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct ListAsk {
+pub struct EndpointListQuery {
     #[prost(bool, tag = "1")]
     pub watch: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration, Serialize, Deserialize)]
 #[repr(i32)]
-pub enum ListStanding {
+pub enum ListedState {
     Ready = 0,
     Draining = 1,
     Gone = 2,
 }
 
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct ListEntry {
-    /// The node's name, the same for all its life and never used again for another cell.
+pub struct ListedEndpoint {
+    /// The node's name, the same for all its incarnation and never used again for another shard.
     #[prost(string, tag = "1")]
     pub name: String,
     #[prost(string, tag = "2")]
     pub address: String,
+    #[serde(rename = "cell")]
     #[prost(int64, tag = "3")]
-    pub cell: i64,
+    pub shard: i64,
     #[prost(string, tag = "4")]
     pub zone: String,
-    #[prost(enumeration = "ListStanding", tag = "5")]
-    pub standing: i32,
+    #[serde(rename = "standing")]
+    #[prost(enumeration = "ListedState", tag = "5")]
+    pub state: i32,
     /// How long ago it last started, and the incarnation that this brought; 0: not known.
     #[prost(int64, tag = "6")]
     pub age_us: i64,
@@ -464,19 +492,19 @@
 }
 
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct ListNews {
+pub struct EndpointListUpdate {
     #[prost(uint64, tag = "1")]
     pub version: u64,
     /// The whole list: who is not in it is gone. Else the entries that changed.
     #[prost(bool, tag = "2")]
     pub whole: bool,
     #[prost(message, repeated, tag = "3")]
-    pub entries: Vec<ListEntry>,
+    pub entries: Vec<ListedEndpoint>,
 }
 
 /// The list service cannot answer now.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
-pub struct ListRefused {
+pub struct EndpointListRefused {
     #[prost(string, tag = "1")]
     pub reason: String,
 }
@@ -493,10 +521,11 @@
     pub lasts_us: i64,
     /// Of the list: these entries are so from now on.
     #[prost(message, repeated, tag = "4")]
-    pub entries: Vec<ListEntry>,
-    /// Which part of the transfers is meant, and of which stream type; empty: all types.
+    pub entries: Vec<ListedEndpoint>,
+    /// Which part of the requests is meant, and of which request class; empty: all types.
     #[prost(double, tag = "5")]
     pub share: f64,
+    #[serde(rename = "stream_type")]
     #[prost(string, tag = "6")]
-    pub stream_type: String,
+    pub request_class: String,
 }
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -23,7 +23,8 @@
     Frame {
         message: Message,
         body: usize,
-        fate: Fate,
+        #[serde(rename = "fate")]
+        delivery: Delivery,
     },
     Closed {
         why: String,
@@ -32,7 +33,8 @@
     Came,
     /// By the script: the process called `to` began, was killed or ended.
     Process {
-        life: Life,
+        #[serde(rename = "life")]
+        event: ProcessEvent,
     },
     /// By the script: the process called `to` is asked to serve by this document, or does now.
     Document {
@@ -42,7 +44,8 @@
         serves: bool,
     },
     /// By the script: what the host called `to` said at the end of bytes that went past a budget.
-    Past {
+    #[serde(rename = "Past")]
+    BudgetOverrun {
         budget: String,
         cause: String,
         bytes: u64,
@@ -50,14 +53,16 @@
     /// What the host called `to` wrote down at the time: what it may use of budgets from then on, in millionths of each,
     /// and how long its lease lasts; -1: it has none.
     Parts {
-        life: u64,
+        #[serde(rename = "life")]
+        incarnation: u64,
         epoch: u64,
         lasts_us: i64,
         parts: BTreeMap<String, u32>,
     },
     /// What the host called `to` wrote down at the time: which stage of a machine's order it knows of.
     Stage {
-        machine: String,
+        #[serde(rename = "machine")]
+        server: String,
         number: u64,
         stage: String,
     },
@@ -68,7 +73,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Fate {
+pub enum Delivery {
     Passed,
     Dropped,
     /// Passed on as an error.
@@ -76,7 +81,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Life {
+pub enum ProcessEvent {
     Started {
         incarnation: u64,
     },
@@ -87,8 +92,8 @@
     Resumed,
 }
 
-impl Life {
+impl ProcessEvent {
     pub fn is_end(self) -> bool {
-        matches!(self, Life::Killed | Life::Ended)
+        matches!(self, ProcessEvent::Killed | ProcessEvent::Ended)
     }
 }
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -26,14 +26,15 @@
 }
 
 fn submit(id: u64, body: usize) -> Frame {
-    let m = Submit { id, volume: "v".into(), units: 2.5, mark: "m".into(), ttl_us: 9, ..Submit::default() };
+    let m =
+        Submit { id, volume: "v".into(), units: 2.5, mark: "m".into(), timeout_us: 9, ..Submit::default() };
     Frame::from(m).with_body(Bytes::from(vec![7; body]))
 }
 
 #[test]
 fn frames_come_whole_however_they_are_split() {
     let frames =
-        [submit(1, 0), Frame::from(Cancel { leg: 4 }), submit(2, 300), Frame::from(Hello::default())];
+        [submit(1, 0), Frame::from(Cancel { attempt: 4 }), submit(2, 300), Frame::from(Hello::default())];
     let all: Vec<u8> = frames.iter().flat_map(|f| wire(f).to_vec()).collect();
     for step in [1, 2, 11, 13, 100, all.len()] {
         let (mut buf, mut got) = (BytesMut::new(), Vec::new());
@@ -49,8 +50,8 @@
 
 #[test]
 fn what_is_not_understood_is_named() {
-    let long = Frame::from(Label { bytes: vec![0; LABEL_BYTES + 1] });
-    let note = Frame::from(Reached { held: 1, revision: 1, hosts: vec![0; LABEL_BYTES + 1] });
+    let long = Frame::from(DemandReport { bytes: vec![0; MAX_DEMAND_REPORT_BYTES + 1] });
+    let note = Frame::from(Reached { held: 1, revision: 1, hosts: vec![0; MAX_DEMAND_REPORT_BYTES + 1] });
     let mut bad_message = header(0x9d, 1, 10, 3, 0);
     bad_message.put_slice(&[0xff, 0xff, 0xff]);
     let cases = [
@@ -85,7 +86,7 @@
     m.extend([0xc0, 0x0c, 0x2a]);
     let mut buf = header(0x9d, 9, 22, m.len() as u32, 0);
     buf.put_slice(&m);
-    assert_eq!(decode(&mut buf, BOUNDS).unwrap(), Some(Frame::from(Cancel { leg: 5 })));
+    assert_eq!(decode(&mut buf, BOUNDS).unwrap(), Some(Frame::from(Cancel { attempt: 5 })));
 }
 
 proptest! {
--- a/crates/model/src/lib.rs
+++ b/crates/reference-model/src/lib.rs
@@ -8,7 +8,7 @@
 
 mod rules;
 
-use gullsail_interface::*;
+use gullsail_scheduler_api::*;
 use std::fmt;
 
 /// What the rules state beside the facts that hosts are given.
@@ -32,7 +32,7 @@
     pub rule: u8,
     pub what: String,
     pub host: HostId,
-    pub transfer: Option<TransferId>,
+    pub request: Option<RequestId>,
     pub at: Instant,
     pub rests_on: Vec<String>,
 }
@@ -40,7 +40,7 @@
 impl fmt::Display for Breach {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (rule, host, at) = (self.rule, self.host.0, self.at.millis());
-        write!(f, "rule {rule}, host {host}, at {at} ms, {:?}: {}", self.transfer, self.what)?;
+        write!(f, "rule {rule}, host {host}, at {at} ms, {:?}: {}", self.request, self.what)?;
         self.rests_on.iter().try_for_each(|line| write!(f, "\n    {line}"))
     }
 }
@@ -49,7 +49,7 @@
 
 #[derive(Clone, Debug)]
 enum What {
-    Born(Facts),
+    Born(SchedulerConfig),
     Killed,
     Saw(Event),
     Did(Action),
@@ -64,32 +64,32 @@
     what: What,
 }
 
-/// A leg as the history has it.
+/// A attempt as the history has it.
 #[derive(Clone, Debug)]
-struct LegSeen {
+struct AttemptSeen {
     at: Instant,
     node: NodeId,
-    ended: Option<(Instant, Ending)>,
+    ended: Option<(Instant, AttemptOutcome)>,
 }
 
-/// One transfer of one life of a host, read from the history.
+/// One request of one incarnation of a host, read from the history.
 #[derive(Clone, Debug)]
 struct Story {
     arrived: Instant,
-    t: Transfer,
-    legs: Vec<LegSeen>,
+    t: Request,
+    attempts: Vec<AttemptSeen>,
     /// When, in which step, and whether by an answer of the host's own.
     ended: Option<(Instant, u64, bool)>,
 }
 
 impl Story {
-    fn expiry(&self) -> Instant {
-        self.arrived + self.t.ttl
+    fn deadline(&self) -> Instant {
+        self.arrived + self.t.timeout
     }
 
-    /// The first leg that may have run: it is out, or its end does not say that it never ran.
-    fn may_have_run(&self) -> Option<&LegSeen> {
-        self.legs.iter().find(|l| l.ended.is_none_or(|(_, ending)| !ending.never_ran()))
+    /// The first attempt that may have run: it is out, or its end does not say that it never ran.
+    fn may_have_run(&self) -> Option<&AttemptSeen> {
+        self.attempts.iter().find(|l| l.ended.is_none_or(|(_, outcome)| !outcome.never_ran()))
     }
 }
 
@@ -101,7 +101,7 @@
     /// How often each rule could have been broken, the first rule at place 0.
     pub tested: [u64; 7],
     /// What `passed` reported already.
-    late: Vec<(HostId, TransferId, Instant)>,
+    late: Vec<(HostId, RequestId, Instant)>,
 }
 
 impl Model {
@@ -113,9 +113,9 @@
         self.history.push(Entry { at, host, step: self.steps, what });
     }
 
-    /// A host begins a life, knowing nothing; `facts` are what it is given.
-    pub fn born(&mut self, now: Instant, host: HostId, facts: &Facts) {
-        self.add(now, host, What::Born(facts.clone()));
+    /// A host begins an incarnation, knowing nothing; `config` are what it is given.
+    pub fn born(&mut self, now: Instant, host: HostId, config: &SchedulerConfig) {
+        self.add(now, host, What::Born(config.clone()));
     }
 
     /// What it held is its clients' from now on.
@@ -129,7 +129,7 @@
     }
 
     pub fn saw(&mut self, now: Instant, host: HostId, event: &Event) {
-        if !matches!(event, Event::Timer(_) | Event::PeerSaid { .. } | Event::ListLost) {
+        if !matches!(event, Event::Timer(_) | Event::PeerMessage { .. } | Event::EndpointListLost) {
             self.add(now, host, What::Saw(event.clone()));
             self.count_seen(now, host, event);
         }
@@ -139,25 +139,25 @@
     /// The rule that this breaks. It counts as done all the same.
     pub fn did(&mut self, now: Instant, host: HostId, action: &Action) -> Result<(), Breach> {
         let found = match action {
-            Action::Leg { id, node, .. } => self.may_send(now, host, *id, *node),
-            Action::Defer { id, .. } => self.may_answer(now, host, *id, true),
-            Action::Abandon { id } => self.may_answer(now, host, *id, false),
+            Action::StartAttempt { id, node, .. } => self.may_send(now, host, *id, *node),
+            Action::Reject { id, .. } => self.may_answer(now, host, *id, true),
+            Action::Fail { id } => self.may_answer(now, host, *id, false),
             _ => return Ok(()),
         };
         self.add(now, host, What::Did(action.clone()));
         found
     }
 
-    /// What a life of a host saw and did, from its birth on; nothing while it is down.
-    fn life(&self, host: HostId) -> impl Iterator<Item = &Entry> {
+    /// What an incarnation of a host saw and did, from its birth on; nothing while it is down.
+    fn incarnation(&self, host: HostId) -> impl Iterator<Item = &Entry> {
         let born = |e: &&Entry| e.host == host && matches!(e.what, What::Born(_) | What::Killed);
         let start = self.history.iter().rposition(|e| born(&e)).unwrap_or(self.history.len());
         let up = self.history.get(start).is_some_and(|e| matches!(e.what, What::Born(_)));
         self.history[start..].iter().filter(move |e| up && e.host == host)
     }
 
-    fn facts(&self, host: HostId) -> Option<&Facts> {
-        self.life(host).find_map(|e| if let What::Born(f) = &e.what { Some(f) } else { None })
+    fn config(&self, host: HostId) -> Option<&SchedulerConfig> {
+        self.incarnation(host).find_map(|e| if let What::Born(f) = &e.what { Some(f) } else { None })
     }
 
     /// Hosts that are up, in order of their last births.
@@ -176,32 +176,32 @@
         up
     }
 
-    fn story(&self, host: HostId, id: TransferId) -> Option<Story> {
+    fn story(&self, host: HostId, id: RequestId) -> Option<Story> {
         let mut story: Option<Story> = None;
-        for e in self.life(host) {
+        for e in self.incarnation(host) {
             match (&e.what, &mut story) {
-                (What::Saw(Event::Arrived(t)), _) if t.id == id => {
-                    story = Some(Story { arrived: e.at, t: t.clone(), legs: Vec::new(), ended: None });
+                (What::Saw(Event::RequestArrived(t)), _) if t.id == id => {
+                    story = Some(Story { arrived: e.at, t: t.clone(), attempts: Vec::new(), ended: None });
                 }
-                (What::Did(Action::Leg { id: of, node, .. }), Some(s)) if *of == id => {
-                    s.legs.push(LegSeen { at: e.at, node: *node, ended: None });
+                (What::Did(Action::StartAttempt { id: of, node, .. }), Some(s)) if *of == id => {
+                    s.attempts.push(AttemptSeen { at: e.at, node: *node, ended: None });
                 }
-                (What::Saw(Event::LegEnded(end)), Some(s)) if end.id == id => {
-                    if let Some(leg) = s.legs.get_mut(end.leg as usize) {
-                        leg.ended.get_or_insert((e.at, end.ending));
+                (What::Saw(Event::AttemptEnded(end)), Some(s)) if end.id == id => {
+                    if let Some(attempt) = s.attempts.get_mut(end.attempt as usize) {
+                        attempt.ended.get_or_insert((e.at, end.outcome));
                     }
                     if end.finished {
                         s.ended.get_or_insert((e.at, e.step, false));
                     }
                 }
-                (What::Saw(Event::ClientLeft(of)), Some(s)) if *of == id => {
+                (What::Saw(Event::ClientDisconnected(of)), Some(s)) if *of == id => {
                     s.ended.get_or_insert((e.at, e.step, false));
                 }
                 // From its first bytes on it is the client's own.
-                (What::Saw(Event::StreamBegan { id: of, .. }), Some(s)) if *of == id => {
+                (What::Saw(Event::ResponseStarted { id: of, .. }), Some(s)) if *of == id => {
                     s.ended.get_or_insert((e.at, e.step, false));
                 }
-                (What::Did(Action::Defer { id: of, .. } | Action::Abandon { id: of }), Some(s))
+                (What::Did(Action::Reject { id: of, .. } | Action::Fail { id: of }), Some(s))
                     if *of == id =>
                 {
                     s.ended.get_or_insert((e.at, e.step, true));
@@ -212,26 +212,26 @@
         story
     }
 
-    /// The transfers of a host's life in the order it accepted them.
-    fn accepted(&self, host: HostId) -> impl Iterator<Item = (Instant, &Transfer)> {
-        self.life(host).filter_map(|e| match &e.what {
-            What::Saw(Event::Arrived(t)) => Some((e.at, t)),
+    /// The requests of a host's incarnation in the order it accepted them.
+    fn accepted(&self, host: HostId) -> impl Iterator<Item = (Instant, &Request)> {
+        self.incarnation(host).filter_map(|e| match &e.what {
+            What::Saw(Event::RequestArrived(t)) => Some((e.at, t)),
             _ => None,
         })
     }
 
     /// Where a host was last told that a node is.
-    fn place(&self, host: HostId, node: NodeId) -> Option<(CellId, ZoneId)> {
-        let told = self.life(host).filter_map(|e| match &e.what {
-            What::Saw(Event::List { entries, .. }) => entries.iter().rfind(|n| n.node == node),
+    fn place(&self, host: HostId, node: NodeId) -> Option<(ShardId, ZoneId)> {
+        let told = self.incarnation(host).filter_map(|e| match &e.what {
+            What::Saw(Event::EndpointList { entries, .. }) => entries.iter().rfind(|n| n.node == node),
             _ => None,
         });
-        told.last().map(|n| (n.cell, n.zone))
+        told.last().map(|n| (n.shard, n.zone))
     }
 
-    /// The lines of the history that name a transfer, or a node's standing.
+    /// The lines of the history that name a request, or a node's standing.
     fn lines(&self, host: HostId, about: impl Fn(&What) -> bool) -> Vec<String> {
-        let lines = self.life(host).filter(|e| about(&e.what));
+        let lines = self.incarnation(host).filter(|e| about(&e.what));
         let say = |e: &Entry| format!("{:.3} ms, step {}: {:?}", e.at.millis(), e.step, e.what);
         let mut lines: Vec<String> = lines.map(say).map(|l| l.chars().take(240).collect()).collect();
         if lines.len() > 12 {
@@ -240,16 +240,16 @@
         lines
     }
 
-    fn breach(&self, rule: u8, at: Instant, host: HostId, id: TransferId, what: String) -> Breach {
+    fn breach(&self, rule: u8, at: Instant, host: HostId, id: RequestId, what: String) -> Breach {
         let about = |w: &What| match w {
-            What::Saw(Event::Arrived(t)) => t.id == id,
-            What::Saw(Event::LegEnded(e)) => e.id == id,
-            What::Saw(Event::ClientLeft(of)) => *of == id,
+            What::Saw(Event::RequestArrived(t)) => t.id == id,
+            What::Saw(Event::AttemptEnded(e)) => e.id == id,
+            What::Saw(Event::ClientDisconnected(of)) => *of == id,
             What::Did(
-                Action::Leg { id: of, .. } | Action::Defer { id: of, .. } | Action::Abandon { id: of },
+                Action::StartAttempt { id: of, .. } | Action::Reject { id: of, .. } | Action::Fail { id: of },
             ) => *of == id,
             _ => false,
         };
-        Breach { rule, what, host, transfer: Some(id), at, rests_on: self.lines(host, about) }
+        Breach { rule, what, host, request: Some(id), at, rests_on: self.lines(host, about) }
     }
 }
--- a/crates/day/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -3,11 +3,11 @@
 //! wrong in `troubles`, other documents in `documents`, what came of it in `report`.
 
 mod documents;
+mod maintenance;
 mod parts;
 mod report;
 mod started;
 mod troubles;
-mod works;
 
 use crate::processes::Process;
 use crate::script::{Expect, Script, Trouble};
@@ -15,13 +15,13 @@
 use gullsail_audit::Verdict;
 use gullsail_configuration::{Deployment, NodePlace};
 use gullsail_host::control::State;
-use gullsail_interface::Span;
-use gullsail_protocol::record::{Life, What};
-use gullsail_protocol::{ListEntry, ListStanding, Order};
-use gullsail_standin::client::{self, Change, Load, Tallies};
-use gullsail_standin::relay::{Wire, relay};
+use gullsail_protocol::record::{ProcessEvent, What};
+use gullsail_protocol::{ListedEndpoint, ListedState, Order};
+use gullsail_scheduler_api::Span;
+use gullsail_simulator::client::{self, Change, Load, Tallies};
+use gullsail_simulator::recording_proxy::{Wire, relay};
 pub use report::Report;
-use report::{accounts, legs_bytes};
+use report::{accounts, attempts_bytes};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -155,8 +155,8 @@
         tokio::time::sleep(QUIET).await;
         let before = std::mem::replace(&mut hosts, day.states().await);
         let moved =
-            |all: &[State]| -> Vec<u64> { all.iter().map(|h| legs_bytes(h).values().sum()).collect() };
-        if d.crossings.is_empty() || moved(&before) == moved(&hosts) {
+            |all: &[State]| -> Vec<u64> { all.iter().map(|h| attempts_bytes(h).values().sum()).collect() };
+        if d.cross_zone_budgets.is_empty() || moved(&before) == moved(&hosts) {
             break;
         }
     }
@@ -165,7 +165,8 @@
     std::fs::write(&said, text).map_err(io(said.display().to_string()))?;
     for host in &hosts {
         for p in &host.past {
-            let what = What::Past { budget: p.budget.clone(), cause: p.cause.clone(), bytes: p.bytes };
+            let what =
+                What::BudgetOverrun { budget: p.budget.clone(), cause: p.cause.clone(), bytes: p.bytes };
             wire.note(&host.host, what);
         }
     }
@@ -177,16 +178,16 @@
     let outcomes = played?;
     let recording = std::fs::read_to_string(&frames).map_err(io(frames.display().to_string()))?;
     let verdicts = gullsail_audit::judge(&d, &recording)?;
-    if !d.crossings.is_empty() {
+    if !d.cross_zone_budgets.is_empty() {
         faults.extend(accounts(&gullsail_audit::crossed(&d, &recording)?, &hosts, script));
     }
     let tested = |rule: &u8| verdicts.iter().any(|v| v.rule == *rule && v.tested > 0);
     let untested = script.tests.iter().copied().filter(|rule| !tested(rule)).collect();
-    for ((stream_type, plan), t) in &outcomes {
+    for ((request_class, plan), t) in &outcomes {
         for (count, what) in [(t.wrong_bytes, "reads with wrong bytes"), (t.second_answers, "second answers")]
         {
             if count > 0 {
-                faults.push(format!("{stream_type}, {plan}: {count} {what}"));
+                faults.push(format!("{request_class}, {plan}: {count} {what}"));
             }
         }
     }
--- a/crates/day/src/run/documents.rs
+++ b/crates/scenario/src/run/documents.rs
@@ -1,7 +1,7 @@
 //! The documents of a day: resolved for its processes, changed by its script, given to hosts as their operators do it.
 
 use super::*;
-use gullsail_host::control::{Ask, Told, ask};
+use gullsail_host::control::{ControlReply, ControlRequest, ask};
 use kdl::{KdlDocument, KdlEntry, KdlNode};
 
 /// The document with everybody's address: the relay's. Processes bind free ports of their own.
@@ -112,9 +112,10 @@
             self.note_document(host, next.revision, Some(alone), false);
         }
         let told =
-            ask(&self.socket(host), Ask::Reload { insist: next.insist }, Duration::from_secs(20)).await;
+            ask(&self.socket(host), ControlRequest::Reload { insist: next.insist }, Duration::from_secs(20))
+                .await;
         let (got, say) = match told {
-            Ok(Told::Taken { revision, changes }) => {
+            Ok(ControlReply::Taken { revision, changes }) => {
                 self.note_document(host, revision, None, true);
                 // Its users hear of it as soon as anybody serves by it.
                 if let Ok(d) = gullsail_configuration::parse("day", &numbered(&next.text, revision, None)) {
@@ -122,10 +123,10 @@
                 }
                 (Some(Expect::Taken), format!("{} change(s) taken", changes.len()))
             }
-            Ok(Told::TurnedDown { why }) => {
+            Ok(ControlReply::TurnedDown { why }) => {
                 (Some(Expect::TurnedDown), format!("turned down: {}", why.join("; ")))
             }
-            Ok(Told::Broken { problems }) => {
+            Ok(ControlReply::Broken { problems }) => {
                 let first = problems.first().map(|p| format!("{}:{} {}", p.line, p.column, p.message));
                 (Some(Expect::Broken), format!("not sound: {}", first.unwrap_or_default()))
             }
--- a/crates/day/src/run/works.rs
+++ b/crates/scenario/src/run/maintenance.rs
@@ -3,9 +3,9 @@
 //! stands still waits, and the day goes on.
 
 use super::*;
-use gullsail_fleet::works::Stage as Of;
-use gullsail_host::control::{Ask, Told, ask};
-use gullsail_host::core::works::Word;
+use gullsail_fleet::maintenance::Stage as Of;
+use gullsail_host::control::{ControlReply, ControlRequest, ask};
+use gullsail_host::core::maintenance::OperatorCommand;
 
 /// Between looks at what hosts say, and how long one may take to say it.
 const LOOK: Duration = Duration::from_millis(100);
@@ -17,7 +17,7 @@
 pub(super) struct Operator {
     pub(super) sockets: Vec<(String, PathBuf)>,
     pub(super) via: String,
-    pub(super) word: Word,
+    pub(super) command: OperatorCommand,
     pub(super) expect: Expect,
     pub(super) after: Duration,
     pub(super) tell: mpsc::Sender<Step>,
@@ -27,16 +27,16 @@
     async fn say(&self) -> bool {
         let via = self.sockets.iter().find(|s| s.0 == self.via).or(self.sockets.first());
         let Some((name, socket)) = via else { return false };
-        let told = ask(socket, Ask::Word(self.word.clone()), PATIENCE).await;
+        let told = ask(socket, ControlRequest::OperatorCommand(self.command.clone()), PATIENCE).await;
         let (got, what) = match told {
-            Ok(Told::WordTaken) => (Some(Expect::Taken), "taken".to_string()),
-            Ok(Told::TurnedDown { why }) => {
+            Ok(ControlReply::CommandTaken) => (Some(Expect::Taken), "taken".to_string()),
+            Ok(ControlReply::TurnedDown { why }) => {
                 (Some(Expect::TurnedDown), format!("refused: {}", why.join("; ")))
             }
             Ok(other) => (None, format!("{other:?}")),
             Err(e) => (None, e.to_string()),
         };
-        let text = format!("{} {} through {name}: {what}", self.word.kind, self.word.names.join(" "));
+        let text = format!("{} {} through {name}: {what}", self.command.kind, self.command.names.join(" "));
         let fault = (got != Some(self.expect)).then(|| format!("{text}, {:?} expected", self.expect));
         // The day may be over.
         _ = self.tell.send(Step::Said { text, fault }).await;
@@ -44,24 +44,26 @@
     }
 
     /// Says it, then switches off what is out, once each.
-    pub(super) async fn out(self, machines: Vec<String>) {
+    pub(super) async fn out(self, servers: Vec<String>) {
         if !self.say().await {
             return;
         }
-        let mut left = machines;
+        let mut left = servers;
         while !left.is_empty() {
             tokio::time::sleep(LOOK).await;
             for (_, socket) in &self.sockets {
-                let Ok(Told::Status(state)) = ask(socket, Ask::Status, SAYS).await else { continue };
-                let orders = state.works.map(|w| w.orders).unwrap_or_default();
+                let Ok(ControlReply::Status(state)) = ask(socket, ControlRequest::Status, SAYS).await else {
+                    continue;
+                };
+                let orders = state.maintenance.map(|w| w.orders).unwrap_or_default();
                 let out = |name: &String| {
-                    orders.iter().any(|o| o.machine == *name && matches!(o.stage, Of::Out | Of::Overdue))
+                    orders.iter().any(|o| o.server == *name && matches!(o.stage, Of::Offline | Of::Overdue))
                 };
-                let over = |name: &String| orders.iter().any(|o| o.machine == *name && o.stage.over());
+                let over = |name: &String| orders.iter().any(|o| o.server == *name && o.stage.over());
                 let now: Vec<String> = left.iter().filter(|m| out(m)).cloned().collect();
                 left.retain(|m| !now.contains(m) && !over(m));
                 for name in now {
-                    let (after, back) = (self.after, !self.word.returns);
+                    let (after, back) = (self.after, !self.command.returns);
                     _ = self.tell.send(Step::SwitchOff { name, after, back }).await;
                 }
             }
@@ -77,8 +79,11 @@
         for (name, _) in self.sockets.clone().iter().cycle().take(20) {
             self.via = name.clone();
             let (_, socket) = self.sockets.iter().find(|s| s.0 == *name).cloned().unwrap_or_default();
-            if let Ok(Told::WordTaken) = ask(&socket, Ask::Word(self.word.clone()), PATIENCE).await {
-                let text = format!("{} {} through {name}: taken", self.word.kind, self.word.names.join(" "));
+            if let Ok(ControlReply::CommandTaken) =
+                ask(&socket, ControlRequest::OperatorCommand(self.command.clone()), PATIENCE).await
+            {
+                let text =
+                    format!("{} {} through {name}: taken", self.command.kind, self.command.names.join(" "));
                 _ = self.tell.send(Step::Said { text, fault: None }).await;
                 return;
             }
@@ -88,13 +93,19 @@
 }
 
 impl Day<'_> {
-    pub(super) fn operator(&self, word: Word, via: &str, expect: Expect, after: Duration) -> Operator {
+    pub(super) fn operator(
+        &self,
+        command: OperatorCommand,
+        via: &str,
+        expect: Expect,
+        after: Duration,
+    ) -> Operator {
         let sockets = self.host_names().into_iter().map(|h| (h.clone(), self.socket(&h))).collect();
-        Operator { sockets, via: via.into(), word, expect, after, tell: self.tell.clone() }
+        Operator { sockets, via: via.into(), command, expect, after, tell: self.tell.clone() }
     }
 
     /// Names of machines: a zone's name stands for all in it that run.
-    pub(super) fn machines(&self, names: &[String]) -> Vec<String> {
+    pub(super) fn servers(&self, names: &[String]) -> Vec<String> {
         let places = || self.d.hosts.iter().chain(self.d.nodes.iter().map(|n| &n.place));
         let runs = |name: &str| self.places.get(name).is_some_and(|p| p.process.is_some());
         let mut all = Vec::new();
@@ -113,7 +124,7 @@
         if self.d.node(name).is_some() {
             self.say(format!("{name} is out: switched off"));
             if let Some(process) = self.places.get_mut(name).and_then(|p| p.process.take()) {
-                self.wire.process(name, self.wire.now(), Life::Ended);
+                self.wire.process(name, self.wire.now(), ProcessEvent::Ended);
                 process.kill().await;
             }
             return self.gone(name, "", addresses).await;
@@ -133,14 +144,18 @@
         match self.d.node(name).cloned() {
             Some(n) => {
                 self.start_node(&n, false).await?;
-                let entries = vec![self.entry(&n, ListStanding::Ready, addresses)];
+                let entries = vec![self.entry(&n, ListedState::Ready, addresses)];
                 self.order("list", Order { what: "set".into(), entries, ..Order::default() }).await;
             }
             None => self.start_host(name).await?,
         }
         if back {
-            let word = Word { kind: "back".into(), names: vec![name.into()], ..Word::default() };
-            let operator = self.operator(word, "", Expect::Taken, Duration::ZERO);
+            let command = OperatorCommand {
+                kind: "back".into(),
+                names: vec![name.into()],
+                ..OperatorCommand::default()
+            };
+            let operator = self.operator(command, "", Expect::Taken, Duration::ZERO);
             self.operators.spawn(operator.insist());
         }
         Ok(())
--- a/crates/day/src/run/parts.rs
+++ b/crates/scenario/src/run/parts.rs
@@ -7,7 +7,7 @@
 struct Line {
     timestamp: String,
     target: String,
-    life: u64,
+    incarnation: u64,
     epoch: u64,
     lasts_us: i64,
     /// An object in itself.
@@ -19,7 +19,7 @@
 struct StageLine {
     timestamp: String,
     target: String,
-    machine: String,
+    server: String,
     number: u64,
     stage: String,
 }
@@ -33,15 +33,20 @@
             let stages = log.lines().filter_map(|l| serde_json::from_str::<StageLine>(l).ok());
             for l in stages.filter(|l| l.target == "gullsail_works") {
                 if let Ok(when) = humantime::parse_rfc3339(&l.timestamp) {
-                    let StageLine { machine, number, stage, .. } = l;
-                    self.wire.wrote(host, when, What::Stage { machine, number, stage });
+                    let StageLine { server, number, stage, .. } = l;
+                    self.wire.wrote(host, when, What::Stage { server, number, stage });
                 }
             }
             let lines = log.lines().filter_map(|l| serde_json::from_str::<Line>(l).ok());
             for l in lines.filter(|l| l.target == "gullsail_parts") {
                 let when = humantime::parse_rfc3339(&l.timestamp);
                 if let (Ok(when), Ok(parts)) = (when, serde_json::from_str(&l.parts)) {
-                    let what = What::Parts { life: l.life, epoch: l.epoch, lasts_us: l.lasts_us, parts };
+                    let what = What::Parts {
+                        incarnation: l.incarnation,
+                        epoch: l.epoch,
+                        lasts_us: l.lasts_us,
+                        parts,
+                    };
                     self.wire.wrote(host, when, what);
                 }
             }
--- a/crates/day/src/run/report.rs
+++ b/crates/scenario/src/run/report.rs
@@ -22,7 +22,7 @@
 }
 
 pub(super) fn by_name<S: serde::Serializer>(tallies: &Tallies, s: S) -> Result<S::Ok, S::Error> {
-    s.collect_map(tallies.iter().map(|((stream_type, plan), t)| (format!("{stream_type}/{plan}"), t)))
+    s.collect_map(tallies.iter().map(|((request_class, plan), t)| (format!("{request_class}/{plan}"), t)))
 }
 
 impl Report {
@@ -52,11 +52,18 @@
             "unanswered",
             "units in time",
         ]);
-        for ((stream_type, plan), t) in &self.outcomes {
-            let part = t.units_in_slo_time / t.units.max(1e-9) * 100.0;
-            let counts =
-                [t.first_tries, t.in_slo_time, t.late, t.deferred, t.abandoned, t.not_taken, t.unanswered];
-            let mut row = vec![stream_type.clone(), plan.clone()];
+        for ((request_class, plan), t) in &self.outcomes {
+            let part = t.units_in_latency_objective / t.units.max(1e-9) * 100.0;
+            let counts = [
+                t.first_tries,
+                t.in_latency_objective,
+                t.late,
+                t.rejected,
+                t.failed,
+                t.not_taken,
+                t.unanswered,
+            ];
+            let mut row = vec![request_class.clone(), plan.clone()];
             row.extend(counts.iter().map(u64::to_string));
             row.push(format!("{part:.1}%"));
             table.add_row(row);
@@ -92,10 +99,10 @@
     }
 }
 
-/// Bytes of legs and answers that a host counted, by zones.
-pub(super) fn legs_bytes(h: &State) -> BTreeMap<(String, String), u64> {
+/// Bytes of attempts and answers that a host counted, by zones.
+pub(super) fn attempts_bytes(h: &State) -> BTreeMap<(String, String), u64> {
     let mut counted = BTreeMap::new();
-    for c in h.crossed.iter().filter(|c| c.reason != gullsail_zones::Reason::Peers) {
+    for c in h.crossed.iter().filter(|c| c.reason != gullsail_zone_traffic::Reason::Peers) {
         *counted.entry((c.from.clone(), c.to.clone())).or_default() += c.total.bytes;
     }
     counted
@@ -119,7 +126,7 @@
     }
     let mut faults = Vec::new();
     for h in hosts {
-        let counted = legs_bytes(h);
+        let counted = attempts_bytes(h);
         for (key, bytes) in seen.iter().filter(|(key, _)| key.0 == h.host) {
             let counted = counted.get(&(key.1.clone(), key.2.clone())).copied().unwrap_or_default();
             if counted != *bytes {
--- a/crates/day/src/run/started.rs
+++ b/crates/scenario/src/run/started.rs
@@ -1,8 +1,8 @@
 //! What is started and stopped: nodes, the list, hosts; and what is said to them on connections of their own.
 
 use super::*;
-use gullsail_host::control::{Ask, Told, ask};
-use gullsail_links::{Happened, Link};
+use gullsail_connections::{Happened, Link};
+use gullsail_host::control::{ControlReply, ControlRequest, ask};
 use gullsail_protocol::{Bounds, Frame, Hello, Role};
 use tokio::net::TcpStream;
 
@@ -14,7 +14,7 @@
         }
         self.start("list", vec!["list".into()], Some(0)).await?;
         // What the list knows from the start: who runs, and where.
-        let entries = nodes.iter().map(|n| self.entry(n, ListStanding::Ready, addresses)).collect();
+        let entries = nodes.iter().map(|n| self.entry(n, ListedState::Ready, addresses)).collect();
         self.order("list", Order { what: "set".into(), entries, ..Order::default() }).await;
         // Some come only later.
         let late = |name: &String| {
@@ -40,7 +40,7 @@
         args.push(file.display().to_string());
         let process = Process::start(&self.stage.program, name, &args, &self.stage.dir).await?;
         let incarnation = process.listening.incarnation;
-        self.wire.process(name, at.unwrap_or(self.wire.now()), Life::Started { incarnation });
+        self.wire.process(name, at.unwrap_or(self.wire.now()), ProcessEvent::Started { incarnation });
         if let Some(place) = self.places.get_mut(name) {
             place.target.send_replace(Some(process.listening.address.clone()));
             (place.process, place.started, place.warm) = (Some(process), Instant::now(), at == Some(0));
@@ -66,8 +66,11 @@
                     .map(String::from),
             );
         }
-        let life = self.happened.len() as u64;
-        args.extend(["--seed".into(), (self.stage.seed.wrapping_mul(31).wrapping_add(life)).to_string()]);
+        let incarnation = self.happened.len() as u64;
+        args.extend([
+            "--seed".into(),
+            (self.stage.seed.wrapping_mul(31).wrapping_add(incarnation)).to_string(),
+        ]);
         if let (false, Some((_, ahead))) =
             (self.stage.baseline, self.script.clocks.iter().find(|c| c.0 == host))
         {
@@ -89,18 +92,18 @@
     pub(super) fn entry(
         &self,
         n: &NodePlace,
-        standing: ListStanding,
+        state: ListedState,
         addresses: &BTreeMap<String, String>,
-    ) -> ListEntry {
+    ) -> ListedEndpoint {
         let place = self.places.get(&n.place.name);
         let incarnation = place.and_then(|p| p.process.as_ref()).map_or(0, |p| p.listening.incarnation);
         let age = place.map_or(0, |p| if p.warm { OLD_US } else { p.started.elapsed().as_micros() as i64 });
-        ListEntry {
+        ListedEndpoint {
             name: n.place.name.clone(),
             address: addresses.get(&n.place.name).cloned().unwrap_or_default(),
-            cell: n.cell.0,
+            shard: n.shard.0,
             zone: self.d.zones.get(n.place.zone.0).cloned().unwrap_or_default(),
-            standing: standing as i32,
+            state: state as i32,
             age_us: age,
             incarnation,
             kind: n.kind.clone(),
@@ -145,8 +148,8 @@
     pub(super) async fn states(&self) -> Vec<State> {
         let mut all = Vec::new();
         for h in self.host_names().iter().filter(|_| !self.stage.baseline) {
-            let told = ask(&self.socket(h), Ask::Status, Duration::from_secs(5)).await;
-            if let Ok(Told::Status(state)) = told {
+            let told = ask(&self.socket(h), ControlRequest::Status, Duration::from_secs(5)).await;
+            if let Ok(ControlReply::Status(state)) = told {
                 all.push(*state);
             }
         }
@@ -155,10 +158,10 @@
 
     /// As its operator does it; it must leave by itself.
     pub(super) async fn stop_host(&mut self, host: &str) {
-        let longest = self.d.stream_types.iter().map(|s| s.expiry).max().unwrap_or_default();
+        let longest = self.d.request_classes.iter().map(|s| s.deadline).max().unwrap_or_default();
         let Some(process) = self.places.get_mut(host).and_then(|p| p.process.take()) else { return };
         match process.stop(duration(longest) + Duration::from_secs(10)).await {
-            Ok(status) if status.success() => self.wire.process(host, self.wire.now(), Life::Ended),
+            Ok(status) if status.success() => self.wire.process(host, self.wire.now(), ProcessEvent::Ended),
             Ok(status) => self.faults.push(format!("{host} ended with {status}")),
             Err(e) => self.faults.push(e.to_string()),
         }
@@ -166,7 +169,7 @@
 
     /// Hosts are asked to stop and must leave by themselves; stand-ins are ended.
     pub(super) async fn stop_all(&mut self) -> Vec<String> {
-        let longest = self.d.stream_types.iter().map(|s| s.expiry).max().unwrap_or_default();
+        let longest = self.d.request_classes.iter().map(|s| s.deadline).max().unwrap_or_default();
         let wait = duration(longest) + Duration::from_secs(10);
         let mut faults = Vec::new();
         let hosts = self.host_names();
@@ -177,7 +180,9 @@
                 continue;
             }
             match process.stop(wait).await {
-                Ok(status) if status.success() => self.wire.process(name, self.wire.now(), Life::Ended),
+                Ok(status) if status.success() => {
+                    self.wire.process(name, self.wire.now(), ProcessEvent::Ended)
+                }
                 Ok(status) => faults.push(format!("{name} ended with {status}")),
                 Err(e) => faults.push(e.to_string()),
             }
--- a/crates/day/src/run/troubles.rs
+++ b/crates/scenario/src/run/troubles.rs
@@ -2,8 +2,8 @@
 
 use super::documents::changed;
 use super::*;
-use gullsail_host::core::works::Word;
-use gullsail_standin::relay::{Disturbance, Harm};
+use gullsail_host::core::maintenance::OperatorCommand;
+use gullsail_simulator::recording_proxy::{Disturbance, Harm};
 use nix::sys::signal::Signal;
 
 pub(super) enum Step {
@@ -73,7 +73,7 @@
             Step::End { node, by } => {
                 self.say(format!("{node} ends"));
                 if let Some(process) = self.places.get_mut(&node).and_then(|p| p.process.take()) {
-                    self.wire.process(&node, self.wire.now(), Life::Ended);
+                    self.wire.process(&node, self.wire.now(), ProcessEvent::Ended);
                     process.kill().await;
                 }
                 self.gone(&node, &by, addresses).await;
@@ -83,7 +83,7 @@
                 if let Some(n) = find(&self.d, &node) {
                     self.say(format!("{node} starts, cold"));
                     self.start_node(&n, false).await?;
-                    let entries = vec![self.entry(&n, ListStanding::Ready, addresses)];
+                    let entries = vec![self.entry(&n, ListedState::Ready, addresses)];
                     self.order("list", Order { what: "set".into(), entries, ..Order::default() }).await;
                 }
             }
@@ -107,7 +107,7 @@
             }
             Step::GoOn { name } => {
                 self.say(format!("{name} goes on"));
-                self.wire.process(&name, self.wire.now(), Life::Resumed);
+                self.wire.process(&name, self.wire.now(), ProcessEvent::Resumed);
                 self.signal(&name, Signal::SIGCONT);
             }
             Step::Flap { a, b, one_way, every, until } => {
@@ -124,7 +124,7 @@
     /// The list hears that a process no longer runs; of one that comes back it hears only then.
     pub(super) async fn gone(&mut self, node: &str, by: &str, addresses: &BTreeMap<String, String>) {
         if let (true, Some(n)) = (node != by, self.d.node(node).cloned()) {
-            let entries = vec![self.entry(&n, ListStanding::Gone, addresses)];
+            let entries = vec![self.entry(&n, ListedState::Gone, addresses)];
             self.order("list", Order { what: "set".into(), entries, ..Order::default() }).await;
         }
     }
@@ -170,6 +170,7 @@
     ) {
         let until = |lasts: Span| Instant::now() + duration(lasts);
         let text = format!("{trouble:?}");
+        let text = text.replace("request_class: ", "stream_type: ");
         self.say(text.replace("Span(", "us(").replace('"', ""));
         match trouble {
             Trouble::Surge { who, times, lasts } => {
@@ -182,14 +183,14 @@
             Trouble::Stall { node, lasts } => self.order_nodes(&node, "stall", 1.0, lasts).await,
             Trouble::Slow { node, times, lasts } => self.order_nodes(&node, "slow", times, lasts).await,
             Trouble::Fail { node, share, lasts } => self.order_nodes(&node, "fail", share, lasts).await,
-            Trouble::Costly { stream_type, share, times, lasts } => {
+            Trouble::Costly { request_class, share, times, lasts } => {
                 let what = "costly".into();
                 let order = Order {
                     what,
                     size: times,
                     lasts_us: lasts.micros(),
                     share,
-                    stream_type,
+                    request_class,
                     ..Order::default()
                 };
                 for name in self.nodes("*") {
@@ -198,7 +199,7 @@
             }
             Trouble::Replace { node, by, after } => {
                 if let Some(process) = self.places.get_mut(&node).and_then(|p| p.process.take()) {
-                    self.wire.process(&node, self.wire.now(), Life::Killed);
+                    self.wire.process(&node, self.wire.now(), ProcessEvent::Killed);
                     process.kill().await;
                 }
                 self.gone(&node, &by, addresses).await;
@@ -206,7 +207,7 @@
             }
             Trouble::Release { node, by, after } => {
                 if let Some(n) = self.d.node(&node).cloned() {
-                    let entries = vec![self.entry(&n, ListStanding::Draining, addresses)];
+                    let entries = vec![self.entry(&n, ListedState::Draining, addresses)];
                     self.order("list", Order { what: "set".into(), entries, ..Order::default() }).await;
                 }
                 self.later.push((until(after), Step::End { node, by }));
@@ -238,7 +239,7 @@
             Trouble::Cut { from, to } => self.wire.cut(&from, &to),
             Trouble::KillHost { host, after } => {
                 if let Some(process) = self.places.get_mut(&host).and_then(|p| p.process.take()) {
-                    self.wire.process(&host, self.wire.now(), Life::Killed);
+                    self.wire.process(&host, self.wire.now(), ProcessEvent::Killed);
                     process.kill().await;
                 }
                 self.later.extend(after.map(|after| (until(after), Step::HostBack { host })));
@@ -251,7 +252,7 @@
                 self.later.push((Instant::now(), Step::HostBack { host }));
             }
             Trouble::Pause { name, lasts } => {
-                self.wire.process(&name, self.wire.now(), Life::Paused);
+                self.wire.process(&name, self.wire.now(), ProcessEvent::Paused);
                 self.signal(&name, Signal::SIGSTOP);
                 self.later.push((until(lasts), Step::GoOn { name }));
             }
@@ -266,15 +267,21 @@
             Trouble::Out { .. } | Trouble::Cancel { .. } if self.stage.baseline => {
                 self.say("the baseline knows of no works".into());
             }
-            Trouble::Out { names, via, after, cell_away, returns, expect } => {
-                let machines = self.machines(&names);
-                let word = Word { kind: "out".into(), names, cell_away, returns, ..Word::default() };
-                let operator = self.operator(word, &via, expect, duration(after));
-                self.operators.spawn(operator.out(machines));
+            Trouble::Out { names, via, after, shard_away, returns, expect } => {
+                let servers = self.servers(&names);
+                let command = OperatorCommand {
+                    kind: "out".into(),
+                    names,
+                    shard_away,
+                    returns,
+                    ..OperatorCommand::default()
+                };
+                let operator = self.operator(command, &via, expect, duration(after));
+                self.operators.spawn(operator.out(servers));
             }
             Trouble::Cancel { names, via } => {
-                let word = Word { kind: "cancel".into(), names, ..Word::default() };
-                let operator = self.operator(word, &via, Expect::Taken, Duration::ZERO);
+                let command = OperatorCommand { kind: "cancel".into(), names, ..OperatorCommand::default() };
+                let operator = self.operator(command, &via, Expect::Taken, Duration::ZERO);
                 self.operators.spawn(operator.only_say());
             }
             Trouble::StartNode { node } => {
--- a/crates/day/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -1,7 +1,7 @@
 //! The script of a day, as the document's `day` entry has it.
 
 use gullsail_configuration::{Deployment, Loader, Memory, Names, Problems, Reader, deployment};
-use gullsail_interface::Span;
+use gullsail_scheduler_api::Span;
 use kdl::{KdlDocument, KdlNode};
 
 /// What goes wrong, or what clients do.
@@ -13,7 +13,7 @@
         times: f64,
         lasts: Span,
     },
-    /// This part of the clients waits only a part of the SLO time.
+    /// This part of the clients waits only a part of the latency objective.
     Impatient {
         share: f64,
         part: f64,
@@ -35,14 +35,14 @@
         share: f64,
         lasts: Span,
     },
-    /// This part of a stream type's transfers costs so many times their usual work, at all nodes.
+    /// This part of a request class's requests costs so many times their usual work, at all nodes.
     Costly {
-        stream_type: String,
+        request_class: String,
         share: f64,
         times: f64,
         lasts: Span,
     },
-    /// Killed; after a while another process has its cell, cold, or the same name comes back.
+    /// Killed; after a while another process has its shard, cold, or the same name comes back.
     Replace {
         node: String,
         by: String,
@@ -161,7 +161,7 @@
         names: Vec<String>,
         via: String,
         after: Span,
-        cell_away: bool,
+        shard_away: bool,
         returns: bool,
         expect: Expect,
     },
@@ -199,7 +199,7 @@
     pub lasts: Span,
     /// Rules that this day must put to the test.
     pub tests: Vec<u8>,
-    /// Transfers a second by stream type.
+    /// Requests a second by request class.
     pub rates: Vec<f64>,
     pub bytes: usize,
     pub fresh: f64,
@@ -246,7 +246,7 @@
         name: r.text(day, 0, "a name"),
         lasts: r.span(day, "lasts"),
         tests: Vec::new(),
-        rates: vec![0.0; d.stream_types.len()],
+        rates: vec![0.0; d.request_classes.len()],
         bytes: r.whole(day, "bytes", 0, 512) as usize,
         fresh: r.number_at(day, "fresh", 0.0).unwrap_or(0.3),
         tries: r.whole(day, "tries", 1, 2),
@@ -255,7 +255,7 @@
         drifts: Vec::new(),
         troubles: Vec::new(),
     };
-    let stream_types: Names = d.stream_types.iter().map(|t| t.name.clone()).collect();
+    let request_classes: Names = d.request_classes.iter().map(|t| t.name.clone()).collect();
     let hosts: Names = d.hosts.iter().map(|h| h.name.clone()).collect();
     for n in day.iter_children().filter(|n| n.name().value() == "newcomer") {
         r.only(n, 1, &[], &[]);
@@ -270,7 +270,7 @@
         match n.name().value() {
             "ask" => {
                 r.only(n, 1, &["rate"], &[]);
-                let place = first.and_then(|e| r.refer(e, "stream type", &stream_types));
+                let place = first.and_then(|e| r.refer(e, "stream type", &request_classes));
                 if let Some(place) = place {
                     s.rates[place] = r.number(n, "rate", 0.0);
                 }
@@ -450,9 +450,9 @@
         }
         "fail" => Trouble::Fail { node: name(r, "node", &any(&nodes))?, share, lasts },
         "costly" => {
-            let names: Vec<_> = d.stream_types.iter().map(|s| s.name.clone()).collect();
-            let stream_type = name(r, "stream type", &names)?;
-            Trouble::Costly { stream_type, share, times: r.number(n, "times", 1.0), lasts }
+            let names: Vec<_> = d.request_classes.iter().map(|s| s.name.clone()).collect();
+            let request_class = name(r, "stream type", &names)?;
+            Trouble::Costly { request_class, share, times: r.number(n, "times", 1.0), lasts }
         }
         "errors" => Trouble::Errors { node: name(r, "node", &any(&nodes))?, share, lasts },
         "replace" | "release" => {
@@ -522,8 +522,8 @@
             if kind == "cancel" {
                 Trouble::Cancel { names, via }
             } else {
-                let (cell_away, returns) = (r.flag(n, "cell-away"), r.flag(n, "returns"));
-                Trouble::Out { names, via, after, cell_away, returns, expect: expected(r, n) }
+                let (shard_away, returns) = (r.flag(n, "cell-away"), r.flag(n, "returns"));
+                Trouble::Out { names, via, after, shard_away, returns, expect: expected(r, n) }
             }
         }
         "start-node" => Trouble::StartNode { node: name(r, "node", &nodes)? },
--- a/crates/interface/src/label.rs
+++ b/crates/scheduler-api/src/demand_report.rs
@@ -105,8 +105,8 @@
     Some(Said::Labels(Instant::from_micros(i64::from_le_bytes(*said)), lines))
 }
 
-/// The same message, with the time of a label moved by `by`: from the sender's clock to the receiver's.
-/// What is no label, or cut off, comes back as it is.
+/// The same message, with the time of a demand report moved by `by`: from the sender's clock to the receiver's.
+/// What is no demand report, or cut off, comes back as it is.
 pub fn moved(bytes: &[u8], by: Span) -> Vec<u8> {
     let mut moved = bytes.to_vec();
     if let (true, Some(said)) = (bytes.starts_with(&[TAG, LABEL]), moved.get_mut(2..10)) {
--- a/crates/interface/src/lib.rs
+++ b/crates/scheduler-api/src/lib.rs
@@ -1,7 +1,7 @@
 //! The border of gullsail's decisions: events in, actions out, the ids both name, points in time and
 //! spans, and the facts that are given once at start. Nothing is decided here.
 
-pub mod label;
+pub mod demand_report;
 
 use std::ops::{Add, Sub};
 
@@ -95,8 +95,8 @@
 }
 
 ids! {
-    /// A transfer, as this host was handed it.
-    TransferId(u64);
+    /// A request, as this host was handed it.
+    RequestId(u64);
     /// A storage node; the same number at every host.
     NodeId(u64);
     /// A volume; the same number at every host.
@@ -104,15 +104,15 @@
     /// A piece of data.
     ObjectId(u64);
     /// The part of the data that a node holds.
-    CellId(i64);
+    ShardId(i64);
     /// A host, by its place among the hosts.
     HostId(u32);
     /// A zone, by its place in the facts.
     ZoneId(usize);
     /// A plan, by its place in the facts.
     PlanId(usize);
-    /// A stream type, by its place in the facts.
-    StreamTypeId(usize);
+    /// A request class, by its place in the facts.
+    RequestClassId(usize);
     /// A pool of nodes, by its place; the first holds all of them.
     PoolId(usize);
     /// A timer, named by whoever set it.
@@ -125,30 +125,30 @@
     pub const LAST: PoolId = PoolId(usize::MAX);
 }
 
-/// Which nodes recognise the repeat of a keyed transfer.
+/// Which nodes recognise the repeat of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Group {
+pub enum IdempotencyScope {
     All,
     Zone,
-    Cell,
+    Shard,
 }
 
-/// May a transfer run again?
+/// May a request run again?
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Effect {
-    Repeatable,
-    Keyed { group: Group, window: Span },
-    Unrepeatable,
+pub enum Idempotency {
+    Idempotent,
+    WithKey { group: IdempotencyScope, window: Span },
+    NonIdempotent,
 }
 
 #[derive(Clone, Debug)]
-pub struct StreamType {
-    pub effect: Effect,
-    pub slo_time: Span,
-    pub benefit: f64,
-    /// The part of the benefit that an answer after the SLO time still earns.
-    pub late_part: f64,
-    /// Its transfers that share an object run one at a time.
+pub struct RequestClass {
+    pub idempotency: Idempotency,
+    pub latency_objective: Span,
+    pub priority_weight: f64,
+    /// The part of the benefit that an answer after the latency objective still earns.
+    pub late_weight: f64,
+    /// Its requests that share an object run one at a time.
     pub in_order: bool,
 }
 
@@ -159,7 +159,7 @@
     pub limit: Option<Limit>,
     pub reserve: f64,
     /// What such a volume is sized for.
-    pub usual: f64,
+    pub nominal_rate: f64,
     pub weight: f64,
     pub price: f64,
 }
@@ -172,10 +172,10 @@
 
 /// What a host may do for a volume from now on.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Terms {
+pub struct VolumeAllocation {
     pub volume: VolumeId,
     pub plan: PlanId,
-    /// Through how many hosts its transfers come; 0: no longer through this one.
+    /// Through how many hosts its requests come; 0: no longer through this one.
     pub hosts: u32,
     /// This host's part of the limit, where it is not an even one.
     pub part: Option<Limit>,
@@ -183,10 +183,10 @@
 
 /// A budget of bytes that go from zone to zone, over all hosts together.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Crossing {
+pub struct CrossZoneBudget {
     /// As hosts name it to each other.
     pub id: VolumeId,
-    pub of: Across,
+    pub of: BudgetScope,
     /// In bytes.
     pub limit: Limit,
     /// What has a choice never goes past it; else it may where its own zone has no node for it.
@@ -196,28 +196,28 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Across {
+pub enum BudgetScope {
     /// From, to.
-    Pair(ZoneId, ZoneId),
+    ZonePair(ZoneId, ZoneId),
     /// All that crosses for the volumes of a plan.
     Plan(PlanId),
 }
 
 /// Why something went past a budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Cause {
+pub enum OverrunCause {
     /// Its data lies there.
-    Bound,
+    DataPlacement,
     /// Its own zone has no node that takes it: these drain or are gone, or they are silent.
-    Drained,
-    Silent,
-    /// A further leg of something that had its first elsewhere.
-    Further,
+    NoLocalNode,
+    LocalNodesSilent,
+    /// A further attempt of something that had its first elsewhere.
+    Retry,
 }
 
-/// How many legs beyond each transfer's first a host may send within `window`.
+/// How many attempts beyond each request's first a host may send within `window`.
 #[derive(Clone, Copy, Debug)]
-pub struct LegBudget {
+pub struct RetryBudget {
     pub free: f64,
     pub share: f64,
     pub window: Span,
@@ -225,85 +225,90 @@
 
 /// What bounds the work sent to a node that has just started.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ColdStart {
+pub struct SlowStart {
     /// Units that it bears within `window`, from all hosts together.
     pub units: f64,
     pub window: Span,
     /// It starts with this part of its capacity or more,
-    pub first_part: f64,
+    pub initial_fraction: f64,
     /// and has all of it, no slower than evenly, after this.
     pub ramp: Span,
 }
 
 /// What a host is told at its start.
 #[derive(Clone, Debug, Default)]
-pub struct Facts {
+pub struct SchedulerConfig {
     pub me: HostId,
     pub hosts: u32,
     pub tick: Span,
-    pub stream_types: Vec<StreamType>,
+    pub request_classes: Vec<RequestClass>,
     pub plans: Vec<Plan>,
-    pub cold: ColdStart,
+    pub slow_start: SlowStart,
     /// This host's part of what a cold node bears, where hosts settle it; `None`: an even one.
-    pub cold_part: Option<f64>,
-    /// Between two legs of this host to a node of which nothing comes: its part of what all hosts may ask it so; zero: as
+    pub slow_start_share: Option<f64>,
+    /// Between two attempts of this host to a node of which nothing comes: its part of what all hosts may ask it so; zero: as
     /// it sees fit.
-    pub probe_every: Span,
-    pub leg_budget: Option<LegBudget>,
-    /// So much later than it was asked for a leg may go out, while it waits for its connection.
-    pub leg_wait: Span,
+    pub probe_interval: Span,
+    pub retry_budget: Option<RetryBudget>,
+    /// So much later than it was asked for an attempt may go out, while it waits for its connection.
+    pub connect_wait: Span,
     pub order_settle: Span,
-    pub most_legs: u32,
-    pub most_units: f64,
+    pub max_attempts: u32,
+    pub max_units: f64,
     /// The parts of the benefit that units past the reserve, and past the share, still earn.
     pub share_part: f64,
     pub spare_part: f64,
-    /// The longest wait that a deferral may advise; `None`: no advice reaches clients.
-    pub longest_advice: Option<Span>,
-    pub peers_talk: bool,
+    /// The longest wait that a rejection may advise; `None`: no advice reaches clients.
+    pub max_retry_after: Option<Span>,
+    pub peer_messages_enabled: bool,
     /// The node list answers only when asked.
-    pub list_asked: bool,
+    pub poll_endpoints: bool,
     /// Then it is asked for again at the latest after this; else what it held counts as told.
-    pub ask_within: Option<Span>,
+    pub poll_within: Option<Span>,
     /// Where this host is; `None`: zones count for nothing.
     pub zone: Option<ZoneId>,
-    pub crossings: Vec<Crossing>,
-    /// The most that one transfer sends.
-    pub most_bytes: f64,
+    pub cross_zone_budgets: Vec<CrossZoneBudget>,
+    /// The most that one request sends.
+    pub max_bytes: f64,
 }
 
-impl Facts {
+impl SchedulerConfig {
     /// Units that a cold node bears from this host in any case, within the rule's window.
     pub fn borne(&self) -> f64 {
-        match self.cold_part {
-            Some(part) => self.cold.units * part,
-            None => self.cold.units / f64::from(self.hosts.max(1)),
+        match self.slow_start_share {
+            Some(part) => self.slow_start.units * part,
+            None => self.slow_start.units / f64::from(self.hosts.max(1)),
         }
     }
 
     /// What changes while serving.
-    pub fn follow(&mut self, plans: Vec<Plan>, crossings: Vec<Crossing>, among: Option<Among>) {
-        (self.plans, self.crossings) = (plans, crossings);
-        if let Some(among) = among {
-            (self.hosts, self.cold_part) = (among.hosts, among.cold_part);
-            self.probe_every = among.probe_every;
+    pub fn follow(
+        &mut self,
+        plans: Vec<Plan>,
+        cross_zone_budgets: Vec<CrossZoneBudget>,
+        fleet_membership: Option<FleetMembership>,
+    ) {
+        (self.plans, self.cross_zone_budgets) = (plans, cross_zone_budgets);
+        if let Some(fleet_membership) = fleet_membership {
+            (self.hosts, self.slow_start_share) = (fleet_membership.hosts, fleet_membership.slow_start_share);
+            self.probe_interval = fleet_membership.probe_interval;
         }
     }
 }
 
 /// Among whom things are shared, where hosts settle that while they serve.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Among {
+pub struct FleetMembership {
     /// Those that there are, running or not.
     pub hosts: u32,
-    /// As in [`Facts`].
-    pub cold_part: Option<f64>,
-    pub probe_every: Span,
+    /// As in [`SchedulerConfig`].
+    pub slow_start_share: Option<f64>,
+    pub probe_interval: Span,
 }
 
 /// In the order in which a node goes through them: only a newer start leads back.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Standing {
+pub enum EndpointState {
     #[default]
     Ready,
     Draining,
@@ -311,11 +316,11 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct NodeEntry {
+pub struct Endpoint {
     pub node: NodeId,
-    pub cell: CellId,
+    pub shard: ShardId,
     pub zone: ZoneId,
-    pub standing: Standing,
+    pub state: EndpointState,
     /// When it last started, if that is known.
     pub started: Option<Instant>,
     /// Those it is in beside that of all nodes.
@@ -324,70 +329,70 @@
 
 /// What a piece of news about the node list holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Extent {
+pub enum UpdateKind {
     /// Entries that changed.
-    Changes,
+    Delta,
     /// The whole list; who is not in it is gone.
-    Whole,
+    Snapshot,
     /// The whole list as it was last seen, perhaps long ago.
-    Remembered,
+    StaleSnapshot,
     /// What these nodes said of themselves: their starts are certain, whatever was supposed.
-    Seen,
+    SelfReported,
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Transfer {
-    pub id: TransferId,
-    pub stream_type: StreamTypeId,
+pub struct Request {
+    pub id: RequestId,
+    pub request_class: RequestClassId,
     pub plan: PlanId,
     pub volume: VolumeId,
     pub units: f64,
-    /// What a leg of it sends.
+    /// What an attempt of it sends.
     pub bytes: f64,
     /// Where the data lies; `None`: a new object.
-    pub cell: Option<CellId>,
+    pub shard: Option<ShardId>,
     pub object: Option<ObjectId>,
     /// Of a new object: where it may lie.
     pub pool: PoolId,
     /// How long until the client gives up on this try.
-    pub ttl: Span,
-    /// Through how many hosts the volume's transfers come.
+    pub timeout: Span,
+    /// Through how many hosts the volume's requests come.
     pub volume_hosts: u32,
 }
 
-/// How a leg ended.
+/// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ending {
-    Done,
+pub enum AttemptOutcome {
+    Succeeded,
     /// The node answered with an error.
     Failed,
     /// Turned away unseen: it never ran.
-    TurnedAway,
+    Rejected,
     /// No connection: it never ran.
-    Unreached,
+    Unreachable,
     /// Never went out.
-    Unsent,
+    NotSent,
     /// No answer in time.
     TimedOut,
     /// The connection broke.
-    Broken,
+    ConnectionLost,
     Cancelled,
 }
 
-impl Ending {
+impl AttemptOutcome {
     pub fn never_ran(self) -> bool {
-        matches!(self, Ending::TurnedAway | Ending::Unreached | Ending::Unsent)
+        matches!(self, AttemptOutcome::Rejected | AttemptOutcome::Unreachable | AttemptOutcome::NotSent)
     }
 }
 
-/// What came of a leg.
+/// What came of an attempt.
 #[derive(Clone, Debug)]
-pub struct LegEnd {
-    pub id: TransferId,
-    pub leg: u32,
+pub struct AttemptEnd {
+    pub id: RequestId,
+    pub attempt: u32,
     pub node: NodeId,
-    pub ending: Ending,
-    pub took: Span,
+    pub outcome: AttemptOutcome,
+    pub latency: Span,
     /// The client has its final answer.
     pub finished: bool,
     /// What the volume was served through all hosts in some finished period, as a part of its usual rate.
@@ -399,68 +404,68 @@
 
 #[derive(Clone, Debug)]
 pub enum Event {
-    List {
-        extent: Extent,
-        entries: Vec<NodeEntry>,
+    EndpointList {
+        update_kind: UpdateKind,
+        entries: Vec<Endpoint>,
     },
     /// A call for the list failed, or the watch broke.
-    ListLost,
-    Arrived(Transfer),
-    /// All plans as they are from now on, and of every volume whose terms this changes the new ones. Places
+    EndpointListLost,
+    RequestArrived(Request),
+    /// All plans as they are from now on, and of every volume whose allocations this changes the new ones. Places
     /// of plans may be other than before, so a volume that was served must be among these then.
-    Plans {
+    ConfigChanged {
         plans: Vec<Plan>,
-        terms: Vec<Terms>,
-        crossings: Vec<Crossing>,
+        allocations: Vec<VolumeAllocation>,
+        cross_zone_budgets: Vec<CrossZoneBudget>,
         /// `None`: as before.
-        among: Option<Among>,
+        fleet_membership: Option<FleetMembership>,
     },
     Timer(TimerId),
-    ClientLeft(TransferId),
-    PeerSaid {
+    ClientDisconnected(RequestId),
+    PeerMessage {
         from: HostId,
         bytes: Vec<u8>,
     },
-    LegEnded(LegEnd),
-    StreamBegan {
-        id: TransferId,
+    AttemptEnded(AttemptEnd),
+    ResponseStarted {
+        id: RequestId,
         node: NodeId,
-        took: Span,
+        latency: Span,
     },
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send the transfer to the node; without a time-out it runs until the expiry.
-    Leg {
-        id: TransferId,
+    /// Send the request to the node; without a time-out it runs until the deadline.
+    StartAttempt {
+        id: RequestId,
         node: NodeId,
         time_out: Option<Span>,
     },
-    /// Final answer: deferred; a repeat does no harm.
-    Defer {
-        id: TransferId,
-        come_back: Option<Span>,
+    /// Final answer: rejected; a repeat does no harm.
+    Reject {
+        id: RequestId,
+        retry_after: Option<Span>,
     },
     /// Final answer: abandoned; promises nothing.
-    Abandon {
-        id: TransferId,
+    Fail {
+        id: RequestId,
     },
     /// Ask for the node list and its changes from now on.
-    Watch,
-    Timer {
+    WatchEndpoints,
+    SetTimer {
         id: TimerId,
         at: Instant,
     },
-    /// Something of this transfer went past a budget, by so many bytes of its own.
-    Past {
-        id: TransferId,
-        crossing: VolumeId,
+    /// Something of this request went past a budget, by so many bytes of its own.
+    BudgetOverrun {
+        id: RequestId,
+        cross_zone_budget: VolumeId,
         bytes: f64,
-        cause: Cause,
+        cause: OverrunCause,
     },
     /// At most 256 bytes to one host.
-    Tell {
+    SendToPeer {
         to: HostId,
         bytes: Vec<u8>,
     },
--- a/crates/facts/src/lib.rs
+++ b/crates/scheduler-settings/src/lib.rs
@@ -1,11 +1,11 @@
 //! The operators' settings, as they stand in the bench's first message and in a host's configuration, made into
-//! [`Facts`] for the decisions. Both routes come through here, so both feed the module the same. Read [`facts`] for
+//! [`SchedulerConfig`] for the decisions. Both routes come through here, so both feed the module the same. Read [`config`] for
 //! what becomes of the settings, [`Names`] for what stands behind the numbers, `sound` for settings that contradict
 //! each other. Keys that are not known are skipped.
 
 mod sound;
 
-use gullsail_interface::*;
+use gullsail_scheduler_api::*;
 use serde::Deserialize;
 pub use sound::Contradiction;
 use std::hash::Hasher;
@@ -44,7 +44,7 @@
     within_share: f64,
     idle_worth: f64,
     slots_total: i64,
-    /// Of each stream type: does it write?
+    /// Of each request class: does it write?
     writes: Vec<bool>,
 }
 
@@ -98,8 +98,9 @@
 #[serde(rename_all = "kebab-case")]
 struct Profile {
     name: String,
-    effect: String,
-    /// A transfer's own expiry is what decides; this is the longest.
+    #[serde(rename = "effect")]
+    idempotency: String,
+    /// A request's own deadline is what decides; this is the longest.
     give_up: f64,
     objective: f64,
     #[serde(default)]
@@ -151,7 +152,7 @@
 pub struct Names {
     pub zones: Vec<String>,
     pub plans: Vec<String>,
-    pub stream_types: Vec<String>,
+    pub request_classes: Vec<String>,
 }
 
 impl Names {
@@ -166,12 +167,14 @@
         place(&self.plans, name).map(PlanId).ok_or_else(|| Problem::unknown("plan", name))
     }
     /// # Errors
-    /// No stream type is called so.
-    pub fn stream_type(&self, name: &str) -> Result<StreamTypeId, Problem> {
-        place(&self.stream_types, name).map(StreamTypeId).ok_or_else(|| Problem::unknown("stream type", name))
+    /// No request class is called so.
+    pub fn request_class(&self, name: &str) -> Result<RequestClassId, Problem> {
+        place(&self.request_classes, name)
+            .map(RequestClassId)
+            .ok_or_else(|| Problem::unknown("stream type", name))
     }
     /// A zone that no settings name is none of theirs, and not that of another such name: nodes of two of them must not
-    /// be taken for one group that knows a keyed transfer's repeats.
+    /// be taken for one group that knows a keyed request's repeats.
     pub fn zone(&self, name: &str) -> ZoneId {
         ZoneId(place(&self.zones, name).unwrap_or_else(|| hash(name) as usize | 1 << (usize::BITS - 1)))
     }
@@ -194,12 +197,12 @@
     pub connect_time_out: Span,
     /// Idle connections to nodes end after this.
     pub keep_alive: Span,
-    /// Of each stream type: does it write?
+    /// Of each request class: does it write?
     pub writes: Vec<bool>,
-    /// The longest expiry, and the longest SLO time.
+    /// The longest deadline, and the longest latency objective.
     pub longest: (Span, Span),
-    /// How many cells there are, numbered from 0; 0: not told.
-    pub cells: i64,
+    /// How many shards there are, numbered from 0; 0: not told.
+    pub shards: i64,
 }
 
 impl Stated {
@@ -210,7 +213,7 @@
             connect_time_out: Span::from_millis(self.limits.connect_timeout),
             keep_alive: Span::from_millis(self.limits.keepalive),
             writes: self.family_info.writes.clone(),
-            cells: self.family_info.slots_total,
+            shards: self.family_info.slots_total,
         }
     }
 }
@@ -219,80 +222,80 @@
 ///
 /// # Errors
 /// Something is stated in a word that is not known.
-pub fn facts(b: &Stated) -> Result<(Facts, Names), Problem> {
-    let stream_types = b.profiles.iter().map(stream_type).collect::<Result<_, _>>()?;
+pub fn config(b: &Stated) -> Result<(SchedulerConfig, Names), Problem> {
+    let request_classes = b.profiles.iter().map(request_class).collect::<Result<_, _>>()?;
     let plans = b.policies.iter().map(|p| Plan {
         limit: (p.limit > 0.0).then_some(Limit { rate: p.limit, burst: p.limit_burst }),
         reserve: p.reserve,
-        usual: p.nominal,
+        nominal_rate: p.nominal,
         weight: p.parts,
         price: p.value_factor,
     });
-    let free = Plan { limit: None, reserve: 0.0, usual: 0.0, weight: 1.0, price: 1.0 };
+    let free = Plan { limit: None, reserve: 0.0, nominal_rate: 0.0, weight: 1.0, price: 1.0 };
     let plans = plans.chain(b.policies.is_empty().then_some(free));
-    let leg_budget = match (b.rules.free_resends, b.rules.extra_per_request, b.rules.look_back) {
-        (free, share, Some(window)) => Some(LegBudget {
+    let retry_budget = match (b.rules.free_resends, b.rules.extra_per_request, b.rules.look_back) {
+        (free, share, Some(window)) => Some(RetryBudget {
             free: free.unwrap_or(0.0),
             share: share.unwrap_or(0.0),
             window: Span::from_millis(window),
         }),
         _ => None,
     };
-    let facts = Facts {
-        cold_part: None,
-        probe_every: Span::ZERO,
+    let config = SchedulerConfig {
+        slow_start_share: None,
+        probe_interval: Span::ZERO,
         me: HostId(b.rank),
         hosts: b.peers_total,
         tick: Span::from_millis(b.tick),
-        stream_types,
+        request_classes,
         plans: plans.collect(),
-        cold: ColdStart {
+        slow_start: SlowStart {
             units: b.family_info.cold_units,
             window: Span::from_millis(b.rules.overload_for),
-            first_part: b.rules.start_capacity,
+            initial_fraction: b.rules.start_capacity,
             ramp: Span::from_millis(b.rules.ramp_time),
         },
-        leg_budget,
-        leg_wait: Span::ZERO,
+        retry_budget,
+        connect_wait: Span::ZERO,
         order_settle: Span::from_millis(b.rules.order_settle),
-        most_legs: b.limits.max_attempts,
-        most_units: b.family_info.max_units,
+        max_attempts: b.limits.max_attempts,
+        max_units: b.family_info.max_units,
         share_part: b.family_info.within_share,
         spare_part: b.family_info.idle_worth,
-        longest_advice: b.limits.retry_after.then_some(Span::from_millis(b.limits.max_retry_after)),
-        peers_talk: b.limits.peer_messages,
-        list_asked: b.membership_mode == "ask",
-        ask_within: b.rules.must_ask_in.map(Span::from_millis),
+        max_retry_after: b.limits.retry_after.then_some(Span::from_millis(b.limits.max_retry_after)),
+        peer_messages_enabled: b.limits.peer_messages,
+        poll_endpoints: b.membership_mode == "ask",
+        poll_within: b.rules.must_ask_in.map(Span::from_millis),
         zone: None,
-        crossings: Vec::new(),
-        most_bytes: 0.0,
+        cross_zone_budgets: Vec::new(),
+        max_bytes: 0.0,
     };
     let names = Names {
         zones: b.failure_domains.clone(),
         plans: b.policies.iter().map(|p| p.name.clone()).collect(),
-        stream_types: b.profiles.iter().map(|p| p.name.clone()).collect(),
+        request_classes: b.profiles.iter().map(|p| p.name.clone()).collect(),
     };
-    Ok((facts, names))
+    Ok((config, names))
 }
 
-fn stream_type(p: &Profile) -> Result<StreamType, Problem> {
+fn request_class(p: &Profile) -> Result<RequestClass, Problem> {
     let group = || match p.group.as_str() {
-        "all" => Ok(Group::All),
-        "zone" => Ok(Group::Zone),
-        "cell" => Ok(Group::Cell),
+        "all" => Ok(IdempotencyScope::All),
+        "zone" => Ok(IdempotencyScope::Zone),
+        "cell" => Ok(IdempotencyScope::Shard),
         other => Err(Problem::unknown("group", other)),
     };
-    let effect = match p.effect.as_str() {
-        "pure" => Effect::Repeatable,
-        "token" => Effect::Keyed { group: group()?, window: Span::from_millis(p.window) },
-        "side_effect" => Effect::Unrepeatable,
+    let idempotency = match p.idempotency.as_str() {
+        "pure" => Idempotency::Idempotent,
+        "token" => Idempotency::WithKey { group: group()?, window: Span::from_millis(p.window) },
+        "side_effect" => Idempotency::NonIdempotent,
         other => return Err(Problem::unknown("effect", other)),
     };
-    Ok(StreamType {
-        effect,
-        slo_time: Span::from_millis(p.objective),
-        benefit: p.worth,
-        late_part: p.late_value,
+    Ok(RequestClass {
+        idempotency,
+        latency_objective: Span::from_millis(p.objective),
+        priority_weight: p.worth,
+        late_weight: p.late_value,
         in_order: p.serial_by_key,
     })
 }
--- a/crates/standin/src/naive.rs
+++ b/crates/simulator/src/baseline.rs
@@ -1,11 +1,11 @@
-//! A baseline to measure the host against: it speaks the host's frames and sends each transfer at once, within an
+//! A baseline to measure the host against: it speaks the host's frames and sends each request at once, within an
 //! even part of its volume's limit, to the node that holds its data or to any that the list calls ready. It
-//! has no window, no order, no further legs, no care for cold nodes, and it believes the list.
+//! has no window, no order, no further attempts, no care for cold nodes, and it believes the list.
 
 use gullsail_configuration::Deployment;
-use gullsail_interface::{Effect, Group, HostId};
-use gullsail_links::{Happened, Link};
+use gullsail_connections::{Happened, Link};
 use gullsail_protocol::*;
+use gullsail_scheduler_api::{HostId, Idempotency, IdempotencyScope};
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,7 +27,7 @@
 struct Sent {
     client: u64,
     id: u64,
-    effect: Effect,
+    idempotency: Idempotency,
     node: u64,
     until: Instant,
 }
@@ -36,10 +36,10 @@
     d: Arc<Deployment>,
     rng: ChaCha8Rng,
     links: BTreeMap<u64, (Who, Link)>,
-    /// Ready nodes by the list, with their addresses and cells, and their links.
+    /// Ready nodes by the list, with their addresses and shards, and their links.
     ready: BTreeMap<String, (String, i64)>,
     up: BTreeMap<String, u64>,
-    legs: BTreeMap<u64, Sent>,
+    attempts: BTreeMap<u64, Sent>,
     /// Tokens and since when.
     levels: BTreeMap<u64, (f64, Instant)>,
     last: u64,
@@ -55,10 +55,10 @@
         (who, TcpStream::connect(address).await.ok())
     };
     let ready = d.nodes.iter().filter(|n| !n.spare);
-    let ready = ready.map(|n| (n.place.name.clone(), (n.place.address.clone(), n.cell.0))).collect();
+    let ready = ready.map(|n| (n.place.name.clone(), (n.place.address.clone(), n.shard.0))).collect();
     let (rng, list) = (ChaCha8Rng::seed_from_u64(seed), d.list.address.clone());
-    let (links, up, legs, levels) = Default::default();
-    let mut n = Naive { d, rng, links, ready, up, legs, levels, last: 0 };
+    let (links, up, attempts, levels) = Default::default();
+    let mut n = Naive { d, rng, links, ready, up, attempts, levels, last: 0 };
     dials.spawn(dial(Who::List, list.clone(), 0));
     let mut asked: BTreeMap<String, Instant> = BTreeMap::new();
     let name = n.d.hosts[me.0 as usize].name.clone();
@@ -100,7 +100,7 @@
             let link = Link::open(stream, last_link, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
             let _ = link.send(Frame::from(hello.clone()));
             if who == Who::List {
-                let _ = link.send(Frame::from(ListAsk { watch: true }));
+                let _ = link.send(Frame::from(EndpointListQuery { watch: true }));
             }
             n.links.insert(last_link, (who, link));
         }
@@ -111,15 +111,16 @@
     fn hear(&mut self, link: u64, frame: Frame) {
         match frame.message {
             Message::Submit(s) => self.submit(link, s, frame.body),
-            Message::LegAnswer(a) => {
-                let Some(sent) = self.legs.remove(&a.leg) else { return };
-                match LegResult::try_from(a.result) {
-                    Ok(LegResult::Done) => {
-                        let done = Outcome::Done as i32;
-                        let answer = Answer { id: sent.id, outcome: done, handle: a.handle, come_back_us: 0 };
+            Message::AttemptAnswer(a) => {
+                let Some(sent) = self.attempts.remove(&a.attempt) else { return };
+                match AttemptResult::try_from(a.result) {
+                    Ok(AttemptResult::Succeeded) => {
+                        let done = Outcome::Succeeded as i32;
+                        let answer =
+                            Answer { id: sent.id, outcome: done, handle: a.handle, retry_after_us: 0 };
                         self.send(sent.client, Frame::from(answer).with_body(frame.body));
                     }
-                    Ok(LegResult::TurnedAway) => self.answer(&sent, true),
+                    Ok(AttemptResult::Rejected) => self.answer(&sent, true),
                     _ => self.answer(&sent, false),
                 }
             }
@@ -130,13 +131,13 @@
                     self.up.insert(h.name, link);
                 }
             }
-            Message::ListNews(news) => {
+            Message::EndpointListUpdate(news) => {
                 if news.whole {
                     self.ready.clear();
                 }
                 for e in news.entries {
-                    if e.standing == ListStanding::Ready as i32 {
-                        self.ready.insert(e.name, (e.address, e.cell));
+                    if e.state == ListedState::Ready as i32 {
+                        self.ready.insert(e.name, (e.address, e.shard));
                     } else {
                         self.ready.remove(&e.name);
                     }
@@ -148,16 +149,16 @@
 
     fn submit(&mut self, link: u64, s: Submit, body: bytes::Bytes) {
         let d = self.d.clone();
-        let stream_type = d.stream_types.iter().find(|t| t.name == s.stream_type);
-        let (Some(stream_type), Some(volume)) = (stream_type, d.volume(&s.volume)) else {
+        let request_class = d.request_classes.iter().find(|t| t.name == s.request_class);
+        let (Some(request_class), Some(volume)) = (request_class, d.volume(&s.volume)) else {
             let n = NotTaken { id: s.id, reason: "not known here".into(), leaving: false };
             return self.send(link, n.into());
         };
-        let (now, effect) = (Instant::now(), stream_type.decisions.effect);
-        // A little before the expiry, for the way back.
-        let until =
-            now + Duration::from_micros(s.ttl_us.max(0) as u64).saturating_sub(Duration::from_millis(100));
-        let sent = Sent { client: link, id: s.id, effect, node: 0, until };
+        let (now, idempotency) = (Instant::now(), request_class.decisions.idempotency);
+        // A little before the deadline, for the way back.
+        let until = now
+            + Duration::from_micros(s.timeout_us.max(0) as u64).saturating_sub(Duration::from_millis(100));
+        let sent = Sent { client: link, id: s.id, idempotency, node: 0, until };
         if let Some(limit) = d.plans[volume.plan.0].decisions.limit {
             let hosts = volume.hosts.len() as f64;
             let (rate, cap) = (limit.rate / hosts, limit.burst / hosts);
@@ -170,42 +171,45 @@
             }
             *level -= s.units;
         }
-        let fits = |n: &(&String, &(String, i64))| s.handle.is_none_or(|h| h.cell == n.1.1);
+        let fits = |n: &(&String, &(String, i64))| s.handle.is_none_or(|h| h.shard == n.1.1);
         let found = self.ready.iter().filter(fits).map(|n| n.0).choose(&mut self.rng);
         let Some(node) = found.and_then(|name| self.up.get(name)).copied() else {
             return self.answer(&sent, true);
         };
         self.last += 1;
-        let leg = Leg {
-            leg: self.last,
-            stream_type: s.stream_type,
+        let attempt = Attempt {
+            attempt: self.last,
+            request_class: s.request_class,
             volume: s.volume,
             units: s.units,
-            write: stream_type.write,
+            write: request_class.write,
             handle: s.handle,
             mark: s.mark,
             repeat: s.repeat,
             number: 0,
             time_out_us: (until - now).as_micros() as i64,
         };
-        self.legs.insert(self.last, Sent { node, ..sent });
-        self.send(node, Frame::from(leg).with_body(body));
+        self.attempts.insert(self.last, Sent { node, ..sent });
+        self.send(node, Frame::from(attempt).with_body(body));
     }
 
-    /// Deferred where that promises nothing false, else abandoned.
+    /// Rejected where that promises nothing false, else abandoned.
     fn answer(&mut self, sent: &Sent, never_ran: bool) {
-        let harmless = matches!(sent.effect, Effect::Repeatable | Effect::Keyed { group: Group::All, .. });
-        let outcome = if never_ran || harmless { Outcome::Deferred } else { Outcome::Abandoned };
-        let come_back_us = self.rng.random_range(100_000..300_000);
-        let answer = Answer { id: sent.id, outcome: outcome as i32, handle: None, come_back_us };
+        let harmless = matches!(
+            sent.idempotency,
+            Idempotency::Idempotent | Idempotency::WithKey { group: IdempotencyScope::All, .. }
+        );
+        let outcome = if never_ran || harmless { Outcome::Rejected } else { Outcome::Failed };
+        let retry_after_us = self.rng.random_range(100_000..300_000);
+        let answer = Answer { id: sent.id, outcome: outcome as i32, handle: None, retry_after_us };
         self.send(sent.client, answer.into());
     }
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let over: Vec<_> = self.legs.iter().filter(|(_, s)| s.until <= now).map(|(id, _)| *id).collect();
+        let over: Vec<_> = self.attempts.iter().filter(|(_, s)| s.until <= now).map(|(id, _)| *id).collect();
         for id in over {
-            if let Some(sent) = self.legs.remove(&id) {
+            if let Some(sent) = self.attempts.remove(&id) {
                 self.answer(&sent, false);
             }
         }
@@ -213,9 +217,9 @@
 
     fn lost(&mut self, link: u64, name: &str) {
         self.up.retain(|n, l| n != name || *l != link);
-        let over: Vec<_> = self.legs.iter().filter(|(_, s)| s.node == link).map(|(id, _)| *id).collect();
+        let over: Vec<_> = self.attempts.iter().filter(|(_, s)| s.node == link).map(|(id, _)| *id).collect();
         for id in over {
-            if let Some(sent) = self.legs.remove(&id) {
+            if let Some(sent) = self.attempts.remove(&id) {
                 self.answer(&sent, false);
             }
         }
--- a/crates/standin/src/client.rs
+++ b/crates/simulator/src/client.rs
@@ -1,12 +1,12 @@
-//! Clients as an open loop: transfers come when they come, whatever becomes of those before. One task speaks
-//! to all hosts, repeats what the effect of its stream type allows, and checks the bytes it reads.
+//! Clients as an open loop: requests come when they come, whatever becomes of those before. One task speaks
+//! to all hosts, repeats what the effect of its request class allows, and checks the bytes it reads.
 
 use crate::{BASE_OBJECTS, base_content, content};
 use bytes::Bytes;
 use gullsail_configuration::Deployment;
-use gullsail_interface::{Effect, Group, Span};
-use gullsail_links::{Happened, Link};
+use gullsail_connections::{Happened, Link};
 use gullsail_protocol::*;
+use gullsail_scheduler_api::{Idempotency, IdempotencyScope, Span};
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,7 +23,7 @@
 /// What clients ask for, for as long as nothing changes it.
 #[derive(Clone, Debug)]
 pub struct Load {
-    /// Transfers a second by stream type, in the document's order, over all hosts.
+    /// Requests a second by request class, in the document's order, over all hosts.
     pub rates: Vec<f64>,
     /// Bytes of a written object.
     pub bytes: usize,
@@ -39,7 +39,7 @@
 pub enum Change {
     /// These volumes (a volume, a plan, or `*`) ask for so many times as much.
     Surge { who: String, times: f64, until: Instant },
-    /// This part of the clients waits only a part of the SLO time.
+    /// This part of the clients waits only a part of the latency objective.
     Impatient { share: f64, part: f64, until: Instant },
     /// The volumes' busiest host is another one from now on.
     LeadMoves,
@@ -51,10 +51,13 @@
 pub struct Tally {
     pub first_tries: u64,
     pub repeats: u64,
-    pub in_slo_time: u64,
+    #[serde(rename = "in_slo_time")]
+    pub in_latency_objective: u64,
     pub late: u64,
-    pub deferred: u64,
-    pub abandoned: u64,
+    #[serde(rename = "deferred")]
+    pub rejected: u64,
+    #[serde(rename = "abandoned")]
+    pub failed: u64,
     pub not_taken: u64,
     /// No answer before the client gave up, or its host was gone.
     pub unanswered: u64,
@@ -62,21 +65,22 @@
     /// Answers to what was answered before.
     pub second_answers: u64,
     pub units: f64,
-    pub units_in_slo_time: f64,
+    #[serde(rename = "units_in_slo_time")]
+    pub units_in_latency_objective: f64,
 }
 
-/// By stream type and plan.
+/// By request class and plan.
 pub type Tallies = BTreeMap<(String, String), Tally>;
 
 struct Try {
     submit: Submit,
     body: Bytes,
-    stream_type: usize,
+    request_class: usize,
     plan: usize,
     host: usize,
     began: Instant,
-    slo_end: Instant,
-    expiry: Instant,
+    objective_deadline: Instant,
+    deadline: Instant,
 }
 
 struct Clients {
@@ -183,7 +187,7 @@
 }
 
 impl Clients {
-    /// A document with more hosts: volumes go through these too. Stream types, volumes and plans are the same, in the same
+    /// A document with more hosts: volumes go through these too. Request classes, volumes and plans are the same, in the same
     /// places. One without an address is known to no client.
     fn follow(&mut self, d: Arc<Deployment>) {
         let more = d.hosts.len() > self.d.hosts.len() && d.hosts.len() <= self.by_host.len();
@@ -213,7 +217,7 @@
     }
 
     fn usual(&self, plan: usize) -> f64 {
-        self.d.plans[plan].decisions.usual.max(0.1)
+        self.d.plans[plan].decisions.nominal_rate.max(0.1)
     }
 
     fn weight(&self, v: usize) -> f64 {
@@ -230,19 +234,19 @@
         let d = self.d.clone();
         let weights: Vec<_> = (0..d.volumes.len()).map(|v| (v, self.weight(v))).collect();
         let Ok(v) = weights.choose_weighted(&mut self.rng, |w| w.1).map(|w| w.0) else { return };
-        let (volume, stream_type) = (&d.volumes[v], &d.stream_types[s]);
+        let (volume, request_class) = (&d.volumes[v], &d.request_classes[s]);
         // A volume uses its hosts unevenly: each one half as much as the one before.
         let hosts = &volume.hosts;
         let place = (0..hosts.len()).find(|_| self.rng.random_bool(0.5)).unwrap_or(0);
         let host = hosts[(place + self.lead) % hosts.len()].0 as usize;
         self.last += 1;
         let mark = format!("{:x}-{}", self.load.seed, self.last);
-        let most = d.figures().most_units.max(1.0);
+        let most = d.figures().max_units.max(1.0);
         let units = self.rng.random_range(1..=(most / 2.0).ceil() as u32) as f64;
         let mut body = Bytes::new();
         let mut handle = None;
         let mut order_key = String::new();
-        if stream_type.write {
+        if request_class.write {
             body = content(number(&mark), self.load.bytes);
         } else {
             let written = self.written.get(&volume.id.0).map_or(0, VecDeque::len);
@@ -251,63 +255,73 @@
             let fresh = fresh.then(|| self.written[&volume.id.0][place].0);
             handle = Some(fresh.unwrap_or_else(|| self.base(v)));
         }
-        if stream_type.decisions.in_order {
-            // Some records of a volume that are written again and again: these name their cell.
+        if request_class.decisions.in_order {
+            // Some records of a volume that are written again and again: these name their shard.
             let record = self.rng.random_range(0..3);
             order_key = format!("{}/{record}", volume.name);
-            let cells = self.cells();
-            let cell = cells[(v + record as usize) % cells.len()];
-            handle = Some(Handle { cell, object: (v as u64) << 8 | record | 1 << 31 });
+            let shards = self.shards();
+            let shard = shards[(v + record as usize) % shards.len()];
+            handle = Some(Handle { shard, object: (v as u64) << 8 | record | 1 << 31 });
         }
         let span = |s: Span| Duration::from_micros(s.micros().max(0) as u64);
-        let slo_time = span(stream_type.decisions.slo_time);
+        let latency_objective = span(request_class.decisions.latency_objective);
         let impatient = self.changes.iter().find_map(|c| match c {
             Change::Impatient { share, part, .. } => Some((*share, *part)),
             _ => None,
         });
         let impatient = impatient.filter(|i| self.rng.random_bool(i.0.clamp(0.0, 1.0)));
-        let ttl = impatient.map_or(span(stream_type.expiry), |i| slo_time.mul_f64(i.1));
+        let timeout = impatient.map_or(span(request_class.deadline), |i| latency_objective.mul_f64(i.1));
         let submit = Submit {
             id: self.last,
-            stream_type: stream_type.name.clone(),
+            request_class: request_class.name.clone(),
             volume: volume.name.clone(),
             units,
             handle,
             order_key,
             mark,
             repeat: 0,
-            ttl_us: 0,
+            timeout_us: 0,
+        };
+        let (objective_deadline, deadline) = (now + latency_objective.min(timeout), now + timeout);
+        let t = Try {
+            submit,
+            body,
+            request_class: s,
+            plan: volume.plan.0,
+            host,
+            began: now,
+            objective_deadline,
+            deadline,
         };
-        let (slo_end, expiry) = (now + slo_time.min(ttl), now + ttl);
-        let t = Try { submit, body, stream_type: s, plan: volume.plan.0, host, began: now, slo_end, expiry };
         let tally = self.tally(&t);
         tally.first_tries += 1;
         tally.units += units;
         self.send(t, now);
     }
 
-    fn cells(&self) -> Vec<i64> {
-        let mut cells: Vec<i64> = self.d.nodes.iter().map(|n| n.cell.0).collect();
-        cells.sort_unstable();
-        cells.dedup();
-        cells
+    fn shards(&self) -> Vec<i64> {
+        let mut shards: Vec<i64> = self.d.nodes.iter().map(|n| n.shard.0).collect();
+        shards.sort_unstable();
+        shards.dedup();
+        shards
     }
 
-    /// One of the objects that were always there: a volume's lie on a few cells.
+    /// One of the objects that were always there: a volume's lie on a few shards.
     fn base(&mut self, v: usize) -> Handle {
-        let cells = self.cells();
-        let cell = cells[(v * 7 + self.rng.random_range(0..3)) % cells.len()];
-        Handle { cell, object: self.rng.random_range(0..50) }
+        let shards = self.shards();
+        let shard = shards[(v * 7 + self.rng.random_range(0..3)) % shards.len()];
+        Handle { shard, object: self.rng.random_range(0..50) }
     }
 
     fn tally(&mut self, t: &Try) -> &mut Tally {
-        let (stream_type, plan) = (&self.d.stream_types[t.stream_type].name, &self.d.plans[t.plan].name);
-        self.tallies.entry((stream_type.clone(), plan.clone())).or_default()
+        let (request_class, plan) =
+            (&self.d.request_classes[t.request_class].name, &self.d.plans[t.plan].name);
+        self.tallies.entry((request_class.clone(), plan.clone())).or_default()
     }
 
     fn send(&mut self, mut t: Try, now: Instant) {
         let link = self.by_host[t.host].and_then(|l| self.links.get(&l));
-        t.submit.ttl_us = t.expiry.duration_since(now).as_micros() as i64;
+        t.submit.timeout_us = t.deadline.duration_since(now).as_micros() as i64;
         let frame = Frame::from(t.submit.clone()).with_body(t.body.clone());
         if link.is_some_and(|(_, l)| l.send(frame).is_ok()) {
             self.open.insert((t.host, t.submit.id), t);
@@ -320,19 +334,19 @@
     /// Another try, if one is left and there is time; `safe`: nothing of this one ran.
     fn again(&mut self, mut t: Try, wait: Duration, safe: bool) {
         let at = Instant::now() + wait;
-        let effect = self.d.stream_types[t.stream_type].decisions.effect;
+        let idempotency = self.d.request_classes[t.request_class].decisions.idempotency;
         let known = t.submit.handle.is_some();
         let may = safe
-            || match effect {
-                Effect::Repeatable => true,
+            || match idempotency {
+                Idempotency::Idempotent => true,
                 // Another host would put a new object elsewhere, where its mark is not known.
-                Effect::Keyed { group, window } => {
+                Idempotency::WithKey { group, window } => {
                     let within = t.began.elapsed() + wait < Duration::from_micros(window.micros() as u64);
-                    within && (group == Group::All || known)
+                    within && (group == IdempotencyScope::All || known)
                 }
-                Effect::Unrepeatable => false,
+                Idempotency::NonIdempotent => false,
             };
-        if !may || t.submit.repeat + 1 >= self.load.tries || at >= t.expiry {
+        if !may || t.submit.repeat + 1 >= self.load.tries || at >= t.deadline {
             self.tally(&t).unanswered += u64::from(!safe);
             return;
         }
@@ -357,7 +371,7 @@
             if at <= now { self.send(t, now) } else { rest.push((at, t)) }
         }
         self.later.append(&mut rest);
-        let gone: Vec<_> = self.open.iter().filter(|(_, t)| t.expiry <= now).map(|(k, _)| *k).collect();
+        let gone: Vec<_> = self.open.iter().filter(|(_, t)| t.deadline <= now).map(|(k, _)| *k).collect();
         for key in gone {
             if let Some(t) = self.open.remove(&key) {
                 self.tally(&t).unanswered += 1;
@@ -393,13 +407,13 @@
                     return;
                 };
                 match Outcome::try_from(a.outcome) {
-                    Ok(Outcome::Done) => self.done(t, a, frame.body, now),
-                    Ok(Outcome::Deferred) => {
-                        self.tally(&t).deferred += 1;
-                        let wait = Duration::from_micros(a.come_back_us.max(20_000) as u64);
+                    Ok(Outcome::Succeeded) => self.done(t, a, frame.body, now),
+                    Ok(Outcome::Rejected) => {
+                        self.tally(&t).rejected += 1;
+                        let wait = Duration::from_micros(a.retry_after_us.max(20_000) as u64);
                         self.again(t, wait, true);
                     }
-                    _ => self.tally(&t).abandoned += 1,
+                    _ => self.tally(&t).failed += 1,
                 }
             }
             Message::NotTaken(n) => {
@@ -413,9 +427,9 @@
     }
 
     fn done(&mut self, t: Try, a: Answer, body: Bytes, now: Instant) {
-        let in_time = now <= t.slo_end;
-        let write = self.d.stream_types[t.stream_type].write;
-        let in_order = self.d.stream_types[t.stream_type].decisions.in_order;
+        let in_time = now <= t.objective_deadline;
+        let write = self.d.request_classes[t.request_class].write;
+        let in_order = self.d.request_classes[t.request_class].decisions.in_order;
         let mut right = true;
         if write {
             let handle = a.handle.unwrap_or_default();
@@ -440,8 +454,8 @@
         let tally = self.tally(&t);
         tally.wrong_bytes += u64::from(!right);
         if in_time {
-            tally.in_slo_time += 1;
-            tally.units_in_slo_time += t.submit.units;
+            tally.in_latency_objective += 1;
+            tally.units_in_latency_objective += t.submit.units;
         } else {
             tally.late += 1;
         }
--- a/crates/standin/src/list.rs
+++ b/crates/simulator/src/discovery.rs
@@ -1,8 +1,8 @@
 //! The list service: knows which processes run, tells it late to those who watch, and can be out of reach.
 
-use gullsail_interface::Span;
-use gullsail_links::{Happened, Link};
+use gullsail_connections::{Happened, Link};
 use gullsail_protocol::*;
+use gullsail_scheduler_api::Span;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -11,20 +11,20 @@
 use tokio::time::Instant;
 
 /// An entry, when its node started (as far as known), and when the list may tell of it.
-type Known = (ListEntry, Option<Instant>);
+type Known = (ListedEndpoint, Option<Instant>);
 
 struct List {
     entries: BTreeMap<String, Known>,
     version: u64,
     watchers: BTreeSet<u64>,
     links: BTreeMap<u64, Link>,
-    coming: VecDeque<(Instant, Vec<ListEntry>)>,
+    coming: VecDeque<(Instant, Vec<ListedEndpoint>)>,
     late: Duration,
     down_until: Instant,
 }
 
 /// Serves until its task is dropped.
-pub async fn serve(entries: Vec<ListEntry>, late: Span, listener: TcpListener) {
+pub async fn serve(entries: Vec<ListedEndpoint>, late: Span, listener: TcpListener) {
     let (sink, mut inbox) = mpsc::channel(1024);
     let (mut tasks, mut last_link) = (JoinSet::new(), 0);
     let mut list = List {
@@ -66,7 +66,7 @@
 }
 
 impl List {
-    fn learn(&mut self, entries: Vec<ListEntry>) {
+    fn learn(&mut self, entries: Vec<ListedEndpoint>) {
         let now = Instant::now();
         for e in entries {
             let age = Duration::from_micros(e.age_us.max(0) as u64);
@@ -75,18 +75,18 @@
         }
     }
 
-    fn entry(&self, name: &str) -> Option<ListEntry> {
+    fn entry(&self, name: &str) -> Option<ListedEndpoint> {
         let (e, started) = self.entries.get(name)?;
         let age_us = started.map_or(0, |s| s.elapsed().as_micros() as i64);
-        Some(ListEntry { age_us, ..e.clone() })
+        Some(ListedEndpoint { age_us, ..e.clone() })
     }
 
-    fn tell(&mut self, entries: Vec<ListEntry>) {
+    fn tell(&mut self, entries: Vec<ListedEndpoint>) {
         let names: Vec<_> = entries.iter().map(|e| e.name.clone()).collect();
         self.learn(entries);
         self.version += 1;
         let entries = names.iter().filter_map(|n| self.entry(n)).collect();
-        let news = Frame::from(ListNews { version: self.version, whole: false, entries });
+        let news = Frame::from(EndpointListUpdate { version: self.version, whole: false, entries });
         for link in self.watchers.iter().filter_map(|w| self.links.get(w)) {
             let _ = link.send(news.clone());
         }
@@ -95,21 +95,25 @@
     fn hear(&mut self, link: u64, frame: Frame) {
         let down = Instant::now() < self.down_until;
         match frame.message {
-            Message::ListAsk(_) if down => {
-                let refused = ListRefused { reason: "out of reach".into() };
+            Message::EndpointListQuery(_) if down => {
+                let refused = EndpointListRefused { reason: "out of reach".into() };
                 if let Some(l) = self.links.get(&link) {
                     let _ = l.send(Frame::from(refused));
                 }
             }
-            Message::ListAsk(ask) => {
-                let gone = ListStanding::Gone as i32;
-                let names = self.entries.values().filter(|e| e.0.standing != gone).map(|e| e.0.name.clone());
+            Message::EndpointListQuery(ask) => {
+                let gone = ListedState::Gone as i32;
+                let names = self.entries.values().filter(|e| e.0.state != gone).map(|e| e.0.name.clone());
                 let entries = names.collect::<Vec<_>>().iter().filter_map(|n| self.entry(n)).collect();
                 if ask.watch {
                     self.watchers.insert(link);
                 }
                 if let Some(l) = self.links.get(&link) {
-                    let _ = l.send(Frame::from(ListNews { version: self.version, whole: true, entries }));
+                    let _ = l.send(Frame::from(EndpointListUpdate {
+                        version: self.version,
+                        whole: true,
+                        entries,
+                    }));
                 }
             }
             Message::Order(o) if o.what == "refuse" => {
--- a/crates/standin/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -1,19 +1,19 @@
 //! Stand-ins for what a host has around it: [`node`] (with its [`model`]), [`list`], [`client`], a baseline in place of the host ([`naive`]), and [`relay`],
 //! which stands on a socket, records each frame and disturbs it as it is told. None of them knows the host.
 
+pub mod baseline;
 pub mod client;
-pub mod list;
-pub mod model;
-pub mod naive;
+pub mod discovery;
 pub mod node;
-pub mod relay;
+pub mod node_model;
+pub mod recording_proxy;
 
 use bytes::Bytes;
 use gullsail_protocol::Handle;
 use rand::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Objects with numbers below this were there before any node started: each node of their cell has them.
+/// Objects with numbers below this were there before any node started: each node of their shard has them.
 pub const BASE_OBJECTS: u64 = 1 << 32;
 
 /// The bytes that belong to a seed: whoever knows it can tell whether they are the right ones.
@@ -25,5 +25,5 @@
 
 /// What an object that was always there holds.
 pub fn base_content(handle: Handle) -> Bytes {
-    content(handle.object ^ ((handle.cell as u64) << 40), 200 + (handle.object % 16) as usize * 100)
+    content(handle.object ^ ((handle.shard as u64) << 40), 200 + (handle.object % 16) as usize * 100)
 }
--- a/crates/standin/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -1,13 +1,13 @@
 //! A storage node on a socket: the model decides how long things take, this keeps objects and marks and speaks
 //! the frames. It runs until its task is dropped, or until it falls over.
 
-use crate::model::{Arrival, Model};
+use crate::node_model::{Arrival, Model};
 use crate::{BASE_OBJECTS, base_content};
 use bytes::Bytes;
-use gullsail_configuration::Machine;
-use gullsail_interface::{ColdStart, Instant, Span};
-use gullsail_links::{Happened, Link};
+use gullsail_configuration::Server;
+use gullsail_connections::{Happened, Link};
 use gullsail_protocol::*;
+use gullsail_scheduler_api::{Instant, SlowStart, Span};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -19,11 +19,11 @@
 /// Marks are kept this long, and no shorter than any stated window.
 const MARKS_KEPT: Span = Span::from_micros(600_000_000);
 
-pub struct NodeLife {
+pub struct NodeProcess {
     pub name: String,
-    pub cell: i64,
-    pub machine: Machine,
-    pub cold: ColdStart,
+    pub shard: i64,
+    pub server: Server,
+    pub slow_start: SlowStart,
     pub incarnation: u64,
     /// How long it is taken to be up already.
     pub age: Span,
@@ -31,34 +31,34 @@
 }
 
 struct Node {
-    life: NodeLife,
+    process: NodeProcess,
     model: Model,
     links: BTreeMap<u64, Link>,
-    legs: BTreeMap<u64, (u64, Leg, Bytes)>,
+    attempts: BTreeMap<u64, (u64, Attempt, Bytes)>,
     objects: BTreeMap<u64, Bytes>,
     marks: BTreeMap<String, (Instant, Handle)>,
     rng: ChaCha8Rng,
     fail: f64,
-    /// This part of a stream type's transfers costs so many times their usual work.
+    /// This part of a request class's requests costs so many times their usual work.
     costly: Option<(String, f64, f64)>,
     troubles: Vec<(Instant, &'static str)>,
 }
 
 /// Serves on the listener; returns when the node has fallen over.
-pub async fn serve(life: NodeLife, listener: TcpListener) {
+pub async fn serve(process: NodeProcess, listener: TcpListener) {
     let began = tokio::time::Instant::now();
     let now = || Instant::from_micros(began.elapsed().as_micros() as i64);
-    let mut rng = ChaCha8Rng::seed_from_u64(life.incarnation);
-    let born = now() - life.age;
+    let mut rng = ChaCha8Rng::seed_from_u64(process.incarnation);
+    let born = now() - process.age;
     let model = ChaCha8Rng::seed_from_u64(rng.random());
-    let model = Model::new(life.machine.clone(), life.cold, born, now(), model);
+    let model = Model::new(process.server.clone(), process.slow_start, born, now(), model);
     let (sink, mut inbox) = mpsc::channel(1024);
     let mut tasks = JoinSet::new();
     let mut n = Node {
-        life,
+        process,
         model,
         links: BTreeMap::new(),
-        legs: BTreeMap::new(),
+        attempts: BTreeMap::new(),
         objects: BTreeMap::new(),
         marks: BTreeMap::new(),
         rng,
@@ -66,7 +66,7 @@
         costly: None,
         troubles: Vec::new(),
     };
-    let (mut last_link, mut last_leg) = (0, 0);
+    let (mut last_link, mut last_attempt) = (0, 0);
     loop {
         for id in n.model.advance(now()) {
             n.finish(id, now());
@@ -77,22 +77,22 @@
         tokio::select! {
             came = listener.accept() => if let Ok((stream, _)) = came {
                 last_link += 1;
-                let link = Link::open(stream, last_link, n.life.bounds, 16_384, &sink, &mut tasks);
+                let link = Link::open(stream, last_link, n.process.bounds, 16_384, &sink, &mut tasks);
                 let age_us = (now() - born).micros();
                 let _ = link.send(Frame::from(Hello {
                     role: Role::Node as i32,
-                    name: n.life.name.clone(),
-                    incarnation: n.life.incarnation,
+                    name: n.process.name.clone(),
+                    incarnation: n.process.incarnation,
                     age_us,
-                    cell_plus_one: n.life.cell + 1,
+                    shard_plus_one: n.process.shard + 1,
                 }));
                 n.links.insert(last_link, link);
             },
             Some((link, happened)) = inbox.recv() => match happened {
                 Happened::Frame(frame) => {
-                    last_leg += 1;
-                    if n.hear(link, frame, last_leg, now()) {
-                        warn!(node = n.life.name, "cold, sent too much: fell over");
+                    last_attempt += 1;
+                    if n.hear(link, frame, last_attempt, now()) {
+                        warn!(node = n.process.name, "cold, sent too much: fell over");
                         return;
                     }
                 }
@@ -109,25 +109,32 @@
     /// `true`: it fell over.
     fn hear(&mut self, link: u64, frame: Frame, id: u64, now: Instant) -> bool {
         match frame.message {
-            Message::Leg(leg) => {
-                let costly = self.costly.as_ref().filter(|c| c.0.is_empty() || c.0 == leg.stream_type);
+            Message::Attempt(attempt) => {
+                let costly = self.costly.as_ref().filter(|c| c.0.is_empty() || c.0 == attempt.request_class);
                 let dear = costly.filter(|c| self.rng.random_bool(c.1)).map_or(1.0, |c| c.2);
-                match self.model.arrive(now, id, leg.units, leg.write, dear) {
-                    Arrival::Taken => _ = self.legs.insert(id, (link, leg, frame.body)),
+                match self.model.arrive(now, id, attempt.units, attempt.write, dear) {
+                    Arrival::Taken => _ = self.attempts.insert(id, (link, attempt, frame.body)),
                     Arrival::Full => {
-                        let result = LegResult::TurnedAway as i32;
+                        let result = AttemptResult::Rejected as i32;
                         self.send(
                             link,
-                            Frame::from(LegAnswer { leg: leg.leg, result, ..LegAnswer::default() }),
+                            Frame::from(AttemptAnswer {
+                                attempt: attempt.attempt,
+                                result,
+                                ..AttemptAnswer::default()
+                            }),
                         );
                     }
                     Arrival::FellOver => return true,
                 }
             }
             Message::Cancel(c) => {
-                let waits = self.legs.iter().find(|(_, (l, leg, _))| *l == link && leg.leg == c.leg);
+                let waits = self
+                    .attempts
+                    .iter()
+                    .find(|(_, (l, attempt, _))| *l == link && attempt.attempt == c.attempt);
                 if let Some(id) = waits.map(|(id, _)| *id).filter(|id| self.model.cancel(*id)) {
-                    self.legs.remove(&id);
+                    self.attempts.remove(&id);
                 }
             }
             Message::Probe(p) => {
@@ -142,7 +149,7 @@
 
     fn order(&mut self, o: &Order, now: Instant) {
         let lasts = Span::from_micros(o.lasts_us);
-        info!(node = self.life.name, what = o.what, size = o.size, ms = lasts.millis(), "trouble");
+        info!(node = self.process.name, what = o.what, size = o.size, ms = lasts.millis(), "trouble");
         match o.what.as_str() {
             "stall" => self.model.stall(now, lasts),
             "slow" => {
@@ -150,14 +157,14 @@
                 self.troubles.push((now + lasts, "slow"));
             }
             "costly" => {
-                self.costly = Some((o.stream_type.clone(), o.share.clamp(0.0, 1.0), o.size));
+                self.costly = Some((o.request_class.clone(), o.share.clamp(0.0, 1.0), o.size));
                 self.troubles.push((now + lasts, "costly"));
             }
             "fail" => {
                 self.fail = o.size;
                 self.troubles.push((now + lasts, "fail"));
             }
-            other => warn!(node = self.life.name, what = other, "a trouble that a node does not know"),
+            other => warn!(node = self.process.name, what = other, "a trouble that a node does not know"),
         }
     }
 
@@ -174,35 +181,43 @@
     }
 
     fn finish(&mut self, id: u64, now: Instant) {
-        let Some((link, leg, body)) = self.legs.remove(&id) else { return };
-        let answer = LegAnswer { leg: leg.leg, result: LegResult::Failed as i32, ..LegAnswer::default() };
+        let Some((link, attempt, body)) = self.attempts.remove(&id) else { return };
+        let answer = AttemptAnswer {
+            attempt: attempt.attempt,
+            result: AttemptResult::Failed as i32,
+            ..AttemptAnswer::default()
+        };
         if self.rng.random_bool(self.fail.clamp(0.0, 1.0)) {
             let reason = "told to fail".into();
-            return self.send(link, Frame::from(LegAnswer { reason, ..answer }));
+            return self.send(link, Frame::from(AttemptAnswer { reason, ..answer }));
         }
-        let done =
-            LegAnswer { result: LegResult::Done as i32, ran: true, handle: leg.handle, ..answer.clone() };
-        let cell = self.life.cell;
-        let frame = if leg.write {
+        let done = AttemptAnswer {
+            result: AttemptResult::Succeeded as i32,
+            ran: true,
+            handle: attempt.handle,
+            ..answer.clone()
+        };
+        let shard = self.process.shard;
+        let frame = if attempt.write {
             self.marks.retain(|_, m| now - m.0 < MARKS_KEPT);
-            if let Some((_, handle)) = self.marks.get(&leg.mark).filter(|_| !leg.mark.is_empty()) {
+            if let Some((_, handle)) = self.marks.get(&attempt.mark).filter(|_| !attempt.mark.is_empty()) {
                 // The repeat of one that took effect: the same answer, no second effect.
-                Frame::from(LegAnswer { ran: false, handle: Some(*handle), ..done })
+                Frame::from(AttemptAnswer { ran: false, handle: Some(*handle), ..done })
             } else {
-                let new = || Handle { cell, object: BASE_OBJECTS + self.rng.random_range(0..u64::MAX / 2) };
-                let handle = leg.handle.unwrap_or_else(new);
+                let new = || Handle { shard, object: BASE_OBJECTS + self.rng.random_range(0..u64::MAX / 2) };
+                let handle = attempt.handle.unwrap_or_else(new);
                 self.objects.insert(handle.object, body);
-                self.marks.insert(leg.mark, (now, handle));
-                Frame::from(LegAnswer { handle: Some(handle), ..done })
+                self.marks.insert(attempt.mark, (now, handle));
+                Frame::from(AttemptAnswer { handle: Some(handle), ..done })
             }
         } else {
-            let found = leg.handle.filter(|h| h.cell == cell).and_then(|h| {
+            let found = attempt.handle.filter(|h| h.shard == shard).and_then(|h| {
                 let written = self.objects.get(&h.object).cloned();
                 written.or_else(|| (h.object < BASE_OBJECTS).then(|| base_content(h)))
             });
             match found {
                 Some(bytes) => Frame::from(done).with_body(bytes),
-                None => Frame::from(LegAnswer { reason: "no such object here".into(), ..answer }),
+                None => Frame::from(AttemptAnswer { reason: "no such object here".into(), ..answer }),
             }
         };
         self.send(link, frame);
@@ -211,7 +226,7 @@
     fn send(&self, link: u64, frame: Frame) {
         // A link that is gone, or takes nothing, loses its answers: so do real ones.
         if self.links.get(&link).is_some_and(|l| l.send(frame).is_err()) {
-            warn!(node = self.life.name, "an answer could not be sent");
+            warn!(node = self.process.name, "an answer could not be sent");
         }
     }
 }
