--- a/crates/standin/src/model.rs
+++ b/crates/simulator/src/node_model.rs
@@ -1,8 +1,8 @@
 //! A storage node as a model in given time: cores, a queue, pauses, work that is put off, a cold start from
-//! which it may be pushed over. No socket, no clock; the figures come from the document's `machine`.
+//! which it may be pushed over. No socket, no clock; the figures come from the document's `server`.
 
-use gullsail_configuration::Machine;
-use gullsail_interface::{ColdStart, Instant, Span};
+use gullsail_configuration::Server;
+use gullsail_scheduler_api::{Instant, SlowStart, Span};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Gamma};
@@ -13,7 +13,7 @@
     Taken,
     /// The queue is full: turned away unseen.
     Full,
-    /// It was cold, has been sent too much, and fell over for good.
+    /// It was slow_start, has been sent too much, and fell over for good.
     FellOver,
 }
 
@@ -25,8 +25,8 @@
 }
 
 pub struct Model {
-    machine: Machine,
-    cold: ColdStart,
+    server: Server,
+    slow_start: SlowStart,
     born: Instant,
     waiting: VecDeque<Work>,
     running: BTreeMap<u64, Instant>,
@@ -43,12 +43,18 @@
 
 impl Model {
     /// `born` may lie before the model's time: then it is warm already.
-    pub fn new(machine: Machine, cold: ColdStart, born: Instant, now: Instant, mut rng: ChaCha8Rng) -> Model {
-        let next_pause = now + machine.pause_every.times(rng.random_range(0.3..1.3));
+    pub fn new(
+        server: Server,
+        slow_start: SlowStart,
+        born: Instant,
+        now: Instant,
+        mut rng: ChaCha8Rng,
+    ) -> Model {
+        let next_pause = now + server.pause_every.times(rng.random_range(0.3..1.3));
         Model {
-            next_flush: now + machine.flush_every,
+            next_flush: now + server.flush_every,
             next_pause,
-            cold,
+            slow_start,
             born,
             waiting: VecDeque::new(),
             running: BTreeMap::new(),
@@ -58,24 +64,25 @@
             sent: VecDeque::new(),
             fallen: false,
             rng,
-            machine,
+            server,
         }
     }
 
     /// The part of its capacity that it has now.
     fn speed(&self, now: Instant) -> f64 {
         let age = (now - self.born).secs().max(0.0);
-        let ramp = self.cold.ramp.secs().max(1e-9);
-        let part = self.cold.first_part + (1.0 - self.cold.first_part) * (age / ramp).min(1.0);
+        let ramp = self.slow_start.ramp.secs().max(1e-9);
+        let part = self.slow_start.initial_fraction
+            + (1.0 - self.slow_start.initial_fraction) * (age / ramp).min(1.0);
         part.max(0.01) / self.slow
     }
 
     /// Units that a cold node bears within the rule's window: what is borne in any case, or some times what it
     /// can do now.
     fn bears(&self, now: Instant) -> f64 {
-        let a_second = self.machine.can();
-        let can = a_second * self.speed(now) * self.cold.window.secs();
-        self.cold.units.max(self.machine.falls_over * can)
+        let a_second = self.server.can();
+        let can = a_second * self.speed(now) * self.slow_start.window.secs();
+        self.slow_start.units.max(self.server.falls_over * can)
     }
 
     /// `dear` times as much work as its units say.
@@ -83,21 +90,21 @@
         if self.fallen {
             return Arrival::FellOver;
         }
-        if now - self.born < self.cold.ramp {
+        if now - self.born < self.slow_start.ramp {
             self.sent.push_back((now, units));
-            while self.sent.pop_front_if(|s| now - s.0 > self.cold.window).is_some() {}
+            while self.sent.pop_front_if(|s| now - s.0 > self.slow_start.window).is_some() {}
             if self.sent.iter().map(|s| s.1).sum::<f64>() > self.bears(now) {
                 self.fallen = true;
                 return Arrival::FellOver;
             }
         }
-        if self.waiting.len() >= self.machine.queue as usize {
+        if self.waiting.len() >= self.server.queue as usize {
             return Arrival::Full;
         }
         // Times are skewed, as of disks: a gamma distribution with a mean of one.
         let skew = Gamma::new(4.0, 0.25).map_or(1.0, |g| g.sample(&mut self.rng));
-        let secs = units * self.machine.unit.secs() * skew * dear;
-        let put_off = if write { secs * self.machine.put_off } else { 0.0 };
+        let secs = units * self.server.unit.secs() * skew * dear;
+        let put_off = if write { secs * self.server.put_off } else { 0.0 };
         self.waiting.push_back(Work { id, secs: secs - put_off, put_off });
         self.begin(now);
         Arrival::Taken
@@ -125,7 +132,7 @@
     }
 
     fn begin(&mut self, now: Instant) {
-        while self.running.len() < self.machine.cores as usize {
+        while self.running.len() < self.server.cores as usize {
             let Some(w) = self.waiting.pop_front() else { return };
             self.debt += w.put_off;
             let lasts = Span::from_millis(w.secs / self.speed(now) * 1e3);
@@ -135,14 +142,14 @@
 
     /// What is finished by now, in order.
     pub fn advance(&mut self, now: Instant) -> Vec<u64> {
-        if now >= self.next_pause && self.machine.pause > Span::ZERO {
-            self.stall(now, self.machine.pause);
-            self.next_pause = now + self.machine.pause_every.times(self.rng.random_range(0.5..1.5));
+        if now >= self.next_pause && self.server.pause > Span::ZERO {
+            self.stall(now, self.server.pause);
+            self.next_pause = now + self.server.pause_every.times(self.rng.random_range(0.5..1.5));
         }
         if now >= self.next_flush {
-            let all = std::mem::take(&mut self.debt) / f64::from(self.machine.cores) / self.speed(now);
+            let all = std::mem::take(&mut self.debt) / f64::from(self.server.cores) / self.speed(now);
             self.stall(now, Span::from_millis(all * 1e3));
-            self.next_flush = now + self.machine.flush_every;
+            self.next_flush = now + self.server.flush_every;
         }
         let mut done: Vec<_> = self.running.iter().filter(|r| *r.1 <= now).map(|r| (*r.1, *r.0)).collect();
         done.sort();
@@ -153,7 +160,7 @@
 
     pub fn next(&self) -> Instant {
         let first = self.running.values().min().copied().unwrap_or(self.next_flush);
-        let pause = if self.machine.pause > Span::ZERO { self.next_pause } else { self.next_flush };
+        let pause = if self.server.pause > Span::ZERO { self.next_pause } else { self.next_flush };
         first.min(self.next_flush).min(pause)
     }
 
--- a/crates/standin/src/relay.rs
+++ b/crates/simulator/src/recording_proxy.rs
@@ -2,9 +2,9 @@
 //! with its time and passes it on, or does to it what it was told: delays, drops, cuts, half-closes, swaps
 //! peer messages, turns answers into errors.
 
-use gullsail_links::{Happened, Link};
-use gullsail_protocol::record::{Entry, Fate, Life, What};
-use gullsail_protocol::{Bounds, Frame, LegAnswer, LegResult, Message};
+use gullsail_connections::{Happened, Link};
+use gullsail_protocol::record::{Delivery, Entry, ProcessEvent, What};
+use gullsail_protocol::{AttemptAnswer, AttemptResult, Bounds, Frame, Message};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
@@ -29,15 +29,15 @@
 pub enum Harm {
     /// Frames take so much longer.
     Delay(Duration),
-    /// Labels between hosts are lost, this part of them.
+    /// Demand reports between hosts are lost, this part of them.
     LoseLabels(f64),
-    /// Two labels in a row change places.
+    /// Two demand reports in a row change places.
     SwapLabels,
     /// New connections end at once.
     Refuse,
     /// New connections are accepted and nothing comes of them.
     Silent,
-    /// This part of the legs' answers become errors.
+    /// This part of the attempts' answers become errors.
     Errors(f64),
     /// This part of the frames is lost, with no sign of it.
     Lose(f64),
@@ -104,8 +104,8 @@
     }
 
     /// `at` 0: it was there before the run began.
-    pub fn process(&self, name: &str, at: i64, life: Life) {
-        let what = What::Process { life };
+    pub fn process(&self, name: &str, at: i64, incarnation: ProcessEvent) {
+        let what = What::Process { event: incarnation };
         self.record(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
     }
 
@@ -139,7 +139,7 @@
     }
 }
 
-/// Listens for those who want to reach `name` and passes them on to wherever `target` says it lives now; runs
+/// Listens for those who want to reach `name` and passes them on to wherever `target` says it incarnations now; runs
 /// until its task is dropped.
 pub async fn relay(
     wire: Arc<Wire>,
@@ -257,42 +257,42 @@
     }
     drop((dialler, target));
     let all = async { while tasks.join_next().await.is_some() {} };
-    let _ = tokio::time::timeout(gullsail_links::LINGER * 2, all).await;
+    let _ = tokio::time::timeout(gullsail_connections::LINGER * 2, all).await;
 }
 
 /// Puts a frame on its way as the disturbances have it; `false`: the connection breaks.
 fn enter(wire: &Wire, way: &mut Way, link: u64, from: &str, to: &str, mut frame: Frame) -> bool {
-    let (at, mut due, mut fate) = (wire.now(), Instant::now(), Fate::Passed);
-    let is_label = matches!(frame.message, Message::Label(_));
-    let between_hosts = is_label || matches!(frame.message, Message::Reached(_) | Message::FleetNote(_));
-    let entry = |fate, frame: &Frame| {
-        let what = What::Frame { message: frame.message.clone(), body: frame.body.len(), fate };
+    let (at, mut due, mut delivery) = (wire.now(), Instant::now(), Delivery::Passed);
+    let is_label = matches!(frame.message, Message::DemandReport(_));
+    let between_hosts = is_label || matches!(frame.message, Message::Reached(_) | Message::FleetMessage(_));
+    let entry = |delivery, frame: &Frame| {
+        let what = What::Frame { message: frame.message.clone(), body: frame.body.len(), delivery };
         Entry { at, out: at, link, from: from.into(), to: to.into(), what }
     };
     let (mut swap, mut ends, mut twice) = (false, false, false);
     if way.ended {
-        wire.record(entry(Fate::Dropped, &frame));
+        wire.record(entry(Delivery::Dropped, &frame));
         return true;
     }
     for harm in wire.harms(from, to) {
         match harm {
             Harm::Delay(by) => due += by,
-            Harm::Lose(part) if wire.chance(part) => fate = Fate::Dropped,
+            Harm::Lose(part) if wire.chance(part) => delivery = Delivery::Dropped,
             Harm::HalfClose(part) if wire.chance(part) => ends = true,
-            Harm::LoseLabels(part) if is_label && wire.chance(part) => fate = Fate::Dropped,
+            Harm::LoseLabels(part) if is_label && wire.chance(part) => delivery = Delivery::Dropped,
             Harm::SwapLabels if is_label => swap = true,
             Harm::Reset(part) if wire.chance(part) => return false,
             Harm::Repeat(part) if between_hosts && wire.chance(part) => twice = true,
             Harm::Errors(part) => {
-                if let Message::LegAnswer(a) = &frame.message
-                    && a.result == LegResult::Done as i32
+                if let Message::AttemptAnswer(a) = &frame.message
+                    && a.result == AttemptResult::Succeeded as i32
                     && wire.chance(part)
                 {
-                    fate = Fate::Altered;
-                    let result = LegResult::Failed as i32;
+                    delivery = Delivery::Altered;
+                    let result = AttemptResult::Failed as i32;
                     let reason = "turned into an error on the way".into();
-                    let altered = LegAnswer { result, reason, handle: None, ..a.clone() };
-                    wire.record(entry(fate, &frame));
+                    let altered = AttemptAnswer { result, reason, handle: None, ..a.clone() };
+                    wire.record(entry(delivery, &frame));
                     frame = Frame::from(altered);
                 }
             }
@@ -302,11 +302,11 @@
     way.ended = ends;
     // Order holds within a connection, whatever the delay of each frame.
     due = way.queue.back().map_or(due, |last| due.max(last.0));
-    match fate {
-        Fate::Dropped => wire.record(entry(fate, &frame)),
-        _ if swap && way.held.is_none() => way.held = Some((entry(Fate::Passed, &frame), frame)),
+    match delivery {
+        Delivery::Dropped => wire.record(entry(delivery, &frame)),
+        _ if swap && way.held.is_none() => way.held = Some((entry(Delivery::Passed, &frame), frame)),
         _ => {
-            let passed = entry(Fate::Passed, &frame);
+            let passed = entry(Delivery::Passed, &frame);
             if twice {
                 way.queue.push_back((due, passed.clone(), frame.clone()));
             }
--- a/crates/timing/src/clock.rs
+++ b/crates/timers/src/clock.rs
@@ -1,6 +1,6 @@
 //! The clock of a running host.
 
-use gullsail_interface::{Instant, Span};
+use gullsail_scheduler_api::{Instant, Span};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Runs from the wall clock at its start and never back: a machine's clock that is set while the host runs
--- a/crates/timing/src/lib.rs
+++ b/crates/timers/src/lib.rs
@@ -1,7 +1,7 @@
 //! Shared by the hosts: what is due when ([`Timers`]), and a clock that never runs back ([`HostClock`]).
 
 mod clock;
-mod due;
+mod timer_queue;
 
 pub use clock::HostClock;
-pub use due::Timers;
+pub use timer_queue::Timers;
--- a/crates/timing/src/due.rs
+++ b/crates/timers/src/timer_queue.rs
@@ -1,8 +1,8 @@
-//! What is due when. Timers are many (several for each transfer) and mostly outlived by what they were for, so
+//! What is due when. Timers are many (several for each request) and mostly outlived by what they were for, so
 //! they are kept in buckets of a millisecond: setting one is a look-up among some thousands of buckets, not
 //! among all timers. None comes early; each comes at most a millisecond late.
 
-use gullsail_interface::Instant;
+use gullsail_scheduler_api::Instant;
 use std::collections::BTreeMap;
 
 /// A driver's own timer is no finer.
--- a/crates/zones/src/account.rs
+++ b/crates/zone-traffic/src/ledger.rs
@@ -1,8 +1,8 @@
-//! Bytes and frames that went from zone to zone, by plan, volume, stream type and reason. Each host counts what it
+//! Bytes and frames that went from zone to zone, by plan, volume, request class and reason. Each host counts what it
 //! sends and what it is sent, so each frame between a host and a node is counted once, at the host; what peers say
 //! to each other is counted by who sends it.
 
-use gullsail_interface::{Instant, PlanId, Span, StreamTypeId, VolumeId, ZoneId};
+use gullsail_scheduler_api::{Instant, PlanId, RequestClassId, Span, VolumeId, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -14,7 +14,7 @@
     Bound,
     /// A new object was placed there.
     Placed,
-    /// A leg after a transfer's first.
+    /// A attempt after a request's first.
     Further,
     /// Hosts speak to each other, and to nodes about themselves.
     Peers,
@@ -26,15 +26,15 @@
     pub from: ZoneId,
     pub to: ZoneId,
     pub reason: Reason,
-    /// Of a transfer; `None` where there is none.
-    pub of: Option<(PlanId, VolumeId, StreamTypeId)>,
+    /// Of a request; `None` where there is none.
+    pub of: Option<(PlanId, VolumeId, RequestClassId)>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Total {
     pub frames: u64,
     pub bytes: u64,
-    /// Of these, such as no client had anything of: of legs that did not end its transfer.
+    /// Of these, such as no client had anything of: of attempts that did not end its request.
     pub for_nothing: u64,
 }
 
@@ -53,7 +53,7 @@
 const TOTALS: usize = 16_384;
 const SPANS: usize = 720;
 
-/// The account of one life of a host. What it holds is lost with that life; what was read before is not.
+/// The account of one incarnation of a host. What it holds is lost with that incarnation; what was read before is not.
 #[derive(Debug)]
 pub struct Account {
     /// How long one bucket is.
@@ -98,7 +98,7 @@
         }
     }
 
-    /// What crossed since a point in time, as far as it is kept; the whole of this life where it is `None`.
+    /// What crossed since a point in time, as far as it is kept; the whole of this incarnation where it is `None`.
     pub fn since(&self, from: Option<Instant>) -> BTreeMap<Flow, Total> {
         let mut all = if from.is_none() { self.before.clone() } else { BTreeMap::new() };
         for (_, bucket) in self.buckets.iter().filter(|b| from.is_none_or(|from| b.0 + self.every > from)) {
--- a/crates/zones/src/breaches.rs
+++ b/crates/zone-traffic/src/overruns.rs
@@ -1,22 +1,22 @@
 //! What went past a budget, and why, as it was known when it was decided. Bytes that follow each other for the same
 //! cause are one breach with its interval.
 
-use gullsail::fading::Fading;
-use gullsail_interface::{Cause, Instant, PlanId, Span, VolumeId};
+use gullsail::decaying_sum::DecayingSum;
+use gullsail_scheduler_api::{Instant, OverrunCause, PlanId, Span, VolumeId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// What was known when bytes went past a budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Known {
     /// The decisions' own word.
-    Decided(Cause),
+    Decided(OverrunCause),
     /// Bound to its data, while this plan crossed far more than it used to.
     Surge(PlanId),
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Breach {
-    pub crossing: VolumeId,
+    pub cross_zone_budget: VolumeId,
     pub known: Known,
     pub from: Instant,
     pub to: Instant,
@@ -36,7 +36,7 @@
 pub struct Breaches {
     all: VecDeque<Breach>,
     /// What each plan had cross, lately and usually.
-    plans: BTreeMap<PlanId, (Fading, Fading)>,
+    plans: BTreeMap<PlanId, (DecayingSum, DecayingSum)>,
     began: Option<Instant>,
 }
 
@@ -65,12 +65,14 @@
     }
 
     /// Bytes went past a budget.
-    pub fn past(&mut self, now: Instant, crossing: VolumeId, bytes: f64, cause: Cause) {
+    pub fn past(&mut self, now: Instant, cross_zone_budget: VolumeId, bytes: f64, cause: OverrunCause) {
         let known = match (cause, self.surge(now)) {
-            (Cause::Bound, Some(plan)) => Known::Surge(plan),
+            (OverrunCause::DataPlacement, Some(plan)) => Known::Surge(plan),
             _ => Known::Decided(cause),
         };
-        let same = |b: &&mut Breach| b.crossing == crossing && b.known == known && now - b.to <= APART;
+        let same = |b: &&mut Breach| {
+            b.cross_zone_budget == cross_zone_budget && b.known == known && now - b.to <= APART
+        };
         if let Some(b) = self.all.iter_mut().rev().take(16).find(same) {
             (b.to, b.bytes) = (b.to.max(now), b.bytes + bytes);
             return;
@@ -78,7 +80,7 @@
         if self.all.len() == KEPT {
             self.all.pop_front();
         }
-        self.all.push_back(Breach { crossing, known, from: now, to: now, bytes });
+        self.all.push_back(Breach { cross_zone_budget, known, from: now, to: now, bytes });
     }
 
     /// How much is kept.
--- a/crates/zones/tests/account.rs
+++ b/crates/zone-traffic/tests/account.rs
@@ -1,7 +1,7 @@
 //! The account equals what was counted into it, whatever comes, within its memory; breaches keep their causes.
 
-use gullsail_interface::*;
-use gullsail_zones::*;
+use gullsail_scheduler_api::*;
+use gullsail_zone_traffic::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
@@ -16,7 +16,7 @@
         from: ZoneId(from),
         to: ZoneId(to),
         reason,
-        of: Some((PlanId(0), VolumeId(volume), StreamTypeId(0))),
+        of: Some((PlanId(0), VolumeId(volume), RequestClassId(0))),
     }
 }
 
@@ -74,13 +74,33 @@
 fn breaches_have_their_causes_and_intervals() {
     // what crosses each 100 ms, by plan, in ten minutes and in the ten seconds after; what is decided; what is known
     let cases = [
-        ([100.0, 100.0], [100.0, 100.0], Cause::Bound, Known::Decided(Cause::Bound)),
-        ([100.0, 100.0], [900.0, 100.0], Cause::Bound, Known::Surge(PlanId(0))),
-        ([100.0, 100.0], [100.0, 900.0], Cause::Bound, Known::Surge(PlanId(1))),
-        ([100.0, 100.0], [900.0, 900.0], Cause::Bound, Known::Decided(Cause::Bound)),
-        ([100.0, 0.0], [120.0, 0.0], Cause::Bound, Known::Decided(Cause::Bound)),
-        ([100.0, 100.0], [900.0, 100.0], Cause::Drained, Known::Decided(Cause::Drained)),
-        ([100.0, 100.0], [900.0, 100.0], Cause::Further, Known::Decided(Cause::Further)),
+        (
+            [100.0, 100.0],
+            [100.0, 100.0],
+            OverrunCause::DataPlacement,
+            Known::Decided(OverrunCause::DataPlacement),
+        ),
+        ([100.0, 100.0], [900.0, 100.0], OverrunCause::DataPlacement, Known::Surge(PlanId(0))),
+        ([100.0, 100.0], [100.0, 900.0], OverrunCause::DataPlacement, Known::Surge(PlanId(1))),
+        (
+            [100.0, 100.0],
+            [900.0, 900.0],
+            OverrunCause::DataPlacement,
+            Known::Decided(OverrunCause::DataPlacement),
+        ),
+        (
+            [100.0, 0.0],
+            [120.0, 0.0],
+            OverrunCause::DataPlacement,
+            Known::Decided(OverrunCause::DataPlacement),
+        ),
+        (
+            [100.0, 100.0],
+            [900.0, 100.0],
+            OverrunCause::NoLocalNode,
+            Known::Decided(OverrunCause::NoLocalNode),
+        ),
+        ([100.0, 100.0], [900.0, 100.0], OverrunCause::Retry, Known::Decided(OverrunCause::Retry)),
     ];
     for (usually, lately, cause, known) in cases {
         let mut b = Breaches::default();
@@ -91,9 +111,9 @@
         b.past(at(610_000), VolumeId(9), 50.0, cause);
         b.past(at(611_000), VolumeId(9), 30.0, cause);
         b.past(at(611_000), VolumeId(8), 30.0, cause);
-        b.past(at(640_000), VolumeId(9), 30.0, Cause::Silent);
-        let all: Vec<_> = b.all().map(|b| (b.crossing.0, b.known, b.from, b.to, b.bytes)).collect();
-        let silent = Known::Decided(Cause::Silent);
+        b.past(at(640_000), VolumeId(9), 30.0, OverrunCause::LocalNodesSilent);
+        let all: Vec<_> = b.all().map(|b| (b.cross_zone_budget.0, b.known, b.from, b.to, b.bytes)).collect();
+        let silent = Known::Decided(OverrunCause::LocalNodesSilent);
         let wanted = [
             (9, known, at(610_000), at(611_000), 80.0),
             (8, known, at(611_000), at(611_000), 30.0),
--- a/src/fading.rs
+++ b/src/decaying_sum.rs
@@ -1,15 +1,15 @@
 //! A sum in which what was added counts ever less.
 
-use gullsail_interface::{Instant, Span};
+use gullsail_scheduler_api::{Instant, Span};
 
 /// Falls by 1/e after each `over`; brought up to date when it is read.
 #[derive(Clone, Debug, Default)]
-pub struct Fading {
+pub struct DecayingSum {
     sum: f64,
     at: Instant,
 }
 
-impl Fading {
+impl DecayingSum {
     pub fn read(&mut self, now: Instant, over: Span) -> f64 {
         self.sum *= (-(now - self.at).secs().max(0.0) / over.secs()).exp();
         self.at = now;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
-//! gullsail: the decisions of a storage gateway. Everything that is decided stands in [`brain`];
-//! what it is told and what it asks for stands in `gullsail-interface`.
+//! gullsail: the decisions of a storage gateway. Everything that is decided stands in [`scheduler`];
+//! what it is told and what it asks for stands in `gullsail-scheduler-api`.
 
-pub mod brain;
-pub mod fading;
+pub mod decaying_sum;
+pub mod scheduler;
 
-pub use brain::Brain;
-pub use gullsail_interface as interface;
+pub use gullsail_scheduler_api as api;
+pub use scheduler::Scheduler;
--- a/src/brain/volumes.rs
+++ b/src/scheduler/volumes.rs
@@ -1,32 +1,8 @@
 //! Volumes: tokens, the rate rule, loans; and what hosts say to each other of them, at the desk.
 
+use super::dispatch::{NEXT_EPOCH, STEADY};
 use super::*;
 
-/// Whatever has a limit over all hosts: a volume, in units, or a budget of bytes between zones.
-#[derive(Default)]
-pub(super) struct Volume {
-    pub(super) crossing: Option<usize>, // which budget it is
-    pub(super) plan: PlanId,
-    pub(super) hosts: f64,
-    pub(super) part: Option<Limit>, // while documents change: this host's part, where it is not an even one
-    pub(super) left: bool,          // no longer through this host
-    pub(super) asked: Fading,
-    /// Tokens at this host, and the units of first legs that wait here.
-    pub(super) level: f64,
-    pub(super) waiting: f64,
-    pub(super) at: Instant,
-    /// What was lent just now may still be under way: this host's cap is lower by it until then.
-    pub(super) lent: VecDeque<(Instant, f64)>,
-    pub(super) reserve: f64,
-    pub(super) used: Option<f64>, // units a second through all hosts, as answers tell, some seconds late
-    pub(super) extra: Fading,     // units sent past the reserve, by weight
-    pub(super) peers: BTreeMap<HostId, (Instant, f64)>, // when its newest label was said; what was asked
-    pub(super) turn: usize,       // of the peers: who is asked next, and when
-    pub(super) ask_at: Instant,
-    pub(super) seeks: u32, // looks for more of them so far, and when next
-    pub(super) seek_at: Instant,
-}
-
 pub(super) const EPOCH: Span = Span::from_micros(250_000); // volumes are looked over, at common points
 /// A few round trips between hosts: how often tokens are asked for, and how long lent ones may travel.
 const ASK_EVERY: Span = Span::from_micros(100_000);
@@ -44,55 +20,58 @@
     }
 
     /// Also where the plan has none any more and other hosts still hold to the one it had.
-    pub(super) fn limit(&self, facts: &Facts) -> Option<Limit> {
-        let limit = self.crossing.map(|place| facts.crossings[place].limit);
-        limit.or_else(|| facts.plans.get(self.plan.0)?.limit).or(self.part)
+    pub(super) fn limit(&self, config: &SchedulerConfig) -> Option<Limit> {
+        let limit = self.cross_zone_budget.map(|place| config.cross_zone_budgets[place].limit);
+        limit.or_else(|| config.plans.get(self.plan.0)?.limit).or(self.part)
     }
 
-    pub(super) fn refill(&mut self, now: Instant, facts: &Facts) {
+    pub(super) fn refill(&mut self, now: Instant, config: &SchedulerConfig) {
         let span = (now - self.at).secs().max(0.0);
-        if let Some(limit) = &self.limit(facts) {
+        if let Some(limit) = &self.limit(config) {
             let (rate, cap) = self.even(now, limit);
             self.level = (self.level + rate * span).min(cap);
         }
         let own = self.asked.read(now, LAST);
         self.at = self.at.max(now);
-        let Some(plan) = facts.plans.get(self.plan.0).filter(|_| self.crossing.is_none()) else { return };
+        let Some(plan) = config.plans.get(self.plan.0).filter(|_| self.cross_zone_budget.is_none()) else {
+            return;
+        };
         let all = self.used.map_or(own * self.hosts, |used| used.max(own)).max(1e-9);
         let rate = plan.reserve * (own / all).max(1.0 / self.hosts / 2.0);
-        self.reserve = (self.reserve + rate * span).min(rate + facts.most_units);
+        self.reserve = (self.reserve + rate * span).min(rate + config.max_units);
     }
 
     /// The units that may be sent here until then: what its own part brings, and what other hosts could lend,
     /// unless each of them said of late that it asks for the whole limit itself.
-    pub(super) fn hope(&mut self, now: Instant, until: Instant, facts: &Facts) -> f64 {
-        let Some(limit) = self.limit(facts) else { return f64::INFINITY };
-        self.refill(now, facts);
+    pub(super) fn hope(&mut self, now: Instant, until: Instant, config: &SchedulerConfig) -> f64 {
+        let Some(limit) = self.limit(config) else { return f64::INFINITY };
+        self.refill(now, config);
         let (rate, span) = (self.even(now, &limit).0, (until - now).secs().max(0.0));
         let busy = |p: &&(Instant, f64)| now - p.0 < LAST && p.1 >= limit.rate;
-        let alone = !facts.peers_talk || self.peers.values().filter(busy).count() as f64 + 1.0 >= self.hosts;
+        let alone = !config.peer_messages_enabled
+            || self.peers.values().filter(busy).count() as f64 + 1.0 >= self.hosts;
         self.level + if alone { rate * span } else { limit.burst + limit.rate * span }
     }
 
     /// When its own part has brought tokens for all that waits here, and so many units more.
-    pub(super) fn refilled(&self, units: f64, facts: &Facts) -> Span {
+    pub(super) fn refilled(&self, units: f64, config: &SchedulerConfig) -> Span {
         let part = |l: Limit| self.part.map_or(l.rate / self.hosts.max(1.0), |p| p.rate);
         let lacks = |l: Limit| ((self.waiting + units - self.level) / part(l).max(1e-3)).clamp(0.0, 60.0);
-        Span::from_millis(self.limit(facts).map_or(0.0, lacks) * 1e3).max(EPOCH)
+        Span::from_millis(self.limit(config).map_or(0.0, lacks) * 1e3).max(EPOCH)
     }
 
     /// Tokens for a host that lacks some. The rate rule of the design page says what this host keeps: its
     /// own demand while the sum is under the limit, above that its part of the limit by demand. The lender
     /// lowers itself at once, level and cap; a gift that is lost is lost to all.
-    pub(super) fn lend(&mut self, now: Instant, facts: &Facts, want: f64) -> f64 {
-        let Some(limit) = self.limit(facts) else { return 0.0 };
-        self.refill(now, facts);
+    pub(super) fn lend(&mut self, now: Instant, config: &SchedulerConfig, want: f64) -> f64 {
+        let Some(limit) = self.limit(config) else { return 0.0 };
+        self.refill(now, config);
         let own = self.asked.last();
         let all = own + self.peers.values().filter(|p| now - p.0 < LAST).map(|p| p.1).sum::<f64>();
         let keep = if all > limit.rate { own / all * limit.rate } else { own } * LAST.secs();
-        // And what its next transfer needs: many who ask would else leave none enough for a whole one.
-        let most = if self.crossing.is_some() { facts.most_bytes } else { facts.most_units };
-        let gift = label::rounded(want.min(self.level - keep.max(self.waiting.min(most))));
+        // And what its next request needs: many who ask would else leave none enough for a whole one.
+        let most = if self.cross_zone_budget.is_some() { config.max_bytes } else { config.max_units };
+        let gift = demand_report::rounded(want.min(self.level - keep.max(self.waiting.min(most))));
         self.level -= gift;
         self.lent.extend((gift > 0.0).then_some((now + ASK_EVERY, gift)));
         gift
@@ -101,23 +80,24 @@
 
 impl Desk {
     pub(super) fn epoch(&mut self) {
-        let (now, f) = (self.now, &self.facts);
+        let (now, f) = (self.now, &self.config);
         let next = (now.micros().div_euclid(EPOCH.micros()) + 1) * EPOCH.micros();
-        self.actions.push(Action::Timer { id: NEXT_EPOCH, at: Instant::from_micros(next) });
+        self.actions.push(Action::SetTimer { id: NEXT_EPOCH, at: Instant::from_micros(next) });
         self.turns.retain(|_, t| !t.0.is_empty() || t.1 > now);
-        self.left.retain(|_, at| now - *at <= Brain::FORGET);
+        self.left.retain(|_, at| now - *at <= Scheduler::FORGET);
         let lasts = EPOCH.times(f64::from(4 << SEEKS));
         self.users.values_mut().for_each(|u| u.retain(|_, at| now - *at < lasts));
         self.users.retain(|_, u| !u.is_empty());
-        // What left is forgotten long after its last transfer came: no label or loan of it is under way then.
-        let open = |id: &VolumeId| self.xfers.values().any(|x| x.t.volume == *id);
+        // What left is forgotten long after its last request came: no demand report or loan of it is under
+        // way then.
+        let open = |id: &VolumeId| self.requests.values().any(|x| x.t.volume == *id);
         self.volumes.retain(|id, v| !v.left || v.asked.read(now, LAST) > 1e-9 || open(id));
         let (mut sum, mut busy, mut all, mut seek) = (0.0, 0.0, 0.0, Vec::new());
         for (id, v) in self.volumes.iter_mut() {
             v.refill(now, f);
             let extra = v.extra.read(now, LAST);
             (sum, busy, all) = (sum + extra, busy + f64::from(extra > 0.1), all + v.asked.last());
-            if v.limit(f).is_none() || v.hosts <= 1.0 || now < v.seek_at || !f.peers_talk {
+            if v.limit(f).is_none() || v.hosts <= 1.0 || now < v.seek_at || !f.peer_messages_enabled {
                 continue;
             }
             // Two hosts keep a volume's map, in turn: one may be down, or have lost it.
@@ -127,13 +107,13 @@
             v.seeks = v.seeks.wrapping_add(1);
         }
         self.fair = sum / f64::max(busy, 1.0);
-        let crowd = all * f64::from(f.hosts) * f.cold.window.secs() / self.cells.len().max(1) as f64;
+        let crowd = all * f64::from(f.hosts) * f.slow_start.window.secs() / self.shards.len().max(1) as f64;
         self.crowd += (crowd - self.crowd) * STEADY;
         for (to, volume) in seek {
-            if to == self.facts.me {
+            if to == self.config.me {
                 self.meet(to, volume);
             } else {
-                self.actions.push(Action::Tell { to, bytes: label::pack_seek(volume) });
+                self.actions.push(Action::SendToPeer { to, bytes: demand_report::pack_seek(volume) });
             }
         }
     }
@@ -149,63 +129,69 @@
     }
 
     fn name(&mut self, to: HostId, users: &[(VolumeId, HostId)]) {
-        if to == self.facts.me {
+        if to == self.config.me {
             return users.iter().for_each(|(volume, host)| self.know(*volume, *host));
         }
-        let parts = users.chunks(label::PAIRS).map(label::pack_users);
-        self.actions.extend(parts.map(|bytes| Action::Tell { to, bytes }));
+        let parts = users.chunks(demand_report::PAIRS).map(demand_report::pack_users);
+        self.actions.extend(parts.map(|bytes| Action::SendToPeer { to, bytes }));
     }
 
     fn know(&mut self, volume: VolumeId, host: HostId) {
-        let sound = host != self.facts.me && host.0 < self.facts.hosts;
+        let sound = host != self.config.me && host.0 < self.config.hosts;
         self.volumes.entry(volume).and_modify(|v| _ = sound.then(|| v.peers.entry(host).or_default()));
     }
 
     pub(super) fn ask(&mut self, id: VolumeId) {
-        let (now, f) = (self.now, &self.facts);
+        let (now, f) = (self.now, &self.config);
         let Some(v) = self.volumes.get_mut(&id) else { return };
         let Some(limit) = v.limit(f).filter(|_| now >= v.ask_at) else { return };
         v.refill(now, f);
-        if v.waiting <= v.level || !f.peers_talk || v.peers.is_empty() {
+        if v.waiting <= v.level || !f.peer_messages_enabled || v.peers.is_empty() {
             return;
         }
         let (own, cap) = (v.asked.last(), v.even(now, &limit).1);
         let (few, place) = (v.peers.len().min(ASK_PEERS), v.turn % v.peers.len());
         let want = ((v.waiting + own * LAST.secs()).min(cap) - v.level) / few as f64;
         (v.turn, v.ask_at) = (place + few, now + ASK_EVERY);
-        let bytes = label::pack(now, &[label::Line { volume: id, asked: own, want, lent: 0.0 }]);
+        let bytes =
+            demand_report::pack(now, &[demand_report::Line { volume: id, asked: own, want, lent: 0.0 }]);
         let few = v.peers.keys().cycle().skip(place).take(few);
-        self.actions.extend(few.map(|to| Action::Tell { to: *to, bytes: bytes.clone() }));
+        self.actions.extend(few.map(|to| Action::SendToPeer { to: *to, bytes: bytes.clone() }));
     }
 
     pub(super) fn hear(&mut self, from: HostId, bytes: &[u8]) {
         let now = self.now;
         // The hosts' clock is one: what comes from the future, or from long ago, is foreign or overtaken.
         let fresh = |said: Instant| said <= now && now - said < LAST;
-        let (said, lines) = match label::unpack(bytes) {
-            _ if from == self.facts.me || from.0 >= self.facts.hosts => return,
-            Some(label::Said::Labels(said, lines)) if fresh(said) => (said, lines),
-            Some(label::Said::Seeks(volumes)) => return volumes.into_iter().for_each(|v| self.meet(from, v)),
-            Some(label::Said::Users(pairs)) => return pairs.into_iter().for_each(|p| self.know(p.0, p.1)),
+        let (said, lines) = match demand_report::unpack(bytes) {
+            _ if from == self.config.me || from.0 >= self.config.hosts => return,
+            Some(demand_report::Said::Labels(said, lines)) if fresh(said) => (said, lines),
+            Some(demand_report::Said::Seeks(volumes)) => {
+                return volumes.into_iter().for_each(|v| self.meet(from, v));
+            }
+            Some(demand_report::Said::Users(pairs)) => {
+                return pairs.into_iter().for_each(|p| self.know(p.0, p.1));
+            }
             _ => return,
         };
         for l in lines {
             let Some(v) = self.volumes.get_mut(&l.volume) else { continue };
-            v.refill(now, &self.facts);
+            v.refill(now, &self.config);
             let p = v.peers.entry(from).or_default();
-            // Late and repeated labels: the newest counts, and nothing lent to an earlier life.
+            // Late and repeated demand reports: the newest counts, and nothing lent to an earlier
+            // incarnation.
             if said <= p.0 {
                 continue;
             }
             *p = (said, l.asked);
-            if let Some(limit) = v.limit(&self.facts).filter(|_| said > self.born) {
+            if let Some(limit) = v.limit(&self.config).filter(|_| said > self.born) {
                 let lent = if now - said < ASK_EVERY { l.lent } else { 0.0 };
                 v.level = (v.level + lent).min(v.even(now, &limit).1);
             }
-            let lent = if l.want > 0.0 { v.lend(now, &self.facts, l.want) } else { 0.0 };
+            let lent = if l.want > 0.0 { v.lend(now, &self.config, l.want) } else { 0.0 };
             if lent > 0.0 {
-                let line = label::Line { asked: v.asked.last(), want: 0.0, lent, ..l };
-                self.actions.push(Action::Tell { to: from, bytes: label::pack(now, &[line]) });
+                let line = demand_report::Line { asked: v.asked.last(), want: 0.0, lent, ..l };
+                self.actions.push(Action::SendToPeer { to: from, bytes: demand_report::pack(now, &[line]) });
             }
         }
     }
--- a/tests/decisions/cold_fleet.rs
+++ b/tests/decisions/cold_fleet.rs
@@ -2,54 +2,55 @@
 //! alone says nothing of the others; the sum of what all send is what the node bears.
 
 use crate::common::*;
-use gullsail::Brain;
-use gullsail::interface::*;
+use gullsail::Scheduler;
+use gullsail::api::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, VecDeque};
 
-const CELLS: i64 = 10;
+const SHARDS: i64 = 10;
 /// Longer than any ramp here.
 const LASTS: i64 = 9_000;
 
 /// A node that does so many units of work a second, one after the other, and turns nothing away.
 struct Node {
     free_at: f64,
-    done: VecDeque<(f64, usize, TransferId, u32)>,
+    done: VecDeque<(f64, usize, RequestId, u32)>,
 }
 
 struct World {
-    hosts: Vec<Brain>,
+    hosts: Vec<Scheduler>,
     timers: Vec<BTreeMap<(Instant, TimerId), ()>>,
     nodes: Vec<Node>,
-    /// When each leg went to the cold node, and its units.
+    /// When each attempt went to the cold node, and its units.
     sent: Vec<(i64, f64)>,
     asked: f64,
-    units: BTreeMap<TransferId, f64>,
+    units: BTreeMap<RequestId, f64>,
 }
 
 /// What the settings allow a cold node of this age within the rule's window, in units.
-fn allowed(f: &Facts, age: f64) -> f64 {
-    let part = f.cold.first_part + (1.0 - f.cold.first_part) * (age / f.cold.ramp.secs()).clamp(0.0, 1.0);
-    f.cold.units * part / f.cold.first_part
+fn allowed(f: &SchedulerConfig, age: f64) -> f64 {
+    let part = f.slow_start.initial_fraction
+        + (1.0 - f.slow_start.initial_fraction) * (age / f.slow_start.ramp.secs()).clamp(0.0, 1.0);
+    f.slow_start.units * part / f.slow_start.initial_fraction
 }
 
 impl World {
-    fn acts(&mut self, host: usize, now: i64, actions: Vec<Action>, f: &Facts) {
+    fn acts(&mut self, host: usize, now: i64, actions: Vec<Action>, f: &SchedulerConfig) {
         for a in actions {
             match a {
-                Action::Timer { id, at } => _ = self.timers[host].insert((at, id), ()),
-                Action::Leg { id, node, .. } => {
-                    let cell = node.0 as usize;
+                Action::SetTimer { id, at } => _ = self.timers[host].insert((at, id), ()),
+                Action::StartAttempt { id, node, .. } => {
+                    let shard = node.0 as usize;
                     let units = self.units[&id];
                     // Three times what it does is what pushes it over, says this fleet's rule.
-                    let rate = allowed(f, if cell == 0 { now as f64 / 1e3 } else { 1e6 })
+                    let rate = allowed(f, if shard == 0 { now as f64 / 1e3 } else { 1e6 })
                         / 3.0
-                        / f.cold.window.secs();
-                    let n = &mut self.nodes[cell];
+                        / f.slow_start.window.secs();
+                    let n = &mut self.nodes[shard];
                     n.free_at = n.free_at.max(now as f64) + units / rate * 1e3;
                     n.done.push_back((n.free_at, host, id, 0));
-                    if cell == 0 {
+                    if shard == 0 {
                         self.sent.push((now, units));
                     }
                 }
@@ -62,14 +63,14 @@
 /// Demand for each node in parts of what a cold one is allowed at its start. Returns the most that was sent beyond what is
 /// allowed and chance, over all windows, and the part of what was asked that was sent.
 fn play(hosts: u32, cold_units: f64, demand: f64, uneven: bool, told_within: i64, seed: u64) -> (f64, f64) {
-    let mut f = facts();
-    (f.hosts, f.cold.units, f.most_legs, f.peers_talk) = (hosts, cold_units, 1, false);
+    let mut f = config();
+    (f.hosts, f.slow_start.units, f.max_attempts, f.peer_messages_enabled) = (hosts, cold_units, 1, false);
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let warm: Vec<_> = (1..CELLS).map(|c| node(c as u64, c)).collect();
+    let warm: Vec<_> = (1..SHARDS).map(|c| node(c as u64, c)).collect();
     let mut w = World {
         hosts: Vec::new(),
         timers: (0..hosts).map(|_| BTreeMap::new()).collect(),
-        nodes: (0..CELLS).map(|_| Node { free_at: 0.0, done: VecDeque::new() }).collect(),
+        nodes: (0..SHARDS).map(|_| Node { free_at: 0.0, done: VecDeque::new() }).collect(),
         sent: Vec::new(),
         asked: 0.0,
         units: BTreeMap::new(),
@@ -88,23 +89,27 @@
         })
         .collect();
     for h in 0..hosts {
-        let mut brain = Brain::new(Facts { me: HostId(h), ..f.clone() }, u64::from(h), at(20_000 + began));
-        let actions =
-            brain.step(at(20_000 + began), [Event::List { extent: Extent::Whole, entries: warm.clone() }]);
-        w.hosts.push(brain);
+        let mut scheduler =
+            Scheduler::new(SchedulerConfig { me: HostId(h), ..f.clone() }, u64::from(h), at(20_000 + began));
+        let actions = scheduler.step(
+            at(20_000 + began),
+            [Event::EndpointList { update_kind: UpdateKind::Snapshot, entries: warm.clone() }],
+        );
+        w.hosts.push(scheduler);
         w.acts(h as usize, began, actions, &f);
     }
     let told: Vec<i64> = (0..hosts).map(|_| rng.random_range(0..=told_within)).collect();
-    let cold = NodeEntry { started: Some(at(20_000)), ..node(0, 0) };
+    let cold = Endpoint { started: Some(at(20_000)), ..node(0, 0) };
     // Of all hosts, a millisecond.
-    let rate = demand * cold_units * CELLS as f64 / f.cold.window.millis();
+    let rate = demand * cold_units * SHARDS as f64 / f.slow_start.window.millis();
     let mut last = 0;
     for now in began..LASTS {
         let t = at(20_000 + now);
         for (h, told) in told.iter().enumerate() {
             if *told == now {
                 let entries = vec![cold.clone()];
-                let actions = w.hosts[h].step(t, [Event::List { extent: Extent::Changes, entries }]);
+                let actions =
+                    w.hosts[h].step(t, [Event::EndpointList { update_kind: UpdateKind::Delta, entries }]);
                 w.acts(h, now, actions, &f);
             }
             while let Some(((due, id), ())) = w.timers[h].first_key_value().map(|(k, v)| (*k, *v))
@@ -121,39 +126,43 @@
                 continue;
             }
             last += 1;
-            let cell = rng.random_range(0..CELLS);
-            let t_id = TransferId(last);
+            let shard = rng.random_range(0..SHARDS);
+            let t_id = RequestId(last);
             w.units.insert(t_id, 1.0);
-            if cell == 0 && now >= told_within {
+            if shard == 0 && now >= told_within {
                 w.asked += 1.0;
             }
-            let one =
-                Transfer { id: t_id, cell: Some(CellId(cell)), volume: VolumeId(last % 97), ..xfer(last, 0) };
-            let actions = w.hosts[h].step(t, [Event::Arrived(one)]);
+            let one = Request {
+                id: t_id,
+                shard: Some(ShardId(shard)),
+                volume: VolumeId(last % 97),
+                ..request(last, 0)
+            };
+            let actions = w.hosts[h].step(t, [Event::RequestArrived(one)]);
             w.acts(h, now, actions, &f);
         }
-        for cell in 0..CELLS as usize {
-            while let Some((when, h, id, leg)) = w.nodes[cell].done.front().copied()
+        for shard in 0..SHARDS as usize {
+            while let Some((when, h, id, attempt)) = w.nodes[shard].done.front().copied()
                 && when <= now as f64
             {
-                w.nodes[cell].done.pop_front();
-                let end = LegEnd {
+                w.nodes[shard].done.pop_front();
+                let end = AttemptEnd {
                     id,
-                    leg,
-                    node: NodeId(cell as u64),
-                    ending: Ending::Done,
-                    took: ms(20),
+                    attempt,
+                    node: NodeId(shard as u64),
+                    outcome: AttemptOutcome::Succeeded,
+                    latency: ms(20),
                     finished: true,
                     used: None,
                     zone: ZoneId(0),
                     bytes: 0.0,
                 };
-                let actions = w.hosts[h].step(t, [Event::LegEnded(end)]);
+                let actions = w.hosts[h].step(t, [Event::AttemptEnded(end)]);
                 w.acts(h, now, actions, &f);
             }
         }
     }
-    let window = f.cold.window.millis() as i64;
+    let window = f.slow_start.window.millis() as i64;
     let over = w.sent.iter().enumerate().map(|(i, (from, _))| {
         let within = w.sent[i..].iter().take_while(|s| s.0 < from + window);
         let sum: f64 = within.map(|s| s.1).sum();
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -1,7 +1,7 @@
 //! One host under test: feeds events to the decisions and remembers what they asked for.
 
-use gullsail::Brain;
-use gullsail::interface::*;
+use gullsail::Scheduler;
+use gullsail::api::*;
 
 pub fn ms(ms: i64) -> Span {
     Span::from_micros(ms * 1000)
@@ -11,88 +11,94 @@
     Instant::from_micros(ms * 1000)
 }
 
-/// Two hosts; types 0 repeatable, 1 keyed by cell, 2 unrepeatable; plans 0 without a limit, 1 with one.
-pub fn facts() -> Facts {
-    let plan = |limit| Plan { limit, reserve: 10.0, usual: 10.0, weight: 1.0, price: 1.0 };
-    Facts {
+/// Two hosts; types 0 repeatable, 1 keyed by shard, 2 unrepeatable; plans 0 without a limit, 1 with one.
+pub fn config() -> SchedulerConfig {
+    let plan = |limit| Plan { limit, reserve: 10.0, nominal_rate: 10.0, weight: 1.0, price: 1.0 };
+    SchedulerConfig {
         hosts: 2,
         tick: ms(2),
-        stream_types: vec![
-            stream_type(Effect::Repeatable),
-            stream_type(Effect::Keyed { group: Group::Cell, window: ms(200) }),
-            stream_type(Effect::Unrepeatable),
+        request_classes: vec![
+            request_class(Idempotency::Idempotent),
+            request_class(Idempotency::WithKey { group: IdempotencyScope::Shard, window: ms(200) }),
+            request_class(Idempotency::NonIdempotent),
         ],
         plans: vec![plan(None), plan(Some(Limit { rate: 40.0, burst: 40.0 }))],
-        cold: ColdStart { units: 12.0, window: ms(1500), first_part: 0.2, ramp: ms(10_000) },
-        most_legs: 3,
-        most_units: 8.0,
+        slow_start: SlowStart { units: 12.0, window: ms(1500), initial_fraction: 0.2, ramp: ms(10_000) },
+        max_attempts: 3,
+        max_units: 8.0,
         share_part: 0.3,
         spare_part: 0.1,
-        longest_advice: Some(ms(1000)),
-        peers_talk: true,
-        ..Facts::default()
+        max_retry_after: Some(ms(1000)),
+        peer_messages_enabled: true,
+        ..SchedulerConfig::default()
     }
 }
 
-pub fn stream_type(effect: Effect) -> StreamType {
-    StreamType { effect, slo_time: ms(400), benefit: 2.0, late_part: 0.1, in_order: false }
+pub fn request_class(idempotency: Idempotency) -> RequestClass {
+    RequestClass {
+        idempotency,
+        latency_objective: ms(400),
+        priority_weight: 2.0,
+        late_weight: 0.1,
+        in_order: false,
+    }
 }
 
-pub fn node(id: u64, cell: i64) -> NodeEntry {
-    NodeEntry { node: NodeId(id), cell: CellId(cell), zone: ZoneId(0), ..NodeEntry::default() }
+pub fn node(id: u64, shard: i64) -> Endpoint {
+    Endpoint { node: NodeId(id), shard: ShardId(shard), zone: ZoneId(0), ..Endpoint::default() }
 }
 
-/// The list when a node of this cell drains: what comes then waits for a successor.
-pub fn leaving(cell: i64) -> Vec<NodeEntry> {
-    vec![NodeEntry { standing: Standing::Draining, ..node(99, cell) }]
+/// The list when a node of this shard drains: what comes then waits for a successor.
+pub fn leaving(shard: i64) -> Vec<Endpoint> {
+    vec![Endpoint { state: EndpointState::Draining, ..node(99, shard) }]
 }
 
-pub fn xfer(id: u64, stream_type: usize) -> Transfer {
-    Transfer {
-        id: TransferId(id),
-        stream_type: StreamTypeId(stream_type),
+pub fn request(id: u64, request_class: usize) -> Request {
+    Request {
+        id: RequestId(id),
+        request_class: RequestClassId(request_class),
         volume: VolumeId(7),
         units: 1.0,
-        cell: Some(CellId(0)),
-        ttl: ms(1000),
+        shard: Some(ShardId(0)),
+        timeout: ms(1000),
         volume_hosts: 1,
-        ..Transfer::default()
+        ..Request::default()
     }
 }
 
 pub struct Host {
-    brain: Brain,
+    scheduler: Scheduler,
     pub now: Instant,
     timers: Vec<(Instant, TimerId)>,
     pub asked: Vec<(Instant, Action)>,
 }
 
 impl Host {
-    pub fn new(facts: Facts, nodes: Vec<NodeEntry>, now: Instant) -> Self {
-        let brain = Brain::new(facts, 1, now);
-        let mut host = Host { brain, now, timers: Vec::new(), asked: Vec::new() };
-        host.tell(Event::List { extent: Extent::Remembered, entries: nodes });
+    pub fn new(config: SchedulerConfig, nodes: Vec<Endpoint>, now: Instant) -> Self {
+        let scheduler = Scheduler::new(config, 1, now);
+        let mut host = Host { scheduler, now, timers: Vec::new(), asked: Vec::new() };
+        host.tell(Event::EndpointList { update_kind: UpdateKind::StaleSnapshot, entries: nodes });
         host
     }
 
     /// The length of one of the module's collections.
     pub fn held(&self, name: &str) -> usize {
-        self.brain.lengths().into_iter().find(|l| l.0 == name).expect("a collection of this name").1
+        self.scheduler.size_metrics().into_iter().find(|l| l.0 == name).expect("a collection of this name").1
     }
 
     pub fn tell(&mut self, event: Event) -> Vec<Action> {
-        let actions = self.brain.step(self.now, vec![event]);
+        let actions = self.scheduler.step(self.now, vec![event]);
         for a in &actions {
             match a {
-                Action::Timer { id, at } => self.timers.push((*at, *id)),
+                Action::SetTimer { id, at } => self.timers.push((*at, *id)),
                 other => self.asked.push((self.now, other.clone())),
             }
         }
         actions
     }
 
-    pub fn list(&mut self, extent: Extent, entries: Vec<NodeEntry>) {
-        self.tell(Event::List { extent, entries });
+    pub fn list(&mut self, update_kind: UpdateKind, entries: Vec<Endpoint>) {
+        self.tell(Event::EndpointList { update_kind, entries });
     }
 
     /// Lets time pass; timers come when they are due, to the millisecond.
@@ -109,15 +115,15 @@
         }
     }
 
-    pub fn end(&mut self, id: u64, leg: u32, node: u64, ending: Ending, took: i64) {
-        let finished = ending == Ending::Done;
-        let (id, node) = (TransferId(id), NodeId(node));
-        self.tell(Event::LegEnded(LegEnd {
+    pub fn end(&mut self, id: u64, attempt: u32, node: u64, outcome: AttemptOutcome, latency: i64) {
+        let finished = outcome == AttemptOutcome::Succeeded;
+        let (id, node) = (RequestId(id), NodeId(node));
+        self.tell(Event::AttemptEnded(AttemptEnd {
             id,
-            leg,
+            attempt,
             node,
-            ending,
-            took: ms(took),
+            outcome,
+            latency: ms(latency),
             finished,
             used: None,
             zone: ZoneId(0),
@@ -127,12 +133,12 @@
 
     fn sent(&self) -> impl Iterator<Item = (u64, u64)> {
         self.asked.iter().filter_map(|a| match a.1 {
-            Action::Leg { id, node, .. } => Some((id.0, node.0)),
+            Action::StartAttempt { id, node, .. } => Some((id.0, node.0)),
             _ => None,
         })
     }
 
-    pub fn legs(&self, of: u64) -> Vec<u64> {
+    pub fn attempts(&self, of: u64) -> Vec<u64> {
         self.sent().filter(|(id, _)| *id == of).map(|(_, node)| node).collect()
     }
 
@@ -142,8 +148,8 @@
 
     pub fn answers(&self, of: u64) -> Vec<&'static str> {
         let answers = self.asked.iter().filter_map(|a| match a.1 {
-            Action::Defer { id, .. } if id.0 == of => Some("deferred"),
-            Action::Abandon { id } if id.0 == of => Some("abandoned"),
+            Action::Reject { id, .. } if id.0 == of => Some("deferred"),
+            Action::Fail { id } if id.0 == of => Some("abandoned"),
             _ => None,
         });
         answers.collect()
--- a/tests/decisions/limits.rs
+++ b/tests/decisions/limits.rs
@@ -1,12 +1,12 @@
-//! Rule 7: what all hosts send for a volume stays within its store, whatever becomes of labels and hosts.
+//! Rule 7: what all hosts send for a volume stays within its store, whatever becomes of demand reports and hosts.
 
 use crate::common::*;
-use gullsail::interface::*;
+use gullsail::api::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// What befalls the hosts of one volume: labels lost or repeated (chances), their longest way, the mean
-/// life of a host, its longest time down, the lead's moves (ms), the chance of others to be asked each ms.
+/// What befalls the hosts of one volume: demand reports lost or repeated (chances), their longest way, the mean
+/// incarnation of a host, its longest time down, the lead's moves (ms), the chance of others to be asked each ms.
 type Trouble = (&'static str, [f64; 2], [i64; 4], f64);
 
 /// Plays 20 s of some hosts whose clients ask for far more than the limit, and gives the lowest that
@@ -14,12 +14,12 @@
 fn play(count: u32, t: &Trouble, seed: u64) -> (f64, f64) {
     let (_, [lost, repeated], [way, kills, down, lead], others) = *t;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut f = facts();
+    let mut f = config();
     f.hosts = count;
     let limit = Limit { rate: 40.0, burst: 14.0 * f64::from(count) };
     f.plans[1].limit = Some(limit);
     let born = |me: u32, now| {
-        let f = Facts { me: HostId(me), ..f.clone() };
+        let f = SchedulerConfig { me: HostId(me), ..f.clone() };
         Host::new(f, (0..3).map(|n| node(n, n as i64)).collect(), now)
     };
     let mut hosts: Vec<Option<Host>> = (0..count).map(|me| Some(born(me, at(0)))).collect();
@@ -43,22 +43,22 @@
             let before = h.asked.len();
             h.pass(now - h.now);
             for (_, _, from, bytes) in Iterator::filter(due.iter(), |m: &&(_, usize, _, _)| m.1 == me) {
-                h.tell(Event::PeerSaid { from: *from, bytes: bytes.clone() });
+                h.tell(Event::PeerMessage { from: *from, bytes: bytes.clone() });
             }
             if rng.random_bool(if me == lead { 0.1 } else { others }) {
                 id += 1;
-                let cell = Some(CellId(rng.random_range(0..3)));
-                let t = Transfer { plan: PlanId(1), units: 4.0, cell, volume_hosts: count, ..xfer(id, 0) };
-                h.tell(Event::Arrived(t));
+                let shard = Some(ShardId(rng.random_range(0..3)));
+                let t = Request { plan: PlanId(1), units: 4.0, shard, volume_hosts: count, ..request(id, 0) };
+                h.tell(Event::RequestArrived(t));
             }
             for (_, action) in h.asked.split_off(before) {
                 match action {
-                    Action::Leg { id, node, .. } => {
+                    Action::StartAttempt { id, node, .. } => {
                         (store, sent) = (store - 4.0, sent + 4.0);
                         low = f64::min(low, store);
-                        h.end(id.0, 0, node.0, Ending::Done, 1);
+                        h.end(id.0, 0, node.0, AttemptOutcome::Succeeded, 1);
                     }
-                    Action::Tell { to, bytes } => {
+                    Action::SendToPeer { to, bytes } => {
                         assert!(bytes.len() <= 256);
                         for repeat in [1.0 - lost, repeated] {
                             if rng.random_bool(repeat) {
@@ -115,19 +115,20 @@
 fn a_newborn_starts_empty() {
     // plan, hosts of the volume, units sent at once and within 250 ms
     for (plan, hosts, at_once, later) in [(0, 2, 4, 12), (1, 1, 0, 10), (1, 2, 0, 5)] {
-        let mut h = Host::new(facts(), vec![node(1, 0)], at(1000));
-        let t = Transfer { plan: PlanId(plan), volume_hosts: hosts, ..xfer(0, 0) };
-        (1..=12).for_each(|id| drop(h.tell(Event::Arrived(Transfer { id: TransferId(id), ..t.clone() }))));
+        let mut h = Host::new(config(), vec![node(1, 0)], at(1000));
+        let t = Request { plan: PlanId(plan), volume_hosts: hosts, ..request(0, 0) };
+        (1..=12)
+            .for_each(|id| drop(h.tell(Event::RequestArrived(Request { id: RequestId(id), ..t.clone() }))));
         assert_eq!(h.order().len(), at_once);
         for _ in 0..250 {
             h.pass(ms(1));
-            h.order().into_iter().for_each(|id| h.end(id, 0, 1, Ending::Done, 1));
+            h.order().into_iter().for_each(|id| h.end(id, 0, 1, AttemptOutcome::Succeeded, 1));
         }
         assert_eq!(h.order().len(), later, "{plan} {hosts}");
     }
 }
 
-/// Terms that change while a volume is served: a smaller part holds at once, also for tokens already there; a
+/// VolumeAllocation that change while a volume is served: a smaller part holds at once, also for tokens already there; a
 /// larger one fills from then on. Who no longer serves a volume gives up on what waits, at once.
 #[test]
 fn terms_change_while_serving() {
@@ -142,32 +143,32 @@
         ((2, None), (1, None), 8),
     ];
     for (before, after, expected) in cases {
-        let plans = facts().plans;
-        let terms = |(hosts, part)| Event::Plans {
+        let plans = config().plans;
+        let allocations = |(hosts, part)| Event::ConfigChanged {
             plans: plans.clone(),
-            terms: vec![Terms { volume: VolumeId(7), plan: PlanId(1), hosts, part }],
-            crossings: Vec::new(),
-            among: None,
+            allocations: vec![VolumeAllocation { volume: VolumeId(7), plan: PlanId(1), hosts, part }],
+            cross_zone_budgets: Vec::new(),
+            fleet_membership: None,
         };
-        let mut h = Host::new(facts(), vec![node(1, 0)], at(0));
-        h.tell(terms(before));
+        let mut h = Host::new(config(), vec![node(1, 0)], at(0));
+        h.tell(allocations(before));
         h.pass(ms(4000));
-        h.tell(terms(after));
+        h.tell(allocations(after));
         for id in 1..=30 {
             let hosts = after.0.max(1);
-            h.tell(Event::Arrived(Transfer {
+            h.tell(Event::RequestArrived(Request {
                 plan: PlanId(1),
                 units: 4.0,
                 volume_hosts: hosts,
-                ..xfer(id, 0)
+                ..request(id, 0)
             }));
             if id == 30 && after.0 == 0 {
-                h.tell(terms(after));
+                h.tell(allocations(after));
             }
         }
         let waiting = h.answers(1).len();
         for _ in 0..380 {
-            h.order().into_iter().for_each(|id| h.end(id, 0, 1, Ending::Done, 1));
+            h.order().into_iter().for_each(|id| h.end(id, 0, 1, AttemptOutcome::Succeeded, 1));
             h.pass(ms(1));
         }
         let sent = h.order().len();
@@ -177,22 +178,24 @@
     }
 }
 
-/// Two zones with a budget each way for two hosts; nodes 1 and 2 here, 3 there; 1,000 bytes a transfer.
-fn zoned(hard: bool, limit: Limit) -> Facts {
-    let budget = |id, from, to| Crossing {
+/// Two zones with a budget each way for two hosts; nodes 1 and 2 here, 3 there; 1,000 bytes a request.
+fn zoned(hard: bool, limit: Limit) -> SchedulerConfig {
+    let budget = |id, from, to| CrossZoneBudget {
         id: VolumeId(id),
-        of: Across::Pair(ZoneId(from), ZoneId(to)),
+        of: BudgetScope::ZonePair(ZoneId(from), ZoneId(to)),
         limit,
         hard,
         hosts: 2,
     };
-    let crossings = vec![budget(901, 0, 1), budget(902, 1, 0)];
-    Facts { zone: Some(ZoneId(0)), crossings, most_bytes: 1000.0, ..facts() }
+    let cross_zone_budgets = vec![budget(901, 0, 1), budget(902, 1, 0)];
+    SchedulerConfig { zone: Some(ZoneId(0)), cross_zone_budgets, max_bytes: 1000.0, ..config() }
 }
 
-fn past(h: &Host) -> Vec<(u64, f64, Cause)> {
+fn past(h: &Host) -> Vec<(u64, f64, OverrunCause)> {
     let past = |a: &(Instant, Action)| match a.1 {
-        Action::Past { crossing, bytes, cause, .. } => Some((crossing.0, bytes, cause)),
+        Action::BudgetOverrun { cross_zone_budget, bytes, cause, .. } => {
+            Some((cross_zone_budget.0, bytes, cause))
+        }
         _ => None,
     };
     h.asked.iter().filter_map(past).collect()
@@ -214,46 +217,53 @@
         (Home::Well, false, rate(1e6, 1e6), false, 0, 0, vec![]),
         (Home::Drained, false, rate(1e6, 1e6), false, 20, 0, vec![]),
         (Home::Drained, true, rate(1e6, 1e6), false, 20, 0, vec![]),
-        (Home::Drained, false, rate(0.0, 0.0), false, 20, 0, vec![Cause::Drained]),
+        (Home::Drained, false, rate(0.0, 0.0), false, 20, 0, vec![OverrunCause::NoLocalNode]),
         (Home::Drained, true, rate(0.0, 0.0), false, 0, 20, vec![]),
         (Home::Drained, true, rate(10.0, 10_000.0), false, 0, 20, vec![]),
         (Home::Drained, true, rate(2000.0, 10_000.0), false, 5, 15, vec![]),
-        // One careful leg each still asks the silent ones.
-        (Home::Silent, false, rate(0.0, 0.0), false, 18, 0, vec![Cause::Silent]),
+        // One careful attempt each still asks the silent ones.
+        (Home::Silent, false, rate(0.0, 0.0), false, 18, 0, vec![OverrunCause::LocalNodesSilent]),
         (Home::Silent, true, rate(0.0, 0.0), false, 0, 18, vec![]),
-        (Home::Well, true, rate(0.0, 0.0), true, 20, 0, vec![Cause::Bound]),
+        (Home::Well, true, rate(0.0, 0.0), true, 20, 0, vec![OverrunCause::DataPlacement]),
         (Home::Well, true, rate(1e6, 1e6), true, 20, 0, vec![]),
     ];
     for (place, (home, hard, limit, bound, there, at_once, causes)) in cases.into_iter().enumerate() {
         let answers = |node| node == 3 || !matches!(home, Home::Silent);
         let answer = |h: &mut Host, id| {
-            let legs = h.legs(id).into_iter().enumerate().filter(|l| answers(l.1));
-            legs.for_each(|(leg, node)| h.end(id, leg as u32, node, Ending::Done, 1));
+            let attempts = h.attempts(id).into_iter().enumerate().filter(|l| answers(l.1));
+            attempts
+                .for_each(|(attempt, node)| h.end(id, attempt as u32, node, AttemptOutcome::Succeeded, 1));
         };
-        let far = NodeEntry { zone: ZoneId(1), ..node(3, 3) };
+        let far = Endpoint { zone: ZoneId(1), ..node(3, 3) };
         let mut h = Host::new(zoned(hard, limit), vec![node(1, 1), node(2, 2), far.clone()], at(0));
         h.pass(ms(10_000));
         match home {
             Home::Well => {}
             Home::Drained => {
-                let gone = |id| NodeEntry { standing: Standing::Draining, ..node(id, id as i64) };
-                h.list(Extent::Changes, vec![gone(1), gone(2)]);
+                let gone = |id| Endpoint { state: EndpointState::Draining, ..node(id, id as i64) };
+                h.list(UpdateKind::Delta, vec![gone(1), gone(2)]);
             }
             Home::Silent => {
-                // It knows that legs come back, or it would hold back of itself.
+                // It knows that attempts come back, or it would hold back of itself.
                 for id in 81..=88 {
-                    h.tell(Event::Arrived(Transfer { cell: Some(CellId(id % 2 + 1)), ..xfer(id as u64, 0) }));
-                    h.end(id as u64, 0, id as u64 % 2 + 1, Ending::Done, 1);
+                    h.tell(Event::RequestArrived(Request {
+                        shard: Some(ShardId(id % 2 + 1)),
+                        ..request(id as u64, 0)
+                    }));
+                    h.end(id as u64, 0, id as u64 % 2 + 1, AttemptOutcome::Succeeded, 1);
                 }
                 for id in 91..=92 {
-                    h.tell(Event::Arrived(Transfer { cell: Some(CellId(id - 90)), ..xfer(id as u64, 0) }));
+                    h.tell(Event::RequestArrived(Request {
+                        shard: Some(ShardId(id - 90)),
+                        ..request(id as u64, 0)
+                    }));
                 }
                 h.pass(ms(200));
             }
         }
         for id in 1..=20 {
-            let cell = bound.then_some(CellId(3));
-            h.tell(Event::Arrived(Transfer { cell, bytes: 1000.0, ..xfer(id, 0) }));
+            let shard = bound.then_some(ShardId(3));
+            h.tell(Event::RequestArrived(Request { shard, bytes: 1000.0, ..request(id, 0) }));
             answer(&mut h, id);
         }
         // That a node is silent is seen when it is looked at.
@@ -262,7 +272,7 @@
             (1..=20).for_each(|id| answer(&mut h, id));
         }
         let answered = (1..=20).filter(|id| !h.answers(*id).is_empty()).count();
-        let went = (1..=20).filter(|id| h.legs(*id).contains(&3)).count();
+        let went = (1..=20).filter(|id| h.attempts(*id).contains(&3)).count();
         assert_eq!((went, answered), (there, at_once), "case {place}");
         let mut found: Vec<_> = past(&h).into_iter().map(|p| p.2).collect();
         found.sort();
@@ -271,14 +281,14 @@
     }
 }
 
-/// Budgets are lent by labels as volumes' tokens are, and never sum past the limit, whatever becomes of labels.
+/// Budgets are lent by demand reports as volumes' tokens are, and never sum past the limit, whatever becomes of demand reports.
 #[test]
 fn budgets_are_lent_and_never_summed_past() {
     let limit = Limit { rate: 8000.0, burst: 16_000.0 };
     for (lost, least) in [(0.0, 0.75), (0.5, 0.55), (1.0, 0.35)] {
         let mut rng = ChaCha8Rng::seed_from_u64(5);
-        let nodes = |_| vec![NodeEntry { zone: ZoneId(1), ..node(3, 3) }];
-        let host = |me| Host::new(Facts { me: HostId(me), ..zoned(true, limit) }, nodes(me), at(0));
+        let nodes = |_| vec![Endpoint { zone: ZoneId(1), ..node(3, 3) }];
+        let host = |me| Host::new(SchedulerConfig { me: HostId(me), ..zoned(true, limit) }, nodes(me), at(0));
         let mut hosts = [host(0), host(1)];
         let (mut store, mut low, mut bytes, mut id) = (limit.burst, limit.burst, 0.0, 0);
         let mut mail: Vec<(usize, HostId, Vec<u8>)> = Vec::new();
@@ -289,27 +299,27 @@
                 let before = h.asked.len();
                 h.pass(now - h.now);
                 for (_, from, bytes) in due.iter().filter(|m| m.0 == me) {
-                    h.tell(Event::PeerSaid { from: *from, bytes: bytes.clone() });
+                    h.tell(Event::PeerMessage { from: *from, bytes: bytes.clone() });
                 }
                 // One asks for all of it, the other for next to nothing, and now and then they change places.
                 let busy = (now.micros() / 6_000_000) as usize % 2 == me;
                 if rng.random_bool(if busy { 0.05 } else { 0.0002 }) {
                     id += 1;
-                    h.tell(Event::Arrived(Transfer {
-                        cell: None,
+                    h.tell(Event::RequestArrived(Request {
+                        shard: None,
                         bytes: 1000.0,
                         volume_hosts: 2,
-                        ..xfer(id, 0)
+                        ..request(id, 0)
                     }));
                 }
                 for (_, action) in h.asked.split_off(before) {
                     match action {
-                        Action::Leg { id, node, .. } => {
+                        Action::StartAttempt { id, node, .. } => {
                             (store, bytes) = (store - 1000.0, bytes + 1000.0);
                             low = f64::min(low, store);
-                            h.end(id.0, 0, node.0, Ending::Done, 1);
+                            h.end(id.0, 0, node.0, AttemptOutcome::Succeeded, 1);
                         }
-                        Action::Tell { to, bytes } if !rng.random_bool(lost) => {
+                        Action::SendToPeer { to, bytes } if !rng.random_bool(lost) => {
                             mail.push((to.0 as usize, HostId(me as u32), bytes));
                         }
                         _ => {}
--- a/tests/decisions/model.rs
+++ b/tests/decisions/model.rs
@@ -1,44 +1,44 @@
 //! The decisions beside the model of the rules: hosts in one world of nodes that are slow, full, erring, resetting, that
-//! restart cold and drain; labels lost, late and repeated; hosts killed and reborn; documents that change; clients that
+//! restart cold and drain; demand reports lost, late and repeated; hosts killed and reborn; documents that change; clients that
 //! leave. Worlds are drawn from fixed seeds; `GULLSAIL_SEED=N` plays another by hand.
 
 use crate::common::*;
-use gullsail::interface::*;
-use gullsail_model::{Breach, Model, Stated};
+use gullsail::api::*;
+use gullsail_reference_model::{Breach, Model, Stated};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 
 const LASTS: i64 = 6000; // ms
 const VOLUMES: u64 = 4;
-const CELLS: i64 = 4;
+const SHARDS: i64 = 4;
 const CAN: f64 = 60.0; // units a second, of a warm node
 
 /// A node of the world, as it is and as its list has it.
-struct Machine {
-    entry: NodeEntry,
+struct Server {
+    entry: Endpoint,
     up: bool,
-    /// What it does to legs now: chances of an error and of a full queue, and how many times as long it takes.
+    /// What it does to attempts now: chances of an error and of a full queue, and how many times as long it takes.
     trouble: (f64, f64, f64),
     free_at: Instant,
 }
 
 /// What is on its way to a host.
 enum Mail {
-    Label(HostId, Vec<u8>),
-    End(u64, LegEnd),
-    List(Vec<NodeEntry>),
+    DemandReport(HostId, Vec<u8>),
+    End(u64, AttemptEnd),
+    List(Vec<Endpoint>),
 }
 
 /// Alters what a host did, as a fault in it would.
-type Plant = fn(&World, usize, &Transfers, Action) -> Vec<Action>;
-type Transfers = BTreeMap<TransferId, (Instant, Transfer, u32)>;
+type Plant = fn(&World, usize, &Requests, Action) -> Vec<Action>;
+type Requests = BTreeMap<RequestId, (Instant, Request, u32)>;
 
 struct Member {
     host: Option<Host>,
-    life: u64,
+    incarnation: u64,
     back: Instant,
-    held: Transfers,
+    held: Requests,
     /// Order of its plans: documents change it.
     turned: bool,
     served: [bool; VOLUMES as usize],
@@ -47,10 +47,10 @@
 struct World {
     rng: ChaCha8Rng,
     now: Instant,
-    facts: Facts,
+    config: SchedulerConfig,
     model: Model,
     members: Vec<Member>,
-    machines: Vec<Machine>,
+    servers: Vec<Server>,
     mail: Vec<(Instant, usize, Mail)>,
     last_node: u64,
     last_id: u64,
@@ -58,16 +58,17 @@
     breaches: Vec<Breach>,
 }
 
-fn world_facts(hosts: u32, rng: &mut ChaCha8Rng) -> Facts {
-    let mut f = facts();
+fn world_config(hosts: u32, rng: &mut ChaCha8Rng) -> SchedulerConfig {
+    let mut f = config();
     f.hosts = hosts;
     f.order_settle = ms(60);
-    f.leg_budget = Some(LegBudget { free: 1.0, share: 0.05, window: ms(1000) });
-    f.cold = ColdStart { units: 12.0, window: ms(1000), first_part: 0.2, ramp: ms(4000) };
-    let group = [Group::All, Group::Zone, Group::Cell][rng.random_range(0..3)];
-    f.stream_types[1].effect = Effect::Keyed { group, window: ms(60) };
-    f.stream_types[2].in_order = true;
-    f.stream_types.push(StreamType { in_order: true, ..stream_type(Effect::Repeatable) });
+    f.retry_budget = Some(RetryBudget { free: 1.0, share: 0.05, window: ms(1000) });
+    f.slow_start = SlowStart { units: 12.0, window: ms(1000), initial_fraction: 0.2, ramp: ms(4000) };
+    let group =
+        [IdempotencyScope::All, IdempotencyScope::Zone, IdempotencyScope::Shard][rng.random_range(0..3)];
+    f.request_classes[1].idempotency = Idempotency::WithKey { group, window: ms(60) };
+    f.request_classes[2].in_order = true;
+    f.request_classes.push(RequestClass { in_order: true, ..request_class(Idempotency::Idempotent) });
     f.plans[1].limit = Some(Limit { rate: 15.0, burst: 8.0 * f64::from(hosts) });
     f
 }
@@ -76,11 +77,11 @@
     fn new(seed: u64, plant: Option<Plant>) -> World {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let hosts = [1, 2, 3, 8][rng.random_range(0..4)];
-        let facts = world_facts(hosts, &mut rng);
+        let config = world_config(hosts, &mut rng);
         let stated = Stated { drain_grace: ms(0), slack: 0.0, multiple: 2.0, can: CAN, answer_slack: ms(0) };
         let now = at(100_000);
-        let machine = |n: u64| Machine {
-            entry: NodeEntry { zone: ZoneId(n as usize % 2), ..node(n, n as i64 % CELLS) },
+        let server = |n: u64| Server {
+            entry: Endpoint { zone: ZoneId(n as usize % 2), ..node(n, n as i64 % SHARDS) },
             up: true,
             trouble: (0.0, 0.0, 1.0),
             free_at: now,
@@ -90,39 +91,39 @@
             now,
             model: Model::new(stated),
             members: Vec::new(),
-            machines: (0..5).map(machine).collect(),
+            servers: (0..5).map(server).collect(),
             mail: Vec::new(),
             last_node: 5,
             last_id: 0,
             plant,
             breaches: Vec::new(),
-            facts,
+            config,
         };
         for me in 0..hosts {
             let served = [true; VOLUMES as usize];
             let (held, back) = (BTreeMap::new(), now);
-            w.members.push(Member { host: None, life: 0, back, held, turned: false, served });
+            w.members.push(Member { host: None, incarnation: 0, back, held, turned: false, served });
             w.birth(me as usize);
         }
         w
     }
 
     fn birth(&mut self, me: usize) {
-        let facts = Facts { me: HostId(me as u32), ..self.facts.clone() };
+        let config = SchedulerConfig { me: HostId(me as u32), ..self.config.clone() };
         self.model.step();
-        self.model.born(self.now, HostId(me as u32), &facts);
-        let entries: Vec<_> = self.machines.iter().map(|m| m.entry.clone()).collect();
-        let list = Event::List { extent: Extent::Remembered, entries: entries.clone() };
+        self.model.born(self.now, HostId(me as u32), &config);
+        let entries: Vec<_> = self.servers.iter().map(|m| m.entry.clone()).collect();
+        let list = Event::EndpointList { update_kind: UpdateKind::StaleSnapshot, entries: entries.clone() };
         self.model.saw(self.now, HostId(me as u32), &list);
         let m = &mut self.members[me];
-        (m.turned, m.served, m.life) = (false, [true; VOLUMES as usize], m.life + 1);
+        (m.turned, m.served, m.incarnation) = (false, [true; VOLUMES as usize], m.incarnation + 1);
         m.held.clear();
-        m.host = Some(Host::new(facts, entries, self.now));
+        m.host = Some(Host::new(config, entries, self.now));
     }
 
     /// One step of a host: what it sees, then what it does, each told to the model.
     fn step(&mut self, me: usize, event: Event) {
-        if let Event::Arrived(t) = &event {
+        if let Event::RequestArrived(t) = &event {
             self.members[me].held.insert(t.id, (self.now, t.clone(), 0));
         }
         self.model.step();
@@ -152,36 +153,36 @@
     }
 
     fn carry_out(&mut self, me: usize, action: Action) {
-        let life = self.members[me].life;
+        let incarnation = self.members[me].incarnation;
         match action {
-            Action::Leg { id, node, time_out } => {
+            Action::StartAttempt { id, node, time_out } => {
                 let Some(held) = self.members[me].held.get_mut(&id) else { return };
-                let (leg, units) = (held.2, held.1.units);
+                let (attempt, units) = (held.2, held.1.units);
                 held.2 += 1;
                 let lasts = time_out.unwrap_or(ms(1000)).max(ms(1));
-                let (ending, took) = self.serve(node, units, lasts);
-                let end = LegEnd {
+                let (outcome, latency) = self.serve(node, units, lasts);
+                let end = AttemptEnd {
                     id,
-                    leg,
+                    attempt,
                     node,
-                    ending,
-                    took,
-                    finished: ending == Ending::Done,
+                    outcome,
+                    latency,
+                    finished: outcome == AttemptOutcome::Succeeded,
                     used: None,
                     zone: ZoneId::default(),
                     bytes: 0.0,
                 };
-                // Now and then its end is told late, after the expiry too: the answer must not wait for it.
+                // Now and then its end is told late, after the deadline too: the answer must not wait for it.
                 let late =
                     if self.rng.random_bool(0.02) { ms(self.rng.random_range(0..2000)) } else { ms(0) };
-                self.mail.push((self.now + took + late, me, Mail::End(life, end)));
+                self.mail.push((self.now + latency + late, me, Mail::End(incarnation, end)));
             }
-            Action::Tell { to, bytes } => {
+            Action::SendToPeer { to, bytes } => {
                 for chance in [0.8, 0.2] {
                     if self.rng.random_bool(chance) {
                         let way = ms(self.rng.random_range(1..150));
-                        let label = Mail::Label(HostId(me as u32), bytes.clone());
-                        self.mail.push((self.now + way, to.0 as usize, label));
+                        let demand_report = Mail::DemandReport(HostId(me as u32), bytes.clone());
+                        self.mail.push((self.now + way, to.0 as usize, demand_report));
                     }
                 }
             }
@@ -189,36 +190,40 @@
         }
     }
 
-    /// How a leg at a node ends, and after how long.
-    fn serve(&mut self, node: NodeId, units: f64, lasts: Span) -> (Ending, Span) {
+    /// How an attempt at a node ends, and after how long.
+    fn serve(&mut self, node: NodeId, units: f64, lasts: Span) -> (AttemptOutcome, Span) {
         let now = self.now;
         let rng = &mut self.rng;
-        let Some(m) = self.machines.iter_mut().find(|m| m.entry.node == node) else {
-            return (Ending::Unreached, ms(5));
+        let Some(m) = self.servers.iter_mut().find(|m| m.entry.node == node) else {
+            return (AttemptOutcome::Unreachable, ms(5));
         };
         if !m.up {
-            return if rng.random_bool(0.5) { (Ending::Unreached, ms(5)) } else { (Ending::TimedOut, lasts) };
+            return if rng.random_bool(0.5) {
+                (AttemptOutcome::Unreachable, ms(5))
+            } else {
+                (AttemptOutcome::TimedOut, lasts)
+            };
         }
         if rng.random_bool(m.trouble.1) {
-            return (Ending::TurnedAway, ms(2));
+            return (AttemptOutcome::Rejected, ms(2));
         }
-        let cold = &self.facts.cold;
+        let cold = &self.config.slow_start;
         let age = m.entry.started.map_or(1e9, |s| (now - s).secs());
-        let part = (cold.first_part + (1.0 - cold.first_part) * age / cold.ramp.secs()).min(1.0);
+        let part = (cold.initial_fraction + (1.0 - cold.initial_fraction) * age / cold.ramp.secs()).min(1.0);
         m.free_at = m.free_at.max(now) + Span::from_millis(units / (CAN * part) * 1e3 * m.trouble.2);
-        let took = m.free_at - now + ms(1);
-        if took >= lasts {
-            return (Ending::TimedOut, lasts);
+        let latency = m.free_at - now + ms(1);
+        if latency >= lasts {
+            return (AttemptOutcome::TimedOut, lasts);
         }
         match rng.random_range(0.0..1.0) {
-            x if x < m.trouble.0 => (Ending::Failed, took),
-            x if x < m.trouble.0 * 1.3 => (Ending::Broken, took),
-            x if x < 0.002 => (Ending::Cancelled, took),
-            _ => (Ending::Done, took),
+            x if x < m.trouble.0 => (AttemptOutcome::Failed, latency),
+            x if x < m.trouble.0 * 1.3 => (AttemptOutcome::ConnectionLost, latency),
+            x if x < 0.002 => (AttemptOutcome::Cancelled, latency),
+            _ => (AttemptOutcome::Succeeded, latency),
         }
     }
 
-    fn news(&mut self, entries: &[NodeEntry]) {
+    fn news(&mut self, entries: &[Endpoint]) {
         for me in 0..self.members.len() {
             // The list is late, and not by the same for all; news about one node comes in order.
             let late = ms(self.rng.random_range(5..300));
@@ -227,39 +232,39 @@
     }
 
     fn nodes_change(&mut self) {
-        let place = self.rng.random_range(0..self.machines.len());
+        let place = self.rng.random_range(0..self.servers.len());
         match self.rng.random_range(0..6) {
             0 | 5 => {
-                let m = &mut self.machines[place];
+                let m = &mut self.servers[place];
                 m.trouble = (self.rng.random_range(0.0..0.7), self.rng.random_range(0.0..0.3), 1.0);
             }
-            1 => self.machines[place].trouble.2 = self.rng.random_range(1.0..12.0),
-            2 => self.machines.iter_mut().for_each(|m| m.trouble = (0.0, 0.0, 1.0)),
+            1 => self.servers[place].trouble.2 = self.rng.random_range(1.0..12.0),
+            2 => self.servers.iter_mut().for_each(|m| m.trouble = (0.0, 0.0, 1.0)),
             // It restarts, cold, and its host of the list says so.
             3 => {
                 let now = self.now;
-                let m = &mut self.machines[place];
-                (m.entry.started, m.entry.standing, m.up, m.free_at) =
-                    (Some(now), Standing::Ready, true, now);
+                let m = &mut self.servers[place];
+                (m.entry.started, m.entry.state, m.up, m.free_at) =
+                    (Some(now), EndpointState::Ready, true, now);
                 let entry = m.entry.clone();
                 self.news(&[entry]);
             }
-            // It drains, and a successor of another name holds its cell, cold.
+            // It drains, and a successor of another name holds its shard, cold.
             _ => {
                 self.last_node += 1;
                 let (now, id) = (self.now, self.last_node);
-                let m = &mut self.machines[place];
-                if m.entry.standing != Standing::Ready {
+                let m = &mut self.servers[place];
+                if m.entry.state != EndpointState::Ready {
                     m.up = false;
-                    m.entry.standing = Standing::Gone;
+                    m.entry.state = EndpointState::Gone;
                     let gone = m.entry.clone();
                     return self.news(&[gone]);
                 }
-                m.entry.standing = Standing::Draining;
-                let (cell, zone, left) = (m.entry.cell, m.entry.zone, m.entry.clone());
-                let entry = NodeEntry { zone, started: Some(now), ..node(id, cell.0) };
-                let next = Machine { entry: entry.clone(), up: true, trouble: (0.0, 0.0, 1.0), free_at: now };
-                self.machines.push(next);
+                m.entry.state = EndpointState::Draining;
+                let (shard, zone, left) = (m.entry.shard, m.entry.zone, m.entry.clone());
+                let entry = Endpoint { zone, started: Some(now), ..node(id, shard.0) };
+                let next = Server { entry: entry.clone(), up: true, trouble: (0.0, 0.0, 1.0), free_at: now };
+                self.servers.push(next);
                 self.news(&[left, entry]);
             }
         }
@@ -271,24 +276,32 @@
         let m = &mut self.members[me];
         m.turned = !m.turned;
         m.served[dropped] = !m.served[dropped];
-        let mut plans = self.facts.plans.clone();
+        let mut plans = self.config.plans.clone();
         if m.turned {
             plans.reverse();
         }
         plans[0].price *= 1.5;
-        let terms = (0..VOLUMES).map(|v| self.terms(me, v)).collect();
-        self.step(me, Event::Plans { plans, terms, crossings: Vec::new(), among: None });
+        let allocations = (0..VOLUMES).map(|v| self.allocations(me, v)).collect();
+        self.step(
+            me,
+            Event::ConfigChanged {
+                plans,
+                allocations,
+                cross_zone_budgets: Vec::new(),
+                fleet_membership: None,
+            },
+        );
     }
 
     fn plan(&self, me: usize, volume: u64) -> PlanId {
         PlanId((volume as usize % 2) ^ usize::from(self.members[me].turned))
     }
 
-    fn terms(&self, me: usize, volume: u64) -> Terms {
+    fn allocations(&self, me: usize, volume: u64) -> VolumeAllocation {
         let serves = self.members[me].served[volume as usize];
         let part = (!serves).then_some(Limit { rate: 0.0, burst: 0.0 });
         let hosts = if serves { self.members.len() as u32 } else { 0 };
-        Terms { volume: VolumeId(volume), plan: self.plan(me, volume), hosts, part }
+        VolumeAllocation { volume: VolumeId(volume), plan: self.plan(me, volume), hosts, part }
     }
 
     fn arrival(&mut self, me: usize) {
@@ -297,20 +310,20 @@
         if !self.members[me].served[volume as usize] {
             return;
         }
-        let stream_type = self.rng.random_range(0..4);
-        let cell = self.rng.random_bool(0.7).then(|| CellId(self.rng.random_range(0..CELLS)));
-        let t = Transfer {
+        let request_class = self.rng.random_range(0..4);
+        let shard = self.rng.random_bool(0.7).then(|| ShardId(self.rng.random_range(0..SHARDS)));
+        let t = Request {
             plan: self.plan(me, volume),
             volume: VolumeId(volume),
             units: [1.0, 1.0, 2.0, 4.0][self.rng.random_range(0..4)],
-            cell,
+            shard,
             object: self.rng.random_bool(0.6).then(|| ObjectId(self.rng.random_range(0..6))),
             // Mostly a first try; some are a next one, or impatient.
-            ttl: ms(if self.rng.random_bool(0.8) { 1200 } else { self.rng.random_range(60..1200) }),
+            timeout: ms(if self.rng.random_bool(0.8) { 1200 } else { self.rng.random_range(60..1200) }),
             volume_hosts: self.members.len() as u32,
-            ..xfer(self.last_id, stream_type)
+            ..request(self.last_id, request_class)
         };
-        self.step(me, Event::Arrived(t));
+        self.step(me, Event::RequestArrived(t));
     }
 
     fn play(&mut self) {
@@ -353,13 +366,15 @@
         let due = self.mail.extract_if(.., |m| m.1 == me && m.0 <= self.now).collect::<Vec<_>>();
         for (_, _, mail) in due {
             match mail {
-                Mail::Label(from, bytes) => self.step(me, Event::PeerSaid { from, bytes }),
-                Mail::End(life, end) => {
-                    if life == self.members[me].life {
-                        self.step(me, Event::LegEnded(end));
+                Mail::DemandReport(from, bytes) => self.step(me, Event::PeerMessage { from, bytes }),
+                Mail::End(incarnation, end) => {
+                    if incarnation == self.members[me].incarnation {
+                        self.step(me, Event::AttemptEnded(end));
                     }
                 }
-                Mail::List(entries) => self.step(me, Event::List { extent: Extent::Changes, entries }),
+                Mail::List(entries) => {
+                    self.step(me, Event::EndpointList { update_kind: UpdateKind::Delta, entries })
+                }
             }
         }
         if self.rng.random_bool(0.15 / self.members.len() as f64) {
@@ -371,7 +386,7 @@
         if self.rng.random_bool(0.003)
             && let Some(id) = self.members[me].held.keys().next_back().copied()
         {
-            self.step(me, Event::ClientLeft(id));
+            self.step(me, Event::ClientDisconnected(id));
         }
     }
 }
@@ -402,42 +417,42 @@
 /// For each rule a fault is planted, and the model calls it by that rule's number.
 #[test]
 fn planted_breaches_are_named() {
-    fn leg(id: TransferId, node: NodeId) -> Action {
-        Action::Leg { id, node, time_out: Some(ms(100)) }
+    fn attempt(id: RequestId, node: NodeId) -> Action {
+        Action::StartAttempt { id, node, time_out: Some(ms(100)) }
     }
-    fn is(w: &World, held: &Transfers, id: TransferId, what: fn(&StreamType) -> bool) -> bool {
-        held.get(&id).is_some_and(|(_, t, _)| what(&w.facts.stream_types[t.stream_type.0]))
+    fn is(w: &World, held: &Requests, id: RequestId, what: fn(&RequestClass) -> bool) -> bool {
+        held.get(&id).is_some_and(|(_, t, _)| what(&w.config.request_classes[t.request_class.0]))
     }
     let plants: [(u8, &str, Plant); 8] = [
         (1, "a second answer", |_, _, _, a| match a {
-            Action::Defer { .. } | Action::Abandon { .. } => vec![a.clone(), a],
+            Action::Reject { .. } | Action::Fail { .. } => vec![a.clone(), a],
             a => vec![a],
         }),
         (1, "no answer", |_, _, _, a| match a {
-            Action::Defer { .. } => vec![],
+            Action::Reject { .. } => vec![],
             a => vec![a],
         }),
         (2, "deferred in place of abandoned", |_, _, _, a| match a {
-            Action::Abandon { id } => vec![Action::Defer { id, come_back: None }],
+            Action::Fail { id } => vec![Action::Reject { id, retry_after: None }],
             a => vec![a],
         }),
         (3, "a leg to a node that leaves", |w, _, _, a| match a {
-            Action::Leg { id, .. } => {
-                let left = w.machines.iter().find(|m| m.entry.standing != Standing::Ready);
-                vec![left.map_or(a, |m| leg(id, m.entry.node))]
+            Action::StartAttempt { id, .. } => {
+                let left = w.servers.iter().find(|m| m.entry.state != EndpointState::Ready);
+                vec![left.map_or(a, |m| attempt(id, m.entry.node))]
             }
             a => vec![a],
         }),
         (4, "all new objects to the newest node", |w, _, held, a| match a {
-            Action::Leg { id, .. } if held.get(&id).is_some_and(|h| h.2 == 0) => {
-                let young = |m: &&Machine| m.entry.started.is_some_and(|s| w.now - s > ms(400));
-                let newest = w.machines.iter().filter(young).max_by_key(|m| m.entry.started);
-                vec![newest.map_or(a, |m| leg(id, m.entry.node))]
+            Action::StartAttempt { id, .. } if held.get(&id).is_some_and(|h| h.2 == 0) => {
+                let young = |m: &&Server| m.entry.started.is_some_and(|s| w.now - s > ms(400));
+                let newest = w.servers.iter().filter(young).max_by_key(|m| m.entry.started);
+                vec![newest.map_or(a, |m| attempt(id, m.entry.node))]
             }
             a => vec![a],
         }),
         (5, "what waits for its turn is sent at once", |w, _, held, a| match &a {
-            Action::Leg { id, node, .. } if is(w, held, *id, |s| s.in_order) => {
+            Action::StartAttempt { id, node, .. } if is(w, held, *id, |s| s.in_order) => {
                 let object = held[id].1.object;
                 let next = held.iter().find(|(other, h)| {
                     **other > *id
@@ -446,24 +461,28 @@
                         && h.1.object == object
                         && is(w, held, **other, |s| s.in_order)
                 });
-                let next = next.map(|(other, _)| leg(*other, *node));
+                let next = next.map(|(other, _)| attempt(*other, *node));
                 [Some(a.clone()), next].into_iter().flatten().collect()
             }
             _ => vec![a],
         }),
         (6, "further legs instead of deferrals", |w, _, held, a| match &a {
-            Action::Defer { id, .. } if is(w, held, *id, |s| s.effect == Effect::Repeatable) => {
-                let (came, t, legs) = &held[id];
-                if *legs > 0 && w.now - *came < t.ttl { vec![leg(*id, NodeId(0))] } else { vec![a] }
+            Action::Reject { id, .. } if is(w, held, *id, |s| s.idempotency == Idempotency::Idempotent) => {
+                let (came, t, attempts) = &held[id];
+                if *attempts > 0 && w.now - *came < t.timeout {
+                    vec![attempt(*id, NodeId(0))]
+                } else {
+                    vec![a]
+                }
             }
             _ => vec![a],
         }),
         (7, "what lacks tokens goes all the same", |w, me, held, a| match &a {
-            Action::Defer { id, .. } => {
-                let (came, t, legs) = &held[id];
+            Action::Reject { id, .. } => {
+                let (came, t, attempts) = &held[id];
                 let limited = w.members[me].turned == (t.plan.0 == 0);
-                let goes = *legs == 0 && limited && w.now - *came < t.ttl && t.object.is_none();
-                if goes { vec![leg(*id, NodeId(0)), a] } else { vec![a] }
+                let goes = *attempts == 0 && limited && w.now - *came < t.timeout && t.object.is_none();
+                if goes { vec![attempt(*id, NodeId(0)), a] } else { vec![a] }
             }
             _ => vec![a],
         }),
--- a/tests/decisions/symptoms.rs
+++ b/tests/decisions/symptoms.rs
@@ -1,68 +1,75 @@
 use crate::common::*;
-use gullsail::interface::*;
+use gullsail::api::*;
 
-/// One transfer each `every` ms to a node whose legs end after `took` ms; gives the legs of each second.
-fn steady(f: Facts, kind: usize, every: i64, (ending, took): (Ending, i64), span: i64) -> Vec<usize> {
+/// One request each `every` ms to a node whose attempts end after `latency` ms; gives the attempts of each second.
+fn steady(
+    f: SchedulerConfig,
+    kind: usize,
+    every: i64,
+    (outcome, latency): (AttemptOutcome, i64),
+    span: i64,
+) -> Vec<usize> {
     let mut h = Host::new(f, vec![node(1, 0)], at(1000));
     let (mut ends, mut each) = (Vec::new(), vec![0; (span / 1000) as usize]);
     for now in 0..span {
         if now % every == 0 {
-            h.tell(Event::Arrived(Transfer { ttl: ms(60_000), ..xfer(now as u64, kind) }));
+            h.tell(Event::RequestArrived(Request { timeout: ms(60_000), ..request(now as u64, kind) }));
         }
         h.pass(ms(1));
         let due: Vec<_> = ends.iter().filter(|e: &&(i64, u64)| e.0 <= now).map(|e| e.1).collect();
         ends.retain(|e| e.0 > now);
-        due.into_iter().for_each(|id| h.end(id, h.legs(id).len() as u32 - 1, 1, ending, took));
+        due.into_iter().for_each(|id| h.end(id, h.attempts(id).len() as u32 - 1, 1, outcome, latency));
         let sent = h.order().split_off(each.iter().sum());
         each[(now / 1000) as usize] += sent.len();
-        ends.extend(sent.into_iter().map(|id| (now + took, id)));
+        ends.extend(sent.into_iter().map(|id| (now + latency, id)));
     }
     each
 }
 
-/// i67aed5: a node late at a window of one gets its legs spaced out; a quick one gets all.
+/// i67aed5: a node late at a window of one gets its attempts spaced out; a quick one gets all.
 #[test]
 fn spaced_below_one() {
     // One at a time there would be sixteen.
-    for (took, least, most) in [(10, 100, 100), (300, 3, 10)] {
-        let legs: usize = steady(facts(), 0, 50, (Ending::Done, took), 5000).iter().sum();
-        assert!((least..=most).contains(&legs), "{took} ms: {legs}");
+    for (latency, least, most) in [(10, 100, 100), (300, 3, 10)] {
+        let attempts: usize =
+            steady(config(), 0, 50, (AttemptOutcome::Succeeded, latency), 5000).iter().sum();
+        assert!((least..=most).contains(&attempts), "{latency} ms: {attempts}");
     }
 }
 
-/// id76776: a patient stream type does not grow a window whose node makes the tightest late.
+/// id76776: a patient request class does not grow a window whose node makes the tightest late.
 #[test]
 fn patient_types_do_not_grow_windows() {
-    let mut f = facts();
-    f.stream_types[2].slo_time = ms(20_000);
+    let mut f = config();
+    f.request_classes[2].latency_objective = ms(20_000);
     // With a window of one there would be ten, with two twenty.
-    let legs: usize = steady(f, 2, 50, (Ending::Done, 1000), 10_000).iter().sum();
-    assert!((3..=15).contains(&legs), "{legs}");
+    let attempts: usize = steady(f, 2, 50, (AttemptOutcome::Succeeded, 1000), 10_000).iter().sum();
+    assert!((3..=15).contains(&attempts), "{attempts}");
 }
 
-/// if61432: a new object leaves a node to its readers until half of its SLO time is gone.
+/// if61432: a new object leaves a node to its readers until half of its latency objective is gone.
 #[test]
 fn new_objects_yield() {
     for (wait, first) in [(100, 5), (250, 6)] {
-        let mut f = facts();
-        f.stream_types[2].benefit = 5.0;
+        let mut f = config();
+        f.request_classes[2].priority_weight = 5.0;
         let mut h = Host::new(f, leaving(0), at(1000));
-        h.tell(Event::Arrived(xfer(5, 0)));
-        h.tell(Event::Arrived(Transfer { cell: None, ..xfer(6, 2) }));
+        h.tell(Event::RequestArrived(request(5, 0)));
+        h.tell(Event::RequestArrived(Request { shard: None, ..request(6, 2) }));
         h.pass(ms(wait));
-        h.list(Extent::Whole, vec![node(1, 0)]);
+        h.list(UpdateKind::Snapshot, vec![node(1, 0)]);
         h.pass(ms(15));
         assert_eq!(h.order(), [first, 11 - first], "after {wait} ms");
     }
 }
 
-/// A node that never answers gets one careful leg at a time, ever more seldom, and its reads an answer.
+/// A node that never answers gets one careful attempt at a time, ever more seldom, and its reads an answer.
 #[test]
-fn a_silent_node_gets_careful_legs() {
-    let mut h = Host::new(facts(), vec![node(1, 0)], at(1000));
+fn a_silent_node_gets_careful_attempts() {
+    let mut h = Host::new(config(), vec![node(1, 0)], at(1000));
     let mut seen = vec![0];
     for id in 0..400 {
-        h.tell(Event::Arrived(xfer(id, 0)));
+        h.tell(Event::RequestArrived(request(id, 0)));
         h.pass(ms(10));
         (id % 100 == 99).then(|| seen.push(h.order().len()));
     }
@@ -71,38 +78,44 @@
     assert_eq!(h.answers(50).len(), 1);
 }
 
-/// Where hosts share out how often a node of which nothing comes is asked, each keeps to its part, whether its legs are
+/// Where hosts share out how often a node of which nothing comes is asked, each keeps to its part, whether its attempts are
 /// still out or have run into their time; and what answers again is used at once.
 #[test]
 fn a_silent_node_is_asked_as_often_as_this_hosts_part_allows() {
-    for (probe_every, least, most) in [(ms(0), 4, 60), (ms(8000), 1, 2)] {
+    for (probe_interval, least, most) in [(ms(0), 4, 60), (ms(8000), 1, 2)] {
         for times_out in [false, true] {
-            let mut h = Host::new(Facts { probe_every, ..facts() }, vec![node(1, 0)], at(1000));
+            let mut h = Host::new(SchedulerConfig { probe_interval, ..config() }, vec![node(1, 0)], at(1000));
             let mut first = 0;
             for id in 0..1200 {
-                h.tell(Event::Arrived(xfer(id, 0)));
+                h.tell(Event::RequestArrived(request(id, 0)));
                 h.pass(ms(10));
                 // Its first second goes by before anything is known of it.
                 first = if id < 100 { h.order().len() } else { first };
                 let all = h.order();
-                let late = all.iter().filter(|leg| times_out && **leg + 40 == id);
-                late.for_each(|leg| h.end(*leg, 0, 1, Ending::TimedOut, 400));
+                let late = all.iter().filter(|attempt| times_out && **attempt + 40 == id);
+                late.for_each(|attempt| h.end(*attempt, 0, 1, AttemptOutcome::TimedOut, 400));
             }
             let asked = h.order().len() - first;
             let least = if times_out { least } else { 1 };
-            assert!((least..=most).contains(&asked), "every {probe_every:?}, times out {times_out}: {asked}");
+            assert!(
+                (least..=most).contains(&asked),
+                "every {probe_interval:?}, times out {times_out}: {asked}"
+            );
             // It is another process: nothing that was learned of the one before holds it back.
             if !times_out {
                 continue;
             }
             let started = Some(h.now);
-            h.list(Extent::Seen, vec![NodeEntry { started, ..node(1, 0) }]);
+            h.list(UpdateKind::SelfReported, vec![Endpoint { started, ..node(1, 0) }]);
             let before = h.order().len();
             // Its latency is still believed to be that of the time-outs, half of it a second later.
             h.pass(ms(1500));
-            h.tell(Event::Arrived(xfer(5000, 0)));
+            h.tell(Event::RequestArrived(request(5000, 0)));
             h.pass(ms(20));
-            assert!(h.order().len() > before, "every {probe_every:?}, times out {times_out}: not used again");
+            assert!(
+                h.order().len() > before,
+                "every {probe_interval:?}, times out {times_out}: not used again"
+            );
         }
     }
 }
@@ -110,41 +123,44 @@
 /// i30ae33: a node that answers at once with errors is not taken for the best one.
 #[test]
 fn errors_draw_no_new_objects() {
-    let mut h = Host::new(facts(), vec![node(1, 0), node(2, 1)], at(1000));
+    let mut h = Host::new(config(), vec![node(1, 0), node(2, 1)], at(1000));
     for id in 0..100 {
-        h.tell(Event::Arrived(Transfer { cell: None, ..xfer(id, 2) }));
+        h.tell(Event::RequestArrived(Request { shard: None, ..request(id, 2) }));
         h.pass(ms(5));
-        let nd = h.legs(id)[0];
-        h.end(id, 0, nd, if nd == 1 { Ending::Failed } else { Ending::Done }, 5);
+        let nd = h.attempts(id)[0];
+        h.end(id, 0, nd, if nd == 1 { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded }, 5);
     }
-    let to_bad = (0..100).filter(|id| h.legs(*id) == [1]).count();
+    let to_bad = (0..100).filter(|id| h.attempts(*id) == [1]).count();
     assert!(to_bad < 10, "{to_bad} of 100");
 }
 
-/// give_up: a client that comes with less than the SLO time is served like any first try.
+/// give_up: a client that comes with less than the latency objective is served like any first try.
 #[test]
 fn impatient_first_tries_are_served() {
-    // expiry after how many ms, legs within 100 ms once the node has room
-    for (ttl, legs) in [(1000, 1), (900, 1), (500, 0), (150, 1), (1100, 1)] {
-        let mut h = Host::new(facts(), leaving(0), at(1000));
-        h.tell(Event::Arrived(xfer(1, 0)));
-        h.tell(Event::Arrived(Transfer { ttl: ms(ttl), ..xfer(2, 0) }));
+    // deadline after how many ms, attempts within 100 ms once the node has room
+    for (timeout, attempts) in [(1000, 1), (900, 1), (500, 0), (150, 1), (1100, 1)] {
+        let mut h = Host::new(config(), leaving(0), at(1000));
+        h.tell(Event::RequestArrived(request(1, 0)));
+        h.tell(Event::RequestArrived(Request { timeout: ms(timeout), ..request(2, 0) }));
         h.pass(ms(20));
-        h.list(Extent::Whole, vec![node(1, 0)]);
-        assert_eq!(h.legs(2).len(), legs, "{ttl}");
+        h.list(UpdateKind::Snapshot, vec![node(1, 0)]);
+        assert_eq!(h.attempts(2).len(), attempts, "{timeout}");
     }
 }
 
-/// h288dee: a host sends about as much as comes back in time: when all fails, a leg a second or so, so that
+/// h288dee: a host sends about as much as comes back in time: when all fails, an attempt a second or so, so that
 /// full nodes can drain; when half does, it goes on.
 #[test]
 fn a_jam_is_left_to_drain() {
-    // how legs end, after how many ms, legs in the last three seconds
-    let cases =
-        [(Ending::TurnedAway, 1, 1..=8), (Ending::TimedOut, 400, 1..=8), (Ending::Done, 10, 290..=300)];
-    for (ending, took, legs) in cases {
-        let each = steady(facts(), 0, 10, (ending, took), 5000);
-        assert!(legs.contains(&each[2..].iter().sum::<usize>()), "{ending:?}: {each:?}");
+    // how attempts end, after how many ms, attempts in the last three seconds
+    let cases = [
+        (AttemptOutcome::Rejected, 1, 1..=8),
+        (AttemptOutcome::TimedOut, 400, 1..=8),
+        (AttemptOutcome::Succeeded, 10, 290..=300),
+    ];
+    for (outcome, latency, attempts) in cases {
+        let each = steady(config(), 0, 10, (outcome, latency), 5000);
+        assert!(attempts.contains(&each[2..].iter().sum::<usize>()), "{outcome:?}: {each:?}");
     }
 }
 
@@ -152,45 +168,45 @@
 #[test]
 fn new_objects_leave_cold_nodes_alone() {
     for (warm, goes) in [(true, false), (false, true)] {
-        let cold = NodeEntry { started: Some(at(900)), ..node(1, 0) };
+        let cold = Endpoint { started: Some(at(900)), ..node(1, 0) };
         let nodes = if warm { vec![cold, node(2, 1)] } else { vec![cold] };
-        let mut h = Host::new(Facts { hosts: 100, ..facts() }, nodes, at(1000));
+        let mut h = Host::new(SchedulerConfig { hosts: 100, ..config() }, nodes, at(1000));
         for id in 0..40 {
-            h.tell(Event::Arrived(Transfer { cell: None, ..xfer(id, 0) }));
+            h.tell(Event::RequestArrived(Request { shard: None, ..request(id, 0) }));
             h.pass(ms(5));
         }
-        let to_cold = (0..40).filter(|id| h.legs(*id).contains(&1)).count();
+        let to_cold = (0..40).filter(|id| h.attempts(*id).contains(&1)).count();
         assert_eq!(to_cold > 0, goes, "{to_cold}");
         assert!(to_cold <= 1, "one lone leg of each host: {to_cold}");
     }
 }
 
-/// A broken connection is no sign of a jam: where the node says that it lives on, its window is what it was.
+/// A broken connection is no sign of a jam: where the node says that it incarnations on, its window is what it was.
 #[test]
 fn breaks_leave_the_window() {
-    // how every third leg ends, and how many of ten go out together then
-    for (ending, some) in [(Ending::Broken, 4..=4), (Ending::Failed, 1..=3)] {
-        let mut h = Host::new(facts(), vec![node(1, 0)], at(1000));
+    // how every third attempt ends, and how many of ten go out together then
+    for (outcome, some) in [(AttemptOutcome::ConnectionLost, 4..=4), (AttemptOutcome::Failed, 1..=3)] {
+        let mut h = Host::new(config(), vec![node(1, 0)], at(1000));
         for id in 0..12 {
-            h.tell(Event::Arrived(xfer(id, 2)));
+            h.tell(Event::RequestArrived(request(id, 2)));
             h.pass(ms(60));
-            h.end(id, 0, 1, if id % 3 == 2 { ending } else { Ending::Done }, 60);
-            h.list(Extent::Seen, vec![node(1, 0)]);
+            h.end(id, 0, 1, if id % 3 == 2 { outcome } else { AttemptOutcome::Succeeded }, 60);
+            h.list(UpdateKind::SelfReported, vec![node(1, 0)]);
             h.pass(ms(300));
         }
         let before = h.order().len();
-        (100..110).for_each(|id| _ = h.tell(Event::Arrived(xfer(id, 2))));
+        (100..110).for_each(|id| _ = h.tell(Event::RequestArrived(request(id, 2))));
         h.pass(ms(1));
         let together = h.order().len() - before;
-        assert!(some.contains(&together), "{ending:?}: {together}");
+        assert!(some.contains(&together), "{outcome:?}: {together}");
     }
 }
 
-/// calm+mass: where a host sends each of many nodes a leg now and then and all miss their SLO time, few are out at a time; a
+/// calm+mass: where a host sends each of many nodes an attempt now and then and all miss their latency objective, few are out at a time; a
 /// node that was late before, or a zone that is cut off, does not hold up the others.
 #[test]
 fn nodes_seen_seldom_share_a_window() {
-    // nodes, every which of them is late, zones in turn, legs of the last four seconds' 400
+    // nodes, every which of them is late, zones in turn, attempts of the last four seconds' 400
     let cases = [
         (600, 0, 1, 395..=400),
         (600, 1, 1, 4..=60),
@@ -199,22 +215,22 @@
         (12, 0, 1, 395..=400),
     ];
     for (nodes, late, zones, wanted) in cases {
-        let zoned = |n: u64| NodeEntry { zone: ZoneId(n as usize % zones), ..node(n, n as i64) };
-        let mut h = Host::new(facts(), (0..nodes).map(zoned).collect(), at(1000));
-        let took = |node: u64| if late > 0 && node.is_multiple_of(late) { 410 } else { 20 };
+        let zoned = |n: u64| Endpoint { zone: ZoneId(n as usize % zones), ..node(n, n as i64) };
+        let mut h = Host::new(config(), (0..nodes).map(zoned).collect(), at(1000));
+        let latency = |node: u64| if late > 0 && node.is_multiple_of(late) { 410 } else { 20 };
         let (mut ends, mut done, mut before): (Vec<(i64, u64)>, _, _) = (Vec::new(), 0, 0);
         for now in 0..8000_i64 {
             if now % 10 == 0 {
-                let cell = Some(CellId(now / 10 * 7 % nodes as i64));
-                h.tell(Event::Arrived(Transfer { cell, ..xfer(now as u64, 0) }));
+                let shard = Some(ShardId(now / 10 * 7 % nodes as i64));
+                h.tell(Event::RequestArrived(Request { shard, ..request(now as u64, 0) }));
             }
             h.pass(ms(1));
             let sent = h.order().split_off(done);
             done += sent.len();
-            ends.extend(sent.into_iter().map(|id| (now + took(h.legs(id)[0]), id)));
+            ends.extend(sent.into_iter().map(|id| (now + latency(h.attempts(id)[0]), id)));
             for (_, id) in ends.extract_if(.., |e| e.0 <= now) {
-                let node = h.legs(id)[0];
-                h.end(id, 0, node, Ending::Done, took(node));
+                let node = h.attempts(id)[0];
+                h.end(id, 0, node, AttemptOutcome::Succeeded, latency(node));
             }
             before = if now == 3999 { done } else { before };
         }
