--- a/crates/configuration/src/cross_zone_budgets.rs
+++ b/crates/configuration/src/cross_zone_budgets.rs
@@ -1,5 +1,5 @@
-//! Budgets of bytes between zones: `crossing from="east" to="west" limit="20MiB/s" burst="256MiB"` for an ordered
-//! pair, `crossing plan="base" ...` for all that crosses for the volumes of a plan.
+//! Budgets of bytes between zones: `crossing from="east" to="west" limit="20MiB/s" burst="256MiB"` for an
+//! ordered pair, `crossing plan="base" ...` for all that crosses for the volumes of a plan.
 
 use crate::deployment::{NamedCrossZoneBudget, Place, number};
 use crate::reader::{Names, Reader, entries};
@@ -18,12 +18,12 @@
     max_bytes: f64,
 ) -> Option<NamedCrossZoneBudget> {
     r.only(n, 0, &["from", "to", "plan", "limit", "burst", "hard"], &[]);
-    let before = r.noted();
+    let before = r.reported();
     let of = if n.entry("plan").is_some() {
         for key in ["from", "to"] {
             if let Some(e) = n.entry(key) {
                 let help = Some("a budget is for a pair of zones, or for a plan in all".into());
-                r.note("contradiction", format!("`{key}` does not go with `plan`"), e.span(), help);
+                r.report("contradiction", format!("`{key}` does not go with `plan`"), e.span(), help);
             }
         }
         BudgetScope::Plan(PlanId(r.refer_at(n, "plan", "plan", plans)?))
@@ -31,14 +31,14 @@
         let (from, to) = (r.refer_at(n, "from", "zone", zones), r.refer_at(n, "to", "zone", zones));
         let (from, to) = (ZoneId(from?), ZoneId(to?));
         if from == to {
-            r.note("contradiction", "nothing crosses from a zone to itself".into(), n.span(), None);
+            r.report("contradiction", "nothing crosses from a zone to itself".into(), n.span(), None);
         }
         BudgetScope::ZonePair(from, to)
     };
     let rate = r.bytes_a_second(n, "limit");
     let burst = r.bytes(n, "burst", 0) as f64;
     if n.entry("burst").is_none() {
-        r.note("missing", "`crossing` needs `burst`".into(), n.name().span(), None);
+        r.report("missing", "`crossing` needs `burst`".into(), n.name().span(), None);
     }
     let hard = r.flag(n, "hard");
     let (name, hosts) = match of {
@@ -50,12 +50,12 @@
         }
     };
     let least = 2.0 * max_bytes * hosts.len() as f64;
-    if r.noted() == before && burst < least {
+    if r.reported() == before && burst < least {
         let message =
             format!("a burst of {burst} bytes is too small for the {} hosts that share it", hosts.len());
         let help =
             format!("each part must hold two of the largest bodies ({max_bytes} bytes): {least} or more");
-        r.note("burst-too-small", message, n.span(), Some(help));
+        r.report("burst-too-small", message, n.span(), Some(help));
     }
     let id = demand_report::carried(VolumeId(number(&format!("crossing/{name}"))));
     Some(NamedCrossZoneBudget { name, id, of, limit: Limit { rate, burst }, hard, hosts })
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -1,5 +1,5 @@
-//! What a document means. Each kind of entry has a struct and a function that reads it; [`build`] goes through
-//! the document from top to bottom and then looks at what must fit together.
+//! What a document means. Each kind of entry has a struct and a function that reads it; [`build`] goes
+//! through the document from top to bottom and then looks at what must fit together.
 
 use crate::fleet::NamedFleet;
 use crate::reader::{Names, Reader, entries};
@@ -246,7 +246,7 @@
         if !TOP.contains(&name) && !KEPT.contains(&name) {
             let known: Vec<_> = TOP.iter().map(|k| format!("`{k}`")).collect();
             let help = Some(format!("known are {}", known.join(", ")));
-            r.note("unknown-node", format!("`{name}` is no entry of a deployment"), n.name().span(), help);
+            r.report("unknown-node", format!("`{name}` is no entry of a deployment"), n.name().span(), help);
         }
     }
     let all = |name: &'static str| entries(document, name);
@@ -405,7 +405,7 @@
     let mut found = entries(document, kind);
     let first = found.next();
     for second in found {
-        r.note("twice", format!("a second `{kind}`"), second.name().span(), None);
+        r.report("twice", format!("a second `{kind}`"), second.name().span(), None);
     }
     first
 }
@@ -415,7 +415,7 @@
     for (missing, what) in [(hosts.is_empty(), "host"), (volumes.is_empty(), "volume")] {
         // Where a file could not be read, it is that.
         if missing && !r.unread() {
-            r.note("missing", format!("a deployment needs a `{what}`"), (top.offset(), 0).into(), None);
+            r.report("missing", format!("a deployment needs a `{what}`"), (top.offset(), 0).into(), None);
         }
     }
 }
@@ -428,7 +428,7 @@
     for (kind, name, id) in volumes.chain(nodes) {
         if let Some(other) = seen.insert((kind, id), name).filter(|other| *other != name) {
             let message = format!("{kind} \"{name}\" and \"{other}\" have the same number: rename one");
-            r.note("same-number", message, (document.span().offset(), 0).into(), None);
+            r.report("same-number", message, (document.span().offset(), 0).into(), None);
         }
     }
 }
@@ -493,15 +493,15 @@
 fn request_class(r: &mut Reader, n: &KdlNode) -> NamedRequestClass {
     let known = ["effect", "group", "window", "slo", "expiry", "benefit", "late-part", "in-order", "write"];
     r.only(n, 1, &known, &[]);
-    let words = [("repeatable", 0), ("keyed", 1), ("unrepeatable", 2)];
-    let idempotency = match r.word(n, "effect", &words) {
+    let keywords = [("repeatable", 0), ("keyed", 1), ("unrepeatable", 2)];
+    let idempotency = match r.keyword(n, "effect", &keywords) {
         Some(1) => {
             let groups = [
                 ("all", IdempotencyScope::All),
                 ("zone", IdempotencyScope::Zone),
                 ("cell", IdempotencyScope::Shard),
             ];
-            let group = r.word(n, "group", &groups).unwrap_or(IdempotencyScope::Shard);
+            let group = r.keyword(n, "group", &groups).unwrap_or(IdempotencyScope::Shard);
             Idempotency::WithKey { group, window: r.span(n, "window") }
         }
         Some(2) => Idempotency::NonIdempotent,
@@ -510,13 +510,13 @@
     for key in ["group", "window"] {
         if let (false, Some(e)) = (matches!(idempotency, Idempotency::WithKey { .. }), n.entry(key)) {
             let help = Some("write effect=\"keyed\", or take it out".into());
-            r.note("contradiction", format!("`{key}` is for keyed stream types only"), e.span(), help);
+            r.report("contradiction", format!("`{key}` is for keyed stream types only"), e.span(), help);
         }
     }
     let (latency_objective, deadline) = (r.span(n, "slo"), r.span(n, "expiry"));
     if latency_objective > deadline {
         let help = Some("the client gives up at the expiry, after the answer was wanted".into());
-        r.note("slo-past-expiry", "the SLO time is longer than the expiry".into(), n.span(), help);
+        r.report("slo-past-expiry", "the SLO time is longer than the expiry".into(), n.span(), help);
     }
     let decisions = RequestClass {
         idempotency,
@@ -531,15 +531,15 @@
 fn plan(r: &mut Reader, n: &KdlNode, unit: Option<f64>) -> NamedPlan {
     r.only(n, 1, &["limit", "burst", "slack", "reserve", "usual", "weight", "price"], &[]);
     let reserve = r.rate_at(n, "reserve", 0.0, unit).unwrap_or_default();
-    let before = r.noted();
+    let before = r.reported();
     let limit = r.rate_at(n, "limit", f64::MIN_POSITIVE, unit);
     let limit = limit.map(|rate| {
         let burst = r.number(n, "burst", 0.0);
-        Limit { rate, burst: if r.noted() > before { f64::INFINITY } else { burst } }
+        Limit { rate, burst: if r.reported() > before { f64::INFINITY } else { burst } }
     });
     if let Some(l) = limit.filter(|l| l.rate < reserve) {
         let message = format!("the limit ({}) is under the reserve ({reserve})", l.rate);
-        r.note("limit-under-reserve", message, n.span(), None);
+        r.report("limit-under-reserve", message, n.span(), None);
     }
     let slack = r.number_at(n, "slack", 0.0);
     let decisions = Plan {
@@ -570,7 +570,7 @@
         for e in child.entries() {
             let host = r.refer(e, "host", hosts).map(|h| HostId(h as u32));
             if host.is_some_and(|h| !through.insert(h)) {
-                r.note("twice", "this host stands here twice".into(), e.span(), None);
+                r.report("twice", "this host stands here twice".into(), e.span(), None);
             }
         }
     }
@@ -581,7 +581,7 @@
         if l.burst < least {
             let message = format!("the plan's burst of {} is too small for {} hosts", l.burst, through.len());
             let help = format!("each host's part must hold two of the largest transfers: {least} or more");
-            r.note("burst-too-small", message, n.span(), Some(help));
+            r.report("burst-too-small", message, n.span(), Some(help));
         }
     }
     // Six bytes of the number travel in labels.
--- a/crates/configuration/src/fleet.rs
+++ b/crates/configuration/src/fleet.rs
@@ -1,5 +1,5 @@
-//! How hosts settle things among themselves: `fleet "town" lease="2s" drift=0.002 voters=5 floor=0.3`. Without the entry, or
-//! with `off=#true`, each host keeps to even parts by the document alone.
+//! How hosts settle things among themselves: `fleet "town" lease="2s" drift=0.002 voters=5 floor=0.3`.
+//! Without the entry, or with `off=#true`, each host keeps to even parts by the document alone.
 
 use crate::deployment::Place;
 use crate::reader::Reader;
@@ -18,8 +18,8 @@
     pub voters: u32,
     /// The part of its even part that a host may use without a lease.
     pub floor: f64,
-    /// New connections to one node, and attempts to one of which nothing comes, a second from all hosts together; `None`: each
-    /// host opens and asks as it sees fit.
+    /// New connections to one node, and attempts to one of which nothing comes, a second from all hosts
+    /// together; `None`: each host opens and asks as it sees fit.
     pub connects: Option<f64>,
     pub probes: Option<f64>,
 }
@@ -39,7 +39,7 @@
     if rate.is_none() {
         let span = n.entry(key).map_or(n.span(), |e| e.span());
         let help = format!("so many a second to one node, from all hosts together: {key}=\"40/s\"");
-        r.note("wrong-kind", format!("`{key}` is \"{text}\""), span, Some(help));
+        r.report("wrong-kind", format!("`{key}` is \"{text}\""), span, Some(help));
     }
     rate
 }
@@ -48,7 +48,7 @@
 pub(crate) fn read(r: &mut Reader, n: Option<&KdlNode>, hosts: &[Place], tick: Span) -> Option<NamedFleet> {
     let n = n?;
     r.only(n, 1, &["lease", "drift", "voters", "floor", "connects", "probes", "off"], &[]);
-    let before = r.noted();
+    let before = r.reported();
     let fleet = NamedFleet {
         name: r.text(n, 0, "the fleet's name"),
         lease: r.span(n, "lease"),
@@ -60,7 +60,7 @@
     };
     let mut wrong = |key: &str, message: String, help: String| {
         let span = n.entry(key).map_or(n.span(), |e| e.span());
-        r.note("contradiction", message, span, Some(help));
+        r.report("contradiction", message, span, Some(help));
     };
     let (least, most) = LEASES;
     let ms = fleet.lease.millis();
@@ -98,5 +98,5 @@
         let help = "with that zone nobody decides: let the document's first hosts lie in different zones";
         r.warn("voters-together", "all voters are in one zone".into(), n.span(), Some(help.into()));
     }
-    (!off && r.noted() == before).then_some(fleet)
+    (!off && r.reported() == before).then_some(fleet)
 }
--- a/crates/configuration/src/lints.rs
+++ b/crates/configuration/src/lints.rs
@@ -21,7 +21,7 @@
             let message = format!("reserves sum to {reserved} units a second; the nodes can do {can:.0}");
             let help =
                 format!("at most {:.0} can be promised: lower reserves, or add nodes", can * PROMISABLE);
-            r.note("reserves-too-large", message, last.span(), Some(help));
+            r.report("reserves-too-large", message, last.span(), Some(help));
         }
     }
     let zones: BTreeSet<usize> = d.nodes.iter().map(|n| n.place.zone.0).collect();
@@ -63,17 +63,17 @@
     if let Some(n) = all("bounds").next() {
         if d.bounds.redial.0 > d.bounds.redial.1 {
             let message = "the first wait between tries to connect is longer than the last".into();
-            r.note("contradiction", message, n.span(), None);
+            r.report("contradiction", message, n.span(), None);
         }
         if d.bounds.frame.body > d.bounds.most_held {
             let message = "one body may be larger than all that may be held".into();
-            r.note("contradiction", message, n.span(), Some("held-bytes is at least body-bytes".into()));
+            r.report("contradiction", message, n.span(), Some("held-bytes is at least body-bytes".into()));
         }
     }
     if let Some(n) = all("cold").next() {
         if f.slow_start.window > f.slow_start.ramp {
             let message = "the window is longer than the ramp: a node is warm before it ends".into();
-            r.note(
+            r.report(
                 "contradiction",
                 message,
                 n.span(),
--- a/crates/configuration/src/maintenance.rs
+++ b/crates/configuration/src/maintenance.rs
@@ -1,5 +1,5 @@
-//! Machines out for work: `works at-once=1 keep=0.7 longest="30min" watched="10s" { rest from="07:00" to="19:00"; }`. What
-//! it means is told in docs/works.md.
+//! Machines out for work: `works at-once=1 keep=0.7 longest="30min" watched="10s" { rest from="07:00"
+//! to="19:00"; }`. What it means is told in docs/works.md.
 
 use crate::fleet::NamedFleet;
 use crate::reader::Reader;
@@ -19,7 +19,7 @@
     let n = n?;
     let known = ["at-once", "in-zone", "in-pool", "keep", "keep-cell", "busy", "longest", "watched", "blind"];
     r.only(n, 0, &known, &["rest"]);
-    let before = r.noted();
+    let before = r.reported();
     let at_once = r.whole(n, "at-once", 1, 1);
     let mut maintenance = MaintenanceConfig {
         at_once,
@@ -39,14 +39,14 @@
         if let [Some(from), Some(to)] = times {
             if from == to {
                 let help = "from=\"07:00\" to=\"19:00\": one that never ends lets nobody go";
-                r.note("contradiction", "a rest of no length".into(), rest.span(), Some(help.into()));
+                r.report("contradiction", "a rest of no length".into(), rest.span(), Some(help.into()));
             }
             maintenance.rests.push((from, to));
         }
     }
     let mut wrong = |key: &str, message: String, help: String| {
         let span = n.entry(key).map_or(n.span(), |e| e.span());
-        r.note("contradiction", message, span, Some(help));
+        r.report("contradiction", message, span, Some(help));
     };
     let Some(fleet) = fleet else {
         wrong(
@@ -72,7 +72,7 @@
         let help = format!("from one lease ({} ms) to an hour", fleet.lease.millis());
         wrong("blind", format!("a blind time of {} ms", maintenance.blind.millis()), help);
     }
-    (r.noted() == before).then_some(maintenance)
+    (r.reported() == before).then_some(maintenance)
 }
 
 /// Of a day, as `"07:30"`, in seconds.
@@ -86,7 +86,7 @@
     if time.is_none() {
         let span = n.entry(key).map_or(n.span(), |e| e.span());
         let help = "a time of day in UTC: from=\"07:00\" to=\"19:00\"".to_string();
-        r.note("wrong-kind", format!("`{key}` is \"{text}\""), span, Some(help));
+        r.report("wrong-kind", format!("`{key}` is \"{text}\""), span, Some(help));
     }
     time
 }
--- a/crates/configuration/src/ranges.rs
+++ b/crates/configuration/src/ranges.rs
@@ -1,6 +1,6 @@
-//! `host "desk-{01..40}" address="10.4.1.{11..50}:7400"` stands for forty entries: the ranges of an entry count up
-//! together. In a list of values, such as a volume's hosts, a range stands for as many values instead. A text that
-//! is nothing but a range of numbers without leading zeros gives numbers.
+//! `host "desk-{01..40}" address="10.4.1.{11..50}:7400"` stands for forty entries: the ranges of an entry
+//! count up together. In a list of values, such as a volume's hosts, a range stands for as many values
+//! instead. A text that is nothing but a range of numbers without leading zeros gives numbers.
 
 use crate::reader::Reader;
 use kdl::{KdlEntry, KdlNode, KdlValue};
@@ -54,7 +54,7 @@
     let KdlValue::String(text) = e.value() else { return None };
     range(text).unwrap_or_else(|why| {
         let help = Some("a range is two numbers that count up: \"h{01..40}\"".into());
-        r.note("range", why, e.span(), help);
+        r.report("range", why, e.span(), help);
         None
     })
 }
@@ -76,7 +76,7 @@
         match found(e, r).map(|range| range.count) {
             Some(other) if count > 1 && other != count => {
                 let message = format!("a range of {other} in an entry with one of {count}");
-                r.note("range", message, e.span(), Some("ranges of an entry count up together".into()));
+                r.report("range", message, e.span(), Some("ranges of an entry count up together".into()));
                 return Vec::new();
             }
             Some(other) => count = count.max(other),
@@ -124,7 +124,7 @@
                 }
                 Some(_) => {
                     let message = "a range can't be a property of an entry within another".to_string();
-                    r.note("range", message, e.span(), None);
+                    r.report("range", message, e.span(), None);
                 }
                 None => all.push(e.clone()),
             }
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -1,6 +1,6 @@
 //! Reads entries of a KDL document and keeps count of what is wrong with them. A value that can't be read is
-//! replaced by a harmless one, so that one mistake does not hide the next; [`Reader::close`] gives nothing out
-//! if there was any.
+//! replaced by a harmless one, so that one mistake does not hide the next; [`Reader::close`] gives nothing
+//! out if there was any.
 
 use crate::resolve;
 use crate::source_map::{Loader, NESTED, Sources, shift, too_nested};
@@ -141,7 +141,7 @@
     document.nodes().iter().filter(move |n| n.name().value() == kind)
 }
 
-struct Noted {
+struct Reported {
     code: &'static str,
     weight: Weight,
     message: String,
@@ -154,7 +154,7 @@
 pub struct Reader {
     name: String,
     sources: Sources,
-    noted: Vec<Noted>,
+    reported: Vec<Reported>,
     /// Of values that templates filled in: where what they are filled with stands.
     filled: BTreeMap<usize, Vec<usize>>,
 }
@@ -168,7 +168,7 @@
         for name in loader.changed() {
             let at = reader.sources.of_file(&name);
             let message = format!("{name} changed while the configuration was read: check it again");
-            reader.note("file", message, (at, 0).into(), None);
+            reader.report("file", message, (at, 0).into(), None);
         }
         (document, reader)
     }
@@ -178,7 +178,7 @@
         let start = self.file(name, text);
         if let Some(place) = too_nested(text) {
             let message = format!("more than {NESTED} entries within each other");
-            self.note("too-deep", message, (start + place, 1).into(), None);
+            self.report("too-deep", message, (start + place, 1).into(), None);
             return KdlDocument::new();
         }
         match KdlDocument::parse_v2(text) {
@@ -189,7 +189,7 @@
             Err(e) => {
                 for d in e.diagnostics {
                     let message = d.message.unwrap_or_else(|| "this is not KDL".into());
-                    self.note("syntax", message, (d.span.offset() + start, d.span.len()).into(), d.help);
+                    self.report("syntax", message, (d.span.offset() + start, d.span.len()).into(), d.help);
                 }
                 KdlDocument::new()
             }
@@ -237,34 +237,34 @@
     /// # Errors
     /// What was found; warnings alone are no error and come with what was built.
     pub fn close<T>(self, built: T) -> Result<(T, Vec<Problem>), Problems> {
-        let Reader { name, sources, mut noted, .. } = self;
-        noted.sort_by_key(|n| n.at.offset());
-        let errors = noted.iter().any(|n| n.weight == Weight::Error);
+        let Reader { name, sources, mut reported, .. } = self;
+        reported.sort_by_key(|n| n.at.offset());
+        let errors = reported.iter().any(|n| n.weight == Weight::Error);
         // With errors about, a warning is mostly one's consequence: what is misspelt is used nowhere.
-        noted.retain(|n| !errors || n.weight == Weight::Error);
-        let problems: Vec<_> = noted.into_iter().map(|n| locate(&sources, n)).collect();
+        reported.retain(|n| !errors || n.weight == Weight::Error);
+        let problems: Vec<_> = reported.into_iter().map(|n| locate(&sources, n)).collect();
         if errors { Err(Problems { name, problems }) } else { Ok((built, problems)) }
     }
 
-    pub fn note(&mut self, code: &'static str, message: String, at: SourceSpan, help: Option<String>) {
-        self.noted.push(Noted { code, weight: Weight::Error, message, at, help, see: Vec::new() });
+    pub fn report(&mut self, code: &'static str, message: String, at: SourceSpan, help: Option<String>) {
+        self.reported.push(Reported { code, weight: Weight::Error, message, at, help, see: Vec::new() });
     }
 
     pub fn warn(&mut self, code: &'static str, message: String, at: SourceSpan, help: Option<String>) {
-        self.noted.push(Noted { code, weight: Weight::Warning, message, at, help, see: Vec::new() });
+        self.reported.push(Reported { code, weight: Weight::Warning, message, at, help, see: Vec::new() });
     }
 
     /// A part of the text could not be had, so that what is missing may stand there.
     pub(crate) fn unread(&self) -> bool {
-        self.noted.iter().any(|n| ["syntax", "file", "too-deep", "too-much"].contains(&n.code))
+        self.reported.iter().any(|n| ["syntax", "file", "too-deep", "too-much"].contains(&n.code))
     }
 
     pub(crate) fn noted_errors(&self) -> usize {
-        self.noted.iter().filter(|n| n.weight == Weight::Error).count()
+        self.reported.iter().filter(|n| n.weight == Weight::Error).count()
     }
 
     /// How much is wrong so far: what depends on a value that can't be read is not judged by its stand-in.
-    pub fn noted(&self) -> usize {
+    pub fn reported(&self) -> usize {
         self.noted_errors()
     }
 
@@ -276,13 +276,13 @@
     /// Something that does not go with something else, and where that stands.
     pub fn conflict(&mut self, code: &'static str, message: String, at: SourceSpan, see: &str, other: usize) {
         let see = vec![format!("{see} {}", self.sources.say(other))];
-        self.noted.push(Noted { code, weight: Weight::Error, message, at, help: None, see });
+        self.reported.push(Reported { code, weight: Weight::Error, message, at, help: None, see });
     }
 
     /// A name that nothing bears.
     pub fn unknown(&mut self, at: SourceSpan, what: &str, name: &str, names: &[String]) {
         let known: Vec<_> = names.iter().map(String::as_str).collect();
-        self.note("unknown-name", format!("no {what} is called \"{name}\""), at, meant(name, &known));
+        self.report("unknown-name", format!("no {what} is called \"{name}\""), at, meant(name, &known));
     }
 
     /// Complains about properties, arguments and children that are not known; `arguments` is how many may
@@ -296,21 +296,21 @@
             match e.name() {
                 Some(key) if !known.contains(&key.value()) => {
                     let help = meant(key.value(), known);
-                    self.note("unknown-key", format!("`{what}` has no `{}`", key.value()), e.span(), help);
+                    self.report("unknown-key", format!("`{what}` has no `{}`", key.value()), e.span(), help);
                 }
                 Some(key) if seen.insert(key.value(), ()).is_some() => {
-                    self.note("twice", format!("`{}` stands here twice", key.value()), e.span(), None);
+                    self.report("twice", format!("`{}` stands here twice", key.value()), e.span(), None);
                 }
                 None if unnamed > arguments => {
                     let message = format!("`{what}` takes {arguments} value(s) without a name");
-                    self.note("too-many", message, e.span(), None);
+                    self.report("too-many", message, e.span(), None);
                 }
                 _ => {}
             }
         }
         for child in node.iter_children().filter(|c| !children.contains(&c.name().value())) {
             let (name, help) = (child.name().value(), meant(child.name().value(), children));
-            self.note("unknown-node", format!("`{name}` can't stand in `{what}`"), child.span(), help);
+            self.report("unknown-node", format!("`{name}` can't stand in `{what}`"), child.span(), help);
         }
     }
 
@@ -318,13 +318,13 @@
         let found = node.entry(key);
         if found.is_none() && needed {
             let message = format!("`{}` needs `{key}`", node.name().value());
-            self.note("missing", message, node.name().span(), None);
+            self.report("missing", message, node.name().span(), None);
         }
         found
     }
 
     fn wrong<T: Default>(&mut self, e: &KdlEntry, wanted: &str, help: Option<String>) -> T {
-        self.note("wrong-kind", format!("{} is not {wanted}", e.value()), e.span(), help);
+        self.report("wrong-kind", format!("{} is not {wanted}", e.value()), e.span(), help);
         T::default()
     }
 
@@ -334,7 +334,7 @@
             Some(e) => self.text_of(e),
             None => {
                 let message = format!("`{}` needs {what}", node.name().value());
-                self.note("missing", message, node.name().span(), None);
+                self.report("missing", message, node.name().span(), None);
                 String::new()
             }
         }
@@ -425,8 +425,8 @@
         }
     }
 
-    /// A rate in units a second: `"40units/s"`, or in bytes, such as `"16MiB/s"`, where it is known how many a unit
-    /// stands for. `None` where it is not given.
+    /// A rate in units a second: `"40units/s"`, or in bytes, such as `"16MiB/s"`, where it is known how many
+    /// a unit stands for. `None` where it is not given.
     pub fn rate_at(&mut self, node: &KdlNode, key: &str, least: f64, unit: Option<f64>) -> Option<f64> {
         let e = self.entry(node, key, false)?;
         let help = || Some("a rate is written with its unit in quotes: \"40units/s\", \"16MiB/s\"".into());
@@ -441,7 +441,7 @@
             if let (Some(_), None) = (bytes, unit) {
                 let help = Some("rules unit=\"64KiB\" says how many bytes a unit stands for".into());
                 let message = format!("`{key}` is in bytes, and nothing says how many are a unit");
-                self.note("no-unit", message, e.span(), help);
+                self.report("no-unit", message, e.span(), help);
                 return Some(0.0);
             }
             bytes.zip(unit).map(|(bytes, unit)| bytes / unit)
@@ -491,14 +491,14 @@
     }
 
     /// One of some words.
-    pub fn word<T: Copy>(&mut self, node: &KdlNode, key: &str, words: &[(&str, T)]) -> Option<T> {
+    pub fn keyword<T: Copy>(&mut self, node: &KdlNode, key: &str, keywords: &[(&str, T)]) -> Option<T> {
         let e = self.entry(node, key, true)?;
         let text = self.text_of(e);
-        let found = words.iter().find(|w| w.0 == text).map(|w| w.1);
+        let found = keywords.iter().find(|w| w.0 == text).map(|w| w.1);
         if found.is_none() {
-            let known: Vec<_> = words.iter().map(|w| w.0).collect();
+            let known: Vec<_> = keywords.iter().map(|w| w.0).collect();
             let help = meant(&text, &known).or_else(|| Some(format!("one of: {}", known.join(", "))));
-            self.note("unknown-word", format!("`{key}` can't be \"{text}\""), e.span(), help);
+            self.report("unknown-word", format!("`{key}` can't be \"{text}\""), e.span(), help);
         }
         found
     }
@@ -539,8 +539,8 @@
 }
 
 /// Finds the file and line of what was noted, and by which uses of templates it came there.
-fn locate(sources: &Sources, n: Noted) -> Problem {
-    let Noted { code, weight, message, at, help, mut see } = n;
+fn locate(sources: &Sources, n: Reported) -> Problem {
+    let Reported { code, weight, message, at, help, mut see } = n;
     let (file, line, column) = sources.line(at.offset()).unwrap_or(("", 1, 1));
     let (file, found) = (file.to_string(), sources.find(at.offset()));
     let mut via = found.and_then(|(s, _)| s.via);
--- a/crates/configuration/src/resolve.rs
+++ b/crates/configuration/src/resolve.rs
@@ -2,8 +2,9 @@
 //! document; the stages after it know neither.
 //!
 //! `include "zones.kdl" "plans/*.kdl"` brings in files, relative to the one it stands in; each comes once.
-//! `template "small" plan="base" { volume "$name" plan="$plan"; }` names entries with parameters, and defaults for
-//! some; `use "small" name="photos"` puts them in place. A template may use others that stand before it.
+//! `template "small" plan="base" { volume "$name" plan="$plan"; }` names entries with parameters, and
+//! defaults for some; `use "small" name="photos"` puts them in place. A template may use others that stand
+//! before it.
 
 use crate::ranges;
 use crate::reader::Reader;
@@ -66,13 +67,13 @@
                 if from.is_none() {
                     self.r.file(name, "");
                 }
-                return self.r.note("file", format!("{name}: {e}"), at, None);
+                return self.r.report("file", format!("{name}: {e}"), at, None);
             }
         };
         self.bytes += text.len();
         if self.bytes > MOST_ALL {
             let message = format!("with {name} there are more than {MOST_ALL} bytes");
-            return self.r.note("too-much", message, at, None);
+            return self.r.report("too-much", message, at, None);
         }
         self.seen.insert(name.into());
         self.chain.push(name.into());
@@ -96,7 +97,7 @@
         for node in ranges::expand(&node, self.r) {
             if self.out.len() == MOST_ENTRIES {
                 let message = format!("more than {MOST_ENTRIES} entries");
-                self.r.note("too-much", message, node.span(), None);
+                self.r.report("too-much", message, node.span(), None);
             }
             if self.out.len() <= MOST_ENTRIES {
                 self.out.push(node);
@@ -107,7 +108,7 @@
     fn include(&mut self, from: &str, node: &KdlNode) {
         self.r.only(node, usize::MAX, &[], &[]);
         if node.entries().is_empty() {
-            self.r.note("missing", "`include` needs a file".into(), node.span(), None);
+            self.r.report("missing", "`include` needs a file".into(), node.span(), None);
         }
         for e in node.entries() {
             let text = self.r.text_of(e);
@@ -115,19 +116,24 @@
                 let help = Some(
                     "files are named from the one that includes them, below the first one's folder".into(),
                 );
-                self.r.note("outside", format!("\"{text}\" leads out of the configuration"), e.span(), help);
+                self.r.report(
+                    "outside",
+                    format!("\"{text}\" leads out of the configuration"),
+                    e.span(),
+                    help,
+                );
                 continue;
             };
             let names = if text.contains(['*', '?', '[']) {
                 match self.loader.matching(&name) {
                     Ok(names) if names.is_empty() => {
-                        self.r.note("file", format!("no file matches \"{text}\""), e.span(), None);
+                        self.r.report("file", format!("no file matches \"{text}\""), e.span(), None);
                         continue;
                     }
                     // A pattern that matches its own file does not mean it.
                     Ok(names) => names.into_iter().filter(|n| !self.chain.contains(n)).collect(),
                     Err(why) => {
-                        self.r.note("file", format!("\"{text}\": {why}"), e.span(), None);
+                        self.r.report("file", format!("\"{text}\": {why}"), e.span(), None);
                         continue;
                     }
                 }
@@ -139,10 +145,10 @@
                     let mut way = self.chain[place..].to_vec();
                     way.push(name.clone());
                     let message = format!("files include each other in a loop: {}", way.join(" -> "));
-                    self.r.note("loop", message, e.span(), None);
+                    self.r.report("loop", message, e.span(), None);
                 } else if self.chain.len() >= DEPTH {
                     let message = format!("more than {DEPTH} files within each other");
-                    self.r.note("too-deep", message, e.span(), None);
+                    self.r.report("too-deep", message, e.span(), None);
                 } else if !self.seen.contains(&name) {
                     self.file(&name, Some(e.span()));
                 }
@@ -163,7 +169,7 @@
             return self.r.twice(format!("a second template \"{name}\""), node.span(), first);
         }
         if node.children().is_none_or(|c| c.nodes().is_empty()) {
-            self.r.note("missing", format!("template \"{name}\" holds nothing"), node.span(), None);
+            self.r.report("missing", format!("template \"{name}\" holds nothing"), node.span(), None);
         }
         let mut names = BTreeSet::new();
         parameters(node, &mut names);
@@ -176,8 +182,8 @@
         self.templates.insert(name, Template { node: node.clone(), defaults, used: false });
     }
 
-    /// Puts a template's entries in place. Each use has a stretch of its own in the sources, so that a message
-    /// points into the template and says where it was used.
+    /// Puts a template's entries in place. Each use has a stretch of its own in the sources, so that a
+    /// message points into the template and says where it was used.
     fn put(&mut self, at: &KdlNode, depth: usize) {
         let name = self.r.text(at, 0, "a template's name");
         let known: Vec<String> = self.templates.keys().cloned().collect();
@@ -187,7 +193,7 @@
         t.used = true;
         if depth >= DEPTH {
             let message = format!("templates use each other more than {DEPTH} deep");
-            return self.r.note("too-deep", message, at.span(), None);
+            return self.r.report("too-deep", message, at.span(), None);
         }
         let mut values = t.defaults.clone();
         let node = t.node.clone();
@@ -210,7 +216,7 @@
                 }
                 "template" | "include" => {
                     let message = format!("`{}` can't stand in a template", child.name().value());
-                    self.r.note("unknown-node", message, child.name().span(), None);
+                    self.r.report("unknown-node", message, child.name().span(), None);
                 }
                 _ => self.keep(child),
             }
--- a/crates/configuration/src/revisions.rs
+++ b/crates/configuration/src/revisions.rs
@@ -1,6 +1,6 @@
-//! Documents that come after each other: `revision 7 after="fleet-6.kdl"` names the one before, so that a host which
-//! starts with a document knows what others may still hold to. What the documents of such a line promise of
-//! limits comes with the last of them.
+//! Documents that come after each other: `revision 7 after="fleet-6.kdl"` names the one before, so that a
+//! host which starts with a document knows what others may still hold to. What the documents of such a line
+//! promise of limits comes with the last of them.
 
 use crate::deployment::{self, Deployment};
 use crate::reader::{Problem, Problems, Reader, entries};
@@ -30,7 +30,7 @@
     let revision = match number.map(|e| (e, e.value().as_integer().and_then(|i| u64::try_from(i).ok()))) {
         Some((_, Some(revision))) if revision > 0 => revision,
         Some((e, _)) => {
-            r.note(
+            r.report(
                 "wrong-kind",
                 format!("{} is not a whole number of at least 1", e.value()),
                 e.span(),
@@ -39,7 +39,7 @@
             0
         }
         None => {
-            r.note("missing", "`revision` needs its number".into(), n.span(), Some("revision 1".into()));
+            r.report("missing", "`revision` needs its number".into(), n.span(), Some("revision 1".into()));
             0
         }
     };
@@ -73,12 +73,12 @@
         let at = n.entry("after").map_or(n.span(), |e| e.span());
         match before(loader, name, after, chain, &built) {
             Ok(earlier) => line = earlier,
-            Err((message, help)) => r.note("after", message, at, help),
+            Err((message, help)) => r.report("after", message, at, help),
         }
     }
     if let Some(n) = entry(&document).filter(|_| built.hosts.len() > MOST_HOSTS as usize) {
         let message = format!("documents of more than {MOST_HOSTS} hosts can't be numbered yet");
-        r.note("too-much", message, n.span(), None);
+        r.report("too-much", message, n.span(), None);
     }
     line.push(revision_limits(&built));
     built.line = line;
--- a/crates/configuration/src/routes.rs
+++ b/crates/configuration/src/routes.rs
@@ -1,6 +1,7 @@
-//! Where new objects may lie: pools are sets of nodes, routes say which volumes' and request classes' new objects go
-//! to which pool. The first route that matches a request decides, and the last takes all the rest. What a
-//! request is given is worked out once for each volume and request class, so that looking it up costs nothing.
+//! Where new objects may lie: pools are sets of nodes, routes say which volumes' and request classes' new
+//! objects go to which pool. The first route that matches a request decides, and the last takes all the rest.
+//! What a request is given is worked out once for each volume and request class, so that looking it up costs
+//! nothing.
 
 use crate::deployment::{NamedPlan, NamedRequestClass, NamedVolume, NodePlace};
 use crate::reader::{Names, Reader, entries};
@@ -105,7 +106,7 @@
     let name = r.text(n, 0, "a name");
     if name == ALL {
         let help = Some("it is there already, and holds every node".into());
-        r.note("twice", format!("a second pool \"{ALL}\""), n.span(), help);
+        r.report("twice", format!("a second pool \"{ALL}\""), n.span(), help);
     }
     Pool { name, zones, kinds }
 }
@@ -139,7 +140,7 @@
                 }
                 volumes.push(pattern);
             }
-            Err(why) => r.note("wrong-kind", format!("\"{text}\" is no pattern: {why}"), e.span(), None),
+            Err(why) => r.report("wrong-kind", format!("\"{text}\" is no pattern: {why}"), e.span(), None),
         }
     }
     Route { to: PoolId(to), volumes, plans, request_classes }
@@ -147,7 +148,7 @@
 
 /// Reads pools and routes, and looks at whether they make sense together.
 pub fn read(document: &KdlDocument, r: &mut Reader, known: &Known) -> Routes {
-    let before = r.noted();
+    let before = r.reported();
     let pools: Vec<Pool> = entries(document, "pool").map(|n| pool(r, n, known)).collect();
     let names: Names = std::iter::once(ALL.to_string()).chain(pools.iter().map(|p| p.name.clone())).collect();
     let routes: Vec<Route> = entries(document, "route").map(|n| route(r, n, &names, known)).collect();
@@ -156,10 +157,10 @@
         let nodes = known.nodes.iter().filter(|node| !node.spare);
         let p = &built.pools[place];
         let found = nodes.clone().filter(|node| p.holds(node.place.zone, &node.kind)).count();
-        if found == 0 && !known.nodes.is_empty() && r.noted() == before {
+        if found == 0 && !known.nodes.is_empty() && r.reported() == before {
             let message = format!("no node is in pool \"{}\"", p.name);
             let help = Some("each of its nodes must be in one of its zones and of one of its kinds".into());
-            r.note("pool-empty", message, n.span(), help);
+            r.report("pool-empty", message, n.span(), help);
         } else if found == nodes.count() && !known.nodes.is_empty() {
             let message = format!("pool \"{}\" holds every node, as \"{ALL}\" does", p.name);
             r.warn("no-effect", message, n.span(), None);
@@ -168,9 +169,9 @@
         }
     }
     let Some(last) = entries(document, "route").last() else { return built };
-    if !built.routes.last().is_some_and(Route::is_rest) && r.noted() == before {
+    if !built.routes.last().is_some_and(Route::is_rest) && r.reported() == before {
         let help = Some(format!("end with `route to=\"{ALL}\"`, or with another pool for all the rest"));
-        r.note("no-rest", "the last route does not take all the rest".into(), last.span(), help);
+        r.report("no-rest", "the last route does not take all the rest".into(), last.span(), help);
     }
     if let [.., second, rest] = built.routes.as_slice()
         && second.to == rest.to
@@ -180,7 +181,7 @@
         let message = "the rest goes there anyway".to_string();
         r.warn("no-effect", message, n.map_or(last.span(), |n| n.span()), None);
     }
-    if r.noted() == before || built.routes.iter().any(Route::is_rest) {
+    if r.reported() == before || built.routes.iter().any(Route::is_rest) {
         fill(document, r, known, &mut built, before);
     }
     built
@@ -203,7 +204,7 @@
             }
         }
     }
-    if r.noted() > before || known.volumes.is_empty() || !known.request_classes.iter().any(|s| s.write) {
+    if r.reported() > before || known.volumes.is_empty() || !known.request_classes.iter().any(|s| s.write) {
         return;
     }
     let places: Vec<_> = entries(document, "route").map(|n| n.span()).collect();
@@ -226,7 +227,7 @@
             None => {
                 let message =
                     "this route can never match: no volume and stream type that writes fit it".into();
-                r.note("route-never", message, places[place], None);
+                r.report("route-never", message, places[place], None);
             }
         }
     }
--- a/crates/configuration/src/source_map.rs
+++ b/crates/configuration/src/source_map.rs
@@ -1,6 +1,6 @@
-//! The files of a configuration as one run of text: each file, and each use of a template, has a stretch of its
-//! own, so that one number names a place in any of them (as compilers keep their source maps). What is read
-//! from a file is moved there once; whoever checks it later need not know of files.
+//! The files of a configuration as one run of text: each file, and each use of a template, has a stretch of
+//! its own, so that one number names a place in any of them (as compilers keep their source maps). What is
+//! read from a file is moved there once; whoever checks it later need not know of files.
 
 use kdl::KdlNode;
 use miette::SourceSpan;
@@ -155,7 +155,7 @@
 
 /// One file, or one use of a template of it.
 #[derive(Clone, Debug)]
-pub struct Stretch {
+pub struct Segment {
     pub name: Arc<str>,
     pub text: Arc<str>,
     start: usize,
@@ -165,30 +165,30 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Sources {
-    stretches: Vec<Stretch>,
+    stretches: Vec<Segment>,
 }
 
 impl Sources {
     /// Gives a text its stretch; all places in it are past the number that comes back.
     pub fn add(&mut self, name: Arc<str>, text: Arc<str>, via: Option<usize>) -> usize {
         let start = self.stretches.last().map_or(0, |s| s.start + s.text.len() + 1);
-        self.stretches.push(Stretch { name, text, start, via });
+        self.stretches.push(Segment { name, text, start, via });
         start
     }
 
     /// The stretch that holds a place, and the place in its text.
-    pub fn find(&self, place: usize) -> Option<(&Stretch, usize)> {
+    pub fn find(&self, place: usize) -> Option<(&Segment, usize)> {
         let after = self.stretches.partition_point(|s| s.start <= place);
-        let stretch = self.stretches.get(after.checked_sub(1)?)?;
-        Some((stretch, (place - stretch.start).min(stretch.text.len())))
+        let segment = self.stretches.get(after.checked_sub(1)?)?;
+        Some((segment, (place - segment.start).min(segment.text.len())))
     }
 
     /// File, line and column, from 1.
     pub fn line(&self, place: usize) -> Option<(&str, usize, usize)> {
-        let (stretch, at) = self.find(place)?;
-        let before = stretch.text.get(..at)?;
+        let (segment, at) = self.find(place)?;
+        let before = segment.text.get(..at)?;
         let line = before.rsplit('\n').next().unwrap_or_default();
-        Some((&stretch.name, before.matches('\n').count() + 1, line.chars().count() + 1))
+        Some((&segment.name, before.matches('\n').count() + 1, line.chars().count() + 1))
     }
 
     /// `file:line:column`.
@@ -207,8 +207,8 @@
     }
 }
 
-/// Entries within entries, or comments within comments: a parser that follows each by a call of its own would run
-/// out of stack on a file of nothing but braces.
+/// Entries within entries, or comments within comments: a parser that follows each by a call of its own would
+/// run out of stack on a file of nothing but braces.
 pub const NESTED: usize = 64;
 
 /// Where a text nests deeper than that, if it does. Braces in quotes and after `//` count for nothing.
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -50,8 +50,8 @@
         cause: String,
         bytes: u64,
     },
-    /// What the host called `to` wrote down at the time: what it may use of budgets from then on, in millionths of each,
-    /// and how long its lease lasts; -1: it has none.
+    /// What the host called `to` wrote down at the time: what it may use of budgets from then on, in
+    /// millionths of each, and how long its lease lasts; -1: it has none.
     Parts {
         #[serde(rename = "life")]
         incarnation: u64,
@@ -66,8 +66,9 @@
         number: u64,
         stage: String,
     },
-    /// By the script, for people.
-    Trouble {
+    /// By the script, for people: a fault began or ended, a process started or stopped.
+    #[serde(rename = "Trouble")]
+    Fault {
         text: String,
     },
 }
--- a/crates/scenario/src/built_in.rs
+++ b/crates/scenario/src/built_in.rs
@@ -36,7 +36,7 @@
     Some(format!("{hosts}\n{script}"))
 }
 
-/// Two troubles of the built-in days, over each other at moments drawn by the seed.
+/// Two faults of the built-in days, over each other at moments drawn by the seed.
 pub fn random(seed: u64) -> String {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let single: Vec<_> = DAYS
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,5 +1,5 @@
 //! A scripted day: [`script`] reads it from the same document as the deployment, [`run`] starts all processes
-//! on free loopback ports with relays between them, plays the troubles, stops everything and has the recording
+//! on free loopback ports with relays between them, plays the faults, stops everything and has the recording
 //! judged. [`built_in`] holds the days that come with the program.
 
 pub mod built_in;
@@ -8,4 +8,4 @@
 pub mod script;
 
 pub use run::{Report, RunError, Stage, play};
-pub use script::{Script, Trouble};
+pub use script::{Fault, Script};
--- a/crates/scenario/src/run/parts.rs
+++ b/crates/scenario/src/run/allocations_log.rs
@@ -1,4 +1,5 @@
-//! What hosts wrote down of what they may use, and of machines out for work, from their logs into the recording.
+//! What hosts wrote down of what they may use, and of machines out for work, from their logs into the
+//! recording.
 
 use super::*;
 
@@ -26,7 +27,7 @@
 
 impl Day<'_> {
     /// Lines that are cut, where a host was killed, tell nothing.
-    pub(super) fn note_parts(&mut self) {
+    pub(super) fn record_allocations(&mut self) {
         for host in self.host_names().iter().filter(|_| self.d.fleet.is_some()) {
             let file = self.stage.dir.join(format!("{host}.log"));
             let log = std::fs::read_to_string(file).unwrap_or_default();
@@ -34,7 +35,7 @@
             for l in stages.filter(|l| l.target == "gullsail_works") {
                 if let Ok(when) = humantime::parse_rfc3339(&l.timestamp) {
                     let StageLine { server, number, stage, .. } = l;
-                    self.wire.wrote(host, when, What::Stage { server, number, stage });
+                    self.wire.record_at(host, when, What::Stage { server, number, stage });
                 }
             }
             let lines = log.lines().filter_map(|l| serde_json::from_str::<Line>(l).ok());
@@ -47,7 +48,7 @@
                         lasts_us: l.lasts_us,
                         parts,
                     };
-                    self.wire.wrote(host, when, what);
+                    self.wire.record_at(host, when, what);
                 }
             }
         }
--- a/crates/scenario/src/run/documents.rs
+++ b/crates/scenario/src/run/documents.rs
@@ -1,4 +1,5 @@
-//! The documents of a day: resolved for its processes, changed by its script, given to hosts as their operators do it.
+//! The documents of a day: resolved for its processes, changed by its script, given to hosts as their
+//! operators do it.
 
 use super::*;
 use gullsail_host::control::{ControlReply, ControlRequest, ask};
@@ -39,7 +40,8 @@
     n
 }
 
-/// The document with other entries in the place of its own of their kinds and names, and the number after its own.
+/// The document with other entries in the place of its own of their kinds and names, and the number after its
+/// own.
 pub(super) fn changed(
     text: &str,
     entries: &[String],
@@ -77,27 +79,28 @@
 }
 
 impl Day<'_> {
-    pub(super) fn note_document(&self, host: &str, revision: u64, text: Option<String>, serves: bool) {
-        self.wire.note(host, What::Document { revision, text, serves });
+    pub(super) fn record_document(&self, host: &str, revision: u64, text: Option<String>, serves: bool) {
+        self.wire.record(host, What::Document { revision, text, serves });
     }
 
     /// A host that starts serves by what is in its file.
-    pub(super) fn note_start(&self, host: &str) {
+    pub(super) fn record_start(&self, host: &str) {
         let file = self.stage.dir.join(format!("{host}.kdl"));
         let text = std::fs::read_to_string(file).unwrap_or_default();
         let document = KdlDocument::parse_v2(&text).unwrap_or_default();
         let number = document.get("revision").and_then(|n| n.get(0)).and_then(|v| v.as_integer());
         if let Some(revision) = number.and_then(|n| u64::try_from(n).ok()) {
-            self.note_document(host, revision, None, true);
+            self.record_document(host, revision, None, true);
         }
     }
 
-    /// As a host's operator does it: the new document into its file, then the question. What is not taken goes back.
+    /// As a host's operator does it: the new document into its file, then the question. What is not taken
+    /// goes back.
     pub(super) async fn reload(&mut self, host: &str, next: &Next, clients: &mpsc::Sender<Change>) {
         let file = self.stage.dir.join(format!("{host}.kdl"));
         let before = std::fs::read_to_string(&file).unwrap_or_default();
         if let Err(e) = std::fs::write(&file, &next.text) {
-            return self.faults.push(format!("{}: {e}", file.display()));
+            return self.failures.push(format!("{}: {e}", file.display()));
         }
         if self.places.get(host).is_none_or(|p| p.process.is_none()) {
             self.say(format!("{host} is down: it finds revision {} when it is back", next.revision));
@@ -109,14 +112,14 @@
         if next.expect == Expect::Taken {
             // Alone, as the judge reads it.
             let alone = numbered(&next.text, next.revision, None);
-            self.note_document(host, next.revision, Some(alone), false);
+            self.record_document(host, next.revision, Some(alone), false);
         }
-        let told =
+        let reply =
             ask(&self.socket(host), ControlRequest::Reload { insist: next.insist }, Duration::from_secs(20))
                 .await;
-        let (got, say) = match told {
+        let (got, say) = match reply {
             Ok(ControlReply::Taken { revision, changes }) => {
-                self.note_document(host, revision, None, true);
+                self.record_document(host, revision, None, true);
                 // Its users hear of it as soon as anybody serves by it.
                 if let Ok(d) = gullsail_configuration::parse("day", &numbered(&next.text, revision, None)) {
                     _ = clients.send(Change::Document(Arc::new(d))).await;
@@ -135,7 +138,7 @@
         };
         self.say(format!("{host}, revision {}: {say}", next.revision));
         if got != Some(next.expect) {
-            self.faults.push(format!(
+            self.failures.push(format!(
                 "{host}, revision {}: {:?} expected, got {got:?}: {say}",
                 next.revision, next.expect
             ));
--- a/crates/scenario/src/run/started.rs
+++ b/crates/scenario/src/run/lifecycle.rs
@@ -18,8 +18,8 @@
         self.order("list", Order { what: "set".into(), entries, ..Order::default() }).await;
         // Some come only later.
         let late = |name: &String| {
-            let troubles = &mut self.script.troubles.iter();
-            troubles.any(|t| matches!(&t.1, Trouble::StartHost { host } if host == name))
+            let faults = &mut self.script.faults.iter();
+            faults.any(|t| matches!(&t.1, Fault::StartHost { host } if host == name))
         };
         let hosts: Vec<_> = self.d.hosts.iter().map(|h| h.name.clone()).filter(|h| !late(h)).collect();
         for host in hosts {
@@ -85,7 +85,7 @@
             args.extend(["--control".into(), self.socket(host).display().to_string()]);
         }
         self.start(host, args, None).await?;
-        self.note_start(host);
+        self.record_start(host);
         Ok(())
     }
 
@@ -148,8 +148,8 @@
     pub(super) async fn states(&self) -> Vec<State> {
         let mut all = Vec::new();
         for h in self.host_names().iter().filter(|_| !self.stage.baseline) {
-            let told = ask(&self.socket(h), ControlRequest::Status, Duration::from_secs(5)).await;
-            if let Ok(ControlReply::Status(state)) = told {
+            let reply = ask(&self.socket(h), ControlRequest::Status, Duration::from_secs(5)).await;
+            if let Ok(ControlReply::Status(state)) = reply {
                 all.push(*state);
             }
         }
@@ -162,8 +162,8 @@
         let Some(process) = self.places.get_mut(host).and_then(|p| p.process.take()) else { return };
         match process.stop(duration(longest) + Duration::from_secs(10)).await {
             Ok(status) if status.success() => self.wire.process(host, self.wire.now(), ProcessEvent::Ended),
-            Ok(status) => self.faults.push(format!("{host} ended with {status}")),
-            Err(e) => self.faults.push(e.to_string()),
+            Ok(status) => self.failures.push(format!("{host} ended with {status}")),
+            Err(e) => self.failures.push(e.to_string()),
         }
     }
 
@@ -171,7 +171,7 @@
     pub(super) async fn stop_all(&mut self) -> Vec<String> {
         let longest = self.d.request_classes.iter().map(|s| s.deadline).max().unwrap_or_default();
         let wait = duration(longest) + Duration::from_secs(10);
-        let mut faults = Vec::new();
+        let mut failures = Vec::new();
         let hosts = self.host_names();
         for (name, place) in &mut self.places {
             let Some(process) = place.process.take() else { continue };
@@ -183,10 +183,10 @@
                 Ok(status) if status.success() => {
                     self.wire.process(name, self.wire.now(), ProcessEvent::Ended)
                 }
-                Ok(status) => faults.push(format!("{name} ended with {status}")),
-                Err(e) => faults.push(e.to_string()),
+                Ok(status) => failures.push(format!("{name} ended with {status}")),
+                Err(e) => failures.push(e.to_string()),
             }
         }
-        faults
+        failures
     }
 }
--- a/crates/scenario/src/run/maintenance.rs
+++ b/crates/scenario/src/run/maintenance.rs
@@ -1,6 +1,6 @@
-//! What operators do with machines out for work: their words, through hosts' control sockets, and the machines, which they
-//! switch off once any host says that they may be, and on again. Each operator is a task of its own: whoever asks a host that
-//! stands still waits, and the day goes on.
+//! What operators do with machines out for work: their words, through hosts' control sockets, and the
+//! machines, which they switch off once any host says that they may be, and on again. Each operator is a task
+//! of its own: whoever asks a host that stands still waits, and the day goes on.
 
 use super::*;
 use gullsail_fleet::maintenance::Stage as Of;
@@ -20,15 +20,15 @@
     pub(super) command: OperatorCommand,
     pub(super) expect: Expect,
     pub(super) after: Duration,
-    pub(super) tell: mpsc::Sender<Step>,
+    pub(super) step_sender: mpsc::Sender<Step>,
 }
 
 impl Operator {
     async fn say(&self) -> bool {
         let via = self.sockets.iter().find(|s| s.0 == self.via).or(self.sockets.first());
         let Some((name, socket)) = via else { return false };
-        let told = ask(socket, ControlRequest::OperatorCommand(self.command.clone()), PATIENCE).await;
-        let (got, what) = match told {
+        let reply = ask(socket, ControlRequest::OperatorCommand(self.command.clone()), PATIENCE).await;
+        let (got, what) = match reply {
             Ok(ControlReply::CommandTaken) => (Some(Expect::Taken), "taken".to_string()),
             Ok(ControlReply::TurnedDown { why }) => {
                 (Some(Expect::TurnedDown), format!("refused: {}", why.join("; ")))
@@ -37,9 +37,9 @@
             Err(e) => (None, e.to_string()),
         };
         let text = format!("{} {} through {name}: {what}", self.command.kind, self.command.names.join(" "));
-        let fault = (got != Some(self.expect)).then(|| format!("{text}, {:?} expected", self.expect));
+        let failure = (got != Some(self.expect)).then(|| format!("{text}, {:?} expected", self.expect));
         // The day may be over.
-        _ = self.tell.send(Step::Said { text, fault }).await;
+        _ = self.step_sender.send(Step::OperatorReport { text, failure }).await;
         got == Some(Expect::Taken)
     }
 
@@ -64,7 +64,7 @@
                 left.retain(|m| !now.contains(m) && !over(m));
                 for name in now {
                     let (after, back) = (self.after, !self.command.returns);
-                    _ = self.tell.send(Step::SwitchOff { name, after, back }).await;
+                    _ = self.step_sender.send(Step::SwitchOff { name, after, back }).await;
                 }
             }
         }
@@ -84,7 +84,7 @@
             {
                 let text =
                     format!("{} {} through {name}: taken", self.command.kind, self.command.names.join(" "));
-                _ = self.tell.send(Step::Said { text, fault: None }).await;
+                _ = self.step_sender.send(Step::OperatorReport { text, failure: None }).await;
                 return;
             }
             tokio::time::sleep(LOOK).await;
@@ -101,7 +101,7 @@
         after: Duration,
     ) -> Operator {
         let sockets = self.host_names().into_iter().map(|h| (h.clone(), self.socket(&h))).collect();
-        Operator { sockets, via: via.into(), command, expect, after, tell: self.tell.clone() }
+        Operator { sockets, via: via.into(), command, expect, after, step_sender: self.step_sender.clone() }
     }
 
     /// Names of machines: a zone's name stands for all in it that run.
--- /dev/null
+++ b/crates/scenario/src/script/fault_reader.rs
@@ -0,0 +1,348 @@
+//! Reads one fault of a script from its entry in the document.
+
+use super::{Expect, Fault};
+use gullsail_configuration::{Deployment, Reader};
+use gullsail_scheduler_api::Span;
+use kdl::KdlNode;
+
+/// The entries that a fault may be.
+pub(super) const KINDS: [&str; 31] = [
+    "out",
+    "cancel",
+    "start-node",
+    "surge",
+    "impatient",
+    "lead-moves",
+    "stall",
+    "slow",
+    "fail",
+    "costly",
+    "replace",
+    "release",
+    "list-down",
+    "lose-labels",
+    "swap-labels",
+    "delay",
+    "reset",
+    "errors",
+    "lose",
+    "half-close",
+    "refuse",
+    "silent",
+    "cut",
+    "kill-host",
+    "reload",
+    "stop-host",
+    "start-host",
+    "pause-host",
+    "pause-node",
+    "flap",
+    "repeat",
+];
+
+pub(super) fn expected(r: &mut Reader, n: &KdlNode) -> Expect {
+    let keywords =
+        [("taken", Expect::Taken), ("turned-down", Expect::TurnedDown), ("broken", Expect::Broken)];
+    n.entry("expect").and_then(|_| r.keyword(n, "expect", &keywords)).unwrap_or(Expect::Taken)
+}
+
+/// Names of processes, or of zones: all that is in them.
+fn group(r: &mut Reader, n: &KdlNode, key: &str, d: &Deployment) -> Option<Vec<String>> {
+    let text = r.text_at(n, key).unwrap_or_default();
+    let places = || d.hosts.iter().chain(d.nodes.iter().map(|n| &n.place));
+    let mut all = Vec::new();
+    for keyword in text.split_whitespace() {
+        let of_zone = |zone: &str| d.zones.iter().position(|z| z == zone);
+        if let Some(zone) = of_zone(keyword) {
+            all.extend(places().filter(|p| p.zone.0 == zone).map(|p| p.name.clone()));
+        } else if keyword == "list" || places().any(|p| p.name == keyword) {
+            all.push(keyword.into());
+        } else {
+            r.report("unknown-name", format!("no process or zone is called \"{keyword}\""), n.span(), None);
+        }
+    }
+    if all.is_empty() {
+        let help = Some("cut between=\"h1 h2\" and=\"h3 h4\" ways=\"one\" for=\"5s\"".into());
+        r.report("missing", format!("`{key}` names nobody"), n.span(), help);
+    }
+    Some(all).filter(|a| !a.is_empty())
+}
+
+/// The keys that the entry of one kind of fault may have.
+fn known_keys(kind: &str, between_groups: bool) -> &'static [&'static str] {
+    match kind {
+        "surge" => &["times", "for"],
+        "impatient" => &["share", "part", "for"],
+        "stall" => &["for"],
+        "slow" => &["times", "for"],
+        "costly" => &["share", "times", "for"],
+        "fail" | "errors" => &["share", "for"],
+        "replace" | "release" => &["by", "after"],
+        "list-down" | "refuse" | "silent" => &["for"],
+        "lose-labels" | "reset" | "lose" | "half-close" | "repeat" => &["from", "to", "share", "for"],
+        "swap-labels" => &["from", "to", "for"],
+        "delay" => &["from", "to", "by", "for"],
+        "cut" if between_groups => &["between", "and", "ways", "for"],
+        "cut" => &["from", "to"],
+        "flap" => &["between", "and", "ways", "every", "for"],
+        "kill-host" | "stop-host" => &["after"],
+        "out" => &["via", "after", "cell-away", "returns", "expect"],
+        "cancel" => &["via"],
+        "pause-host" | "pause-node" => &["for"],
+        "reload" => &["host", "every", "insist", "expect"],
+        _ => &[],
+    }
+}
+
+/// One entry on its way to a [`Fault`].
+struct FaultReader<'a> {
+    r: &'a mut Reader,
+    n: &'a KdlNode,
+    d: &'a Deployment,
+    nodes: Vec<String>,
+    hosts: Vec<String>,
+    lasts: Span,
+    share: f64,
+    /// When what was stopped comes back; of a host: none, and it does not.
+    back: Option<Span>,
+    after: Span,
+}
+
+fn or_any(names: &[String]) -> Vec<String> {
+    [names, &["*".to_string()][..]].concat()
+}
+
+impl FaultReader<'_> {
+    /// The process or other thing that the entry names first.
+    fn name(&mut self, what: &str, names: &[String]) -> Option<String> {
+        match self.n.entries().iter().find(|e| e.name().is_none()) {
+            Some(e) => self.r.refer(e, what, &names.iter().cloned().collect()).map(|p| names[p].clone()),
+            None => {
+                let text = format!("`{}` needs a {what}", self.n.name().value());
+                self.r.report("missing", text, self.n.span(), None);
+                None
+            }
+        }
+    }
+
+    /// The process named under this key; all of them where the key is not there.
+    fn key(&mut self, key: &str, names: &[String]) -> Option<String> {
+        if self.n.entry(key).is_none() {
+            return Some("*".to_string());
+        }
+        let place = self.r.refer_at(self.n, key, "process", &names.iter().cloned().collect());
+        place.map(|p| names[p].clone())
+    }
+
+    fn node_or_any(&mut self) -> Option<String> {
+        let names = or_any(&self.nodes);
+        self.name("node", &names)
+    }
+
+    fn node(&mut self) -> Option<String> {
+        let names = self.nodes.clone();
+        self.name("node", &names)
+    }
+
+    fn host(&mut self) -> Option<String> {
+        let names = self.hosts.clone();
+        self.name("host", &names)
+    }
+
+    fn all_processes(&self) -> Vec<String> {
+        or_any(&[&self.hosts[..], &self.nodes[..], &["list".to_string()][..]].concat())
+    }
+
+    fn check_keys(&mut self, kind: &str, known: &[&str]) {
+        if kind == "reload" {
+            // What stands in it is a document's, and may be wrong on purpose.
+            let mut own = self.n.clone();
+            own.clear_children();
+            self.r.only(&own, 0, known, &[]);
+        } else {
+            let names = if ["out", "cancel"].contains(&kind) { usize::MAX } else { 1 };
+            self.r.only(self.n, names, known, &[]);
+        }
+    }
+
+    /// What all kinds share: how long it lasts, when it is over, of what part.
+    fn read_common(&mut self, kind: &str, known: &[&str]) {
+        if known.contains(&"for") {
+            self.lasts = self.r.span(self.n, "for");
+        }
+        self.back = self.r.span_at(self.n, "after");
+        self.after = match kind {
+            "replace" | "release" if self.back.is_none() => self.r.span(self.n, "after"),
+            _ => self.back.unwrap_or_default(),
+        };
+        if known.contains(&"share") {
+            self.share = self.r.number_at(self.n, "share", 0.0).unwrap_or(1.0);
+        }
+    }
+
+    fn load(&mut self, kind: &str) -> Option<Fault> {
+        let (lasts, share) = (self.lasts, self.share);
+        match kind {
+            "surge" => {
+                let volumes = self.d.volumes.iter().map(|v| v.name.clone());
+                let names: Vec<_> = volumes.chain(self.d.plans.iter().map(|p| p.name.clone())).collect();
+                let who = self.name("volume or plan", &or_any(&names))?;
+                Some(Fault::Surge { who, times: self.r.number(self.n, "times", 0.0), lasts })
+            }
+            "impatient" => Some(Fault::Impatient { share, part: self.r.number(self.n, "part", 0.0), lasts }),
+            "lead-moves" => Some(Fault::LeadMoves),
+            _ => None,
+        }
+    }
+
+    fn node_fault(&mut self, kind: &str) -> Option<Fault> {
+        let (lasts, share, after) = (self.lasts, self.share, self.after);
+        match kind {
+            "stall" => Some(Fault::Stall { node: self.node_or_any()?, lasts }),
+            "slow" => {
+                let node = self.node_or_any()?;
+                Some(Fault::Slow { node, times: self.r.number(self.n, "times", 0.0), lasts })
+            }
+            "fail" => Some(Fault::Fail { node: self.node_or_any()?, share, lasts }),
+            "costly" => {
+                let names: Vec<_> = self.d.request_classes.iter().map(|s| s.name.clone()).collect();
+                let request_class = self.name("stream type", &names)?;
+                Some(Fault::Costly {
+                    request_class,
+                    share,
+                    times: self.r.number(self.n, "times", 1.0),
+                    lasts,
+                })
+            }
+            "errors" => Some(Fault::Errors { node: self.node_or_any()?, share, lasts }),
+            "replace" | "release" => {
+                let node = self.node()?;
+                let nodes = self.nodes.clone();
+                let by = if self.n.entry("by").is_some() { self.key("by", &nodes)? } else { node.clone() };
+                Some(match kind {
+                    "replace" => Fault::Replace { node, by, after },
+                    _ => Fault::Release { node, by, after },
+                })
+            }
+            "start-node" => Some(Fault::StartNode { node: self.node()? }),
+            "pause-node" => Some(Fault::Pause { name: self.node()?, lasts }),
+            _ => None,
+        }
+    }
+
+    fn connection_fault(&mut self, kind: &str) -> Option<Fault> {
+        let (lasts, share) = (self.lasts, self.share);
+        let all = self.all_processes();
+        let hosts = or_any(&self.hosts);
+        match kind {
+            "list-down" => Some(Fault::ListDown { lasts }),
+            "refuse" => Some(Fault::Refuse { to: self.name("process", &all)?, lasts }),
+            "silent" => Some(Fault::Silent { to: self.name("process", &all)?, lasts }),
+            "lose-labels" => {
+                let (from, to) = (self.key("from", &hosts)?, self.key("to", &hosts)?);
+                Some(Fault::LoseLabels { from, to, share, lasts })
+            }
+            "swap-labels" => {
+                let (from, to) = (self.key("from", &hosts)?, self.key("to", &hosts)?);
+                Some(Fault::SwapLabels { from, to, lasts })
+            }
+            "repeat" => {
+                let (from, to) = (self.key("from", &hosts)?, self.key("to", &hosts)?);
+                Some(Fault::Repeat { from, to, share, lasts })
+            }
+            "delay" => {
+                let by = self.r.span(self.n, "by");
+                Some(Fault::Delay { from: self.key("from", &all)?, to: self.key("to", &all)?, by, lasts })
+            }
+            "reset" => {
+                Some(Fault::Reset { from: self.key("from", &all)?, to: self.key("to", &all)?, share, lasts })
+            }
+            "lose" => {
+                Some(Fault::Lose { from: self.key("from", &all)?, to: self.key("to", &all)?, share, lasts })
+            }
+            "half-close" => Some(Fault::HalfClose {
+                from: self.key("from", &all)?,
+                to: self.key("to", &all)?,
+                share,
+                lasts,
+            }),
+            "cut" | "flap" if self.n.entry("between").is_some() => self.partition(kind),
+            "cut" => Some(Fault::Cut { from: self.key("from", &all)?, to: self.key("to", &all)? }),
+            _ => None,
+        }
+    }
+
+    /// Two groups that do not reach each other.
+    fn partition(&mut self, kind: &str) -> Option<Fault> {
+        let a = group(self.r, self.n, "between", self.d)?;
+        let b = group(self.r, self.n, "and", self.d)?;
+        let ways = self.r.text_at(self.n, "ways").unwrap_or_else(|| "both".into());
+        if !["one", "both"].contains(&ways.as_str()) {
+            let text = format!("ways=\"{ways}\": \"one\" or \"both\"");
+            self.r.report("wrong-kind", text, self.n.span(), None);
+        }
+        let one_way = ways == "one";
+        let lasts = self.lasts;
+        Some(match kind {
+            "cut" => Fault::Part { a, b, one_way, lasts },
+            _ => Fault::Flap { a, b, one_way, every: self.r.span(self.n, "every"), lasts },
+        })
+    }
+
+    fn host_fault(&mut self, kind: &str) -> Option<Fault> {
+        match kind {
+            "kill-host" => Some(Fault::KillHost { host: self.host()?, after: self.back }),
+            "stop-host" => Some(Fault::StopHost { host: self.host()?, after: self.back }),
+            "start-host" => Some(Fault::StartHost { host: self.host()? }),
+            "pause-host" => Some(Fault::Pause { name: self.host()?, lasts: self.lasts }),
+            _ => None,
+        }
+    }
+
+    fn operator_action(&mut self, kind: &str) -> Option<Fault> {
+        let hosts = or_any(&self.hosts);
+        if kind == "reload" {
+            let expect = expected(self.r, self.n);
+            let every = self.r.span_at(self.n, "every").unwrap_or_default();
+            let entries = self.n.iter_children().map(|c| c.to_string().trim().to_string()).collect();
+            let host = self.key("host", &hosts)?;
+            return Some(Fault::Reload {
+                host,
+                every,
+                insist: self.r.flag(self.n, "insist"),
+                expect,
+                entries,
+            });
+        }
+        let names = self.n.entries().iter().filter(|e| e.name().is_none());
+        let names = names.filter_map(|e| e.value().as_string().map(str::to_string)).collect();
+        let via = self.key("via", &hosts)?;
+        if kind == "cancel" {
+            return Some(Fault::Cancel { names, via });
+        }
+        let shard_away = self.r.flag(self.n, "cell-away");
+        let returns = self.r.flag(self.n, "returns");
+        let expect = expected(self.r, self.n);
+        Some(Fault::Out { names, via, after: self.after, shard_away, returns, expect })
+    }
+}
+
+/// The fault that an entry names; what is wrong with it goes to the reader.
+pub(super) fn fault(r: &mut Reader, n: &KdlNode, d: &Deployment, newcomers: &[String]) -> Option<Fault> {
+    let nodes = d.nodes.iter().map(|n| n.place.name.clone()).collect();
+    let hosts = d.hosts.iter().map(|h| h.name.clone()).chain(newcomers.iter().cloned()).collect();
+    let mut reader =
+        FaultReader { r, n, d, nodes, hosts, lasts: Span::ZERO, share: 1.0, back: None, after: Span::ZERO };
+    let kind = n.name().value();
+    let known = known_keys(kind, n.entry("between").is_some());
+    reader.check_keys(kind, known);
+    reader.read_common(kind, known);
+    match kind {
+        "surge" | "impatient" | "lead-moves" => reader.load(kind),
+        "stall" | "slow" | "fail" | "costly" | "errors" | "replace" | "release" | "start-node"
+        | "pause-node" => reader.node_fault(kind),
+        "kill-host" | "stop-host" | "start-host" | "pause-host" => reader.host_fault(kind),
+        "out" | "cancel" | "reload" => reader.operator_action(kind),
+        _ => reader.connection_fault(kind),
+    }
+}
--- a/crates/simulator/src/baseline.rs
+++ b/crates/simulator/src/baseline.rs
@@ -1,6 +1,6 @@
-//! A baseline to measure the host against: it speaks the host's frames and sends each request at once, within an
-//! even part of its volume's limit, to the node that holds its data or to any that the list calls ready. It
-//! has no window, no order, no further attempts, no care for cold nodes, and it believes the list.
+//! A baseline to measure the host against: it speaks the host's frames and sends each request at once, within
+//! an even part of its volume's limit, to the node that holds its data or to any that the list calls ready.
+//! It has no window, no order, no further attempts, no care for cold nodes, and it believes the list.
 
 use gullsail_configuration::Deployment;
 use gullsail_connections::{Happened, Link};
@@ -32,7 +32,7 @@
     until: Instant,
 }
 
-struct Naive {
+struct BaselineHost {
     d: Arc<Deployment>,
     rng: ChaCha8Rng,
     links: BTreeMap<u64, (Who, Link)>,
@@ -49,8 +49,8 @@
 pub async fn serve(d: Arc<Deployment>, me: HostId, seed: u64, listener: TcpListener) {
     let (sink, mut inbox) = mpsc::channel(1024);
     let mut tasks = JoinSet::new();
-    let mut dials: JoinSet<(Who, Option<TcpStream>)> = JoinSet::new();
-    let dial = |who: Who, address: String, wait: u64| async move {
+    let mut connecting: JoinSet<(Who, Option<TcpStream>)> = JoinSet::new();
+    let connect = |who: Who, address: String, wait: u64| async move {
         tokio::time::sleep(Duration::from_millis(wait)).await;
         (who, TcpStream::connect(address).await.ok())
     };
@@ -58,8 +58,8 @@
     let ready = ready.map(|n| (n.place.name.clone(), (n.place.address.clone(), n.shard.0))).collect();
     let (rng, list) = (ChaCha8Rng::seed_from_u64(seed), d.list.address.clone());
     let (links, up, attempts, levels) = Default::default();
-    let mut n = Naive { d, rng, links, ready, up, attempts, levels, last: 0 };
-    dials.spawn(dial(Who::List, list.clone(), 0));
+    let mut n = BaselineHost { d, rng, links, ready, up, attempts, levels, last: 0 };
+    connecting.spawn(connect(Who::List, list.clone(), 0));
     let mut asked: BTreeMap<String, Instant> = BTreeMap::new();
     let name = n.d.hosts[me.0 as usize].name.clone();
     let hello = Hello { role: Role::Host as i32, name, incarnation: seed | 1, ..Hello::default() };
@@ -69,7 +69,7 @@
             let due = asked.get(name).is_none_or(|at| at.elapsed() > Duration::from_millis(200));
             if due && !n.up.contains_key(name) {
                 asked.insert(name.clone(), Instant::now());
-                dials.spawn(dial(Who::Node(name.clone()), address.clone(), 0));
+                connecting.spawn(connect(Who::Node(name.clone()), address.clone(), 0));
             }
         }
         n.expire();
@@ -78,15 +78,15 @@
             came = listener.accept() => if let Ok((stream, _)) = came {
                 opened = Some((Who::Client, stream));
             },
-            Some(Ok((who, made))) = dials.join_next(), if !dials.is_empty() => match made {
+            Some(Ok((who, made))) = connecting.join_next(), if !connecting.is_empty() => match made {
                 Some(stream) => opened = Some((who, stream)),
-                None if who == Who::List => _ = dials.spawn(dial(Who::List, list.clone(), 500)),
+                None if who == Who::List => _ = connecting.spawn(connect(Who::List, list.clone(), 500)),
                 None => {}
             },
             Some((id, happened)) = inbox.recv() => match happened {
-                Happened::Frame(frame) => n.hear(id, frame),
+                Happened::Frame(frame) => n.handle_frame(id, frame),
                 Happened::Closed(_) => match n.links.remove(&id) {
-                    Some((Who::List, _)) => _ = dials.spawn(dial(Who::List, list.clone(), 500)),
+                    Some((Who::List, _)) => _ = connecting.spawn(connect(Who::List, list.clone(), 500)),
                     Some((Who::Node(name), _)) => n.lost(id, &name),
                     _ => {}
                 },
@@ -107,8 +107,8 @@
     }
 }
 
-impl Naive {
-    fn hear(&mut self, link: u64, frame: Frame) {
+impl BaselineHost {
+    fn handle_frame(&mut self, link: u64, frame: Frame) {
         match frame.message {
             Message::Submit(s) => self.submit(link, s, frame.body),
             Message::AttemptAnswer(a) => {
--- a/crates/simulator/src/client.rs
+++ b/crates/simulator/src/client.rs
@@ -100,8 +100,8 @@
     tallies: Tallies,
 }
 
-/// Plays the load until `until`, then waits for what is open. `addresses` are the hosts', in the document's order, then those
-/// of hosts that a later document names.
+/// Plays the load until `until`, then waits for what is open. `addresses` are the hosts', in the document's
+/// order, then those of hosts that a later document names.
 pub async fn run(
     d: Arc<Deployment>,
     load: Load,
@@ -111,15 +111,15 @@
 ) -> Tallies {
     let (sink, mut inbox) = mpsc::channel(4096);
     let mut tasks = JoinSet::new();
-    let mut dials: JoinSet<(usize, Option<TcpStream>)> = JoinSet::new();
-    let dial = |host: usize, wait: u64| {
+    let mut connecting: JoinSet<(usize, Option<TcpStream>)> = JoinSet::new();
+    let connect = |host: usize, wait: u64| {
         let address = addresses[host].clone();
         async move {
             tokio::time::sleep(Duration::from_millis(wait)).await;
             (host, TcpStream::connect(address).await.ok())
         }
     };
-    (0..addresses.len()).for_each(|h| _ = dials.spawn(dial(h, 0)));
+    (0..addresses.len()).for_each(|h| _ = connecting.spawn(connect(h, 0)));
     let rng = ChaCha8Rng::seed_from_u64(load.seed);
     let by_host = vec![None; addresses.len()];
     let mut c = Clients {
@@ -152,17 +152,18 @@
             return c.tallies;
         }
         let soon = next.iter().copied().min().filter(|_| now < until);
-        let wake = soon.unwrap_or(now + Duration::from_millis(20)).min(now + Duration::from_millis(20));
+        let next_wakeup =
+            soon.unwrap_or(now + Duration::from_millis(20)).min(now + Duration::from_millis(20));
         tokio::select! {
             Some((id, happened)) = inbox.recv() => match happened {
-                Happened::Frame(frame) => c.hear(id, frame),
+                Happened::Frame(frame) => c.handle_frame(id, frame),
                 Happened::Closed(_) => if let Some((host, _)) = c.links.remove(&id) {
                     c.host_gone(host);
-                    dials.spawn(dial(host, 50));
+                    connecting.spawn(connect(host, 50));
                 },
                 Happened::Written(_) => {}
             },
-            Some(Ok((host, made))) = dials.join_next(), if !dials.is_empty() => match made {
+            Some(Ok((host, made))) = connecting.join_next(), if !connecting.is_empty() => match made {
                 Some(stream) => {
                     last_link += 1;
                     let link = Link::open(stream, last_link, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
@@ -173,22 +174,22 @@
                     c.links.insert(last_link, (host, link));
                     c.by_host[host] = Some(last_link);
                 }
-                None => _ = dials.spawn(dial(host, 50)),
+                None => _ = connecting.spawn(connect(host, 50)),
             },
             Some(change) = changes.recv() => match change {
                 Change::LeadMoves => c.lead += 1,
                 Change::Document(d) => c.follow(d),
                 other => c.changes.push(other),
             },
-            () = tokio::time::sleep_until(wake) => {}
+            () = tokio::time::sleep_until(next_wakeup) => {}
             _ = tasks.join_next(), if !tasks.is_empty() => {}
         }
     }
 }
 
 impl Clients {
-    /// A document with more hosts: volumes go through these too. Request classes, volumes and plans are the same, in the same
-    /// places. One without an address is known to no client.
+    /// A document with more hosts: volumes go through these too. Request classes, volumes and plans are the
+    /// same, in the same places. One without an address is known to no client.
     fn follow(&mut self, d: Arc<Deployment>) {
         let more = d.hosts.len() > self.d.hosts.len() && d.hosts.len() <= self.by_host.len();
         if more && d.volumes.len() == self.d.volumes.len() {
@@ -393,7 +394,7 @@
         }
     }
 
-    fn hear(&mut self, link: u64, frame: Frame) {
+    fn handle_frame(&mut self, link: u64, frame: Frame) {
         let Some(host) = self.links.get(&link).map(|l| l.0) else { return };
         let now = Instant::now();
         match frame.message {
--- a/crates/simulator/src/discovery.rs
+++ b/crates/simulator/src/discovery.rs
@@ -40,9 +40,9 @@
     loop {
         let now = Instant::now();
         while let Some((_, entries)) = list.coming.pop_front_if(|c| c.0 <= now) {
-            list.tell(entries);
+            list.publish(entries);
         }
-        let wake = list.coming.front().map_or(now + Duration::from_secs(3600), |c| c.0);
+        let next_wakeup = list.coming.front().map_or(now + Duration::from_secs(3600), |c| c.0);
         tokio::select! {
             came = listener.accept() => if let Ok((stream, _)) = came {
                 last_link += 1;
@@ -52,14 +52,14 @@
                 list.links.insert(last_link, link);
             },
             Some((link, happened)) = inbox.recv() => match happened {
-                Happened::Frame(frame) => list.hear(link, frame),
+                Happened::Frame(frame) => list.handle_frame(link, frame),
                 Happened::Closed(_) => {
                     list.links.remove(&link);
                     list.watchers.remove(&link);
                 }
                 Happened::Written(_) => {}
             },
-            () = tokio::time::sleep_until(wake) => {}
+            () = tokio::time::sleep_until(next_wakeup) => {}
             _ = tasks.join_next(), if !tasks.is_empty() => {}
         }
     }
@@ -81,7 +81,7 @@
         Some(ListedEndpoint { age_us, ..e.clone() })
     }
 
-    fn tell(&mut self, entries: Vec<ListedEndpoint>) {
+    fn publish(&mut self, entries: Vec<ListedEndpoint>) {
         let names: Vec<_> = entries.iter().map(|e| e.name.clone()).collect();
         self.learn(entries);
         self.version += 1;
@@ -92,7 +92,7 @@
         }
     }
 
-    fn hear(&mut self, link: u64, frame: Frame) {
+    fn handle_frame(&mut self, link: u64, frame: Frame) {
         let down = Instant::now() < self.down_until;
         match frame.message {
             Message::EndpointListQuery(_) if down => {
--- a/crates/simulator/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -1,5 +1,5 @@
-//! A storage node on a socket: the model decides how long things take, this keeps objects and marks and speaks
-//! the frames. It runs until its task is dropped, or until it falls over.
+//! A storage node on a socket: the model decides how long things take, this keeps objects and marks and
+//! speaks the frames. It runs until its task is dropped, or until it falls over.
 
 use crate::node_model::{Arrival, Model};
 use crate::{BASE_OBJECTS, base_content};
@@ -41,7 +41,7 @@
     fail: f64,
     /// This part of a request class's requests costs so many times their usual work.
     costly: Option<(String, f64, f64)>,
-    troubles: Vec<(Instant, &'static str)>,
+    active_faults: Vec<(Instant, &'static str)>,
 }
 
 /// Serves on the listener; returns when the node has fallen over.
@@ -49,9 +49,9 @@
     let began = tokio::time::Instant::now();
     let now = || Instant::from_micros(began.elapsed().as_micros() as i64);
     let mut rng = ChaCha8Rng::seed_from_u64(process.incarnation);
-    let born = now() - process.age;
+    let started_at = now() - process.age;
     let model = ChaCha8Rng::seed_from_u64(rng.random());
-    let model = Model::new(process.server.clone(), process.slow_start, born, now(), model);
+    let model = Model::new(process.server.clone(), process.slow_start, started_at, now(), model);
     let (sink, mut inbox) = mpsc::channel(1024);
     let mut tasks = JoinSet::new();
     let mut n = Node {
@@ -64,21 +64,21 @@
         rng,
         fail: 0.0,
         costly: None,
-        troubles: Vec::new(),
+        active_faults: Vec::new(),
     };
     let (mut last_link, mut last_attempt) = (0, 0);
     loop {
         for id in n.model.advance(now()) {
             n.finish(id, now());
         }
-        n.troubles_end(now());
-        let wake = tokio::time::Instant::now()
+        n.end_expired_faults(now());
+        let next_wakeup = tokio::time::Instant::now()
             + std::time::Duration::from_micros((n.model.next() - now()).micros().clamp(200, 1_000_000) as u64);
         tokio::select! {
             came = listener.accept() => if let Ok((stream, _)) = came {
                 last_link += 1;
                 let link = Link::open(stream, last_link, n.process.bounds, 16_384, &sink, &mut tasks);
-                let age_us = (now() - born).micros();
+                let age_us = (now() - started_at).micros();
                 let _ = link.send(Frame::from(Hello {
                     role: Role::Node as i32,
                     name: n.process.name.clone(),
@@ -91,7 +91,7 @@
             Some((link, happened)) = inbox.recv() => match happened {
                 Happened::Frame(frame) => {
                     last_attempt += 1;
-                    if n.hear(link, frame, last_attempt, now()) {
+                    if n.handle_frame(link, frame, last_attempt, now()) {
                         warn!(node = n.process.name, "cold, sent too much: fell over");
                         return;
                     }
@@ -99,7 +99,7 @@
                 Happened::Closed(_) => _ = n.links.remove(&link),
                 Happened::Written(_) => {}
             },
-            () = tokio::time::sleep_until(wake) => {}
+            () = tokio::time::sleep_until(next_wakeup) => {}
             _ = tasks.join_next(), if !tasks.is_empty() => {}
         }
     }
@@ -107,7 +107,7 @@
 
 impl Node {
     /// `true`: it fell over.
-    fn hear(&mut self, link: u64, frame: Frame, id: u64, now: Instant) -> bool {
+    fn handle_frame(&mut self, link: u64, frame: Frame, id: u64, now: Instant) -> bool {
         match frame.message {
             Message::Attempt(attempt) => {
                 let costly = self.costly.as_ref().filter(|c| c.0.is_empty() || c.0 == attempt.request_class);
@@ -154,23 +154,23 @@
             "stall" => self.model.stall(now, lasts),
             "slow" => {
                 self.model.slow(o.size);
-                self.troubles.push((now + lasts, "slow"));
+                self.active_faults.push((now + lasts, "slow"));
             }
             "costly" => {
                 self.costly = Some((o.request_class.clone(), o.share.clamp(0.0, 1.0), o.size));
-                self.troubles.push((now + lasts, "costly"));
+                self.active_faults.push((now + lasts, "costly"));
             }
             "fail" => {
                 self.fail = o.size;
-                self.troubles.push((now + lasts, "fail"));
+                self.active_faults.push((now + lasts, "fail"));
             }
             other => warn!(node = self.process.name, what = other, "a trouble that a node does not know"),
         }
     }
 
-    fn troubles_end(&mut self, now: Instant) {
-        let (over, on): (Vec<_>, Vec<_>) = self.troubles.drain(..).partition(|t| t.0 <= now);
-        self.troubles = on;
+    fn end_expired_faults(&mut self, now: Instant) {
+        let (over, on): (Vec<_>, Vec<_>) = self.active_faults.drain(..).partition(|t| t.0 <= now);
+        self.active_faults = on;
         for (_, what) in over {
             match what {
                 "slow" => self.model.slow(1.0),
--- a/crates/simulator/src/node_model.rs
+++ b/crates/simulator/src/node_model.rs
@@ -27,7 +27,7 @@
 pub struct Model {
     server: Server,
     slow_start: SlowStart,
-    born: Instant,
+    started_at: Instant,
     waiting: VecDeque<Work>,
     running: BTreeMap<u64, Instant>,
     /// Work put off, in seconds of one core, and when it is done next.
@@ -42,11 +42,11 @@
 }
 
 impl Model {
-    /// `born` may lie before the model's time: then it is warm already.
+    /// `started_at` may lie before the model's time: then it is warm already.
     pub fn new(
         server: Server,
         slow_start: SlowStart,
-        born: Instant,
+        started_at: Instant,
         now: Instant,
         mut rng: ChaCha8Rng,
     ) -> Model {
@@ -55,7 +55,7 @@
             next_flush: now + server.flush_every,
             next_pause,
             slow_start,
-            born,
+            started_at,
             waiting: VecDeque::new(),
             running: BTreeMap::new(),
             debt: 0.0,
@@ -70,15 +70,15 @@
 
     /// The part of its capacity that it has now.
     fn speed(&self, now: Instant) -> f64 {
-        let age = (now - self.born).secs().max(0.0);
+        let age = (now - self.started_at).secs().max(0.0);
         let ramp = self.slow_start.ramp.secs().max(1e-9);
         let part = self.slow_start.initial_fraction
             + (1.0 - self.slow_start.initial_fraction) * (age / ramp).min(1.0);
         part.max(0.01) / self.slow
     }
 
-    /// Units that a cold node bears within the rule's window: what is borne in any case, or some times what it
-    /// can do now.
+    /// Units that a cold node bears within the rule's window: what is borne in any case, or some times what
+    /// it can do now.
     fn bears(&self, now: Instant) -> f64 {
         let a_second = self.server.can();
         let can = a_second * self.speed(now) * self.slow_start.window.secs();
@@ -90,7 +90,7 @@
         if self.fallen {
             return Arrival::FellOver;
         }
-        if now - self.born < self.slow_start.ramp {
+        if now - self.started_at < self.slow_start.ramp {
             self.sent.push_back((now, units));
             while self.sent.pop_front_if(|s| now - s.0 > self.slow_start.window).is_some() {}
             if self.sent.iter().map(|s| s.1).sum::<f64>() > self.bears(now) {
--- a/crates/simulator/src/recording_proxy.rs
+++ b/crates/simulator/src/recording_proxy.rs
@@ -22,17 +22,17 @@
     pub from: String,
     pub to: String,
     pub until: Instant,
-    pub what: Harm,
+    pub what: DisturbanceKind,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Harm {
+pub enum DisturbanceKind {
     /// Frames take so much longer.
     Delay(Duration),
     /// Demand reports between hosts are lost, this part of them.
-    LoseLabels(f64),
+    LoseDemandReports(f64),
     /// Two demand reports in a row change places.
-    SwapLabels,
+    SwapDemandReports,
     /// New connections end at once.
     Refuse,
     /// New connections are accepted and nothing comes of them.
@@ -92,24 +92,24 @@
         self.cut.send_modify(|c| *c = (c.0 + 1, from.into(), to.into()));
     }
 
-    pub fn note(&self, name: &str, what: What) {
+    pub fn record(&self, name: &str, what: What) {
         let at = self.now();
-        self.record(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
+        self.write_entry(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
     }
 
     /// Of what a process of this machine wrote down itself, with the machine's time.
-    pub fn wrote(&self, name: &str, when: SystemTime, what: What) {
+    pub fn record_at(&self, name: &str, when: SystemTime, what: What) {
         let at = when.duration_since(self.wall).map_or(0, |since| since.as_micros() as i64);
-        self.record(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
+        self.write_entry(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
     }
 
     /// `at` 0: it was there before the run began.
     pub fn process(&self, name: &str, at: i64, incarnation: ProcessEvent) {
         let what = What::Process { event: incarnation };
-        self.record(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
+        self.write_entry(Entry { at, out: at, link: 0, from: "script".into(), to: name.into(), what });
     }
 
-    fn record(&self, entry: Entry) {
+    fn write_entry(&self, entry: Entry) {
         if let Some(recording) = &mut self.lock().recording {
             // A recording that can't be written is found by its reader: the audit counts what it holds.
             if let Ok(line) = serde_json::to_string(&entry) {
@@ -126,7 +126,7 @@
         self.lock().recording.as_mut().map_or(Ok(()), |r| r.flush())
     }
 
-    fn harms(&self, from: &str, to: &str) -> Vec<Harm> {
+    fn disturbances(&self, from: &str, to: &str) -> Vec<DisturbanceKind> {
         let now = Instant::now();
         let fits = |d: &&Disturbance| {
             d.until > now && (d.from == "*" || d.from == from) && (d.to == "*" || d.to == to)
@@ -139,8 +139,8 @@
     }
 }
 
-/// Listens for those who want to reach `name` and passes them on to wherever `target` says it incarnations now; runs
-/// until its task is dropped.
+/// Listens for those who want to reach `name` and passes them on to wherever `target` says it incarnations
+/// now; runs until its task is dropped.
 pub async fn relay(
     wire: Arc<Wire>,
     name: String,
@@ -152,7 +152,7 @@
         tokio::select! {
             came = listener.accept() => if let Ok((stream, _)) = came {
                 let (at, to) = (wire.now(), name.clone());
-                wire.record(Entry { at, out: at, link: 0, from: "?".into(), to, what: What::Came });
+                wire.write_entry(Entry { at, out: at, link: 0, from: "?".into(), to, what: What::Came });
                 let address = target.borrow().clone();
                 links.spawn(pass(wire.clone(), name.clone(), stream, address));
             },
@@ -178,18 +178,18 @@
 
 async fn pass(wire: Arc<Wire>, name: String, stream: TcpStream, address: Option<String>) {
     // Who dials is not known yet: harms that name it can't meet it here.
-    let harms = wire.harms("*", &name);
-    if harms.contains(&Harm::Refuse) {
+    let disturbances = wire.disturbances("*", &name);
+    if disturbances.contains(&DisturbanceKind::Refuse) {
         return;
     }
-    if harms.contains(&Harm::Silent) {
+    if disturbances.contains(&DisturbanceKind::Silent) {
         return tokio::time::sleep(Duration::from_secs(5)).await;
     }
     let Some(address) = address else { return };
     let Ok(other) = TcpStream::connect(address).await else { return };
     let (sink, mut inbox) = mpsc::channel(256);
     let mut tasks = JoinSet::new();
-    let mut dialler = Link::open(stream, Side::Dialler, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
+    let mut initiator = Link::open(stream, Side::Dialler, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
     let mut target = Link::open(other, Side::Target, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
     let link = {
         let mut inner = wire.lock();
@@ -203,11 +203,11 @@
     let why = loop {
         let now = Instant::now();
         let mut full = false;
-        for (way, to) in [(&mut there, &mut target), (&mut back, &mut dialler)] {
+        for (way, to) in [(&mut there, &mut target), (&mut back, &mut initiator)] {
             while let Some((_, mut entry, frame)) = way.queue.pop_front_if(|w| w.0 <= now) {
                 entry.out = wire.now();
                 // Recorded before it goes out: nobody can have answered it by then.
-                wire.record(entry);
+                wire.write_entry(entry);
                 full |= to.send(frame).is_err() && !way.ended;
             }
             if way.ended && way.queue.is_empty() {
@@ -218,7 +218,7 @@
             break "one side takes nothing".to_string();
         }
         let due = [&there, &back].iter().filter_map(|w| w.queue.front().map(|q| q.0)).min();
-        let wake = due.unwrap_or(now + Duration::from_secs(3600));
+        let next_wakeup = due.unwrap_or(now + Duration::from_secs(3600));
         tokio::select! {
             Some((side, happened)) = inbox.recv() => match happened {
                 Happened::Frame(frame) => {
@@ -243,19 +243,19 @@
                     break "cut on purpose".into();
                 }
             }
-            () = tokio::time::sleep_until(wake) => {}
+            () = tokio::time::sleep_until(next_wakeup) => {}
         }
     };
     let at = wire.now();
-    wire.record(Entry { at, out: at, link, from, to: name, what: What::Closed { why } });
+    wire.write_entry(Entry { at, out: at, link, from, to: name, what: What::Closed { why } });
     // What was on its way when one side closed still arrives.
-    for (way, to) in [(there, &target), (back, &dialler)] {
+    for (way, to) in [(there, &target), (back, &initiator)] {
         for (_, entry, frame) in way.queue {
-            wire.record(entry);
+            wire.write_entry(entry);
             let _ = to.send(frame);
         }
     }
-    drop((dialler, target));
+    drop((initiator, target));
     let all = async { while tasks.join_next().await.is_some() {} };
     let _ = tokio::time::timeout(gullsail_connections::LINGER * 2, all).await;
 }
@@ -263,27 +263,30 @@
 /// Puts a frame on its way as the disturbances have it; `false`: the connection breaks.
 fn enter(wire: &Wire, way: &mut Way, link: u64, from: &str, to: &str, mut frame: Frame) -> bool {
     let (at, mut due, mut delivery) = (wire.now(), Instant::now(), Delivery::Passed);
-    let is_label = matches!(frame.message, Message::DemandReport(_));
-    let between_hosts = is_label || matches!(frame.message, Message::Reached(_) | Message::FleetMessage(_));
+    let is_demand_report = matches!(frame.message, Message::DemandReport(_));
+    let between_hosts =
+        is_demand_report || matches!(frame.message, Message::Reached(_) | Message::FleetMessage(_));
     let entry = |delivery, frame: &Frame| {
         let what = What::Frame { message: frame.message.clone(), body: frame.body.len(), delivery };
         Entry { at, out: at, link, from: from.into(), to: to.into(), what }
     };
     let (mut swap, mut ends, mut twice) = (false, false, false);
     if way.ended {
-        wire.record(entry(Delivery::Dropped, &frame));
+        wire.write_entry(entry(Delivery::Dropped, &frame));
         return true;
     }
-    for harm in wire.harms(from, to) {
-        match harm {
-            Harm::Delay(by) => due += by,
-            Harm::Lose(part) if wire.chance(part) => delivery = Delivery::Dropped,
-            Harm::HalfClose(part) if wire.chance(part) => ends = true,
-            Harm::LoseLabels(part) if is_label && wire.chance(part) => delivery = Delivery::Dropped,
-            Harm::SwapLabels if is_label => swap = true,
-            Harm::Reset(part) if wire.chance(part) => return false,
-            Harm::Repeat(part) if between_hosts && wire.chance(part) => twice = true,
-            Harm::Errors(part) => {
+    for disturbance in wire.disturbances(from, to) {
+        match disturbance {
+            DisturbanceKind::Delay(by) => due += by,
+            DisturbanceKind::Lose(part) if wire.chance(part) => delivery = Delivery::Dropped,
+            DisturbanceKind::HalfClose(part) if wire.chance(part) => ends = true,
+            DisturbanceKind::LoseDemandReports(part) if is_demand_report && wire.chance(part) => {
+                delivery = Delivery::Dropped
+            }
+            DisturbanceKind::SwapDemandReports if is_demand_report => swap = true,
+            DisturbanceKind::Reset(part) if wire.chance(part) => return false,
+            DisturbanceKind::Repeat(part) if between_hosts && wire.chance(part) => twice = true,
+            DisturbanceKind::Errors(part) => {
                 if let Message::AttemptAnswer(a) = &frame.message
                     && a.result == AttemptResult::Succeeded as i32
                     && wire.chance(part)
@@ -292,7 +295,7 @@
                     let result = AttemptResult::Failed as i32;
                     let reason = "turned into an error on the way".into();
                     let altered = AttemptAnswer { result, reason, handle: None, ..a.clone() };
-                    wire.record(entry(delivery, &frame));
+                    wire.write_entry(entry(delivery, &frame));
                     frame = Frame::from(altered);
                 }
             }
@@ -303,7 +306,7 @@
     // Order holds within a connection, whatever the delay of each frame.
     due = way.queue.back().map_or(due, |last| due.max(last.0));
     match delivery {
-        Delivery::Dropped => wire.record(entry(delivery, &frame)),
+        Delivery::Dropped => wire.write_entry(entry(delivery, &frame)),
         _ if swap && way.held.is_none() => way.held = Some((entry(Delivery::Passed, &frame), frame)),
         _ => {
             let passed = entry(Delivery::Passed, &frame);
