--- a/crates/configuration/src/cross_zone_budgets.rs
+++ b/crates/configuration/src/cross_zone_budgets.rs
@@ -1,7 +1,7 @@
 //! Budgets of bytes between zones: `crossing from="east" to="west" limit="20MiB/s" burst="256MiB"` for an
 //! ordered pair, `crossing plan="base" ...` for all that crosses for the volumes of a plan.
 
-use crate::deployment::{NamedCrossZoneBudget, Place, number};
+use crate::entities::{NamedCrossZoneBudget, Place, number};
 use crate::reader::{Names, Reader, entries};
 use gullsail_scheduler_api::*;
 use kdl::{KdlDocument, KdlNode};
--- a/crates/configuration/src/fleet.rs
+++ b/crates/configuration/src/fleet.rs
@@ -1,29 +1,11 @@
 //! How hosts settle things among themselves: `fleet "town" lease="2s" drift=0.002 voters=5 floor=0.3`.
 //! Without the entry, or with `off=#true`, each host keeps to even parts by the document alone.
 
-use crate::deployment::Place;
+use crate::entities::{NamedFleet, Place};
 use crate::reader::Reader;
 use gullsail_scheduler_api::Span;
 use kdl::KdlNode;
 
-/// The `fleet` entry.
-#[derive(Clone, Debug, PartialEq)]
-pub struct NamedFleet {
-    /// Hosts of another name are not listened to.
-    pub name: String,
-    pub lease: Span,
-    /// By how much, at most, a second by a host's clock differs from a true one.
-    pub drift: f64,
-    /// The first so many hosts of the document elect the coordinator.
-    pub voters: u32,
-    /// The part of its even part that a host may use without a lease.
-    pub floor: f64,
-    /// New connections to one node, and attempts to one of which nothing comes, a second from all hosts
-    /// together; `None`: each host opens and asks as it sees fit.
-    pub connects: Option<f64>,
-    pub probes: Option<f64>,
-}
-
 /// Shorter, and a busy machine's delays end leases; longer, and a dead host's part lies idle for minutes.
 const LEASES: (f64, f64) = (100.0, 60_000.0);
 /// Between coordinated clocks it is some parts in ten thousand; a tenth is a broken one.
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -2,27 +2,37 @@
 //! plans, volumes, the rules' figures. [`parse`] finds every problem in one go, each with its place and what
 //! was meant; what it returns is immutable. Files are read through a [`Loader`] alone.
 //!
-//! Its stages: [`sources`] and `resolve` (files, includes, templates: one flat document comes out), [`reader`]
-//! (how entries are read and what is wrong with them noted), [`deployment`] (what a document means).
+//! Its stages: [`source_map`] and `resolve` (files, includes, templates: one flat document comes out), [`reader`]
+//! (how entries are read and problems reported), `builder` (what a document means), [`deployment`] (the result),
+//! `lints` (what is well-formed and makes no sense).
 
+mod builder;
 mod cross_zone_budgets;
 pub mod deployment;
 pub mod diff;
 mod diff_values;
+mod entities;
+mod entry_classes;
+mod entry_processes;
 pub mod explain;
 pub mod fleet;
 pub mod format;
 mod lints;
 mod maintenance;
+mod problem;
 mod ranges;
 pub mod reader;
+mod reader_values;
 mod resolve;
+mod revision_entry;
 mod revisions;
 pub mod routes;
 pub mod source_map;
 
+pub use builder::{KEPT, build};
 pub use deployment::*;
-pub use reader::{DiagnosticRecord, Names, Problem, Problems, Reader, Weight, meant};
+pub use problem::{DiagnosticRecord, Problem, Problems, Weight, meant};
+pub use reader::{Names, Reader};
 pub use source_map::{Files, LoadError, Loader, Memory};
 
 /// Reads a document of one text. `name` is what messages call it; nothing can be included.
--- a/crates/configuration/src/maintenance.rs
+++ b/crates/configuration/src/maintenance.rs
@@ -1,7 +1,7 @@
 //! Machines out for work: `works at-once=1 keep=0.7 longest="30min" watched="10s" { rest from="07:00"
 //! to="19:00"; }`. What it means is told in docs/works.md.
 
-use crate::fleet::NamedFleet;
+use crate::entities::NamedFleet;
 use crate::reader::Reader;
 use gullsail_fleet::maintenance::MaintenanceConfig;
 use gullsail_scheduler_api::Span;
--- /dev/null
+++ b/crates/configuration/src/problem.rs
@@ -0,0 +1,104 @@
+//! What is wrong with a document: one [`Problem`] for each, with its place, and all of them together.
+
+use miette::{Diagnostic, LabeledSpan, NamedSource, Severity, SourceCode, SourceSpan};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+/// An error keeps a document from being used; a warning does not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Weight {
+    Error,
+    Warning,
+}
+
+/// One thing that is wrong, where, and what was meant.
+#[derive(Clone, Debug)]
+pub struct Problem {
+    pub code: &'static str,
+    pub weight: Weight,
+    pub message: String,
+    pub help: Option<String>,
+    /// File, line and column, from 1; and the same places in words where else to look.
+    pub file: String,
+    pub line: usize,
+    pub column: usize,
+    pub see: Vec<String>,
+    pub(crate) source: NamedSource<Arc<str>>,
+    pub(crate) at: SourceSpan,
+}
+
+/// A problem as programs are told of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DiagnosticRecord {
+    pub code: String,
+    pub weight: Weight,
+    pub file: String,
+    pub line: usize,
+    pub column: usize,
+    pub message: String,
+    pub help: Option<String>,
+    pub see: Vec<String>,
+}
+
+impl Problem {
+    pub fn diagnostic(&self) -> DiagnosticRecord {
+        DiagnosticRecord {
+            code: self.code.into(),
+            weight: self.weight,
+            file: self.file.clone(),
+            line: self.line,
+            column: self.column,
+            message: self.message.clone(),
+            help: self.help.clone(),
+            see: self.see.clone(),
+        }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for Problem {}
+
+impl Diagnostic for Problem {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(self.code))
+    }
+    fn severity(&self) -> Option<Severity> {
+        Some(if self.weight == Weight::Error { Severity::Error } else { Severity::Warning })
+    }
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        let all: Vec<_> = self.help.iter().chain(&self.see).map(String::as_str).collect();
+        (!all.is_empty()).then(|| Box::new(all.join("; ")) as Box<dyn fmt::Display>)
+    }
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.source)
+    }
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(std::iter::once(LabeledSpan::new_with_span(Some("here".into()), self.at))))
+    }
+}
+
+/// All that is wrong with one document, in the order of its files and lines.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+#[error("{} in {name}", count(.problems.len()))]
+pub struct Problems {
+    pub name: String,
+    #[related]
+    pub problems: Vec<Problem>,
+}
+
+fn count(problems: usize) -> String {
+    if problems == 1 { "1 problem".into() } else { format!("{problems} problems") }
+}
+
+/// The known word that is nearest to what stands there, if any is near.
+pub fn meant(found: &str, known: &[&str]) -> Option<String> {
+    let near = known.iter().map(|k| (strsim::damerau_levenshtein(found, k), k)).min()?;
+    (near.0 <= found.len().max(3) / 3).then(|| format!("did you mean `{}`?", near.1))
+}
--- a/crates/configuration/src/resolve.rs
+++ b/crates/configuration/src/resolve.rs
@@ -285,3 +285,18 @@
         parameters(child, names);
     }
 }
+
+impl Reader {
+    /// Reads a file and all that it brings in. What is wrong with it is noted.
+    pub fn open(loader: &dyn Loader, name: &str) -> (KdlDocument, Reader) {
+        let mut reader = Reader::new(name);
+        let document = resolve(loader, name, &mut reader);
+        // Files that go together were changed together, and one half of that was read before.
+        for name in loader.changed() {
+            let at = reader.sources.of_file(&name);
+            let message = format!("{name} changed while the configuration was read: check it again");
+            reader.report("file", message, (at, 0).into(), None);
+        }
+        (document, reader)
+    }
+}
--- a/crates/configuration/src/revisions.rs
+++ b/crates/configuration/src/revisions.rs
@@ -2,59 +2,27 @@
 //! host which starts with a document knows what others may still hold to. What the documents of such a line
 //! promise of limits comes with the last of them.
 
-use crate::deployment::{self, Deployment};
-use crate::reader::{Problem, Problems, Reader, entries};
+use crate::builder;
+use crate::deployment::Deployment;
+use crate::entities::{NamedCrossZoneBudget, NamedVolume};
+use crate::problem::{Problem, Problems};
+use crate::reader::Reader;
+use crate::revision_entry::entry;
 use crate::source_map::{Loader, beside};
-use gullsail_config_transition::{MOST_HOSTS, Revision, RevisionLimits, Shared};
-use kdl::{KdlDocument, KdlNode};
+use gullsail_config_transition::{MOST_HOSTS, RevisionLimits, Shared};
 
 /// Documents before documents: the line is as long as hosts are behind.
 const MOST: usize = 16;
 
-/// What a document says of its own place among others.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Place {
-    pub revision: Revision,
-    /// The file of the one before, as it is named.
-    pub after: Option<String>,
-}
-
-pub(crate) fn entry(document: &KdlDocument) -> Option<&KdlNode> {
-    entries(document, "revision").next()
-}
-
-pub(crate) fn read(document: &KdlDocument, r: &mut Reader) -> Place {
-    let Some(n) = entry(document) else { return Place::default() };
-    r.only(n, 1, &["after"], &[]);
-    let number = n.entries().iter().find(|e| e.name().is_none());
-    let revision = match number.map(|e| (e, e.value().as_integer().and_then(|i| u64::try_from(i).ok()))) {
-        Some((_, Some(revision))) if revision > 0 => revision,
-        Some((e, _)) => {
-            r.report(
-                "wrong-kind",
-                format!("{} is not a whole number of at least 1", e.value()),
-                e.span(),
-                None,
-            );
-            0
-        }
-        None => {
-            r.report("missing", "`revision` needs its number".into(), n.span(), Some("revision 1".into()));
-            0
-        }
-    };
-    Place { revision: Revision(revision), after: r.text_at(n, "after") }
-}
-
 pub(crate) fn revision_limits(d: &Deployment) -> RevisionLimits {
-    let shared = |v: &deployment::NamedVolume| Shared {
+    let shared = |v: &NamedVolume| Shared {
         plan: v.plan,
         limit: d.plans.get(v.plan.0).and_then(|p| p.decisions.limit),
         hosts: v.hosts.clone(),
     };
     let volumes = d.volumes.iter().map(|v| (v.id, shared(v)));
     // Budgets between zones are limits like others.
-    let budget = |c: &deployment::NamedCrossZoneBudget| {
+    let budget = |c: &NamedCrossZoneBudget| {
         (c.id, Shared { plan: Default::default(), limit: Some(c.limit), hosts: c.hosts.clone() })
     };
     let volumes = volumes.chain(d.cross_zone_budgets.iter().map(budget));
@@ -67,7 +35,7 @@
     chain: &[String],
 ) -> Result<(Deployment, Vec<Problem>), Problems> {
     let (document, mut r) = Reader::open(loader, name);
-    let mut built = deployment::build(&document, &mut r);
+    let mut built = builder::build(&document, &mut r);
     let mut line = Vec::new();
     if let (Some(n), Some(after), true) = (entry(&document), &built.place.after, r.noted_errors() == 0) {
         let at = n.entry("after").map_or(n.span(), |e| e.span());
--- a/crates/configuration/src/routes.rs
+++ b/crates/configuration/src/routes.rs
@@ -3,7 +3,7 @@
 //! What a request is given is worked out once for each volume and request class, so that looking it up costs
 //! nothing.
 
-use crate::deployment::{NamedPlan, NamedRequestClass, NamedVolume, NodePlace};
+use crate::entities::{NamedPlan, NamedRequestClass, NamedVolume, NodePlace};
 use crate::reader::{Names, Reader, entries};
 use gullsail_scheduler_api::{PoolId, RequestClassId, ZoneId};
 use kdl::{KdlDocument, KdlNode};
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -3,6 +3,7 @@
 //! judged. [`built_in`] holds the days that come with the program.
 
 pub mod built_in;
+mod error;
 pub mod processes;
 pub mod run;
 pub mod script;
--- a/crates/scenario/src/processes.rs
+++ b/crates/scenario/src/processes.rs
@@ -1,7 +1,7 @@
 //! The processes of a day: started from this very program, told where they listen by themselves, ended by
 //! their own id and nothing else.
 
-use crate::run::RunError;
+use crate::error::RunError;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde::{Deserialize, Serialize};
--- a/crates/scenario/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -10,6 +10,8 @@
 mod maintenance;
 mod report;
 
+pub use crate::error::RunError;
+use crate::error::io;
 use crate::processes::Process;
 use crate::script::{Expect, Fault, Script};
 use documents::resolve;
@@ -35,20 +37,6 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::{info, warn};
 
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-pub enum RunError {
-    #[error("process {name}: {why}")]
-    Process { name: String, why: String },
-    #[error("{what}: {error}")]
-    Io { what: String, error: std::io::Error },
-    #[error(transparent)]
-    Recording(#[from] gullsail_audit::Fault),
-}
-
-fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> RunError {
-    |error| RunError::Io { what: what.into(), error }
-}
-
 /// Where and from what a day is played.
 pub struct Stage {
     /// The program itself, whose subcommands the processes are.
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -5,7 +5,7 @@
 
 pub use fault::Fault;
 use fault_reader::{KINDS, fault};
-use gullsail_configuration::{Deployment, Loader, Memory, Names, Problems, Reader, deployment};
+use gullsail_configuration::{Deployment, Loader, Memory, Names, Problems, Reader};
 use gullsail_scheduler_api::Span;
 use kdl::{KdlDocument, KdlNode};
 
@@ -53,7 +53,7 @@
 /// All that is wrong with either.
 pub fn load(loader: &dyn Loader, name: &str) -> Result<(String, Deployment, Script), Problems> {
     let (document, mut r) = Reader::open(loader, name);
-    let d = deployment::build(&document, &mut r);
+    let d = gullsail_configuration::build(&document, &mut r);
     let script = script(&document, &mut r, &d);
     let text = document.nodes().iter().map(|n| n.to_string().trim().to_string() + "\n").collect();
     r.close((text, d, script)).map(|(all, _)| all)
