--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -162,7 +162,8 @@
     }
 }
 
-/// How long the frame at the front is, header included, once its header has come. Its bounds are not judged here.
+/// How long the frame at the front is, header included, once its header has come. Its bounds are not judged
+/// here.
 pub fn announced(buf: &BytesMut) -> Option<usize> {
     let mut size_metrics = buf.get(4..HEADER)?;
     Some(HEADER + size_metrics.get_u32_le() as usize + size_metrics.get_u32_le() as usize)
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -51,7 +51,7 @@
 #[test]
 fn what_is_not_understood_is_named() {
     let long = Frame::from(DemandReport { bytes: vec![0; MAX_DEMAND_REPORT_BYTES + 1] });
-    let note = Frame::from(Reached { held: 1, revision: 1, hosts: vec![0; MAX_DEMAND_REPORT_BYTES + 1] });
+    let message = Frame::from(Reached { held: 1, revision: 1, hosts: vec![0; MAX_DEMAND_REPORT_BYTES + 1] });
     let mut bad_message = header(0x9d, 1, 10, 3, 0);
     bad_message.put_slice(&[0xff, 0xff, 0xff]);
     let cases = [
@@ -62,12 +62,12 @@
         (header(0x9d, 1, 1, 0, 1 << 30), "body of 1073741824 bytes, at most 65536"),
         (wire(&long), "label of 257 bytes, at most 256"),
         (bad_message, "message of kind 10 can't be decoded"),
-        (wire(&note), "note on revisions of 257 bytes, at most 256"),
+        (wire(&message), "message on revisions of 257 bytes, at most 256"),
     ];
     for (mut bytes, wanted) in cases {
         let before = bytes.capacity();
-        let said = decode(&mut bytes, BOUNDS).unwrap_err().to_string();
-        assert!(said.contains(wanted), "{said}");
+        let decoded = decode(&mut bytes, BOUNDS).unwrap_err().to_string();
+        assert!(decoded.contains(wanted), "{decoded}");
         assert!(bytes.capacity() <= before, "nothing is set aside for a length that is refused");
     }
 }
