--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -202,7 +202,7 @@
         WireEvent::Resolved { id, spent, attempt, state_code, node, complete, metered, .. } => {
             Event::AttemptEnded(AttemptEnd {
                 id: RequestId(id),
-                attempt: attempt,
+                attempt,
                 node: NodeId(hash(&node)),
                 outcome: outcome(&state_code)?,
                 latency: Span::from_millis(spent),
--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -36,6 +36,7 @@
     Ok(load(file)??)
 }
 
+/// Says all that is wrong with a document.
 pub fn check(file: &Path, json: bool) -> Result<ExitCode> {
     let (sound, problems) = match load(file)? {
         Ok((d, warnings)) => (Some(d), warnings),
@@ -64,6 +65,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Tells more of one kind of problem.
 pub fn explain(code: &str) -> Result<ExitCode> {
     let Some(text) = codes::explain(code) else {
         let known: Vec<_> = codes::CODES.iter().map(|c| c.0).collect();
@@ -73,6 +75,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Formats documents in place, or says which are not.
 pub fn format(files: &[PathBuf], check: bool) -> Result<ExitCode> {
     let mut differ = false;
     for file in files {
@@ -95,6 +98,7 @@
     Ok(if check && differ { ExitCode::from(1) } else { ExitCode::SUCCESS })
 }
 
+/// Says what changed between two documents and what that asks for.
 pub fn diff(old: &Path, new: &Path, json: bool) -> Result<ExitCode> {
     let changes = compare(&read(old)?.0, &read(new)?.0);
     for c in &changes {
@@ -129,6 +133,7 @@
     node.iter_children().for_each(|child| given(reader, child, out));
 }
 
+/// Shows what one host runs with.
 pub fn show(file: &Path, host: &str) -> Result<ExitCode> {
     let (d, _) = read(file)?;
     let me = d.host(host).ok_or_else(|| {
@@ -206,11 +211,13 @@
     })
 }
 
+/// Shows a host's state, for people.
 pub async fn status(control: &Path) -> Result<ExitCode> {
     println!("{}", serde_json::to_string_pretty(&state(control).await?).into_diagnostic()?);
     Ok(ExitCode::SUCCESS)
 }
 
+/// Asks a host for its state over its control socket.
 pub async fn state(control: &Path) -> Result<State> {
     match ask(control, ControlRequest::Status).await? {
         ControlReply::Status(state) => Ok(*state),
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -13,12 +13,14 @@
 /// How often lost lines are looked for.
 const LOOK: Duration = Duration::from_secs(5);
 
+/// Keeps the writer of the logs running; what it still holds is written when this is dropped.
 pub struct Logs {
     lost: ErrorCounter,
     /// Writes what waits when the program ends, for a second at most.
     _guard: WorkerGuard,
 }
 
+/// Begins logging on standard error.
 pub fn start(level: &str, json: bool) -> Logs {
     let (writer, guard) =
         NonBlockingBuilder::default().lossy(true).buffered_lines_limit(LINES).finish(std::io::stderr());
--- a/crates/cli/src/maintenance.rs
+++ b/crates/cli/src/maintenance.rs
@@ -71,6 +71,7 @@
     state.maintenance.ok_or_else(|| miette!(help = help, "{}: its document has no `works`", state.host))
 }
 
+/// Shows the maintenance orders as one host knows them.
 pub async fn show(control: &Path, json: bool) -> Result<ExitCode> {
     let view = view(control).await?;
     if json {
--- a/crates/cli/src/zones.rs
+++ b/crates/cli/src/zones.rs
@@ -3,6 +3,7 @@
 use crate::{atomic_file, documents};
 use gullsail_configuration::Reader;
 use gullsail_host::control::State;
+use gullsail_host::core::zones::BudgetOverrun;
 use gullsail_placement::{NoPlan, documents::proposal, documents::question};
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use serde::Serialize;
@@ -82,21 +83,41 @@
     cost: f64,
 }
 
-/// From hosts that run, by their control sockets, or from a day's recording (its `hosts.json`).
+/// From hosts that run, by their control sockets, or from a scenario's recording (its `hosts.json`).
 pub async fn report(sources: &[PathBuf], price: f64, json: bool, csv: bool) -> Result<ExitCode> {
-    let mut text = String::new();
+    let states = read_states(sources).await?;
+    let rows = rows(&states, price)?;
+    let overruns: Vec<_> = states.iter().flat_map(|s| s.past.iter().map(|p| (&s.host, p))).collect();
+    let text = if json {
+        let value = serde_json::json!({ "crossed": rows, "past": overruns });
+        format!("{}\n", serde_json::to_string_pretty(&value).into_diagnostic()?)
+    } else if csv {
+        csv_text(&rows)
+    } else {
+        plain_text(&rows, &overruns)
+    };
+    say(&text);
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn read_states(sources: &[PathBuf]) -> Result<Vec<State>> {
     let mut states: Vec<State> = Vec::new();
     for source in sources {
         if source.is_dir() {
             let file = source.join("hosts.json");
             let read = std::fs::read_to_string(&file).into_diagnostic();
             let read = read.wrap_err_with(|| format!("can't read {}", file.display()))?;
-            let of_day: Vec<State> = serde_json::from_str(&read).into_diagnostic()?;
-            states.extend(of_day);
+            let of_scenario: Vec<State> = serde_json::from_str(&read).into_diagnostic()?;
+            states.extend(of_scenario);
         } else {
             states.push(documents::state(source).await?);
         }
     }
+    Ok(states)
+}
+
+/// What crossed, summed over hosts, volumes and request classes.
+fn rows(states: &[State], price: f64) -> Result<Vec<Row>> {
     let mut rows: BTreeMap<(String, String, String, String), Row> = BTreeMap::new();
     for c in states.iter().flat_map(|s| &s.crossed) {
         let reason =
@@ -111,41 +132,34 @@
         row.for_nothing += c.total.for_nothing;
         row.cost = row.bytes as f64 / GIB * price;
     }
-    let rows: Vec<Row> = rows.into_values().collect();
-    let past: Vec<_> = states.iter().flat_map(|s| s.past.iter().map(|p| (&s.host, p))).collect();
-    if json {
-        text += &format!(
-            "{}\n",
-            serde_json::to_string_pretty(&serde_json::json!({ "crossed": rows, "past": past }))
-                .into_diagnostic()?
-        );
-        say(&text);
-        return Ok(ExitCode::SUCCESS);
-    }
-    if csv {
-        text += "from,to,plan,reason,frames,bytes,for_nothing,cost\n";
-        for r in &rows {
-            let quoted = |s: &str| format!("\"{}\"", s.replace('"', "\"\""));
-            let names = [&r.from, &r.to, &r.plan, &r.reason].map(|s| quoted(s)).join(",");
-            text += &format!("{names},{},{},{},{:.6}\n", r.frames, r.bytes, r.for_nothing, r.cost);
-        }
-        say(&text);
-        return Ok(ExitCode::SUCCESS);
+    Ok(rows.into_values().collect())
+}
+
+fn csv_text(rows: &[Row]) -> String {
+    let mut text = String::from("from,to,plan,reason,frames,bytes,for_nothing,cost\n");
+    for r in rows {
+        let quoted = |s: &str| format!("\"{}\"", s.replace('"', "\"\""));
+        let names = [&r.from, &r.to, &r.plan, &r.reason].map(|s| quoted(s)).join(",");
+        text += &format!("{names},{},{},{},{:.6}\n", r.frames, r.bytes, r.for_nothing, r.cost);
     }
-    for r in &rows {
+    text
+}
+
+fn plain_text(rows: &[Row], overruns: &[(&String, &BudgetOverrun)]) -> String {
+    let mut text = String::new();
+    for r in rows {
         let plan = if r.plan.is_empty() { "-" } else { &r.plan };
         text += &format!(
             "{} to {}  {plan:<14} {:<8} {:>9} frames {:>13} bytes ({} for nothing)  {:.4}\n",
             r.from, r.to, r.reason, r.frames, r.bytes, r.for_nothing, r.cost
         );
     }
-    for (host, p) in past {
+    for (host, p) in overruns {
         let span = (p.to_us - p.from_us) as f64 / 1e6;
         text += &format!(
             "past the budget {}: {} bytes at {host} in {span:.1} s: {}\n",
             p.budget, p.bytes, p.cause
         );
     }
-    say(&text);
-    Ok(ExitCode::SUCCESS)
+    text
 }
--- a/crates/configuration/src/builder.rs
+++ b/crates/configuration/src/builder.rs
@@ -47,18 +47,10 @@
     let hosts: Vec<_> = all("host").map(|n| host(r, n, &names.zones)).collect();
     let nodes: Vec<_> = all("node").map(|n| node(r, n, &names.zones, &names.servers)).collect();
     let (list, list_late) = endpoint_list(document, r);
-    let mut config = SchedulerConfig {
-        hosts: hosts.len() as u32,
-        request_classes: request_classes.iter().map(|s| s.decisions.clone()).collect(),
-        ..default_config()
-    };
-    let rules = rules(document, r, &mut config);
-    slow_start(document, r, &mut config);
-    retry_budget(document, r, &mut config);
-    let bounds_node = single(r, document, "bounds");
-    let bounds = bounds(r, bounds_node);
-    // And the host's timers come up to a millisecond late.
-    config.connect_wait = bounds.connect + Span::from_micros(2000);
+    let mut config = default_config();
+    config.hosts = hosts.len() as u32;
+    config.request_classes = request_classes.iter().map(|s| s.decisions.clone()).collect();
+    let (rules, bounds) = read_figures(document, r, &mut config);
     let plans: Vec<_> = all("plan").map(|n| plan(r, n, rules.unit)).collect();
     config.plans = plans.iter().map(|p| p.decisions.clone()).collect();
     let fleet_node = single(r, document, "fleet");
@@ -68,18 +60,11 @@
     let everyone: Arc<[HostId]> = (0..hosts.len() as u32).map(HostId).collect();
     // A part too small for a largest request moves around where hosts settle it among themselves.
     let most = (config.max_units, fleet.is_none());
-    let mut volumes = Vec::new();
-    for n in all("volume") {
-        volumes.push(volume(r, n, &plans, &names.plans, &names.hosts, &everyone, most));
-    }
+    let read_volume = |n| volume(r, n, &plans, &names.plans, &names.hosts, &everyone, most);
+    let volumes: Vec<_> = all("volume").map(read_volume).collect();
     check_needed(r, document, &hosts, &volumes);
     config.max_bytes = bounds.frame.body as f64;
-    let read_budget = |n| {
-        let max_bytes = config.max_bytes;
-        cross_zone_budgets::read(r, n, &names.zones, &names.plans, &hosts, &everyone, max_bytes)
-    };
-    let cross_zone_budgets: Vec<_> = all("crossing").filter_map(read_budget).collect();
-    cross_zone_budgets::together(r, document, &cross_zone_budgets);
+    let cross_zone_budgets = read_budgets(document, r, &names, &hosts, &everyone, config.max_bytes);
     let known = routes::Known {
         zones: &names.zones,
         request_classes: &request_classes,
@@ -88,8 +73,7 @@
         nodes: &nodes,
     };
     let routes = routes::read(document, r, &known);
-    single(r, document, "revision");
-    let place = revision_entry::read(document, r);
+    let place = revision(document, r);
     let volumes_by_name = volumes.iter().enumerate().map(|(place, v)| (v.name.clone(), place)).collect();
     let built = Deployment {
         unit: rules.unit,
@@ -118,6 +102,28 @@
     built
 }
 
+fn read_budgets(
+    document: &KdlDocument,
+    r: &mut Reader,
+    names: &EntryNames,
+    hosts: &[Place],
+    everyone: &Arc<[HostId]>,
+    max_bytes: f64,
+) -> Vec<NamedCrossZoneBudget> {
+    let mut budgets = Vec::new();
+    for n in entries(document, "crossing") {
+        let budget = cross_zone_budgets::read(r, n, &names.zones, &names.plans, hosts, everyone, max_bytes);
+        budgets.extend(budget);
+    }
+    cross_zone_budgets::together(r, document, &budgets);
+    budgets
+}
+
+fn revision(document: &KdlDocument, r: &mut Reader) -> RevisionPlace {
+    single(r, document, "revision");
+    revision_entry::read(document, r)
+}
+
 fn check_kinds(document: &KdlDocument, r: &mut Reader) {
     for n in document.nodes() {
         let name = n.name().value();
@@ -185,6 +191,18 @@
     }
 }
 
+/// All entries of figures; those of the decisions go into their configuration.
+fn read_figures(document: &KdlDocument, r: &mut Reader, config: &mut SchedulerConfig) -> (Rules, HostBounds) {
+    let rules = rules(document, r, config);
+    slow_start(document, r, config);
+    retry_budget(document, r, config);
+    let bounds_node = single(r, document, "bounds");
+    let bounds = bounds(r, bounds_node);
+    // And the host's timers come up to a millisecond late.
+    config.connect_wait = bounds.connect + Span::from_micros(2000);
+    (rules, bounds)
+}
+
 /// Of the `rules` entry, what is not the decisions'.
 struct Rules {
     unit: Option<f64>,
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -66,10 +66,12 @@
         self.cross_zone_budgets.iter().map(share).collect()
     }
 
+    /// The number of a host, by its name.
     pub fn host(&self, name: &str) -> Option<HostId> {
         self.hosts.iter().position(|h| h.name == name).map(|p| HostId(p as u32))
     }
 
+    /// A volume, by its name.
     pub fn volume(&self, name: &str) -> Option<&NamedVolume> {
         self.volume_at(name).map(|place| &self.volumes[place])
     }
@@ -79,6 +81,7 @@
         self.volumes_by_name.get(name).copied()
     }
 
+    /// A node, by its name.
     pub fn node(&self, name: &str) -> Option<&NodePlace> {
         self.nodes.iter().find(|n| n.place.name == name)
     }
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -43,6 +43,7 @@
     changes: Vec<Change>,
 }
 
+/// All changes from one deployment to another.
 pub fn diff(old: &Deployment, new: &Deployment) -> Vec<Change> {
     let mut d = Differ { old, new, changes: Vec::new() };
     d.rules();
--- a/crates/configuration/src/entities.rs
+++ b/crates/configuration/src/entities.rs
@@ -23,6 +23,7 @@
     pub decisions: RequestClass,
 }
 
+/// A plan as the document names it.
 #[derive(Clone, Debug)]
 pub struct NamedPlan {
     pub name: String,
@@ -31,6 +32,7 @@
     pub decisions: Plan,
 }
 
+/// A volume, its plan and its hosts.
 #[derive(Clone, Debug)]
 pub struct NamedVolume {
     pub name: String,
@@ -41,6 +43,7 @@
 }
 
 impl NamedVolume {
+    /// Whether the volume's requests come through this host.
     pub fn through(&self, host: HostId) -> bool {
         self.hosts.binary_search(&host).is_ok()
     }
@@ -69,6 +72,7 @@
     pub listen: String,
 }
 
+/// A storage node: where it runs and which shard it holds.
 #[derive(Clone, Debug)]
 pub struct NodePlace {
     pub place: Place,
--- a/crates/configuration/src/lints.rs
+++ b/crates/configuration/src/lints.rs
@@ -8,24 +8,38 @@
 
 /// Looks at a deployment as a whole.
 pub fn check(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
-    let all = |kind: &'static str| entries(document, kind);
-    let name = |n: &kdl::KdlNode| n.get(0).and_then(|v| v.as_string()).unwrap_or_default().to_string();
-    // Reserves against what the machines of the nodes can do, where that is stated.
+    reserves(d, document, r);
+    unused(d, document, r);
+    plans(d, document, r);
+    request_classes(d, document, r);
+    places(d, document, r);
+    rules(d, document, r);
+    bounds(d, document, r);
+    slow_start(d, document, r);
+    retry_budget(d, document, r);
+}
+
+/// Reserves against what the servers of the nodes can do, where that is stated.
+fn reserves(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
     let running: Vec<_> = d.nodes.iter().filter(|n| !n.spare).collect();
     let servers: Option<Vec<_>> = running.iter().map(|n| d.servers.get(n.server)).collect();
     if let Some(servers) = servers.filter(|m| !m.is_empty()) {
         let can: f64 = servers.iter().map(|m| m.can()).sum();
         let reserved: f64 =
             d.volumes.iter().map(|v| d.plans.get(v.plan.0).map_or(0.0, |p| p.decisions.reserve)).sum();
-        if let Some(last) = all("volume").next_back().filter(|_| reserved > can * PROMISABLE) {
+        if let Some(last) = entries(document, "volume").next_back().filter(|_| reserved > can * PROMISABLE) {
             let message = format!("reserves sum to {reserved} units a second; the nodes can do {can:.0}");
             let help =
                 format!("at most {:.0} can be promised: lower reserves, or add nodes", can * PROMISABLE);
             r.report("reserves-too-large", message, last.span(), Some(help));
         }
     }
+}
+
+fn unused(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
+    let name = |n: &kdl::KdlNode| n.get(0).and_then(|v| v.as_string()).unwrap_or_default().to_string();
     let zones: BTreeSet<usize> = d.nodes.iter().map(|n| n.place.zone.0).collect();
-    for (place, n) in all("zone").enumerate() {
+    for (place, n) in entries(document, "zone").enumerate() {
         if !zones.contains(&place) && !d.nodes.is_empty() {
             r.warn("zone-empty", format!("zone \"{}\" has no node", name(n)), n.span(), None);
         }
@@ -35,15 +49,16 @@
         ("machine", d.nodes.iter().map(|n| n.server).collect(), !d.nodes.is_empty()),
     ];
     for (kind, used, counts) in used {
-        for (_, n) in all(kind).enumerate().filter(|(place, _)| counts && !used.contains(place)) {
+        for (_, n) in entries(document, kind).enumerate().filter(|(place, _)| counts && !used.contains(place))
+        {
             r.warn("unused", format!("{kind} \"{}\" is used nowhere", name(n)), n.span(), None);
         }
     }
-    plans(d, document, r);
-    request_classes(d, document, r);
-    places(d, document, r);
+}
+
+fn rules(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
     let f = d.figures();
-    if let Some(n) = all("rules").next() {
+    if let Some(n) = entries(document, "rules").next() {
         if f.spare_part > f.share_part {
             let message = "units past the share would earn more than those within it".into();
             r.warn("odd-parts", message, n.span(), Some("spare-part is at most share-part".into()));
@@ -60,7 +75,10 @@
             r.warn("tick-long", message, n.span(), None);
         }
     }
-    if let Some(n) = all("bounds").next() {
+}
+
+fn bounds(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
+    if let Some(n) = entries(document, "bounds").next() {
         if d.bounds.redial.0 > d.bounds.redial.1 {
             let message = "the first wait between tries to connect is longer than the last".into();
             r.report("contradiction", message, n.span(), None);
@@ -70,7 +88,11 @@
             r.report("contradiction", message, n.span(), Some("held-bytes is at least body-bytes".into()));
         }
     }
-    if let Some(n) = all("cold").next() {
+}
+
+fn slow_start(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
+    let f = d.figures();
+    if let Some(n) = entries(document, "cold").next() {
         if f.slow_start.window > f.slow_start.ramp {
             let message = "the window is longer than the ramp: a node is warm before it ends".into();
             r.report(
@@ -86,12 +108,18 @@
             r.warn("cold-too-small", message, n.span(), None);
         }
     }
+}
+
+fn retry_budget(d: &Deployment, document: &KdlDocument, r: &mut Reader) {
+    let f = d.figures();
     let nothing = f.retry_budget.is_some_and(|b| b.free < 1.0 && b.share == 0.0);
-    if let Some(n) = all("legs").next().filter(|_| nothing && f.max_attempts > 1) {
+    if let Some(n) = entries(document, "legs").next().filter(|_| nothing && f.max_attempts > 1) {
         let message = "the budget allows no further leg at all".into();
         r.warn("no-effect", message, n.span(), Some("most=1 says so plainly".into()));
     }
-    if let Some(n) = all("legs").next().filter(|_| f.retry_budget.is_some() && f.max_attempts == 1) {
+    if let Some(n) =
+        entries(document, "legs").next().filter(|_| f.retry_budget.is_some() && f.max_attempts == 1)
+    {
         r.warn(
             "no-effect",
             "with one leg for each transfer there are no further legs to budget".into(),
--- a/crates/configuration/src/problem.rs
+++ b/crates/configuration/src/problem.rs
@@ -43,6 +43,7 @@
 }
 
 impl Problem {
+    /// The problem as data, for programs.
     pub fn diagnostic(&self) -> DiagnosticRecord {
         DiagnosticRecord {
             code: self.code.into(),
--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -17,6 +17,7 @@
 }
 
 impl Names {
+    /// All of them, in their order.
     pub fn list(&self) -> &[String] {
         &self.list
     }
@@ -55,6 +56,7 @@
     see: Vec<String>,
 }
 
+/// Reads the entries of one document and keeps what is wrong with them.
 #[derive(Default)]
 pub struct Reader {
     pub(crate) name: String,
@@ -142,10 +144,12 @@
         if errors { Err(Problems { name, problems }) } else { Ok((built, problems)) }
     }
 
+    /// Records an error at a place.
     pub fn report(&mut self, code: &'static str, message: String, at: SourceSpan, help: Option<String>) {
         self.reported.push(Reported { code, weight: Weight::Error, message, at, help, see: Vec::new() });
     }
 
+    /// Records a warning at a place.
     pub fn warn(&mut self, code: &'static str, message: String, at: SourceSpan, help: Option<String>) {
         self.reported.push(Reported { code, weight: Weight::Warning, message, at, help, see: Vec::new() });
     }
--- a/crates/configuration/src/reader_values.rs
+++ b/crates/configuration/src/reader_values.rs
@@ -40,11 +40,13 @@
         }
     }
 
+    /// The text under a key, if there is one.
     pub fn text_at(&mut self, node: &KdlNode, key: &str) -> Option<String> {
         let e = self.entry(node, key, false)?;
         Some(self.text_of(e))
     }
 
+    /// Whether a flag is set; not there: it is not.
     pub fn flag(&mut self, node: &KdlNode, key: &str) -> bool {
         match self.entry(node, key, false) {
             None => false,
@@ -69,11 +71,13 @@
         Some(number)
     }
 
+    /// The number under a key that has to be there.
     pub fn number(&mut self, node: &KdlNode, key: &str, least: f64) -> f64 {
         _ = self.entry(node, key, true);
         self.number_at(node, key, least).unwrap_or_default()
     }
 
+    /// A whole number under a key, or what holds otherwise.
     pub fn whole(&mut self, node: &KdlNode, key: &str, least: u32, otherwise: u32) -> u32 {
         let Some(e) = self.entry(node, key, false) else { return otherwise };
         match e.value() {
@@ -95,6 +99,7 @@
         Some(span(s).unwrap_or_else(|| self.wrong(e, "a span", help())))
     }
 
+    /// The span under a key that has to be there.
     pub fn span(&mut self, node: &KdlNode, key: &str) -> Span {
         _ = self.entry(node, key, true);
         self.span_at(node, key).unwrap_or_default()
@@ -178,6 +183,7 @@
         )
     }
 
+    /// The part of a whole under a key that has to be there.
     pub fn part(&mut self, node: &KdlNode, key: &str) -> f64 {
         _ = self.entry(node, key, true);
         self.part_at(node, key).unwrap_or_default()
@@ -206,6 +212,7 @@
         found
     }
 
+    /// The place of what the text under a key names.
     pub fn refer_at(&mut self, node: &KdlNode, key: &str, what: &str, names: &Names) -> Option<usize> {
         let e = self.entry(node, key, true)?;
         self.refer(e, what, names)
--- a/crates/configuration/src/routes.rs
+++ b/crates/configuration/src/routes.rs
@@ -21,6 +21,7 @@
 }
 
 impl Pool {
+    /// Whether a node of that zone and kind is in the pool.
     pub fn holds(&self, zone: ZoneId, kind: &str) -> bool {
         (self.zones.is_empty() || self.zones.contains(&zone))
             && (self.kinds.is_empty() || self.kinds.contains(kind))
@@ -71,6 +72,7 @@
         holds.map(|(place, _)| PoolId(place + 1)).collect()
     }
 
+    /// The name of a pool.
     pub fn name(&self, pool: PoolId) -> &str {
         pool.0.checked_sub(1).and_then(|place| self.pools.get(place)).map_or(ALL, |p| &p.name)
     }
--- a/crates/configuration/src/source_map.rs
+++ b/crates/configuration/src/source_map.rs
@@ -12,6 +12,7 @@
 
 /// The most that one file, and all of a configuration, may hold.
 pub const MOST_FILE: usize = 8 << 20;
+/// The most bytes that all files of a document have together.
 pub const MOST_ALL: usize = 64 << 20;
 
 /// Why a file can't be had.
@@ -163,6 +164,7 @@
     pub via: Option<usize>,
 }
 
+/// The texts that a document was read from, end to end, so that one number names a place in any of them.
 #[derive(Clone, Debug, Default)]
 pub struct Sources {
     stretches: Vec<Segment>,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,6 +12,9 @@
 //! Numbers are little-endian. A kind that is not known is skipped as a whole, a field that is not known is
 //! skipped by the serialization; all else that is not understood ends the connection ([`Broken`]).
 
+// Fields and variants are not all documented yet: docs/ROADMAP.md lists what is left.
+#![allow(missing_docs)]
+
 pub mod message;
 pub mod record;
 
@@ -24,6 +27,7 @@
 pub const VERSION: u8 = 1;
 /// The longest demand report between hosts, as the design has it.
 pub const MAX_DEMAND_REPORT_BYTES: usize = 256;
+/// The length of a frame's header, in bytes.
 pub const HEADER: usize = 12;
 const TAG: u8 = 0x9d;
 /// Room made for bytes that are announced and have not come: whole for all but the largest pieces.
@@ -65,6 +69,7 @@
         }
 
         impl Message {
+            /// The number of the message's kind on the wire.
             pub fn kind(&self) -> u16 {
                 match self {
                     $(Message::$name(_) => $kind,)*
@@ -136,6 +141,7 @@
 }
 
 impl Frame {
+    /// The same message with this body.
     pub fn with_body(self, body: Bytes) -> Frame {
         Frame { body, ..self }
     }
@@ -145,6 +151,7 @@
         HEADER + self.message.encoded_len() + self.body.len()
     }
 
+    /// Never: a frame has at least its header.
     pub fn is_empty(&self) -> bool {
         false
     }
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// One line of a recording.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// When the relay had read it, and when the other side was given it.
@@ -17,6 +18,7 @@
     pub what: What,
 }
 
+/// What a line of a recording tells.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum What {
     /// As it was read; `body` is its length.
@@ -73,6 +75,7 @@
     },
 }
 
+/// What the recording proxy did with a frame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Delivery {
     Passed,
@@ -81,6 +84,7 @@
     Altered,
 }
 
+/// What happened to a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProcessEvent {
     Started {
@@ -94,6 +98,7 @@
 }
 
 impl ProcessEvent {
+    /// Whether the process is gone after it.
     pub fn is_end(self) -> bool {
         matches!(self, ProcessEvent::Killed | ProcessEvent::Ended)
     }
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -2,6 +2,9 @@
 //! on free loopback ports with relays between them, plays the faults, stops everything and has the recording
 //! judged. [`built_in`] holds the days that come with the program.
 
+// Fields and variants are not all documented yet: docs/ROADMAP.md lists what is left.
+#![allow(missing_docs)]
+
 pub mod built_in;
 mod error;
 pub mod processes;
--- a/crates/scenario/src/processes.rs
+++ b/crates/scenario/src/processes.rs
@@ -18,6 +18,7 @@
     pub incarnation: u64,
 }
 
+/// A process of a scenario that was started and is ended by its id alone.
 pub struct Process {
     pub name: String,
     pub listening: Listening,
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -17,6 +17,7 @@
     Broken,
 }
 
+/// A scenario: the load, the faults and what it has to test.
 #[derive(Clone, Debug, Default)]
 pub struct Script {
     pub name: String,
--- a/crates/simulator/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -19,6 +19,7 @@
 /// Marks are kept this long, and no shorter than any stated window.
 const MARKS_KEPT: Span = Span::from_micros(600_000_000);
 
+/// A simulated storage node as a process: its name, its server, its age.
 pub struct NodeProcess {
     pub name: String,
     pub shard: i64,
--- a/crates/simulator/src/node_model.rs
+++ b/crates/simulator/src/node_model.rs
@@ -8,6 +8,7 @@
 use rand_distr::{Distribution, Gamma};
 use std::collections::{BTreeMap, VecDeque};
 
+/// What becomes of a request that arrives at the node.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Arrival {
     Taken,
@@ -24,6 +25,7 @@
     put_off: f64,
 }
 
+/// A node's server in given time: cores, a bounded queue, pauses, deferred writes, slow start.
 pub struct Model {
     server: Server,
     slow_start: SlowStart,
@@ -158,12 +160,14 @@
         done.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// When the model next has something to do.
     pub fn next(&self) -> Instant {
         let first = self.running.values().min().copied().unwrap_or(self.next_flush);
         let pause = if self.server.pause > Span::ZERO { self.next_pause } else { self.next_flush };
         first.min(self.next_flush).min(pause)
     }
 
+    /// How many requests run, and how many wait.
     pub fn load(&self) -> (u32, u32) {
         (self.running.len() as u32, self.waiting.len() as u32)
     }
