--- a/crates/cli/src/atomic_file.rs
+++ b/crates/cli/src/atomic_file.rs
@@ -3,8 +3,8 @@
 use std::io::{self, Write};
 use std::path::Path;
 
-/// Writes beside the file, on the same disk, then takes its place; who reads meanwhile has the old one whole or the new one.
-/// A link stays a link, and permissions stay as they were.
+/// Writes beside the file, on the same disk, then takes its place; who reads meanwhile has the old one whole
+/// or the new one. A link stays a link, and permissions stay as they were.
 ///
 /// # Errors
 /// It can't be written, as on a full disk; the file is as it was then.
--- a/crates/cli/src/documents.rs
+++ b/crates/cli/src/documents.rs
@@ -185,11 +185,11 @@
 
 /// Has a host read its document again. Exit code 0: it serves by it now; 1: turned down; 2: it is not sound.
 pub async fn reload(control: &Path, insist: bool, json: bool) -> Result<ExitCode> {
-    let told = ask(control, ControlRequest::Reload { insist }).await?;
+    let reply = ask(control, ControlRequest::Reload { insist }).await?;
     if json {
-        println!("{}", serde_json::to_string(&told).into_diagnostic()?);
+        println!("{}", serde_json::to_string(&reply).into_diagnostic()?);
     }
-    Ok(match &told {
+    Ok(match &reply {
         ControlReply::Taken { revision, changes } => {
             if !json {
                 println!("taken: revision {revision}, {} change(s)", changes.len());
@@ -226,12 +226,12 @@
 }
 
 async fn ask(control: &Path, ask: ControlRequest) -> Result<ControlReply> {
-    let told = gullsail_host::control::ask(control, ask, Duration::from_secs(60)).await;
-    let strange = told.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::InvalidData);
+    let reply = gullsail_host::control::ask(control, ask, Duration::from_secs(60)).await;
+    let strange = reply.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::InvalidData);
     let what = if strange { "what answers is not understood" } else { "no host answers" };
-    let told = told.into_diagnostic().wrap_err_with(|| format!("{what} at {}", control.display()))?;
-    match told {
+    let reply = reply.into_diagnostic().wrap_err_with(|| format!("{what} at {}", control.display()))?;
+    match reply {
         ControlReply::Error { why } => Err(miette!("{why}")),
-        told => Ok(told),
+        reply => Ok(reply),
     }
 }
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -1,5 +1,5 @@
-//! Logs on standard error, written by a thread of their own from a queue with a bound: a reader that stops, a full disk or a
-//! closed pipe costs lines, which are counted, and never holds up what is served.
+//! Logs on standard error, written by a thread of their own from a queue with a bound: a reader that stops, a
+//! full disk or a closed pipe costs lines, which are counted, and never holds up what is served.
 
 use std::io::Write;
 use std::time::Duration;
@@ -45,14 +45,14 @@
 
     /// Says so, once there is room for a line again. Never ends.
     pub async fn watch(&self) {
-        let mut told = 0;
+        let mut reply = 0;
         loop {
             tokio::time::sleep(LOOK).await;
             let lost = self.lost();
-            if lost > told {
+            if lost > reply {
                 warn!(log_lines_lost = lost, "the log's reader does not keep up: lines are lost");
                 // If that line was lost too, it is said again.
-                told = if self.lost() == lost { lost } else { told };
+                reply = if self.lost() == lost { lost } else { reply };
             }
         }
     }
@@ -63,8 +63,8 @@
     let _ = writeln!(std::io::stderr(), "{text}");
 }
 
-/// A file that may not grow any more ends a process by a signal, unless somebody takes it; then writing fails, and that
-/// costs a line.
+/// A file that may not grow any more ends a process by a signal, unless somebody takes it; then writing
+/// fails, and that costs a line.
 pub fn outlive_full_files() {
     if let Ok(mut full) = signal(SignalKind::from_raw(nix::sys::signal::Signal::SIGXFSZ as i32)) {
         tokio::spawn(async move { while full.recv().await.is_some() {} });
--- a/crates/cli/src/maintenance.rs
+++ b/crates/cli/src/maintenance.rs
@@ -16,8 +16,8 @@
 
 /// Exit code 0: it counts; 1: it is refused, or with `wait` one is overdue.
 pub async fn say(control: &Path, command: OperatorCommand, wait: Option<Vec<String>>) -> Result<ExitCode> {
-    let told = ask(control, ControlRequest::OperatorCommand(command), PATIENCE).await.into_diagnostic();
-    match told.wrap_err_with(|| format!("the host at {}", control.display()))? {
+    let reply = ask(control, ControlRequest::OperatorCommand(command), PATIENCE).await.into_diagnostic();
+    match reply.wrap_err_with(|| format!("the host at {}", control.display()))? {
         ControlReply::CommandTaken => {}
         ControlReply::TurnedDown { why } => {
             println!("refused: {}", why.join("; "));
@@ -32,8 +32,8 @@
     all_out(control, &names).await
 }
 
-/// Waits until each machine of these may be switched off, or could be before. A zone's name stands for all that is in line when
-/// it is said.
+/// Waits until each machine of these may be switched off, or could be before. A zone's name stands for all
+/// that is in line when it is said.
 async fn all_out(control: &Path, names: &[String]) -> Result<ExitCode> {
     let style = ProgressStyle::with_template("{wide_bar} {pos}/{len} {msg}").into_diagnostic()?;
     let bar = ProgressBar::new(0).with_style(style);
--- /dev/null
+++ b/crates/cli/src/processes.rs
@@ -0,0 +1,154 @@
+//! The processes that the program can be: a host, the baseline, a simulated node, a simulated list service.
+
+use crate::{documents, logs};
+use gullsail_configuration::HostBounds;
+use gullsail_host::control::Control;
+use gullsail_host::drive::{self, HostClock, HostProcess};
+use gullsail_protocol::{ListedEndpoint, ListedState};
+use gullsail_scenario::processes::Listening;
+use gullsail_scheduler_api::Span;
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tracing::info;
+
+/// Binds where the document says, and tells whoever started this process where that is.
+async fn listen(address: &str, name: &str) -> Result<(TcpListener, u64)> {
+    if address.is_empty() {
+        return Err(miette!(
+            help = "give it an `address`, and a `listen` where it binds elsewhere",
+            "the document does not say where {name} listens"
+        ));
+    }
+    let bound = TcpListener::bind(address).await.into_diagnostic();
+    let listener = bound.wrap_err_with(|| format!("{name} can't listen at {address}"))?;
+    let address = listener.local_addr().into_diagnostic()?.to_string();
+    // Within what every reader of JSON keeps exactly.
+    let incarnation = (rand::random::<u64>() >> 11).max(1);
+    let listening = Listening { address, incarnation };
+    let line = serde_json::to_string(&listening).into_diagnostic()? + "\n";
+    let written = std::io::stdout().write_all(line.as_bytes()).and_then(|()| std::io::stdout().flush());
+    written.into_diagnostic().wrap_err("can't say on standard output where this listens")?;
+    Ok((listener, listening.incarnation))
+}
+
+async fn stopped() {
+    let both = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    if let (Ok(mut terminate), Ok(mut interrupt)) = both {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    } else {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn ahead(text: &str) -> Result<Span> {
+    let (sign, span) = text.strip_prefix('-').map_or((1.0, text), |span| (-1.0, span));
+    let span: humantime::Duration = span.parse().into_diagnostic().wrap_err("--clock-ahead")?;
+    Ok(Span::from_millis(span.as_secs_f64() * 1e3 * sign))
+}
+
+/// Runs one host until it is told to stop.
+pub async fn host(
+    file: &Path,
+    name: &str,
+    seed: u64,
+    (clock_ahead, drift): (&str, f64),
+    control: Option<PathBuf>,
+    logs: &logs::Logs,
+) -> Result<ExitCode> {
+    let (d, _) = documents::read(file)?;
+    let known: Vec<_> = d.hosts.iter().map(|h| h.name.as_str()).collect();
+    let me = d.host(name).ok_or_else(|| {
+        miette!(
+            help = format!("its hosts are {}", known.join(", ")),
+            "{}: no host \"{name}\"",
+            file.display()
+        )
+    })?;
+    let control = control.map(|path| {
+        let bound = Control::bind(&path, documents::reader_of(file.into())).into_diagnostic();
+        bound.wrap_err_with(|| format!("no control socket at {}", path.display()))
+    });
+    let control = control.transpose()?;
+    let (listener, incarnation) = listen(&d.hosts[me.0 as usize].listen, name).await?;
+    let clock = HostClock::start(ahead(clock_ahead)?).running(drift);
+    info!(host = name, incarnation, "serving");
+    let process = HostProcess { deployment: Arc::new(d), me, seed, incarnation, clock };
+    let counts = tokio::select! {
+        counts = drive::run(process, listener, control, stopped()) => counts,
+        () = logs.watch() => return Ok(ExitCode::from(1)),
+    };
+    info!(
+        host = name,
+        log_lines_lost = logs.lost(),
+        counts = serde_json::to_string(&counts).unwrap_or_default(),
+        "left"
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs the baseline in a host's place.
+pub async fn baseline(file: &Path, name: &str, seed: u64) -> Result<ExitCode> {
+    let (d, _) = documents::read(file)?;
+    let me = d.host(name).ok_or_else(|| miette!("{}: no host \"{name}\"", file.display()))?;
+    let (listener, _) = listen(&d.hosts[me.0 as usize].listen, name).await?;
+    tokio::select! {
+        () = gullsail_simulator::baseline::serve(Arc::new(d), me, seed, listener) => Ok(ExitCode::from(1)),
+        () = stopped() => Ok(ExitCode::SUCCESS),
+    }
+}
+
+/// Runs a simulated storage node.
+pub async fn node(file: &Path, name: &str, age: humantime::Duration) -> Result<ExitCode> {
+    let (d, _) = documents::read(file)?;
+    let n = d.node(name).ok_or_else(|| miette!("{}: no node \"{name}\"", file.display()))?;
+    let server = d.servers.get(n.server).ok_or_else(|| {
+        miette!(
+            help = "machine \"box\" cores=2 unit=\"5ms\"",
+            "{}: node \"{name}\" has no machine",
+            file.display()
+        )
+    })?;
+    let (listener, incarnation) = listen(&n.place.listen, name).await?;
+    let HostBounds { frame: bounds, .. } = d.bounds;
+    let process = gullsail_simulator::node::NodeProcess {
+        name: name.into(),
+        shard: n.shard.0,
+        server: server.clone(),
+        slow_start: d.figures().slow_start,
+        incarnation,
+        age: Span::from_millis(age.as_secs_f64() * 1e3),
+        bounds,
+    };
+    tokio::select! {
+        () = gullsail_simulator::node::serve(process, listener) => Ok(ExitCode::from(1)),
+        () = stopped() => Ok(ExitCode::SUCCESS),
+    }
+}
+
+/// Runs a simulated list service.
+pub async fn list(file: &Path) -> Result<ExitCode> {
+    let (d, _) = documents::read(file)?;
+    let (listener, _) = listen(&d.list.listen, "the list").await?;
+    let entries = d.nodes.iter().filter(|n| !n.spare).map(|n| ListedEndpoint {
+        name: n.place.name.clone(),
+        address: n.place.address.clone(),
+        shard: n.shard.0,
+        zone: d.zones.get(n.place.zone.0).cloned().unwrap_or_default(),
+        state: ListedState::Ready as i32,
+        age_us: 0,
+        incarnation: 0,
+        kind: n.kind.clone(),
+    });
+    tokio::select! {
+        () = gullsail_simulator::discovery::serve(entries.collect(), d.list_late, listener) => Ok(ExitCode::from(1)),
+        () = stopped() => Ok(ExitCode::SUCCESS),
+    }
+}
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -1,4 +1,5 @@
-//! Commands that got a standard name keep the old one as a hidden alias, so scripts of operators go on working.
+//! Commands that got a standard name keep the old one as a hidden alias, so scripts of operators go on
+//! working.
 
 use std::process::Command;
 
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -48,13 +48,13 @@
     }
 }
 
-fn said(o: &Output) -> String {
+fn output(o: &Output) -> String {
     String::from_utf8_lossy(&o.stdout).into_owned() + &String::from_utf8_lossy(&o.stderr)
 }
 
 fn status(dir: &Path) -> serde_json::Value {
     let out = gullsail(dir, &["status", "h1.sock"]);
-    serde_json::from_slice(&out.stdout).unwrap_or_else(|e| panic!("{e}: {}", said(&out)))
+    serde_json::from_slice(&out.stdout).unwrap_or_else(|e| panic!("{e}: {}", output(&out)))
 }
 
 #[test]
@@ -89,10 +89,10 @@
         write("main.kdl", &text);
         let out = gullsail(dir, &[&["reload", "h1.sock"], arguments].concat());
         assert_eq!(
-            (out.status.code(), said(&out).contains(says)),
+            (out.status.code(), output(&out).contains(says)),
             (Some(code), true),
             "{says}\n{}",
-            said(&out)
+            output(&out)
         );
         let state = status(dir);
         assert_eq!((state["host"].as_str(), state["revision"].as_u64()), (Some("h1"), Some(revision)));
@@ -114,7 +114,7 @@
     let dir = dir.path();
     std::fs::write(dir.join("main.kdl"), DOCUMENT).unwrap();
     let gone = gullsail(dir, &["status", "h1.sock"]);
-    assert_eq!((gone.status.code(), said(&gone).contains("no host answers at h1.sock")), (Some(2), true));
+    assert_eq!((gone.status.code(), output(&gone).contains("no host answers at h1.sock")), (Some(2), true));
     // A file that a host left behind when it was killed is replaced.
     let killed = Host::start(dir);
     drop(killed);
@@ -123,10 +123,10 @@
     // Another host is refused, and the first one still answers.
     let other = gullsail(dir, &["host", "main.kdl", "--name", "h2", "--control", "h1.sock"]);
     assert_eq!(
-        (other.status.code(), said(&other).contains("another process answers")),
+        (other.status.code(), output(&other).contains("another process answers")),
         (Some(2), true),
         "{}",
-        said(&other)
+        output(&other)
     );
     for asked in ["nonsense\n", "{\"ask\":\"shutdown\"}\n", "{}\n"] {
         let mut stream = UnixStream::connect(dir.join("h1.sock")).unwrap();
@@ -145,8 +145,8 @@
     assert_eq!(host.stop(), Some(0));
 }
 
-/// A disk that does not give a document back: the asker is told, the next one too, the state is still told, and once it
-/// comes a reload is as ever.
+/// A disk that does not give a document back: the asker is told, the next one too, the state is still told,
+/// and once it comes a reload is as ever.
 #[test]
 fn a_document_that_is_not_read_holds_nobody_up() {
     use gullsail_host::control::{Control, ControlReply, ControlRequest, ask};
@@ -179,7 +179,7 @@
         for expected in ["was not read within", "still being read", "still being read"] {
             match reload().await.unwrap() {
                 ControlReply::Error { why } => assert!(why.contains(expected), "{why}"),
-                told => panic!("{told:?}"),
+                reply => panic!("{reply:?}"),
             }
             assert!(matches!(
                 ask(&socket, ControlRequest::Status, long).await.unwrap(),
--- a/crates/cli/tests/documents.rs
+++ b/crates/cli/tests/documents.rs
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn a_diff_tells_by_its_exit_code_what_it_asks_for() {
+fn a_diff_shows_by_its_exit_code_what_it_asks_for() {
     let dir = folder();
     let cases = [
         ("plan \"p\" burst=64 limit=\"100units/s\"", 0, ""),
@@ -98,7 +98,8 @@
     assert!(!shown.contains("theirs"), "{shown}");
 }
 
-/// Through templates in templates: what a use gives, what an outer one hands on, and what stands unless given.
+/// Through templates in templates: what a use gives, what an outer one hands on, and what stands unless
+/// given.
 #[test]
 fn show_says_where_each_value_was_given() {
     let dir = folder();
@@ -135,8 +136,8 @@
 volume "w" plan="q" { hosts "h2"; }
 "#;
 
-/// What zone a's nodes can't do goes to b; the proposal is a sound document whose changes are safe while serving. A
-/// budget that is too small for it clashes with them.
+/// What zone a's nodes can't do goes to b; the proposal is a sound document whose changes are safe while
+/// serving. A budget that is too small for it clashes with them.
 #[test]
 fn a_plan_is_a_document_or_says_what_clashes() {
     let dir = tempfile::tempdir().unwrap();
@@ -163,10 +164,11 @@
     write("5");
     let plan = gullsail(dir.path(), &["zones", "plan", "main.kdl"]);
     assert_eq!(plan.status.code(), Some(1));
-    let said = out(&plan);
+    let output = out(&plan);
     assert!(
-        said.contains("the nodes of a can do, 180 units a second") && said.contains("the budget from a to b"),
-        "{said}"
+        output.contains("the nodes of a can do, 180 units a second")
+            && output.contains("the budget from a to b"),
+        "{output}"
     );
-    assert!(!said.contains("volume \"w\"") && !said.contains("the nodes of b"), "{said}");
+    assert!(!output.contains("volume \"w\"") && !output.contains("the nodes of b"), "{output}");
 }
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -1,5 +1,6 @@
-//! Hosts as processes that settle who belongs: one that no document named joins, one that is killed is out after its
-//! lease, a second process under one name is refused. What each says of itself is asked over its control socket.
+//! Hosts as processes that settle who belongs: one that no document named joins, one that is killed is out
+//! after its lease, a second process under one name is refused. What each says of itself is asked over its
+//! control socket.
 
 use std::net::TcpListener;
 use std::path::Path;
@@ -43,9 +44,9 @@
     let end = Instant::now() + Duration::from_secs(60);
     loop {
         let (_, text) = gullsail(dir, &["fleet", "status", socket, "--json"]);
-        let said = serde_json::from_str(&text).unwrap_or(serde_json::Value::Null);
-        if fits(&said) {
-            return said;
+        let output = serde_json::from_str(&text).unwrap_or(serde_json::Value::Null);
+        if fits(&output) {
+            return output;
         }
         assert!(Instant::now() < end, "{what}: {text}");
         std::thread::sleep(Duration::from_millis(50));
@@ -53,8 +54,8 @@
 }
 
 /// How the host with this number stands, as told.
-fn state(said: &serde_json::Value, host: u64) -> String {
-    let members = said["status"]["members"].as_array().cloned().unwrap_or_default();
+fn state(output: &serde_json::Value, host: u64) -> String {
+    let members = output["status"]["members"].as_array().cloned().unwrap_or_default();
     let found = members.iter().find(|m| m["host"] == host);
     found.and_then(|m| m["standing"].as_str()).unwrap_or_default().to_string()
 }
@@ -88,14 +89,14 @@
     let _h3 = host(dir, "h3.kdl", "h3", "h3.sock");
     for (file, socket) in [("h1.kdl", "h1.sock"), ("h2.kdl", "h2.sock")] {
         std::fs::write(dir.join(file), &next).unwrap();
-        let (code, said) = gullsail(dir, &["reload", socket]);
-        assert_eq!(code, Some(0), "{said}");
+        let (code, output) = gullsail(dir, &["reload", socket]);
+        assert_eq!(code, Some(0), "{output}");
     }
     until(dir, "h3.sock", "it knows its coordinator", |s| s["status"]["coordinator"] == 0);
-    let said = until(dir, "h1.sock", "the third is a member", |s| state(s, 2) == "member");
+    let output = until(dir, "h1.sock", "the third is a member", |s| state(s, 2) == "member");
     let counted =
-        said["status"]["budgets"].as_array().unwrap().iter().map(|b| b["counted"].as_u64().unwrap());
-    assert!(counted.max().unwrap() <= 1_000_000, "{said}");
+        output["status"]["budgets"].as_array().unwrap().iter().map(|b| b["counted"].as_u64().unwrap());
+    assert!(counted.max().unwrap() <= 1_000_000, "{output}");
     // A second process under a name that is held uses nothing, and both say so.
     let double = dir.join("double.kdl");
     std::fs::write(
@@ -105,13 +106,13 @@
     .unwrap();
     let twin = host(dir, "double.kdl", "h3", "twin.sock");
     // Notes to it go to the address that the others know: it hears nothing, and holds nothing but its floor.
-    let said = until(dir, "twin.sock", "it is up", |s| s["status"]["me"] == 2);
-    assert!(said["status"]["lease_ms"].is_null(), "{said}");
+    let output = until(dir, "twin.sock", "it is up", |s| s["status"]["me"] == 2);
+    assert!(output["status"]["lease_ms"].is_null(), "{output}");
     drop(twin);
     // Killed: out after its lease, and what it held is the others'.
     drop(h2);
-    let said = until(dir, "h1.sock", "the dead one is out", |s| state(s, 1) == "out");
-    assert_eq!(state(&said, 2), "member");
+    let output = until(dir, "h1.sock", "the dead one is out", |s| state(s, 1) == "out");
+    assert_eq!(state(&output, 2), "member");
     let part = |s: &serde_json::Value| {
         let budgets = s["status"]["budgets"].as_array().cloned().unwrap_or_default();
         let of = |b: &serde_json::Value| b["parts"].as_array().cloned().unwrap_or_default();
@@ -125,7 +126,7 @@
 }
 
 #[test]
-fn servers_go_out_for_work_by_words_to_any_host() {
+fn servers_go_out_for_maintenance_by_commands_to_any_host() {
     let dir = tempfile::tempdir().unwrap();
     let dir = dir.path();
     let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
@@ -144,8 +145,8 @@
         until(dir, name, "it has a lease", known);
     }
     let maintenance = |socket: &str| {
-        let (_, said) = gullsail(dir, &["fleet", "works", socket, "--json"]);
-        serde_json::from_str::<serde_json::Value>(&said).unwrap_or_default()
+        let (_, output) = gullsail(dir, &["fleet", "works", socket, "--json"]);
+        serde_json::from_str::<serde_json::Value>(&output).unwrap_or_default()
     };
     let wait = |socket: &str, fits: &dyn Fn(&serde_json::Value) -> bool| {
         let end = Instant::now() + Duration::from_secs(60);
@@ -166,16 +167,17 @@
         (&["fleet", "out", "h1.sock", "h3", "--for", "soon"], "invalid value"),
     ];
     for (words, why) in refused {
-        let (code, said) = gullsail(dir, words);
-        assert!(code.is_some_and(|c| c > 0) && said.contains(why), "{words:?}: {code:?} {said}");
+        let (code, output) = gullsail(dir, words);
+        assert!(code.is_some_and(|c| c > 0) && output.contains(why), "{words:?}: {code:?} {output}");
     }
     assert_eq!(maintenance("h1.sock")["orders"].as_array().map(Vec::len), Some(0));
-    // Through two hosts at once, and it is one order; the host answers what it has, leaves and ends by itself.
+    // Through two hosts at once, and it is one order; the host answers what it has, leaves and ends by
+    // itself.
     let out = ["fleet", "out", "h1.sock", "h3", "--reason", "a new kernel", "--wait"];
     std::thread::scope(|s| {
         let other = s.spawn(|| gullsail(dir, &["fleet", "out", "h2.sock", "h3", "--reason", "a new kernel"]));
-        let (code, said) = gullsail(dir, &out);
-        assert!(code == Some(0) && said.contains("a new kernel"), "{said}");
+        let (code, output) = gullsail(dir, &out);
+        assert!(code == Some(0) && output.contains("a new kernel"), "{output}");
         assert_eq!(other.join().unwrap().0, Some(0));
     });
     let view = maintenance("h2.sock");
@@ -183,15 +185,15 @@
     // It said that it goes, also where it decided until then: no lease had to be waited out.
     assert_eq!(view["orders"][0]["hosts"].as_array().map(Vec::len), Some(0), "{view}");
     assert!(h3.0.wait().unwrap().success());
-    let (code, said) = gullsail(dir, &["fleet", "cancel", "h2.sock", "h3"]);
-    assert!(code == Some(1) && said.contains("it is out already"), "{said}");
+    let (code, output) = gullsail(dir, &["fleet", "cancel", "h2.sock", "h3"]);
+    assert!(code == Some(1) && output.contains("it is out already"), "{output}");
     // A process under its name is none of the fleet until somebody says that the machine is back.
     drop(h3);
     let _h3 = start("h3");
     std::thread::sleep(Duration::from_millis(1500));
     assert_eq!(stage(&maintenance("h1.sock")), "out");
-    let said = until(dir, "h3.sock", "it is up", |s| s["status"]["me"] == 2);
-    assert!(said["status"]["lease_ms"].is_null(), "{said}");
+    let output = until(dir, "h3.sock", "it is up", |s| s["status"]["me"] == 2);
+    assert!(output["status"]["lease_ms"].is_null(), "{output}");
     assert_eq!(gullsail(dir, &["fleet", "back", "h2.sock", "h3"]).0, Some(0));
     wait("h1.sock", &|w| stage(w) == "done");
     until(dir, "h3.sock", "it is a member", |s| s["status"]["lease_ms"].is_number());
--- a/crates/cli/tests/known_red.rs
+++ b/crates/cli/tests/known_red.rs
@@ -24,7 +24,8 @@
     let one = "a::one; times out under load; issue 35";
     let two = "a::two; the list comes late; issue 28";
     let three = "b::three; an answer is cut; issue 35";
-    // the list, what failed, targets that ended without naming a test, the tests' exit code; what it says if it is red
+    // the list, what failed, targets that ended without naming a test, the tests' exit code; what it says if
+    // it is red
     type Case<'a> = (Vec<&'a str>, Vec<&'a str>, usize, i32, Option<&'a str>);
     let cases: Vec<Case> = vec![
         (vec![one], vec!["a::one"], 0, 101, None),
@@ -57,14 +58,15 @@
         let mut command = Command::new("bash");
         command.arg(script).args([path("list"), path("names"), path("log")]).arg(code.to_string());
         let ended = command.output().unwrap();
-        let (said, erred) = (String::from_utf8_lossy(&ended.stdout), String::from_utf8_lossy(&ended.stderr));
-        assert_eq!(ended.status.success(), red.is_none(), "{list:?} {failed:?}: {said}{erred}");
+        let (output, erred) =
+            (String::from_utf8_lossy(&ended.stdout), String::from_utf8_lossy(&ended.stderr));
+        assert_eq!(ended.status.success(), red.is_none(), "{list:?} {failed:?}: {output}{erred}");
         assert!(erred.contains(red.unwrap_or_default()), "{list:?} {failed:?}: {erred}");
         if red.is_none() {
             for line in list {
                 let over = failed.iter().any(|f| line.starts_with(&format!("{f};")));
                 let word = if over { "passed over" } else { "passes now" };
-                assert!(said.lines().any(|l| l.contains(word) && l.ends_with(line)), "{line}: {said}");
+                assert!(output.lines().any(|l| l.contains(word) && l.ends_with(line)), "{line}: {output}");
             }
         }
     }
--- a/crates/cli/tests/loopback.rs
+++ b/crates/cli/tests/loopback.rs
@@ -1,5 +1,5 @@
-//! The host on real sockets against stand-ins, with peers that misbehave. Everything runs in one thread of this
-//! process; a host that is killed is a task that is dropped.
+//! The host on real sockets against stand-ins, with peers that misbehave. Everything runs in one thread of
+//! this process; a host that is killed is a task that is dropped.
 
 use bytes::{Bytes, BytesMut};
 use gullsail_configuration::{Deployment, parse};
@@ -251,8 +251,8 @@
     });
 }
 
-/// The host is killed between an attempt and its answer; the client repeats to its successor; the mark keeps the
-/// write from taking effect twice.
+/// The host is killed between an attempt and its answer; the client repeats to its successor; the mark keeps
+/// the write from taking effect twice.
 #[test]
 fn an_idempotency_key_write_repeated_after_a_kill_takes_effect_once() {
     run(async {
--- a/crates/cli/tests/platform/races.rs
+++ b/crates/cli/tests/platform/races.rs
@@ -1,5 +1,6 @@
-//! Events that cross on real sockets, forced: a peer that holds back, a window that is full, a process that stands still while
-//! both happen. Each test asks what must hold in whichever order the process then finds them.
+//! Events that cross on real sockets, forced: a peer that holds back, a window that is full, a process that
+//! stands still while both happen. Each test asks what must hold in whichever order the process then finds
+//! them.
 
 use crate::rig::*;
 use nix::sys::signal::Signal;
@@ -35,8 +36,8 @@
     (all, client.get_mut().read(&mut [0; 1]).is_ok_and(|n| n == 0))
 }
 
-/// SIGTERM, with a request whose node hangs until the last moment: its answer is written before the process ends, once and
-/// whole, also by a second signal.
+/// SIGTERM, with a request whose node hangs until the last moment: its answer is written before the process
+/// ends, once and whole, also by a second signal.
 #[test]
 fn what_is_open_at_the_end_is_answered_before_it() {
     for signals in [1, 2] {
@@ -84,8 +85,9 @@
     assert_eq!(h.child.wait().unwrap().code(), Some(0));
 }
 
-/// A message on a connection that rests, and the host's closing it, while the process stands still: when it goes on, both are
-/// there. Either it is served, or the connection ends in order and no node hears of it: then the client asks anew.
+/// A message on a connection that rests, and the host's closing it, while the process stands still: when it
+/// goes on, both are there. Either it is served, or the connection ends in order and no node hears of it:
+/// then the client asks anew.
 #[test]
 fn a_message_that_crosses_the_end_of_a_resting_connection_is_served_or_never_sent_on() {
     for leaving in [false, true] {
@@ -163,8 +165,8 @@
     }
 }
 
-/// A client that leaves while its attempt waits for a connection: in order, by a reset, behind more bytes than may wait, and many
-/// at once. Nothing is sent for it when the connection comes up; who stays is served.
+/// A client that leaves while its attempt waits for a connection: in order, by a reset, behind more bytes
+/// than may wait, and many at once. Nothing is sent for it when the connection comes up; who stays is served.
 #[test]
 fn nothing_is_sent_for_a_client_that_left_while_the_connection_was_late() {
     for (how, leaves) in
@@ -207,8 +209,8 @@
     }
 }
 
-/// Clients that ask once and stay hold every descriptor they may, while discovery is down: when it is back, what it says
-/// reaches the host all the same.
+/// Clients that ask once and stay hold every descriptor they may, while discovery is down: when it is back,
+/// what it says reaches the host all the same.
 #[test]
 fn idle_clients_do_not_keep_the_list_away() {
     let (old, asked_old) = node(Some(reply("old")));
@@ -268,8 +270,9 @@
     (std::fs::read_dir(format!("{of}/fd")).unwrap().count(), kb >> 10)
 }
 
-/// Floods, silent crowds, messages at once without end, and nodes whose answers never end or cannot be read: a usual client is
-/// served meanwhile, memory and descriptors stay within their bounds, and what was held is given back.
+/// Floods, silent crowds, messages at once without end, and nodes whose answers never end or cannot be read:
+/// a usual client is served meanwhile, memory and descriptors stay within their bounds, and what was held is
+/// given back.
 #[test]
 fn floods_and_endless_answers_are_bounded_and_given_back() {
     // Two nodes: one is well, the other's answers are spoilt, each in a way of its own.
@@ -321,14 +324,16 @@
             let mut c = h.client();
             let text = ask_text(trace).replace("shard=0", "shard=1");
             c.get_mut().write_all(text.as_bytes()).unwrap();
-            // Never what could not be read; a whole answer before surplus counts, if the node is still tried at all.
+            // Never what could not be read; a whole answer before surplus counts, if the node is still tried
+            // at all.
             let answer = message(&mut c).unwrap();
             let served = answer.starts_with("HTTP/1.1 200") && answer.ends_with("made for it");
             assert!(
                 served && spoilt == 0xee || answer.starts_with("HTTP/1.1 50"),
                 "{round} {spoilt:x}: {answer}"
             );
-            // Usual clients are served meanwhile; more than half of all attempts come back, else the host would hold back.
+            // Usual clients are served meanwhile; more than half of all attempts come back, else the host
+            // would hold back.
             for usual in 1..=8 {
                 asks(&mut c, trace + (usual << 32));
                 let answer = message(&mut c).unwrap_or_default();
@@ -350,8 +355,8 @@
     panic!("{} descriptors, before {before}", holds(&h).0);
 }
 
-/// A process that starts again while discovery is refused, silent, or silent in the middle of its answer is ready by what it
-/// remembers, and serves.
+/// A process that starts again while discovery is refused, silent, or silent in the middle of its answer is
+/// ready by what it remembers, and serves.
 #[test]
 fn a_restarted_host_is_ready_without_discovery() {
     let (at_node, _asked) = node(Some(reply("made by the node")));
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/scenarios.rs
@@ -22,15 +22,15 @@
     let _alone = ONE.lock().unwrap_or_else(PoisonError::into_inner);
     let dir = tempfile::tempdir().unwrap();
     let path = dir.path().display().to_string();
-    let out = gullsail(&["day", name, "--record", &path]);
+    let out = gullsail(&["scenario", name, "--record", &path]);
     assert!(out.status.success(), "{}\n{}", text(&out.stdout), text(&out.stderr));
     // Judged again from the recording alone, with the same verdict.
     let again = gullsail(&["audit", &path]);
     assert!(again.status.success(), "{}", text(&again.stdout));
     let rules = |s: String| s.lines().filter(|l| l.contains("kept")).map(str::to_string).collect::<Vec<_>>();
     let again = rules(text(&again.stdout));
-    // The head of the table, seven rules; one for budgets between zones, two for a fleet and two for its rates to nodes,
-    // where there are some.
+    // The head of the table, seven rules; one for budgets between zones, two for a fleet and two for its
+    // rates to nodes, where there are some.
     let more = match name {
         "budget-storm" => 4,
         name if name.starts_with("out") => 4,
@@ -42,46 +42,46 @@
 }
 
 #[test]
-fn the_release_day_passes() {
+fn the_release_scenario_passes() {
     day("release");
 }
 
 #[test]
-fn the_host_crash_day_passes() {
+fn the_host_crash_scenario_passes() {
     day("host-crash");
 }
 
 #[test]
-fn the_stopped_host_day_passes() {
+fn the_stopped_host_scenario_passes() {
     day("stopped-host");
 }
 
 #[test]
-fn the_days_of_a_fleet_pass() {
+fn the_scenarios_of_a_fleet_pass() {
     for name in ["budget-cut", "budget-join", "budget-takeover", "budget-storm", "budget-new"] {
         day(name);
     }
 }
 
 #[test]
-fn the_days_of_servers_out_for_work_pass() {
+fn the_scenarios_of_server_maintenance_pass() {
     for name in ["out-nodes", "out-takeover"] {
         day(name);
     }
 }
 
 #[test]
-fn the_reload_day_passes() {
+fn the_reload_scenario_passes() {
     day("reload");
 }
 
 #[test]
-fn the_zones_drain_day_passes() {
+fn the_zones_drain_scenario_passes() {
     day("zones-drain");
 }
 
 #[test]
-fn the_hot_volume_day_passes() {
+fn the_hot_volume_scenario_passes() {
     day("hot-volume");
 }
 
@@ -99,9 +99,9 @@
     std::fs::write(&own, "include \"bad.kdl\"\nday \"own\" lasts=\"1s\" { ask \"r\" rate=5; }\n").unwrap();
     let own = own.display().to_string();
     let cases: [(&[&str], &str); 7] = [
-        (&["day", &own], "no plan is called \"x\""),
-        (&["day", "bad-dya"], "no day is called \"bad-dya\""),
-        (&["day", "random", "--seed", "x"], "invalid value"),
+        (&["scenario", &own], "no plan is called \"x\""),
+        (&["scenario", "bad-dya"], "no day is called \"bad-dya\""),
+        (&["scenario", "random", "--seed", "x"], "invalid value"),
         (&["check", &bad], "no plan is called \"x\""),
         (&["check", &bad], "a span is written with its unit"),
         (&["host", &bad, "--name", "h1"], "3 problems"),
--- a/crates/cli/tests/service.rs
+++ b/crates/cli/tests/service.rs
@@ -1,5 +1,6 @@
-//! A short form of the benchmark `service`: hosts, nodes, clients, volumes and documents come and go for some hours of given
-//! time, and what is held once all clients have left stays what it was. Lengths and counts only, from one seed.
+//! A short form of the benchmark `service`: hosts, nodes, clients, volumes and documents come and go for some
+//! hours of given time, and what is held once all clients have left stays what it was. Lengths and counts
+//! only, from one seed.
 
 #[path = "../benches/service/world.rs"]
 mod world;
--- a/crates/cli/tests/shortages.rs
+++ b/crates/cli/tests/shortages.rs
@@ -1,6 +1,7 @@
-//! A host that runs short of descriptors, of memory, of room for its log, or whose document and socket are tampered with:
-//! what holds meanwhile, and that service is what it was once there is room, without a restart. Shortages are limits of a
-//! child process; only processes that a test started are ended, by their ids.
+//! A host that runs short of descriptors, of memory, of room for its log, or whose document and socket are
+//! tampered with: what holds meanwhile, and that service is what it was once there is room, without a
+//! restart. Shortages are limits of a child process; only processes that a test started are ended, by their
+//! ids.
 
 use bytes::{Bytes, BytesMut};
 use gullsail_protocol::*;
@@ -147,8 +148,8 @@
     }
 }
 
-/// A node by hand, on a thread that ends with the test's process: it answers all attempts while `answers`, and breaks its
-/// connection when `breaks`.
+/// A node by hand, on a thread that ends with the test's process: it answers all attempts while `answers`,
+/// and breaks its connection when `breaks`.
 fn node(answers: &Arc<AtomicBool>, breaks: &Arc<AtomicBool>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
@@ -209,8 +210,8 @@
         .unwrap_or_else(|e| panic!("{e}: {}", String::from_utf8_lossy(&out.stderr)))
 }
 
-/// A log that nobody reads: the pipe is full after some hundred lines, and requests are answered as before. Once somebody
-/// reads, lines come again, and one says how many were lost.
+/// A log that nobody reads: the pipe is full after some hundred lines, and requests are answered as before.
+/// Once somebody reads, lines come again, and one says how many were lost.
 #[test]
 fn a_log_that_nobody_reads_holds_up_nothing() {
     let dir = tempfile::tempdir().unwrap();
@@ -269,8 +270,9 @@
     }
 }
 
-/// Clients take all descriptors that they can get: a node whose connection breaks is reached again, the operator is answered,
-/// those inside are served, and the log stays small. When they leave others are taken, without a restart.
+/// Clients take all descriptors that they can get: a node whose connection breaks is reached again, the
+/// operator is answered, those inside are served, and the log stays small. When they leave others are taken,
+/// without a restart.
 #[test]
 fn descriptors_are_kept_back_for_what_must_be_reached() {
     let dir = tempfile::tempdir().unwrap();
@@ -309,8 +311,9 @@
     assert_eq!(host.stop(), Some(0));
 }
 
-/// Little memory, and writers that offer far more than there is, to a node that answers nothing: they wait, what is held stays
-/// within its bound, each request that was taken has its answer, and when the node answers again all is served.
+/// Little memory, and writers that offer far more than there is, to a node that answers nothing: they wait,
+/// what is held stays within its bound, each request that was taken has its answer, and when the node answers
+/// again all is served.
 #[test]
 fn memory_is_bounded_while_a_node_answers_nothing() {
     const MIB: usize = 1 << 20;
@@ -365,7 +368,8 @@
     assert_eq!(host.stop(), Some(0));
 }
 
-/// `fmt` where the file may not grow, and where its folder can't be written: the document is as it was, whole.
+/// `fmt` where the file may not grow, and where its folder can't be written: the document is as it was,
+/// whole.
 #[test]
 fn a_document_is_formatted_whole_or_not_at_all() {
     let dir = tempfile::tempdir().unwrap();
@@ -392,8 +396,8 @@
     assert_eq!(files, 2, "nothing stays beside it");
 }
 
-/// A document that includes a pipe is no document; the socket's file may be another's by the time the host leaves; two who
-/// reload at once are answered one after the other; who reloads while it leaves is told so.
+/// A document that includes a pipe is no document; the socket's file may be another's by the time the host
+/// leaves; two who reload at once are answered one after the other; who reloads while it leaves is told so.
 #[test]
 fn documents_and_sockets_that_are_tampered_with() {
     let dir = tempfile::tempdir().unwrap();
@@ -461,8 +465,8 @@
     }
 }
 
-/// Many large frames that each stop halfway: one at a time takes its room, the others wait unread, small requests are served
-/// all the while, and once those that stand still are let go a whole large one is taken.
+/// Many large frames that each stop halfway: one at a time takes its room, the others wait unread, small
+/// requests are served all the while, and once those that stand still are let go a whole large one is taken.
 #[test]
 fn half_frames_are_bounded() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/configuration/src/builder.rs
+++ b/crates/configuration/src/builder.rs
@@ -1,5 +1,5 @@
-//! Builds a [`Deployment`] from a document, from top to bottom, and then looks at what must fit together. What is
-//! wrong goes to the reader. Called for each document and for those before it ([`crate::revisions`]).
+//! Builds a [`Deployment`] from a document, from top to bottom, and then looks at what must fit together.
+//! What is wrong goes to the reader. Called for each document and for those before it ([`crate::revisions`]).
 
 use crate::deployment::Deployment;
 use crate::entities::*;
--- a/crates/configuration/src/deployment.rs
+++ b/crates/configuration/src/deployment.rs
@@ -1,4 +1,5 @@
-//! All that a document says, with its parts fit together. Nothing here reads documents: [`crate::build`] does.
+//! All that a document says, with its parts fit together. Nothing here reads documents: [`crate::build`]
+//! does.
 
 pub use crate::entities::*;
 use crate::routes::Routes;
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -1,5 +1,5 @@
-//! What changed between two deployments, by meaning: order, comments, includes and templates count for nothing.
-//! Each change is classed by what it does to hosts that serve meanwhile.
+//! What changed between two deployments, by meaning: order, comments, includes and templates count for
+//! nothing. Each change is classed by what it does to hosts that serve meanwhile.
 
 use crate::deployment::{Deployment, NamedVolume};
 use crate::diff_values::{self as values, plain as say};
--- a/crates/configuration/src/entities.rs
+++ b/crates/configuration/src/entities.rs
@@ -1,4 +1,5 @@
-//! What the entries of a document become, one struct for each kind, with the names that the document gives them.
+//! What the entries of a document become, one struct for each kind, with the names that the document gives
+//! them.
 
 use fnv::FnvHasher;
 use gullsail_config_transition::Revision;
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -1,10 +1,10 @@
-//! The document that a deployment is run from, in KDL: hosts, storage nodes, the list service, request classes,
-//! plans, volumes, the rules' figures. [`parse`] finds every problem in one go, each with its place and what
-//! was meant; what it returns is immutable. Files are read through a [`Loader`] alone.
+//! The document that a deployment is run from, in KDL: hosts, storage nodes, the list service, request
+//! classes, plans, volumes, the rules' figures. [`parse`] finds every problem in one go, each with its place
+//! and what was meant; what it returns is immutable. Files are read through a [`Loader`] alone.
 //!
-//! Its stages: [`source_map`] and `resolve` (files, includes, templates: one flat document comes out), [`reader`]
-//! (how entries are read and problems reported), `builder` (what a document means), [`deployment`] (the result),
-//! `lints` (what is well-formed and makes no sense).
+//! Its stages: [`source_map`] and `resolve` (files, includes, templates: one flat document comes out),
+//! [`reader`] (how entries are read and problems reported), `builder` (what a document means), [`deployment`]
+//! (the result), `lints` (what is well-formed and makes no sense).
 
 // Fields and variants are not all documented yet: docs/ROADMAP.md lists what is left.
 #![allow(missing_docs)]
--- a/crates/configuration/src/reader_values.rs
+++ b/crates/configuration/src/reader_values.rs
@@ -1,5 +1,5 @@
-//! How values of entries are read: texts, numbers, spans, bytes, rates, parts, references to other entries. What is
-//! wrong with one goes to the reader, and a harmless value comes back.
+//! How values of entries are read: texts, numbers, spans, bytes, rates, parts, references to other entries.
+//! What is wrong with one goes to the reader, and a harmless value comes back.
 
 use crate::problem::meant;
 use crate::reader::{Names, Reader};
--- a/crates/configuration/tests/collection.rs
+++ b/crates/configuration/tests/collection.rs
@@ -1,5 +1,5 @@
-//! Many small documents that are broken, or sound and doubtful, each with the code, line and column that must be
-//! said, and a part of what is said. Each is read with a sound one of some hosts and nodes beside it.
+//! Many small documents that are broken, or sound and doubtful, each with the code, line and column that must
+//! be said, and a part of what is said. Each is read with a sound one of some hosts and nodes beside it.
 
 use gullsail_configuration::*;
 use std::collections::BTreeMap;
--- a/crates/configuration/tests/diff.rs
+++ b/crates/configuration/tests/diff.rs
@@ -1,5 +1,5 @@
-//! What a diff says of values: programs read these texts, so they are those of the version before the types were
-//! renamed, to the letter.
+//! What a diff says of values: programs read these texts, so they are those of the version before the types
+//! were renamed, to the letter.
 
 use gullsail_configuration::{diff::diff, parse};
 
--- a/crates/configuration/tests/fuzz.rs
+++ b/crates/configuration/tests/fuzz.rs
@@ -1,6 +1,7 @@
-//! Documents with pieces cut out, doubled, moved and replaced, drawn by a seed: whatever comes, reading ends, places
-//! lie in their files, and what is sound can be formatted and means the same after. `GULLSAIL_FUZZ_CASES` asks for
-//! more cases than the few that every run plays, `GULLSAIL_FUZZ_SEED` for others.
+//! Documents with pieces cut out, doubled, moved and replaced, drawn by a seed: whatever comes, reading ends,
+//! places lie in their files, and what is sound can be formatted and means the same after.
+//! `GULLSAIL_FUZZ_CASES` asks for more cases than the few that every run plays, `GULLSAIL_FUZZ_SEED` for
+//! others.
 
 use gullsail_configuration::diff::diff;
 use gullsail_configuration::*;
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -113,7 +113,8 @@
     }
 }
 
-/// A header that announces a frame as large as may be has little set aside for it; what has come grows with what came.
+/// A header that announces a frame as large as may be has little set aside for it; what has come grows with
+/// what came.
 #[test]
 fn a_header_alone_costs_little() {
     let frame = Frame::from(Withdraw { id: 1 }).with_body(bytes::Bytes::from(vec![5; 8 << 20]));
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -1,5 +1,6 @@
-//! Stand-ins for what a host has around it: [`node`] (with its [`model`]), [`list`], [`client`], a baseline in place of the host ([`naive`]), and [`relay`],
-//! which stands on a socket, records each frame and disturbs it as it is told. None of them knows the host.
+//! Stand-ins for what a host has around it: [`node`] (with its [`model`]), [`list`], [`client`], a baseline
+//! in place of the host ([`naive`]), and [`relay`], which stands on a socket, records each frame and disturbs
+//! it as it is told. None of them knows the host.
 
 // Fields and variants are not all documented yet: docs/ROADMAP.md lists what is left.
 #![allow(missing_docs)]
--- a/crates/simulator/src/recording_proxy.rs
+++ b/crates/simulator/src/recording_proxy.rs
@@ -138,8 +138,8 @@
         self.lock().disturbances.iter().filter(fits).map(|d| d.what).collect()
     }
 
-    /// Whether no connection to this process may come about now; where it is to be silent, only after a while.
-    /// Who connects is not known yet: disturbances that name it can't meet it here.
+    /// Whether no connection to this process may come about now; where it is to be silent, only after a
+    /// while. Who connects is not known yet: disturbances that name it can't meet it here.
     async fn turns_away(&self, name: &str) -> bool {
         let disturbances = self.disturbances("*", name);
         if disturbances.contains(&DisturbanceKind::Refuse) {
