--- /dev/null
+++ b/crates/fleet/src/allocation/ledger.rs
@@ -0,0 +1,144 @@
+//! The coordinator's count of what each host may still be using of every budget. It never decides who gets
+//! how much.
+
+use super::Shares;
+use crate::config::{Budget, FleetConfig, WHOLE};
+use gullsail_scheduler_api::{HostId, Instant, VolumeId};
+use std::collections::BTreeMap;
+
+/// Grants remembered of one host. A few renewals may be unanswered; more grants than this are merged.
+const MAX_GRANTS: usize = 16;
+
+#[derive(Clone, Debug)]
+struct Grant {
+    serial: u64,
+    until: Instant,
+    shares: Shares,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    grants: Vec<Grant>,
+    /// The largest share of any grant, by budget; never below the floor.
+    most: Shares,
+}
+
+/// What each host may still be using.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    hosts: BTreeMap<HostId, Entry>,
+    sums: BTreeMap<VolumeId, u64>,
+}
+
+impl Ledger {
+    /// A ledger in which every host has its floors alone.
+    pub fn new(config: &FleetConfig) -> Ledger {
+        let mut ledger = Ledger::default();
+        ledger.config_changed(config);
+        ledger
+    }
+
+    /// Floors and budgets are others from now on.
+    pub fn config_changed(&mut self, config: &FleetConfig) {
+        self.sums = config.budgets.iter().map(|(id, budget)| (*id, budget.floors())).collect();
+        let hosts: Vec<HostId> = self.hosts.keys().copied().collect();
+        // Each entry is counted anew, on top of the floors that the sums begin with.
+        for host in hosts {
+            if let Some(entry) = self.hosts.get_mut(&host) {
+                entry.most = Shares::new();
+            }
+            self.recount(config, host);
+        }
+    }
+
+    /// What may be in use of a budget, over all hosts.
+    pub fn sum(&self, id: VolumeId) -> u64 {
+        self.sums.get(&id).copied().unwrap_or_default()
+    }
+
+    /// What may be in use of a budget at one host.
+    pub fn most(&self, id: VolumeId, budget: &Budget, host: HostId) -> u32 {
+        let most = self.hosts.get(&host).and_then(|entry| entry.most.get(&id)).copied();
+        most.unwrap_or_default().max(budget.floor(host))
+    }
+
+    /// Until when a host may use more than its floors; `None`: it does not.
+    pub fn until(&self, host: HostId) -> Option<Instant> {
+        self.hosts.get(&host)?.grants.iter().map(|grant| grant.until).max()
+    }
+
+    /// Brings the sums in line with the grants of one host.
+    fn recount(&mut self, config: &FleetConfig, host: HostId) {
+        let Some(entry) = self.hosts.get_mut(&host) else { return };
+        let mut most = Shares::new();
+        for grant in &entry.grants {
+            raise(&mut most, &grant.shares);
+        }
+        for (id, budget) in &config.budgets {
+            let floor = budget.floor(host);
+            let old = entry.most.get(id).copied().unwrap_or_default().max(floor);
+            let new = most.get(id).copied().unwrap_or_default().max(floor);
+            if let Some(sum) = self.sums.get_mut(id) {
+                *sum = sum.saturating_sub(u64::from(old)) + u64::from(new);
+            }
+        }
+        entry.most = most;
+        if entry.grants.is_empty() {
+            self.hosts.remove(&host);
+        }
+    }
+
+    /// Counts a grant until it is released or its lease is over.
+    pub fn grant(&mut self, config: &FleetConfig, host: HostId, serial: u64, until: Instant, shares: Shares) {
+        let entry = self.hosts.entry(host).or_default();
+        if entry.grants.len() >= MAX_GRANTS {
+            // The two oldest become one grant that covers both.
+            let oldest = entry.grants.remove(0);
+            let next = &mut entry.grants[0];
+            next.until = next.until.max(oldest.until);
+            raise(&mut next.shares, &oldest.shares);
+        }
+        entry.grants.push(Grant { serial, until, shares });
+        self.recount(config, host);
+    }
+
+    /// The host holds the grant with this serial, and so none before it.
+    pub fn release_before(&mut self, config: &FleetConfig, host: HostId, serial: u64) {
+        if let Some(entry) = self.hosts.get_mut(&host) {
+            entry.grants.retain(|grant| grant.serial >= serial);
+            self.recount(config, host);
+        }
+    }
+
+    /// The host has reported that it holds nothing and takes no more grants.
+    pub fn clear(&mut self, config: &FleetConfig, host: HostId) {
+        self.release_before(config, host, u64::MAX);
+    }
+
+    /// Strikes out the grants whose leases are surely over.
+    pub fn expire(&mut self, config: &FleetConfig, now: Instant) {
+        let has_expired = |entry: &Entry| entry.grants.iter().any(|grant| grant.until <= now);
+        let expired = self.hosts.iter().filter(|(_, entry)| has_expired(entry));
+        let hosts: Vec<HostId> = expired.map(|(host, _)| *host).collect();
+        for host in hosts {
+            if let Some(entry) = self.hosts.get_mut(&host) {
+                entry.grants.retain(|grant| grant.until > now);
+            }
+            self.recount(config, host);
+        }
+    }
+
+    /// The most that may be granted to a host of a budget, beside what all others may be using.
+    pub fn available(&self, id: VolumeId, budget: &Budget, host: HostId) -> u32 {
+        let others = self.sum(id).saturating_sub(u64::from(self.most(id, budget, host)));
+        u64::from(WHOLE).saturating_sub(others) as u32
+    }
+}
+
+/// Raises each share to the other one's where that is larger.
+fn raise(shares: &mut Shares, others: &Shares) {
+    for (id, other) in others {
+        let share = shares.entry(*id).or_default();
+        *share = (*share).max(*other);
+    }
+}
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -1,103 +1,119 @@
-//! What all hosts of a fleet hold to, from the operator's document; and how long a lease lasts on either side of it.
+//! The settings that all hosts of a fleet share, from the operators' configuration, and how long a lease
+//! lasts on either side of it. Read by every other module; changed by none.
 
-use crate::maintenance::MaintenanceConfig;
+use crate::maintenance::config::MaintenanceConfig;
 use gullsail_scheduler_api::{HostId, Span, VolumeId};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// All of a budget, in the parts that shares are counted in.
+/// The whole of a budget, in the units in which shares are counted.
 pub const WHOLE: u32 = 1_000_000;
 
-/// Anything limited over all hosts, as the fleet divides it.
+/// Anything that is limited over all hosts, as the fleet divides it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Budget {
-    /// Through whom it is used, in order of their numbers.
+    /// The hosts through which it is used, in order of their numbers.
     pub through: Arc<[HostId]>,
-    /// What each of these may use without a lease. All floors together are at most the whole.
+    /// What each of these hosts may use without a lease. All floors together are at most the whole.
     pub floor: u32,
-    /// Hosts that may still use a larger floor, or one at all, by a document from before.
+    /// Lagging hosts: those that may still use a larger floor, or one at all, by an earlier revision of the
+    /// configuration.
     pub stragglers: BTreeMap<HostId, u32>,
     /// The share that holds one largest request.
     pub least: u32,
 }
 
 impl Budget {
-    /// What a host may use of it without a lease, at most.
+    /// What a host uses without a lease, at most.
     pub fn floor(&self, host: HostId) -> u32 {
-        let own = if self.through.binary_search(&host).is_ok() { self.floor } else { 0 };
-        self.stragglers.get(&host).map_or(own, |s| own.max(*s))
+        let own = self.current_floor(host);
+        self.stragglers.get(&host).map_or(own, |lagging| own.max(*lagging))
     }
 
-    /// The floors of all.
+    /// The floor by the current revision alone.
+    fn current_floor(&self, host: HostId) -> u32 {
+        if self.through.binary_search(&host).is_ok() { self.floor } else { 0 }
+    }
+
+    /// The sum of all hosts' floors.
     pub fn floors(&self) -> u64 {
-        let stragglers = self.stragglers.iter().map(|(h, s)| {
-            let own = if self.through.binary_search(h).is_ok() { self.floor } else { 0 };
-            u64::from(s.saturating_sub(own))
+        let current = self.through.len() as u64 * u64::from(self.floor);
+        let lagging = self.stragglers.iter().map(|(host, lagging)| {
+            let excess = lagging.saturating_sub(self.current_floor(*host));
+            u64::from(excess)
         });
-        self.through.len() as u64 * u64::from(self.floor) + stragglers.sum::<u64>()
+        current + lagging.sum::<u64>()
     }
 }
 
-/// What all hosts hold to alike.
+/// The settings that all hosts of a fleet share.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetConfig {
-    /// The fleet's name, as a number: messages of another one are dropped.
+    /// The fleet's name, as a number: messages of another fleet are dropped.
     pub fleet: u64,
+    /// How many hosts there are; they are numbered from 0.
     pub hosts: u32,
-    /// What a granter waits, by its own clock, until a lease is surely over.
+    /// How long the coordinator waits, by its own clock, until a lease that it granted is surely over.
     pub lease: Span,
     /// A second by any host's clock takes no less than 1 - drift and no more than 1 + drift seconds.
     pub drift: f64,
     /// The first so many hosts elect the coordinator.
     pub voters: u32,
+    /// What is divided, by number.
     pub budgets: BTreeMap<VolumeId, Budget>,
-    /// Of machines out for work; `None`: there are no such orders.
+    /// How servers are taken offline; `None`: there are no such orders.
     pub maintenance: Option<MaintenanceConfig>,
 }
 
 impl FleetConfig {
-    /// What a holder counts on, by its own clock, from before it asked.
+    /// How long a member relies on its lease, by its own clock, from before it asked for it.
     ///
-    /// The holder's span takes at most `held / (1 - drift)` of true time, the granter's at least
-    /// `lease / (1 + drift)`. The holder's begins earlier; it ends earlier too since both are the same here.
-    pub fn held(&self) -> Span {
+    /// The member's span takes at most `held_lease / (1 - drift)` of true time, the coordinator's at least
+    /// `lease / (1 + drift)`. The two are the same, and the member's begins earlier, so it also ends earlier.
+    pub fn held_lease(&self) -> Span {
         self.lease.times((1.0 - self.drift) / (1.0 + self.drift))
     }
 
-    /// As long as the lease on deciding lasts, for a voter and for its holder. Half of a member's: whoever follows is chosen
-    /// before the members' leases are over, and finds them with what they held.
-    pub fn office(&self) -> Span {
+    /// How long the coordinator lease lasts for a voter. Half of a member's lease: the next coordinator is
+    /// elected before the members' leases are over, and finds them with the shares they held.
+    pub fn coordinator_lease(&self) -> Span {
         self.lease.times(0.5)
     }
 
-    pub fn office_held(&self) -> Span {
-        self.held().times(0.5)
+    /// How long the coordinator relies on its own lease.
+    pub fn held_coordinator_lease(&self) -> Span {
+        self.held_lease().times(0.5)
     }
 
+    /// Whether a host takes part in elections.
     pub fn is_voter(&self, host: HostId) -> bool {
         host.0 < self.voters.min(self.hosts)
     }
 
+    /// How many voters a candidate needs.
     pub fn majority(&self) -> usize {
         self.voters.min(self.hosts) as usize / 2 + 1
     }
 
+    /// The hosts that take part in elections.
     pub fn voters(&self) -> impl Iterator<Item = HostId> {
         (0..self.voters.min(self.hosts)).map(HostId)
     }
 
-    pub fn everyone(&self) -> impl Iterator<Item = HostId> {
+    /// All hosts of the configuration, whether they run or not.
+    pub fn all_hosts(&self) -> impl Iterator<Item = HostId> {
         (0..self.hosts).map(HostId)
     }
 }
 
-/// The share of a budget that an even part of so many hosts is, of which a floor is this part: rounded down, so that all
-/// together are never more than the whole.
+/// A host's floor: `part` of an even share over so many hosts. Rounded down, so that all floors together are
+/// never more than the whole.
 pub fn floor(part: f64, hosts: usize) -> u32 {
     (f64::from(WHOLE) * part.clamp(0.0, 1.0) / hosts.max(1) as f64) as u32
 }
 
-/// The share that holds `largest` of what may be stored, rounded up; the whole where the store is smaller.
+/// The share that holds `largest` of what a token bucket of size `store` holds, rounded up; the whole where
+/// the bucket is smaller.
 pub fn least(largest: f64, store: f64) -> u32 {
     if largest < store { (f64::from(WHOLE) * largest / store).ceil() as u32 } else { WHOLE }
 }
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -1,296 +1,279 @@
-//! The coordinator's side, for as long as it holds the lease on deciding: who is a member, and what each is granted.
+//! The coordinator's side of a grant, for as long as this host holds the coordinator lease: who is a member,
+//! and what each member is granted. Called by `Fleet` with the renewals of members; it sends nothing by
+//! itself.
 //!
-//! It owns no state: what is granted is known by its holders. A new one asks all for what they hold and, until all have
-//! answered or one lease is over, grants each just what it says it holds. Within that time what an earlier coordinator
-//! granted is over: it was granted before this one was chosen, in answer to a question asked before.
+//! The coordinator owns no state that has to survive it: what is granted is known by its holders. A new one
+//! asks all hosts what they hold and, until all have answered or one lease is over, grants each only what it
+//! reports. Within that time everything that an earlier coordinator granted is over: it was granted before
+//! this one was elected, in answer to a renewal sent before.
 
-use crate::allocation::{Ledger, Shares, divide};
+mod member;
+mod renewal;
+
+pub use member::{Member, MemberState};
+pub use renewal::{Renewal, RenewalOutcome};
+
+use crate::allocation::{HostDemand, HostShare, Ledger, Shares, divide};
+use crate::ballot::Ballot;
 use crate::config::{Budget, FleetConfig};
-use crate::lease::{Ballot, Who};
+use crate::process_id::ProcessId;
 use gullsail_scheduler_api::{HostId, Instant, VolumeId};
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// How a host stands in the fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-#[repr(u32)]
-pub enum MemberState {
-    Member = 1,
-    /// Not heard for half of its lease; others are asked to reach it.
-    Suspected = 2,
-    /// Its lease is over: it knows by itself, and counts for nothing but its floor.
-    Out = 3,
-    /// It said that it goes.
-    Left = 4,
-}
-
-impl MemberState {
-    pub fn of(number: u32) -> Option<MemberState> {
-        [MemberState::Member, MemberState::Suspected, MemberState::Out, MemberState::Left]
-            .into_iter()
-            .find(|s| *s as u32 == number)
-    }
-}
-
-#[derive(Clone, Debug)]
-pub struct Seat {
-    pub incarnation: u64,
-    pub state: MemberState,
-    pub heard: Instant,
-    /// The host that passed its last message on, where it does not reach this one by itself.
-    pub via: Option<HostId>,
-    /// When what it may hold is over.
-    pub until: Instant,
-    asked: BTreeMap<VolumeId, f64>,
-    /// What it held when it was first heard of here.
-    held: Shares,
-}
+/// Shares are computed anew after this part of a lease, or when members come and go.
+const DIVIDE_LEASES: f64 = 0.125;
+/// A coordinator issues fewer grants than two to this power.
+const SERIAL_BITS: u32 = 20;
+/// A member that is silent for this part of a lease is suspected.
+const SUSPECT_LEASES: f64 = 0.5;
+/// A share that differs by less than this part of itself is left as it is: a change makes its host look at
+/// all its volumes.
+const NEGLIGIBLE_CHANGE: f64 = 0.05;
+/// Where a budget is too small for all, the turn changes after so many leases.
+const TURN_LEASES: f64 = 2.0;
 
+/// Grants leases to the members of the fleet.
 #[derive(Clone, Debug)]
 pub struct Coordinator {
+    /// The ballot by which the coordinator lease was last granted.
     pub ballot: Ballot,
+    /// Counts the changes of membership.
     pub epoch: u64,
-    /// The first ballot of this term: who has not heard of it may still take what an earlier one granted.
-    first: Ballot,
+    /// The first ballot of this term: a host that does not know it yet may still accept an earlier
+    /// coordinator's grants.
+    first_ballot: Ballot,
     since: Instant,
-    settled: bool,
-    pub seats: BTreeMap<HostId, Seat>,
+    takeover_complete: bool,
+    /// All hosts that have renewed here.
+    pub members: BTreeMap<HostId, Member>,
     ledger: Ledger,
     targets: BTreeMap<VolumeId, BTreeMap<HostId, u32>>,
-    divided: Option<Instant>,
+    divided_at: Option<Instant>,
     serial: u64,
 }
 
-/// A renewal, as it was read.
-pub struct Renewal {
-    pub who: Who,
-    /// Of the coordinator that it listened to when it wrote this.
-    pub ballot: Ballot,
-    pub via: Option<HostId>,
-    /// The serial of what is held, 0 for nothing; and by whose ballot.
-    pub serial: u64,
-    pub asked: BTreeMap<VolumeId, f64>,
-    pub held: Shares,
-}
-
-pub enum Answered {
-    /// It was written before this coordinator was heard: it is to be asked again.
-    Early,
-    Granted {
-        serial: u64,
-        shares: Shares,
-    },
-    /// Another process holds that name until then.
-    Fenced,
-}
-
-/// Parts are computed anew after so much of a lease, or when members come and go.
-const DIVIDE: f64 = 0.125;
-/// A coordinator's grants are fewer than two to this power.
-const SERIALS: u32 = 20;
-/// Who is silent for this part of a lease is suspected.
-const SUSPECT: f64 = 0.5;
-/// A part that differs by less than this part of itself is left as it is: it costs each host a look at all its volumes.
-const NEAR: f64 = 0.05;
-
 impl Coordinator {
-    pub fn new(terms: &FleetConfig, ballot: Ballot, epoch: u64, now: Instant) -> Coordinator {
+    /// A coordinator that has just been elected and knows no member yet.
+    pub fn new(config: &FleetConfig, ballot: Ballot, epoch: u64, now: Instant) -> Coordinator {
         Coordinator {
             ballot,
             epoch,
-            first: ballot,
+            first_ballot: ballot,
             since: now,
-            settled: false,
-            seats: BTreeMap::new(),
-            ledger: Ledger::new(terms),
+            takeover_complete: false,
+            members: BTreeMap::new(),
+            ledger: Ledger::new(config),
             targets: BTreeMap::new(),
-            divided: None,
-            // Above all that earlier ones counted: rounds only grow.
-            serial: ballot.round << SERIALS,
+            divided_at: None,
+            // Above all serials of earlier coordinators: rounds only grow.
+            serial: ballot.round << SERIAL_BITS,
         }
     }
 
-    pub fn settled(&self) -> bool {
-        self.settled
+    /// Whether everything that an earlier coordinator granted is known here, or over.
+    pub fn takeover_complete(&self) -> bool {
+        self.takeover_complete
     }
 
-    /// When what an earlier one granted is surely over.
-    pub fn settles(&self, terms: &FleetConfig) -> Instant {
-        self.since + terms.lease
+    /// When everything that an earlier coordinator granted is surely over.
+    pub fn takeover_ends(&self, config: &FleetConfig) -> Instant {
+        self.since + config.lease
     }
 
-    pub fn sum(&self, budget: VolumeId) -> u64 {
-        self.ledger.sum(budget)
+    /// What may be in use of a budget, over all hosts.
+    pub fn sum(&self, id: VolumeId) -> u64 {
+        self.ledger.sum(id)
     }
 
-    /// What each host may be using of a budget, of those that may.
-    pub fn parts(&self, budget: VolumeId, of: &Budget) -> Vec<(u32, u32)> {
-        let all = of.through.iter().chain(of.stragglers.keys());
-        let mut all: Vec<_> = all.map(|h| (h.0, self.ledger.most(budget, of, *h))).collect();
-        all.sort_unstable();
-        all.dedup();
-        all
+    /// What each host may be using of a budget, of the hosts that may use it.
+    pub fn shares_in_use(&self, id: VolumeId, budget: &Budget) -> Vec<HostShare> {
+        let hosts = budget.through.iter().chain(budget.stragglers.keys());
+        let share = |host: &HostId| HostShare { host: *host, share: self.ledger.most(id, budget, *host) };
+        let mut shares: Vec<HostShare> = hosts.map(share).collect();
+        shares.sort_unstable();
+        shares.dedup();
+        shares
     }
 
-    pub fn retell(&mut self, terms: &FleetConfig) {
-        self.ledger.retell(terms);
-        self.divided = None;
+    /// Another configuration is in force.
+    pub fn config_changed(&mut self, config: &FleetConfig) {
+        self.ledger.config_changed(config);
+        self.divided_at = None;
     }
 
-    fn turn_epoch(&mut self) {
+    fn start_epoch(&mut self) {
         self.epoch += 1;
-        self.divided = None;
+        self.divided_at = None;
     }
 
-    /// Who is silent is suspected, then out; who is suspected newly comes back, to be asked through others.
-    pub fn advance(&mut self, terms: &FleetConfig, now: Instant) -> Vec<HostId> {
-        self.ledger.expire(terms, now);
-        let (mut suspects, mut out) = (Vec::new(), false);
-        for (host, seat) in &mut self.seats {
-            let silent = now - seat.heard;
-            match seat.state {
-                MemberState::Member if silent >= terms.lease.times(SUSPECT) => {
-                    seat.state = MemberState::Suspected;
+    /// Members that are silent become suspected, then out. Returns those that are newly suspected, to be
+    /// asked through other hosts.
+    pub fn advance(&mut self, config: &FleetConfig, now: Instant) -> Vec<HostId> {
+        self.ledger.expire(config, now);
+        let mut suspects = Vec::new();
+        let mut some_out = false;
+        for (host, member) in &mut self.members {
+            let silent = now - member.last_renewal;
+            match member.state {
+                MemberState::Member if silent >= config.lease.times(SUSPECT_LEASES) => {
+                    member.state = MemberState::Suspected;
                     suspects.push(*host);
                 }
-                MemberState::Suspected if now >= seat.until => {
-                    seat.state = MemberState::Out;
-                    out = true;
+                MemberState::Suspected if now >= member.until => {
+                    member.state = MemberState::Out;
+                    some_out = true;
                 }
                 _ => {}
             }
         }
-        if out {
-            self.turn_epoch();
+        if some_out {
+            self.start_epoch();
         }
-        // Not sooner while somebody says it holds nothing: another process of its name may hold something still.
-        let told =
-            || self.seats.len() as u32 == terms.hosts && self.seats.values().all(|s| !s.held.is_empty());
-        if !self.settled && (now >= self.settles(terms) || told()) {
-            self.settled = true;
-            self.divided = None;
+        if !self.takeover_complete && (now >= self.takeover_ends(config) || self.all_reported(config)) {
+            self.takeover_complete = true;
+            self.divided_at = None;
         }
         suspects
     }
 
-    /// A member asks.
-    pub fn renew(&mut self, terms: &FleetConfig, r: Renewal, now: Instant) -> Answered {
-        let (host, incarnation) = r.who;
-        // Guards against what a member wrote before it heard of this term, late: it may have taken more from an earlier
-        // coordinator since. Found by a drawn world. Harms nobody: it is asked again.
-        if r.ballot < self.first {
-            return Answered::Early;
+    /// Every host has reported what it holds. A host that reports nothing does not count: another process
+    /// under its name may still hold something.
+    fn all_reported(&self, config: &FleetConfig) -> bool {
+        let complete = self.members.len() as u32 == config.hosts;
+        complete && self.members.values().all(|member| !member.first_held.is_empty())
+    }
+
+    /// A host asks for a lease, or to renew it.
+    pub fn renew(&mut self, config: &FleetConfig, renewal: Renewal, now: Instant) -> RenewalOutcome {
+        let ProcessId { host, incarnation } = renewal.process;
+        // What a member wrote before it knew of this term may arrive late, and it may have accepted more from
+        // an earlier coordinator since. Found by a random world. It costs the member one more message.
+        if renewal.ballot < self.first_ballot {
+            return RenewalOutcome::Outdated;
         }
-        let until = now + terms.lease;
-        let known = self.seats.get(&host).map(|s| (s.incarnation, s.state, s.until));
-        match known {
-            Some((other, MemberState::Member | MemberState::Suspected, until))
-                if other != incarnation && now < until =>
-            {
-                // Guards against two processes under one name, each with a lease. Harms a host that was killed and is
-                // back within its lease: it waits for the rest of it.
-                return Answered::Fenced;
-            }
-            Some((other, MemberState::Member | MemberState::Suspected, _)) if other == incarnation => {
-                if let Some(seat) = self.seats.get_mut(&host) {
-                    (seat.state, seat.heard, seat.via) = (MemberState::Member, now, r.via);
-                    seat.asked = r.asked;
-                }
-                if r.serial > 0 {
-                    self.ledger.let_go(terms, host, r.serial);
-                }
-            }
-            _ => {
-                // New here: what it says it holds was granted by an earlier coordinator, or it is out and holds nothing.
-                let seat = Seat {
-                    incarnation,
-                    state: MemberState::Member,
-                    heard: now,
-                    via: r.via,
-                    until,
-                    asked: r.asked,
-                    held: r.held.clone(),
-                };
-                self.seats.insert(host, seat);
-                if !r.held.is_empty() && !self.settled {
-                    self.ledger.grant(terms, host, r.serial, until, r.held);
-                }
-                self.turn_epoch();
-            }
+        let until = now + config.lease;
+        let active = self.members.get(&host).filter(|member| member.is_active());
+        // Two processes under one name must not both hold a lease. The cost: a host that is killed and
+        // restarts within its lease waits for the rest of it.
+        if active.is_some_and(|member| member.incarnation != incarnation && now < member.until) {
+            return RenewalOutcome::Fenced;
+        }
+        if active.is_some_and(|member| member.incarnation == incarnation) {
+            self.renew_member(config, renewal, now);
+        } else {
+            self.admit(config, renewal, until, now);
         }
-        self.ledger.expire(terms, now);
-        self.divide(terms, now);
+        self.ledger.expire(config, now);
+        self.divide(config, now);
         self.serial += 1;
-        let shares = self.shares(terms, host);
-        self.ledger.grant(terms, host, self.serial, until, shares.clone());
-        if let Some(seat) = self.seats.get_mut(&host) {
-            seat.until = until;
+        let shares = self.shares(config, host);
+        self.ledger.grant(config, host, self.serial, until, shares.clone());
+        if let Some(member) = self.members.get_mut(&host) {
+            member.until = until;
+        }
+        RenewalOutcome::Granted { serial: self.serial, shares }
+    }
+
+    fn renew_member(&mut self, config: &FleetConfig, renewal: Renewal, now: Instant) {
+        let host = renewal.process.host;
+        if let Some(member) = self.members.get_mut(&host) {
+            member.state = MemberState::Member;
+            member.last_renewal = now;
+            member.via = renewal.via;
+            member.demand = renewal.demand;
+        }
+        if renewal.serial > 0 {
+            self.ledger.release_before(config, host, renewal.serial);
+        }
+    }
+
+    /// A host renews here for the first time, or after it was out: what it reports was granted by an earlier
+    /// coordinator, or it holds nothing.
+    fn admit(&mut self, config: &FleetConfig, renewal: Renewal, until: Instant, now: Instant) {
+        let host = renewal.process.host;
+        let member = Member {
+            incarnation: renewal.process.incarnation,
+            state: MemberState::Member,
+            last_renewal: now,
+            via: renewal.via,
+            until,
+            demand: renewal.demand,
+            first_held: renewal.held.clone(),
+        };
+        self.members.insert(host, member);
+        if !renewal.held.is_empty() && !self.takeover_complete {
+            self.ledger.grant(config, host, renewal.serial, until, renewal.held);
         }
-        Answered::Granted { serial: self.serial, shares }
+        self.start_epoch();
+    }
+
+    /// What is granted to a host now.
+    fn shares(&self, config: &FleetConfig, host: HostId) -> Shares {
+        let budgets = config.budgets.iter().filter(|(_, b)| b.through.binary_search(&host).is_ok());
+        budgets.map(|(id, budget)| (*id, self.share(*id, budget, host))).collect()
     }
 
-    fn shares(&self, terms: &FleetConfig, host: HostId) -> Shares {
-        let held = self.seats.get(&host).map(|s| &s.held);
-        let through = terms.budgets.iter().filter(|(_, b)| b.through.binary_search(&host).is_ok());
-        let share = |(id, b): (&VolumeId, &Budget)| {
-            let floor = b.floor(host);
-            let target = if self.settled {
-                self.targets.get(id).and_then(|t| t.get(&host)).copied().unwrap_or(floor)
-            } else {
-                held.and_then(|h| h.get(id)).copied().unwrap_or_default()
-            };
-            // Never under the floor, which it uses again without a lease, and never past what the others leave.
-            (*id, target.min(self.ledger.room(*id, b, host)).max(floor))
+    fn share(&self, id: VolumeId, budget: &Budget, host: HostId) -> u32 {
+        let floor = budget.floor(host);
+        let target = if self.takeover_complete {
+            self.targets.get(&id).and_then(|targets| targets.get(&host)).copied().unwrap_or(floor)
+        } else {
+            let first_held = self.members.get(&host).map(|member| &member.first_held);
+            first_held.and_then(|held| held.get(&id)).copied().unwrap_or_default()
         };
-        through.map(share).collect()
+        // Never below the floor, which the host uses again without a lease, and never more than the others
+        // leave.
+        target.min(self.ledger.available(id, budget, host)).max(floor)
     }
 
-    fn divide(&mut self, terms: &FleetConfig, now: Instant) {
-        if self.divided.is_some_and(|at| now - at < terms.lease.times(DIVIDE)) || !self.settled {
+    /// Computes the shares that members should have, if it is time to.
+    fn divide(&mut self, config: &FleetConfig, now: Instant) {
+        let recent = self.divided_at.is_some_and(|at| now - at < config.lease.times(DIVIDE_LEASES));
+        if recent || !self.takeover_complete {
             return;
         }
-        self.divided = Some(now);
-        let turn = now.micros().div_euclid(terms.lease.times(2.0).micros().max(1)) as u64;
-        for (id, b) in &terms.budgets {
-            let here = |h: &&HostId| {
-                self.seats
-                    .get(h)
-                    .is_some_and(|s| matches!(s.state, MemberState::Member | MemberState::Suspected))
-            };
-            let members: Vec<HostId> = b.through.iter().filter(here).copied().collect();
-            let asks =
-                |h: &HostId| self.seats.get(h).and_then(|s| s.asked.get(id)).copied().unwrap_or_default();
-            let asked: Vec<_> = members.iter().map(|h| (*h, asks(h))).collect();
-            let own: u64 = members.iter().map(|h| u64::from(self.ledger.most(*id, b, *h))).sum();
-            let kept = self.ledger.sum(*id).saturating_sub(own);
-            let old = self.targets.entry(*id).or_default();
-            let new = divide(b, &asked, kept, turn);
-            let near = |(h, share): &(HostId, u32)| {
-                let before = f64::from(old.get(h).copied().unwrap_or_default());
-                (before - f64::from(*share)).abs() <= NEAR * before
-            };
-            if old.len() != new.len() || !new.iter().all(near) {
-                *old = new.into_iter().collect();
-            }
+        self.divided_at = Some(now);
+        let turn_length = config.lease.times(TURN_LEASES).micros().max(1);
+        let turn = now.micros().div_euclid(turn_length) as u64;
+        for (id, budget) in &config.budgets {
+            self.divide_budget(*id, budget, turn);
+        }
+        self.targets.retain(|id, _| config.budgets.contains_key(id));
+    }
+
+    fn divide_budget(&mut self, id: VolumeId, budget: &Budget, turn: u64) {
+        let demand_of = |host: &HostId| {
+            let member = self.members.get(host).filter(|member| member.is_active())?;
+            Some(HostDemand { host: *host, demand: member.demand.get(&id).copied().unwrap_or_default() })
+        };
+        let demands: Vec<HostDemand> = budget.through.iter().filter_map(demand_of).collect();
+        let own: u64 =
+            demands.iter().map(|member| u64::from(self.ledger.most(id, budget, member.host))).sum();
+        let kept = self.ledger.sum(id).saturating_sub(own);
+        let new = divide(budget, &demands, kept, turn);
+        let old = self.targets.entry(id).or_default();
+        let negligible = |new: &HostShare| {
+            let before = f64::from(old.get(&new.host).copied().unwrap_or_default());
+            (before - f64::from(new.share)).abs() <= NEGLIGIBLE_CHANGE * before
+        };
+        if old.len() != new.len() || !new.iter().all(negligible) {
+            *old = new.into_iter().map(|new| (new.host, new.share)).collect();
         }
-        self.targets.retain(|id, _| terms.budgets.contains_key(id));
     }
 
-    /// It holds nothing any more and goes.
-    pub fn leave(&mut self, terms: &FleetConfig, who: Who) {
-        if let Some(seat) = self.seats.get_mut(&who.0).filter(|s| s.incarnation == who.1) {
-            seat.state = MemberState::Left;
-            self.ledger.clear(terms, who.0);
-            self.turn_epoch();
+    /// A host holds nothing any more and leaves.
+    pub fn leave(&mut self, config: &FleetConfig, process: ProcessId) {
+        let member = self.members.get_mut(&process.host);
+        if let Some(member) = member.filter(|member| member.incarnation == process.incarnation) {
+            member.state = MemberState::Left;
+            self.ledger.clear(config, process.host);
+            self.start_epoch();
         }
     }
 
-    /// Hosts that were never heard of, or not since a document changed: to be asked.
-    pub fn unheard(&self, terms: &FleetConfig) -> Vec<HostId> {
-        let here = |h: &HostId| {
-            self.seats.get(h).is_some_and(|s| matches!(s.state, MemberState::Member | MemberState::Suspected))
-        };
-        terms.everyone().filter(|h| !here(h)).collect()
+    /// Hosts that are not active members: they are to be asked.
+    pub fn missing_hosts(&self, config: &FleetConfig) -> Vec<HostId> {
+        let is_active = |host: &HostId| self.members.get(host).is_some_and(Member::is_active);
+        config.all_hosts().filter(|host| !is_active(host)).collect()
     }
 }
--- a/crates/fleet/src/fleet/coordination.rs
+++ b/crates/fleet/src/fleet/coordination.rs
@@ -1,137 +1,152 @@
-//! While this host is the coordinator: who is asked, what each renewal is answered, and what of it an operator is shown.
+//! While this host is the coordinator: which hosts it asks, and how it answers renewals.
 
-use super::*;
+use super::{Fleet, messages};
+use crate::allocation::Shares;
+use crate::coordinator::{Member, MemberState, Renewal, RenewalOutcome};
+use crate::lease::Ballot;
+use crate::process_id::ProcessId;
+use gullsail_protocol::{FleetMember, FleetMessage, FleetPart, FleetWhat};
+use gullsail_scheduler_api::{HostId, VolumeId};
+use rand::seq::IteratorRandom;
+use std::collections::BTreeMap;
+use tracing::{info, warn};
+
+/// Hosts that are no members are asked so often, in leases: a host that is gone for good costs next to
+/// nothing.
+const POLL_LEASES: f64 = 0.5;
+/// How many other hosts are asked to pass a message on.
+const RELAYS: usize = 2;
 
 impl Fleet {
-    pub(super) fn decide(&mut self) {
-        let Some(chair) = &mut self.chair else { return };
-        let suspects = chair.advance(&self.terms, self.now);
-        let (ballot, unheard) = (chair.ballot, chair.unheard(&self.terms));
+    pub(super) fn advance_coordinator(&mut self) {
+        let Some(coordinator) = &mut self.coordinator else { return };
+        let suspects = coordinator.advance(&self.config, self.now);
+        let ballot = coordinator.ballot;
+        let missing = coordinator.missing_hosts(&self.config);
         for host in suspects {
             warn!(member = host.0, epoch = self.epoch, "suspected: silent for half of its lease");
-            // A death suspected by one host is none: others may reach it.
-            let well = self.helpers(host);
-            let vias = well.into_iter().map(Some).chain([None]);
-            for via in vias.collect::<Vec<_>>() {
-                self.ask(host, ballot, via);
+            // That one host does not reach it proves nothing: others may.
+            for relay in self.relays(host) {
+                self.poll(host, ballot, Some(relay));
             }
+            self.poll(host, ballot, None);
         }
-        if self.now >= self.ask_at {
-            self.ask_at = self.now + self.terms.lease.times(ASK);
-            for host in unheard {
-                self.ask(host, ballot, None);
+        if self.now >= self.next_poll {
+            self.next_poll = self.now + self.config.lease.times(POLL_LEASES);
+            for host in missing {
+                self.poll(host, ballot, None);
             }
         }
-        self.follow_chair();
-        self.decide_maintenance();
+        self.follow_coordinator();
+        self.advance_maintenance_coordinator();
     }
 
-    /// Two others, drawn anew each time, that may reach whom this host does not.
-    pub(super) fn helpers(&mut self, of: HostId) -> Vec<HostId> {
-        let others = self.members.iter().map(|m| (HostId(m.host), MemberState::of(m.state)));
-        let well = others.filter(|(h, s)| *h != of && *h != self.me && *s == Some(MemberState::Member));
-        well.map(|w| w.0).choose_multiple(&mut self.rng, 2)
+    /// Other members, drawn anew each time, that may reach a host that this one does not.
+    pub(super) fn relays(&mut self, host: HostId) -> Vec<HostId> {
+        let me = self.me;
+        let is_member =
+            |member: &&FleetMember| MemberState::from_number(member.state) == Some(MemberState::Member);
+        let members = self.members.iter().filter(is_member).map(|member| HostId(member.host));
+        members.filter(|other| *other != host && *other != me).choose_multiple(&mut self.rng, RELAYS)
     }
 
-    pub(super) fn ask(&mut self, host: HostId, ballot: Ballot, via: Option<HostId>) {
-        let message =
-            FleetMessage { round: ballot.round, by: ballot.by, ..self.blank(FleetWhat::Ask, host, 0) };
-        self.tell(message, via);
+    /// Asks a host for a renewal.
+    pub(super) fn poll(&mut self, host: HostId, ballot: Ballot, via: Option<HostId>) {
+        let message = self.new_message(FleetWhat::Ask, host, 0);
+        self.send(FleetMessage { round: ballot.round, by: ballot.by, ..message }, via);
     }
 
     /// What this host knows of members is what its own coordinator knows.
-    pub(super) fn follow_chair(&mut self) {
-        let Some(chair) = &self.chair else { return };
-        let moved = chair.epoch != self.epoch;
-        self.epoch = chair.epoch;
-        let of = |(h, s): (&HostId, &crate::coordinator::Seat)| FleetMember {
-            host: h.0,
-            incarnation: s.incarnation,
-            state: s.state as u32,
+    pub(super) fn follow_coordinator(&mut self) {
+        let Some(coordinator) = &self.coordinator else { return };
+        let epoch_changed = coordinator.epoch != self.epoch;
+        self.epoch = coordinator.epoch;
+        let to_message = |(host, member): (&HostId, &Member)| FleetMember {
+            host: host.0,
+            incarnation: member.incarnation,
+            state: member.state as u32,
         };
-        self.members = chair.seats.iter().map(of).collect();
-        if moved {
+        self.members = coordinator.members.iter().map(to_message).collect();
+        if epoch_changed {
             self.changed = true;
-            let here = chair.seats.values().filter(|s| s.state == MemberState::Member).count();
-            info!(epoch = self.epoch, members = here, "membership");
+            let is_member = |member: &&Member| member.state == MemberState::Member;
+            let members = coordinator.members.values().filter(is_member).count();
+            info!(epoch = self.epoch, members, "membership");
         }
     }
 
-    pub(super) fn renewed(&mut self, n: &FleetMessage, link: HostId) {
-        let who = (HostId(n.from), n.from_incarnation);
-        if self.chair.is_some() && !self.may_join(who) {
-            return self.drop("of a machine that is out for work");
+    /// A member asks to renew its lease.
+    pub(super) fn renewal_received(&mut self, message: &FleetMessage, link: HostId) {
+        let process = messages::sender(message);
+        if self.coordinator.is_some() && !self.may_join(process) {
+            return self.count_dropped("of a machine that is out for work");
         }
-        let Some(chair) = &mut self.chair else { return self.drop("not the coordinator") };
-        let held: Shares = n.parts.iter().filter(|p| n.serial > 0 && p.share > 0).map(part).collect();
-        let asked = n.parts.iter().map(|p| (VolumeId(p.budget), f64::from(p.asked)));
-        let via = Some(link).filter(|l| *l != who.0);
-        let written = Ballot { round: n.round, by: n.by };
-        let renewal = Renewal { who, ballot: written, via, serial: n.serial, asked: asked.collect(), held };
-        let knows = n.epoch;
-        let answered = chair.renew(&self.terms, renewal, self.now);
-        let ballot = chair.ballot;
-        self.follow_chair();
-        let message = match answered {
-            Answered::Early => return self.ask(who.0, ballot, via),
-            Answered::Fenced => {
-                warn!(member = who.0.0, incarnation = who.1, "refused: another process holds this name");
-                self.blank(FleetWhat::Fence, who.0, who.1)
-            }
-            Answered::Granted { serial, shares } => {
-                self.counts.granted += 1;
-                let maintenance = self.maintenance_renewed(n);
-                let parts =
-                    shares.iter().map(|(id, share)| FleetPart { budget: id.0, share: *share, asked: 0.0 });
-                // Who belongs is told to those that do not know it yet.
-                let members = if knows == self.epoch { Vec::new() } else { self.members.clone() };
-                FleetMessage {
-                    serial,
-                    parts: parts.collect(),
-                    members,
-                    maintenance,
-                    ..self.blank(FleetWhat::Grant, who.0, who.1)
-                }
+        let Some(coordinator) = &mut self.coordinator else {
+            return self.count_dropped("not the coordinator");
+        };
+        let via = Some(link).filter(|link| *link != process.host);
+        let renewal = read_renewal(message, via);
+        let outcome = coordinator.renew(&self.config, renewal, self.now);
+        let ballot = coordinator.ballot;
+        self.follow_coordinator();
+        let answer = match outcome {
+            RenewalOutcome::Outdated => return self.poll(process.host, ballot, via),
+            RenewalOutcome::Fenced => {
+                let incarnation = process.incarnation;
+                warn!(member = process.host.0, incarnation, "refused: another process holds this name");
+                self.new_message(FleetWhat::Fence, process.host, incarnation)
             }
+            RenewalOutcome::Granted { serial, shares } => self.grant(message, process, serial, &shares),
         };
-        let message = FleetMessage { number: n.number, round: ballot.round, by: ballot.by, ..message };
-        self.tell(message, Some(link));
+        let answer = FleetMessage { number: message.number, round: ballot.round, by: ballot.by, ..answer };
+        self.send(answer, Some(link));
     }
 
-    pub fn status(&self) -> Status {
-        let left = |at: Instant| (at - self.now).max(Span::ZERO).millis();
-        let chair = self.chair.as_ref();
-        let members = self.members.iter().filter_map(|m| {
-            let seat = chair.and_then(|c| c.seats.get(&HostId(m.host)));
-            Some(MemberStatus {
-                host: m.host,
-                incarnation: m.incarnation,
-                state: MemberState::of(m.state)?,
-                heard_ms: seat.map(|s| (self.now - s.heard).millis()),
-                via: seat.and_then(|s| s.via).map(|v| v.0),
-                over_ms: seat.map(|s| left(s.until)),
-            })
-        });
-        let budgets = self.terms.budgets.iter().map(|(id, b)| BudgetStatus {
-            budget: id.0,
-            share: self.share(*id),
-            counted: chair.map(|c| c.sum(*id)),
-            parts: chair.map_or_else(Vec::new, |c| c.parts(*id, b)),
-        });
-        Status {
-            me: self.me.0,
-            epoch: self.epoch,
-            round: self.holder.ballot().round,
-            coordinator: self.holder.coordinator().map(|h| h.0),
-            decides_for_ms: chair.and(self.office.held(self.now)).map(|h| left(h.1)),
-            takes_over_ms: chair.filter(|c| !c.settled()).map(|c| left(c.settles(&self.terms))),
-            lease_ms: self.holder.until().map(left),
-            mute_ms: Some(self.voter.mute_until()).filter(|at| *at > self.now).map(left),
-            fenced: self.fenced,
-            members: members.collect(),
-            budgets: budgets.collect(),
-            dropped: self.dropped.iter().map(|(why, n)| (why.to_string(), *n)).collect(),
-            counts: self.counts,
+    /// The answer to a renewal that is granted.
+    fn grant(
+        &mut self,
+        renewal: &FleetMessage,
+        process: ProcessId,
+        serial: u64,
+        shares: &Shares,
+    ) -> FleetMessage {
+        self.counts.granted += 1;
+        let maintenance = self.maintenance_renewed(renewal);
+        let part = |(id, share): (&VolumeId, &u32)| FleetPart { budget: id.0, share: *share, asked: 0.0 };
+        // The members are sent to hosts that do not know them yet.
+        let members = if renewal.epoch == self.epoch { Vec::new() } else { self.members.clone() };
+        FleetMessage {
+            serial,
+            parts: shares.iter().map(part).collect(),
+            members,
+            maintenance,
+            ..self.new_message(FleetWhat::Grant, process.host, process.incarnation)
         }
     }
+
+    /// A member leaves.
+    pub(super) fn leave_received(&mut self, message: &FleetMessage, link: HostId) {
+        let Some(coordinator) = &mut self.coordinator else { return };
+        let process = messages::sender(message);
+        coordinator.leave(&self.config, process);
+        if let Some(maintenance_coordinator) = &mut self.maintenance_coordinator {
+            maintenance_coordinator.member_left(process.host);
+        }
+        self.follow_coordinator();
+        let message = self.new_message(FleetWhat::Left, process.host, process.incarnation);
+        self.send(message, Some(link));
+    }
+}
+
+fn read_renewal(message: &FleetMessage, via: Option<HostId>) -> Renewal {
+    let is_held = |part: &&FleetPart| message.serial > 0 && part.share > 0;
+    let demand = |part: &FleetPart| (VolumeId(part.budget), f64::from(part.asked));
+    Renewal {
+        process: messages::sender(message),
+        ballot: messages::ballot(message),
+        via,
+        serial: message.serial,
+        demand: message.parts.iter().map(demand).collect::<BTreeMap<_, _>>(),
+        held: message.parts.iter().filter(is_held).map(messages::part).collect(),
+    }
 }
--- /dev/null
+++ b/crates/fleet/src/fleet/maintenance_coordination.rs
@@ -0,0 +1,136 @@
+//! Servers taken offline, while this host is the coordinator: what members report, what they are answered,
+//! and which operators' commands are accepted.
+
+use super::Fleet;
+use super::maintenance::version;
+use crate::coordinator::Member;
+use crate::maintenance::coordinator::{CommandDecision, RenewalReport};
+use crate::maintenance::{FleetSnapshot, OrderBook, ServerId, ServerRole, Servers};
+use crate::process_id::ProcessId;
+use gullsail_protocol::{FleetCommand, FleetMaintenance, FleetMessage, FleetWhat};
+use gullsail_scheduler_api::{HostId, Span};
+use std::collections::BTreeSet;
+
+/// Times in messages are limited to this, so that sums of them do not overflow.
+const MAX_MILLIS: u64 = 1 << 40;
+const SECONDS_A_DAY: i64 = 86_400;
+
+impl Fleet {
+    /// May this process be a member, by the orders for its server?
+    pub(super) fn may_join(&self, process: ProcessId) -> bool {
+        if self.config.maintenance.is_none() {
+            return true;
+        }
+        let Some(coordinator) = &self.maintenance_coordinator else { return true };
+        let server = self.server_of(process.host);
+        server.is_none_or(|server| coordinator.may_join(server, process.incarnation))
+    }
+
+    /// A member has renewed its lease: takes what it reports of maintenance. Returns the newest version, and
+    /// the order book where the member does not know it.
+    pub(super) fn maintenance_renewed(&mut self, renewal: &FleetMessage) -> Option<Box<FleetMaintenance>> {
+        let config = self.config.clone();
+        let maintenance = config.maintenance.as_ref()?;
+        let coordinator = self.maintenance_coordinator.as_mut()?;
+        let message = renewal.maintenance.as_ref()?;
+        let known = version(message);
+        let host = HostId(renewal.from);
+        let report = RenewalReport {
+            host,
+            incarnation: renewal.from_incarnation,
+            known: Some(known).filter(|known| known.count > 0),
+            released: message.let_go.iter().map(|server| ServerId(*server)).collect(),
+            member_for: Span::from_millis(message.member_for_ms.min(MAX_MILLIS) as f64),
+            served: f64::from(message.served),
+        };
+        coordinator.renewal_reported(&config, maintenance, report, self.now);
+        let reported = message.line.as_ref().and_then(|line| OrderBook::from_message(line, self.now));
+        if let Some(order_book) = reported {
+            coordinator.order_book_reported(order_book);
+        }
+        coordinator.lease_granted(host, self.now);
+        let order_book = coordinator.order_book();
+        let newest = order_book.map(|order_book| order_book.version).unwrap_or_default();
+        let unknown = order_book.filter(|order_book| order_book.version != known);
+        Some(Box::new(FleetMaintenance {
+            line: unknown.map(|order_book| order_book.to_message(self.now)),
+            round: newest.ballot.round,
+            by: newest.ballot.by,
+            count: newest.count,
+            ..FleetMaintenance::default()
+        }))
+    }
+
+    pub(super) fn advance_maintenance_coordinator(&mut self) {
+        let config = self.config.clone();
+        let Some(maintenance) = &config.maintenance else { return };
+        let servers = self.servers_with_hosts();
+        let (Some(coordinator), Some(maintenance_coordinator)) =
+            (&self.coordinator, &mut self.maintenance_coordinator)
+        else {
+            return;
+        };
+        let active = coordinator.members.iter().filter(|(_, member)| member.is_active());
+        let members: BTreeSet<u32> = active.map(|(host, _)| host.0).collect();
+        let seconds = self.now.micros().div_euclid(1_000_000);
+        let snapshot = FleetSnapshot {
+            servers: &servers,
+            members: &members,
+            hosts: config.hosts,
+            voters: config.voters.min(config.hosts),
+            served: maintenance_coordinator.served(&config, self.now),
+            coordinator: self.me.0,
+            second_of_day: seconds.rem_euclid(SECONDS_A_DAY) as u32,
+        };
+        maintenance_coordinator.advance(
+            &config,
+            maintenance,
+            self.now,
+            &snapshot,
+            coordinator.ballot,
+            coordinator.takeover_complete(),
+        );
+    }
+
+    /// The servers as this host observes them, and of hosts what the coordinator knows: which process runs,
+    /// and whether it is a member.
+    fn servers_with_hosts(&self) -> Servers {
+        let Some(coordinator) = &self.coordinator else { return Servers::new() };
+        let mut servers = self.maintenance.servers.clone();
+        for server in servers.values_mut() {
+            if let ServerRole::Host(host) = server.what {
+                let member = coordinator.members.get(&HostId(host));
+                server.incarnation = member.map_or(0, |member| member.incarnation);
+                server.well = member.is_some_and(Member::is_active);
+            }
+        }
+        servers
+    }
+
+    /// An operator's command has come from the host that the operator gave it to.
+    pub(super) fn command_received(&mut self, message: &FleetMessage, link: HostId) {
+        let config = self.config.clone();
+        let command = message.maintenance.as_ref().and_then(|maintenance| maintenance.command.as_ref());
+        let (Some(maintenance), Some(coordinator), Some(command)) =
+            (&config.maintenance, &mut self.maintenance_coordinator, command)
+        else {
+            return self.count_dropped("not the coordinator");
+        };
+        let decision =
+            coordinator.command(&config, maintenance, command, &self.maintenance.servers, self.now);
+        let result = match decision {
+            CommandDecision::Pending => return,
+            CommandDecision::Accepted => FleetCommand::default(),
+            CommandDecision::Refused { server, refusal } => {
+                FleetCommand { refused: server.0, why: refusal.to_string(), ..FleetCommand::default() }
+            }
+        };
+        let maintenance = FleetMaintenance { command: Some(result), ..FleetMaintenance::default() };
+        let answer = FleetMessage {
+            number: message.number,
+            maintenance: Some(Box::new(maintenance)),
+            ..self.new_message(FleetWhat::Heard, HostId(message.from), message.from_incarnation)
+        };
+        self.send(answer, Some(link));
+    }
+}
--- a/crates/fleet/src/fleet/messages.rs
+++ b/crates/fleet/src/fleet/messages.rs
@@ -1,12 +1,35 @@
-//! Messages of hosts to each other: what is written on each, which are dropped and why, and who reads what.
+//! Messages between hosts: how they are sent, which are dropped and why, and which part of the fleet handles
+//! the others.
 
-use super::*;
-use gullsail_protocol::FleetMaintenance;
+use super::event::Departure;
+use super::{Fleet, Output, RULES};
+use crate::config::WHOLE;
+use crate::lease::Ballot;
+use crate::maintenance::OrderBook;
+use crate::process_id::ProcessId;
+use gullsail_protocol::{FleetMaintenance, FleetMessage, FleetPart, FleetWhat};
+use gullsail_scheduler_api::{HostId, VolumeId};
+
+/// The ballot that a message speaks of.
+pub(super) fn ballot(message: &FleetMessage) -> Ballot {
+    Ballot { round: message.round, by: message.by }
+}
+
+/// The process that wrote a message.
+pub(super) fn sender(message: &FleetMessage) -> ProcessId {
+    ProcessId { host: HostId(message.from), incarnation: message.from_incarnation }
+}
+
+/// The budget and the share that a part of a message speaks of.
+pub(super) fn part(part: &FleetPart) -> (VolumeId, u32) {
+    (VolumeId(part.budget), part.share)
+}
 
 impl Fleet {
-    pub(super) fn blank(&self, what: FleetWhat, to: HostId, to_incarnation: u64) -> FleetMessage {
+    /// A message of this host without contents. `to_incarnation` 0: to whichever process bears the name.
+    pub(super) fn new_message(&self, what: FleetWhat, to: HostId, to_incarnation: u64) -> FleetMessage {
         FleetMessage {
-            fleet: self.terms.fleet,
+            fleet: self.config.fleet,
             rules: RULES,
             what: what as i32,
             from: self.me.0,
@@ -18,108 +41,113 @@
         }
     }
 
-    pub(super) fn tell(&mut self, message: FleetMessage, via: Option<HostId>) {
+    /// Sends a message, by way of another host where `via` says so.
+    pub(super) fn send(&mut self, message: FleetMessage, via: Option<HostId>) {
         if message.to == self.me.0 {
-            return self.own.push_back(message);
+            return self.loopback.push_back(message);
         }
-        let to = via.filter(|v| *v != self.me).unwrap_or(HostId(message.to));
+        let to = via.filter(|via| *via != self.me).unwrap_or(HostId(message.to));
         self.counts.messages_out += 1;
-        self.out.push(Output { to, message });
+        self.outputs.push(Output { to, message });
     }
 
-    /// What is told to oneself is heard in the same step; each answer leads one stage further, so this ends.
-    pub(super) fn own_messages(&mut self) {
-        while let Some(message) = self.own.pop_front() {
-            self.read(self.me, message);
+    /// Messages of this host to itself are handled in the same step. Each answer leads one stage further, so
+    /// this ends.
+    pub(super) fn handle_loopback(&mut self) {
+        while let Some(message) = self.loopback.pop_front() {
+            self.dispatch(self.me, message);
         }
     }
 
-    pub(super) fn drop(&mut self, why: &'static str) {
-        *self.dropped.entry(why).or_default() += 1;
+    /// Counts a message that is dropped, by cause.
+    pub(super) fn count_dropped(&mut self, cause: &'static str) {
+        *self.dropped.entry(cause).or_default() += 1;
+    }
+
+    /// A message has come from another host.
+    pub(super) fn receive(&mut self, link: HostId, message: FleetMessage) {
+        if let Some(cause) = self.defect(link, &message) {
+            return self.count_dropped(cause);
+        }
+        if message.to != self.me.0 {
+            return self.pass_on(link, message);
+        }
+        if message.to_incarnation != 0 && message.to_incarnation != self.incarnation {
+            return self.count_dropped("for an earlier process of this name");
+        }
+        self.dispatch(link, message);
     }
 
-    pub(super) fn message(&mut self, link: HostId, message: FleetMessage) {
-        let known = |h: u32| h < self.terms.hosts;
-        let sound = |p: &FleetPart| p.share <= WHOLE && p.asked.is_finite() && p.asked >= 0.0;
-        let line = |w: &FleetMaintenance| w.line.as_ref().is_none_or(|l| Line::read(l, self.now).is_some());
-        let maintenance = |w: &FleetMaintenance| line(w) && w.served.is_finite() && w.served >= 0.0;
-        let wrong = if message.rules != RULES {
+    /// Why a message is dropped before it is read; `None`: it is not.
+    fn defect(&self, link: HostId, message: &FleetMessage) -> Option<&'static str> {
+        let is_known = |host: u32| host < self.config.hosts;
+        let maintenance_is_sound = match message.maintenance.as_deref() {
+            Some(maintenance) => self.is_sound(maintenance),
+            None => true,
+        };
+        if message.rules != RULES {
             Some("of other rules")
-        } else if message.fleet != self.terms.fleet {
+        } else if message.fleet != self.config.fleet {
             Some("of another fleet")
-        } else if !known(message.from) || !known(message.to) || !known(link.0) {
+        } else if !is_known(message.from) || !is_known(message.to) || !is_known(link.0) {
             Some("of an unknown host")
         } else if message.from == self.me.0 {
             Some("of another process with this host's name")
-        } else if !message.parts.iter().all(sound) || !message.maintenance.as_deref().is_none_or(maintenance)
-        {
+        } else if !message.parts.iter().all(part_is_sound) || !maintenance_is_sound {
             Some("with figures that make no sense")
         } else {
             None
-        };
-        if let Some(why) = wrong {
-            return self.drop(why);
-        }
-        if message.to != self.me.0 {
-            // Passed on once, from who wrote it.
-            if link.0 != message.from {
-                return self.drop("passed on twice");
-            }
-            self.counts.passed_on += 1;
-            return self.out.push(Output { to: HostId(message.to), message });
         }
-        if message.to_incarnation != 0 && message.to_incarnation != self.incarnation {
-            return self.drop("for an earlier process of this name");
+    }
+
+    fn is_sound(&self, maintenance: &FleetMaintenance) -> bool {
+        let order_book = maintenance.line.as_ref();
+        let readable = order_book.is_none_or(|book| OrderBook::from_message(book, self.now).is_some());
+        readable && maintenance.served.is_finite() && maintenance.served >= 0.0
+    }
+
+    /// A message is passed on once, from the host that wrote it.
+    fn pass_on(&mut self, link: HostId, message: FleetMessage) {
+        if link.0 != message.from {
+            return self.count_dropped("passed on twice");
         }
-        self.read(link, message);
+        self.counts.passed_on += 1;
+        self.outputs.push(Output { to: HostId(message.to), message });
     }
 
-    pub(super) fn read(&mut self, link: HostId, n: FleetMessage) {
-        let ballot = Ballot { round: n.round, by: n.by };
-        let voter = self.terms.is_voter(self.me);
-        match n.what() {
-            FleetWhat::Prepare | FleetWhat::Propose if voter && self.going == Going::No => {
-                self.voted(&n, link)
-            }
-            FleetWhat::Release if voter => self.voter.release((HostId(n.from), n.from_incarnation)),
-            FleetWhat::Promise => {
-                self.epoch = self.epoch.max(n.epoch);
-                let from = HostId(n.from);
-                let bid = self.office.promised(&self.terms, from, ballot, n.number > 0, self.now);
-                if let Some(bid) = bid {
-                    self.tell_voters(bid);
-                }
-            }
-            FleetWhat::Accept => self.chosen(&n),
-            FleetWhat::Refuse => self.office.refused(ballot, self.now),
-            FleetWhat::Ask if self.going == Going::No => self.asked(&n, link),
-            // What was said of leaving was lost, or there was nobody yet who decides.
-            FleetWhat::Ask if matches!(self.going, Going::Said(_)) => {
-                let message = self.blank(FleetWhat::Leave, HostId(n.from), n.from_incarnation);
-                self.tell(message, Some(link));
+    /// Leads a message to the part of the fleet that it is for.
+    fn dispatch(&mut self, link: HostId, message: FleetMessage) {
+        let is_voter = self.config.is_voter(self.me);
+        let stays = !self.is_leaving();
+        let announced = matches!(self.departure, Departure::Announced(_));
+        match message.what() {
+            FleetWhat::Prepare | FleetWhat::Propose if is_voter && stays => {
+                self.answer_candidate(&message, link);
             }
-            FleetWhat::Renew => self.renewed(&n, link),
-            FleetWhat::Grant if self.going == Going::No => self.granted(&n),
-            FleetWhat::Leave => {
-                if let Some(chair) = &mut self.chair {
-                    chair.leave(&self.terms, (HostId(n.from), n.from_incarnation));
-                    self.maintenance_coordinator.iter_mut().for_each(|f| f.left(HostId(n.from)));
-                    self.follow_chair();
-                    let message = self.blank(FleetWhat::Left, HostId(n.from), n.from_incarnation);
-                    self.tell(message, Some(link));
-                }
+            FleetWhat::Release if is_voter => self.acceptor.release(sender(&message)),
+            FleetWhat::Promise => self.promise_received(&message),
+            FleetWhat::Accept => self.acceptance_received(&message),
+            FleetWhat::Refuse => self.candidate.refused(ballot(&message), self.now),
+            FleetWhat::Ask if stays => self.poll_received(&message, link),
+            // The announcement was lost, or there was no coordinator yet.
+            FleetWhat::Ask if announced => {
+                let answer =
+                    self.new_message(FleetWhat::Leave, HostId(message.from), message.from_incarnation);
+                self.send(answer, Some(link));
             }
-            FleetWhat::Left if matches!(self.going, Going::Said(_)) => self.going = Going::Gone,
-            FleetWhat::Fence if ballot >= self.holder.ballot() => {
-                warn!(member = self.me.0, "another process holds this host's name: nothing is used");
-                self.fenced = true;
-                self.holder.let_go();
-                self.changed = true;
-            }
-            FleetWhat::OperatorCommand => self.command_heard(&n, link),
-            FleetWhat::Heard => self.command_answered(&n),
-            FleetWhat::Unknown => self.drop("of an unknown kind"),
-            _ => self.drop("out of place"),
+            FleetWhat::Renew => self.renewal_received(&message, link),
+            FleetWhat::Grant if stays => self.grant_received(&message),
+            FleetWhat::Leave => self.leave_received(&message, link),
+            FleetWhat::Left if announced => self.departure = Departure::Complete,
+            FleetWhat::Fence if ballot(&message) >= self.lease_holder.ballot() => self.fence_received(),
+            FleetWhat::OperatorCommand => self.command_received(&message, link),
+            FleetWhat::Heard => self.command_answered(&message),
+            FleetWhat::Unknown => self.count_dropped("of an unknown kind"),
+            _ => self.count_dropped("out of place"),
         }
     }
 }
+
+fn part_is_sound(part: &FleetPart) -> bool {
+    part.share <= WHOLE && part.asked.is_finite() && part.asked >= 0.0
+}
--- /dev/null
+++ b/crates/fleet/src/fleet/operator_commands.rs
@@ -0,0 +1,117 @@
+//! Operators' commands that were given to this host, on their way to the coordinator: each is sent again
+//! until it is answered, and given up after some leases.
+
+use super::Fleet;
+use crate::maintenance::{CommandRefusal, ServerId};
+use gullsail_protocol::{FleetCommand, FleetMaintenance, FleetMessage, FleetWhat};
+use gullsail_scheduler_api::Instant;
+use std::collections::BTreeMap;
+
+/// Commands that wait for an answer at one host; more are refused.
+const MAX_COMMANDS: usize = 32;
+/// A command is sent again after this part of a lease.
+const RESEND_LEASES: f64 = 0.125;
+/// It is given up after so many leases: two takeovers.
+const GIVE_UP_LEASES: f64 = 6.0;
+
+/// The number of an operator's command and its result: accepted, or the server for which it is refused and
+/// why.
+pub type Answer = (u64, Result<(), (ServerId, String)>);
+
+#[derive(Clone, Debug)]
+struct PendingCommand {
+    command: FleetCommand,
+    next: Instant,
+    until: Instant,
+}
+
+/// Commands that wait for an answer, and results that nobody has taken yet.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PendingCommands {
+    pending: BTreeMap<u64, PendingCommand>,
+    answers: Vec<Answer>,
+}
+
+impl PendingCommands {
+    /// When the next command is to be sent again.
+    pub(super) fn next(&self) -> Option<Instant> {
+        self.pending.values().map(|command| command.next).min()
+    }
+
+    fn refuse(&mut self, number: u64, command: &FleetCommand, refusal: CommandRefusal) {
+        let server = ServerId(command.servers.first().copied().unwrap_or_default());
+        self.answers.push((number, Err((server, refusal.to_string()))));
+    }
+}
+
+impl Fleet {
+    /// The results of operators' commands, each once.
+    pub fn answers(&mut self) -> std::vec::Drain<'_, Answer> {
+        self.maintenance.commands.answers.drain(..)
+    }
+
+    /// An operator gives a command to this host.
+    pub(super) fn accept_command(&mut self, number: u64, command: FleetCommand) {
+        let commands = &mut self.maintenance.commands;
+        if self.config.maintenance.is_none() {
+            return commands.refuse(number, &command, CommandRefusal::NoMaintenance);
+        }
+        if commands.pending.len() >= MAX_COMMANDS {
+            return commands.refuse(number, &command, CommandRefusal::TooManyCommands);
+        }
+        let until = self.now + self.config.lease.times(GIVE_UP_LEASES);
+        commands.pending.insert(number, PendingCommand { command, next: self.now, until });
+        self.send_commands();
+    }
+
+    /// Sends the commands that are due to the coordinator, and gives up those that nobody answered.
+    pub(super) fn send_commands(&mut self) {
+        let now = self.now;
+        let resend_at = now + self.config.lease.times(RESEND_LEASES);
+        let mut due = Vec::new();
+        for (number, command) in &mut self.maintenance.commands.pending {
+            if command.next <= now {
+                command.next = resend_at;
+                due.push((*number, command.clone()));
+            }
+        }
+        for (number, PendingCommand { command, until, .. }) in due {
+            if now >= until {
+                let commands = &mut self.maintenance.commands;
+                commands.pending.remove(&number);
+                commands.refuse(number, &command, CommandRefusal::Unanswered);
+            } else {
+                self.send_command(number, command);
+            }
+        }
+    }
+
+    fn send_command(&mut self, number: u64, command: FleetCommand) {
+        let Some(coordinator) = self.lease_holder.coordinator() else { return };
+        let maintenance = FleetMaintenance { command: Some(command), ..FleetMaintenance::default() };
+        let message = FleetMessage {
+            number,
+            maintenance: Some(Box::new(maintenance)),
+            ..self.new_message(FleetWhat::OperatorCommand, coordinator, 0)
+        };
+        if let Some(relay) = self.relays(coordinator).into_iter().next() {
+            self.send(message.clone(), Some(relay));
+        }
+        self.send(message, None);
+    }
+
+    /// The coordinator has answered a command.
+    pub(super) fn command_answered(&mut self, message: &FleetMessage) {
+        let maintenance = message.maintenance.as_ref();
+        let Some(result) = maintenance.and_then(|maintenance| maintenance.command.as_ref()) else { return };
+        let commands = &mut self.maintenance.commands;
+        if commands.pending.remove(&message.number).is_some() {
+            let result = if result.why.is_empty() {
+                Ok(())
+            } else {
+                Err((ServerId(result.refused), result.why.clone()))
+            };
+            commands.answers.push((message.number, result));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lease/acceptor.rs
@@ -0,0 +1,123 @@
+//! A voter's side of the coordinator lease: what it has promised and accepted. Called by `Fleet` for each
+//! prepare, propose and release message; it never sends anything.
+
+use crate::ballot::Ballot;
+use crate::config::FleetConfig;
+use crate::process_id::ProcessId;
+use gullsail_scheduler_api::Instant;
+
+/// A voter's memory of ballots.
+#[derive(Clone, Debug)]
+pub struct Acceptor {
+    promised: Promise,
+    accepted: Option<Acceptance>,
+    recovering_until: Instant,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Promise {
+    ballot: Ballot,
+    incarnation: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Acceptance {
+    holder: ProcessId,
+    until: Instant,
+}
+
+/// A coordinator lease that has not run out yet, as an acceptor knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LiveLease {
+    /// The process that holds it.
+    pub holder: ProcessId,
+    /// When it is over, by the acceptor's clock.
+    pub until: Instant,
+}
+
+/// How an acceptor replies to a candidate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AcceptorReply {
+    /// It has just started and does not know what its earlier incarnation promised: it sends no answer.
+    Recovering,
+    /// It has promised this later ballot.
+    Refused(Ballot),
+    /// Promised.
+    Promised {
+        /// Another process holds a live lease here, so this does not count as a promise.
+        taken: bool,
+    },
+    /// The proposal is accepted, and the lease counts from now.
+    Accepted,
+}
+
+impl Acceptor {
+    /// An acceptor that starts now, with nothing remembered.
+    pub fn new(config: &FleetConfig, now: Instant) -> Acceptor {
+        Acceptor {
+            promised: Promise::default(),
+            accepted: None,
+            recovering_until: now + config.coordinator_lease().times(2.0),
+        }
+    }
+
+    /// Until then it answers no candidate.
+    pub fn recovering_until(&self) -> Instant {
+        self.recovering_until
+    }
+
+    /// The lease that is live here, if there is one.
+    pub fn live(&self, now: Instant) -> Option<LiveLease> {
+        let accepted = self.accepted.filter(|accepted| now < accepted.until)?;
+        Some(LiveLease { holder: accepted.holder, until: accepted.until })
+    }
+
+    /// A later ballot is promised, or the same one to another incarnation.
+    fn is_superseded(&self, ballot: Ballot, incarnation: u64) -> bool {
+        let same_ballot = ballot == self.promised.ballot;
+        ballot < self.promised.ballot || (same_ballot && incarnation != self.promised.incarnation)
+    }
+
+    /// A candidate asks for a promise.
+    pub fn prepare(&mut self, ballot: Ballot, process: ProcessId, now: Instant) -> AcceptorReply {
+        // A promise of the earlier incarnation is forgotten: without this, a proposal that it had ruled out
+        // could be accepted. The cost: where most voters start at once, nobody is elected for two leases.
+        if now < self.recovering_until {
+            return AcceptorReply::Recovering;
+        }
+        if self.is_superseded(ballot, process.incarnation) {
+            return AcceptorReply::Refused(self.promised.ballot);
+        }
+        // The candidate does not count this as a promise, so it need not be one: otherwise a host that
+        // receives no messages could take the holder's ballot away again and again.
+        if self.live(now).is_some_and(|lease| lease.holder != process) {
+            return AcceptorReply::Promised { taken: true };
+        }
+        self.promised = Promise { ballot, incarnation: process.incarnation };
+        AcceptorReply::Promised { taken: false }
+    }
+
+    /// A candidate proposes itself as the holder of the lease.
+    pub fn propose(
+        &mut self,
+        config: &FleetConfig,
+        ballot: Ballot,
+        process: ProcessId,
+        now: Instant,
+    ) -> AcceptorReply {
+        if now < self.recovering_until {
+            return AcceptorReply::Recovering;
+        }
+        if self.is_superseded(ballot, process.incarnation) {
+            return AcceptorReply::Refused(self.promised.ballot);
+        }
+        self.promised = Promise { ballot, incarnation: process.incarnation };
+        self.accepted = Some(Acceptance { holder: process, until: now + config.coordinator_lease() });
+        AcceptorReply::Accepted
+    }
+
+    /// The holder gives the lease back. Nothing changes if another process holds it.
+    pub fn release(&mut self, process: ProcessId) {
+        self.accepted.take_if(|accepted| accepted.holder == process);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lease/candidate.rs
@@ -0,0 +1,231 @@
+//! The side of the coordinator lease that seeks and renews it. Called by `Fleet` with the time and with the
+//! acceptors' replies; it never sends anything itself, but says what to ask the voters.
+
+use crate::ballot::Ballot;
+use crate::config::FleetConfig;
+use gullsail_scheduler_api::{HostId, Instant, Span};
+use rand::Rng;
+use std::collections::BTreeSet;
+use std::ops::Range;
+
+/// The holder renews after this part of a lease, so that two rounds may be lost.
+const RENEW_LEASES: f64 = 0.25;
+/// A candidate waits for this part of a lease between tries: long compared with a round trip, short compared
+/// with the lease that a takeover may have to wait for.
+const RETRY_LEASES: Range<f64> = 0.1..0.5;
+
+/// How often the holder must look at its lease while nothing happens.
+pub fn renewal_check_interval(config: &FleetConfig) -> Span {
+    config.coordinator_lease().times(RENEW_LEASES / 2.0)
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Idle,
+    Preparing {
+        ballot: Ballot,
+        sent_at: Instant,
+        promised_by: BTreeSet<HostId>,
+        /// Voters at which another process holds a live lease.
+        taken_at: BTreeSet<HostId>,
+    },
+    Proposing {
+        proposal: Proposal,
+        sent_at: Instant,
+        accepted_by: BTreeSet<HostId>,
+    },
+}
+
+/// A proposal, numbered: an acceptance counts only for the proposal that it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Proposal {
+    /// The ballot that was prepared for it.
+    pub ballot: Ballot,
+    /// Counts the proposals of one process.
+    pub number: u64,
+}
+
+/// What all voters are to be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CandidateRequest {
+    /// To promise this ballot.
+    Prepare(Ballot),
+    /// To accept this proposal.
+    Propose(Proposal),
+}
+
+/// The coordinator lease as its holder relies on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldLease {
+    /// The ballot by which it was last granted.
+    pub ballot: Ballot,
+    /// When it is over, by the holder's clock.
+    pub until: Instant,
+}
+
+/// Seeks the coordinator lease and renews it.
+#[derive(Clone, Debug)]
+pub struct LeaseCandidate {
+    me: HostId,
+    phase: Phase,
+    held: Option<HeldLease>,
+    /// The highest round seen so far, of any host.
+    round: u64,
+    next: Instant,
+    proposals: u64,
+}
+
+impl LeaseCandidate {
+    /// `round`: where to begin, in most cases above the rounds of earlier incarnations. Nothing is sought
+    /// before `from`.
+    pub fn new(me: HostId, round: u64, from: Instant) -> LeaseCandidate {
+        LeaseCandidate { me, phase: Phase::Idle, held: None, round, next: from, proposals: 0 }
+    }
+
+    /// The lease, while it is held.
+    pub fn held(&self, now: Instant) -> Option<HeldLease> {
+        self.held.filter(|lease| now < lease.until)
+    }
+
+    /// When to call [`LeaseCandidate::advance`] at the latest.
+    pub fn next(&self) -> Instant {
+        self.held.map_or(self.next, |lease| lease.until.min(self.next))
+    }
+
+    /// Gives the lease back.
+    pub fn resign(&mut self) {
+        self.held = None;
+        self.phase = Phase::Idle;
+    }
+
+    /// Does what is due. `taken_until`: when the live lease of another process ends, as far as this host
+    /// knows.
+    pub fn advance(
+        &mut self,
+        config: &FleetConfig,
+        taken_until: Option<Instant>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<CandidateRequest> {
+        self.held.take_if(|lease| now >= lease.until);
+        if now < self.next {
+            return None;
+        }
+        if let Some(lease) = self.held {
+            self.next = now + config.coordinator_lease().times(RENEW_LEASES);
+            // After a refusal the renewal needs a higher ballot, which has to be prepared first.
+            if let Phase::Preparing { .. } = self.phase {
+                return Some(self.prepare(now));
+            }
+            return Some(self.propose(lease.ballot, now));
+        }
+        // Spread at random: two candidates at the same moment would rule each other out.
+        let wait = config.coordinator_lease().times(rng.random_range(RETRY_LEASES));
+        if let Some(until) = taken_until.filter(|until| *until > now) {
+            self.phase = Phase::Idle;
+            self.next = until + wait;
+            return None;
+        }
+        self.next = now + wait;
+        Some(self.prepare(now))
+    }
+
+    fn prepare(&mut self, now: Instant) -> CandidateRequest {
+        self.round += 1;
+        let ballot = Ballot { round: self.round, by: self.me.0 };
+        self.start_preparing(ballot, now);
+        CandidateRequest::Prepare(ballot)
+    }
+
+    fn start_preparing(&mut self, ballot: Ballot, now: Instant) {
+        self.phase = Phase::Preparing {
+            ballot,
+            sent_at: now,
+            promised_by: BTreeSet::new(),
+            taken_at: BTreeSet::new(),
+        };
+    }
+
+    /// A voter has promised a ballot. `taken`: another process holds a live lease there.
+    pub fn promised(
+        &mut self,
+        config: &FleetConfig,
+        from: HostId,
+        promised: Ballot,
+        taken: bool,
+        now: Instant,
+    ) -> Option<CandidateRequest> {
+        let Phase::Preparing { ballot, sent_at, promised_by, taken_at } = &mut self.phase else {
+            return None;
+        };
+        // A ballot must not be proposed long after it was prepared: a voter that has restarted since may have
+        // forgotten that it promised a later one. The cost: nobody is elected where a round trip takes a
+        // lease.
+        if promised != *ballot || now - *sent_at >= config.held_coordinator_lease() {
+            return None;
+        }
+        let voters = if taken { taken_at } else { &mut *promised_by };
+        voters.insert(from);
+        if promised_by.len() < config.majority() {
+            return None;
+        }
+        let ballot = *ballot;
+        Some(self.propose(ballot, now))
+    }
+
+    fn propose(&mut self, ballot: Ballot, now: Instant) -> CandidateRequest {
+        self.proposals += 1;
+        let proposal = Proposal { ballot, number: self.proposals };
+        self.phase = Phase::Proposing { proposal, sent_at: now, accepted_by: BTreeSet::new() };
+        CandidateRequest::Propose(proposal)
+    }
+
+    /// A voter has accepted a proposal. Whether this acceptance granted or renewed the lease.
+    pub fn accepted(&mut self, config: &FleetConfig, from: HostId, accepted: Proposal, now: Instant) -> bool {
+        let Phase::Proposing { proposal, sent_at, accepted_by } = &mut self.phase else { return false };
+        let until = *sent_at + config.held_coordinator_lease();
+        // Late acceptances do not count: a lease is renewed by the same ballot, and an acceptance of an
+        // earlier proposal would extend the holder's belief beyond the voters'. Found by a random world in
+        // which two hosts were coordinator.
+        if accepted != *proposal || now >= until {
+            return false;
+        }
+        accepted_by.insert(from);
+        if accepted_by.len() < config.majority() {
+            return false;
+        }
+        let granted = HeldLease { ballot: proposal.ballot, until };
+        if self.held.is_none() {
+            self.next = now + config.coordinator_lease().times(RENEW_LEASES);
+        }
+        self.held = Some(granted);
+        self.phase = Phase::Idle;
+        true
+    }
+
+    /// A voter has promised a later ballot, or a member knows of one.
+    pub fn refused(&mut self, later: Ballot, now: Instant) {
+        self.observe(later);
+        let own = match (&self.phase, &self.held) {
+            (Phase::Preparing { ballot, .. }, _) => *ballot,
+            (Phase::Proposing { proposal, .. }, _) => proposal.ballot,
+            (Phase::Idle, Some(lease)) => lease.ballot,
+            (Phase::Idle, None) => return,
+        };
+        if later <= own {
+            return;
+        }
+        // The holder tries again at once, with a higher ballot; others wait for their turn.
+        if self.held.is_some() {
+            self.next = now;
+            self.start_preparing(own, now);
+        } else {
+            self.phase = Phase::Idle;
+        }
+    }
+
+    /// Another ballot exists: the next one of this host is above it.
+    pub fn observe(&mut self, ballot: Ballot) {
+        self.round = self.round.max(ballot.round);
+    }
+}
--- a/crates/fleet/src/lease_holder.rs
+++ b/crates/fleet/src/lease_holder.rs
@@ -1,155 +1,203 @@
-//! The member's side: what this host holds, from whom, and until when by its own clock.
+//! The member's side of a grant: what this host holds, from which coordinator, and until when by its own
+//! clock. Called by `Fleet` with the time and with the coordinator's messages; it sends nothing by itself.
 
 use crate::allocation::Shares;
+use crate::ballot::Ballot;
 use crate::config::FleetConfig;
-use crate::lease::Ballot;
-use gullsail_scheduler_api::{HostId, Instant, Span, VolumeId};
+use gullsail_scheduler_api::{HostId, Instant, VolumeId};
 use rand::Rng;
 use std::collections::VecDeque;
-
+use std::ops::Range;
+
+/// Renewals remembered: more than are sent within a lease.
+const MAX_RENEWALS: usize = 16;
+/// A lease is renewed four times, at slightly random intervals so that the hosts' renewals do not fall
+/// together.
+const RENEW_LEASES: Range<f64> = 0.2..0.3;
+/// Without an answer for this part of a lease, other hosts are asked to pass the renewal on.
+const DETOUR_LEASES: f64 = 0.5;
+/// Without an answer for so many leases, no coordinator is known any more.
+const FORGET_LEASES: f64 = 2.0;
+
+/// What a member may use, and until when.
 #[derive(Clone, Debug)]
-struct Lease {
-    serial: u64,
-    until: Instant,
-    shares: Shares,
+pub struct Lease {
+    /// The serial of the grant.
+    pub serial: u64,
+    /// When it is over, by this host's clock.
+    pub until: Instant,
+    /// What may be used under it.
+    pub shares: Shares,
+}
+
+/// Identifies a grant: by a coordinator, the serial it gave. Ordered by time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GrantId {
+    /// The coordinator's ballot.
+    pub ballot: Ballot,
+    /// Counts the coordinator's grants.
+    pub serial: u64,
 }
 
+/// A renewal that is to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RenewalRequest {
+    /// Its number, by which it is answered.
+    pub number: u64,
+    /// Other hosts are to pass it on too, since the coordinator does not answer.
+    pub detour: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentRenewal {
+    number: u64,
+    sent_at: Instant,
+}
+
+/// Holds a member's lease and says when to renew it.
 #[derive(Clone, Debug)]
-pub struct Holder {
-    /// Of the coordinator that was heard last: none below it is listened to.
-    by: Ballot,
+pub struct LeaseHolder {
+    /// Of the newest coordinator known: messages of earlier ones are ignored.
+    ballot: Ballot,
     coordinator: Option<HostId>,
     lease: Option<Lease>,
-    /// The newest grant that ever was taken.
-    newest: (Ballot, u64),
-    /// Questions that may still be answered, and when each was asked.
-    asked: VecDeque<(u64, Instant)>,
+    /// The newest grant ever accepted.
+    newest: GrantId,
+    /// Renewals that may still be answered, oldest first.
+    sent: VecDeque<SentRenewal>,
     number: u64,
-    heard: Instant,
+    /// When the coordinator's last message came.
+    last_contact: Instant,
     next: Instant,
 }
 
-/// Questions remembered: more than are asked within a lease.
-const QUESTIONS: usize = 16;
-/// A lease is renewed four times, each a little apart from others by chance: none falls together with all others.
-const RENEW: std::ops::Range<f64> = 0.2..0.3;
-/// Without an answer for so long, another host is asked to pass the question on.
-const DETOUR: f64 = 0.5;
-
-impl Holder {
-    pub fn new(now: Instant) -> Holder {
-        let (by, asked) = (Ballot::default(), VecDeque::new());
-        Holder {
-            by,
+impl LeaseHolder {
+    /// A member that knows no coordinator and holds nothing.
+    pub fn new(now: Instant) -> LeaseHolder {
+        LeaseHolder {
+            ballot: Ballot::default(),
             coordinator: None,
             lease: None,
-            newest: (by, 0),
-            asked,
+            newest: GrantId::default(),
+            sent: VecDeque::new(),
             number: 0,
-            heard: now,
+            last_contact: now,
             next: now,
         }
     }
 
+    /// The newest coordinator known.
     pub fn coordinator(&self) -> Option<HostId> {
         self.coordinator
     }
 
+    /// The ballot of the newest coordinator known.
     pub fn ballot(&self) -> Ballot {
-        self.by
+        self.ballot
     }
 
-    /// Strikes out a lease that is over; whether there was one.
+    /// Removes a lease that is over. Whether there was one.
     pub fn expire(&mut self, now: Instant) -> bool {
-        self.lease.take_if(|l| now >= l.until).is_some()
+        self.lease.take_if(|lease| now >= lease.until).is_some()
     }
 
+    /// When the lease is over, if there is one.
     pub fn until(&self) -> Option<Instant> {
-        self.lease.as_ref().map(|l| l.until)
+        self.lease.as_ref().map(|lease| lease.until)
     }
 
-    /// What may be used of a budget under the lease; `None`: no lease, and the floor counts.
-    pub fn share(&self, budget: VolumeId, now: Instant) -> Option<u32> {
-        let lease = self.lease.as_ref().filter(|l| now < l.until)?;
-        Some(lease.shares.get(&budget).copied().unwrap_or_default())
+    /// What may be used of a budget under the lease; `None`: there is no lease, and the floor counts.
+    pub fn share(&self, id: VolumeId, now: Instant) -> Option<u32> {
+        let lease = self.lease.as_ref().filter(|lease| now < lease.until)?;
+        Some(lease.shares.get(&id).copied().unwrap_or_default())
     }
 
-    pub fn held(&self) -> Option<(u64, &Shares)> {
-        self.lease.as_ref().map(|l| (l.serial, &l.shares))
+    /// The lease, if there is one.
+    pub fn lease(&self) -> Option<&Lease> {
+        self.lease.as_ref()
     }
 
-    /// Somebody says that it decides now; whether it is to be answered.
-    pub fn asked_by(&mut self, who: HostId, by: Ballot, now: Instant) -> bool {
-        if by < self.by {
+    /// A host asks for a renewal as the coordinator. Whether it is to be answered.
+    pub fn accept_poll(&mut self, from: HostId, ballot: Ballot, now: Instant) -> bool {
+        if ballot < self.ballot {
             return false;
         }
-        // From here on nothing that an earlier one granted is taken: what is told next is all that is held.
-        (self.by, self.coordinator, self.heard) = (by, Some(who), now);
+        // From here on no grant of an earlier coordinator is accepted: what the next renewal reports is all
+        // that is held.
+        self.ballot = ballot;
+        self.coordinator = Some(from);
+        self.last_contact = now;
         true
     }
 
-    /// The next question, if it is time for one: its number, and whether others are to pass it on.
-    pub fn question(&mut self, terms: &FleetConfig, now: Instant, rng: &mut impl Rng) -> Option<(u64, bool)> {
+    /// The next renewal, if it is time for one.
+    pub fn next_renewal(
+        &mut self,
+        config: &FleetConfig,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<RenewalRequest> {
         if now < self.next {
             return None;
         }
-        self.next = now + terms.lease.times(rng.random_range(RENEW));
+        self.next = now + config.lease.times(rng.random_range(RENEW_LEASES));
         self.coordinator?;
-        let silent = now - self.heard;
-        if silent >= terms.lease.times(2.0) {
+        let silent = now - self.last_contact;
+        if silent >= config.lease.times(FORGET_LEASES) {
             self.coordinator = None;
             return None;
         }
-        Some((self.ask(now), silent >= terms.lease.times(DETOUR)))
+        let number = self.register_renewal(now);
+        Some(RenewalRequest { number, detour: silent >= config.lease.times(DETOUR_LEASES) })
     }
 
-    /// A question out of turn.
-    pub fn ask(&mut self, now: Instant) -> u64 {
+    /// A renewal is sent now. Returns its number.
+    pub fn register_renewal(&mut self, now: Instant) -> u64 {
         self.number += 1;
-        if self.asked.len() >= QUESTIONS {
-            self.asked.pop_front();
+        if self.sent.len() >= MAX_RENEWALS {
+            self.sent.pop_front();
         }
-        self.asked.push_back((self.number, now));
+        self.sent.push_back(SentRenewal { number: self.number, sent_at: now });
         self.number
     }
 
-    /// An answer: what is held by from now on, counted from when the question went out. Whether it is taken.
-    pub fn granted(
+    /// A grant has come: from now on it is all that is held, and its lease counts from when the renewal was
+    /// sent. Whether it is accepted.
+    pub fn accept_grant(
         &mut self,
-        terms: &FleetConfig,
-        (by, serial): (Ballot, u64),
-        number: u64,
+        config: &FleetConfig,
+        grant: GrantId,
+        renewal: u64,
         shares: Shares,
         now: Instant,
     ) -> bool {
-        let asked = self.asked.iter().find(|a| a.0 == number).map(|a| a.1);
-        // Guards against a grant that took long on its way, or was given by one that decides no more. Harms where the
-        // way takes a lease: nothing is ever held there.
-        let Some(until) = asked.map(|at| at + terms.held()).filter(|until| now < *until && by >= self.by)
-        else {
+        let Some(sent) = self.sent.iter().find(|sent| sent.number == renewal) else { return false };
+        let until = sent.sent_at + config.held_lease();
+        // A grant that was long on its way, or comes from a host that is no longer coordinator. The cost:
+        // where the way takes a lease, nothing is ever held.
+        if now >= until || grant.ballot < self.ballot {
             return false;
-        };
-        // Guards against an older grant after the newer one's lease is over, where questions overtook each other: whoever
-        // decides struck it out when it heard of the newer one. Found by a drawn world: 119% in use. Harms nobody.
-        if self.newest >= (by, serial) {
+        }
+        // An older grant that comes after the newer one's lease is over, where renewals overtook each other:
+        // the coordinator struck it out when it learned of the newer one. Found by a random world, with 119%
+        // in use.
+        if self.newest >= grant {
             return false;
         }
-        (self.by, self.heard, self.newest) = (by, now, (by, serial));
-        self.lease = Some(Lease { serial, until, shares });
+        self.ballot = grant.ballot;
+        self.last_contact = now;
+        self.newest = grant;
+        self.lease = Some(Lease { serial: grant.serial, until, shares });
         true
     }
 
     /// Nothing is held from now on.
-    pub fn let_go(&mut self) {
+    pub fn release(&mut self) {
         self.lease = None;
     }
 
+    /// When to look at the lease again at the latest.
     pub fn next(&self) -> Instant {
         self.until().map_or(self.next, |until| until.min(self.next))
     }
-
-    /// Since it was last heard from whoever decides.
-    pub fn silent(&self, now: Instant) -> Span {
-        now - self.heard
-    }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,10 +1,22 @@
-//! Who belongs to the fleet, who decides, and what each host may use of every budget; settled among the hosts, without a
-//! disk. No I/O, no clock: [`Fleet`] takes what happened and the time, and says whom to tell what. Read [`terms`] for what
-//! all hold to, [`lease`] for the one lease on deciding, [`parts`] for why parts never sum past the whole, [`chair`] and
-//! [`holder`] for the two sides of a grant, [`fleet`] for how messages lead from one to the other. The whole argument, with
-//! what was weighed, is in docs/fleet.md.
+//! Coordination among the hosts of one fleet: who is a member, who is the coordinator, and what share of
+//! every budget each host may use. The hosts agree on it by messages among themselves; nothing is written to
+//! a disk.
+//!
+//! [`Fleet`] is the state machine that a host runs: it takes events and the time, and yields messages to
+//! send. It does no I/O, reads no clock and draws random numbers only from its own seeded generator.
+//!
+//! Where to begin reading:
+//! - [`config`]: the settings that all hosts share;
+//! - [`lease`]: how a majority of voters elects one coordinator at a time;
+//! - [`allocation`]: why the shares in use never sum to more than the whole budget;
+//! - [`coordinator`] and [`lease_holder`]: the two sides of a grant;
+//! - [`fleet`]: how messages connect them;
+//! - [`maintenance`]: how servers are taken offline.
+//!
+//! The argument as a whole, with the alternatives that were weighed, is in docs/fleet.md.
 
 pub mod allocation;
+pub mod ballot;
 pub mod config;
 pub mod coordinator;
 pub mod delayed_increase;
@@ -13,6 +25,7 @@
 pub mod lease;
 pub mod lease_holder;
 pub mod maintenance;
+pub mod process_id;
 pub mod rate_pacer;
 pub mod status;
 
--- /dev/null
+++ b/crates/fleet/src/maintenance/order_book.rs
@@ -0,0 +1,126 @@
+//! All orders as of one change, and how they are written to and read from messages. Changed by the
+//! coordinator alone; the other hosts replace the copy that they know by a newer one.
+
+use super::order::{Order, Stage};
+use super::server::ServerId;
+use crate::ballot::Ballot;
+use gullsail_protocol::{FleetLine, FleetOrder};
+use gullsail_scheduler_api::{Instant, Span};
+
+/// Open orders at most: a message with all of them stays below the limit of a frame.
+pub const MAX_ORDERS: usize = 1024;
+/// Characters of a text for operators.
+const MAX_TEXT: usize = 200;
+/// Times in messages are limited to this, so that sums of them do not overflow.
+const MAX_MILLIS: u64 = 1 << 40;
+
+/// Which order book: by whose ballot it was changed, and its count of changes. Ordered by time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OrderBookVersion {
+    /// The ballot of the coordinator that made the change.
+    pub ballot: Ballot,
+    /// Counts the changes.
+    pub count: u64,
+}
+
+/// All orders, as of one change.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OrderBook {
+    /// Which change.
+    pub version: OrderBookVersion,
+    /// In the order in which they were taken.
+    pub orders: Vec<Order>,
+    /// The round of the coordinator that began this order book without finding enough hosts that remember an
+    /// earlier one, which may be lost; 0: that never happened.
+    pub anew: u64,
+}
+
+impl OrderBook {
+    /// The newest order for a server.
+    pub fn order(&self, server: ServerId) -> Option<&Order> {
+        self.orders.iter().rev().find(|order| order.server == server)
+    }
+
+    /// The newest order for a server, to be changed.
+    pub(super) fn order_mut(&mut self, server: ServerId) -> Option<&mut Order> {
+        self.orders.iter_mut().rev().find(|order| order.server == server)
+    }
+
+    /// Orders that are neither done nor cancelled.
+    pub fn open(&self) -> impl Iterator<Item = &Order> {
+        self.orders.iter().filter(|order| order.stage.open())
+    }
+
+    /// As it is sent.
+    pub fn to_message(&self, now: Instant) -> FleetLine {
+        FleetLine {
+            round: self.version.ballot.round,
+            by: self.version.ballot.by,
+            count: self.version.count,
+            anew: self.anew,
+            orders: self.orders.iter().map(|order| order_to_message(order, now)).collect(),
+        }
+    }
+
+    /// As it is received; `None`: no coordinator sends this.
+    pub fn from_message(message: &FleetLine, now: Instant) -> Option<OrderBook> {
+        if message.count == 0 || message.orders.len() > 2 * MAX_ORDERS {
+            return None;
+        }
+        let orders = message.orders.iter().map(|order| order_from_message(order, now));
+        let orders = orders.collect::<Option<Vec<Order>>>()?;
+        let ballot = Ballot { round: message.round, by: message.by };
+        let version = OrderBookVersion { ballot, count: message.count };
+        Some(OrderBook { version, orders, anew: message.anew })
+    }
+}
+
+fn order_to_message(order: &Order, now: Instant) -> FleetOrder {
+    FleetOrder {
+        server: order.server.0,
+        number: order.number,
+        stage: order.stage as u32,
+        version: order.version,
+        age_ms: to_millis(order.aged(now)),
+        longest_ms: to_millis(order.longest),
+        shard_away: order.shard_away,
+        returns: order.returns,
+        reason: order.reason.clone(),
+        waits: order.waits.clone(),
+        hosts: order.hosts.clone(),
+        passed: order.passed,
+        incarnation: order.incarnation,
+    }
+}
+
+fn order_from_message(order: &FleetOrder, now: Instant) -> Option<Order> {
+    Some(Order {
+        server: ServerId(order.server),
+        number: order.number,
+        stage: Stage::from_number(order.stage)?,
+        version: order.version,
+        age: from_millis(order.age_ms),
+        as_of: now,
+        longest: from_millis(order.longest_ms),
+        shard_away: order.shard_away,
+        returns: order.returns,
+        reason: truncate(&order.reason),
+        waits: truncate(&order.waits),
+        hosts: order.hosts.clone(),
+        passed: order.passed,
+        incarnation: order.incarnation,
+    })
+}
+
+/// A text for operators, cut to its limit.
+pub(super) fn truncate(text: &str) -> String {
+    text.chars().take(MAX_TEXT).collect()
+}
+
+fn to_millis(span: Span) -> u64 {
+    span.millis().max(0.0) as u64
+}
+
+fn from_millis(ms: u64) -> Span {
+    Span::from_millis(ms.min(MAX_MILLIS) as f64)
+}
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -1,69 +1,92 @@
-//! What an operator is shown of the fleet, as one host sees it.
+//! What an operator is shown of the fleet, as one host sees it. Filled by `Fleet::status`; serialized for the
+//! control socket.
 
 use crate::coordinator::MemberState;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Numbers are hosts' places in the document; whoever shows them puts names in. What one version does not tell is empty
-/// where another reads it.
+/// One host's view of the fleet. Hosts are numbered by their place in the configuration; whoever shows the
+/// status puts names in. Fields that another version does not write are empty when read.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Status {
+    /// The host whose view this is.
     pub me: u32,
+    /// Counts the changes of membership.
     pub epoch: u64,
-    /// The round of the ballot by which is decided.
+    /// The round of the coordinator's ballot.
     pub round: u64,
+    /// The newest coordinator known.
     pub coordinator: Option<u32>,
-    /// It is this host; for how long at least, unless it renews that.
+    /// This host is the coordinator; for how long at least, unless it renews its lease.
     pub decides_for_ms: Option<f64>,
-    /// Of a coordinator: until what an earlier one granted is over, nothing grows; so long at most.
+    /// Of a coordinator that takes over: the longest time until the earlier one's grants are over. No share
+    /// grows until then.
     pub takes_over_ms: Option<f64>,
-    /// This host's own lease lasts so long, unless renewed; `None`: it has none, and its floors count.
+    /// How long this host's own lease lasts, unless renewed; `None`: it has none, and its floors count.
     pub lease_ms: Option<f64>,
-    /// A process newly born says nothing as a voter for so long.
+    /// How long this host's acceptor is still recovering from a start, and answers no candidate.
     pub mute_ms: Option<f64>,
-    /// Another process holds this host's name.
+    /// Another process holds a lease under this host's name.
     pub fenced: bool,
+    /// All hosts that the coordinator knows.
     pub members: Vec<MemberStatus>,
+    /// All budgets.
     pub budgets: Vec<BudgetStatus>,
     /// Messages that were dropped, by cause.
     pub dropped: BTreeMap<String, u64>,
+    /// Events counted since the start of the process.
     pub counts: Counts,
 }
 
+/// One host, as it is shown to an operator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberStatus {
+    /// Its number.
     pub host: u32,
+    /// The process that runs under its name.
     #[serde(rename = "life")]
     pub incarnation: u64,
+    /// Where it stands.
     #[serde(rename = "standing")]
     pub state: MemberState,
-    /// Of a coordinator's own view: heard so long ago, through whom, and its lease is over then.
+    /// Of the coordinator's own view: how long ago its last renewal came.
     pub heard_ms: Option<f64>,
+    /// Of the coordinator's own view: the host that passes its renewals on.
     pub via: Option<u32>,
+    /// Of the coordinator's own view: when its lease is over.
     pub over_ms: Option<f64>,
 }
 
+/// One budget, as it is shown to an operator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BudgetStatus {
+    /// Its number.
     pub budget: u64,
     /// What this host may use now, in millionths of the whole.
     pub share: u32,
-    /// Of a coordinator: what may be in use over all hosts, and by each.
+    /// Of the coordinator's own view: what may be in use over all hosts.
     pub counted: Option<u64>,
+    /// Of the coordinator's own view: what may be in use by each host, as pairs of host and share.
     pub parts: Vec<(u32, u32)>,
 }
 
-/// Since the start of this process.
+/// Events counted since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Counts {
+    /// Messages sent to other hosts.
     #[serde(rename = "notes_out")]
     pub messages_out: u64,
+    /// Messages that came from other hosts.
     #[serde(rename = "notes_in")]
     pub messages_in: u64,
+    /// Messages passed on between two other hosts.
     pub passed_on: u64,
+    /// How often this host was elected coordinator.
     pub elected: u64,
+    /// How often this host's lease ran out.
     pub leases_lost: u64,
+    /// Leases granted as the coordinator.
     pub granted: u64,
 }
--- a/crates/fleet/tests/explored.rs
+++ b/crates/fleet/tests/exploration.rs
@@ -1,6 +1,7 @@
-//! All orders of what can happen next, some steps deep, in worlds of three hosts and one budget: any message in flight comes, is
-//! lost or comes twice, time passes, a host dies, comes back, stands still or goes on. From points where it matters:
-//! before anybody is chosen, while parts move, after the coordinator died. `FLEET_DEPTH` looks deeper.
+//! All orders of what can happen next, some steps deep, in worlds of three hosts and one budget: any message
+//! in flight is delivered, lost or repeated, time passes, a host dies, restarts, stands still or goes on.
+//! From points where it matters: before a coordinator is elected, while shares move, after the coordinator
+//! died. `FLEET_DEPTH` goes deeper.
 
 use gullsail_fleet::{Budget, Event, Fleet, FleetConfig, WHOLE};
 use gullsail_protocol::FleetMessage;
@@ -13,7 +14,14 @@
 const DRIFT: f64 = 0.01;
 const BUDGET: VolumeId = VolumeId(1);
 /// By how much clocks differ: as much as is allowed.
-const RATES: [f64; 3] = [1.0, 1.0 + DRIFT, 1.0 - DRIFT];
+const CLOCK_RATES: [f64; 3] = [1.0, 1.0 + DRIFT, 1.0 - DRIFT];
+
+#[derive(Clone, Debug)]
+struct InFlight {
+    from: u32,
+    to: u32,
+    message: FleetMessage,
+}
 
 #[derive(Clone)]
 struct State {
@@ -21,24 +29,24 @@
     hosts: Vec<Option<Fleet>>,
     still: [bool; 3],
     incarnations: u64,
-    /// Who sends to whom, in the order they were sent.
-    flying: Vec<(u32, u32, FleetMessage)>,
+    /// In the order they were sent.
+    in_flight: Vec<InFlight>,
     faults: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Comes(usize),
+    Delivered(usize),
     Lost(usize),
-    Twice(usize),
-    Passes(i64),
+    Repeated(usize),
+    TimePasses(i64),
     Dies(u32),
     Starts(u32),
-    Still(u32),
+    StandsStill(u32),
     GoesOn(u32),
 }
 
-fn terms() -> Arc<FleetConfig> {
+fn fleet_config() -> Arc<FleetConfig> {
     let through = (0..3).map(HostId).collect();
     let budget = Budget { through, floor: 100_000, stragglers: BTreeMap::new(), least: 1000 };
     let lease = Span::from_micros(LEASE);
@@ -60,7 +68,7 @@
             hosts: vec![None, None, None],
             still: [false; 3],
             incarnations: 0,
-            flying: vec![],
+            in_flight: vec![],
             faults: 0,
         };
         (0..3).for_each(|h| s.start(h));
@@ -68,14 +76,14 @@
     }
 
     fn clock(&self, h: u32) -> Instant {
-        Instant::from_micros(5_000_000 + (self.now as f64 * RATES[h as usize]) as i64)
+        Instant::from_micros(5_000_000 + (self.now as f64 * CLOCK_RATES[h as usize]) as i64)
     }
 
     fn start(&mut self, h: u32) {
         self.incarnations += 1;
         let incarnation = u64::from(h + 1) << 32 | self.incarnations;
         self.hosts[h as usize] =
-            Some(Fleet::new(terms(), HostId(h), incarnation, u64::from(h), self.clock(h)));
+            Some(Fleet::new(fleet_config(), HostId(h), incarnation, u64::from(h), self.clock(h)));
         self.still[h as usize] = false;
     }
 
@@ -83,13 +91,14 @@
         let now = self.clock(h);
         let Some(f) = self.hosts[h as usize].as_mut().filter(|_| !self.still[h as usize]) else { return };
         f.advance(now);
-        self.flying.extend(f.outputs().map(|o| (h, o.to.0, o.message)));
+        let sent = f.outputs().map(|output| InFlight { from: h, to: output.to.0, message: output.message });
+        self.in_flight.extend(sent);
     }
 
-    fn comes(&mut self, place: usize, stays: bool) {
-        let (from, to, message) = self.flying[place].clone();
+    fn deliver(&mut self, place: usize, stays: bool) {
+        let InFlight { from, to, message } = self.in_flight[place].clone();
         if !stays {
-            self.flying.remove(place);
+            self.in_flight.remove(place);
         }
         let now = self.clock(to);
         if let Some(f) = self.hosts[to as usize].as_mut().filter(|_| !self.still[to as usize]) {
@@ -98,19 +107,19 @@
         }
     }
 
-    /// Everything comes at once, for so long: how a point is reached from which to look on.
+    /// Everything is delivered at once, for so long: how a point is reached from which to explore.
     fn calm(&mut self, span: i64) {
         let end = self.now + span;
         while self.now < end {
             self.now += 20_000;
             (0..3).for_each(|h| self.turn(h));
-            while !self.flying.is_empty() {
-                self.comes(0, false);
+            while !self.in_flight.is_empty() {
+                self.deliver(0, false);
             }
         }
     }
 
-    fn asks(&mut self, h: u32, units: f64) {
+    fn set_demand(&mut self, h: u32, units: f64) {
         let now = self.clock(h);
         if let Some(f) = &mut self.hosts[h as usize] {
             f.handle(now, Event::Asked { budget: BUDGET, units });
@@ -119,15 +128,15 @@
 
     fn steps(&self) -> Vec<Step> {
         // Of many in flight the oldest few: the others are as good as not sent yet.
-        let flying = 0..self.flying.len().min(4);
-        let mut all: Vec<Step> = flying.clone().map(Step::Comes).collect();
-        all.extend([LEASE / 8, LEASE / 2, LEASE * 11 / 10].map(Step::Passes));
+        let in_flight = 0..self.in_flight.len().min(4);
+        let mut all: Vec<Step> = in_flight.clone().map(Step::Delivered).collect();
+        all.extend([LEASE / 8, LEASE / 2, LEASE * 11 / 10].map(Step::TimePasses));
         if self.faults < 2 {
-            all.extend(flying.clone().map(Step::Lost).chain(flying.map(Step::Twice)));
+            all.extend(in_flight.clone().map(Step::Lost).chain(in_flight.map(Step::Repeated)));
             for h in 0..3 {
                 match (&self.hosts[h as usize], self.still[h as usize]) {
                     (None, _) => all.push(Step::Starts(h)),
-                    (Some(_), false) => all.extend([Step::Dies(h), Step::Still(h)]),
+                    (Some(_), false) => all.extend([Step::Dies(h), Step::StandsStill(h)]),
                     _ => {}
                 }
             }
@@ -137,10 +146,10 @@
         all
     }
 
-    fn take(&mut self, step: Step) {
+    fn apply(&mut self, step: Step) {
         match step {
-            Step::Comes(place) => return self.comes(place, false),
-            Step::Passes(span) => {
+            Step::Delivered(place) => return self.deliver(place, false),
+            Step::TimePasses(span) => {
                 self.now += span;
                 return (0..3).for_each(|h| self.turn(h));
             }
@@ -148,20 +157,20 @@
                 self.still[h as usize] = false;
                 return self.turn(h);
             }
-            Step::Lost(place) => _ = self.flying.remove(place),
-            Step::Twice(place) => self.comes(place, true),
+            Step::Lost(place) => _ = self.in_flight.remove(place),
+            Step::Repeated(place) => self.deliver(place, true),
             Step::Dies(h) => self.hosts[h as usize] = None,
             Step::Starts(h) => {
                 self.start(h);
                 self.turn(h);
             }
-            Step::Still(h) => self.still[h as usize] = true,
+            Step::StandsStill(h) => self.still[h as usize] = true,
         }
         self.faults += 1;
     }
 
-    /// What must hold now; what is broken.
-    fn broken(&self) -> Option<String> {
+    /// What does not hold now, if anything; of the hosts that run and do not stand still.
+    fn violation(&self) -> Option<String> {
         let runs = (0..3).filter(|h| !self.still[*h as usize]);
         let runs: Vec<_> = runs.filter_map(|h| Some((h, self.hosts[h as usize].as_ref()?))).collect();
         let shares: Vec<_> = runs.iter().map(|(h, f)| (*h, f.share_at(BUDGET, self.clock(*h)))).collect();
@@ -170,55 +179,56 @@
         (sum > WHOLE || deciding > 1).then(|| format!("{shares:?} in use, {deciding} decide"))
     }
 
-    fn print(&self) -> u64 {
+    fn fingerprint(&self) -> u64 {
         let mut h = DefaultHasher::new();
-        format!("{:?}{:?}{:?}{}", self.hosts, self.flying, self.still, self.now).hash(&mut h);
+        format!("{:?}{:?}{:?}{}", self.hosts, self.in_flight, self.still, self.now).hash(&mut h);
         h.finish()
     }
 }
 
-fn look(s: &State, depth: u32, seen: &mut HashSet<(u64, u32)>, path: &mut Vec<Step>) {
-    if depth == 0 || !seen.insert((s.print(), depth)) {
+fn explore(s: &State, depth: u32, seen: &mut HashSet<(u64, u32)>, path: &mut Vec<Step>) {
+    if depth == 0 || !seen.insert((s.fingerprint(), depth)) {
         return;
     }
     for step in s.steps() {
         let mut next = s.clone();
-        next.take(step);
+        next.apply(step);
         path.push(step);
-        if let Some(what) = next.broken() {
+        if let Some(what) = next.violation() {
             panic!("{what} after {path:?}");
         }
-        look(&next, depth - 1, seen, path);
+        explore(&next, depth - 1, seen, path);
         path.pop();
     }
 }
 
 #[test]
-fn no_order_of_events_breaks_the_promises() {
+fn no_order_of_events_breaks_the_invariants() {
     let depth = std::env::var("FLEET_DEPTH").ok().and_then(|d| d.parse().ok()).unwrap_or(5);
-    let mut newborn = State::new();
-    newborn.calm(LEASE - 20_000);
-    newborn.now += LEASE / 4;
-    // All have their parts, and what is asked moves from one host to another.
+    let mut starting = State::new();
+    starting.calm(LEASE - 20_000);
+    starting.now += LEASE / 4;
+    // All have their shares, and the demand moves from one host to another.
     let mut moving = State::new();
-    moving.asks(0, 100.0);
+    moving.set_demand(0, 100.0);
     moving.calm(6 * LEASE);
-    moving.asks(2, 1000.0);
+    moving.set_demand(2, 1000.0);
     (0..3).for_each(|h| moving.turn(h));
-    let mut dead = moving.clone();
-    let decides =
-        (0..3).find(|h| dead.hosts[*h as usize].as_ref().is_some_and(|f| f.decides(dead.clock(*h))));
-    let decides = decides.expect("somebody decides by now");
-    dead.hosts[decides as usize] = None;
-    dead.now += LEASE * 9 / 10;
-    // One that decided stands still, and goes on when its lease is just over.
-    let mut still = moving.clone();
-    still.still[decides as usize] = true;
-    still.now += LEASE;
+    let mut coordinator_died = moving.clone();
+    let coordinator = (0..3).find(|h| {
+        coordinator_died.hosts[*h as usize].as_ref().is_some_and(|f| f.decides(coordinator_died.clock(*h)))
+    });
+    let coordinator = coordinator.expect("a coordinator is elected by now");
+    coordinator_died.hosts[coordinator as usize] = None;
+    coordinator_died.now += LEASE * 9 / 10;
+    // The coordinator stands still, and goes on when its lease is just over.
+    let mut coordinator_still = moving.clone();
+    coordinator_still.still[coordinator as usize] = true;
+    coordinator_still.now += LEASE;
     let mut states = 0;
-    for s in [newborn, moving, dead, still] {
+    for s in [starting, moving, coordinator_died, coordinator_still] {
         let mut seen = HashSet::new();
-        look(&s, depth, &mut seen, &mut Vec::new());
+        explore(&s, depth, &mut seen, &mut Vec::new());
         states += seen.len();
     }
     assert!(states > 1000, "{states}");
--- /dev/null
+++ b/crates/fleet/tests/grants.rs
@@ -0,0 +1,255 @@
+//! The two sides of a grant, each by itself, and how a budget is divided.
+
+use gullsail_fleet::allocation::{HostDemand, divide};
+use gullsail_fleet::coordinator::{Coordinator, Renewal, RenewalOutcome};
+use gullsail_fleet::lease::{Ballot, ProcessId};
+use gullsail_fleet::lease_holder::{GrantId, LeaseHolder};
+use gullsail_fleet::{Budget, FleetConfig, WHOLE};
+use gullsail_scheduler_api::{HostId, Instant, Span, VolumeId};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+const B: VolumeId = VolumeId(1);
+
+fn budget(hosts: u32, floor: u32, least: u32) -> Budget {
+    Budget { through: (0..hosts).map(HostId).collect(), floor, stragglers: BTreeMap::new(), least }
+}
+
+fn fleet_config(hosts: u32) -> FleetConfig {
+    let budgets = [(B, budget(hosts, 50_000, 1000))].into();
+    FleetConfig {
+        fleet: 7,
+        hosts,
+        lease: Span::from_millis(1000.0),
+        drift: 0.01,
+        voters: 1,
+        budgets,
+        maintenance: None,
+    }
+}
+
+fn ms(at: i64) -> Instant {
+    Instant::from_micros(1_000_000_000 + at * 1000)
+}
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, by: 0 }
+}
+
+fn grant_id(round: u64, serial: u64) -> GrantId {
+    GrantId { ballot: ballot(round), serial }
+}
+
+/// A member that was polled by a coordinator of round 5.
+fn polled_member() -> LeaseHolder {
+    let mut holder = LeaseHolder::new(ms(0));
+    assert!(holder.accept_poll(HostId(0), ballot(5), ms(0)));
+    holder
+}
+
+/// Two renewals overtook each other: the first was answered last. Its lease ends first, and the answer to the
+/// second, late or repeated, is no more than was released since.
+#[test]
+fn an_older_grant_is_not_accepted_after_the_newer_ones_lease() {
+    let config = fleet_config(2);
+    let mut holder = polled_member();
+    let first = holder.register_renewal(ms(0));
+    let second = holder.register_renewal(ms(500));
+    let shares = |share| [(B, share)].into();
+    assert!(holder.accept_grant(&config, grant_id(5, 2), first, shares(300), ms(600)));
+    assert!(!holder.accept_grant(&config, grant_id(5, 1), second, shares(900), ms(700)));
+    assert!(holder.expire(ms(990)));
+    assert!(!holder.accept_grant(&config, grant_id(5, 1), second, shares(900), ms(1000)));
+    assert_eq!(holder.share(B, ms(1000)), None);
+    // The next one is.
+    assert!(holder.accept_grant(&config, grant_id(5, 3), second, shares(400), ms(1000)));
+}
+
+struct Grant {
+    round: u64,
+    serial: u64,
+    /// The renewal that it answers.
+    renewal: u64,
+    at: i64,
+    accepted: bool,
+    /// What may be used afterwards.
+    share: Option<u32>,
+}
+
+#[test]
+fn a_grant_counts_from_its_renewal_and_only_forwards() {
+    let config = fleet_config(2);
+    let grant =
+        |round, serial, renewal, at, accepted, share| Grant { round, serial, renewal, at, accepted, share };
+    let cases = [
+        vec![grant(5, 1, 1, 100, true, Some(1))],
+        // A lease less the drift after the renewal was sent it is over.
+        vec![grant(5, 1, 1, 979, true, Some(1)), grant(5, 2, 1, 981, false, None)],
+        // An older grant, a repeated one, one for a renewal that was never sent.
+        vec![
+            grant(5, 2, 1, 100, true, Some(2)),
+            grant(5, 1, 2, 200, false, Some(2)),
+            grant(5, 2, 2, 200, false, Some(2)),
+        ],
+        vec![grant(5, 1, 9, 100, false, None)],
+        // Of a coordinator before the one that polled since.
+        vec![grant(4, 7, 1, 100, false, None)],
+        vec![
+            grant(5, 1, 1, 100, true, Some(1)),
+            grant(6, 1, 2, 200, true, Some(1)),
+            grant(5, 2, 2, 300, false, Some(1)),
+        ],
+    ];
+    for (case, grants) in cases.iter().enumerate() {
+        let mut holder = polled_member();
+        assert!(!holder.accept_poll(HostId(0), ballot(4), ms(0)));
+        assert_eq!(holder.register_renewal(ms(0)), 1);
+        assert_eq!(holder.register_renewal(ms(0)), 2);
+        for (step, grant) in grants.iter().enumerate() {
+            let shares = [(B, grant.serial as u32)].into();
+            let id = grant_id(grant.round, grant.serial);
+            let accepted = holder.accept_grant(&config, id, grant.renewal, shares, ms(grant.at));
+            assert_eq!(accepted, grant.accepted, "case {case}, grant {step}");
+            assert_eq!(holder.share(B, ms(grant.at)), grant.share, "case {case}, grant {step}");
+        }
+    }
+}
+
+#[test]
+fn a_member_renews_four_times_a_lease_and_through_others_when_nobody_answers() {
+    let config = fleet_config(2);
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut holder = LeaseHolder::new(ms(0));
+    assert!(holder.next_renewal(&config, ms(1000), &mut rng).is_none(), "no coordinator is known");
+    holder.accept_poll(HostId(0), ballot(5), ms(1000));
+    let mut renewals = Vec::new();
+    for at in 1001..5000 {
+        if let Some(renewal) = holder.next_renewal(&config, ms(at), &mut rng) {
+            renewals.push((at, renewal.detour));
+        }
+    }
+    // For two leases, then it knows of no coordinator any more.
+    assert!((7..=10).contains(&renewals.len()), "{renewals:?}");
+    assert!(renewals.iter().all(|(at, detour)| *detour == (*at >= 1500)), "{renewals:?}");
+    assert_eq!(holder.coordinator(), None);
+}
+
+fn renewal(host: u32, round: u64, serial: u64, held: u32) -> Renewal {
+    Renewal {
+        process: ProcessId { host: HostId(host), incarnation: 7 },
+        ballot: ballot(round),
+        via: None,
+        serial,
+        demand: BTreeMap::new(),
+        held: if held > 0 { [(B, held)].into() } else { BTreeMap::new() },
+    }
+}
+
+fn granted(outcome: RenewalOutcome) -> Option<u32> {
+    if let RenewalOutcome::Granted { shares, .. } = outcome { shares.get(&B).copied() } else { None }
+}
+
+/// A new coordinator grants what each host reports it holds, and more only when all have reported or one
+/// lease is over.
+#[test]
+fn a_takeover_asks_waits_and_goes_on() {
+    let config = fleet_config(2);
+    // what the other host reports it holds, and when; when this one renews, and what it is granted
+    let cases = [
+        (None, 0, 900, 300_000),
+        (None, 0, 1001, 950_000),
+        (Some(600_000), 10, 20, 400_000),
+        // All have reported, and no more is counted of the other than its own.
+        (Some(200_000), 10, 300, 450_000),
+        // A host that holds nothing may be another process of its name.
+        (Some(0), 10, 300, 300_000),
+    ];
+    for (other, reported_at, at, expected) in cases {
+        let mut coordinator = Coordinator::new(&config, ballot(9), 1, ms(0));
+        let first = coordinator.renew(&config, renewal(0, 9, 5, 300_000), ms(1));
+        assert_eq!(granted(first), Some(300_000));
+        if let Some(held) = other {
+            coordinator.renew(&config, renewal(1, 9, u64::from(held > 0), held), ms(reported_at));
+        }
+        for step in (reported_at..at).step_by(5) {
+            coordinator.advance(&config, ms(step));
+        }
+        let share = granted(coordinator.renew(&config, renewal(0, 9, 5, 300_000), ms(at))).unwrap();
+        assert!(share.abs_diff(expected) <= 50_000, "{other:?} at {at}: {share}, {expected} expected");
+    }
+    // What was written before its sender knew of this term says nothing of what is held now.
+    let mut coordinator = Coordinator::new(&config, ballot(9), 1, ms(0));
+    let outcome = coordinator.renew(&config, renewal(1, 8, 5, 300_000), ms(1));
+    assert!(matches!(outcome, RenewalOutcome::Outdated));
+    assert!(coordinator.members.is_empty());
+}
+
+/// A share grows only after the others are known to have released theirs, or their lease is over.
+#[test]
+fn shares_shrink_first() {
+    let config = fleet_config(2);
+    let mut coordinator = Coordinator::new(&config, ballot(9), 1, ms(0));
+    let asking = |host: u32, serial: u64, demand: f64| Renewal {
+        demand: [(B, demand)].into(),
+        ..renewal(host, 9, serial, 0)
+    };
+    let serial = |outcome: &RenewalOutcome| match outcome {
+        RenewalOutcome::Granted { serial, .. } => *serial,
+        _ => 0,
+    };
+    for at in 0..=1001 {
+        coordinator.advance(&config, ms(at));
+    }
+    let first = granted(coordinator.renew(&config, asking(0, 0, 100.0), ms(1010))).unwrap();
+    let mut held = 0;
+    assert!(first > 900_000);
+    // The other asks for nearly all: it gets what is free, and the first one's share is smaller from its next
+    // renewal on.
+    for at in (1100..1900).step_by(100) {
+        held = granted(coordinator.renew(&config, asking(1, 0, 10_000.0), ms(at))).unwrap();
+        assert!(held <= 1_000_000 - first, "{held}");
+    }
+    let shrunk = coordinator.renew(&config, asking(0, 0, 100.0), ms(1900));
+    let serial = serial(&shrunk);
+    let small = granted(shrunk).unwrap();
+    assert!(small < 200_000, "{small}");
+    let unchanged = granted(coordinator.renew(&config, asking(1, 0, 10_000.0), ms(1950))).unwrap();
+    assert_eq!(unchanged, held, "the first one has not confirmed it");
+    coordinator.renew(&config, asking(0, serial, 100.0), ms(2000));
+    let grown = granted(coordinator.renew(&config, asking(1, 0, 10_000.0), ms(2050))).unwrap();
+    assert!(grown > 800_000);
+    assert!(coordinator.sum(B) <= u64::from(WHOLE));
+}
+
+/// Demand of members, kept by others, the least share that holds a request, the turn; the share of each,
+/// within a tolerance.
+#[test]
+fn budgets_go_by_demand_over_floors_and_in_turns_where_they_are_small() {
+    const K: u32 = 1000;
+    type Case = (&'static [f64], u64, u32, u64, &'static [u32]);
+    let cases: [Case; 8] = [
+        (&[0.0, 0.0, 0.0, 0.0], 0, 1, 0, &[250 * K, 250 * K, 250 * K, 250 * K]),
+        (&[10.0, 0.0, 0.0, 0.0], 0, 1, 0, &[790 * K, 70 * K, 70 * K, 70 * K]),
+        (&[30.0, 10.0, 0.0, 0.0], 0, 1, 0, &[610 * K, 250 * K, 70 * K, 70 * K]),
+        (&[10.0, 10.0, 0.0, 0.0], 600_000, 1, 0, &[145 * K, 145 * K, 55 * K, 55 * K]),
+        // A whole request for each member that asks comes first.
+        (&[99.0, 1.0, 0.0, 0.0], 0, 200 * K, 0, &[650 * K, 210 * K, 70 * K, 70 * K]),
+        // Two of four at a time.
+        (&[1.0, 1.0, 1.0, 1.0], 0, 400 * K, 0, &[500 * K, 400 * K, 50 * K, 50 * K]),
+        (&[1.0, 1.0, 1.0, 1.0], 0, 400 * K, 1, &[50 * K, 500 * K, 400 * K, 50 * K]),
+        (&[1.0, 1.0, 1.0, 1.0], 0, 400 * K, 3, &[400 * K, 50 * K, 50 * K, 500 * K]),
+    ];
+    for (demands, kept, least, turn, expected) in cases {
+        let budget = budget(4, 50 * K, least);
+        let members = demands.iter().enumerate();
+        let members = members.map(|(host, demand)| HostDemand { host: HostId(host as u32), demand: *demand });
+        let members: Vec<HostDemand> = members.collect();
+        let shares = divide(&budget, &members, kept, turn);
+        let shares: Vec<u32> = shares.into_iter().map(|member| member.share).collect();
+        let sum: u64 = shares.iter().map(|share| u64::from(*share)).sum();
+        assert!(sum + kept <= u64::from(WHOLE) && sum + kept > u64::from(WHOLE) - 10, "{shares:?}");
+        let near = shares.iter().zip(expected).all(|(a, b)| a.abs_diff(*b) <= 50 * K);
+        assert!(near, "{demands:?} {kept} {least} {turn}: {shares:?}, {expected:?} expected");
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/maintenance/selection.rs
@@ -0,0 +1,164 @@
+//! Which server goes next, by tables: a function of the order book, the servers and the settings alone.
+
+use crate::fixtures::{maintenance_config, order, servers, snapshot};
+use gullsail_fleet::maintenance::Stage::{Approved, Done, Draining, Offline, Requested, Returning};
+use gullsail_fleet::maintenance::selection::{permanent_blocker, select_next};
+use gullsail_fleet::maintenance::{FleetSnapshot, MaintenanceConfig, OrderBook, ServerId, Stage};
+use std::collections::BTreeSet;
+
+struct Case {
+    /// Server, stage, and how often it was overtaken.
+    orders: &'static [(u64, Stage, u32)],
+    /// Servers that do not work.
+    failed: &'static [u64],
+    members: &'static [u32],
+    served: f64,
+    second_of_day: u32,
+    /// The server that goes.
+    next: Option<u64>,
+    /// Servers that wait, and a part of the reason.
+    waiting: &'static [(u64, &'static str)],
+}
+
+const CASE: Case = Case {
+    orders: &[],
+    failed: &[],
+    members: &[0, 1, 2, 3, 4],
+    served: 0.0,
+    second_of_day: 40_000,
+    next: None,
+    waiting: &[],
+};
+
+const CASES: [Case; 17] = [
+    Case {
+        orders: &[(1, Approved, 0), (2, Approved, 0)],
+        next: Some(1),
+        waiting: &[(2, "another goes first")],
+        ..CASE
+    },
+    // Requested is not approved; one in its zone is away; a place that is free goes to a server that can have
+    // it.
+    Case { orders: &[(1, Requested, 0)], ..CASE },
+    Case {
+        orders: &[(1, Offline, 0), (3, Approved, 0), (4, Approved, 0)],
+        next: Some(4),
+        waiting: &[(3, "1 of 1 away in its zone")],
+        ..CASE
+    },
+    Case {
+        orders: &[(1, Draining, 0), (4, Returning, 0), (12, Approved, 0)],
+        waiting: &[(12, "2 of 2 away in all")],
+        ..CASE
+    },
+    // Servers whose orders are done or cancelled are not away.
+    Case { orders: &[(1, Done, 0), (3, Approved, 0)], next: Some(3), ..CASE },
+    // The other holder of its shard is away, or failed by itself.
+    Case { orders: &[(1, Offline, 0), (2, Approved, 0)], waiting: &[(2, "cell 1 would be left")], ..CASE },
+    Case { orders: &[(1, Approved, 0)], failed: &[2], waiting: &[(1, "cell 1 would be left")], ..CASE },
+    // A failed one goes first, and takes nothing away by going; but no more are under maintenance than may
+    // be.
+    Case {
+        orders: &[(1, Approved, 0), (4, Approved, 0)],
+        failed: &[4],
+        next: Some(4),
+        waiting: &[(1, "another goes first")],
+        ..CASE
+    },
+    Case {
+        orders: &[(1, Offline, 0), (12, Offline, 0), (4, Approved, 0)],
+        failed: &[4],
+        waiting: &[(4, "2 of 2 away in all")],
+        ..CASE
+    },
+    // Three of six would stay, of which half must; two of six would not do.
+    Case { orders: &[(1, Approved, 0)], failed: &[4, 6], waiting: &[(1, "2 of 2 away in all")], ..CASE },
+    // What is served now must fit: five do 500 units, nine tenths of that may be busy.
+    Case { orders: &[(1, Approved, 0)], served: 449.0, next: Some(1), ..CASE },
+    Case { orders: &[(1, Approved, 0)], served: 451.0, waiting: &[(1, "no room to spare")], ..CASE },
+    // None goes at night.
+    Case {
+        orders: &[(1, Approved, 0)],
+        second_of_day: 80_000,
+        waiting: &[(1, "none goes between 22:00 and 06:00")],
+        ..CASE
+    },
+    Case { orders: &[(1, Approved, 0)], second_of_day: 21_600, next: Some(1), ..CASE },
+    // The coordinator (host 0) goes last; most hosts and voters (the first three) must be left.
+    Case {
+        orders: &[(11, Approved, 0), (1, Approved, 0)],
+        next: Some(1),
+        waiting: &[(11, "it decides, and goes last")],
+        ..CASE
+    },
+    Case {
+        orders: &[(11, Approved, 0)],
+        members: &[0, 1, 3],
+        waiting: &[(11, "2 of 2 away in all")],
+        ..CASE
+    },
+    // Overtaken too often, it goes before those that would take its place: the next is not 5.
+    Case {
+        orders: &[(2, Offline, 0), (4, Approved, 4), (5, Approved, 0)],
+        waiting: &[(4, "1 of 1 away in its zone"), (5, "another")],
+        ..CASE
+    },
+];
+
+#[test]
+fn the_order_keeps_the_limits_and_holds_nobody_up() {
+    CASES.iter().for_each(check);
+}
+
+fn check(case: &Case) {
+    let Case { orders, failed, .. } = case;
+    let listed = orders.iter().map(|(server, stage, passed)| order(*server, *stage, *passed));
+    let order_book = OrderBook { orders: listed.collect(), ..OrderBook::default() };
+    let mut servers = servers();
+    for server in *failed {
+        servers.get_mut(&ServerId(*server)).unwrap().well = false;
+    }
+    let members: BTreeSet<u32> = case.members.iter().copied().collect();
+    let snapshot = FleetSnapshot {
+        served: case.served,
+        second_of_day: case.second_of_day,
+        ..snapshot(&servers, &members, 5, 0)
+    };
+    let got = select_next(&order_book, &maintenance_config(), &snapshot);
+    assert_eq!(got.next, case.next.map(ServerId), "{orders:?} {failed:?}: {:?}", got.waiting);
+    for (server, expected) in case.waiting {
+        let wait = got.waiting.iter().find(|wait| wait.server == ServerId(*server));
+        let reason = wait.map(|wait| wait.reason.as_str()).unwrap_or_default();
+        assert!(
+            reason.contains(expected),
+            "{orders:?} {failed:?}: {server} waits for {reason:?}, not {expected:?}"
+        );
+    }
+}
+
+#[test]
+fn too_few_voters_and_capacity_hold_it_up() {
+    let mut config = MaintenanceConfig { at_once: 9, in_zone: 9, in_pool: 9, ..maintenance_config() };
+    let servers = servers();
+    let members: BTreeSet<u32> = (0..5).collect();
+    // offline, next, whether it goes
+    let cases: [(&[u64], u64, bool); 6] = [
+        (&[12], 14, true),
+        (&[12], 13, false),     // two of three voters would be away
+        (&[14, 15], 12, false), // three of five hosts
+        (&[1, 3], 5, true),     // half of all capacity stays
+        (&[1, 3, 5], 2, false),
+        (&[14], 11, true),
+    ];
+    for (offline, server, goes) in cases {
+        let mut orders: Vec<_> = offline.iter().map(|server| order(*server, Offline, 0)).collect();
+        orders.push(order(server, Approved, 0));
+        let order_book = OrderBook { orders, ..OrderBook::default() };
+        let selection = select_next(&order_book, &config, &snapshot(&servers, &members, 5, 9));
+        assert_eq!(selection.next == Some(ServerId(server)), goes, "{offline:?}, then {server}");
+    }
+    assert_eq!(permanent_blocker(&config, &servers, ServerId(1)), None);
+    config.keep = 0.9;
+    let refusal = permanent_blocker(&config, &servers, ServerId(1));
+    assert!(refusal.is_some_and(|refusal| refusal.to_string().contains("keep=0.9")));
+}
