--- a/crates/config-transition/src/lib.rs
+++ b/crates/config-transition/src/lib.rs
@@ -1,9 +1,23 @@
-//! Documents change at different hosts at different moments, and a volume's limit must hold over all of them
-//! meanwhile. [`ConfigTransition`] decides what each host may send for each volume until all have followed. It has no
-//! I/O, no clock and no chance of its own.
+//! What each host may send for each volume while the hosts change, one after the other, from one revision of
+//! the configuration to the next: the limit of a volume must hold over all of them meanwhile.
+//!
+//! [`ConfigTransition`] is a state machine that a host runs: it is given revisions of the configuration and
+//! the notices of other hosts, and yields allocations and notices to send. It does no I/O, reads no clock and
+//! has no random generator of its own. [`RevisionLimits`] is the part of a configuration that it looks at.
 
+mod error;
+mod notice;
 mod revision_limits;
 mod transition;
 
-pub use revision_limits::{Revision, RevisionLimits, Shared};
-pub use transition::{ConfigTransition, Heard, MOST_HOSTS, Note, Refused};
+pub use error::TransitionError;
+pub use notice::{AddressedNotice, MOST_HOSTS, NoticeEffect, NoticeOutcome, RevisionNotice};
+pub use revision_limits::{Revision, RevisionLimits, SharedLimit};
+pub use transition::{ConfigTransition, LaggingHost};
+
+/// The earlier name of [`NoticeEffect`], for callers that still use it.
+pub use notice::NoticeEffect as Heard;
+/// The earlier name of [`RevisionNotice`], for callers that still use it.
+pub use notice::RevisionNotice as Note;
+/// The earlier name of [`SharedLimit`], for callers that still use it.
+pub use revision_limits::SharedLimit as Shared;
--- a/crates/config-transition/src/revision_limits.rs
+++ b/crates/config-transition/src/revision_limits.rs
@@ -1,17 +1,17 @@
-//! What one document promises of limits, in the form that every host computes alike.
+//! The limits that one revision of the configuration states, in the form that every host computes alike.
 
 use gullsail_scheduler_api::{HostId, Limit, PlanId, VolumeId};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// The number of a document: a later one is larger. 0: the document states none.
+/// The number of a revision: a later one is larger. 0: the configuration states none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Revision(pub u64);
 
-/// A volume's limit, and who shares it.
+/// A volume's limit, and the hosts that share it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Shared {
-    /// By the document's own order of plans.
+pub struct SharedLimit {
+    /// By the configuration's own order of plans.
     pub plan: PlanId,
     /// Over all hosts, in units; `None`: without a limit.
     pub limit: Option<Limit>,
@@ -19,41 +19,44 @@
     pub hosts: Arc<[HostId]>,
 }
 
-impl Shared {
+impl SharedLimit {
+    /// Whether the volume is served through this host.
     pub fn through(&self, host: HostId) -> bool {
         self.hosts.binary_search(&host).is_ok()
     }
 
-    /// What that host may send by this document alone: an even part, or the `share` that it was granted, if it serves the
-    /// volume, else nothing. `None`: as much as it likes.
-    fn part(&self, host: HostId, share: Option<f64>) -> Option<Limit> {
+    /// What that host may send by this revision alone: an even share, or the `share` that it was granted, if
+    /// it serves the volume, else nothing. `None`: without a limit.
+    fn limit_for(&self, host: HostId, share: Option<f64>) -> Option<Limit> {
         let limit = self.limit?;
         let count = self.hosts.len().max(1) as f64;
-        let by = if self.through(host) { share.unwrap_or(1.0 / count) } else { 0.0 };
-        Some(Limit { rate: limit.rate * by, burst: limit.burst * by })
+        let share = if self.through(host) { share.unwrap_or(1.0 / count) } else { 0.0 };
+        Some(Limit { rate: limit.rate * share, burst: limit.burst * share })
     }
 }
 
-/// One document's promises.
+/// All limits of one revision.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RevisionLimits {
+    /// Which revision.
     pub revision: Revision,
-    pub volumes: BTreeMap<VolumeId, Shared>,
+    /// By volume.
+    pub volumes: BTreeMap<VolumeId, SharedLimit>,
 }
 
 impl RevisionLimits {
     /// The same limits over the same hosts; places of plans may differ.
-    pub(crate) fn promise_as(&self, other: &RevisionLimits) -> bool {
-        let what = |p: &RevisionLimits| -> Vec<_> {
-            p.volumes.iter().map(|(id, v)| (*id, v.limit, v.hosts.clone())).collect()
-        };
-        what(self) == what(other)
+    pub(crate) fn same_limits_as(&self, other: &RevisionLimits) -> bool {
+        let same = |a: &SharedLimit, b: &SharedLimit| a.limit == b.limit && a.hosts == b.hosts;
+        let mut pairs = self.volumes.iter().zip(&other.volumes);
+        self.volumes.len() == other.volumes.len() && pairs.all(|(a, b)| a.0 == b.0 && same(a.1, b.1))
     }
 
-    /// A volume that the document does not know is sent nothing by those who hold to it, and so takes nothing
-    /// from what others may send: it counts as without a limit.
-    pub fn part(&self, volume: VolumeId, host: HostId, share: Option<f64>) -> Option<Limit> {
-        self.volumes.get(&volume)?.part(host, share)
+    /// What a host may send for a volume by this revision alone; `None`: without a limit. For a volume that
+    /// the revision does not know, hosts that follow it send nothing, and so take nothing from the others: it
+    /// counts as without a limit.
+    pub fn limit_for(&self, volume: VolumeId, host: HostId, share: Option<f64>) -> Option<Limit> {
+        self.volumes.get(&volume)?.limit_for(host, share)
     }
 }
 
--- a/crates/config-transition/src/transition.rs
+++ b/crates/config-transition/src/transition.rs
@@ -1,250 +1,236 @@
-//! From one document to the next, host by host.
+//! From one revision of the configuration to the next, host by host. Owned and called by the host.
 //!
-//! **The rule.** A host knows a line of documents: the one it holds to, and those before it back to the oldest
-//! that some host may still hold to. For each volume it may send the lowest of its parts by all of them.
+//! **The rule.** A host counts a chain of revisions: the one that it follows, and those before it back to the
+//! oldest that some host may still follow. For each volume it may send the lowest of its limits by all of
+//! them.
 //!
-//! **Why the limit holds.** Let m be the oldest revision that any serving host holds to now. The host that
-//! holds to it is not past m, so no host has learnt that all are past m, and m is still in the line of each
-//! (it is not after the host's own, for m is the oldest). So each host sends at most its part by m, and these
-//! parts sum to the limit that document m states. This is so at every moment, in whatever order hosts change,
-//! whatever notes are lost, late or repeated: a lost note only keeps a line long. A host that is down sends
-//! nothing, and the others keep its revision in their lines until it says that it has gone on.
+//! **Why the limit holds.** Let m be the oldest revision that any serving host follows now. The host that
+//! follows it is not beyond m, so no host has learned that all are beyond m, and m is still in the chain of
+//! each (it is not after the host's own, for m is the oldest). So each host sends at most its limit by m, and
+//! these sum to the limit that revision m states. This is so at every moment, in whatever order hosts change,
+//! whatever notices are lost, late or repeated: a lost notice only keeps a chain long. A host that is down
+//! sends nothing, and the others keep its revision in their chains until it reports that it has gone on.
 //!
-//! **What it rests on.** A host that starts is given a document no older than the one it last held to, and the
-//! line that the document names reaches back to a revision that no host is older than. Both are the operator's
-//! to keep; a host that is seen to go back is reported ([`Heard::WentBack`]).
+//! **What it relies on.** A host that starts is given a revision no older than the one that it last followed,
+//! and the chain given with it reaches back to a revision that no host is older than. Both are the operators'
+//! to keep; a host that is seen to go back is reported ([`crate::NoticeEffect::WentBack`]).
 
+mod notices;
+
+use crate::error::TransitionError;
 use crate::revision_limits::{Revision, RevisionLimits, lower};
 use gullsail_scheduler_api::{HostId, Instant, Limit, PlanId, Span, VolumeAllocation, VolumeId};
-use rand::Rng;
+use notices::{FINAL_ROUNDS, FIRST_WAIT};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Who is told at a time. Three, and news is with all of two hundred hosts after five or six rounds.
-const FEW: usize = 3;
-/// Between rounds while there is news: some round trips. Without any the wait doubles up to the longest, which a
-/// host that was down waits for at most.
-const FIRST: Span = Span::from_micros(100_000);
-const LONGEST: Span = Span::from_micros(6_400_000);
-/// Rounds in which a host that knows of all still tells others, so that the last of them hear soon.
-const FAREWELLS: u32 = 3;
-/// Hosts that one note can tell of, within 256 bytes.
-pub const MOST_HOSTS: u32 = 1900;
-
-/// Which hosts are known to hold to this revision or a later one: one bit for each, by number.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Note {
-    /// What its sender holds to.
-    pub held: Revision,
-    pub revision: Revision,
-    pub hosts: Vec<u8>,
-}
-
-/// What a note brought.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Heard {
-    Nothing,
-    /// Somebody has gone on.
-    News,
-    /// The sender holds to an older document than it did, unless this note is late: limits may be passed until it
-    /// follows again.
-    WentBack {
-        from: Revision,
-        to: Revision,
-    },
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Refused {
-    #[error("revision {} is not later than {}, which this host holds to", .next.0, .held.0)]
-    NotLater { held: Revision, next: Revision },
-    #[error("limits or hosts of volumes change, and revision {} is the one that this host holds to: give the \
-             document the next number, and name the file of the one before with `after`", .0.0)]
-    SameRevision(Revision),
-    #[error("the document named for revision {} is not the one that this host holds to", .0.0)]
-    Other(Revision),
-    #[error("revision {} comes after {}, but this host holds to {}", .next.0, .after.0, .held.0)]
-    NotNext { held: Revision, after: Revision, next: Revision },
-    #[error("some hosts are not known to have gone past revision {}: keep naming it with `after`", .0.0)]
-    TooShort(Revision),
+/// A host that may still use a volume by an earlier revision than the one that this host follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LaggingHost {
+    /// The host.
+    pub host: HostId,
+    /// How many hosts share the volume by that revision.
+    pub sharing: usize,
 }
 
+/// Decides what this host may send for each volume until all hosts follow the same revision.
 pub struct ConfigTransition {
     me: HostId,
-    /// Oldest first; never empty. The last is held to.
-    line: VecDeque<RevisionLimits>,
-    /// By host: it holds to this one, or to a later.
+    /// Oldest first; never empty. The last is followed.
+    chain: VecDeque<RevisionLimits>,
+    /// By host: it follows this revision, or a later one.
     reached: Vec<Revision>,
-    told: BTreeMap<VolumeId, VolumeAllocation>,
-    next: Instant,
+    /// The allocations as they were last returned.
+    reported: BTreeMap<VolumeId, VolumeAllocation>,
+    next_round: Instant,
     wait: Span,
-    farewells: u32,
-    /// By volume, the part of it that a fleet settled for this host; `None`: even parts by the document.
+    /// Rounds that are still sent once all hosts follow the same revision.
+    final_rounds: u32,
+    /// By volume, the share of it that the fleet settled for this host; `None`: even shares by the
+    /// configuration.
     shares: Option<BTreeMap<VolumeId, f64>>,
     /// Hosts that the fleet has put out: they use nothing but their floors.
     out: BTreeSet<HostId>,
-    /// Documents that all others are past, and one that is out may still hold to.
-    kept: Vec<RevisionLimits>,
+    /// Revisions that all other hosts are beyond, and a host that is out may still follow.
+    retained: Vec<RevisionLimits>,
 }
 
 impl ConfigTransition {
-    /// `line` is the document and those it names before it, oldest first; none of `hosts` hosts is older than
-    /// the first of them. An empty line promises nothing.
-    pub fn new(me: HostId, hosts: u32, mut line: Vec<RevisionLimits>, now: Instant) -> ConfigTransition {
-        line.sort_by_key(|p| p.revision);
-        let oldest = line.first().map_or(Revision(0), |p| p.revision);
-        if line.is_empty() {
-            line.push(RevisionLimits::default());
+    /// `chain` is the revision to follow and those named before it; none of `hosts` hosts is older than the
+    /// oldest of them. An empty chain states no limit.
+    pub fn new(me: HostId, hosts: u32, mut chain: Vec<RevisionLimits>, now: Instant) -> ConfigTransition {
+        chain.sort_by_key(|limits| limits.revision);
+        let oldest = chain.first().map_or(Revision(0), |limits| limits.revision);
+        if chain.is_empty() {
+            chain.push(RevisionLimits::default());
         }
-        let mut config_transition = ConfigTransition {
+        let mut transition = ConfigTransition {
             me,
-            line: line.into(),
+            chain: chain.into(),
             reached: vec![oldest; hosts as usize],
-            told: BTreeMap::new(),
-            next: now,
-            wait: FIRST,
-            farewells: FAREWELLS,
+            reported: BTreeMap::new(),
+            next_round: now,
+            wait: FIRST_WAIT,
+            final_rounds: FINAL_ROUNDS,
             shares: None,
             out: BTreeSet::new(),
-            kept: Vec::new(),
+            retained: Vec::new(),
         };
-        config_transition.arrive();
-        // A host that starts holds to its even parts by itself.
-        let held = config_transition.held();
-        let even: Vec<_> = held.volumes.keys().map(|id| (*id, config_transition.by_itself(*id))).collect();
-        config_transition.told = even.into_iter().collect();
-        config_transition
+        transition.arrive();
+        // A host that starts takes its even shares by itself.
+        let volumes = transition.current().volumes.keys();
+        transition.reported = volumes.map(|id| (*id, transition.even_allocation(*id))).collect();
+        transition
     }
 
-    /// How many documents are in the line, and how many volumes' allocations are remembered.
+    /// How many revisions are in the chain, and how many volumes' allocations are remembered.
     pub fn size_metrics(&self) -> (usize, usize) {
-        (self.line.len(), self.told.len())
+        (self.chain.len(), self.reported.len())
     }
 
-    fn held(&self) -> &RevisionLimits {
-        self.line.back().expect("the line is never empty")
+    fn current(&self) -> &RevisionLimits {
+        self.chain.back().expect("the chain is never empty")
     }
 
+    /// The revision that this host follows.
     pub fn revision(&self) -> Revision {
-        self.held().revision
-    }
-
-    fn reach(&mut self, host: HostId, revision: Revision) -> bool {
-        match self.reached.get_mut(host.0 as usize) {
-            Some(known) if *known < revision => {
-                *known = revision;
-                true
-            }
-            _ => false,
-        }
+        self.current().revision
     }
 
+    /// This host follows the last revision of the chain from now on.
     fn arrive(&mut self) {
         let revision = self.revision();
         self.reach(self.me, revision);
-        self.let_go();
+        self.drop_outdated();
     }
 
-    /// What all are past needs no keeping. One that is out holds nobody up: it uses its floor by the document that it
-    /// holds to, which is kept as long as it may.
-    fn let_go(&mut self) {
-        let all = || self.reached.iter().enumerate().map(|(place, r)| (HostId(place as u32), *r));
-        let oldest = all().filter(|(h, _)| !self.out.contains(h)).map(|(_, r)| r).min().unwrap_or_default();
-        let last = all().map(|(_, r)| r).min().unwrap_or_default();
-        while self.line.len() > 1 && self.line.front().is_some_and(|p| p.revision < oldest) {
-            self.kept.extend(self.line.pop_front());
+    /// Revisions that all hosts are beyond are dropped. A host that is out holds up nobody: it uses its floor
+    /// by the revision that it follows, which is retained as long as it may.
+    fn drop_outdated(&mut self) {
+        let reached = || self.reached.iter().zip(0..).map(|(revision, number)| (HostId(number), *revision));
+        let active = reached().filter(|(host, _)| !self.out.contains(host));
+        let oldest_active = active.map(|(_, revision)| revision).min().unwrap_or_default();
+        let oldest = reached().map(|(_, revision)| revision).min().unwrap_or_default();
+        while self.chain.len() > 1 && self.chain.front().is_some_and(|p| p.revision < oldest_active) {
+            self.retained.extend(self.chain.pop_front());
         }
-        self.kept.retain(|p| p.revision >= last);
+        self.retained.retain(|limits| limits.revision >= oldest);
     }
 
-    /// Hosts at the end of the document that none before it named: they never held to an older one.
+    /// Hosts were added at the end of the configuration: they never followed an older revision.
     pub fn joined(&mut self, hosts: u32) {
         let revision = self.revision();
-        let all = (hosts as usize).max(self.reached.len());
-        self.reached.resize(all, revision);
+        let count = (hosts as usize).max(self.reached.len());
+        self.reached.resize(count, revision);
     }
 
-    /// What a fleet settled: this host's part of each volume, and who is out. Parts by all documents of the line are
-    /// lower or higher with it.
+    /// What the fleet settled: this host's share of each volume, and which hosts are out. The limits by all
+    /// revisions of the chain change with it.
     pub fn settle(&mut self, shares: BTreeMap<VolumeId, f64>, out: BTreeSet<HostId>) {
-        (self.shares, self.out) = (Some(shares), out);
-        self.let_go();
+        self.shares = Some(shares);
+        self.out = out;
+        self.drop_outdated();
     }
 
-    /// Who may still use a volume by a document before the one that is held to, and among how many hosts by that one.
-    pub fn stragglers(&self, volume: VolumeId) -> impl Iterator<Item = (HostId, usize)> {
-        let held = self.revision();
-        let older = self.kept.iter().chain(&self.line).filter(move |p| p.revision < held);
-        older.flat_map(move |p| {
-            let v = p.volumes.get(&volume).filter(|v| v.limit.is_some());
-            let behind = move |h: &&HostId| self.reached.get(h.0 as usize).is_none_or(|r| *r <= p.revision);
-            v.into_iter().flat_map(move |v| v.hosts.iter().filter(behind).map(|h| (*h, v.hosts.len())))
+    /// Hosts that may still use a volume by an earlier revision.
+    pub fn lagging_hosts(&self, volume: VolumeId) -> impl Iterator<Item = LaggingHost> {
+        let current = self.revision();
+        let counted = self.retained.iter().chain(&self.chain);
+        counted.filter(move |limits| limits.revision < current).flat_map(move |limits| {
+            let shared = limits.volumes.get(&volume).filter(|shared| shared.limit.is_some());
+            let lags = move |host: &&HostId| {
+                let reached = self.reached.get(host.0 as usize);
+                reached.is_none_or(|reached| *reached <= limits.revision)
+            };
+            shared.into_iter().flat_map(move |shared| {
+                let lagging = shared.hosts.iter().filter(lags);
+                lagging.map(|host| LaggingHost { host: *host, sharing: shared.hosts.len() })
+            })
         })
     }
 
+    /// The earlier form of [`ConfigTransition::lagging_hosts`], as pairs, for callers that still use it.
+    pub fn stragglers(&self, volume: VolumeId) -> impl Iterator<Item = (HostId, usize)> {
+        self.lagging_hosts(volume).map(|lagging| (lagging.host, lagging.sharing))
+    }
+
     fn share(&self, volume: VolumeId) -> Option<f64> {
-        self.shares.as_ref().map(|s| s.get(&volume).copied().unwrap_or_default())
+        self.shares.as_ref().map(|shares| shares.get(&volume).copied().unwrap_or_default())
     }
 
-    /// Takes the next document, with those before it, oldest first. One of the same revision must promise the same;
-    /// places of plans may be others.
+    /// Follows the next revision, given with those before it, oldest first. One of the same number must state
+    /// the same limits; places of plans may differ.
     ///
     /// # Errors
-    /// They do not go on from what is held, or do not reach back to all that other hosts may still hold to: nothing is
-    /// changed then.
-    pub fn go_on(&mut self, line: Vec<RevisionLimits>, now: Instant) -> Result<(), Refused> {
+    /// The chain does not go on from the revision in force, or does not reach back to all that other hosts
+    /// may still follow: nothing is changed then.
+    pub fn go_on(&mut self, chain: Vec<RevisionLimits>, now: Instant) -> Result<(), TransitionError> {
+        let held = self.revision();
+        let next = self.check_next(&chain)?;
+        self.chain.pop_back();
+        self.chain.extend(chain.into_iter().filter(|limits| limits.revision >= held));
+        if next > held {
+            self.arrive();
+            self.next_round = now;
+            self.wait = FIRST_WAIT;
+            self.final_rounds = FINAL_ROUNDS;
+        }
+        Ok(())
+    }
+
+    /// Returns the number of the chain's last revision, if the chain goes on from the revision in force.
+    fn check_next(&self, chain: &[RevisionLimits]) -> Result<Revision, TransitionError> {
         let held = self.revision();
-        let (first, last) = match (line.first(), line.last()) {
-            (Some(first), Some(last)) => (first.revision, last),
-            _ => return Err(Refused::NotLater { held, next: Revision(0) }),
+        let (Some(first), Some(last)) = (chain.first(), chain.last()) else {
+            return Err(TransitionError::NotLater { held, next: Revision(0) });
         };
         let next = last.revision;
         if next < held {
-            return Err(Refused::NotLater { held, next });
+            return Err(TransitionError::NotLater { held, next });
         }
-        let same = line.iter().find(|p| p.revision == held);
-        match same {
-            Some(same) if same.promise_as(self.held()) => {}
-            Some(_) if next == held => return Err(Refused::SameRevision(held)),
-            Some(_) => return Err(Refused::Other(held)),
+        match chain.iter().find(|limits| limits.revision == held) {
+            Some(same) if same.same_limits_as(self.current()) => {}
+            Some(_) if next == held => return Err(TransitionError::SameRevision(held)),
+            Some(_) => return Err(TransitionError::Other(held)),
             None => {
-                let after = line.iter().rev().nth(1).map_or(next, |p| p.revision);
-                return Err(Refused::NotNext { held, after, next });
+                let after = chain.iter().rev().nth(1).map_or(next, |limits| limits.revision);
+                return Err(TransitionError::NotNext { held, after, next });
             }
         }
-        // A host that starts with it must count all that this one counts.
-        if let Some(oldest) = self.line.front().map(|p| p.revision).filter(|oldest| first > *oldest) {
-            return Err(Refused::TooShort(oldest));
+        // A host that starts with the new chain must count all that this one counts.
+        let oldest = self.chain.front().map(|limits| limits.revision);
+        match oldest.filter(|oldest| first.revision > *oldest) {
+            Some(oldest) => Err(TransitionError::TooShort(oldest)),
+            None => Ok(next),
         }
-        self.line.pop_back();
-        self.line.extend(line.into_iter().filter(|p| p.revision >= held));
-        if next > held {
-            self.arrive();
-            (self.next, self.wait, self.farewells) = (now, FIRST, FAREWELLS);
-        }
-        Ok(())
     }
 
-    /// Every host is known to hold to this one.
+    /// Whether every host is known to follow this host's revision.
     pub fn settled(&self) -> bool {
         self.missing().next().is_none()
     }
 
-    /// Those not known to hold to it yet.
+    /// Hosts that are not known to follow this host's revision yet.
     pub fn missing(&self) -> impl Iterator<Item = HostId> {
         let revision = self.revision();
-        let behind = self.reached.iter().enumerate().filter(move |(_, r)| **r < revision);
-        behind.map(|(place, _)| HostId(place as u32)).filter(|h| !self.out.contains(h))
+        let reached = self.reached.iter().zip(0..);
+        let behind = reached.filter(move |(reached, _)| **reached < revision);
+        behind.map(|(_, number)| HostId(number)).filter(|host| !self.out.contains(host))
     }
 
     /// What this host may send for a volume; `None`: no limit is to be kept.
-    pub fn part(&self, volume: VolumeId) -> Option<Limit> {
+    pub fn limit_of(&self, volume: VolumeId) -> Option<Limit> {
         let share = self.share(volume);
-        self.line.iter().fold(None, |least, p| lower(least, p.part(volume, self.me, share)))
+        let limits = self.chain.iter().map(|limits| limits.limit_for(volume, self.me, share));
+        limits.fold(None, lower)
     }
 
-    fn by_itself(&self, id: VolumeId) -> VolumeAllocation {
-        match self.held().volumes.get(&id).filter(|v| v.through(self.me)) {
-            Some(v) => VolumeAllocation { volume: id, plan: v.plan, hosts: v.hosts.len() as u32, part: None },
+    /// The allocation by the current revision alone, with an even share.
+    fn even_allocation(&self, id: VolumeId) -> VolumeAllocation {
+        match self.current().volumes.get(&id).filter(|shared| shared.through(self.me)) {
+            Some(shared) => {
+                let hosts = shared.hosts.len() as u32;
+                VolumeAllocation { volume: id, plan: shared.plan, hosts, part: None }
+            }
             None => {
                 let part = Some(Limit { rate: 0.0, burst: 0.0 });
                 VolumeAllocation { volume: id, plan: PlanId::default(), hosts: 0, part }
@@ -252,85 +238,32 @@
         }
     }
 
-    fn allocations(&self, id: VolumeId) -> VolumeAllocation {
-        let even = self.by_itself(id);
-        let (part, own) = (self.part(id), self.held().part(id, self.me, None));
-        // An even part is left to whoever holds it: rounding must not make two of one.
-        if even.hosts == 0 { even } else { VolumeAllocation { part: part.filter(|_| part != own), ..even } }
+    fn allocation(&self, id: VolumeId) -> VolumeAllocation {
+        let even = self.even_allocation(id);
+        if even.hosts == 0 {
+            return even;
+        }
+        let limit = self.limit_of(id);
+        let even_limit = self.current().limit_for(id, self.me, None);
+        // An even share is left to whoever holds it: rounding must not make two different limits of one.
+        VolumeAllocation { part: limit.filter(|_| limit != even_limit), ..even }
     }
 
-    /// The allocations that changed since this was last called, of all volumes of the line and those served before.
+    /// The allocations that changed since this was last called, of all volumes of the chain and those served
+    /// before.
     pub fn changed(&mut self) -> Vec<VolumeAllocation> {
-        let mut ids: Vec<VolumeId> = self.told.keys().copied().collect();
-        ids.extend(self.line.iter().flat_map(|p| p.volumes.keys().copied()));
-        ids.sort_unstable();
-        ids.dedup();
-        let all: Vec<VolumeAllocation> = ids.into_iter().map(|id| self.allocations(id)).collect();
-        let changed = all.into_iter().filter(|t| self.told.get(&t.volume) != Some(t)).collect::<Vec<_>>();
-        for t in &changed {
-            self.told.insert(t.volume, t.clone());
+        let mut ids: BTreeSet<VolumeId> = self.reported.keys().copied().collect();
+        ids.extend(self.chain.iter().flat_map(|limits| limits.volumes.keys().copied()));
+        let allocations = ids.into_iter().map(|id| self.allocation(id));
+        let is_new = |new: &VolumeAllocation| self.reported.get(&new.volume) != Some(new);
+        let changed: Vec<VolumeAllocation> = allocations.filter(is_new).collect();
+        for allocation in &changed {
+            self.reported.insert(allocation.volume, allocation.clone());
         }
-        // Told that it is gone, and named by no document of the line: nothing is left to compare with.
-        let named = |id: &VolumeId| self.line.iter().any(|p| p.volumes.contains_key(id));
-        self.told.retain(|id, t| t.hosts > 0 || named(id));
+        // Reported as gone, and named by no revision of the chain: nothing is left to compare with.
+        let chain = &self.chain;
+        let is_named = |id: &VolumeId| chain.iter().any(|limits| limits.volumes.contains_key(id));
+        self.reported.retain(|id, allocation| allocation.hosts > 0 || is_named(id));
         changed
     }
-
-    fn note(&self, revision: Revision) -> Note {
-        let mut hosts = vec![0u8; self.reached.len().div_ceil(8)];
-        for (place, _) in self.reached.iter().enumerate().filter(|(_, r)| **r >= revision) {
-            hosts[place / 8] |= 1 << (place % 8);
-        }
-        Note { held: self.revision(), revision, hosts }
-    }
-
-    /// A note of another host; what comes back is told to it.
-    pub fn hear(&mut self, from: HostId, note: &Note, now: Instant) -> (Heard, Option<Note>) {
-        let Some(known) = self.reached.get(from.0 as usize).copied().filter(|_| from != self.me) else {
-            return (Heard::Nothing, None);
-        };
-        let back = note.held < known;
-        let mut news = self.reach(from, note.held);
-        for place in 0..self.reached.len() {
-            let set = note.hosts.get(place / 8).is_some_and(|byte| byte & (1 << (place % 8)) != 0);
-            if set {
-                news |= self.reach(HostId(place as u32), note.revision);
-            }
-        }
-        if news {
-            self.let_go();
-            (self.next, self.wait) = (self.next.min(now + FIRST), FIRST);
-        }
-        let ours = self.note(note.revision);
-        let theirs = |place: usize| note.hosts.get(place).copied().unwrap_or_default();
-        let more = ours.hosts.iter().enumerate().any(|(place, byte)| byte & !theirs(place) != 0);
-        let heard = match (back, news) {
-            (true, _) => Heard::WentBack { from: known, to: note.held },
-            (_, true) => Heard::News,
-            _ => Heard::Nothing,
-        };
-        (heard, more.then_some(ours))
-    }
-
-    /// When [`ConfigTransition::tell`] has something to say at the latest.
-    pub fn next(&self) -> Option<Instant> {
-        let done = self.settled() && self.farewells == 0;
-        (!done && self.revision() > Revision(0) && self.reached.len() > 1).then_some(self.next)
-    }
-
-    /// Who is told what now.
-    pub fn tell(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<(HostId, Note)> {
-        if self.next().is_none_or(|at| now < at) {
-            return Vec::new();
-        }
-        if self.settled() {
-            self.farewells -= 1;
-        }
-        self.next = now + self.wait;
-        self.wait = self.wait.times(2.0).min(LONGEST);
-        let note = self.note(self.revision());
-        let others = rand::seq::index::sample(rng, self.reached.len() - 1, FEW.min(self.reached.len() - 1));
-        let past_me = |place: usize| place + usize::from(place >= self.me.0 as usize);
-        others.into_iter().map(|place| (HostId(past_me(place) as u32), note.clone())).collect()
-    }
 }
--- /dev/null
+++ b/crates/config-transition/src/transition/notices.rs
@@ -0,0 +1,120 @@
+//! Which host follows which revision, as hosts report it to each other: each round goes to a few random
+//! hosts.
+
+use super::ConfigTransition;
+use crate::notice::{AddressedNotice, NoticeEffect, NoticeOutcome, RevisionNotice};
+use crate::revision_limits::Revision;
+use gullsail_scheduler_api::{HostId, Instant, Span};
+use rand::Rng;
+
+/// Hosts that a round goes to. With three, news is with all of two hundred hosts after five or six rounds.
+const FANOUT: usize = 3;
+/// Between rounds while there is news: some round trips. Without any the wait doubles up to the longest.
+pub(super) const FIRST_WAIT: Span = Span::from_micros(100_000);
+/// A host that was down waits for the others' notices at most this long.
+const LONGEST_WAIT: Span = Span::from_micros(6_400_000);
+/// Rounds in which a host that knows that all follow its revision still reports so, so that the last of them
+/// learn soon.
+pub(super) const FINAL_ROUNDS: u32 = 3;
+
+impl ConfigTransition {
+    /// A host follows this revision, or a later one. Whether that was not known.
+    pub(super) fn reach(&mut self, host: HostId, revision: Revision) -> bool {
+        match self.reached.get_mut(host.0 as usize) {
+            Some(known) if *known < revision => {
+                *known = revision;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn notice(&self, revision: Revision) -> RevisionNotice {
+        let mut hosts = vec![0u8; self.reached.len().div_ceil(8)];
+        for (place, reached) in self.reached.iter().enumerate() {
+            if *reached >= revision {
+                hosts[place / 8] |= 1 << (place % 8);
+            }
+        }
+        RevisionNotice { held: self.revision(), revision, hosts }
+    }
+
+    /// Takes a notice of another host.
+    pub fn handle_notice(&mut self, from: HostId, notice: &RevisionNotice, now: Instant) -> NoticeOutcome {
+        let known = self.reached.get(from.0 as usize).copied();
+        let Some(known) = known.filter(|_| from != self.me) else {
+            return NoticeOutcome { effect: NoticeEffect::Nothing, reply: None };
+        };
+        let went_back = notice.held < known;
+        let news = self.learn(from, notice);
+        if news {
+            self.drop_outdated();
+            self.next_round = self.next_round.min(now + FIRST_WAIT);
+            self.wait = FIRST_WAIT;
+        }
+        let ours = self.notice(notice.revision);
+        let effect = if went_back {
+            NoticeEffect::WentBack { from: known, to: notice.held }
+        } else if news {
+            NoticeEffect::News
+        } else {
+            NoticeEffect::Nothing
+        };
+        let reply = if ours.has_more_than(notice) { Some(ours) } else { None };
+        NoticeOutcome { effect, reply }
+    }
+
+    /// Notes which hosts follow which revision. Whether any of it was not known.
+    fn learn(&mut self, from: HostId, notice: &RevisionNotice) -> bool {
+        let mut news = self.reach(from, notice.held);
+        for place in 0..self.reached.len() {
+            if notice.includes(place) {
+                news |= self.reach(HostId(place as u32), notice.revision);
+            }
+        }
+        news
+    }
+
+    /// The earlier form of [`ConfigTransition::handle_notice`], for callers that still use it.
+    pub fn hear(
+        &mut self,
+        from: HostId,
+        notice: &RevisionNotice,
+        now: Instant,
+    ) -> (NoticeEffect, Option<RevisionNotice>) {
+        let NoticeOutcome { effect, reply } = self.handle_notice(from, notice, now);
+        (effect, reply)
+    }
+
+    /// When to call [`ConfigTransition::due_notices`] at the latest; `None`: there is nothing to report.
+    pub fn next(&self) -> Option<Instant> {
+        let done = self.settled() && self.final_rounds == 0;
+        let has_others = self.reached.len() > 1;
+        if done || self.revision() == Revision(0) || !has_others { None } else { Some(self.next_round) }
+    }
+
+    /// The notices to send now.
+    pub fn due_notices(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<AddressedNotice> {
+        if self.next().is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        if self.settled() {
+            self.final_rounds -= 1;
+        }
+        self.next_round = now + self.wait;
+        self.wait = self.wait.times(2.0).min(LONGEST_WAIT);
+        let notice = self.notice(self.revision());
+        let others = self.reached.len() - 1;
+        let me = self.me.0 as usize;
+        let places = rand::seq::index::sample(rng, others, FANOUT.min(others)).into_iter();
+        // Places among the others: from this host's own on, each is one further.
+        let hosts = places.map(|place| HostId((place + usize::from(place >= me)) as u32));
+        hosts.map(|to| AddressedNotice { to, notice: notice.clone() }).collect()
+    }
+
+    /// The earlier form of [`ConfigTransition::due_notices`], for callers that still use it.
+    pub fn tell(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<(HostId, RevisionNotice)> {
+        let notices = self.due_notices(now, rng).into_iter();
+        notices.map(|addressed| (addressed.to, addressed.notice)).collect()
+    }
+}
--- a/crates/config-transition/tests/transition.rs
+++ b/crates/config-transition/tests/transition.rs
@@ -1,8 +1,11 @@
-//! Hosts that go from document to document in any order, die, come back, and hear some notes late, twice or not
-//! at all: what they may send never sums past the limit of the oldest document that one of them holds to.
+//! Hosts that go from revision to revision in any order, die and restart, and receive some notices late,
+//! twice or not at all: what they may send never sums to more than the limit of the oldest revision that one
+//! of them follows.
 
-use gullsail_config_transition::*;
-use gullsail_scheduler_api::*;
+use gullsail_config_transition::{
+    ConfigTransition, NoticeEffect, Revision, RevisionLimits, RevisionNotice, SharedLimit,
+};
+use gullsail_scheduler_api::{HostId, Instant, Limit, PlanId, Span, VolumeId};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use rand::seq::IndexedRandom;
@@ -14,7 +17,7 @@
 }
 
 fn revision_limits(revision: u64, volumes: &[(u64, Option<f64>, &[u32])]) -> RevisionLimits {
-    let shared = |limit: Option<f64>, hosts: &[u32]| Shared {
+    let shared = |limit: Option<f64>, hosts: &[u32]| SharedLimit {
         plan: PlanId(0),
         limit: limit.map(|rate| Limit { rate, burst: rate * 3.0 }),
         hosts: hosts.iter().copied().map(HostId).collect(),
@@ -23,9 +26,9 @@
     RevisionLimits { revision: Revision(revision), volumes: volumes.collect() }
 }
 
-/// Some documents of two volumes that come after each other.
-fn documents(rng: &mut ChaCha8Rng, hosts: u32, count: u64) -> Vec<RevisionLimits> {
-    let document = |revision| {
+/// Some revisions of two volumes that follow each other.
+fn random_revisions(rng: &mut ChaCha8Rng, hosts: u32, count: u64) -> Vec<RevisionLimits> {
+    let limits = |revision| {
         let mut volumes = Vec::new();
         for id in 0..2 {
             let limit = rng.random_bool(0.85).then(|| f64::from(rng.random_range(1..100u32)));
@@ -37,134 +40,197 @@
         let volumes: Vec<_> = volumes.iter().map(|(id, l, h)| (*id, *l, h.as_slice())).collect();
         revision_limits(revision, &volumes)
     };
-    (1..=count).map(document).collect()
+    (1..=count).map(limits).collect()
+}
+
+struct Host {
+    /// What it starts with: a place among the revisions.
+    file: usize,
+    /// While it runs.
+    transition: Option<ConfigTransition>,
+}
+
+struct InFlight {
+    arrives: Instant,
+    from: HostId,
+    to: HostId,
+    notice: RevisionNotice,
 }
 
 struct Run {
-    /// By host: what is in its file, as a place among the documents, and the host while it runs.
-    hosts: Vec<(usize, Option<ConfigTransition>)>,
-    documents: Vec<RevisionLimits>,
-    mail: Vec<(Instant, HostId, HostId, Note)>,
+    hosts: Vec<Host>,
+    revisions: Vec<RevisionLimits>,
+    in_flight: Vec<InFlight>,
     rng: ChaCha8Rng,
     now: Instant,
-    /// Moments at which hosts that follow their own document alone would have passed a limit.
+    /// Moments at which hosts that follow their own revision alone would have exceeded a limit.
     needed: u32,
 }
 
 impl Run {
-    /// What a document names before it: back to the oldest that any host has in its file.
-    fn line(&self, last: usize) -> Vec<RevisionLimits> {
-        let oldest = self.hosts.iter().map(|h| h.0).min().unwrap_or_default();
-        self.documents[oldest..=last].to_vec()
+    /// All hosts are down, with the first revision in their files.
+    fn new(hosts: usize, revisions: Vec<RevisionLimits>, rng: ChaCha8Rng) -> Run {
+        let hosts = (0..hosts).map(|_| Host { file: 0, transition: None }).collect();
+        Run { hosts, revisions, in_flight: Vec::new(), rng, now: at(0), needed: 0 }
+    }
+
+    /// What is given with a revision: all before it, back to the oldest that any host has in its file.
+    fn chain(&self, last: usize) -> Vec<RevisionLimits> {
+        let oldest = self.hosts.iter().map(|host| host.file).min().unwrap_or_default();
+        self.revisions[oldest..=last].to_vec()
     }
 
     fn start(&mut self, host: usize) {
-        let line = self.line(self.hosts[host].0);
+        let chain = self.chain(self.hosts[host].file);
         let count = self.hosts.len() as u32;
-        self.hosts[host].1 = Some(ConfigTransition::new(HostId(host as u32), count, line, self.now));
+        self.hosts[host].transition =
+            Some(ConfigTransition::new(HostId(host as u32), count, chain, self.now));
     }
 
     fn go_on(&mut self, host: usize, to: usize) {
-        // Hosts know later than the operator who has followed: all that may be counted is named.
-        let line = self.documents[..=to].to_vec();
-        if let (file, Some(config_transition)) = &mut self.hosts[host] {
-            config_transition.go_on(line, self.now).unwrap();
-            *file = to;
+        // Hosts know later than the operator who has followed: all that may be counted is given.
+        let chain = self.revisions[..=to].to_vec();
+        let host = &mut self.hosts[host];
+        if let Some(transition) = &mut host.transition {
+            transition.go_on(chain, self.now).unwrap();
+            host.file = to;
         }
     }
 
     fn pass(&mut self, ms: i64, lost: f64) {
         for _ in 0..ms / 20 {
             self.now = self.now + Span::from_micros(20_000);
-            for host in 0..self.hosts.len() {
-                let Some(config_transition) = self.hosts[host].1.as_mut() else { continue };
-                for (to, note) in config_transition.tell(self.now, &mut self.rng) {
-                    let way =
-                        Span::from_millis(self.rng.random_range(1.0..if lost > 0.0 { 3000.0 } else { 30.0 }));
-                    self.mail.push((self.now + way, HostId(host as u32), to, note));
-                }
+            self.send_due(lost);
+            self.deliver_due(lost);
+        }
+    }
+
+    fn send_due(&mut self, lost: f64) {
+        let longest_ms = if lost > 0.0 { 3000.0 } else { 30.0 };
+        for (from, host) in self.hosts.iter_mut().enumerate() {
+            let Some(transition) = &mut host.transition else { continue };
+            for sent in transition.due_notices(self.now, &mut self.rng) {
+                let delay = Span::from_millis(self.rng.random_range(1.0..longest_ms));
+                let arrives = self.now + delay;
+                let from = HostId(from as u32);
+                self.in_flight.push(InFlight { arrives, from, to: sent.to, notice: sent.notice });
             }
-            let now = self.now;
-            for (_, from, to, note) in self.mail.extract_if(.., |m| m.0 <= now).collect::<Vec<_>>() {
-                for _ in 0..u32::from(self.rng.random_bool(1.0 - lost))
-                    + u32::from(self.rng.random_bool(lost / 3.0))
-                {
-                    let Some(config_transition) = self.hosts[to.0 as usize].1.as_mut() else { continue };
-                    if let (_, Some(reply)) = config_transition.hear(from, &note, now) {
-                        self.mail.push((now + Span::from_millis(1.0), to, from, reply));
-                    }
+        }
+    }
+
+    fn deliver_due(&mut self, lost: f64) {
+        let now = self.now;
+        let due: Vec<InFlight> = self.in_flight.extract_if(.., |sent| sent.arrives <= now).collect();
+        for InFlight { from, to, notice, .. } in due {
+            let arrives = u32::from(self.rng.random_bool(1.0 - lost));
+            let repeated = u32::from(self.rng.random_bool(lost / 3.0));
+            for _ in 0..arrives + repeated {
+                let Some(transition) = &mut self.hosts[to.0 as usize].transition else { continue };
+                if let Some(reply) = transition.handle_notice(from, &notice, now).reply {
+                    let arrives = now + Span::from_millis(1.0);
+                    self.in_flight.push(InFlight { arrives, from: to, to: from, notice: reply });
                 }
             }
         }
     }
 
-    fn judge(&mut self) {
-        let alive: Vec<&ConfigTransition> = self.hosts.iter().filter_map(|h| h.1.as_ref()).collect();
-        let Some(oldest) = alive.iter().map(|t| t.revision()).min() else { return };
-        let promised = &self.documents[oldest.0 as usize - 1];
-        for (id, shared) in &promised.volumes {
+    fn running(&self) -> impl Iterator<Item = &ConfigTransition> {
+        self.hosts.iter().filter_map(|host| host.transition.as_ref())
+    }
+
+    /// Whether every volume's limit by the oldest revision holds over all hosts.
+    fn check(&mut self) {
+        let Some(oldest) = self.running().map(ConfigTransition::revision).min() else { return };
+        let unlimited = Limit { rate: 1e9, burst: 1e9 };
+        let mut needed = 0;
+        for (id, shared) in &self.revisions[oldest.0 as usize - 1].volumes {
             let Some(limit) = shared.limit else { continue };
-            let parts = alive.iter().map(|t| t.part(*id).unwrap_or(Limit { rate: 1e9, burst: 1e9 }));
-            let (rate, burst) = parts.fold((0.0, 0.0), |sum, p| (sum.0 + p.rate, sum.1 + p.burst));
+            let mut rate = 0.0;
+            let mut burst = 0.0;
+            for transition in self.running() {
+                let own = transition.limit_of(*id).unwrap_or(unlimited);
+                rate += own.rate;
+                burst += own.burst;
+            }
             assert!(rate <= limit.rate + 1e-9 && burst <= limit.burst + 1e-9, "{rate} of {limit:?}");
-            let own = self.hosts.iter().enumerate().filter_map(|(me, h)| {
-                let held = &self.documents[h.1.as_ref()?.revision().0 as usize - 1];
-                Some(held.part(*id, HostId(me as u32), None).map_or(1e9, |p| p.rate))
-            });
-            self.needed += u32::from(own.sum::<f64>() > limit.rate + 1e-9);
+            needed += u32::from(self.rate_by_own_revisions(*id) > limit.rate + 1e-9);
         }
+        self.needed += needed;
     }
-}
 
-fn play(seed: u64, count: u32) -> u32 {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let documents = documents(&mut rng, count, 4);
-    let hosts = (0..count).map(|_| (0, None)).collect();
-    let mut run = Run { hosts, documents, mail: Vec::new(), rng, now: at(0), needed: 0 };
-    (0..count as usize).for_each(|host| run.start(host));
-    for _ in 0..60 {
-        let host = run.rng.random_range(0..count as usize);
-        let (file, up) = (run.hosts[host].0, run.hosts[host].1.is_some());
-        let later: Vec<usize> = (file + 1..run.documents.len()).collect();
-        match (run.rng.random_range(0..4), up, later.choose(&mut run.rng)) {
-            (0, true, _) => run.hosts[host].1 = None,
+    /// What all hosts would send if each followed its own revision alone.
+    fn rate_by_own_revisions(&self, id: VolumeId) -> f64 {
+        let rates = self.hosts.iter().zip(0..).filter_map(|(host, number)| {
+            let revision = host.transition.as_ref()?.revision();
+            let limits = &self.revisions[revision.0 as usize - 1];
+            Some(limits.limit_for(id, HostId(number), None).map_or(1e9, |limit| limit.rate))
+        });
+        rates.sum()
+    }
+
+    /// One host is killed, starts or goes on, by chance.
+    fn change_one(&mut self) {
+        let host = self.rng.random_range(0..self.hosts.len());
+        let file = self.hosts[host].file;
+        let is_up = self.hosts[host].transition.is_some();
+        let later: Vec<usize> = (file + 1..self.revisions.len()).collect();
+        match (self.rng.random_range(0..4), is_up, later.choose(&mut self.rng)) {
+            (0, true, _) => self.hosts[host].transition = None,
             (_, false, to) => {
                 // Its file may have been changed while it was down.
-                run.hosts[host].0 = to.copied().filter(|_| run.now.micros() % 3 == 0).unwrap_or(file);
-                run.start(host);
+                let changed = to.copied().filter(|_| self.now.micros() % 3 == 0);
+                self.hosts[host].file = changed.unwrap_or(file);
+                self.start(host);
             }
-            (1, true, Some(to)) => run.go_on(host, *to),
+            (1, true, Some(to)) => self.go_on(host, *to),
             _ => {}
         }
-        run.judge();
-        let (ms, lost) = (run.rng.random_range(0..800), run.rng.random_range(0.0..0.9));
-        run.pass(ms, lost);
-        run.judge();
     }
-    // All come to the last, and hear of each other again.
-    let last = run.documents.len() - 1;
-    for host in 0..count as usize {
-        if run.hosts[host].1.is_none() {
-            run.start(host);
-        }
-        if run.hosts[host].0 < last {
-            run.go_on(host, last);
+
+    /// All come to the last revision, and receive each other's notices again.
+    fn settle(&mut self) {
+        let last = self.revisions.len() - 1;
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].transition.is_none() {
+                self.start(host);
+            }
+            if self.hosts[host].file < last {
+                self.go_on(host, last);
+            }
+            self.check();
         }
-        run.judge();
+        self.pass(20_000, 0.0);
+    }
+}
+
+/// Returns how often a limit would have been exceeded without the rule.
+fn play(seed: u64, count: u32) -> u32 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let revisions = random_revisions(&mut rng, count, 4);
+    let mut run = Run::new(count as usize, revisions, rng);
+    (0..count as usize).for_each(|host| run.start(host));
+    for _ in 0..60 {
+        run.change_one();
+        run.check();
+        let ms = run.rng.random_range(0..800);
+        let lost = run.rng.random_range(0.0..0.9);
+        run.pass(ms, lost);
+        run.check();
     }
-    run.pass(20_000, 0.0);
-    for (me, (_, config_transition)) in run.hosts.iter().enumerate() {
-        let config_transition = config_transition.as_ref().unwrap();
-        assert_eq!(config_transition.missing().collect::<Vec<_>>(), [], "host {me} waits");
+    run.settle();
+    let last = run.revisions.last().unwrap();
+    for (number, transition) in (0..).zip(run.running()) {
+        assert_eq!(transition.missing().collect::<Vec<_>>(), [], "host {number} waits");
         for id in [VolumeId(0), VolumeId(1)] {
-            assert_eq!(config_transition.part(id), run.documents[last].part(id, HostId(me as u32), None));
+            assert_eq!(transition.limit_of(id), last.limit_for(id, HostId(number), None));
         }
     }
+    assert_eq!(run.running().count(), count as usize);
     run.needed
 }
 
 #[test]
-fn parts_never_sum_past_the_oldest_limit_held_to() {
+fn limits_never_sum_to_more_than_the_oldest_revision_states() {
     let mut runner =
         TestRunner::new(Config { cases: 150, rng_seed: RngSeed::Fixed(11), ..Config::default() });
     let needed = std::cell::Cell::new(0);
@@ -174,15 +240,15 @@
         Ok(())
     });
     result.unwrap();
-    // The runs would show a host that minds its own document only.
+    // The runs would show a host that follows its own revision only.
     assert!(needed.get() > 100, "{}", needed.get());
 }
 
 /// One volume over hosts 0 and 1, then over all three with another limit.
 #[test]
-fn parts_on_the_way() {
+fn limits_on_the_way() {
     let old = revision_limits(1, &[(7, Some(60.0), &[0, 1])]);
-    let rate = |t: &ConfigTransition| t.part(VolumeId(7)).map(|p| p.rate);
+    let rate = |transition: &ConfigTransition| transition.limit_of(VolumeId(7)).map(|limit| limit.rate);
     // the limit after; what hosts 0 and 2 may send once host 0 alone, then all have changed
     let cases = [
         (Some(60.0), [20.0, 0.0], [20.0, 20.0]),
@@ -190,112 +256,118 @@
         (Some(30.0), [10.0, 0.0], [10.0, 10.0]),
     ];
     for (limit, first, then) in cases {
-        let line = vec![old.clone(), revision_limits(2, &[(7, limit, &[0, 1, 2])])];
+        let chain = vec![old.clone(), revision_limits(2, &[(7, limit, &[0, 1, 2])])];
         let mut hosts: Vec<_> =
             (0..3).map(|me| ConfigTransition::new(HostId(me), 3, vec![old.clone()], at(0))).collect();
         assert_eq!(hosts[0].changed(), []);
-        hosts[0].go_on(line.clone(), at(1)).unwrap();
-        hosts[2].go_on(line.clone(), at(1)).unwrap();
-        let told = hosts[2].changed();
-        assert_eq!((told.len(), told[0].hosts, told[0].part.map(|p| p.rate)), (1, 3, Some(0.0)));
+        hosts[0].go_on(chain.clone(), at(1)).unwrap();
+        hosts[2].go_on(chain.clone(), at(1)).unwrap();
+        let changed = hosts[2].changed();
+        assert_eq!(changed.len(), 1);
+        assert_eq!(changed[0].hosts, 3);
+        assert_eq!(changed[0].part.map(|limit| limit.rate), Some(0.0));
         assert_eq!([rate(&hosts[0]), rate(&hosts[2])], first.map(Some));
-        hosts[1].go_on(line.clone(), at(1)).unwrap();
+        hosts[1].go_on(chain.clone(), at(1)).unwrap();
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         for round in 0..8 {
             for me in 0..3 {
-                for (to, note) in hosts[me].tell(at(200 * round), &mut rng) {
-                    _ = hosts[to.0 as usize].hear(HostId(me as u32), &note, at(200 * round));
+                for sent in hosts[me].due_notices(at(200 * round), &mut rng) {
+                    let to = &mut hosts[sent.to.0 as usize];
+                    to.handle_notice(HostId(me as u32), &sent.notice, at(200 * round));
                 }
             }
         }
         assert_eq!([rate(&hosts[0]), rate(&hosts[2])], then.map(Some));
-        // Told once, as an even part again.
-        let told = hosts[2].changed();
-        assert_eq!((told.len(), told[0].part), (1, None));
+        // Reported once, as an even share again.
+        let changed = hosts[2].changed();
+        assert_eq!(changed.len(), 1);
+        assert_eq!(changed[0].part, None);
         assert_eq!(hosts[2].changed(), []);
-        assert_eq!(hosts[0].next(), None, "all know: nothing more is said");
+        assert_eq!(hosts[0].next(), None, "all know: nothing more is sent");
     }
 }
 
 #[test]
-fn lines_that_do_not_go_on_are_refused() {
-    let document = |revision: u64| revision_limits(revision, &[(7, Some(revision as f64), &[0, 1])]);
-    let line = |revisions: &[u64]| revisions.iter().copied().map(document).collect::<Vec<_>>();
+fn chains_that_do_not_go_on_are_refused() {
+    let limits = |revision: u64| revision_limits(revision, &[(7, Some(revision as f64), &[0, 1])]);
+    let chain = |revisions: &[u64]| revisions.iter().copied().map(limits).collect::<Vec<_>>();
     let other = |revision, limit| revision_limits(revision, &[(7, Some(limit), &[0, 1])]);
-    // what the host holds to, with those it counts; the next line; why it is refused
+    // what the host follows, with those it counts; the next chain; why it is refused
     let cases: [(&[u64], Vec<RevisionLimits>, Option<&str>); 11] = [
-        (&[4], line(&[4, 5]), None),
-        (&[4], line(&[3, 4, 5, 6]), None),
-        (&[4], line(&[4]), None),
+        (&[4], chain(&[4, 5]), None),
+        (&[4], chain(&[3, 4, 5, 6]), None),
+        (&[4], chain(&[4]), None),
         (&[4], vec![other(4, 9.0)], Some("limits or hosts of volumes change, and revision 4 is the one")),
-        (&[4], vec![other(4, 9.0), document(5)], Some("the document named for revision 4 is not the one")),
-        (&[4], line(&[2]), Some("revision 2 is not later than 4")),
-        (&[4], line(&[]), Some("revision 0 is not later than 4")),
-        (&[4], line(&[5, 6]), Some("revision 6 comes after 5, but this host holds to 4")),
-        (&[3, 4], line(&[4, 5]), Some("not known to have gone past revision 3")),
-        (&[3, 4], line(&[4]), Some("not known to have gone past revision 3")),
-        (&[3, 4], line(&[3, 4, 5]), None),
+        (&[4], vec![other(4, 9.0), limits(5)], Some("the document named for revision 4 is not the one")),
+        (&[4], chain(&[2]), Some("revision 2 is not later than 4")),
+        (&[4], chain(&[]), Some("revision 0 is not later than 4")),
+        (&[4], chain(&[5, 6]), Some("revision 6 comes after 5, but this host holds to 4")),
+        (&[3, 4], chain(&[4, 5]), Some("not known to have gone past revision 3")),
+        (&[3, 4], chain(&[4]), Some("not known to have gone past revision 3")),
+        (&[3, 4], chain(&[3, 4, 5]), None),
     ];
     for (held, next, refused) in cases {
-        let mut t = ConfigTransition::new(HostId(0), 3, line(held), at(0));
-        let (last, before) = (next.last().map(|p| p.revision), t.revision());
-        let part = t.part(VolumeId(7));
+        let mut t = ConfigTransition::new(HostId(0), 3, chain(held), at(0));
+        let last = next.last().map(|limits| limits.revision);
+        let revision_before = t.revision();
+        let limit_before = t.limit_of(VolumeId(7));
         match (t.go_on(next, at(1)), refused) {
             (Ok(()), None) => assert_eq!(Some(t.revision()), last),
             (Err(e), Some(why)) => {
                 assert!(e.to_string().contains(why), "{e}");
-                assert_eq!((t.revision(), t.part(VolumeId(7))), (before, part), "nothing has changed");
+                assert_eq!(t.revision(), revision_before, "nothing has changed");
+                assert_eq!(t.limit_of(VolumeId(7)), limit_before, "nothing has changed");
             }
             (result, _) => panic!("{held:?}: {result:?}"),
         }
     }
 }
 
-/// Notes of strangers, cut off, of hosts that went back, and of more hosts than there are.
+/// Notices of unknown hosts, cut off, of hosts that went back, and of more hosts than there are.
 #[test]
-fn strange_notes() {
-    let note = |held, revision, hosts: &[u8]| Note {
+fn strange_notices() {
+    let notice = |held, revision, hosts: &[u8]| RevisionNotice {
         held: Revision(held),
         revision: Revision(revision),
         hosts: hosts.to_vec(),
     };
     let cases = [
-        (1, note(5, 5, &[0b111]), Heard::News),
-        (1, note(5, 5, &[]), Heard::News),
-        (1, note(4, 5, &[0xff, 0xff, 0xff]), Heard::News),
-        (0, note(9, 9, &[0b111]), Heard::Nothing),
-        (77, note(9, 9, &[0b111]), Heard::Nothing),
-        (1, note(3, 3, &[]), Heard::WentBack { from: Revision(4), to: Revision(3) }),
+        (1, notice(5, 5, &[0b111]), NoticeEffect::News),
+        (1, notice(5, 5, &[]), NoticeEffect::News),
+        (1, notice(4, 5, &[0xff, 0xff, 0xff]), NoticeEffect::News),
+        (0, notice(9, 9, &[0b111]), NoticeEffect::Nothing),
+        (77, notice(9, 9, &[0b111]), NoticeEffect::Nothing),
+        (1, notice(3, 3, &[]), NoticeEffect::WentBack { from: Revision(4), to: Revision(3) }),
     ];
-    for (from, note, expected) in cases {
-        let line = vec![revision_limits(4, &[]), revision_limits(5, &[])];
-        let mut t = ConfigTransition::new(HostId(0), 3, line, at(0));
-        assert_eq!(t.hear(HostId(from), &note, at(1)).0, expected, "{note:?}");
+    for (from, notice, expected) in cases {
+        let chain = vec![revision_limits(4, &[]), revision_limits(5, &[])];
+        let mut t = ConfigTransition::new(HostId(0), 3, chain, at(0));
+        assert_eq!(t.handle_notice(HostId(from), &notice, at(1)).effect, expected, "{notice:?}");
     }
 }
 
-/// Notes for two hundred hosts are small, and all know after a few rounds though one was down for long.
+/// Notices for two hundred hosts are small, and all know after a few rounds though one was down for long.
 #[test]
 fn two_hundred_hosts() {
     let count = 200;
-    let hosts = (0..count).map(|_| (0, None)).collect();
-    let documents = vec![
+    let revisions = vec![
         revision_limits(1, &[(0, Some(10.0), &[0, 1])]),
         revision_limits(2, &[(0, Some(20.0), &[0, 1])]),
     ];
-    let rng = ChaCha8Rng::seed_from_u64(3);
-    let mut run = Run { hosts, documents, mail: Vec::new(), rng, now: at(0), needed: 0 };
+    let mut run = Run::new(count, revisions, ChaCha8Rng::seed_from_u64(3));
     (0..count).for_each(|host| run.start(host));
     (1..count).for_each(|host| run.go_on(host, 1));
-    run.hosts[0].1 = None;
+    run.hosts[0].transition = None;
     run.pass(60_000, 0.0);
-    let waits = |run: &Run| run.hosts.iter().flat_map(|h| &h.1).filter(|t| !t.settled()).count();
-    assert_eq!(waits(&run), 199, "one that is down is waited for");
-    assert!(run.hosts.iter().flat_map(|h| &h.1).all(|t| t.missing().collect::<Vec<_>>() == [HostId(0)]));
-    let note = run.hosts[1].1.as_mut().unwrap().tell(run.now + Span::from_micros(9_000_000), &mut run.rng);
-    assert!(note.len() == 3 && note[0].1.hosts.len() <= 25);
-    run.hosts[0].0 = 1;
+    let waiting = |run: &Run| run.running().filter(|transition| !transition.settled()).count();
+    assert_eq!(waiting(&run), 199, "one that is down is waited for");
+    assert!(run.running().all(|transition| transition.missing().collect::<Vec<_>>() == [HostId(0)]));
+    let later = run.now + Span::from_micros(9_000_000);
+    let notices = run.hosts[1].transition.as_mut().unwrap().due_notices(later, &mut run.rng);
+    assert_eq!(notices.len(), 3);
+    assert!(notices[0].notice.hosts.len() <= 25);
+    run.hosts[0].file = 1;
     run.start(0);
     run.pass(15_000, 0.0);
-    assert_eq!(waits(&run), 0);
+    assert_eq!(waiting(&run), 0);
 }
