--- /dev/null
+++ b/crates/audit/src/rules/ordering.rs
@@ -0,0 +1,120 @@
+//! Rule 5: requests of one key are sent in order.
+
+use super::FRAME_DELAY;
+use crate::history::{AttemptSeen, History, RequestSeen};
+use crate::verdict::Verdict;
+use gullsail_configuration::Deployment;
+use std::collections::BTreeMap;
+
+/// How near a settling time is counted at most.
+const MAX_NEARNESS: f64 = 9.99;
+
+/// The requests of one key at one incarnation of a host are kept in order.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Queue<'a> {
+    host: &'a str,
+    started_at: i64,
+    key: &'a str,
+}
+
+/// Tested by each attempt of a request that came while an earlier one of its key was open.
+pub(super) fn kept(deployment: &Deployment, history: &History) -> Verdict {
+    let mut verdict = Verdict::new(5, "order kept by key");
+    let settle = deployment.figures().order_settle.micros();
+    for (queue, mut requests) in queues(deployment, history) {
+        requests.sort_by_key(|request| (request.at, request.line));
+        for (place, request) in requests.iter().enumerate() {
+            let Some(first) = history.attempts_of(request).next() else { continue };
+            let mut waited = false;
+            for before in &requests[..place] {
+                let over_at = over_at(before);
+                waited |= over_at > request.at;
+                judge_overtaking(&mut verdict, &queue, request, first, before, over_at);
+                judge_settling(&mut verdict, history, &queue, request, first, before, settle);
+            }
+            verdict.test_if(waited);
+        }
+    }
+    verdict
+}
+
+fn queues<'a>(deployment: &Deployment, history: &'a History) -> BTreeMap<Queue<'a>, Vec<&'a RequestSeen>> {
+    let is_ordered = |name: &str| {
+        let mut classes = deployment.request_classes.iter();
+        classes.any(|class| class.name == name && class.decisions.in_order)
+    };
+    let mut queues: BTreeMap<Queue, Vec<&RequestSeen>> = BTreeMap::new();
+    for request in &history.requests {
+        let submit = &request.submit;
+        if is_ordered(&submit.request_class) && !submit.order_key.is_empty() {
+            let started_at = history.incarnation(&request.host, request.at).from;
+            let queue = Queue { host: &request.host, started_at, key: &submit.order_key };
+            queues.entry(queue).or_default().push(request);
+        }
+    }
+    queues
+}
+
+/// When a request is over. Without an answer, since its host was stopped, it ends with its deadline.
+fn over_at(request: &RequestSeen) -> i64 {
+    if let Some(answer) = request.answers.first() {
+        return answer.at;
+    }
+    let deadline = request.not_taken_at.unwrap_or(request.at + request.submit.timeout_us);
+    let client_left = [request.withdrawn_at, request.link_closed_at].into_iter().flatten().min();
+    client_left.unwrap_or(i64::MAX).min(deadline)
+}
+
+/// Two connections are read in an order that only the host knows.
+fn judge_overtaking(
+    verdict: &mut Verdict,
+    queue: &Queue,
+    request: &RequestSeen,
+    first: &AttemptSeen,
+    before: &RequestSeen,
+    over_at: i64,
+) {
+    if over_at > first.at + FRAME_DELAY && before.link == request.link {
+        let Queue { host, key, .. } = queue;
+        let mark = &request.submit.mark;
+        let what = format!("{host}, key {key}: {mark} sent while {} was open", before.submit.mark);
+        verdict.breach(what, [before.line, first.line]);
+    }
+}
+
+/// After an attempt whose result is unknown, the next request of its key waits until it can no longer take
+/// effect.
+fn judge_settling(
+    verdict: &mut Verdict,
+    history: &History,
+    queue: &Queue,
+    request: &RequestSeen,
+    first: &AttemptSeen,
+    before: &RequestSeen,
+    settle: i64,
+) {
+    for attempt in history.attempts_of(before).filter(|attempt| attempt.at < first.at) {
+        let Some(unknown_since) = unknown_since(attempt) else { continue };
+        let rest = first.at - unknown_since;
+        verdict.nearest = verdict.nearest.max(settle as f64 / rest.max(1) as f64).min(MAX_NEARNESS);
+        if rest + FRAME_DELAY < settle {
+            let Queue { host, key, .. } = queue;
+            let mark = &request.submit.mark;
+            let what = format!(
+                "{host}, key {key}: {mark} sent {rest} us after a leg of {} ended unknown",
+                before.submit.mark
+            );
+            verdict.breach(what, [attempt.line, first.line]);
+        }
+    }
+}
+
+/// From its timeout on, or since its connection broke; `None`: its answer came in time.
+fn unknown_since(attempt: &AttemptSeen) -> Option<i64> {
+    let ends = attempt.times_out_at();
+    if attempt.answer.is_some_and(|answer| answer.at <= ends + FRAME_DELAY) {
+        return None;
+    }
+    let broken_at = attempt.broken_at.filter(|broken_at| *broken_at < ends);
+    Some(broken_at.unwrap_or(ends))
+}
