audit: the planted recordings in a directory, the table of breaches a constant

Change: tests/planted.rs is a directory: the recording that is written by hand, the table of breaches, limits and the fleet's rules. Names of tests and locals no longer use withdrawn words. One assertion of two conditions is two; the others are as they were.

--- /dev/null
+++ b/crates/audit/tests/planted/breaches.rs
@@ -0,0 +1,130 @@
+//! A sound recording with a planted breach of each rule, which must be found by its rule alone and name the request.
+
+use crate::recording::{Recording, sound};
+use gullsail_protocol::AttemptResult::{Failed, Rejected, Succeeded};
+use gullsail_protocol::record::ProcessEvent;
+use gullsail_protocol::{ListedState, Message, NotTaken, Outcome};
+
+/// Plants a breach in a sound recording.
+type Plant = fn(&mut Recording);
+
+/// The rule, what its breach must say, and what is planted.
+const CASES: [(u8, &str, Plant); 16] = [
+    (1, "m90 at h1 got no answer", |r| {
+        r.submit(50_000, "h1", 90, "read", "v", 1.0);
+        r.served(60_000, "h1", 91, "read");
+    }),
+    (1, "m90 at h1 was answered 500000 us late", |r| {
+        r.submit(50_000, "h1", 90, "read", "v", 1.0);
+        r.answer(51_500, "h1", 90, Outcome::Rejected);
+    }),
+    (1, "m90 got 2 answers", |r| {
+        r.served(50_000, "h1", 90, "read");
+        r.answer(50_100, "h1", 90, Outcome::Rejected);
+    }),
+    (1, "m90: a leg to n2 was sent after the answer", |r| {
+        r.submit(50_000, "h1", 90, "read", "v", 1.0);
+        r.answer(50_010, "h1", 90, Outcome::Rejected);
+        r.attempt(50_100, "h1", "n2", 90, 0, Some((5, Succeeded)));
+    }),
+    (2, "m90 may have run at n1 and was sent to n2", |r| {
+        r.submit(50_000, "h1", 90, "trip", "v", 1.0);
+        r.attempt(50_001, "h1", "n1", 90, 0, Some((5, Failed)));
+        r.attempt(50_010, "h1", "n2", 90, 1, Some((5, Rejected)));
+        r.answer(50_020, "h1", 90, Outcome::Failed);
+    }),
+    (2, "m90 may have run at n1 and was deferred", |r| {
+        r.submit(50_000, "h1", 90, "trip", "v", 1.0);
+        r.attempt(50_001, "h1", "n1", 90, 0, None);
+        r.answer(50_300, "h1", 90, Outcome::Rejected);
+    }),
+    (2, "m90 may have run at n1 and was sent to n2", |r| {
+        r.submit(50_000, "h1", 90, "photo", "v", 1.0);
+        r.attempt(50_001, "h1", "n1", 90, 0, Some((5, Failed)));
+        r.attempt(50_010, "h1", "n2", 90, 1, Some((5, Failed)));
+        r.answer(50_020, "h1", 90, Outcome::Failed);
+    }),
+    (2, "m90 may have run at n1 and was sent to n1", |r| {
+        // After the window in which repeats are known.
+        r.submit(50_000, "h1", 90, "photo", "v", 1.0);
+        r.attempt(50_001, "h1", "n1", 90, 0, Some((5, Failed)));
+        r.attempt(52_500, "h1", "n1", 90, 1, Some((5, Failed)));
+        r.answer(52_520, "h1", 90, Outcome::Failed);
+    }),
+    (2, "m90 took effect 2 times", |r| {
+        for (at, host) in [(50_000, "h1"), (51_000, "h2")] {
+            r.submit(at, host, 90, "photo", "v", 1.0);
+            r.attempt(at + 1, host, "n1", 90, 0, Some((5, Succeeded)));
+            r.answer(at + 7, host, 90, Outcome::Succeeded);
+        }
+    }),
+    (3, "h2 sent to n2 1500000 us after it was told", |r| {
+        r.list(50_000, "h2", "n2", ListedState::Draining, 1);
+        // The same incarnation, called ready by a late list, does not take it back.
+        r.list(50_100, "h2", "n2", ListedState::Ready, 1);
+        r.submit(51_490, "h2", 90, "read", "v", 1.0);
+        r.attempt(51_500, "h2", "n2", 90, 0, Some((5, Succeeded)));
+        r.answer(51_510, "h2", 90, Outcome::Succeeded);
+    }),
+    (4, "n2, cold, was sent 16 units; it bears 10.0", |r| {
+        r.process("n2", 50_000, ProcessEvent::Started { incarnation: 7 });
+        for id in [90, 91] {
+            let at = 50_000 + id as i64;
+            r.submit(at, "h1", id, "read", "v", 8.0);
+            r.attempt(at + 1, "h1", "n2", id, 0, Some((5, Succeeded)));
+            r.answer(at + 7, "h1", id, Outcome::Succeeded);
+        }
+    }),
+    (5, "m91 sent while m90 was open", |r| {
+        r.submit(50_000, "h1", 90, "record", "v", 1.0);
+        r.submit(50_001, "h1", 91, "record", "v", 1.0);
+        r.attempt(50_002, "h1", "n1", 91, 0, Some((5, Succeeded)));
+        r.answer(50_008, "h1", 91, Outcome::Succeeded);
+        r.attempt(50_100, "h1", "n1", 90, 0, Some((5, Succeeded)));
+        r.answer(50_108, "h1", 90, Outcome::Succeeded);
+    }),
+    (5, "m91 sent 50000 us after a leg of m90 ended unknown", |r| {
+        r.submit(50_000, "h1", 90, "record", "v", 1.0);
+        r.attempt(50_000, "h1", "n1", 90, 0, None);
+        r.answer(50_200, "h1", 90, Outcome::Failed);
+        r.submit(50_210, "h1", 91, "record", "v", 1.0);
+        r.attempt(50_250, "h1", "n1", 91, 0, Some((5, Succeeded)));
+        r.answer(50_260, "h1", 91, Outcome::Succeeded);
+    }),
+    (6, "h1: 2 further legs in the window, 1.0 allowed", |r| {
+        r.submit(50_000, "h1", 90, "read", "v", 1.0);
+        for number in 0..3 {
+            r.attempt(50_001 + i64::from(number) * 100, "h1", "n1", 90, number, Some((5, Failed)));
+        }
+        r.answer(50_250, "h1", 90, Outcome::Rejected);
+    }),
+    (7, "volume w: 8.0 units past its store, 2 allowed", |r| {
+        for id in 90..95 {
+            let host = if id % 2 == 0 { "h1" } else { "h2" };
+            r.submit(50_000, host, id, "read", "w", 8.0);
+            r.attempt(50_001, host, "n2", id, 0, Some((5, Succeeded)));
+            r.answer(50_010, host, id, Outcome::Succeeded);
+        }
+    }),
+    (1, "m90 was not taken, but more came of it", |r| {
+        r.submit(50_000, "h1", 90, "read", "v", 1.0);
+        let n = NotTaken { id: 90, reason: "leaving".into(), leaving: true };
+        r.frame(50_001, 1, "h1", "client", Message::NotTaken(n));
+        r.attempt(50_010, "h1", "n1", 90, 0, Some((5, Succeeded)));
+    }),
+];
+
+#[test]
+fn each_planted_breach_is_found_by_its_rule() {
+    for (rule, expected, plant) in CASES {
+        let mut r = sound();
+        plant(&mut r);
+        let found: Vec<_> = r.judge().into_iter().filter(|verdict| !verdict.kept()).collect();
+        let broken: Vec<_> = found.iter().map(|verdict| verdict.rule).collect();
+        assert_eq!(broken, [rule], "{expected}: {found:?}");
+        let breach = found[0].breaches.iter().find(|breach| breach.what.contains(expected));
+        let breach = breach.unwrap_or_else(|| panic!("{expected}: {found:?}"));
+        assert!(!breach.lines.is_empty(), "{expected}");
+        assert!(breach.lines.iter().all(|line| *line < r.lines.len()), "{expected}");
+    }
+}
