Scheduler split by job: seven policy files, state and tables beside them

Cause: one file decided on requests from arrival to answer, `Desk` had 28 fields and `Node` sixteen, and the names (room, line, beat, seldom, crowd) had to be learnt.

Change: `admission`, `dispatch`, `attempts`, `endpoint`, `volume`, `demand_reports` and `cross_zone` decide and are the policy list; `messages`, `queue`, `request_table`, `endpoint_index`, `endpoint_state`, `volume_table`, `attempt_accounts`, `cross_zone_ledger`, `peer_messages` and `size_metrics` hold state for them; `request_scheduler` hands messages on. No struct has more than twelve fields, tuples that were keys are structs with the same order. Only the figures of demand reports have new names in the tests (`demand`, `wanted`).

--- a/crates/scheduler-api/src/demand_report.rs
+++ b/crates/scheduler-api/src/demand_report.rs
@@ -1,117 +1,161 @@
-//! What hosts say to each other, in messages of at most 256 bytes: a tag, then when it was said and twelve
-//! bytes for each volume, or for each of a volume's hosts ten.
+//! What hosts send each other about volumes, in messages of at most 256 bytes: a tag and a kind; then, for a
+//! demand report, when it was made and twelve bytes for each volume, or ten bytes for each of a volume's
+//! hosts. Packed and read by the scheduler alone; hosts carry the bytes and shift the time of a report.
 
 use crate::{HostId, Instant, Span, VolumeId};
 
-/// One volume: what was asked a second at the sender, the tokens that it wants, and those it lends.
+/// One volume in a demand report.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Line {
+pub struct VolumeDemand {
+    /// The volume, as [`carried`].
     pub volume: VolumeId,
-    pub asked: f64,
-    pub want: f64,
+    /// Units asked for a second at the sender.
+    pub demand: f64,
+    /// Tokens that the sender asks for.
+    pub wanted: f64,
+    /// Tokens that the sender lends with this message.
     pub lent: f64,
 }
 
+/// A host through which requests of a volume come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VolumeUser {
+    /// The volume, as [`carried`].
+    pub volume: VolumeId,
+    /// The host.
+    pub host: HostId,
+}
+
+/// What a message between hosts holds.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Said {
-    /// When, and of which volumes.
-    Labels(Instant, Vec<Line>),
-    /// Who else uses these volumes?
-    Seeks(Vec<VolumeId>),
+pub enum PeerMessage {
+    /// A demand report.
+    Report {
+        /// On the sender's clock, which is the fleet's.
+        made_at: Instant,
+        /// The volumes it is about.
+        volumes: Vec<VolumeDemand>,
+    },
+    /// A search for the other hosts of these volumes.
+    Search(Vec<VolumeId>),
     /// Hosts that use volumes.
-    Users(Vec<(VolumeId, HostId)>),
+    Users(Vec<VolumeUser>),
 }
 
 const TAG: u8 = 0x67;
-const LABEL: u8 = 2;
-const SEEK: u8 = 3;
+const REPORT: u8 = 2;
+const SEARCH: u8 = 3;
 const USERS: u8 = 4;
-const LINE: usize = 12;
-const PAIR: usize = 10;
-/// How many pairs one message holds.
-pub const PAIRS: usize = (256 - 2) / PAIR;
+/// Bytes of a volume's id that travel.
+const ID_BYTES: usize = 6;
+const DEMAND_BYTES: usize = 12;
+const USER_BYTES: usize = 10;
+/// How many users one message holds.
+pub const USERS_PER_MESSAGE: usize = (256 - 2) / USER_BYTES;
 
-/// Six bytes of a volume's id travel.
+/// A volume's id as it travels: its low six bytes.
 pub fn carried(volume: VolumeId) -> VolumeId {
     VolumeId(volume.0 & 0xffff_ffff_ffff)
 }
 
 /// A figure as the receiver will read it: two bytes, rounded down.
 pub fn rounded(figure: f64) -> f64 {
-    long(short(figure))
+    unpack_figure(pack_figure(figure))
 }
 
-fn short(figure: f64) -> u16 {
+fn pack_figure(figure: f64) -> u16 {
     ((figure.max(0.0) as f32).to_bits() >> 16) as u16
 }
 
-fn long(short: u16) -> f64 {
-    f64::from(f32::from_bits(u32::from(short) << 16))
+fn unpack_figure(packed: u16) -> f64 {
+    f64::from(f32::from_bits(u32::from(packed) << 16))
+}
+
+fn id_bytes(volume: VolumeId) -> [u8; ID_BYTES] {
+    let bytes = volume.0.to_le_bytes();
+    [bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5]]
 }
 
-pub fn pack(said: Instant, lines: &[Line]) -> Vec<u8> {
-    let mut b = vec![TAG, LABEL];
-    b.extend(said.micros().to_le_bytes());
-    for l in lines {
-        b.extend(&l.volume.0.to_le_bytes()[..6]);
-        for figure in [l.asked, l.want, l.lent] {
-            b.extend(short(figure).to_le_bytes());
+/// The bytes of a demand report.
+pub fn pack_report(made_at: Instant, volumes: &[VolumeDemand]) -> Vec<u8> {
+    let mut bytes = vec![TAG, REPORT];
+    bytes.extend(made_at.micros().to_le_bytes());
+    for report in volumes {
+        bytes.extend(id_bytes(report.volume));
+        for figure in [report.demand, report.wanted, report.lent] {
+            bytes.extend(pack_figure(figure).to_le_bytes());
         }
     }
-    b
+    bytes
 }
 
-pub fn pack_seek(volume: VolumeId) -> Vec<u8> {
-    [&[TAG, SEEK], &volume.0.to_le_bytes()[..6]].concat()
+/// The bytes of a search for the other hosts of a volume.
+pub fn pack_search(volume: VolumeId) -> Vec<u8> {
+    [&[TAG, SEARCH], id_bytes(volume).as_slice()].concat()
 }
 
-pub fn pack_users(pairs: &[(VolumeId, HostId)]) -> Vec<u8> {
-    let mut b = vec![TAG, USERS];
-    for (volume, host) in pairs {
-        b.extend(&volume.0.to_le_bytes()[..6]);
-        b.extend(host.0.to_le_bytes());
+/// The bytes that name users of volumes; at most [`USERS_PER_MESSAGE`] of them.
+pub fn pack_users(users: &[VolumeUser]) -> Vec<u8> {
+    let mut bytes = vec![TAG, USERS];
+    for user in users {
+        bytes.extend(id_bytes(user.volume));
+        bytes.extend(user.host.0.to_le_bytes());
     }
-    b
+    bytes
 }
 
-fn volume(b: &[u8]) -> VolumeId {
+/// Reads a message. `None`: cut off or foreign.
+pub fn unpack(bytes: &[u8]) -> Option<PeerMessage> {
+    match bytes {
+        [TAG, REPORT, body @ ..] => {
+            let (made_at, body) = body.split_first_chunk::<8>()?;
+            let volumes = body.chunks(DEMAND_BYTES).map(unpack_demand).collect::<Option<_>>()?;
+            let made_at = Instant::from_micros(i64::from_le_bytes(*made_at));
+            Some(PeerMessage::Report { made_at, volumes })
+        }
+        [TAG, SEARCH, body @ ..] => {
+            let ids = body.chunks(ID_BYTES).map(|id| Some(unpack_id(id.try_into().ok()?)));
+            Some(PeerMessage::Search(ids.collect::<Option<_>>()?))
+        }
+        [TAG, USERS, body @ ..] => {
+            let users = body.chunks(USER_BYTES).map(unpack_user);
+            Some(PeerMessage::Users(users.collect::<Option<_>>()?))
+        }
+        _ => None,
+    }
+}
+
+fn unpack_id(bytes: [u8; ID_BYTES]) -> VolumeId {
     let mut id = [0; 8];
-    id[..6].copy_from_slice(&b[..6]);
+    id[..ID_BYTES].copy_from_slice(&bytes);
     VolumeId(u64::from_le_bytes(id))
 }
 
-/// `None`: cut off or foreign.
-pub fn unpack(b: &[u8]) -> Option<Said> {
-    if let [TAG, SEEK, body @ ..] = b {
-        let ids = body.chunks(6).map(|c| (c.len() == 6).then(|| volume(c)));
-        return Some(Said::Seeks(ids.collect::<Option<_>>()?));
-    }
-    if let [TAG, USERS, body @ ..] = b {
-        let pairs = body.chunks(PAIR).map(|c| {
-            let c: &[u8; PAIR] = c.try_into().ok()?;
-            Some((volume(c), HostId(u32::from_le_bytes([c[6], c[7], c[8], c[9]]))))
-        });
-        return Some(Said::Users(pairs.collect::<Option<_>>()?));
-    }
-    let (said, body) = b.strip_prefix(&[TAG, LABEL])?.split_first_chunk::<8>()?;
-    let lines = body.chunks(LINE).map(|c| {
-        let c: &[u8; LINE] = c.try_into().ok()?;
-        let figure = |at: usize| long(u16::from_le_bytes([c[at], c[at + 1]]));
-        let l = Line { volume: volume(c), asked: figure(6), want: figure(8), lent: figure(10) };
-        let sound = [l.asked, l.want, l.lent].iter().all(|f| f.is_finite() && *f >= 0.0);
-        sound.then_some(l)
-    });
-    let lines = lines.collect::<Option<_>>()?;
-    Some(Said::Labels(Instant::from_micros(i64::from_le_bytes(*said)), lines))
-}
-
-/// The same message, with the time of a demand report moved by `by`: from the sender's clock to the receiver's.
-/// What is no demand report, or cut off, comes back as it is.
+fn unpack_demand(bytes: &[u8]) -> Option<VolumeDemand> {
+    let bytes: &[u8; DEMAND_BYTES] = bytes.try_into().ok()?;
+    let (id, figures) = bytes.split_first_chunk()?;
+    let figure = |at: usize| unpack_figure(u16::from_le_bytes([figures[at], figures[at + 1]]));
+    let report =
+        VolumeDemand { volume: unpack_id(*id), demand: figure(0), wanted: figure(2), lent: figure(4) };
+    let figures = [report.demand, report.wanted, report.lent];
+    let valid = figures.iter().all(|figure| figure.is_finite() && *figure >= 0.0);
+    valid.then_some(report)
+}
+
+fn unpack_user(bytes: &[u8]) -> Option<VolumeUser> {
+    let bytes: &[u8; USER_BYTES] = bytes.try_into().ok()?;
+    let (id, host) = bytes.split_first_chunk()?;
+    let host = HostId(u32::from_le_bytes(host.try_into().ok()?));
+    Some(VolumeUser { volume: unpack_id(*id), host })
+}
+
+/// The same message, with the time of a demand report moved by `by`: from the sender's clock to the
+/// receiver's. What is no demand report, or cut off, comes back as it is.
 pub fn moved(bytes: &[u8], by: Span) -> Vec<u8> {
     let mut moved = bytes.to_vec();
-    if let (true, Some(said)) = (bytes.starts_with(&[TAG, LABEL]), moved.get_mut(2..10)) {
-        let at = i64::from_le_bytes(said.try_into().unwrap_or_default());
-        said.copy_from_slice(&at.saturating_add(by.micros()).to_le_bytes());
+    if let (true, Some(made_at)) = (bytes.starts_with(&[TAG, REPORT]), moved.get_mut(2..10)) {
+        let at = i64::from_le_bytes(made_at.try_into().unwrap_or_default());
+        made_at.copy_from_slice(&at.saturating_add(by.micros()).to_le_bytes());
     }
     moved
 }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -2,74 +2,134 @@
 //! calls [`Scheduler::step`] with the clock and the events since; it carries out the actions that come back,
 //! in their order. Events, actions, ids and the configuration are those of `gullsail-scheduler-api`.
 //!
-//! Read `endpoint` for a storage node (window, health, slow start), `dispatch` for requests (admission,
-//! order, attempts, answers), `volumes` for token buckets, the rate rule, loans and demand reports. These
-//! decide. Here stands only the loop over their mailboxes, in `state` the shapes of what they hold and pass
-//! on.
+//! These files decide, and are listed as policy: `admission` (accept or shed, and the advice given),
+//! `dispatch` (queues, choice of node), `attempts` (outcomes, retry budget, idempotency), `endpoint` (window,
+//! health, slow start), `volume` (token bucket, rate, loans), `demand_reports` (epochs, what hosts report to
+//! each other), `cross_zone` (budgets between zones). The others hold state for them: `messages`, `queue`,
+//! `request_table`, `endpoint_index`, `volume_table`, `size_metrics`. Here stands the loop over the
+//! mailboxes.
+//!
+//! 1. State changes only in [`Scheduler::step`]; the clock is the caller's.
+//! 2. All random choices come from one generator, so equal seeds and events give equal actions.
+//! 3. Every request gets at most one final answer.
 
+mod admission;
+mod attempt_accounts;
+mod attempts;
+mod cross_zone;
+mod cross_zone_ledger;
+mod demand_reports;
 mod dispatch;
 mod endpoint;
+mod endpoint_index;
+mod endpoint_state;
+mod messages;
+mod peer_messages;
+mod queue;
+mod request_scheduler;
+mod request_table;
 mod size_metrics;
-mod state;
-mod volumes;
+mod volume;
+mod volume_table;
 
-use crate::decaying_sum::DecayingSum;
-use endpoint::LAST;
-use gullsail_scheduler_api::*;
-use rand::{SeedableRng, seq::IndexedRandom};
+// The files below take each other's types from here.
+use attempt_accounts::AttemptAccounts;
+use attempts::{RECENT, RETURN_FACTOR};
+use cross_zone_ledger::{AppliedBudget, Crossing};
+use dispatch::REVIEW_EVERY;
+use endpoint::FORGET_AFTER;
+use endpoint_index::DrawnEndpoint;
+use endpoint_state::{EndpointTracker, SlowStartAttempt, SparseTrafficWindow};
+use gullsail_scheduler_api::{
+    Action, Endpoint, EndpointState, Event, Instant, NodeId, SchedulerConfig, UpdateKind,
+};
+use messages::{AttemptKey, EPOCH_TIMER, EndpointCapacity, EndpointMessage, POLL_TIMER, RequestMessage};
+use queue::{Destination, QueueKey};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use state::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use volumes::EPOCH;
+use request_scheduler::RequestScheduler;
+use request_table::{OpenRequest, PossibleRun};
+use std::collections::{BTreeMap, BTreeSet};
+use volume::{ASK_EVERY, DEMAND_WINDOW, EPOCH};
+use volume_table::{Loan, PeerDemand, Volume};
 
+/// The decisions of one host: events in, actions out.
 pub struct Scheduler {
-    nodes: BTreeMap<NodeId, Node>,
-    called: BTreeSet<NodeId>, // those with notes in their inboxes: only these are looked at
-    desk: Desk,
+    trackers: BTreeMap<NodeId, EndpointTracker>,
+    /// Those with messages in their mailboxes: only these are looked at.
+    with_mail: BTreeSet<NodeId>,
+    requests: RequestScheduler,
     rng: ChaCha8Rng,
 }
 
 impl Scheduler {
+    /// The scheduler of a host that has just started and knows no endpoint yet.
     pub fn new(config: SchedulerConfig, seed: u64, now: Instant) -> Self {
-        let (rng, desk) = (ChaCha8Rng::seed_from_u64(seed), Desk::new(config, now));
-        Scheduler { nodes: BTreeMap::new(), called: BTreeSet::new(), desk, rng }
+        Scheduler {
+            trackers: BTreeMap::new(),
+            with_mail: BTreeSet::new(),
+            requests: RequestScheduler::new(config, now),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
     }
 
+    /// Takes in the events in their order and returns what is to be done, in its order.
     pub fn step(&mut self, now: Instant, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
-        self.desk.now = now;
+        self.requests.now = now;
         for event in events {
             if let Event::EndpointList { update_kind, entries } = &event {
-                self.list(*update_kind, entries);
-                self.empty_inboxes(); // what comes next in this step knows the nodes of this list
+                self.update_list(*update_kind, entries);
+                self.run(); // what comes next in this step knows the endpoints of this list
             }
-            self.desk.inbox.push_back(DeskNote::Event(event));
+            self.requests.mailbox.push_back(RequestMessage::Event(event));
+        }
+        self.run();
+        std::mem::take(&mut self.requests.actions)
+    }
+
+    /// Hands the entries of a list to their trackers; what a whole list does not name is gone.
+    fn update_list(&mut self, update_kind: UpdateKind, entries: &[Endpoint]) {
+        let now = self.requests.now;
+        let self_reported = update_kind == UpdateKind::SelfReported;
+        let whole = matches!(update_kind, UpdateKind::Snapshot | UpdateKind::StaleSnapshot);
+        let named: BTreeSet<NodeId> = entries.iter().map(|entry| entry.node).collect();
+        let missing = self.trackers.values().map(|tracker| &tracker.entry);
+        let missing = missing.filter(|entry| whole && !named.contains(&entry.node));
+        let missing = missing.filter(|entry| entry.state != EndpointState::Gone).cloned();
+        let gone: Vec<_> = missing.map(|entry| Endpoint { state: EndpointState::Gone, ..entry }).collect();
+        for entry in gone.iter().chain(entries) {
+            let new = || EndpointTracker::new(entry.clone(), now);
+            self.trackers.entry(entry.node).or_insert_with(new);
+            self.post(entry.node, EndpointMessage::Listed { entry: entry.clone(), self_reported });
         }
-        self.empty_inboxes();
-        std::mem::take(&mut self.desk.actions)
+        self.trackers.retain(|_, tracker| !tracker.is_forgotten(now) || !tracker.mailbox.is_empty());
     }
 
-    fn post(&mut self, id: NodeId, note: NodeNote) {
-        if let Some(nd) = self.nodes.get_mut(&id) {
-            nd.inbox.push_back(note);
-            self.called.insert(id);
+    fn post(&mut self, id: NodeId, message: EndpointMessage) {
+        if let Some(tracker) = self.trackers.get_mut(&id) {
+            tracker.mailbox.push_back(message);
+            self.with_mail.insert(id);
         }
     }
 
-    fn empty_inboxes(&mut self) {
+    /// Until all mailboxes are empty: requests first, then one endpoint at a time, which reports its
+    /// capacity.
+    fn run(&mut self) {
         loop {
-            while let Some(note) = self.desk.inbox.pop_front() {
-                self.desk.take(note, &mut self.rng);
+            while let Some(message) = self.requests.mailbox.pop_front() {
+                self.requests.handle(message, &mut self.rng);
             }
-            while let Some((id, note)) = self.desk.outbox.pop_front() {
-                self.post(id, note);
+            while let Some((id, message)) = self.requests.outbox.pop_front() {
+                self.post(id, message);
             }
-            let Some(id) = self.called.pop_first() else { return };
-            let Some(nd) = self.nodes.get_mut(&id) else { continue };
-            while let Some(note) = nd.inbox.pop_front() {
-                nd.take(note, self.desk.now);
+            let Some(id) = self.with_mail.pop_first() else { return };
+            let Some(tracker) = self.trackers.get_mut(&id) else { continue };
+            while let Some(message) = tracker.mailbox.pop_front() {
+                tracker.handle(message, self.requests.now);
             }
-            let Desk { now, config, crowd, inbox, .. } = &mut self.desk;
-            inbox.push_back(DeskNote::Room(nd.room(*now, config, *crowd)));
+            let requests = &mut self.requests;
+            let capacity = tracker.capacity(requests.now, &requests.config, requests.volumes.fleet_demand);
+            requests.mailbox.push_back(RequestMessage::Capacity(capacity));
         }
     }
 }
--- /dev/null
+++ b/src/scheduler/attempt_accounts.rs
@@ -0,0 +1,63 @@
+//! Counts of what this host sent of late and of what came of it. Bookkeeping only: what they allow is decided
+//! in `attempts` and `dispatch`.
+
+use super::attempts::RECENT;
+use super::endpoint::INITIAL_WINDOW;
+use super::endpoint_state::SparseTrafficWindow;
+use super::messages::{AttemptKey, EndpointCapacity};
+use crate::decaying_sum::DecayingSum;
+use gullsail_scheduler_api::{AttemptEnd, AttemptOutcome, Instant, SchedulerConfig, Span, ZoneId};
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Default)]
+pub(super) struct AttemptAccounts {
+    pub(super) sent: DecayingSum,
+    pub(super) succeeded: DecayingSum,
+    /// When requests were accepted, within the retry budget's window.
+    pub(super) accepted: VecDeque<Instant>,
+    /// When retries were sent, within the retry budget's window.
+    pub(super) retries_sent: VecDeque<Instant>,
+    pub(super) sparse_windows: BTreeMap<ZoneId, SparseTrafficWindow>,
+}
+
+impl AttemptAccounts {
+    pub(super) fn new(now: Instant) -> Self {
+        let mut accounts = AttemptAccounts::default();
+        accounts.succeeded.add(now, RECENT, INITIAL_WINDOW); // some trust before anything is known
+        accounts
+    }
+
+    pub(super) fn note_accepted(&mut self, now: Instant, config: &SchedulerConfig) {
+        if config.retry_budget.is_some() {
+            self.accepted.push_back(now);
+        }
+    }
+
+    pub(super) fn note_sent(
+        &mut self,
+        now: Instant,
+        config: &SchedulerConfig,
+        key: AttemptKey,
+        capacity: &EndpointCapacity,
+        latency_objective: Span,
+    ) {
+        if key.attempt > 0 && config.retry_budget.is_some() {
+            self.retries_sent.push_back(now);
+        }
+        self.sent.add(now, RECENT, 1.0);
+        let window = self.sparse_windows.entry(capacity.entry.zone).or_insert_with(SparseTrafficWindow::new);
+        if capacity.sparse_traffic {
+            window.in_flight.insert(key, latency_objective);
+        }
+    }
+
+    pub(super) fn note_ended(&mut self, now: Instant, key: AttemptKey, end: &AttemptEnd, degraded: bool) {
+        self.succeeded.add(now, RECENT, f64::from(end.outcome == AttemptOutcome::Succeeded));
+        for window in self.sparse_windows.values_mut() {
+            if let Some(latency_objective) = window.in_flight.remove(&key) {
+                window.attempt_ended(now, end, latency_objective, degraded);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/messages.rs
@@ -0,0 +1,49 @@
+//! What the two sides of the scheduler send each other: [`RequestScheduler`](super::request_scheduler) and
+//! one [`EndpointTracker`](super::endpoint) for each node. Also the numbers of the scheduler's own timers.
+//! Nothing is decided here.
+
+use gullsail_scheduler_api::{AttemptOutcome, Endpoint, Event, RequestId, Span, TimerId};
+
+/// Timers with smaller numbers are deadlines of requests, with the request's number.
+pub(super) const EPOCH_TIMER: TimerId = TimerId(1 << 40);
+pub(super) const POLL_TIMER: TimerId = TimerId(EPOCH_TIMER.0 + 1);
+/// Timers of wait queues have this number or larger ones.
+pub(super) const FIRST_QUEUE_TIMER: u64 = EPOCH_TIMER.0 + 2;
+
+/// One attempt of one request.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct AttemptKey {
+    pub(super) request: RequestId,
+    pub(super) attempt: u32,
+}
+
+/// To the tracker of one endpoint. Each is answered by the endpoint's capacity.
+pub(super) enum EndpointMessage {
+    Listed { entry: Endpoint, self_reported: bool },
+    AttemptSent { key: AttemptKey, units: f64, latency_objective: Span },
+    AttemptEnded { key: AttemptKey, outcome: AttemptOutcome, latency: Span },
+    CapacityWanted,
+}
+
+/// To the side that holds requests and queues.
+pub(super) enum RequestMessage {
+    Event(Event),
+    Capacity(EndpointCapacity),
+}
+
+/// What an endpoint can take at this moment, as its tracker sees it.
+#[derive(Clone)]
+pub(super) struct EndpointCapacity {
+    pub(super) entry: Endpoint,
+    pub(super) available_slots: usize,
+    /// How many units it may be sent now; infinite once it has warmed up.
+    pub(super) units: f64,
+    /// The same within this host's even share, whatever other hosts send.
+    pub(super) even_units: f64,
+    pub(super) latency: Span,
+    pub(super) silent: bool,
+    /// Warming up, or late or full within the last minute.
+    pub(super) degraded: bool,
+    /// It answers too rarely for a window of its own to tell anything.
+    pub(super) sparse_traffic: bool,
+}
--- a/src/scheduler/size_metrics.rs
+++ b/src/scheduler/size_metrics.rs
@@ -5,29 +5,32 @@
 impl Scheduler {
     /// The length of each collection, by name; what stands within others is summed. Unit: entries.
     pub fn size_metrics(&self) -> Vec<(&'static str, usize)> {
-        let (d, nodes) = (&self.desk, self.nodes.values());
-        let volumes = d.volumes.values();
+        let trackers = self.trackers.values();
+        let (requests, endpoints) = (&self.requests.requests, &self.requests.endpoints);
+        let (queues, attempts) = (&self.requests.queues, &self.requests.attempts);
+        let table = &self.requests.volumes;
+        let volumes = table.by_id.values();
         vec![
-            ("brain.nodes", self.nodes.len()),
-            ("nodes.out", nodes.clone().map(|n| n.out.len()).sum()),
-            ("nodes.cold_sent", nodes.map(|n| n.cold_sent.len()).sum()),
-            ("desk.rooms", d.rooms.len()),
-            ("desk.ready", d.ready.values().map(Vec::len).sum()),
-            ("desk.cells", d.shards.len()),
-            ("desk.drawn", d.drawn.len()),
-            ("desk.left", d.left.len()),
-            ("desk.seldom", d.seldom.values().map(|s| s.out.len()).sum()),
-            ("desk.xfers", d.requests.len()),
-            ("desk.lines", d.lines.len()),
-            ("desk.beats", d.beats.len()),
-            ("desk.turns", d.turns.len()),
-            ("desk.volumes", d.volumes.len()),
-            ("volumes.lent", volumes.clone().map(|v| v.lent.len()).sum()),
-            ("volumes.peers", volumes.map(|v| v.peers.len()).sum()),
-            ("desk.users", d.users.values().map(|u| u.len()).sum()),
-            ("desk.longest_ttl", d.longest_timeout.len()),
-            ("desk.accepted", d.accepted.len()),
-            ("desk.resent", d.resent.len()),
+            ("brain.nodes", self.trackers.len()),
+            ("nodes.out", trackers.clone().map(|tracker| tracker.in_flight.len()).sum()),
+            ("nodes.cold_sent", trackers.map(|tracker| tracker.slow_start_attempts.len()).sum()),
+            ("desk.rooms", endpoints.capacities.len()),
+            ("desk.ready", endpoints.by_pool.values().map(Vec::len).sum()),
+            ("desk.cells", endpoints.by_shard.len()),
+            ("desk.drawn", endpoints.drawn.len()),
+            ("desk.left", endpoints.last_unavailable.len()),
+            ("desk.seldom", attempts.sparse_windows.values().map(|window| window.in_flight.len()).sum()),
+            ("desk.xfers", requests.open.len()),
+            ("desk.lines", queues.by_key.len()),
+            ("desk.beats", queues.timers.len()),
+            ("desk.turns", requests.object_orders.len()),
+            ("desk.volumes", table.by_id.len()),
+            ("volumes.lent", volumes.clone().map(|volume| volume.bucket.loans.len()).sum()),
+            ("volumes.peers", volumes.map(|volume| volume.peers.reports.len()).sum()),
+            ("desk.users", table.users.values().map(|users| users.len()).sum()),
+            ("desk.longest_ttl", self.requests.admission.longest_timeouts.len()),
+            ("desk.accepted", attempts.accepted.len()),
+            ("desk.resent", attempts.retries_sent.len()),
         ]
     }
 }
--- a/tests/decisions/bounds.rs
+++ b/tests/decisions/bounds.rs
@@ -108,9 +108,9 @@
     let mut h = Host::new(config(), vec![node(1, 0)], at(1000));
     h.tell(Event::RequestArrived(Request { plan: PlanId(1), volume_hosts: 2, ..request(1, 0) }));
     for n in 0..50 {
-        let line = demand_report::Line { volume: VolumeId(7), asked: 1e6, want: 50.0, lent: 0.0 };
+        let line = demand_report::VolumeDemand { volume: VolumeId(7), demand: 1e6, wanted: 50.0, lent: 0.0 };
         h.now = h.now + Span::from_micros(1 + n);
-        h.tell(Event::PeerMessage { from: HostId(1), bytes: demand_report::pack(h.now, &[line]) });
+        h.tell(Event::PeerMessage { from: HostId(1), bytes: demand_report::pack_report(h.now, &[line]) });
     }
     assert_eq!(h.held("volumes.lent"), 0);
 }
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -72,13 +72,13 @@
                     let t = Request { plan: PlanId(1), volume_hosts: *hosts, units: 8.0, ..t };
                     for id in 1..=4 {
                         h.tell(Event::RequestArrived(Request { id: RequestId(id), ..t.clone() }));
-                        let line = demand_report::Line {
+                        let line = demand_report::VolumeDemand {
                             volume: demand_report::carried(t.volume),
-                            asked: 40.0,
-                            want: 0.0,
+                            demand: 40.0,
+                            wanted: 0.0,
                             lent: 0.0,
                         };
-                        let bytes = demand_report::pack(h.now, &[line]);
+                        let bytes = demand_report::pack_report(h.now, &[line]);
                         h.pass(ms(1));
                         h.tell(Event::PeerMessage { from: HostId(1), bytes });
                     }
@@ -155,9 +155,13 @@
         for id in 1..=2 {
             h.tell(Event::RequestArrived(Request { id: RequestId(id), ..t.clone() }));
         }
-        let line =
-            demand_report::Line { volume: demand_report::carried(t.volume), asked, want: 0.0, lent: 0.0 };
-        h.tell(Event::PeerMessage { from: HostId(1), bytes: demand_report::pack(at(1000), &[line]) });
+        let line = demand_report::VolumeDemand {
+            volume: demand_report::carried(t.volume),
+            demand: asked,
+            wanted: 0.0,
+            lent: 0.0,
+        };
+        h.tell(Event::PeerMessage { from: HostId(1), bytes: demand_report::pack_report(at(1000), &[line]) });
         h.tell(Event::RequestArrived(Request { units, ..t }));
         assert_eq!(h.answers(5).len(), usize::from(at_once), "{volume_hosts} {asked} {units}");
         // At least until the own part has brought what waits before it and its own units.
