--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -35,7 +35,7 @@
 // The files below take each other's types from here.
 use attempt_accounts::AttemptAccounts;
 use attempts::{RECENT, RETURN_FACTOR};
-use cross_zone_ledger::{AppliedBudget, Crossing};
+use cross_zone_ledger::{AppliedBudget, CrossZoneBytes};
 use dispatch::REVIEW_EVERY;
 use endpoint::FORGET_AFTER;
 use endpoint_index::DrawnEndpoint;
--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -51,7 +51,7 @@
             self.actions.push(Action::Reject { id, retry_after: config.max_retry_after });
             return;
         };
-        self.attempts.note_accepted(now, config);
+        self.attempts.record_accepted(now, config);
         let deadline = now + request.timeout - config.tick - config.tick;
         let time_to_objective = self.admission.time_to_objective(&request, class);
         let objective_deadline = time_to_objective.map_or(deadline, |time| now + time);
@@ -59,14 +59,14 @@
         if let (true, Some(object)) = (class.in_order, request.object) {
             self.requests.object_orders.entry(object).or_default().requests.push_back(id);
         }
-        self.note_arrival(&request);
+        self.record_arrival(&request);
         self.actions.push(Action::SetTimer { id: TimerId(id.0), at: deadline });
         let open = OpenRequest { request, objective_deadline, half_time, ..OpenRequest::default() };
         self.requests.open.insert(id, open);
         self.enqueue(id, rng);
     }
 
-    fn note_arrival(&mut self, request: &Request) {
+    fn record_arrival(&mut self, request: &Request) {
         let hosts = if request.volume_hosts > 0 { request.volume_hosts } else { self.config.hosts.max(1) };
         let hosts = f64::from(hosts);
         let started_at = self.volumes.started_at;
--- a/src/scheduler/attempt_accounts.rs
+++ b/src/scheduler/attempt_accounts.rs
@@ -27,13 +27,13 @@
         accounts
     }
 
-    pub(super) fn note_accepted(&mut self, now: Instant, config: &SchedulerConfig) {
+    pub(super) fn record_accepted(&mut self, now: Instant, config: &SchedulerConfig) {
         if config.retry_budget.is_some() {
             self.accepted.push_back(now);
         }
     }
 
-    pub(super) fn note_sent(
+    pub(super) fn record_sent(
         &mut self,
         now: Instant,
         config: &SchedulerConfig,
@@ -51,7 +51,7 @@
         }
     }
 
-    pub(super) fn note_ended(&mut self, now: Instant, key: AttemptKey, end: &AttemptEnd, degraded: bool) {
+    pub(super) fn record_ended(&mut self, now: Instant, key: AttemptKey, end: &AttemptEnd, degraded: bool) {
         self.succeeded.add(now, RECENT, f64::from(end.outcome == AttemptOutcome::Succeeded));
         for window in self.sparse_windows.values_mut() {
             if let Some(latency_objective) = window.in_flight.remove(&key) {
--- a/src/scheduler/attempts.rs
+++ b/src/scheduler/attempts.rs
@@ -2,7 +2,8 @@
 //! allow. Called by `request_scheduler` and `dispatch`.
 
 use super::{
-    AttemptAccounts, AttemptKey, Crossing, EndpointCapacity, EndpointMessage, OpenRequest, RequestScheduler,
+    AttemptAccounts, AttemptKey, CrossZoneBytes, EndpointCapacity, EndpointMessage, OpenRequest,
+    RequestScheduler,
 };
 use gullsail_scheduler_api::{
     AttemptEnd, AttemptOutcome, Endpoint, Idempotency, IdempotencyScope, Instant, OverrunCause,
@@ -41,13 +42,13 @@
         let key = AttemptKey { request: id, attempt };
         self.outbox.push_back((node, EndpointMessage::AttemptEnded { key, outcome, latency }));
         let degraded = self.endpoints.capacities.get(&node).is_none_or(|capacity| capacity.degraded);
-        self.attempts.note_ended(self.now, key, &end, degraded);
+        self.attempts.record_ended(self.now, key, &end, degraded);
         let Some(plan) = self.requests.open.get(&id).map(|open| open.request.plan) else { return };
         if let Some(to) = self.config.zone {
             let cause = OverrunCause::DataPlacement;
-            self.charge_crossing(&Crossing { id, plan, from: end.zone, to, bytes: end.bytes, cause });
+            self.charge_budgets(&CrossZoneBytes { id, plan, from: end.zone, to, bytes: end.bytes, cause });
         }
-        self.note_outcome(&end);
+        self.record_outcome(&end);
         let Some(open) = self.requests.open.get(&id) else { return };
         if open.closed || end.finished {
             self.close(id);
--- a/src/scheduler/cross_zone_ledger.rs
+++ b/src/scheduler/cross_zone_ledger.rs
@@ -9,7 +9,7 @@
 };
 
 /// Bytes of one request that go from zone to zone.
-pub(super) struct Crossing {
+pub(super) struct CrossZoneBytes {
     pub(super) id: RequestId,
     pub(super) plan: PlanId,
     pub(super) from: ZoneId,
@@ -55,8 +55,8 @@
     }
 
     /// Takes bytes that cross from their budgets; an overrun is reported with its cause.
-    pub(super) fn charge_crossing(&mut self, crossing: &Crossing) {
-        let Crossing { id, plan, from, to, bytes, cause } = *crossing;
+    pub(super) fn charge_budgets(&mut self, sent: &CrossZoneBytes) {
+        let CrossZoneBytes { id, plan, from, to, bytes, cause } = *sent;
         for AppliedBudget { id: cross_zone_budget, .. } in
             self.budgets_across(plan, from, to).collect::<Vec<_>>()
         {
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -3,7 +3,7 @@
 //! for `attempts`.
 
 use super::{
-    AttemptKey, Crossing, Destination, DrawnEndpoint, EndpointCapacity, EndpointMessage, FORGET_AFTER,
+    AttemptKey, CrossZoneBytes, Destination, DrawnEndpoint, EndpointCapacity, EndpointMessage, FORGET_AFTER,
     OpenRequest, PossibleRun, QueueKey, RECENT, RETURN_FACTOR, RequestScheduler,
 };
 use gullsail_scheduler_api::{
@@ -222,7 +222,7 @@
         let class = &self.config.request_classes[request.request_class.0];
         let latency_objective = class.latency_objective.min(self.admission.tightest_objective);
         let key = AttemptKey { request: id, attempt };
-        self.attempts.note_sent(self.now, &self.config, key, capacity, latency_objective);
+        self.attempts.record_sent(self.now, &self.config, key, capacity, latency_objective);
         open.attempts_sent += 1;
         open.in_flight += 1;
         let (node, shard, zone) = (capacity.entry.node, capacity.entry.shard, capacity.entry.zone);
@@ -236,6 +236,6 @@
         let usual = if attempt == 0 { OverrunCause::DataPlacement } else { OverrunCause::Retry };
         let cause = forced.unwrap_or(usual);
         let (plan, bytes) = (request.plan, request.bytes);
-        self.charge_crossing(&Crossing { id, plan, from: own_zone, to: zone, bytes, cause });
+        self.charge_budgets(&CrossZoneBytes { id, plan, from: own_zone, to: zone, bytes, cause });
     }
 }
--- a/src/scheduler/request_table.rs
+++ b/src/scheduler/request_table.rs
@@ -94,7 +94,7 @@
     }
 
     /// Notes what came of an attempt at its request, its volume and its object.
-    pub(super) fn note_outcome(&mut self, end: &AttemptEnd) {
+    pub(super) fn record_outcome(&mut self, end: &AttemptEnd) {
         let Some(open) = self.requests.open.get_mut(&end.id) else { return };
         if let (Some(used), Some(volume)) = (end.used, self.volumes.by_id.get_mut(&open.request.volume)) {
             let plan = self.config.plans.get(volume.plan.0);
--- a/tests/decisions/cold_fleet.rs
+++ b/tests/decisions/cold_fleet.rs
@@ -1,5 +1,6 @@
-//! Rule 4 over a fleet: many hosts that settle nothing among themselves, one cold node, simulated time. What one host learns
-//! alone says nothing of the others; the sum of what all send is what the node bears.
+//! Rule 4 over a fleet: many hosts that settle nothing among themselves, one node that warms up, simulated
+//! time. What one host learns alone says nothing of the others; the sum of what all send is what the node
+//! bears.
 
 use crate::common::*;
 use gullsail::Scheduler;
@@ -22,13 +23,13 @@
     hosts: Vec<Scheduler>,
     timers: Vec<BTreeMap<(Instant, TimerId), ()>>,
     nodes: Vec<Node>,
-    /// When each attempt went to the cold node, and its units.
+    /// When each attempt went to the node that warms up, and its units.
     sent: Vec<(i64, f64)>,
     asked: f64,
     units: BTreeMap<RequestId, f64>,
 }
 
-/// What the settings allow a cold node of this age within the rule's window, in units.
+/// What the settings allow a node that warms up of this age within the rule's window, in units.
 fn allowed(f: &SchedulerConfig, age: f64) -> f64 {
     let part = f.slow_start.initial_fraction
         + (1.0 - f.slow_start.initial_fraction) * (age / f.slow_start.ramp.secs()).clamp(0.0, 1.0);
@@ -60,9 +61,16 @@
     }
 }
 
-/// Demand for each node in parts of what a cold one is allowed at its start. Returns the most that was sent beyond what is
-/// allowed and chance, over all windows, and the part of what was asked that was sent.
-fn play(hosts: u32, cold_units: f64, demand: f64, uneven: bool, told_within: i64, seed: u64) -> (f64, f64) {
+/// Demand for each node in parts of what a cold one is allowed at its start. Returns the most that was sent
+/// beyond what is allowed and chance, over all windows, and the part of what was asked that was sent.
+fn play(
+    hosts: u32,
+    cold_units: f64,
+    demand: f64,
+    uneven: bool,
+    reported_within: i64,
+    seed: u64,
+) -> (f64, f64) {
     let mut f = config();
     (f.hosts, f.slow_start.units, f.max_attempts, f.peer_messages_enabled) = (hosts, cold_units, 1, false);
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -78,50 +86,53 @@
     // They have served for a while when the node starts; some get several times the mean.
     let began = -4_000;
     let weights: Vec<f64> = (0..hosts)
-        .map(|h| {
+        .map(|host| {
             if !uneven {
                 1.0
-            } else if h % 5 == 0 {
+            } else if host % 5 == 0 {
                 3.0
             } else {
                 0.5
             }
         })
         .collect();
-    for h in 0..hosts {
-        let mut scheduler =
-            Scheduler::new(SchedulerConfig { me: HostId(h), ..f.clone() }, u64::from(h), at(20_000 + began));
+    for host in 0..hosts {
+        let mut scheduler = Scheduler::new(
+            SchedulerConfig { me: HostId(host), ..f.clone() },
+            u64::from(host),
+            at(20_000 + began),
+        );
         let actions = scheduler.step(
             at(20_000 + began),
             [Event::EndpointList { update_kind: UpdateKind::Snapshot, entries: warm.clone() }],
         );
         w.hosts.push(scheduler);
-        w.acts(h as usize, began, actions, &f);
+        w.acts(host as usize, began, actions, &f);
     }
-    let told: Vec<i64> = (0..hosts).map(|_| rng.random_range(0..=told_within)).collect();
+    let told: Vec<i64> = (0..hosts).map(|_| rng.random_range(0..=reported_within)).collect();
     let cold = Endpoint { started: Some(at(20_000)), ..node(0, 0) };
     // Of all hosts, a millisecond.
     let rate = demand * cold_units * SHARDS as f64 / f.slow_start.window.millis();
     let mut last = 0;
     for now in began..LASTS {
         let t = at(20_000 + now);
-        for (h, told) in told.iter().enumerate() {
+        for (host, told) in told.iter().enumerate() {
             if *told == now {
                 let entries = vec![cold.clone()];
                 let actions =
-                    w.hosts[h].step(t, [Event::EndpointList { update_kind: UpdateKind::Delta, entries }]);
-                w.acts(h, now, actions, &f);
+                    w.hosts[host].step(t, [Event::EndpointList { update_kind: UpdateKind::Delta, entries }]);
+                w.acts(host, now, actions, &f);
             }
-            while let Some(((due, id), ())) = w.timers[h].first_key_value().map(|(k, v)| (*k, *v))
+            while let Some(((due, id), ())) = w.timers[host].first_key_value().map(|(k, v)| (*k, *v))
                 && due <= t
             {
-                w.timers[h].remove(&(due, id));
-                let actions = w.hosts[h].step(t, [Event::Timer(id)]);
-                w.acts(h, now, actions, &f);
+                w.timers[host].remove(&(due, id));
+                let actions = w.hosts[host].step(t, [Event::Timer(id)]);
+                w.acts(host, now, actions, &f);
             }
         }
         let all: f64 = weights.iter().sum();
-        for (h, weight) in weights.iter().enumerate() {
+        for (host, weight) in weights.iter().enumerate() {
             if !rng.random_bool((rate * weight / all).min(1.0)) {
                 continue;
             }
@@ -129,7 +140,7 @@
             let shard = rng.random_range(0..SHARDS);
             let t_id = RequestId(last);
             w.units.insert(t_id, 1.0);
-            if shard == 0 && now >= told_within {
+            if shard == 0 && now >= reported_within {
                 w.asked += 1.0;
             }
             let one = Request {
@@ -138,11 +149,11 @@
                 volume: VolumeId(last % 97),
                 ..request(last, 0)
             };
-            let actions = w.hosts[h].step(t, [Event::RequestArrived(one)]);
-            w.acts(h, now, actions, &f);
+            let actions = w.hosts[host].step(t, [Event::RequestArrived(one)]);
+            w.acts(host, now, actions, &f);
         }
         for shard in 0..SHARDS as usize {
-            while let Some((when, h, id, attempt)) = w.nodes[shard].done.front().copied()
+            while let Some((when, host, id, attempt)) = w.nodes[shard].done.front().copied()
                 && when <= now as f64
             {
                 w.nodes[shard].done.pop_front();
@@ -157,8 +168,8 @@
                     zone: ZoneId(0),
                     bytes: 0.0,
                 };
-                let actions = w.hosts[h].step(t, [Event::AttemptEnded(end)]);
-                w.acts(h, now, actions, &f);
+                let actions = w.hosts[host].step(t, [Event::AttemptEnded(end)]);
+                w.acts(host, now, actions, &f);
             }
         }
     }
@@ -170,23 +181,24 @@
         let n = allowed(&f, *from as f64 / 1e3);
         sum - (n + 2.0 * n.sqrt() + 2.0)
     });
-    let sent = w.sent.iter().filter(|s| s.0 >= told_within).count() as f64;
+    let sent = w.sent.iter().filter(|s| s.0 >= reported_within).count() as f64;
     (over.fold(f64::MIN, f64::max), sent / w.asked.max(1.0))
 }
 
-/// The sum over all hosts stays within what the settings allow and chance, twice the root of that and two, whatever is asked
-/// for, however unevenly, and whenever each is told of the start; and where little is asked for, most of it goes out.
+/// The sum over all hosts stays within what the settings allow and chance, twice the root of that and two,
+/// whatever is asked for, however unevenly, and whenever each learns of the start; and where little is
+/// asked for, most of it goes out.
 #[test]
-fn a_cold_node_bears_the_sum_of_all_hosts() {
+fn slow_start_holds_for_the_sum_of_all_hosts() {
     // hosts, units that it bears at its start
     for (hosts, cold_units) in [(5, 24.0), (20, 12.0), (30, 6.0), (30, 12.0), (60, 24.0)] {
         // demand in parts of these, the least part of it that is sent
         for (demand, least) in [(0.25, 0.9), (1.0, 0.65), (4.0, 0.2)] {
-            for (uneven, told_within) in [(false, 0), (true, 0), (true, 2_000)] {
+            for (uneven, reported_within) in [(false, 0), (true, 0), (true, 2_000)] {
                 for seed in 1..=3 {
-                    let (over, part) = play(hosts, cold_units, demand, uneven, told_within, seed);
+                    let (over, part) = play(hosts, cold_units, demand, uneven, reported_within, seed);
                     let case = format!(
-                        "{hosts} hosts, {cold_units} units, demand {demand}, uneven {uneven}, told within {told_within} ms, \
+                        "{hosts} hosts, {cold_units} units, demand {demand}, uneven {uneven}, known in {reported_within} ms, \
                          seed {seed}: {over:.1} beyond what is allowed and chance, a part of {part:.2} sent"
                     );
                     assert!(over <= 0.0 && part >= least, "{case}");
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -11,7 +11,8 @@
     Instant::from_micros(ms * 1000)
 }
 
-/// Two hosts; types 0 repeatable, 1 keyed by shard, 2 unrepeatable; plans 0 without a limit, 1 with one.
+/// Two hosts; classes 0 idempotent, 1 with an idempotency key known to its shard, 2 non-idempotent; plans 0
+/// without a limit, 1 with one.
 pub fn config() -> SchedulerConfig {
     let plan = |limit| Plan { limit, reserve: 10.0, nominal_rate: 10.0, weight: 1.0, price: 1.0 };
     SchedulerConfig {
@@ -77,16 +78,16 @@
     pub fn new(config: SchedulerConfig, nodes: Vec<Endpoint>, now: Instant) -> Self {
         let scheduler = Scheduler::new(config, 1, now);
         let mut host = Host { scheduler, now, timers: Vec::new(), asked: Vec::new() };
-        host.tell(Event::EndpointList { update_kind: UpdateKind::StaleSnapshot, entries: nodes });
+        host.deliver(Event::EndpointList { update_kind: UpdateKind::StaleSnapshot, entries: nodes });
         host
     }
 
     /// The length of one of the module's collections.
-    pub fn held(&self, name: &str) -> usize {
+    pub fn size_metric(&self, name: &str) -> usize {
         self.scheduler.size_metrics().into_iter().find(|l| l.0 == name).expect("a collection of this name").1
     }
 
-    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+    pub fn deliver(&mut self, event: Event) -> Vec<Action> {
         let actions = self.scheduler.step(self.now, vec![event]);
         for a in &actions {
             match a {
@@ -98,7 +99,7 @@
     }
 
     pub fn list(&mut self, update_kind: UpdateKind, entries: Vec<Endpoint>) {
-        self.tell(Event::EndpointList { update_kind, entries });
+        self.deliver(Event::EndpointList { update_kind, entries });
     }
 
     /// Lets time pass; timers come when they are due, to the millisecond.
@@ -110,7 +111,7 @@
             let due: Vec<_> = self.timers.iter().filter(|t| t.0 <= now).map(|t| t.1).collect();
             self.timers.retain(|t| t.0 > now);
             for id in due {
-                self.tell(Event::Timer(id));
+                self.deliver(Event::Timer(id));
             }
         }
     }
@@ -118,7 +119,7 @@
     pub fn end(&mut self, id: u64, attempt: u32, node: u64, outcome: AttemptOutcome, latency: i64) {
         let finished = outcome == AttemptOutcome::Succeeded;
         let (id, node) = (RequestId(id), NodeId(node));
-        self.tell(Event::AttemptEnded(AttemptEnd {
+        self.deliver(Event::AttemptEnded(AttemptEnd {
             id,
             attempt,
             node,
@@ -148,8 +149,8 @@
 
     pub fn answers(&self, of: u64) -> Vec<&'static str> {
         let answers = self.asked.iter().filter_map(|a| match a.1 {
-            Action::Reject { id, .. } if id.0 == of => Some("deferred"),
-            Action::Fail { id } if id.0 == of => Some("abandoned"),
+            Action::Reject { id, .. } if id.0 == of => Some("rejected"),
+            Action::Fail { id } if id.0 == of => Some("failed"),
             _ => None,
         });
         answers.collect()
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,4 +1,4 @@
-//! The decisions, event by event, without the bench.
+//! The decisions, event by event, without sockets.
 
 mod bounds;
 mod cold_fleet;
@@ -7,3 +7,5 @@
 mod model;
 mod rules;
 mod symptoms;
+mod world;
+mod world_nodes;
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -10,43 +10,45 @@
 fn every_request_gets_one_answer_in_time() {
     // request class, the ending of its first attempt if any, answers by the module itself
     let cases = [
-        (0, None, vec!["deferred"]),
-        (1, None, vec!["abandoned"]),
-        (2, None, vec!["abandoned"]),
+        (0, None, vec!["rejected"]),
+        (1, None, vec!["failed"]),
+        (2, None, vec!["failed"]),
         (0, Some(AttemptOutcome::Succeeded), vec![]),
-        (2, Some(AttemptOutcome::ConnectionLost), vec!["abandoned"]),
-        (0, Some(AttemptOutcome::TimedOut), vec!["deferred"]),
+        (2, Some(AttemptOutcome::ConnectionLost), vec!["failed"]),
+        (0, Some(AttemptOutcome::TimedOut), vec!["rejected"]),
     ];
     for (request_class, outcome, wanted) in cases {
-        let mut h = host();
-        h.tell(Event::RequestArrived(request(5, request_class)));
-        assert_eq!(h.attempts(5), [1]);
-        h.pass(ms(30));
+        let mut host = host();
+        host.deliver(Event::RequestArrived(request(5, request_class)));
+        assert_eq!(host.attempts(5), [1]);
+        host.pass(ms(30));
         if let Some(outcome) = outcome {
-            h.end(5, 0, 1, outcome, 30);
+            host.end(5, 0, 1, outcome, 30);
         }
-        h.pass(ms(968));
-        assert_eq!(h.answers(5), wanted, "{request_class} {outcome:?}");
-        let sent = h.attempts(5).len();
-        h.end(5, 0, 1, AttemptOutcome::TimedOut, 1000);
-        h.pass(ms(3000));
-        assert_eq!((h.answers(5), h.attempts(5).len()), (wanted, sent), "{request_class} {outcome:?}");
+        host.pass(ms(968));
+        assert_eq!(host.answers(5), wanted, "{request_class} {outcome:?}");
+        let sent = host.attempts(5).len();
+        host.end(5, 0, 1, AttemptOutcome::TimedOut, 1000);
+        host.pass(ms(3000));
+        assert_eq!((host.answers(5), host.attempts(5).len()), (wanted, sent), "{request_class} {outcome:?}");
     }
 }
 
-/// In one step with the decision to give up the final answer leaves, whatever the cause and the effect: nothing is held
-/// to keep a client from asking again. A rejection says when to come back, within the longest that the facts allow.
+/// In one step with the decision to shed the final answer leaves, whatever the cause and the idempotency:
+/// nothing is held to keep a client from asking again. A rejection says when to retry, within the longest
+/// that the configuration allows.
 #[test]
-fn what_is_given_up_is_answered_at_once() {
-    enum OverrunCause {
-        Nowhere,              // no node takes it, and none did of late
-        Nobodys,              // a plan that the facts do not state
-        Starved(u32), // its tokens all go to what waits before it; so many hosts, of which the others are as busy
-        Late,         // it comes with its latency objective over
-        Left,         // its host no longer serves the volume
+fn what_is_shed_is_answered_at_once() {
+    enum ShedCause {
+        Nowhere, // no node takes it, and none did of late
+        Nobodys, // a plan that the configuration does not name
+        // Its tokens all go to what waits before it; so many hosts, of which the others are as busy
+        Starved(u32),
+        Late,                 // it comes with its latency objective over
+        Left,                 // its host no longer serves the volume
         Ends(AttemptOutcome), // its last attempt
     }
-    use OverrunCause::*;
+    use ShedCause::*;
     let causes = [
         Nowhere,
         Nobodys,
@@ -63,36 +65,36 @@
             f.max_attempts = 1;
             f.max_retry_after = Some(ms(600));
             let nodes = if matches!(cause, Nowhere) { vec![node(9, 9)] } else { vec![node(1, 0)] };
-            let mut h = Host::new(f, nodes, at(1000));
+            let mut host = Host::new(f, nodes, at(1000));
             let t = request(5, kind);
             match cause {
-                Nowhere => _ = h.tell(Event::RequestArrived(t)),
-                Nobodys => _ = h.tell(Event::RequestArrived(Request { plan: PlanId(7), ..t })),
+                Nowhere => _ = host.deliver(Event::RequestArrived(t)),
+                Nobodys => _ = host.deliver(Event::RequestArrived(Request { plan: PlanId(7), ..t })),
                 Starved(hosts) => {
                     let t = Request { plan: PlanId(1), volume_hosts: *hosts, units: 8.0, ..t };
                     for id in 1..=4 {
-                        h.tell(Event::RequestArrived(Request { id: RequestId(id), ..t.clone() }));
+                        host.deliver(Event::RequestArrived(Request { id: RequestId(id), ..t.clone() }));
                         let line = demand_report::VolumeDemand {
                             volume: demand_report::carried(t.volume),
                             demand: 40.0,
                             wanted: 0.0,
                             lent: 0.0,
                         };
-                        let bytes = demand_report::pack_report(h.now, &[line]);
-                        h.pass(ms(1));
-                        h.tell(Event::PeerMessage { from: HostId(1), bytes });
+                        let bytes = demand_report::pack_report(host.now, &[line]);
+                        host.pass(ms(1));
+                        host.deliver(Event::PeerMessage { from: HostId(1), bytes });
                     }
-                    h.tell(Event::RequestArrived(t));
+                    host.deliver(Event::RequestArrived(t));
                 }
                 Late => {
-                    h.tell(Event::RequestArrived(request(1, kind)));
-                    h.tell(Event::RequestArrived(Request { timeout: ms(500), ..t }));
+                    host.deliver(Event::RequestArrived(request(1, kind)));
+                    host.deliver(Event::RequestArrived(Request { timeout: ms(500), ..t }));
                 }
                 Left => {
-                    h.tell(Event::RequestArrived(Request { plan: PlanId(1), ..t }));
+                    host.deliver(Event::RequestArrived(Request { plan: PlanId(1), ..t }));
                     let allocations =
                         VolumeAllocation { volume: VolumeId(7), plan: PlanId(1), hosts: 0, part: None };
-                    h.tell(Event::ConfigChanged {
+                    host.deliver(Event::ConfigChanged {
                         plans: config().plans,
                         allocations: vec![allocations],
                         cross_zone_budgets: vec![],
@@ -100,18 +102,18 @@
                     });
                 }
                 Ends(outcome) => {
-                    h.tell(Event::RequestArrived(t));
-                    h.pass(ms(30));
-                    h.end(5, 0, 1, *outcome, 30);
+                    host.deliver(Event::RequestArrived(t));
+                    host.pass(ms(30));
+                    host.end(5, 0, 1, *outcome, 30);
                 }
             }
             let ran = matches!(cause, Ends(e) if !e.never_ran()) && kind > 0;
             assert_eq!(
-                h.answers(5),
-                [if ran { "abandoned" } else { "deferred" }],
+                host.answers(5),
+                [if ran { "failed" } else { "rejected" }],
                 "cause {place}, type {kind}"
             );
-            let advice = h.asked.iter().find_map(|a| match a.1 {
+            let advice = host.asked.iter().find_map(|a| match a.1 {
                 Action::Reject { id: RequestId(5), retry_after } => Some(retry_after),
                 _ => None,
             });
@@ -121,27 +123,28 @@
     }
 }
 
-/// A shard or a pool without a node waits for a successor while one may come, a minute, and no longer; one that never had a
-/// node waits for nothing.
+/// A shard or a pool without a node waits for a successor while one may come, a minute, and no longer; one
+/// that never had a node waits for nothing.
 #[test]
 fn only_a_successor_that_may_come_is_waited_for() {
     for shard in [Some(ShardId(0)), None] {
         for (listed, after, at_once) in
             [(vec![], 10, true), (leaving(0), 10, false), (leaving(0), 61_000, true)]
         {
-            let mut h = Host::new(config(), listed, at(1000));
-            h.pass(ms(after));
-            h.tell(Event::RequestArrived(Request { shard, ..request(5, 0) }));
-            assert_eq!(h.answers(5).len(), usize::from(at_once), "{shard:?} after {after} ms");
+            let mut host = Host::new(config(), listed, at(1000));
+            host.pass(ms(after));
+            host.deliver(Event::RequestArrived(Request { shard, ..request(5, 0) }));
+            assert_eq!(host.answers(5).len(), usize::from(at_once), "{shard:?} after {after} ms");
         }
     }
 }
 
-/// What tokens can still reach waits: a small one goes before larger ones, and others may lend while they don't ask for
-/// the whole limit.
+/// What tokens can still reach waits: a small one goes before larger ones, and others may lend while they
+/// don't ask for the whole limit.
 #[test]
-fn what_tokens_can_reach_is_not_given_up() {
-    // hosts of the volume, what the other asks for in a second, units of the fifth; whether it is answered at once
+fn what_tokens_can_reach_is_not_shed() {
+    // hosts of the volume, what the other asks for in a second, units of the fifth; whether it is answered at
+    // once
     let cases = [
         (1, 0.0, 8.0, true),
         (1, 0.0, 1.0, false),
@@ -150,10 +153,10 @@
         (2, 40.0, 1.0, false),
     ];
     for (volume_hosts, asked, units, at_once) in cases {
-        let mut h = Host::new(config(), vec![node(1, 0)], at(1000));
+        let mut host = Host::new(config(), vec![node(1, 0)], at(1000));
         let t = Request { plan: PlanId(1), volume_hosts, units: 8.0, ..request(5, 0) };
         for id in 1..=2 {
-            h.tell(Event::RequestArrived(Request { id: RequestId(id), ..t.clone() }));
+            host.deliver(Event::RequestArrived(Request { id: RequestId(id), ..t.clone() }));
         }
         let line = demand_report::VolumeDemand {
             volume: demand_report::carried(t.volume),
@@ -161,49 +164,52 @@
             wanted: 0.0,
             lent: 0.0,
         };
-        h.tell(Event::PeerMessage { from: HostId(1), bytes: demand_report::pack_report(at(1000), &[line]) });
-        h.tell(Event::RequestArrived(Request { units, ..t }));
-        assert_eq!(h.answers(5).len(), usize::from(at_once), "{volume_hosts} {asked} {units}");
+        host.deliver(Event::PeerMessage {
+            from: HostId(1),
+            bytes: demand_report::pack_report(at(1000), &[line]),
+        });
+        host.deliver(Event::RequestArrived(Request { units, ..t }));
+        assert_eq!(host.answers(5).len(), usize::from(at_once), "{volume_hosts} {asked} {units}");
         // At least until the own part has brought what waits before it and its own units.
         let least = Span::from_millis(16.0 / (40.0 / f64::from(volume_hosts)) * 1e3).min(ms(1000));
         let told = |a: &(Instant, Action)| match a.1 {
             Action::Reject { id: RequestId(5), retry_after } => Some(retry_after),
             _ => None,
         };
-        let advice = h.asked.iter().find_map(told).flatten();
+        let advice = host.asked.iter().find_map(told).flatten();
         assert!(!at_once || advice >= Some(least), "{volume_hosts} {asked} {units}: {advice:?}");
     }
 }
 
-/// Rule 2: what may have run goes again only as its effect allows.
+/// Rule 2: what may have run goes again only as its idempotency allows.
 #[test]
-fn no_effect_happens_twice() {
+fn no_request_runs_twice_against_its_idempotency() {
     let idempotency_key = |group| Idempotency::WithKey { group, window: ms(200) };
     // effect, how the first attempt ended after how long, attempts sent, answers
     let cases = [
         (Idempotency::Idempotent, AttemptOutcome::ConnectionLost, 20, 2, vec![]),
         (Idempotency::Idempotent, AttemptOutcome::Failed, 20, 2, vec![]),
-        (Idempotency::NonIdempotent, AttemptOutcome::ConnectionLost, 20, 1, vec!["abandoned"]),
-        (Idempotency::NonIdempotent, AttemptOutcome::Failed, 20, 1, vec!["abandoned"]),
-        (Idempotency::NonIdempotent, AttemptOutcome::Cancelled, 20, 1, vec!["abandoned"]),
+        (Idempotency::NonIdempotent, AttemptOutcome::ConnectionLost, 20, 1, vec!["failed"]),
+        (Idempotency::NonIdempotent, AttemptOutcome::Failed, 20, 1, vec!["failed"]),
+        (Idempotency::NonIdempotent, AttemptOutcome::Cancelled, 20, 1, vec!["failed"]),
         (Idempotency::NonIdempotent, AttemptOutcome::Rejected, 20, 2, vec![]),
         (Idempotency::NonIdempotent, AttemptOutcome::Unreachable, 20, 2, vec![]),
         (idempotency_key(IdempotencyScope::Shard), AttemptOutcome::Failed, 20, 2, vec![]),
         (idempotency_key(IdempotencyScope::All), AttemptOutcome::Failed, 20, 2, vec![]),
-        (idempotency_key(IdempotencyScope::Shard), AttemptOutcome::Failed, 250, 1, vec!["abandoned"]),
-        (idempotency_key(IdempotencyScope::All), AttemptOutcome::Failed, 250, 1, vec!["deferred"]),
+        (idempotency_key(IdempotencyScope::Shard), AttemptOutcome::Failed, 250, 1, vec!["failed"]),
+        (idempotency_key(IdempotencyScope::All), AttemptOutcome::Failed, 250, 1, vec!["rejected"]),
     ];
     for (idempotency, outcome, after, attempts, answers) in cases {
         let mut f = config();
         f.request_classes[0].idempotency = idempotency;
-        let mut h = Host::new(f, vec![node(1, 0)], at(1000));
-        h.tell(Event::RequestArrived(request(5, 0)));
-        h.pass(ms(after));
-        h.end(5, 0, 1, outcome, after);
-        h.pass(ms(300 - after.min(250) + 100));
-        assert_eq!(h.attempts(5).len(), attempts, "{idempotency:?} {outcome:?}");
+        let mut host = Host::new(f, vec![node(1, 0)], at(1000));
+        host.deliver(Event::RequestArrived(request(5, 0)));
+        host.pass(ms(after));
+        host.end(5, 0, 1, outcome, after);
+        host.pass(ms(300 - after.min(250) + 100));
+        assert_eq!(host.attempts(5).len(), attempts, "{idempotency:?} {outcome:?}");
         if attempts == 1 {
-            assert_eq!(h.answers(5), answers, "{idempotency:?} {outcome:?}");
+            assert_eq!(host.answers(5), answers, "{idempotency:?} {outcome:?}");
         }
     }
 }
@@ -217,45 +223,46 @@
         let mut f = config();
         f.request_classes[1].idempotency = Idempotency::WithKey { group, window: ms(5000) };
         let far = Endpoint { zone: ZoneId(1), ..node(2, 1) };
-        let mut h = Host::new(f, vec![node(1, 0)], at(1000));
-        h.tell(Event::RequestArrived(Request { shard: None, ..request(5, 1) }));
-        h.list(UpdateKind::Snapshot, vec![far]);
-        h.pass(ms(20));
-        h.end(5, 0, 1, AttemptOutcome::Failed, 20);
-        h.pass(ms(100));
-        assert_eq!(h.attempts(5).contains(&2), may_move, "{group:?}");
+        let mut host = Host::new(f, vec![node(1, 0)], at(1000));
+        host.deliver(Event::RequestArrived(Request { shard: None, ..request(5, 1) }));
+        host.list(UpdateKind::Snapshot, vec![far]);
+        host.pass(ms(20));
+        host.end(5, 0, 1, AttemptOutcome::Failed, 20);
+        host.pass(ms(100));
+        assert_eq!(host.attempts(5).contains(&2), may_move, "{group:?}");
     }
 }
 
 /// Rule 7: a volume that does not tell through how many hosts it works has this host's part of all of them.
 #[test]
-fn a_volume_of_untold_hosts_has_an_even_part_of_all() {
+fn a_volume_of_unknown_host_count_has_an_even_share_of_all() {
     let f = SchedulerConfig { hosts: 4, peer_messages_enabled: false, ..config() };
-    let mut h = Host::new(f, vec![node(1, 0)], at(1000));
+    let mut host = Host::new(f, vec![node(1, 0)], at(1000));
     for id in 0..100 {
         let t = Request { plan: PlanId(1), volume_hosts: 0, ..request(id, 0) };
-        h.tell(Event::RequestArrived(t));
-        h.pass(ms(10));
-        h.order().into_iter().for_each(|id| h.end(id, 0, 1, AttemptOutcome::Succeeded, 1));
+        host.deliver(Event::RequestArrived(t));
+        host.pass(ms(10));
+        host.order().into_iter().for_each(|id| host.end(id, 0, 1, AttemptOutcome::Succeeded, 1));
     }
     // 40 units a second over all hosts.
-    assert!((8..=10).contains(&h.order().len()), "{}", h.order().len());
+    assert!((8..=10).contains(&host.order().len()), "{}", host.order().len());
 }
 
-/// Rule 3: where the list is asked for, it is so again within the time after which what it held counts as told.
+/// Rule 3: where the list is asked for, it is so again within the time after which what it held counts as
+/// reported.
 #[test]
-fn a_lost_list_is_asked_for_within_its_time() {
+fn a_lost_list_is_polled_within_its_time() {
     for (within, longest) in [(None, 7500), (Some(ms(900)), 900)] {
         let f = SchedulerConfig { poll_endpoints: true, poll_within: within, me: HostId(1), ..config() };
-        let mut h = Host::new(f, vec![node(1, 0)], at(0));
+        let mut host = Host::new(f, vec![node(1, 0)], at(0));
         let (mut last, mut most) = (at(0), ms(0));
         for _ in 0..8 {
-            h.tell(Event::EndpointListLost);
-            let asked = h.asked.len();
-            while h.asked.len() == asked {
-                h.pass(ms(1));
+            host.deliver(Event::EndpointListLost);
+            let asked = host.asked.len();
+            while host.asked.len() == asked {
+                host.pass(ms(1));
             }
-            (last, most) = (h.now, most.max(h.now - last));
+            (last, most) = (host.now, most.max(host.now - last));
         }
         assert!(most <= ms(longest) && most >= ms(longest / 2), "{within:?}: {most:?}");
     }
@@ -263,7 +270,7 @@
 
 /// Rule 3: no new attempt to a node that drains or is gone, whatever says so.
 #[test]
-fn drains_are_kept() {
+fn no_attempt_goes_to_a_draining_node() {
     let state = |state| vec![Endpoint { state, ..node(1, 0) }];
     let cases = [
         (UpdateKind::Delta, state(EndpointState::Draining), false),
@@ -273,26 +280,26 @@
         (UpdateKind::Snapshot, vec![node(1, 0)], true),
     ];
     for (update_kind, entries, goes) in cases {
-        let mut h = host();
-        h.list(update_kind, entries.clone());
+        let mut host = host();
+        host.list(update_kind, entries.clone());
         // A late list that still calls it ready does not take a drain back.
-        h.list(UpdateKind::Delta, vec![node(1, 0)]);
-        h.tell(Event::RequestArrived(request(5, 0)));
-        h.pass(ms(100));
-        assert_eq!(!h.attempts(5).is_empty(), goes, "{update_kind:?} {entries:?}");
+        host.list(UpdateKind::Delta, vec![node(1, 0)]);
+        host.deliver(Event::RequestArrived(request(5, 0)));
+        host.pass(ms(100));
+        assert_eq!(!host.attempts(5).is_empty(), goes, "{update_kind:?} {entries:?}");
         // A successor with the same data takes what waits.
-        h.list(UpdateKind::Delta, vec![node(9, 0)]);
-        assert_eq!(h.attempts(5), [if goes { 1 } else { 9 }]);
+        host.list(UpdateKind::Delta, vec![node(9, 0)]);
+        assert_eq!(host.attempts(5), [if goes { 1 } else { 9 }]);
     }
 }
 
-/// Rule 4: what goes to a cold node within the rule's window stays within this host's part. By evidence: a
-/// broken node has just started. Attempts turned away count in full, served ones in part.
+/// Rule 4: what goes to a node that warms up within the rule's window stays within this host's part. By
+/// evidence: a broken node has just started. Attempts turned away count in full, served ones in part.
 #[test]
-fn a_cold_node_is_not_pushed_over() {
+fn slow_start_bounds_what_a_node_is_sent() {
     let age = |ms: i64| Some(at(20_000 - ms));
-    // started, broken first, what the node then says of its start, how attempts end, least and most units in the
-    // first window
+    // started, broken first, what the node then says of its start, how attempts end, least and most units in
+    // the first window
     let cases = [
         (age(0), false, None, AttemptOutcome::Rejected, 1.0, 6.0),
         (age(4000), false, None, AttemptOutcome::Rejected, 1.0, 14.0),
@@ -305,25 +312,25 @@
         (age(60_000), true, Some(age(0)), AttemptOutcome::Rejected, 1.0, 6.0),
         (age(60_000), false, Some(age(0)), AttemptOutcome::Rejected, 1.0, 6.0),
     ];
-    for (started, broken, said, outcome, least, most) in cases {
-        let mut h = Host::new(config(), vec![Endpoint { started, ..node(1, 0) }], at(20_000));
+    for (started, broken, reported_start, outcome, least, most) in cases {
+        let mut host = Host::new(config(), vec![Endpoint { started, ..node(1, 0) }], at(20_000));
         if broken {
-            h.tell(Event::RequestArrived(request(100, 2)));
-            h.end(100, 0, 1, AttemptOutcome::ConnectionLost, 5);
+            host.deliver(Event::RequestArrived(request(100, 2)));
+            host.end(100, 0, 1, AttemptOutcome::ConnectionLost, 5);
         }
-        if let Some(started) = said {
-            h.list(UpdateKind::SelfReported, vec![Endpoint { started, ..node(1, 0) }]);
+        if let Some(started) = reported_start {
+            host.list(UpdateKind::SelfReported, vec![Endpoint { started, ..node(1, 0) }]);
         }
         for id in 0..50 {
-            h.tell(Event::RequestArrived(request(id, 0)));
-            h.pass(ms(2));
-            if !h.attempts(id).is_empty() {
-                h.end(id, 0, 1, outcome, 2);
+            host.deliver(Event::RequestArrived(request(id, 0)));
+            host.pass(ms(2));
+            if !host.attempts(id).is_empty() {
+                host.end(id, 0, 1, outcome, 2);
             }
         }
-        let sent: usize = (0..50).map(|id| h.attempts(id).len()).sum();
+        let sent: usize = (0..50).map(|id| host.attempts(id).len()).sum();
         let sent = sent as f64;
-        assert!(least <= sent && sent <= most, "{started:?} {broken} {said:?} {outcome:?}: {sent}");
+        assert!(least <= sent && sent <= most, "{started:?} {broken} {reported_start:?} {outcome:?}: {sent}");
     }
 }
 
@@ -340,66 +347,66 @@
         let mut f = config();
         f.order_settle = ms(50);
         f.request_classes[2].in_order = true;
-        let mut h = Host::new(f, vec![node(1, 0)], at(1000));
+        let mut host = Host::new(f, vec![node(1, 0)], at(1000));
         for id in [5, 6, 7] {
-            h.tell(Event::RequestArrived(Request { object: Some(ObjectId(3)), ..request(id, 2) }));
+            host.deliver(Event::RequestArrived(Request { object: Some(ObjectId(3)), ..request(id, 2) }));
         }
-        h.tell(Event::RequestArrived(Request { object: Some(ObjectId(4)), ..request(8, 2) }));
-        h.pass(ms(10));
-        assert_eq!((h.attempts(5).len(), h.attempts(6).len(), h.attempts(8).len()), (1, 0, 1));
-        h.end(8, 0, 1, AttemptOutcome::Succeeded, 10);
-        h.end(5, 0, 1, outcome, 10);
+        host.deliver(Event::RequestArrived(Request { object: Some(ObjectId(4)), ..request(8, 2) }));
+        host.pass(ms(10));
+        assert_eq!((host.attempts(5).len(), host.attempts(6).len(), host.attempts(8).len()), (1, 0, 1));
+        host.end(8, 0, 1, AttemptOutcome::Succeeded, 10);
+        host.end(5, 0, 1, outcome, 10);
         if rest > 0 {
-            h.pass(ms(rest - 10));
-            assert_eq!(h.attempts(6).len(), 0, "{outcome:?}");
-            h.pass(ms(150));
+            host.pass(ms(rest - 10));
+            assert_eq!(host.attempts(6).len(), 0, "{outcome:?}");
+            host.pass(ms(150));
         }
-        assert_eq!((h.attempts(6).len(), h.attempts(7).len()), (1, 0), "{outcome:?}");
+        assert_eq!((host.attempts(6).len(), host.attempts(7).len()), (1, 0), "{outcome:?}");
     }
 }
 
-/// Rule 6: further attempts stay within the free few and the share of what was accepted.
+/// Rule 6: retries stay within the free few and the share of what was accepted.
 #[test]
-fn further_attempts_stay_within_their_budget() {
+fn retries_stay_within_their_budget() {
     for (free, share, most) in [(0.0, 0.0, 0), (3.0, 0.0, 3), (1.0, 0.1, 5)] {
         let mut f = config();
         f.retry_budget = Some(RetryBudget { free, share, window: ms(5000) });
-        let mut h = Host::new(f, vec![node(1, 0)], at(1000));
+        let mut host = Host::new(f, vec![node(1, 0)], at(1000));
         for id in 0..20 {
-            h.tell(Event::RequestArrived(request(id + 100, 0)));
-            h.end(id + 100, 0, 1, AttemptOutcome::Succeeded, 1);
-            h.tell(Event::RequestArrived(request(id, 0)));
-            h.pass(ms(5));
-            h.end(id, 0, 1, AttemptOutcome::Failed, 5);
-            h.pass(ms(20));
-            if h.attempts(id).len() > 1 {
-                h.end(id, 1, 1, AttemptOutcome::Succeeded, 5);
+            host.deliver(Event::RequestArrived(request(id + 100, 0)));
+            host.end(id + 100, 0, 1, AttemptOutcome::Succeeded, 1);
+            host.deliver(Event::RequestArrived(request(id, 0)));
+            host.pass(ms(5));
+            host.end(id, 0, 1, AttemptOutcome::Failed, 5);
+            host.pass(ms(20));
+            if host.attempts(id).len() > 1 {
+                host.end(id, 1, 1, AttemptOutcome::Succeeded, 5);
             }
         }
-        let further: usize = (0..20).map(|id| h.attempts(id).len().saturating_sub(1)).sum();
+        let further: usize = (0..20).map(|id| host.attempts(id).len().saturating_sub(1)).sum();
         assert!(further <= most && further * 2 >= most, "{free} {share}: {further}");
     }
 }
 
 #[test]
-fn stray_events_do_no_harm() {
-    let mut h = host();
-    h.end(77, 0, 1, AttemptOutcome::Succeeded, 5);
-    h.end(77, 3, 99, AttemptOutcome::ConnectionLost, 5);
-    h.tell(Event::ClientDisconnected(RequestId(77)));
-    h.tell(Event::Timer(TimerId(77)));
-    h.tell(Event::EndpointListLost);
+fn unexpected_events_change_nothing() {
+    let mut host = host();
+    host.end(77, 0, 1, AttemptOutcome::Succeeded, 5);
+    host.end(77, 3, 99, AttemptOutcome::ConnectionLost, 5);
+    host.deliver(Event::ClientDisconnected(RequestId(77)));
+    host.deliver(Event::Timer(TimerId(77)));
+    host.deliver(Event::EndpointListLost);
     for bytes in [vec![], vec![0x67], vec![0x67, 1, 2], vec![0xff; 256], vec![0x67; 256]] {
-        h.tell(Event::PeerMessage { from: HostId(1), bytes });
+        host.deliver(Event::PeerMessage { from: HostId(1), bytes });
     }
-    h.tell(Event::RequestArrived(request(5, 0)));
-    h.tell(Event::ClientDisconnected(RequestId(5)));
-    h.pass(ms(2000));
-    assert_eq!((h.attempts(5).len(), h.answers(5).len()), (1, 0));
+    host.deliver(Event::RequestArrived(request(5, 0)));
+    host.deliver(Event::ClientDisconnected(RequestId(5)));
+    host.pass(ms(2000));
+    assert_eq!((host.attempts(5).len(), host.answers(5).len()), (1, 0));
 }
 
 #[test]
-fn extreme_config_are_borne() {
+fn extreme_configurations_are_accepted() {
     let zero = SchedulerConfig {
         request_classes: config().request_classes,
         plans: config().plans,
@@ -413,45 +420,45 @@
     let mut tiny = config();
     tiny.plans[1].limit = Some(Limit { rate: 1e-9, burst: 0.0 });
     for f in [zero, none, huge, tiny] {
-        let mut h = Host::new(f, vec![node(1, 0), node(1, 0)], at(0));
+        let mut host = Host::new(f, vec![node(1, 0), node(1, 0)], at(0));
         for (id, units) in [(1, 0.0), (2, 1e300), (3, 5.0)] {
             let t = Request { units, plan: PlanId(1), volume_hosts: id as u32, ..request(id, 0) };
-            h.tell(Event::RequestArrived(t));
+            host.deliver(Event::RequestArrived(t));
         }
-        h.tell(Event::RequestArrived(Request {
+        host.deliver(Event::RequestArrived(Request {
             timeout: Span::ZERO,
             shard: None,
             volume_hosts: 0,
             ..request(4, 1)
         }));
-        h.pass(ms(1500));
-        assert!(h.answers(2).len() <= 1);
+        host.pass(ms(1500));
+        assert!(host.answers(2).len() <= 1);
     }
 }
 
 /// The list: asked where it must be, again with growing waits while it is lost, and not where it is pushed.
 #[test]
-fn a_lost_list_is_asked_again() {
-    let watches = |h: &Host| h.asked.iter().filter(|a| a.1 == Action::WatchEndpoints).count();
+fn a_lost_list_is_polled_again() {
+    let watches = |host: &Host| host.asked.iter().filter(|a| a.1 == Action::WatchEndpoints).count();
     for (poll_endpoints, lost_for, least, most) in [(true, 0, 0, 0), (true, 20_000, 4, 10), (false, 0, 0, 0)]
     {
         let f = SchedulerConfig { poll_endpoints, ..config() };
-        let mut h = Host::new(f, vec![node(1, 0)], at(1000));
-        assert_eq!(watches(&h), usize::from(poll_endpoints));
+        let mut host = Host::new(f, vec![node(1, 0)], at(1000));
+        assert_eq!(watches(&host), usize::from(poll_endpoints));
         let (mut seen, mut waits) = (0, 0);
         for _ in 0..lost_for {
             // Each call fails at once.
-            if watches(&h) > seen {
-                seen = watches(&h);
+            if watches(&host) > seen {
+                seen = watches(&host);
                 waits += 1;
-                h.tell(Event::EndpointListLost);
+                host.deliver(Event::EndpointListLost);
             }
-            h.pass(ms(1));
+            host.pass(ms(1));
         }
         assert!((least..=most).contains(&waits), "{waits}");
         // The old list still serves meanwhile.
-        h.tell(Event::RequestArrived(request(5, 0)));
-        assert_eq!(h.attempts(5), [1]);
+        host.deliver(Event::RequestArrived(request(5, 0)));
+        assert_eq!(host.attempts(5), [1]);
     }
 }
 
@@ -467,64 +474,69 @@
         (vec![ready(900), drained(10)], false),
     ];
     for (says, open) in cases {
-        let mut h = Host::new(config(), vec![], at(1000));
-        says.iter().for_each(|e| h.list(UpdateKind::Delta, vec![e.clone()]));
-        h.tell(Event::RequestArrived(request(5, 0)));
-        assert_eq!(h.attempts(5).len(), usize::from(open), "{says:?}");
+        let mut host = Host::new(config(), vec![], at(1000));
+        says.iter().for_each(|e| host.list(UpdateKind::Delta, vec![e.clone()]));
+        host.deliver(Event::RequestArrived(request(5, 0)));
+        assert_eq!(host.attempts(5).len(), usize::from(open), "{says:?}");
     }
 }
 
 /// A stream that has begun is the client's; a client that left is owed nothing; no second copies.
 #[test]
-fn streams_and_departures_end_what_is_owed() {
+fn streams_and_departures_need_no_answer() {
     for (event, answers) in [
         (Some(Event::ResponseStarted { id: RequestId(5), node: NodeId(1), latency: ms(9) }), 0),
         (Some(Event::ClientDisconnected(RequestId(5))), 0),
         (None, 1),
     ] {
-        let mut h = host();
-        h.tell(Event::RequestArrived(request(5, 0)));
-        event.into_iter().for_each(|e| drop(h.tell(e)));
-        h.pass(ms(3000));
-        h.end(5, 0, 1, AttemptOutcome::Cancelled, 3000);
-        h.end(5, 0, 1, AttemptOutcome::Cancelled, 3000);
-        h.pass(ms(100));
-        assert_eq!((h.answers(5).len(), h.attempts(5).len()), (answers, 1));
+        let mut host = host();
+        host.deliver(Event::RequestArrived(request(5, 0)));
+        event.into_iter().for_each(|e| drop(host.deliver(e)));
+        host.pass(ms(3000));
+        host.end(5, 0, 1, AttemptOutcome::Cancelled, 3000);
+        host.end(5, 0, 1, AttemptOutcome::Cancelled, 3000);
+        host.pass(ms(100));
+        assert_eq!((host.answers(5).len(), host.attempts(5).len()), (answers, 1));
     }
 }
 
 /// Benefit still due decides the order at a node, then the time left, then arrival.
 #[test]
-fn the_dearest_goes_first() {
+fn the_highest_value_goes_first() {
     // benefit, price and latency objective of the one that should go first, against 2, 1 and 400 ms
     for (priority_weight, price, slo) in [(3.0, 1.0, 400), (2.0, 1.5, 400), (2.0, 1.0, 300)] {
         let mut f = config();
         (f.request_classes[1].priority_weight, f.request_classes[1].latency_objective) =
             (priority_weight, ms(slo));
         f.plans[1] = Plan { limit: None, price, ..f.plans[1].clone() };
-        let mut h = Host::new(f, leaving(0), at(1000));
+        let mut host = Host::new(f, leaving(0), at(1000));
         for id in [4, 5] {
-            h.tell(Event::RequestArrived(request(id, 0)));
+            host.deliver(Event::RequestArrived(request(id, 0)));
         }
-        h.tell(Event::RequestArrived(Request { plan: PlanId(1), volume: VolumeId(8), ..request(6, 1) }));
-        h.list(UpdateKind::Snapshot, vec![node(1, 0)]);
-        assert_eq!(h.order(), [6, 4, 5], "{priority_weight} {price} {slo}");
+        host.deliver(Event::RequestArrived(Request {
+            plan: PlanId(1),
+            volume: VolumeId(8),
+            ..request(6, 1)
+        }));
+        host.list(UpdateKind::Snapshot, vec![node(1, 0)]);
+        assert_eq!(host.order(), [6, 4, 5], "{priority_weight} {price} {slo}");
     }
 }
 
 #[test]
 fn decisions_repeat() {
     let play = || {
-        let mut h = Host::new(config(), (1..=5).map(|n| node(n, n as i64)).collect(), at(1000));
-        (0..200)
-            .for_each(|id| drop(h.tell(Event::RequestArrived(Request { shard: None, ..request(id, 0) }))));
-        h.pass(ms(900));
-        h.asked
+        let mut host = Host::new(config(), (1..=5).map(|n| node(n, n as i64)).collect(), at(1000));
+        (0..200).for_each(|id| {
+            drop(host.deliver(Event::RequestArrived(Request { shard: None, ..request(id, 0) })))
+        });
+        host.pass(ms(900));
+        host.asked
     };
     assert!(play().len() >= 20 && play() == play());
 }
 
-/// A new object goes to the nodes of its pool only, its further attempts too; a node that changes pools is drawn for
+/// A new object goes to the nodes of its pool only, its retries too; a node that changes pools is drawn for
 /// the new one alone. Data that lies somewhere knows no pools.
 #[test]
 fn new_objects_stay_in_their_pool() {
@@ -543,28 +555,36 @@
     ];
     for (of, pool, takers) in cases {
         let nodes = (1..=3).map(|id| pools(id, of[id as usize - 1]));
-        let mut h = Host::new(config(), nodes.collect(), at(0));
+        let mut host = Host::new(config(), nodes.collect(), at(0));
         for id in 1..=60 {
-            h.tell(Event::RequestArrived(Request { shard: None, pool: PoolId(pool), ..request(id, 0) }));
-            for (attempt, node) in h.attempts(id).into_iter().enumerate() {
-                h.end(id, attempt as u32, node, AttemptOutcome::Failed, 1);
+            host.deliver(Event::RequestArrived(Request {
+                shard: None,
+                pool: PoolId(pool),
+                ..request(id, 0)
+            }));
+            for (attempt, node) in host.attempts(id).into_iter().enumerate() {
+                host.end(id, attempt as u32, node, AttemptOutcome::Failed, 1);
             }
-            h.pass(ms(5));
-            for (attempt, node) in h.attempts(id).into_iter().enumerate() {
-                h.end(id, attempt as u32, node, AttemptOutcome::Succeeded, 1);
+            host.pass(ms(5));
+            for (attempt, node) in host.attempts(id).into_iter().enumerate() {
+                host.end(id, attempt as u32, node, AttemptOutcome::Succeeded, 1);
             }
         }
-        let went: std::collections::BTreeSet<u64> = (1..=60).flat_map(|id| h.attempts(id)).collect();
+        let went: std::collections::BTreeSet<u64> = (1..=60).flat_map(|id| host.attempts(id)).collect();
         assert_eq!(went.into_iter().collect::<Vec<_>>(), takers, "{pool}");
-        h.pass(ms(2000));
-        let answered = (1..=60).filter(|id| h.answers(*id).len() == 1).count();
+        host.pass(ms(2000));
+        let answered = (1..=60).filter(|id| host.answers(*id).len() == 1).count();
         assert_eq!(answered, if takers.is_empty() { 60 } else { 0 }, "{pool}");
         // All move to the other pool: nothing more goes to them for this one.
         let other = (1..=3).map(|id| pools(id, &[9])).collect();
-        h.list(UpdateKind::Delta, other);
-        h.tell(Event::RequestArrived(Request { shard: None, pool: PoolId(pool), ..request(70, 0) }));
-        h.tell(Event::RequestArrived(Request { shard: Some(ShardId(3)), pool: PoolId(7), ..request(71, 0) }));
-        h.pass(ms(50));
-        assert_eq!((h.attempts(70).is_empty(), h.attempts(71)), (pool != 0, vec![3]), "{pool}");
+        host.list(UpdateKind::Delta, other);
+        host.deliver(Event::RequestArrived(Request { shard: None, pool: PoolId(pool), ..request(70, 0) }));
+        host.deliver(Event::RequestArrived(Request {
+            shard: Some(ShardId(3)),
+            pool: PoolId(7),
+            ..request(71, 0)
+        }));
+        host.pass(ms(50));
+        assert_eq!((host.attempts(70).is_empty(), host.attempts(71)), (pool != 0, vec![3]), "{pool}");
     }
 }
