Reference model: history, rules and rule 7 in files of their own

Cause: story, born, did and tuples of up to three fields had to be learnt; the head of two rules stood twice. Change: history (what happened, how it is read), rules (1 to 6) on a Sending, volume_limit (rule 7); tuples are structs. Stated and born stay as other names until their users have changed. Texts of breaches are as they were.

--- a/tests/decisions/world.rs
+++ b/tests/decisions/world.rs
@@ -3,7 +3,7 @@
 
 use crate::common::*;
 use gullsail::api::*;
-use gullsail_reference_model::{Breach, Model, Stated};
+use gullsail_reference_model::{Breach, Model, RuleParameters};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -98,7 +98,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let hosts = [1, 2, 3, 8][rng.random_range(0..4)];
         let config = world_config(hosts, &mut rng);
-        let stated = Stated { drain_grace: ms(0), slack: 0.0, multiple: 2.0, can: CAN, answer_slack: ms(0) };
+        let parameters =
+            RuleParameters { drain_grace: ms(0), slack: 0.0, multiple: 2.0, can: CAN, answer_slack: ms(0) };
         let now = at(100_000);
         let server = |n: u64| Server {
             entry: Endpoint { zone: ZoneId(n as usize % 2), ..node(n, n as i64 % SHARDS) },
@@ -109,7 +110,7 @@
         let mut w = World {
             rng,
             now,
-            model: Model::new(stated),
+            model: Model::new(parameters),
             members: Vec::new(),
             servers: (0..5).map(server).collect(),
             mail: Vec::new(),
@@ -138,7 +139,7 @@
     pub fn start_host(&mut self, me: usize) {
         let config = SchedulerConfig { me: HostId(me as u32), ..self.config.clone() };
         self.model.step();
-        self.model.born(self.now, HostId(me as u32), &config);
+        self.model.host_started(self.now, HostId(me as u32), &config);
         let entries: Vec<_> = self.servers.iter().map(|m| m.entry.clone()).collect();
         let list = Event::EndpointList { update_kind: UpdateKind::StaleSnapshot, entries: entries.clone() };
         self.model.saw(self.now, HostId(me as u32), &list);
