Scheduler: messages to endpoints are a struct; what is public is documented

Cause: the outbox held bare tuples; two methods of DecayingSum had no doc; the head named half of the files. Change: Outgoing, doc comments, the list of files at the head; three locals of the tests.

--- a/src/decaying_sum.rs
+++ b/src/decaying_sum.rs
@@ -10,14 +10,18 @@
 }
 
 impl DecayingSum {
+    /// As of now.
     pub fn read(&mut self, now: Instant, over: Span) -> f64 {
         self.sum *= (-(now - self.at).secs().max(0.0) / over.secs()).exp();
         self.at = now;
         self.sum
     }
-    pub fn add(&mut self, now: Instant, over: Span, what: f64) {
-        self.sum = self.read(now, over) + what;
+
+    /// Brings it up to date and adds to it.
+    pub fn add(&mut self, now: Instant, over: Span, amount: f64) {
+        self.sum = self.read(now, over) + amount;
     }
+
     /// As of the last reading or addition.
     pub fn last(&self) -> f64 {
         self.sum
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
-//! gullsail: the decisions of a storage gateway. Everything that is decided stands in [`scheduler`];
-//! what it is told and what it asks for stands in `gullsail-scheduler-api`.
+//! gullsail: the decisions of a storage gateway. Everything that is decided on requests stands in
+//! [`scheduler`]; its events, actions and configuration stand in `gullsail-scheduler-api`. No clock, socket
+//! or file is used here.
 
 pub mod decaying_sum;
 pub mod scheduler;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -5,9 +5,10 @@
 //! These files decide, and are listed as policy: `admission` (accept or shed, and the advice given),
 //! `dispatch` (queues, choice of node), `attempts` (outcomes, retry budget, idempotency), `endpoint` (window,
 //! health, slow start), `volume` (token bucket, rate, loans), `demand_reports` (epochs, what hosts report to
-//! each other), `cross_zone` (budgets between zones). The others hold state for them: `messages`, `queue`,
-//! `request_table`, `endpoint_index`, `volume_table`, `size_metrics`. Here stands the loop over the
-//! mailboxes.
+//! each other), `cross_zone` (budgets between zones). The others decide nothing: `request_scheduler`
+//! (hands messages on), `messages`, `queue`, `request_table`, `endpoint_index`, `endpoint_state`,
+//! `volume_table`, `attempt_accounts`, `cross_zone_ledger`, `peer_messages` and `size_metrics` hold state and
+//! keep its books. Here stands the loop over the mailboxes.
 //!
 //! 1. State changes only in [`Scheduler::step`]; the clock is the caller's.
 //! 2. All random choices come from one generator, so equal seeds and events give equal actions.
@@ -43,7 +44,9 @@
 use gullsail_scheduler_api::{
     Action, Endpoint, EndpointState, Event, Instant, NodeId, SchedulerConfig, UpdateKind,
 };
-use messages::{AttemptKey, EPOCH_TIMER, EndpointCapacity, EndpointMessage, POLL_TIMER, RequestMessage};
+use messages::{
+    AttemptKey, EPOCH_TIMER, EndpointCapacity, EndpointMessage, Outgoing, POLL_TIMER, RequestMessage,
+};
 use queue::{Destination, QueueKey};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -119,8 +122,8 @@
             while let Some(message) = self.requests.mailbox.pop_front() {
                 self.requests.handle(message, &mut self.rng);
             }
-            while let Some((id, message)) = self.requests.outbox.pop_front() {
-                self.post(id, message);
+            while let Some(Outgoing { to, message }) = self.requests.outbox.pop_front() {
+                self.post(to, message);
             }
             let Some(id) = self.with_mail.pop_first() else { return };
             let Some(tracker) = self.trackers.get_mut(&id) else { continue };
--- a/src/scheduler/attempts.rs
+++ b/src/scheduler/attempts.rs
@@ -2,7 +2,7 @@
 //! allow. Called by `request_scheduler` and `dispatch`.
 
 use super::{
-    AttemptAccounts, AttemptKey, CrossZoneBytes, EndpointCapacity, EndpointMessage, OpenRequest,
+    AttemptAccounts, AttemptKey, CrossZoneBytes, EndpointCapacity, EndpointMessage, OpenRequest, Outgoing,
     RequestScheduler,
 };
 use gullsail_scheduler_api::{
@@ -40,7 +40,8 @@
     pub(super) fn attempt_ended(&mut self, end: AttemptEnd, rng: &mut ChaCha8Rng) {
         let AttemptEnd { id, attempt, node, outcome, latency, .. } = end;
         let key = AttemptKey { request: id, attempt };
-        self.outbox.push_back((node, EndpointMessage::AttemptEnded { key, outcome, latency }));
+        let message = EndpointMessage::AttemptEnded { key, outcome, latency };
+        self.outbox.push_back(Outgoing { to: node, message });
         let degraded = self.endpoints.capacities.get(&node).is_none_or(|capacity| capacity.degraded);
         self.attempts.record_ended(self.now, key, &end, degraded);
         let Some(plan) = self.requests.open.get(&id).map(|open| open.request.plan) else { return };
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -4,7 +4,7 @@
 
 use super::{
     AttemptKey, CrossZoneBytes, Destination, DrawnEndpoint, EndpointCapacity, EndpointMessage, FORGET_AFTER,
-    OpenRequest, PossibleRun, QueueKey, RECENT, RETURN_FACTOR, RequestScheduler,
+    OpenRequest, Outgoing, PossibleRun, QueueKey, RECENT, RETURN_FACTOR, RequestScheduler,
 };
 use gullsail_scheduler_api::{
     Action, Idempotency, IdempotencyScope, Instant, OverrunCause, PoolId, RequestId, Span, demand_report,
@@ -79,7 +79,7 @@
         match key.destination {
             Destination::Shard(shard) => {
                 let nodes = self.endpoints.of_shard(shard);
-                self.outbox.extend(nodes.map(|node| (node, EndpointMessage::CapacityWanted)));
+                self.outbox.extend(nodes.map(Outgoing::capacity_wanted));
             }
             Destination::Pool(pool) => self.draw_endpoint(pool, rng),
         }
@@ -204,10 +204,10 @@
         if let Ok(chosen) = takers.choose_weighted(rng, odds) {
             let node = chosen.entry.node;
             self.endpoints.drawn.insert(DrawnEndpoint { node, pool });
-            self.outbox.push_back((node, EndpointMessage::CapacityWanted));
+            self.outbox.push_back(Outgoing::capacity_wanted(node));
         }
         let full = sample.iter().filter(|c| c.available_slots == 0);
-        self.outbox.extend(full.map(|c| (c.entry.node, EndpointMessage::CapacityWanted)));
+        self.outbox.extend(full.map(|c| Outgoing::capacity_wanted(c.entry.node)));
     }
 
     fn send(&mut self, id: RequestId, capacity: &EndpointCapacity) {
@@ -229,7 +229,7 @@
         open.possible_run.get_or_insert(PossibleRun { attempt, shard, zone, since: self.now });
         let time_out = Some(open.objective_deadline - self.now);
         let message = EndpointMessage::AttemptSent { key, units: request.units, latency_objective };
-        self.outbox.push_back((node, message));
+        self.outbox.push_back(Outgoing { to: node, message });
         self.actions.push(Action::StartAttempt { id, node, time_out });
         let Some(own_zone) = self.config.zone else { return };
         let forced = self.no_local_node(request.pool).filter(|_| request.shard.is_none());
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -2,7 +2,7 @@
 //! one [`EndpointTracker`](super::endpoint) for each node. Also the numbers of the scheduler's own timers.
 //! Nothing is decided here.
 
-use gullsail_scheduler_api::{AttemptOutcome, Endpoint, Event, RequestId, Span, TimerId};
+use gullsail_scheduler_api::{AttemptOutcome, Endpoint, Event, NodeId, RequestId, Span, TimerId};
 
 /// Timers with smaller numbers are deadlines of requests, with the request's number.
 pub(super) const EPOCH_TIMER: TimerId = TimerId(1 << 40);
@@ -25,6 +25,18 @@
     CapacityWanted,
 }
 
+/// A message on its way to one endpoint's tracker.
+pub(super) struct Outgoing {
+    pub(super) to: NodeId,
+    pub(super) message: EndpointMessage,
+}
+
+impl Outgoing {
+    pub(super) fn capacity_wanted(to: NodeId) -> Self {
+        Outgoing { to, message: EndpointMessage::CapacityWanted }
+    }
+}
+
 /// To the side that holds requests and queues.
 pub(super) enum RequestMessage {
     Event(Event),
--- a/src/scheduler/request_scheduler.rs
+++ b/src/scheduler/request_scheduler.rs
@@ -4,13 +4,11 @@
 use super::admission::{Admission, FIRST_POLL_WAIT};
 use super::attempt_accounts::AttemptAccounts;
 use super::endpoint_index::{EndpointIndex, pools};
-use super::messages::{EPOCH_TIMER, EndpointCapacity, EndpointMessage, POLL_TIMER, RequestMessage};
+use super::messages::{EPOCH_TIMER, EndpointCapacity, Outgoing, POLL_TIMER, RequestMessage};
 use super::queue::WaitQueues;
 use super::request_table::RequestTable;
 use super::volume_table::VolumeTable;
-use gullsail_scheduler_api::{
-    Action, Event, Instant, NodeId, RequestId, SchedulerConfig, TimerId, UpdateKind,
-};
+use gullsail_scheduler_api::{Action, Event, Instant, RequestId, SchedulerConfig, TimerId, UpdateKind};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
 
@@ -19,7 +17,7 @@
     pub(super) config: SchedulerConfig,
     pub(super) mailbox: VecDeque<RequestMessage>,
     /// For the trackers of endpoints.
-    pub(super) outbox: VecDeque<(NodeId, EndpointMessage)>,
+    pub(super) outbox: VecDeque<Outgoing>,
     pub(super) actions: Vec<Action>,
     pub(super) endpoints: EndpointIndex,
     pub(super) requests: RequestTable,
--- a/tests/decisions/cold_fleet.rs
+++ b/tests/decisions/cold_fleet.rs
@@ -109,15 +109,15 @@
         w.hosts.push(scheduler);
         w.acts(host as usize, began, actions, &f);
     }
-    let told: Vec<i64> = (0..hosts).map(|_| rng.random_range(0..=reported_within)).collect();
+    let learns_at: Vec<i64> = (0..hosts).map(|_| rng.random_range(0..=reported_within)).collect();
     let cold = Endpoint { started: Some(at(20_000)), ..node(0, 0) };
     // Of all hosts, a millisecond.
     let rate = demand * cold_units * SHARDS as f64 / f.slow_start.window.millis();
     let mut last = 0;
     for now in began..LASTS {
         let t = at(20_000 + now);
-        for (host, told) in told.iter().enumerate() {
-            if *told == now {
+        for (host, learns_at) in learns_at.iter().enumerate() {
+            if *learns_at == now {
                 let entries = vec![cold.clone()];
                 let actions =
                     w.hosts[host].step(t, [Event::EndpointList { update_kind: UpdateKind::Delta, entries }]);
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -117,8 +117,8 @@
                 Action::Reject { id: RequestId(5), retry_after } => Some(retry_after),
                 _ => None,
             });
-            let told = advice.is_none_or(|a| a.is_some_and(|a| a > Span::ZERO && a <= ms(600)));
-            assert!(told, "cause {place}, type {kind}: {advice:?}");
+            let advised = advice.is_none_or(|a| a.is_some_and(|a| a > Span::ZERO && a <= ms(600)));
+            assert!(advised, "cause {place}, type {kind}: {advice:?}");
         }
     }
 }
@@ -172,11 +172,11 @@
         assert_eq!(host.answers(5).len(), usize::from(at_once), "{volume_hosts} {asked} {units}");
         // At least until the own part has brought what waits before it and its own units.
         let least = Span::from_millis(16.0 / (40.0 / f64::from(volume_hosts)) * 1e3).min(ms(1000));
-        let told = |a: &(Instant, Action)| match a.1 {
+        let advice_of = |a: &(Instant, Action)| match a.1 {
             Action::Reject { id: RequestId(5), retry_after } => Some(retry_after),
             _ => None,
         };
-        let advice = host.asked.iter().find_map(told).flatten();
+        let advice = host.asked.iter().find_map(advice_of).flatten();
         assert!(!at_once || advice >= Some(least), "{volume_hosts} {asked} {units}: {advice:?}");
     }
 }
