--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -67,6 +67,11 @@
     }
 }
 
+/// A host that knows a node for each of the shards 0 and 1.
+pub fn host() -> Host {
+    Host::new(config(), vec![node(1, 0), node(2, 1)], at(1000))
+}
+
 pub struct Host {
     scheduler: Scheduler,
     pub now: Instant,
