--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -301,7 +301,7 @@
             r#"{{"listen":"127.0.0.1:0","discovery":"x:1","limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
             "settings":{settings}}}"#
         );
-        let d = gullsail_platform::document::Document::read("d", &text).unwrap();
+        let d = gullsail_platform::settings_document::SettingsDocument::parse("d", &text).unwrap();
         // A attempt can wait for its connection on sockets alone.
         let there = SchedulerConfig { connect_wait: Span::ZERO, ..d.config.clone() };
         assert_eq!((format!("{here:?}"), &names.stated), (format!("{there:?}"), &d.names));
@@ -327,7 +327,8 @@
             .as_bytes(),
         );
         let m = decoder.take().unwrap().unwrap();
-        let asked = gullsail_platform::core::ask::read(&m, &d.names, &d.config, &d.reach).unwrap();
+        let asked =
+            gullsail_platform::core::request_parser::parse(&m, &d.names, &d.config, &d.reach).unwrap();
         let there = Request { id: RequestId(5), ..asked.request };
         assert_eq!(format!("{here:?}"), format!("{there:?}"));
     }
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -1,121 +1,138 @@
-//! Attempts: from the module's word until their ending is told to it. A attempt takes an idle connection to its node or waits
-//! for one, and whoever waited is asked again whether it still may go.
+//! Attempts, from the scheduler's action until their outcome is reported to it. An attempt takes an idle
+//! connection to its node or waits for one; after a wait it is checked again whether the attempt may still be
+//! sent.
+//!
+//! Called by the scheduler's actions, by timers and by `node_connections`. It never chooses a node.
 
-use super::*;
+use super::Core;
+use super::io::{ConnectionId, Output};
+use super::requests::{FirstExecution, OpenRequest};
+use super::timer_event::TimerEvent;
+use gullsail_scheduler_api::{
+    AttemptEnd, AttemptOutcome, Event, Idempotency, Instant, NodeId, RequestId, Span,
+};
 
-/// From the order to write a message until the node has its first byte, at the longest on a link that works.
-const FLIGHT: Span = Span::from_micros(10_000);
+/// From the order to write a message until the node has its first byte, at most, on a connection that works.
+const MAX_SEND_DELAY: Span = Span::from_micros(10_000);
 
-/// Which request, and which of its attempts.
-pub(super) type AttemptKey = (RequestId, u32);
+/// A request, and the number of the attempt within it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct AttemptKey {
+    pub(super) request: RequestId,
+    pub(super) number: u32,
+}
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum At {
-    /// For a connection.
-    Waiting,
-    /// It is being written.
-    Going(ConnId),
-    /// Its last byte is with the operating system since then.
-    Gone(ConnId, Instant),
+pub(super) enum AttemptProgress {
+    WaitingForConnection,
+    /// Its message is being written.
+    Writing(ConnectionId),
+    /// The last byte was handed to the operating system at this time.
+    Written {
+        conn: ConnectionId,
+        at: Instant,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Attempt {
     pub(super) node: NodeId,
-    pub(super) made: Instant,
-    pub(super) ends: Instant,
-    pub(super) at: At,
-    /// The node's start as it was when the attempt was decided.
-    started: Option<Instant>,
+    pub(super) decided_at: Instant,
+    pub(super) deadline: Instant,
+    pub(super) progress: AttemptProgress,
+    /// The node's start time when the attempt was decided.
+    node_started: Option<Instant>,
 }
 
 impl Core {
     pub(super) fn start_attempt(&mut self, id: RequestId, node: NodeId, time_out: Option<Span>) {
         let now = self.now;
         let Some(open) = self.requests.get(id) else {
-            // Its client left in the batch that it was decided in: the module waits for the attempt's ending all the same.
-            return self.unsent(id, node);
+            // Its client disconnected in the batch in which it was decided; the scheduler waits for an
+            // outcome all the same.
+            return self.report_not_sent(id, node);
+        };
+        let time_left = open.deadline - now;
+        let timeout = time_out.map_or(time_left, |t| t.min(time_left));
+        let key = AttemptKey { request: id, number: open.attempts_started };
+        open.attempts_started += 1;
+        open.attempts_in_flight += 1;
+        let attempt = Attempt {
+            node,
+            decided_at: now,
+            deadline: now + timeout,
+            progress: AttemptProgress::WaitingForConnection,
+            node_started: self.nodes.started(node),
         };
-        let left = open.deadline - now;
-        let (number, lasts) = (open.attempts, time_out.map_or(left, |t| t.min(left)));
-        (open.attempts, open.out) = (open.attempts + 1, open.out + 1);
-        let key = (id, number);
-        let started = self.links.started(node);
-        let attempt = Attempt { node, made: now, ends: now + lasts, at: At::Waiting, started };
         self.attempts.insert(key, attempt);
-        // What came in the batch that it was decided in may speak against it.
-        if !self.may_still_go(key) {
-            return self.attempt_over(key, AttemptOutcome::NotSent, None);
+        // Other events of the batch in which it was decided may speak against it.
+        if !self.may_still_send(key) {
+            return self.end_attempt(key, AttemptOutcome::NotSent, None);
         }
-        self.due.set(now + lasts, Due::AttemptEnds(key));
-        if let Some(conn) = self.idle_link(node) {
-            self.dispatch(key, conn);
+        self.timers.set(now + timeout, TimerEvent::AttemptTimeout(key));
+        if let Some(conn) = self.take_idle_connection(node) {
+            self.send_attempt(key, conn);
         } else {
-            self.wait_for_link(key, node);
+            self.wait_for_connection(key, node);
         }
     }
 
-    /// May it go out now? What was decided may be some time ago: its node drains or has started anew since, the
-    /// request has its answer, or its time is over.
-    pub(super) fn may_still_go(&mut self, key: AttemptKey) -> bool {
+    /// May the attempt be sent now? Since it was decided its node may have begun to drain or been restarted,
+    /// the request may have been answered, or its time may be over.
+    pub(super) fn may_still_send(&mut self, key: AttemptKey) -> bool {
         let Some(attempt) = self.attempts.get(&key).copied() else { return false };
         let now = self.now;
-        let open = self.requests.get(key.0).is_some_and(|o| {
-            // Guards against a repeat that begins, after the wait for its connection, when nobody knows any more that the
-            // first may have run. It harms where the window is about as short as that wait.
-            let repeats = |idempotency| match (idempotency, o.ran) {
-                (_, None) | (Idempotency::Idempotent, _) => true,
-                (Idempotency::WithKey { window, .. }, Some((_, since))) => now + FLIGHT - since < window,
-                (Idempotency::NonIdempotent, Some(_)) => false,
-            };
-            o.client.is_some() && repeats(self.config.request_classes[o.request_class.0].idempotency)
-        });
-        open && now < attempt.ends
-            && self.links.is_ready(attempt.node)
-            && self.links.started(attempt.node) == attempt.started
+        let Some(open) = self.requests.get(key.request) else { return false };
+        let idempotency = self.config.request_classes[open.request_class.0].idempotency;
+        let wanted = open.client.is_some() && may_repeat(open, idempotency, now);
+        wanted
+            && now < attempt.deadline
+            && self.nodes.is_ready(attempt.node)
+            && self.nodes.started(attempt.node) == attempt.node_started
     }
 
-    /// Writes it to a connection that is up and free.
-    pub(super) fn dispatch(&mut self, key: AttemptKey, conn: ConnId) {
+    /// Writes it to a connection that is established and free.
+    pub(super) fn send_attempt(&mut self, key: AttemptKey, conn: ConnectionId) {
         let now = self.now;
         let Some(attempt) = self.attempts.get_mut(&key) else { return };
-        attempt.at = At::Going(conn);
-        let left = attempt.ends - now;
-        let made = attempt.made;
-        let Some(open) = self.requests.get(key.0) else { return };
-        open.ran.get_or_insert((key.1, made));
-        let bytes = open.parts.message(left, &open.body);
-        let seen = self.links.busy(conn, key);
+        attempt.progress = AttemptProgress::Writing(conn);
+        let time_left = attempt.deadline - now;
+        let decided_at = attempt.decided_at;
+        let Some(open) = self.requests.get(key.request) else { return };
+        open.first_execution.get_or_insert(FirstExecution { attempt: key.number, decided_at });
+        let bytes = open.head.message(time_left, &open.body);
+        let seen = self.nodes.mark_busy(conn, key);
         self.outputs.push(Output::Send { conn, bytes, seen });
     }
 
-    pub(super) fn attempt_ends(&mut self, key: AttemptKey) {
-        match self.attempts.get(&key).map(|l| l.at) {
-            Some(At::Waiting) => self.attempt_waited(key),
-            // The connection goes first: no second attempt may be out beside this one. What was handed to its task may have
-            // run until the task says otherwise: the word that all is written may be under way.
-            Some(At::Going(conn) | At::Gone(conn, _)) => {
-                self.close_link(conn);
-                self.attempt_over(key, AttemptOutcome::TimedOut, None);
+    pub(super) fn attempt_timed_out(&mut self, key: AttemptKey) {
+        match self.attempts.get(&key).map(|attempt| attempt.progress) {
+            Some(AttemptProgress::WaitingForConnection) => self.connection_wait_timed_out(key),
+            // The connection is closed first: no second attempt may be in flight beside this one. What was
+            // handed to the connection's task may have run until the task says otherwise, since its report
+            // may be on the way.
+            Some(AttemptProgress::Writing(conn) | AttemptProgress::Written { conn, .. }) => {
+                self.close_node_connection(conn);
+                self.end_attempt(key, AttemptOutcome::TimedOut, None);
             }
             None => {}
         }
     }
 
-    /// It waited for a connection as long as it may.
-    pub(super) fn attempt_waited(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get(&key).copied().filter(|l| l.at == At::Waiting) else { return };
-        let dialled = self.links.stop_waiting(attempt.node, key);
-        self.attempt_over(
-            key,
-            if dialled { AttemptOutcome::Unreachable } else { AttemptOutcome::NotSent },
-            None,
-        );
+    pub(super) fn connection_wait_timed_out(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(&key).copied() else { return };
+        if attempt.progress != AttemptProgress::WaitingForConnection {
+            return;
+        }
+        let was_connecting = self.nodes.stop_waiting(attempt.node, key);
+        let outcome = if was_connecting { AttemptOutcome::Unreachable } else { AttemptOutcome::NotSent };
+        self.end_attempt(key, outcome, None);
     }
 
-    /// A attempt of a request that is no more: its first, since those of one with an attempt out are kept.
-    fn unsent(&mut self, id: RequestId, node: NodeId) {
-        self.counts.outcome(AttemptOutcome::NotSent);
+    /// For a request that is no longer in the table. It was the first attempt: a request with one in flight
+    /// is kept.
+    fn report_not_sent(&mut self, id: RequestId, node: NodeId) {
+        self.metrics.count_outcome(AttemptOutcome::NotSent);
         self.events.push(Event::AttemptEnded(AttemptEnd {
             id,
             attempt: 0,
@@ -124,26 +141,39 @@
             latency: Span::ZERO,
             finished: true,
             used: None,
-            zone: self.links.zone(node),
+            zone: self.nodes.zone(node),
             bytes: 0.0,
         }));
     }
 
-    /// Tells the module.
-    pub(super) fn attempt_over(&mut self, key: AttemptKey, outcome: AttemptOutcome, used: Option<f64>) {
+    /// Reports the outcome to the scheduler.
+    pub(super) fn end_attempt(&mut self, key: AttemptKey, outcome: AttemptOutcome, used: Option<f64>) {
         let Some(attempt) = self.attempts.remove(&key) else { return };
-        self.counts.outcome(outcome);
-        let finished = self.requests.attempt_over(key.0, key.1, outcome);
+        self.metrics.count_outcome(outcome);
+        let finished = self.requests.attempt_ended(key, outcome);
         self.events.push(Event::AttemptEnded(AttemptEnd {
-            id: key.0,
-            attempt: key.1,
+            id: key.request,
+            attempt: key.number,
             node: attempt.node,
             outcome,
-            latency: self.now - attempt.made,
+            latency: self.now - attempt.decided_at,
             finished,
             used,
-            zone: self.links.zone(attempt.node),
+            zone: self.nodes.zone(attempt.node),
             bytes: 0.0,
         }));
     }
 }
+
+/// Guards against a repetition that begins, after its wait for a connection, when nobody remembers any more
+/// that the first attempt may have run. That matters only where the idempotency window is about as short as
+/// that wait.
+fn may_repeat(open: &OpenRequest, idempotency: Idempotency, now: Instant) -> bool {
+    match (idempotency, open.first_execution) {
+        (_, None) | (Idempotency::Idempotent, _) => true,
+        (Idempotency::WithKey { window, .. }, Some(first)) => {
+            now + MAX_SEND_DELAY - first.decided_at < window
+        }
+        (Idempotency::NonIdempotent, Some(_)) => false,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/io.rs
@@ -0,0 +1,97 @@
+//! What goes into and out of [`super::Core`]: events of sockets and signals, and the orders that the runtime
+//! carries out.
+
+use crate::settings_document::SettingsDocument;
+use bytes::Bytes;
+use std::net::SocketAddr;
+
+/// A connection, by a number that is never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionId(pub u64);
+
+/// An event of the sockets or the operator. [`Input::Closed`] is always the last one of its connection.
+#[derive(Debug)]
+pub enum Input {
+    /// An outgoing connection is established.
+    Connected(ConnectionId),
+    /// Bytes were read.
+    Received(ConnectionId, Bytes),
+    /// All that was to be written is with the operating system.
+    Written(ConnectionId),
+    /// The connection was found closed before a byte of the message was written.
+    NotWritten(ConnectionId),
+    /// Everything is written and this side's direction is closed.
+    WriteClosed(ConnectionId),
+    /// The connection has ended, or could not be established.
+    Closed(ConnectionId),
+    /// A datagram from another host.
+    Datagram(SocketAddr, Bytes),
+    /// A new settings document; only its discovery address takes effect while the host serves.
+    Reload(Box<SettingsDocument>),
+    /// The first request to shut down.
+    Shutdown,
+    /// The second one: every open request is answered at once.
+    ShutdownNow,
+}
+
+/// An order to the runtime.
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    /// Open a connection.
+    Connect {
+        /// The number by which the connection is known from now on.
+        conn: ConnectionId,
+        /// An IP address and a port.
+        address: String,
+    },
+    /// Write to a node or to discovery, unless there is unread input or more than `seen` bytes were read
+    /// before: either means that the other side has closed the connection.
+    Send {
+        /// The connection.
+        conn: ConnectionId,
+        /// The whole message.
+        bytes: Bytes,
+        /// How many received bytes the core has handled.
+        seen: u64,
+    },
+    /// Write a response to a client.
+    Respond {
+        /// The client's connection.
+        conn: ConnectionId,
+        /// The whole message.
+        bytes: Bytes,
+    },
+    /// Discard whatever is received from now on; only the end of the connection is reported.
+    DiscardInput {
+        /// The connection.
+        conn: ConnectionId,
+    },
+    /// Write what is queued, close this side's direction, discard input for a while, then close.
+    FinishAndClose {
+        /// The connection.
+        conn: ConnectionId,
+    },
+    /// The same, unless there is unread input or more than `seen` bytes were read before.
+    CloseIdle {
+        /// The connection.
+        conn: ConnectionId,
+        /// How many received bytes the core has handled.
+        seen: u64,
+    },
+    /// Close at once.
+    Close {
+        /// The connection.
+        conn: ConnectionId,
+    },
+    /// Send a datagram to another host.
+    Datagram {
+        /// That host's address.
+        to: SocketAddr,
+        /// The payload.
+        bytes: Bytes,
+    },
+    /// Accept the connections that already wait in the backlog, then no more.
+    StopAccepting,
+    /// Leave: all is written and every client connection has ended, or there is no time left for it.
+    Exit,
+}
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -1,241 +1,176 @@
-//! A host on the platform as a state machine: [`Input`]s and the time go in, [`Output`]s come out, nothing else. It has
-//! no socket, no clock and no chance of its own, so tests play it at any speed.
+//! A host on the platform as a state machine: [`Input`]s and the time go in, [`Output`]s come out, nothing
+//! else. It has no socket, no clock and no random generator of its own, so tests run it at any speed.
 //!
-//! A caller hands over what happened with [`Core::handle`], any number of times, then calls [`Core::advance`] once and
-//! carries out [`Core::outputs`] in their order; [`Core::next_timer`] says when to call again at the latest. Read
-//! `mod.rs` for time and the module's actions, [`ask`] for what a message must hold, `clients` for connections of
-//! clients, `attempts` and `links` for attempts and connections to nodes, `list` for discovery, `shutdown` for the end.
+//! A caller passes events to [`Core::handle`], any number of times, then calls [`Core::advance`] once and
+//! carries out [`Core::outputs`] in their order; [`Core::next_timer`] says when to call again at the latest.
+//!
+//! Where to read on: this file holds the time and the scheduler's actions; `io` the inputs and outputs;
+//! [`request_parser`] what a message must hold; `clients` the connections of clients; `requests` the open
+//! requests; `attempts` and `node_connections` what goes to nodes; `discovery` the endpoint list; `shutdown`
+//! the end.
 
-pub mod ask;
 mod attempts;
 mod clients;
-mod counts;
-mod links;
-mod list;
+mod discovery;
+mod io;
+mod metrics;
+mod node_connections;
+mod request_error;
+pub mod request_parser;
 mod requests;
 mod shutdown;
+mod timer_event;
+
+pub use io::{ConnectionId, Input, Output};
+pub use metrics::Metrics;
+pub use request_error::{HttpStatus, RequestError};
 
-use crate::document::Document;
+use crate::settings_document::SettingsDocument;
 use attempts::{Attempt, AttemptKey};
-use bytes::Bytes;
-use clients::Clients;
-pub use counts::Counts;
+use clients::ClientTable;
+use discovery::Discovery;
 use gullsail::Scheduler;
 use gullsail_http::Bounds;
-use gullsail_scheduler_api::*;
+use gullsail_scheduler_api::{Action, Event, HostId, Instant, SchedulerConfig, Span};
 use gullsail_scheduler_settings::{Names, Reach};
 use gullsail_timers::Timers;
-use links::Links;
-use list::List;
-use requests::Requests;
+use node_connections::NodeConnections;
+use requests::RequestTable;
 use shutdown::Shutdown;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use timer_event::TimerEvent;
 use tracing::info;
 
-/// What messages may hold, both ways: of the platform's page.
+/// How large messages may be, both ways; the platform's page says so.
 pub const BOUNDS: Bounds = Bounds { head: 16 << 10, body: 64 << 10 };
-/// Between lines of the log that hold the counts.
-const SAY: Span = Span::from_micros(5_000_000);
-/// After so long without a list a host serves by what it remembers.
-const READY: Span = Span::from_micros(1_000_000);
-/// Clients and idle links are looked over so often, while there are any.
-const LOOK: Span = Span::from_micros(200_000);
-/// Descriptors kept back: standard streams, listener, UDP, the runtime's own, the document that is read, discovery
-/// twice while it moves.
-const OWN: usize = 24;
-/// Of the descriptors that are left, the part that clients may hold; nodes have the rest.
-const OF_CLIENTS: f64 = 0.6;
-/// Of the memory, the part that open requests may hold, and the part that what is still coming may.
-const HELD: f64 = 0.2;
-const COMING: f64 = 0.1;
-
-/// A connection, by a number that is never used again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ConnId(pub u64);
-
-/// What happened on sockets. Of a connection [`Input::Ended`] is always the last.
-#[derive(Debug)]
-pub enum Input {
-    /// A connection that was dialled stands.
-    Up(ConnId),
-    Came(ConnId, Bytes),
-    /// All that was to be written is with the operating system.
-    Written(ConnId),
-    /// It was found over before a byte of what was to be written left.
-    Unwritten(ConnId),
-    /// Its sending has ended behind all that was to be written.
-    Shut(ConnId),
-    Ended(ConnId),
-    Datagram(SocketAddr, Bytes),
-    /// Another document: of it only where discovery is counts while serving.
-    Reload(Box<Document>),
-    Stop,
-    /// A second word: what is open is answered at once.
-    StopNow,
-}
-
-/// What the caller is to do.
-#[derive(Debug, PartialEq)]
-pub enum Output {
-    Dial {
-        conn: ConnId,
-        address: String,
-    },
-    /// To a node or discovery: only if nothing is there to be read and no more than `seen` bytes were read on it before,
-    /// which would mean that it is over.
-    Send {
-        conn: ConnId,
-        bytes: Bytes,
-        seen: u64,
-    },
-    /// To a client.
-    Answer {
-        conn: ConnId,
-        bytes: Bytes,
-    },
-    /// Reads over what comes from now on: only the end is of interest.
-    Ignore {
-        conn: ConnId,
-    },
-    /// Writes out what is to be written, ends its sending, reads over what comes for a while, then closes.
-    Finish {
-        conn: ConnId,
-    },
-    /// The same, unless there is something to read, or more than `seen` bytes were read on it before.
-    CloseIdle {
-        conn: ConnId,
-        seen: u64,
-    },
-    Close {
-        conn: ConnId,
-    },
-    Datagram {
-        to: SocketAddr,
-        bytes: Bytes,
-    },
-    /// Takes what waits to be accepted, then no more.
-    StopAccepting,
-    /// All is written and every connection of a client has ended, or there is no more time for it.
-    Exit,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Due {
-    Module(TimerId),
-    /// The time of an attempt is over.
-    AttemptEnds(AttemptKey),
-    /// It may not wait for a connection any longer.
-    AttemptWaited(AttemptKey),
-    DialEnds(ConnId),
-    Look,
-    /// Discovery says nothing in answer to this question.
-    ListSilent(u64),
-    ListAgain,
-    Ready,
-    Say,
-    ShutDown,
-    /// The platform would end the host the next moment.
-    Exit,
-}
+/// Between log lines with the metrics.
+const METRICS_INTERVAL: Span = Span::from_micros(5_000_000);
+/// After so long without discovery a host serves with the endpoints that it remembers.
+const READY_TIMEOUT: Span = Span::from_micros(1_000_000);
+/// Client and idle node connections are checked this often, while there are any.
+const IDLE_CHECK_INTERVAL: Span = Span::from_micros(200_000);
+/// Descriptors kept back: standard streams, listener, UDP, the runtime's own, the document that is read,
+/// discovery twice while it moves.
+const RESERVED_DESCRIPTORS: usize = 24;
+/// The part of the other descriptors that clients may hold; nodes have the rest.
+const CLIENT_DESCRIPTOR_FRACTION: f64 = 0.6;
+/// The part of the memory that open requests may hold,
+const REQUEST_MEMORY_FRACTION: f64 = 0.2;
+/// and the part that incomplete messages may hold.
+const INPUT_MEMORY_FRACTION: f64 = 0.1;
+/// Longer datagrams are no peer messages.
+const MAX_PEER_MESSAGE_BYTES: usize = 256;
 
+/// The state machine of one host.
 pub struct Core {
     now: Instant,
     scheduler: Scheduler,
+    /// For the scheduler, until the next [`Core::advance`].
     events: Vec<Event>,
     outputs: Vec<Output>,
-    due: Timers<Due>,
+    timers: Timers<TimerEvent>,
     names: Names,
     config: SchedulerConfig,
     reach: Reach,
     peers: Vec<SocketAddr>,
-    last_conn: u64,
-    clients: Clients,
-    requests: Requests,
+    last_connection: u64,
+    clients: ClientTable,
+    requests: RequestTable,
     attempts: BTreeMap<AttemptKey, Attempt>,
-    links: Links,
-    list: List,
+    nodes: NodeConnections,
+    discovery: Discovery,
     shutdown: Shutdown,
     ready: bool,
-    looks: bool,
-    counts: Counts,
+    idle_check_scheduled: bool,
+    metrics: Metrics,
 }
 
 impl Core {
-    /// `descriptors`: what the process itself may hold.
-    pub fn new(d: Document, descriptors: usize, now: Instant) -> Core {
-        let sockets = d.limits.sockets.min(descriptors).max(OWN + 8);
-        let of_clients = ((sockets - OWN) as f64 * OF_CLIENTS) as usize;
-        let bytes = |part: f64| (d.limits.memory_mb * part * 1e6) as usize;
-        info!(host = d.name, sockets, of_clients, memory_mb = d.limits.memory_mb, "starting");
+    /// A host that begins to connect to discovery; `descriptors`: how many the process itself may hold.
+    pub fn new(document: SettingsDocument, descriptors: usize, now: Instant) -> Core {
+        let sockets = document.limits.sockets.min(descriptors).max(RESERVED_DESCRIPTORS + 8);
+        let shared = sockets - RESERVED_DESCRIPTORS;
+        let for_clients = (shared as f64 * CLIENT_DESCRIPTOR_FRACTION) as usize;
+        let memory_mb = document.limits.memory_mb;
+        let bytes = |fraction: f64| (memory_mb * fraction * 1e6) as usize;
+        info!(host = document.name, sockets, of_clients = for_clients, memory_mb, "starting");
         let mut core = Core {
             now,
-            scheduler: Scheduler::new(d.config.clone(), d.seed, now),
+            scheduler: Scheduler::new(document.config.clone(), document.seed, now),
             events: Vec::new(),
             outputs: Vec::new(),
-            due: Timers::default(),
-            names: d.names,
-            config: d.config,
-            reach: d.reach,
-            peers: d.peers,
-            last_conn: 0,
-            clients: Clients::new(of_clients, bytes(COMING)),
-            requests: Requests::new(bytes(HELD)),
+            timers: Timers::default(),
+            names: document.names,
+            config: document.config,
+            reach: document.reach,
+            peers: document.peers,
+            last_connection: 0,
+            clients: ClientTable::new(for_clients, bytes(INPUT_MEMORY_FRACTION)),
+            requests: RequestTable::new(bytes(REQUEST_MEMORY_FRACTION)),
             attempts: BTreeMap::new(),
-            links: Links::new(sockets - OWN - of_clients),
-            list: List::new(d.discovery),
+            nodes: NodeConnections::new(shared - for_clients),
+            discovery: Discovery::new(document.discovery),
             shutdown: Shutdown::Serving,
             ready: false,
-            looks: false,
-            counts: Counts::default(),
+            idle_check_scheduled: false,
+            metrics: Metrics::default(),
         };
-        if let Some(known) = d.known {
-            core.remember(known);
+        if let Some(page) = document.stored_endpoints {
+            core.restore_endpoints(&page);
         }
-        core.dial_list();
-        core.due.set(now + READY, Due::Ready);
-        core.due.set(now + SAY, Due::Say);
+        core.connect_discovery();
+        core.timers.set(now + READY_TIMEOUT, TimerEvent::ReadyTimeout);
+        core.timers.set(now + METRICS_INTERVAL, TimerEvent::LogMetrics);
         core
     }
 
-    fn conn(&mut self) -> ConnId {
-        self.last_conn += 1;
-        ConnId(self.last_conn)
+    fn next_connection_id(&mut self) -> ConnectionId {
+        self.last_connection += 1;
+        ConnectionId(self.last_connection)
     }
 
+    /// Takes one event; what follows from it is decided in [`Core::advance`].
     pub fn handle(&mut self, now: Instant, input: Input) {
         self.now = self.now.max(now);
         match input {
-            Input::Up(conn) if self.list.is(conn) => self.ask_list(conn),
-            Input::Up(conn) => self.link_up(conn),
-            Input::Came(conn, bytes) if self.list.is(conn) => self.list_came(conn, &bytes),
-            Input::Came(conn, bytes) if self.clients.has(conn) => self.client_came(conn, &bytes),
-            Input::Came(conn, bytes) => self.link_came(conn, &bytes),
-            Input::Written(conn) if self.clients.has(conn) => self.client_written(conn),
-            Input::Written(conn) => self.link_written(conn),
-            Input::Shut(conn) => self.client_shut(conn),
-            Input::Unwritten(conn) => self.link_unwritten(conn),
-            Input::Ended(conn) if self.list.is(conn) => self.list_lost(conn, "its connection ended"),
-            Input::Ended(conn) if self.clients.has(conn) => self.client_ended(conn),
-            Input::Ended(conn) => self.link_ended(conn),
-            Input::Datagram(from, bytes) => self.peer_said(from, &bytes),
-            Input::Reload(d) => self.reload(*d),
-            Input::Stop => self.stop(),
-            Input::StopNow => self.stop_now(),
+            Input::Connected(conn) if self.discovery.owns(conn) => self.poll_discovery(conn),
+            Input::Connected(conn) => self.node_connected(conn),
+            Input::Received(conn, bytes) if self.discovery.owns(conn) => {
+                self.discovery_received(conn, &bytes);
+            }
+            Input::Received(conn, bytes) if self.clients.contains(conn) => self.client_received(conn, &bytes),
+            Input::Received(conn, bytes) => self.node_received(conn, &bytes),
+            Input::Written(conn) if self.clients.contains(conn) => self.client_written(conn),
+            Input::Written(conn) => self.node_written(conn),
+            Input::WriteClosed(conn) => self.client_write_closed(conn),
+            Input::NotWritten(conn) => self.node_not_written(conn),
+            Input::Closed(conn) if self.discovery.owns(conn) => {
+                self.discovery_connection_lost(conn, "its connection ended");
+            }
+            Input::Closed(conn) if self.clients.contains(conn) => self.client_closed(conn),
+            Input::Closed(conn) => self.node_connection_closed(conn),
+            Input::Datagram(from, bytes) => self.datagram_received(from, &bytes),
+            Input::Reload(document) => self.reload(*document),
+            Input::Shutdown => self.begin_shutdown(),
+            Input::ShutdownNow => self.shut_down_now(),
         }
     }
 
-    /// Timers, then the module until it wants nothing more at this time.
+    /// Runs the timers that are due, then the scheduler until it has no more actions at this time.
     pub fn advance(&mut self, now: Instant) {
         self.now = self.now.max(now);
-        while let Some(mut bucket) = self.due.take(self.now) {
-            bucket.drain(..).for_each(|due| self.is_due(due));
-            self.due.give_back(bucket);
+        while let Some(mut bucket) = self.timers.take(self.now) {
+            for event in bucket.drain(..) {
+                self.timer_fired(event);
+            }
+            self.timers.give_back(bucket);
         }
         loop {
             let events = std::mem::take(&mut self.events);
-            let actions = self.scheduler.step(self.now, events);
-            actions.into_iter().for_each(|a| self.act(a));
+            for action in self.scheduler.step(self.now, events) {
+                self.carry_out(action);
+            }
             if self.events.is_empty() {
                 break;
             }
@@ -243,106 +178,114 @@
         self.exit_if_done();
     }
 
+    /// The orders since the last call, to be carried out in this order.
     pub fn outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.outputs)
     }
 
+    /// When [`Core::advance`] has to be called at the latest.
     pub fn next_timer(&self) -> Option<Instant> {
-        self.due.next()
+        self.timers.next()
     }
 
-    pub fn counts(&self) -> &Counts {
-        &self.counts
+    /// The counters since the start.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
     }
 
-    /// What is held now, by name: nothing of it may grow with what came and went.
+    /// What is held now, by name: none of these numbers may grow with what came and went.
     pub fn size_metrics(&self) -> Vec<(&'static str, usize)> {
-        let mut all = self.scheduler.size_metrics();
-        all.extend([
+        let mut sizes = self.scheduler.size_metrics();
+        sizes.extend([
             ("clients", self.clients.len()),
             ("transfers", self.requests.len()),
             ("legs", self.attempts.len()),
-            ("links", self.links.len()),
-            ("links.nodes", self.links.nodes()),
-            ("due", self.due.pending()),
-            ("bytes", self.requests.held() + self.clients.coming()),
+            ("links", self.nodes.connection_count()),
+            ("links.nodes", self.nodes.node_count()),
+            ("due", self.timers.pending()),
+            ("bytes", self.held_bytes()),
         ]);
-        all
+        sizes
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.requests.held_bytes() + self.clients.buffered_bytes()
     }
 
-    fn is_due(&mut self, due: Due) {
-        match due {
-            Due::Module(id) => self.events.push(Event::Timer(id)),
-            Due::AttemptEnds(key) => self.attempt_ends(key),
-            Due::AttemptWaited(key) => self.attempt_waited(key),
-            Due::DialEnds(conn) => self.dial_ends(conn),
-            Due::Look => {
-                self.looks = false;
-                self.look_over_clients();
-                self.look_over_links();
-                self.keep_looking();
+    fn timer_fired(&mut self, event: TimerEvent) {
+        match event {
+            TimerEvent::Scheduler(id) => self.events.push(Event::Timer(id)),
+            TimerEvent::AttemptTimeout(key) => self.attempt_timed_out(key),
+            TimerEvent::ConnectionWaitTimeout(key) => self.connection_wait_timed_out(key),
+            TimerEvent::ConnectTimeout(conn) => self.connect_timed_out(conn),
+            TimerEvent::IdleCheck => {
+                self.idle_check_scheduled = false;
+                self.check_client_ages();
+                self.close_aged_connections();
+                self.schedule_idle_check();
             }
-            Due::ListSilent(question) => self.list_silent(question),
-            Due::ListAgain => self.dial_list(),
-            Due::Ready => self.ready = true,
-            Due::Say => {
-                self.say("counts");
-                self.due.set(self.now + SAY, Due::Say);
+            TimerEvent::DiscoveryTimeout(poll) => self.discovery_timed_out(poll),
+            TimerEvent::DiscoveryRetry => self.connect_discovery(),
+            TimerEvent::ReadyTimeout => self.ready = true,
+            TimerEvent::LogMetrics => {
+                self.log_metrics("counts");
+                self.timers.set(self.now + METRICS_INTERVAL, TimerEvent::LogMetrics);
             }
-            Due::ShutDown => self.shut_down_further(),
-            Due::Exit => self.left(),
+            TimerEvent::ShutdownStage => self.advance_shutdown(),
+            TimerEvent::Exit => self.exit(),
         }
     }
 
-    /// The next look, if there is anything to look at.
-    fn keep_looking(&mut self) {
-        if !self.looks && (self.clients.len() > 0 || self.links.len() > 0) {
-            self.looks = true;
-            self.due.set(self.now + LOOK, Due::Look);
+    /// The next check, if there are connections to check.
+    fn schedule_idle_check(&mut self) {
+        let has_connections = self.clients.len() > 0 || self.nodes.connection_count() > 0;
+        if !self.idle_check_scheduled && has_connections {
+            self.idle_check_scheduled = true;
+            self.timers.set(self.now + IDLE_CHECK_INTERVAL, TimerEvent::IdleCheck);
         }
     }
 
-    fn say(&self, what: &str) {
-        let counts = serde_json::to_string(&self.counts).unwrap_or_default();
-        let list_age_ms = self.list.age(self.now).map(|a| a.millis() as i64);
+    fn log_metrics(&self, what: &str) {
+        let counts = serde_json::to_string(&self.metrics).unwrap_or_default();
+        let list_age_ms = self.discovery.age(self.now).map(|age| age.millis() as i64);
         info!(
             clients = self.clients.len(),
-            links = self.links.len(),
-            open = self.requests.open(),
+            links = self.nodes.connection_count(),
+            open = self.requests.waiting(),
             attempts = self.attempts.len(),
-            held = self.requests.held() + self.clients.coming(),
+            held = self.held_bytes(),
             list_age_ms,
             counts,
             "{what}"
         );
     }
 
-    fn act(&mut self, action: Action) {
+    fn carry_out(&mut self, action: Action) {
         match action {
             Action::StartAttempt { id, node, time_out } => self.start_attempt(id, node, time_out),
             Action::Reject { id, retry_after } => self.reject(id, retry_after),
             Action::Fail { id } => self.fail(id),
-            // It is followed all the time.
+            // Discovery is followed all the time.
             Action::WatchEndpoints => {}
-            Action::SetTimer { id, at } => self.due.set(at, Due::Module(id)),
+            Action::SetTimer { id, at } => self.timers.set(at, TimerEvent::Scheduler(id)),
             // The platform states no budgets between zones.
             Action::BudgetOverrun { .. } => {}
             Action::SendToPeer { to, bytes } => {
-                if let Some(to) = self.peers.get(to.0 as usize) {
-                    self.counts.told += 1;
-                    self.outputs.push(Output::Datagram { to: *to, bytes: bytes.into() });
+                if let Some(address) = self.peers.get(to.0 as usize) {
+                    self.metrics.peer_messages_sent += 1;
+                    self.outputs.push(Output::Datagram { to: *address, bytes: bytes.into() });
                 }
             }
         }
     }
 
-    fn peer_said(&mut self, from: SocketAddr, bytes: &[u8]) {
-        match self.peers.iter().position(|p| *p == from) {
-            Some(host) if bytes.len() <= 256 => {
-                self.counts.heard += 1;
+    fn datagram_received(&mut self, from: SocketAddr, bytes: &[u8]) {
+        match self.peers.iter().position(|peer| *peer == from) {
+            Some(host) if bytes.len() <= MAX_PEER_MESSAGE_BYTES => {
+                self.metrics.peer_messages_received += 1;
                 self.events.push(Event::PeerMessage { from: HostId(host as u32), bytes: bytes.to_vec() });
             }
-            _ => self.counts.foreign_datagrams += 1,
+            _ => self.metrics.foreign_datagrams += 1,
         }
     }
 }
--- /dev/null
+++ b/crates/platform/src/core/request_parser.rs
@@ -0,0 +1,277 @@
+//! Turns a client's message into a request, or says why it is none. Every header that matters must be present
+//! once and well-formed; other headers are ignored. A message that is refused here never reaches the
+//! scheduler. The response to it is never a 429 or 503, which would tell the client that the request did not
+//! run and when to retry; the one exception is a host that shuts down, where that is true. Called by
+//! `clients`; it keeps no state.
+
+use super::request_error::RequestError;
+use bytes::Bytes;
+use gullsail_http::{Encoder, Found, Message, Start};
+use gullsail_scheduler_api::{
+    Idempotency, ObjectId, PlanId, PoolId, Request, RequestClassId, RequestId, SchedulerConfig, ShardId,
+    Span, VolumeId,
+};
+use gullsail_scheduler_settings::{Names, Reach, hash};
+
+const TRACE_ID: &str = "X-Trace-Id";
+const REQUEST_CLASS: &str = "X-Qos";
+const PLAN: &str = "X-Storage-Class";
+const DEADLINE: &str = "X-Expires-In-Ms";
+const EXTENT: &str = "X-Extent";
+const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
+const SECOND_TRY: &str = "X-Second-Try";
+/// An hour: no client waits longer, and sums with it stay far from the ends of a number.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+const MAX_KEY_BYTES: usize = 256;
+
+/// A request as it was received, before it has a [`RequestId`].
+#[derive(Clone, Debug)]
+pub struct ParsedRequest {
+    /// The client's own id of it.
+    pub trace_id: u64,
+    /// What the scheduler decides on; its id is not yet set.
+    pub request: Request,
+    /// What every attempt's head begins with; the time left and the body are added.
+    pub head: ForwardedHead,
+    /// The body, which nodes receive unchanged.
+    pub body: Bytes,
+}
+
+/// The part of the head that nodes receive unchanged.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ForwardedHead {
+    method: Bytes,
+    target: Bytes,
+    fields: Vec<ForwardedField>,
+    has_length: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct ForwardedField {
+    name: &'static str,
+    value: Bytes,
+}
+
+impl ForwardedField {
+    fn new(name: &'static str, value: &[u8]) -> ForwardedField {
+        ForwardedField { name, value: Bytes::copy_from_slice(value) }
+    }
+}
+
+impl ForwardedHead {
+    /// The message to a node; its deadline header says how long this host waits for the response.
+    pub fn message(&self, time_left: Span, body: &[u8]) -> Bytes {
+        let mut encoder = Encoder::request(&self.method, &self.target);
+        for field in &self.fields {
+            encoder = encoder.field(field.name, &field.value);
+        }
+        let encoder = encoder.number(DEADLINE, (time_left.micros() / 1000).max(1));
+        if self.has_length { encoder.body(body) } else { encoder.bare() }
+    }
+
+    /// Memory that it holds, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        let fields = self.fields.iter().map(|f| f.value.len()).sum::<usize>();
+        self.method.len() + self.target.len() + fields
+    }
+}
+
+/// Reads one message.
+///
+/// # Errors
+/// It is no request, and why.
+pub fn parse(
+    message: &Message,
+    names: &Names,
+    config: &SchedulerConfig,
+    reach: &Reach,
+) -> Result<ParsedRequest, RequestError> {
+    let Start::Request { method, target } = &message.start else { return Err(RequestError::Malformed) };
+    let path = Path::parse(target)?;
+    let request_class = names.request_class(path.class_name).map_err(|_| RequestError::Path)?;
+    check_method(message, method, &path, request_class, reach)?;
+    let trace_text = single(message, TRACE_ID).ok_or(RequestError::TraceId)?;
+    let trace_id = hex(trace_text).ok_or(RequestError::TraceId)?;
+    let plan = Plan::parse(message, names)?;
+    let timeout_ms = single(message, DEADLINE)
+        .and_then(whole_number)
+        .filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms))
+        .ok_or(RequestError::Deadline)?;
+    let extent = Extent::parse(message, config, reach)?;
+    let key = idempotency_key(message, config.request_classes[request_class.0].idempotency)?;
+    let host = single(message, "Host").ok_or(RequestError::Malformed)?;
+
+    let mut fields = vec![
+        ForwardedField::new("Host", host),
+        ForwardedField::new(TRACE_ID, trace_text),
+        ForwardedField::new(REQUEST_CLASS, path.class_name.as_bytes()),
+    ];
+    if let Some(name) = plan.name {
+        fields.push(ForwardedField::new(PLAN, name.as_bytes()));
+    }
+    for name in [EXTENT, SECOND_TRY] {
+        if let Some(value) = single(message, name) {
+            fields.push(ForwardedField::new(name, value));
+        }
+    }
+    if let Some(key) = key {
+        fields.push(ForwardedField::new(IDEMPOTENCY_KEY, key));
+    }
+    let request = Request {
+        id: RequestId(0),
+        request_class,
+        plan: plan.id,
+        volume: VolumeId(hash(path.volume)),
+        units: extent.units,
+        bytes: 0.0,
+        shard: (extent.shard >= 0).then_some(ShardId(extent.shard)),
+        object: Some(ObjectId(hash(path.object))),
+        pool: PoolId::ALL,
+        timeout: Span::from_millis(timeout_ms as f64),
+        volume_hosts: extent.hosts,
+    };
+    let head =
+        ForwardedHead { method: method.clone(), target: target.clone(), fields, has_length: message.framed };
+    Ok(ParsedRequest { trace_id, request, head, body: message.body.clone() })
+}
+
+/// `/class/volume/object`; a query behind it is passed on unread.
+struct Path<'a> {
+    class_name: &'a str,
+    volume: &'a str,
+    object: &'a str,
+}
+
+impl Path<'_> {
+    fn parse(target: &[u8]) -> Result<Path<'_>, RequestError> {
+        let path = target.split(|b| *b == b'?').next().unwrap_or_default();
+        let mut segments = path.split(|b| *b == b'/');
+        let (Some(b""), Some(class), Some(volume), Some(object), None) =
+            (segments.next(), segments.next(), segments.next(), segments.next(), segments.next())
+        else {
+            return Err(RequestError::Path);
+        };
+        let (Some(_), Some(_)) = (hex(volume), hex(object)) else { return Err(RequestError::Path) };
+        let (Some(class_name), Some(volume), Some(object)) = (text(class), text(volume), text(object)) else {
+            return Err(RequestError::Path);
+        };
+        Ok(Path { class_name, volume, object })
+    }
+}
+
+/// The class header, the method and the body fit the class that the path names.
+fn check_method(
+    message: &Message,
+    method: &[u8],
+    path: &Path<'_>,
+    request_class: RequestClassId,
+    reach: &Reach,
+) -> Result<(), RequestError> {
+    if single(message, REQUEST_CLASS) != Some(path.class_name.as_bytes()) {
+        return Err(RequestError::RequestClass);
+    }
+    let is_write = match method {
+        b"GET" => false,
+        b"PUT" => true,
+        _ => return Err(RequestError::Method),
+    };
+    if reach.writes.get(request_class.0).is_some_and(|class_writes| *class_writes != is_write) {
+        return Err(RequestError::Method);
+    }
+    if !is_write && !message.body.is_empty() {
+        return Err(RequestError::ReadWithBody);
+    }
+    if is_write && !message.framed {
+        return Err(RequestError::LengthRequired);
+    }
+    Ok(())
+}
+
+/// The plan, with its name where the message states one.
+struct Plan<'a> {
+    id: PlanId,
+    name: Option<&'a str>,
+}
+
+impl Plan<'_> {
+    /// Settings without plans allow a message without the header.
+    fn parse<'a>(message: &'a Message, names: &Names) -> Result<Plan<'a>, RequestError> {
+        let name = if names.plans.is_empty() && message.field(PLAN) == Found::None {
+            None
+        } else {
+            Some(single(message, PLAN).and_then(text).ok_or(RequestError::Plan)?)
+        };
+        let id = names.plan(name.unwrap_or_default()).map_err(|_| RequestError::Plan)?;
+        Ok(Plan { id, name })
+    }
+}
+
+/// The size of a request, its shard (-1: none) and the number of hosts that serve its volume.
+struct Extent {
+    units: f64,
+    shard: i64,
+    hosts: u32,
+}
+
+impl Extent {
+    fn parse(message: &Message, config: &SchedulerConfig, reach: &Reach) -> Result<Extent, RequestError> {
+        let extent = single(message, EXTENT).and_then(Extent::from_text).ok_or(RequestError::Extent)?;
+        let max_units = if config.max_units > 0.0 { config.max_units } else { f64::MAX };
+        let shards = if reach.shards > 0 { reach.shards } else { i64::MAX };
+        let in_range = extent.units > 0.0
+            && extent.units <= max_units
+            && (-1..shards).contains(&extent.shard)
+            && (1..=config.hosts.max(1)).contains(&extent.hosts);
+        if in_range { Ok(extent) } else { Err(RequestError::Extent) }
+    }
+
+    /// `units=1,shard=3,hosts=2`, in any order and each once; other names are ignored.
+    fn from_text(value: &[u8]) -> Option<Extent> {
+        let mut units = None;
+        let mut shard = None;
+        let mut hosts = None;
+        for pair in text(value)?.split(',') {
+            let (name, number) = pair.trim().split_once('=')?;
+            match name {
+                "units" if units.is_none() => units = Some(number.parse::<f64>().ok()?),
+                "shard" if shard.is_none() => shard = Some(number.parse::<i64>().ok()?),
+                "hosts" if hosts.is_none() => hosts = Some(number.parse::<u32>().ok()?),
+                "units" | "shard" | "hosts" => return None,
+                _ => {}
+            }
+        }
+        Some(Extent { units: units?, shard: shard?, hosts: hosts? })
+    }
+}
+
+fn idempotency_key(message: &Message, idempotency: Idempotency) -> Result<Option<&[u8]>, RequestError> {
+    match (idempotency, message.field(IDEMPOTENCY_KEY)) {
+        (_, Found::Several) | (Idempotency::WithKey { .. }, Found::None) => Err(RequestError::IdempotencyKey),
+        (_, Found::One(key)) if key.is_empty() || key.len() > MAX_KEY_BYTES => {
+            Err(RequestError::IdempotencyKey)
+        }
+        (_, Found::One(key)) => Ok(Some(key)),
+        (_, Found::None) => Ok(None),
+    }
+}
+
+/// The value of a header that is present exactly once.
+fn single<'a>(message: &'a Message, name: &str) -> Option<&'a [u8]> {
+    if let Found::One(value) = message.field(name) { Some(value) } else { None }
+}
+
+fn text(bytes: &[u8]) -> Option<&str> {
+    std::str::from_utf8(bytes).ok()
+}
+
+/// 16 hexadecimal digits.
+fn hex(digits: &[u8]) -> Option<u64> {
+    let well_formed = digits.len() == 16 && digits.iter().all(u8::is_ascii_hexdigit);
+    u64::from_str_radix(text(digits).filter(|_| well_formed)?, 16).ok()
+}
+
+/// At most 12 decimal digits.
+fn whole_number(digits: &[u8]) -> Option<u64> {
+    let well_formed = !digits.is_empty() && digits.len() <= 12 && digits.iter().all(u8::is_ascii_digit);
+    text(digits).filter(|_| well_formed)?.parse().ok()
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,8 +1,14 @@
-//! The users' platform: clients, nodes, discovery and peers over HTTP/1.1 and UDP, as a further route in and out of the
-//! decisions (`gullsail::Brain`). [`document`] is what a host is told at its start, [`core`] a state machine without
-//! I/O, [`drive`] the sockets around it. No decision on a request is made here: the core says what is possible and
-//! carries out what the module wants.
+//! The users' platform: clients, nodes, discovery and peers over HTTP/1.1 and UDP, as a further way in and
+//! out of the scheduler ([`gullsail::Scheduler`]).
+//!
+//! [`settings_document`] reads what a host is configured with, [`core`] is a state machine without I/O,
+//! [`runtime`] the sockets around it. No decision on a request is made here: the core tells the scheduler
+//! what happened and carries out its actions. The command `gullsail platform` calls [`runtime`]; a reader
+//! begins with [`core`].
 
 pub mod core;
-pub mod document;
-pub mod drive;
+pub mod runtime;
+pub mod settings_document;
+
+#[doc(hidden)]
+pub use runtime as drive;
--- /dev/null
+++ b/crates/platform/src/runtime/connection.rs
@@ -0,0 +1,222 @@
+//! One connection, as a task: it reads as long as it may and carries out orders, one at a time. Its owner
+//! ends it by aborting the task; any other end is reported as the last event.
+
+use crate::core::ConnectionId;
+use bytes::Bytes;
+use socket2::SockRef;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Bytes read at once.
+const READ_BYTES: usize = 8 << 10;
+/// A client that reads nothing of its response for so long is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes discarded behind a last response: a close with bytes unread would destroy the response on its way.
+const MAX_DISCARDED_BYTES: usize = 256 << 10;
+/// How long they are discarded.
+const DISCARD_TIME: Duration = Duration::from_millis(700);
+
+/// An event of a connection.
+#[derive(Debug)]
+pub enum SocketEvent {
+    /// It is established.
+    Connected,
+    /// Bytes were read.
+    Received(Bytes),
+    /// The message is with the operating system.
+    Written,
+    /// The connection was found closed before a byte of the message was written.
+    NotWritten,
+    /// This side's direction is closed.
+    WriteClosed,
+    /// It has ended; the last event.
+    Closed,
+}
+
+/// An order to a connection's task.
+#[derive(Debug)]
+pub enum Order {
+    /// Write a message, unless more was reported than the owner has handled, or there is unread input.
+    Send {
+        /// The whole message.
+        bytes: Bytes,
+        /// How many received bytes the owner has handled.
+        seen: u64,
+    },
+    /// Write a response.
+    Respond(Bytes),
+    /// Discard all further input.
+    DiscardInput,
+    /// Close this side's direction, discard input for a while, then close.
+    FinishAndClose,
+    /// The same, under the condition of [`Order::Send`].
+    CloseIdle {
+        /// How many received bytes the owner has handled.
+        seen: u64,
+    },
+}
+
+type EventSender = mpsc::Sender<(ConnectionId, SocketEvent)>;
+
+/// Connects to an address, then serves the connection.
+pub async fn connect(
+    conn: ConnectionId,
+    address: String,
+    orders: mpsc::Receiver<Order>,
+    events: EventSender,
+) {
+    // Names are not looked up: the platform has no service for it.
+    if let Ok(address) = address.parse::<SocketAddr>()
+        && let Ok(stream) = TcpStream::connect(address).await
+        && events.send((conn, SocketEvent::Connected)).await.is_ok()
+    {
+        return serve(conn, stream, orders, events).await;
+    }
+    let _ = events.send((conn, SocketEvent::Closed)).await;
+}
+
+/// Serves a connection until it has ended.
+pub async fn serve(
+    conn: ConnectionId,
+    stream: TcpStream,
+    mut orders: mpsc::Receiver<Order>,
+    events: EventSender,
+) {
+    // Without it small messages wait for one another; a socket that refuses it is over anyway.
+    let _ = stream.set_nodelay(true);
+    let mut connection = Connection { conn, stream, events, bytes_reported: 0, discard_left: None };
+    // If the owner is gone, nobody needs the result.
+    let _ = connection.run(&mut orders).await;
+    let Connection { stream, events, .. } = connection;
+    drop(stream);
+    let _ = events.send((conn, SocketEvent::Closed)).await;
+}
+
+/// The owner does not read events any more.
+struct OwnerGone;
+
+/// Whether a connection goes on after an order or a read.
+#[derive(PartialEq)]
+enum Next {
+    Continue,
+    Close,
+}
+
+struct Connection {
+    conn: ConnectionId,
+    stream: TcpStream,
+    events: EventSender,
+    bytes_reported: u64,
+    /// Where input is discarded: how many more bytes of it.
+    discard_left: Option<usize>,
+}
+
+impl Connection {
+    async fn report(&self, event: SocketEvent) -> Result<(), OwnerGone> {
+        self.events.send((self.conn, event)).await.map_err(|_| OwnerGone)
+    }
+
+    /// Until the connection is over.
+    async fn run(&mut self, orders: &mut mpsc::Receiver<Order>) -> Result<(), OwnerGone> {
+        loop {
+            let next = tokio::select! {
+                order = orders.recv() => self.carry_out(order.ok_or(OwnerGone)?).await?,
+                ready = self.stream.readable() => {
+                    let read = ready.and_then(|()| read_available(&self.stream));
+                    self.handle_read(read).await?
+                }
+            };
+            if next == Next::Close {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, order: Order) -> Result<Next, OwnerGone> {
+        match order {
+            Order::DiscardInput => self.discard_left = Some(MAX_DISCARDED_BYTES),
+            Order::Send { bytes, seen } => {
+                if !self.no_unseen_input(seen) {
+                    self.report(SocketEvent::NotWritten).await?;
+                    return Ok(Next::Close);
+                }
+                if self.stream.write_all(&bytes).await.is_err() {
+                    return Ok(Next::Close);
+                }
+                self.report(SocketEvent::Written).await?;
+            }
+            Order::Respond(bytes) => {
+                if !matches!(timeout(WRITE_TIMEOUT, self.stream.write_all(&bytes)).await, Ok(Ok(()))) {
+                    return Ok(Next::Close);
+                }
+                self.report(SocketEvent::Written).await?;
+            }
+            Order::CloseIdle { seen } if !self.no_unseen_input(seen) => {}
+            Order::CloseIdle { .. } | Order::FinishAndClose => {
+                self.linger().await?;
+                return Ok(Next::Close);
+            }
+        }
+        Ok(Next::Continue)
+    }
+
+    async fn handle_read(&mut self, read: io::Result<Option<Bytes>>) -> Result<Next, OwnerGone> {
+        let bytes = match read {
+            Ok(None) => return Ok(Next::Continue),
+            Ok(Some(bytes)) if !bytes.is_empty() => bytes,
+            Ok(Some(_)) | Err(_) => return Ok(Next::Close),
+        };
+        match &mut self.discard_left {
+            Some(left) if bytes.len() > *left => return Ok(Next::Close),
+            Some(left) => *left -= bytes.len(),
+            None => {
+                self.bytes_reported += bytes.len() as u64;
+                self.report(SocketEvent::Received(bytes)).await?;
+            }
+        }
+        Ok(Next::Continue)
+    }
+
+    /// Does the owner know of all input? What was reported and is not handled yet counts, and what is still
+    /// to be read: for that the socket itself is asked, since the runtime's view may be a moment old.
+    fn no_unseen_input(&self, seen: u64) -> bool {
+        let mut one_byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut one_byte);
+        self.bytes_reported == seen && matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Closes this side's direction and discards further input, for a bounded time and size. An immediate
+    /// close would answer such input with a reset, which destroys what the other side has not read yet.
+    async fn linger(&mut self) -> Result<(), OwnerGone> {
+        if self.stream.shutdown().await.is_err() {
+            return Ok(());
+        }
+        self.report(SocketEvent::WriteClosed).await?;
+        let until = Instant::now() + DISCARD_TIME;
+        let mut left = MAX_DISCARDED_BYTES;
+        while left > 0 && matches!(timeout_at(until, self.stream.readable()).await, Ok(Ok(()))) {
+            match read_available(&self.stream) {
+                Ok(None) => {}
+                Ok(Some(bytes)) if !bytes.is_empty() => left = left.saturating_sub(bytes.len()),
+                _ => break,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// `None`: nothing is there yet; empty: the other side has closed its direction.
+fn read_available(stream: &TcpStream) -> io::Result<Option<Bytes>> {
+    let mut buffer = [0; READ_BYTES];
+    match stream.try_read(&mut buffer) {
+        Ok(length) => Ok(Some(Bytes::copy_from_slice(&buffer[..length]))),
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
+        Err(e) => Err(e),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/runtime/sockets.rs
@@ -0,0 +1,176 @@
+//! The sockets of a host: its connections' tasks, the listener and the socket to its peers.
+
+use super::connection::{self, Order, SocketEvent};
+use crate::core::{ConnectionId, Core, Input, Metrics, Output};
+use bytes::Bytes;
+use gullsail_timers::HostClock;
+use socket2::SockRef;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+use tracing::info;
+
+/// Orders that wait at one connection: a response, its end, and what belongs to them.
+const ORDER_QUEUE: usize = 8;
+
+/// The owner's ends of one connection.
+struct ConnectionHandle {
+    orders: mpsc::Sender<Order>,
+    task: AbortHandle,
+}
+
+pub(super) struct Sockets {
+    pub(super) core: Core,
+    clock: HostClock,
+    connections: BTreeMap<ConnectionId, ConnectionHandle>,
+    pub(super) tasks: JoinSet<()>,
+    event_sender: mpsc::Sender<(ConnectionId, SocketEvent)>,
+    pub(super) listener: Option<TcpListener>,
+    pub(super) peers: Option<UdpSocket>,
+    shutting_down: bool,
+}
+
+impl Sockets {
+    pub(super) fn new(
+        core: Core,
+        clock: HostClock,
+        event_sender: mpsc::Sender<(ConnectionId, SocketEvent)>,
+        listener: TcpListener,
+        peers: Option<UdpSocket>,
+    ) -> Sockets {
+        Sockets {
+            core,
+            clock,
+            connections: BTreeMap::new(),
+            tasks: JoinSet::new(),
+            event_sender,
+            listener: Some(listener),
+            peers,
+            shutting_down: false,
+        }
+    }
+
+    /// A signal: the first one lets open requests finish, the second one does not.
+    pub(super) fn shut_down(&mut self) {
+        let input = if self.shutting_down { Input::ShutdownNow } else { Input::Shutdown };
+        self.shutting_down = true;
+        self.core.handle(self.clock.now(), input);
+    }
+
+    /// Ends all connections.
+    pub(super) async fn close(mut self) -> Metrics {
+        self.tasks.shutdown().await;
+        self.core.metrics().clone()
+    }
+
+    pub(super) fn add_client(&mut self, stream: TcpStream) {
+        let conn = self.core.accept(self.clock.now());
+        let (orders, queue) = mpsc::channel(ORDER_QUEUE);
+        let task = self.tasks.spawn(connection::serve(conn, stream, queue, self.event_sender.clone()));
+        self.connections.insert(conn, ConnectionHandle { orders, task });
+    }
+
+    fn connect(&mut self, conn: ConnectionId, address: String) {
+        let (orders, queue) = mpsc::channel(ORDER_QUEUE);
+        let task = self.tasks.spawn(connection::connect(conn, address, queue, self.event_sender.clone()));
+        self.connections.insert(conn, ConnectionHandle { orders, task });
+    }
+
+    /// Hands the events of connections to the core.
+    pub(super) fn handle_events(&mut self, batch: &mut Vec<(ConnectionId, SocketEvent)>) {
+        let now = self.clock.now();
+        for (conn, event) in batch.drain(..) {
+            let input = match event {
+                SocketEvent::Connected => Input::Connected(conn),
+                SocketEvent::Received(bytes) => Input::Received(conn, bytes),
+                SocketEvent::Written => Input::Written(conn),
+                SocketEvent::NotWritten => Input::NotWritten(conn),
+                SocketEvent::WriteClosed => Input::WriteClosed(conn),
+                SocketEvent::Closed => {
+                    self.connections.remove(&conn);
+                    Input::Closed(conn)
+                }
+            };
+            self.core.handle(now, input);
+        }
+    }
+
+    /// Carries out the core's orders. `true`: the host has left.
+    pub(super) fn carry_out_orders(&mut self) -> bool {
+        let mut left = false;
+        loop {
+            let outputs = self.core.outputs();
+            if outputs.is_empty() {
+                return left;
+            }
+            let mut stuck = Vec::new();
+            for output in outputs {
+                left |= output == Output::Exit;
+                stuck.extend(self.carry_out(output));
+            }
+            // Their tasks do not follow: they are ended.
+            for conn in stuck {
+                if let Some(handle) = self.connections.remove(&conn) {
+                    handle.task.abort();
+                    self.core.handle(self.clock.now(), Input::Closed(conn));
+                }
+            }
+        }
+    }
+
+    /// Returns the connection if its queue is full.
+    fn carry_out(&mut self, output: Output) -> Option<ConnectionId> {
+        let (conn, order) = match output {
+            Output::Send { conn, bytes, seen } => (conn, Order::Send { bytes, seen }),
+            Output::Respond { conn, bytes } => (conn, Order::Respond(bytes)),
+            Output::DiscardInput { conn } => (conn, Order::DiscardInput),
+            Output::FinishAndClose { conn } => (conn, Order::FinishAndClose),
+            Output::CloseIdle { conn, seen } => (conn, Order::CloseIdle { seen }),
+            Output::Connect { conn, address } => {
+                self.connect(conn, address);
+                return None;
+            }
+            Output::Close { conn } => {
+                if let Some(handle) = self.connections.remove(&conn) {
+                    handle.task.abort();
+                }
+                return None;
+            }
+            Output::Datagram { to, bytes } => {
+                self.send_datagram(to, &bytes);
+                return None;
+            }
+            Output::StopAccepting => {
+                self.stop_accepting();
+                return None;
+            }
+            Output::Exit => return None,
+        };
+        let handle = self.connections.get(&conn)?;
+        match handle.orders.try_send(order) {
+            Err(mpsc::error::TrySendError::Full(_)) => Some(conn),
+            Ok(()) | Err(mpsc::error::TrySendError::Closed(_)) => None,
+        }
+    }
+
+    /// A full socket loses it; nothing waits.
+    fn send_datagram(&self, to: SocketAddr, bytes: &Bytes) {
+        if let Some(peers) = &self.peers {
+            let _ = SockRef::from(peers).send_to(bytes, &to.into());
+        }
+    }
+
+    /// Clients in the backlog are connected in their own view, and may have sent something.
+    fn stop_accepting(&mut self) {
+        let Some(Ok(listener)) = self.listener.take().map(TcpListener::into_std) else { return };
+        while let Ok((stream, _)) = listener.accept() {
+            let ready = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            if let Ok(stream) = ready {
+                self.add_client(stream);
+            }
+        }
+        info!("accepts no more");
+    }
+}
--- a/crates/platform/tests/platform/clients.rs
+++ b/crates/platform/tests/platform/clients.rs
@@ -4,8 +4,8 @@
 use gullsail_platform::core::{Input, Output};
 
 #[test]
-fn what_is_no_request_is_refused_with_its_status_and_never_passed_on() {
-    let sound = ask("write", 7, 0);
+fn invalid_requests_get_their_status_and_are_never_forwarded() {
+    let sound = request_text("write", 7, 0);
     let but = |from: &str, to: &str| {
         assert!(sound.contains(from), "{from}");
         sound.replacen(from, to, 1)
@@ -18,7 +18,7 @@
         (but("?q=1", "/more"), "404"),
         (but("PUT", "GET"), "405"),
         (but("PUT", "POST"), "405"),
-        (ask("read", 7, 0).replacen("GET", "PUT", 1), "405"),
+        (request_text("read", 7, 0).replacen("GET", "PUT", 1), "405"),
         (but("X-Qos: write", "X-Qos: read"), "400"),
         (but("X-Qos: write", "X-Qos: write\r\nX-Qos: write"), "400"),
         (but("X-Qos: write\r\n", ""), "400"),
@@ -54,159 +54,172 @@
         (but("Content-Length: 4", "Content-Length: -4"), "400"),
         (but("Content-Length: 4", "Content-Length: 60000000"), "413"),
         (but("Host: h", &format!("A: {}", "x".repeat(20_000))), "431"),
-        (ask("read", 7, 0).replacen("\r\n\r\n", "\r\nContent-Length: 1\r\n\r\nx", 1), "400"),
+        (request_text("read", 7, 0).replacen("\r\n\r\n", "\r\nContent-Length: 1\r\n\r\nx", 1), "400"),
         ("\u{1}\u{2} noise\r\n\r\n".to_string(), "400"),
         ("GET /elsewhere HTTP/1.1\r\n\r\n".to_string(), "404"),
     ];
     for (text, status) in &cases {
-        let mut r = Rig::new();
-        let client = r.asks(text);
-        assert_eq!(r.statuses(client), [*status], "{text}");
-        assert_eq!((r.counts().taken, r.dialled(NODES[0].1).len()), (0, 0), "{text}");
-        assert_eq!(r.counts().refused.values().sum::<u64>(), 1, "{text}");
+        let mut rig = Rig::new();
+        let client = rig.client_sending(text);
+        assert_eq!(rig.statuses(client), [*status], "{text}");
+        assert_eq!((rig.metrics().requests, rig.connections_to(NODES[0].1).len()), (0, 0), "{text}");
+        assert_eq!(rig.metrics().invalid_requests.values().sum::<u64>(), 1, "{text}");
     }
-    let mut r = Rig::new();
-    r.asks(&sound);
-    assert_eq!((r.counts().taken, r.counts().refused.len()), (1, 0));
+    let mut rig = Rig::new();
+    rig.client_sending(&sound);
+    assert_eq!((rig.metrics().requests, rig.metrics().invalid_requests.len()), (1, 0));
 }
 
 #[test]
-fn an_id_that_is_open_is_refused_and_the_first_is_not_touched() {
-    let mut r = Rig::new();
-    let first = r.asks(&ask("read", 7, 0));
-    let link = r.up(0);
-    let second = r.asks(&ask("read", 7, 0));
-    assert_eq!((r.statuses(second), r.statuses(first).len()), (vec!["409".to_string()], 0));
-    r.say(link, &answer(200, "", "b"));
-    assert_eq!(r.statuses(first), ["200"]);
+fn a_duplicate_trace_id_is_refused_and_the_first_request_goes_on() {
+    let mut rig = Rig::new();
+    let first = rig.client_sending(&request_text("read", 7, 0));
+    let conn = rig.establish(0);
+    let second = rig.client_sending(&request_text("read", 7, 0));
+    assert_eq!((rig.statuses(second), rig.statuses(first).len()), (vec!["409".to_string()], 0));
+    rig.receive(conn, &answer(200, "", "b"));
+    assert_eq!(rig.statuses(first), ["200"]);
     // Once it is over, the id may come again.
-    r.say(first, &ask("read", 7, 0));
-    assert_eq!(r.counts().taken, 2);
+    rig.receive(first, &request_text("read", 7, 0));
+    assert_eq!(rig.metrics().requests, 2);
 }
 
 #[test]
-fn a_client_that_goes_takes_only_its_own_with_it() {
-    // Before a word, within a head, within a body, while its attempt waits, while it is out, and after the answer.
-    let text = ask("write", 7, 0);
-    for (stage, said) in
+fn a_disconnecting_client_affects_only_its_own_request() {
+    // Before a word, within a head, within a body, while its attempt waits, while it is out, and after the
+    // answer.
+    let text = request_text("write", 7, 0);
+    for (stage, sent_bytes) in
         [(0, 0), (1, 40), (2, text.len() - 2), (3, text.len()), (4, text.len()), (5, text.len())]
     {
-        let mut r = Rig::new();
-        let client = r.asks(&text[..said]);
-        let link = if stage >= 4 { Some(r.up(0)) } else { None };
-        if let (5, Some(link)) = (stage, link) {
-            r.say(link, &answer(200, "", "b"));
+        let mut rig = Rig::new();
+        let client = rig.client_sending(&text[..sent_bytes]);
+        let conn = if stage >= 4 { Some(rig.establish(0)) } else { None };
+        if let (5, Some(conn)) = (stage, conn) {
+            rig.receive(conn, &answer(200, "", "b"));
         }
-        r.put(Input::Ended(client));
-        assert_eq!(r.counts().client_left, u64::from(stage == 3 || stage == 4), "{stage}");
-        if let (4, Some(link)) = (stage, link) {
+        rig.input(Input::Closed(client));
+        assert_eq!(rig.metrics().clients_disconnected, u64::from(stage == 3 || stage == 4), "{stage}");
+        if let (4, Some(conn)) = (stage, conn) {
             // Its attempt runs to its end, and the connection goes on.
-            assert!(!r.closed(link) && r.length("legs") == 1);
-            r.say(link, &answer(200, "", "b"));
-            r.asks(&ask("read", 8, 0));
-            assert_eq!(r.sent(link).len(), 2);
-            r.put(Input::Written(link));
-            r.say(link, &answer(200, "", "b"));
+            assert!(!rig.closed(conn) && rig.size("legs") == 1);
+            rig.receive(conn, &answer(200, "", "b"));
+            rig.client_sending(&request_text("read", 8, 0));
+            assert_eq!(rig.sent(conn).len(), 2);
+            rig.input(Input::Written(conn));
+            rig.receive(conn, &answer(200, "", "b"));
         }
-        r.pass(2000.0);
-        assert_eq!((r.length("transfers"), r.length("legs"), r.length("bytes")), (0, 0, 0), "{stage}");
+        rig.advance_time(2000.0);
+        assert_eq!((rig.size("transfers"), rig.size("legs"), rig.size("bytes")), (0, 0, 0), "{stage}");
     }
 }
 
 #[test]
-fn messages_that_come_together_are_answered_in_turn() {
-    let mut r = Rig::new();
-    let client = r.asks(&(ask("read", 1, 0) + &ask("read", 2, 0) + &ask("read", 3, 0)));
-    assert_eq!(r.counts().taken, 1, "one at a time");
+fn pipelined_messages_are_answered_in_order() {
+    let mut rig = Rig::new();
+    let client = rig.client_sending(
+        &(request_text("read", 1, 0) + &request_text("read", 2, 0) + &request_text("read", 3, 0)),
+    );
+    assert_eq!(rig.metrics().requests, 1, "one at a time");
     for trace in 1..=3 {
-        let link = if trace == 1 { r.up(0) } else { r.dialled(NODES[0].1)[0] };
-        r.put(Input::Written(link));
-        assert!(r.sent(link).last().unwrap().contains(&format!("X-Trace-Id: {trace:016x}")));
-        r.say(link, &answer(200, "", "b"));
+        let conn = if trace == 1 { rig.establish(0) } else { rig.connections_to(NODES[0].1)[0] };
+        rig.input(Input::Written(conn));
+        assert!(rig.sent(conn).last().unwrap().contains(&format!("X-Trace-Id: {trace:016x}")));
+        rig.receive(conn, &answer(200, "", "b"));
     }
-    assert_eq!(r.statuses(client), ["200", "200", "200"]);
+    assert_eq!(rig.statuses(client), ["200", "200", "200"]);
 }
 
-/// What comes beyond what may wait is read over, so that the end of the connection is seen whatever stands before it.
+/// What comes beyond what may wait is read over, so that the end of the connection is seen whatever stands
+/// before it.
 #[test]
-fn who_sends_too_much_ahead_gets_one_answer_and_the_end_behind_it_is_seen() {
-    let mut r = Rig::new();
-    let client = r.asks(&ask("read", 1, 0));
-    let link = r.up(0);
-    let ignored = |r: &Rig| r.out.iter().filter(|o| **o == Output::Ignore { conn: client }).count();
-    r.say(client, &ask("read", 2, 0).repeat(20));
-    assert_eq!(ignored(&r), 0);
-    let held = r.length("bytes");
-    (0..3).for_each(|_| r.say(client, &ask("read", 2, 0).repeat(40)));
-    assert_eq!((ignored(&r), r.length("bytes"), r.counts().crowded), (1, held, 1));
-    r.say(link, &answer(200, "", "b"));
-    assert_eq!((r.statuses(client), r.finished(client)), (vec!["200".to_string()], true));
-    assert_eq!(r.counts().taken, 1, "what waited is not sent on");
+fn a_client_that_sends_too_much_ahead_gets_one_response_and_its_close_is_seen() {
+    let mut rig = Rig::new();
+    let client = rig.client_sending(&request_text("read", 1, 0));
+    let conn = rig.establish(0);
+    let ignored = |rig: &Rig| rig.out.iter().filter(|o| **o == Output::DiscardInput { conn: client }).count();
+    rig.receive(client, &request_text("read", 2, 0).repeat(20));
+    assert_eq!(ignored(&rig), 0);
+    let held = rig.size("bytes");
+    (0..3).for_each(|_| rig.receive(client, &request_text("read", 2, 0).repeat(40)));
+    assert_eq!((ignored(&rig), rig.size("bytes"), rig.metrics().input_overflows), (1, held, 1));
+    rig.receive(conn, &answer(200, "", "b"));
+    assert_eq!((rig.statuses(client), rig.finished(client)), (vec!["200".to_string()], true));
+    assert_eq!(rig.metrics().requests, 1, "what waited is not sent on");
     // It ends meanwhile: no attempt goes out for it.
-    let mut r = Rig::new();
-    let client = r.asks(&ask("read", 1, 0));
-    r.say(client, &ask("read", 2, 0).repeat(60));
-    r.put(Input::Ended(client));
-    let link = r.up(0);
-    assert_eq!((r.sent(link).len(), r.counts().client_left, r.length("transfers")), (0, 1, 0));
+    let mut rig = Rig::new();
+    let client = rig.client_sending(&request_text("read", 1, 0));
+    rig.receive(client, &request_text("read", 2, 0).repeat(60));
+    rig.input(Input::Closed(client));
+    let conn = rig.establish(0);
+    assert_eq!((rig.sent(conn).len(), rig.metrics().clients_disconnected, rig.size("transfers")), (0, 1, 0));
 }
 
-/// An answer that its reader does not take holds up what waits behind it: nothing is begun for who may be gone.
+/// An answer that its reader does not take holds up what waits behind it: nothing is begun for who may be
+/// gone.
 #[test]
-fn what_waits_behind_an_answer_is_begun_when_that_is_written() {
-    let mut r = Rig::new();
-    r.stuck = true;
-    let client = r.asks(&(ask("read", 1, 0) + &ask("read", 2, 0)));
-    let link = r.up(0);
-    r.say(link, &answer(200, "", "b"));
-    assert_eq!((r.statuses(client).len(), r.counts().taken), (1, 1));
-    r.pass(1000.0);
-    assert_eq!(r.counts().taken, 1);
-    r.put(Input::Written(client));
-    assert_eq!(r.counts().taken, 2);
+fn the_next_message_is_read_when_the_response_is_written() {
+    let mut rig = Rig::new();
+    rig.stuck = true;
+    let client = rig.client_sending(&(request_text("read", 1, 0) + &request_text("read", 2, 0)));
+    let conn = rig.establish(0);
+    rig.receive(conn, &answer(200, "", "b"));
+    assert_eq!((rig.statuses(client).len(), rig.metrics().requests), (1, 1));
+    rig.advance_time(1000.0);
+    assert_eq!(rig.metrics().requests, 1);
+    rig.input(Input::Written(client));
+    assert_eq!(rig.metrics().requests, 2);
 }
 
 #[test]
-fn a_slow_message_gets_an_error_within_the_time_that_is_owed() {
-    for said in ["", "GET", &ask("write", 7, 0)[..200]] {
-        let mut r = Rig::new();
-        let client = r.client();
-        if !said.is_empty() {
-            r.say(client, said);
+fn a_slow_message_gets_an_error_in_time() {
+    for sent_bytes in ["", "GET", &request_text("write", 7, 0)[..200]] {
+        let mut rig = Rig::new();
+        let client = rig.client();
+        if !sent_bytes.is_empty() {
+            rig.receive(client, sent_bytes);
         }
-        r.pass(2000.0);
-        assert!(r.statuses(client).is_empty());
-        r.pass(700.0);
-        assert_eq!((r.statuses(client), r.finished(client)), (vec!["408".to_string()], true), "{said}");
+        rig.advance_time(2000.0);
+        assert!(rig.statuses(client).is_empty());
+        rig.advance_time(700.0);
+        assert_eq!(
+            (rig.statuses(client), rig.finished(client)),
+            (vec!["408".to_string()], true),
+            "{sent_bytes}"
+        );
     }
 }
 
 #[test]
-fn what_is_given_up_on_is_answered_at_once_and_says_when_to_retry_after() {
-    let mut r = Rig::new();
-    r.list(&page(2, true, &[(1, "SERVING", 0.0)]));
-    let client = r.asks(&ask("read", 7, 0));
-    r.pass(580.0);
-    assert!(r.statuses(client).is_empty());
-    r.pass(20.0);
-    assert_eq!(r.statuses(client), ["503"]);
-    assert!(r.heard(client)[0].contains("Retry-After: 0.250\r\n"), "{:?}", r.heard(client));
+fn a_rejected_request_is_answered_at_once_with_retry_after() {
+    let mut rig = Rig::new();
+    rig.discovery_answers(&page(2, true, &[(1, "SERVING", 0.0)]));
+    let client = rig.client_sending(&request_text("read", 7, 0));
+    rig.advance_time(580.0);
+    assert!(rig.statuses(client).is_empty());
+    rig.advance_time(20.0);
+    assert_eq!(rig.statuses(client), ["503"]);
+    assert!(rig.responses(client)[0].contains("Retry-After: 0.250\r\n"), "{:?}", rig.responses(client));
 }
 
 #[test]
-fn health_says_whether_the_list_is_there() {
+fn health_says_whether_the_endpoint_list_is_known() {
     let health = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
     for (waits, listed, status) in [(0.0, false, "500"), (500.0, true, "200"), (1100.0, false, "200")] {
-        let d = gullsail_platform::document::Document::read("d", &document(256, 32, DISCOVERY)).unwrap();
+        let document = gullsail_platform::settings_document::SettingsDocument::parse(
+            "d",
+            &settings_document(256, 32, DISCOVERY),
+        )
+        .unwrap();
         let now = gullsail_scheduler_api::Instant::from_millis(1e9);
-        let core = gullsail_platform::core::Core::new(d, 4096, now);
-        let mut r = Rig { core, now, out: Vec::new(), stuck: false };
-        r.go();
+        let core = gullsail_platform::core::Core::new(document, 4096, now);
+        let mut rig = Rig { core, now, out: Vec::new(), stuck: false };
+        rig.advance();
         if listed {
-            r.list(&page(1, true, &[(0, "SERVING", 0.0)]));
+            rig.discovery_answers(&page(1, true, &[(0, "SERVING", 0.0)]));
         }
-        r.pass(waits);
-        let client = r.asks(health);
-        assert_eq!(r.statuses(client), [status], "{waits} {listed}");
+        rig.advance_time(waits);
+        let client = rig.client_sending(health);
+        assert_eq!(rig.statuses(client), [status], "{waits} {listed}");
     }
 }
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -1,9 +1,10 @@
 //! The platform's host without a socket, in given time.
 
 mod attempts;
-mod bounds;
 mod clients;
-mod list;
+mod connection_task;
+mod discovery;
+mod limits_and_shutdown;
 mod races;
 mod rig;
-mod sockets;
+mod serialized_names;
--- a/crates/platform/tests/platform/races.rs
+++ b/crates/platform/tests/platform/races.rs
@@ -1,103 +1,114 @@
-//! Two events that cross, in both orders, where the core decides what holds. docs/platform.md has a row for each.
+//! Two events that cross, in both orders, where the core decides what holds. docs/platform.md has a row for
+//! each.
 
 use crate::rig::*;
-use gullsail_platform::core::{ConnId, Input, Output};
+use gullsail_platform::core::{ConnectionId, Input, Output};
 
 /// Handled together, as one batch.
-fn together(r: &mut Rig, inputs: Vec<Input>) {
-    inputs.into_iter().for_each(|i| r.core.handle(r.now, i));
-    r.go();
+fn together(rig: &mut Rig, inputs: Vec<Input>) {
+    inputs.into_iter().for_each(|i| rig.core.handle(rig.now, i));
+    rig.advance();
 }
 
-fn came(conn: ConnId, text: &str) -> Input {
-    Input::Came(conn, text.as_bytes().to_vec().into())
+fn received(conn: ConnectionId, text: &str) -> Input {
+    Input::Received(conn, text.as_bytes().to_vec().into())
 }
 
-/// The word that a message is written, and the end of its attempt's time: whichever comes first, the attempt may have run.
+/// The word that a message is written, and the end of its attempt's time: whichever comes first, the attempt
+/// may have run.
 #[test]
-fn what_was_handed_to_a_connection_may_have_run() {
+fn a_message_handed_to_a_connection_may_have_run() {
     for written_first in [true, false] {
-        let mut r = Rig::new();
-        let client = r.asks(&ask("once", 7, 0));
-        let link = *r.dialled(NODES[0].1).last().unwrap();
-        r.put(Input::Up(link));
-        assert_eq!(r.sent(link).len(), 1);
+        let mut rig = Rig::new();
+        let client = rig.client_sending(&request_text("once", 7, 0));
+        let conn = *rig.connections_to(NODES[0].1).last().unwrap();
+        rig.input(Input::Connected(conn));
+        assert_eq!(rig.sent(conn).len(), 1);
         if written_first {
-            r.put(Input::Written(link));
+            rig.input(Input::Written(conn));
         }
-        r.pass(620.0);
+        rig.advance_time(620.0);
         if !written_first {
-            r.put(Input::Written(link));
+            rig.input(Input::Written(conn));
         }
-        assert_eq!((r.ended("timed_out"), r.ended("unreached")), (1, 0), "{written_first}");
-        assert_eq!((r.statuses(client), r.closed(link)), (vec!["500".to_string()], true), "{written_first}");
-        r.pass(1000.0);
-        let again = r.dialled(NODES[0].1).into_iter().filter(|c| !r.sent(*c).is_empty()).count();
+        assert_eq!(
+            (rig.outcome_count("timed_out"), rig.outcome_count("unreached")),
+            (1, 0),
+            "{written_first}"
+        );
+        assert_eq!(
+            (rig.statuses(client), rig.closed(conn)),
+            (vec!["500".to_string()], true),
+            "{written_first}"
+        );
+        rig.advance_time(1000.0);
+        let again = rig.connections_to(NODES[0].1).into_iter().filter(|c| !rig.sent(*c).is_empty()).count();
         assert_eq!(again, 1, "{written_first}: not sent a second time");
     }
 }
 
-/// A connection's end, and the message that it should carry: with the word that all was written it may have run, without
-/// it never did.
+/// A connection's end, and the message that it should carry: with the word that all was written it may have
+/// run, without it never did.
 #[test]
-fn an_end_before_the_last_byte_proves_that_it_never_ran() {
+fn a_close_before_the_last_byte_proves_that_it_never_ran() {
     for (written, outcome, goes_on) in [(false, "unreached", true), (true, "broken", false)] {
-        let mut r = Rig::new();
-        let client = r.asks(&ask("once", 7, 0));
-        let link = *r.dialled(NODES[0].1).last().unwrap();
-        r.put(Input::Up(link));
-        let word = written.then_some(Input::Written(link));
-        together(&mut r, word.into_iter().chain([Input::Ended(link)]).collect());
-        assert_eq!(r.ended(outcome), 1, "{written}");
-        assert_eq!(r.statuses(client).is_empty(), goes_on, "{written}");
+        let mut rig = Rig::new();
+        let client = rig.client_sending(&request_text("once", 7, 0));
+        let conn = *rig.connections_to(NODES[0].1).last().unwrap();
+        rig.input(Input::Connected(conn));
+        let written_report = written.then_some(Input::Written(conn));
+        together(&mut rig, written_report.into_iter().chain([Input::Closed(conn)]).collect());
+        assert_eq!(rig.outcome_count(outcome), 1, "{written}");
+        assert_eq!(rig.statuses(client).is_empty(), goes_on, "{written}");
     }
 }
 
-/// Bytes that nobody asked for, and the next message on that connection. The connection's task is asked to write only if
-/// no more came than is handled here; what comes before it says that it wrote is no answer, nor the beginning of one.
+/// Bytes that nobody asked for, and the next message on that connection. The connection's task is asked to
+/// write only if no more came than is handled here; what comes before it says that it wrote is no answer, nor
+/// the beginning of one.
 #[test]
-fn a_second_answer_does_not_become_part_of_the_next() {
+fn a_second_response_does_not_become_part_of_the_next() {
     let copy = answer(200, "", "another's");
     // What comes behind the first answer, and at which of its bytes it is cut off.
     for cut in [copy.len(), copy.len() - 1, 40, 17, 5, 1] {
         for (written, status, outcome) in [(true, "500", "failed"), (false, "200", "done")] {
-            let mut r = Rig::new();
-            r.asks(&ask("once", 1, 0));
-            let link = r.up(0);
-            r.say(link, &answer(200, "", "first"));
-            let seen = |r: &Rig| {
-                let last = r.out.iter().rev().find_map(|o| match o {
-                    Output::Send { conn, seen, .. } if *conn == link => Some(*seen),
+            let mut rig = Rig::new();
+            rig.client_sending(&request_text("once", 1, 0));
+            let conn = rig.establish(0);
+            rig.receive(conn, &answer(200, "", "first"));
+            let seen = |rig: &Rig| {
+                let last = rig.out.iter().rev().find_map(|o| match o {
+                    Output::Send { conn: to, seen, .. } if *to == conn => Some(*seen),
                     _ => None,
                 });
                 last.unwrap()
             };
-            let client = r.asks(&ask("once", 2, 0));
-            assert_eq!(seen(&r), answer(200, "", "first").len() as u64, "what was handled before");
+            let client = rig.client_sending(&request_text("once", 2, 0));
+            assert_eq!(seen(&rig), answer(200, "", "first").len() as u64, "what was handled before");
             // It was read before the order to write reached the connection's task.
-            r.say(link, &copy[..cut]);
-            assert!(r.statuses(client).is_empty(), "{cut}");
+            rig.receive(conn, &copy[..cut]);
+            assert!(rig.statuses(client).is_empty(), "{cut}");
             if written {
-                r.put(Input::Written(link));
-                r.say(link, &answer(200, "", "made for it"));
+                rig.input(Input::Written(conn));
+                rig.receive(conn, &answer(200, "", "made for it"));
             } else {
-                r.put(Input::Unwritten(link));
-                let new = r.up(0);
-                r.say(new, &answer(200, "", "made for it"));
+                rig.input(Input::NotWritten(conn));
+                let new = rig.establish(0);
+                rig.receive(new, &answer(200, "", "made for it"));
             }
-            assert!(r.closed(link), "{cut} {written}: it carries nothing more");
-            assert_eq!(r.statuses(client), [status], "{cut} {written}");
-            assert!(r.ended(outcome) >= 1, "{cut} {written}");
-            let served = r.heard(client)[0].ends_with("made for it");
+            assert!(rig.closed(conn), "{cut} {written}: it carries nothing more");
+            assert_eq!(rig.statuses(client), [status], "{cut} {written}");
+            assert!(rig.outcome_count(outcome) >= 1, "{cut} {written}");
+            let served = rig.responses(client)[0].ends_with("made for it");
             assert_eq!(served, !written, "{cut} {written}");
         }
     }
 }
 
-/// The list says that a node drains, is gone, started anew or is elsewhere, and a connection to it comes up for an attempt that
-/// waits: in both orders, and in one batch.
+/// The list says that a node drains, is gone, started anew or is elsewhere, and a connection to it comes up
+/// for an attempt that waits: in both orders, and in one batch.
 #[test]
-fn nothing_goes_to_a_node_that_the_list_speaks_against() {
+fn no_request_goes_to_a_node_that_the_list_excludes() {
     let moved = page(2, false, &[(0, "SERVING", 0.0)]).replace(NODES[0].1, "10.9.9.9:1");
     let cases = [
         ("drains", page(2, false, &[(0, "DRAINING", 0.0)])),
@@ -106,227 +117,230 @@
         ("started anew", page(2, false, &[(0, "SERVING", 50.0)])),
         ("is elsewhere", moved),
     ];
-    for (what, news) in &cases {
+    for (what, change) in &cases {
         for (list_first, batch) in [(true, false), (true, true), (false, true), (false, false)] {
-            let mut r = Rig::new();
-            r.asks(&ask("once", 1, 0));
-            r.pass(60.0);
-            let link = *r.dialled(NODES[0].1).last().unwrap();
-            let discovery = *r.dialled(DISCOVERY).last().unwrap();
-            let mut both = vec![came(discovery, &answer(200, "", news)), Input::Up(link)];
+            let mut rig = Rig::new();
+            rig.client_sending(&request_text("once", 1, 0));
+            rig.advance_time(60.0);
+            let conn = *rig.connections_to(NODES[0].1).last().unwrap();
+            let discovery = *rig.connections_to(DISCOVERY).last().unwrap();
+            let mut both = vec![received(discovery, &answer(200, "", change)), Input::Connected(conn)];
             if !list_first {
                 both.reverse();
             }
             if batch {
-                together(&mut r, both);
+                together(&mut rig, both);
             } else {
-                both.into_iter().for_each(|i| r.put(i));
+                both.into_iter().for_each(|i| rig.input(i));
             }
             let case = format!("{what}, list first: {list_first}, one batch: {batch}");
             if list_first {
                 // Of a node that started anew it is decided anew, and may go out by that.
-                assert!(r.sent(link).is_empty() || *what == "started anew", "{case}");
-                assert_ne!(*what == "is elsewhere", r.ended("unsent") == 1, "{case}");
+                assert!(rig.sent(conn).is_empty() || *what == "started anew", "{case}");
+                assert_ne!(*what == "is elsewhere", rig.outcome_count("unsent") == 1, "{case}");
             } else {
                 // It had gone out: it runs to its end there, and the connection is not used again.
-                assert_eq!(r.sent(link).len(), 1, "{case}");
-                r.put(Input::Written(link));
-                r.say(link, &answer(200, "", "b"));
-                assert!(r.closed(link) || *what == "started anew", "{case}");
+                assert_eq!(rig.sent(conn).len(), 1, "{case}");
+                rig.input(Input::Written(conn));
+                rig.receive(conn, &answer(200, "", "b"));
+                assert!(rig.closed(conn) || *what == "started anew", "{case}");
             }
-            r.pass(300.0);
-            r.asks(&ask("once", 9, 0));
-            let most = if *what == "started anew" { 2 } else { usize::from(!list_first) };
-            assert!(r.sent(link).len() <= most, "{case}");
+            rig.advance_time(300.0);
+            rig.client_sending(&request_text("once", 9, 0));
+            let max_connections = if *what == "started anew" { 2 } else { usize::from(!list_first) };
+            assert!(rig.sent(conn).len() <= max_connections, "{case}");
         }
     }
 }
 
 /// A node that drains tells who waits for it at once, not when the wait for its connection is over.
 #[test]
-fn who_waits_for_a_node_that_drains_is_decided_anew_at_once() {
-    let mut r = Rig::new();
-    r.asks(&ask("read", 1, 0));
-    let dialling = r.dialled(NODES[0].1)[0];
-    r.list(&page(2, false, &[(0, "DRAINING", 0.0)]));
-    assert_eq!((r.ended("unsent"), r.closed(dialling), r.length("legs")), (1, true, 0));
+fn attempts_waiting_for_a_draining_node_end_at_once() {
+    let mut rig = Rig::new();
+    rig.client_sending(&request_text("read", 1, 0));
+    let connecting = rig.connections_to(NODES[0].1)[0];
+    rig.discovery_answers(&page(2, false, &[(0, "DRAINING", 0.0)]));
+    assert_eq!((rig.outcome_count("unsent"), rig.closed(connecting), rig.size("legs")), (1, true, 0));
 }
 
-/// The client's end and what would send its request on: its connection's coming up, its decision, a free connection, the
-/// refusal of a first attempt. In both orders and in one batch, nothing begins once the end is known, and the module is told of
-/// every attempt that it decided.
+/// The client's end and what would send its request on: its connection's coming up, its decision, a free
+/// connection, the refusal of a first attempt. In both orders and in one batch, nothing begins once the end
+/// is known, and the module is reported of every attempt that it decided.
 #[test]
-fn nothing_begins_for_a_client_that_is_gone() {
+fn no_attempt_begins_for_a_disconnected_client() {
     for what in ["up", "decision", "free", "turned away", "unreached"] {
         for (gone_first, batch) in [(true, false), (true, true), (false, true), (false, false)] {
-            let mut r = Rig::new();
+            let mut rig = Rig::new();
             let case = format!("{what}, gone first: {gone_first}, one batch: {batch}");
-            let client = r.client();
-            let (mut cross_zone_budget, mut link) = (Vec::new(), None);
+            let client = rig.client();
+            let mut racing = Vec::new();
+            let mut reused = None;
             match what {
                 "up" => {
-                    r.say(client, &ask("read", 1, 0));
-                    link = r.dialled(NODES[0].1).last().copied();
-                    cross_zone_budget.extend(link.map(Input::Up));
+                    rig.receive(client, &request_text("read", 1, 0));
+                    reused = rig.connections_to(NODES[0].1).last().copied();
+                    racing.extend(reused.map(Input::Connected));
                 }
-                "decision" => cross_zone_budget.push(came(client, &ask("read", 1, 0))),
+                "decision" => racing.push(received(client, &request_text("read", 1, 0))),
                 "free" => {
                     // Its connection does not come up; another's comes free.
-                    r.asks(&ask("read", 8, 0));
-                    link = Some(r.up(0));
-                    r.say(client, &ask("read", 1, 0));
-                    cross_zone_budget.extend(link.map(|l| came(l, &answer(200, "", "b"))));
+                    rig.client_sending(&request_text("read", 8, 0));
+                    reused = Some(rig.establish(0));
+                    rig.receive(client, &request_text("read", 1, 0));
+                    racing.extend(reused.map(|conn| received(conn, &answer(200, "", "b"))));
                 }
                 _ => {
-                    r.say(client, &ask("read", 1, 0));
-                    let first = r.up(0);
-                    cross_zone_budget.push(match what {
-                        "turned away" => came(first, &answer(503, "X-Never-Ran: 1\r\n", "")),
-                        _ => Input::Ended(first),
+                    rig.receive(client, &request_text("read", 1, 0));
+                    let first = rig.establish(0);
+                    racing.push(match what {
+                        "turned away" => received(first, &answer(503, "X-Never-Ran: 1\r\n", "")),
+                        _ => Input::Closed(first),
                     });
                 }
             }
-            let before = r.counts().sent;
-            cross_zone_budget.push(Input::Ended(client));
+            let before = rig.metrics().attempts_sent;
+            racing.push(Input::Closed(client));
             if gone_first {
-                cross_zone_budget.reverse();
+                racing.reverse();
             }
             if batch {
-                together(&mut r, cross_zone_budget);
+                together(&mut rig, racing);
             } else {
-                cross_zone_budget.into_iter().for_each(|i| r.put(i));
+                racing.into_iter().for_each(|i| rig.input(i));
             }
-            let sends = |r: &Rig| r.out.iter().filter(|o| matches!(o, Output::Send { .. })).count();
-            let sent = sends(&r);
+            let sends = |rig: &Rig| rig.out.iter().filter(|o| matches!(o, Output::Send { .. })).count();
+            let sent = sends(&rig);
             // Whatever connection comes up later carries nothing of it.
-            for conn in r.dialled(NODES[0].1) {
-                if !r.closed(conn) && Some(conn) != link {
-                    r.put(Input::Up(conn));
+            for conn in rig.connections_to(NODES[0].1) {
+                if !rig.closed(conn) && Some(conn) != reused {
+                    rig.input(Input::Connected(conn));
                 }
             }
-            r.pass(100.0);
-            assert_eq!(sends(&r), sent, "{case}");
+            rig.advance_time(100.0);
+            assert_eq!(sends(&rig), sent, "{case}");
             if gone_first && what != "decision" {
-                let own = r.out.iter().filter(|o| match o {
+                let own = rig.out.iter().filter(|o| match o {
                     Output::Send { bytes, .. } => bytes.windows(16).any(|w| w == b"0000000000000001"),
                     _ => false,
                 });
                 let first = usize::from(matches!(what, "turned away" | "unreached"));
                 assert_eq!(own.count(), first, "{case}");
-                assert_eq!(r.counts().sent, before, "{case}");
+                assert_eq!(rig.metrics().attempts_sent, before, "{case}");
             }
-            r.pass(3000.0);
-            assert_eq!((r.length("transfers"), r.length("legs"), r.length("nodes.out")), (0, 0, 0), "{case}");
-            assert_eq!(r.length("desk.xfers"), 0, "{case}");
+            rig.advance_time(3000.0);
+            assert_eq!((rig.size("transfers"), rig.size("legs"), rig.size("nodes.out")), (0, 0, 0), "{case}");
+            assert_eq!(rig.size("desk.xfers"), 0, "{case}");
         }
     }
 }
 
-/// In one batch a request comes, the list changes and the client leaves: the list is known to what is decided, and an attempt
-/// that is decided for who is gone ends untold to nobody.
+/// In one batch a request comes, the list changes and the client leaves: the list is known to what is
+/// decided, and an attempt that is decided for who is gone ends untold to nobody.
 #[test]
-fn one_batch_decides_on_all_that_it_holds() {
+fn a_batch_is_decided_with_all_its_events() {
     let drains = answer(200, "", &page(2, false, &[(0, "DRAINING", 0.0)]));
     let other = answer(200, "", &page(2, false, &[(1, "DRAINING", 0.0)]));
-    for (news, to_node) in [(&drains, false), (&other, true)] {
+    for (change, to_node) in [(&drains, false), (&other, true)] {
         for order in [[0, 1, 2], [1, 0, 2], [0, 2, 1]] {
             for leaves in [false, true] {
-                let mut r = Rig::new();
-                let client = r.client();
-                let discovery = *r.dialled(DISCOVERY).last().unwrap();
+                let mut rig = Rig::new();
+                let client = rig.client();
+                let discovery = *rig.connections_to(DISCOVERY).last().unwrap();
                 let inputs = order.into_iter().filter(|i| leaves || *i != 2).map(|i| match i {
-                    0 => came(client, &ask("read", 1, 0)),
-                    1 => came(discovery, news),
-                    _ => Input::Ended(client),
+                    0 => received(client, &request_text("read", 1, 0)),
+                    1 => received(discovery, change),
+                    _ => Input::Closed(client),
                 });
                 let inputs: Vec<_> = inputs.collect();
-                together(&mut r, inputs);
-                let dialled = r.dialled(NODES[0].1).len();
-                assert_eq!(dialled, usize::from(to_node && !leaves), "{order:?} {leaves}");
-                r.pass(3000.0);
-                let size_metrics = ["transfers", "legs", "nodes.out", "desk.xfers"].map(|l| r.length(l));
+                together(&mut rig, inputs);
+                let connections_to = rig.connections_to(NODES[0].1).len();
+                assert_eq!(connections_to, usize::from(to_node && !leaves), "{order:?} {leaves}");
+                rig.advance_time(3000.0);
+                let size_metrics = ["transfers", "legs", "nodes.out", "desk.xfers"].map(|l| rig.size(l));
                 assert_eq!(size_metrics, [0; 4], "{order:?} {leaves}");
             }
         }
     }
 }
 
-/// A message on a connection that rests, and the order to close it. The order holds only for as much as was handled when
-/// it was given; a message that comes all the same is served as any other, and the connection may be closed again later.
+/// A message on a connection that rests, and the order to close it. The order holds only for as much as was
+/// handled when it was given; a message that comes all the same is served as any other, and the connection
+/// may be closed again later.
 #[test]
-fn an_order_to_close_holds_for_what_was_handled_when_it_was_given() {
+fn a_close_order_holds_only_for_the_input_handled_before() {
     for leaving in [false, true] {
-        let mut r = Rig::new();
+        let mut rig = Rig::new();
         let health = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
-        let client = r.asks(health);
+        let client = rig.client_sending(health);
         if leaving {
-            r.put(Input::Stop);
-            r.pass(1110.0);
+            rig.input(Input::Shutdown);
+            rig.advance_time(1110.0);
         } else {
-            r.pass(2200.0);
+            rig.advance_time(2200.0);
         }
-        let orders = |r: &Rig| {
+        let orders = |rig: &Rig| {
             let seen = |o: &Output| match o {
                 Output::CloseIdle { conn, seen } if *conn == client => Some(*seen as usize),
                 _ => None,
             };
-            r.out.iter().filter_map(seen).collect::<Vec<_>>()
+            rig.out.iter().filter_map(seen).collect::<Vec<_>>()
         };
-        assert_eq!(orders(&r), [health.len()], "{leaving}");
+        assert_eq!(orders(&rig), [health.len()], "{leaving}");
         // It was read before the order reached the connection's task, which does nothing then.
-        let text = ask("read", 1, 0);
-        r.say(client, &text[..100]);
-        r.say(client, &text[100..]);
-        let link = r.up(0);
-        r.say(link, &answer(200, "", "b"));
-        assert_eq!(r.statuses(client), ["200", "200"], "{leaving}");
-        assert_eq!((r.finished(client), r.closed(client)), (leaving, false), "{leaving}");
+        let text = request_text("read", 1, 0);
+        rig.receive(client, &text[..100]);
+        rig.receive(client, &text[100..]);
+        let conn = rig.establish(0);
+        rig.receive(conn, &answer(200, "", "b"));
+        assert_eq!(rig.statuses(client), ["200", "200"], "{leaving}");
+        assert_eq!((rig.finished(client), rig.closed(client)), (leaving, false), "{leaving}");
         if !leaving {
-            r.pass(2300.0);
-            assert_eq!(orders(&r), [health.len(), health.len() + text.len()]);
+            rig.advance_time(2300.0);
+            assert_eq!(orders(&rig), [health.len(), health.len() + text.len()]);
         }
     }
 }
 
 /// A further attempt waits for its connection, and the time ends within which a repeat is known as one.
 #[test]
-fn an_idempotency_key_request_is_not_repeated_past_its_window() {
+fn a_request_with_a_key_is_not_repeated_outside_its_window() {
     for (wait, goes) in [(100.0, true), (180.0, true), (195.0, false), (230.0, false)] {
-        let mut r =
-            Rig::with(&document(1024, 192, DISCOVERY).replace("\"window\":5000.0", "\"window\":200.0"));
-        let client = r.asks(&ask("write", 1, 0));
-        let first = r.up(0);
-        r.put(Input::Ended(first));
-        let second = *r.dialled(NODES[0].1).last().unwrap();
-        assert!(second != first && r.ended("broken") == 1);
-        r.pass(wait);
-        r.put(Input::Up(second));
-        assert_eq!(r.sent(second).len(), usize::from(goes), "{wait}");
-        r.pass(600.0);
-        assert!(!r.statuses(client).is_empty() || goes, "{wait}");
+        let mut rig = Rig::with(
+            &settings_document(1024, 192, DISCOVERY).replace("\"window\":5000.0", "\"window\":200.0"),
+        );
+        let client = rig.client_sending(&request_text("write", 1, 0));
+        let first = rig.establish(0);
+        rig.input(Input::Closed(first));
+        let second = *rig.connections_to(NODES[0].1).last().unwrap();
+        assert!(second != first && rig.outcome_count("broken") == 1);
+        rig.advance_time(wait);
+        rig.input(Input::Connected(second));
+        assert_eq!(rig.sent(second).len(), usize::from(goes), "{wait}");
+        rig.advance_time(600.0);
+        assert!(!rig.statuses(client).is_empty() || goes, "{wait}");
     }
 }
 
 /// Another document comes while a list is being read: what the old address still says is nobody's.
 #[test]
-fn a_list_that_crosses_a_move_is_not_taken() {
-    let moved = document(1024, 192, "10.2.0.9:8500");
+fn a_list_from_the_old_address_is_ignored_after_a_reload() {
+    let moved = settings_document(1024, 192, "10.2.0.9:8500");
     for half in [0, 60] {
-        let mut r = Rig::new();
-        let old = r.dialled(DISCOVERY)[0];
+        let mut rig = Rig::new();
+        let old = rig.connections_to(DISCOVERY)[0];
         let drains = answer(200, "", &page(2, false, &[(0, "DRAINING", 0.0)]));
-        r.say(old, &drains[..half]);
-        let d = gullsail_platform::document::Document::read("d", &moved).unwrap();
-        together(&mut r, vec![Input::Reload(Box::new(d)), came(old, &drains[half..])]);
-        r.put(Input::Ended(old));
-        r.asks(&ask("read", 1, 0));
-        assert_eq!((r.dialled(NODES[0].1).len(), r.counts().list_lost), (1, 0), "{half}");
+        rig.receive(old, &drains[..half]);
+        let document = gullsail_platform::settings_document::SettingsDocument::parse("d", &moved).unwrap();
+        together(&mut rig, vec![Input::Reload(Box::new(document)), received(old, &drains[half..])]);
+        rig.input(Input::Closed(old));
+        rig.client_sending(&request_text("read", 1, 0));
+        assert_eq!((rig.connections_to(NODES[0].1).len(), rig.metrics().discovery_lost), (1, 0), "{half}");
         // What the new one says of an older number is its own.
-        let new = *r.dialled("10.2.0.9:8500").last().unwrap();
-        r.put(Input::Up(new));
-        r.say(new, &answer(200, "", &page(0, true, &[(1, "SERVING", 0.0)])));
-        r.pass(300.0);
-        r.asks(&ask("read", 2, 0));
-        assert_eq!(r.counts().lists, 2, "{half}");
+        let new = *rig.connections_to("10.2.0.9:8500").last().unwrap();
+        rig.input(Input::Connected(new));
+        rig.receive(new, &answer(200, "", &page(0, true, &[(1, "SERVING", 0.0)])));
+        rig.advance_time(300.0);
+        rig.client_sending(&request_text("read", 2, 0));
+        assert_eq!(rig.metrics().discovery_snapshots, 2, "{half}");
     }
 }
--- a/crates/platform/tests/platform/rig.rs
+++ b/crates/platform/tests/platform/rig.rs
@@ -1,17 +1,17 @@
 //! A host with two nodes, discovery and clients, all played by hand: bytes in, bytes out, time as a number.
 
 use bytes::Bytes;
-use gullsail_platform::core::{ConnId, Core, Counts, Input, Output};
-use gullsail_platform::document::Document;
+use gullsail_platform::core::{ConnectionId, Core, Input, Metrics, Output};
+use gullsail_platform::settings_document::SettingsDocument;
 use gullsail_scheduler_api::{Instant, Span};
 
 pub const DISCOVERY: &str = "10.2.0.1:8500";
 pub const NODES: [(&str, &str); 2] = [("s-a", "10.1.0.1:5000"), ("s-b", "10.1.0.2:5000")];
 pub const PEER: &str = "10.3.0.2:7946";
-const BORN: f64 = 1_000_000_000.0;
+const START_MS: f64 = 1_000_000_000.0;
 
 /// What an operator writes; `limits` and discovery may be others.
-pub fn document(sockets: usize, memory_mb: usize, discovery: &str) -> String {
+pub fn settings_document(sockets: usize, memory_mb: usize, discovery: &str) -> String {
     let profile = |name: &str, idempotency: &str| {
         format!(
             r#"{{"name":"{name}","effect":"{idempotency}","group":"cell","window":5000.0,"give-up":1500.0,
@@ -36,12 +36,12 @@
 
 /// A page of the list: node, health and start in ms after the test's beginning (0: long ago).
 pub fn page(seq: u64, whole: bool, entries: &[(usize, &str, f64)]) -> String {
-    let entry = |(n, health, born): &(usize, &str, f64)| {
-        let (name, dial) = NODES[*n];
-        let born = if *born > 0.0 { BORN + born } else { 0.0 };
+    let entry = |(n, health, started_ms): &(usize, &str, f64)| {
+        let (name, address) = NODES[*n];
+        let started_ms = if *started_ms > 0.0 { START_MS + started_ms } else { 0.0 };
         format!(
-            r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"m","block":{n},"health":"{health}",
-            "share":1.0,"born_ms":{born}}}"#
+            r#"{{"host":"{name}","dial":"{address}","site":"a","class":"m","block":{n},"health":"{health}",
+            "share":1.0,"born_ms":{started_ms}}}"#
         )
     };
     let entries: Vec<_> = entries.iter().map(entry).collect();
@@ -49,7 +49,7 @@
 }
 
 /// A message of this request class, by its id, for the shard of a node.
-pub fn ask(kind: &str, trace: u64, shard: i64) -> String {
+pub fn request_text(kind: &str, trace: u64, shard: i64) -> String {
     let (method, rest) = match kind {
         "read" => ("GET", "\r\n"),
         "write" => ("PUT", "Idempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody"),
@@ -76,25 +76,25 @@
 impl Rig {
     /// With its list: both nodes serve.
     pub fn new() -> Rig {
-        Rig::with(&document(1024, 192, DISCOVERY))
+        Rig::with(&settings_document(1024, 192, DISCOVERY))
     }
 
-    pub fn with(document: &str) -> Rig {
-        let d = Document::read("test.json", document).unwrap();
-        let now = Instant::from_millis(BORN);
-        let mut r = Rig { core: Core::new(d, 4096, now), now, out: Vec::new(), stuck: false };
-        r.go();
-        r.list(&page(1, true, &[(0, "SERVING", 0.0), (1, "SERVING", 0.0)]));
-        r
+    pub fn with(settings_document: &str) -> Rig {
+        let document = SettingsDocument::parse("test.json", settings_document).unwrap();
+        let now = Instant::from_millis(START_MS);
+        let mut rig = Rig { core: Core::new(document, 4096, now), now, out: Vec::new(), stuck: false };
+        rig.advance();
+        rig.discovery_answers(&page(1, true, &[(0, "SERVING", 0.0), (1, "SERVING", 0.0)]));
+        rig
     }
 
     /// What is answered to clients is written at once, unless it is stuck.
-    pub fn go(&mut self) {
+    pub fn advance(&mut self) {
         loop {
             self.core.advance(self.now);
             let out = self.core.outputs();
             let answered = out.iter().filter_map(|o| match o {
-                Output::Answer { conn, .. } if !self.stuck => Some(*conn),
+                Output::Respond { conn, .. } if !self.stuck => Some(*conn),
                 _ => None,
             });
             let answered: Vec<_> = answered.collect();
@@ -106,42 +106,42 @@
         }
     }
 
-    pub fn put(&mut self, input: Input) {
+    pub fn input(&mut self, input: Input) {
         self.core.handle(self.now, input);
-        self.go();
+        self.advance();
     }
 
     /// Lets time pass, with all that is due meanwhile.
-    pub fn pass(&mut self, ms: f64) {
+    pub fn advance_time(&mut self, ms: f64) {
         let end = self.now + Span::from_millis(ms);
         while let Some(at) = self.core.next_timer().filter(|at| *at <= end) {
             self.now = self.now.max(at);
-            self.go();
+            self.advance();
         }
         self.now = end;
-        self.go();
+        self.advance();
     }
 
-    pub fn client(&mut self) -> ConnId {
+    pub fn client(&mut self) -> ConnectionId {
         assert!(self.core.has_place());
         self.core.accept(self.now)
     }
 
-    pub fn say(&mut self, conn: ConnId, text: &str) {
-        self.put(Input::Came(conn, Bytes::copy_from_slice(text.as_bytes())));
+    pub fn receive(&mut self, conn: ConnectionId, text: &str) {
+        self.input(Input::Received(conn, Bytes::copy_from_slice(text.as_bytes())));
     }
 
     /// A client that has asked this.
-    pub fn asks(&mut self, text: &str) -> ConnId {
+    pub fn client_sending(&mut self, text: &str) -> ConnectionId {
         let conn = self.client();
-        self.say(conn, text);
+        self.receive(conn, text);
         conn
     }
 
     /// What a client was answered so far.
-    pub fn heard(&self, client: ConnId) -> Vec<String> {
+    pub fn responses(&self, client: ConnectionId) -> Vec<String> {
         let to = |o: &Output| match o {
-            Output::Answer { conn, bytes } if *conn == client => {
+            Output::Respond { conn, bytes } if *conn == client => {
                 Some(String::from_utf8(bytes.to_vec()).unwrap())
             }
             _ => None,
@@ -150,20 +150,20 @@
     }
 
     /// The status codes of it.
-    pub fn statuses(&self, client: ConnId) -> Vec<String> {
-        self.heard(client).iter().map(|t| t[9..12].to_string()).collect()
+    pub fn statuses(&self, client: ConnectionId) -> Vec<String> {
+        self.responses(client).iter().map(|t| t[9..12].to_string()).collect()
     }
 
-    /// All connections dialled to an address, the newest last.
-    pub fn dialled(&self, to: &str) -> Vec<ConnId> {
-        let dial = |o: &Output| match o {
-            Output::Dial { conn, address } if address == to => Some(*conn),
+    /// All connections connected to to an address, the newest last.
+    pub fn connections_to(&self, to: &str) -> Vec<ConnectionId> {
+        let address = |o: &Output| match o {
+            Output::Connect { conn, address } if address == to => Some(*conn),
             _ => None,
         };
-        self.out.iter().filter_map(dial).collect()
+        self.out.iter().filter_map(address).collect()
     }
 
-    pub fn sent(&self, on: ConnId) -> Vec<String> {
+    pub fn sent(&self, on: ConnectionId) -> Vec<String> {
         let to = |o: &Output| match o {
             Output::Send { conn, bytes, .. } if *conn == on => {
                 Some(String::from_utf8(bytes.to_vec()).unwrap())
@@ -173,47 +173,47 @@
         self.out.iter().filter_map(to).collect()
     }
 
-    pub fn closed(&self, which: ConnId) -> bool {
+    pub fn closed(&self, which: ConnectionId) -> bool {
         let over = |o: &Output| matches!(o, Output::Close { conn } if *conn == which);
         self.out.iter().any(over)
     }
 
     /// How often it was to be closed unless something had come.
-    pub fn closed_idle(&self, which: ConnId) -> usize {
+    pub fn close_idle_orders(&self, which: ConnectionId) -> usize {
         let quiet = |o: &&Output| matches!(o, Output::CloseIdle { conn, .. } if *conn == which);
         self.out.iter().filter(quiet).count()
     }
 
-    pub fn finished(&self, which: ConnId) -> bool {
-        self.out.iter().any(|o| matches!(o, Output::Finish { conn } if *conn == which))
+    pub fn finished(&self, which: ConnectionId) -> bool {
+        self.out.iter().any(|o| matches!(o, Output::FinishAndClose { conn } if *conn == which))
     }
 
-    /// Discovery, where it was last dialled, answers what it was asked.
-    pub fn list(&mut self, page: &str) {
-        let conn = *self.dialled(DISCOVERY).last().unwrap();
+    /// Discovery, where it was last connected to, answers what it was asked.
+    pub fn discovery_answers(&mut self, page: &str) {
+        let conn = *self.connections_to(DISCOVERY).last().unwrap();
         if self.sent(conn).is_empty() {
-            self.put(Input::Up(conn));
+            self.input(Input::Connected(conn));
         }
-        self.say(conn, &answer(200, "", page));
+        self.receive(conn, &answer(200, "", page));
     }
 
     /// The newest connection to a node comes up, and what is sent on it is written.
-    pub fn up(&mut self, node: usize) -> ConnId {
-        let conn = *self.dialled(NODES[node].1).last().unwrap();
-        self.put(Input::Up(conn));
-        self.put(Input::Written(conn));
+    pub fn establish(&mut self, node: usize) -> ConnectionId {
+        let conn = *self.connections_to(NODES[node].1).last().unwrap();
+        self.input(Input::Connected(conn));
+        self.input(Input::Written(conn));
         conn
     }
 
-    pub fn counts(&self) -> &Counts {
-        self.core.counts()
+    pub fn metrics(&self) -> &Metrics {
+        self.core.metrics()
     }
 
-    pub fn ended(&self, outcome: &str) -> u64 {
-        self.counts().endings.get(outcome).copied().unwrap_or_default()
+    pub fn outcome_count(&self, outcome: &str) -> u64 {
+        self.metrics().attempt_outcomes.get(outcome).copied().unwrap_or_default()
     }
 
-    pub fn length(&self, of: &str) -> usize {
+    pub fn size(&self, of: &str) -> usize {
         self.core.size_metrics().iter().find(|l| l.0 == of).unwrap().1
     }
 }
