--- /dev/null
+++ b/crates/benchlink/tests/same_config.rs
@@ -0,0 +1,63 @@
+//! Both ways into the scheduler, the bench's and the platform's, agree.
+
+use gullsail_benchlink::events;
+use gullsail_benchlink::wire::WireEvent;
+use gullsail_scheduler_api::{Event, Request, RequestId, SchedulerConfig, Span};
+use std::collections::BTreeMap;
+
+/// The bench's adapter and the platform's host make the same configuration and ids of the same settings.
+#[test]
+fn both_routes_make_the_same_config_and_ids() {
+    let settings = r#"{"clients":{"marks-retry":false},"failure-domains":["a","b"],"family":"stores",
+        "family-info":{"cold-units":15.0,"idle-worth":0.08,"max-units":8,"slots-total":9,"within-share":0.35,
+        "writes":[false,true]},"limits":{"connect-timeout":250.0,"keepalive":15000.0,"max-attempts":4,
+        "max-retry-after":1000.0,"peer-messages":true,"retry-after":true},"membership-mode":"ask","peers-total":3,
+        "policies":[{"limit":38.0,"limit-burst":50.0,"name":"base","nominal":6.4,"parts":1.0,"reserve":0.0,
+        "value-factor":0.96},{"name":"best","nominal":16.0,"parts":2.0,"reserve":19.0,"value-factor":1.5}],
+        "profiles":[{"effect":"pure","give-up":1200.0,"group":"all","late-value":0.1,"name":"r","objective":150.0,
+        "worth":2.0},{"effect":"token","give-up":1200.0,"group":"cell","window":5000.0,"name":"w",
+        "objective":200.0,"serial-by-key":true}],"rank":2,
+        "rules":{"free-resends":3.0,"extra-per-request":0.1,"look-back":5000.0,"overload-for":1500.0,
+        "ramp-time":17000.0,"start-capacity":0.17,"order-settle":100.0},"tick":2.0}"#;
+    let start = format!(r#"{{"type":"Born","host":1,"rng-seed":9,"boot-info":{settings}}}"#);
+    let Ok(WireEvent::Born { boot_info, .. }) = serde_json::from_str(&start) else { panic!("{start}") };
+    let (here, mut names) = events::config(&boot_info).unwrap();
+    let text = format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"x:1","limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
+        "settings":{settings}}}"#
+    );
+    let document = gullsail_platform::settings_document::SettingsDocument::parse("d", &text).unwrap();
+    // An attempt can wait for its connection on sockets alone.
+    let there = SchedulerConfig { connect_wait: Span::ZERO, ..document.config.clone() };
+    assert_eq!((format!("{here:?}"), &names.settings), (format!("{there:?}"), &document.names));
+    assert_eq!(document.config.connect_wait, Span::from_millis(250.0));
+    let (volume, object) = ("00000003b4d60021", "7f3a9c21e0b4d655");
+    let accept = format!(
+        r#"{{"type":"Accept","host":1,"id":5,"quota-units":2,"ttl":900.0,"grade":"best","profile":"w",
+        "store-user":"{volume}","lies-in":3,"object":"{object}","mounts":3}}"#
+    );
+    let Ok(Some(Event::RequestArrived(here))) =
+        events::translate(serde_json::from_str(&accept).unwrap(), &mut names, &BTreeMap::new())
+    else {
+        panic!("{accept}")
+    };
+    let mut decoder = gullsail_http::Decoder::requests(gullsail_platform::core::BOUNDS);
+    decoder.feed(
+        format!(
+            "PUT /w/{volume}/{object} HTTP/1.1\r\nHost: h\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\nX-Qos: w\r\n\
+             X-Storage-Class: best\r\nX-Expires-In-Ms: 900\r\nX-Extent: units=2,shard=3,hosts=3\r\n\
+             Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n"
+        )
+        .as_bytes(),
+    );
+    let message = decoder.take().unwrap().unwrap();
+    let parsed = gullsail_platform::core::request_parser::parse(
+        &message,
+        &document.names,
+        &document.config,
+        &document.reach,
+    )
+    .unwrap();
+    let there = Request { id: RequestId(5), ..parsed.request };
+    assert_eq!(format!("{here:?}"), format!("{there:?}"));
+}
--- a/crates/benchlink/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-const BORN: &str = r#"{"type":"Born","host":3,"rng-seed":9,"boot-info":{"failure-domains":["a"],
+const START: &str = r#"{"type":"Born","host":3,"rng-seed":9,"boot-info":{"failure-domains":["a"],
  "limits":{"max-attempts":3},"membership-mode":"ask","peers-total":1,"policies":[{"name":"p"}],
  "profiles":[{"name":"r","effect":"pure","give-up":900.0,"objective":200.0}],"rank":0,"rules":{},"tick":2.0}}"#;
 const LIST: &str = r#"{"type":"Page","table":0,"hosts":[{"group":0,"health":"Ready","node":"n:1","new-key":1}]},
@@ -32,7 +32,7 @@
 
 #[test]
 fn a_request_goes_out_and_input_ends() {
-    let all = batch(&[]) + &batch(&[BORN, LIST, r#"{"type":"Novelty","host":3}"#, ACCEPT]);
+    let all = batch(&[]) + &batch(&[START, LIST, r#"{"type":"Novelty","host":3}"#, ACCEPT]);
     let (code, out, err) = run(&all);
     assert_eq!((code, err.as_str()), (Some(0), ""));
     let replies: Vec<_> = out.lines().collect();
@@ -42,23 +42,23 @@
     }
 }
 
-/// What no settings state is answered at once and ends nothing: a plan, a request class, a node's health; a deployment
-/// may have no plans at all.
+/// What no settings state is answered at once and ends nothing: a plan, a request class, a node's health; a
+/// deployment may have no plans at all.
 #[test]
 fn what_nothing_defines_is_answered_at_once() {
-    let bare = BORN.replace(r#""policies":[{"name":"p"}],"#, "");
+    let bare = START.replace(r#""policies":[{"name":"p"}],"#, "");
     let odd_list = LIST.replace("Ready", "Dreaming");
     let cases = [
-        (BORN, LIST, ACCEPT.replace(r#""grade":"p""#, r#""grade":"q""#), "NotNow"),
-        (BORN, LIST, ACCEPT.replace(r#""profile":"r""#, r#""profile":"x""#), "NotNow"),
-        (BORN, LIST, ACCEPT.replace(r#""lies-in":0"#, r#""lies-in":77"#), "NotNow"),
-        (BORN, &odd_list, ACCEPT.to_string(), "NotNow"),
-        (BORN, LIST, ACCEPT.replace(r#""grade":"p","#, ""), "NotNow"),
+        (START, LIST, ACCEPT.replace(r#""grade":"p""#, r#""grade":"q""#), "NotNow"),
+        (START, LIST, ACCEPT.replace(r#""profile":"r""#, r#""profile":"x""#), "NotNow"),
+        (START, LIST, ACCEPT.replace(r#""lies-in":0"#, r#""lies-in":77"#), "NotNow"),
+        (START, &odd_list, ACCEPT.to_string(), "NotNow"),
+        (START, LIST, ACCEPT.replace(r#""grade":"p","#, ""), "NotNow"),
         (&bare, LIST, ACCEPT.replace(r#""grade":"p","#, ""), "PassOn"),
         (&bare, LIST, ACCEPT.to_string(), "PassOn"),
     ];
-    for (born, list, accept, answer) in cases {
-        let (code, out, err) = run(&batch(&[born, list, &accept]));
+    for (start, list, accept, answer) in cases {
+        let (code, out, err) = run(&batch(&[start, list, &accept]));
         assert_eq!((code, err.as_str()), (Some(0), ""), "{accept}");
         assert!(out.contains(&format!(r#""type":"{answer}""#)), "{accept}: {out}");
     }
@@ -66,7 +66,7 @@
 
 #[test]
 fn events_for_the_dead_are_skipped_with_a_line() {
-    let dead = [batch(&[ACCEPT]), batch(&[BORN, LIST, r#"{"type":"Detach","host":3}"#, ACCEPT])];
+    let dead = [batch(&[ACCEPT]), batch(&[START, LIST, r#"{"type":"Detach","host":3}"#, ACCEPT])];
     for input in dead {
         let (code, out, err) = run(&input);
         assert_eq!((code, out.as_str()), (Some(0), "{\"outbox\":[]}\n"));
@@ -81,11 +81,11 @@
         "{\"t\":1.0}\n".to_string(),
         "{\"t\":1.0,\"arrivals\":[".to_string(),
         batch(&[r#"{"host":3}"#]),
-        batch(&[BORN, r#"{"type":"Accept","host":3,"id":5}"#]),
-        batch(&[BORN, r#"{"type":"Timer","host":3}"#]),
-        batch(&[BORN, r#"{"type":"Fleet","host":3,"table":4,"mode":"total"}"#]),
-        batch(&[BORN, r#"{"type":"Heard","host":3,"src":1,"octets":"*"}"#]),
-        batch(&[&BORN.replace("\"rank\":0,", "")]),
+        batch(&[START, r#"{"type":"Accept","host":3,"id":5}"#]),
+        batch(&[START, r#"{"type":"Timer","host":3}"#]),
+        batch(&[START, r#"{"type":"Fleet","host":3,"table":4,"mode":"total"}"#]),
+        batch(&[START, r#"{"type":"Heard","host":3,"src":1,"octets":"*"}"#]),
+        batch(&[&START.replace("\"rank\":0,", "")]),
     ];
     for input in cases {
         let (code, out, err) = run(&input);
--- a/crates/cli/tests/platform/rig.rs
+++ b/crates/cli/tests/platform/rig.rs
@@ -12,14 +12,15 @@
 pub const SOON: Duration = Duration::from_secs(20);
 
 /// One message: its head, and as much body as it states.
-pub fn message(from: &mut BufReader<TcpStream>) -> Option<String> {
-    let (mut text, mut length) = (String::new(), 0);
+pub fn read_message(from: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut text = String::new();
+    let mut length = 0;
     loop {
-        let at = text.len();
+        let line_start = text.len();
         if from.read_line(&mut text).ok()? == 0 {
             return None;
         }
-        let line = text[at..].trim_end().to_ascii_lowercase();
+        let line = text[line_start..].trim_end().to_ascii_lowercase();
         if let Some(n) = line.strip_prefix("content-length: ") {
             length = n.parse().ok()?;
         }
@@ -35,14 +36,14 @@
 /// Answers every message on every connection; what `answer` returns `None` for waits for ever.
 pub fn serve(answer: impl Fn(&str) -> Option<String> + Clone + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = listener.local_addr().unwrap();
+    let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let answer = answer.clone();
             std::thread::spawn(move || {
                 let mut from = BufReader::new(stream.try_clone().unwrap());
                 let mut to = stream;
-                while let Some(text) = message(&mut from) {
+                while let Some(text) = read_message(&mut from) {
                     match answer(&text) {
                         Some(text) => _ = to.write_all(text.as_bytes()),
                         None => std::thread::sleep(SOON),
@@ -51,25 +52,25 @@
             });
         }
     });
-    at
+    address
 }
 
 pub fn reply(body: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
-/// Says which question came, and lets watches wait.
+/// A discovery service with one node. Reports the first line of each poll, and lets long polls wait.
 pub fn discovery(node: SocketAddr) -> (SocketAddr, Receiver<String>) {
-    let (say, said): (Sender<String>, _) = channel();
-    let at = serve(move |text| {
-        let _ = say.send(text.lines().next().unwrap_or_default().into());
+    let (sender, polls): (Sender<String>, _) = channel();
+    let address = serve(move |text| {
+        let _ = sender.send(text.lines().next().unwrap_or_default().into());
         let page = format!(
             r#"{{"seq":4,"whole":true,"hosts":[{{"host":"s-1","dial":"{node}","site":"a","class":"m","block":0,
             "health":"SERVING","share":1.0,"born_ms":0}}]}}"#
         );
         (!text.contains("after=")).then(|| reply(&page))
     });
-    (at, said)
+    (address, polls)
 }
 
 pub fn document(discovery: SocketAddr) -> String {
@@ -83,9 +84,10 @@
     )
 }
 
+/// A host as a process; killed by its own id when dropped.
 pub struct Host {
     pub child: Child,
-    pub at: SocketAddr,
+    pub address: SocketAddr,
     log: Receiver<String>,
     pub file: PathBuf,
     _dir: tempfile::TempDir,
@@ -107,13 +109,13 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        let (say, log) = channel();
+        let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|l| _ = say.send(l)));
-        let mut h = Host { child, at: "127.0.0.1:0".parse().unwrap(), log, file, _dir: dir };
-        let line = h.line("serves clients at=");
-        h.at = line.rsplit('=').next().unwrap().parse().unwrap();
-        h
+        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|l| _ = sender.send(l)));
+        let mut host = Host { child, address: "127.0.0.1:0".parse().unwrap(), log, file, _dir: dir };
+        let line = host.line("serves clients at=");
+        host.address = line.rsplit('=').next().unwrap().parse().unwrap();
+        host
     }
 
     /// The next line of the log that holds this.
@@ -131,7 +133,7 @@
     }
 
     pub fn client(&self) -> BufReader<TcpStream> {
-        let stream = TcpStream::connect(self.at).unwrap();
+        let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(SOON)).unwrap();
         BufReader::new(stream)
     }
@@ -140,7 +142,7 @@
         loop {
             let mut c = self.client();
             c.get_mut().write_all(b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
-            if message(&mut c).is_some_and(|t| t.starts_with("HTTP/1.1 200")) {
+            if read_message(&mut c).is_some_and(|t| t.starts_with("HTTP/1.1 200")) {
                 return;
             }
         }
@@ -154,17 +156,17 @@
     }
 }
 
-pub fn ask_text(trace: u64) -> String {
+pub fn request_text(trace: u64) -> String {
     format!(
         "GET /read/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {trace:016x}\r\nX-Qos: read\r\n\
          X-Storage-Class: free\r\nX-Expires-In-Ms: 9000\r\nX-Extent: units=1,shard=0,hosts=1\r\n\r\n"
     )
 }
 
-pub fn asks(client: &mut BufReader<TcpStream>, trace: u64) {
-    client.get_mut().write_all(ask_text(trace).as_bytes()).unwrap();
+pub fn send_request(client: &mut BufReader<TcpStream>, trace: u64) {
+    client.get_mut().write_all(request_text(trace).as_bytes()).unwrap();
 }
 
-pub fn status(client: &mut BufReader<TcpStream>) -> Option<String> {
-    message(client).map(|t| t[9..12].to_string())
+pub fn read_status(client: &mut BufReader<TcpStream>) -> Option<String> {
+    read_message(client).map(|t| t[9..12].to_string())
 }
--- a/crates/cli/tests/shortages.rs
+++ b/crates/cli/tests/shortages/main.rs
@@ -3,234 +3,38 @@
 //! restart. Shortages are limits of a child process; only processes that a test started are ended, by their
 //! ids.
 
-use bytes::{Bytes, BytesMut};
-use gullsail_protocol::*;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::path::Path;
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
-
-/// Past any wait that a test means.
-const LONG: Duration = Duration::from_secs(30);
-
-fn document(node: &str, bounds: &str) -> String {
-    format!(
-        "rules tick=\"20ms\"\nstream-type \"read\" effect=\"repeatable\" slo=\"2s\" expiry=\"4s\"\n\
-         stream-type \"trip\" effect=\"unrepeatable\" slo=\"2s\" expiry=\"4s\" write=#true\nplan \"p\"\n\
-         host \"h1\" address=\"127.0.0.1:0\"\nnode \"n1\" cell=1 address=\"{node}\"\nvolume \"v\" plan=\"p\"\n{bounds}"
-    )
-}
-
-fn gullsail(dir: &Path, arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_gullsail")).current_dir(dir).args(arguments).output().unwrap()
-}
-
-/// A host under a limit of its shell; ended by its own id.
-struct Host {
-    child: Child,
-    address: String,
-}
-
-impl Host {
-    fn start(dir: &Path, limit: &str, log: &str, stderr: Stdio) -> Host {
-        let program = env!("CARGO_BIN_EXE_gullsail");
-        let line =
-            format!("{limit}exec {program} --log-level {log} host main.kdl --name h1 --control h1.sock");
-        let mut child = Command::new("sh")
-            .current_dir(dir)
-            .args(["-c", &line])
-            .stdout(Stdio::piped())
-            .stderr(stderr)
-            .spawn()
-            .unwrap();
-        let mut said = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut said).unwrap();
-        let said: serde_json::Value = serde_json::from_str(&said).expect("it says where it listens");
-        assert!(
-            said["incarnation"].as_u64().is_some_and(|n| n > 0 && n < 1 << 53),
-            "exact in every reader: {said}"
-        );
-        Host { child, address: said["address"].as_str().unwrap().into() }
-    }
-
-    fn stop(mut self) -> Option<i32> {
-        let id = nix::unistd::Pid::from_raw(self.child.id() as i32);
-        nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).unwrap();
-        let end = Instant::now() + LONG;
-        while Instant::now() < end {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                return status.code();
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        None
-    }
-}
-
-impl Drop for Host {
-    fn drop(&mut self) {
-        // It may have ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn wire(frame: Frame) -> BytesMut {
-    let mut out = BytesMut::new();
-    frame.head(&mut out);
-    out.extend_from_slice(&frame.body);
-    out
-}
-
-struct Socket {
-    stream: TcpStream,
-    buf: BytesMut,
-}
-
-impl Socket {
-    fn new(stream: TcpStream) -> Socket {
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        Socket { stream, buf: BytesMut::new() }
-    }
-
-    fn client(address: &str) -> Socket {
-        let mut s = Socket::new(TcpStream::connect(address).unwrap());
-        // It may be hung up on at once.
-        let _ = s.send(Hello { role: Role::Client as i32, name: "c".into(), ..Hello::default() }.into());
-        s
-    }
-
-    fn send(&mut self, frame: Frame) -> std::io::Result<()> {
-        self.stream.write_all(&wire(frame))
-    }
+mod rig;
 
-    /// `None`: the other side ended it, or nothing came in a long time.
-    fn next(&mut self) -> Option<Frame> {
-        loop {
-            if let Some(frame) = decode(&mut self.buf, Bounds::DEFAULT).unwrap() {
-                return Some(frame);
-            }
-            let mut part = [0; 65536];
-            match self.stream.read(&mut part) {
-                Ok(0) | Err(_) => return None,
-                Ok(n) => self.buf.extend_from_slice(&part[..n]),
-            }
-        }
-    }
-
-    fn submit(&mut self, id: u64, request_class: &str, body: usize) -> std::io::Result<()> {
-        let s = Submit {
-            id,
-            request_class: request_class.into(),
-            volume: "v".into(),
-            units: 1.0,
-            handle: Some(Handle { shard: 1, object: id }),
-            timeout_us: 20_000_000,
-            ..Submit::default()
-        };
-        self.send(Frame::from(s).with_body(Bytes::from(vec![1; body])))
-    }
-
-    fn outcome(&mut self) -> Option<i32> {
-        loop {
-            if let Message::Answer(a) = self.next()?.message {
-                return Some(a.outcome);
-            }
-        }
-    }
-
-    /// One read, from asked to answered.
-    fn served(&mut self, id: u64) -> bool {
-        self.submit(id, "read", 0).is_ok() && self.outcome() == Some(Outcome::Succeeded as i32)
-    }
-}
-
-/// A node by hand, on a thread that ends with the test's process: it answers all attempts while `answers`,
-/// and breaks its connection when `breaks`.
-fn node(answers: &Arc<AtomicBool>, breaks: &Arc<AtomicBool>) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    let (answers, breaks) = (answers.clone(), breaks.clone());
-    std::thread::spawn(move || {
-        while let Ok((stream, _)) = listener.accept() {
-            let (answers, breaks) = (answers.clone(), breaks.clone());
-            std::thread::spawn(move || {
-                let mut s = Socket::new(stream);
-                s.stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
-                let (role, name) = (Role::Node as i32, "n1".to_string());
-                let age_us = 10_000_000_000;
-                let hello = Hello { role, name, incarnation: 7, age_us, shard_plus_one: 2 };
-                if s.send(hello.into()).is_err() {
-                    return;
-                }
-                loop {
-                    if breaks.swap(false, Ordering::SeqCst) {
-                        return;
-                    }
-                    let mut part = [0; 65536];
-                    match s.stream.read(&mut part) {
-                        Ok(0) => return,
-                        Ok(n) => s.buf.extend_from_slice(&part[..n]),
-                        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
-                        Err(_) => return,
-                    }
-                    while let Some(frame) = decode(&mut s.buf, Bounds::DEFAULT).unwrap() {
-                        if let (Message::Attempt(l), true) = (frame.message, answers.load(Ordering::SeqCst)) {
-                            let a = AttemptAnswer {
-                                attempt: l.attempt,
-                                result: AttemptResult::Succeeded as i32,
-                                ..AttemptAnswer::default()
-                            };
-                            if s.send(a.into()).is_err() {
-                                return;
-                            }
-                        }
-                    }
-                }
-            });
-        }
-    });
-    address
-}
-
-fn yes() -> Arc<AtomicBool> {
-    Arc::new(AtomicBool::new(true))
-}
-
-fn no() -> Arc<AtomicBool> {
-    Arc::new(AtomicBool::new(false))
-}
-
-fn status(dir: &Path) -> serde_json::Value {
-    let out = gullsail(dir, &["--log-level", "error", "status", "h1.sock"]);
-    serde_json::from_slice(&out.stdout)
-        .unwrap_or_else(|e| panic!("{e}: {}", String::from_utf8_lossy(&out.stderr)))
-}
+use bytes::Bytes;
+use gullsail_protocol::{Frame, Message, Outcome, Submit};
+use rig::{Host, LONG, NodeControl, Socket, deployment, gullsail, node, status, wire};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::process::{Command, Stdio};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 /// A log that nobody reads: the pipe is full after some hundred lines, and requests are answered as before.
 /// Once somebody reads, lines come again, and one says how many were lost.
 #[test]
 fn a_log_that_nobody_reads_holds_up_nothing() {
     let dir = tempfile::tempdir().unwrap();
-    std::fs::write(dir.path().join("main.kdl"), document(&node(&yes(), &no()), "")).unwrap();
+    std::fs::write(dir.path().join("main.kdl"), deployment(&node(&NodeControl::answering()), "")).unwrap();
     let mut host = Host::start(dir.path(), "", "debug", Stdio::piped());
     let log = host.child.stderr.take().unwrap();
     // Each is two lines at least: far more than a pipe and the queue hold.
     for _ in 0..9000 {
         drop(TcpStream::connect(&host.address).unwrap());
     }
-    let mut c = Socket::client(&host.address);
+    let mut client = Socket::client(&host.address);
     for id in 0..20 {
-        assert!(c.served(id), "transfer {id} with nobody reading the log");
+        assert!(client.served(id), "transfer {id} with nobody reading the log");
     }
     assert_eq!(status(dir.path())["counts"]["done"], 20);
-    let (told, lines) = std::sync::mpsc::channel();
+    let (sender, lines) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         for line in BufReader::new(log).lines().map_while(Result::ok) {
-            let _ = told.send(line);
+            let _ = sender.send(line);
         }
     });
     let end = Instant::now() + LONG;
@@ -242,7 +46,7 @@
         lost.is_some_and(|l| l.contains("the log's reader does not keep up")),
         "what was lost is counted"
     );
-    assert!(c.served(100));
+    assert!(client.served(100));
     assert_eq!(host.stop(), Some(0));
 }
 
@@ -252,15 +56,16 @@
     let full = || Stdio::from(std::fs::OpenOptions::new().write(true).open("/dev/full").unwrap());
     for limited in [false, true] {
         let dir = tempfile::tempdir().unwrap();
-        std::fs::write(dir.path().join("main.kdl"), document(&node(&yes(), &no()), "")).unwrap();
+        std::fs::write(dir.path().join("main.kdl"), deployment(&node(&NodeControl::answering()), ""))
+            .unwrap();
         let file = || Stdio::from(std::fs::File::create(dir.path().join("log")).unwrap());
         let (limit, stderr) = if limited { ("ulimit -f 8; ", file()) } else { ("", full()) };
         let host = Host::start(dir.path(), limit, "debug", stderr);
         for _ in 0..300 {
             drop(TcpStream::connect(&host.address).unwrap());
         }
-        let mut c = Socket::client(&host.address);
-        assert!((0..20).all(|id| c.served(id)), "limited {limited}");
+        let mut client = Socket::client(&host.address);
+        assert!((0..20).all(|id| client.served(id)), "limited {limited}");
         assert_eq!(status(dir.path())["counts"]["done"], 20);
         if limited {
             let length = dir.path().join("log").metadata().unwrap().len();
@@ -276,15 +81,15 @@
 #[test]
 fn descriptors_are_kept_back_for_what_must_be_reached() {
     let dir = tempfile::tempdir().unwrap();
-    let breaks = no();
-    std::fs::write(dir.path().join("main.kdl"), document(&node(&yes(), &breaks), "")).unwrap();
+    let control = NodeControl::answering();
+    std::fs::write(dir.path().join("main.kdl"), deployment(&node(&control), "")).unwrap();
     let log = dir.path().join("log");
     let host =
         Host::start(dir.path(), "ulimit -n 64; ", "info", Stdio::from(std::fs::File::create(&log).unwrap()));
     let mut first = Socket::client(&host.address);
     assert!(first.served(1));
     let mut many: Vec<Socket> = (0..150).map(|_| Socket::client(&host.address)).collect();
-    breaks.store(true, Ordering::SeqCst);
+    control.disconnects.store(true, Ordering::SeqCst);
     let end = Instant::now() + LONG;
     let state = loop {
         let state = status(dir.path());
@@ -296,8 +101,8 @@
     assert!(first.served(2), "over a new connection to the node");
     assert!(state["counts"]["links_refused"].as_u64().unwrap() > 50, "{state}");
     // Of the many some are in, and the others were told at once.
-    many.iter().for_each(|s| s.stream.set_read_timeout(Some(Duration::from_millis(100))).unwrap());
-    let inside = many.iter_mut().filter_map(|s| s.next()).count();
+    many.iter().for_each(|socket| socket.stream.set_read_timeout(Some(Duration::from_millis(100))).unwrap());
+    let inside = many.iter_mut().filter_map(|socket| socket.next()).count();
     assert!((5..60).contains(&inside), "{inside} of 150 are in");
     let lines = std::fs::read_to_string(&log).unwrap();
     assert!(!lines.contains("cannot accept"), "{lines}");
@@ -318,23 +123,23 @@
 fn memory_is_bounded_while_a_node_answers_nothing() {
     const MIB: usize = 1 << 20;
     let dir = tempfile::tempdir().unwrap();
-    let answers = no();
+    let control = NodeControl::default();
     let bounds = "bounds held-bytes=\"16MiB\" body-bytes=\"1MiB\" open=200\n";
-    std::fs::write(dir.path().join("main.kdl"), document(&node(&answers, &no()), bounds)).unwrap();
+    std::fs::write(dir.path().join("main.kdl"), deployment(&node(&control), bounds)).unwrap();
     // In KiB of address space: some threads' stacks and the program; a tenth of what is offered.
     let host = Host::start(dir.path(), "ulimit -v 500000; ", "info", Stdio::null());
     let writers: Vec<_> = (0..40)
         .map(|_| {
             let address = host.address.clone();
             std::thread::spawn(move || {
-                let mut s = Socket::client(&address);
-                s.stream.set_write_timeout(Some(Duration::from_secs(1))).unwrap();
+                let mut socket = Socket::client(&address);
+                socket.stream.set_write_timeout(Some(Duration::from_secs(1))).unwrap();
                 let mut sent = 0;
-                while sent < 25 && s.submit(sent, "trip", MIB).is_ok() {
+                while sent < 25 && socket.submit(sent, "trip", MIB).is_ok() {
                     sent += 1;
                 }
-                let _ = s.stream.set_read_timeout(Some(Duration::from_millis(500)));
-                s
+                let _ = socket.stream.set_read_timeout(Some(Duration::from_millis(500)));
+                socket
             })
         })
         .collect();
@@ -344,13 +149,13 @@
     assert!(most > 8 * MIB as u64 && most < 64 * MIB as u64, "{most} bytes held at most");
     assert!(state["counts"]["held_back"].as_u64().unwrap() > 0);
     drop(writers);
-    answers.store(true, Ordering::SeqCst);
+    control.answers.store(true, Ordering::SeqCst);
     let end = Instant::now() + LONG;
-    let mut c = Socket::client(&host.address);
-    while !c.served(1) {
+    let mut client = Socket::client(&host.address);
+    while !client.served(1) {
         assert!(Instant::now() < end, "served again once there is room");
         std::thread::sleep(Duration::from_millis(20));
-        c = Socket::client(&host.address);
+        client = Socket::client(&host.address);
     }
     let state = loop {
         let state = status(dir.path());
@@ -373,7 +178,7 @@
 #[test]
 fn a_document_is_formatted_whole_or_not_at_all() {
     let dir = tempfile::tempdir().unwrap();
-    let untidy = document("n", "").replace('\n', "\n\n\n") + &"// a comment that is kept\n".repeat(100);
+    let untidy = deployment("n", "").replace('\n', "\n\n\n") + &"// a comment that is kept\n".repeat(100);
     let file = dir.path().join("main.kdl");
     std::fs::write(&file, &untidy).unwrap();
     let program = env!("CARGO_BIN_EXE_gullsail");
@@ -402,48 +207,50 @@
 fn documents_and_sockets_that_are_tampered_with() {
     let dir = tempfile::tempdir().unwrap();
     let main = dir.path().join("main.kdl");
-    let sound = document(&node(&no(), &no()), "").replace("\"2s\"", "\"15s\"").replace("\"4s\"", "\"20s\"");
-    std::fs::write(&main, &sound).unwrap();
+    let valid = deployment(&node(&NodeControl::default()), "")
+        .replace("\"2s\"", "\"15s\"")
+        .replace("\"4s\"", "\"20s\"");
+    std::fs::write(&main, &valid).unwrap();
     let host = Host::start(dir.path(), "", "info", Stdio::null());
     nix::unistd::mkfifo(&dir.path().join("pipe.kdl"), nix::sys::stat::Mode::S_IRWXU).unwrap();
-    std::fs::write(&main, format!("include \"pipe.kdl\"\n{sound}")).unwrap();
+    std::fs::write(&main, format!("include \"pipe.kdl\"\n{valid}")).unwrap();
     let out = gullsail(dir.path(), &["reload", "h1.sock"]);
-    let said = String::from_utf8_lossy(&out.stdout).into_owned();
-    assert_eq!((out.status.code(), said.contains("it is no regular file")), (Some(2), true), "{said}");
-    assert!(said.starts_with("main.kdl:1:"), "{said}");
-    std::fs::write(&main, &sound).unwrap();
+    let output = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert_eq!((out.status.code(), output.contains("it is no regular file")), (Some(2), true), "{output}");
+    assert!(output.starts_with("main.kdl:1:"), "{output}");
+    std::fs::write(&main, &valid).unwrap();
     let both: Vec<_> = (0..2)
         .map(|_| {
-            let mut c = Command::new(env!("CARGO_BIN_EXE_gullsail"));
-            c.current_dir(dir.path()).args(["reload", "h1.sock"]).stdout(Stdio::piped()).spawn().unwrap()
+            let mut client = Command::new(env!("CARGO_BIN_EXE_gullsail"));
+            client.current_dir(dir.path()).args(["reload", "h1.sock"]).stdout(Stdio::piped()).spawn().unwrap()
         })
         .collect();
     for child in both {
         assert_eq!(child.wait_with_output().unwrap().status.code(), Some(0));
     }
     // A request keeps it from leaving at once.
-    let mut c = Socket::client(&host.address);
-    c.submit(1, "trip", 10).unwrap();
+    let mut client = Socket::client(&host.address);
+    client.submit(1, "trip", 10).unwrap();
     while status(dir.path())["open"] != 1 {}
     let id = nix::unistd::Pid::from_raw(host.child.id() as i32);
     nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).unwrap();
-    c.stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    client.stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
     let end = Instant::now() + LONG;
     for id in 2.. {
-        c.submit(id, "trip", 0).unwrap();
-        if let Some(Message::NotTaken(n)) = c.next().map(|f| f.message) {
+        client.submit(id, "trip", 0).unwrap();
+        if let Some(Message::NotTaken(n)) = client.next().map(|f| f.message) {
             assert!(n.leaving);
             break;
         }
         assert!(Instant::now() < end, "it is told to leave");
     }
     let out = gullsail(dir.path(), &["reload", "h1.sock"]);
-    let said = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
-    assert!(out.status.code() != Some(0) && said.contains("this host is leaving"), "{said}");
+    let output = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+    assert!(out.status.code() != Some(0) && output.contains("this host is leaving"), "{output}");
     // The socket's file is another process's now; then nobody waits any more, so it leaves.
     std::fs::remove_file(dir.path().join("h1.sock")).unwrap();
     std::fs::write(dir.path().join("h1.sock"), "mine").unwrap();
-    drop(c);
+    drop(client);
     assert_eq!(host.stop(), Some(0));
     assert_eq!(std::fs::read_to_string(dir.path().join("h1.sock")).unwrap(), "mine");
 }
@@ -471,31 +278,32 @@
 fn half_frames_are_bounded() {
     let dir = tempfile::tempdir().unwrap();
     let bounds = "bounds held-bytes=\"32MiB\" body-bytes=\"16MiB\" client-stall=\"250ms\"\n";
-    std::fs::write(dir.path().join("main.kdl"), document(&node(&yes(), &no()), bounds)).unwrap();
+    std::fs::write(dir.path().join("main.kdl"), deployment(&node(&NodeControl::answering()), bounds))
+        .unwrap();
     let host = Host::start(dir.path(), "ulimit -v 500000; ", "info", Stdio::null());
-    let s =
+    let socket =
         Submit { id: 1, request_class: "trip".into(), volume: "v".into(), units: 1.0, ..Submit::default() };
-    let whole = wire(Frame::from(s).with_body(Bytes::from(vec![1; 16 << 20])));
-    let half: Vec<Socket> = (0..32)
+    let whole = wire(Frame::from(socket).with_body(Bytes::from(vec![1; 16 << 20])));
+    let half_sent: Vec<Socket> = (0..32)
         .map(|_| {
-            let mut c = Socket::client(&host.address);
-            c.stream.set_write_timeout(Some(Duration::from_millis(20))).unwrap();
+            let mut client = Socket::client(&host.address);
+            client.stream.set_write_timeout(Some(Duration::from_millis(20))).unwrap();
             // It waits, unread, or is let go.
-            let _ = c.stream.write_all(&whole[..15 << 20]);
-            c
+            let _ = client.stream.write_all(&whole[..15 << 20]);
+            client
         })
         .collect();
     assert!(Socket::client(&host.address).served(1));
     assert_eq!(status(dir.path())["open"], 0);
     let end = Instant::now() + LONG * 3;
     loop {
-        let mut c = Socket::client(&host.address);
-        c.stream.set_write_timeout(Some(LONG)).unwrap();
-        if c.submit(7, "trip", 16 << 20).is_ok() && c.outcome() == Some(Outcome::Succeeded as i32) {
+        let mut client = Socket::client(&host.address);
+        client.stream.set_write_timeout(Some(LONG)).unwrap();
+        if client.submit(7, "trip", 16 << 20).is_ok() && client.outcome() == Some(Outcome::Succeeded as i32) {
             break;
         }
         assert!(Instant::now() < end, "a whole large one is taken once there is room");
     }
-    drop(half);
+    drop(half_sent);
     assert_eq!(host.stop(), Some(0));
 }
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -12,22 +12,22 @@
 }
 
 /// All that comes of these pieces, and what ended it.
-fn read(answers: bool, pieces: &[&[u8]]) -> (Vec<Message>, Option<Fault>) {
-    let (mut d, mut all) = (decoder(answers), Vec::new());
+fn decode(answers: bool, pieces: &[&[u8]]) -> (Vec<Message>, Option<Fault>) {
+    let (mut input, mut messages) = (decoder(answers), Vec::new());
     for piece in pieces {
-        d.feed(piece);
+        input.feed(piece);
         loop {
-            match d.take() {
-                Ok(Some(m)) => all.push(m),
+            match input.take() {
+                Ok(Some(message)) => messages.push(message),
                 Ok(None) => break,
-                Err(fault) => return (all, Some(fault)),
+                Err(fault) => return (messages, Some(fault)),
             }
         }
     }
-    (all, None)
+    (messages, None)
 }
 
-const SOUND: [(bool, &str, &[&str]); 9] = [
+const VALID: [(bool, &str, &[&str]); 9] = [
     (false, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", &[""]),
     (false, "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n", &["", ""]),
     (false, "PUT /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello", &["hello"]),
@@ -49,20 +49,20 @@
 
 #[test]
 fn every_message_is_the_same_however_it_is_cut() {
-    for (answers, text, bodies) in SOUND {
+    for (answers, text, bodies) in VALID {
         let bytes = text.as_bytes();
-        let whole = read(answers, &[bytes]);
-        let found: Vec<_> = whole.0.iter().map(|m| m.body.as_ref()).collect();
+        let whole = decode(answers, &[bytes]);
+        let found: Vec<_> = whole.0.iter().map(|message| message.body.as_ref()).collect();
         assert_eq!((found, whole.1), (bodies.iter().map(|b| b.as_bytes()).collect(), None), "{text}");
         for cut in 0..=bytes.len() {
-            assert_eq!(read(answers, &[&bytes[..cut], &bytes[cut..]]), whole, "{text} cut at {cut}");
+            assert_eq!(decode(answers, &[&bytes[..cut], &bytes[cut..]]), whole, "{text} cut at {cut}");
         }
         let single: Vec<_> = bytes.chunks(1).collect();
-        assert_eq!(read(answers, &single), whole, "{text} by bytes");
-        let mut d = decoder(answers);
-        d.feed(bytes);
-        bodies.iter().for_each(|_| _ = d.take());
-        assert!(d.is_empty() && d.holds() == 0, "{text}: nothing is left");
+        assert_eq!(decode(answers, &single), whole, "{text} by bytes");
+        let mut input = decoder(answers);
+        input.feed(bytes);
+        bodies.iter().for_each(|_| _ = input.take());
+        assert!(input.is_empty() && input.holds() == 0, "{text}: nothing is left");
     }
 }
 
@@ -86,8 +86,8 @@
         (false, long, Fault::HeadTooLong),
         (false, endless, Fault::HeadTooLong),
         (false, lines, Fault::TooManyLines),
-        (false, put("Content-Length: 3\r\nTransfer-Encoding: chunked"), Fault::SizeMetrics),
-        (false, put("Content-Length: 3\r\nContent-Length: 3"), Fault::SizeMetrics),
+        (false, put("Content-Length: 3\r\nTransfer-Encoding: chunked"), Fault::ConflictingLengths),
+        (false, put("Content-Length: 3\r\nContent-Length: 3"), Fault::ConflictingLengths),
         (false, put("Content-Length: -1"), Fault::BadLength),
         (false, put("Content-Length: +1"), Fault::BadLength),
         (false, put("Content-Length: 1, 1"), Fault::BadLength),
@@ -113,48 +113,51 @@
         (true, interim, Fault::Interim),
     ];
     for (answers, text, fault) in cases {
-        let (all, found) = read(answers, &[text.as_bytes()]);
-        assert_eq!((all.len(), found), (0, Some(fault)), "{text}");
+        let (messages, found) = decode(answers, &[text.as_bytes()]);
+        assert_eq!((messages.len(), found), (0, Some(fault)), "{text}");
     }
 }
 
 #[test]
 fn an_endless_head_is_a_fault_at_its_bound_and_not_before() {
-    let mut d = decoder(false);
-    d.feed(&[b'x'; 600]);
-    assert_eq!(d.take(), Ok(None));
-    d.feed(b"x");
-    assert_eq!(d.take(), Err(Fault::HeadTooLong));
+    let mut input = decoder(false);
+    input.feed(&[b'x'; 600]);
+    assert_eq!(input.take(), Ok(None));
+    input.feed(b"x");
+    assert_eq!(input.take(), Err(Fault::HeadTooLong));
 }
 
 #[test]
 fn fields_are_found_whatever_their_case_and_doubles_are_seen() {
-    let (all, _) =
-        read(false, &[b"GET /x?q HTTP/1.1\r\nAb: 1\r\nc: 2\r\nC: 3\r\nConnection: x, Close\r\n\r\n"]);
-    let m = &all[0];
-    assert_eq!((m.field("aB"), m.field("C"), m.field("d")), (Found::One(b"1"), Found::Several, Found::None));
-    assert!(!m.stays && !m.framed);
+    let (messages, _) =
+        decode(false, &[b"GET /x?q HTTP/1.1\r\nAb: 1\r\nc: 2\r\nC: 3\r\nConnection: x, Close\r\n\r\n"]);
+    let message = &messages[0];
+    assert_eq!(
+        (message.field("aB"), message.field("C"), message.field("d")),
+        (Found::One(b"1"), Found::Several, Found::None)
+    );
+    assert!(!message.stays && !message.framed);
     let start = Start::Request { method: Bytes::from("GET"), target: Bytes::from("/x?q") };
-    assert_eq!(m.start, start);
+    assert_eq!(message.start, start);
 }
 
 #[test]
 fn what_is_written_is_read_back() {
     let text = Encoder::request(b"PUT", b"/a?b").field("A", b"b").number("N", 7).body(b"hello");
-    let (all, fault) = read(false, &[&text]);
-    assert_eq!((all.len(), fault, all[0].body.as_ref()), (1, None, &b"hello"[..]));
-    assert_eq!((all[0].field("n"), all[0].framed), (Found::One(b"7"), true));
-    let (all, _) = read(false, &[&Encoder::request(b"GET", b"/").bare()]);
-    assert!(!all[0].framed);
-    let (all, _) = read(true, &[&Encoder::answer(503, "No").body(b"")]);
-    assert_eq!(all[0].start, Start::Answer { status: 503 });
+    let (messages, fault) = decode(false, &[&text]);
+    assert_eq!((messages.len(), fault, messages[0].body.as_ref()), (1, None, &b"hello"[..]));
+    assert_eq!((messages[0].field("n"), messages[0].framed), (Found::One(b"7"), true));
+    let (messages, _) = decode(false, &[&Encoder::request(b"GET", b"/").bare()]);
+    assert!(!messages[0].framed);
+    let (messages, _) = decode(true, &[&Encoder::answer(503, "No").body(b"")]);
+    assert_eq!(messages[0].start, Start::Answer { status: 503 });
 }
 
 #[test]
 fn noise_neither_panics_nor_piles_up() {
     let config = Config { cases: 2000, failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(Default::default(), &[7; 32]));
-    let word = prop::sample::select(vec![
+    let fragment = prop::sample::select(vec![
         "GET / HTTP/1.1\r\n",
         "HTTP/1.1 200 OK\r\n",
         "Content-Length: 3\r\n",
@@ -168,16 +171,16 @@
         ": ",
         "99999999\r\n",
     ]);
-    let noise = (any::<bool>(), prop::collection::vec(word, 0..40));
-    let run = runner.run(&noise, |(answers, words)| {
-        let mut d = decoder(answers);
-        for w in words {
-            d.feed(w.as_bytes());
-            while let Ok(Some(_)) = d.take() {}
-            if d.take().is_err() {
+    let noise = (any::<bool>(), prop::collection::vec(fragment, 0..40));
+    let run = runner.run(&noise, |(answers, fragments)| {
+        let mut input = decoder(answers);
+        for fragment in fragments {
+            input.feed(fragment.as_bytes());
+            while let Ok(Some(_)) = input.take() {}
+            if input.take().is_err() {
                 break;
             }
-            prop_assert!(d.holds() <= BOUNDS.head + BOUNDS.body);
+            prop_assert!(input.holds() <= BOUNDS.head + BOUNDS.body);
         }
         Ok(())
     });
