Placement: names of capacity, limits and bounds; docs; relaxing a bound apart

Public items have docs; the tuple of a relaxed question and its step is a struct. Order of variables, constraints and sums is as before.

--- a/crates/placement/src/documents.rs
+++ b/crates/placement/src/documents.rs
@@ -1,7 +1,9 @@
-//! From a deployment to a question, and from a plan back to entries of a document.
+//! Builds a question from a deployment, and entries of a configuration from a plan. Called by the command
+//! line.
 //!
-//! A volume's work is taken to follow its new objects: what is written somewhere is read there later. So all that it
-//! is sized for is placed, even over its hosts, and what nodes can do is nine tenths of their machines.
+//! A volume's work is taken to follow its new objects: what is written somewhere is read there later. So the
+//! whole rate that it is sized for is placed, evenly over its hosts, and a node's capacity is nine tenths of
+//! its server's.
 
 use crate::{Budget, Demand, Plan, Question};
 use gullsail_configuration::{Deployment, PROMISABLE};
@@ -9,17 +11,21 @@
 use kdl::{KdlDocument, KdlEntry, KdlNode};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Of a volume's bytes a second: less is the solver's rounding, and no reason for a zone.
-const LEAST: f64 = 0.001;
+/// The fraction of a volume's bytes below which a zone is not used: it is the solver's rounding.
+const MIN_FRACTION: f64 = 0.001;
 
+/// What a plan needs and the document does not state.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Lacks {
+pub enum MissingInput {
+    /// The size of a unit.
     #[error("the document does not say how many bytes a unit of work stands for: rules unit=\"64KiB\"")]
     Unit,
+    /// The server of a node.
     #[error(
         "node \"{0}\" has no machine: machine \"box\" cores=2 unit=\"5ms\", and machine=\"box\" at the node"
     )]
     Server(String),
+    /// Zones.
     #[error("there are no zones to plan for")]
     Zones,
 }
@@ -40,23 +46,25 @@
     inside.map(|n| n.place.zone.0).collect()
 }
 
-/// `price`: of a byte that crosses.
+/// The question that a deployment poses; `price`: of a byte that crosses.
 ///
 /// # Errors
-/// What the document does not say and a plan needs.
-pub fn question(d: &Deployment, price: f64) -> Result<Question, Lacks> {
-    let unit = d.unit.ok_or(Lacks::Unit)?;
+/// The document does not state what a plan needs.
+pub fn question(d: &Deployment, price: f64) -> Result<Question, MissingInput> {
+    let unit = d.unit.ok_or(MissingInput::Unit)?;
     let count = d.zones.len();
     if count == 0 {
-        return Err(Lacks::Zones);
+        return Err(MissingInput::Zones);
     }
-    let (mut can, mut nodes) = (vec![0.0; count], vec![0.0f64; count]);
+    let mut capacity = vec![0.0; count];
+    let mut nodes = vec![0.0f64; count];
     for n in d.nodes.iter().filter(|n| !n.spare) {
-        let m = d.servers.get(n.server).ok_or_else(|| Lacks::Server(n.place.name.clone()))?;
-        can[n.place.zone.0] += m.can() * PROMISABLE;
+        let m = d.servers.get(n.server).ok_or_else(|| MissingInput::Server(n.place.name.clone()))?;
+        capacity[n.place.zone.0] += m.can() * PROMISABLE;
         nodes[n.place.zone.0] += 1.0;
     }
-    let a_node = can.iter().zip(&nodes).map(|(can, nodes)| can / nodes.max(1.0)).collect();
+    let node_capacity =
+        capacity.iter().zip(&nodes).map(|(capacity, nodes)| capacity / nodes.max(1.0)).collect();
     let demand = |(place, v): (usize, &gullsail_configuration::NamedVolume)| {
         let plan = &d.plans[v.plan.0].decisions;
         let bytes = plan.nominal_rate.max(plan.reserve) * unit;
@@ -71,13 +79,13 @@
         Demand { volume: v.name.clone(), from, zones, units_a_byte: 1.0 / unit }
     };
     let budgets = d.cross_zone_budgets.iter().filter_map(|c| match c.of {
-        BudgetScope::ZonePair(from, to) => Some(Budget { from: from.0, to: to.0, most: c.limit.rate }),
+        BudgetScope::ZonePair(from, to) => Some(Budget { from: from.0, to: to.0, limit: c.limit.rate }),
         BudgetScope::Plan(_) => None,
     });
     Ok(Question {
         zones: d.zones.clone(),
-        can,
-        a_node,
+        capacity,
+        node_capacity,
         demands: d.volumes.iter().enumerate().map(demand).collect(),
         budgets: budgets.collect(),
         price: vec![vec![price; count]; count],
@@ -97,7 +105,7 @@
     for (place, v) in d.volumes.iter().enumerate() {
         let all: f64 = plan.to[place].iter().sum();
         let used: BTreeSet<usize> =
-            (0..d.zones.len()).filter(|z| plan.to[place][*z] > all * LEAST && all > 0.0).collect();
+            (0..d.zones.len()).filter(|z| plan.to[place][*z] > all * MIN_FRACTION && all > 0.0).collect();
         for (pool, types) in pools(d, place) {
             let zones: Vec<usize> = used.intersection(&zones_of(d, pool)).copied().collect();
             // Nothing to say of a volume that asks for nothing: it keeps its pool.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,5 +1,7 @@
-//! Where volumes' new objects should go, zone by zone: a linear programme over what each volume brings from each
-//! zone, what nodes can do, where objects may lie and what may cross. No I/O; what it is asked is a [`Question`].
+//! Where volumes' new objects should go, zone by zone: a linear programme over the bytes that each volume
+//! brings from each zone, the nodes' capacity, the zones where objects may lie and the budgets between zones.
+//! The command line builds a [`Question`] from a configuration ([`documents`]), calls [`Question::plan`] and
+//! prints the [`Plan`]. No I/O.
 
 pub mod documents;
 
@@ -9,81 +11,103 @@
 /// One volume's new objects.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Demand {
+    /// The volume's name.
     pub volume: String,
-    /// Bytes a second that come through hosts of each zone, by the zone's place.
+    /// Bytes a second that come through hosts of each zone, by the zone's index.
     pub from: Vec<f64>,
-    /// Where they may lie.
+    /// The zones where they may lie.
     pub zones: BTreeSet<usize>,
     /// Work on nodes for each byte, in units.
     pub units_a_byte: f64,
 }
 
-/// What may cross from zone to zone, in bytes a second.
+/// A limit on the traffic from one zone to another.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Budget {
+    /// The sending zone.
     pub from: usize,
+    /// The receiving zone.
     pub to: usize,
-    pub most: f64,
+    /// Bytes a second.
+    pub limit: f64,
 }
 
+/// All that a plan depends on. Zones, volumes and budgets are numbered by their index.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Question {
+    /// Their names.
     pub zones: Vec<String>,
-    /// Units a second that each zone's nodes may be given, and what one node more would add.
-    pub can: Vec<f64>,
-    pub a_node: Vec<f64>,
+    /// Units a second that each zone's nodes may be given.
+    pub capacity: Vec<f64>,
+    /// What one node more would add to it.
+    pub node_capacity: Vec<f64>,
+    /// The volumes.
     pub demands: Vec<Demand>,
+    /// The limits between zones.
     pub budgets: Vec<Budget>,
-    /// What a byte costs that crosses, by the places of its zones.
+    /// The price of a byte that crosses, by its zones.
     pub price: Vec<Vec<f64>>,
 }
 
-/// Something that bounds the plan.
+/// A constraint of the plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Bound {
-    /// What a zone's nodes can do.
+    /// The capacity of a zone's nodes.
     Nodes(usize),
-    /// A budget, by its place.
+    /// A budget.
     Budget(usize),
-    /// Where a volume's objects may lie: without it, anywhere.
+    /// The zones where a volume's objects may lie: without it, anywhere.
     Zones(usize),
 }
 
-/// A bound that holds the plan back, and what easing it would bring.
+/// A bound that makes the plan dearer, and the gain from relaxing it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Binding {
+    /// The bound.
     pub bound: Bound,
-    /// One node more, or a byte a second more.
+    /// Cost a second saved by one node more, or by one byte a second more.
     pub saves: f64,
 }
 
+/// The cheapest placement.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
-    /// By volume: bytes a second that go to each zone.
+    /// Bytes a second to each zone, by volume.
     pub to: Vec<Vec<f64>>,
-    /// What crosses, by zones, in bytes a second.
+    /// Bytes a second from zone to zone.
     pub crosses: Vec<Vec<f64>>,
-    /// A second.
+    /// Its price a second.
     pub cost: f64,
+    /// The bounds that make it dearer, the costliest first.
     pub binding: Vec<Binding>,
 }
 
+/// Why there is no plan.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum NoPlan {
-    /// These can't all hold, and any one fewer could.
+    /// These bounds contradict each other; without any one of them there would be a plan.
     #[error("the bounds clash")]
     Clash(Vec<Bound>),
+    /// The solver failed.
     #[error("the solver gave up: {0}")]
     Solver(String),
 }
 
+/// A solution of the linear programme.
 struct Solved {
-    y: Vec<Vec<Vec<f64>>>,
+    /// Bytes a second, by volume, sending zone and receiving zone.
+    flows: Vec<Vec<Vec<f64>>>,
     cost: f64,
 }
 
-/// Relative to the largest figure: what the solver's rounding may leave over.
-const NEAR: f64 = 1e-6;
+/// A question with one bound relaxed by some nodes, or by some bytes a second.
+struct Relaxed {
+    question: Question,
+    step: f64,
+}
+
+/// Relative to the largest number: the solver's rounding error.
+const TOLERANCE: f64 = 1e-6;
 
 impl Question {
     fn bounds(&self) -> Vec<Bound> {
@@ -100,26 +124,26 @@
     fn solve(&self, kept: &BTreeSet<Bound>) -> Result<Option<Solved>, NoPlan> {
         let zones = self.zones.len();
         let mut all = variables!();
-        let mut y: Vec<Vec<Vec<Option<Variable>>>> = Vec::new();
+        let mut flows: Vec<Vec<Vec<Option<Variable>>>> = Vec::new();
         for (v, d) in self.demands.iter().enumerate() {
             let may = |to: &usize| !kept.contains(&Bound::Zones(v)) || d.zones.contains(to);
             let mut row = |from: usize| -> Vec<Option<Variable>> {
                 let used = d.from[from] > 0.0;
                 (0..zones).map(|to| (used && may(&to)).then(|| all.add(variable().min(0.0)))).collect()
             };
-            y.push((0..zones).map(&mut row).collect());
+            flows.push((0..zones).map(&mut row).collect());
         }
         let each = || {
             (0..self.demands.len())
                 .flat_map(move |v| (0..zones).flat_map(move |a| (0..zones).map(move |b| (v, a, b))))
         };
         let sum = |of: &dyn Fn(usize, usize, usize) -> f64| -> Expression {
-            each().filter_map(|(v, a, b)| Some(of(v, a, b) * y[v][a][b]?)).sum()
+            each().filter_map(|(v, a, b)| Some(of(v, a, b) * flows[v][a][b]?)).sum()
         };
         let price = |a: usize, b: usize| self.price.get(a).and_then(|row| row.get(b)).copied().unwrap_or(0.0);
         // Among plans that cost alike, one that crosses less.
         let largest = self.price.iter().flatten().copied().fold(0.0, f64::max).max(1.0);
-        let cost = sum(&|_, a, b| if a == b { 0.0 } else { price(a, b) + largest * NEAR });
+        let cost = sum(&|_, a, b| if a == b { 0.0 } else { price(a, b) + largest * TOLERANCE });
         let mut model = all.minimise(cost).using(microlp);
         for (v, d) in self.demands.iter().enumerate() {
             for (a, asked) in d.from.iter().enumerate().filter(|(_, asked)| **asked > 0.0) {
@@ -131,12 +155,12 @@
             match *bound {
                 Bound::Nodes(z) => {
                     let work = sum(&|v, _, b| if b == z { self.demands[v].units_a_byte } else { 0.0 });
-                    model = model.with(work.leq(self.can[z]));
+                    model = model.with(work.leq(self.capacity[z]));
                 }
                 Bound::Budget(place) => {
                     let b = &self.budgets[place];
                     let crosses = sum(&|_, from, to| f64::from(u8::from(from == b.from && to == b.to)));
-                    model = model.with(crosses.leq(b.most));
+                    model = model.with(crosses.leq(b.limit));
                 }
                 Bound::Zones(_) => {}
             }
@@ -144,10 +168,11 @@
         match model.solve() {
             Ok(solution) => {
                 let value = |at: &Option<Variable>| at.map_or(0.0, |var| solution.value(var).max(0.0));
-                let y: Vec<Vec<Vec<f64>>> =
-                    y.iter().map(|v| v.iter().map(|a| a.iter().map(value).collect()).collect()).collect();
-                let cost = each().map(|(v, a, b)| if a == b { 0.0 } else { y[v][a][b] * price(a, b) }).sum();
-                Ok(Some(Solved { y, cost }))
+                let flows: Vec<Vec<Vec<f64>>> =
+                    flows.iter().map(|v| v.iter().map(|a| a.iter().map(value).collect()).collect()).collect();
+                let cost =
+                    each().map(|(v, a, b)| if a == b { 0.0 } else { flows[v][a][b] * price(a, b) }).sum();
+                Ok(Some(Solved { flows, cost }))
             }
             Err(ResolutionError::Infeasible) => Ok(None),
             Err(e) => Err(NoPlan::Solver(e.to_string())),
@@ -163,7 +188,7 @@
         let Some(solved) = self.solve(&all)? else { return Err(NoPlan::Clash(self.clash(all)?)) };
         let zones = self.zones.len();
         let sum = |of: &dyn Fn(usize, usize, usize) -> bool| -> f64 {
-            let each = solved.y.iter().enumerate().flat_map(|(v, rows)| {
+            let each = solved.flows.iter().enumerate().flat_map(|(v, rows)| {
                 rows.iter()
                     .enumerate()
                     .flat_map(move |(a, row)| row.iter().enumerate().map(move |(b, y)| (v, a, b, *y)))
@@ -181,24 +206,10 @@
             binding: Vec::new(),
         };
         for bound in all {
-            let (eased, step) = match bound {
-                Bound::Nodes(z) if self.a_node[z] > 0.0 => {
-                    let mut q = self.clone();
-                    q.can[z] += q.a_node[z];
-                    (q, 1.0)
-                }
-                Bound::Budget(place) => {
-                    let mut q = self.clone();
-                    // A thousandth: what a byte is worth here, not what a flood would be.
-                    let step = (q.budgets[place].most / 1000.0).max(1.0);
-                    q.budgets[place].most += step;
-                    (q, step)
-                }
-                _ => continue,
-            };
-            let cost = eased.solve(&self.bounds().into_iter().collect())?.map_or(plan.cost, |s| s.cost);
+            let Some(Relaxed { question, step }) = self.relax(bound) else { continue };
+            let cost = question.solve(&self.bounds().into_iter().collect())?.map_or(plan.cost, |s| s.cost);
             let saves = (plan.cost - cost) / step;
-            if (plan.cost - cost) > plan.cost.max(1e-12) * NEAR {
+            if (plan.cost - cost) > plan.cost.max(1e-12) * TOLERANCE {
                 plan.binding.push(Binding { bound, saves });
             }
         }
@@ -206,7 +217,26 @@
         Ok(plan)
     }
 
-    /// A smallest set of bounds that clash: each that can be left out without a plan coming about is left out.
+    /// The same question with one bound relaxed; `None`: that is not possible.
+    fn relax(&self, bound: Bound) -> Option<Relaxed> {
+        let mut question = self.clone();
+        match bound {
+            Bound::Nodes(zone) if self.node_capacity[zone] > 0.0 => {
+                question.capacity[zone] += question.node_capacity[zone];
+                Some(Relaxed { question, step: 1.0 })
+            }
+            Bound::Budget(index) => {
+                // A thousandth: the value of a byte here, not that of a flood.
+                let step = (question.budgets[index].limit / 1000.0).max(1.0);
+                question.budgets[index].limit += step;
+                Some(Relaxed { question, step })
+            }
+            Bound::Nodes(_) | Bound::Zones(_) => None,
+        }
+    }
+
+    /// A smallest set of bounds that clash: each that can be left out without a plan coming about is left
+    /// out.
     fn clash(&self, mut kept: BTreeSet<Bound>) -> Result<Vec<Bound>, NoPlan> {
         for bound in self.bounds() {
             kept.remove(&bound);
@@ -217,17 +247,17 @@
         Ok(kept.into_iter().collect())
     }
 
-    /// A bound in words.
+    /// A description of a bound.
     pub fn say(&self, bound: Bound) -> String {
         match bound {
             Bound::Nodes(z) => {
-                format!("what the nodes of {} can do, {:.0} units a second", self.zones[z], self.can[z])
+                format!("what the nodes of {} can do, {:.0} units a second", self.zones[z], self.capacity[z])
             }
             Bound::Budget(place) => {
                 let b = &self.budgets[place];
                 format!(
                     "the budget from {} to {}, {:.0} bytes a second",
-                    self.zones[b.from], self.zones[b.to], b.most
+                    self.zones[b.from], self.zones[b.to], b.limit
                 )
             }
             Bound::Zones(v) => {
@@ -238,8 +268,8 @@
         }
     }
 
-    /// The budget of a pair that a plan's bytes would be held to.
+    /// The budget from one zone to another, if there is one.
     pub fn most(&self, from: usize, to: usize) -> Option<f64> {
-        self.budget(from, to).map(|place| self.budgets[place].most)
+        self.budget(from, to).map(|place| self.budgets[place].limit)
     }
 }
--- a/crates/placement/tests/plans.rs
+++ b/crates/placement/tests/plans.rs
@@ -4,7 +4,7 @@
 
 /// Two zones, and a third that is dear to reach.
 fn question(
-    can: [f64; 3],
+    capacity: [f64; 3],
     demands: &[(&str, [f64; 3], &[usize])],
     budgets: &[(usize, usize, f64)],
 ) -> Question {
@@ -14,12 +14,12 @@
         zones: zones.iter().copied().collect(),
         units_a_byte: 1.0,
     };
-    let budget = |(from, to, most): &(usize, usize, f64)| Budget { from: *from, to: *to, most: *most };
+    let budget = |(from, to, most): &(usize, usize, f64)| Budget { from: *from, to: *to, limit: *most };
     let price = |a: usize, b: usize| if a == 2 || b == 2 { 5.0 } else { 1.0 };
     Question {
         zones: ["a", "b", "c"].map(String::from).into(),
-        can: can.into(),
-        a_node: vec![10.0; 3],
+        capacity: capacity.into(),
+        node_capacity: vec![10.0; 3],
         demands: demands.iter().map(demand).collect(),
         budgets: budgets.iter().map(budget).collect(),
         price: (0..3).map(|a| (0..3).map(|b| price(a, b)).collect()).collect(),
