Connection events and the bench's events carry names instead of tuples and nicknames

ConnectionEvent is a struct; WireEvent::Start and PeerMessage keep the bench's words on the wire; the http fault is ConflictingFraming. Texts and keys are unchanged.

--- a/crates/benchlink/src/adapter.rs
+++ b/crates/benchlink/src/adapter.rs
@@ -41,7 +41,7 @@
                 WireEvent::Page { table, hosts } => {
                     self.pages.insert(table, hosts);
                 }
-                WireEvent::Born { host, rng_seed, boot_info } => {
+                WireEvent::Start { host, rng_seed, boot_info } => {
                     self.start_instance(host, rng_seed, &boot_info, now)?;
                     pending.push(host);
                 }
--- a/crates/benchlink/src/events.rs
+++ b/crates/benchlink/src/events.rs
@@ -47,14 +47,14 @@
     pages: &BTreeMap<u64, Vec<Entry>>,
 ) -> Result<Option<Event>, AdapterError> {
     Ok(Some(match event {
-        WireEvent::Born { .. } | WireEvent::Page { .. } | WireEvent::Detach { .. } | WireEvent::Unknown => {
+        WireEvent::Start { .. } | WireEvent::Page { .. } | WireEvent::Detach { .. } | WireEvent::Unknown => {
             return Ok(None);
         }
         WireEvent::Fleet { table, mode, .. } => endpoint_list(table, &mode, names, pages)?,
         accept @ WireEvent::Accept { .. } => return Ok(request(accept, names).map(Event::RequestArrived)),
         WireEvent::Timer { name, .. } => Event::Timer(TimerId(name)),
         WireEvent::Dropped { id, .. } => Event::ClientDisconnected(RequestId(id)),
-        WireEvent::Heard { src, octets, .. } => {
+        WireEvent::PeerMessage { src, octets, .. } => {
             Event::PeerMessage { from: HostId(src), bytes: BASE64.decode(&octets)? }
         }
         WireEvent::Resolved { id, spent, attempt, state_code, node, complete, metered, .. } => {
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -37,8 +37,8 @@
 #[serde(tag = "type")]
 pub enum WireEvent {
     /// An instance starts, with its settings.
-    #[serde(rename_all = "kebab-case")]
-    Born {
+    #[serde(rename = "Born", rename_all = "kebab-case")]
+    Start {
         /// The instance.
         host: u64,
         /// The seed of its random generator.
@@ -115,7 +115,8 @@
         host: u64,
     },
     /// A peer message.
-    Heard {
+    #[serde(rename = "Heard")]
+    PeerMessage {
         /// The instance.
         host: u64,
         /// The sending host.
@@ -173,13 +174,13 @@
     /// The instance it is for; `None`: all of the process, or unknown.
     pub fn host(&self) -> Option<u64> {
         match *self {
-            WireEvent::Born { host, .. }
+            WireEvent::Start { host, .. }
             | WireEvent::Fleet { host, .. }
             | WireEvent::Accept { host, .. }
             | WireEvent::Timer { host, .. }
             | WireEvent::Dropped { host, .. }
             | WireEvent::Detach { host }
-            | WireEvent::Heard { host, .. }
+            | WireEvent::PeerMessage { host, .. }
             | WireEvent::Resolved { host, .. }
             | WireEvent::AckFirst { host, .. } => Some(host),
             WireEvent::Page { .. } | WireEvent::Unknown => None,
--- a/crates/benchlink/tests/same_config.rs
+++ b/crates/benchlink/tests/same_config.rs
@@ -20,7 +20,7 @@
         "rules":{"free-resends":3.0,"extra-per-request":0.1,"look-back":5000.0,"overload-for":1500.0,
         "ramp-time":17000.0,"start-capacity":0.17,"order-settle":100.0},"tick":2.0}"#;
     let start = format!(r#"{{"type":"Born","host":1,"rng-seed":9,"boot-info":{settings}}}"#);
-    let Ok(WireEvent::Born { boot_info, .. }) = serde_json::from_str(&start) else { panic!("{start}") };
+    let Ok(WireEvent::Start { boot_info, .. }) = serde_json::from_str(&start) else { panic!("{start}") };
     let (here, mut names) = events::config(&boot_info).unwrap();
     let text = format!(
         r#"{{"listen":"127.0.0.1:0","discovery":"x:1","limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
--- a/crates/http/src/fault.rs
+++ b/crates/http/src/fault.rs
@@ -17,7 +17,7 @@
     Version,
     /// More than one header frames the body.
     #[error("lengths that contradict each other")]
-    ConflictingLengths,
+    ConflictingFraming,
     /// The length is not a plain decimal number.
     #[error("a length that is no number")]
     BadLength,
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -19,7 +19,7 @@
     let never_has_body = matches!(start, Start::Answer { status: 100..=199 | 204 | 304 });
     match (length, coding) {
         (Found::Several, _) | (Found::One(_), Found::One(_) | Found::Several) => {
-            Err(Fault::ConflictingLengths)
+            Err(Fault::ConflictingFraming)
         }
         (_, Found::Several) => Err(Fault::Coding),
         _ if never_has_body => Ok(Some(Framing::Length(0))),
--- a/crates/platform/src/runtime/connection.rs
+++ b/crates/platform/src/runtime/connection.rs
@@ -39,6 +39,15 @@
     Closed,
 }
 
+/// An event, with the connection that it belongs to.
+#[derive(Debug)]
+pub struct ConnectionEvent {
+    /// The connection.
+    pub conn: ConnectionId,
+    /// What happened.
+    pub event: SocketEvent,
+}
+
 /// An order to a connection's task.
 #[derive(Debug)]
 pub enum Order {
@@ -62,7 +71,8 @@
     },
 }
 
-type EventSender = mpsc::Sender<(ConnectionId, SocketEvent)>;
+/// Where a connection's task reports its events.
+pub type EventSender = mpsc::Sender<ConnectionEvent>;
 
 /// Connects to an address, then serves the connection.
 pub async fn connect(
@@ -74,11 +84,11 @@
     // Names are not looked up: the platform has no service for it.
     if let Ok(address) = address.parse::<SocketAddr>()
         && let Ok(stream) = TcpStream::connect(address).await
-        && events.send((conn, SocketEvent::Connected)).await.is_ok()
+        && events.send(ConnectionEvent { conn, event: SocketEvent::Connected }).await.is_ok()
     {
         return serve(conn, stream, orders, events).await;
     }
-    let _ = events.send((conn, SocketEvent::Closed)).await;
+    let _ = events.send(ConnectionEvent { conn, event: SocketEvent::Closed }).await;
 }
 
 /// Serves a connection until it has ended.
@@ -95,7 +105,7 @@
     let _ = connection.run(&mut orders).await;
     let Connection { stream, events, .. } = connection;
     drop(stream);
-    let _ = events.send((conn, SocketEvent::Closed)).await;
+    let _ = events.send(ConnectionEvent { conn, event: SocketEvent::Closed }).await;
 }
 
 /// The owner does not read events any more.
@@ -119,7 +129,7 @@
 
 impl Connection {
     async fn report(&self, event: SocketEvent) -> Result<(), OwnerGone> {
-        self.events.send((self.conn, event)).await.map_err(|_| OwnerGone)
+        self.events.send(ConnectionEvent { conn: self.conn, event }).await.map_err(|_| OwnerGone)
     }
 
     /// Until the connection is over.
--- a/crates/platform/src/runtime/sockets.rs
+++ b/crates/platform/src/runtime/sockets.rs
@@ -1,6 +1,6 @@
 //! The sockets of a host: its connections' tasks, the listener and the socket to its peers.
 
-use super::connection::{self, Order, SocketEvent};
+use super::connection::{self, ConnectionEvent, EventSender, Order, SocketEvent};
 use crate::core::{ConnectionId, Core, Input, Metrics, Output};
 use bytes::Bytes;
 use gullsail_timers::HostClock;
@@ -26,7 +26,7 @@
     clock: HostClock,
     connections: BTreeMap<ConnectionId, ConnectionHandle>,
     pub(super) tasks: JoinSet<()>,
-    event_sender: mpsc::Sender<(ConnectionId, SocketEvent)>,
+    event_sender: EventSender,
     pub(super) listener: Option<TcpListener>,
     pub(super) peers: Option<UdpSocket>,
     shutting_down: bool,
@@ -36,7 +36,7 @@
     pub(super) fn new(
         core: Core,
         clock: HostClock,
-        event_sender: mpsc::Sender<(ConnectionId, SocketEvent)>,
+        event_sender: EventSender,
         listener: TcpListener,
         peers: Option<UdpSocket>,
     ) -> Sockets {
@@ -79,9 +79,9 @@
     }
 
     /// Hands the events of connections to the core.
-    pub(super) fn handle_events(&mut self, batch: &mut Vec<(ConnectionId, SocketEvent)>) {
+    pub(super) fn handle_events(&mut self, batch: &mut Vec<ConnectionEvent>) {
         let now = self.clock.now();
-        for (conn, event) in batch.drain(..) {
+        for ConnectionEvent { conn, event } in batch.drain(..) {
             let input = match event {
                 SocketEvent::Connected => Input::Connected(conn),
                 SocketEvent::Received(bytes) => Input::Received(conn, bytes),
--- a/crates/platform/tests/platform/connection_task.rs
+++ b/crates/platform/tests/platform/connection_task.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use gullsail_platform::core::ConnectionId;
-use gullsail_platform::runtime::connection::{self, Order, SocketEvent};
+use gullsail_platform::runtime::connection::{self, ConnectionEvent, Order, SocketEvent};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -14,7 +14,7 @@
     /// The other side.
     peer: TcpStream,
     orders: mpsc::Sender<Order>,
-    events: mpsc::Receiver<(ConnectionId, SocketEvent)>,
+    events: mpsc::Receiver<ConnectionEvent>,
 }
 
 impl TaskUnderTest {
@@ -36,8 +36,10 @@
     /// What it says next.
     async fn next_event(&mut self) -> String {
         match self.events.recv().await {
-            Some((_, SocketEvent::Received(bytes))) => String::from_utf8_lossy(&bytes).into_owned(),
-            Some((_, other)) => format!("{other:?}"),
+            Some(ConnectionEvent { event: SocketEvent::Received(bytes), .. }) => {
+                String::from_utf8_lossy(&bytes).into_owned()
+            }
+            Some(ConnectionEvent { event: other, .. }) => format!("{other:?}"),
             None => "nothing more".into(),
         }
     }
@@ -152,9 +154,11 @@
             drop(task.peer);
             loop {
                 match task.events.recv().await {
-                    Some((_, SocketEvent::Closed)) => break,
-                    Some((_, SocketEvent::Received(_) | SocketEvent::Written | SocketEvent::WriteClosed)) => {
-                    }
+                    Some(ConnectionEvent { event: SocketEvent::Closed, .. }) => break,
+                    Some(ConnectionEvent {
+                        event: SocketEvent::Received(_) | SocketEvent::Written | SocketEvent::WriteClosed,
+                        ..
+                    }) => {}
                     other => panic!("{other:?}"),
                 }
             }
@@ -182,7 +186,10 @@
             let TaskUnderTest { peer, orders, events } = task;
             drop(peer);
             let mut events = events;
-            assert!(matches!(events.recv().await, Some((_, SocketEvent::Closed))), "{reset}");
+            assert!(
+                matches!(events.recv().await, Some(ConnectionEvent { event: SocketEvent::Closed, .. })),
+                "{reset}"
+            );
             drop(orders);
         });
     }
