--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -82,7 +82,7 @@
             .env("PROXY_CONFIG", &file)
             .output()
             .unwrap();
-        // As it was said, whatever the lines are broken into.
+        // However the lines are broken.
         let output = String::from_utf8(ended.stderr).unwrap().replace('│', " ");
         let output = output.split_whitespace().collect::<Vec<_>>().join(" ");
         assert_eq!(ended.status.code(), Some(2), "{output}");
--- a/crates/cli/tests/platform/races.rs
+++ b/crates/cli/tests/platform/races.rs
@@ -17,7 +17,7 @@
     document(discovery).replace("\"give-up\":9000.0,\"objective\":9000.0", &times)
 }
 
-/// A node that says what it is asked, and answers as told; without an answer it hangs.
+/// A node that reports its requests and gives this answer; without one it hangs.
 fn node(answer: Option<String>) -> (SocketAddr, Receiver<String>) {
     let (sender, requests) = channel();
     let address = serve(move |text| {
@@ -87,7 +87,7 @@
 
 /// A message on a connection that rests, and the host's closing it, while the process stands still: when it
 /// goes on, both are there. Either it is served, or the connection ends in order and no node hears of it:
-/// then the client asks anew.
+/// then the client sends it again.
 #[test]
 fn a_message_racing_an_idle_close_is_served_or_never_forwarded() {
     for leaving in [false, true] {
@@ -185,7 +185,7 @@
         let clients = if how == "burst" { 12 } else { 1 };
         let mut all: Vec<_> = (0..clients).map(|_| host.client()).collect();
         all.iter_mut().enumerate().for_each(|(i, c)| send_request(c, 1 + i as u64));
-        // They are taken when something that was asked after them is answered.
+        // They have been read once a request sent after them is answered.
         host.ready();
         if how == "behind bytes" {
             (0..120).for_each(|i| send_request(&mut all[0], 1000 + i));
@@ -199,7 +199,7 @@
             host.ready();
         }
         let received = late.start_accepting();
-        // Who asks now is served when the connection is up, behind whoever waited before.
+        // A request sent now is served when the connection is established, behind those that waited before.
         let mut next = host.client();
         send_request(&mut next, 0x77);
         assert_eq!(read_status(&mut next).as_deref(), Some("200"), "{how}");
@@ -255,7 +255,7 @@
     }
     *answered_page.lock().unwrap() = Some(page("DRAINING", 5));
     while polls.recv_timeout(SOON).unwrap() != (false, true) {}
-    // The watch behind it is asked for once the list is taken.
+    // The next poll comes once the list has been handled.
     while polls.recv_timeout(SOON).unwrap() != (true, false) {}
     drop(silent_clients);
     for trace in 1..=8 {
@@ -282,9 +282,9 @@
     Resources { descriptors, peak_memory_mb: kb >> 10 }
 }
 
-/// Floods, silent crowds, messages at once without end, and nodes whose answers never end or cannot be read:
-/// a usual client is served meanwhile, memory and descriptors stay within their bounds, and what was held is
-/// given back.
+/// Floods, many silent clients, endless pipelined messages, and nodes whose answers never end or cannot be
+/// read: a usual client is served meanwhile, memory and descriptors stay within their bounds, and what was
+/// held is given back.
 #[test]
 fn floods_and_endless_responses_are_bounded_and_released() {
     // Two nodes: one is well, the other's answers are spoilt, each in a way of its own.
--- a/crates/cli/tests/shortages/main.rs
+++ b/crates/cli/tests/shortages/main.rs
@@ -100,7 +100,7 @@
     };
     assert!(first.served(2), "over a new connection to the node");
     assert!(state["counts"]["links_refused"].as_u64().unwrap() > 50, "{state}");
-    // Of the many some are in, and the others were told at once.
+    // Some of the many are accepted, and the others were refused at once.
     many.iter().for_each(|socket| socket.stream.set_read_timeout(Some(Duration::from_millis(100))).unwrap());
     let inside = many.iter_mut().filter_map(|socket| socket.next()).count();
     assert!((5..60).contains(&inside), "{inside} of 150 are in");
@@ -202,7 +202,7 @@
 }
 
 /// A document that includes a pipe is no document; the socket's file may be another's by the time the host
-/// leaves; two who reload at once are answered one after the other; who reloads while it leaves is told so.
+/// leaves; two concurrent reloads are answered one after the other; a reload during shutdown is refused.
 #[test]
 fn documents_and_sockets_that_are_tampered_with() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/cli/tests/shortages/rig.rs
+++ b/crates/cli/tests/shortages/rig.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    /// One read, from asked to answered.
+    /// One read, until its response.
     pub fn served(&mut self, id: u64) -> bool {
         self.submit(id, "read", 0).is_ok() && self.outcome() == Some(Outcome::Succeeded as i32)
     }
--- a/crates/placement/tests/plans.rs
+++ b/crates/placement/tests/plans.rs
@@ -31,7 +31,8 @@
 #[test]
 fn plans_keep_bounds_and_cost_least() {
     use Bound::*;
-    // what zones can do, demands, budgets; where each volume goes, the cost, what binds and what easing it saves
+    // what zones can do, demands, budgets; where each volume goes, the cost, what binds and what easing it
+    // saves
     type Case<'a> = (
         [f64; 3],
         &'a [(&'a str, [f64; 3], &'a [usize])],
--- a/crates/platform/src/core/node_connections/liveness.rs
+++ b/crates/platform/src/core/node_connections/liveness.rs
@@ -1,5 +1,5 @@
-//! Signs that a node's process was not restarted when a connection to it was lost. The scheduler is told, as
-//! an endpoint list that the node reports of itself.
+//! Signs that a node's process was not restarted when a connection to it was lost. The scheduler learns of it
+//! by an endpoint list that the node reports of itself.
 
 use super::super::Core;
 use super::{Node, UnexplainedLoss};
--- a/crates/platform/src/runtime.rs
+++ b/crates/platform/src/runtime.rs
@@ -1,5 +1,5 @@
 //! The thin part of the platform's host: sockets, one timer, signals, the clock. Whatever happens is handed
-//! to [`Core`](crate::core::Core), whatever it orders is done; nothing is decided here. Each connection is a
+//! to [`Core`], whatever it orders is done; nothing is decided here. Each connection is a
 //! task of its own ([`connection`]), which `sockets` owns and ends; `reload` reads the settings document
 //! anew.
 
--- a/crates/platform/tests/platform/clients.rs
+++ b/crates/platform/tests/platform/clients.rs
@@ -86,8 +86,8 @@
 
 #[test]
 fn a_disconnecting_client_affects_only_its_own_request() {
-    // Before a word, within a head, within a body, while its attempt waits, while it is out, and after the
-    // answer.
+    // Before the first byte, within a head, within a body, while its attempt waits, while it is out, and
+    // after the answer.
     let text = request_text("write", 7, 0);
     for (stage, sent_bytes) in
         [(0, 0), (1, 40), (2, text.len() - 2), (3, text.len()), (4, text.len()), (5, text.len())]
--- a/crates/platform/tests/platform/connection_task.rs
+++ b/crates/platform/tests/platform/connection_task.rs
@@ -18,7 +18,7 @@
 }
 
 impl TaskUnderTest {
-    /// Over a connection that is up. `event_queue`: how many words its owner leaves waiting.
+    /// With an established connection. `event_queue`: how many events may wait unread.
     async fn new(event_queue: usize) -> TaskUnderTest {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
@@ -61,8 +61,8 @@
     runtime.block_on(async { tokio::time::timeout(std::time::Duration::from_secs(20), test).await }).unwrap();
 }
 
-/// The order to close, and a message on the connection: read and not yet handled; come and not yet read; come
-/// after. A message that was handed up keeps the connection; one that comes after the end of sending is
+/// The order to close, and a message on the connection: read and not yet handled; received and not yet read;
+/// come after. A message that was handed up keeps the connection; one that comes after the end of sending is
 /// nobody's.
 #[test]
 fn a_close_loses_no_message() {
@@ -175,7 +175,7 @@
             task.peer_sends(b"ask").await;
             assert_eq!(task.next_event().await, "ask");
             task.order(Order::DiscardInput).await;
-            // Nothing that comes now is handed up: the next word is the end.
+            // Nothing received from now on is reported: the next event is the close.
             while task.orders.capacity() < task.orders.max_capacity() {
                 tokio::task::yield_now().await;
             }
@@ -213,7 +213,7 @@
     });
 }
 
-/// A message to a node, and bytes that nobody asked for: read and not yet handled; come and not yet read;
+/// A message to a node, and unsolicited input: read and not yet handled; received and not yet read;
 /// none. Only in the last case is it written.
 #[test]
 fn nothing_is_written_after_unsolicited_input() {
@@ -253,7 +253,7 @@
     });
 }
 
-/// The node's end, and a message to it: ended before, nothing is written and the word says so.
+/// The node's close races a message to it: if it closed before, nothing is written, and the report says so.
 #[test]
 fn a_close_before_the_message_prevents_it() {
     runs(async {
--- a/crates/platform/tests/platform/discovery.rs
+++ b/crates/platform/tests/platform/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery: what is asked, what is taken, what changes nothing; other documents at every stage.
+//! Discovery: polls, pages that count, pages that change nothing, and reloads at every stage.
 
 use crate::rig::*;
 use gullsail_platform::core::Input;
@@ -82,9 +82,9 @@
 }
 
 /// Where lists are pushed, an agent answers at once and what it holds counts as reported: from loss to loss
-/// it is asked again well within a drain's grace of a quarter of a second, for as long as discovery may be
-/// down. Elsewhere tries cost the list service something, and are spaced. Either way a call that is silent
-/// stays open beside the next one, for a service that is slow.
+/// it is polled again well within a drain's grace of a quarter of a second, for as long as discovery may be
+/// down. Elsewhere retries cost the discovery service something, and are spaced. Either way a poll that is
+/// silent stays open beside the next one, for a service that is slow.
 #[test]
 fn silence_is_noticed_and_retries_are_spaced() {
     // mode; the tries in each ten seconds of silence, and the longest between two of them in ms
@@ -109,7 +109,7 @@
     }
 }
 
-/// The worst that failed calls in a row make of the time until a change is known, from the moment that
+/// The longest that failed polls in a row make the time until a change is known, from the moment that
 /// discovery had it and could be reached: always under the 6 s after which it counts as reported.
 #[test]
 fn a_change_is_known_in_time_whatever_failed_before() {
@@ -164,7 +164,7 @@
                     [first, second][at % 2](&mut rig, conn);
                     at += 1;
                 }
-                // From here it could be reached: by the next call at the latest.
+                // From here it could be reached: by the next poll at the latest.
                 let back = rig.now;
                 let conn = next(&mut rig, &mut tried);
                 let latency = (rig.now - back).millis();
@@ -181,8 +181,8 @@
     }
 }
 
-/// Whichever of two open calls answers is followed, and the other one is over; what it still says is
-/// nobody's.
+/// Whichever of two open polls is answered first is followed, and the other connection is closed; what it
+/// still sends is ignored.
 #[test]
 fn of_two_open_polls_the_first_answer_counts() {
     let drains = answer(200, "", &page(9, true, &[(0, "DRAINING", 0.0), (1, "SERVING", 0.0)]));
@@ -209,7 +209,7 @@
     }
 }
 
-/// A list that is older than one before it is not taken: nodes that it does not hold yet would be gone for
+/// A list that is older than one before it is ignored: nodes that it does not hold yet would be gone for
 /// good. Where nothing newer comes for long, the numbers have begun anew.
 #[test]
 fn an_older_list_is_ignored_unless_nothing_newer_comes() {
--- a/crates/platform/tests/platform/limits_and_shutdown.rs
+++ b/crates/platform/tests/platform/limits_and_shutdown.rs
@@ -8,8 +8,8 @@
     let mut rig = Rig::with(&settings_document(256, 32, DISCOVERY));
     let max_connections = (256 - 24) * 6 / 10;
     let soft_limit = max_connections - 8;
-    // A crowd, and then one after the other at any rate: the oldest of the silent ones goes, unless it says
-    // something.
+    // Many silent clients at once, then one after the other: the oldest silent one is evicted, unless it
+    // sends something.
     let silent: Vec<_> = (0..soft_limit).map(|_| rig.client()).collect();
     let usual = rig.client_sending(&request_text("read", 1, 0));
     assert_eq!((rig.close_idle_orders(silent[0]), rig.close_idle_orders(silent[1])), (1, 0));
@@ -32,11 +32,11 @@
     assert!(kept(&rig, usual), "who was served before keeps its place");
     assert!(kept(&rig, slow), "and so does who is saying something");
     assert_eq!(rig.metrics().eviction_failures, 0);
-    // Of those that end, none is counted twice: one for each newcomer beyond the places.
+    // Of those that end, none is counted twice: one for each new client beyond the places.
     assert!((1002..=2 * 1002).contains(&rig.metrics().clients_evicted), "{}", rig.metrics().clients_evicted);
-    // Who was served and idles keeps its place for 2 s, also from newcomers. These are served in the places
-    // that are kept for them and their connections end behind the answer; when those are taken too, newcomers
-    // wait with the system.
+    // A client that was served and is idle keeps its place for 2 s, also from new clients. These are served
+    // in the places that are kept for them and their connections end behind the answer; when those are taken
+    // too, new clients wait in the backlog.
     let mut rig = Rig::with(&settings_document(256, 32, DISCOVERY));
     let health = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
     let all: Vec<_> = (0..soft_limit).map(|_| rig.client_sending(health)).collect();
@@ -47,7 +47,7 @@
         guests.iter().all(|c| rig.statuses(*c) == ["500"] || rig.statuses(*c) == ["200"] && rig.finished(*c))
     );
     assert_eq!(rig.metrics().eviction_failures, 8);
-    // Who is ended but for the client's own end is dropped for a newcomer at once.
+    // A connection that is over but for the client's own close is dropped for a new client at once.
     rig.input(Input::WriteClosed(guests[0]));
     assert!(rig.core.has_place());
     let newcomer = rig.client();
@@ -59,8 +59,8 @@
     assert!(all.iter().all(|c| rig.close_idle_orders(*c) == 1), "after 2 s they give way");
 }
 
-/// Clients have only so many connections themselves: who asks once and stays must not hold them from the
-/// others.
+/// Clients have only so many connections themselves: a client that sends one request and stays must not hold
+/// them from the others.
 #[test]
 fn idle_connections_are_closed_after_two_seconds_and_not_before() {
     let health = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -108,7 +108,7 @@
 #[test]
 fn node_connections_have_a_bound_and_idle_ones_are_closed_for_others() {
     let mut rig = Rig::with(&settings_document(34, 32, DISCOVERY));
-    // Four places for nodes, four for clients: two idle links at one node make room for another's.
+    // Four places for nodes, four for clients: two idle connections to one node are closed for another's.
     let clients: Vec<_> = (1..=4).map(|i| rig.client_sending(&request_text("read", i, 0))).collect();
     let conns = rig.connections_to(NODES[0].1);
     assert_eq!(conns.len(), 4);
@@ -125,11 +125,11 @@
 }
 
 /// The settings of these tests: an deadline of 1.5 s, an latency objective of 0.6 s. The platform ends a host
-/// 2.2 s after the word, and half a second of that is left for answers to be written.
+/// 2.2 s after the signal, and half a second of that is left for answers to be written.
 #[test]
 fn shutdown_answers_everything_and_exits() {
-    // When the message comes after the word to leave, whether its connection was open before, and whether the
-    // connection goes on after the answer.
+    // When the message comes after the signal to shut down, whether its connection was open before, and
+    // whether the connection goes on after the answer.
     let cases = [(0.0, true, true), (0.0, false, true), (1050.0, true, true), (1050.0, false, true)];
     let late = [(1200.0, true, false)];
     for (after, before, goes_on) in cases.into_iter().chain(late) {
@@ -198,8 +198,8 @@
     assert_eq!(rig.out.last(), Some(&Output::Exit));
 }
 
-/// A second word ends all within a second, and what was taken has its answer first, whatever stage the host
-/// is at.
+/// A second signal ends all within a second, and open requests are answered first, whatever stage the host is
+/// at.
 #[test]
 fn a_second_signal_answers_open_requests_and_then_exits() {
     for after in [0.0, 600.0, 1200.0, 1500.0] {
--- a/crates/platform/tests/platform/races.rs
+++ b/crates/platform/tests/platform/races.rs
@@ -14,8 +14,8 @@
     Input::Received(conn, text.as_bytes().to_vec().into())
 }
 
-/// The word that a message is written, and the end of its attempt's time: whichever comes first, the attempt
-/// may have run.
+/// The report that a message is written races the attempt's timeout: whichever comes first, the attempt may
+/// have run.
 #[test]
 fn a_message_handed_to_a_connection_may_have_run() {
     for written_first in [true, false] {
@@ -47,8 +47,8 @@
     }
 }
 
-/// A connection's end, and the message that it should carry: with the word that all was written it may have
-/// run, without it never did.
+/// A connection's close races the message that it should carry: after the report that all was written the
+/// attempt may have run, without it it never did.
 #[test]
 fn a_close_before_the_last_byte_proves_that_it_never_ran() {
     for (written, outcome, goes_on) in [(false, "unreached", true), (true, "broken", false)] {
@@ -63,9 +63,9 @@
     }
 }
 
-/// Bytes that nobody asked for, and the next message on that connection. The connection's task is asked to
-/// write only if no more came than is handled here; what comes before it says that it wrote is no answer, nor
-/// the beginning of one.
+/// Unsolicited input races the next message on that connection. The connection's task may write only if no
+/// more came than is handled here; what comes before it says that it wrote is no answer, nor the beginning of
+/// one.
 #[test]
 fn a_second_response_does_not_become_part_of_the_next() {
     let copy = answer(200, "", "another's");
@@ -105,7 +105,7 @@
     }
 }
 
-/// The list says that a node drains, is gone, started anew or is elsewhere, and a connection to it comes up
+/// Discovery reports that a node drains, is gone, was restarted or has moved, and a connection to it comes up
 /// for an attempt that waits: in both orders, and in one batch.
 #[test]
 fn no_request_goes_to_a_node_that_the_list_excludes() {
@@ -234,8 +234,8 @@
     }
 }
 
-/// In one batch a request comes, the list changes and the client leaves: the list is known to what is
-/// decided, and an attempt that is decided for who is gone ends untold to nobody.
+/// In one batch a request comes, the list changes and the client leaves: decisions know the new list, and the
+/// outcome of an attempt decided for a client that is gone is reported all the same.
 #[test]
 fn a_batch_is_decided_with_all_its_events() {
     let drains = answer(200, "", &page(2, false, &[(0, "DRAINING", 0.0)]));
@@ -321,7 +321,7 @@
     }
 }
 
-/// Another document comes while a list is being read: what the old address still says is nobody's.
+/// Another document comes while a list is being read: what the old address still sends is ignored.
 #[test]
 fn a_list_from_the_old_address_is_ignored_after_a_reload() {
     let moved = settings_document(1024, 192, "10.2.0.9:8500");
--- a/crates/platform/tests/platform/rig.rs
+++ b/crates/platform/tests/platform/rig.rs
@@ -34,7 +34,7 @@
     )
 }
 
-/// A page of the list: node, health and start in ms after the test's beginning (0: long ago).
+/// A page of the endpoint list: node, health and start in ms after the test's beginning (0: long ago).
 pub fn page(seq: u64, whole: bool, entries: &[(usize, &str, f64)]) -> String {
     let entry = |(n, health, started_ms): &(usize, &str, f64)| {
         let (name, address) = NODES[*n];
@@ -74,7 +74,7 @@
 }
 
 impl Rig {
-    /// With its list: both nodes serve.
+    /// With an endpoint list: both nodes serve.
     pub fn new() -> Rig {
         Rig::with(&settings_document(1024, 192, DISCOVERY))
     }
@@ -131,7 +131,7 @@
         self.input(Input::Received(conn, Bytes::copy_from_slice(text.as_bytes())));
     }
 
-    /// A client that has asked this.
+    /// A new client that has sent this.
     pub fn client_sending(&mut self, text: &str) -> ConnectionId {
         let conn = self.client();
         self.receive(conn, text);
@@ -188,7 +188,7 @@
         self.out.iter().any(|o| matches!(o, Output::FinishAndClose { conn } if *conn == which))
     }
 
-    /// Discovery, where it was last connected to, answers what it was asked.
+    /// The newest connection to discovery answers its poll with this page.
     pub fn discovery_answers(&mut self, page: &str) {
         let conn = *self.connections_to(DISCOVERY).last().unwrap();
         if self.sent(conn).is_empty() {
