Host tests: structs for what was tuples, the model test in two files, a test for clocks by name

Change: NodeState, AttemptOut, Carried, HostEnd and TenSeconds name their fields; nodes, connections and faults around the hosts are in `model/surroundings.rs`. What is checked is as before, and so is the order of draws.

--- a/crates/host/tests/host/clocks.rs
+++ b/crates/host/tests/host/clocks.rs
@@ -63,18 +63,45 @@
     assert!(far(&c, 500.0) && !far(&c, 1500.0));
 }
 
+/// A host's end of a connection.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct HostEnd {
+    host: usize,
+    link: LinkId,
+}
+
+/// An input on its way to a host.
+struct Carried {
+    at: Instant,
+    host: usize,
+    input: Input,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Seen {
+    connects: usize,
+    sent: usize,
+}
+
+struct FirstAttempt {
+    at: Instant,
+    units: f64,
+}
+
 /// Two hosts, a node link for each and a way between them that delays, loses and repeats.
 struct Pair {
     hosts: Vec<Rig>,
     ahead: Vec<Span>,
-    ways: BTreeMap<(usize, LinkId), (usize, LinkId)>,
-    carried: Vec<(Instant, usize, Input)>,
-    seen: Vec<(usize, usize)>,
+    /// The other end of each connection between the two.
+    other_ends: BTreeMap<HostEnd, HostEnd>,
+    carried: Vec<Carried>,
+    /// What was carried on already, by host.
+    seen: Vec<Seen>,
     rng: ChaCha8Rng,
     now: Instant,
     lose: f64,
     /// First attempts, with their units.
-    first: Vec<(Instant, f64)>,
+    first: Vec<FirstAttempt>,
 }
 
 impl Pair {
@@ -84,8 +111,10 @@
         let ahead = vec![Span::ZERO, apart];
         let hosts: Vec<_> = (0..2).map(|h| Rig::new(&d, h, now + ahead[h as usize])).collect();
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        let (ways, carried, seen) = (BTreeMap::new(), Vec::new(), vec![(0, 0); 2]);
-        let mut pair = Pair { hosts, ahead, ways, carried, seen, rng, now, lose, first: Vec::new() };
+        let other_ends = BTreeMap::new();
+        let carried = Vec::new();
+        let seen = vec![Seen::default(); 2];
+        let mut pair = Pair { hosts, ahead, other_ends, carried, seen, rng, now, lose, first: Vec::new() };
         pair.hosts.iter_mut().for_each(|h| _ = h.nodes_up());
         pair
     }
@@ -94,19 +123,22 @@
     fn carry(&mut self) {
         for from in 0..2 {
             let to = 1 - from;
-            let (connects, sent) = self.seen[from];
-            let (new_dials, new_sent) = {
+            let Seen { connects, sent } = self.seen[from];
+            let (new_connects, new_sent) = {
                 let h = &self.hosts[from];
                 (h.connects[connects..].to_vec(), h.sent[sent..].to_vec())
             };
-            self.seen[from] = (self.hosts[from].connects.len(), self.hosts[from].sent.len());
-            for (_, link, address) in new_dials {
+            let host = &self.hosts[from];
+            self.seen[from] = Seen { connects: host.connects.len(), sent: host.sent.len() };
+            for (_, link, address) in new_connects {
                 let now = self.hosts[to].now;
                 if address == format!("h{}", to + 1)
                     && let Some(there) = self.hosts[to].core.accept(now)
                 {
-                    self.ways.insert((from, link), (to, there));
-                    self.ways.insert((to, there), (from, link));
+                    let here = HostEnd { host: from, link };
+                    let there = HostEnd { host: to, link: there };
+                    self.other_ends.insert(here, there);
+                    self.other_ends.insert(there, here);
                     self.hosts[to].settle();
                     self.hosts[from].handle(Input::Connected(link));
                 }
@@ -114,25 +146,27 @@
             for (_, link, frame) in new_sent {
                 if let Message::Attempt(attempt) = &frame.message {
                     if attempt.number == 0 {
-                        self.first.push((self.now, attempt.units));
+                        self.first.push(FirstAttempt { at: self.now, units: attempt.units });
                     }
                     let done = AttemptAnswer {
                         attempt: attempt.attempt,
                         result: AttemptResult::Succeeded as i32,
                         ..AttemptAnswer::default()
                     };
-                    self.carried.push((self.now + ms(5.0), from, Input::Frame(link, done.into())));
-                } else if let Some((to, there)) = self.ways.get(&(from, link)).copied() {
-                    let is_label = matches!(frame.message, Message::DemandReport(_));
-                    if is_label && self.rng.random_bool(self.lose) {
+                    let input = Input::Frame(link, done.into());
+                    self.carried.push(Carried { at: self.now + ms(5.0), host: from, input });
+                } else if let Some(there) = self.other_ends.get(&HostEnd { host: from, link }).copied() {
+                    let is_report = matches!(frame.message, Message::DemandReport(_));
+                    if is_report && self.rng.random_bool(self.lose) {
                         continue;
                     }
-                    let times = if is_label && self.rng.random_bool(0.1) { 2 } else { 1 };
+                    let times = if is_report && self.rng.random_bool(0.1) { 2 } else { 1 };
                     for _ in 0..times {
                         // Mostly a few milliseconds, now and then long enough to be stale.
                         let late = if self.rng.random_bool(0.1) { 1500.0 } else { 20.0 };
-                        let way = ms(1.0 + self.rng.random_range(0.0..late));
-                        self.carried.push((self.now + way, to, Input::Frame(there, frame.clone())));
+                        let delay = ms(1.0 + self.rng.random_range(0.0..late));
+                        let input = Input::Frame(there.link, frame.clone());
+                        self.carried.push(Carried { at: self.now + delay, host: there.host, input });
                     }
                 }
             }
@@ -148,16 +182,28 @@
         }
         let now = self.now;
         let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.carried).into_iter().partition(|c| c.0 <= now);
+            std::mem::take(&mut self.carried).into_iter().partition(|c| c.at <= now);
         self.carried = later;
-        due.into_iter().for_each(|(_, h, input)| self.hosts[h].handle(input));
+        for Carried { host, input, .. } in due {
+            self.hosts[host].handle(input);
+        }
         self.carry();
     }
 }
 
-/// Rule 7 over two hosts: one asks for far more than its part, the other little, and roles change. What was
-/// sent, the lowest level of the store, demand reports heard and dropped.
-fn ten_seconds(apart: f64, lose: f64) -> (f64, f64, u64, u64) {
+/// What came of ten seconds.
+struct TenSeconds {
+    /// Units that were sent.
+    sent: f64,
+    /// The lowest level of the store.
+    lowest: f64,
+    /// Demand reports that were handed on, and that were dropped.
+    received: u64,
+    dropped: u64,
+}
+
+/// Rule 7 over two hosts: one asks for far more than its share, the other little, and roles change.
+fn ten_seconds(apart: f64, lose: f64) -> TenSeconds {
     let mut p = Pair::new(ms(apart), lose, 7);
     let clients: Vec<_> = p.hosts.iter_mut().map(Rig::client).collect();
     for i in 0..10_000u64 {
@@ -170,36 +216,42 @@
         }
         p.pass();
     }
-    let (mut level, mut at, mut lowest) = (64.0f64, p.first[0].0, 64.0f64);
-    for (when, units) in &p.first {
-        level = (level + 40.0 * (*when - at).secs()).min(64.0) - units;
-        (at, lowest) = (*when, lowest.min(level));
+    let mut level = 64.0f64;
+    let mut lowest = 64.0f64;
+    let mut level_at = p.first[0].at;
+    for first in &p.first {
+        level = (level + 40.0 * (first.at - level_at).secs()).min(64.0) - first.units;
+        level_at = first.at;
+        lowest = lowest.min(level);
     }
     let sum = |count: fn(&Rig) -> u64| p.hosts.iter().map(count).sum::<u64>();
-    let heard = sum(|h| h.core.counts().demand_reports_received);
-    let dropped = sum(|h| h.core.counts().demand_reports_dropped);
-    (p.first.iter().map(|f| f.1).sum(), lowest, heard, dropped)
+    TenSeconds {
+        sent: p.first.iter().map(|first| first.units).sum(),
+        lowest,
+        received: sum(|h| h.core.counts().demand_reports_received),
+        dropped: sum(|h| h.core.counts().demand_reports_dropped),
+    }
 }
 
 #[test]
 fn a_limit_holds_with_clocks_a_second_apart() {
-    // Too far apart, demand reports are dropped, and each host keeps to its even part.
-    let (alone, lowest, heard, dropped) = ten_seconds(5000.0, 0.0);
+    // Too far apart, demand reports are dropped, and each host keeps to its even share.
+    let TenSeconds { sent: alone, lowest, received, dropped } = ten_seconds(5000.0, 0.0);
     assert!(lowest >= -1e-6, "{lowest} below the store");
-    assert!(heard == 0 && dropped > 3, "{heard} heard, {dropped} dropped");
+    assert!(received == 0 && dropped > 3, "{received} received, {dropped} dropped");
     for lose in [0.0, 0.1, 0.5] {
-        let (alike, lowest, ..) = ten_seconds(0.0, lose);
-        println!("{lose} lost: {alike} units, {alone} with no labels at all");
+        let TenSeconds { sent: alike, lowest, .. } = ten_seconds(0.0, lose);
+        println!("{lose} lost: {alike} units, {alone} with no demand reports at all");
         assert!(lowest >= -1e-6, "{lose} lost: {lowest} below the store");
-        assert!(alike > alone * 1.15, "{lose} lost: {alike} units, {alone} with no labels at all");
+        assert!(alike > alone * 1.15, "{lose} lost: {alike} units, {alone} with no demand reports at all");
         for apart in [1000.0, -1000.0, 300.0] {
-            let (sent, lowest, heard, dropped) = ten_seconds(apart, lose);
+            let TenSeconds { sent, lowest, received, dropped } = ten_seconds(apart, lose);
             assert!(lowest >= -1e-6, "{apart} ms apart, {lose} lost: {lowest} below the store");
             assert!(
                 (sent / alike - 1.0).abs() < 0.12,
                 "{apart} ms apart, {lose} lost: {sent} units, not {alike}"
             );
-            assert!(heard > 10 && dropped <= 8, "{heard} heard, {dropped} dropped");
+            assert!(received > 10 && dropped <= 8, "{received} received, {dropped} dropped");
         }
     }
 }
--- a/crates/host/tests/host/model.rs
+++ b/crates/host/tests/host/model.rs
@@ -2,6 +2,8 @@
 //! comes from them is what was seen. Nodes are slow, err, reset, restart cold and drain; clients withdraw and leave;
 //! hosts are killed. Peers can't be reached, so every demand report is lost. `GULLSAIL_SEED=N` plays another world by hand.
 
+mod surroundings;
+
 use crate::rig::*;
 use gullsail_configuration::Deployment;
 use gullsail_host::core::{Input, LinkId};
@@ -27,20 +29,46 @@
     result: AttemptResult,
 }
 
-/// A attempt that is out at a node: request, its place among the request's attempts, link, node.
-type Out = BTreeMap<u64, (RequestId, u32, LinkId, usize)>;
+/// An attempt that is out at a node.
+#[derive(Clone, Copy)]
+struct AttemptOut {
+    request: RequestId,
+    /// Its place among the request's attempts.
+    number: u32,
+    link: LinkId,
+}
+
+/// A node as it is, whatever hosts know of it.
+#[derive(Clone, Copy)]
+struct NodeState {
+    incarnation: u64,
+    started_at: Instant,
+    state: ListedState,
+    /// Chance of an error.
+    error_rate: f64,
+    /// How many times as slow as it could be.
+    slowdown: f64,
+    free_at: Instant,
+}
+
+impl NodeState {
+    fn ready(incarnation: u64, started_at: Instant, free_at: Instant) -> NodeState {
+        let state = ListedState::Ready;
+        NodeState { incarnation, started_at, state, error_rate: 0.0, slowdown: 1.0, free_at }
+    }
+}
 
 struct Side {
     rig: Rig,
     incarnation: u32,
     client: LinkId,
     links: [Option<LinkId>; 2],
-    /// What its list said of the nodes last.
+    /// The nodes' states as its endpoint list reported them last.
     last_list_state: [ListedState; 2],
     list: Option<LinkId>,
     seen: usize,
     connects: usize,
-    out: Out,
+    out: BTreeMap<u64, AttemptOut>,
     attempts: BTreeMap<RequestId, u32>,
 }
 
@@ -51,10 +79,9 @@
     model: Model,
     hosts: Vec<Side>,
     mail: Vec<Mail>,
-    /// Incarnation, start, standing, chance of an error, how many times as slow, when it is free.
-    nodes: [(u64, Instant, ListedState, f64, f64, Instant); 2],
+    nodes: [NodeState; 2],
     last: u64,
-    overruns: Vec<Breach>,
+    breaches: Vec<Breach>,
 }
 
 fn start() -> Instant {
@@ -72,7 +99,7 @@
         let stated =
             Stated { drain_grace: ms(0.0), slack: 0.0, multiple: 2.0, can: CAN, answer_slack: ms(0.0) };
         let warm = start() - ms(1e6);
-        let node = |n| (n, warm, ListedState::Ready, 0.0, 1.0, start());
+        let node = |incarnation| NodeState::ready(incarnation, warm, start());
         let mut w = World {
             rng: ChaCha8Rng::seed_from_u64(seed),
             d,
@@ -82,7 +109,7 @@
             mail: Vec::new(),
             nodes: [node(11), node(12)],
             last: 0,
-            overruns: Vec::new(),
+            breaches: Vec::new(),
         };
         for h in 0..2 {
             let side = w.start_host(h, 1);
@@ -130,7 +157,7 @@
         Endpoint { node, shard: ShardId(n as i64 + 1), state, started, ..Endpoint::default() }
     }
 
-    /// Hands an input over, then tells the model what came of it.
+    /// Hands an input over, then reports to the model what came of it.
     fn handle(&mut self, h: usize, input: Input) {
         self.hosts[h].rig.now = self.now;
         self.hosts[h].rig.handle(input);
@@ -142,10 +169,10 @@
     }
 
     fn ended(&mut self, h: usize, attempt: u64, outcome: AttemptOutcome) {
-        let Some((id, number, ..)) = self.hosts[h].out.remove(&attempt) else { return };
+        let Some(out) = self.hosts[h].out.remove(&attempt) else { return };
         let end = AttemptEnd {
-            id,
-            attempt: number,
+            id: out.request,
+            attempt: out.number,
             node: NodeId(0),
             outcome,
             latency: Span::ZERO,
@@ -170,7 +197,8 @@
                     let number = self.hosts[h].attempts.entry(id).or_default();
                     let place = *number;
                     *number += 1;
-                    self.hosts[h].out.insert(l.attempt, (id, place, link, n));
+                    let out = AttemptOut { request: id, number: place, link };
+                    self.hosts[h].out.insert(l.attempt, out);
                     let node = gullsail_configuration::node_id(NAMES[n]);
                     let found = self.model.did(at, host, &Action::StartAttempt { id, node, time_out: None });
                     self.node_takes(h, n, link, &l);
@@ -192,116 +220,7 @@
                 }
                 _ => Ok(()),
             };
-            self.overruns.extend(found.err());
-        }
-    }
-
-    fn node_takes(&mut self, h: usize, n: usize, link: LinkId, l: &Attempt) {
-        let (now, node) = (self.now, &mut self.nodes[n]);
-        let part = (0.2 + 0.8 * (now - node.1).secs() / 10.0).min(1.0);
-        node.5 = node.5.max(now) + Span::from_millis(l.units / (CAN * part) * 1e3 * node.4);
-        let result = if self.rng.random_bool(node.3) {
-            if self.rng.random_bool(0.3) { AttemptResult::Rejected } else { AttemptResult::Failed }
-        } else {
-            AttemptResult::Succeeded
-        };
-        let (at, incarnation) = (
-            if result == AttemptResult::Succeeded { node.5 } else { now } + ms(2.0),
-            self.hosts[h].incarnation,
-        );
-        self.mail.push(Mail { at, host: h, incarnation, link, attempt: l.attempt, result });
-    }
-
-    /// New connections: nodes and the list answer, peers do not.
-    fn connects(&mut self, h: usize) {
-        while self.hosts[h].connects < self.hosts[h].rig.connects.len() {
-            let (_, link, address) = self.hosts[h].rig.connects[self.hosts[h].connects].clone();
-            self.hosts[h].connects += 1;
-            self.model.step();
-            if address == "list" {
-                self.hosts[h].list = Some(link);
-                self.handle(h, Input::Connected(link));
-                let hello = Hello { role: Role::List as i32, name: "list".into(), ..Hello::default() };
-                self.handle(h, Input::Frame(link, hello.into()));
-                (0..2).for_each(|n| self.list(h, n));
-            } else if let Some(n) = NAMES.iter().position(|name| *name == address) {
-                self.hosts[h].links[n] = Some(link);
-                self.handle(h, Input::Connected(link));
-                let (incarnation, started_at, ..) = self.nodes[n];
-                let hello = Hello {
-                    role: Role::Node as i32,
-                    name: address,
-                    incarnation,
-                    age_us: (self.now - started_at).micros(),
-                    shard_plus_one: n as i64 + 2,
-                };
-                let entries = vec![self.entry(n, self.hosts[h].last_list_state[n], Some(started_at))];
-                self.saw(h, &Event::EndpointList { update_kind: UpdateKind::SelfReported, entries });
-                self.handle(h, Input::Frame(link, hello.into()));
-            } else {
-                self.handle(h, Input::ConnectFailed(link, "refused".into()));
-            }
-        }
-    }
-
-    fn reset(&mut self, h: usize, n: usize) {
-        let Some(link) = self.hosts[h].links[n].take() else { return };
-        self.model.step();
-        let attempts: Vec<u64> =
-            self.hosts[h].out.iter().filter(|(_, o)| o.2 == link).map(|(l, _)| *l).collect();
-        attempts.into_iter().for_each(|attempt| self.ended(h, attempt, AttemptOutcome::ConnectionLost));
-        self.handle(h, Input::Closed(link, "reset".into()));
-    }
-
-    fn list(&mut self, h: usize, n: usize) {
-        let Some(link) = self.hosts[h].list else { return };
-        let (incarnation, started_at, state, ..) = self.nodes[n];
-        let entry = ListedEndpoint {
-            name: NAMES[n].into(),
-            address: NAMES[n].into(),
-            shard: n as i64 + 1,
-            state: state as i32,
-            age_us: (self.now - started_at).micros(),
-            incarnation,
-            ..ListedEndpoint::default()
-        };
-        self.model.step();
-        self.hosts[h].last_list_state[n] = state;
-        let entries = vec![self.entry(n, state, Some(started_at))];
-        self.saw(h, &Event::EndpointList { update_kind: UpdateKind::Delta, entries });
-        self.handle(
-            h,
-            Input::Frame(link, EndpointListUpdate { version: 1, whole: false, entries: vec![entry] }.into()),
-        );
-    }
-
-    fn trouble(&mut self) {
-        let (n, h) = (self.rng.random_range(0..2), self.rng.random_range(0..2));
-        match self.rng.random_range(0..8) {
-            0 | 1 => self.nodes[n].3 = self.rng.random_range(0.2..0.8),
-            2 => self.nodes[n].4 = self.rng.random_range(1.0..10.0),
-            3 => (0..2).for_each(|n| (self.nodes[n].3, self.nodes[n].4) = (0.0, 1.0)),
-            4 => self.reset(h, n),
-            5 => {
-                // Restarts, cold; connections break, the list says so.
-                let now = self.now;
-                self.nodes[n] =
-                    (self.rng.random_range(100..u64::MAX), now, ListedState::Ready, 0.0, 1.0, now);
-                for h in 0..2 {
-                    self.reset(h, n);
-                    self.list(h, n);
-                }
-            }
-            6 => {
-                self.nodes[n].2 = ListedState::Draining;
-                (0..2).for_each(|h| self.list(h, n));
-            }
-            _ => {
-                // A host is killed, and is back at once.
-                self.model.killed(self.now, HostId(h as u32));
-                let incarnation = self.hosts[h].incarnation + 1;
-                self.hosts[h] = self.start_host(h, incarnation);
-            }
+            self.breaches.extend(found.err());
         }
     }
 
@@ -351,7 +270,28 @@
         assert_eq!(self.hosts[h].rig.core.counts().not_taken, before, "at {} ms", now.millis());
     }
 
-    fn play(&mut self) {
+    /// Answers of nodes that are due at a host.
+    fn deliver_mail(&mut self, h: usize) {
+        let due: Vec<Mail> = self.mail.extract_if(.., |m| m.host == h && m.at <= self.now).collect();
+        for m in due {
+            let host = &self.hosts[h];
+            if m.incarnation != host.incarnation || !host.links.contains(&Some(m.link)) {
+                continue;
+            }
+            self.model.step();
+            let outcome = match m.result {
+                AttemptResult::Succeeded => AttemptOutcome::Succeeded,
+                AttemptResult::Rejected => AttemptOutcome::Rejected,
+                _ => AttemptOutcome::Failed,
+            };
+            self.ended(h, m.attempt, outcome);
+            let answer =
+                AttemptAnswer { attempt: m.attempt, result: m.result as i32, ..AttemptAnswer::default() };
+            self.handle(h, Input::Frame(m.link, answer.into()));
+        }
+    }
+
+    fn run(&mut self) {
         for passed in 1..=LASTS {
             self.now = start() + ms(passed as f64);
             for h in 0..2 {
@@ -360,30 +300,7 @@
                 self.hosts[h].rig.pass(span);
                 self.look(h);
                 self.connects(h);
-                let due = self.mail.extract_if(.., |m| m.host == h && m.at <= self.now).collect::<Vec<_>>();
-                for m in due {
-                    if m.incarnation != self.hosts[h].incarnation
-                        || !self.hosts[h].links.contains(&Some(m.link))
-                    {
-                        continue;
-                    }
-                    self.model.step();
-                    self.ended(
-                        h,
-                        m.attempt,
-                        match m.result {
-                            AttemptResult::Succeeded => AttemptOutcome::Succeeded,
-                            AttemptResult::Rejected => AttemptOutcome::Rejected,
-                            _ => AttemptOutcome::Failed,
-                        },
-                    );
-                    let a = AttemptAnswer {
-                        attempt: m.attempt,
-                        result: m.result as i32,
-                        ..AttemptAnswer::default()
-                    };
-                    self.handle(h, Input::Frame(m.link, a.into()));
-                }
+                self.deliver_mail(h);
                 if self.rng.random_bool(0.08) {
                     self.arrival(h);
                 }
@@ -396,9 +313,9 @@
                 }
             }
             if self.rng.random_bool(0.004) {
-                self.trouble();
+                self.fault();
             }
-            self.overruns.extend(self.model.passed(self.now).err());
+            self.breaches.extend(self.model.passed(self.now).err());
         }
     }
 }
@@ -409,8 +326,8 @@
     let mut tested = [0; 7];
     for seed in by_hand.map_or(1..=14, |seed| seed..=seed) {
         let mut w = World::new(seed);
-        w.play();
-        if let Some(breach) = w.overruns.first() {
+        w.run();
+        if let Some(breach) = w.breaches.first() {
             panic!("seed {seed}: {breach}");
         }
         tested.iter_mut().zip(w.model.tested).for_each(|(sum, n)| *sum += n);
