--- a/crates/host/src/core/fleet.rs
+++ b/crates/host/src/core/fleet.rs
@@ -2,19 +2,18 @@
 //! demand on each budget is reported there, and the shares that come back become allocations for the scheduler.
 
 use super::*;
-use gullsail_fleet::config::{floor, least};
 use gullsail_fleet::maintenance::SERVED;
-use gullsail_fleet::{Budget, FleetConfig, Status, WHOLE};
+use gullsail_fleet::{Status, WHOLE};
 use gullsail_protocol::FleetMessage;
 use serde::{Deserialize, Serialize};
 use tracing::{Level, enabled};
 
 /// The slow-start budget, among the budgets: numbers of volumes are shorter.
-const SLOW_START_BUDGET: VolumeId = VolumeId(u64::MAX);
+pub(super) const SLOW_START_BUDGET: VolumeId = VolumeId(u64::MAX);
 /// New connections to nodes, a second to each.
-const CONNECT_BUDGET: VolumeId = VolumeId(u64::MAX - 1);
+pub(super) const CONNECT_BUDGET: VolumeId = VolumeId(u64::MAX - 1);
 /// Attempts to nodes that do not answer, a second to each.
-const PROBE_BUDGET: VolumeId = VolumeId(u64::MAX - 2);
+pub(super) const PROBE_BUDGET: VolumeId = VolumeId(u64::MAX - 2);
 /// At the latest after so long, also where a host has next to no share: so that no node is left out for good.
 const LONGEST_INTERVAL: Span = Span::from_micros(60_000_000);
 
@@ -35,70 +34,6 @@
 }
 
 impl Core {
-    /// The fleet's configuration; `None`: there is no fleet.
-    fn fleet_config(&self) -> Option<FleetConfig> {
-        let d = &self.deployment;
-        let fleet = d.fleet.as_ref()?;
-        let mut budgets = BTreeMap::new();
-        for v in &d.volumes {
-            let Some(limit) = d.plans.get(v.plan.0).and_then(|p| p.decisions.limit) else { continue };
-            let least = least(d.figures().max_units, limit.burst);
-            budgets.insert(v.id, self.fleet_budget(v.id, v.hosts.clone(), least, fleet.floor));
-        }
-        for c in &d.cross_zone_budgets {
-            let least = least(d.figures().max_bytes, c.limit.burst);
-            budgets.insert(c.id, self.fleet_budget(c.id, c.hosts.clone(), least, fleet.floor));
-        }
-        budgets.extend(self.node_budgets(fleet.floor, fleet.connects, fleet.probes));
-        Some(FleetConfig {
-            fleet: gullsail_configuration::number(&fleet.name),
-            hosts: d.hosts.len() as u32,
-            lease: fleet.lease,
-            drift: fleet.drift,
-            voters: fleet.voters,
-            budgets,
-            maintenance: d.maintenance.clone(),
-        })
-    }
-
-    fn fleet_budget(&self, id: VolumeId, through: Arc<[HostId]>, least: u32, floor_share: f64) -> Budget {
-        let floor = floor(floor_share, through.len());
-        Budget { through, floor, stragglers: self.stragglers(id, floor_share), least }
-    }
-
-    /// Budgets of all hosts for their nodes: what nodes bear that warm up, connections and probes.
-    fn node_budgets(
-        &self,
-        floor_share: f64,
-        connects: Option<f64>,
-        probes: Option<f64>,
-    ) -> BTreeMap<VolumeId, Budget> {
-        let d = &self.deployment;
-        let through: Arc<[HostId]> = (0..d.hosts.len() as u32).map(HostId).collect();
-        let least = least(d.figures().max_units, d.figures().slow_start.units);
-        let floor = floor(floor_share, through.len());
-        let slow_start = Budget { through, floor, stragglers: BTreeMap::new(), least };
-        // Rates have no largest request that a share must hold: each is spaced out.
-        let mut budgets = BTreeMap::new();
-        for (id, rate) in [(CONNECT_BUDGET, connects), (PROBE_BUDGET, probes)] {
-            if rate.is_some() {
-                budgets.insert(id, Budget { least: 0, ..slow_start.clone() });
-            }
-        }
-        budgets.insert(SLOW_START_BUDGET, slow_start);
-        budgets
-    }
-
-    /// Hosts that may still use a floor by an earlier configuration, with that floor.
-    fn stragglers(&self, budget: VolumeId, floor_share: f64) -> BTreeMap<HostId, u32> {
-        let mut all: BTreeMap<HostId, u32> = BTreeMap::new();
-        for (host, count) in self.config_transition.stragglers(budget) {
-            let most = all.entry(host).or_default();
-            *most = floor(floor_share, count).max(*most);
-        }
-        all
-    }
-
     pub(super) fn start_fleet(&mut self, seed: u64) {
         if let Some(fleet_config) = self.fleet_config() {
             self.fleet = Some(Fleet::new(Arc::new(fleet_config), self.me, self.incarnation, seed, self.now));
@@ -269,22 +204,6 @@
         debug!(target: "gullsail_parts", member, incarnation, epoch, lasts_us, parts = held, "parts");
     }
 
-    fn budget_name(&self, id: u64) -> Option<String> {
-        let d = &self.deployment;
-        let node_budgets = [
-            (SLOW_START_BUDGET, "cold nodes"),
-            (CONNECT_BUDGET, "connections to nodes"),
-            (PROBE_BUDGET, "probes of nodes"),
-        ];
-        if let Some((_, name)) = node_budgets.iter().find(|(budget, _)| budget.0 == id) {
-            return Some(name.to_string());
-        }
-        let volume = d.volumes.iter().find(|v| v.id.0 == id).map(|v| v.name.clone());
-        volume.or_else(|| {
-            d.cross_zone_budgets.iter().find(|c| c.id.0 == id).map(|c| format!("crossing {}", c.name))
-        })
-    }
-
     /// Rises of this host's share of the slow-start budget count a window later: a tenth longer than the rule's, as the
     /// scheduler counts it, and as long as an attempt may wait.
     pub(super) fn slow_start_delayed_increase(d: &Deployment) -> DelayedIncrease {
--- a/crates/host/src/core/mod.rs
+++ b/crates/host/src/core/mod.rs
@@ -11,8 +11,8 @@
 //! 2. `connection_table`, `incoming_connections`, `back_pressure` and [`reconnect`]: connections of every kind.
 //! 3. `frames_in`: frames by the role of their sender; `peers`, `endpoint_list` and `node_connections`: each role.
 //! 4. `request_handling`, `attempt_handling`, [`requests`] and [`nodes`]: from a client's request to its one answer.
-//! 5. [`config_change`], [`fleet`], [`maintenance`] and [`zone_traffic`]: configuration, what hosts agree on, servers
-//!    taken offline, and traffic between zones.
+//! 5. [`config_change`], [`fleet`], [`maintenance`], `server_drains` and [`zone_traffic`]: configuration, what hosts
+//!    agree on, servers taken offline, and traffic between zones.
 
 mod attempt_handling;
 mod back_pressure;
@@ -22,6 +22,7 @@
 mod counters;
 mod endpoint_list;
 pub mod fleet;
+mod fleet_budgets;
 mod frames_in;
 mod incoming_connections;
 mod input_output;
@@ -32,6 +33,7 @@
 pub mod reconnect;
 mod request_handling;
 pub mod requests;
+mod server_drains;
 mod size_metrics;
 mod timers;
 pub mod zone_traffic;
