--- a/crates/host/tests/host/core.rs
+++ b/crates/host/tests/host/core.rs
@@ -160,7 +160,7 @@
 }
 
 #[test]
-fn what_is_not_taken_is_told_why() {
+fn what_is_not_taken_has_its_reason() {
     let mut r = rig();
     r.nodes_up();
     let good = Submit {
@@ -184,8 +184,8 @@
     let c = r.client();
     for (s, reason) in cases {
         r.frame(c, s);
-        let said = r.not_taken(c).pop().unwrap();
-        assert!(said.contains(reason), "{said}");
+        let refusal = r.not_taken(c).pop().unwrap();
+        assert!(refusal.contains(reason), "{refusal}");
     }
     r.frame(c, good);
     assert_eq!((r.core.counts().taken, r.core.counts().not_taken), (1, 8));
