--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -12,8 +12,6 @@
 mod verdict;
 
 pub use error::RecordingError;
-/// The earlier name of [`RecordingError`], for callers that still use it.
-pub use error::RecordingError as Fault;
 pub use history::History;
 pub use verdict::{Breach, Verdict, table};
 
--- a/crates/benchlink/src/adapter.rs
+++ b/crates/benchlink/src/adapter.rs
@@ -6,7 +6,7 @@
 use crate::wire::{Batch, Entry, WireEvent};
 use gullsail::Scheduler;
 use gullsail_scheduler_api::{Event, Instant};
-use gullsail_scheduler_settings::Stated;
+use gullsail_scheduler_settings::RawSettings;
 use serde_json::Value;
 use std::collections::BTreeMap;
 
@@ -58,7 +58,7 @@
         &mut self,
         host: u64,
         seed: u64,
-        settings: &Stated,
+        settings: &RawSettings,
         now: Instant,
     ) -> Result<(), AdapterError> {
         let (config, names) = events::config(settings)?;
--- a/crates/benchlink/src/events.rs
+++ b/crates/benchlink/src/events.rs
@@ -9,7 +9,7 @@
     PoolId, Request, RequestClassId, RequestId, SchedulerConfig, ShardId, Span, TimerId, UpdateKind,
     VolumeId, ZoneId,
 };
-use gullsail_scheduler_settings::{Stated, hash};
+use gullsail_scheduler_settings::{RawSettings, hash};
 use std::collections::BTreeMap;
 
 /// Names of one instance: those of its settings, and the nodes seen so far.
@@ -31,7 +31,7 @@
 ///
 /// # Errors
 /// The settings are invalid.
-pub fn config(settings: &Stated) -> Result<(SchedulerConfig, Names), AdapterError> {
+pub fn config(settings: &RawSettings) -> Result<(SchedulerConfig, Names), AdapterError> {
     let (config, settings) =
         gullsail_scheduler_settings::config(settings).map_err(|e| AdapterError::Settings(e.to_string()))?;
     Ok((config, Names { settings, nodes: BTreeMap::new() }))
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,7 +1,7 @@
 //! The shapes of the bench's events. Names are the bench's own; what a field means stands where it is
 //! translated.
 
-use gullsail_scheduler_settings::Stated;
+use gullsail_scheduler_settings::RawSettings;
 use serde::Deserialize;
 
 /// One line: the events of one moment.
@@ -44,7 +44,7 @@
         /// The seed of its random generator.
         rng_seed: u64,
         /// Its settings.
-        boot_info: Box<Stated>,
+        boot_info: Box<RawSettings>,
     },
     /// An endpoint list to which [`WireEvent::Fleet`] refers.
     Page {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -96,10 +96,10 @@
 
 async fn platform(file: PathBuf, logs: &logs::Logs) -> Result<ExitCode> {
     // First of all: until somebody takes it, SIGHUP ends a process.
-    let signals = gullsail_platform::drive::Signals::take()?;
-    let document = gullsail_platform::drive::read(&file)?;
+    let signals = gullsail_platform::runtime::Signals::register()?;
+    let document = gullsail_platform::runtime::read_settings(&file)?;
     tokio::select! {
-        served = gullsail_platform::drive::run(file, document, signals) => served.map(|_| ExitCode::SUCCESS),
+        served = gullsail_platform::runtime::run(file, document, signals) => served.map(|_| ExitCode::SUCCESS),
         () = logs.watch() => Ok(ExitCode::from(1)),
     }
 }
--- a/crates/cli/src/processes.rs
+++ b/crates/cli/src/processes.rs
@@ -3,7 +3,7 @@
 use crate::{documents, logs};
 use gullsail_configuration::HostBounds;
 use gullsail_host::control::Control;
-use gullsail_host::drive::{self, HostClock, HostProcess};
+use gullsail_host::runtime::{self, HostClock, HostProcess};
 use gullsail_protocol::{ListedEndpoint, ListedState};
 use gullsail_scenario::processes::Listening;
 use gullsail_scheduler_api::Span;
@@ -82,7 +82,7 @@
     info!(host = name, incarnation, "serving");
     let process = HostProcess { deployment: Arc::new(d), me, seed, incarnation, clock };
     let counts = tokio::select! {
-        counts = drive::run(process, listener, control, stopped()) => counts,
+        counts = runtime::run(process, listener, control, stopped()) => counts,
         () = logs.watch() => return Ok(ExitCode::from(1)),
     };
     info!(
--- a/crates/cli/src/zones.rs
+++ b/crates/cli/src/zones.rs
@@ -3,7 +3,7 @@
 use crate::{atomic_file, documents};
 use gullsail_configuration::Reader;
 use gullsail_host::control::State;
-use gullsail_host::core::zones::BudgetOverrun;
+use gullsail_host::core::zone_traffic::BudgetOverrun;
 use gullsail_placement::{NoPlan, documents::proposal, documents::question};
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use serde::Serialize;
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -150,7 +150,7 @@
 #[test]
 fn a_document_that_is_not_read_holds_nobody_up() {
     use gullsail_host::control::{Control, ControlReply, ControlRequest, ask};
-    use gullsail_host::drive::{self, HostClock, HostProcess};
+    use gullsail_host::runtime::{self, HostClock, HostProcess};
     use std::sync::{Arc, Mutex, mpsc};
     use std::time::Duration;
     let dir = tempfile::tempdir().unwrap();
@@ -171,7 +171,7 @@
         let process = HostProcess { deployment: d, me, seed: 1, incarnation: 1, clock };
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
-        let host = tokio::spawn(drive::run(process, listener, Some(control), async {
+        let host = tokio::spawn(runtime::run(process, listener, Some(control), async {
             let _ = stopped.await;
         }));
         let long = Duration::from_secs(30);
--- a/crates/cli/tests/loopback.rs
+++ b/crates/cli/tests/loopback.rs
@@ -4,7 +4,7 @@
 use bytes::{Bytes, BytesMut};
 use gullsail_configuration::{Deployment, parse};
 use gullsail_host::core::Counts;
-use gullsail_host::drive::{self, HostClock, HostProcess};
+use gullsail_host::runtime::{self, HostClock, HostProcess};
 use gullsail_protocol::*;
 use gullsail_scheduler_api::{HostId, Span};
 use gullsail_simulator::node::{self, NodeProcess};
@@ -61,7 +61,7 @@
     let address = listener.local_addr().unwrap().to_string();
     let clock = HostClock::start(Span::ZERO);
     let process = HostProcess { deployment: d.clone(), me: HostId(0), seed: 1, incarnation: 5, clock };
-    let task = tokio::spawn(drive::run(process, listener, None, async {
+    let task = tokio::spawn(runtime::run(process, listener, None, async {
         let _ = stopped.await;
     }));
     Host { task, stop: Some(stop), address }
--- a/crates/config-transition/src/lib.rs
+++ b/crates/config-transition/src/lib.rs
@@ -14,10 +14,3 @@
 pub use notice::{AddressedNotice, MOST_HOSTS, NoticeEffect, NoticeOutcome, RevisionNotice};
 pub use revision_limits::{Revision, RevisionLimits, SharedLimit};
 pub use transition::{ConfigTransition, LaggingHost};
-
-/// The earlier name of [`NoticeEffect`], for callers that still use it.
-pub use notice::NoticeEffect as Heard;
-/// The earlier name of [`RevisionNotice`], for callers that still use it.
-pub use notice::RevisionNotice as Note;
-/// The earlier name of [`SharedLimit`], for callers that still use it.
-pub use revision_limits::SharedLimit as Shared;
--- a/crates/config-transition/src/transition.rs
+++ b/crates/config-transition/src/transition.rs
@@ -148,11 +148,6 @@
         })
     }
 
-    /// The earlier form of [`ConfigTransition::lagging_hosts`], as pairs, for callers that still use it.
-    pub fn stragglers(&self, volume: VolumeId) -> impl Iterator<Item = (HostId, usize)> {
-        self.lagging_hosts(volume).map(|lagging| (lagging.host, lagging.sharing))
-    }
-
     fn share(&self, volume: VolumeId) -> Option<f64> {
         self.shares.as_ref().map(|shares| shares.get(&volume).copied().unwrap_or_default())
     }
--- a/crates/config-transition/src/transition/notices.rs
+++ b/crates/config-transition/src/transition/notices.rs
@@ -75,17 +75,6 @@
         news
     }
 
-    /// The earlier form of [`ConfigTransition::handle_notice`], for callers that still use it.
-    pub fn hear(
-        &mut self,
-        from: HostId,
-        notice: &RevisionNotice,
-        now: Instant,
-    ) -> (NoticeEffect, Option<RevisionNotice>) {
-        let NoticeOutcome { effect, reply } = self.handle_notice(from, notice, now);
-        (effect, reply)
-    }
-
     /// When to call [`ConfigTransition::due_notices`] at the latest; `None`: there is nothing to report.
     pub fn next(&self) -> Option<Instant> {
         let done = self.settled() && self.final_rounds == 0;
@@ -111,10 +100,4 @@
         let hosts = places.map(|place| HostId((place + usize::from(place >= me)) as u32));
         hosts.map(|to| AddressedNotice { to, notice: notice.clone() }).collect()
     }
-
-    /// The earlier form of [`ConfigTransition::due_notices`], for callers that still use it.
-    pub fn tell(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<(HostId, RevisionNotice)> {
-        let notices = self.due_notices(now, rng).into_iter();
-        notices.map(|addressed| (addressed.to, addressed.notice)).collect()
-    }
 }
--- a/crates/configuration/src/revisions.rs
+++ b/crates/configuration/src/revisions.rs
@@ -9,13 +9,13 @@
 use crate::reader::Reader;
 use crate::revision_entry::entry;
 use crate::source_map::{Loader, beside};
-use gullsail_config_transition::{MOST_HOSTS, RevisionLimits, Shared};
+use gullsail_config_transition::{MOST_HOSTS, RevisionLimits, SharedLimit};
 
 /// Documents before documents: the line is as long as hosts are behind.
 const MOST: usize = 16;
 
 pub(crate) fn revision_limits(d: &Deployment) -> RevisionLimits {
-    let shared = |v: &NamedVolume| Shared {
+    let shared = |v: &NamedVolume| SharedLimit {
         plan: v.plan,
         limit: d.plans.get(v.plan.0).and_then(|p| p.decisions.limit),
         hosts: v.hosts.clone(),
@@ -23,7 +23,7 @@
     let volumes = d.volumes.iter().map(|v| (v.id, shared(v)));
     // Budgets between zones are limits like others.
     let budget = |c: &NamedCrossZoneBudget| {
-        (c.id, Shared { plan: Default::default(), limit: Some(c.limit), hosts: c.hosts.clone() })
+        (c.id, SharedLimit { plan: Default::default(), limit: Some(c.limit), hosts: c.hosts.clone() })
     };
     let volumes = volumes.chain(d.cross_zone_budgets.iter().map(budget));
     RevisionLimits { revision: d.place.revision, volumes: volumes.collect() }
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -7,7 +7,6 @@
 mod room;
 mod writer;
 
-pub use LinkEvent as Happened;
 pub use room::Room;
 
 use gullsail_protocol::{Bounds, Frame};
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -18,7 +18,7 @@
     pub floor: u32,
     /// Lagging hosts: those that may still use a larger floor, or one at all, by an earlier revision of the
     /// configuration.
-    pub stragglers: BTreeMap<HostId, u32>,
+    pub lagging_hosts: BTreeMap<HostId, u32>,
     /// The share that holds one largest request.
     pub least: u32,
 }
@@ -27,7 +27,7 @@
     /// What a host uses without a lease, at most.
     pub fn floor(&self, host: HostId) -> u32 {
         let own = self.current_floor(host);
-        self.stragglers.get(&host).map_or(own, |lagging| own.max(*lagging))
+        self.lagging_hosts.get(&host).map_or(own, |lagging| own.max(*lagging))
     }
 
     /// The floor by the current revision alone.
@@ -38,7 +38,7 @@
     /// The sum of all hosts' floors.
     pub fn floors(&self) -> u64 {
         let current = self.through.len() as u64 * u64::from(self.floor);
-        let lagging = self.stragglers.iter().map(|(host, lagging)| {
+        let lagging = self.lagging_hosts.iter().map(|(host, lagging)| {
             let excess = lagging.saturating_sub(self.current_floor(*host));
             u64::from(excess)
         });
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -87,7 +87,7 @@
 
     /// What each host may be using of a budget, of the hosts that may use it.
     pub fn shares_in_use(&self, id: VolumeId, budget: &Budget) -> Vec<HostShare> {
-        let hosts = budget.through.iter().chain(budget.stragglers.keys());
+        let hosts = budget.through.iter().chain(budget.lagging_hosts.keys());
         let share = |host: &HostId| HostShare { host: *host, share: self.ledger.most(id, budget, *host) };
         let mut shares: Vec<HostShare> = hosts.map(share).collect();
         shares.sort_unstable();
--- a/crates/fleet/tests/exploration.rs
+++ b/crates/fleet/tests/exploration.rs
@@ -48,7 +48,7 @@
 
 fn fleet_config() -> Arc<FleetConfig> {
     let through = (0..3).map(HostId).collect();
-    let budget = Budget { through, floor: 100_000, stragglers: BTreeMap::new(), least: 1000 };
+    let budget = Budget { through, floor: 100_000, lagging_hosts: BTreeMap::new(), least: 1000 };
     let lease = Span::from_micros(LEASE);
     Arc::new(FleetConfig {
         fleet: 7,
--- a/crates/fleet/tests/grants.rs
+++ b/crates/fleet/tests/grants.rs
@@ -13,7 +13,7 @@
 const B: VolumeId = VolumeId(1);
 
 fn budget(hosts: u32, floor: u32, least: u32) -> Budget {
-    Budget { through: (0..hosts).map(HostId).collect(), floor, stragglers: BTreeMap::new(), least }
+    Budget { through: (0..hosts).map(HostId).collect(), floor, lagging_hosts: BTreeMap::new(), least }
 }
 
 fn fleet_config(hosts: u32) -> FleetConfig {
--- a/crates/fleet/tests/messages.rs
+++ b/crates/fleet/tests/messages.rs
@@ -18,7 +18,7 @@
     let budget = Budget {
         through: (0..hosts).map(HostId).collect(),
         floor: WHOLE / 5 / hosts,
-        stragglers: BTreeMap::new(),
+        lagging_hosts: BTreeMap::new(),
         least: 1000,
     };
     let budgets = [(VolumeId(1), budget)].into();
--- a/crates/fleet/tests/world/harness.rs
+++ b/crates/fleet/tests/world/harness.rs
@@ -29,7 +29,7 @@
     let budget = |through: Vec<u32>, least| {
         let floor = WHOLE * 3 / 10 / through.len() as u32;
         let through = through.into_iter().map(HostId).collect();
-        Budget { through, floor, stragglers: BTreeMap::new(), least }
+        Budget { through, floor, lagging_hosts: BTreeMap::new(), least }
     };
     let some = (0..hosts).filter(|host| host % 2 == 0).collect();
     let budgets = [(VolumeId(1), budget((0..hosts).collect(), least)), (VolumeId(2), budget(some, 1000))];
--- a/crates/fleet/tests/world/main.rs
+++ b/crates/fleet/tests/world/main.rs
@@ -58,6 +58,7 @@
     }
 }
 
+/// The seeds to play: those of `FLEET_SEEDS`, or the first few.
 pub fn seeds(few: u64) -> std::ops::Range<u64> {
     let text = std::env::var("FLEET_SEEDS").unwrap_or_default();
     match text.split_once("..").map(|(a, b)| (a.parse(), b.parse())) {
--- a/crates/host/src/core/config_change.rs
+++ b/crates/host/src/core/config_change.rs
@@ -3,7 +3,7 @@
 //! [`gullsail_config_transition::ConfigTransition`].
 
 use super::*;
-use gullsail_config_transition::{Heard as ReportEffect, Note as RevisionReport, Revision};
+use gullsail_config_transition::{NoticeEffect, Revision, RevisionNotice};
 use gullsail_configuration::diff::{Change, Class};
 use gullsail_protocol::Reached;
 
@@ -130,32 +130,32 @@
     pub(super) fn revision_round(&mut self) {
         if self.next_revision_round.is_some_and(|at| at <= self.now) {
             self.next_revision_round = None;
-            for (to, report) in self.config_transition.tell(self.now, &mut self.rng) {
-                self.send_revision(to, report);
+            for due in self.config_transition.due_notices(self.now, &mut self.rng) {
+                self.send_revision(due.to, due.notice);
             }
         }
         self.schedule_revision_round();
     }
 
-    fn send_revision(&mut self, to: HostId, report: RevisionReport) {
-        let RevisionReport { held, revision, hosts } = report;
+    fn send_revision(&mut self, to: HostId, report: RevisionNotice) {
+        let RevisionNotice { held, revision, hosts } = report;
         self.send_to_peer(to, Frame::from(Reached { held: held.0, revision: revision.0, hosts }));
     }
 
     /// A peer reports which revisions hosts hold.
     pub(super) fn peer_revision(&mut self, from: HostId, r: Reached) {
         let report =
-            RevisionReport { held: Revision(r.held), revision: Revision(r.revision), hosts: r.hosts };
-        let (effect, reply) = self.config_transition.hear(from, &report, self.now);
-        match effect {
-            ReportEffect::Nothing => {}
-            ReportEffect::News => self.report_config(false),
-            ReportEffect::WentBack { from: before, to } => {
+            RevisionNotice { held: Revision(r.held), revision: Revision(r.revision), hosts: r.hosts };
+        let outcome = self.config_transition.handle_notice(from, &report, self.now);
+        match outcome.effect {
+            NoticeEffect::Nothing => {}
+            NoticeEffect::News => self.report_config(false),
+            NoticeEffect::WentBack { from: before, to } => {
                 let peer = from.0;
                 warn!(peer, before = before.0, now = to.0, "a host went back to an older document");
             }
         }
-        if let Some(report) = reply {
+        if let Some(report) = outcome.reply {
             self.send_revision(from, report);
         }
         self.schedule_revision_round();
--- a/crates/host/src/core/fleet_budgets.rs
+++ b/crates/host/src/core/fleet_budgets.rs
@@ -41,7 +41,7 @@
         floor_share: f64,
     ) -> Budget {
         let floor = floor(floor_share, through.len());
-        Budget { through, floor, stragglers: self.stragglers(id, floor_share), least }
+        Budget { through, floor, lagging_hosts: self.lagging_hosts(id, floor_share), least }
     }
 
     /// Budgets of all hosts for their nodes: what nodes bear that warm up, connections and probes.
@@ -55,7 +55,7 @@
         let through: Arc<[HostId]> = (0..d.hosts.len() as u32).map(HostId).collect();
         let least = least(d.figures().max_units, d.figures().slow_start.units);
         let floor = floor(floor_share, through.len());
-        let slow_start = Budget { through, floor, stragglers: BTreeMap::new(), least };
+        let slow_start = Budget { through, floor, lagging_hosts: BTreeMap::new(), least };
         // Rates have no largest request that a share must hold: each is spaced out.
         let mut budgets = BTreeMap::new();
         for (id, rate) in [(CONNECT_BUDGET, connects), (PROBE_BUDGET, probes)] {
@@ -68,11 +68,11 @@
     }
 
     /// Hosts that may still use a floor by an earlier configuration, with that floor.
-    pub(super) fn stragglers(&self, budget: VolumeId, floor_share: f64) -> BTreeMap<HostId, u32> {
+    pub(super) fn lagging_hosts(&self, budget: VolumeId, floor_share: f64) -> BTreeMap<HostId, u32> {
         let mut all: BTreeMap<HostId, u32> = BTreeMap::new();
-        for (host, count) in self.config_transition.stragglers(budget) {
-            let most = all.entry(host).or_default();
-            *most = floor(floor_share, count).max(*most);
+        for lagging in self.config_transition.lagging_hosts(budget) {
+            let most = all.entry(lagging.host).or_default();
+            *most = floor(floor_share, lagging.sharing).max(*most);
         }
         all
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,5 +7,3 @@
 pub mod core;
 pub mod runtime;
 pub mod stall_detector;
-
-pub use runtime as drive;
--- a/crates/host/tests/host/model.rs
+++ b/crates/host/tests/host/model.rs
@@ -9,7 +9,7 @@
 use gullsail_configuration::Deployment;
 use gullsail_host::core::{Input, LinkId};
 use gullsail_protocol::*;
-use gullsail_reference_model::{Breach, Model, Stated};
+use gullsail_reference_model::{Breach, Model, RuleParameters};
 use gullsail_scheduler_api::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -97,8 +97,13 @@
             ("open=50", "open=500"),
             ("4000B", "4MB"),
         ]);
-        let stated =
-            Stated { drain_grace: ms(0.0), slack: 0.0, multiple: 2.0, can: CAN, answer_slack: ms(0.0) };
+        let stated = RuleParameters {
+            drain_grace: ms(0.0),
+            slack: 0.0,
+            multiple: 2.0,
+            can: CAN,
+            answer_slack: ms(0.0),
+        };
         let warm = start() - ms(1e6);
         let node = |incarnation| NodeState::ready(incarnation, warm, start());
         let mut w = World {
@@ -122,7 +127,7 @@
     fn start_host(&mut self, h: usize, incarnation: u32) -> Side {
         let host = HostId(h as u32);
         self.model.step();
-        self.model.born(self.now, host, &self.d.config(host));
+        self.model.host_started(self.now, host, &self.d.config(host));
         // A newborn knows its document, and learns of drains from the list.
         let entries = (0..2).map(|n| self.entry(n, ListedState::Ready, None)).collect();
         self.model.saw(
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,3 @@
 pub mod core;
 pub mod runtime;
 pub mod settings_document;
-
-#[doc(hidden)]
-pub use runtime as drive;
--- a/crates/platform/src/runtime.rs
+++ b/crates/platform/src/runtime.rs
@@ -54,20 +54,8 @@
             hang_up: register(SignalKind::hangup())?,
         })
     }
-
-    /// The former name of [`Signals::register`].
-    ///
-    /// # Errors
-    /// As there.
-    #[doc(hidden)]
-    pub fn take() -> Result<Signals> {
-        Signals::register()
-    }
 }
 
-#[doc(hidden)]
-pub use read_settings as read;
-
 /// Reads a settings document from a file.
 ///
 /// # Errors
--- a/crates/platform/src/settings_document.rs
+++ b/crates/platform/src/settings_document.rs
@@ -2,7 +2,7 @@
 //! [`SettingsDocument::parse`] takes it whole or says what is wrong, where, and what was expected.
 
 use gullsail_scheduler_api::SchedulerConfig;
-use gullsail_scheduler_settings::{Names, Reach, Stated, config, hash};
+use gullsail_scheduler_settings::{Names, RawSettings, Reach, config, hash};
 use miette::{Diagnostic, NamedSource, SourceSpan};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -90,7 +90,7 @@
     peers: Vec<SocketAddr>,
     #[serde(rename = "known")]
     stored_endpoints: Option<Page>,
-    settings: Stated,
+    settings: RawSettings,
 }
 
 /// A valid document.
--- a/crates/reference-model/src/lib.rs
+++ b/crates/reference-model/src/lib.rs
@@ -17,9 +17,6 @@
 use history::{HistoryEntry, Observation};
 use std::fmt;
 
-/// The former name, until its users have the new one.
-pub use RuleParameters as Stated;
-
 /// What the rules say beside the configuration that hosts are given.
 #[derive(Clone, Debug)]
 pub struct RuleParameters {
@@ -95,11 +92,6 @@
         self.add(now, host, Observation::HostStarted(config.clone()));
     }
 
-    /// The former name of [`Model::host_started`], until its users have the new one.
-    pub fn born(&mut self, now: Instant, host: HostId, config: &SchedulerConfig) {
-        self.host_started(now, host, config);
-    }
-
     /// A host is killed: what it held is its clients' from now on.
     pub fn killed(&mut self, now: Instant, host: HostId) {
         self.add(now, host, Observation::HostKilled);
--- a/crates/scenario/src/error.rs
+++ b/crates/scenario/src/error.rs
@@ -8,7 +8,7 @@
     #[error("{what}: {error}")]
     Io { what: String, error: std::io::Error },
     #[error(transparent)]
-    Recording(#[from] gullsail_audit::Fault),
+    Recording(#[from] gullsail_audit::RecordingError),
 }
 
 pub(crate) fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> RunError {
--- a/crates/scenario/src/run/lifecycle.rs
+++ b/crates/scenario/src/run/lifecycle.rs
@@ -1,7 +1,7 @@
 //! What is started and stopped: nodes, the list, hosts; and what is said to them on connections of their own.
 
 use super::*;
-use gullsail_connections::{Happened, Link};
+use gullsail_connections::{Link, LinkEvent};
 use gullsail_host::control::{ControlReply, ControlRequest, ask};
 use gullsail_protocol::{Bounds, Frame, Hello, Role};
 use tokio::net::TcpStream;
@@ -127,9 +127,9 @@
             let mut left = bytes;
             while let Some(((), happened)) = inbox.recv().await {
                 match happened {
-                    Happened::Written(n) => left = left.saturating_sub(n),
-                    Happened::Closed(_) => break,
-                    Happened::Frame(_) => {}
+                    LinkEvent::Written(n) => left = left.saturating_sub(n),
+                    LinkEvent::Closed(_) => break,
+                    LinkEvent::Frame(_) => {}
                 }
                 if left == 0 {
                     break;
--- a/crates/scheduler-settings/src/lib.rs
+++ b/crates/scheduler-settings/src/lib.rs
@@ -12,8 +12,6 @@
     SlowStart, Span,
 };
 pub use names::{Names, Problem, hash};
-/// The former name, until its users have the new one.
-pub use raw::RawSettings as Stated;
 use raw::{Policy, Profile, Rules};
 pub use raw::{RawSettings, Reach};
 pub use validation::Contradiction;
--- a/crates/simulator/src/baseline.rs
+++ b/crates/simulator/src/baseline.rs
@@ -3,7 +3,7 @@
 //! It has no window, no order, no further attempts, no care for cold nodes, and it believes the list.
 
 use gullsail_configuration::Deployment;
-use gullsail_connections::{Happened, Link};
+use gullsail_connections::{Link, LinkEvent};
 use gullsail_protocol::*;
 use gullsail_scheduler_api::{HostId, Idempotency, IdempotencyScope};
 use rand::seq::IteratorRandom;
@@ -84,13 +84,13 @@
                 None => {}
             },
             Some((id, happened)) = inbox.recv() => match happened {
-                Happened::Frame(frame) => n.handle_frame(id, frame),
-                Happened::Closed(_) => match n.links.remove(&id) {
+                LinkEvent::Frame(frame) => n.handle_frame(id, frame),
+                LinkEvent::Closed(_) => match n.links.remove(&id) {
                     Some((Who::List, _)) => _ = connecting.spawn(connect(Who::List, list.clone(), 500)),
                     Some((Who::Node(name), _)) => n.lost(id, &name),
                     _ => {}
                 },
-                Happened::Written(_) => {}
+                LinkEvent::Written(_) => {}
             },
             () = tokio::time::sleep(Duration::from_millis(10)) => {}
             _ = tasks.join_next(), if !tasks.is_empty() => {}
--- a/crates/simulator/src/client.rs
+++ b/crates/simulator/src/client.rs
@@ -4,7 +4,7 @@
 use crate::{BASE_OBJECTS, base_content, content};
 use bytes::Bytes;
 use gullsail_configuration::Deployment;
-use gullsail_connections::{Happened, Link};
+use gullsail_connections::{Link, LinkEvent};
 use gullsail_protocol::*;
 use gullsail_scheduler_api::{Idempotency, IdempotencyScope, Span};
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -148,12 +148,12 @@
             soon.unwrap_or(now + Duration::from_millis(20)).min(now + Duration::from_millis(20));
         tokio::select! {
             Some((id, happened)) = inbox.recv() => match happened {
-                Happened::Frame(frame) => c.handle_frame(id, frame),
-                Happened::Closed(_) => if let Some((host, _)) = c.links.remove(&id) {
+                LinkEvent::Frame(frame) => c.handle_frame(id, frame),
+                LinkEvent::Closed(_) => if let Some((host, _)) = c.links.remove(&id) {
                     c.host_gone(host);
                     connecting.spawn(connect(host, 50));
                 },
-                Happened::Written(_) => {}
+                LinkEvent::Written(_) => {}
             },
             Some(Ok((host, made))) = connecting.join_next(), if !connecting.is_empty() => match made {
                 Some(stream) => {
--- a/crates/simulator/src/discovery.rs
+++ b/crates/simulator/src/discovery.rs
@@ -1,6 +1,6 @@
 //! The list service: knows which processes run, tells it late to those who watch, and can be out of reach.
 
-use gullsail_connections::{Happened, Link};
+use gullsail_connections::{Link, LinkEvent};
 use gullsail_protocol::*;
 use gullsail_scheduler_api::Span;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -52,12 +52,12 @@
                 list.links.insert(last_link, link);
             },
             Some((link, happened)) = inbox.recv() => match happened {
-                Happened::Frame(frame) => list.handle_frame(link, frame),
-                Happened::Closed(_) => {
+                LinkEvent::Frame(frame) => list.handle_frame(link, frame),
+                LinkEvent::Closed(_) => {
                     list.links.remove(&link);
                     list.watchers.remove(&link);
                 }
-                Happened::Written(_) => {}
+                LinkEvent::Written(_) => {}
             },
             () = tokio::time::sleep_until(next_wakeup) => {}
             _ = tasks.join_next(), if !tasks.is_empty() => {}
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -1,6 +1,7 @@
-//! Stand-ins for what a host has around it: [`node`] (with its [`model`]), [`list`], [`client`], a baseline
-//! in place of the host ([`naive`]), and [`relay`], which stands on a socket, records each frame and disturbs
-//! it as it is told. None of them knows the host.
+//! What a host has around it, simulated: storage nodes ([`node`], with a [`node_model`] in given time), the
+//! list service ([`discovery`]), clients ([`client`]), a [`baseline`] in place of the host, and the
+//! [`recording_proxy`], which stands before a process's socket, records each frame and disturbs what it is
+//! told to.
 
 // Fields and variants are not all documented yet: docs/ROADMAP.md lists what is left.
 #![allow(missing_docs)]
--- a/crates/simulator/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -5,7 +5,7 @@
 use crate::{BASE_OBJECTS, base_content};
 use bytes::Bytes;
 use gullsail_configuration::Server;
-use gullsail_connections::{Happened, Link};
+use gullsail_connections::{Link, LinkEvent};
 use gullsail_protocol::*;
 use gullsail_scheduler_api::{Instant, SlowStart, Span};
 use rand::{Rng, SeedableRng};
@@ -90,15 +90,15 @@
                 n.links.insert(last_link, link);
             },
             Some((link, happened)) = inbox.recv() => match happened {
-                Happened::Frame(frame) => {
+                LinkEvent::Frame(frame) => {
                     last_attempt += 1;
                     if n.handle_frame(link, frame, last_attempt, now()) {
                         warn!(node = n.process.name, "cold, sent too much: fell over");
                         return;
                     }
                 }
-                Happened::Closed(_) => _ = n.links.remove(&link),
-                Happened::Written(_) => {}
+                LinkEvent::Closed(_) => _ = n.links.remove(&link),
+                LinkEvent::Written(_) => {}
             },
             () = tokio::time::sleep_until(next_wakeup) => {}
             _ = tasks.join_next(), if !tasks.is_empty() => {}
--- a/crates/simulator/src/recording_proxy.rs
+++ b/crates/simulator/src/recording_proxy.rs
@@ -2,7 +2,7 @@
 //! with its time and passes it on, or does to it what it was told: delays, drops, cuts, half-closes, swaps
 //! peer messages, turns answers into errors.
 
-use gullsail_connections::{Happened, Link};
+use gullsail_connections::{Link, LinkEvent};
 use gullsail_protocol::record::{Delivery, Entry, ProcessEvent, What};
 use gullsail_protocol::{AttemptAnswer, AttemptResult, Bounds, Frame, Message};
 use rand::{Rng, SeedableRng};
@@ -261,7 +261,7 @@
         let next_wakeup = due.unwrap_or(now + Duration::from_secs(3600));
         tokio::select! {
             Some((side, happened)) = inbox.recv() => match happened {
-                Happened::Frame(frame) => {
+                LinkEvent::Frame(frame) => {
                     if let (Side::Dialler, Message::Hello(hello)) = (side, &frame.message) {
                         from = hello.name.clone();
                     }
@@ -273,8 +273,8 @@
                         break "broken on purpose".into();
                     }
                 }
-                Happened::Closed(why) => break why,
-                Happened::Written(_) => {}
+                LinkEvent::Closed(why) => break why,
+                LinkEvent::Written(_) => {}
             },
             _ = cuts.changed() => {
                 let (_, a, b) = cuts.borrow_and_update().clone();
