--- a/crates/configuration/src/builder.rs
+++ b/crates/configuration/src/builder.rs
@@ -7,6 +7,7 @@
 use crate::entry_processes::{bounds, node, place, server};
 use crate::reader::{Names, Reader, entries};
 use crate::{cross_zone_budgets, fleet, lints, maintenance, revision_entry, routes};
+use gullsail_fleet::maintenance::MaintenanceConfig;
 use gullsail_scheduler_api::*;
 use kdl::{KdlDocument, KdlNode};
 use std::collections::BTreeMap;
@@ -53,10 +54,7 @@
     let (rules, bounds) = read_figures(document, r, &mut config);
     let plans: Vec<_> = all("plan").map(|n| plan(r, n, rules.unit)).collect();
     config.plans = plans.iter().map(|p| p.decisions.clone()).collect();
-    let fleet_node = single(r, document, "fleet");
-    let fleet = fleet::read(r, fleet_node, &hosts, config.tick);
-    let maintenance_node = single(r, document, "works");
-    let maintenance = maintenance::read(r, maintenance_node, fleet.as_ref());
+    let (fleet, maintenance) = read_fleet(document, r, &hosts, config.tick);
     let everyone: Arc<[HostId]> = (0..hosts.len() as u32).map(HostId).collect();
     // A part too small for a largest request moves around where hosts settle it among themselves.
     let most = (config.max_units, fleet.is_none());
@@ -102,6 +100,19 @@
     built
 }
 
+fn read_fleet(
+    document: &KdlDocument,
+    r: &mut Reader,
+    hosts: &[Place],
+    tick: Span,
+) -> (Option<NamedFleet>, Option<MaintenanceConfig>) {
+    let fleet_node = single(r, document, "fleet");
+    let fleet = fleet::read(r, fleet_node, hosts, tick);
+    let maintenance_node = single(r, document, "works");
+    let maintenance = maintenance::read(r, maintenance_node, fleet.as_ref());
+    (fleet, maintenance)
+}
+
 fn read_budgets(
     document: &KdlDocument,
     r: &mut Reader,
--- a/crates/configuration/src/maintenance.rs
+++ b/crates/configuration/src/maintenance.rs
@@ -1,5 +1,5 @@
-//! Machines out for work: `works at-once=1 keep=0.7 longest="30min" watched="10s" { rest from="07:00"
-//! to="19:00"; }`. What it means is told in docs/works.md.
+//! Servers in maintenance: `works at-once=1 keep=0.7 longest="30min" watched="10s" { rest from="07:00"
+//! to="19:00"; }`. What it means is told in docs/maintenance.md.
 
 use crate::entities::NamedFleet;
 use crate::reader::Reader;
@@ -21,7 +21,7 @@
     r.only(n, 0, &known, &["rest"]);
     let before = r.reported();
     let at_once = r.whole(n, "at-once", 1, 1);
-    let mut maintenance = MaintenanceConfig {
+    let maintenance = MaintenanceConfig {
         at_once,
         in_zone: r.whole(n, "in-zone", 1, at_once),
         in_pool: r.whole(n, "in-pool", 1, at_once),
@@ -31,19 +31,8 @@
         longest: r.span(n, "longest"),
         watched: r.span(n, "watched"),
         blind: r.span(n, "blind"),
-        rests: Vec::new(),
+        rests: read_rests(r, n),
     };
-    for rest in n.iter_children().filter(|c| c.name().value() == "rest") {
-        r.only(rest, 0, &["from", "to"], &[]);
-        let times = [time(r, rest, "from"), time(r, rest, "to")];
-        if let [Some(from), Some(to)] = times {
-            if from == to {
-                let help = "from=\"07:00\" to=\"19:00\": one that never ends lets nobody go";
-                r.report("contradiction", "a rest of no length".into(), rest.span(), Some(help.into()));
-            }
-            maintenance.rests.push((from, to));
-        }
-    }
     let mut wrong = |key: &str, message: String, help: String| {
         let span = n.entry(key).map_or(n.span(), |e| e.span());
         r.report("contradiction", message, span, Some(help));
@@ -75,6 +64,23 @@
     (r.reported() == before).then_some(maintenance)
 }
 
+/// The times of day at which no server goes.
+fn read_rests(r: &mut Reader, n: &KdlNode) -> Vec<(u32, u32)> {
+    let mut rests = Vec::new();
+    for rest in n.iter_children().filter(|c| c.name().value() == "rest") {
+        r.only(rest, 0, &["from", "to"], &[]);
+        let times = [time(r, rest, "from"), time(r, rest, "to")];
+        if let [Some(from), Some(to)] = times {
+            if from == to {
+                let help = "from=\"07:00\" to=\"19:00\": one that never ends lets nobody go";
+                r.report("contradiction", "a rest of no length".into(), rest.span(), Some(help.into()));
+            }
+            rests.push((from, to));
+        }
+    }
+    rests
+}
+
 /// Of a day, as `"07:30"`, in seconds.
 fn time(r: &mut Reader, n: &KdlNode, key: &str) -> Option<u32> {
     let text = r.text_at(n, key).unwrap_or_default();
--- a/crates/simulator/src/client.rs
+++ b/crates/simulator/src/client.rs
@@ -1,6 +1,7 @@
 //! Clients as an open loop: requests come when they come, whatever becomes of those before. One task speaks
 //! to all hosts, repeats what the effect of its request class allows, and checks the bytes it reads.
 
+pub use crate::load::{Change, Load, Tallies, Tally};
 use crate::{BASE_OBJECTS, base_content, content};
 use bytes::Bytes;
 use gullsail_configuration::Deployment;
@@ -11,7 +12,6 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp};
-use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,59 +20,6 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-/// What clients ask for, for as long as nothing changes it.
-#[derive(Clone, Debug)]
-pub struct Load {
-    /// Requests a second by request class, in the document's order, over all hosts.
-    pub rates: Vec<f64>,
-    /// Bytes of a written object.
-    pub bytes: usize,
-    /// Part of the reads that go to what was just written.
-    pub fresh: f64,
-    /// Clients try so often in all.
-    pub tries: u32,
-    pub seed: u64,
-}
-
-/// What goes on for a time.
-#[derive(Clone, Debug)]
-pub enum Change {
-    /// These volumes (a volume, a plan, or `*`) ask for so many times as much.
-    Surge { who: String, times: f64, until: Instant },
-    /// This part of the clients waits only a part of the latency objective.
-    Impatient { share: f64, part: f64, until: Instant },
-    /// The volumes' busiest host is another one from now on.
-    LeadMoves,
-    /// Another document: volumes go through the hosts that it names, new ones too.
-    Document(Arc<Deployment>),
-}
-
-/// What came of the clients' requests of one request class and plan.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Tally {
-    pub first_tries: u64,
-    pub repeats: u64,
-    #[serde(rename = "in_slo_time")]
-    pub in_latency_objective: u64,
-    pub late: u64,
-    #[serde(rename = "deferred")]
-    pub rejected: u64,
-    #[serde(rename = "abandoned")]
-    pub failed: u64,
-    pub not_taken: u64,
-    /// No answer before the client gave up, or its host was gone.
-    pub unanswered: u64,
-    pub wrong_bytes: u64,
-    /// Answers to what was answered before.
-    pub second_answers: u64,
-    pub units: f64,
-    #[serde(rename = "units_in_slo_time")]
-    pub units_in_latency_objective: f64,
-}
-
-/// By request class and plan.
-pub type Tallies = BTreeMap<(String, String), Tally>;
-
 struct Try {
     submit: Submit,
     body: Bytes,
@@ -159,17 +106,11 @@
                 Some(stream) => {
                     last_link += 1;
                     let link = Link::open(stream, last_link, Bounds::DEFAULT, 16_384, &sink, &mut tasks);
-                    c.greet(host, &link);
-                    c.links.insert(last_link, (host, link));
-                    c.by_host[host] = Some(last_link);
+                    c.connected(host, last_link, link);
                 }
                 None => _ = connecting.spawn(connect(host, 50)),
             },
-            Some(change) = changes.recv() => match change {
-                Change::LeadMoves => c.lead += 1,
-                Change::Document(d) => c.follow(d),
-                other => c.changes.push(other),
-            },
+            Some(change) = changes.recv() => c.change(change),
             () = tokio::time::sleep_until(next_wakeup) => {}
             _ = tasks.join_next(), if !tasks.is_empty() => {}
         }
@@ -195,6 +136,12 @@
         }
     }
 
+    fn connected(&mut self, host: usize, id: u64, link: Link) {
+        self.greet(host, &link);
+        self.links.insert(id, (host, link));
+        self.by_host[host] = Some(id);
+    }
+
     fn greet(&self, host: usize, link: &Link) {
         let known = self.d.hosts.get(host).map(|h| h.name.as_str());
         let name = format!("client-{}", known.unwrap_or("newcomer"));
@@ -202,6 +149,14 @@
         let _ = link.send(Frame::from(hello));
     }
 
+    fn change(&mut self, change: Change) {
+        match change {
+            Change::LeadMoves => self.lead += 1,
+            Change::Document(d) => self.follow(d),
+            other => self.changes.push(other),
+        }
+    }
+
     /// A document with more hosts: volumes go through these too. Request classes, volumes and plans are the
     /// same, in the same places. One without an address is known to no client.
     fn follow(&mut self, d: Arc<Deployment>) {
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod baseline;
 pub mod client;
 pub mod discovery;
+pub mod load;
 pub mod node;
 pub mod node_model;
 pub mod recording_proxy;
