No circle of files is left: bookkeeping of the scheduler, an attempt's key on the platform

Cause: tables of the scheduler held methods of the struct that holds them, and the platform's requests, attempts and timers named each other. Change: a file below their readers for each.

--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -5,6 +5,7 @@
 //! Called by the scheduler's actions, by timers and by `node_connections`. It never chooses a node.
 
 use super::Core;
+use super::attempt_key::AttemptKey;
 use super::io::{ConnectionId, Output};
 use super::requests::{FirstExecution, OpenRequest};
 use super::timer_event::TimerEvent;
@@ -15,13 +16,6 @@
 /// From the order to write a message until the node has its first byte, at most, on a connection that works.
 const MAX_SEND_DELAY: Span = Span::from_micros(10_000);
 
-/// A request, and the number of the attempt within it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct AttemptKey {
-    pub(super) request: RequestId,
-    pub(super) number: u32,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum AttemptProgress {
     WaitingForConnection,
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -9,6 +9,7 @@
 //! requests; `attempts` and `node_connections` what goes to nodes; `discovery` the endpoint list; `shutdown`
 //! the end.
 
+mod attempt_key;
 mod attempts;
 mod clients;
 mod discovery;
@@ -26,7 +27,8 @@
 pub use request_error::{HttpStatus, RequestError};
 
 use crate::settings_document::SettingsDocument;
-use attempts::{Attempt, AttemptKey};
+use attempt_key::AttemptKey;
+use attempts::Attempt;
 use clients::ClientTable;
 use discovery::Discovery;
 use gullsail::Scheduler;
--- a/crates/platform/src/core/node_connections/connecting.rs
+++ b/crates/platform/src/core/node_connections/connecting.rs
@@ -1,6 +1,7 @@
 //! Opens connections to nodes, assigns them to the attempts that wait, and closes them.
 
-use super::super::attempts::{AttemptKey, AttemptProgress};
+use super::super::attempt_key::AttemptKey;
+use super::super::attempts::AttemptProgress;
 use super::super::io::{ConnectionId, Output};
 use super::super::timer_event::TimerEvent;
 use super::super::{BOUNDS, Core};
--- a/crates/platform/src/core/node_connections/mod.rs
+++ b/crates/platform/src/core/node_connections/mod.rs
@@ -9,7 +9,7 @@
 mod liveness;
 mod responses;
 
-use super::attempts::AttemptKey;
+use super::attempt_key::AttemptKey;
 use super::io::ConnectionId;
 use gullsail_http::Decoder;
 use gullsail_scheduler_api::{Endpoint, EndpointState, Instant, NodeId, ZoneId};
--- a/crates/platform/src/core/node_connections/responses.rs
+++ b/crates/platform/src/core/node_connections/responses.rs
@@ -1,7 +1,8 @@
 //! What is received on connections to nodes, and the reports on what was written there.
 
 use super::super::Core;
-use super::super::attempts::{AttemptKey, AttemptProgress};
+use super::super::attempt_key::AttemptKey;
+use super::super::attempts::AttemptProgress;
 use super::super::io::ConnectionId;
 use super::ConnectionState;
 use gullsail_http::{Found, Message, Start};
--- a/crates/platform/src/core/requests.rs
+++ b/crates/platform/src/core/requests.rs
@@ -1,7 +1,7 @@
 //! The table of open requests: an entry lives from the moment its request is handed to the scheduler until
 //! its one response is given and none of its attempts is in flight. It decides nothing.
 
-use super::attempts::AttemptKey;
+use super::attempt_key::AttemptKey;
 use super::io::ConnectionId;
 use super::request_parser::{ForwardedHead, ParsedRequest};
 use bytes::Bytes;
--- a/crates/platform/src/core/timer_event.rs
+++ b/crates/platform/src/core/timer_event.rs
@@ -1,6 +1,6 @@
 //! What the timers of a host are for.
 
-use super::attempts::AttemptKey;
+use super::attempt_key::AttemptKey;
 use super::io::ConnectionId;
 use gullsail_scheduler_api::TimerId;
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -17,6 +17,7 @@
 mod admission;
 mod attempt_accounts;
 mod attempts;
+mod bookkeeping;
 mod cross_zone;
 mod cross_zone_ledger;
 mod demand_reports;
--- /dev/null
+++ b/src/scheduler/bookkeeping.rs
@@ -0,0 +1,68 @@
+//! What the ends of attempts and requests mean for the tables of requests and volumes: queues that are left,
+//! entries that are closed or forgotten. Nothing is decided here; `admission`, `attempts` and
+//! `demand_reports` call it.
+
+use super::request_scheduler::RequestScheduler;
+use super::volume::DEMAND_WINDOW;
+use gullsail_scheduler_api::{AttemptEnd, RequestId, Span, VolumeId};
+
+impl RequestScheduler {
+    pub(super) fn leave_queue(&mut self, id: RequestId) {
+        let Some(open) = self.requests.open.get_mut(&id) else { return };
+        let Some(key) = open.queue.take() else { return };
+        if !self.queues.remove(key, open.group(), open.waiting()) || open.attempts_sent > 0 {
+            return;
+        }
+        if let Some(volume) = self.volumes.by_id.get_mut(&open.request.volume) {
+            volume.bucket.waiting -= open.request.units;
+        }
+    }
+
+    /// The client has its answer or is gone; the entry stays until no attempt is in flight.
+    pub(super) fn close(&mut self, id: RequestId) {
+        self.leave_queue(id);
+        let Some(open) = self.requests.open.get_mut(&id) else { return };
+        open.closed = true;
+        if open.in_flight > 0 {
+            return;
+        }
+        let object = open.request.object;
+        if let Some(order) = self.requests.object_order(object) {
+            order.requests.retain(|other| *other != id);
+        }
+        self.requests.open.remove(&id);
+    }
+
+    /// Notes what came of an attempt at its request, its volume and its object.
+    pub(super) fn record_outcome(&mut self, end: &AttemptEnd) {
+        let Some(open) = self.requests.open.get_mut(&end.id) else { return };
+        if let (Some(used), Some(volume)) = (end.used, self.volumes.by_id.get_mut(&open.request.volume)) {
+            let plan = self.config.plans.get(volume.plan.0);
+            volume.fleet_usage = plan.map(|plan| used * plan.nominal_rate);
+        }
+        open.in_flight = open.in_flight.saturating_sub(1);
+        if end.outcome.never_ran() {
+            open.possible_run = open.possible_run.filter(|run| run.attempt != end.attempt);
+        }
+        let object = open.request.object;
+        if let (true, Some(order)) = (end.outcome.may_still_run(), self.requests.object_order(object)) {
+            order.settled_at = order.settled_at.max(self.now + self.config.order_settle);
+        }
+    }
+
+    /// Users that have not searched for so long; withdrawn volumes without requests.
+    pub(super) fn forget_users_and_volumes(&mut self, kept_for: Span) {
+        let now = self.now;
+        for users in self.volumes.users.values_mut() {
+            users.retain(|_, searched_at| now - *searched_at < kept_for);
+        }
+        self.volumes.users.retain(|_, users| !users.is_empty());
+        // What was withdrawn is forgotten long after its last request came: no demand report or loan of it
+        // is under way then.
+        let requests = &self.requests.open;
+        let has_open = |id: &VolumeId| requests.values().any(|open| open.request.volume == *id);
+        self.volumes.by_id.retain(|id, volume| {
+            !volume.withdrawn || volume.demand.read(now, DEMAND_WINDOW) > 1e-9 || has_open(id)
+        });
+    }
+}
--- a/src/scheduler/volume_table.rs
+++ b/src/scheduler/volume_table.rs
@@ -2,10 +2,8 @@
 //! which hosts use a volume, for the volumes whose map falls to this host. Bookkeeping only: tokens are
 //! counted and lent in `volume`, peers are asked in `demand_reports`.
 
-use super::request_scheduler::RequestScheduler;
-use super::volume::DEMAND_WINDOW;
 use crate::decaying_sum::DecayingSum;
-use gullsail_scheduler_api::{HostId, Instant, Limit, PlanId, Span, VolumeId};
+use gullsail_scheduler_api::{HostId, Instant, Limit, PlanId, VolumeId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Tokens that may still be under way to another host: the cap is lower by them until then.
@@ -83,21 +81,3 @@
     /// When this incarnation of the host started.
     pub(super) started_at: Instant,
 }
-
-impl RequestScheduler {
-    /// Users that have not searched for so long; withdrawn volumes without requests.
-    pub(super) fn forget_users_and_volumes(&mut self, kept_for: Span) {
-        let now = self.now;
-        for users in self.volumes.users.values_mut() {
-            users.retain(|_, searched_at| now - *searched_at < kept_for);
-        }
-        self.volumes.users.retain(|_, users| !users.is_empty());
-        // What was withdrawn is forgotten long after its last request came: no demand report or loan of it
-        // is under way then.
-        let requests = &self.requests.open;
-        let has_open = |id: &VolumeId| requests.values().any(|open| open.request.volume == *id);
-        self.volumes.by_id.retain(|id, volume| {
-            !volume.withdrawn || volume.demand.read(now, DEMAND_WINDOW) > 1e-9 || has_open(id)
-        });
-    }
-}
