Simulated nodes of a scope recognise each other's repeats, a killed node's too

Cause: each simulated node kept the keys it had seen in its own process, whatever the group of the class said. It is not the client's repeat: a host's own retry at the other node doubles just the same. The new test drops a node's answer with its connection; without this change it fails with 'its repeat took effect again'.

Why this works: the nodes of a scope share a record of keys in which looking up and recording is one locked step, done before the effect and the answer; it outlasts a killed node, and keys last for the class's window.

--- a/crates/cli/benches/service/sockets.rs
+++ b/crates/cli/benches/service/sockets.rs
@@ -10,7 +10,8 @@
 use gullsail_protocol::{
     Bounds, Frame, Handle, Hello, ListedEndpoint, Message, Role, Submit, Withdraw, decode,
 };
-use gullsail_scheduler_api::{HostId, Span};
+use gullsail_scheduler_api::{HostId, ShardId, Span, ZoneId};
+use gullsail_simulator::idempotency_keys::{IdempotencyKeys, NodeLocation};
 use gullsail_simulator::{discovery, node};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -177,6 +178,10 @@
                 let at = TcpListener::from_std(list_at).expect("a listener");
                 serving.spawn(discovery::serve(entries(&stand_ins), Span::ZERO, at));
                 for (shard, at) in nodes_at.into_iter().enumerate() {
+                    let location = NodeLocation {
+                        zone: ZoneId(0),
+                        shard: ShardId(shard as i64),
+                    };
                     let process = node::NodeProcess {
                         name: format!("n{shard}"),
                         shard: shard as i64,
@@ -185,6 +190,7 @@
                         incarnation: 7,
                         age: Span::from_millis(1e7),
                         bounds: Bounds::DEFAULT,
+                        keys: IdempotencyKeys::of_one_node(&stand_ins, &location),
                     };
                     serving.spawn(node::serve(
                         process,
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -96,6 +96,9 @@
         /// Uptime that the node starts with. A node older than the slow-start ramp starts warm.
         #[arg(long, default_value = "0s")]
         age: humantime::Duration,
+        /// Directory in which the nodes of the document share idempotency keys. Without it the node knows only its own.
+        #[arg(long)]
+        keys: Option<PathBuf>,
     },
     /// Runs a simulated endpoint list service.
     List {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -110,7 +110,12 @@
         Command::Baseline { file, name, seed } => {
             processes::baseline(&file, &name, seed.unwrap_or_else(rand::random)).await
         }
-        Command::Node { file, name, age } => processes::node(&file, &name, age).await,
+        Command::Node {
+            file,
+            name,
+            age,
+            keys,
+        } => processes::node(&file, &name, age, keys.as_deref()).await,
         Command::List { file } => processes::list(&file).await,
         _ => unreachable!("only commands that run a process are passed here"),
     }
--- a/crates/cli/src/processes.rs
+++ b/crates/cli/src/processes.rs
@@ -9,6 +9,7 @@
 use gullsail_protocol::{ListedEndpoint, ListedState};
 use gullsail_scenario::processes::Listening;
 use gullsail_scheduler_api::Span;
+use gullsail_simulator::idempotency_keys::{IdempotencyKeys, NodeLocation};
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -114,7 +115,12 @@
 }
 
 /// Runs a simulated storage node.
-pub async fn node(file: &Path, name: &str, age: humantime::Duration) -> Result<ExitCode> {
+pub async fn node(
+    file: &Path,
+    name: &str,
+    age: humantime::Duration,
+    keys: Option<&Path>,
+) -> Result<ExitCode> {
     let signals = StopSignals::register()?;
     let (d, _) = documents::read(file)?;
     let n = d
@@ -129,6 +135,14 @@
     })?;
     let (listener, incarnation) = listen(&n.place.listen, name).await?;
     let HostBounds { frame: bounds, .. } = d.bounds;
+    let location = NodeLocation {
+        zone: n.place.zone,
+        shard: n.shard,
+    };
+    let keys = match keys {
+        Some(directory) => IdempotencyKeys::shared(&d, &location, directory),
+        None => IdempotencyKeys::of_one_node(&d, &location),
+    };
     let process = gullsail_simulator::node::NodeProcess {
         name: name.into(),
         shard: n.shard.0,
@@ -137,6 +151,7 @@
         incarnation,
         age: Span::from_millis(age.as_secs_f64() * 1e3),
         bounds,
+        keys,
     };
     tokio::select! {
         () = gullsail_simulator::node::serve(process, listener) => Ok(ExitCode::from(1)),
--- a/crates/cli/tests/loopback/main.rs
+++ b/crates/cli/tests/loopback/main.rs
@@ -1,6 +1,7 @@
 //! The host on real sockets against stand-ins, with peers that misbehave. Everything runs in one thread of
 //! this process; a host that is killed is a task that is dropped.
 
+mod replicas;
 mod rig;
 mod shutdown;
 
--- a/crates/cli/tests/loopback/rig.rs
+++ b/crates/cli/tests/loopback/rig.rs
@@ -5,7 +5,8 @@
 use gullsail_host::core::Counts;
 use gullsail_host::runtime::{self, HostClock, HostProcess};
 use gullsail_protocol::*;
-use gullsail_scheduler_api::{HostId, Span};
+use gullsail_scheduler_api::{HostId, ShardId, Span, ZoneId};
+use gullsail_simulator::idempotency_keys::{IdempotencyKeys, NodeLocation};
 use gullsail_simulator::node::{self, NodeProcess};
 use std::future::Future;
 use std::sync::Arc;
@@ -38,9 +39,19 @@
 }
 
 pub fn document(host: &str, node: &str) -> Arc<Deployment> {
+    replicated_document(host, &[node])
+}
+
+/// A host and the nodes of one shard: n1, n2 and so on.
+pub fn replicated_document(host: &str, nodes: &[&str]) -> Arc<Deployment> {
+    let node = |(place, address): (usize, &&str)| {
+        let number = place + 1;
+        format!("node \"n{number}\" cell=1 address=\"{address}\" machine=\"box\"\n")
+    };
+    let nodes: String = nodes.iter().enumerate().map(node).collect();
     let text = format!(
         r#"
-rules tick="20ms"
+rules tick="20ms" most-units=40
 cold units=40 window="1s" first-part=0.2 ramp="1s"
 stream-type "read" effect="repeatable" slo="10s" expiry="20s"
 stream-type "write" effect="keyed" group="cell" window="60s" slo="10s" expiry="20s" write=#true
@@ -48,7 +59,7 @@
 plan "free"
 machine "box" cores=2 unit="1ms" queue=100
 host "h1" address="{host}"
-node "n1" cell=1 address="{node}" machine="box"
+{nodes}
 volume "v" plan="free"
 bounds body-bytes="1MB" unsent-bytes="100KB" client-stall="1s"
 "#
@@ -91,14 +102,33 @@
 }
 
 pub fn stand_in(d: &Deployment, listener: TcpListener) -> JoinHandle<()> {
+    let keys = IdempotencyKeys::of_one_node(d, &location());
+    simulated_node(d, "n1", listener, keys)
+}
+
+/// Where the nodes of these tests stand.
+pub fn location() -> NodeLocation {
+    NodeLocation {
+        zone: ZoneId(0),
+        shard: ShardId(1),
+    }
+}
+
+pub fn simulated_node(
+    d: &Deployment,
+    name: &str,
+    listener: TcpListener,
+    keys: IdempotencyKeys,
+) -> JoinHandle<()> {
     let process = NodeProcess {
-        name: "n1".into(),
+        name: name.into(),
         shard: 1,
         server: d.servers[0].clone(),
         slow_start: d.figures().slow_start,
         incarnation: 77,
         age: Span::from_millis(1e7),
         bounds: Bounds::DEFAULT,
+        keys,
     };
     tokio::spawn(node::serve(process, listener))
 }
--- a/crates/scenario/src/run/lifecycle.rs
+++ b/crates/scenario/src/run/lifecycle.rs
@@ -114,6 +114,8 @@
         warm: bool,
     ) -> Result<(), RunError> {
         let mut args = vec!["node".into(), "--name".into(), node.place.name.clone()];
+        let keys = self.stage.dir.display().to_string();
+        args.extend(["--keys".into(), keys]);
         if warm {
             args.extend(["--age".into(), "1h".into()]);
         }
--- a/crates/simulator/src/client/attempts.rs
+++ b/crates/simulator/src/client/attempts.rs
@@ -52,17 +52,28 @@
         let request_class = &self.deployment.request_classes[attempt.request_class];
         match request_class.decisions.idempotency {
             Idempotency::Idempotent => true,
-            // Another host would put a new object elsewhere, where its mark is not known.
             Idempotency::WithKey { scope, window } => {
                 let window = Duration::from_micros(window.micros() as u64);
-                let object_known = attempt.submit.handle.is_some();
                 attempt.began.elapsed() + pause < window
-                    && (scope == IdempotencyScope::All || object_known)
+                    && self.any_host_stays_in_scope(scope, attempt)
             }
             Idempotency::NonIdempotent => false,
         }
     }
 
+    /// Whether any host would send the request to nodes that recognise the repeat. A new object could go anywhere.
+    fn any_host_stays_in_scope(&self, scope: IdempotencyScope, attempt: &Attempt) -> bool {
+        let Some(handle) = attempt.submit.handle else {
+            return scope == IdempotencyScope::All;
+        };
+        let nodes = self.deployment.nodes.iter();
+        let mut zones = nodes
+            .filter(|node| node.shard.0 == handle.shard)
+            .map(|node| node.place.zone);
+        let first = zones.next();
+        scope != IdempotencyScope::Zone || zones.all(|zone| Some(zone) == first)
+    }
+
     fn choose_other_host(&mut self, attempt: &Attempt) -> usize {
         let volume = self.deployment.volume(&attempt.submit.volume);
         let mut hosts = volume
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -1,4 +1,5 @@
-//! What a host has around it, simulated: storage nodes ([`node`], with a [`node_model`] in given time), the
+//! What a host has around it, simulated: storage nodes ([`node`], with a [`node_model`] in given time and
+//! [`idempotency_keys`]), the
 //! list service ([`discovery`]), clients ([`client`]), a [`baseline`] in place of the host, and the
 //! [`recording_proxy`], which stands before a process's socket, records each frame and disturbs what it is
 //! told to.
@@ -6,6 +7,7 @@
 pub mod baseline;
 pub mod client;
 pub mod discovery;
+pub mod idempotency_keys;
 pub mod load;
 pub mod node;
 pub mod node_model;
--- a/crates/simulator/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -1,6 +1,7 @@
-//! A storage node on a socket: the model decides how long things take, this keeps objects and marks and
+//! A storage node on a socket: the model decides how long things take, this keeps objects and
 //! speaks the frames. It runs until its task is dropped, or until it falls over.
 
+use crate::idempotency_keys::{IdempotencyKeys, KeyedWrite, machine_time};
 use crate::node_model::{Arrival, Model};
 use crate::{BASE_OBJECTS, base_content};
 use bytes::Bytes;
@@ -19,9 +20,6 @@
 use tokio::task::JoinSet;
 use tracing::{info, warn};
 
-/// Marks are kept this long, and no shorter than any stated window.
-const MARKS_KEPT: Span = Span::from_micros(600_000_000);
-
 /// A simulated storage node as a process: its name, its server, its age.
 pub struct NodeProcess {
     /// Its name in the configuration.
@@ -38,6 +36,8 @@
     pub age: Span,
     /// The largest frames that it accepts.
     pub bounds: Bounds,
+    /// The keys by which it recognises repeats.
+    pub keys: IdempotencyKeys,
 }
 
 /// An attempt that the node has taken, with the link that its answer goes to.
@@ -47,12 +47,6 @@
     body: Bytes,
 }
 
-/// An effect that is remembered by its mark.
-struct Mark {
-    at: Instant,
-    handle: Handle,
-}
-
 /// A fault: some requests cost more work than usual.
 struct CostlyRequests {
     /// Empty: all request classes.
@@ -75,7 +69,6 @@
     links: BTreeMap<u64, Link>,
     attempts: BTreeMap<u64, TakenAttempt>,
     objects: BTreeMap<u64, Bytes>,
-    marks: BTreeMap<String, Mark>,
     rng: ChaCha8Rng,
     fail: f64,
     costly: Option<CostlyRequests>,
@@ -103,7 +96,7 @@
     let mut last_attempt = 0;
     loop {
         for id in node.model.advance(now()) {
-            node.finish(id, now());
+            node.finish(id);
         }
         node.end_expired_faults(now());
         let next_wakeup = tokio::time::Instant::now()
@@ -144,7 +137,6 @@
             links: BTreeMap::new(),
             attempts: BTreeMap::new(),
             objects: BTreeMap::new(),
-            marks: BTreeMap::new(),
             rng,
             fail: 0.0,
             costly: None,
@@ -294,7 +286,7 @@
         }
     }
 
-    fn finish(&mut self, id: u64, now: Instant) {
+    fn finish(&mut self, id: u64) {
         let Some(taken) = self.attempts.remove(&id) else {
             return;
         };
@@ -319,7 +311,7 @@
             ..answer.clone()
         };
         let frame = if attempt.write {
-            self.write(attempt, body, done, now)
+            self.write(attempt, body, done)
         } else {
             match attempt.handle.and_then(|handle| self.read(handle)) {
                 Some(bytes) => Frame::from(done).with_body(bytes),
@@ -332,29 +324,40 @@
         self.send(link, frame);
     }
 
-    /// Stores an object, or finds by its mark that an earlier attempt did.
-    fn write(&mut self, attempt: Attempt, body: Bytes, done: AttemptAnswer, now: Instant) -> Frame {
-        self.marks.retain(|_, mark| now - mark.at < MARKS_KEPT);
-        let known = self.marks.get(&attempt.mark);
-        if let Some(mark) = known.filter(|_| !attempt.mark.is_empty()) {
-            // The repeat of one that took effect: the same answer, no second effect.
-            return Frame::from(AttemptAnswer {
-                ran: false,
-                handle: Some(mark.handle),
-                ..done
-            });
-        }
+    /// Stores an object, or finds by its key that an earlier attempt did, at this node or another.
+    fn write(&mut self, attempt: Attempt, body: Bytes, done: AttemptAnswer) -> Frame {
         let shard = self.process.shard;
         let handle = attempt.handle.unwrap_or_else(|| Handle {
             shard,
             object: BASE_OBJECTS + self.rng.random_range(0..u64::MAX / 2),
         });
-        self.objects.insert(handle.object, body);
-        self.marks.insert(attempt.mark, Mark { at: now, handle });
-        Frame::from(AttemptAnswer {
-            handle: Some(handle),
-            ..done
-        })
+        let keys = &mut self.process.keys;
+        match keys.record(
+            &attempt.request_class,
+            &attempt.mark,
+            handle,
+            machine_time(),
+        ) {
+            Ok(KeyedWrite::TakesEffect) => {
+                self.objects.insert(handle.object, body);
+                Frame::from(AttemptAnswer {
+                    handle: Some(handle),
+                    ..done
+                })
+            }
+            Ok(KeyedWrite::Repeats(first)) => Frame::from(AttemptAnswer {
+                ran: false,
+                handle: Some(first),
+                ..done
+            }),
+            Err(error) => Frame::from(AttemptAnswer {
+                result: AttemptResult::Failed as i32,
+                ran: false,
+                handle: None,
+                reason: format!("the record of keys: {error}"),
+                ..done
+            }),
+        }
     }
 
     /// The bytes of an object of this node's shard.
