Each operator's command that a host has read is answered, also when the host leaves

Cause: a coordinator that takes its own server offline can step down between two sendings of its own command, which then has no coordinator to answer it. At the end of a shutdown commands without a result were dropped, and the control socket's task was aborted: also over a second requester, one in the backlog and a reload that was being read.

Why this works: an order that drains is known to a majority, so its host may accept the command itself; every other pending command is answered as unknown when the host leaves the fleet; the host ends after the socket's task, which ends after the last reply. Exit code 3 tells an unknown result.

--- a/crates/cli/src/maintenance.rs
+++ b/crates/cli/src/maintenance.rs
@@ -7,6 +7,7 @@
 use gullsail_host::core::maintenance::{MaintenanceView, OperatorCommand, OrderView};
 use indicatif::{ProgressBar, ProgressStyle};
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use std::io;
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -16,19 +17,26 @@
 /// How often `--wait` asks for the queue.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The exit code of a command whose result is not known.
+const RESULT_UNKNOWN: u8 = 3;
+
 /// Sends a command to a host. With `wait_for`, waits until these servers are offline. Exit code 0: the command
-/// is accepted; 1: it is refused, or a server is overdue or its order cancelled.
+/// is accepted; 1: it is refused, or a server is overdue or its order cancelled; 3: its result is not known.
 pub async fn send_command(
     control: &Path,
     command: OperatorCommand,
     wait_for: Option<Vec<String>>,
 ) -> Result<ExitCode> {
     let request = ControlRequest::OperatorCommand(command);
-    let reply = ask(control, request, COMMAND_TIMEOUT)
-        .await
-        .into_diagnostic();
+    let reply = match ask(control, request, COMMAND_TIMEOUT).await {
+        Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => {
+            return Ok(result_unknown(&error.to_string()));
+        }
+        reply => reply.into_diagnostic(),
+    };
     match reply.wrap_err_with(|| format!("the host at {}", control.display()))? {
         ControlReply::CommandTaken => {}
+        ControlReply::CommandResultUnknown { why } => return Ok(result_unknown(&why)),
         ControlReply::TurnedDown { why } => {
             println!("refused: {}", why.join("; "));
             return Ok(ExitCode::from(1));
@@ -47,6 +55,11 @@
     wait_until_offline(control, &names).await
 }
 
+fn result_unknown(why: &str) -> ExitCode {
+    println!("result unknown: {why}");
+    ExitCode::from(RESULT_UNKNOWN)
+}
+
 /// Waits until each of these servers may be switched off, or could be before. A zone's name stands for all
 /// servers that are queued when the wait begins.
 async fn wait_until_offline(control: &Path, names: &[String]) -> Result<ExitCode> {
--- a/crates/cli/tests/fleet/main.rs
+++ b/crates/cli/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 //! control socket.
 
 mod client;
+mod commands;
 mod offline;
 mod rig;
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -25,7 +25,7 @@
 
 pub use event::{Event, Output};
 pub use messages::RULES;
-pub use operator_commands::Answer;
+pub use operator_commands::{CommandAnswer, CommandResult};
 
 use crate::config::FleetConfig;
 use crate::coordinator_lease::renewal_check_interval;
@@ -167,6 +167,7 @@
                     epoch = self.membership.epoch,
                     "graceful shutdown: leaving the fleet, shares released"
                 );
+                self.end_pending_commands();
                 self.membership.departure = Departure::Announced {
                     give_up_at: now + self.config.lease,
                 };
--- a/crates/fleet/src/fleet/maintenance_participant.rs
+++ b/crates/fleet/src/fleet/maintenance_participant.rs
@@ -199,6 +199,7 @@
             self.maintenance.confirmed_until = self.membership.lease_holder.expires_at();
             self.update_isolation();
         }
+        self.accept_commands_that_drain_this_host();
         if self.going_offline() && self.resign() {
             info!(
                 member = self.process.host.0,
--- a/crates/fleet/src/fleet/operator_commands.rs
+++ b/crates/fleet/src/fleet/operator_commands.rs
@@ -2,6 +2,7 @@
 //! out.
 
 use super::Fleet;
+use crate::maintenance::coordinator::CommandKind;
 use crate::maintenance::{CommandRefusal, ServerId};
 use gullsail_protocol::{FleetCommand, FleetMaintenance, FleetMessage, FleetWhat};
 use gullsail_scheduler_api::Instant;
@@ -15,9 +16,30 @@
 /// When a pending command times out, in leases: long enough for two takeovers.
 const GIVE_UP_AFTER_LEASES: f64 = 6.0;
 
-/// The number of an operator's command and its result: accepted, or the server that it is refused for and
-/// the reason.
-pub type Answer = (u64, Result<(), (ServerId, String)>);
+/// The answer to an operator's command.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CommandAnswer {
+    /// The command's number.
+    pub number: u64,
+    /// What became of it.
+    pub result: CommandResult,
+}
+
+/// What became of an operator's command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CommandResult {
+    /// A majority of the hosts knows it.
+    Accepted,
+    /// It has no effect.
+    Refused {
+        /// The server that it is refused for.
+        server: ServerId,
+        /// Why, for the operator.
+        reason: String,
+    },
+    /// This process left the fleet before the coordinator answered. It may take effect.
+    Unknown,
+}
 
 #[derive(Clone, Debug)]
 struct PendingCommand {
@@ -30,7 +52,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct PendingCommands {
     pending: BTreeMap<u64, PendingCommand>,
-    answers: Vec<Answer>,
+    answers: Vec<CommandAnswer>,
 }
 
 impl PendingCommands {
@@ -41,14 +63,17 @@
 
     fn refuse(&mut self, number: u64, command: &FleetCommand, refusal: CommandRefusal) {
         let server = ServerId(command.servers.first().copied().unwrap_or_default());
-        self.answers
-            .push((number, Err((server, refusal.to_string()))));
+        let result = CommandResult::Refused {
+            server,
+            reason: refusal.to_string(),
+        };
+        self.answers.push(CommandAnswer { number, result });
     }
 }
 
 impl Fleet {
     /// The results of operators' commands, each once.
-    pub fn answers(&mut self) -> std::vec::Drain<'_, Answer> {
+    pub fn answers(&mut self) -> std::vec::Drain<'_, CommandAnswer> {
         self.maintenance.commands.answers.drain(..)
     }
 
@@ -58,6 +83,9 @@
         if self.config.maintenance.is_none() {
             return commands.refuse(number, &command, CommandRefusal::NoMaintenance);
         }
+        if self.membership.is_leaving() {
+            return commands.refuse(number, &command, CommandRefusal::HostIsLeaving);
+        }
         if commands.pending.len() >= MAX_COMMANDS {
             return commands.refuse(number, &command, CommandRefusal::TooManyCommands);
         }
@@ -131,11 +159,48 @@
         let commands = &mut self.maintenance.commands;
         if commands.pending.remove(&message.number).is_some() {
             let result = if result.why.is_empty() {
-                Ok(())
+                CommandResult::Accepted
             } else {
-                Err((ServerId(result.refused), result.why.clone()))
+                CommandResult::Refused {
+                    server: ServerId(result.refused),
+                    reason: result.why.clone(),
+                }
             };
-            commands.answers.push((message.number, result));
+            let number = message.number;
+            commands.answers.push(CommandAnswer { number, result });
         }
     }
+
+    /// Accepts the pending commands that take this host offline, once it drains: an order that drains is known to a
+    /// majority. The coordinator's own answer may not come any more, since that may be this host, which steps down.
+    pub(super) fn accept_commands_that_drain_this_host(&mut self) {
+        let own = self.server_of(self.process.host);
+        let Some(own) = own.filter(|_| self.going_offline()) else {
+            return;
+        };
+        let commands = &mut self.maintenance.commands;
+        let drains_this_host = |command: &FleetCommand| {
+            command.kind == CommandKind::TakeOffline as u32 && command.servers == [own.0]
+        };
+        let accepted = commands
+            .pending
+            .extract_if(.., |_, pending| drains_this_host(&pending.command));
+        let answers = accepted.map(|(number, _)| CommandAnswer {
+            number,
+            result: CommandResult::Accepted,
+        });
+        commands.answers.extend(answers);
+    }
+
+    /// This process leaves: nobody would receive the coordinator's answers to the commands that are pending.
+    pub(super) fn end_pending_commands(&mut self) {
+        self.accept_commands_that_drain_this_host();
+        let commands = &mut self.maintenance.commands;
+        let pending = std::mem::take(&mut commands.pending);
+        let answers = pending.into_keys().map(|number| CommandAnswer {
+            number,
+            result: CommandResult::Unknown,
+        });
+        commands.answers.extend(answers);
+    }
 }
--- a/crates/fleet/src/maintenance/refusal.rs
+++ b/crates/fleet/src/maintenance/refusal.rs
@@ -31,6 +31,8 @@
     TooManyCommands,
     /// No coordinator answered in time.
     Unanswered,
+    /// This host is leaving the fleet.
+    HostIsLeaving,
 }
 
 impl fmt::Display for CommandRefusal {
@@ -55,6 +57,9 @@
             }
             CommandRefusal::NoMaintenance => "the configuration has no `works` entry",
             CommandRefusal::TooManyCommands => "too many commands of this host wait for an answer",
+            CommandRefusal::HostIsLeaving => {
+                "this host is leaving: give the command to another one"
+            }
             CommandRefusal::Unanswered => {
                 "no coordinator acknowledged it in time; it may still take effect, and repeating it is safe"
             }
--- a/crates/fleet/tests/world/harness.rs
+++ b/crates/fleet/tests/world/harness.rs
@@ -4,7 +4,7 @@
 
 use crate::network::Cut;
 use crate::servers::OrderHistory;
-use gullsail_fleet::fleet::Answer;
+use gullsail_fleet::fleet::CommandAnswer;
 use gullsail_fleet::maintenance::coordinator::CommandKind;
 use gullsail_fleet::maintenance::{MaintenanceConfig, ServerId};
 use gullsail_fleet::{Budget, Event, Fleet, FleetConfig, WHOLE};
@@ -133,7 +133,7 @@
     /// For how long each node has run, as hosts see it.
     pub up: Span,
     pub orders: OrderHistory,
-    pub answers: Vec<Answer>,
+    pub answers: Vec<CommandAnswer>,
     last_command: u64,
 }
 
@@ -269,6 +269,7 @@
             fleet.handle(now, Event::Leave);
         }
         if fleet.has_left() {
+            self.answers.extend(fleet.answers());
             return self.kill(host);
         }
         if self.config.maintenance.is_some() {
--- a/crates/fleet/tests/world/main.rs
+++ b/crates/fleet/tests/world/main.rs
@@ -1,6 +1,7 @@
 //! Whole fleets in simulated time, by `harness`; servers taken offline in `maintenance`. A failure names its
 //! seed, and `FLEET_SEEDS=from..to` runs others.
 
+mod commands;
 mod faults;
 mod harness;
 mod invariants;
--- a/crates/fleet/tests/world/maintenance.rs
+++ b/crates/fleet/tests/world/maintenance.rs
@@ -3,6 +3,7 @@
 
 use crate::harness::{DRIFT, FIRST_NODE, Host, LEASE, NODES, Node, SECOND, World};
 use crate::seeds;
+use gullsail_fleet::fleet::CommandResult;
 use gullsail_fleet::maintenance::coordinator::CommandKind;
 use gullsail_fleet::maintenance::{MaintenanceConfig, ServerId, Stage};
 use gullsail_protocol::FleetCommand;
@@ -10,7 +11,7 @@
 use rand::Rng;
 use std::collections::BTreeSet;
 
-fn maintenance_config() -> MaintenanceConfig {
+pub fn maintenance_config() -> MaintenanceConfig {
     MaintenanceConfig {
         at_once: 2,
         in_zone: 2,
@@ -209,15 +210,11 @@
         w.run(2 * LEASE);
         assert_eq!(stage(&w, node(0)), Some(Stage::Offline));
         assert_eq!(w.orders.stages.len(), 1);
-        assert_eq!(
-            w.answers
-                .iter()
-                .filter(|(_, result)| result.is_ok())
-                .count(),
-            2,
-            "{:?}",
-            w.answers
-        );
+        let accepted = w
+            .answers
+            .iter()
+            .filter(|answer| answer.result == CommandResult::Accepted);
+        assert_eq!(accepted.count(), 2, "{:?}", w.answers);
         // Known late: it had started before it was offline.
         w.nodes[0].incarnation = 98;
         w.up = Span::from_millis(60_000.0);
--- a/crates/host/src/control/messages.rs
+++ b/crates/host/src/control/messages.rs
@@ -54,6 +54,12 @@
     /// The maintenance command is accepted, whichever host decided. The state says what it waits for.
     #[serde(rename = "word-taken")]
     CommandTaken,
+    /// The host leaves before it knows the result of the maintenance command, which may still take effect.
+    #[serde(rename = "word-unknown")]
+    CommandResultUnknown {
+        /// What to do, for the operator.
+        why: String,
+    },
     /// The line was not understood or could not be answered.
     Error {
         /// Why.
--- a/crates/host/src/core/maintenance.rs
+++ b/crates/host/src/core/maintenance.rs
@@ -187,9 +187,6 @@
             }),
             Ok(command) => {
                 let until = self.now + SHUTDOWN_COMMAND_GRACE;
-                self.maintenance
-                    .pending_commands
-                    .retain(|_, until| *until > self.now);
                 self.maintenance.pending_commands.insert(requester, until);
                 self.set_timer(until, TimerKind::Fleet);
                 self.notify_fleet(FleetEvent::OperatorCommand {
--- a/crates/host/src/core/operator_command.rs
+++ b/crates/host/src/core/operator_command.rs
@@ -62,4 +62,10 @@
         /// Why.
         reason: String,
     },
+    /// This host has left the fleet before the coordinator answered.
+    #[error(
+        "this host is leaving and does not know the result; the command may still take effect: see \
+         `gullsail fleet maintenance` at another host, or repeat it there"
+    )]
+    ResultUnknown,
 }
--- a/crates/host/src/core/server_drains.rs
+++ b/crates/host/src/core/server_drains.rs
@@ -4,12 +4,13 @@
 
 use super::Core;
 use super::input_output::Output;
-use super::maintenance::{CommandError, host_server, node_server};
+use super::maintenance::{CommandError, CommandOutcome, host_server, node_server};
 use super::nodes::NodeRecord;
 use super::timer_kind::TimerKind;
 use gullsail_configuration::number;
 use gullsail_fleet::Event as FleetEvent;
 use gullsail_fleet::Fleet;
+use gullsail_fleet::fleet::CommandResult;
 use gullsail_fleet::maintenance::{ServerId, ServerObservation, ServerRole, Servers, Stage};
 use gullsail_scheduler_api::{
     AttemptOutcome, EndpointState, Event, Instant, NodeId, Span, UpdateKind,
@@ -58,14 +59,23 @@
             info!("graceful shutdown: this host's server goes into maintenance");
             self.begin_shutdown();
         }
-        for (requester, answer) in answers {
-            self.maintenance.pending_commands.remove(&requester);
-            let outcome = answer.map_err(|(server, reason)| CommandError::Refused {
-                server: self.server_name(server),
-                reason: reason.to_string(),
+        for answer in answers {
+            self.maintenance.pending_commands.remove(&answer.number);
+            self.outputs.push(Output::CommandOutcome {
+                requester: answer.number,
+                outcome: self.command_outcome(answer.result),
             });
-            self.outputs
-                .push(Output::CommandOutcome { requester, outcome });
+        }
+    }
+
+    fn command_outcome(&self, result: CommandResult) -> CommandOutcome {
+        match result {
+            CommandResult::Accepted => Ok(()),
+            CommandResult::Refused { server, reason } => Err(CommandError::Refused {
+                server: self.server_name(server),
+                reason,
+            }),
+            CommandResult::Unknown => Err(CommandError::ResultUnknown),
         }
     }
 
--- a/crates/host/src/runtime.rs
+++ b/crates/host/src/runtime.rs
@@ -7,7 +7,7 @@
 mod control_requests;
 mod sockets;
 
-use crate::control::{Control, LoopRequest};
+use crate::control::{Control, LoopRequest, MAX_REQUESTERS};
 use crate::core::{Core, Counts, Input, LinkId, Output};
 use crate::stall_detector::StallDetector;
 use control_requests::Requesters;
@@ -23,22 +23,15 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// Time for the last answer to an operator: 20 ms. The answer has some hundred bytes and goes to a local socket.
-/// With less, an operator may see the connection end without the answer; with more, each host exits later.
-const LAST_ANSWER_TIME: Duration = Duration::from_millis(20);
-/// How long clients that were told to go away may stay connected once everything is answered: 1 s. With less, a client
-/// that is held up has its connection ended over a request that it just sends; with more, a client that ignores what
-/// it is told delays the exit.
+/// How long clients that were told to go away may stay connected once everything is answered.
 const CLIENTS_LEAVE_TIME: Duration = Duration::from_secs(1);
 /// Frames that wait to be handled, over all connections. When there are more, sockets are not read. Their bytes
 /// are bounded by the read budget; this bounds the number of small ones.
 const INBOX_FRAMES: usize = 1024;
-/// Requests of the control socket that wait for the loop. The socket serves one requester at a time, and each
-/// sends at most two requests to the loop.
-const LOOP_REQUESTS: usize = 2;
+/// Requests of the control socket that wait for the loop.
+const LOOP_REQUESTS: usize = MAX_REQUESTERS;
 /// Frames that are handled together before anything is sent. A larger batch saves steps of the scheduler under
 /// load, and delays the answers to its first frames.
 const BATCH_FRAMES: usize = 256;
@@ -96,13 +89,15 @@
     let (sink, mut inbox) = mpsc::channel(INBOX_FRAMES);
     let mut runtime = Runtime::new(process, listener, sink);
     let (to_loop, mut loop_requests) = mpsc::channel(LOOP_REQUESTS);
-    let control = control.map(|control| runtime.sockets.tasks.spawn(control.serve(to_loop)));
+    if let Some(control) = control {
+        runtime.sockets.tasks.spawn(control.serve(to_loop));
+    }
     let mut batch = Vec::with_capacity(BATCH_FRAMES);
     tokio::pin!(stop);
     loop {
         let overfull = runtime.turn(inbox.is_empty());
         if runtime.may_exit() {
-            return runtime.finish(control).await;
+            return runtime.finish(loop_requests).await;
         }
         if !overfull.is_empty() {
             runtime.close_overfull(overfull);
@@ -164,15 +159,14 @@
         self.stall.next_turn(requested)
     }
 
-    /// Whether everything is answered, operators have had time to receive their answers, and clients have left or
-    /// had time to.
+    /// Whether everything is answered, and clients have left or had time to.
     fn may_exit(&self) -> bool {
         let Some(finished_at) = self.finished_at else {
             return false;
         };
         let elapsed = finished_at.elapsed();
         let clients_left = self.core.client_links().is_empty();
-        elapsed >= CLIENTS_LEAVE_TIME || (clients_left && elapsed >= LAST_ANSWER_TIME)
+        clients_left || elapsed >= CLIENTS_LEAVE_TIME
     }
 
     /// Keeps only the connections of clients. The core has left the fleet and no request is open, so the frames of
@@ -183,13 +177,23 @@
         self.sockets.connecting.abort_all();
     }
 
-    /// Writes what is queued and ends all tasks. Returns what was counted.
-    async fn finish(self, control: Option<AbortHandle>) -> Counts {
-        self.sockets.finish().await;
-        if let Some(task) = control {
-            task.abort();
+    /// Answers the operators that still wait, writes what is queued and ends all tasks. Returns what was counted.
+    async fn finish(mut self, mut loop_requests: mpsc::Receiver<LoopRequest>) -> Counts {
+        loop_requests.close();
+        while let Ok(request) = loop_requests.try_recv() {
+            self.control_request(request);
         }
-        self.core.counts().clone()
+        self.turn(true);
+        let Runtime {
+            core,
+            sockets,
+            requesters,
+            ..
+        } = self;
+        // Who waits for a result that does not come any more is told that this host is leaving.
+        drop(requesters);
+        sockets.finish().await;
+        core.counts().clone()
     }
 
     /// Lets the core advance and carries out its outputs. Returns connections whose write queues are full.
--- a/crates/host/src/runtime/sockets.rs
+++ b/crates/host/src/runtime/sockets.rs
@@ -2,6 +2,7 @@
 //! process's file descriptors.
 
 use super::Runtime;
+use crate::control::MAX_REQUESTERS;
 use crate::core::{Input, LinkId};
 use gullsail_configuration::Deployment;
 use gullsail_connections::{Link, ReadBudget, ReadLimits, Sink};
@@ -17,10 +18,10 @@
 /// Frames that wait to be written to one connection. A connection on which more pile up is closed. With fewer, a
 /// burst of small answers closes connections of clients that do read; more only hold memory for those that do not.
 const OUTBOX_FRAMES: usize = 16_384;
-/// Descriptors reserved for the process itself: standard streams, listener, control socket and its requester,
-/// a configuration that is read, and the runtime's own. With fewer, a reload may fail while clients open as many
-/// connections as they may.
-const RESERVED_DESCRIPTORS: usize = 24;
+/// Descriptors reserved for the process itself: standard streams, listener, control socket, a configuration that is
+/// read, and the runtime's own.
+const OWN_DESCRIPTORS: usize = 23;
+const RESERVED_DESCRIPTORS: usize = OWN_DESCRIPTORS + MAX_REQUESTERS;
 /// Time between attempts to accept while that fails: 50 ms. A shorter time keeps the loop busy, a longer one
 /// delays clients once descriptors are free again.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -3,6 +3,7 @@
 mod bounds;
 mod changes;
 mod clocks;
+mod control;
 mod control_compatibility;
 mod core;
 mod model;
