Platform: polled discovery is asked for changes since the known version, with a drawn backoff

After its outage discovery answered no complete list, at 40 to 400 requests a second, but polls for changes at once.

Cause: each refused or restarted host asked for the complete list, at the same moments.

Why this works: a new connection asks for the changes since the known version, also that of the stored list, without a wait; half of each backoff is drawn. Versions begun anew lead to the complete list; pushed lists are as before.

--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -21,8 +21,8 @@
 /// Why a response of discovery is not applied.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum PageError {
-    #[error("unexpected response, expected status 200")]
-    Status,
+    #[error("unexpected response, expected status 200: {0:?}")]
+    Status(Start),
     #[error("malformed endpoint list: {0}")]
     Json(#[from] serde_json::Error),
     #[error("changes received, expected the complete list")]
@@ -59,7 +59,7 @@
 
     fn handle_list(&mut self, conn: ConnectionId, message: &Message) -> Result<(), PageError> {
         if message.start != (Start::Response { status: 200 }) {
-            return Err(PageError::Status);
+            return Err(PageError::Status(message.start.clone()));
         }
         let page: Page = serde_json::from_slice(&message.body)?;
         self.handle_page(conn, &page)
@@ -94,6 +94,7 @@
     pub(in super::super) fn restore_endpoints(&mut self, page: &Page) {
         let nodes = self.parse_entries(page);
         self.apply_list(UpdateKind::StaleSnapshot, &nodes);
+        self.discovery.restore(page.version);
     }
 
     /// Parses the entries of a page. One that cannot be parsed changes nothing for its node, and in a complete list
@@ -186,6 +187,16 @@
         if !page.whole && expects_snapshot {
             return Err(PageError::DeltaForSnapshot);
         }
+        if self.resume_from.is_some_and(|known| page.version < known) {
+            // The service has begun its versions anew: changes since a version of before mean nothing.
+            self.resume_from = None;
+            if !page.whole {
+                return Err(PageError::OlderVersion {
+                    version: page.version,
+                    newest: self.newest_version,
+                });
+            }
+        }
         let newest = self.newest_version;
         if newest.is_some_and(|newest| page.version < newest) {
             let since = *self.older_since.get_or_insert(now);
@@ -214,7 +225,6 @@
         }
         self.failures_in_row = 0;
         self.last_response = Some(context.now);
-        self.newest_version = Some(version);
-        self.older_since = None;
+        self.version_known(version);
     }
 }
--- a/crates/platform/src/core/discovery/state.rs
+++ b/crates/platform/src/core/discovery/state.rs
@@ -6,6 +6,8 @@
 use super::super::timer_event::TimerEvent;
 use gullsail_http::{Bounds, Decoder, Encoder, Fault, Message};
 use gullsail_scheduler_api::{Event, Instant, Span};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use tracing::warn;
 
 /// How long a poll waits for changes, in milliseconds. Larger: a silent discovery is noticed later. Smaller: more
@@ -18,9 +20,10 @@
 const RESPONSE_TIMEOUT: Span = Span::from_micros(1_500_000);
 /// First backoff after a connection that ended or was refused. Doubles with each failure in a row.
 const MIN_RETRY_DELAY: Span = Span::from_micros(50_000);
-/// Longest backoff. Larger: a change is known later once discovery can be reached again. Smaller: more connection
-/// attempts while it cannot.
+/// Longest backoff: several of them lie within the 6 s after which a change counts as reported.
 const MAX_RETRY_DELAY: Span = Span::from_micros(800_000);
+/// The part of a backoff that is drawn: hosts that were refused together do not come back together.
+const RETRY_JITTER: f64 = 0.5;
 /// Where lists are pushed, discovery is an agent on this server: it responds at once or is silent, and what it holds
 /// counts as reported from that moment. A host that waits longer for it keeps sending to a draining node for as
 /// long; a quarter of a second is the shortest grace of a drain that was seen.
@@ -68,26 +71,35 @@
     }
 }
 
-/// How long discovery may take, by its kind.
+/// How discovery is polled, by its kind.
 #[derive(Debug)]
-struct Timeouts {
-    /// For a response to a poll that waits for nothing.
+struct PollPolicy {
+    /// How long a response to a poll that waits for nothing may take.
     response: Span,
     max_retry_delay: Span,
+    /// A new connection asks for the changes since the version that is known. A remote service refuses complete lists
+    /// first when many hosts ask for them.
+    resumes: bool,
+    /// The part of a backoff that is drawn.
+    jitter: f64,
 }
 
-impl Timeouts {
+impl PollPolicy {
     /// `poll_endpoints`: the host polls a remote service; else an agent on this server has the list.
-    fn new(poll_endpoints: bool) -> Timeouts {
+    fn new(poll_endpoints: bool) -> PollPolicy {
         if poll_endpoints {
-            Timeouts {
+            PollPolicy {
                 response: RESPONSE_TIMEOUT,
                 max_retry_delay: MAX_RETRY_DELAY,
+                resumes: true,
+                jitter: RETRY_JITTER,
             }
         } else {
-            Timeouts {
+            PollPolicy {
                 response: AGENT_RESPONSE_TIMEOUT,
                 max_retry_delay: AGENT_MAX_RETRY_DELAY,
+                resumes: false,
+                jitter: 0.0,
             }
         }
     }
@@ -102,7 +114,8 @@
 #[derive(Debug)]
 pub(in super::super) struct Discovery {
     address: String,
-    timeouts: Timeouts,
+    policy: PollPolicy,
+    rng: ChaCha8Rng,
     /// The connection that is followed.
     pub(super) current: Option<DiscoveryConnection>,
     /// The one before it, which is silent.
@@ -112,21 +125,25 @@
     pub(super) last_response: Option<Instant>,
     /// The newest version from this address.
     pub(super) newest_version: Option<u64>,
+    /// The version of the list that is known, if a new connection may ask for the changes since then.
+    pub(super) resume_from: Option<u64>,
     /// Since when only older versions are received.
     pub(super) older_since: Option<Instant>,
 }
 
 impl Discovery {
-    pub(in super::super) fn new(address: String, poll_endpoints: bool) -> Discovery {
+    pub(in super::super) fn new(address: String, poll_endpoints: bool, seed: u64) -> Discovery {
         Discovery {
             address,
-            timeouts: Timeouts::new(poll_endpoints),
+            policy: PollPolicy::new(poll_endpoints),
+            rng: ChaCha8Rng::seed_from_u64(seed),
             current: None,
             suspect: None,
             last_poll: 0,
             failures_in_row: 0,
             last_response: None,
             newest_version: None,
+            resume_from: None,
             older_since: None,
         }
     }
@@ -163,7 +180,7 @@
         self.current = Some(DiscoveryConnection::new(conn, context.now));
         let address = self.address.clone();
         context.outputs.push(Output::Connect { conn, address });
-        self.expect_response(conn, self.timeouts.response, context);
+        self.expect_response(conn, self.policy.response, context);
     }
 
     fn expect_response(&mut self, conn: ConnectionId, timeout: Span, context: &mut Context) {
@@ -175,21 +192,43 @@
         }
     }
 
+    /// The list of this version is known from an earlier run of this host.
+    pub(super) fn restore(&mut self, version: u64) {
+        if self.policy.resumes {
+            self.resume_from = Some(version);
+        }
+    }
+
+    /// The list of this version is known.
+    pub(super) fn version_known(&mut self, version: u64) {
+        self.newest_version = Some(version);
+        self.older_since = None;
+        if self.policy.resumes {
+            self.resume_from = Some(version);
+        }
+    }
+
     /// Polls on a connection that is established, or whose last poll was answered.
     pub(in super::super) fn poll(&mut self, conn: ConnectionId, context: &mut Context) {
         let host = self.address.clone();
-        let list_timeout = self.timeouts.response;
+        let list_timeout = self.policy.response;
+        let resume_from = self.resume_from;
         let Some(connection) = self.connection(conn) else {
             return;
         };
         let target;
         let timeout;
-        match connection.version {
-            None => {
+        match (connection.version, resume_from) {
+            (None, None) => {
                 target = "/catalog/members".to_string();
                 timeout = list_timeout;
             }
-            Some(version) => {
+            (None, Some(version)) => {
+                connection.version = Some(version);
+                target = format!("/catalog/members?after={version}&wait_ms=0");
+                timeout = list_timeout;
+            }
+            (Some(version), _) => {
                 target = format!("/catalog/members?after={version}&wait_ms={POLL_WAIT_MS}");
                 timeout = Span::from_millis(POLL_WAIT_MS as f64) + RESPONSE_TIMEOUT;
             }
@@ -269,11 +308,12 @@
         context.set_timer(delay, TimerEvent::DiscoveryRetry);
     }
 
-    fn retry_delay(&self) -> Span {
+    fn retry_delay(&mut self) -> Span {
         let doublings = f64::from(1u32 << self.failures_in_row.min(MAX_DOUBLINGS));
-        MIN_RETRY_DELAY
+        let longest = MIN_RETRY_DELAY
             .times(doublings)
-            .min(self.timeouts.max_retry_delay)
+            .min(self.policy.max_retry_delay);
+        longest.times(1.0 - self.policy.jitter * self.rng.random::<f64>())
     }
 
     fn report_lost(&mut self, reason: &str, context: &mut Context) {
@@ -301,6 +341,7 @@
         self.failures_in_row = 0;
         if moved {
             self.newest_version = None;
+            self.resume_from = None;
             self.older_since = None;
         }
         self.connect(context);
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -103,7 +103,8 @@
         let scheduler = Scheduler::new(settings.config.clone(), document.seed, now);
         let clients = ClientTable::new(bounds.client_connections, bounds.input_bytes);
         let nodes = NodeConnections::new(bounds.node_connections, &settings);
-        let discovery = Discovery::new(document.discovery, settings.config.poll_endpoints);
+        let poll_endpoints = settings.config.poll_endpoints;
+        let discovery = Discovery::new(document.discovery, poll_endpoints, document.seed);
         let mut core = Core {
             context: Context::new(now),
             scheduler,
--- a/crates/platform/tests/platform/discovery.rs
+++ b/crates/platform/tests/platform/discovery.rs
@@ -357,6 +357,102 @@
     assert_eq!(rig.connections_to(NODES[0].1).len(), 1, "it is still there");
 }
 
+/// The request line of the first poll on the newest connection to discovery.
+fn newest_poll(rig: &mut Rig) -> String {
+    let conn = *rig.connections_to(DISCOVERY).last().unwrap();
+    if rig.sent(conn).is_empty() {
+        rig.input(Input::Connected(conn));
+    }
+    let poll = rig.sent(conn).first().cloned().unwrap_or_default();
+    poll.lines().next().unwrap_or_default().to_string()
+}
+
+fn polling_rig() -> Rig {
+    Rig::with(&settings_document(1024, 192, DISCOVERY).replace("\"push\"", "\"ask\""))
+}
+
+const CHANGES_SINCE_41: &str = "GET /catalog/members?after=41&wait_ms=0 HTTP/1.1";
+
+/// Guards against hosts that are all refused and then ask for complete lists, of which a service that many hosts poll
+/// answers none: the changes since the known version are enough. An agent on the host's own server has no such limit.
+#[test]
+fn a_refused_poll_goes_on_from_the_known_version() {
+    for (mode, expected) in [
+        ("ask", CHANGES_SINCE_41),
+        ("push", "GET /catalog/members HTTP/1.1"),
+    ] {
+        let text =
+            settings_document(1024, 192, DISCOVERY).replace("\"push\"", &format!("\"{mode}\""));
+        let mut rig = Rig::with(&text);
+        let conn = rig.connections_to(DISCOVERY)[0];
+        rig.discovery_answers(&page(41, false, &[(1, "DRAINING", 0.0)]));
+        rig.receive(conn, &response(503, "Connection: close\r\n", ""));
+        rig.advance_time(100.0);
+        assert_eq!(newest_poll(&mut rig), expected, "{mode}");
+        let changed = page(42, false, &[(0, "DRAINING", 0.0)]);
+        let conn = *rig.connections_to(DISCOVERY).last().unwrap();
+        if mode == "ask" {
+            rig.receive(conn, &response(200, "", &changed));
+            rig.client_sending(&request_text("read", 1, 0));
+            assert_eq!(rig.connections_to(NODES[0].1).len(), 0, "it drains");
+        }
+    }
+}
+
+/// Guards against a fleet whose hosts restart together and overload discovery with complete lists, of which each knows
+/// one from its last run.
+#[test]
+fn a_host_with_a_stored_list_asks_for_the_changes_since() {
+    let stored = settings_document(1024, 192, DISCOVERY)
+        .replace("\"push\"", "\"ask\"")
+        .replace("\"known\":{\"seq\":1,", "\"known\":{\"seq\":41,");
+    let mut rig = Rig::unanswered(&stored);
+    assert_eq!(newest_poll(&mut rig), CHANGES_SINCE_41);
+}
+
+/// Guards against a service that has begun its versions anew and is asked for changes since one of before.
+#[test]
+fn versions_that_begin_anew_lead_to_the_complete_list() {
+    let mut rig = polling_rig();
+    let conn = rig.connections_to(DISCOVERY)[0];
+    rig.discovery_answers(&page(41, false, &[(1, "DRAINING", 0.0)]));
+    rig.input(Input::Closed(conn));
+    rig.advance_time(100.0);
+    assert_eq!(newest_poll(&mut rig), CHANGES_SINCE_41);
+    let conn = *rig.connections_to(DISCOVERY).last().unwrap();
+    let anew = page(2, false, &[(0, "DRAINING", 0.0)]);
+    rig.receive(conn, &response(200, "", &anew));
+    assert!(rig.closed(conn));
+    rig.advance_time(200.0);
+    assert_eq!(newest_poll(&mut rig), "GET /catalog/members HTTP/1.1");
+}
+
+/// Guards against hosts that are refused at the same moment and come back at the same moment, again and again.
+#[test]
+fn hosts_that_are_refused_together_do_not_come_back_together() {
+    let connect_times = |seed: &str| {
+        let text = settings_document(1024, 192, DISCOVERY)
+            .replace("\"push\"", "\"ask\"")
+            .replace("\"8c1f\"", &format!("\"{seed}\""));
+        let mut rig = Rig::with(&text);
+        let mut known = 0;
+        let mut times = Vec::new();
+        for _ in 0..12 {
+            let conn = next_poll(&mut rig, known, seed);
+            known = rig.connections_to(DISCOVERY).len();
+            times.push(rig.now);
+            rig.input(Input::Closed(conn));
+        }
+        times
+    };
+    let (one, other) = (connect_times("1"), connect_times("2"));
+    let apart = one.iter().zip(&other).skip(6);
+    assert!(
+        apart.clone().all(|(one, other)| one != other),
+        "{one:?} {other:?}"
+    );
+}
+
 /// Lists may come indented, and long: other bodies may not.
 #[test]
 fn an_indented_list_of_many_nodes_is_parsed() {
--- a/crates/platform/tests/platform/rig.rs
+++ b/crates/platform/tests/platform/rig.rs
@@ -97,6 +97,13 @@
     }
 
     pub fn with(settings_document: &str) -> Rig {
+        let mut rig = Rig::unanswered(settings_document);
+        rig.discovery_answers(&page(1, true, &[(0, "SERVING", 0.0), (1, "SERVING", 0.0)]));
+        rig
+    }
+
+    /// Discovery has not answered yet.
+    pub fn unanswered(settings_document: &str) -> Rig {
         let document = SettingsDocument::parse("test.json", settings_document).unwrap();
         let now = Instant::from_millis(START_MS);
         let mut rig = Rig {
@@ -106,7 +113,6 @@
             stuck: false,
         };
         rig.advance();
-        rig.discovery_answers(&page(1, true, &[(0, "SERVING", 0.0), (1, "SERVING", 0.0)]));
         rig
     }
 
