Host: a shutdown waits for all operator commands together, not for each anew

Cause: each command set anew the 2 s for which a shutdown waits for results.

Evidence: a core alone of its fleet that is given a command every 50 ms is not finished after 3.1 s without this change (the new test), and is with it.

Why this works: the wait begins with the shutdown; what is pending when it is over is answered as unknown when the host leaves its fleet.

--- a/crates/host/src/core/maintenance.rs
+++ b/crates/host/src/core/maintenance.rs
@@ -6,14 +6,13 @@
 use super::input_output::Output;
 use super::operator_command::MAX_SERVERS;
 pub use super::operator_command::{CommandError, CommandOutcome, OperatorCommand};
-use super::timer_kind::TimerKind;
 use gullsail_configuration::{meant, node_id, number};
 use gullsail_fleet::Event as FleetEvent;
 use gullsail_fleet::maintenance::{Order, ServerId, Stage};
 use gullsail_protocol::FleetCommand;
-use gullsail_scheduler_api::{EndpointState, Instant, NodeId, Span};
+use gullsail_scheduler_api::{EndpointState, Instant, NodeId};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A maintenance order, with names.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -49,10 +48,6 @@
     pub orders: Vec<OrderView>,
 }
 
-/// How long a shutdown waits for the result of an operator command: 2 s. While a majority of voters can be
-/// reached, a command has its result sooner. With a longer time, a host that cannot reach them shuts down
-/// later; with a shorter one, it may exit before the operator has the result.
-const SHUTDOWN_COMMAND_GRACE: Span = Span::from_micros(2_000_000);
 /// Kinds of commands, in the order of their numbers on the wire, which start at 1.
 const COMMAND_KINDS: [&str; 3] = ["out", "back", "cancel"];
 
@@ -72,8 +67,8 @@
     pub(super) next_observation: Instant,
     /// The stage of each maintenance order that was logged last, by the order's number.
     pub(super) logged_stages: BTreeMap<u64, Stage>,
-    /// Operator commands without a result, and until when a shutdown waits for the result.
-    pub(super) pending_commands: BTreeMap<RequesterId, Instant>,
+    /// Operator commands without a result.
+    pub(super) pending_commands: BTreeSet<RequesterId>,
 }
 
 impl MaintenanceState {
@@ -81,7 +76,7 @@
         MaintenanceState {
             next_observation: now,
             logged_stages: BTreeMap::new(),
-            pending_commands: BTreeMap::new(),
+            pending_commands: BTreeSet::new(),
         }
     }
 }
@@ -186,9 +181,7 @@
                 outcome: Err(error),
             }),
             Ok(command) => {
-                let until = self.now + SHUTDOWN_COMMAND_GRACE;
-                self.maintenance.pending_commands.insert(requester, until);
-                self.set_timer(until, TimerKind::Fleet);
+                self.maintenance.pending_commands.insert(requester);
                 self.notify_fleet(FleetEvent::OperatorCommand {
                     number: requester,
                     command,
--- a/crates/host/src/core/shutdown.rs
+++ b/crates/host/src/core/shutdown.rs
@@ -6,14 +6,22 @@
 use super::connection_table::PeerKind;
 use super::ids::LinkId;
 use super::input_output::Output;
+use super::timer_kind::TimerKind;
 use gullsail_protocol::{Frame, GoAway};
+use gullsail_scheduler_api::{Instant, Span};
 use tracing::info;
 
+/// How long a shutdown waits for the results of operator commands. While a majority of voters can be reached, a command
+/// has its result sooner.
+const COMMAND_GRACE: Span = Span::from_micros(2_000_000);
+
 /// How far this host's shutdown has come.
 #[derive(Debug, Default)]
 pub(super) struct ShutdownState {
     /// Nothing new is accepted.
     pub(super) requested: bool,
+    /// Until then the shutdown waits for the results of operator commands.
+    commands_until: Option<Instant>,
     /// Everything is answered, and the caller knows that it may end this host.
     pub(super) complete: bool,
 }
@@ -30,6 +38,9 @@
     /// Stops listening and tells every client to go away.
     pub(super) fn begin_shutdown(&mut self) {
         self.shutdown.requested = true;
+        let commands_until = self.now + COMMAND_GRACE;
+        self.shutdown.commands_until = Some(commands_until);
+        self.set_timer(commands_until, TimerKind::Fleet);
         self.outputs.push(Output::StopListening);
         for client in self.connections.clients() {
             self.tell_to_go_away(client);
@@ -53,14 +64,11 @@
     }
 
     /// Completes the shutdown once everything is answered. The host waits a little longer for the results of
-    /// operator commands: a host that a command takes offline must not exit before the operator has the
-    /// result.
+    /// operator commands, however many come meanwhile: leaving the fleet answers those that are left.
     pub(super) fn finish_if_answered(&mut self) {
-        let commands_finished = self
-            .maintenance
-            .pending_commands
-            .values()
-            .all(|until| *until <= self.now);
+        let grace_over = |until: Instant| until <= self.now;
+        let commands_finished = self.maintenance.pending_commands.is_empty()
+            || self.shutdown.commands_until.is_some_and(grace_over);
         if !self.shutdown.requested
             || !commands_finished
             || self.requests.open() != 0
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -11,5 +11,6 @@
 mod other_configurations;
 mod request_stages;
 mod rig;
+mod shutdown_commands;
 mod stall_detector;
 mod waiting_attempts;
