--- a/crates/cli/benches/service/world.rs
+++ b/crates/cli/benches/service/world.rs
@@ -122,7 +122,9 @@
         Span::from_micros(self.rng.random_range(100..2000))
     }
 
-    /// A world with the nodes and the document of this one, whose hosts have just started, and in which nothing changes.
+    /// A world with the nodes and the document of this one, whose hosts have just started, and in which nothing changes;
+    /// for the test.
+    #[allow(dead_code)]
     pub fn unchanging(&self, seed: u64) -> World {
         let mut other = World::new(seed, self.every);
         other.changing = false;
@@ -136,7 +138,8 @@
         other
     }
 
-    /// Whether every host runs.
+    /// Whether every host runs; for the test.
+    #[allow(dead_code)]
     pub fn all_run(&self) -> bool {
         self.members.iter().all(|member| member.core.is_some())
     }
--- a/crates/cli/tests/stop_soak/soak/draw.rs
+++ b/crates/cli/tests/stop_soak/soak/draw.rs
@@ -61,6 +61,8 @@
     pub lost: Lost,
     /// When it is lost, after the first SIGTERM, in ms; negative: before it.
     pub lost_at_ms: i64,
+    /// Who give commands over the control socket of a host on the project's own protocol.
+    pub operators: usize,
 }
 
 impl Draw {
@@ -93,6 +95,7 @@
                 .choose(&mut rng)
                 .unwrap_or(&Lost::Nothing),
             lost_at_ms: rng.random_range(-500..=500),
+            operators: rng.random_range(0..=12),
         }
     }
 
--- a/crates/cli/tests/stop_soak/soak/mod.rs
+++ b/crates/cli/tests/stop_soak/soak/mod.rs
@@ -7,6 +7,7 @@
 
 mod clients;
 mod draw;
+mod operators;
 mod own_host;
 mod platform_host;
 mod verdict;
@@ -73,11 +74,12 @@
             crossed,
             ignored_announcement,
             killed,
+            commands,
             worst_margin,
         } = self.sums;
         format!(
             "{}: {} seeds, {} failed; {requests} requests, {answered} answered, {crossed} crossed a close, \
-             {ignored_announcement} unanswered behind an announced one, {killed} unanswered at the kill as allowed; worst margin {:?}",
+             {ignored_announcement} unanswered behind an announced one, {killed} unanswered at the kill as allowed; {commands} commands of operators; worst margin {:?}",
             kind.name(),
             self.runs,
             self.failed.len(),
--- a/crates/cli/tests/stop_soak/soak/own_host.rs
+++ b/crates/cli/tests/stop_soak/soak/own_host.rs
@@ -3,6 +3,7 @@
 use super::clients::{self, Client, Shared};
 use super::draw::Draw;
 use super::frame_client;
+use super::operators::{self, OperatorReport};
 use super::verdict::{Exit, Look, Sent, Stop, Verdict, judge, look};
 use gullsail_protocol::{Message, Outcome};
 use nix::sys::signal::{Signal, kill};
@@ -70,10 +71,11 @@
         Process::start(dir, &arguments, &format!("{name}.log")).0
     };
     let nodes: Vec<Process> = (1..=draw.nodes).map(start_node).collect();
-    let arguments = ["host", "main.kdl", "--name", "h1"];
+    let arguments = ["host", "main.kdl", "--name", "h1", "--control", "h1.sock"];
     let (mut host, address) = Process::start(dir, &arguments, "h1.log");
     let shared = Shared::new(draw.clone(), address);
     let mut threads = clients::start(&shared, 0..draw.clients, serve_connection);
+    let operators = operators::start(&shared, &dir.join("h1.sock"));
     let signalled = Duration::from_millis(draw.stop_after_ms);
     shared.sleep_until(signalled / 2);
     let hanging = nodes.iter().take(draw.hanging_nodes);
@@ -95,9 +97,17 @@
         thread.join().expect("a client ends");
     }
     let (sent, extra) = shared.results();
+    let operators = operators.into_iter();
+    let reports = operators.map(|operator| operator.join().expect("an operator ends"));
+    let reports: Vec<OperatorReport> = reports.collect();
     let log = std::fs::read_to_string(dir.join("h1.log")).unwrap_or_default();
     let lines = log.lines().map(str::to_string).collect();
-    (judge(&sent, &extra, &stop), lines)
+    let mut verdict = judge(&sent, &extra, &stop);
+    for report in reports {
+        verdict.sums.commands += report.commands;
+        verdict.failures.extend(report.failures);
+    }
+    (verdict, lines)
 }
 
 /// The host exits by itself, with code 0, once its clients have left.
@@ -134,7 +144,9 @@
 
 fn document_of(draw: &Draw) -> String {
     let mut text = format!(
-        "rules tick=\"{TICK_MS}ms\" most-units=8\nmachine \"m\" cores=4 unit=\"2ms\"\n\
+        "fleet \"f\" lease=\"800ms\" drift=0.01 voters=1 floor=0.3\n\
+         works at-once=1 keep=0.1 longest=\"1h\" watched=\"100ms\" blind=\"1s\"\n\
+         rules tick=\"{TICK_MS}ms\" most-units=8\nmachine \"m\" cores=4 unit=\"2ms\"\n\
          stream-type \"r\" effect=\"repeatable\" slo=\"{}ms\" expiry=\"{}ms\"\nplan \"p\"\nvolume \"v\" plan=\"p\"\n\
          host \"h1\" address=\"{}\"\n",
         draw.objective_ms.max(5 * TICK_MS),
--- a/crates/cli/tests/stop_soak/soak/verdict.rs
+++ b/crates/cli/tests/stop_soak/soak/verdict.rs
@@ -93,6 +93,8 @@
     pub ignored_announcement: usize,
     /// Unanswered at the kill, which the platform allows of late ones.
     pub killed: usize,
+    /// Operators' commands that had a whole reply.
+    pub commands: usize,
     /// The least time that was left of any answer's bound.
     pub worst_margin: Option<Duration>,
 }
@@ -103,6 +105,7 @@
         self.answered += other.answered;
         self.crossed += other.crossed;
         self.killed += other.killed;
+        self.commands += other.commands;
         self.ignored_announcement += other.ignored_announcement;
         self.worst_margin = match (self.worst_margin, other.worst_margin) {
             (Some(one), Some(other)) => Some(one.min(other)),
