--- a/crates/cli/src/zones.rs
+++ b/crates/cli/src/zones.rs
@@ -213,7 +213,9 @@
         let span = (p.to_us - p.from_us) as f64 / 1e6;
         text += &format!(
             "budget {} overrun: {} bytes at {host} in {span:.1} s: {}\n",
-            p.budget, p.bytes, p.cause
+            p.budget,
+            p.bytes,
+            p.shown_cause()
         );
     }
     text
--- a/crates/fleet/src/allocation/division.rs
+++ b/crates/fleet/src/allocation/division.rs
@@ -5,8 +5,8 @@
 use crate::config::{Budget, WHOLE};
 use gullsail_scheduler_api::HostId;
 
-/// The fraction of what is divided by demand that is divided evenly, so that a host without demand has a share
-/// when its first requests come. When it is larger, busy hosts get less.
+/// The fraction of what is divided by demand that is divided evenly, so that a host without demand has a share when
+/// its first requests come.
 const EVEN_PART: f64 = 0.1;
 
 /// The demand of one member's clients.
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -19,14 +19,13 @@
 use gullsail_scheduler_api::{HostId, Instant, VolumeId};
 use std::collections::BTreeMap;
 
-/// How often shares are recomputed, in member leases, while the members stay the same. When it is larger,
-/// shares follow demand later; when it is smaller, the coordinator computes more.
+/// How often shares are recomputed, in member leases, while the members stay the same.
 const DIVIDE_INTERVAL_LEASES: f64 = 0.125;
 /// The low bits of a grant's serial count one coordinator's grants; the bits above are its round. A
 /// coordinator issues fewer grants than two to this power.
 const SERIAL_BITS: u32 = 20;
-/// After how many member leases without a renewal a member is suspected. Renewals come four times in a lease,
-/// so two are missing. When it is larger, less time is left to reach the member through relays.
+/// After how many member leases without a renewal a member is suspected. Renewals come four times in a lease, so two
+/// are missing.
 const SUSPECT_AFTER_LEASES: f64 = 0.5;
 /// A share that would change by less than this fraction is left as it is: a change makes its host check all
 /// its volumes.
@@ -172,8 +171,7 @@
     ) -> RenewalOutcome {
         let ProcessId { host, incarnation } = renewal.process;
         // A renewal that was sent before the member knew of this term may arrive late, and the member may have
-        // accepted more from an earlier coordinator since. Found by the randomized simulation (tests/world). It
-        // costs the member one more message.
+        // accepted more from an earlier coordinator since. It costs the member one more message.
         if !self.is_current(renewal.ballot) {
             return RenewalOutcome::StaleBallot;
         }
--- a/crates/fleet/src/coordinator_lease/acceptor.rs
+++ b/crates/fleet/src/coordinator_lease/acceptor.rs
@@ -7,8 +7,8 @@
 use gullsail_scheduler_api::Instant;
 
 /// How long an acceptor that has just started answers nothing, in coordinator leases. A ballot that its earlier
-/// incarnation promised is proposed for at most one lease and relied upon for one more. When it is smaller,
-/// two hosts may be the coordinator at once; when it is larger, hosts that start together elect later.
+/// incarnation promised is proposed for at most one lease and relied upon for one more; sooner, two hosts could be the
+/// coordinator at once.
 const RECOVERY_COORDINATOR_LEASES: f64 = 2.0;
 
 /// A voter's memory of ballots.
--- a/crates/fleet/src/coordinator_lease/candidate.rs
+++ b/crates/fleet/src/coordinator_lease/candidate.rs
@@ -8,8 +8,7 @@
 use std::collections::BTreeSet;
 use std::ops::Range;
 
-/// When the holder renews, in coordinator leases: early enough that two rounds may be lost. When it is larger,
-/// fewer losses end the lease; when it is smaller, the voters get more messages.
+/// When the holder renews, in coordinator leases: early enough that two rounds may be lost.
 const RENEWAL_INTERVAL_COORDINATOR_LEASES: f64 = 0.25;
 /// How long a candidate waits between attempts, in coordinator leases: long compared with a round trip, short
 /// compared with the lease that a takeover may have to wait for. Random, so that two candidates do not refuse
@@ -235,8 +234,7 @@
         };
         let expires_at = *sent_at + config.held_coordinator_lease();
         // Late acceptances do not count: a lease is renewed by the same ballot, and an acceptance of an
-        // earlier proposal would extend the holder's belief beyond the voters'. Found by the randomized simulation
-        // (tests/world), in which two hosts were the coordinator.
+        // earlier proposal would extend the holder's belief beyond the voters', so two hosts could be the coordinator.
         if accepted != *proposal || now >= expires_at {
             return false;
         }
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -4,13 +4,12 @@
 use gullsail_scheduler_api::{Instant, Span, VolumeId};
 use std::collections::BTreeMap;
 
-/// A request counts half after this time. With a smaller one, a gap of some hundred milliseconds would move
-/// shares; with a larger one, a surge would show only after a lease.
+/// A request counts half after this time.
 const HALF_LIFE: Span = Span::from_micros(1_000_000);
 /// A rate below this many units a second counts as no demand, so that its budget is forgotten.
 const MIN_RATE: f64 = 1e-3;
-/// A sum is decayed at most once in this fraction of a half-life: computing a power for each request would cost
-/// more than everything else here. When it is larger, the demand is less exact.
+/// A sum is decayed at most once in this fraction of a half-life: computing a power for each request would cost more
+/// than everything else here.
 const DECAY_STEP: f64 = 0.01;
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/fleet/src/fleet/coordination.rs
+++ b/crates/fleet/src/fleet/coordination.rs
@@ -17,8 +17,7 @@
 use std::collections::BTreeMap;
 use tracing::{info, warn};
 
-/// How often hosts that are not members are polled, in leases. When it is larger, a host that starts joins
-/// later; when it is smaller, hosts that are gone for good cost more messages.
+/// How often hosts that are not members are polled, in leases.
 const POLL_INTERVAL_LEASES: f64 = 0.5;
 /// How many other hosts are asked to relay a message. With one, a single broken link may stop it; each more
 /// costs one message.
--- a/crates/fleet/src/fleet/maintenance_participant.rs
+++ b/crates/fleet/src/fleet/maintenance_participant.rs
@@ -187,8 +187,8 @@
         };
         self.follow_order_book(report);
         // A coordinator that has not adopted an order book yet may grant a lease to a host whose copy is stale;
-        // without this check that host could send to a server that is offline. Found by the randomized
-        // simulation (tests/world). It may harm hosts whose coordinator finds no majority with an order book.
+        // without this check that host could send to a server that is offline. It may harm hosts whose coordinator
+        // finds no majority with an order book.
         let newest = version(report);
         let confirmed = self
             .maintenance
--- a/crates/fleet/src/fleet/operator_commands.rs
+++ b/crates/fleet/src/fleet/operator_commands.rs
@@ -10,8 +10,7 @@
 
 /// Commands that may be pending at one host; more are refused. A bound on memory and on messages sent again.
 const MAX_COMMANDS: usize = 32;
-/// How often a pending command is sent again, in leases. When it is larger, a command takes longer after a
-/// takeover; when it is smaller, more duplicates are sent.
+/// How often a pending command is sent again, in leases.
 const RESEND_INTERVAL_LEASES: f64 = 0.125;
 /// When a pending command times out, in leases: long enough for two takeovers.
 const GIVE_UP_AFTER_LEASES: f64 = 6.0;
--- a/crates/fleet/src/maintenance/selection.rs
+++ b/crates/fleet/src/maintenance/selection.rs
@@ -9,9 +9,8 @@
 use super::server::{ServerId, ServerObservation, ServerRole, Servers};
 use super::snapshot::{CAPACITY_TOLERANCE, FleetSnapshot};
 
-/// An order that later ones have overtaken this often is protected: no later order that shares its limits
-/// may start before it. When it is larger, large servers wait longer; when it is smaller, one order that
-/// cannot go holds up more others.
+/// An order that later ones have overtaken this often is protected: no later order that shares its limits may start
+/// before it.
 const MAX_OVERTAKEN: u32 = 4;
 
 /// What an approved order waits for.
--- a/crates/fleet/src/member_lease.rs
+++ b/crates/fleet/src/member_lease.rs
@@ -12,9 +12,8 @@
 
 /// Renewals remembered: more than are sent within a lease. An answer to a forgotten one is dropped.
 const MAX_RENEWALS: usize = 16;
-/// The interval between renewals, in member leases: four in a lease, so that some may be lost. It is random
-/// so that the hosts' renewals spread out. When it is larger, fewer losses end the lease; when it is smaller,
-/// there are more messages.
+/// The interval between renewals, in member leases: four in a lease, so that some may be lost. It is random so that
+/// the hosts' renewals spread out.
 const RENEWAL_INTERVAL_LEASES: Range<f64> = 0.2..0.3;
 /// After how many member leases without an answer the renewal is also sent through relays.
 const RELAY_AFTER_LEASES: f64 = 0.5;
@@ -195,8 +194,8 @@
             return false;
         }
         // An older grant may arrive after the lease of a newer one has expired, where renewals overtook each
-        // other. The coordinator dropped the older one when it learned of the newer. Found by the randomized
-        // simulation (tests/world): a simulated run reached 119% of the budget.
+        // other. The coordinator dropped the older one when it learned of the newer, so both together could
+        // exceed the budget.
         if self.newest >= grant {
             return false;
         }
--- a/crates/host/src/core/connection_table.rs
+++ b/crates/host/src/core/connection_table.rs
@@ -14,9 +14,8 @@
 use std::collections::BTreeMap;
 use tracing::{debug, info};
 
-/// How many connect timeouts the other side's first frame, or the endpoint list's reply, may take. These wait
-/// for a program to act, not only for the network. A larger factor leaves a silent process on its connection
-/// for longer; a smaller one closes connections to processes that are merely busy.
+/// How many connect timeouts the other side's first frame, or the endpoint list's reply, may take. These wait for a
+/// program to act, not only for the network.
 pub(super) const HANDSHAKE_TIMEOUT_FACTOR: f64 = 4.0;
 
 /// The most connections that others may open, where the caller sets no lower number. It bounds the memory
--- a/crates/host/src/core/counters.rs
+++ b/crates/host/src/core/counters.rs
@@ -4,8 +4,7 @@
 use gullsail_scheduler_api::Span;
 use tracing::warn;
 
-/// A step of the loop that takes longer counts as long: 10 ms, in microseconds. A larger value hides steps that
-/// delay answers; with a smaller one, a busy machine's ordinary delays count too.
+/// A step of the loop that takes longer counts as long: 10 ms, in microseconds.
 const LONG_STEP_US: u64 = 10_000;
 
 /// What was counted since the start.
--- a/crates/host/src/core/fleet.rs
+++ b/crates/host/src/core/fleet.rs
@@ -24,9 +24,8 @@
 pub(super) const CONNECT_BUDGET: VolumeId = VolumeId(u64::MAX - 1);
 /// Id of the budget of attempts to nodes that do not answer, per second and node.
 pub(super) const PROBE_BUDGET: VolumeId = VolumeId(u64::MAX - 2);
-/// The longest interval between two operations of one kind: 60 s. A host with almost no share still tries each
-/// node this often, so that no node is left out forever. A smaller value exceeds the fleet's rate with many
-/// such hosts; with a larger one such a host finds a recovered node later.
+/// The longest interval between two operations of one kind: 60 s. A host with almost no share still tries each node
+/// this often, so that no node is left out forever.
 const MAX_PACING_INTERVAL: Span = Span::from_micros(60_000_000);
 /// Shortest time between two fleet timers: 1 ms, in microseconds. It keeps a fleet that is due at once from
 /// waking the host in a tight loop.
--- a/crates/host/src/core/nodes.rs
+++ b/crates/host/src/core/nodes.rs
@@ -13,11 +13,10 @@
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Incarnations remembered for a node. The endpoint list is late by a few restarts at most; with fewer, a late
-/// report of an old start would look like a new one. More only hold memory.
+/// Incarnations remembered for a node: a report of an older start would look like a new one. The endpoint list is late
+/// by a few restarts at most.
 const MAX_INCARNATIONS: usize = 8;
-/// How long a node that is gone is remembered: 120 s, longer than the scheduler remembers it. With less, the
-/// same start could be reported to the scheduler twice, as if the node had restarted.
+/// How long a node that is gone is remembered: longer than by the scheduler, so that no start is reported to it twice.
 const GONE_RETENTION: Span = Span::from_micros(120_000_000);
 
 /// One node, as this host knows it.
--- a/crates/host/src/core/peers.rs
+++ b/crates/host/src/core/peers.rs
@@ -10,9 +10,8 @@
 use gullsail_protocol::{ClockQuery, ClockReply, DemandReport, Frame, Hello, Role};
 use gullsail_scheduler_api::{Event, HostId, Instant, demand_report};
 
-/// The most frames that wait for one connection, and the most demand reports that wait for one clock. A
-/// demand report is of use for a tenth of a second only, so more of them would hold memory for nothing; with
-/// fewer, a peer that connects anew would lose the newest ones.
+/// The most frames that wait for one connection, and the most demand reports that wait for one clock. A demand report
+/// is of use for a tenth of a second only, so more of them would hold memory for nothing.
 const MAX_WAITING_FRAMES: usize = 8;
 
 impl Core {
--- a/crates/host/src/core/server_drains.rs
+++ b/crates/host/src/core/server_drains.rs
@@ -18,8 +18,8 @@
 use std::collections::BTreeSet;
 use tracing::{debug, info};
 
-/// Time between two observations of servers while nothing happens: 50 ms. It is short beside a lease renewal,
-/// which carries the observations. A shorter interval costs time; a longer one delays drains and returns.
+/// Time between two observations of servers while nothing happens: 50 ms. It is short beside a lease renewal, which
+/// carries the observations.
 const OBSERVATION_INTERVAL: Span = Span::from_micros(50_000);
 /// Orders whose last logged stage is remembered. Orders are few, so this only bounds memory; if it is exceeded,
 /// a stage of the oldest order may be logged twice.
--- a/crates/host/src/core/zone_traffic.rs
+++ b/crates/host/src/core/zone_traffic.rs
@@ -50,6 +50,19 @@
     pub bytes: u64,
 }
 
+/// The cause of retries on the control socket, where keys stay from version to version.
+const RETRY_CAUSE: &str = "further legs";
+
+impl BudgetOverrun {
+    /// The cause in the words of reports.
+    pub fn shown_cause(&self) -> &str {
+        match self.cause.as_str() {
+            RETRY_CAUSE => "retries",
+            cause => cause,
+        }
+    }
+}
+
 /// Traffic between zones in one incarnation of a host.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneTraffic {
@@ -147,7 +160,7 @@
             OverrunReason::Decided(OverrunCause::DataPlacement) => "bound to data".to_string(),
             OverrunReason::Decided(OverrunCause::NoLocalNode) => "zone drained".into(),
             OverrunReason::Decided(OverrunCause::LocalNodesSilent) => "zone silent".into(),
-            OverrunReason::Decided(OverrunCause::Retry) => "further legs".into(),
+            OverrunReason::Decided(OverrunCause::Retry) => RETRY_CAUSE.into(),
             OverrunReason::Surge(plan) => format!("surge of plan {}", self.plan_name(plan)),
         };
         BudgetOverrun {
--- a/crates/host/src/runtime.rs
+++ b/crates/host/src/runtime.rs
@@ -32,8 +32,7 @@
 const INBOX_FRAMES: usize = 1024;
 /// Requests of the control socket that wait for the loop.
 const LOOP_REQUESTS: usize = MAX_REQUESTERS;
-/// Frames that are handled together before anything is sent. A larger batch saves steps of the scheduler under
-/// load, and delays the answers to its first frames.
+/// Frames that are handled together before anything is sent.
 const BATCH_FRAMES: usize = 256;
 /// Which host this is, and which process serves as it.
 #[derive(Clone, Debug)]
--- a/crates/host/src/runtime/sockets.rs
+++ b/crates/host/src/runtime/sockets.rs
@@ -15,20 +15,17 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
-/// Frames that wait to be written to one connection. A connection on which more pile up is closed. With fewer, a
-/// burst of small answers closes connections of clients that do read; more only hold memory for those that do not.
+/// Frames that wait to be written to one connection. A connection on which more pile up is closed.
 const OUTBOX_FRAMES: usize = 16_384;
 /// Descriptors reserved for the process itself: standard streams, listener, control socket, a configuration that is
 /// read, and the runtime's own.
 const OWN_DESCRIPTORS: usize = 23;
 const RESERVED_DESCRIPTORS: usize = OWN_DESCRIPTORS + MAX_REQUESTERS;
-/// Time between attempts to accept while that fails: 50 ms. A shorter time keeps the loop busy, a longer one
-/// delays clients once descriptors are free again.
+/// Time between attempts to accept while that fails: 50 ms.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// Time between log lines that report such failures: 5 s, so that a shortage does not fill the log.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
-/// Frames that wait to be handled may hold this part of `held-bytes`: a quarter. With a larger part, the host
-/// holds that much more than `held-bytes`; with a smaller one, large frames of many clients wait for each other.
+/// Frames that wait to be handled may hold this part of `held-bytes`: a quarter.
 const READ_BUDGET_DIVISOR: usize = 4;
 
 /// How many connections others may open. Nodes, peers and the endpoint list come first, with two descriptors
--- a/crates/host/src/stall_detector.rs
+++ b/crates/host/src/stall_detector.rs
@@ -18,8 +18,7 @@
 /// of that length stay unnoticed.
 const MIN_STALL: Duration = Duration::from_millis(60);
 /// For this long after a stall, whatever waited in sockets is read and nothing is decided: 10 ms. The runtime polls
-/// the sockets many times in that. With less, the host decides by what it knew before the stall; with more, it
-/// answers later.
+/// the sockets many times in that.
 const SETTLE_TIME: Duration = Duration::from_millis(10);
 /// For this long after a stall, and until the queue is empty, whatever is read may have arrived during it: 100 ms. If
 /// it is too short, a request may be answered after its deadline; if it is too long, requests that did not wait
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -13,9 +13,8 @@
     AttemptEnd, AttemptOutcome, Event, Idempotency, Instant, NodeId, RequestId, Span,
 };
 
-/// Upper bound on the delay between the order to send a message and its first byte at the node, on a connection
-/// that works. Smaller: a retry may run after the node has forgotten the idempotency key. Larger: retries near
-/// the end of the idempotency window are not sent.
+/// Upper bound on the delay between the order to send a message and its first byte at the node, on a connection that
+/// works. A retry must reach the node before it forgets the idempotency key.
 const MAX_SEND_DELAY: Span = Span::from_micros(10_000);
 
 /// How far an attempt has come; its end removes it.
--- a/crates/platform/src/core/bounds.rs
+++ b/crates/platform/src/core/bounds.rs
@@ -10,18 +10,15 @@
     body: 64 << 10,
 };
 
-/// Descriptors that neither clients nor nodes may hold: standard streams, the listener, UDP, the runtime's own,
-/// the settings document while it is read, and two connections to discovery. With fewer, the process could
-/// reach its limit at the moment it needs one of these.
+/// Descriptors that neither clients nor nodes may hold: standard streams, the listener, UDP, the runtime's own, the
+/// settings document while it is read, and two connections to discovery.
 const RESERVED_DESCRIPTORS: usize = 24;
 /// Fewest descriptors shared by clients and nodes, whatever the limits say: without any, no request could be
 /// served.
 const MIN_SHARED_DESCRIPTORS: usize = 8;
-/// Fraction of the shared descriptors for clients; nodes have the rest. Larger: attempts wait for a connection.
-/// Smaller: clients wait in the backlog.
+/// Fraction of the shared descriptors for clients; nodes have the rest.
 const CLIENT_DESCRIPTOR_FRACTION: f64 = 0.6;
-/// Fraction of the memory limit that open requests may hold. Larger: the process comes closer to the limit at
-/// which the platform kills it. Smaller: requests are refused sooner under load.
+/// Fraction of the memory limit that open requests may hold.
 const REQUEST_MEMORY_FRACTION: f64 = 0.2;
 /// Fraction of the memory limit that incomplete messages of clients may hold. Bounds what clients can make the
 /// host buffer without completing a request.
--- a/crates/platform/src/core/clients/arrival_times.rs
+++ b/crates/platform/src/core/clients/arrival_times.rs
@@ -3,8 +3,7 @@
 use gullsail_scheduler_api::Instant;
 use std::collections::VecDeque;
 
-/// Most arrivals remembered of one connection. With more, the latest is joined with the one before: its bytes count as
-/// received earlier, so a request has too little time rather than too much.
+/// Most arrivals remembered of one connection.
 const MAX_ARRIVALS: usize = 32;
 
 /// Bytes that were received together.
--- a/crates/platform/src/core/clients/client.rs
+++ b/crates/platform/src/core/clients/client.rs
@@ -5,13 +5,10 @@
 use gullsail_http::Decoder;
 use gullsail_scheduler_api::{Instant, RequestId, Span};
 
-/// A connection that is idle between messages for this long is closed: the shortest time that the platform's
-/// pages allow. Larger: a client that sends one request and stays holds one of the few slots for longer.
-/// Smaller: the platform counts it as a fault. Connecting anew costs little.
+/// A connection that is idle between messages for this long is closed: the shortest time that the platform's pages
+/// allow. Connecting anew costs little.
 pub(super) const IDLE_TIMEOUT: Span = Span::from_micros(2_000_000);
-/// A new connection whose first message is incomplete keeps its slot for at least this time when others need
-/// one. Larger: many slow clients hold all slots for longer. Smaller: a usual client whose message arrives in
-/// pieces may lose its connection.
+/// A new connection whose first message is incomplete keeps its slot for at least this time when others need one.
 const MIN_FIRST_MESSAGE_TIME: Span = Span::from_micros(300_000);
 
 #[derive(Debug, PartialEq)]
--- a/crates/platform/src/core/clients/table.rs
+++ b/crates/platform/src/core/clients/table.rs
@@ -8,16 +8,13 @@
 use gullsail_scheduler_api::{Instant, RequestId, Span};
 use std::collections::BTreeMap;
 
-/// Most slots that only new connections get, each closing an older one; at most an eighth of all slots. Larger:
-/// fewer slots for connections that stay. Smaller: new connections wait in the backlog when several arrive at
-/// once.
+/// Most slots that only new connections get, each closing an older one; at most an eighth of all slots.
 const MAX_RESERVED_SLOTS: usize = 8;
 /// Most bytes buffered behind an open request. Clients send few messages at a time. Beyond this messages are decoded
 /// and counted, so that the client's close behind them is seen, and each is refused after the response of the open
 /// request.
 const MAX_READ_AHEAD_BYTES: usize = 8 << 10;
-/// Most bytes decoded beyond [`MAX_READ_AHEAD_BYTES`]; what follows is discarded. Larger: a client that floods costs more
-/// work. Smaller: refusals are missing for clients that send a few large bodies ahead.
+/// Most bytes decoded beyond [`MAX_READ_AHEAD_BYTES`]; what follows is discarded.
 const MAX_REFUSED_AHEAD_BYTES: usize = 256 << 10;
 
 /// A complete message.
--- a/crates/platform/src/core/context.rs
+++ b/crates/platform/src/core/context.rs
@@ -7,8 +7,7 @@
 use gullsail_scheduler_api::{Event, Instant, Span};
 use gullsail_timers::Timers;
 
-/// Interval at which client connections and idle node connections are checked for their age. Larger: a timeout
-/// of a connection takes effect later by as much. Smaller: all connections are visited more often.
+/// Interval at which client connections and idle node connections are checked for their age.
 pub(super) const IDLE_CHECK_INTERVAL: Span = Span::from_micros(200_000);
 
 /// Passed to the methods of every part.
--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -14,8 +14,7 @@
 use tracing::{info, warn};
 
 /// An older version than the newest one is applied only if nothing newer is received for this long: as long as
-/// discovery may take to report a change. Smaller: nodes that the older list does not hold yet are taken for gone.
-/// Larger: a service that began its versions anew is ignored for longer.
+/// discovery may take to report a change.
 const OLDER_LIST_TIMEOUT: Span = Span::from_micros(6_000_000);
 
 /// Why a response of discovery is not applied.
--- a/crates/platform/src/core/discovery/state.rs
+++ b/crates/platform/src/core/discovery/state.rs
@@ -10,13 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 use tracing::warn;
 
-/// How long a poll waits for changes, in milliseconds. Larger: a silent discovery is noticed later. Smaller: more
-/// polls.
+/// How long a poll waits for changes, in milliseconds.
 const POLL_WAIT_MS: u64 = 2_000;
 /// A response that is later than its wait by this much is overdue, and the next connection is opened beside this one.
 /// With the wait that is 3.5 s. What a silent connection misses counts as reported 6 s after it fell silent.
-/// Larger: no time is left for a third connection when the second is silent too. Smaller: a slow service is
-/// polled twice.
 const RESPONSE_TIMEOUT: Span = Span::from_micros(1_500_000);
 /// First backoff after a connection that ended or was refused. Doubles with each failure in a row.
 const MIN_RETRY_DELAY: Span = Span::from_micros(50_000);
@@ -31,8 +28,7 @@
 /// Longest backoff towards an agent, for the same reason: two of them lie within the shortest grace.
 const AGENT_MAX_RETRY_DELAY: Span = Span::from_micros(100_000);
 /// A silent connection is closed in favour of a newer silent one after this time. Smaller than the time in which a
-/// service that many hosts poll at once sends a complete list: no connection would live to receive it. Larger:
-/// a dead service is waited for.
+/// service that many hosts poll at once sends a complete list: no connection would live to receive it.
 const SUSPECT_TIMEOUT: Span = Span::from_micros(5_000_000);
 /// Doublings of the backoff are counted up to this number; [`MAX_RETRY_DELAY`] is reached long before.
 const MAX_DOUBLINGS: u32 = 10;
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -59,11 +59,9 @@
 use timer_event::TimerEvent;
 use tracing::info;
 
-/// Interval between log lines with the metrics. Larger: an operator sees a change later. Smaller: a longer log.
+/// Interval between log lines with the metrics.
 const METRICS_INTERVAL: Span = Span::from_micros(5_000_000);
-/// Without a list from discovery the host reports itself ready after this time and serves with the stored
-/// endpoints. Larger: a restart without discovery serves nobody for longer. Smaller: a host may begin with an
-/// old list although discovery is about to answer.
+/// Without a list from discovery the host reports itself ready after this time and serves with the stored endpoints.
 const READY_TIMEOUT: Span = Span::from_micros(1_000_000);
 
 /// The state machine of one host.
--- a/crates/platform/src/core/node_connections/liveness.rs
+++ b/crates/platform/src/core/node_connections/liveness.rs
@@ -6,17 +6,15 @@
 use super::pool::NodeConnections;
 use gullsail_scheduler_api::{Event, Instant, NodeId, Span, UpdateKind};
 
-/// Longest time for which a response may be in flight. A response that is received later than this after a loss,
-/// on a connection established before it, was sent after the loss. Smaller: a response of the old process may
-/// be taken for one of a process that survived. Larger: fewer restarts are ruled out.
+/// Longest time for which a response may be in flight. A response that is received later than this after a loss, on a
+/// connection established before it, was sent after the loss.
 const MAX_IN_FLIGHT: Span = Span::from_micros(100_000);
-/// Shortest time in which a process ends and another takes its place. Larger: a restart may be taken for none.
+/// Shortest time in which a process ends and another takes its place.
 const MIN_RESTART: Span = Span::from_micros(250_000);
-/// Shortest time in which a server goes away, comes back and serves. A loss between two signs of life that are
-/// closer than this and [`MIN_RESTART`] was no restart. Larger: a restart may be taken for none.
+/// Shortest time in which a server goes away, comes back and serves. A loss between two signs of life that are closer
+/// than this and [`MIN_RESTART`] was no restart.
 const MIN_RETURN: Span = Span::from_micros(2_000_000);
-/// Discovery reports a restart within this time; the platform states it. Smaller: a restart may be taken for
-/// none before it is reported.
+/// Discovery reports a restart within this time; the platform states it.
 const DISCOVERY_DELAY: Span = Span::from_micros(6_000_000);
 
 impl UnexplainedLoss {
--- a/crates/platform/src/core/node_connections/pool.rs
+++ b/crates/platform/src/core/node_connections/pool.rs
@@ -10,8 +10,7 @@
 use gullsail_scheduler_api::{EndpointState, Instant, NodeId, Span, ZoneId};
 use std::collections::BTreeMap;
 
-/// Idle connections are closed after this fraction of the time after which nodes close them. Larger: a message may
-/// cross the node's close and be lost. Smaller: more connections are opened.
+/// Idle connections are closed after this fraction of the time after which nodes close them.
 const IDLE_AGE_FRACTION: f64 = 0.8;
 
 #[derive(Debug)]
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -21,18 +21,14 @@
 /// What the platform adds to the longest deadline.
 const PLATFORM_EXTRA_GRACE: Span = Span::from_micros(700_000);
 /// Shortest time for which new connections are accepted after SIGTERM, however long the latency objective is.
-/// Smaller: clients that connect before they learn of another host are refused.
 const MIN_ACCEPTING: Span = Span::from_micros(500_000);
 /// Kept between the latency objective of the request accepted last and the end of the grace, for delays of the
-/// process and the writing of responses. Smaller: the last responses may be cut off. Larger: new connections
-/// are refused earlier.
+/// process and the writing of responses.
 const SCHEDULING_MARGIN: Span = Span::from_micros(500_000);
-/// The process exits this long before the platform kills it, whatever is unwritten then. Smaller: it may be
-/// killed instead of exiting with code 0.
+/// The process exits this long before the platform kills it, whatever is unwritten then.
 const EXIT_MARGIN: Span = Span::from_micros(50_000);
 /// A request that is still open this long before the exit fails: without a response it would be lost. The response
-/// has to be written and the connection closed within this time, by a process that shares its core. Larger:
-/// requests fail that would have been served.
+/// has to be written and the connection closed within this time, by a process that shares its core.
 const WRITING_TIME: Span = Span::from_micros(300_000);
 /// After a second signal all requests are answered at once; clients that read slowly have this long to read.
 const IMMEDIATE_EXIT: Span = Span::from_micros(1_000_000);
--- a/crates/platform/src/runtime.rs
+++ b/crates/platform/src/runtime.rs
@@ -24,11 +24,9 @@
 use tokio::sync::mpsc;
 use tracing::info;
 
-/// Most events of all connections that wait to be handled; when the queue is full, sockets are not read. Larger:
-/// more memory under load. Smaller: connections wait for the event loop more often.
+/// Most events of all connections that wait to be handled; when the queue is full, sockets are not read.
 const EVENT_QUEUE: usize = 64;
-/// Most events handled before the scheduler runs and outputs are carried out. Larger: the first event of a batch
-/// waits longer. Smaller: the scheduler runs more often.
+/// Most events handled before the scheduler runs and outputs are carried out.
 const EVENT_BATCH: usize = 64;
 /// Bytes read of a datagram: one more than the longest peer message, so that a longer one is recognised.
 const DATAGRAM_BYTES: usize = 257;
--- a/crates/platform/src/runtime/connection.rs
+++ b/crates/platform/src/runtime/connection.rs
@@ -15,8 +15,7 @@
 
 /// Most bytes read at once, and so in one event.
 const READ_BYTES: usize = 8 << 10;
-/// A connection is closed if its client has not read its response within this time. Larger: clients that stopped
-/// reading hold descriptors for longer. Smaller: slow clients lose their responses.
+/// A connection is closed if its client has not read its response within this time.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Most bytes discarded after the last response. A close with unread bytes resets the connection, which destroys the
 /// response on its way; the bound keeps a client from sending for ever.
--- a/crates/scenario/src/run/report.rs
+++ b/crates/scenario/src/run/report.rs
@@ -87,7 +87,7 @@
             "late",
             "rejected",
             "failed",
-            "refused as invalid",
+            "refused",
             "unanswered",
             "units within objective",
         ]);
@@ -127,7 +127,10 @@
         let span = (p.to_us - p.from_us) as f64 / 1e6;
         text += &format!(
             "  {}: budget {} overrun by {} bytes in {span:.1} s: {}\n",
-            state.host, p.budget, p.bytes, p.cause
+            state.host,
+            p.budget,
+            p.bytes,
+            p.shown_cause()
         );
     }
     if !state.behind.is_empty() {
