Review case 1: a late second answer is served to another client

Cause: after a whole answer the platform's host uses the node's connection again at once, and takes whatever comes after the next message is written for the answer to it. A second copy of the earlier answer that is still on its way is served to the next request.

--- /dev/null
+++ b/review/standins/src/late_second_answer.rs
@@ -0,0 +1,119 @@
+//! Nodes send a second copy of some answers some milliseconds late, when nothing else waits on the connection. Nodes
+//! in other buildings are 1.4 to 2.6 ms away. Each client has to get the answer that a node made for its request.
+
+use crate::host::Host;
+use crate::http::Read1;
+use crate::node::{Answer, Behaviour, Runs, body_for};
+use crate::record::Record;
+use crate::{delay, deployments, discovery, node};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+const NODES: usize = 9;
+const CLIENTS: u64 = 3;
+const DURATION: Duration = Duration::from_secs(15);
+const EXPIRES_MS: u64 = 1200;
+/// How long after the answer its second copy follows.
+const LATE: Duration = Duration::from_millis(3);
+/// One of so many answers is followed by a second copy.
+const ONE_IN: u64 = 10;
+const BUILDINGS: [(&str, Duration); 3] = [
+    ("batiment-a", Duration::from_micros(200)),
+    ("batiment-b", Duration::from_micros(2400)),
+    ("batiment-c", Duration::from_micros(2400)),
+];
+
+pub fn run(record: &Record, trouble: bool) -> bool {
+    let behaviour = Behaviour {
+        runs: Runs::default(),
+        work: Duration::from_millis(15),
+        answer: Arc::new(move |number| {
+            if trouble && number % ONE_IN == ONE_IN - 1 {
+                Answer::Twice(LATE)
+            } else {
+                Answer::Plain
+            }
+        }),
+    };
+    let nodes: Vec<_> = (0..NODES)
+        .map(|shard| {
+            let (site, one_way) = BUILDINGS[shard % BUILDINGS.len()];
+            let name = format!("s-{shard:08x}");
+            let address = node::start(name.clone(), shard, behaviour.clone(), record.clone());
+            discovery::Listed {
+                host: name,
+                dial: delay::start(address, one_way),
+                site: site.to_string(),
+                class: "box-std".to_string(),
+                block: shard,
+            }
+        })
+        .collect();
+    let known = discovery::page(&nodes);
+    let agent = discovery::start(nodes);
+    let host = Host::start(record, &deployments::vieux_port(NODES), agent, &known);
+
+    let foreign = Arc::new(AtomicU64::new(0));
+    let served = Arc::new(AtomicU64::new(0));
+    let other = Arc::new(AtomicU64::new(0));
+    std::thread::scope(|scope| {
+        for client in 0..CLIENTS {
+            let (host, foreign, served, other) = (&host, &foreign, &served, &other);
+            scope.spawn(move || {
+                let until = Instant::now() + DURATION;
+                let mut conn = host.connect(record);
+                let mut number = 0;
+                while Instant::now() < until {
+                    // A client reads some records of one collection, which lie on one node, then goes on to another.
+                    let shard = (client * 3 + number / 20) % NODES as u64;
+                    number += 1;
+                    let trace = format!("{:016x}", (client + 1) << 32 | number);
+                    let object = format!("{:016x}", 0x7f00_0000 + client * 100_000 + number);
+                    let volume = format!("{:016x}", 0x3b4d_0000 + client);
+                    let text = format!(
+                        "GET /record-read/{volume}/{object} HTTP/1.1\r\nHost: service.internal\r\n\
+                         X-Trace-Id: {trace}\r\nX-Qos: record-read\r\nX-Storage-Class: prioritaire\r\n\
+                         X-Expires-In-Ms: {EXPIRES_MS}\r\nX-Extent: units=1,shard={shard},hosts=1\r\n\r\n"
+                    );
+                    record.line(format!("client {client} sends {trace}, shard {shard}"));
+                    let sent = conn.send(text.as_bytes());
+                    let limit = Instant::now() + Duration::from_millis(EXPIRES_MS + 550);
+                    let answer = sent.map(|()| conn.read(Some(limit)));
+                    match answer {
+                        Ok(Read1::Message(message)) if message.status() == 200 => {
+                            if message.body_text() == body_for(&trace, &object) {
+                                served.fetch_add(1, Ordering::Relaxed);
+                                record.line(format!("client {client} gets its answer to {trace}"));
+                            } else {
+                                foreign.fetch_add(1, Ordering::Relaxed);
+                                record.line(format!(
+                                    "client {client} FOREIGN: to {trace} it gets 200 with '{}'",
+                                    message.body_text().trim()
+                                ));
+                            }
+                        }
+                        Ok(Read1::Message(message)) => {
+                            other.fetch_add(1, Ordering::Relaxed);
+                            record.line(format!("client {client} gets {} to {trace}", message.status()));
+                        }
+                        Ok(Read1::Ended) | Ok(Read1::TimedOut) | Err(_) => {
+                            other.fetch_add(1, Ordering::Relaxed);
+                            record.line(format!("client {client} gets no answer to {trace}"));
+                            conn = host.connect(record);
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let running = host.is_running();
+    host.end(record);
+    let foreign = foreign.load(Ordering::Relaxed);
+    record.say(format!(
+        "served with the right answer {}, served with another request's answer {foreign}, not served {}, host running {running}",
+        served.load(Ordering::Relaxed),
+        other.load(Ordering::Relaxed),
+    ));
+    foreign > 0
+}
