Review case 1: the same fault makes an unrepeatable request run twice

Change: a second mode of the driver, in which nodes turn away one of ten requests and send this answer twice, and the class must never run twice.

--- a/review/standins/src/late_second_answer.rs
+++ b/review/standins/src/late_second_answer.rs
@@ -2,7 +2,7 @@
 //! in other buildings are 1.4 to 2.6 ms away. When the second copy is sent, no other request is at the node or on its
 //! way to it. Each client has to get the answer that a node made for its request.
 
-use crate::host::Host;
+use crate::host::{Deployment, Host};
 use crate::http::Read1;
 use crate::node::{Answer, Behaviour, Runs, body_for};
 use crate::record::Record;
@@ -26,17 +26,40 @@
     ("batiment-c", Duration::from_micros(2400)),
 ];
 
+/// The case: second copies of answers of requests that ran.
 pub fn run(record: &Record, trouble: bool) -> bool {
+    play(record, deployments::vieux_port(NODES), move |number| {
+        if trouble && number % ONE_IN == ONE_IN - 1 {
+            Answer::Twice(LATE)
+        } else {
+            Answer::Plain
+        }
+    })
+}
+
+/// The same fault with second copies of answers that turn a request away, and a class that must never run twice.
+pub fn run_refusals(record: &Record, trouble: bool) -> bool {
+    let mut deployment = deployments::vieux_port(NODES);
+    deployment.settings = deployment.settings.replacen("\"pure\"", "\"side_effect\"", 1);
+    play(record, deployment, move |number| {
+        if number % ONE_IN == ONE_IN - 1 {
+            Answer::TurnedAway(trouble.then_some(LATE))
+        } else {
+            Answer::Plain
+        }
+    })
+}
+
+fn play(
+    record: &Record,
+    deployment: Deployment,
+    answer: impl Fn(u64) -> Answer + Send + Sync + 'static,
+) -> bool {
+    let runs = Runs::default();
     let behaviour = Behaviour {
-        runs: Runs::default(),
+        runs: runs.clone(),
         work: Duration::from_millis(15),
-        answer: Arc::new(move |number| {
-            if trouble && number % ONE_IN == ONE_IN - 1 {
-                Answer::Twice(LATE)
-            } else {
-                Answer::Plain
-            }
-        }),
+        answer: Arc::new(answer),
     };
     let nodes: Vec<_> = (0..NODES)
         .map(|shard| {
@@ -54,7 +77,7 @@
         .collect();
     let known = discovery::page(&nodes);
     let agent = discovery::start(nodes);
-    let host = Host::start(record, &deployments::vieux_port(NODES), agent, &known);
+    let host = Host::start(record, &deployment, agent, &known);
 
     let foreign = Arc::new(AtomicU64::new(0));
     let served = Arc::new(AtomicU64::new(0));
@@ -112,10 +135,11 @@
     let running = host.is_running();
     host.end(record);
     let foreign = foreign.load(Ordering::Relaxed);
+    let twice = runs.lock().unwrap().values().filter(|times| **times > 1).count();
     record.say(format!(
-        "served with the right answer {}, served with another request's answer {foreign}, not served {}, host running {running}",
+        "served with the right answer {}, served with another request's answer {foreign}, not served {}, run more than once {twice}, host running {running}",
         served.load(Ordering::Relaxed),
         other.load(Ordering::Relaxed),
     ));
-    foreign > 0
+    foreign > 0 || twice > 0
 }
--- a/review/standins/src/long_pipeline.rs
+++ b/review/standins/src/long_pipeline.rs
@@ -85,7 +85,7 @@
     let running = host.is_running();
     host.end(record);
     let runs = runs.lock().unwrap();
-    let lost = unanswered.iter().filter(|trace| runs.contains(*trace)).count();
+    let lost = unanswered.iter().filter(|trace| runs.contains_key(*trace)).count();
     record.say(format!(
         "commands sent {}, without an answer {}, of these run by a node {lost}, host running {running}",
         ROUNDS * COMMANDS,
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -27,6 +27,7 @@
     record.line(format!("case {case}, trouble {trouble}"));
     let broken = match case.as_str() {
         "late-second-answer" => late_second_answer::run(&record, trouble),
+        "late-second-refusal" => late_second_answer::run_refusals(&record, trouble),
         "long-pipeline" => long_pipeline::run(&record, trouble),
         "half-requests" => half_requests::run(&record, trouble),
         "no-length" => no_length::run(&record, trouble),
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -4,7 +4,7 @@
 use crate::http::{Conn, Message, Read1, response};
 use crate::record::Record;
 use std::net::{SocketAddr, TcpListener};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -17,19 +17,22 @@
     /// With `Content-Length`; this long afterwards the same again, unless a byte of another request has come by then or
     /// is on its way.
     Twice(Duration),
+    /// Turned away, unrun: the queue is full. This long afterwards the same again, on the same terms as [`Answer::Twice`];
+    /// `None`: not again.
+    TurnedAway(Option<Duration>),
     /// Without a length: the answer ends with the connection, which the node closes in order.
     WithoutLength,
 }
 
-/// The ids of the requests that nodes have run.
-pub type Runs = Arc<Mutex<BTreeSet<String>>>;
+/// How often nodes have run each request, by its id.
+pub type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
 
 /// What a node does, in the same way at all nodes.
 #[derive(Clone)]
 pub struct Behaviour {
     pub runs: Runs,
     pub work: Duration,
-    /// Chooses the answer to the n-th request that this node runs, from 0.
+    /// Chooses the answer to the n-th request that reaches this node, from 0.
     pub answer: Arc<dyn Fn(u64) -> Answer + Send + Sync>,
 }
 
@@ -86,37 +89,28 @@
             let _ = conn.send(&response("503 Service Unavailable", "X-Never-Ran: 1\r\n", b""));
             continue;
         }
-        let number = run_count.fetch_add(1, Ordering::Relaxed);
+        let answer = (behaviour.answer)(run_count.fetch_add(1, Ordering::Relaxed));
+        if let Answer::TurnedAway(again) = answer {
+            record.line(format!("{name} turns {trace} away: 503, never ran"));
+            let bytes = response("503 Service Unavailable", "X-Never-Ran: 1\r\n", b"queue full");
+            if conn.send(&bytes).is_err() || !send_again(&mut conn, &bytes, again, name, &trace, record) {
+                return;
+            }
+            continue;
+        }
         record.line(format!("{name} runs {trace}"));
-        behaviour.runs.lock().unwrap().insert(trace.clone());
+        *behaviour.runs.lock().unwrap().entry(trace.clone()).or_default() += 1;
         std::thread::sleep(behaviour.work);
         let body = body_for(&trace, &object_of(&message));
-        let answer = (behaviour.answer)(number);
         let bytes = response("200 OK", "", body.as_bytes());
         match answer {
-            Answer::Plain => {
-                record.line(format!("{name} answers {trace}: 200"));
-                if conn.send(&bytes).is_err() {
-                    return;
-                }
-            }
-            Answer::Twice(after) => {
+            Answer::Plain | Answer::Twice(_) | Answer::TurnedAway(_) => {
                 record.line(format!("{name} answers {trace}: 200"));
-                if conn.send(&bytes).is_err() {
-                    return;
-                }
-                // The time limit of a read is too coarse for some milliseconds.
-                std::thread::sleep(after);
-                let has_come = conn.has_input_now();
-                let proxy = conn.stream.peer_addr().expect("the proxy's address");
-                if has_come || delay::written_by_host(proxy) != Some(conn.bytes_read) {
-                    record.line(format!("{name} has more to read, no second answer to {trace}"));
-                    continue;
-                }
-                record.line(format!(
-                    "{name} answers {trace} a second time, nothing waits and nothing is on its way"
-                ));
-                if conn.send(&bytes).is_err() {
+                let again = match answer {
+                    Answer::Twice(after) => Some(after),
+                    _ => None,
+                };
+                if conn.send(&bytes).is_err() || !send_again(&mut conn, &bytes, again, name, &trace, record) {
                     return;
                 }
             }
@@ -132,3 +126,30 @@
         }
     }
 }
+
+/// Sends an answer a second time, unless something else waits on the connection then. Returns whether the connection is
+/// still of use.
+fn send_again(
+    conn: &mut Conn,
+    bytes: &[u8],
+    after: Option<Duration>,
+    name: &str,
+    trace: &str,
+    record: &Record,
+) -> bool {
+    let Some(after) = after else {
+        return true;
+    };
+    // The time limit of a read is too coarse for some milliseconds.
+    std::thread::sleep(after);
+    let has_come = conn.has_input_now();
+    let proxy = conn.stream.peer_addr().expect("the proxy's address");
+    if has_come || delay::written_by_host(proxy) != Some(conn.bytes_read) {
+        record.line(format!("{name} has more to read, no second answer to {trace}"));
+        return true;
+    }
+    record.line(format!(
+        "{name} answers {trace} a second time, nothing waits and nothing is on its way"
+    ));
+    conn.send(bytes).is_ok()
+}
