--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -3,6 +3,7 @@
 use crate::http::{Conn, Read1};
 use crate::record::Record;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -43,6 +44,21 @@
         .to_string()
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
+/// Makes the kernel end this process when the driver ends in whatever way.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: the call takes two numbers and touches no memory.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 impl Host {
     /// Starts the host and waits until its health check succeeds.
     pub fn start(
@@ -80,7 +96,10 @@
         let log = std::fs::File::create(dir.join("host.log")).expect("the log");
         drop(free);
         let run = deploy_command(record, "run");
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // SAFETY: prctl is safe to call between fork and exec.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .args(["-c", &run])
             .env("PROXY_NAME", "n0")
             .env("PROXY_LISTEN", address.to_string())
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -22,6 +22,12 @@
         eprintln!("usage: review-standins CASE RECORD");
         std::process::exit(2);
     };
+    let usual_hook = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        usual_hook(panic);
+        // The host ends with this process.
+        std::process::exit(2);
+    }));
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::create(path);
     record.line(format!("case {case}, trouble {trouble}"));
