--- a/review/standins/src/half_requests.rs
+++ b/review/standins/src/half_requests.rs
@@ -1,7 +1,7 @@
 //! Bad clients ask once, then stop in the middle of their next request and stay. Usual clients have to get their
 //! answers all the same, each on a new connection.
 
-use crate::host::Host;
+use crate::host::{Host, give_up};
 use crate::http::{Conn, Read1};
 use crate::node::{Answer, Behaviour, Runs};
 use crate::record::Record;
@@ -22,6 +22,9 @@
 const EXPIRES_MS: u64 = 1200;
 const ROUNDS: u64 = 3;
 
+/// The bad clients are connected within this time, or the run shows nothing: the host gives each an error after 2.2 s.
+const LONGEST_START: Duration = Duration::from_millis(400);
+
 pub fn run(record: &Record, trouble: bool) -> bool {
     let behaviour = Behaviour {
         runs: Runs::default(),
@@ -51,6 +54,7 @@
     let shut = AtomicU64::new(0);
     let lost = AtomicU64::new(0);
     for round in 0..ROUNDS {
+        let start = Instant::now();
         // The connections stay open to the end of the round.
         let bad: Vec<_> = (0..if trouble { BAD_CLIENTS } else { 0 })
             .map(|_| {
@@ -58,7 +62,11 @@
                 ask_once_and_stop(&host, record)
             })
             .collect();
-        record.line(format!("round {round}: {} bad clients are connected", bad.len()));
+        record.line(format!("round {round}: {} bad clients have sent a health check and half a request each", bad.len()));
+        if start.elapsed() > LONGEST_START {
+            host.end(record);
+            give_up(record, "the bad clients took too long to connect");
+        }
         std::thread::sleep(Duration::from_millis(20));
         std::thread::scope(|scope| {
             for client in 0..USUAL_CLIENTS {
@@ -85,6 +93,9 @@
         answered.load(Ordering::Relaxed),
         shut.load(Ordering::Relaxed),
     ));
+    if !trouble && answered.load(Ordering::Relaxed) == 0 {
+        give_up(record, "no usual request was answered");
+    }
     lost > 0
 }
 
--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -149,9 +149,11 @@
     /// Ends the run after 100 s, whatever it waits for.
     fn end_in_time(&self, record: Record) {
         let child = self.child.clone();
+        let dir = self.dir.clone();
         std::thread::spawn(move || {
             std::thread::sleep(Duration::from_secs(100));
             let _ = child.lock().unwrap().kill();
+            let _ = std::fs::remove_dir_all(dir);
             give_up(&record, "the run took more than 100 s");
         });
     }
--- a/review/standins/src/long_pipeline.rs
+++ b/review/standins/src/long_pipeline.rs
@@ -3,7 +3,7 @@
 //! passed on without doubt. One of them is lost if the host ends its connection without an answer, or if none comes in
 //! time.
 
-use crate::host::Host;
+use crate::host::{Host, give_up};
 use crate::http::Read1;
 use crate::node::{Answer, Behaviour, Runs};
 use crate::record::Record;
@@ -52,6 +52,7 @@
             .collect();
         if trouble {
             record.line(format!("round {round}: sends a command and {} more behind it", COMMANDS - 1));
+            record.line(format!("the client sends {}, then {}", traces[0], traces[1..].join(" ")));
             let _ = conn.send(&command(&traces[0]));
             std::thread::sleep(HEAD_START);
             let all: Vec<u8> = traces[1..].iter().flat_map(|trace| command(trace)).collect();
@@ -70,6 +71,7 @@
         } else {
             record.line(format!("round {round}: sends {COMMANDS} commands, each after the answer before"));
             for trace in &traces {
+                record.line(format!("the client sends {trace}"));
                 if conn.send(&command(trace)).is_err() {
                     conn = host.connect(record);
                     let _ = conn.send(&command(trace));
@@ -91,6 +93,9 @@
         ROUNDS * COMMANDS,
         unanswered.len(),
     ));
+    if runs.is_empty() {
+        give_up(record, "no node ran a command");
+    }
     lost > 0
 }
 
--- a/review/standins/src/no_length.rs
+++ b/review/standins/src/no_length.rs
@@ -89,5 +89,8 @@
         "requests {REQUESTS}, served {}, refused {refused}, failed {failed}, host running {running}",
         served.lock().unwrap().len()
     ));
-    false
+    let whole = node::WITHOUT_LENGTH.lock().unwrap();
+    let forwarded = whole.iter().filter(|trace| served.lock().unwrap().contains(*trace)).count();
+    record.say(format!("whole answers without a length {}, of these forwarded {forwarded}", whole.len()));
+    2 * forwarded < whole.len()
 }
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -4,7 +4,7 @@
 use crate::http::{Conn, Message, Read1, response};
 use crate::record::Record;
 use std::net::{SocketAddr, TcpListener};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -27,6 +27,12 @@
 /// How often nodes have run each request, by its id.
 pub type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
 
+/// The ids of the requests that nodes have answered whole without a length.
+pub static WITHOUT_LENGTH: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
+/// How many second answers all nodes have sent.
+pub static SECOND_ANSWERS: AtomicU64 = AtomicU64::new(0);
+
 /// What a node does, in the same way at all nodes.
 #[derive(Clone)]
 pub struct Behaviour {
@@ -116,6 +122,7 @@
             }
             Answer::WithoutLength => {
                 record.line(format!("{name} answers {trace}: 200, no length, whole, then closes"));
+                WITHOUT_LENGTH.lock().unwrap().insert(trace.clone());
                 let bytes = format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{body}");
                 let _ = conn.send(bytes.as_bytes());
                 let _ = conn.stream.shutdown(std::net::Shutdown::Write);
@@ -151,5 +158,6 @@
     record.line(format!(
         "{name} answers {trace} a second time, nothing waits and nothing is on its way"
     ));
+    SECOND_ANSWERS.fetch_add(1, Ordering::Relaxed);
     conn.send(bytes).is_ok()
 }
