--- a/review/standins/src/half_requests.rs
+++ b/review/standins/src/half_requests.rs
@@ -117,11 +117,12 @@
          X-Extent: units=1,shard={shard},hosts=1\r\n\r\n"
     );
     record.line(format!("usual client sends {trace}"));
-    let sent = Instant::now();
     if conn.send(text.as_bytes()).is_err() {
         record.line(format!("usual client of {trace}: connection closed"));
         return Some(false);
     }
+    // A request's time is counted from its last byte.
+    let sent = Instant::now();
     match conn.read(Some(sent + Duration::from_millis(EXPIRES_MS + 550))) {
         Read1::Message(message) => {
             let ms = sent.elapsed().as_millis();
