A node's late second response is not taken for the response to the next request

Cause: after a complete response the connection was given to the next attempt at once. A node may send its response again some milliseconds later. The check before a message is written sees only a copy that has arrived by then; one that was on its way was decoded as the response to the new message, and the true response as that to the one after it.

Change: after a response a connection carries nothing for 25 ms. A copy is as late at the host as it was at the node, however long the way, so it is received in that time, where any input closes the connection. Attempts take another idle connection or open one; at the bound on descriptors they wait for the delay. There the attempt that has waited longest now gets the descriptor: before, a node's own attempts kept it, and a connection that became idle was not closed for an attempt of another node that waited already. Several idle connections to a node age out after 5 s, all but the one used last.

Tests: six of the new ones fail on the code before, the two over real sockets among them. Tests that sent the next request on a connection at once now let the delay pass or use the new connection; what they check is unchanged.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod pipelining;
 mod races;
 mod rig;
+mod second_responses;
 
 use nix::sys::signal::Signal;
 use rig::{Host, SOON, discovery, document, read_message, read_status, reply, send_request, serve};
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -80,9 +80,9 @@
         self.send_or_wait(key, node);
     }
 
-    /// Sends the attempt on an idle connection to the node, or queues it until there is one.
+    /// Sends the attempt on an idle connection to the node that may be reused, or queues it until there is one.
     pub(super) fn send_or_wait(&mut self, key: AttemptKey, node: NodeId) {
-        if let Some(conn) = self.nodes.take_idle(node, &mut self.context) {
+        if let Some(conn) = self.nodes.take_reusable(node, &mut self.context) {
             self.send_attempt(key, conn);
         } else if !self.nodes.queue_attempt(node, key, &mut self.context) {
             self.end_attempt(key, AttemptOutcome::NotSent, None);
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -246,6 +246,7 @@
             TimerEvent::AttemptTimeout(key) => self.attempt_timed_out(key),
             TimerEvent::ConnectionWaitTimeout(key) => self.connection_wait_timed_out(key),
             TimerEvent::ConnectTimeout(conn) => self.connect_timed_out(conn),
+            TimerEvent::ReuseDelayOver(node) => self.reuse_delay_over(node),
             TimerEvent::IdleCheck => self.check_connection_ages(),
             TimerEvent::DiscoveryTimeout(poll) => self.discovery.timed_out(poll, &mut self.context),
             TimerEvent::DiscoveryRetry => self.discovery.connect(&mut self.context),
--- a/crates/platform/src/core/node_connections/assignment.rs
+++ b/crates/platform/src/core/node_connections/assignment.rs
@@ -25,8 +25,8 @@
         if !node_state.is_ready() {
             // Attempts that wait for this node end at once, since nothing may be sent to it.
             let waiting = std::mem::take(&mut node_state.waiting);
-            for key in waiting {
-                self.end_attempt(key, AttemptOutcome::NotSent, None);
+            for attempt in waiting {
+                self.end_attempt(attempt.key, AttemptOutcome::NotSent, None);
             }
             self.nodes.retire_connections(node, &mut self.context);
         } else if address_changed {
@@ -54,8 +54,8 @@
         }
     }
 
-    /// Sends the attempt that has waited longest and may still be sent on this free connection. Without such an attempt
-    /// the connection becomes idle.
+    /// Sends the attempt that has waited longest and may still be sent on this connection, which may carry one now.
+    /// Without such an attempt the connection becomes idle.
     pub(super) fn assign_connection(&mut self, conn: ConnectionId, node: NodeId) {
         while let Some(key) = self.nodes.next_waiting(node) {
             if self.may_still_send(key) {
@@ -66,6 +66,19 @@
         self.nodes.make_idle_or_close(conn, node, &mut self.context);
     }
 
+    /// Sends attempts that wait for the node on its connections that may be reused by now.
+    pub(in super::super) fn reuse_delay_over(&mut self, node: NodeId) {
+        self.nodes.reuse_timer_fired(node);
+        while self.nodes.has_waiting(node) {
+            let Some(conn) = self.nodes.take_reusable(node, &mut self.context) else {
+                break;
+            };
+            self.assign_connection(conn, node);
+        }
+        self.nodes.schedule_reuse(node, &mut self.context);
+        self.nodes.connect_for_longest_waiting(&mut self.context);
+    }
+
     /// No byte of the attempt's message was written, since the node had closed the connection or sent unexpected input.
     /// The attempt uses another connection.
     pub(in super::super) fn node_not_written(&mut self, conn: ConnectionId) {
--- a/crates/platform/src/core/node_connections/pool.rs
+++ b/crates/platform/src/core/node_connections/pool.rs
@@ -1,4 +1,4 @@
-//! The pool of connections to nodes. It opens, reuses and closes them within the bound on descriptors.
+//! The pool of connections to nodes. It opens, reuses and closes them.
 
 use super::super::attempt_key::AttemptKey;
 use super::super::context::Context;
@@ -6,20 +6,23 @@
 use super::super::settings::Settings;
 use super::super::timer_event::TimerEvent;
 use super::connection::{ConnectionState, NodeConnection};
-use super::node::{ListedNode, Node};
+use super::node::{ListedNode, Node, WaitingAttempt};
 use gullsail_scheduler_api::{EndpointState, Instant, NodeId, Span, ZoneId};
 use std::collections::BTreeMap;
 
 /// Idle connections are closed after this fraction of the keep-alive time after which nodes close them, so that an
 /// attempt is rarely sent on a connection that its node is closing.
 const IDLE_AGE_FRACTION: f64 = 0.8;
+/// A connection that was not used for this long, while another one to its node was, is closed. Nodes hold a limited
+/// number of connections, and several requests at once open more than the traffic afterwards needs.
+const MAX_SURPLUS_AGE: Span = Span::from_micros(5_000_000);
 
 #[derive(Debug)]
 pub(in super::super) struct NodeConnections {
     pub(super) nodes: BTreeMap<NodeId, Node>,
     pub(super) connections: BTreeMap<ConnectionId, NodeConnection>,
     /// Bound on the number of connections to all nodes.
-    max_connections: usize,
+    pub(super) max_connections: usize,
     connect_timeout: Span,
     max_idle_age: Span,
     /// For how long a restarted node is in slow start. A loss that is older has no effect on the scheduler.
@@ -98,9 +101,13 @@
         if !node_state.is_ready() {
             return false;
         }
-        node_state.waiting.push_back(key);
+        node_state.waiting.push_back(WaitingAttempt {
+            key,
+            since: context.now,
+        });
         context.set_timer(self.connect_timeout, TimerEvent::ConnectionWaitTimeout(key));
         self.connect_for_waiting(node, context);
+        self.schedule_reuse(node, context);
         true
     }
 
@@ -109,27 +116,48 @@
         let Some(node_state) = self.nodes.get_mut(&node) else {
             return false;
         };
-        node_state.waiting.retain(|waiting| *waiting != key);
+        node_state.waiting.retain(|waiting| waiting.key != key);
         node_state.connecting > 0
     }
 
     /// Takes the attempt that has waited longest for a connection to the node.
     pub(super) fn next_waiting(&mut self, node: NodeId) -> Option<AttemptKey> {
-        self.nodes.get_mut(&node)?.waiting.pop_front()
+        let attempt = self.nodes.get_mut(&node)?.waiting.pop_front()?;
+        Some(attempt.key)
     }
 
-    /// Takes the idle connection to the node that was used most recently.
-    pub(in super::super) fn take_idle(
+    pub(super) fn has_waiting(&self, node: NodeId) -> bool {
+        self.nodes
+            .get(&node)
+            .is_some_and(|node_state| !node_state.waiting.is_empty())
+    }
+
+    /// Takes the idle connection to the node that was used most recently, of those that may carry the next attempt.
+    pub(in super::super) fn take_reusable(
         &mut self,
         node: NodeId,
         context: &mut Context,
     ) -> Option<ConnectionId> {
-        let conn = self.nodes.get_mut(&node)?.idle.pop()?;
-        if !self.connections.contains_key(&conn) {
-            return None;
-        }
+        let idle = &mut self.nodes.get_mut(&node)?.idle;
+        let is_reusable = |conn: &ConnectionId| {
+            self.connections
+                .get(conn)
+                .is_some_and(|connection| connection.reusable_at <= context.now)
+        };
+        let index = idle.iter().rposition(is_reusable)?;
         context.metrics.node_connections_reused += 1;
-        Some(conn)
+        Some(idle.remove(index))
+    }
+
+    /// Records that the response to the connection's attempt was received. The connection becomes idle, also if
+    /// attempts wait for its node: it carries the next one after a delay.
+    pub(super) fn answered(&mut self, conn: ConnectionId, context: &mut Context) {
+        let Some(connection) = self.connections.get_mut(&conn) else {
+            return;
+        };
+        connection.mark_answered(context.now);
+        let node = connection.node;
+        self.make_idle_or_close(conn, node, context);
     }
 
     /// Keeps the connection for later attempts if its node is ready. Closes it otherwise.
@@ -139,13 +167,38 @@
         node: NodeId,
         context: &mut Context,
     ) {
-        match (self.connections.get_mut(&conn), self.nodes.get_mut(&node)) {
-            (Some(connection), Some(node_state)) if node_state.is_ready() => {
-                connection.state = ConnectionState::Idle;
-                connection.idle_since = context.now;
-                node_state.idle.push(conn);
-            }
-            _ => self.close(conn, context),
+        match self.nodes.get_mut(&node) {
+            Some(node_state) if node_state.is_ready() => node_state.idle.push(conn),
+            _ => return self.close(conn, context),
+        }
+        if self.is_wanted_elsewhere(node) {
+            self.close(conn, context);
+        }
+        self.schedule_reuse(node, context);
+    }
+
+    /// Sets the timer for the first idle connection to the node that may be reused, if attempts wait.
+    pub(super) fn schedule_reuse(&mut self, node: NodeId, context: &mut Context) {
+        let Some(node_state) = self.nodes.get_mut(&node) else {
+            return;
+        };
+        if node_state.waiting.is_empty() || node_state.reuse_scheduled {
+            return;
+        }
+        let idle = node_state.idle.iter();
+        let first = idle
+            .filter_map(|conn| self.connections.get(conn))
+            .map(|connection| connection.reusable_at)
+            .min();
+        if let Some(at) = first {
+            node_state.reuse_scheduled = true;
+            context.timers.set(at, TimerEvent::ReuseDelayOver(node));
+        }
+    }
+
+    pub(super) fn reuse_timer_fired(&mut self, node: NodeId) {
+        if let Some(node_state) = self.nodes.get_mut(&node) {
+            node_state.reuse_scheduled = false;
         }
     }
 
@@ -161,9 +214,7 @@
         if connection.state != ConnectionState::Connecting {
             return None;
         }
-        connection.state = ConnectionState::Idle;
-        connection.established_at = now;
-        connection.idle_since = now;
+        connection.mark_established(now);
         let node = connection.node;
         if let Some(node_state) = self.nodes.get_mut(&node) {
             node_state.connecting -= 1;
@@ -172,23 +223,7 @@
         Some(node)
     }
 
-    /// Opens connections for the attempts that wait for the node. At the bound on descriptors, an idle connection to
-    /// any node is closed for each new one.
-    fn connect_for_waiting(&mut self, node: NodeId, context: &mut Context) {
-        while self.nodes.get(&node).is_some_and(Node::needs_connection) {
-            if self.connection_count() < self.max_connections {
-                self.connect(node, context);
-                continue;
-            }
-            let Some(idle) = self.longest_idle() else {
-                return;
-            };
-            // `close` uses the descriptor for a waiting attempt, perhaps of this node, so the loop checks again.
-            self.close(idle, context);
-        }
-    }
-
-    fn connect(&mut self, node: NodeId, context: &mut Context) {
+    pub(super) fn connect(&mut self, node: NodeId, context: &mut Context) {
         let Some(node_state) = self.nodes.get_mut(&node) else {
             return;
         };
@@ -243,15 +278,15 @@
         self.descriptor_freed(connection.node, context);
     }
 
-    /// Closes connections that have been idle for the maximum idle age.
+    /// Closes connections that have been idle for too long.
     pub(in super::super) fn close_aged(&mut self, context: &mut Context) {
         let now = context.now;
         let aged: Vec<_> = self
             .connections
             .iter()
-            .filter(|(_, connection)| {
+            .filter(|(conn, connection)| {
                 connection.state == ConnectionState::Idle
-                    && now - connection.idle_since >= self.max_idle_age
+                    && now - connection.idle_since >= self.max_age(**conn, connection)
             })
             .map(|(conn, _)| *conn)
             .collect();
@@ -260,6 +295,19 @@
         }
     }
 
+    /// For how long an idle connection is kept. The one to its node that was used most recently is kept longest.
+    fn max_age(&self, conn: ConnectionId, connection: &NodeConnection) -> Span {
+        let most_recent = self
+            .nodes
+            .get(&connection.node)
+            .and_then(|node_state| node_state.idle.last());
+        if most_recent == Some(&conn) {
+            self.max_idle_age
+        } else {
+            self.max_idle_age.min(MAX_SURPLUS_AGE)
+        }
+    }
+
     /// Removes a connection in any state from the pool. Returns `None` if it is not in the pool.
     pub(super) fn remove(&mut self, conn: ConnectionId) -> Option<NodeConnection> {
         let connection = self.connections.remove(&conn)?;
@@ -270,32 +318,6 @@
         Some(connection)
     }
 
-    /// Uses the descriptor of a connection that has ended for an attempt that waits for the same node, or else for
-    /// another node.
-    pub(super) fn descriptor_freed(&mut self, node: NodeId, context: &mut Context) {
-        if self.nodes.get(&node).is_some_and(Node::needs_connection) {
-            return self.connect_for_waiting(node, context);
-        }
-        let other = self
-            .nodes
-            .iter()
-            .find(|(_, node_state)| node_state.needs_connection())
-            .map(|(other, _)| *other);
-        if let Some(other) = other {
-            self.connect_for_waiting(other, context);
-        }
-        self.remove_if_gone(node);
-    }
-
-    /// The connection that has been idle for the longest time, to any node.
-    fn longest_idle(&self) -> Option<ConnectionId> {
-        self.connections
-            .iter()
-            .filter(|(_, connection)| connection.state == ConnectionState::Idle)
-            .min_by_key(|(_, connection)| connection.idle_since)
-            .map(|(conn, _)| *conn)
-    }
-
     /// Removes a node that is gone and has neither connections nor waiting attempts.
     pub(super) fn remove_if_gone(&mut self, node: NodeId) {
         let Some(node_state) = self.nodes.get(&node) else {
--- a/crates/platform/src/core/node_connections/responses.rs
+++ b/crates/platform/src/core/node_connections/responses.rs
@@ -46,6 +46,12 @@
             // No attempt uses the connection. If it were reused, this input would be taken for the response to the next
             // message.
             self.context.metrics.unsolicited_input += 1;
+            debug!(
+                conn = conn.0,
+                node = connection.node.0,
+                idle_ms = (self.context.now - connection.idle_since).millis(),
+                "unsolicited node input, connection closed"
+            );
             return self.nodes.close(conn, &mut self.context);
         };
         let being_written = self
@@ -106,6 +112,16 @@
         let has_more_input = !connection.decoder.is_empty();
         let reusable = !has_more_input && !connection.stale && message.keep_alive;
         let outcome = outcome_of(status, message);
+        debug!(
+            conn = conn.0,
+            node = node.0,
+            request = key.request.0,
+            attempt = key.number,
+            status,
+            ms_since_written = (self.context.now - written_at).millis(),
+            reusable,
+            "node response"
+        );
         self.nodes
             .node_alive(node, established_at, Some(written_at), &mut self.context);
         if outcome == AttemptOutcome::Succeeded {
@@ -113,7 +129,7 @@
         }
         self.context.metrics.unsolicited_input += u64::from(has_more_input);
         if reusable {
-            self.assign_connection(conn, node);
+            self.nodes.answered(conn, &mut self.context);
         } else {
             self.nodes.close(conn, &mut self.context);
         }
--- a/crates/platform/src/core/timer_event.rs
+++ b/crates/platform/src/core/timer_event.rs
@@ -2,7 +2,7 @@
 
 use super::attempt_key::AttemptKey;
 use super::io::ConnectionId;
-use gullsail_scheduler_api::TimerId;
+use gullsail_scheduler_api::{NodeId, TimerId};
 
 /// What happens when a timer expires.
 #[derive(Clone, Copy, Debug)]
@@ -15,6 +15,8 @@
     ConnectionWaitTimeout(AttemptKey),
     /// A node connection that is not established yet is closed.
     ConnectTimeout(ConnectionId),
+    /// An idle connection to the node may carry the next attempt.
+    ReuseDelayOver(NodeId),
     /// Client connections and idle node connections that have exceeded their age are closed.
     IdleCheck,
     /// Discovery has not responded to the poll with this number.
--- a/crates/platform/tests/platform/limits_and_shutdown.rs
+++ b/crates/platform/tests/platform/limits_and_shutdown.rs
@@ -192,6 +192,7 @@
         let busy = rig.client_sending(&request_text("read", 1, 0));
         let conn = rig.establish(0);
         rig.receive(conn, &response(200, "", "b"));
+        rig.pass_reuse_delay();
         let early = rig.client();
         rig.input(Input::Shutdown);
         rig.advance_time(self.after_signal_ms);
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -8,4 +8,5 @@
 mod limits_and_shutdown;
 mod races;
 mod rig;
+mod second_responses;
 mod serialized_names;
--- a/crates/platform/tests/platform/rig.rs
+++ b/crates/platform/tests/platform/rig.rs
@@ -9,6 +9,8 @@
 pub const DISCOVERY: &str = "10.2.0.1:8500";
 pub const NODES: [(&str, &str); 2] = [("s-a", "10.1.0.1:5000"), ("s-b", "10.1.0.2:5000")];
 pub const PEER: &str = "10.3.0.2:7946";
+/// How long after a response its connection may carry the next message.
+pub const REUSE_DELAY_MS: f64 = 25.0;
 const START_MS: f64 = 1_000_000_000.0;
 
 /// A settings document with these limits and this address of discovery.
@@ -261,6 +263,11 @@
         self.receive(conn, &response(200, "", page));
     }
 
+    /// Lets the time pass until connections that have just received a response may be used again.
+    pub fn pass_reuse_delay(&mut self) {
+        self.advance_time(REUSE_DELAY_MS);
+    }
+
     /// Establishes the newest connection to a node and reports the message sent on it as written.
     pub fn establish(&mut self, node: usize) -> ConnectionId {
         let conn = *self.connections_to(NODES[node].1).last().unwrap();
