A second copy of a page is not taken for the response to the next poll of discovery

What was seen: nothing by callers. Found while looking for the cause of late second answers of nodes on related paths. A copy of a page that was read after the next poll was written counted as the response to that poll, and the host sent one more poll on the same connection, behind the open one. Each further copy added one; with versions, no change was lost.

Cause: nothing in a page names its poll. But a poll that waits asks for what is newer than a version, and discovery responds to it with something newer or when the wait of 2 s is over.

Change: a page of the version asked for, within half of the wait, is a copy. The connection is closed, as with any input that belongs to no poll, and the host asks on a new one.

The test fails before: four polls on the connection in place of three.

--- a/crates/platform/src/core/discovery/endpoint_list.rs
+++ b/crates/platform/src/core/discovery/endpoint_list.rs
@@ -28,6 +28,8 @@
     DeltaForSnapshot,
     #[error("older version {version} received, expected {newest:?} or newer")]
     OlderVersion { version: u64, newest: Option<u64> },
+    #[error("version {0} received again, expected a newer one")]
+    Repeated(u64),
 }
 
 impl Core {
@@ -178,17 +180,23 @@
 }
 
 impl Discovery {
-    /// Returns an error if the page must not be applied: it holds only changes although the complete list is needed, or
-    /// its version is older than the newest one.
+    /// Returns an error if the page must not be applied: it is a second copy of an earlier response, holds only changes
+    /// although the complete list is needed, or its version is older than the newest one.
     fn check_version(
         &mut self,
         conn: ConnectionId,
         page: &Page,
         now: Instant,
     ) -> Result<(), PageError> {
-        let expects_snapshot = self
-            .connection(conn)
-            .is_some_and(|connection| connection.version.is_none());
+        let connection = self.connection(conn);
+        if connection
+            .as_ref()
+            .is_some_and(|connection| connection.is_repeated(page.version, now))
+        {
+            // The poll is still open, so a next one on this connection would wait behind it.
+            return Err(PageError::Repeated(page.version));
+        }
+        let expects_snapshot = connection.is_some_and(|connection| connection.version.is_none());
         if !page.is_complete && expects_snapshot {
             return Err(PageError::DeltaForSnapshot);
         }
--- a/crates/platform/src/core/discovery/state.rs
+++ b/crates/platform/src/core/discovery/state.rs
@@ -12,6 +12,9 @@
 
 /// For how long discovery may hold a poll open until there are changes, in milliseconds.
 const POLL_WAIT_MS: u64 = 2_000;
+/// Shortest time after which discovery may respond to a poll that waits without reporting anything newer. Well below the
+/// wait, since clocks differ, and well above the delay of a second copy of an earlier response.
+const MIN_UNCHANGED_WAIT: Span = Span::from_micros(1_000_000);
 /// Longest time for a response beyond the time for which the poll waits for changes. After both, 3.5 s, the host opens
 /// the next connection beside this one. A change that an unresponsive connection does not deliver counts as reported
 /// 6 s after the connection stopped responding, so the host has to receive it by then.
@@ -54,6 +57,8 @@
     /// The number of the connection attempt or poll that waits for a response. The timer of an earlier one has no
     /// effect.
     poll: u64,
+    /// When the poll was sent that waits for changes. `None` if the last poll does not wait.
+    waiting_since: Option<Instant>,
     /// When the connection was opened, or when it became the suspect one.
     since: Instant,
 }
@@ -66,9 +71,19 @@
             bytes_received: 0,
             version: None,
             poll: 0,
+            waiting_since: None,
             since: now,
         }
     }
+
+    /// Whether a page of this version cannot be the response to the poll: it reports nothing newer than the version
+    /// asked for, long before the end of the wait. Discovery has sent an earlier response a second time.
+    pub(super) fn is_repeated(&self, version: u64, now: Instant) -> bool {
+        self.version == Some(version)
+            && self
+                .waiting_since
+                .is_some_and(|sent| now - sent < MIN_UNCHANGED_WAIT)
+    }
 }
 
 /// Timeouts and retries of polls, which depend on the kind of discovery.
@@ -224,6 +239,7 @@
         };
         let target;
         let timeout;
+        connection.waiting_since = connection.version.map(|_| context.now);
         match (connection.version, resume_from) {
             (None, None) => {
                 target = "/catalog/members".to_string();
--- a/crates/platform/tests/platform/second_responses.rs
+++ b/crates/platform/tests/platform/second_responses.rs
@@ -1,7 +1,7 @@
-//! Nodes that send a response a second time, some milliseconds later. Nothing in a response names its
+//! Nodes and discovery that send a response a second time, some milliseconds later. Nothing in a response names its
 //! request, so the host may take the copy for the response to its next message.
 
-use crate::rig::{DISCOVERY, NODES, Rig, request_text, response, settings_document};
+use crate::rig::{DISCOVERY, NODES, Rig, page, request_text, response, settings_document};
 use gullsail_platform::core::{ConnectionId, Input};
 
 /// Establishes all connections to the node that are not established yet, and reports all messages as written.
@@ -169,3 +169,27 @@
     rig.receive(new, &response(200, "", "made for it"));
     assert_eq!(rig.statuses(client), ["200"]);
 }
+
+/// Guards against polls that pile up behind one another: a second copy of a page is taken for the response to the next
+/// poll, and the host sends one more on the same connection.
+#[test]
+fn a_second_copy_of_a_page_is_not_the_response_to_the_next_poll() {
+    let mut rig = Rig::new();
+    let conn = rig.connections_to(DISCOVERY)[0];
+    let drain = page(2, false, &[(0, "DRAINING", 0.0)]);
+    rig.discovery_answers(&drain);
+    assert_eq!(rig.sent(conn).len(), 3);
+    rig.advance_time(2.0);
+    rig.discovery_answers(&drain);
+    assert_eq!(rig.sent(conn).len(), 3, "no further poll on it");
+    assert!(rig.closed(conn));
+    rig.advance_time(100.0);
+    let new = *rig.connections_to(DISCOVERY).last().unwrap();
+    assert!(new != conn, "the host asks on another connection");
+    // A poll whose wait is over may report no change.
+    rig.discovery_answers(&page(2, true, &[(0, "DRAINING", 0.0), (1, "SERVING", 0.0)]));
+    rig.advance_time(2_000.0);
+    rig.discovery_answers(&page(2, false, &[]));
+    assert!(!rig.closed(new));
+    assert_eq!(rig.sent(new).len(), 3);
+}
