--- a/crates/host/tests/host/nodes.rs
+++ b/crates/host/tests/host/nodes.rs
@@ -44,6 +44,41 @@
     }
 }
 
+/// Guards against a node's second answer to an attempt that is taken for the answer to the next one: each answer names its
+/// attempt.
+#[test]
+fn a_second_answer_does_not_end_the_next_attempt() {
+    for result in [AttemptResult::Succeeded, AttemptResult::Rejected] {
+        let mut rig = new_rig();
+        let client = rig.client();
+        let node = rig.node_up("n1", 11, ms(1e7));
+        rig.submit(client, 1, "trip");
+        let first = rig.attempts(node).last().unwrap().attempt;
+        rig.answer(node, first, result);
+        if result == AttemptResult::Succeeded {
+            rig.submit(client, 2, "trip");
+        }
+        rig.run_for(ms(50.0));
+        let request = if result == AttemptResult::Succeeded {
+            2
+        } else {
+            1
+        };
+        assert_eq!(rig.attempts(node).len(), 2, "{result:?}");
+        rig.answer(node, first, result);
+        rig.run_for(ms(50.0));
+        assert_eq!(rig.attempts(node).len(), 2, "{result:?}: sent once");
+        assert!(rig.outcomes(client, request).is_empty(), "{result:?}");
+        let second = rig.attempts(node).last().unwrap().attempt;
+        rig.answer(node, second, AttemptResult::Succeeded);
+        assert_eq!(
+            rig.outcomes(client, request),
+            [Outcome::Succeeded],
+            "{result:?}"
+        );
+    }
+}
+
 /// Returns an update of the endpoint list that names only the first node.
 fn first_node_listed(state: ListedState, incarnation: u64, age_ms: i64) -> EndpointListUpdate {
     EndpointListUpdate {
