Race tests read the kernel's table of sockets once for all clients

On the tests as they were 2 of 3 plays failed with 80,000 and more rows made on loopback beforehand.

Cause: /proc/net/tcp was read twice for each of twelve clients in turn. That took over the 2 s after which the host closes an idle client, whose row never came.

Change: one read for all clients, with the same checks for each.

--- a/crates/cli/tests/platform/kernel.rs
+++ b/crates/cli/tests/platform/kernel.rs
@@ -28,22 +28,49 @@
     format!("{ip:08X}:{:04X}", address.port())
 }
 
-/// The row of a connection's end at `local`; `None`: the kernel lists none.
-fn socket_row(local: SocketAddr, remote: SocketAddr) -> Option<SocketRow> {
-    let ends = (kernel_address(local), kernel_address(remote));
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    table.lines().find_map(|line| {
-        let columns: Vec<&str> = line.split_whitespace().collect();
-        if *columns.get(1)? != ends.0 || *columns.get(2)? != ends.1 {
-            return None;
+/// The connections of a host's clients that the kernel lists at one moment, a line for each end. Reading them takes long
+/// when many connections were closed in the last minute.
+struct SocketTable {
+    lines: Vec<String>,
+}
+
+impl SocketTable {
+    fn read(host: &Host) -> SocketTable {
+        let address = kernel_address(host.address);
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let lines = table.lines().filter(|line| line.contains(&address));
+        SocketTable {
+            lines: lines.map(String::from).collect(),
         }
-        let (unacknowledged, unread) = columns.get(4)?.split_once(':')?;
-        Some(SocketRow {
-            unacknowledged: u64::from_str_radix(unacknowledged, 16).ok()?,
-            unread: u64::from_str_radix(unread, 16).ok()?,
-            inode: columns.get(9)?.parse().ok()?,
+    }
+
+    /// The row of a connection's end at `local`; `None`: the kernel lists none.
+    fn row(&self, local: SocketAddr, remote: SocketAddr) -> Option<SocketRow> {
+        let ends = (kernel_address(local), kernel_address(remote));
+        self.lines.iter().find_map(|line| {
+            let columns: Vec<&str> = line.split_whitespace().collect();
+            if *columns.get(1)? != ends.0 || *columns.get(2)? != ends.1 {
+                return None;
+            }
+            let (unacknowledged, unread) = columns.get(4)?.split_once(':')?;
+            Some(SocketRow {
+                unacknowledged: u64::from_str_radix(unacknowledged, 16).ok()?,
+                unread: u64::from_str_radix(unread, 16).ok()?,
+                inode: columns.get(9)?.parse().ok()?,
+            })
+        })
+    }
+
+    /// The host's end of a client's connection, if the host has accepted it and read all that the client has sent.
+    fn read_by_host(&self, host: &Host, client: &BufReader<TcpStream>) -> Option<HostSocket> {
+        let client_address = client.get_ref().local_addr().unwrap();
+        let sent = self.row(client_address, host.address)?;
+        let received = self.row(host.address, client_address)?;
+        let all_read = sent.unacknowledged == 0 && received.unread == 0 && received.inode != 0;
+        all_read.then_some(HostSocket {
+            inode: received.inode,
         })
-    })
+    }
 }
 
 fn wait_until(error: &str, mut holds: impl FnMut() -> bool) {
@@ -60,19 +87,22 @@
 }
 
 impl HostSocket {
-    /// Waits until the host has accepted the connection and read all that the client has sent.
-    pub fn when_read(host: &Host, client: &BufReader<TcpStream>) -> HostSocket {
-        let client_address = client.get_ref().local_addr().unwrap();
-        let mut inode = 0;
+    /// Waits until the host has accepted these connections and read all that the clients have sent. All are looked for
+    /// in the same table: the host closes connections that are idle for two seconds.
+    pub fn when_read<'a>(
+        host: &Host,
+        clients: impl IntoIterator<Item = &'a BufReader<TcpStream>> + Clone,
+    ) -> Vec<HostSocket> {
+        let mut sockets = None;
         wait_until("the host does not read", || {
-            let sent = socket_row(client_address, host.address);
-            let received = socket_row(host.address, client_address);
-            inode = received.as_ref().map_or(0, |row| row.inode);
-            sent.is_some_and(|row| row.unacknowledged == 0)
-                && received.is_some_and(|row| row.unread == 0)
-                && inode != 0
+            let table = SocketTable::read(host);
+            let read = clients.clone().into_iter();
+            sockets = read
+                .map(|client| table.read_by_host(host, client))
+                .collect();
+            sockets.is_some()
         });
-        HostSocket { inode }
+        sockets.unwrap_or_default()
     }
 
     /// Waits until the host has closed the socket. The host closes it after it has read the end of the connection, and
--- a/crates/cli/tests/platform/pipelining.rs
+++ b/crates/cli/tests/platform/pipelining.rs
@@ -95,7 +95,7 @@
 #[test]
 fn pipelined_requests_beyond_the_buffer_are_refused() {
     let mut held = HeldPipeline::start(101);
-    HostSocket::when_read(&held.host, &held.client);
+    HostSocket::when_read(&held.host, [&held.client]);
     held.release.send(()).unwrap();
     let responses: Vec<_> = (0..101)
         .map(|_| read_message(&mut held.client).expect("each has its response"))
--- a/crates/cli/tests/platform/races.rs
+++ b/crates/cli/tests/platform/races.rs
@@ -245,11 +245,15 @@
         for (i, client) in clients.iter_mut().enumerate() {
             send_request(client, 1 + i as u64);
         }
-        let wait_until_read = |client| DepartingClient {
-            host_socket: HostSocket::when_read(host, &client),
-            connection: client,
-        };
-        clients.into_iter().map(wait_until_read).collect()
+        let sockets = HostSocket::when_read(host, &clients);
+        clients
+            .into_iter()
+            .zip(sockets)
+            .map(|(connection, host_socket)| DepartingClient {
+                connection,
+                host_socket,
+            })
+            .collect()
     }
 
     /// Lets the clients leave in this way and waits until the host has closed their connections. Returns those that
