--- a/crates/platform/src/core/node_connections/pool.rs
+++ b/crates/platform/src/core/node_connections/pool.rs
@@ -14,7 +14,8 @@
 /// attempt is rarely sent on a connection that its node is closing.
 const IDLE_AGE_FRACTION: f64 = 0.8;
 /// A connection that was not used for this long, while another one to its node was, is closed. Nodes hold a limited
-/// number of connections, and several requests at once open more than the traffic afterwards needs.
+/// number of connections, and several requests at once open more than the traffic afterwards needs. Bursts that are
+/// further apart open them again.
 const MAX_SURPLUS_AGE: Span = Span::from_micros(5_000_000);
 
 #[derive(Debug)]
