A keyed repeat is sent only while a hold-up keeps it within its window

The host was held up for 0.14 s between reading its clock and writing; the platform allows 0.15 s.

Cause: the end of the window was compared with the clock reading of the decision. The scheduler allowed nothing from there to the socket, the platform's host 10 ms. A check just before the write does not close the gap, since the process can be stopped behind it.

Change: the scheduler ends repeats MAX_SEND_DELAY (150 ms) before the window and states that time with the attempt (send_before). Both hosts check it again after a wait for a connection; the own protocol's host did not look at the window there at all. A message later than its window or its attempt's time is not written. A request whose window is over fails at once, also while it waits for a retry, where it was held until its latency objective. The test of the window at the platform's host has a window of 350 ms in place of 200 and checks 1 ms before and after the new end (5 and 10 ms before).

--- a/crates/benchlink/src/actions.rs
+++ b/crates/benchlink/src/actions.rs
@@ -11,7 +11,10 @@
     Some(match action {
         // The bench's settings have no cross-zone budgets.
         Action::BudgetOverrun { .. } => return None,
-        Action::StartAttempt { id, node, time_out } => json!({
+        // The bench's host sends at once.
+        Action::StartAttempt {
+            id, node, time_out, ..
+        } => json!({
             "type": "PassOn", "host": host, "id": id.0, "node": names.node(node),
             "give-up-after": time_out.map(Span::millis),
         }),
--- a/crates/host/src/core/attempt_handling.rs
+++ b/crates/host/src/core/attempt_handling.rs
@@ -13,7 +13,8 @@
 use super::zone_traffic::AnsweredAttempt;
 use gullsail_protocol::{Attempt, AttemptAnswer, AttemptResult, Cancel, Frame, Outcome};
 use gullsail_scheduler_api::{
-    AttemptEnd, AttemptOutcome, EndpointState, Event, NodeId, RequestId, Span, ZoneId,
+    AttemptEnd, AttemptOutcome, EndpointState, Event, Instant, MAX_SEND_DELAY, NodeId, RequestId,
+    Span, ZoneId,
 };
 use tracing::debug;
 
@@ -57,13 +58,22 @@
 
 impl Core {
     /// Starts an attempt that the scheduler decided on.
-    pub(super) fn start_attempt(&mut self, id: RequestId, node: NodeId, time_out: Option<Span>) {
+    pub(super) fn start_attempt(
+        &mut self,
+        id: RequestId,
+        node: NodeId,
+        time_out: Option<Span>,
+        send_before: Option<Instant>,
+    ) {
         let now = self.now;
         let number = self.requests.get(id).map_or(0, |open| open.attempts);
         if self.nodes.get(node).is_none() {
             return self.attempt_not_started(id, number, node);
         }
-        let Some(started) = self.requests.start_attempt(id, node, now, time_out) else {
+        let Some(started) = self
+            .requests
+            .start_attempt(id, node, now, time_out, send_before)
+        else {
             return self.attempt_not_started(id, number, node);
         };
         self.counts.attempts += 1;
@@ -100,7 +110,7 @@
     }
 
     /// Sends an attempt over its node's connection. If the connection is not up, the node may not be sent to,
-    /// the request has ended or the attempt's time is over, the attempt ends as not sent.
+    /// the request has ended, or the attempt's time or the time to send it is over, the attempt ends as not sent.
     pub(super) fn send_attempt(&mut self, attempt: AttemptId) {
         let now = self.now;
         let Some(in_flight) = self.requests.attempt(attempt) else {
@@ -110,10 +120,12 @@
         let node = in_flight.node;
         let number = in_flight.number;
         let left = in_flight.timeout_at - now;
+        let send_before = in_flight.send_before;
         // The node may have started to drain while the attempt waited for the connection.
         let link = self.ready_connection(node);
         let open = self.requests.get(request);
-        let Some((link, open)) = link.zip(open).filter(|_| left > Span::ZERO) else {
+        let in_time = left > Span::ZERO && send_before.is_none_or(|end| now < end);
+        let Some((link, open)) = link.zip(open).filter(|_| in_time) else {
             return self.attempt_ended(attempt, AttemptOutcome::NotSent);
         };
         let frame = attempt_frame(attempt, open, number, left);
@@ -123,7 +135,8 @@
         }
         let zone = self.node_zone(node);
         self.count_attempt(zone, request, number, frame.len());
-        self.send_by(link, frame, Some(timeout_at));
+        let write_by = send_before.map_or(timeout_at, |end| timeout_at.min(end + MAX_SEND_DELAY));
+        self.send_by(link, frame, Some(write_by));
         self.set_timer(timeout_at, TimerKind::Attempt(attempt));
     }
 
--- a/crates/host/src/core/request_handling.rs
+++ b/crates/host/src/core/request_handling.rs
@@ -211,7 +211,12 @@
     /// Carries out one action of the scheduler.
     pub(super) fn carry_out(&mut self, action: Action) {
         match action {
-            Action::StartAttempt { id, node, time_out } => self.start_attempt(id, node, time_out),
+            Action::StartAttempt {
+                id,
+                node,
+                time_out,
+                send_before,
+            } => self.start_attempt(id, node, time_out, send_before),
             Action::Reject { id, retry_after } => {
                 let rejected = FinalAnswer {
                     retry_after: retry_after.unwrap_or(Span::ZERO),
--- a/crates/host/src/core/requests.rs
+++ b/crates/host/src/core/requests.rs
@@ -41,6 +41,8 @@
     pub node: NodeId,
     /// When the scheduler started it.
     pub started_at: Instant,
+    /// The clock reading from which on its frame is no longer sent; `None`: `timeout_at` alone bounds it.
+    pub send_before: Option<Instant>,
     /// When its frame was sent; `None`: it waits for the node's connection, so the node cannot have run it.
     pub sent_at: Option<Instant>,
     /// When the host stops waiting for the node's answer.
@@ -193,6 +195,7 @@
         node: NodeId,
         now: Instant,
         time_out: Option<Span>,
+        send_before: Option<Instant>,
     ) -> Option<StartedAttempt> {
         let open = self.open.get_mut(&id)?;
         let left = open.deadline - now;
@@ -203,6 +206,7 @@
             number: open.attempts,
             node,
             started_at: now,
+            send_before,
             sent_at: None,
             timeout_at: now + timeout,
         };
--- a/crates/host/tests/host/model/observations.rs
+++ b/crates/host/tests/host/model/observations.rs
@@ -89,6 +89,7 @@
             id,
             node: gullsail_configuration::node_id(NAMES[n]),
             time_out: None,
+            send_before: None,
         };
         let found = self.model.did(at, HostId(host_index as u32), &action);
         self.node_receives(host_index, n, link, sent);
--- a/crates/host/tests/host/waiting_attempts.rs
+++ b/crates/host/tests/host/waiting_attempts.rs
@@ -75,6 +75,25 @@
     }
 }
 
+/// Rule 2: a repeat that waits for its node's connection is not sent if the node may forget the idempotency key before
+/// the bytes are written, which the process may hold up for 150 ms.
+#[test]
+fn repeats_that_wait_for_a_connection_are_not_sent_after_their_window() {
+    for (wait, is_sent) in [(100.0, true), (180.0, false)] {
+        let short_window = ("window=\"5s\"", "window=\"350ms\"");
+        let mut rig = Rig::new(&document(&[short_window]), 0, START);
+        let client = rig.client();
+        let node = rig.node_up("n1", 11, ms(1e7));
+        rig.submit(client, 5, "write");
+        assert_eq!(rig.new_attempts().len(), 1);
+        rig.run_for(ms(30.0));
+        rig.handle(Input::Closed(node, "reset".into()));
+        rig.run_for(ms(wait));
+        rig.node_up("n1", 11, ms(1e7 + 30.0 + wait));
+        assert_eq!(rig.new_attempts().len(), usize::from(is_sent), "{wait}");
+    }
+}
+
 /// Rule 6: a retry that was decided while its node's connection was down is sent later. It counts for the window in
 /// which it is sent too.
 #[test]
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -7,16 +7,13 @@
 use super::Core;
 use super::attempt_key::AttemptKey;
 use super::io::{ConnectionId, Output};
-use super::requests::{OpenRequest, UnprovenExecution};
+use super::requests::OpenRequest;
 use super::timer_event::TimerEvent;
 use gullsail_scheduler_api::{
-    AttemptEnd, AttemptOutcome, Event, Idempotency, Instant, NodeId, RequestId, Span,
+    AttemptEnd, AttemptOutcome, Event, Idempotency, Instant, MAX_SEND_DELAY, NodeId, RequestId,
+    Span,
 };
 
-/// Upper bound on the time from [`Output::Send`] until the node receives the first byte, on a working connection. A
-/// retry must reach the node before the node discards the idempotency key.
-const MAX_SEND_DELAY: Span = Span::from_micros(10_000);
-
 /// The progress of an attempt that has not ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum AttemptProgress {
@@ -38,17 +35,28 @@
     pub(super) decided_at: Instant,
     /// When the attempt times out.
     pub(super) deadline: Instant,
+    /// The clock reading from which on the attempt is no longer sent; `None`: `deadline` alone bounds it.
+    send_before: Option<Instant>,
     pub(super) progress: AttemptProgress,
     /// The start time of the node's process, as known when the scheduler decided on the attempt. `None` if unknown.
     node_started: Option<Instant>,
 }
 
+impl Attempt {
+    /// The time after which the message is not written any more, however long ago the host decided to send it.
+    fn write_by(&self) -> Instant {
+        let end = self.send_before.map(|end| end + MAX_SEND_DELAY);
+        end.map_or(self.deadline, |end| end.min(self.deadline))
+    }
+}
+
 impl Core {
     pub(super) fn start_attempt(
         &mut self,
         id: RequestId,
         node: NodeId,
         attempt_timeout: Option<Span>,
+        send_before: Option<Instant>,
     ) {
         let now = self.context.now;
         let Some(open) = self.requests.get(id) else {
@@ -67,6 +75,7 @@
             node,
             decided_at: now,
             deadline: now + timeout,
+            send_before,
             progress: AttemptProgress::WaitingForConnection,
             node_started: self.nodes.started(node),
         };
@@ -90,7 +99,7 @@
     }
 
     /// Whether the attempt may be sent now. Since the scheduler's decision the node may have started to drain or been
-    /// restarted, the request may have been answered, or the attempt may have timed out.
+    /// restarted, the request may have been answered, the attempt may have timed out, or the time to send it may be over.
     pub(super) fn may_still_send(&mut self, key: AttemptKey) -> bool {
         let Some(attempt) = self.attempts.get(&key).copied() else {
             return false;
@@ -100,9 +109,10 @@
             return false;
         };
         let idempotency = self.settings.idempotency(open.request_class);
-        let request_allows = open.client.is_some() && may_repeat(open, idempotency, now);
+        let request_allows = open.client.is_some() && may_repeat(open, idempotency);
         request_allows
             && now < attempt.deadline
+            && attempt.send_before.is_none_or(|end| now < end)
             && self.nodes.is_ready(attempt.node)
             && self.nodes.started(attempt.node) == attempt.node_started
     }
@@ -114,20 +124,18 @@
         };
         attempt.progress = AttemptProgress::Writing(conn);
         let time_left = attempt.deadline - self.context.now;
-        let decided_at = attempt.decided_at;
+        let write_by = attempt.write_by();
         let Some(open) = self.requests.get(key.request) else {
             return;
         };
-        open.unproven_execution.get_or_insert(UnprovenExecution {
-            attempt: key.number,
-            decided_at,
-        });
+        open.unproven_execution.get_or_insert(key.number);
         let bytes = open.head.message(time_left, &open.body);
         let bytes_handled = self.nodes.mark_busy(conn, key);
         self.context.outputs.push(Output::Send {
             conn,
             bytes,
             bytes_handled,
+            write_by: Some(write_by),
         });
     }
 
@@ -210,15 +218,8 @@
     }
 }
 
-/// Whether the request may be sent to a node although an earlier attempt may have run. Prevents a retry if the
-/// idempotency window has expired during the wait for a connection: the node would no longer recognise the key. This
-/// can happen only if the window is about as short as that wait.
-fn may_repeat(open: &OpenRequest, idempotency: Idempotency, now: Instant) -> bool {
-    match (idempotency, open.unproven_execution) {
-        (_, None) | (Idempotency::Idempotent, _) => true,
-        (Idempotency::WithKey { window, .. }, Some(first)) => {
-            now + MAX_SEND_DELAY - first.decided_at < window
-        }
-        (Idempotency::NonIdempotent, Some(_)) => false,
-    }
+/// Whether the request may be sent to a node although an earlier attempt may have run. The scheduler decides until when
+/// a request with an idempotency key may be sent again.
+fn may_repeat(open: &OpenRequest, idempotency: Idempotency) -> bool {
+    idempotency != Idempotency::NonIdempotent || open.unproven_execution.is_none()
 }
--- a/crates/platform/src/core/discovery/state.rs
+++ b/crates/platform/src/core/discovery/state.rs
@@ -262,6 +262,7 @@
             conn,
             bytes,
             bytes_handled: connection.bytes_received,
+            write_by: None,
         });
         self.expect_response(conn, timeout, context);
     }
--- a/crates/platform/src/core/io.rs
+++ b/crates/platform/src/core/io.rs
@@ -3,6 +3,7 @@
 
 use crate::settings_document::SettingsDocument;
 use bytes::Bytes;
+use gullsail_scheduler_api::Instant;
 use std::net::SocketAddr;
 
 /// Identifies a connection to a client, a node or discovery. Numbers are never reused.
@@ -20,7 +21,7 @@
     /// the `if_more` of an [`Output::RespondLast`].
     Written(ConnectionId),
     /// No byte of the message of an [`Output::Send`] was written, since the other side had closed the connection or
-    /// sent input that the core had not handled. The connection closes.
+    /// sent input that the core had not handled, or since it was too late. The connection closes.
     NotWritten(ConnectionId),
     /// All responses are written, and the host has closed its direction of the connection.
     WriteClosed(ConnectionId),
@@ -53,6 +54,7 @@
     },
     /// Write a message to a node or to discovery. It is not written if input is unread, or if more than
     /// `bytes_handled` bytes were read so far: no response is open on the connection, so any input makes it unusable.
+    /// Nor is it written after `write_by`.
     Send {
         /// The connection to the node or to discovery.
         conn: ConnectionId,
@@ -60,6 +62,8 @@
         bytes: Bytes,
         /// How many bytes received on this connection the core has handled.
         bytes_handled: u64,
+        /// The latest time at which writing may begin; `None`: at any time.
+        write_by: Option<Instant>,
     },
     /// Write a response to a client.
     Respond {
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -292,7 +292,12 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::StartAttempt { id, node, time_out } => self.start_attempt(id, node, time_out),
+            Action::StartAttempt {
+                id,
+                node,
+                time_out,
+                send_before,
+            } => self.start_attempt(id, node, time_out, send_before),
             Action::Reject { id, retry_after } => self.reject(id, retry_after),
             Action::Fail { id } => self.fail(id),
             // Discovery is polled all the time.
--- a/crates/platform/src/core/requests.rs
+++ b/crates/platform/src/core/requests.rs
@@ -12,15 +12,6 @@
 /// memory bound; if it is too large, requests are refused earlier than necessary.
 const ENTRY_OVERHEAD_BYTES: usize = 600;
 
-/// The first attempt of a request that was sent and may have run: nothing has shown that its node did not run it.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct UnprovenExecution {
-    /// The number of the attempt within its request.
-    pub(super) attempt: u32,
-    /// When the scheduler decided on the attempt.
-    pub(super) decided_at: Instant,
-}
-
 #[derive(Debug)]
 pub(super) struct OpenRequest {
     /// The client connection that waits for the response. `None` if the request was answered or the client has
@@ -36,8 +27,9 @@
     pub(super) attempts_started: u32,
     /// How many attempts have started and not ended, those that wait for a connection included.
     pub(super) attempts_in_flight: u32,
-    /// `None` if no attempt was sent, or if the attempt recorded here turned out not to have run.
-    pub(super) unproven_execution: Option<UnprovenExecution>,
+    /// The number of the first attempt that was sent and may have run. `None` if no attempt was sent, or if the attempt
+    /// recorded here turned out not to have run.
+    pub(super) unproven_execution: Option<u32>,
     /// Estimated memory of the entry.
     held_bytes: usize,
 }
@@ -150,11 +142,7 @@
         let Some(open) = self.entries.get_mut(&key.request) else {
             return true;
         };
-        if outcome.never_ran()
-            && open
-                .unproven_execution
-                .is_some_and(|first| first.attempt == key.number)
-        {
+        if outcome.never_ran() && open.unproven_execution == Some(key.number) {
             open.unproven_execution = None;
         }
         open.attempts_in_flight = open.attempts_in_flight.saturating_sub(1);
--- a/crates/platform/src/runtime/connection.rs
+++ b/crates/platform/src/runtime/connection.rs
@@ -34,7 +34,7 @@
     /// The operating system has accepted all bytes of the message.
     Written,
     /// No byte of the message of an [`Order::Send`] was written, since the other side had closed the connection or sent
-    /// input that the owner had not handled. The connection closes.
+    /// input that the owner had not handled, or since it was too late. The connection closes.
     NotWritten,
     /// The host's direction of the connection is closed.
     WriteClosed,
@@ -54,13 +54,16 @@
 /// An order to a connection's task.
 #[derive(Debug)]
 pub enum Order {
-    /// Write a message. If the other side has closed the connection, or there is input that the owner has not handled,
-    /// report [`SocketEvent::NotWritten`] and close the connection instead.
+    /// Write a message. If the other side has closed the connection, there is input that the owner has not handled, or
+    /// it is too late, report [`SocketEvent::NotWritten`] and close the connection instead.
     Send {
         /// The complete message.
         bytes: Bytes,
         /// How many bytes received on this connection the owner has handled.
         bytes_handled: u64,
+        /// The latest time at which writing may begin; `None`: at any time. The task may be held up for longer than the
+        /// message is of use.
+        write_by: Option<Instant>,
     },
     /// Write a response.
     Respond(Bytes),
@@ -201,8 +204,10 @@
             Order::Send {
                 bytes,
                 bytes_handled,
+                write_by,
             } => {
-                if !self.no_unhandled_input(bytes_handled) {
+                let too_late = write_by.is_some_and(|end| Instant::now() > end);
+                if too_late || !self.no_unhandled_input(bytes_handled) {
                     self.report(SocketEvent::NotWritten).await?;
                     return Ok(Next::Close);
                 }
--- a/crates/platform/src/runtime/sockets.rs
+++ b/crates/platform/src/runtime/sockets.rs
@@ -192,13 +192,8 @@
                 conn,
                 bytes,
                 bytes_handled,
-            } => {
-                let order = Order::Send {
-                    bytes,
-                    bytes_handled,
-                };
-                return self.give_order(conn, order);
-            }
+                write_by,
+            } => return self.send(conn, bytes, bytes_handled, write_by),
             Output::Respond { conn, bytes } => return self.give_order(conn, Order::Respond(bytes)),
             Output::RespondLast {
                 conn,
@@ -228,6 +223,23 @@
         None
     }
 
+    /// Orders a message to be written until `write_by`, a reading of the host's clock. Returns the connection if its
+    /// queue of orders is full.
+    fn send(
+        &self,
+        conn: ConnectionId,
+        bytes: Bytes,
+        bytes_handled: u64,
+        write_by: Option<gullsail_scheduler_api::Instant>,
+    ) -> Option<ConnectionId> {
+        let order = Order::Send {
+            bytes,
+            bytes_handled,
+            write_by: write_by.map(|at| self.clock.to_runtime(at)),
+        };
+        self.give_order(conn, order)
+    }
+
     /// Queues an order for the task of a connection. Returns the connection if its queue is full.
     fn give_order(&self, conn: ConnectionId, order: Order) -> Option<ConnectionId> {
         let handle = self.connections.get(&conn)?;
--- a/crates/platform/tests/platform/connection_task.rs
+++ b/crates/platform/tests/platform/connection_task.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 struct TaskUnderTest {
     /// The other side of the connection.
@@ -302,9 +303,36 @@
     Order::Send {
         bytes: Bytes::from_static(b"message"),
         bytes_handled,
+        write_by: None,
     }
 }
 
+/// The process was held up after it had decided to send the message, until the message was of no use.
+#[test]
+fn a_message_is_not_written_after_its_time() {
+    let second = std::time::Duration::from_secs(1);
+    run_async(async {
+        for (write_by, written) in [
+            (Instant::now() - second, false),
+            (Instant::now() + 600 * second, true),
+        ] {
+            let mut task = TaskUnderTest::new(8).await;
+            task.order(Order::Send {
+                bytes: Bytes::from_static(b"message"),
+                bytes_handled: 0,
+                write_by: Some(write_by),
+            })
+            .await;
+            if written {
+                assert_eq!(task.next_event().await, "Written");
+            } else {
+                assert_eq!(task.next_two_events().await, ["NotWritten", "Closed"]);
+                assert_eq!(task.read_to_end().await.text, "");
+            }
+        }
+    });
+}
+
 /// The input is reported, but the owner gives the order before it handles the input.
 #[test]
 fn a_message_is_not_written_while_reported_input_is_unhandled() {
@@ -373,6 +401,7 @@
         task.order(Order::Send {
             bytes: Bytes::from_static(b"message"),
             bytes_handled: 6,
+            write_by: None,
         })
         .await;
         assert_eq!(task.next_event().await, "one");
--- a/crates/platform/tests/platform/races.rs
+++ b/crates/platform/tests/platform/races.rs
@@ -2,6 +2,7 @@
 
 use crate::rig::{DISCOVERY, NODES, Rig, page, request_text, response, settings_document};
 use gullsail_platform::core::{ConnectionId, Input, Output};
+use gullsail_scheduler_api::Span;
 
 /// Passes the inputs to the core as one batch.
 fn handle_as_batch(rig: &mut Rig, inputs: Vec<Input>) {
@@ -545,14 +546,18 @@
     }
 }
 
-/// The idempotency window may expire while the second attempt waits for a connection.
+/// The settings with this idempotency window, in ms.
+fn settings_with_window(window: &str) -> String {
+    settings_document(1024, 192, DISCOVERY)
+        .replace("\"window\":5000.0", &format!("\"window\":{window}"))
+}
+
+/// The idempotency window may expire while the second attempt waits for a connection, or while the process is held up
+/// for up to 150 ms on the way to the write.
 #[test]
 fn a_request_with_an_idempotency_key_is_not_repeated_outside_its_window() {
-    for (wait, is_sent) in [(100.0, true), (180.0, true), (195.0, false), (230.0, false)] {
-        let mut rig = Rig::with_settings(
-            &settings_document(1024, 192, DISCOVERY)
-                .replace("\"window\":5000.0", "\"window\":200.0"),
-        );
+    for (wait, is_sent) in [(100.0, true), (199.0, true), (201.0, false), (230.0, false)] {
+        let mut rig = Rig::with_settings(&settings_with_window("350.0"));
         let client = rig.client_sending(&request_text("write", 1, 0));
         let first = rig.establish(0);
         rig.input(Input::Closed(first));
@@ -566,6 +571,32 @@
     }
 }
 
+/// Guards against a second run of a keyed request: the process is held up for up to 150 ms between reading its clock
+/// and writing the repeat, and the node has forgotten the key by then.
+#[test]
+fn a_keyed_repeat_is_not_sent_where_a_hold_up_would_take_it_past_its_window() {
+    for (lost_after, is_sent) in [(340.0, true), (355.0, false), (470.0, false)] {
+        let mut rig = Rig::with_settings(&settings_with_window("500.0"));
+        let decided_at = rig.now;
+        let client = rig.client_sending(&request_text("write", 1, 0));
+        let first = rig.establish(0);
+        rig.advance_time(lost_after);
+        rig.input(Input::Closed(first));
+        let second = *rig.connections_to(NODES[0].1).last().unwrap();
+        rig.input(Input::Connected(second));
+        assert_eq!(rig.outcome_count("connection_lost"), 1);
+        assert_eq!(rig.sent(second).len(), usize::from(is_sent), "{lost_after}");
+        // Where no repeat is possible, the client has its answer at once.
+        assert_eq!(rig.statuses(client).len(), usize::from(!is_sent));
+        let write_by = rig.outputs.iter().find_map(|output| match output {
+            Output::Send { conn, write_by, .. } if *conn == second => *write_by,
+            _ => None,
+        });
+        let window_end = decided_at + Span::from_millis(500.0);
+        assert_eq!(write_by, is_sent.then_some(window_end), "{lost_after}");
+    }
+}
+
 /// The discovery address changes while a list is being received. Input from the old address is ignored.
 #[test]
 fn a_list_from_the_old_address_is_ignored_after_a_reload() {
--- a/crates/scheduler-api/src/action.rs
+++ b/crates/scheduler-api/src/action.rs
@@ -17,6 +17,10 @@
     Retry,
 }
 
+/// Longest time from the clock reading by which a message may be sent until its bytes are written, since the operating
+/// system may hold up the process in between.
+pub const MAX_SEND_DELAY: Span = Span::from_micros(150_000);
+
 /// What a host must do. Actions are carried out in the order in which the scheduler returns them.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -29,6 +33,10 @@
         /// Time after which the host ends the attempt as timed out; `None`: the attempt runs until the request's
         /// deadline.
         time_out: Option<Span>,
+        /// From this clock reading on the host no longer starts to send the attempt, which may have waited for its
+        /// connection; `None`: the request's deadline alone bounds it. The message may be written up to
+        /// [`MAX_SEND_DELAY`] later.
+        send_before: Option<Instant>,
     },
     /// Final answer: the request is rejected. The client can safely repeat it.
     Reject {
--- a/crates/scheduler-api/src/lib.rs
+++ b/crates/scheduler-api/src/lib.rs
@@ -12,7 +12,7 @@
 mod ids;
 mod time;
 
-pub use action::{Action, OverrunCause};
+pub use action::{Action, MAX_SEND_DELAY, OverrunCause};
 pub use config::{
     BudgetScope, CrossZoneBudget, FleetMembership, Idempotency, IdempotencyScope, Limit, Plan,
     RequestClass, RetryBudget, SchedulerConfig, SlowStart, VolumeAllocation,
--- a/src/scheduler/attempts/idempotency.rs
+++ b/src/scheduler/attempts/idempotency.rs
@@ -1,7 +1,7 @@
 //! Rules for sending a request again after an attempt that an endpoint may have executed.
 
 use gullsail_scheduler_api::{
-    Endpoint, Idempotency, IdempotencyScope, Instant, RequestClass, ShardId, ZoneId,
+    Endpoint, Idempotency, IdempotencyScope, Instant, MAX_SEND_DELAY, RequestClass, ShardId, ZoneId,
 };
 
 /// The first attempt of a request that its endpoint may have executed.
@@ -22,7 +22,7 @@
     idempotency: Idempotency,
     now: Instant,
 ) -> bool {
-    let Idempotency::WithKey { scope, window } = idempotency else {
+    let Idempotency::WithKey { scope, .. } = idempotency else {
         return true;
     };
     let Some(execution) = execution else {
@@ -34,15 +34,33 @@
         IdempotencyScope::Zone => execution.zone == endpoint.zone || same_shard,
         IdempotencyScope::Shard => same_shard,
     };
-    in_scope && now - execution.sent_at < window
+    in_scope && is_before(now, send_before(Some(execution), idempotency))
 }
 
-/// Whether there may be an endpoint to which the request can be sent again.
+/// The clock reading from which on a request is no longer sent again: a repeat that is held up on its way out must
+/// still be written before the endpoints forget the idempotency key. `None`: there is no such time.
+pub(crate) fn send_before(
+    execution: Option<UnprovenExecution>,
+    idempotency: Idempotency,
+) -> Option<Instant> {
+    let Idempotency::WithKey { window, .. } = idempotency else {
+        return None;
+    };
+    execution.map(|execution| execution.sent_at + window - MAX_SEND_DELAY)
+}
+
+fn is_before(now: Instant, end: Option<Instant>) -> bool {
+    end.is_none_or(|end| now < end)
+}
+
+/// Whether there may be an endpoint to which the request can be sent again now or later.
 pub(crate) fn may_run_again(
     execution: Option<UnprovenExecution>,
     idempotency: Idempotency,
+    now: Instant,
 ) -> bool {
-    idempotency != Idempotency::NonIdempotent || execution.is_none()
+    let may_repeat = idempotency != Idempotency::NonIdempotent || execution.is_none();
+    may_repeat && is_before(now, send_before(execution, idempotency))
 }
 
 /// Whether only the endpoints of the same shard recognise repeats of this class's requests.
--- a/src/scheduler/attempts/outcome.rs
+++ b/src/scheduler/attempts/outcome.rs
@@ -81,5 +81,5 @@
 
 fn is_retry_safe(state: &SchedulerState, open: &OpenRequest) -> bool {
     let class = state.class_of(open.request());
-    may_run_again(open.unproven_execution(), class.idempotency)
+    may_run_again(open.unproven_execution(), class.idempotency, state.now)
 }
--- a/src/scheduler/dispatch/review.rs
+++ b/src/scheduler/dispatch/review.rs
@@ -4,7 +4,7 @@
 use super::endpoint_choice::choose_endpoint;
 use super::queue::QueueKey;
 use crate::scheduler::admission::starvation::no_tokens_in_time;
-use crate::scheduler::attempts::idempotency::is_bound_to_shard;
+use crate::scheduler::attempts::idempotency::{is_bound_to_shard, may_run_again};
 use crate::scheduler::cross_zone::budget::{budgets_needing_tokens, unservable_requests};
 use crate::scheduler::demand_reports::token_request::request_tokens;
 use crate::scheduler::endpoint::health::MEDIAN_TO_MEAN_LATENCY;
@@ -83,7 +83,7 @@
     request_capacity(state, key.destination, rng);
 }
 
-/// The requests of a queue that cannot be served in time or have no endpoint to go to.
+/// The requests of a queue that cannot be served in time, have no endpoint to go to, or may no longer be repeated.
 fn requests_to_shed(
     state: &SchedulerState,
     key: QueueKey,
@@ -98,12 +98,21 @@
     } else {
         queue.due_by(earliest_completion)
     };
+    if key.retries {
+        to_shed.extend(queue.ids().filter(|id| !may_still_run_again(state, *id)));
+    }
     if let Destination::Pool(pool) = key.destination {
         to_shed.extend(unservable_requests(state, key, pool));
     }
     to_shed
 }
 
+fn may_still_run_again(state: &SchedulerState, id: RequestId) -> bool {
+    let open = state.requests.expect_open(id);
+    let class = state.class_of(open.request());
+    may_run_again(open.unproven_execution(), class.idempotency, state.now)
+}
+
 /// The cross-zone budgets from which requests of a queue need tokens.
 fn budgets_short_of_tokens(state: &mut SchedulerState, key: QueueKey) -> Vec<VolumeId> {
     match key.destination {
--- a/src/scheduler/dispatch/send.rs
+++ b/src/scheduler/dispatch/send.rs
@@ -3,7 +3,7 @@
 use super::candidate::{Candidate, best_candidate};
 use super::endpoint_choice::choose_endpoint;
 use super::queue::QueueKey;
-use crate::scheduler::attempts::idempotency::UnprovenExecution;
+use crate::scheduler::attempts::idempotency::{UnprovenExecution, send_before};
 use crate::scheduler::cross_zone::budget::no_local_node;
 use crate::scheduler::cross_zone::ledger::{CrossZoneBytes, charge_budgets};
 use crate::scheduler::endpoint::index::Destination;
@@ -102,6 +102,8 @@
         request: id,
         attempt: open.attempts_sent(),
     };
+    let idempotency = state.class_of(&request).idempotency;
+    let send_before = send_before(open.unproven_execution(), idempotency);
     if key.attempt == 0 {
         state.spend(&request);
     }
@@ -110,6 +112,7 @@
         id,
         node: capacity.entry.node,
         time_out: Some(time_out),
+        send_before,
     });
     charge_cross_zone(state, key, &request, capacity.entry.zone);
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod inputs;
 mod limits;
 mod model;
+mod repeats;
 mod retry_order;
 mod rules;
 mod symptoms;
--- a/tests/decisions/model.rs
+++ b/tests/decisions/model.rs
@@ -44,6 +44,7 @@
         id,
         node,
         time_out: Some(ms(100)),
+        send_before: None,
     }
 }
 
--- a/tests/decisions/world.rs
+++ b/tests/decisions/world.rs
@@ -297,7 +297,9 @@
     /// Carries out one action. A message to a peer may be lost or delivered twice.
     pub fn carry_out(&mut self, me: usize, action: Action) {
         match action {
-            Action::StartAttempt { id, node, time_out } => {
+            Action::StartAttempt {
+                id, node, time_out, ..
+            } => {
                 self.start_attempt(me, id, node, time_out);
             }
             Action::SendToPeer { to, bytes } => {
