Connections to nodes are bounded by memory, and bodies are no longer copied

What operators reported: with hundreds of clients at once a process passed its memory limit and was killed.

Cause: open requests and clients' input are bounded by memory, the responses of nodes were bounded by descriptors alone, 400 connections of up to 80 KB each. Beside that, a message to a node copied the request's body, a response was encoded twice, and a buffer that doubles held up to twice its body.

Change: connections to nodes also fit into three tenths of the memory. A message is a head and a shared body, written without a copy. A body's buffer does not grow beyond the longest body that is possible.

--- /dev/null
+++ b/crates/cli/tests/overload/load/leavers.rs
@@ -0,0 +1,1 @@
+//! Clients that leave before they have their answers.
--- /dev/null
+++ b/crates/cli/tests/overload/main.rs
@@ -0,0 +1,57 @@
+//! Short forms of the benchmark `overload`: one play at a time, judged by the host's limit of memory and by the answers
+//! of the regular clients.
+
+#[allow(dead_code, reason = "the benchmark uses the rest")]
+mod load;
+
+use load::hostile::{HostileClients, SlowManner};
+use load::nodes::NodeManner;
+use load::{Limits, Play, Report};
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// One play at a time, so that a play has the cores that its figures take for granted.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+const SMALL_HOST: Limits = Limits {
+    memory_mb: 32,
+    descriptors: 1024,
+};
+const SMALLEST_HOST: Limits = Limits {
+    memory_mb: 32,
+    descriptors: 256,
+};
+
+/// Plays a load and checks that the host stays within its memory and answers its regular clients.
+fn check(limits: Limits, node_manner: NodeManner, hostile: HostileClients) -> Report {
+    let _guard = ONE_AT_A_TIME
+        .lock()
+        .unwrap_or_else(|error| error.into_inner());
+    let report = load::play(&Play {
+        limits,
+        nodes_per_shard: 12,
+        node_manner,
+        hostile,
+        duration: Duration::from_secs(4),
+    });
+    println!(
+        "{limits:?}, {node_manner:?}, {hostile:?}: {}",
+        report.line()
+    );
+    assert!(report.within_memory(limits), "{limits:?}, {hostile:?}");
+    let regular = &report.regular;
+    assert_eq!((regular.unanswered, regular.closed), (0, 0), "{hostile:?}");
+    report
+}
+
+fn slow(manner: SlowManner, clients: usize) -> HostileClients {
+    HostileClients::Slow { manner, clients }
+}
+
+/// Guards against memory beyond the limit: hundreds of clients at once get the largest responses.
+#[test]
+fn large_responses_for_hundreds_of_clients_stay_within_memory() {
+    check(SMALL_HOST, NodeManner::Large, slow(SlowManner::Reads, 560));
+    let writes = slow(SlowManner::LargeWrites, 139);
+    check(SMALLEST_HOST, NodeManner::Large, writes);
+}
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -2,7 +2,7 @@
 
 use crate::Fault;
 use crate::framing::Framing;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 
 /// Longest accepted line with a chunk size or a trailer field, in bytes. It bounds what the decoder buffers while the
 /// peer sends no data of the body.
@@ -73,9 +73,8 @@
                     if available == 0 {
                         return Ok(false);
                     }
-                    self.received.extend_from_slice(&unread[..available]);
-                    unread.advance(available);
                     *missing -= available;
+                    self.append(&unread.split_to(available), max_bytes);
                 }
                 State::FixedLength(_) => self.state = State::Complete,
                 State::ChunkData(_) => self.state = State::ChunkEnd,
@@ -89,6 +88,23 @@
         }
     }
 
+    /// Adds data of the body. The buffer doubles as it grows, but not beyond the longest body that is possible, so that
+    /// it takes little more memory than it holds.
+    fn append(&mut self, data: &[u8], max_bytes: usize) {
+        let needed = self.received.len() + data.len();
+        if needed > self.received.capacity() {
+            let longest = match self.state {
+                State::FixedLength(missing) => needed + missing,
+                _ => max_bytes.max(needed),
+            };
+            let doubled = 2 * self.received.capacity();
+            let mut larger = BytesMut::with_capacity(doubled.clamp(needed, longest));
+            larger.extend_from_slice(&self.received);
+            self.received = larger;
+        }
+        self.received.extend_from_slice(data);
+    }
+
     /// Returns the state after a line of the chunked transfer coding.
     fn after_line(&self, line: &[u8], max_bytes: usize) -> Result<State, Fault> {
         match self.state {
--- a/crates/http/src/encoder.rs
+++ b/crates/http/src/encoder.rs
@@ -1,8 +1,39 @@
-//! Encodes messages, each with head and body in one buffer.
+//! Encodes messages. The body is shared with the caller and not copied.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::fmt::Display;
 
+/// An encoded message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedMessage {
+    /// The start line and the fields, with the empty line at their end.
+    head: Bytes,
+    /// The body, which may be empty.
+    body: Bytes,
+}
+
+impl EncodedMessage {
+    /// The message as one buffer.
+    pub fn to_vec(&self) -> Vec<u8> {
+        [&self.head[..], &self.body].concat()
+    }
+
+    /// The message for writing, which copies neither part.
+    pub fn into_buf(self) -> impl Buf {
+        self.head.chain(self.body)
+    }
+}
+
+impl From<Bytes> for EncodedMessage {
+    /// One or more messages that are already encoded.
+    fn from(bytes: Bytes) -> EncodedMessage {
+        EncodedMessage {
+            head: bytes,
+            body: Bytes::new(),
+        }
+    }
+}
+
 /// Encodes one message. It does not check names and values. A value from outside the process may be used only if
 /// [`crate::Decoder`] has decoded it: the decoder rejects values with line ends, which could inject header fields.
 #[derive(Debug)]
@@ -40,16 +71,14 @@
     }
 
     /// Ends the message with `Content-Length` and a body, and returns it.
-    pub fn body(self, body: &[u8]) -> Bytes {
-        let mut bytes = self.number("Content-Length", body.len()).0;
-        bytes.put_slice(b"\r\n");
-        bytes.put_slice(body);
-        bytes.freeze()
+    pub fn body(self, body: Bytes) -> EncodedMessage {
+        let EncodedMessage { head, .. } = self.number("Content-Length", body.len()).without_body();
+        EncodedMessage { head, body }
     }
 
     /// Ends the message without a body and without `Content-Length`, and returns it.
-    pub fn without_body(mut self) -> Bytes {
+    pub fn without_body(mut self) -> EncodedMessage {
         self.0.put_slice(b"\r\n");
-        self.0.freeze()
+        self.0.freeze().into()
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,7 +14,7 @@
 mod message;
 
 pub use decoder::Decoder;
-pub use encoder::Encoder;
+pub use encoder::{EncodedMessage, Encoder};
 pub use fault::Fault;
 pub use message::{Found, Message, StartLine};
 
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -288,7 +288,8 @@
     let text = Encoder::request(b"PUT", b"/a?b")
         .field("A", b"b")
         .number("N", 7)
-        .body(b"hello");
+        .body(Bytes::from_static(b"hello"))
+        .to_vec();
     let Decoded { messages, fault } = decode(Request, &[&text]);
     assert_eq!(
         (messages.len(), fault, messages[0].body.as_ref()),
@@ -298,10 +299,15 @@
         (messages[0].field("n"), messages[0].framed),
         (Found::One(b"7"), true)
     );
-    let Decoded { messages, .. } =
-        decode(Request, &[&Encoder::request(b"GET", b"/").without_body()]);
+    let Decoded { messages, .. } = decode(
+        Request,
+        &[&Encoder::request(b"GET", b"/").without_body().to_vec()],
+    );
     assert!(!messages[0].framed);
-    let Decoded { messages, .. } = decode(Response, &[&Encoder::response(503, "No").body(b"")]);
+    let Decoded { messages, .. } = decode(
+        Response,
+        &[&Encoder::response(503, "No").body(Bytes::new()).to_vec()],
+    );
     assert_eq!(messages[0].start, StartLine::Response { status: 503 });
 }
 
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -129,7 +129,7 @@
             return;
         };
         open.unproven_execution.get_or_insert(key.number);
-        let bytes = open.head.message(time_left, &open.body);
+        let bytes = open.head.message(time_left, open.body.clone());
         let bytes_handled = self.nodes.mark_busy(conn, key);
         self.context.outputs.push(Output::Send {
             conn,
--- a/crates/platform/src/core/bounds.rs
+++ b/crates/platform/src/core/bounds.rs
@@ -20,6 +20,9 @@
 const CLIENT_DESCRIPTOR_FRACTION: f64 = 0.6;
 /// Fraction of the memory limit that open requests may hold.
 const REQUEST_MEMORY_FRACTION: f64 = 0.2;
+/// Fraction of the memory limit for responses of nodes that are incomplete. Each connection to a node may hold one, so
+/// it bounds their number.
+const RESPONSE_MEMORY_FRACTION: f64 = 0.3;
 /// Fraction of the memory limit that incomplete messages of clients may hold. It bounds the memory that clients can
 /// occupy without sending a complete request.
 const INPUT_MEMORY_FRACTION: f64 = 0.1;
@@ -47,10 +50,11 @@
         let shared = descriptors - RESERVED_DESCRIPTORS;
         let client_connections = (shared as f64 * CLIENT_DESCRIPTOR_FRACTION) as usize;
         let bytes = |fraction: f64| (limits.memory_mb * fraction * 1e6) as usize;
+        let responses = bytes(RESPONSE_MEMORY_FRACTION) / (BOUNDS.head + BOUNDS.body);
         ResourceBounds {
             descriptors,
             client_connections,
-            node_connections: shared - client_connections,
+            node_connections: (shared - client_connections).min(responses.max(1)),
             request_bytes: bytes(REQUEST_MEMORY_FRACTION),
             input_bytes: bytes(INPUT_MEMORY_FRACTION),
         }
--- a/crates/platform/src/core/clients/input.rs
+++ b/crates/platform/src/core/clients/input.rs
@@ -7,6 +7,7 @@
 use super::super::shutdown::Shutdown;
 use super::client::ClientState;
 use super::table::ReceivedMessage;
+use bytes::Bytes;
 use gullsail_http::{Fault, Message, StartLine};
 use gullsail_scheduler_api::{Event, Span};
 
@@ -72,7 +73,7 @@
                 HttpStatus::INTERNAL_ERROR
             };
             return self.write_response(conn, status, message.keep_alive, |encoder| {
-                encoder.body(b"")
+                encoder.body(Bytes::new())
             });
         }
         let waited = received
--- a/crates/platform/src/core/clients/responses.rs
+++ b/crates/platform/src/core/clients/responses.rs
@@ -4,16 +4,16 @@
 use super::super::io::{ConnectionId, Output};
 use super::super::request_error::{HttpStatus, RequestError};
 use super::client::ClientState;
-use bytes::{Bytes, BytesMut};
-use gullsail_http::Encoder;
+use bytes::Bytes;
+use gullsail_http::{EncodedMessage, Encoder};
 use gullsail_scheduler_api::{RequestId, Span};
 
 /// A response, encoded with and without the announcement that the connection is closed after it.
 struct EncodedResponse {
     /// The response without `Connection: close`, for a connection that stays open.
-    keep_open: Bytes,
+    keep_open: EncodedMessage,
     /// The response with `Connection: close`, for the last one of a connection.
-    last: Bytes,
+    last: EncodedMessage,
 }
 
 impl Core {
@@ -28,7 +28,7 @@
         conn: ConnectionId,
         status: HttpStatus,
         keep_alive: bool,
-        encode_rest: impl Fn(Encoder) -> Bytes,
+        encode_rest: impl Fn(Encoder) -> EncodedMessage,
     ) {
         let encoder = || Encoder::response(status.code, status.reason);
         let keep_open = encode_rest(encoder());
@@ -78,13 +78,12 @@
         let error = RequestError::TooFarAhead;
         self.count_invalid(error, messages as u64);
         let encoder = || Encoder::response(error.status().code, error.status().reason);
-        let keep_open = encode_invalid(encoder(), error);
-        let last = encode_invalid(encoder().field("Connection", b"close"), error);
-        let mut earlier_responses = BytesMut::with_capacity(keep_open.len() * messages);
-        (1..messages).for_each(|_| earlier_responses.extend_from_slice(&keep_open));
+        let keep_open = encode_invalid(encoder(), error).to_vec();
+        let last = encode_invalid(encoder().field("Connection", b"close"), error).to_vec();
+        let earlier_responses = keep_open.repeat(messages - 1);
         let response = EncodedResponse {
-            keep_open: [&earlier_responses[..], &keep_open].concat().into(),
-            last: [&earlier_responses[..], &last].concat().into(),
+            keep_open: Bytes::from([&earlier_responses[..], &keep_open].concat()).into(),
+            last: Bytes::from([&earlier_responses[..], &last].concat()).into(),
         };
         self.write_encoded(conn, true, response);
     }
@@ -113,7 +112,7 @@
         &mut self,
         id: RequestId,
         status: HttpStatus,
-        encode_rest: impl Fn(Encoder) -> Bytes,
+        encode_rest: impl Fn(Encoder) -> EncodedMessage,
     ) -> bool {
         let Some(conn) = self.requests.take_client(id) else {
             return false;
@@ -130,8 +129,9 @@
     }
 
     /// Answers a request with 200 and the body of the node's response.
-    pub(in super::super) fn succeed(&mut self, id: RequestId, body: &[u8]) {
-        let answered = self.respond_to_request(id, HttpStatus::OK, |encoder| encoder.body(body));
+    pub(in super::super) fn succeed(&mut self, id: RequestId, body: Bytes) {
+        let answered =
+            self.respond_to_request(id, HttpStatus::OK, |encoder| encoder.body(body.clone()));
         self.context.metrics.requests_succeeded += u64::from(answered);
     }
 
@@ -141,26 +141,27 @@
             self.respond_to_request(id, HttpStatus::UNAVAILABLE, |encoder| match retry_after {
                 Some(delay) => encoder
                     .number("Retry-After", format_args!("{:.3}", delay.secs()))
-                    .body(b""),
-                None => encoder.body(b""),
+                    .body(Bytes::new()),
+                None => encoder.body(Bytes::new()),
             });
         self.context.metrics.requests_rejected += u64::from(answered);
     }
 
     /// Answers a request with 500.
     pub(in super::super) fn fail(&mut self, id: RequestId) {
-        let answered =
-            self.respond_to_request(id, HttpStatus::INTERNAL_ERROR, |encoder| encoder.body(b""));
+        let answered = self.respond_to_request(id, HttpStatus::INTERNAL_ERROR, |encoder| {
+            encoder.body(Bytes::new())
+        });
         self.context.metrics.requests_failed += u64::from(answered);
     }
 }
 
 /// Encodes the part of a refusal that follows the `Connection` header.
-fn encode_invalid(mut encoder: Encoder, error: RequestError) -> Bytes {
+fn encode_invalid(mut encoder: Encoder, error: RequestError) -> EncodedMessage {
     if error.states_never_ran() {
         encoder = encoder.field("X-Never-Ran", b"1");
     }
     encoder
         .field("Content-Type", b"text/plain")
-        .body(error.expected().as_bytes())
+        .body(Bytes::from_static(error.expected().as_bytes()))
 }
--- a/crates/platform/src/core/io.rs
+++ b/crates/platform/src/core/io.rs
@@ -3,6 +3,7 @@
 
 use crate::settings_document::SettingsDocument;
 use bytes::Bytes;
+use gullsail_http::EncodedMessage;
 use gullsail_scheduler_api::Instant;
 use std::net::SocketAddr;
 
@@ -59,7 +60,7 @@
         /// The connection to the node or to discovery.
         conn: ConnectionId,
         /// The complete message.
-        bytes: Bytes,
+        bytes: EncodedMessage,
         /// How many bytes received on this connection the core has handled.
         bytes_handled: u64,
         /// The latest time at which writing may begin; `None`: at any time.
@@ -70,7 +71,7 @@
         /// The client's connection.
         conn: ConnectionId,
         /// One or more complete responses.
-        bytes: Bytes,
+        bytes: EncodedMessage,
     },
     /// Write the last response to a client, which announces the close, and then close as with
     /// [`Output::FinishAndClose`]. If input is unread, or more than `bytes_handled` bytes were read so far, the client
@@ -79,9 +80,9 @@
         /// The client's connection.
         conn: ConnectionId,
         /// The complete response with `Connection: close`.
-        bytes: Bytes,
+        bytes: EncodedMessage,
         /// The same response without `Connection: close`.
-        if_more: Bytes,
+        if_more: EncodedMessage,
         /// How many bytes received on this connection the core has handled.
         bytes_handled: u64,
     },
--- a/crates/platform/src/core/node_connections/responses.rs
+++ b/crates/platform/src/core/node_connections/responses.rs
@@ -125,7 +125,7 @@
         self.nodes
             .node_alive(node, established_at, Some(written_at), &mut self.context);
         if outcome == AttemptOutcome::Succeeded {
-            self.succeed(key.request, &message.body);
+            self.succeed(key.request, message.body.clone());
         }
         self.context.metrics.unsolicited_input += u64::from(has_more_input);
         if reusable {
--- a/crates/platform/src/core/request_parser.rs
+++ b/crates/platform/src/core/request_parser.rs
@@ -8,7 +8,7 @@
 use super::header_values::{as_utf8, parse_decimal, parse_hex_id, single_value};
 use super::request_error::RequestError;
 use bytes::Bytes;
-use gullsail_http::{Encoder, Found, Message, StartLine};
+use gullsail_http::{EncodedMessage, Encoder, Found, Message, StartLine};
 use gullsail_scheduler_api::{
     Idempotency, ObjectId, PlanId, PoolId, Request, RequestClassId, RequestId, SchedulerConfig,
     ShardId, Span, VolumeId,
@@ -68,7 +68,7 @@
 impl ForwardedHead {
     /// Encodes the message to a node. Its deadline header holds `time_left`, the time for which this host waits for the
     /// response, in whole milliseconds and at least 1.
-    pub fn message(&self, time_left: Span, body: &[u8]) -> Bytes {
+    pub fn message(&self, time_left: Span, body: Bytes) -> EncodedMessage {
         let mut encoder = Encoder::request(&self.method, &self.target);
         for field in &self.fields {
             encoder = encoder.field(field.name, &field.value);
--- a/crates/platform/src/runtime/connection.rs
+++ b/crates/platform/src/runtime/connection.rs
@@ -3,6 +3,7 @@
 
 use crate::core::ConnectionId;
 use bytes::Bytes;
+use gullsail_http::EncodedMessage;
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
@@ -58,7 +59,7 @@
     /// it is too late, report [`SocketEvent::NotWritten`] and close the connection instead.
     Send {
         /// The complete message.
-        bytes: Bytes,
+        bytes: EncodedMessage,
         /// How many bytes received on this connection the owner has handled.
         bytes_handled: u64,
         /// The latest time at which writing may begin; `None`: at any time. The task may be held up for longer than the
@@ -66,14 +67,14 @@
         write_by: Option<Instant>,
     },
     /// Write a response.
-    Respond(Bytes),
+    Respond(EncodedMessage),
     /// Write the last response and close the connection as with [`Order::FinishAndClose`]. If there is input that the
     /// owner has not handled, write `if_more` instead and keep the connection open.
     RespondLast {
         /// The response with `Connection: close`.
-        bytes: Bytes,
+        bytes: EncodedMessage,
         /// The response without `Connection: close`.
-        if_more: Bytes,
+        if_more: EncodedMessage,
         /// How many bytes received on this connection the owner has handled.
         bytes_handled: u64,
     },
@@ -211,19 +212,19 @@
                     self.report(SocketEvent::NotWritten).await?;
                     return Ok(Next::Close);
                 }
-                if self.stream.write_all(&bytes).await.is_err() {
+                if self.write(bytes).await.is_err() {
                     return Ok(Next::Close);
                 }
                 self.report(SocketEvent::Written).await?;
             }
-            Order::Respond(bytes) => return self.respond(&bytes).await,
+            Order::Respond(bytes) => return self.respond(bytes).await,
             Order::RespondLast {
                 if_more,
                 bytes_handled,
                 ..
-            } if !self.no_unhandled_input(bytes_handled) => return self.respond(&if_more).await,
+            } if !self.no_unhandled_input(bytes_handled) => return self.respond(if_more).await,
             Order::RespondLast { bytes, .. } => {
-                if self.write_response(&bytes).await {
+                if self.write_response(bytes).await {
                     self.linger().await?;
                 }
                 return Ok(Next::Close);
@@ -237,8 +238,12 @@
         Ok(Next::Continue)
     }
 
+    async fn write(&mut self, bytes: EncodedMessage) -> io::Result<()> {
+        self.stream.write_all_buf(&mut bytes.into_buf()).await
+    }
+
     /// Writes a response and reports [`SocketEvent::Written`].
-    async fn respond(&mut self, bytes: &Bytes) -> Result<Next, OwnerGone> {
+    async fn respond(&mut self, bytes: EncodedMessage) -> Result<Next, OwnerGone> {
         if !self.write_response(bytes).await {
             return Ok(Next::Close);
         }
@@ -247,8 +252,8 @@
     }
 
     /// Writes a response. Returns whether all of it was written in time.
-    async fn write_response(&mut self, bytes: &Bytes) -> bool {
-        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(bytes)).await;
+    async fn write_response(&mut self, bytes: EncodedMessage) -> bool {
+        let written = timeout(WRITE_TIMEOUT, self.write(bytes)).await;
         matches!(written, Ok(Ok(())))
     }
 
--- a/crates/platform/src/runtime/sockets.rs
+++ b/crates/platform/src/runtime/sockets.rs
@@ -4,6 +4,7 @@
 use crate::core::{ConnectionId, Core, Input, Metrics, Output};
 use crate::settings_document::SettingsDocument;
 use bytes::Bytes;
+use gullsail_http::EncodedMessage;
 use gullsail_timers::HostClock;
 use socket2::SockRef;
 use std::collections::BTreeMap;
@@ -228,7 +229,7 @@
     fn send(
         &self,
         conn: ConnectionId,
-        bytes: Bytes,
+        bytes: EncodedMessage,
         bytes_handled: u64,
         write_by: Option<gullsail_scheduler_api::Instant>,
     ) -> Option<ConnectionId> {
--- a/crates/platform/tests/platform/connection_task.rs
+++ b/crates/platform/tests/platform/connection_task.rs
@@ -109,7 +109,7 @@
         }
         task.order(Order::CloseIdle { bytes_handled: 5 }).await;
         assert_eq!(task.next_event().await, "second");
-        task.order(Order::Respond(Bytes::from_static(b"answer")))
+        task.order(Order::Respond(Bytes::from_static(b"answer").into()))
             .await;
         assert_eq!(task.next_event().await, "Written");
         // All input is handled, so the order is carried out.
@@ -128,8 +128,8 @@
 #[test]
 fn the_last_response_keeps_the_connection_open_if_more_was_received() {
     let last = |bytes_handled| Order::RespondLast {
-        bytes: Bytes::from_static(b"last"),
-        if_more: Bytes::from_static(b"open"),
+        bytes: Bytes::from_static(b"last").into(),
+        if_more: Bytes::from_static(b"open").into(),
         bytes_handled,
     };
     run_async(async {
@@ -170,7 +170,7 @@
         task.order(Order::CloseIdle { bytes_handled: 5 }).await;
         assert_eq!(task.next_event().await, "first");
         assert_eq!(task.next_event().await, "second");
-        task.order(Order::Respond(Bytes::from_static(b"answer")))
+        task.order(Order::Respond(Bytes::from_static(b"answer").into()))
             .await;
         assert_eq!(task.next_event().await, "Written");
         task.order(Order::FinishAndClose).await;
@@ -206,7 +206,8 @@
     if sends_more {
         task.peer_sends(&[b'x'; 20_000]).await;
     }
-    task.order(Order::Respond(body.clone().into())).await;
+    task.order(Order::Respond(Bytes::from(body.clone()).into()))
+        .await;
     task.order(Order::FinishAndClose).await;
     if sends_more {
         // The task discards this input, before and after it closes its direction, without a reset.
@@ -301,7 +302,7 @@
 
 fn message(bytes_handled: u64) -> Order {
     Order::Send {
-        bytes: Bytes::from_static(b"message"),
+        bytes: Bytes::from_static(b"message").into(),
         bytes_handled,
         write_by: None,
     }
@@ -318,7 +319,7 @@
         ] {
             let mut task = TaskUnderTest::new(8).await;
             task.order(Order::Send {
-                bytes: Bytes::from_static(b"message"),
+                bytes: Bytes::from_static(b"message").into(),
                 bytes_handled: 0,
                 write_by: Some(write_by),
             })
@@ -399,7 +400,7 @@
         task.peer_sends(b"two").await;
         task.peer.shutdown().await.unwrap();
         task.order(Order::Send {
-            bytes: Bytes::from_static(b"message"),
+            bytes: Bytes::from_static(b"message").into(),
             bytes_handled: 6,
             write_by: None,
         })
--- a/crates/platform/tests/platform/limits_and_shutdown.rs
+++ b/crates/platform/tests/platform/limits_and_shutdown.rs
@@ -390,3 +390,17 @@
         assert!(late <= most, "{name}: {early}, then {late}");
     }
 }
+
+/// Guards against memory beyond the limit: each connection to a node may hold a largest response, and their number was
+/// bounded by descriptors only.
+#[test]
+fn connections_to_nodes_are_bounded_by_the_memory_for_their_responses() {
+    for (memory_mb, connections) in [(1, 3), (32, 8)] {
+        let mut rig = Rig::with_settings(&settings_document(1024, memory_mb, DISCOVERY));
+        for trace in 0..8 {
+            rig.client_sending(&request_text("read", 1 + trace, trace as i64 % 2));
+        }
+        let opened = NODES.map(|(_, address)| rig.connections_to(address).len());
+        assert_eq!(opened.iter().sum::<usize>(), connections, "{memory_mb}");
+    }
+}
--- a/crates/platform/tests/platform/races.rs
+++ b/crates/platform/tests/platform/races.rs
@@ -431,7 +431,11 @@
 fn send_count(rig: &Rig, text: &[u8]) -> usize {
     let contains_text = |output: &&Output| match output {
         Output::Send { bytes, .. } => {
-            text.is_empty() || bytes.windows(text.len()).any(|window| window == text)
+            text.is_empty()
+                || bytes
+                    .to_vec()
+                    .windows(text.len())
+                    .any(|window| window == text)
         }
         _ => false,
     };
