Volumes that requests name without end are forgotten, and the directory is bounded

What operators reported: one client at full speed under ever new names, other clients' answers late, memory without end.

Cause: VolumeTable kept every volume for the life of the process, and each review goes over all of them. A limited volume also took an entry in the directory and a search in every epoch.

Change: of 16,384 volumes that only requests have named, those are forgotten that have no open request and no tokens missing from what a new entry would hold, so that forgetting exceeds no limit. Where that gains little, requests of further volumes are rejected at once for an epoch. The directory has the same bound, and a review sends 512 searches at most. Below the bound nothing changes, so the ordinary path stays.

--- a/crates/cli/tests/overload/main.rs
+++ b/crates/cli/tests/overload/main.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, reason = "the benchmark uses the rest")]
 mod load;
 
+use load::floods::{Flood, FloodKind};
 use load::hostile::{HostileClients, SlowManner};
 use load::nodes::NodeManner;
 use load::{Limits, Play, Report};
@@ -55,3 +56,19 @@
     let writes = slow(SlowManner::LargeWrites, 139);
     check(SMALLEST_HOST, NodeManner::Large, writes);
 }
+
+fn flood(kind: FloodKind) -> HostileClients {
+    HostileClients::Flood(Flood {
+        kind,
+        connections: 1,
+        in_flight: Some(16),
+    })
+}
+
+/// Guards against memory without end: one client at full speed names a new volume in each request.
+#[test]
+fn ever_new_volumes_of_one_client_do_not_grow_memory() {
+    for kind in [FloodKind::NewVolumesUnserved, FloodKind::NewVolumesLimited] {
+        check(SMALLEST_HOST, NodeManner::Short, flood(kind));
+    }
+}
--- a/src/scheduler/admission/arrival.rs
+++ b/src/scheduler/admission/arrival.rs
@@ -5,7 +5,7 @@
 use crate::scheduler::request_table::OpenRequest;
 use crate::scheduler::state::SchedulerState;
 use gullsail_scheduler_api::{
-    Action, Instant, Request, RequestClass, SchedulerConfig, TimerId, demand_report,
+    Action, Instant, Request, RequestClass, RequestId, SchedulerConfig, TimerId, demand_report,
 };
 use rand_chacha::ChaCha8Rng;
 
@@ -15,14 +15,14 @@
     let now = state.now;
     let id = request.id;
     let Some(class) = configured_class(&state.config, &request) else {
-        // The request is not added to the table, so no later event would answer it. It never ran, so a
-        // rejection is safe.
-        state.actions.push(Action::Reject {
-            id,
-            retry_after: state.config.max_retry_after,
-        });
-        return;
+        return reject_unseen(state, id);
     };
+    let requests = &state.requests;
+    let open_volumes = || requests.iter().map(|open| open.request().volume).collect();
+    let volumes = &mut state.volumes;
+    if !volumes.has_room_for(request.volume, now, &state.config, open_volumes) {
+        return reject_unseen(state, id);
+    }
     state.attempt_limits.record_arrival(now, &state.config);
     let deadline = answer_deadline(&request, now, &state.config);
     let time_left = state.objectives.time_left(&request, class);
@@ -38,6 +38,15 @@
     enqueue(state, id, rng);
 }
 
+/// Rejects a request that is not added to the table, so no later event would answer it. It never ran, so a rejection is
+/// safe.
+fn reject_unseen(state: &mut SchedulerState, id: RequestId) {
+    state.actions.push(Action::Reject {
+        id,
+        retry_after: state.config.max_retry_after,
+    });
+}
+
 /// The class of a request; `None` if the configuration lacks the class or the request's plan.
 fn configured_class<'a>(
     config: &'a SchedulerConfig,
--- a/src/scheduler/demand_reports/directory.rs
+++ b/src/scheduler/demand_reports/directory.rs
@@ -3,6 +3,10 @@
 use gullsail_scheduler_api::{HostId, Instant, Span, VolumeId};
 use std::collections::BTreeMap;
 
+/// Most volumes in a directory. It bounds the memory that searches for ever new volumes can occupy; the hosts of further
+/// volumes do not find each other and keep their shares.
+const MAX_VOLUMES: usize = 16_384;
+
 /// The hosts that use each volume.
 #[derive(Default)]
 pub(crate) struct UserDirectory {
@@ -21,6 +25,12 @@
 impl UserDirectory {
     /// Records that a host uses a volume, and returns the other hosts of the volume.
     pub(crate) fn register(&mut self, host: HostId, volume: VolumeId, now: Instant) -> OtherUsers {
+        if self.users.len() >= MAX_VOLUMES && !self.users.contains_key(&volume) {
+            return OtherUsers {
+                hosts: Vec::new(),
+                searcher_is_new: false,
+            };
+        }
         let users = self.users.entry(volume).or_default();
         let searcher_is_new = users.insert(host, now).is_none();
         let others = users.keys().filter(|user| **user != host);
--- a/src/scheduler/volume/state.rs
+++ b/src/scheduler/volume/state.rs
@@ -16,6 +16,9 @@
 /// the volume is in transit.
 const NO_DEMAND: f64 = 1e-9;
 
+/// Tokens by which a bucket that was refilled in steps may differ from one that was refilled at once.
+const TOKEN_ROUNDING: f64 = 1e-6;
+
 /// The traffic that a limit applies to.
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum LimitKind {
@@ -36,6 +39,8 @@
     pub(super) host_count: f64,
     /// This host's allocated share of the limit; `None` for an even share.
     pub(super) share: Option<Limit>,
+    /// The configuration has allocated the volume to this host or withdrawn it.
+    allocated: bool,
     /// The configuration has withdrawn the volume from this host.
     pub(super) withdrawn: bool,
     /// Units (or bytes) requested at this host, as a decaying sum over [`DEMAND_WINDOW`].
@@ -88,6 +93,7 @@
         now: Instant,
         config: &SchedulerConfig,
     ) -> bool {
+        self.allocated = true;
         self.plan = allocation.plan;
         self.host_count = f64::from(allocation.host_count.max(1));
         self.share = allocation.host_limit;
@@ -108,6 +114,31 @@
         self.withdrawn && self.demand.read(now, DEMAND_WINDOW) <= NO_DEMAND
     }
 
+    /// Whether only requests have named the volume.
+    pub(super) fn is_unallocated(&self) -> bool {
+        self.kind == LimitKind::Volume && !self.allocated
+    }
+
+    /// Whether a new entry would allow no more than this one, so that it can be forgotten: no tokens were spent or
+    /// lent that have not been refilled since. `started_at` is the start of this incarnation of the host.
+    pub(super) fn is_as_new(
+        &mut self,
+        now: Instant,
+        started_at: Instant,
+        config: &SchedulerConfig,
+    ) -> bool {
+        if !self.is_unallocated() {
+            return false;
+        }
+        let Some(limit) = self.limit(config) else {
+            return true;
+        };
+        self.refill(now, config);
+        let refilled = limit.rate * (now - started_at).secs();
+        let tokens_of_new = refilled.min(limit.burst) / self.host_count;
+        self.bucket.tokens() >= tokens_of_new - TOKEN_ROUNDING
+    }
+
     /// Refills the bucket and the reserve, and applies the decay to the demand, up to `now`.
     pub(crate) fn refill(&mut self, now: Instant, config: &SchedulerConfig) {
         let elapsed_secs = self.bucket.secs_since_refill(now);
--- a/src/scheduler/volume/table.rs
+++ b/src/scheduler/volume/table.rs
@@ -3,14 +3,26 @@
 
 use super::reserve::MeanExcess;
 use super::state::{LimitKind, Volume};
+use crate::scheduler::intervals::EPOCH;
 use gullsail_scheduler_api::{
     HostId, Instant, Request, SchedulerConfig, VolumeAllocation, VolumeId, demand_report,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most volumes of requests that a host keeps, so that clients that name ever new ones cannot occupy memory without
+/// end. Each takes some 400 bytes, and each review goes over all of them.
+const MAX_VOLUMES: usize = 16_384;
+
+/// Most searches that one review returns. The others are due at the next one.
+const MAX_SEARCHES_PER_REVIEW: usize = 512;
 
 /// The volumes by their ids, in the form in which ids are sent between hosts.
 pub(crate) struct VolumeTable {
     by_id: BTreeMap<VolumeId, Volume>,
+    /// Number of volumes that only requests have named: neither allocated to this host nor budgets.
+    unallocated: usize,
+    /// No volumes are forgotten before this time, since the last time gained little room.
+    forget_from: Instant,
     /// Mean weighted excess over the volumes that were sent units beyond their reserves.
     mean_excess: f64,
     /// Start of this incarnation of the host.
@@ -36,6 +48,8 @@
     pub(crate) fn new(started_at: Instant) -> Self {
         VolumeTable {
             by_id: BTreeMap::new(),
+            unallocated: 0,
+            forget_from: started_at,
             mean_excess: 0.0,
             started_at,
         }
@@ -62,6 +76,40 @@
         &self.by_id[&id]
     }
 
+    /// Whether a request's volume is in the table or may be added to it. Of a full table, volumes are forgotten that
+    /// are as good as new and have no open requests. Forgetting costs time in proportion to the table, so it is not
+    /// repeated within an epoch unless it gained half of the table. Harms clients of new volumes while so many
+    /// volumes are in use at once.
+    pub(crate) fn has_room_for(
+        &mut self,
+        id: VolumeId,
+        now: Instant,
+        config: &SchedulerConfig,
+        open_volumes: impl FnOnce() -> BTreeSet<VolumeId>,
+    ) -> bool {
+        let is_full = |table: &Self| table.unallocated >= MAX_VOLUMES;
+        if !is_full(self) || self.by_id.contains_key(&id) {
+            return true;
+        }
+        if now >= self.forget_from {
+            let open = open_volumes();
+            let started_at = self.started_at;
+            self.by_id.retain(|id, volume| {
+                open.contains(id) || !volume.is_as_new(now, started_at, config)
+            });
+            self.count_unallocated();
+            if self.unallocated > MAX_VOLUMES / 2 {
+                self.forget_from = now + EPOCH;
+            }
+        }
+        !is_full(self)
+    }
+
+    fn count_unallocated(&mut self) {
+        let volumes = self.by_id.values();
+        self.unallocated = volumes.filter(|volume| volume.is_unallocated()).count();
+    }
+
     /// Records a request that has just arrived at its volume, which is created if needed.
     pub(crate) fn record_arrival(
         &mut self,
@@ -69,7 +117,11 @@
         now: Instant,
         config: &SchedulerConfig,
     ) {
-        let volume = self.by_id.entry(request.volume).or_default();
+        let unallocated = &mut self.unallocated;
+        let volume = self.by_id.entry(request.volume).or_insert_with(|| {
+            *unallocated += 1;
+            Volume::default()
+        });
         volume.record_arrival(request, now, self.started_at, config);
     }
 
@@ -90,7 +142,9 @@
     ) -> bool {
         let id = demand_report::message_volume_id(allocation.volume);
         let volume = self.by_id.entry(id).or_insert_with(|| Volume::new(now));
-        volume.apply_allocation(allocation, now, config)
+        let withdrawn = volume.apply_allocation(allocation, now, config);
+        self.count_unallocated();
+        withdrawn
     }
 
     /// Refills all volumes, updates the mean excess, and collects the total demand and the searches that are
@@ -102,7 +156,9 @@
             volume.refill(now, config);
             mean_excess.add(&mut volume.reserve, now);
             review.demand += volume.demand.last();
-            if let Some(directory_host) = volume.next_search(*id, now, config) {
+            if review.searches.len() < MAX_SEARCHES_PER_REVIEW
+                && let Some(directory_host) = volume.next_search(*id, now, config)
+            {
                 review.searches.push(VolumeSearch {
                     directory_host,
                     volume: *id,
@@ -117,6 +173,7 @@
     pub(crate) fn remove_unused(&mut self, now: Instant, has_open: impl Fn(VolumeId) -> bool) {
         self.by_id
             .retain(|id, volume| !volume.is_unused(now) || has_open(*id));
+        self.count_unallocated();
     }
 
     /// Adds, updates and removes cross-zone budgets so that they match the configuration.
@@ -143,6 +200,7 @@
             }
             volume.host_count = f64::from(budget.host_count);
         }
+        self.count_unallocated();
     }
 
     /// Number of volumes and budgets.
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod cross_zone;
 mod inputs;
 mod limits;
+mod many_volumes;
 mod model;
 mod repeats;
 mod retry_order;
