A timeout counts up to the longest wait of its class

What callers saw: after one request that claims to wait for an hour, other requests of its class, which wait for 1.5 s, were refused at once and for good: 308 of 494 in 7 s. Found by the plays of one client at full speed. Requests of another class with that time and no node took the host from 16.7 MB after 8 s to 37.7 MB after 20 s.

Cause: the scheduler takes a timeout shorter than the longest seen in the class for that of a late retry, whatever was claimed, and each request sets a timer for its deadline that stays when it has its answer.

Change: RequestClass::max_timeout, the settings' give-up (the own protocol's expiry); a longer timeout is cut to it on arrival.

--- a/crates/cli/tests/overload/main.rs
+++ b/crates/cli/tests/overload/main.rs
@@ -72,3 +72,13 @@
         check(SMALLEST_HOST, NodeManner::Short, flood(kind));
     }
 }
+
+/// Guards against one client that claims to wait for an hour: the other requests of its class were refused, and a timer
+/// of each request stayed for that hour.
+#[test]
+fn clients_that_claim_to_wait_for_an_hour_harm_nobody() {
+    for kind in [FloodKind::PatientReads, FloodKind::PatientUnserved] {
+        let report = check(SMALLEST_HOST, NodeManner::Short, flood(kind));
+        assert_eq!(report.regular.refused, 0, "{kind:?}");
+    }
+}
--- a/crates/configuration/src/diff_values.rs
+++ b/crates/configuration/src/diff_values.rs
@@ -23,6 +23,8 @@
         priority_weight,
         late_weight,
         in_order,
+        // The deadline of the class.
+        max_timeout: _,
     } = &class.decisions;
     let idempotency = idempotency_text(idempotency);
     format!(
--- a/crates/configuration/src/entry_classes.rs
+++ b/crates/configuration/src/entry_classes.rs
@@ -41,6 +41,7 @@
         priority_weight: reader.number_at(entry, "benefit", 0.0).unwrap_or(1.0),
         late_weight: reader.fraction_at(entry, "late-part").unwrap_or_default(),
         in_order: reader.flag(entry, "in-order"),
+        max_timeout: Some(deadline),
     };
     NamedRequestClass {
         name: reader.text(entry, 0, "a name"),
--- a/crates/scheduler-api/src/config.rs
+++ b/crates/scheduler-api/src/config.rs
@@ -42,6 +42,8 @@
     pub late_weight: f64,
     /// Whether requests of the class on one object run one at a time, in order of arrival.
     pub in_order: bool,
+    /// Longest time for which a client of the class waits, all of its tries included; `None`: not stated.
+    pub max_timeout: Option<Span>,
 }
 
 /// The service that a volume is promised, over all hosts together. Rates are in units a second.
--- a/crates/scheduler-settings/src/lib.rs
+++ b/crates/scheduler-settings/src/lib.rs
@@ -115,6 +115,7 @@
         priority_weight: profile.worth,
         late_weight: profile.late_value,
         in_order: profile.serial_by_key,
+        max_timeout: (profile.give_up > 0.0).then(|| Span::from_millis(profile.give_up)),
     })
 }
 
--- a/src/scheduler/admission/arrival.rs
+++ b/src/scheduler/admission/arrival.rs
@@ -23,6 +23,11 @@
     if !volumes.has_room_for(request.volume, now, &state.config, open_volumes) {
         return reject_unseen(state, id);
     }
+    // No client waits longer than its class states. Otherwise one that claims to would set a timer for that long, and
+    // make all other requests of its class look like late retries.
+    request.timeout = class
+        .max_timeout
+        .map_or(request.timeout, |longest| request.timeout.min(longest));
     state.attempt_limits.record_arrival(now, &state.config);
     let deadline = answer_deadline(&request, now, &state.config);
     let time_left = state.objectives.time_left(&request, class);
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -72,6 +72,7 @@
         priority_weight: 2.0,
         late_weight: 0.1,
         in_order: false,
+        max_timeout: None,
     }
 }
 
--- a/tests/decisions/inputs.rs
+++ b/tests/decisions/inputs.rs
@@ -298,3 +298,24 @@
         host.end_attempt(id, attempt as u32, node, AttemptOutcome::Succeeded, 1);
     }
 }
+
+/// Guards against one client that claims to wait for an hour: its request set a timer for that long, and all other
+/// requests of its class were taken for late retries and rejected.
+#[test]
+fn a_timeout_beyond_that_of_its_class_is_cut() {
+    let mut config = config();
+    config.request_classes[0].max_timeout = Some(ms(1000));
+    let mut host = Host::new(config, vec![node(1, 0)], at(1000));
+    let actions = host.deliver(Event::RequestArrived(Request {
+        timeout: ms(3_600_000),
+        ..request(1, 0)
+    }));
+    let timers = actions.iter().filter_map(|action| match action {
+        Action::SetTimer { at, .. } => Some(*at - host.now),
+        _ => None,
+    });
+    assert!(timers.max() <= Some(ms(1000)));
+    host.end_attempt(1, 0, 1, AttemptOutcome::Succeeded, 5);
+    host.deliver(Event::RequestArrived(request(2, 0)));
+    assert_eq!((host.attempt_nodes(2), host.answers(2)), (vec![1], vec![]));
+}
