The id of a request that may have run is kept for a minute

What operators reported: an id ran twice when it came again after its client had left.

Cause: an id was known only until the last attempt of its request ended.

Change: the host keeps the ids of requests that may have run, for a minute and 16,384 of them; the scheduler's may_accept_again decides. Unrepeatable requests are refused with 409; keyed ones unless all of their time lies within the window of the nodes that know the key; repeatable ones never. An id that certainly did not run may come again.

--- a/crates/cli/benches/overload.rs
+++ b/crates/cli/benches/overload.rs
@@ -1,6 +1,7 @@
 //! Plays hostile clients and nodes against a host of the users' platform, and prints its peak memory and the times of the
 //! regular clients beside them: `cargo bench -p gullsail-cli --bench overload -- [--slow NAME|all --clients 560]
 //! [--flood NAME|all --connections 1 --in-flight 16] [--nodes NAME] [--memory 32] [--descriptors 1024] [--seconds 7]`.
+//! With `--leavers` it plays clients that leave before their answers, and ids that come again.
 
 #[path = "../tests/overload/load/mod.rs"]
 mod load;
@@ -8,6 +9,7 @@
 use clap::Parser;
 use load::floods::{Flood, FloodKind};
 use load::hostile::{HostileClients, SlowManner};
+use load::leavers::{self, FirstAnswer, Leave};
 use load::nodes::NodeManner;
 use load::{Limits, Play};
 use std::time::Duration;
@@ -44,6 +46,9 @@
     /// How long the load lasts, in seconds.
     #[arg(long, default_value_t = 7)]
     seconds: u64,
+    /// Plays clients that leave, in place of the others.
+    #[arg(long)]
+    leavers: bool,
     /// Passed by `cargo bench`; has no effect.
     #[arg(long)]
     bench: bool,
@@ -65,8 +70,41 @@
     values.iter().filter(is_named).copied().collect()
 }
 
+/// Plays clients that leave in each way, then ids that come again.
+fn play_leavers(arguments: &Arguments) {
+    let limits = Limits {
+        memory_mb: arguments.memory,
+        descriptors: arguments.descriptors,
+    };
+    let ms = Duration::from_millis;
+    for requests in [3, 30, 300, 900] {
+        for stay in [20, 100, 300] {
+            for leave in [Leave::InOrder, Leave::Reset, Leave::Unread] {
+                let manner = NodeManner::Busy;
+                let report = leavers::play_leaving(limits, manner, requests, ms(stay), leave);
+                println!(
+                    "{requests} requests, left after {stay} ms, {leave:?}: {}",
+                    report.line()
+                );
+            }
+        }
+    }
+    for class in ["once", "write"] {
+        for first in [FirstAnswer::NotWaitedFor, FirstAnswer::Read] {
+            for again_after in [0, 50, 100, 200, 1000] {
+                let report = leavers::play_repeats(limits, class, first, ms(again_after));
+                let line = report.line();
+                println!("{class}, first answer {first:?}, again after {again_after} ms: {line}");
+            }
+        }
+    }
+}
+
 fn main() {
     let arguments = Arguments::parse();
+    if arguments.leavers {
+        return play_leavers(&arguments);
+    }
     let slow = arguments.slow.iter().flat_map(|name| {
         let manners = named(&SlowManner::ALL, name);
         manners.into_iter().map(|manner| HostileClients::Slow {
--- a/crates/cli/tests/overload/load/mod.rs
+++ b/crates/cli/tests/overload/load/mod.rs
@@ -15,7 +15,7 @@
 pub mod requests;
 
 use hostile::HostileClients;
-use nodes::NodeManner;
+use nodes::{NodeManner, RunLog};
 use platform_rig::Host;
 use regular::{Regular, RegularReport};
 use std::net::SocketAddr;
@@ -106,7 +106,7 @@
 
 /// Plays one load and returns what was seen.
 pub fn play(play: &Play) -> Report {
-    let discovery = nodes::start(play.node_manner, play.nodes_per_shard);
+    let discovery = nodes::start(play.node_manner, play.nodes_per_shard, RunLog::default());
     let mut host = start_host(play.limits, discovery);
     let stop = Stop::default();
     let regular = on_thread(Regular::run(host.address, stop.clone()));
--- a/crates/cli/tests/overload/load/nodes.rs
+++ b/crates/cli/tests/overload/load/nodes.rs
@@ -2,7 +2,8 @@
 
 use super::{SHARDS, on_thread};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -33,12 +34,23 @@
     Busy,
 }
 
+/// A request that reached a node completely.
+#[derive(Clone, Copy, Debug)]
+pub struct Run {
+    pub trace_id: u64,
+    pub at: Instant,
+}
+
+/// What the nodes of a play ran, in order.
+pub type RunLog = Arc<Mutex<Vec<Run>>>;
+
 /// Starts the nodes and a discovery service that lists them; returns discovery's address.
-pub fn start(manner: NodeManner, per_shard: u64) -> SocketAddr {
+pub fn start(manner: NodeManner, per_shard: u64, runs: RunLog) -> SocketAddr {
     let mut entries = Vec::new();
     for shard in 0..SHARDS {
         for place in 0..per_shard {
-            let dial = serve_on_thread(move |stream| serve_node(stream, manner));
+            let runs = runs.clone();
+            let dial = serve_on_thread(move |stream| serve_node(stream, manner, runs.clone()));
             entries.push(format!(
                 r#"{{"host":"s-{shard}-{place}","dial":"{dial}","site":"a","class":"m","block":{shard},"health":"SERVING","share":1.0,"born_ms":0}}"#
             ));
@@ -109,9 +121,21 @@
     [head.as_bytes(), body].concat()
 }
 
-async fn serve_node(stream: TcpStream, manner: NodeManner) {
+/// The trace id of a request's head.
+fn trace_id(head: &str) -> Option<u64> {
+    let id = head
+        .lines()
+        .find_map(|line| line.strip_prefix("X-Trace-Id: "));
+    u64::from_str_radix(id?, 16).ok()
+}
+
+async fn serve_node(stream: TcpStream, manner: NodeManner, runs: RunLog) {
     let mut reader = RequestReader::new(stream);
-    while reader.next().await.is_some() {
+    while let Some(head) = reader.next().await {
+        if let Some(trace_id) = trace_id(&head) {
+            let at = Instant::now();
+            runs.lock().unwrap().push(Run { trace_id, at });
+        }
         sleep(WORK).await;
         if write_answer(&mut reader.stream, manner).await.is_none() {
             return;
--- a/crates/cli/tests/overload/main.rs
+++ b/crates/cli/tests/overload/main.rs
@@ -6,6 +6,7 @@
 
 use load::floods::{Flood, FloodKind};
 use load::hostile::{HostileClients, SlowManner};
+use load::leavers::{self, FirstAnswer, Leave};
 use load::nodes::NodeManner;
 use load::{Limits, Play, Report};
 use std::sync::Mutex;
@@ -82,3 +83,34 @@
         assert_eq!(report.regular.refused, 0, "{kind:?}");
     }
 }
+
+/// Guards against attempts for clients that are gone: no first attempt begins more than 0.1 s after the close of its
+/// client's connection, and the 50 ms of sockets.
+#[test]
+fn requests_of_clients_that_left_are_not_sent_on() {
+    let _guard = ONE_AT_A_TIME
+        .lock()
+        .unwrap_or_else(|error| error.into_inner());
+    let stay = Duration::from_millis(100);
+    for leave in [Leave::InOrder, Leave::Reset, Leave::Unread] {
+        let report = leavers::play_leaving(SMALL_HOST, NodeManner::Busy, 30, stay, leave);
+        println!("{leave:?}: {}", report.line());
+        assert!(report.begun > 0, "{leave:?}");
+        assert!(report.latest <= Duration::from_millis(150), "{leave:?}");
+    }
+}
+
+/// Guards against a second run of a request that comes again with its id, after its client left or had its answer.
+#[test]
+fn an_id_that_comes_again_runs_once() {
+    let _guard = ONE_AT_A_TIME
+        .lock()
+        .unwrap_or_else(|error| error.into_inner());
+    let later = Duration::from_millis(300);
+    for first in [FirstAnswer::NotWaitedFor, FirstAnswer::Read] {
+        let report = leavers::play_repeats(SMALL_HOST, "once", first, later);
+        println!("{first:?}: {}", report.line());
+        assert_eq!((report.run_twice, report.run), (0, 20), "{first:?}");
+        assert_eq!(report.repeats_refused, 20, "{first:?}");
+    }
+}
--- a/crates/platform/src/core/clients/input.rs
+++ b/crates/platform/src/core/clients/input.rs
@@ -9,7 +9,7 @@
 use super::table::ReceivedMessage;
 use bytes::Bytes;
 use gullsail_http::{Fault, Message, StartLine};
-use gullsail_scheduler_api::{Event, Span};
+use gullsail_scheduler_api::{Event, Idempotency, Span};
 
 impl Core {
     pub(in super::super) fn client_received(&mut self, conn: ConnectionId, bytes: &[u8]) {
@@ -104,12 +104,15 @@
         if self.shutdown == Shutdown::Flushing {
             return Err(RequestError::ShuttingDown);
         }
-        if self.requests.contains_trace_id(parsed.trace_id) {
+        let idempotency = settings.idempotency(parsed.request.request_class);
+        let now = self.context.now;
+        if !self.requests.may_open(&parsed, idempotency, now) {
             return Err(RequestError::DuplicateTraceId);
         }
+        let keeps_id = idempotency != Idempotency::Idempotent;
         let request = self
             .requests
-            .insert(conn, parsed, self.context.now)
+            .insert(conn, parsed, keeps_id, now)
             .ok_or(RequestError::OutOfMemory)?;
         self.context.metrics.requests_accepted += 1;
         self.clients
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -25,6 +25,7 @@
 mod clients;
 mod context;
 mod discovery;
+mod executed_ids;
 mod header_values;
 mod io;
 mod metrics;
@@ -227,6 +228,7 @@
         sizes.extend([
             ("clients", self.clients.len()),
             ("requests", self.requests.len()),
+            ("executed_ids", self.requests.executed_id_count()),
             ("attempts", self.attempts.len()),
             ("node_connections", self.nodes.connection_count()),
             ("nodes", self.nodes.node_count()),
--- a/crates/platform/src/core/request_error.rs
+++ b/crates/platform/src/core/request_error.rs
@@ -33,7 +33,7 @@
     LengthRequired,
     /// A read has a body that is not empty.
     ReadWithBody,
-    /// A request with the same trace id is open.
+    /// A request with the same trace id is open, or may have run within the last minute and must not run again.
     DuplicateTraceId,
     /// The bound on the memory of open requests or of incomplete messages is reached. Answered with 413, not 503: a 503
     /// would mean that the client may retry, which only the scheduler decides.
--- a/crates/platform/src/core/requests.rs
+++ b/crates/platform/src/core/requests.rs
@@ -2,10 +2,14 @@
 //! answered, or its client has disconnected, and none of its attempts is in flight.
 
 use super::attempt_key::AttemptKey;
+use super::executed_ids::ExecutedIds;
 use super::io::ConnectionId;
 use super::request_parser::{ForwardedHead, ParsedRequest};
 use bytes::Bytes;
-use gullsail_scheduler_api::{AttemptOutcome, Instant, Request, RequestClassId, RequestId};
+use gullsail::may_accept_again;
+use gullsail_scheduler_api::{
+    AttemptOutcome, Idempotency, Instant, Request, RequestClassId, RequestId,
+};
 use std::collections::BTreeMap;
 
 /// Estimated memory of one entry in addition to its head and body. If the estimate is too small, the host exceeds its
@@ -21,6 +25,10 @@
     pub(super) request_class: RequestClassId,
     pub(super) head: ForwardedHead,
     pub(super) body: Bytes,
+    /// When the request arrived.
+    arrived_at: Instant,
+    /// A second run does harm, so the trace id is kept when the request may have run.
+    keeps_id: bool,
     /// When the client stops waiting for the response.
     pub(super) deadline: Instant,
     /// How many attempts the scheduler has started. The next attempt has this number.
@@ -39,6 +47,8 @@
     entries: BTreeMap<RequestId, OpenRequest>,
     /// Maps the trace ids of open requests to their request ids.
     by_trace_id: BTreeMap<u64, RequestId>,
+    /// The trace ids of requests that are no longer open and may have run.
+    executed_ids: ExecutedIds,
     /// The id of the request added last. 0 if there was none.
     last_id: u64,
     /// Estimated memory of all entries.
@@ -54,6 +64,7 @@
         RequestTable {
             entries: BTreeMap::new(),
             by_trace_id: BTreeMap::new(),
+            executed_ids: ExecutedIds::default(),
             last_id: 0,
             held_bytes: 0,
             max_held_bytes,
@@ -82,8 +93,27 @@
         self.held_bytes
     }
 
-    pub(super) fn contains_trace_id(&self, trace_id: u64) -> bool {
-        self.by_trace_id.contains_key(&trace_id)
+    /// Whether the trace id of a request allows to open it: none with the same id is open, and where one may have run,
+    /// the scheduler allows another run.
+    pub(super) fn may_open(
+        &mut self,
+        parsed: &ParsedRequest,
+        idempotency: Idempotency,
+        now: Instant,
+    ) -> bool {
+        if self.by_trace_id.contains_key(&parsed.trace_id) {
+            return false;
+        }
+        let Some(first_arrived_at) = self.executed_ids.arrival_of(parsed.trace_id, now) else {
+            return true;
+        };
+        let Request { shard, timeout, .. } = parsed.request;
+        may_accept_again(idempotency, shard, first_arrived_at, now + timeout)
+    }
+
+    /// How many trace ids of requests are kept that are no longer open.
+    pub(super) fn executed_id_count(&self) -> usize {
+        self.executed_ids.len()
     }
 
     pub(super) fn get(&mut self, id: RequestId) -> Option<&mut OpenRequest> {
@@ -91,10 +121,12 @@
     }
 
     /// Adds a request and returns it with its id. Returns `None` if that would exceed the memory bound.
+    /// `keeps_id`: a second run does harm.
     pub(super) fn insert(
         &mut self,
         client: ConnectionId,
         parsed: ParsedRequest,
+        keeps_id: bool,
         now: Instant,
     ) -> Option<Request> {
         let ParsedRequest {
@@ -115,6 +147,8 @@
             request_class: request.request_class,
             head,
             body,
+            arrived_at: now,
+            keeps_id,
             deadline: now + request.timeout,
             attempts_started: 0,
             attempts_in_flight: 0,
@@ -156,6 +190,9 @@
         if let Some(open) = self.entries.get(&id).filter(finished) {
             self.held_bytes -= open.held_bytes;
             self.by_trace_id.remove(&open.trace_id);
+            if open.keeps_id && open.unproven_execution.is_some() {
+                self.executed_ids.insert(open.trace_id, open.arrived_at);
+            }
             self.entries.remove(&id);
         }
     }
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod limits_and_shutdown;
 mod races;
+mod repeated_ids;
 mod rig;
 mod second_responses;
 mod serialized_names;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,4 @@
 pub mod scheduler;
 
 pub use gullsail_scheduler_api as api;
-pub use scheduler::Scheduler;
+pub use scheduler::{Scheduler, may_accept_again};
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -42,6 +42,7 @@
 mod state;
 mod volume;
 
+pub use attempts::idempotency::may_accept_again;
 use endpoint::tracker::EndpointTracker;
 use gullsail_scheduler_api::{
     Action, Endpoint, EndpointState, Event, Instant, NodeId, SchedulerConfig, UpdateKind,
--- a/src/scheduler/attempts/idempotency.rs
+++ b/src/scheduler/attempts/idempotency.rs
@@ -63,6 +63,27 @@
     may_repeat && is_before(now, send_before(execution, idempotency))
 }
 
+/// Whether a host may accept a request that ends by `deadline`, if an earlier one with the same id may have run. The
+/// earlier one arrived at `first_arrived_at` and is no longer open, so its endpoint is not known any more: a request
+/// with an idempotency key is accepted only if it reaches endpoints that recognise the key in all of its time.
+///
+/// Clients give each request an id of its own, so this harms only those that do not: they wait for nothing.
+pub fn may_accept_again(
+    idempotency: Idempotency,
+    shard: Option<ShardId>,
+    first_arrived_at: Instant,
+    deadline: Instant,
+) -> bool {
+    match idempotency {
+        Idempotency::Idempotent => true,
+        Idempotency::NonIdempotent => false,
+        Idempotency::WithKey { scope, window } => {
+            let reaches_same_scope = shard.is_some() || scope == IdempotencyScope::All;
+            reaches_same_scope && deadline < first_arrived_at + window - MAX_SEND_DELAY
+        }
+    }
+}
+
 /// Whether only the endpoints of the same shard recognise repeats of this class's requests.
 pub(crate) fn is_bound_to_shard(class: &RequestClass) -> bool {
     matches!(
