Short bodies are written with their heads, long ones by a call of their own

Change: a body of up to 8 KiB is copied behind its head and written with it, as before; a longer one is written by the next write. The play of ids that come again leaves once a node has the request, in place of after 20 ms, so that its verdict does not depend on the machine.

--- a/crates/cli/tests/overload/load/leavers.rs
+++ b/crates/cli/tests/overload/load/leavers.rs
@@ -162,30 +162,34 @@
     Read,
 }
 
-/// Clients that send a request of this class, leave after 20 ms or after its answer, and send the same id again on a
-/// new connection `again_after` later.
+/// Clients that send a request of this class, leave once a node has it or after its answer, and send the same id again
+/// on a new connection `again_after` later.
 pub fn play_repeats(
     limits: Limits,
     class: &'static str,
     first_answer: FirstAnswer,
     again_after: Duration,
 ) -> RepeatReport {
-    const STAY: Duration = Duration::from_millis(20);
     let runs = RunLog::default();
     let host = start_host(limits, nodes::start(NodeManner::Busy, 1, runs.clone()));
     let address = host.address;
+    let log = runs.clone();
     let statuses = on_thread(async move {
         let mut clients = JoinSet::new();
         for id in 1..=REPEATED {
+            let log = log.clone();
             clients.spawn(async move {
                 let message = RequestHead::write(class, id).message(10);
-                let wait = match first_answer {
-                    FirstAnswer::NotWaitedFor => STAY,
-                    FirstAnswer::Read => PATIENCE,
-                };
-                ask(address, &message, wait).await;
+                let first = ask(address, &message);
+                match first_answer {
+                    FirstAnswer::Read => _ = first.await,
+                    FirstAnswer::NotWaitedFor => tokio::select! {
+                        _ = first => {}
+                        () = has_run(&log, id) => {}
+                    },
+                }
                 sleep(again_after).await;
-                ask(address, &message, PATIENCE).await
+                ask(address, &message).await
             });
             sleep(Duration::from_millis(30)).await;
         }
@@ -206,12 +210,19 @@
     }
 }
 
-/// Sends a message on a new connection and closes it after an answer or after `wait`. Returns the status of the answer.
-async fn ask(host: SocketAddr, message: &[u8], wait: Duration) -> Option<String> {
+/// Waits until a node has a request with this id.
+async fn has_run(runs: &RunLog, id: u64) {
+    while !runs.lock().unwrap().iter().any(|run| run.trace_id == id) {
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Sends a message on a new connection and closes it after the answer. Returns the status of the answer.
+async fn ask(host: SocketAddr, message: &[u8]) -> Option<String> {
     let mut stream = TcpStream::connect(host).await.ok()?;
     stream.write_all(message).await.ok()?;
     let mut answer = [0; 4096];
-    let read = timeout(wait, stream.read(&mut answer)).await;
+    let read = timeout(PATIENCE, stream.read(&mut answer)).await;
     let read = read.ok()?.ok()?;
     let text = std::str::from_utf8(&answer[..read]).ok()?;
     Some(text.get(9..12)?.to_string())
--- a/crates/http/src/encoder.rs
+++ b/crates/http/src/encoder.rs
@@ -1,14 +1,17 @@
-//! Encodes messages. The body is shared with the caller and not copied.
+//! Encodes messages. A long body is shared with the caller and not copied.
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use std::fmt::Display;
 
+/// Longest body that is copied behind its head, so that a short message is written by one call and in one segment.
+const MAX_COPIED_BODY: usize = 8 << 10;
+
 /// An encoded message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EncodedMessage {
-    /// The start line and the fields, with the empty line at their end.
+    /// The start line and the fields, with the empty line at their end, and a short body behind them.
     head: Bytes,
-    /// The body, which may be empty.
+    /// A long body; otherwise empty.
     body: Bytes,
 }
 
@@ -18,9 +21,9 @@
         [&self.head[..], &self.body].concat()
     }
 
-    /// The message for writing, which copies neither part.
-    pub fn into_buf(self) -> impl Buf {
-        self.head.chain(self.body)
+    /// The parts to write one after the other; the second one may be empty.
+    pub fn into_parts(self) -> [Bytes; 2] {
+        [self.head, self.body]
     }
 }
 
@@ -72,8 +75,16 @@
 
     /// Ends the message with `Content-Length` and a body, and returns it.
     pub fn body(self, body: Bytes) -> EncodedMessage {
-        let EncodedMessage { head, .. } = self.number("Content-Length", body.len()).without_body();
-        EncodedMessage { head, body }
+        let mut head = self.number("Content-Length", body.len()).0;
+        head.put_slice(b"\r\n");
+        if body.len() <= MAX_COPIED_BODY {
+            head.put_slice(&body);
+            return head.freeze().into();
+        }
+        EncodedMessage {
+            head: head.freeze(),
+            body,
+        }
     }
 
     /// Ends the message without a body and without `Content-Length`, and returns it.
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -351,3 +351,17 @@
     });
     run.unwrap();
 }
+
+/// A long body is a part of its own, so that it need not be copied; a short one is written with its head.
+#[test]
+fn messages_with_bodies_of_any_length_are_encoded_completely() {
+    for length in [0, 1, 8 << 10, (8 << 10) + 1, 64 << 10] {
+        let body = Bytes::from(vec![b'x'; length]);
+        let message = Encoder::response(200, "OK").body(body.clone());
+        let [head, rest] = message.clone().into_parts();
+        assert_eq!([head, rest.clone()].concat(), message.to_vec());
+        assert_eq!(rest.is_empty(), length <= 8 << 10, "{length}");
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        assert_eq!(message.to_vec(), [head.as_bytes(), &body].concat());
+    }
+}
--- a/crates/platform/src/runtime/connection.rs
+++ b/crates/platform/src/runtime/connection.rs
@@ -239,7 +239,10 @@
     }
 
     async fn write(&mut self, bytes: EncodedMessage) -> io::Result<()> {
-        self.stream.write_all_buf(&mut bytes.into_buf()).await
+        for part in bytes.into_parts() {
+            self.stream.write_all(&part).await?;
+        }
+        Ok(())
     }
 
     /// Writes a response and reports [`SocketEvent::Written`].
